--- /dev/null
+++ b/src/connection/index.ts
@@ -0,0 +1,1 @@
+export type * from './peer-network.js';
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,2 @@
+export type * from './platform.js';
+export * from './vm-list.js';
--- /dev/null
+++ b/src/platform/vm-list.ts
@@ -0,0 +1,72 @@
+/**
+ * The platform's list of VMs: one JSON value a VM under a prefix of the store.
+ */
+import {z} from 'zod';
+
+const address = z.string().regex(/^(?:\[[\da-fA-F:.]+\]|[\d.]+):\d{1,5}$/v, 'expected an IP address and a port');
+const name = z.string().regex(/^[a-z\d](?:[a-z\d\-]{0,62})$/v, 'expected lower-case letters, digits and hyphens');
+
+/** Schema of an entry VM in the list. */
+export const entryVmSchema = z.object({
+	kind: z.literal('entry'),
+	name,
+	dataCenter: name,
+	state: z.enum(['live', 'leaving']),
+	callerAddress: address,
+	operatorAddress: address,
+	peerAddress: address,
+}).readonly();
+
+/** Schema of an upstream in the list. */
+export const upstreamSchema = z.object({
+	kind: z.literal('upstream'),
+	name,
+	dataCenter: name,
+	state: z.enum(['live', 'leaving']),
+	service: name,
+	address,
+	/** Tasks that the upstream runs at the same time. */
+	slots: z.int().min(1).max(10_000),
+	/** Connections that the upstream accepts. */
+	connections: z.int().min(1).max(100_000),
+	cores: z.number().min(0).default(0),
+	memoryMb: z.number().min(0).default(0),
+	accelerators: z.number().min(0).default(0),
+	rack: z.string().default(''),
+}).readonly();
+
+/** Schema of any VM in the list. */
+export const listedVmSchema = z.discriminatedUnion('kind', [entryVmSchema, upstreamSchema]);
+
+/** An entry VM in the platform's list. */
+export type ListedEntryVm = z.infer<typeof entryVmSchema>;
+
+/** An upstream in the platform's list. */
+export type ListedUpstream = z.infer<typeof upstreamSchema>;
+
+/** Any VM in the platform's list. */
+export type ListedVm = z.infer<typeof listedVmSchema>;
+
+/** The list of VMs as one entry VM last saw it. */
+export type VmList = {
+	/** Store revision that the list was read at; a higher one is newer. */
+	readonly revision: number;
+	readonly entryVms: readonly ListedEntryVm[];
+	readonly upstreams: readonly ListedUpstream[];
+};
+
+/**
+ * Gets the prefix of the list of VMs; a VM's key is the prefix, its data centre, a slash and its name.
+ * @param deployment - Name of the deployment.
+ */
+export function getVmPrefix(deployment: string): string {
+	return `/endivemill/${deployment}/vms/`;
+}
+
+/**
+ * Gets the key of the configuration.
+ * @param deployment - Name of the deployment.
+ */
+export function getConfigurationKey(deployment: string): string {
+	return `/endivemill/${deployment}/configuration`;
+}
--- /dev/null
+++ b/src/process/events.ts
@@ -0,0 +1,103 @@
+/**
+ * The time line of one process: typed events in a bounded ring, each with a sequence number and a logical clock.
+ */
+import {type Clock, systemClock} from '../seams/index.js';
+
+/** Kinds of events. */
+export type EventKind =
+	| 'job-accepted' | 'job-refused' | 'job-joined' | 'job-ended' | 'job-cancelled' | 'job-forwarded'
+	| 'task-started' | 'task-ended' | 'task-retried'
+	| 'lease-asked' | 'lease-granted' | 'lease-returned' | 'lease-void'
+	| 'peer-up' | 'peer-silent' | 'peer-down' | 'owners-changed'
+	| 'upstream-ejected' | 'upstream-probed' | 'upstream-restored' | 'upstream-leaving'
+	| 'records-handed-over' | 'records-taken-over'
+	| 'version-in-force' | 'platform-up' | 'platform-down' | 'process-paused' | 'process-stopping';
+
+/** One event of the time line. */
+export type TimelineEvent = {
+	/** Position in this process's ring; rises by one. */
+	readonly sequence: number;
+	/** Lamport clock: greater than that of every event that may have caused this one. */
+	readonly logicalTime: number;
+	/** Wall-clock time in milliseconds since the Unix epoch. */
+	readonly time: number;
+	readonly process: string;
+	readonly kind: EventKind;
+	/** Job, upstream, peer or version that the event is about. */
+	readonly subject: string;
+	readonly detail: string;
+};
+
+/** Options of an {@link EventLog}. */
+export type EventLogOptions = {
+	readonly clock?: Clock;
+	/** Name of this process in the time line. */
+	readonly process: string;
+	/** Events kept. */
+	readonly capacity?: number;
+};
+
+const defaultCapacity = 20_000;
+
+/** Keeps the latest events of this process. */
+export class EventLog {
+	readonly #clock: Clock;
+	readonly #process: string;
+	readonly #capacity: number;
+	readonly #ring: TimelineEvent[] = [];
+	#sequence = 0;
+	#logicalTime = 0;
+
+	constructor(options: EventLogOptions) {
+		this.#clock = options.clock ?? systemClock;
+		this.#process = options.process;
+		this.#capacity = options.capacity ?? defaultCapacity;
+	}
+
+	/**
+	 * Adds an event.
+	 * @param kind - Kind of the event.
+	 * @param subject - What the event is about.
+	 * @param detail - Further text.
+	 */
+	addEvent(kind: EventKind, subject: string, detail = ''): void {
+		this.#logicalTime++;
+		this.#ring[this.#sequence % this.#capacity] = {
+			sequence: this.#sequence,
+			logicalTime: this.#logicalTime,
+			time: this.#clock.getTime(),
+			process: this.#process,
+			kind,
+			subject,
+			detail,
+		};
+		this.#sequence++;
+	}
+
+	/** Gets the logical time to send with a message to another process. */
+	getLogicalTime(): number {
+		return this.#logicalTime;
+	}
+
+	/**
+	 * Takes the logical time of a received message into account.
+	 * @param logicalTime - Logical time that the message carries.
+	 */
+	observeLogicalTime(logicalTime: number): void {
+		this.#logicalTime = Math.max(this.#logicalTime, logicalTime);
+	}
+
+	/**
+	 * Gets the kept events from a position on, oldest first.
+	 * @param fromSequence - First position wanted.
+	 */
+	getEvents(fromSequence = 0): readonly TimelineEvent[] {
+		const first = Math.max(fromSequence, this.#sequence - this.#capacity, 0);
+		const events: TimelineEvent[] = [];
+		for (let sequence = first; sequence < this.#sequence; sequence++) {
+			events.push(this.#ring[sequence % this.#capacity]!);
+		}
+
+		return events;
+	}
+}
--- /dev/null
+++ b/src/process/index.ts
@@ -0,0 +1,2 @@
+export * from './events.js';
+export type * from './task-scheduler.js';
--- /dev/null
+++ b/src/seams/index.ts
@@ -0,0 +1,2 @@
+export * from './clock.js';
+export * from './random.js';
--- /dev/null
+++ b/src/version/index.ts
@@ -0,0 +1,1 @@
+export * from './configuration.js';
