Add a first scheduler with slot leases between entry VMs

Cause: the coordinator needs a scheduler to integrate against. Change: queues by service with the orders fifo, fair and shortest remaining; owned slots by rendezvous hashing; leases asked from, granted by and given back to the other owners; health, retries and admission in a first form.

--- a/src/process/index.ts
+++ b/src/process/index.ts
@@ -1,2 +1,3 @@
 export * from './events.js';
 export type * from './task-scheduler.js';
+export * from './scheduler/index.js';
--- /dev/null
+++ b/src/process/scheduler/admission.ts
@@ -0,0 +1,87 @@
+/**
+ * Admission of whole jobs, before any of their tasks starts.
+ */
+import {type Admission} from '../task-scheduler.js';
+
+/** What the admission sees of a job and of the queue that it would join. */
+export type AdmissionRequest = {
+	/** Tasks of the job. */
+	readonly taskCount: number;
+	/** Time until the job's deadline in milliseconds. */
+	readonly remainingMs: number;
+	/** Whether the service has an upstream that is not leaving. */
+	readonly hasUpstream: boolean;
+	/** Whether each task fits some upstream. */
+	readonly isRunnable: boolean;
+	readonly queuedTasks: number;
+	readonly maxQueuedTasks: number;
+	/** Tasks that would run before the job's last one. */
+	readonly tasksAhead: number;
+	/** Time in which one task leaves the queue, in milliseconds. */
+	readonly msPerTask: number;
+	/** Time until the team's quota lets the job's last task start. */
+	readonly quotaWaitMs: number;
+};
+
+/** Admits a job as a whole or refuses it. */
+export type AdmissionFunction = (request: AdmissionRequest) => Admission;
+
+/** Least time after which a refused job should come again, in milliseconds. */
+const minRetryAfterMs = 10;
+
+/** Time after which a service without upstreams should be tried again, in milliseconds. */
+const noUpstreamRetryMs = 2000;
+
+/**
+ * Admits what fits the queue and is expected to start before its deadline.
+ * @param request - The job and its queue.
+ */
+export const admitInTime: AdmissionFunction = request => {
+	if (!request.hasUpstream) {
+		return refuse('no-upstream', 'No upstream of the service is listed as live', noUpstreamRetryMs);
+	}
+
+	if (!request.isRunnable) {
+		return {admitted: false, reason: 'never-runnable', detail: 'No upstream of the service fits the declared needs of a task'};
+	}
+
+	return refuseFullQueue(request) ?? refuseQuota(request) ?? refuseDeadline(request) ?? {admitted: true};
+};
+
+function refuseFullQueue(request: AdmissionRequest): Admission | undefined {
+	const excess = request.queuedTasks + request.taskCount - request.maxQueuedTasks;
+	if (excess <= 0) {
+		return undefined;
+	}
+
+	if (request.taskCount > request.maxQueuedTasks) {
+		return {admitted: false, reason: 'queue-full', detail: `The job has more tasks than the queue takes, ${request.maxQueuedTasks}`};
+	}
+
+	return refuse('queue-full', `${request.queuedTasks} tasks are queued, the limit is ${request.maxQueuedTasks}`, excess * request.msPerTask);
+}
+
+function refuseQuota(request: AdmissionRequest): Admission | undefined {
+	const excessMs = request.quotaWaitMs - request.remainingMs;
+	if (request.quotaWaitMs === Number.POSITIVE_INFINITY) {
+		return {admitted: false, reason: 'team-quota', detail: 'The quota of the team allows no task'};
+	}
+
+	return excessMs > 0
+		? refuse('team-quota', `The quota of the team lets the job start only in ${Math.ceil(request.quotaWaitMs)} ms`, excessMs)
+		: undefined;
+}
+
+function refuseDeadline(request: AdmissionRequest): Admission | undefined {
+	const waitMs = request.tasksAhead * request.msPerTask;
+	const excessMs = waitMs - request.remainingMs;
+	return excessMs > 0
+		? refuse('deadline-too-short', `The last task is expected to start in ${Math.ceil(waitMs)} ms`, excessMs)
+		: undefined;
+}
+
+function refuse(reason: 'no-upstream' | 'queue-full' | 'team-quota' | 'deadline-too-short', detail: string, retryAfterMs: number): Admission {
+	return {
+		admitted: false, reason, detail, retryAfterMs: Math.max(Math.ceil(retryAfterMs), minRetryAfterMs),
+	};
+}
--- /dev/null
+++ b/src/process/scheduler/index.ts
@@ -0,0 +1,9 @@
+export * from './admission.js';
+export * from './create-task-scheduler.js';
+export * from './job-order.js';
+export type * from './scheduler-counters.js';
+export * from './scheduler-tuning.js';
+export type {SchedulerDecisions} from './service-scheduler.js';
+export {slotTopic} from './slot-messages.js';
+export type * from './task-scheduler-options.js';
+export * from './upstream-choice.js';
--- /dev/null
+++ b/src/process/scheduler/lease-broker.ts
@@ -0,0 +1,222 @@
+import {type MemberView} from './member-view.js';
+import {DemandBook} from './demand-book.js';
+import {type JobOrder} from './job-order.js';
+import {type JobPart} from './queued-job.js';
+import {type SchedulerContext} from './scheduler-context.js';
+import {type SchedulerTuning} from './scheduler-tuning.js';
+import {type ServiceUpdate, type SlotDemand} from './slot-messages.js';
+import {type SlotPool} from './slot-pool.js';
+import {type HeldLease, type UpstreamEntry} from './upstream-entry.js';
+
+/** Options of a {@link LeaseBroker}. */
+export type LeaseBrokerOptions = {
+	readonly service: string;
+	readonly context: SchedulerContext;
+	readonly pool: SlotPool;
+	readonly tuning: SchedulerTuning;
+};
+
+/** What waits here for slots. */
+export type LocalDemand = {
+	readonly order: JobOrder;
+	/** Tasks that may start. */
+	readonly readyTasks: number;
+	/** Part of a job that is next, whether a slot is free for it or not. */
+	readonly next: JobPart | undefined;
+	/** Expected wait of the last of these tasks on the slots in hand. */
+	readonly waitMs: number;
+	/** Whether other data centres may be asked. */
+	readonly maySpill: boolean;
+};
+
+/** Bounds of the time for which a demand is told, in milliseconds. */
+const minDemandMs = 50;
+const maxDemandMs = 1000;
+
+/** Growth of the wanted number of slots that is worth telling. */
+const demandGrowth = 2;
+
+/** Least number of slots asked of one member. */
+const minAsked = 4;
+
+/**
+ * Moves slots of one service between entry VMs, to where the most urgent jobs are.
+ * @internal
+ */
+export class LeaseBroker {
+	readonly #options: LeaseBrokerOptions;
+	readonly #context: SchedulerContext;
+	readonly #pool: SlotPool;
+	readonly #tuning: SchedulerTuning;
+	readonly #demands = new DemandBook();
+	#view: MemberView;
+	#firstAsked = 0;
+
+	constructor(options: LeaseBrokerOptions, view: MemberView) {
+		this.#options = options;
+		this.#context = options.context;
+		this.#pool = options.pool;
+		this.#tuning = options.tuning;
+		this.#view = view;
+	}
+
+	/**
+	 * Takes a new view of the members.
+	 * @param view - New view.
+	 */
+	setMembers(view: MemberView): void {
+		this.#view = view;
+		for (const member of this.#demands.getMembers()) {
+			if (!view.up.has(member)) {
+				this.#demands.removeMember(member);
+			}
+		}
+	}
+
+	/**
+	 * Takes what another member says about the service.
+	 * @param update - What it says.
+	 * @param from - The member.
+	 * @param lastReceived - Number of the last message that it had taken from here.
+	 * @param order - Order in force.
+	 */
+	takeUpdate(update: ServiceUpdate, from: string, lastReceived: number, order: JobOrder): void {
+		if (update.returned) {
+			this.#pool.takeReturned(update.returned, from);
+		}
+
+		if (update.granted) {
+			this.#demands.addReceived(from, update.granted.length);
+			this.#pool.takeGranted(update.granted, from);
+		}
+
+		if (update.revoked) {
+			this.#pool.takeRevoked(update.revoked);
+		}
+
+		if (update.claims) {
+			this.#pool.takeClaims(update.claims, from, lastReceived);
+		}
+
+		if (update.claimRound !== undefined) {
+			this.#context.getOutbox(from)?.setClaims(this.#options.service, update.claimRound);
+		}
+
+		if (update.demand) {
+			const now = this.#context.clock.getMonotonicTime();
+			const rank = update.demand.urgency + (order.rankPerMs * now);
+			const isLocal = this.#view.dataCenters.get(from) === this.#context.self.dataCenter;
+			this.#demands.setKnown({
+				member: from, count: update.demand.count, rank, validUntil: now + update.demand.validMs, isLocal,
+			});
+		}
+	}
+
+	/**
+	 * Leases one free slot to the most urgent demand if that goes before the next local task; false when none did.
+	 * @param next - Part of a job that would start otherwise.
+	 * @param order - Order in force.
+	 */
+	grantOne(next: JobPart | undefined, order: JobOrder): boolean {
+		const demand = this.#demands.getMostUrgent(this.#context.clock.getMonotonicTime());
+		if (!demand) {
+			return false;
+		}
+
+		const isFirst = !next || (demand.isLocal && demand.rank + order.leaseMargin < next.rank);
+		if (!isFirst || (!demand.isLocal && this.#isReserved())) {
+			return false;
+		}
+
+		if (!this.#pool.grantLease(demand.member)) {
+			return false;
+		}
+
+		this.#demands.addGranted(demand.member, 1);
+		return true;
+	}
+
+	/**
+	 * Gives back idle leases that their owner needs more, and those that were idle for long.
+	 * @param local - What waits here.
+	 */
+	returnLeases(local: LocalDemand): void {
+		const now = this.#context.clock.getMonotonicTime();
+		const oldest = this.#pool.getOldestIdleTime();
+		const isDue = oldest !== undefined && now - oldest >= this.#tuning.leaseIdleMs;
+		this.#pool.returnLeases((lease, entry) => isDue || this.#isWantedBack(lease, entry, local, now));
+	}
+
+	/** Gets the monotonic time at which idle leases are due; `undefined` when there are none. */
+	getReturnTime(): number | undefined {
+		const oldest = this.#pool.getOldestIdleTime();
+		return oldest === undefined ? undefined : oldest + this.#tuning.leaseIdleMs;
+	}
+
+	/**
+	 * Tells the other owners what is wanted here, where that is news; gets the time to look again.
+	 * @param local - What waits here.
+	 */
+	tellDemand(local: LocalDemand): number | undefined {
+		if (!local.next || local.waitMs < this.#tuning.demandWaitMs) {
+			return undefined;
+		}
+
+		const asked = this.#chooseAsked(local);
+		const count = Math.max(Math.ceil(local.readyTasks / Math.max(asked.length, 1)), Math.min(minAsked, local.readyTasks));
+		let lookAgain: number | undefined;
+		for (const member of asked) {
+			const time = this.#tellMember(member, count, local);
+			lookAgain = Math.min(lookAgain ?? time, time);
+		}
+
+		return lookAgain;
+	}
+
+	#chooseAsked(local: LocalDemand): readonly string[] {
+		const owners = this.#pool.getOtherOwners(true);
+		const candidates = local.maySpill ? [...owners, ...this.#pool.getOtherOwners(false)] : owners;
+		const wanted = Math.min(candidates.length, this.#tuning.demandFanOut, Math.ceil(local.readyTasks / minAsked));
+		if (wanted === candidates.length) {
+			return candidates;
+		}
+
+		this.#firstAsked++;
+		return Array.from({length: wanted}, (_, index) => candidates[(this.#firstAsked + index) % candidates.length]!);
+	}
+
+	#tellMember(member: string, count: number, local: LocalDemand): number {
+		const now = this.#context.clock.getMonotonicTime();
+		const {rank} = local.next!;
+		const told = this.#demands.getTold(member, now);
+		const isNews = !told || rank + local.order.leaseMargin < told.rank || count > told.count * demandGrowth;
+		if (told && !isNews) {
+			return told.validUntil;
+		}
+
+		const earliest = this.#demands.getToldAt(member) + this.#tuning.demandIntervalMs;
+		if (now < earliest) {
+			return earliest;
+		}
+
+		const validMs = Math.min(Math.max(local.waitMs, minDemandMs), maxDemandMs);
+		const demand: SlotDemand = {count, urgency: rank - (local.order.rankPerMs * now), validMs};
+		this.#demands.setTold(member, demand, rank, now);
+		this.#context.getOutbox(member)?.setDemand(this.#options.service, demand);
+		this.#context.events.addEvent('lease-asked', member, `${count} slots of ${this.#options.service}`);
+		return now + validMs;
+	}
+
+	#isWantedBack(_lease: HeldLease, entry: UpstreamEntry, local: LocalDemand, now: number): boolean {
+		const demand = entry.owner === undefined ? undefined : this.#demands.getKnown(entry.owner, now);
+		if (!demand) {
+			return false;
+		}
+
+		return !local.next || demand.rank + local.order.leaseMargin < local.next.rank;
+	}
+
+	#isReserved(): boolean {
+		return this.#pool.getGrantableSlots() <= this.#pool.getUsableSlots() * this.#tuning.spillReserve;
+	}
+}
--- /dev/null
+++ b/src/process/scheduler/member-view.ts
@@ -0,0 +1,35 @@
+import {type Incarnation, type Member} from '../../connection/index.js';
+
+/** The entry VMs that count slots, by data centre, and those that can be told something. */
+export type MemberView = {
+	/** Identifiers of the members that own upstreams, by data centre; this one among them. */
+	readonly owners: ReadonlyMap<string, readonly string[]>;
+	/** Identifiers of the other members that are up. */
+	readonly up: ReadonlySet<string>;
+	/** Data centre of each known member. */
+	readonly dataCenters: ReadonlyMap<string, string>;
+};
+
+/**
+ * Sums up the members. A silent one stays an owner: its upstreams change hands only once it is down.
+ * @param self - This entry VM.
+ * @param members - The others.
+ */
+export function createMemberView(self: Incarnation, members: readonly Member[]): MemberView {
+	const owners = new Map<string, string[]>([[self.dataCenter, [self.id]]]);
+	const up = new Set<string>();
+	const dataCenters = new Map([[self.id, self.dataCenter]]);
+	for (const {incarnation, state, isLeaving} of members) {
+		dataCenters.set(incarnation.id, incarnation.dataCenter);
+		if (state === 'up') {
+			up.add(incarnation.id);
+		}
+
+		if (state !== 'down' && !isLeaving) {
+			const known = owners.get(incarnation.dataCenter) ?? [];
+			owners.set(incarnation.dataCenter, [...known, incarnation.id]);
+		}
+	}
+
+	return {owners, up, dataCenters};
+}
--- /dev/null
+++ b/src/process/scheduler/owner-table.ts
@@ -0,0 +1,26 @@
+import xxhash from 'xxhash-wasm';
+
+const {h32} = await xxhash();
+
+/** Space of the hash values. */
+const hashRange = 2 ** 32;
+
+/**
+ * Gets the owner of an upstream by rendezvous hashing, so that a change of the members moves only the upstreams of
+ * the member that came or went.
+ * @param upstream - Name of the upstream.
+ * @param members - Identifiers of the live members; the order doesn't matter.
+ */
+export function getOwner(upstream: string, members: readonly string[]): string | undefined {
+	let owner: string | undefined;
+	let ownerScore = -1;
+	for (const member of members) {
+		const score = h32(`${member}/${upstream}`) / hashRange;
+		if (score > ownerScore || (score === ownerScore && member < owner!)) {
+			owner = member;
+			ownerScore = score;
+		}
+	}
+
+	return owner;
+}
--- /dev/null
+++ b/src/process/scheduler/slot-messages.ts
@@ -0,0 +1,77 @@
+/**
+ * Messages about slots between entry VMs.
+ */
+import {z} from 'zod';
+
+const leaseSchema = z.object({
+	id: z.string(),
+	upstream: z.string(),
+}).readonly();
+
+const demandSchema = z.object({
+	/** Further slots wanted; 0 withdraws the demand. */
+	count: z.int().min(0),
+	/** Rank of the most urgent job, less what the time of sending adds to a rank. */
+	urgency: z.number(),
+	/** Time after which the demand lapses. */
+	validMs: z.number().min(0),
+}).readonly();
+
+const serviceUpdateSchema = z.object({
+	service: z.string(),
+	demand: demandSchema.optional(),
+	granted: z.array(leaseSchema).readonly().optional(),
+	returned: z.array(z.string()).readonly().optional(),
+	/** Leases that the receiver ends: the holder must not start another task on them. */
+	revoked: z.array(z.string()).readonly().optional(),
+	/** Asks the receiver for all leases that it holds of the sender's upstreams. */
+	claimRound: z.int().optional(),
+	/** All leases that the sender holds of the receiver's upstreams. */
+	claims: z.object({round: z.int(), leases: z.array(leaseSchema).readonly()}).readonly().optional(),
+}).readonly();
+
+const teamUpdateSchema = z.object({
+	team: z.string(),
+	/** Slots that the sender could use for the team. */
+	demand: z.number().min(0).optional(),
+	/** Table of shares, by member; with the number of the table. */
+	shares: z.object({number: z.int(), byMember: z.record(z.string(), z.number())}).readonly().optional(),
+	/** Number of the table that the sender has put in force. */
+	inForce: z.int().optional(),
+}).readonly();
+
+const slotMessageSchema = z.object({
+	/** Rises with each message from the sender to the receiver; a message that doesn't rise is a copy. */
+	number: z.int().min(1),
+	/** Number of the last message that the sender took from the receiver. */
+	lastReceived: z.int().min(0),
+	services: z.array(serviceUpdateSchema).readonly(),
+	teams: z.array(teamUpdateSchema).readonly(),
+}).readonly();
+
+/** A lease as named in messages. */
+export type LeaseName = z.infer<typeof leaseSchema>;
+
+/** How many further slots an entry VM wants, and how urgently. */
+export type SlotDemand = z.infer<typeof demandSchema>;
+
+/** What a message says about one service. */
+export type ServiceUpdate = z.infer<typeof serviceUpdateSchema>;
+
+/** What a message says about one team's quota. */
+export type TeamUpdate = z.infer<typeof teamUpdateSchema>;
+
+/** A message about slots. */
+export type SlotMessage = z.infer<typeof slotMessageSchema>;
+
+/** Topic of control messages about slots. */
+export const slotTopic = 'slots';
+
+/**
+ * Reads the body of a control message; `undefined` when it is malformed.
+ * @param body - Body as received.
+ */
+export function parseSlotMessage(body: unknown): SlotMessage | undefined {
+	const result = slotMessageSchema.safeParse(body);
+	return result.success ? result.data : undefined;
+}
--- /dev/null
+++ b/src/process/scheduler/slot-pool.ts
@@ -0,0 +1,463 @@
+import {type ListedUpstream} from '../../platform/index.js';
+import {type Timer} from '../../seams/index.js';
+import {type MemberView} from './member-view.js';
+import {getOwner} from './owner-table.js';
+import {type SchedulerContext} from './scheduler-context.js';
+import {type LeaseName, type ServiceUpdate} from './slot-messages.js';
+import {type HeldLease, type HeldSlot, UpstreamEntry} from './upstream-entry.js';
+
+/** Options of a {@link SlotPool}. */
+export type SlotPoolOptions = {
+	readonly service: string;
+	readonly context: SchedulerContext;
+	/** Gets the expected time of a task, for upstreams that none was observed on. */
+	readonly getTaskMs: () => number;
+	/** Gets the longest time that a task may run. */
+	readonly getTaskTimeoutMs: () => number;
+	/** Called when slots may have become available by themselves. */
+	readonly onChange: () => void;
+};
+
+/** Longest wait for the leases that other members hold of an upstream with a new owner, in milliseconds. */
+const claimWaitMs = 500;
+
+/**
+ * The slots of one service that this entry VM may use: those of the upstreams it owns, and those it leases.
+ * @internal
+ */
+export class SlotPool {
+	readonly #options: SlotPoolOptions;
+	readonly #context: SchedulerContext;
+	readonly #entries = new Map<string, UpstreamEntry>();
+	readonly #awaitedClaims = new Set<string>();
+	readonly #deadHolders = new Map<string, Timer>();
+	#view: MemberView;
+	#claimRound = 0;
+	#claimTimer: Timer | undefined;
+	#lastLease = 0;
+
+	constructor(options: SlotPoolOptions, view: MemberView) {
+		this.#options = options;
+		this.#context = options.context;
+		this.#view = view;
+	}
+
+	/** Gets the upstreams. */
+	getEntries(): readonly UpstreamEntry[] {
+		return [...this.#entries.values()];
+	}
+
+	/** Gets the upstreams on which a task may start now. */
+	getAvailable(): readonly UpstreamEntry[] {
+		return this.getEntries().filter(entry => entry.isAvailable());
+	}
+
+	/** Gets the number of slots that this entry VM has for its own tasks, free or in use. */
+	getUsableSlots(): number {
+		let sum = 0;
+		for (const entry of this.#entries.values()) {
+			if (entry.listed.state === 'live' && entry.health.getState() === 'healthy') {
+				sum += entry.owned ? entry.owned.getCapacity() - entry.owned.getLeasedOut() : entry.getHeldLeases().length;
+			}
+		}
+
+		return sum;
+	}
+
+	/** Gets the other members that own upstreams of this service, by whether they are of this data centre. */
+	getOtherOwners(isLocal: boolean): readonly string[] {
+		const owners = new Set<string>();
+		for (const entry of this.#entries.values()) {
+			if (entry.owner !== undefined && !entry.owned && entry.isLocal === isLocal && this.#view.up.has(entry.owner)) {
+				owners.add(entry.owner);
+			}
+		}
+
+		return [...owners];
+	}
+
+	/**
+	 * Takes a new list of the service's upstreams.
+	 * @param upstreams - Upstreams of the service that this entry VM may use.
+	 */
+	setUpstreams(upstreams: readonly ListedUpstream[]): void {
+		const names = new Set(upstreams.map(upstream => upstream.name));
+		for (const name of this.#entries.keys()) {
+			if (!names.has(name)) {
+				this.#entries.delete(name);
+			}
+		}
+
+		for (const upstream of upstreams) {
+			this.#setUpstream(upstream);
+		}
+
+		this.#updateOwners();
+	}
+
+	/**
+	 * Takes a new view of the members.
+	 * @param view - New view.
+	 */
+	setMembers(view: MemberView): void {
+		this.#view = view;
+		for (const memberId of this.#awaitedClaims) {
+			if (!view.up.has(memberId)) {
+				this.#awaitedClaims.delete(memberId);
+			}
+		}
+
+		this.#updateOwners();
+		this.#watchHolders();
+		this.#endClaimsWhenComplete();
+	}
+
+	/**
+	 * Ends the use of a slot; a lease is kept for the next task unless it is void.
+	 * @param slot - Slot whose task ended.
+	 */
+	releaseSlot(slot: HeldSlot): void {
+		const {entry, lease} = slot;
+		entry.running.delete(slot);
+		if (!lease) {
+			entry.owned?.releaseSlot();
+			entry.owned?.checkSum();
+			return;
+		}
+
+		if (lease.isVoid || entry.listed.state === 'leaving' || entry.health.getState() !== 'healthy') {
+			this.#tellReturn(entry, lease);
+			return;
+		}
+
+		lease.idleSince = this.#context.clock.getMonotonicTime();
+		entry.idleLeases.push(lease);
+	}
+
+	/**
+	 * Leases a free slot to another member, on the healthiest upstream with the most free slots.
+	 * @param holder - Member that gets the lease.
+	 */
+	grantLease(holder: string): boolean {
+		const outbox = this.#context.getOutbox(holder);
+		const entry = this.#chooseGrant();
+		if (!outbox || !entry) {
+			return false;
+		}
+
+		const id = this.#createLeaseId();
+		entry.owned!.addLease({id, holder, messageNumber: outbox.getNextNumber()});
+		entry.owned!.checkSum();
+		outbox.addGrant(this.#options.service, {id, upstream: entry.listed.name});
+		return true;
+	}
+
+	/** Gets the number of slots that could be leased out now. */
+	getGrantableSlots(): number {
+		let sum = 0;
+		for (const entry of this.#entries.values()) {
+			sum += entry.isGrantable() ? entry.getFreeSlots() : 0;
+		}
+
+		return sum;
+	}
+
+	/**
+	 * Takes leases that another owner granted; those of unknown or leaving upstreams go back.
+	 * @param leases - Leases granted.
+	 * @param owner - Member that granted them.
+	 */
+	takeGranted(leases: readonly LeaseName[], owner: string): void {
+		for (const {id, upstream} of leases) {
+			const entry = this.#entries.get(upstream);
+			if (entry && !entry.owned && entry.listed.state === 'live') {
+				entry.idleLeases.push({id, idleSince: this.#context.clock.getMonotonicTime(), isVoid: false});
+			} else {
+				this.#context.getOutbox(owner)?.addReturn(this.#options.service, id);
+			}
+		}
+	}
+
+	/**
+	 * Takes back leases that their holder no longer needs.
+	 * @param ids - Identifiers of the leases.
+	 * @param holder - Member that held them.
+	 */
+	takeReturned(ids: readonly string[], holder: string): void {
+		for (const id of ids) {
+			for (const entry of this.#entries.values()) {
+				if (entry.owned?.removeLease(id, holder)) {
+					entry.owned.checkSum();
+					break;
+				}
+			}
+		}
+	}
+
+	/**
+	 * Ends leases whose owner doesn't know them; tasks that run on them go on.
+	 * @param ids - Identifiers of the leases.
+	 */
+	takeRevoked(ids: readonly string[]): void {
+		const revoked = new Set(ids);
+		for (const entry of this.#entries.values()) {
+			const kept = entry.idleLeases.filter(lease => !revoked.has(lease.id));
+			entry.idleLeases.splice(0, entry.idleLeases.length, ...kept);
+			for (const {lease} of entry.running) {
+				if (lease && revoked.has(lease.id)) {
+					lease.isVoid = true;
+					this.#context.events.addEvent('lease-void', entry.listed.name, lease.id);
+				}
+			}
+		}
+	}
+
+	/**
+	 * Takes the statement of a member about all leases that it holds here, and frees those that it doesn't name.
+	 * @param claims - Leases that the member holds.
+	 * @param holder - Member that states them.
+	 * @param lastReceived - Number of the last message that the member had taken; later grants stay.
+	 */
+	takeClaims(claims: NonNullable<ServiceUpdate['claims']>, holder: string, lastReceived: number): void {
+		const named = new Set(claims.leases.map(lease => lease.id));
+		for (const entry of this.#entries.values()) {
+			for (const lease of entry.owned?.getLeases() ?? []) {
+				if (lease.holder === holder && lease.messageNumber <= lastReceived && !named.has(lease.id)) {
+					entry.owned!.removeLease(lease.id, holder);
+				}
+			}
+		}
+
+		for (const lease of claims.leases) {
+			this.#takeClaim(lease, holder);
+		}
+
+		if (claims.round === this.#claimRound) {
+			this.#awaitedClaims.delete(holder);
+			this.#endClaimsWhenComplete();
+		}
+	}
+
+	/**
+	 * Gets the leases held of the upstreams that a member owns, or that it granted.
+	 * @param owner - Member that owns the upstreams.
+	 */
+	getClaims(owner: string): readonly LeaseName[] {
+		return this.getEntries().flatMap(entry => entry.getHeldLeases()
+			.filter(lease => entry.owner === owner || lease.id.startsWith(`${owner}:`))
+			.map(lease => ({id: lease.id, upstream: entry.listed.name})));
+	}
+
+	/** Asks each holder for the leases it holds, so that a lost message leaves no slot unused. */
+	askHolders(): void {
+		const holders = new Set(this.getEntries().flatMap(entry => entry.owned?.getLeases() ?? []).map(lease => lease.holder));
+		for (const holder of holders) {
+			this.#context.getOutbox(holder)?.askClaims(this.#options.service, this.#claimRound);
+		}
+	}
+
+	/**
+	 * Gives back idle leases.
+	 * @param shouldReturn - Tells which leases go back.
+	 */
+	returnLeases(shouldReturn: (lease: HeldLease, entry: UpstreamEntry) => boolean): void {
+		for (const entry of this.#entries.values()) {
+			for (const lease of entry.idleLeases.filter(idle => shouldReturn(idle, entry))) {
+				entry.idleLeases.splice(entry.idleLeases.indexOf(lease), 1);
+				this.#tellReturn(entry, lease);
+			}
+		}
+	}
+
+	/** Gets the earliest time since when a lease runs no task. */
+	getOldestIdleTime(): number | undefined {
+		let oldest: number | undefined;
+		for (const entry of this.#entries.values()) {
+			for (const {idleSince} of entry.idleLeases) {
+				oldest = Math.min(oldest ?? idleSince, idleSince);
+			}
+		}
+
+		return oldest;
+	}
+
+	/** Makes all leases in hand void, after this process may have been taken for dead. */
+	voidLeases(): void {
+		this.returnLeases(() => true);
+		for (const entry of this.#entries.values()) {
+			for (const {lease} of entry.running) {
+				if (lease) {
+					lease.isVoid = true;
+				}
+			}
+		}
+	}
+
+	/** Asks the other members for the leases they hold before any owned slot is used. */
+	reclaimOwned(): void {
+		this.#askClaims(this.getEntries().filter(entry => entry.owned));
+	}
+
+	/** Gives back all leases and stops the timers. */
+	close(): void {
+		this.voidLeases();
+		this.#claimTimer?.close();
+		for (const timer of this.#deadHolders.values()) {
+			timer.close();
+		}
+	}
+
+	#setUpstream(upstream: ListedUpstream): void {
+		const entry = this.#entries.get(upstream.name);
+		if (!entry) {
+			const isLocal = upstream.dataCenter === this.#context.self.dataCenter;
+			this.#entries.set(upstream.name, new UpstreamEntry(upstream, isLocal, this.#options.getTaskMs()));
+			return;
+		}
+
+		const isNewlyLeaving = upstream.state === 'leaving' && entry.listed.state === 'live';
+		entry.listed = upstream;
+		entry.owned?.setCapacity(upstream.slots);
+		if (isNewlyLeaving) {
+			this.#context.events.addEvent('upstream-leaving', upstream.name);
+			this.returnLeases((lease, holding) => holding === entry);
+		}
+	}
+
+	#updateOwners(): void {
+		const gained: UpstreamEntry[] = [];
+		const lost = new Set<string>();
+		for (const entry of this.#entries.values()) {
+			const owner = getOwner(entry.listed.name, this.#view.owners.get(entry.listed.dataCenter) ?? []);
+			if (owner === entry.owner) {
+				continue;
+			}
+
+			entry.owner = owner;
+			if (owner === this.#context.self.id) {
+				entry.becomeOwner();
+				gained.push(entry);
+				continue;
+			}
+
+			if (entry.owned) {
+				entry.ceaseOwner(() => this.#createLease());
+			}
+
+			if (owner !== undefined && entry.getHeldLeases().length > 0) {
+				lost.add(owner);
+			}
+		}
+
+		for (const owner of lost) {
+			this.#context.getOutbox(owner)?.setClaims(this.#options.service, 0);
+		}
+
+		if (gained.length > 0) {
+			this.#context.events.addEvent('owners-changed', this.#options.service, `${gained.length} upstreams gained`);
+			this.#askClaims(gained);
+		}
+	}
+
+	#askClaims(entries: readonly UpstreamEntry[]): void {
+		this.#claimRound++;
+		for (const entry of entries) {
+			entry.isClaimed = true;
+		}
+
+		for (const memberId of this.#view.up) {
+			if (this.#view.dataCenters.get(memberId) === this.#context.self.dataCenter) {
+				this.#awaitedClaims.add(memberId);
+				this.#context.getOutbox(memberId)?.askClaims(this.#options.service, this.#claimRound);
+			}
+		}
+
+		this.#claimTimer?.close();
+		this.#claimTimer = this.#context.clock.setTimer(() => {
+			this.#awaitedClaims.clear();
+			this.#endClaimsWhenComplete();
+		}, claimWaitMs);
+		this.#endClaimsWhenComplete();
+	}
+
+	#endClaimsWhenComplete(): void {
+		if (this.#awaitedClaims.size > 0 || !this.#claimTimer) {
+			return;
+		}
+
+		this.#claimTimer.close();
+		this.#claimTimer = undefined;
+		for (const entry of this.#entries.values()) {
+			entry.isClaimed = false;
+		}
+
+		this.#options.onChange();
+	}
+
+	#takeClaim(lease: LeaseName, holder: string): void {
+		const owned = this.#entries.get(lease.upstream)?.owned;
+		if (!owned || owned.getLease(lease.id)?.holder === holder) {
+			return;
+		}
+
+		if (!owned.addLease({id: lease.id, holder, messageNumber: 0})) {
+			this.#context.getOutbox(holder)?.addRevocation(this.#options.service, lease.id);
+		}
+	}
+
+	/** Frees the leases of a holder that is gone, but not before its tasks have ended. */
+	#watchHolders(): void {
+		const holders = new Set(this.getEntries().flatMap(entry => entry.owned?.getLeases() ?? []).map(lease => lease.holder));
+		for (const [holder, timer] of this.#deadHolders) {
+			if (this.#view.up.has(holder)) {
+				timer.close();
+				this.#deadHolders.delete(holder);
+			}
+		}
+
+		for (const holder of holders) {
+			if (!this.#view.up.has(holder) && !this.#deadHolders.has(holder)) {
+				this.#deadHolders.set(holder, this.#context.clock.setTimer(() => {
+					this.#freeHolder(holder);
+				}, this.#options.getTaskTimeoutMs()));
+			}
+		}
+	}
+
+	#freeHolder(holder: string): void {
+		this.#deadHolders.delete(holder);
+		for (const {owned} of this.#entries.values()) {
+			for (const lease of owned?.getLeases() ?? []) {
+				owned!.removeLease(lease.id, holder);
+			}
+		}
+
+		this.#options.onChange();
+	}
+
+	#chooseGrant(): UpstreamEntry | undefined {
+		let best: UpstreamEntry | undefined;
+		for (const entry of this.#entries.values()) {
+			if (entry.isGrantable() && (!best || entry.getFreeSlots() > best.getFreeSlots())) {
+				best = entry;
+			}
+		}
+
+		return best;
+	}
+
+	#tellReturn(entry: UpstreamEntry, lease: HeldLease): void {
+		if (entry.owner !== undefined) {
+			this.#context.getOutbox(entry.owner)?.addReturn(this.#options.service, lease.id);
+		}
+	}
+
+	#createLease(): HeldLease {
+		return {id: this.#createLeaseId(), idleSince: 0, isVoid: false};
+	}
+
+	#createLeaseId(): string {
+		this.#lastLease++;
+		return `${this.#context.self.id}:${this.#options.service}:${this.#lastLease}`;
+	}
+}
--- /dev/null
+++ b/test/process/scheduler/task-scheduler.test.ts
@@ -0,0 +1,78 @@
+import test from 'ava';
+import {answered, createUpstream, SchedulerHarness} from './scheduler-harness.js';
+
+test('tasks run up to the slots, then as slots become free', async t => {
+	const harness = new SchedulerHarness();
+	t.like(harness.nodes[0]!.scheduler.addJob(harness.createJob('j', 6)), {admitted: true});
+	t.is(harness.running.size, 4);
+	await harness.end(harness.starts[0]!);
+	t.is(harness.starts.length, 5);
+	await harness.close();
+});
+
+test('the job of fewer remaining tasks goes first', async t => {
+	const harness = new SchedulerHarness();
+	const {scheduler} = harness.nodes[0]!;
+	scheduler.addJob(harness.createJob('long', 20));
+	scheduler.addJob(harness.createJob('short', 1));
+	await harness.clock.advance(200);
+	await harness.end(harness.starts[0]!);
+	t.is(harness.starts.at(-1)!.task, 'short/0');
+	await harness.close();
+});
+
+test('a job is refused with the reason and the time to come back', async t => {
+	const harness = new SchedulerHarness({profile: {maxQueuedTasks: 10}, upstreams: [createUpstream('u1', {cores: 4})]});
+	const {scheduler} = harness.nodes[0]!;
+	t.like(scheduler.addJob(harness.createJob('a', 1, {service: 'none'})), {reason: 'unknown-service'});
+	t.like(scheduler.addJob(harness.createJob('b', 1, {team: 'none'})), {reason: 'unknown-team'});
+	t.like(scheduler.addJob(harness.createJob('c', 1, {needs: {cores: 8}})), {reason: 'never-runnable', retryAfterMs: undefined});
+	scheduler.addJob(harness.createJob('d', 10));
+	const full = scheduler.addJob(harness.createJob('e', 5));
+	t.like(full, {reason: 'queue-full'});
+	t.true(!full.admitted && full.retryAfterMs! > 0);
+	t.like(scheduler.addJob(harness.createJob('f', 1, {deadline: 1})), {reason: 'deadline-too-short'});
+	await scheduler.close();
+	t.like(scheduler.addJob(harness.createJob('g', 1)), {reason: 'stopping'});
+});
+
+test('a deadline drops queued tasks', async t => {
+	const harness = new SchedulerHarness();
+	const {scheduler} = harness.nodes[0]!;
+	scheduler.addJob(harness.createJob('j', 6, {deadline: 1000}));
+	await harness.clock.advance(1000);
+	t.deepEqual(harness.expired, ['j']);
+	await harness.end(harness.starts[0]!);
+	t.is(harness.starts.length, 4);
+	await harness.close();
+});
+
+test('slots of the other entry VM are leased, kept while there is work, and given back', async t => {
+	const upstreams = Array.from({length: 8}, (_, index) => createUpstream(`u${index}`));
+	const harness = new SchedulerHarness({nodeCount: 2, upstreams});
+	const [first, second] = harness.nodes;
+	await harness.clock.advance(1000);
+	const countMessages = (): number => first!.scheduler.getCounters().messages + second!.scheduler.getCounters().messages;
+	const messagesBefore = countMessages();
+	first!.scheduler.addJob(harness.createJob('j', 40));
+	await harness.clock.advance(10);
+	t.is(harness.running.size, 16);
+	for (const start of harness.running) {
+		start.end(answered);
+	}
+
+	await harness.clock.advance(10);
+	t.is(harness.running.size, 16);
+	t.is(countMessages() - messagesBefore, 2);
+	while (harness.running.size > 0) {
+		await harness.end([...harness.running][0]!);
+	}
+
+	await harness.clock.advance(1000);
+	t.is(harness.starts.length, 40);
+	for (const {scheduler} of harness.nodes) {
+		t.true(scheduler.getStatus().upstreams.every(upstream => upstream.leasedOut === 0 && upstream.held === 0));
+	}
+
+	await harness.close();
+});
