--- /dev/null
+++ b/bench/policy.ts
@@ -0,0 +1,102 @@
+/**
+ * Compares policies of order, placement and leasing under the same arrivals.
+ */
+import {mkdir, writeFile} from 'node:fs/promises';
+import {Command} from 'commander';
+import {type Profile} from '../src/version/index.js';
+import {createPolicies, type Policy} from './policy/policies.js';
+import {createPlot} from './policy/plot.js';
+import {type RunResult, simulate} from './policy/simulation.js';
+import {type UpstreamFault} from './policy/simulated-upstream.js';
+import {createWorkload, type Scenario} from './policy/workload.js';
+
+/** One line of the report. */
+export type ReportLine = RunResult & {
+	readonly scenario: Scenario;
+	readonly load: number;
+	readonly policy: string;
+};
+
+type CliOptions = {
+	readonly load: string;
+	readonly faults: string;
+	readonly scenario: string;
+	readonly seed: string;
+	readonly seconds: string;
+	readonly latency: string;
+	readonly only: string;
+	readonly tuning: string;
+	readonly out: string;
+};
+
+const upstreamCount = 12;
+const slots = 8;
+
+const options = new Command()
+	.description('Compares policies of order, placement and leasing under the same arrivals')
+	.option('--load <list>', 'parts of the slots that the tasks keep busy', '0.5,0.7,0.85,0.95')
+	.option('--faults <list>', 'faults of the first upstreams: black-hole, straggler', '')
+	.option('--scenario <list>', 'steady, bursts, cancels, lying, one-sided', 'steady')
+	.option('--seed <number>', 'seed of the arrivals', '1')
+	.option('--seconds <number>', 'length of the arrivals', '120')
+	.option('--latency <ms>', 'one-way latency between entry VMs', '0.5')
+	.option('--only <text>', 'run only the policies whose name contains this', '')
+	.option('--tuning <list>', 'tuning of the leases, as name=value', '')
+	.option('--out <folder>', 'folder of the results', 'bench/results')
+	.parse()
+	.opts<CliOptions>();
+
+const faults = options.faults.split(',').filter(Boolean) as UpstreamFault[];
+const policies = createPolicies({latencyMs: Number(options.latency), tuning: parseTuning(options.tuning)}).filter(policy => policy.name.includes(options.only));
+const lines: ReportLine[] = [];
+for (const scenario of options.scenario.split(',') as Scenario[]) {
+	for (const load of options.load.split(',').map(Number)) {
+		await runPolicies(scenario, load, policies);
+	}
+}
+
+await mkdir(options.out, {recursive: true});
+await writeFile(`${options.out}/policy.json`, `${JSON.stringify({options, lines}, undefined, '\t')}\n`);
+await writeFile(`${options.out}/policy.svg`, createPlot(lines));
+
+function parseTuning(text: string): Record<string, number> {
+	return Object.fromEntries(text.split(',').filter(Boolean).map(pair => pair.split('=')).map(([name, value]) => [name!, Number(value)]));
+}
+
+async function runPolicies(scenario: Scenario, load: number, compared: readonly Policy[]): Promise<void> {
+	const jobs = createWorkload({
+		seed: Number(options.seed), durationMs: Number(options.seconds) * 1000, load, slots: upstreamCount * slots, scenario,
+	});
+	console.log(`\n${scenario}, load ${load}, ${jobs.length} jobs${faults.length > 0 ? `, ${faults.join(' and ')}` : ''}`);
+	console.log('policy                          mean    p50    p99  shed%  lost%  jobs failed%  spread  messages/task (demands grants returns leased)');
+	for (const policy of compared) {
+		const result = await simulate({
+			jobs, upstreamCount, slots, faults, createDispatcher: policy.createDispatcher,
+		});
+		lines.push({
+			...result, scenario, load, policy: policy.name,
+		});
+		console.log(formatLine(policy.name, result));
+	}
+}
+
+function formatLine(name: string, result: RunResult): string {
+	const {messagesPerTask: messages} = result;
+	const cells = [
+		name.padEnd(28),
+		result.mean.toFixed(3).padStart(8),
+		result.p50.toFixed(2).padStart(6),
+		result.p99.toFixed(2).padStart(6),
+		(result.shedPart * 100).toFixed(2).padStart(6),
+		(result.lostPart * 100).toFixed(2).padStart(6),
+		(result.failedJobPart * 100).toFixed(2).padStart(13),
+		result.teamSpread.toFixed(2).padStart(7),
+		(messages.messages ?? 0).toFixed(3).padStart(7),
+		`(${['demands', 'grants', 'returns', 'leasedStarts'].map(kind => (messages[kind] ?? 0).toFixed(3)).join(' ')})`,
+		`${Math.round(result.wallMs)} ms`,
+	];
+	return cells.join(' ');
+}
+
+/** Profile fields that the policies set. */
+export type BenchProfile = Partial<Profile>;
--- /dev/null
+++ b/bench/policy/dispatchers.ts
@@ -0,0 +1,138 @@
+/**
+ * The ways of dispatching that are compared, behind one interface.
+ */
+import {type Incarnation, type Member} from '../../src/connection/index.js';
+import {
+	createTaskScheduler, EventLog, type SchedulerTuning, type ScheduledJob, type SlotScheduler,
+} from '../../src/process/index.js';
+import {createSeededRandom, type Random} from '../../src/seams/index.js';
+import {type ManualClock} from '../../src/testing/manual-clock.js';
+import {createPushStream} from '../../src/testing/push-stream.js';
+import {type Configuration} from '../../src/version/index.js';
+import {type SimulatedUpstream} from './simulated-upstream.js';
+
+/** Takes the jobs of a run. */
+export type Dispatcher = {
+	/** Takes a job at the entry VM that the balancer drew; false when it is refused. */
+	addJob(job: ScheduledJob, balance: number): boolean;
+	removeJob(jobId: string): void;
+	/** Gets the messages between entry VMs so far, by kind. */
+	getMessages(): Readonly<Record<string, number>>;
+	close(): Promise<void>;
+};
+
+/** Options of a group of schedulers. */
+export type SchedulerGroupOptions = {
+	readonly clock: ManualClock;
+	readonly upstreams: readonly SimulatedUpstream[];
+	readonly configuration: Configuration;
+	readonly nodeCount: number;
+	/** One-way latency of a message between entry VMs, in milliseconds. */
+	readonly latencyMs: number;
+	readonly tuning?: Partial<SchedulerTuning>;
+	/** Whether the entry VMs may lease from each other. */
+	readonly isSplit?: boolean;
+};
+
+const messageKinds = ['messages', 'demands', 'grants', 'returns', 'claims', 'leasedStarts', 'starts', 'retries'] as const;
+
+/** Creates schedulers joined by messages with a latency; a single one is a central queue. */
+export function createSchedulerGroup(options: SchedulerGroupOptions): Dispatcher {
+	const nodes = createNodes(options);
+	return {
+		addJob: (job, balance) => nodes[Math.floor(balance * nodes.length)]!.addJob(job).admitted,
+		removeJob(jobId) {
+			for (const node of nodes) {
+				node.removeJob(jobId);
+			}
+		},
+		getMessages() {
+			const counters = nodes.map(node => node.getCounters());
+			return Object.fromEntries(messageKinds.map(kind => [kind, counters.reduce((total, counter) => total + counter[kind], 0)]));
+		},
+		async close() {
+			await Promise.all(nodes.map(async node => node.close()));
+		},
+	};
+}
+
+function createNodes(options: SchedulerGroupOptions): readonly SlotScheduler[] {
+	const {clock, nodeCount} = options;
+	const selves = Array.from({length: nodeCount}, (_, index): Incarnation => ({dataCenter: 'a', vm: `vm${index}`, id: `vm${index}-0`}));
+	const nodes: SlotScheduler[] = [];
+	for (const [index, self] of selves.entries()) {
+		const members = selves.filter(other => other !== self).map((incarnation): Member => ({
+			incarnation, state: 'up', isLeaving: false, peerAddress: '127.0.0.1:1', configurationVersion: 1,
+		}));
+		nodes.push(createTaskScheduler({
+			clock,
+			random: createSeededRandom(index),
+			self,
+			upstreams: createPushStream(options.upstreams.map(upstream => upstream.listed)).stream,
+			configuration: createPushStream(options.configuration).stream,
+			members: createPushStream<readonly Member[]>(members).stream,
+			sendControl(to, message) {
+				const target = selves.findIndex(other => other.id === to);
+				clock.setTimer(() => {
+					nodes[target]!.handleControl(message, self.id);
+				}, options.latencyMs);
+				return true;
+			},
+			events: new EventLog({clock, process: self.id, capacity: 100}),
+			...(options.tuning && {tuning: options.tuning}),
+		}));
+	}
+
+	return nodes;
+}
+
+/** Chooses an upstream for a task that queues there. */
+export type DirectChoice = (upstreams: readonly SimulatedUpstream[], random: Random) => SimulatedUpstream;
+
+/** Chooses any upstream. */
+export const chooseRandom: DirectChoice = (upstreams, random) => upstreams[Math.floor(random.getFloat() * upstreams.length)]!;
+
+/** Chooses the one of two with fewer tasks. */
+export const chooseBetterOfTwo: DirectChoice = (upstreams, random) => {
+	const first = chooseRandom(upstreams, random);
+	const second = chooseRandom(upstreams, random);
+	return first.getOutstanding() <= second.getOutstanding() ? first : second;
+};
+
+/** Most tries of a task by a direct dispatcher. */
+const maxTries = 3;
+
+/** Creates a dispatcher without slots that sends each task to an upstream at once and tries again on anything. */
+export function createDirectDispatcher(upstreams: readonly SimulatedUpstream[], choose: DirectChoice): Dispatcher {
+	const random = createSeededRandom(1);
+	const removed = new Set<string>();
+	let starts = 0;
+	const runTask = async (job: ScheduledJob, task: ScheduledJob['tasks'][number]): Promise<void> => {
+		for (let attempt = 1; attempt <= maxTries && !removed.has(job.id); attempt++) {
+			starts++;
+			const end = await task.run(choose(upstreams, random).listed, attempt);
+			if (end.kind === 'answered') {
+				return;
+			}
+
+			if (attempt === maxTries) {
+				task.giveUp(end);
+			}
+		}
+	};
+
+	return {
+		addJob(job) {
+			for (const task of job.tasks) {
+				void runTask(job, task);
+			}
+
+			return true;
+		},
+		removeJob(jobId) {
+			removed.add(jobId);
+		},
+		getMessages: () => ({messages: 0, starts}),
+		close: async () => undefined,
+	};
+}
--- /dev/null
+++ b/bench/policy/workload.ts
@@ -0,0 +1,141 @@
+/**
+ * Seeded arrivals of jobs, the same for every policy of a run.
+ */
+import {createSeededRandom, type Random} from '../../src/seams/index.js';
+
+/** Shape of the arrivals. */
+export type Scenario = 'steady' | 'bursts' | 'cancels' | 'lying' | 'one-sided';
+
+/** A job of the workload. */
+export type WorkloadJob = {
+	readonly id: string;
+	readonly arrivesAt: number;
+	/** Number drawn for the choice of the entry VM, from 0 to 1. */
+	readonly balance: number;
+	readonly team: string;
+	readonly isIdempotent: boolean;
+	readonly taskMs: readonly number[];
+	/** Time of the caller's cancellation. */
+	readonly cancelsAt: number | undefined;
+};
+
+/** Options of the workload. */
+export type WorkloadOptions = {
+	readonly seed: number;
+	readonly durationMs: number;
+	/** Part of the slots that the tasks keep busy. */
+	readonly load: number;
+	readonly slots: number;
+	readonly scenario: Scenario;
+};
+
+const meanTaskMs = 250;
+const taskSigma = 0.6;
+
+/** Spread of a job's own mean where sizes lie. */
+const lyingSigma = 1;
+
+/** Parts of the jobs, with the range of their numbers of tasks. */
+const jobSizes = [
+	{part: 0.6, min: 1, max: 4},
+	{part: 0.33, min: 5, max: 34},
+	{part: 0.07, min: 40, max: 199},
+] as const;
+
+/** Arrivals during a burst, as a multiple of the usual rate; the rest of the time is quieter, so that the load holds. */
+const burstFactor = 10;
+const burstPeriodMs = 10_000;
+const burstMs = 300;
+
+const cancelPeriodMs = 5000;
+const cancelledPart = 0.5;
+
+/** Teams with their parts of the arrivals. */
+export const teams = [
+	{name: 'ledger', part: 0.55},
+	{name: 'desk', part: 0.25},
+	{name: 'court', part: 0.15},
+	{name: 'clinic', part: 0.05},
+] as const;
+
+/**
+ * Creates the jobs of a run.
+ * @param options - Options of the workload.
+ */
+export function createWorkload(options: WorkloadOptions): readonly WorkloadJob[] {
+	const random = createSeededRandom(options.seed);
+	const jobsPerMs = options.load * options.slots / meanTaskMs / getMeanJobSize();
+	const jobs: WorkloadJob[] = [];
+	let now = 0;
+	while (now < options.durationMs) {
+		now += drawExponential(random) / (jobsPerMs * getRateFactor(now, options.scenario));
+		jobs.push(createJob(random, jobs.length, now, options.scenario));
+	}
+
+	return jobs;
+}
+
+function createJob(random: Random, index: number, arrivesAt: number, scenario: Scenario): WorkloadJob {
+	const size = drawSize(random);
+	const scale = scenario === 'lying' ? drawLogNormal(random, 1, lyingSigma) : 1;
+	const isCancelled = scenario === 'cancels' && random.getFloat() < cancelledPart;
+	const nextWave = (Math.floor(arrivesAt / cancelPeriodMs) + 1) * cancelPeriodMs;
+	return {
+		id: `job-${index}`,
+		arrivesAt,
+		balance: random.getFloat(),
+		team: drawTeam(random),
+		isIdempotent: random.getFloat() < 0.5,
+		taskMs: Array.from({length: size}, () => drawLogNormal(random, meanTaskMs * scale, taskSigma)),
+		cancelsAt: isCancelled ? nextWave : undefined,
+	};
+}
+
+function getMeanJobSize(): number {
+	return jobSizes.reduce((sum, {part, min, max}) => sum + (part * (min + max) / 2), 0);
+}
+
+function getRateFactor(now: number, scenario: Scenario): number {
+	if (scenario !== 'bursts') {
+		return 1;
+	}
+
+	const burstPart = burstMs / burstPeriodMs;
+	const quiet = 1 / (1 + (burstPart * (burstFactor - 1)));
+	return now % burstPeriodMs < burstMs ? burstFactor * quiet : quiet;
+}
+
+function drawSize(random: Random): number {
+	let rest = random.getFloat();
+	for (const {part, min, max} of jobSizes) {
+		if (rest < part) {
+			return min + Math.floor(random.getFloat() * (max - min + 1));
+		}
+
+		rest -= part;
+	}
+
+	return 1;
+}
+
+function drawTeam(random: Random): string {
+	let rest = random.getFloat();
+	for (const {name, part} of teams) {
+		if (rest < part) {
+			return name;
+		}
+
+		rest -= part;
+	}
+
+	return teams[0].name;
+}
+
+function drawExponential(random: Random): number {
+	return -Math.log(1 - random.getFloat());
+}
+
+function drawLogNormal(random: Random, mean: number, sigma: number): number {
+	const normal = Math.sqrt(-2 * Math.log(1 - random.getFloat())) * Math.cos(2 * Math.PI * random.getFloat());
+	return mean * Math.exp((sigma * normal) - (sigma * sigma / 2));
+}
--- a/src/process/scheduler/demand-book.ts
+++ b/src/process/scheduler/demand-book.ts
@@ -5,6 +5,8 @@
 	readonly member: string;
 	/** Slots still wanted. */
 	count: number;
+	/** Those of them that go before less urgent work of the owner. */
+	urgentCount: number;
 	/** Rank of its most urgent job, comparable with ranks here. */
 	readonly rank: number;
 	/** Monotonic time after which the demand has lapsed. */
@@ -16,6 +18,7 @@
 type ToldDemand = {
 	readonly toldAt: number;
 	count: number;
+	urgentCount: number;
 	readonly rank: number;
 	readonly validUntil: number;
 };
@@ -83,6 +86,7 @@
 		}
 
 		demand.count -= count;
+		demand.urgentCount -= count;
 		if (demand.count <= 0) {
 			this.#known.delete(member);
 		}
@@ -115,7 +119,7 @@
 	 */
 	setTold(member: string, demand: SlotDemand, rank: number, now: number): void {
 		this.#told.set(member, {
-			toldAt: now, count: demand.count, rank, validUntil: now + demand.validMs,
+			toldAt: now, count: demand.count, urgentCount: demand.urgentCount, rank, validUntil: now + demand.validMs,
 		});
 	}
 
@@ -128,6 +132,7 @@
 		const told = this.#told.get(member);
 		if (told) {
 			told.count -= count;
+			told.urgentCount -= count;
 		}
 	}
 
--- a/src/process/scheduler/lease-broker.ts
+++ b/src/process/scheduler/lease-broker.ts
@@ -1,12 +1,12 @@
 import {type MemberView} from './member-view.js';
-import {DemandBook} from './demand-book.js';
+import {DemandBook, type KnownDemand} from './demand-book.js';
 import {type JobOrder} from './job-order.js';
 import {type JobPart} from './queued-job.js';
 import {type SchedulerContext} from './scheduler-context.js';
 import {type SchedulerTuning} from './scheduler-tuning.js';
 import {type ServiceUpdate, type SlotDemand} from './slot-messages.js';
 import {type SlotPool} from './slot-pool.js';
-import {type HeldLease, type UpstreamEntry} from './upstream-entry.js';
+import {type UpstreamEntry} from './upstream-entry.js';
 
 /** Options of a {@link LeaseBroker}. */
 export type LeaseBrokerOptions = {
@@ -25,6 +25,10 @@
 	readonly next: JobPart | undefined;
 	/** Expected wait of the last of these tasks on the slots in hand. */
 	readonly waitMs: number;
+	/** Tasks of the jobs that are about as urgent as the next one. */
+	readonly urgentTasks: number;
+	/** Expected wait of the last of these. */
+	readonly urgentWaitMs: number;
 	/** Whether other data centres may be asked. */
 	readonly maySpill: boolean;
 };
@@ -51,6 +55,8 @@
 	readonly #demands = new DemandBook();
 	#view: MemberView;
 	#firstAsked = 0;
+	/** Whether a batch of idle slots is being leased out. */
+	#isGranting = false;
 
 	constructor(options: LeaseBrokerOptions, view: MemberView) {
 		this.#options = options;
@@ -107,7 +113,7 @@
 			const rank = update.demand.urgency + (order.rankPerMs * now);
 			const isLocal = this.#view.dataCenters.get(from) === this.#context.self.dataCenter;
 			this.#demands.setKnown({
-				member: from, count: update.demand.count, rank, validUntil: now + update.demand.validMs, isLocal,
+				member: from, count: update.demand.count, urgentCount: update.demand.urgentCount, rank, validUntil: now + update.demand.validMs, isLocal,
 			});
 		}
 	}
@@ -123,8 +129,7 @@
 			return false;
 		}
 
-		const isFirst = !next || (demand.isLocal && demand.rank + order.leaseMargin < next.rank);
-		if (!isFirst || (!demand.isLocal && this.#isReserved())) {
+		if (!(next ? this.#isUrgent(demand, next, order) : this.#isIdleEnough(demand))) {
 			return false;
 		}
 
@@ -144,7 +149,7 @@
 		const now = this.#context.clock.getMonotonicTime();
 		const oldest = this.#pool.getOldestIdleTime();
 		const isDue = oldest !== undefined && now - oldest >= this.#tuning.leaseIdleMs;
-		this.#pool.returnLeases((lease, entry) => isDue || this.#isWantedBack(lease, entry, local, now));
+		this.#pool.returnLeases((_lease, entry) => isDue || this.#isWantedBack(entry, local, now));
 	}
 
 	/** Gets the monotonic time at which idle leases are due; `undefined` when there are none. */
@@ -158,7 +163,8 @@
 	 * @param local - What waits here.
 	 */
 	tellDemand(local: LocalDemand): number | undefined {
-		if (!local.next || local.waitMs < this.#tuning.demandWaitMs) {
+		const isUrgent = local.urgentWaitMs >= this.#tuning.urgentWaitMs;
+		if (!local.next || (!isUrgent && local.waitMs < this.#tuning.demandWaitMs)) {
 			return undefined;
 		}
 
@@ -189,8 +195,9 @@
 		const now = this.#context.clock.getMonotonicTime();
 		const {rank} = local.next!;
 		const told = this.#demands.getTold(member, now);
-		const isNews = !told || rank + local.order.leaseMargin < told.rank || count > told.count * demandGrowth;
-		if (told && !isNews) {
+		const isUrgent = local.urgentWaitMs >= this.#tuning.urgentWaitMs;
+		const isMoreUrgent = isUrgent && told && (told.urgentCount <= 0 || rank + this.#getMargin(local.order) < told.rank);
+		if (told && !isMoreUrgent && count <= told.count * demandGrowth) {
 			return told.validUntil;
 		}
 
@@ -200,23 +207,49 @@
 		}
 
 		const validMs = Math.min(Math.max(local.waitMs, minDemandMs), maxDemandMs);
-		const demand: SlotDemand = {count, urgency: rank - (local.order.rankPerMs * now), validMs};
+		const urgentCount = isUrgent ? Math.min(local.urgentTasks, count) : 0;
+		const urgency = rank - (local.order.rankPerMs * now);
+		const demand: SlotDemand = {
+			count, urgentCount, urgency, validMs,
+		};
 		this.#demands.setTold(member, demand, rank, now);
 		this.#context.getOutbox(member)?.setDemand(this.#options.service, demand);
 		this.#context.events.addEvent('lease-asked', member, `${count} slots of ${this.#options.service}`);
 		return now + validMs;
 	}
 
-	#isWantedBack(_lease: HeldLease, entry: UpstreamEntry, local: LocalDemand, now: number): boolean {
+	#isWantedBack(entry: UpstreamEntry, local: LocalDemand, now: number): boolean {
 		const demand = entry.owner === undefined ? undefined : this.#demands.getKnown(entry.owner, now);
 		if (!demand) {
 			return false;
 		}
 
-		return !local.next || demand.rank + local.order.leaseMargin < local.next.rank;
+		if (local.next && !this.#isUrgent(demand, local.next, local.order)) {
+			return false;
+		}
+
+		this.#demands.addGranted(demand.member, 1);
+		return true;
+	}
+
+	#isUrgent(demand: KnownDemand, next: JobPart, order: JobOrder): boolean {
+		return demand.isLocal && demand.urgentCount > 0 && demand.rank + this.#getMargin(order) < next.rank;
+	}
+
+	/** Tells whether idle slots are to be leased out: several at a time, and not the last ones. */
+	#isIdleEnough(demand: KnownDemand): boolean {
+		const free = this.#pool.getGrantableSlots();
+		const reserved = demand.isLocal ? this.#tuning.reservedSlots : this.#pool.getUsableSlots() * this.#tuning.spillReserve;
+		if (free <= reserved) {
+			this.#isGranting = false;
+			return false;
+		}
+
+		this.#isGranting ||= free >= reserved + Math.min(this.#tuning.minGrant, demand.count);
+		return this.#isGranting;
 	}
 
-	#isReserved(): boolean {
-		return this.#pool.getGrantableSlots() <= this.#pool.getUsableSlots() * this.#tuning.spillReserve;
+	#getMargin(order: JobOrder): number {
+		return order.leaseMargin * this.#tuning.leaseMarginFactor;
 	}
 }
--- a/src/process/scheduler/service-scheduler.ts
+++ b/src/process/scheduler/service-scheduler.ts
@@ -47,6 +47,9 @@
 /** Number of tasks over which the observed time fades. */
 const taskTimeSamples = 200;
 
+/** Least delay of the timer, in milliseconds. */
+const minTimerMs = 1;
+
 /** Time for which queued tasks wait for an upstream that fits them after the last one left, in milliseconds. */
 const noUpstreamGraceMs = 1000;
 
@@ -422,7 +425,7 @@
 	}
 
 	#getMsPerTask(): number {
-		return this.#taskTime.getMean() / Math.max(this.#pool.getUsableSlots(), 1);
+		return this.#taskTime.getMean() / Math.max(this.#pool.getUsableSlots(), this.#pool.getEvenShare(), 1);
 	}
 
 	#getLocalDemand(): LocalDemand {
@@ -430,11 +433,22 @@
 		const next = readyTasks > 0 ? this.#queue.getNextPart((shape, team) => this.#shapes.isListed(shape) && this.#limits.mayStart(team)) : undefined;
 		const waitMs = readyTasks * this.#getMsPerTask();
 		const maySpill = this.#profile.spillToOtherDataCenters && waitMs > this.#profile.spillWaitMs;
+		const urgentTasks = next ? Math.min(this.#getUrgentTasks(next), readyTasks) : 0;
 		return {
-			order: this.#queue.getOrder(), readyTasks, next, waitMs, maySpill,
+			order: this.#queue.getOrder(),
+			readyTasks,
+			next,
+			waitMs,
+			urgentTasks,
+			urgentWaitMs: urgentTasks * this.#getMsPerTask(),
+			maySpill,
 		};
 	}
 
+	#getUrgentTasks(next: JobPart): number {
+		return this.#profile.order === 'shortest-remaining' ? this.#ahead.getTasksUpTo(next.job.queuedTasks) : next.job.queuedTasks;
+	}
+
 	#removeJob(job: QueuedJob): number {
 		const dropped = job.queuedTasks;
 		job.isRemoved = true;
@@ -479,7 +493,7 @@
 		this.#timer = this.#context.clock.setTimer(() => {
 			this.#timerAt = Number.POSITIVE_INFINITY;
 			this.pump();
-		}, time - this.#context.clock.getMonotonicTime());
+		}, Math.max(time - this.#context.clock.getMonotonicTime(), minTimerMs));
 	}
 
 	#createOrder(): ReturnType<JobOrderFactory> {
--- a/src/process/scheduler/slot-messages.ts
+++ b/src/process/scheduler/slot-messages.ts
@@ -11,6 +11,8 @@
 const demandSchema = z.object({
 	/** Further slots wanted; 0 withdraws the demand. */
 	count: z.int().min(0),
+	/** Those of them that are wanted even where the owner has less urgent work of its own. */
+	urgentCount: z.int().min(0),
 	/** Rank of the most urgent job, less what the time of sending adds to a rank. */
 	urgency: z.number(),
 	/** Time after which the demand lapses. */
--- a/src/process/scheduler/slot-pool.ts
+++ b/src/process/scheduler/slot-pool.ts
@@ -64,6 +64,16 @@
 		return sum;
 	}
 
+	/** Gets the slots of this data centre divided by the number of its entry VMs. */
+	getEvenShare(): number {
+		let sum = 0;
+		for (const {isLocal, listed} of this.#entries.values()) {
+			sum += isLocal && listed.state === 'live' ? listed.slots : 0;
+		}
+
+		return sum / (this.#view.owners.get(this.#context.self.dataCenter)?.length ?? 1);
+	}
+
 	/** Gets the other members that own upstreams of this service, by whether they are of this data centre. */
 	getOtherOwners(isLocal: boolean): readonly string[] {
 		const owners = new Set<string>();
