--- a/src/process/scheduler/distributed-task-scheduler.ts
+++ b/src/process/scheduler/distributed-task-scheduler.ts
@@ -12,7 +12,7 @@
 import {ServiceScheduler} from './service-scheduler.js';
 import {parseSlotMessage, slotTopic} from './slot-messages.js';
 import {type SlotScheduler, type TaskSchedulerOptions} from './task-scheduler-options.js';
-import {noLimits} from './team-quotas.js';
+import {TeamQuotas} from './team-quotas.js';
 
 /** Time after which holders are asked for the leases they hold, in milliseconds. */
 const askHoldersMs = 5000;
@@ -30,9 +30,11 @@
 	readonly #outboxes = new Map<string, Outbox>();
 	readonly #subscriptions: ReadonlyArray<{unsubscribe(): void}>;
 	readonly #askTimer: Timer;
+	readonly #quotas: TeamQuotas;
 	#configuration: Configuration = emptyConfiguration;
 	#upstreams: readonly ListedUpstream[] = [];
 	#view: MemberView;
+	#pumpTimer: Timer | undefined;
 	#isPaused = false;
 	#isClosed = false;
 
@@ -49,6 +51,11 @@
 			counters: this.#counters,
 			getOutbox: memberId => this.#getOutbox(memberId),
 		};
+		this.#quotas = new TeamQuotas({
+			context: this.#context, onChange: () => {
+				this.#pumpSoon();
+			},
+		}, this.#view);
 		this.#askTimer = clock.setRepeatingTimer(() => {
 			this.#askHolders();
 		}, askHoldersMs);
@@ -92,7 +99,7 @@
 		return {
 			upstreams: services.flatMap(service => service.getUpstreamStatus()),
 			queues: services.map(service => service.getQueueStatus()),
-			teams: [],
+			teams: this.#quotas.getStatus(),
 		};
 	}
 
@@ -112,6 +119,10 @@
 		for (const update of slotMessage.services) {
 			this.#services.get(update.service)?.takeUpdate(update, fromIncarnationId, slotMessage.lastReceived);
 		}
+
+		for (const update of slotMessage.teams) {
+			this.#quotas.takeUpdate(update, fromIncarnationId);
+		}
 	}
 
 	handlePause(): void {
@@ -131,6 +142,8 @@
 	async close(): Promise<void> {
 		this.#isClosed = true;
 		this.#askTimer.close();
+		this.#quotas.close();
+		this.#pumpTimer?.close();
 		for (const subscription of this.#subscriptions) {
 			subscription.unsubscribe();
 		}
@@ -171,6 +184,7 @@
 			}
 		}
 
+		this.#quotas.setMembers(this.#view);
 		for (const service of this.#services.values()) {
 			service.setMembers(this.#view);
 		}
@@ -178,6 +192,7 @@
 
 	#setConfiguration(configuration: Configuration): void {
 		this.#configuration = configuration;
+		this.#quotas.setTeams(configuration.declarations.teams);
 		const {services} = configuration.declarations;
 		for (const [name, service] of this.#services) {
 			if (!services[name]) {
@@ -207,7 +222,7 @@
 			service: name,
 			profile,
 			context: this.#context,
-			limits: noLimits,
+			limits: this.#quotas,
 			tuning: this.#tuning,
 			...(this.#options.decisions && {decisions: this.#options.decisions}),
 		}, this.#view);
@@ -237,6 +252,15 @@
 		return profiles[services[service]!.profile];
 	}
 
+	#pumpSoon(): void {
+		this.#pumpTimer ??= this.#context.clock.setTimer(() => {
+			this.#pumpTimer = undefined;
+			for (const service of this.#services.values()) {
+				service.pump();
+			}
+		}, 0);
+	}
+
 	#askHolders(): void {
 		for (const service of this.#services.values()) {
 			service.getPool().askHolders();
--- a/src/process/scheduler/service-scheduler.ts
+++ b/src/process/scheduler/service-scheduler.ts
@@ -6,6 +6,7 @@
 } from '../task-scheduler.js';
 import {type AdmissionFunction, admitInTime} from './admission.js';
 import {DecayedMean} from './decayed-mean.js';
+import {createInvariantError} from './invariant-error.js';
 import {createJobOrder, type JobOrderFactory} from './job-order.js';
 import {JobQueue} from './job-queue.js';
 import {LeaseBroker, type LocalDemand} from './lease-broker.js';
@@ -81,6 +82,7 @@
 	#isPaused = false;
 	#timer: Timer | undefined;
 	#timerAt = Number.POSITIVE_INFINITY;
+	#graceTimer: Timer | undefined;
 
 	constructor(options: ServiceSchedulerOptions, view: MemberView) {
 		this.#options = options;
@@ -102,7 +104,7 @@
 			service, context, pool: this.#pool, tuning: options.tuning ?? defaultTuning,
 		}, view);
 		this.#detector = new OutlierDetector({context, getProfile: () => this.#profile, getEntries: () => this.#pool.getEntries()});
-		this.#queue = new JobQueue({order: this.#createOrder(), getWeight: options.limits.getWeight});
+		this.#queue = new JobQueue({order: this.#createOrder(), getWeight: team => options.limits.getWeight(team)});
 	}
 
 	/** Gets the profile in force. */
@@ -135,6 +137,13 @@
 			this.#queue.updateShapes(part => this.#shapes.getShape(part.ready.at(-1)!.task.needs));
 		}
 
+		if (this.#queue.getParts().some(part => !this.#shapes.isListed(part.shape))) {
+			this.#graceTimer ??= this.#context.clock.setTimer(() => {
+				this.#graceTimer = undefined;
+				this.#giveUpUnlisted();
+			}, noUpstreamGraceMs);
+		}
+
 		this.pump();
 	}
 
@@ -164,6 +173,10 @@
 	 * @param source - Job to run.
 	 */
 	addJob(source: ScheduledJob): Admission {
+		if (this.#jobs.has(source.id)) {
+			throw createInvariantError(`Job ${source.id} is scheduled already`);
+		}
+
 		const now = this.#context.clock.getMonotonicTime();
 		this.#sequence++;
 		const job = new QueuedJob(source, now, this.#sequence, () => this.#taskTime.getMean());
@@ -174,7 +187,7 @@
 
 		this.#jobs.set(source.id, job);
 		this.#deadlines.addItem(job);
-		this.#queuedTasks += source.tasks.length;
+		this.#addQueued(job, source.tasks.length);
 		this.#ahead.addTasks(source.tasks.length, source.tasks.length);
 		this.#enqueue(job);
 		this.pump();
@@ -228,6 +241,7 @@
 
 		this.#isPaused = true;
 		this.#timer?.close();
+		this.#graceTimer?.close();
 		this.#pool.close();
 	}
 
@@ -304,7 +318,7 @@
 		const {counters} = this.#context;
 		counters.starts++;
 		counters.leasedStarts += slot.lease ? 1 : 0;
-		this.#queuedTasks--;
+		this.#addQueued(queued.job, -1);
 		this.#runningTasks++;
 		this.#limits.addStart(queued.job.source.team);
 		if (queued.attempts === 1) {
@@ -353,7 +367,7 @@
 
 		this.#context.counters.retries++;
 		queued.triedUpstreams = [...queued.triedUpstreams, upstream];
-		this.#queuedTasks++;
+		this.#addQueued(job, 1);
 		job.queuedTasks++;
 		this.#ahead.moveTasks(job.queuedTasks - 1, job.queuedTasks);
 		this.#context.events.addEvent('task-retried', job.source.id, `attempt ${queued.attempts + 1}, after ${upstream}`);
@@ -367,7 +381,10 @@
 			return;
 		}
 
-		queued.part.shape = this.#shapes.getShape(queued.task.needs);
+		if (queued.part.heapIndex < 0) {
+			queued.part.shape = this.#shapes.getShape(queued.task.needs);
+		}
+
 		this.#queue.addTasks(queued.part, [queued]);
 		this.pump();
 	}
@@ -449,18 +466,39 @@
 		return this.#profile.order === 'shortest-remaining' ? this.#ahead.getTasksUpTo(next.job.queuedTasks) : next.job.queuedTasks;
 	}
 
+	/** Gives up the tasks that no listed upstream fits any more. */
+	#giveUpUnlisted(): void {
+		for (const part of this.#queue.getParts().filter(({shape}) => !this.#shapes.isListed(shape))) {
+			const {job} = part;
+			const tasks = this.#queue.removePart(part);
+			this.#ahead.moveTasks(job.queuedTasks, job.queuedTasks - tasks.length);
+			this.#addQueued(job, -tasks.length);
+			job.queuedTasks -= tasks.length;
+			for (const {task} of tasks) {
+				task.giveUp({kind: 'not_started', detail: 'No listed upstream fits the task any more', isUnreachable: true});
+			}
+
+			this.#forgetIfEnded(job);
+		}
+	}
+
 	#removeJob(job: QueuedJob): number {
 		const dropped = job.queuedTasks;
 		job.isRemoved = true;
 		this.#queue.removeJob(job);
 		this.#ahead.removeTasks(dropped, dropped);
-		this.#queuedTasks -= dropped;
+		this.#addQueued(job, -dropped);
 		job.queuedTasks = 0;
 		this.#deadlines.removeItem(job);
 		this.#jobs.delete(job.source.id);
 		return dropped;
 	}
 
+	#addQueued(job: QueuedJob, count: number): void {
+		this.#queuedTasks += count;
+		this.#limits.addQueued(job.source.team, count);
+	}
+
 	#forgetIfEnded(job: QueuedJob): void {
 		if (job.queuedTasks === 0 && job.runningTasks === 0 && !job.isRemoved) {
 			this.#removeJob(job);
@@ -512,6 +550,7 @@
 		slots: entry.listed.slots,
 		inUse: entry.running.size,
 		leasedOut: entry.owned?.getLeasedOut() ?? 0,
+		free: entry.owned?.getFree() ?? 0,
 		held: entry.getHeldLeases().length,
 		failurePercent: entry.health.getFailureRate() * 100,
 		latencyMs: entry.health.getLatencyMs(),
--- a/src/process/scheduler/slot-messages.ts
+++ b/src/process/scheduler/slot-messages.ts
@@ -32,14 +32,20 @@
 	claims: z.object({round: z.int(), leases: z.array(leaseSchema).readonly()}).readonly().optional(),
 }).readonly();
 
+const teamShareSchema = z.object({
+	/** Tasks of the team that may run at the member at the same time. */
+	slots: z.number().min(0),
+	startsPerSecond: z.number().min(0),
+	/** Rises with each share that a member is told; 0 when it was told none. */
+	number: z.int().min(0),
+}).readonly();
+
 const teamUpdateSchema = z.object({
 	team: z.string(),
-	/** Slots that the sender could use for the team. */
-	demand: z.number().min(0).optional(),
-	/** Table of shares, by member; with the number of the table. */
-	shares: z.object({number: z.int(), byMember: z.record(z.string(), z.number())}).readonly().optional(),
-	/** Number of the table that the sender has put in force. */
-	inForce: z.int().optional(),
+	/** For the member that allots the shares: demand of the sender, and the share that it keeps to. */
+	report: z.object({demand: z.int().min(0), share: teamShareSchema}).readonly().optional(),
+	/** Share that the receiver is to keep to. */
+	share: teamShareSchema.optional(),
 }).readonly();
 
 const slotMessageSchema = z.object({
@@ -60,6 +66,9 @@
 /** What a message says about one service. */
 export type ServiceUpdate = z.infer<typeof serviceUpdateSchema>;
 
+/** A member's part of a team's quota. */
+export type TeamShare = z.infer<typeof teamShareSchema>;
+
 /** What a message says about one team's quota. */
 export type TeamUpdate = z.infer<typeof teamUpdateSchema>;
 
--- a/src/process/scheduler/team-quotas.ts
+++ b/src/process/scheduler/team-quotas.ts
@@ -1,22 +1,332 @@
+import {type Timer} from '../../seams/index.js';
+import {type Team} from '../../version/index.js';
+import {type SchedulerStatus} from '../task-scheduler.js';
+import {type MemberView} from './member-view.js';
+import {getOwner} from './owner-table.js';
+import {type SchedulerContext} from './scheduler-context.js';
+import {ShareAllotter, type TeamAmount} from './share-allotter.js';
+import {type TeamUpdate} from './slot-messages.js';
+import {TeamQuota} from './team-quota.js';
+
 /** What a service's queue asks about a team. */
 export type TeamLimits = {
 	/** Gets the team's share under contention. */
-	getWeight: (team: string) => number;
+	getWeight(team: string): number;
+
 	/** Tells whether the quota lets a task of the team start now. */
-	mayStart: (team: string) => boolean;
+	mayStart(team: string): boolean;
+
 	/** Counts a start. */
-	addStart: (team: string) => void;
+	addStart(team: string): void;
+
 	/** Counts the end of a task. */
-	addEnd: (team: string) => void;
+	addEnd(team: string): void;
+
+	/** Counts tasks that began to wait, or ceased to when negative. */
+	addQueued(team: string, count: number): void;
+
 	/** Gets the time until the quota lets a number of further tasks start; infinite when it never does. */
-	getWaitMs: (team: string, taskCount: number, taskMs: number) => number;
+	getWaitMs(team: string, taskCount: number, taskMs: number): number;
 };
 
-/** Limits of a team without a quota. */
-export const noLimits: TeamLimits = {
-	getWeight: () => 1,
-	mayStart: () => true,
-	addStart: () => undefined,
-	addEnd: () => undefined,
-	getWaitMs: () => 0,
+/** Options of {@link TeamQuotas}. */
+export type TeamQuotasOptions = {
+	readonly context: SchedulerContext;
+	/** Called when tasks that were held back may start. */
+	readonly onChange: () => void;
+};
+
+/** Time between two looks at the demand of the teams, in milliseconds. */
+const reportMs = 500;
+
+/** Time after which an unchanged demand is reported again, in milliseconds. */
+const repeatMs = 5000;
+
+/** Change of the demand that is reported before that, as a part of it. */
+const reportTolerance = 0.25;
+
+/** Longest wait for the reports of the other members before shares are allotted, in milliseconds. */
+const reportWaitMs = 1000;
+
+/** Time after which the share of a member is free that is no longer listed, in milliseconds. */
+const absentMs = 30_000;
+
+/** Least delay of a timer, in milliseconds. */
+const minDelayMs = 1;
+
+/** What was last reported of a team. */
+type Reported = {
+	readonly at: number;
+	readonly to: string;
+	readonly demand: number;
+	readonly slots: number;
 };
+
+/**
+ * Quotas of the teams: keeps each to its share here, and allots the shares of the teams that fall to this entry VM.
+ * @internal
+ */
+export class TeamQuotas implements TeamLimits {
+	readonly #options: TeamQuotasOptions;
+	readonly #context: SchedulerContext;
+	readonly #quotas = new Map<string, TeamQuota>();
+	readonly #allotters = new Map<string, {readonly since: number; readonly allotter: ShareAllotter}>();
+	readonly #reported = new Map<string, Reported>();
+	readonly #absentSince = new Map<string, number>();
+	readonly #timer: Timer;
+	#wakeTimer: Timer | undefined;
+	#view: MemberView;
+
+	constructor(options: TeamQuotasOptions, view: MemberView) {
+		this.#options = options;
+		this.#context = options.context;
+		this.#view = view;
+		this.#timer = this.#context.clock.setRepeatingTimer(() => {
+			this.#exchange();
+		}, reportMs);
+	}
+
+	/**
+	 * Takes the teams of a configuration; those without a limit are not counted.
+	 * @param teams - Declared teams.
+	 */
+	setTeams(teams: Readonly<Record<string, Team>>): void {
+		const now = this.#context.clock.getMonotonicTime();
+		for (const name of this.#quotas.keys()) {
+			if (!teams[name]) {
+				this.#quotas.delete(name);
+				this.#allotters.delete(name);
+			}
+		}
+
+		for (const [name, team] of Object.entries(teams)) {
+			const known = this.#quotas.get(name);
+			if (known) {
+				known.setTeam(team);
+			} else {
+				this.#quotas.set(name, new TeamQuota(team, now));
+			}
+		}
+
+		this.#exchange();
+	}
+
+	/**
+	 * Takes a new view of the members.
+	 * @param view - New view.
+	 */
+	setMembers(view: MemberView): void {
+		this.#view = view;
+		this.#exchange();
+	}
+
+	/**
+	 * Takes what another member says about a team.
+	 * @param update - What it says.
+	 * @param from - The member.
+	 */
+	takeUpdate(update: TeamUpdate, from: string): void {
+		const quota = this.#quotas.get(update.team);
+		if (!quota) {
+			return;
+		}
+
+		if (update.report) {
+			this.#getAllotter(update.team).allotter.addReport(from, update.report);
+			this.#allot(update.team, quota);
+		}
+
+		if (update.share && this.#getAllottingMember(update.team) === from) {
+			this.#setShare(update.team, quota, update.share);
+		}
+	}
+
+	getWeight(team: string): number {
+		return this.#quotas.get(team)?.getWeight() ?? 1;
+	}
+
+	mayStart(team: string): boolean {
+		const quota = this.#getLimited(team);
+		if (!quota || quota.mayStart(this.#context.clock.getMonotonicTime())) {
+			return true;
+		}
+
+		const waitMs = quota.getTokenWaitMs();
+		if (waitMs > 0 && quota.getShare().startsPerSecond > 0) {
+			this.#wakeTimer ??= this.#context.clock.setTimer(() => {
+				this.#wakeTimer = undefined;
+				this.#options.onChange();
+			}, Math.max(waitMs, minDelayMs));
+		}
+
+		return false;
+	}
+
+	addStart(team: string): void {
+		this.#quotas.get(team)?.addStart();
+	}
+
+	addEnd(team: string): void {
+		const quota = this.#quotas.get(team);
+		const wasFull = quota !== undefined && quota.getRunning() >= quota.getShare().slots;
+		quota?.addEnd();
+		if (wasFull && this.#getLimited(team)) {
+			this.#options.onChange();
+		}
+	}
+
+	addQueued(team: string, count: number): void {
+		const quota = this.#quotas.get(team);
+		quota?.addQueued(count);
+		if (quota && count > 0 && quota.getDemand() === count && this.#getLimited(team)) {
+			this.#report(team, quota);
+		}
+	}
+
+	getWaitMs(team: string, taskCount: number, taskMs: number): number {
+		return this.#getLimited(team)?.getWaitMs(taskCount, taskMs, this.#getOwners().length) ?? 0;
+	}
+
+	/** Gets the state for operators. */
+	getStatus(): SchedulerStatus['teams'] {
+		return [...this.#quotas].map(([team, quota]) => {
+			const share = this.#getLimited(team) ? quota.getShare() : quota.getQuota();
+			return {
+				team, running: quota.getRunning(), share: share.slots, startsPerSecondShare: share.startsPerSecond,
+			};
+		});
+	}
+
+	/** Stops the timers. */
+	close(): void {
+		this.#timer.close();
+		this.#wakeTimer?.close();
+	}
+
+	#getLimited(team: string): TeamQuota | undefined {
+		const quota = this.#quotas.get(team);
+		return quota?.isLimited() ? quota : undefined;
+	}
+
+	#exchange(): void {
+		this.#forgetAbsent();
+		for (const [team, quota] of this.#quotas) {
+			if (this.#getLimited(team) && this.#isReportDue(team, quota)) {
+				this.#report(team, quota);
+			}
+		}
+	}
+
+	#isReportDue(team: string, quota: TeamQuota): boolean {
+		const last = this.#reported.get(team);
+		const to = this.#getAllottingMember(team);
+		const isOwn = to === this.#context.self.id;
+		if (isOwn || last?.to !== to || last.slots !== quota.getKeptShare().slots) {
+			return true;
+		}
+
+		const now = this.#context.clock.getMonotonicTime();
+		const change = Math.abs(quota.getDemand() - last.demand);
+		return change > last.demand * reportTolerance || now - last.at >= repeatMs;
+	}
+
+	#report(team: string, quota: TeamQuota): void {
+		const to = this.#getAllottingMember(team);
+		const report = {demand: quota.getDemand(), share: quota.getKeptShare()};
+		this.#reported.set(team, {
+			at: this.#context.clock.getMonotonicTime(), to, demand: report.demand, slots: report.share.slots,
+		});
+		if (to !== this.#context.self.id) {
+			this.#context.getOutbox(to)?.addTeamUpdate({team, report});
+			return;
+		}
+
+		this.#getAllotter(team).allotter.addReport(to, report);
+		this.#allot(team, quota);
+	}
+
+	#allot(team: string, quota: TeamQuota): void {
+		if (this.#getAllottingMember(team) !== this.#context.self.id) {
+			this.#allotters.delete(team);
+			return;
+		}
+
+		const {allotter, since} = this.#getAllotter(team);
+		const isComplete = this.#getLocalMembers().every(member => allotter.hasReport(member));
+		if (!isComplete && this.#context.clock.getMonotonicTime() - since < reportWaitMs) {
+			return;
+		}
+
+		const reachable = new Set([this.#context.self.id, ...this.#view.up]);
+		for (const [member, share] of allotter.allot(isComplete ? quota.getQuota() : this.#getKnownPart(quota, allotter), reachable)) {
+			if (member === this.#context.self.id) {
+				this.#setShare(team, quota, share);
+			} else {
+				this.#context.getOutbox(member)?.addTeamUpdate({team, share});
+			}
+		}
+	}
+
+	/**
+	 * Gets the part of a quota that is surely not in use at members that have not reported: what the others had, or,
+	 * when none was told a share yet, their even part.
+	 */
+	#getKnownPart(quota: TeamQuota, allotter: ShareAllotter): TeamAmount {
+		if (allotter.hasToldMember()) {
+			return allotter.getCommitted();
+		}
+
+		const members = this.#getLocalMembers();
+		const part = members.filter(member => allotter.hasReport(member)).length / members.length;
+		const {slots, startsPerSecond} = quota.getQuota();
+		return {slots: Math.floor(slots * part), startsPerSecond: startsPerSecond * part};
+	}
+
+	#setShare(team: string, quota: TeamQuota, share: NonNullable<TeamUpdate['share']>): void {
+		quota.setShare(share, this.#context.clock.getMonotonicTime());
+		this.#report(team, quota);
+		this.#options.onChange();
+	}
+
+	/** Frees the shares of members that are no longer listed, once their tasks have ended. */
+	#forgetAbsent(): void {
+		const now = this.#context.clock.getMonotonicTime();
+		for (const {allotter} of this.#allotters.values()) {
+			for (const member of allotter.getMembers()) {
+				if (this.#view.dataCenters.has(member)) {
+					this.#absentSince.delete(member);
+					continue;
+				}
+
+				const since = this.#absentSince.get(member) ?? now;
+				this.#absentSince.set(member, since);
+				if (now - since >= absentMs) {
+					allotter.removeMember(member);
+				}
+			}
+		}
+	}
+
+	#getAllotter(team: string): {readonly since: number; readonly allotter: ShareAllotter} {
+		const known = this.#allotters.get(team);
+		if (known) {
+			return known;
+		}
+
+		const created = {since: this.#context.clock.getMonotonicTime(), allotter: new ShareAllotter()};
+		this.#allotters.set(team, created);
+		return created;
+	}
+
+	#getAllottingMember(team: string): string {
+		return getOwner(team, this.#getOwners()) ?? this.#context.self.id;
+	}
+
+	#getLocalMembers(): readonly string[] {
+		return [...this.#view.dataCenters].filter(([, dataCenter]) => dataCenter === this.#context.self.dataCenter).map(([member]) => member);
+	}
+
+	#getOwners(): readonly string[] {
+		return this.#view.owners.get(this.#context.self.dataCenter) ?? [this.#context.self.id];
+	}
+}
--- a/src/process/task-scheduler.ts
+++ b/src/process/task-scheduler.ts
@@ -95,6 +95,8 @@
 	readonly slots: number;
 	readonly inUse: number;
 	readonly leasedOut: number;
+	/** Slots that this entry VM counts and nobody has. */
+	readonly free: number;
 	readonly held: number;
 	readonly failurePercent: number;
 	readonly latencyMs: number;
--- a/test/process/scheduler/scheduler-harness.ts
+++ b/test/process/scheduler/scheduler-harness.ts
@@ -55,6 +55,8 @@
 	readonly clock = new ManualClock();
 	readonly starts: Start[] = [];
 	readonly running = new Set<Start>();
+	/** Tasks of which a start ended as proven not begun. */
+	readonly refusedTasks = new Set<string>();
 	readonly givenUp: Array<{readonly task: string; readonly end: TaskEnd}> = [];
 	readonly expired: string[] = [];
 	readonly nodes: TestNode[] = [];
@@ -134,6 +136,10 @@
 				attempt,
 				end: end => {
 					this.running.delete(start);
+					if (end.kind === 'not_started') {
+						this.refusedTasks.add(task);
+					}
+
 					resolve(end);
 				},
 			};
