Give leased slots back before they are used again, and judge waits by the slots in hand

Cause: a lease whose owner had more urgent work was used for the next task before it was checked, returned slots did not count against what the owner had asked for, and waits were estimated by an even share of the slots, also when most of the own ones were leased out. The part kept free of other data centres shrank with each lease.

--- a/src/process/scheduler/lease-broker.ts
+++ b/src/process/scheduler/lease-broker.ts
@@ -88,6 +88,7 @@
 	 */
 	takeUpdate(update: ServiceUpdate, from: string, lastReceived: number, order: JobOrder): void {
 		if (update.returned) {
+			this.#demands.addReceived(from, update.returned.length);
 			this.#pool.takeReturned(update.returned, from);
 		}
 
@@ -181,7 +182,8 @@
 
 	#chooseAsked(local: LocalDemand): readonly string[] {
 		const owners = this.#pool.getOtherOwners(true);
-		const candidates = local.maySpill ? [...owners, ...this.#pool.getOtherOwners(false)] : owners;
+		const others = local.maySpill ? this.#pool.getOtherOwners(false) : [];
+		const candidates = [...new Set([...this.#pool.getHolders(), ...owners, ...others])];
 		const wanted = Math.min(candidates.length, this.#tuning.demandFanOut, Math.ceil(local.readyTasks / minAsked));
 		if (wanted === candidates.length) {
 			return candidates;
@@ -224,7 +226,7 @@
 			return false;
 		}
 
-		if (local.next && !this.#isUrgent(demand, local.next, local.order)) {
+		if (local.next && demand.isLocal && !this.#isUrgent(demand, local.next, local.order)) {
 			return false;
 		}
 
@@ -239,7 +241,7 @@
 	/** Tells whether idle slots are to be leased out: several at a time, and not the last ones. */
 	#isIdleEnough(demand: KnownDemand): boolean {
 		const free = this.#pool.getGrantableSlots();
-		const reserved = demand.isLocal ? this.#tuning.reservedSlots : this.#pool.getUsableSlots() * this.#tuning.spillReserve;
+		const reserved = demand.isLocal ? this.#tuning.reservedSlots : this.#pool.getOwnedSlots() * this.#tuning.spillReserve;
 		if (free <= reserved) {
 			this.#isGranting = false;
 			return false;
--- a/src/process/scheduler/scheduler-tuning.ts
+++ b/src/process/scheduler/scheduler-tuning.ts
@@ -27,7 +27,7 @@
 	batchMs: 10,
 	demandWaitMs: 20,
 	urgentWaitMs: 40,
-	leaseMarginFactor: 1,
+	leaseMarginFactor: 2,
 	reservedSlots: 2,
 	minGrant: 3,
 	demandIntervalMs: 20,
--- a/src/process/scheduler/service-scheduler.ts
+++ b/src/process/scheduler/service-scheduler.ts
@@ -264,6 +264,7 @@
 	#pumpOnce(): void {
 		this.#expireJobs();
 		const probeTime = this.#detector.startProbes();
+		this.#broker.returnLeases(this.#getLocalDemand());
 		while (this.#step()) {
 			// Each step starts or leases one slot.
 		}
@@ -448,7 +449,8 @@
 	#getLocalDemand(): LocalDemand {
 		const readyTasks = this.#queue.getReadyTasks();
 		const next = readyTasks > 0 ? this.#queue.getNextPart((shape, team) => this.#shapes.isListed(shape) && this.#limits.mayStart(team)) : undefined;
-		const waitMs = readyTasks * this.#getMsPerTask();
+		const msPerTask = this.#taskTime.getMean() / Math.max(this.#pool.getUsableSlots(), 1);
+		const waitMs = readyTasks * msPerTask;
 		const maySpill = this.#profile.spillToOtherDataCenters && waitMs > this.#profile.spillWaitMs;
 		const urgentTasks = next ? Math.min(this.#getUrgentTasks(next), readyTasks) : 0;
 		return {
@@ -457,7 +459,7 @@
 			next,
 			waitMs,
 			urgentTasks,
-			urgentWaitMs: urgentTasks * this.#getMsPerTask(),
+			urgentWaitMs: urgentTasks * msPerTask,
 			maySpill,
 		};
 	}
--- a/src/process/scheduler/slot-pool.ts
+++ b/src/process/scheduler/slot-pool.ts
@@ -64,6 +64,11 @@
 		return sum;
 	}
 
+	/** Gets the number of slots that this entry VM counts. */
+	getOwnedSlots(): number {
+		return this.getEntries().reduce((sum, entry) => sum + (entry.owned?.getCapacity() ?? 0), 0);
+	}
+
 	/** Gets the slots of this data centre divided by the number of its entry VMs. */
 	getEvenShare(): number {
 		let sum = 0;
@@ -86,6 +91,12 @@
 		return [...owners];
 	}
 
+	/** Gets the members that hold leases of this entry VM. */
+	getHolders(): readonly string[] {
+		const leases = this.getEntries().flatMap(entry => entry.owned?.getLeases() ?? []);
+		return [...new Set(leases.map(lease => lease.holder))].filter(holder => this.#view.up.has(holder));
+	}
+
 	/**
 	 * Takes a new list of the service's upstreams.
 	 * @param upstreams - Upstreams of the service that this entry VM may use.
@@ -260,8 +271,7 @@
 
 	/** Asks each holder for the leases it holds, so that a lost message leaves no slot unused. */
 	askHolders(): void {
-		const holders = new Set(this.getEntries().flatMap(entry => entry.owned?.getLeases() ?? []).map(lease => lease.holder));
-		for (const holder of holders) {
+		for (const holder of this.getHolders()) {
 			this.#context.getOutbox(holder)?.askClaims(this.#options.service, this.#claimRound);
 		}
 	}
--- a/test/process/scheduler/scheduler-harness.ts
+++ b/test/process/scheduler/scheduler-harness.ts
@@ -26,6 +26,8 @@
 
 export type HarnessOptions = {
 	readonly nodeCount?: number;
+	/** Data centre of each entry VM; `a` by default. */
+	readonly dataCenters?: readonly string[];
 	readonly upstreams?: readonly ListedUpstream[];
 	readonly profile?: Record<string, unknown>;
 	readonly teams?: Record<string, unknown>;
@@ -69,7 +71,7 @@
 		this.upstreams = createPushStream(options.upstreams ?? [createUpstream('u1'), createUpstream('u2')]);
 		this.configuration = createPushStream(createConfiguration(options.profile, options.teams));
 		const nodeCount = options.nodeCount ?? 1;
-		const incarnations = Array.from({length: nodeCount}, (_, index) => ({dataCenter: 'a', vm: `vm${index}`, id: `vm${index}-0`}));
+		const incarnations = Array.from({length: nodeCount}, (_, index) => ({dataCenter: options.dataCenters?.[index] ?? 'a', vm: `vm${index}`, id: `vm${index}-0`}));
 		for (const self of incarnations) {
 			const members = createPushStream(toMembers(incarnations.filter(other => other !== self)));
 			const index = this.nodes.length;
