Add the client for upstreams

Cause: tasks need a way to an upstream on which nothing is sent twice. Change: undici pools driven through dispatch, a handler that refuses a second start of the same request, rules for method, path and headers.

--- /dev/null
+++ b/src/connection/upstream-client.ts
@@ -0,0 +1,200 @@
+/**
+ * Sends requests to upstreams, each at most once.
+ */
+import {buildConnector} from 'undici';
+import {type ListedUpstream} from '../platform/index.js';
+import {
+	type RuleResult, checkHeaders, checkMethod, checkPath,
+} from '../request/upstream-request-rules.js';
+import {type Clock, systemClock} from '../seams/index.js';
+import {UpstreamExchange} from './upstream-exchange.js';
+import {type UpstreamOutcome, type UpstreamRequest, type UpstreamRunOptions} from './upstream-outcome.js';
+import {UpstreamPool, type UpstreamPoolStatus} from './upstream-pool.js';
+
+/** Options of an {@link UpstreamClient}. */
+export type UpstreamClientOptions = {
+	readonly clock?: Clock;
+	/** Longest body of an answer in bytes; a longer one fails the request. */
+	readonly maxAnswerBytes?: number;
+	/** Time limit for making a connection in milliseconds. */
+	readonly connectTimeoutMs?: number;
+	/** Idle time after which TCP keep-alive probes a connection, in milliseconds. */
+	readonly tcpKeepAliveMs?: number;
+	/** Makes a connection. */
+	readonly connector?: buildConnector.connector;
+};
+
+/** State of an {@link UpstreamClient}. */
+export type UpstreamClientStatus = {
+	readonly pools: readonly UpstreamPoolStatus[];
+	/** Ended requests by outcome. */
+	readonly outcomes: {readonly answered: number; readonly failed: number; readonly notStarted: number};
+	/** Requests ended by their time limit. */
+	readonly timeouts: number;
+};
+
+const defaultMaxAnswerBytes = 4 * 1024 * 1024;
+const defaultConnectTimeoutMs = 2000;
+const defaultTcpKeepAliveMs = 1000;
+
+/** Sends requests to upstreams over pools of kept connections. */
+export class UpstreamClient {
+	readonly #clock: Clock;
+	readonly #maxAnswerBytes: number;
+	readonly #connector: buildConnector.connector;
+	readonly #pools = new Map<string, UpstreamPool>();
+	readonly #closingPools = new Map<UpstreamPool, Promise<void>>();
+	readonly #outcomes = {answered: 0, failed: 0, notStarted: 0};
+	#timeouts = 0;
+	#isClosed = false;
+
+	/** @internal */
+	constructor(options: UpstreamClientOptions) {
+		this.#clock = options.clock ?? systemClock;
+		this.#maxAnswerBytes = options.maxAnswerBytes ?? defaultMaxAnswerBytes;
+		this.#connector = options.connector ?? buildConnector({
+			timeout: options.connectTimeoutMs ?? defaultConnectTimeoutMs,
+			keepAlive: true,
+			keepAliveInitialDelay: options.tcpKeepAliveMs ?? defaultTcpKeepAliveMs,
+		});
+	}
+
+	/**
+	 * Sends a request at most once. The promise never rejects.
+	 * @param upstream - Upstream to send to.
+	 * @param req - Request to send.
+	 * @param options - Limits of this request.
+	 */
+	async run(upstream: ListedUpstream, req: UpstreamRequest, options: UpstreamRunOptions): Promise<UpstreamOutcome> {
+		const fault = this.#findFault(req, options);
+		if (fault !== undefined) {
+			this.#outcomes.notStarted++;
+			return {kind: 'not_started', detail: fault, isUnreachable: false};
+		}
+
+		const pool = this.#getPool(upstream, options.idleConnectionMs);
+		return new Promise(resolve => {
+			const exchange = new UpstreamExchange({
+				notStartedStatuses: options.notStartedStatuses,
+				maxAnswerBytes: this.#maxAnswerBytes,
+				settle: outcome => {
+					timer.close();
+					options.signal?.removeEventListener('abort', cancel);
+					pool.endExchange();
+					this.#countOutcome(outcome);
+					resolve(outcome);
+				},
+			});
+			const cancel = (): void => {
+				exchange.abort('cancelled');
+			};
+
+			const timer = this.#clock.setTimer(() => {
+				this.#timeouts++;
+				exchange.abort(`no answer within ${options.timeoutMs} ms`, pool.getConnectionCount() === 0);
+			}, options.timeoutMs);
+			options.signal?.addEventListener('abort', cancel, {once: true});
+			pool.startExchange(req, exchange);
+		});
+	}
+
+	/**
+	 * Sets the upstreams of the platform's list; connections to others are closed once their requests have ended.
+	 * @param upstreams - Upstreams listed.
+	 */
+	setUpstreams(upstreams: readonly ListedUpstream[]): void {
+		const addresses = new Set(upstreams.map(upstream => upstream.address));
+		for (const [address, pool] of this.#pools) {
+			if (!addresses.has(address)) {
+				this.#retire(pool);
+			}
+		}
+	}
+
+	/** Gets the state for operators and metrics. */
+	getStatus(): UpstreamClientStatus {
+		return {
+			pools: [...this.#pools.values()].map(pool => pool.getStatus()),
+			outcomes: {...this.#outcomes},
+			timeouts: this.#timeouts,
+		};
+	}
+
+	/** Takes no new requests, lets the running ones end and closes all connections. */
+	async close(): Promise<void> {
+		this.#isClosed = true;
+		for (const pool of this.#pools.values()) {
+			this.#retire(pool);
+		}
+
+		await Promise.all(this.#closingPools.values());
+	}
+
+	#findFault(req: UpstreamRequest, options: UpstreamRunOptions): string | undefined {
+		if (this.#isClosed) {
+			return 'upstream client is closed';
+		}
+
+		if (options.signal?.aborted) {
+			return 'cancelled';
+		}
+
+		return getDetail(checkMethod(req.method)) ?? getDetail(checkPath(req.path)) ?? getDetail(checkHeaders(req.headers));
+	}
+
+	#getPool(upstream: ListedUpstream, idleConnectionMs: number): UpstreamPool {
+		const existing = this.#pools.get(upstream.address);
+		if (existing !== undefined) {
+			if (existing.idleConnectionMs === idleConnectionMs && existing.upstream.connections === upstream.connections) {
+				return existing;
+			}
+
+			this.#retire(existing);
+		}
+
+		const pool = new UpstreamPool({upstream, idleConnectionMs, connector: this.#connector});
+		this.#pools.set(upstream.address, pool);
+		return pool;
+	}
+
+	#retire(pool: UpstreamPool): void {
+		this.#pools.delete(pool.upstream.address);
+		this.#closingPools.set(pool, this.#closePool(pool));
+	}
+
+	#countOutcome(outcome: UpstreamOutcome): void {
+		switch (outcome.kind) {
+			case 'answered': {
+				this.#outcomes.answered++;
+				break;
+			}
+
+			case 'failed': {
+				this.#outcomes.failed++;
+				break;
+			}
+
+			case 'not_started': {
+				this.#outcomes.notStarted++;
+				break;
+			}
+		}
+	}
+
+	async #closePool(pool: UpstreamPool): Promise<void> {
+		await pool.close();
+		this.#closingPools.delete(pool);
+	}
+}
+
+/**
+ * Creates a client for upstreams.
+ * @param options - Limits and seams.
+ */
+export function createUpstreamClient(options: UpstreamClientOptions = {}): UpstreamClient {
+	return new UpstreamClient(options);
+}
+
+function getDetail(result: RuleResult): string | undefined {
+	return result.ok ? undefined : result.detail;
+}
--- /dev/null
+++ b/src/connection/upstream-pool.ts
@@ -0,0 +1,128 @@
+/**
+ * The connections to one upstream.
+ */
+import {type Socket} from 'node:net';
+import {Pool, type buildConnector} from 'undici';
+import {type ListedUpstream} from '../platform/index.js';
+import {type UpstreamExchange} from './upstream-exchange.js';
+import {type UpstreamRequest} from './upstream-outcome.js';
+
+/** Options of an {@link UpstreamPool}. */
+export type UpstreamPoolOptions = {
+	readonly upstream: ListedUpstream;
+	/** Idle time after which a connection is closed and not used again. */
+	readonly idleConnectionMs: number;
+	/** Makes a connection. */
+	readonly connector: buildConnector.connector;
+};
+
+/** State of the connections to one upstream. */
+export type UpstreamPoolStatus = {
+	readonly name: string;
+	readonly address: string;
+	/** Requests under way, with those that wait for a connection. */
+	readonly running: number;
+	readonly connections: number;
+};
+
+/** Time kept between the idle time that an upstream announces and the last reuse of its connection, in milliseconds. */
+const keepAliveMarginMs = 500;
+
+/**
+ * Holds at most as many connections as the upstream accepts, each with one request at a time.
+ * @internal
+ */
+export class UpstreamPool {
+	readonly upstream: ListedUpstream;
+	readonly idleConnectionMs: number;
+	readonly #pool: Pool;
+	readonly #sockets = new Set<Socket>();
+	#running = 0;
+	#isClosing = false;
+	#resolveIdle: (() => void) | undefined;
+
+	constructor(options: UpstreamPoolOptions) {
+		this.upstream = options.upstream;
+		this.idleConnectionMs = options.idleConnectionMs;
+		this.#pool = new Pool(`http://${options.upstream.address}`, {
+			connections: options.upstream.connections,
+			pipelining: 1,
+			keepAliveTimeout: options.idleConnectionMs,
+			keepAliveMaxTimeout: options.idleConnectionMs,
+			keepAliveTimeoutThreshold: keepAliveMarginMs,
+			// The exchange's own time limit covers the whole request.
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			connect: (connectOptions, callback) => {
+				options.connector(connectOptions, (...result) => {
+					if (result[1]) {
+						this.#addSocket(result[1]);
+					}
+
+					callback(...result);
+				});
+			},
+		});
+	}
+
+	/** Gets the number of open connections. */
+	getConnectionCount(): number {
+		return this.#sockets.size;
+	}
+
+	/** Gets the state for operators. */
+	getStatus(): UpstreamPoolStatus {
+		return {
+			name: this.upstream.name, address: this.upstream.address, running: this.#running, connections: this.#sockets.size,
+		};
+	}
+
+	/**
+	 * Sends a request as soon as a connection is free.
+	 * @param req - Request that has passed the rules.
+	 * @param exchange - Handler of the request; {@link endExchange} is due once it has settled.
+	 */
+	startExchange(req: UpstreamRequest, exchange: UpstreamExchange): void {
+		this.#running++;
+		this.#pool.dispatch({
+			method: req.method,
+			path: req.path,
+			headers: req.headers.flat(),
+			body: req.body === undefined || req.body.byteLength === 0 ? undefined : req.body,
+			idempotent: false,
+		}, exchange);
+	}
+
+	/** Counts a request as ended. */
+	endExchange(): void {
+		this.#running--;
+		if (this.#running === 0) {
+			this.#resolveIdle?.();
+		}
+	}
+
+	/** Lets the running requests end, then closes the connections. */
+	async close(): Promise<void> {
+		if (this.#running > 0) {
+			await new Promise<void>(resolve => {
+				this.#resolveIdle = resolve;
+			});
+		}
+
+		this.#isClosing = true;
+		await this.#pool.destroy();
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+	}
+
+	#addSocket(socket: Socket): void {
+		this.#sockets.add(socket);
+		socket.once('close', () => {
+			this.#sockets.delete(socket);
+		});
+		if (this.#isClosing) {
+			socket.destroy();
+		}
+	}
+}
--- /dev/null
+++ b/src/request/index.ts
@@ -0,0 +1,1 @@
+export * from './upstream-request-rules.js';
