Add the coordinator, its records, the router and the interfaces for callers and operators

Cause: a request needs exactly one process that remembers it and starts its tasks. Change: records by period with bounds, join of a second submission, attempts, cancellation, hand-over of complete records to a successor, forwarding by coordinator token, and the HTTP interfaces; not yet wired into a process.

--- /dev/null
+++ b/src/connection/http-listener.ts
@@ -0,0 +1,197 @@
+/**
+ * An HTTP listener with limits on connections, heads and times, and with a graceful end.
+ */
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {type AddressInfo, type Socket} from 'node:net';
+import {type CallerAnswer} from '../request/index.js';
+
+/** Takes one request and writes its answer. */
+export type HttpHandler = (req: IncomingMessage, res: ServerResponse) => void;
+
+/** Limits of an {@link HttpListener}. */
+export type HttpLimits = {
+	readonly maxConnections?: number;
+	readonly maxHeaderBytes?: number;
+	/** Time limit for the head of a request in milliseconds. */
+	readonly headTimeoutMs?: number;
+	/** Time limit for a whole request in milliseconds. */
+	readonly requestTimeoutMs?: number;
+	/** Time after which an idle connection is closed, in milliseconds. */
+	readonly idleTimeoutMs?: number;
+};
+
+/** Options of an {@link HttpListener}. */
+export type HttpListenerOptions = HttpLimits & {
+	/** Address and port, `127.0.0.1:0` for any free port. */
+	readonly address: string;
+	readonly handler: HttpHandler;
+};
+
+/** Counts of an {@link HttpListener}. */
+export type HttpCounters = {
+	readonly connections: number;
+	/** Requests that were not valid HTTP, too slow, or with too large a head. */
+	readonly malformed: number;
+	/** Connections closed because of the limit. */
+	readonly dropped: number;
+};
+
+const defaultMaxConnections = 10_000;
+const defaultMaxHeaderBytes = 16_384;
+const defaultHeadTimeoutMs = 10_000;
+const defaultRequestTimeoutMs = 60_000;
+const defaultIdleTimeoutMs = 30_000;
+const maxRequestsPerCheckMs = 1000;
+
+/** Statuses by which Node's parser faults are answered. */
+const faultStatuses: Readonly<Record<string, string>> = {
+	/* eslint-disable @typescript-eslint/naming-convention -- Node's names. */
+	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+	/* eslint-enable @typescript-eslint/naming-convention */
+};
+
+/** Listens for HTTP requests. */
+export class HttpListener {
+	readonly #server: Server;
+	readonly #address: string;
+	#isStopping = false;
+	#malformed = 0;
+	#dropped = 0;
+	#connections = 0;
+
+	/** @internal */
+	constructor(options: HttpListenerOptions) {
+		this.#address = options.address;
+		this.#server = createServer({
+			maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
+			headersTimeout: options.headTimeoutMs ?? defaultHeadTimeoutMs,
+			requestTimeout: options.requestTimeoutMs ?? defaultRequestTimeoutMs,
+			keepAliveTimeout: options.idleTimeoutMs ?? defaultIdleTimeoutMs,
+			connectionsCheckingInterval: maxRequestsPerCheckMs,
+			noDelay: true,
+		}, (req, res) => {
+			if (this.#isStopping) {
+				res.setHeader('Connection', 'close');
+			}
+
+			options.handler(req, res);
+		});
+		this.#server.maxConnections = options.maxConnections ?? defaultMaxConnections;
+		this.#server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
+			this.#malformed++;
+			answerMalformed(err, socket);
+		});
+		this.#server.on('drop', () => {
+			this.#dropped++;
+		});
+		this.#server.on('connection', (socket: Socket) => {
+			this.#connections++;
+			socket.once('close', () => {
+				this.#connections--;
+			});
+		});
+	}
+
+	/** Starts to listen; rejects when the address cannot be used. */
+	async open(): Promise<void> {
+		const {host, port} = splitAddress(this.#address);
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen({host, port}, () => {
+				this.#server.off('error', reject);
+				resolve();
+			});
+		});
+	}
+
+	/** Gets the address and port that it listens on. */
+	getAddress(): string {
+		const {address, port, family} = this.#server.address() as AddressInfo;
+		return family === 'IPv6' ? `[${address}]:${port}` : `${address}:${port}`;
+	}
+
+	/** Gets the counts so far. */
+	getCounters(): HttpCounters {
+		return {connections: this.#connections, malformed: this.#malformed, dropped: this.#dropped};
+	}
+
+	/** Closes each connection with its next answer, so that callers connect elsewhere; new ones are still taken. */
+	drain(): void {
+		this.#isStopping = true;
+	}
+
+	/** Stops listening, lets the requests in progress end and closes all connections. */
+	async close(): Promise<void> {
+		this.#isStopping = true;
+		await new Promise<void>(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+			this.#server.closeIdleConnections();
+		});
+	}
+
+	/** Closes all connections at once, as when the process dies. */
+	async abort(): Promise<void> {
+		const closed = this.close();
+		this.#server.closeAllConnections();
+		await closed;
+	}
+}
+
+/**
+ * Creates a listener that is ready for requests.
+ * @param options - Address, handler and limits.
+ */
+export async function createHttpListener(options: HttpListenerOptions): Promise<HttpListener> {
+	const listener = new HttpListener(options);
+	await listener.open();
+	return listener;
+}
+
+/**
+ * Writes a whole answer.
+ * @param req - Request that is answered.
+ * @param res - Where to write to.
+ * @param answer - Answer to write.
+ */
+export function writeAnswer(req: IncomingMessage, res: ServerResponse, answer: CallerAnswer): void {
+	if (res.destroyed || res.headersSent) {
+		return;
+	}
+
+	res.statusCode = answer.status;
+	for (const [name, value] of answer.headers) {
+		res.appendHeader(name, value);
+	}
+
+	const isBodyless = req.method === 'HEAD' || answer.status === 204 || answer.status === 304;
+	if (!isBodyless) {
+		res.setHeader('Content-Length', answer.body.length);
+	}
+
+	res.end(isBodyless ? undefined : answer.body);
+}
+
+/**
+ * Splits `host:port`; an IPv6 host stands in brackets.
+ * @param address - Address to split.
+ */
+export function splitAddress(address: string): {readonly host: string; readonly port: number} {
+	const colon = address.lastIndexOf(':');
+	const host = address.slice(0, colon).replaceAll(/[\[\]]/gv, '');
+	return {host, port: Number(address.slice(colon + 1))};
+}
+
+function answerMalformed(err: NodeJS.ErrnoException, socket: Socket): void {
+	if (err.code === 'ECONNRESET' || !socket.writable) {
+		socket.destroy();
+		return;
+	}
+
+	const status = faultStatuses[err.code ?? ''] ?? '400 Bad Request';
+	socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+}
--- /dev/null
+++ b/src/process/caller-api.ts
@@ -0,0 +1,266 @@
+/**
+ * The interface for callers over HTTP.
+ */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {readRequestBody, type RequestBody, writeAnswer} from '../connection/index.js';
+import {
+	type CallerAnswer, createJsonAnswer, createProblemAnswer, type JobId, type ProblemName, type SubmissionContent,
+} from '../request/index.js';
+import {
+	type CallerPreferences, type CallerResource, type Checked, getRequestHeaders, parsePreferences, parseResource,
+} from './caller-request.js';
+import {type JobRouter} from './job-router.js';
+
+/** Options of a {@link CallerApi}. */
+export type CallerApiOptions = {
+	readonly router: Pick<JobRouter, 'performOperation' | 'performNewOperation'>;
+	/** Gets the token that callers should use for new jobs. */
+	readonly getCoordinatorToken: () => string;
+	/** Largest body of a request in bytes. */
+	readonly maxBodyBytes: number;
+	/** Bytes of bodies held at the same time. */
+	readonly maxHeldBytes: number;
+};
+
+/** Counts of a {@link CallerApi}. */
+export type CallerApiCounters = {
+	/** Requests refused as not valid, by kind of problem. */
+	readonly badRequests: Readonly<Record<string, number>>;
+	/** Callers that went away before their answer. */
+	readonly disconnected: number;
+	readonly heldBytes: number;
+};
+
+/** What a request asks, as far as it is known before the body. */
+type RequestContext = {
+	readonly req: IncomingMessage;
+	readonly resource: CallerResource;
+	readonly preferences: CallerPreferences;
+	readonly signal: AbortSignal;
+};
+
+const coordinatorHeader = 'Endivemill-Coordinator';
+const overloadRetryMs = 1000;
+
+/** Answers callers. */
+export class CallerApi {
+	readonly #options: CallerApiOptions;
+	readonly #badRequests = new Map<ProblemName, number>();
+	#disconnected = 0;
+	#heldBytes = 0;
+
+	constructor(options: CallerApiOptions) {
+		this.#options = options;
+	}
+
+	/** Gets the counts so far. */
+	getCounters(): CallerApiCounters {
+		return {badRequests: Object.fromEntries(this.#badRequests), disconnected: this.#disconnected, heldBytes: this.#heldBytes};
+	}
+
+	/**
+	 * Answers one request; never rejects.
+	 * @param req - The caller's request.
+	 * @param res - Where the answer goes.
+	 */
+	async handleRequest(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const gone = new AbortController();
+		res.once('close', () => {
+			if (!res.writableFinished) {
+				this.#disconnected++;
+				gone.abort();
+			}
+		});
+		const answer = await this.#answerSafely(req, gone.signal);
+		res.setHeader(coordinatorHeader, this.#options.getCoordinatorToken());
+		if (!req.complete) {
+			// The rest of the body is not read, so the connection cannot be used again.
+			res.setHeader('Connection', 'close');
+		}
+
+		writeAnswer(req, res, answer);
+	}
+
+	async #answerSafely(req: IncomingMessage, signal: AbortSignal): Promise<CallerAnswer> {
+		const resource = parseResource(req.url ?? '');
+		if (!resource.ok) {
+			return this.#refuse(resource.problem, resource.detail);
+		}
+
+		const preferences = parsePreferences(req);
+		if (!preferences.ok) {
+			return this.#refuse(preferences.problem, preferences.detail);
+		}
+
+		return this.#answer({
+			req, resource: resource.value, preferences: preferences.value, signal,
+		});
+	}
+
+	async #answer(context: RequestContext): Promise<CallerAnswer> {
+		const {req, resource} = context;
+		switch (resource.kind) {
+			case 'coordinator': {
+				return this.#answerCoordinator(req);
+			}
+
+			case 'jobs': {
+				return req.method === 'POST' ? this.#createJob(context) : this.#refuseMethod(req, 'POST');
+			}
+
+			case 'job': {
+				return this.#answerJob(context, resource.id);
+			}
+
+			case 'service': {
+				return this.#runPlainRequest(context, resource.service, resource.path);
+			}
+		}
+	}
+
+	#answerCoordinator(req: IncomingMessage): CallerAnswer {
+		if (req.method !== 'GET' && req.method !== 'HEAD') {
+			return this.#refuseMethod(req, 'GET');
+		}
+
+		return createJsonAnswer(200, {coordinator: this.#options.getCoordinatorToken()});
+	}
+
+	async #answerJob(context: RequestContext, id: JobId): Promise<CallerAnswer> {
+		const {req, preferences, signal} = context;
+		const {period} = id.coordinator;
+		const {key} = id;
+		const {attempt, waitMs} = preferences;
+		switch (req.method ?? '') {
+			case 'PUT': {
+				const content = await this.#readContent(context, body => ({kind: 'job', body}), true);
+				return content.ok ? this.#submit(context, id, content.value) : this.#refuse(content.problem, content.detail);
+			}
+
+			case 'GET':
+			case 'HEAD': {
+				return this.#options.router.performOperation(id.coordinator, {
+					kind: 'get', period, key, waitMs: waitMs ?? 0,
+				}, {patienceMs: waitMs, signal});
+			}
+
+			case 'DELETE': {
+				return this.#options.router.performOperation(id.coordinator, {
+					kind: 'cancel', period, key, attempt,
+				}, {patienceMs: waitMs, signal});
+			}
+
+			default: {
+				return this.#refuseMethod(req, 'PUT, GET, DELETE');
+			}
+		}
+	}
+
+	async #createJob(context: RequestContext): Promise<CallerAnswer> {
+		const content = await this.#readContent(context, body => ({kind: 'job', body}), false);
+		if (!content.ok) {
+			return this.#refuse(content.problem, content.detail);
+		}
+
+		const waitMs = getSubmitWait(context.preferences);
+		return this.#hold(content.value, async () => this.#options.router.performNewOperation({kind: 'create', content: content.value, waitMs}, context.signal));
+	}
+
+	async #runPlainRequest(context: RequestContext, service: string, path: string): Promise<CallerAnswer> {
+		const {req, preferences, signal} = context;
+		const {team, isIdempotent, deadlineMs, idempotencyKey} = preferences;
+		const content = await this.#readContent(context, body => ({
+			kind: 'plain', service, team, method: req.method ?? 'GET', path, headers: getRequestHeaders(req), body, isIdempotent, deadlineMs,
+		}), idempotencyKey !== undefined);
+		if (!content.ok) {
+			return this.#refuse(content.problem, content.detail);
+		}
+
+		if (idempotencyKey !== undefined) {
+			return this.#submit(context, idempotencyKey, content.value);
+		}
+
+		return this.#hold(content.value, async () => this.#options.router.performNewOperation({kind: 'run-once', content: content.value}, signal));
+	}
+
+	async #submit(context: RequestContext, id: JobId, content: SubmissionContent): Promise<CallerAnswer> {
+		const {preferences, signal} = context;
+		const {attempt} = preferences;
+		if (content.kind === 'refused') {
+			this.#countBadRequest(content.problem);
+		}
+
+		const answer = await this.#hold(content, async () => this.#options.router.performOperation(id.coordinator, {
+			kind: 'submit', period: id.coordinator.period, key: id.key, attempt, content, waitMs: getSubmitWait(preferences),
+		}, {patienceMs: preferences.waitMs, signal}));
+		if (answer.outcome !== undefined) {
+			return answer;
+		}
+
+		return {...answer, headers: [...answer.headers, ['Preference-Applied', 'respond-async']]};
+	}
+
+	/**
+	 * Reads the body and makes the content out of it.
+	 * For an id, a body that is too large becomes a refusal that the coordinator records, so that the id stays refused.
+	 */
+	async #readContent(
+		context: RequestContext,
+		createContent: (body: Uint8Array) => SubmissionContent,
+		hasId: boolean,
+	): Promise<Checked<SubmissionContent>> {
+		const {maxBodyBytes, maxHeldBytes} = this.#options;
+		if (this.#heldBytes >= maxHeldBytes) {
+			const detail = `${this.#heldBytes} bytes of requests are held`;
+			return {ok: false, problem: hasId ? 'too-many-requests' : 'too-many-jobs', detail};
+		}
+
+		const body = await readRequestBody(context.req, maxBodyBytes);
+		if (body.kind === 'whole') {
+			return {ok: true, value: createContent(body.bytes)};
+		}
+
+		const refusal = getBodyRefusal(body, maxBodyBytes);
+		return hasId && body.kind === 'too-large'
+			? {ok: true, value: {kind: 'refused', problem: refusal.problem, detail: refusal.detail}}
+			: refusal;
+	}
+
+	/** Counts the bytes of a content while it is worked on. */
+	async #hold(content: SubmissionContent, work: () => Promise<CallerAnswer>): Promise<CallerAnswer> {
+		const bytes = content.kind === 'refused' ? 0 : content.body.length;
+		this.#heldBytes += bytes;
+		const answer = await work();
+		this.#heldBytes -= bytes;
+		return answer;
+	}
+
+	#refuseMethod(req: IncomingMessage, allowed: string): CallerAnswer {
+		const answer = this.#refuse('method-not-allowed', `${req.method ?? ''} is not allowed here`);
+		return {...answer, headers: [...answer.headers, ['Allow', allowed]]};
+	}
+
+	#refuse(problem: ProblemName, detail: string): CallerAnswer {
+		this.#countBadRequest(problem);
+		const isOverload = problem === 'too-many-requests' || problem === 'too-many-jobs';
+		return createProblemAnswer(problem, {detail, retryAfterMs: isOverload ? overloadRetryMs : undefined});
+	}
+
+	#countBadRequest(problem: ProblemName): void {
+		this.#badRequests.set(problem, (this.#badRequests.get(problem) ?? 0) + 1);
+	}
+}
+
+/** Gets how long a submission waits for its answer; `undefined`: until the job ends. */
+function getSubmitWait({isAsync, waitMs}: CallerPreferences): number | undefined {
+	return isAsync ? waitMs ?? 0 : undefined;
+}
+
+function getBodyRefusal(body: RequestBody, maxBodyBytes: number): {readonly ok: false; readonly problem: ProblemName; readonly detail: string} {
+	if (body.kind === 'too-large') {
+		return {ok: false, problem: 'body-too-large', detail: `at most ${maxBodyBytes} bytes`};
+	}
+
+	return {ok: false, problem: 'invalid-request', detail: 'the body broke off'};
+}
+
--- /dev/null
+++ b/src/process/hand-over.ts
@@ -0,0 +1,170 @@
+/**
+ * Moves the complete records of a stopping coordinator to its successor, in parts and with a closing count.
+ */
+import {z} from 'zod';
+import {type Incarnation, type Member, type PeerNetwork} from '../connection/index.js';
+import {AdoptedRecords, type AdoptedCoordinator} from './adopted-records.js';
+import {savedRecordSchema} from './job-operation.js';
+import {type SavedRecord} from './job-record.js';
+import {type RecordStoreOptions} from './record-store.js';
+
+/** Topic of the requests that carry records. */
+export const handOverTopic = 'hand-over';
+
+/** Bytes of answers in one part. */
+const maxPartBytes = 512 * 1024;
+/** Records in one part. */
+const maxPartRecords = 1000;
+/** Hand-overs that may be in progress towards one process. */
+const maxTransfers = 64;
+
+const incarnationSchema = z.object({dataCenter: z.string(), vm: z.string(), id: z.string()}).readonly();
+
+const partSchema = z.object({
+	kind: z.literal('part'),
+	transferId: z.string(),
+	records: z.array(savedRecordSchema).readonly(),
+});
+
+const commitSchema = z.object({
+	kind: z.literal('commit'),
+	transferId: z.string(),
+	coordinator: z.object({incarnation: incarnationSchema, period: z.int().min(1)}).readonly(),
+	/** Records sent in all parts. */
+	recordCount: z.int().min(0),
+});
+
+const messageSchema = z.discriminatedUnion('kind', [partSchema, commitSchema]);
+const replySchema = z.object({isAccepted: z.boolean()});
+
+type HandOverMessage = z.infer<typeof messageSchema>;
+
+/** What a hand-over sends. */
+export type HandOverContent = {
+	readonly coordinator: AdoptedCoordinator;
+	readonly records: readonly SavedRecord[];
+};
+
+/** Options of {@link sendHandOver}. */
+export type SendHandOverOptions = {
+	readonly peers: Pick<PeerNetwork, 'request'>;
+	readonly transferId: string;
+	readonly content: HandOverContent;
+	readonly signal?: AbortSignal;
+};
+
+/**
+ * Sends records to a successor; true once it has them all and answers for the coordinator.
+ * @param successorId - Incarnation that takes the records.
+ * @param options - Records and the way to the successor.
+ */
+export async function sendHandOver(successorId: string, options: SendHandOverOptions): Promise<boolean> {
+	const {transferId, content} = options;
+	for (const records of splitIntoParts(content.records)) {
+		if (!await sendMessage(successorId, {kind: 'part', transferId, records}, options)) {
+			return false;
+		}
+	}
+
+	const commit: HandOverMessage = {
+		kind: 'commit', transferId, coordinator: content.coordinator, recordCount: content.records.length,
+	};
+	return sendMessage(successorId, commit, options);
+}
+
+/**
+ * Gets the members that can take records over, the best first: of the same data centre before others.
+ * @param members - All members.
+ * @param self - The incarnation that stops.
+ */
+export function getSuccessors(members: readonly Member[], self: Incarnation): readonly Member[] {
+	const able = members.filter(({state, isLeaving}) => state === 'up' && !isLeaving);
+	const near = able.filter(({incarnation}) => incarnation.dataCenter === self.dataCenter);
+	const far = able.filter(({incarnation}) => incarnation.dataCenter !== self.dataCenter);
+	return [...near, ...far];
+}
+
+/** Options of a {@link HandOverReceiver}. */
+export type HandOverReceiverOptions = {
+	readonly records: RecordStoreOptions;
+	readonly onAdopted: (records: AdoptedRecords) => void;
+};
+
+/** Takes records from stopping coordinators. */
+export class HandOverReceiver {
+	readonly #options: HandOverReceiverOptions;
+	readonly #transfers = new Map<string, SavedRecord[]>();
+
+	constructor(options: HandOverReceiverOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Takes one part of a hand-over or its end.
+	 * @param body - Body of the peer's request.
+	 */
+	handleMessage(body: unknown): unknown {
+		const message = messageSchema.safeParse(body).data;
+		if (message === undefined) {
+			return {isAccepted: false};
+		}
+
+		return {isAccepted: message.kind === 'part' ? this.#addPart(message) : this.#commit(message)};
+	}
+
+	#addPart({transferId, records}: z.infer<typeof partSchema>): boolean {
+		const gathered = this.#transfers.get(transferId);
+		if (gathered !== undefined) {
+			gathered.push(...records);
+			return true;
+		}
+
+		if (this.#transfers.size >= maxTransfers) {
+			this.#dropOldestTransfer();
+		}
+
+		this.#transfers.set(transferId, [...records]);
+		return true;
+	}
+
+	/** Adopts the records only if every one of them has come. */
+	#commit({transferId, coordinator, recordCount}: z.infer<typeof commitSchema>): boolean {
+		const records = this.#transfers.get(transferId) ?? [];
+		this.#transfers.delete(transferId);
+		if (records.length !== recordCount) {
+			return false;
+		}
+
+		this.#options.onAdopted(new AdoptedRecords(coordinator, records, this.#options.records));
+		return true;
+	}
+
+	#dropOldestTransfer(): void {
+		const oldest = this.#transfers.keys().next();
+		if (!oldest.done) {
+			this.#transfers.delete(oldest.value);
+		}
+	}
+}
+
+function splitIntoParts(records: readonly SavedRecord[]): ReadonlyArray<readonly SavedRecord[]> {
+	const parts: SavedRecord[][] = [];
+	let part: SavedRecord[] = [];
+	let bytes = 0;
+	for (const record of records) {
+		part.push(record);
+		bytes += record.answer?.body.length ?? 0;
+		if (bytes >= maxPartBytes || part.length >= maxPartRecords) {
+			parts.push(part);
+			part = [];
+			bytes = 0;
+		}
+	}
+
+	return part.length > 0 ? [...parts, part] : parts;
+}
+
+async function sendMessage(successorId: string, message: HandOverMessage, {peers, signal}: SendHandOverOptions): Promise<boolean> {
+	const outcome = await peers.request(successorId, {topic: handOverTopic, body: message}, signal);
+	return outcome.kind === 'answered' && replySchema.safeParse(outcome.body).data?.isAccepted === true;
+}
--- a/src/process/index.ts
+++ b/src/process/index.ts
@@ -1,2 +1,13 @@
 export * from './events.js';
 export type * from './task-scheduler.js';
+export * from './adopted-records.js';
+export * from './caller-api.js';
+export * from './coordinator.js';
+export * from './coordinator-directory.js';
+export * from './hand-over.js';
+export * from './job-operation.js';
+export * from './job-record.js';
+export * from './job-router.js';
+export * from './job-runner.js';
+export * from './operator-api.js';
+export * from './record-store.js';
--- /dev/null
+++ b/src/process/job-router.ts
@@ -0,0 +1,207 @@
+/**
+ * Takes what callers ask to the process that answers for the job's coordinator.
+ */
+import {type Incarnation, type Member, type PeerNetwork} from '../connection/index.js';
+import {
+	type CallerAnswer, type CoordinatorToken, createProblemAnswer, formatJobId,
+} from '../request/index.js';
+import {type Clock, sleep} from '../seams/index.js';
+import {type Coordinator} from './coordinator.js';
+import {type CoordinatorDirectory, type CoordinatorPlace} from './coordinator-directory.js';
+import {type EventLog} from './events.js';
+import {getSuccessors} from './hand-over.js';
+import {
+	type ForwardedOperation, type ForwardReply, type JobOperation, type NewOperation, parseForwardedOperation, parseForwardReply,
+} from './job-operation.js';
+
+/** Topic of the requests that carry operations. */
+export const jobTopic = 'job';
+
+/** Options of a {@link JobRouter}. */
+export type JobRouterOptions = {
+	readonly clock: Clock;
+	readonly events: EventLog;
+	readonly self: Incarnation;
+	readonly coordinator: Coordinator;
+	readonly directory: CoordinatorDirectory;
+	readonly peers: Pick<PeerNetwork, 'getMembers' | 'request'>;
+	/** Whether this process is stopping, so that new work goes to a peer. */
+	readonly isStopping: () => boolean;
+	/** Time for which a link that broke is tried again, in milliseconds. */
+	readonly retryWindowMs?: number;
+};
+
+/** How a caller wants to be served. */
+export type RouteOptions = {
+	/** Time for which the caller waits for a coordinator that cannot be reached, in milliseconds. */
+	readonly patienceMs?: number;
+	/** Tells that the caller is gone. */
+	readonly signal?: AbortSignal;
+};
+
+/** Counts of forwarded operations. */
+export type JobRouterCounters = {
+	readonly forwarded: number;
+	readonly retried: number;
+	readonly received: number;
+	readonly invalid: number;
+};
+
+type RemoteResult = {readonly isFinal: true; readonly answer: CallerAnswer} | {readonly isFinal: false; readonly wasSent: boolean};
+
+const defaultRetryWindowMs = 3000;
+const retryPauseMs = 50;
+
+/** Routes operations to this process, to records adopted here, or to a peer. */
+export class JobRouter {
+	readonly #options: JobRouterOptions;
+	readonly #counters = {
+		forwarded: 0, retried: 0, received: 0, invalid: 0,
+	};
+
+	constructor(options: JobRouterOptions) {
+		this.#options = options;
+	}
+
+	/** Gets the counts so far. */
+	getCounters(): JobRouterCounters {
+		return {...this.#counters};
+	}
+
+	/**
+	 * Does what a caller asks of a job; never rejects.
+	 * Sending an operation again is harmless, since the coordinator recognises the id.
+	 * @param token - Coordinator of the job.
+	 * @param operation - What the caller asks.
+	 * @param options - How the caller wants to be served.
+	 */
+	async performOperation(token: CoordinatorToken, operation: JobOperation, options: RouteOptions = {}): Promise<CallerAnswer> {
+		const {clock} = this.#options;
+		const startedAt = clock.getMonotonicTime();
+		const patienceMs = options.patienceMs ?? 0;
+		for (;;) {
+			const place = await this.#options.directory.getPlace(token);
+			const result = await this.#performAt(place, token, operation, options);
+			if (result.isFinal) {
+				return result.answer;
+			}
+
+			const limitMs = place.kind === 'member' ? Math.max(patienceMs, this.#options.retryWindowMs ?? defaultRetryWindowMs) : patienceMs;
+			const isLate = clock.getMonotonicTime() - startedAt >= limitMs;
+			if (isLate || options.signal?.aborted) {
+				return createUnreachableAnswer(place, token, operation);
+			}
+
+			this.#counters.retried++;
+			await sleep(clock, retryPauseMs, options.signal);
+		}
+	}
+
+	/**
+	 * Runs something that no coordinator has yet, here or, when this process is stopping, at a peer; never rejects.
+	 * @param operation - What the caller asks.
+	 * @param signal - Tells that the caller is gone.
+	 */
+	async performNewOperation(operation: NewOperation, signal?: AbortSignal): Promise<CallerAnswer> {
+		if (!this.#options.isStopping()) {
+			return this.#performNewHere(operation, signal);
+		}
+
+		for (const member of getSuccessors(this.#options.peers.getMembers(), this.#options.self)) {
+			const result = await this.#forward(member, {kind: 'new', operation}, signal);
+			if (result.isFinal) {
+				return result.answer;
+			}
+
+			if (result.wasSent) {
+				return createProblemAnswer('coordinator-lost', {detail: `the connection to ${member.incarnation.id} broke before the answer`});
+			}
+		}
+
+		return this.#performNewHere(operation, signal);
+	}
+
+	/**
+	 * Answers an operation that a peer passed on.
+	 * @param body - Body of the peer's request.
+	 * @param signal - Tells that the caller is gone.
+	 */
+	async handleForwarded(body: unknown, signal: AbortSignal): Promise<ForwardReply> {
+		const forwarded = parseForwardedOperation(body);
+		if (forwarded === undefined) {
+			this.#counters.invalid++;
+			return {kind: 'not-here'};
+		}
+
+		this.#counters.received++;
+		if (forwarded.kind === 'new') {
+			return createReply(await this.#performNewHere(forwarded.operation, signal));
+		}
+
+		const place = this.#options.directory.getLocalPlace(forwarded.incarnationId);
+		if (place === undefined) {
+			return {kind: 'not-here'};
+		}
+
+		return createReply(await this.#performLocally(place, forwarded.operation, signal));
+	}
+
+	async #performAt(place: CoordinatorPlace, token: CoordinatorToken, operation: JobOperation, options: RouteOptions): Promise<RemoteResult> {
+		switch (place.kind) {
+			case 'self':
+			case 'adopted': {
+				return {isFinal: true, answer: await this.#performLocally(place, operation, options.signal)};
+			}
+
+			case 'member': {
+				this.#options.events.addEvent('job-forwarded', formatJobId({coordinator: token, key: operation.key}), `to ${place.member.incarnation.id}`);
+				return this.#forward(place.member, {kind: 'job', incarnationId: token.incarnationId, operation}, options.signal);
+			}
+
+			case 'unreachable': {
+				return {isFinal: false, wasSent: false};
+			}
+
+			case 'lost': {
+				return {isFinal: true, answer: createUnreachableAnswer(place, token, operation)};
+			}
+		}
+	}
+
+	async #performLocally(place: CoordinatorPlace, operation: JobOperation, signal: AbortSignal | undefined): Promise<CallerAnswer> {
+		if (place.kind === 'adopted') {
+			return place.records.performOperation(operation);
+		}
+
+		return this.#options.coordinator.performOperation(operation, signal);
+	}
+
+	async #performNewHere(operation: NewOperation, signal: AbortSignal | undefined): Promise<CallerAnswer> {
+		const {coordinator} = this.#options;
+		return operation.kind === 'run-once' ? coordinator.runOnce(operation.content, signal) : coordinator.createJob(operation, signal);
+	}
+
+	async #forward(member: Member, forwarded: ForwardedOperation, signal: AbortSignal | undefined): Promise<RemoteResult> {
+		this.#counters.forwarded++;
+		const outcome = await this.#options.peers.request(member.incarnation.id, {topic: jobTopic, body: forwarded}, signal);
+		if (outcome.kind !== 'answered') {
+			return {isFinal: false, wasSent: outcome.kind === 'lost'};
+		}
+
+		const reply = parseForwardReply(outcome.body);
+		return reply?.kind === 'answer' ? {isFinal: true, answer: reply.answer} : {isFinal: false, wasSent: false};
+	}
+}
+
+function createReply(answer: CallerAnswer): ForwardReply {
+	return {kind: 'answer', answer};
+}
+
+function createUnreachableAnswer(place: CoordinatorPlace, token: CoordinatorToken, operation: JobOperation): CallerAnswer {
+	const problem = place.kind === 'lost' ? 'coordinator-lost' : 'coordinator-unreachable';
+	const id = formatJobId({coordinator: token, key: operation.key});
+	const detail = place.kind === 'lost'
+		? `no entry VM has the records of ${token.incarnationId}`
+		: `${token.incarnationId} in data centre ${token.dataCenter} cannot be reached; submitting the same id again is safe`;
+	return createProblemAnswer(problem, {id, detail});
+}
--- /dev/null
+++ b/src/process/operator-api.ts
@@ -0,0 +1,115 @@
+/**
+ * The interface for operators over HTTP, on a listener of its own.
+ */
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {writeAnswer} from '../connection/index.js';
+import {type CallerAnswer, createJsonAnswer, createProblemAnswer} from '../request/index.js';
+import {type EventLog} from './events.js';
+
+/** Text of the metrics and its content type. */
+export type MetricsText = {
+	readonly contentType: string;
+	readonly text: string;
+};
+
+/** Options of an {@link OperatorApi}. */
+export type OperatorApiOptions = {
+	readonly events: EventLog;
+	/** Whether the process takes new work. */
+	readonly isReady: () => boolean;
+	readonly getStatus: () => unknown;
+	readonly getMetrics: () => Promise<MetricsText>;
+	/** Starts the graceful stop. */
+	readonly startDrain: () => void;
+	/** Whether a request may pass; the default lets all pass. */
+	readonly isAllowed?: (req: IncomingMessage) => boolean;
+};
+
+const maxEventsPerAnswer = 20_000;
+const openPaths: ReadonlySet<string> = new Set(['/healthz', '/readyz']);
+
+/** Answers operators and the balancer's checks. */
+export class OperatorApi {
+	readonly #options: OperatorApiOptions;
+
+	constructor(options: OperatorApiOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Answers one request; never rejects.
+	 * @param req - The operator's request.
+	 * @param res - Where the answer goes.
+	 */
+	async handleRequest(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		writeAnswer(req, res, await this.#answer(req));
+	}
+
+	async #answer(req: IncomingMessage): Promise<CallerAnswer> {
+		const url = URL.parse(req.url ?? '', 'http://operator');
+		if (url === null) {
+			return createProblemAnswer('not-found', {detail: 'no such resource'});
+		}
+
+		const isAllowed = openPaths.has(url.pathname) || (this.#options.isAllowed?.(req) ?? true);
+		if (!isAllowed) {
+			return {...createJsonAnswer(401, {title: 'Not authorised.'}), headers: [['WWW-Authenticate', 'Bearer']]};
+		}
+
+		if (req.method === 'POST' && url.pathname === '/v1/drain') {
+			this.#options.startDrain();
+			return createJsonAnswer(202, {isStopping: true});
+		}
+
+		if (req.method !== 'GET' && req.method !== 'HEAD') {
+			return createProblemAnswer('method-not-allowed', {detail: `${req.method ?? ''} is not allowed here`});
+		}
+
+		return this.#answerRead(url);
+	}
+
+	async #answerRead({pathname, searchParams}: URL): Promise<CallerAnswer> {
+		switch (pathname) {
+			case '/healthz': {
+				return createJsonAnswer(200, {isAlive: true});
+			}
+
+			case '/readyz': {
+				const isReady = this.#options.isReady();
+				return createJsonAnswer(isReady ? 200 : 503, {isReady});
+			}
+
+			case '/metrics': {
+				const {contentType, text} = await this.#options.getMetrics();
+				return {status: 200, headers: [['Content-Type', contentType]], body: Buffer.from(text)};
+			}
+
+			case '/v1/status': {
+				return createJsonAnswer(200, this.#options.getStatus());
+			}
+
+			case '/v1/events': {
+				return this.#answerEvents(searchParams);
+			}
+
+			default: {
+				return createProblemAnswer('not-found', {detail: 'no such resource'});
+			}
+		}
+	}
+
+	/** Answers with the events from `from` on, of the job or upstream `subject` if that is given. */
+	#answerEvents(searchParams: URLSearchParams): CallerAnswer {
+		const from = Number(searchParams.get('from') ?? 0);
+		if (!Number.isSafeInteger(from) || from < 0) {
+			return createProblemAnswer('invalid-request', {detail: 'from: expected a whole number of at least 0'});
+		}
+
+		const subject = searchParams.get('subject');
+		const events = this.#options.events.getEvents(from)
+			.filter(event => subject === null || event.subject === subject)
+			.slice(0, maxEventsPerAnswer);
+		return createJsonAnswer(200, {events});
+	}
+}
--- /dev/null
+++ b/src/request/job-body.ts
@@ -0,0 +1,74 @@
+/**
+ * The body of a submitted job.
+ */
+import {z} from 'zod';
+
+/** Most tasks of one job. */
+export const maxTasksPerJob = 1000;
+
+const name = z.string().min(1).max(64);
+
+const needsSchema = z.strictObject({
+	cores: z.number().min(0).max(1_000_000).optional(),
+	memoryMb: z.number().min(0).max(1_000_000_000).optional(),
+	accelerators: z.number().min(0).max(1_000_000).optional(),
+}).readonly();
+
+const taskSchema = z.strictObject({
+	path: z.string().min(1).max(8192),
+	method: z.string().min(1).max(32).default('POST'),
+	headers: z.record(z.string(), z.string()).default({}),
+	body: z.string().default(''),
+	/** How `body` stands for the bytes that the upstream gets. */
+	bodyEncoding: z.enum(['utf8', 'base64']).default('utf8'),
+	needs: needsSchema.default({}),
+	/** Whether the task may run again after a failure that leaves open whether it ran. */
+	isIdempotent: z.boolean().default(false),
+}).readonly();
+
+/** Schema of a job's body. */
+export const jobBodySchema = z.strictObject({
+	service: name,
+	team: z.string().max(64).default(''),
+	deadlineMs: z.int().min(1).optional(),
+	tasks: z.array(taskSchema).min(1).max(maxTasksPerJob),
+}).readonly();
+
+/** A job as a caller submits it. */
+export type JobBody = z.infer<typeof jobBodySchema>;
+
+/** One task of a job as a caller submits it. */
+export type TaskBody = z.infer<typeof taskSchema>;
+
+/** A job's body, or what is wrong with it. */
+export type JobBodyResult =
+	| {readonly ok: true; readonly body: JobBody}
+	| {readonly ok: false; readonly detail: string};
+
+/**
+ * Reads and checks the body of a job.
+ * @param bytes - Body as received, JSON in UTF-8.
+ */
+export function parseJobBody(bytes: Uint8Array): JobBodyResult {
+	const value = parseJson(bytes);
+	if (value === undefined) {
+		return {ok: false, detail: 'the body is not JSON in UTF-8'};
+	}
+
+	const result = jobBodySchema.safeParse(value);
+	if (!result.success) {
+		const issue = result.error.issues[0]!;
+		const path = issue.path.map(String).join('.');
+		return {ok: false, detail: path === '' ? issue.message : `${path}: ${issue.message}`};
+	}
+
+	return {ok: true, body: result.data};
+}
+
+function parseJson(bytes: Uint8Array): unknown {
+	try {
+		return JSON.parse(new TextDecoder('utf8', {fatal: true}).decode(bytes)) as unknown;
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/request/job.ts
@@ -0,0 +1,294 @@
+/**
+ * One run of one job: its tasks, what they answered, and the outcome.
+ */
+import {Buffer} from 'node:buffer';
+import {type ListedUpstream} from '../platform/index.js';
+import {
+	type ScheduledJob, type ScheduledTask, type TaskEnd, type TaskNeeds,
+} from '../process/task-scheduler.js';
+import {type Clock, type Timer} from '../seams/index.js';
+import {
+	type CallerAnswer, createOutcomeHeader, createProblemAnswer, type Header, type ProblemName,
+} from './caller-answer.js';
+
+/** What an upstream answered to a task. */
+export type TaskAnswer = {
+	readonly status: number;
+	readonly headers: readonly Header[];
+	readonly body: Uint8Array;
+};
+
+/** How one try of a task ended, with the answer if there is one. */
+export type TaskResult =
+	| {readonly kind: 'answered'; readonly answer: TaskAnswer}
+	| Exclude<TaskEnd, {readonly kind: 'answered'}>;
+
+/** One task of a job. */
+export type TaskSpec = {
+	readonly needs: TaskNeeds;
+	readonly isIdempotent: boolean;
+	/** Sends the task to an upstream; never rejects. */
+	readonly send: (upstream: ListedUpstream, remainingMs: number) => Promise<TaskResult>;
+};
+
+/** Options of a {@link Job}. */
+export type JobOptions = {
+	readonly clock: Clock;
+	readonly id: string;
+	readonly service: string;
+	readonly team: string;
+	/** Time from now after which the job has failed, in milliseconds. */
+	readonly deadlineMs: number;
+	readonly tasks: readonly TaskSpec[];
+	/** Largest answer of the whole job, in bytes. */
+	readonly maxAnswerBytes: number;
+	/** Makes the bytes of the answer out of the tasks' answers. */
+	readonly formatAnswer: (id: string, answers: readonly TaskAnswer[]) => CallerAnswer;
+	/** Drops the queued tasks of the job. */
+	readonly dropQueued: (id: string) => void;
+	readonly onTaskStarted?: (id: string, taskIndex: number, upstream: ListedUpstream) => void;
+	readonly onTaskEnded?: (id: string, taskIndex: number, upstream: ListedUpstream, result: TaskResult) => void;
+};
+
+/** How far a job has come. */
+export type JobProgress = {
+	readonly tasks: number;
+	readonly started: number;
+	readonly answered: number;
+};
+
+/** Times of a job, for metrics. */
+export type JobTimes = {
+	/** Time from acceptance to the answer, in milliseconds. */
+	readonly responseMs: number;
+	/** The longest run of one of its tasks, in milliseconds: the shortest response possible. */
+	readonly idealMs: number;
+};
+
+/** Runs the tasks of one job and gathers their answers. */
+export class Job {
+	/** Resolves with the answer as soon as it is final; never rejects. */
+	readonly answer: Promise<CallerAnswer>;
+
+	/** Resolves once no task of the job is running; never rejects. */
+	readonly idle: Promise<void>;
+
+	readonly #options: JobOptions;
+	readonly #acceptedAt: number;
+	readonly #answers: Array<TaskAnswer | undefined>;
+	readonly #deadlineTimer: Timer;
+	#resolveAnswer!: (answer: CallerAnswer) => void;
+	#resolveIdle!: () => void;
+	#isEnded = false;
+	#answeredCount = 0;
+	#answerBytes = 0;
+	/** Tasks whose request may have reached an upstream, counted once each. */
+	#startedCount = 0;
+	#runningCount = 0;
+	#endedAt = 0;
+	#longestTaskMs = 0;
+
+	constructor(options: JobOptions) {
+		this.#options = options;
+		this.#acceptedAt = options.clock.getMonotonicTime();
+		this.#answers = Array.from({length: options.tasks.length});
+		// eslint-disable-next-line promise/param-names
+		this.answer = new Promise(resolveAnswer => {
+			this.#resolveAnswer = resolveAnswer;
+		});
+		// eslint-disable-next-line promise/param-names
+		this.idle = new Promise(resolveIdle => {
+			this.#resolveIdle = resolveIdle;
+		});
+		this.#deadlineTimer = options.clock.setTimer(() => {
+			this.#abandon('deadline-passed', 'deadline-exceeded', `the deadline of ${options.deadlineMs} ms passed`);
+		}, options.deadlineMs);
+	}
+
+	/** Gets whether the outcome is final. */
+	isEnded(): boolean {
+		return this.#isEnded;
+	}
+
+	/** Gets how far the job has come. */
+	getProgress(): JobProgress {
+		return {tasks: this.#answers.length, started: this.#startedCount, answered: this.#answeredCount};
+	}
+
+	/** Gets the times of an ended job. */
+	getTimes(): JobTimes {
+		return {responseMs: this.#endedAt - this.#acceptedAt, idealMs: this.#longestTaskMs};
+	}
+
+	/** Gets the job in the form that the scheduler takes. */
+	getScheduledJob(): ScheduledJob {
+		const {id, service, team, deadlineMs, tasks} = this.#options;
+		return {
+			id,
+			service,
+			team,
+			deadline: this.#acceptedAt + deadlineMs,
+			tasks: tasks.map((task, index) => this.#createScheduledTask(task, index)),
+			expire: () => {
+				this.#abandon('deadline-passed', 'deadline-exceeded', `the deadline of ${deadlineMs} ms passed`);
+			},
+		};
+	}
+
+	/**
+	 * Ends the job with a refusal; only before any of its tasks was handed out.
+	 * @param answer - Answer that says why.
+	 */
+	refuse(answer: CallerAnswer): void {
+		this.#end(answer);
+	}
+
+	/**
+	 * Drops the queued tasks and ends the job at once.
+	 * @param detail - Why the job is cancelled.
+	 */
+	cancel(detail: string): void {
+		this.#abandon('cancelled', 'cancelled-running', detail);
+	}
+
+	/**
+	 * Ends the job because the entry VM stops before it can end by itself.
+	 * @param detail - What happened.
+	 */
+	stop(detail: string): void {
+		this.#abandon('stopping', 'stopped-running', detail);
+	}
+
+	#createScheduledTask(task: TaskSpec, index: number): ScheduledTask {
+		return {
+			needs: task.needs,
+			isIdempotent: task.isIdempotent,
+			run: async upstream => this.#runTask(task, index, upstream),
+			giveUp: end => {
+				this.#giveUpTask(end, index);
+			},
+		};
+	}
+
+	async #runTask(task: TaskSpec, index: number, upstream: ListedUpstream): Promise<TaskEnd> {
+		if (this.#isEnded) {
+			return {kind: 'not_started', detail: 'the job has ended', isUnreachable: false};
+		}
+
+		const {clock, id, deadlineMs, onTaskStarted, onTaskEnded} = this.#options;
+		const startedAt = clock.getMonotonicTime();
+		this.#startedCount++;
+		this.#runningCount++;
+		onTaskStarted?.(id, index, upstream);
+		const result = await task.send(upstream, this.#acceptedAt + deadlineMs - startedAt);
+		this.#runningCount--;
+		if (result.kind === 'not_started') {
+			this.#startedCount--;
+		}
+
+		onTaskEnded?.(id, index, upstream, result);
+		this.#addResult(index, result, clock.getMonotonicTime() - startedAt);
+		this.#checkIdle();
+		return result.kind === 'answered' ? {kind: 'answered', status: result.answer.status} : result;
+	}
+
+	#addResult(index: number, result: TaskResult, runMs: number): void {
+		if (this.#isEnded || result.kind !== 'answered') {
+			return;
+		}
+
+		this.#answers[index] = result.answer;
+		this.#answeredCount++;
+		this.#answerBytes += result.answer.body.length;
+		this.#longestTaskMs = Math.max(this.#longestTaskMs, runMs);
+		if (this.#answerBytes > this.#options.maxAnswerBytes) {
+			this.#abandon('internal-error', 'answer-too-large', `the tasks answered more than ${this.#options.maxAnswerBytes} bytes`);
+			return;
+		}
+
+		if (this.#answeredCount === this.#answers.length) {
+			this.#end(this.#options.formatAnswer(this.#options.id, this.#answers as TaskAnswer[]));
+		}
+	}
+
+	#giveUpTask(end: TaskEnd, index: number): void {
+		const detail = end.kind === 'answered' ? 'the scheduler gave it up' : end.detail;
+		this.#abandon('upstream-refused', 'task-failed', `task ${index}: ${detail}`);
+	}
+
+	/** Ends the job without an answer of its tasks: as `not_run` only if none of them may have started. */
+	#abandon(notRunProblem: ProblemName, failedProblem: ProblemName, detail: string): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		const {id, dropQueued} = this.#options;
+		const problem = this.#startedCount === 0 ? notRunProblem : failedProblem;
+		this.#end(createProblemAnswer(problem, {id, detail}));
+		dropQueued(id);
+	}
+
+	#end(answer: CallerAnswer): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		this.#isEnded = true;
+		this.#endedAt = this.#options.clock.getMonotonicTime();
+		this.#deadlineTimer.close();
+		this.#answers.length = 0;
+		this.#resolveAnswer(answer);
+		this.#checkIdle();
+	}
+
+	#checkIdle(): void {
+		if (this.#isEnded && this.#runningCount === 0) {
+			this.#resolveIdle();
+		}
+	}
+}
+
+/**
+ * Creates the answer of a job of several tasks: a JSON body with one entry a task, in order.
+ * @param id - Job that is answered.
+ * @param answers - The tasks' answers in order.
+ */
+export function formatJobAnswer(id: string, answers: readonly TaskAnswer[]): CallerAnswer {
+	const tasks = answers.map(({status, headers, body}) => ({status, headers: formatHeaders(headers), ...formatBody(body)}));
+	return {
+		outcome: 'complete',
+		status: 200,
+		headers: [['Content-Type', 'application/json'], createOutcomeHeader('complete')],
+		body: Buffer.from(JSON.stringify({outcome: 'complete', id, tasks})),
+	};
+}
+
+/**
+ * Creates the answer of a plain request: what the upstream answered.
+ * @param _id - Job that is answered.
+ * @param answers - The only task's answer.
+ */
+export function formatPlainAnswer(_id: string, answers: readonly TaskAnswer[]): CallerAnswer {
+	const {status, headers, body} = answers[0]!;
+	return {
+		outcome: 'complete', status, headers: [...headers, createOutcomeHeader('complete')], body,
+	};
+}
+
+function formatHeaders(headers: readonly Header[]): Record<string, string | string[]> {
+	const formatted = Object.create(null) as Record<string, string | string[]>;
+	for (const [name, value] of headers) {
+		const key = name.toLowerCase();
+		const earlier = formatted[key];
+		formatted[key] = earlier === undefined ? value : [earlier, value].flat();
+	}
+
+	return formatted;
+}
+
+function formatBody(body: Uint8Array): {readonly body: string; readonly bodyEncoding?: 'base64'} {
+	const buffer = Buffer.from(body.buffer, body.byteOffset, body.byteLength);
+	const text = buffer.toString('utf8');
+	const isUtf8 = Buffer.byteLength(text) === buffer.length && !text.includes('\uFFFD');
+	return isUtf8 ? {body: text} : {body: buffer.toString('base64'), bodyEncoding: 'base64'};
+}
