--- a/src/process/index.ts
+++ b/src/process/index.ts
@@ -1,2 +1,3 @@
+export * from './current-value.js';
 export * from './events.js';
 export type * from './task-scheduler.js';
