Add the platform adapter, its stand-in and the followers

Cause: entry VMs need the configuration and the list of VMs while the store may be down, slow, stale, silent or lose answers. Change: createEtcdPlatform with time limits, call budget, back-off and watches that resume by revision or, after a compaction, by the differences; PlatformStandIn with switchable faults; ConfigurationFollower and VmListFollower, which take only higher versions and revisions. Platform gets getDigest, so that a poll does not read the whole list.

--- /dev/null
+++ b/src/platform/etcd-client.ts
@@ -0,0 +1,220 @@
+/**
+ * Requests to the endpoints of the store: time limits, the call budget, and the next endpoint after a failure.
+ */
+import {Buffer} from 'node:buffer';
+import {type Dispatcher, request} from 'undici';
+import {type z} from 'zod';
+import {type Clock} from '../seams/index.js';
+import {type CallBudget} from './call-budget.js';
+import {type PlatformResult} from './platform.js';
+import {createFault, describeError, isNotSent} from './platform-fault.js';
+
+/** Options of an {@link EtcdClient}. */
+export type EtcdClientOptions = {
+	/** Base URLs, for instance `http://10.0.0.1:2379`. */
+	readonly endpoints: readonly string[];
+	readonly dispatcher: Dispatcher;
+	readonly clock: Clock;
+	readonly budget: CallBudget;
+	/** Time limit of one try, in milliseconds. */
+	readonly callTimeoutMs: number;
+};
+
+/** One call: its path, its body and the schema of the answer. */
+export type EtcdCall<T> = {
+	readonly path: string;
+	readonly body: unknown;
+	readonly schema: z.ZodType<T>;
+};
+
+/** An open watch: the chunks of its answer. */
+export type EtcdChunks = AsyncIterable<Uint8Array>;
+
+/** Longest answer that is read, in bytes. */
+const maxAnswerBytes = 33_554_432;
+
+/** Tries of a read when there are fewer endpoints than this; the second one uses a new connection. */
+const minReadTries = 2;
+
+const headers = {'content-type': 'application/json'};
+
+/** Makes calls to one of several endpoints. */
+export class EtcdClient {
+	readonly #options: EtcdClientOptions;
+	readonly #closing = new AbortController();
+	#endpointIndex = 0;
+	#callCount = 0;
+
+	constructor(options: EtcdClientOptions) {
+		this.#options = options;
+	}
+
+	/** Gets the number of requests made so far. */
+	getCallCount(): number {
+		return this.#callCount;
+	}
+
+	/**
+	 * Makes a call that changes nothing, at most once at each endpoint and at least twice.
+	 * @param call - Call to make.
+	 */
+	async read<T>(call: EtcdCall<T>): Promise<PlatformResult<T>> {
+		const result = await this.#retry(async () => this.#try(call));
+		if (!result.ok && result.reason === 'ambiguous') {
+			return createFault('unavailable', result.detail);
+		}
+
+		return result;
+	}
+
+	/**
+	 * Makes a call that changes the store; it is sent again only when it is proven that no byte of it was sent.
+	 * @param call - Call to make.
+	 */
+	async write<T>(call: EtcdCall<T>): Promise<PlatformResult<T>> {
+		let result = await this.#try(call);
+		for (let index = 1; index < this.#options.endpoints.length && isUnavailable(result); index++) {
+			result = await this.#try(call);
+		}
+
+		if (!result.ok && (result.reason === 'timeout' || result.reason === 'closed')) {
+			return createFault('ambiguous', result.detail);
+		}
+
+		return result;
+	}
+
+	/**
+	 * Opens a call whose answer goes on; each try's time limit holds until the head of the answer is there.
+	 * @param path - Path of the call.
+	 * @param body - Body of the call.
+	 * @param signal - Ends the call.
+	 */
+	async open(path: string, body: unknown, signal: AbortSignal): Promise<PlatformResult<EtcdChunks>> {
+		return this.#retry(async () => this.#limit(async limited => this.#send(path, body, AbortSignal.any([limited, signal]))));
+	}
+
+	/** Uses another endpoint from the next call on. */
+	rotateEndpoint(): void {
+		this.#endpointIndex++;
+	}
+
+	/** Ends all calls. */
+	close(): void {
+		this.#closing.abort();
+	}
+
+	async #retry<T>(makeCall: () => Promise<PlatformResult<T>>): Promise<PlatformResult<T>> {
+		const tries = Math.max(minReadTries, this.#options.endpoints.length);
+		let result = await makeCall();
+		for (let index = 1; index < tries && shouldRetryRead(result); index++) {
+			result = await makeCall();
+		}
+
+		return result;
+	}
+
+	async #try<T>(call: EtcdCall<T>): Promise<PlatformResult<T>> {
+		return this.#limit(async signal => this.#exchange(call, signal));
+	}
+
+	async #limit<T>(makeCall: (signal: AbortSignal) => Promise<PlatformResult<T>>): Promise<PlatformResult<T>> {
+		const limit = new AbortController();
+		const timer = this.#options.clock.setTimer(() => {
+			limit.abort();
+		}, this.#options.callTimeoutMs);
+		const result = await makeCall(AbortSignal.any([limit.signal, this.#closing.signal]));
+		timer.close();
+		if (result.ok || result.reason === 'budget') {
+			return result;
+		}
+
+		this.rotateEndpoint();
+		if (this.#closing.signal.aborted) {
+			return createFault('closed', 'the platform client is closed');
+		}
+
+		return limit.signal.aborted ? createFault('timeout', `no answer within ${this.#options.callTimeoutMs} ms`) : result;
+	}
+
+	async #exchange<T>(call: EtcdCall<T>, signal: AbortSignal): Promise<PlatformResult<T>> {
+		const sent = await this.#send(call.path, call.body, signal);
+		if (!sent.ok) {
+			return sent;
+		}
+
+		try {
+			const text = await readText(sent.value);
+			return parseAnswer(text, call.schema);
+		} catch (err) {
+			return createFault('ambiguous', describeError(err));
+		}
+	}
+
+	async #send(path: string, body: unknown, signal: AbortSignal): Promise<PlatformResult<EtcdChunks>> {
+		if (signal.aborted) {
+			return createFault('closed', 'the call was ended');
+		}
+
+		if (!this.#options.budget.take()) {
+			return createFault('budget', 'the budget of platform calls is used up');
+		}
+
+		this.#callCount++;
+		const {endpoints, dispatcher} = this.#options;
+		const endpoint = endpoints[this.#endpointIndex % endpoints.length]!;
+		try {
+			const res = await request(new URL(path, endpoint), {
+				method: 'POST', headers, body: JSON.stringify(body), dispatcher, signal, headersTimeout: 0, bodyTimeout: 0,
+			});
+			return await checkStatus(res);
+		} catch (err) {
+			return createFault(isNotSent(err) ? 'unavailable' : 'ambiguous', `${endpoint}: ${describeError(err)}`);
+		}
+	}
+}
+
+function shouldRetryRead(result: PlatformResult<unknown>): boolean {
+	return !result.ok && (result.reason === 'unavailable' || result.reason === 'timeout' || result.reason === 'ambiguous');
+}
+
+function isUnavailable(result: PlatformResult<unknown>): boolean {
+	return !result.ok && result.reason === 'unavailable';
+}
+
+async function checkStatus(res: Dispatcher.ResponseData): Promise<PlatformResult<EtcdChunks>> {
+	if (res.statusCode === 200) {
+		return {ok: true, value: res.body};
+	}
+
+	await res.body.dump();
+	const isRefused = res.statusCode >= 400 && res.statusCode < 500;
+	return createFault(isRefused ? 'invalid' : 'ambiguous', `status ${res.statusCode}`);
+}
+
+async function readText(chunks: EtcdChunks): Promise<string> {
+	const parts: Uint8Array[] = [];
+	let size = 0;
+	for await (const chunk of chunks) {
+		size += chunk.length;
+		if (size > maxAnswerBytes) {
+			throw new RangeError(`the answer is longer than ${maxAnswerBytes} bytes`);
+		}
+
+		parts.push(chunk);
+	}
+
+	return Buffer.concat(parts).toString();
+}
+
+function parseAnswer<T>(text: string, schema: z.ZodType<T>): PlatformResult<T> {
+	let json: unknown;
+	try {
+		json = JSON.parse(text);
+	} catch {
+		return createFault('ambiguous', 'the answer is no JSON');
+	}
+
+	const parsed = schema.safeParse(json);
+	return parsed.success ? {ok: true, value: parsed.data} : createFault('ambiguous', `unexpected answer: ${parsed.error.issues[0]?.message ?? ''}`);
+}
--- /dev/null
+++ b/src/platform/etcd-watch.ts
@@ -0,0 +1,254 @@
+/**
+ * One watch of a prefix: it resumes by revision after a break, reads the prefix anew after a compaction,
+ * and opens a new stream when the present one has been silent for long.
+ */
+import {type Clock, sleep} from '../seams/index.js';
+import {type Backoff} from './backoff.js';
+import {type EtcdChunks, type EtcdClient} from './etcd-client.js';
+import {
+	createPrefixRequest, createWatchRequest, decodeKeyValue, rangeAnswerSchema, type WatchMessage, watchMessageSchema,
+} from './etcd-messages.js';
+import {type KeyRange, type PlatformResult, type WatchEvent} from './platform.js';
+import {createFault, describeError} from './platform-fault.js';
+
+/** Options of an {@link EtcdWatch}. */
+export type EtcdWatchOptions = {
+	readonly client: EtcdClient;
+	readonly clock: Clock;
+	readonly backoff: Backoff;
+	readonly prefix: string;
+	/** Time without any message after which the stream is replaced, in milliseconds. */
+	readonly silenceMs: number;
+	readonly onEvent: (event: WatchEvent) => void;
+};
+
+type StreamEnd = 'broken' | 'silent' | 'compacted' | 'closed';
+
+/** Longest message of a watch, in characters. */
+const maxMessageLength = 33_554_432;
+
+/** Watches one prefix until it is closed. */
+export class EtcdWatch {
+	readonly #options: EtcdWatchOptions;
+	readonly #closing = new AbortController();
+	/** Revision of each key's last known change; tells what a compaction has hidden. */
+	readonly #known = new Map<string, number>();
+	#nextRevision = 0;
+	#isUp = false;
+
+	constructor(options: EtcdWatchOptions) {
+		this.#options = options;
+	}
+
+	/** Follows the prefix; resolves after `close`. */
+	async run(): Promise<void> {
+		while (!this.#closing.signal.aborted) {
+			const end = await this.#runOnce();
+			if (end.ok) {
+				continue;
+			}
+
+			this.#setDown(end.detail);
+			await sleep(this.#options.clock, this.#options.backoff.getNextDelay(), this.#closing.signal);
+		}
+	}
+
+	/** Ends the watch; no event is given afterwards. */
+	close(): void {
+		this.#closing.abort();
+	}
+
+	async #runOnce(): Promise<PlatformResult<StreamEnd>> {
+		if (this.#nextRevision === 0) {
+			const started = await this.#readKeys();
+			if (!started.ok) {
+				return started;
+			}
+		}
+
+		const end = await this.#runStream();
+		if (end.ok && end.value === 'compacted') {
+			return this.#resynchronize();
+		}
+
+		return end;
+	}
+
+	async #readKeys(): Promise<PlatformResult<StreamEnd>> {
+		const range = await this.#readRange(true);
+		if (!range.ok) {
+			return range;
+		}
+
+		for (const entry of range.value.entries) {
+			this.#known.set(entry.key, entry.modRevision);
+		}
+
+		this.#nextRevision = range.value.revision + 1;
+		return {ok: true, value: 'closed'};
+	}
+
+	async #resynchronize(): Promise<PlatformResult<StreamEnd>> {
+		const range = await this.#readRange(false);
+		if (!range.ok) {
+			return range;
+		}
+
+		const {revision, entries} = range.value;
+		if (revision + 1 < this.#nextRevision) {
+			return createFault('unavailable', 'the prefix was read at an old revision');
+		}
+
+		this.#emitDifference(range.value);
+		this.#known.clear();
+		for (const entry of entries) {
+			this.#known.set(entry.key, entry.modRevision);
+		}
+
+		this.#nextRevision = revision + 1;
+		return {ok: true, value: 'compacted'};
+	}
+
+	#emitDifference({revision, entries}: KeyRange): void {
+		const present = new Set(entries.map(entry => entry.key));
+		for (const key of this.#known.keys()) {
+			if (!present.has(key)) {
+				this.#emit({kind: 'delete', key, modRevision: revision});
+			}
+		}
+
+		for (const entry of entries) {
+			if (entry.modRevision !== this.#known.get(entry.key)) {
+				this.#emit({kind: 'put', entry});
+			}
+		}
+	}
+
+	async #readRange(isKeysOnly: boolean): Promise<PlatformResult<KeyRange>> {
+		const body = createPrefixRequest(this.#options.prefix, isKeysOnly);
+		const result = await this.#options.client.read({path: '/v3/kv/range', body, schema: rangeAnswerSchema});
+		if (!result.ok) {
+			return result;
+		}
+
+		const entries = result.value.kvs.map(kv => decodeKeyValue(kv));
+		return {ok: true, value: {revision: result.value.header.revision, entries}};
+	}
+
+	async #runStream(): Promise<PlatformResult<StreamEnd>> {
+		const stream = new AbortController();
+		const signal = AbortSignal.any([stream.signal, this.#closing.signal]);
+		const body = createWatchRequest(this.#options.prefix, this.#nextRevision);
+		const opened = await this.#options.client.open('/v3/watch', body, signal);
+		if (!opened.ok) {
+			return opened;
+		}
+
+		let isSilent = false;
+		const startTimer = () => this.#options.clock.setTimer(() => {
+			isSilent = true;
+			stream.abort();
+		}, this.#options.silenceMs);
+		let timer = startTimer();
+		try {
+			return await this.#readMessages(opened.value, () => {
+				timer.close();
+				timer = startTimer();
+			});
+		} catch (err) {
+			this.#options.client.rotateEndpoint();
+			// Replacing a silent stream is no break until the next one fails.
+			return isSilent && this.#isUp ? {ok: true, value: 'silent'} : createFault('unavailable', describeError(err));
+		} finally {
+			timer.close();
+			stream.abort();
+		}
+	}
+
+	async #readMessages(chunks: EtcdChunks, onMessage: () => void): Promise<PlatformResult<StreamEnd>> {
+		for await (const message of splitMessages(chunks)) {
+			onMessage();
+			const end = this.#takeMessage(message);
+			if (end) {
+				return end;
+			}
+		}
+
+		return createFault('unavailable', 'the watch ended');
+	}
+
+	#takeMessage(line: string): PlatformResult<StreamEnd> | undefined {
+		const parsed = watchMessageSchema.safeParse(JSON.parse(line));
+		if (!parsed.success) {
+			return createFault('invalid', `unexpected message of a watch: ${parsed.error.issues[0]?.message ?? ''}`);
+		}
+
+		const message = parsed.data.result;
+		if (message.compact_revision > 0) {
+			return {ok: true, value: 'compacted'};
+		}
+
+		if (message.canceled) {
+			return createFault('unavailable', `the watch was cancelled: ${message.cancel_reason}`);
+		}
+
+		this.#setUp();
+		this.#takeEvents(message);
+		return undefined;
+	}
+
+	#takeEvents(message: WatchMessage): void {
+		for (const {type, kv} of message.events) {
+			const entry = decodeKeyValue(kv);
+			this.#nextRevision = Math.max(this.#nextRevision, entry.modRevision + 1);
+			if (type === 'DELETE') {
+				this.#known.delete(entry.key);
+				this.#emit({kind: 'delete', key: entry.key, modRevision: entry.modRevision});
+			} else {
+				this.#known.set(entry.key, entry.modRevision);
+				this.#emit({kind: 'put', entry});
+			}
+		}
+
+		const isProgress = message.events.length === 0 && !message.created;
+		if (isProgress) {
+			this.#nextRevision = Math.max(this.#nextRevision, message.header.revision + 1);
+		}
+	}
+
+	#setUp(): void {
+		this.#options.backoff.reset();
+		if (!this.#isUp) {
+			this.#isUp = true;
+			this.#emit({kind: 'up'});
+		}
+	}
+
+	#setDown(detail: string): void {
+		if (this.#isUp) {
+			this.#isUp = false;
+			this.#emit({kind: 'down', detail});
+		}
+	}
+
+	#emit(event: WatchEvent): void {
+		if (!this.#closing.signal.aborted) {
+			this.#options.onEvent(event);
+		}
+	}
+}
+
+async function * splitMessages(chunks: EtcdChunks): AsyncGenerator<string> {
+	const decoder = new TextDecoder();
+	let rest = '';
+	for await (const chunk of chunks) {
+		rest += decoder.decode(chunk, {stream: true});
+		const lines = rest.split('\n');
+		rest = lines.pop()!;
+		if (rest.length > maxMessageLength) {
+			throw new RangeError(`a message is longer than ${maxMessageLength} characters`);
+		}
+
+		yield * lines.filter(line => line.trim() !== '');
+	}
+}
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,2 +1,3 @@
 export type * from './platform.js';
+export {createEtcdPlatform, type EtcdPlatformOptions} from './etcd-platform.js';
 export * from './vm-list.js';
--- a/src/platform/platform.ts
+++ b/src/platform/platform.ts
@@ -28,6 +28,13 @@
 	readonly entries: readonly KeyValue[];
 };
 
+/** What tells one state of a prefix from another without reading its values. */
+export type PrefixDigest = {
+	/** Highest revision of any key's last change; 0 when there is no key. */
+	readonly newestModRevision: number;
+	readonly count: number;
+};
+
 /** What a watch reports. `down` is given once when the watch breaks; the watch then resumes by itself. */
 export type WatchEvent =
 	| {readonly kind: 'put'; readonly entry: KeyValue}
@@ -54,6 +61,12 @@
 	 */
 	getRange(prefix: string): Promise<PlatformResult<KeyRange>>;
 
+	/**
+	 * Gets the digest of a prefix; much smaller than its range.
+	 * @param prefix - Prefix to read.
+	 */
+	getDigest(prefix: string): Promise<PlatformResult<PrefixDigest>>;
+
 	/**
 	 * Writes a key if its last change is the expected one.
 	 * @param key - Key to write.
--- /dev/null
+++ b/src/process/configuration-follower.ts
@@ -0,0 +1,139 @@
+/**
+ * The configuration that is in force here: the highest version learnt from the platform or from a peer.
+ */
+import {type Stream} from 'most';
+import {getConfigurationKey, type KeyValue} from '../platform/index.js';
+import {
+	type Configuration, emptyConfiguration, parseConfiguration, parseStoredConfiguration,
+} from '../version/index.js';
+import {CurrentValue} from './current-value.js';
+import {type FollowerOptions, type FollowerStatus, PrefixFollower} from './prefix-follower.js';
+
+/** Options of a {@link ConfigurationFollower}. */
+export type ConfigurationFollowerOptions = FollowerOptions;
+
+/** Counters of a {@link ConfigurationFollower}. */
+export type ConfigurationFollowerStatus = FollowerStatus & {
+	readonly version: number;
+	/** Values refused as invalid. */
+	readonly refusedValues: number;
+	/** Values that were not newer than the version in force. */
+	readonly olderValues: number;
+};
+
+/**
+ * Creates a follower that reads the platform at once.
+ * @param options - Platform, deployment and seams.
+ */
+export function createConfigurationFollower(options: ConfigurationFollowerOptions): ConfigurationFollower {
+	return new ConfigurationFollower(options);
+}
+
+/** Keeps the highest version of the configuration. */
+export class ConfigurationFollower {
+	readonly #options: ConfigurationFollowerOptions;
+	readonly #current = new CurrentValue<Configuration>(emptyConfiguration);
+	readonly #key: string;
+	readonly #follower: PrefixFollower;
+	#refusedRevision = 0;
+	#refusedValues = 0;
+	#olderValues = 0;
+
+	constructor(options: ConfigurationFollowerOptions) {
+		this.#options = options;
+		this.#key = getConfigurationKey(options.deployment);
+		this.#follower = new PrefixFollower({
+			...options,
+			subject: 'configuration',
+			prefix: this.#key,
+			onRange: ({entries}) => {
+				for (const entry of entries) {
+					this.#takeEntry(entry);
+				}
+			},
+			onChange: change => {
+				if (change.kind === 'put') {
+					this.#takeEntry(change.entry);
+				}
+			},
+		});
+	}
+
+	/** Gets the version in force. */
+	getConfiguration(): Configuration {
+		return this.#current.get();
+	}
+
+	/** Gets the versions in force, beginning with the present one. */
+	getStream(): Stream<Configuration> {
+		return this.#current.getStream();
+	}
+
+	/**
+	 * Takes a version learnt from a peer if it is valid and higher; gets whether it was taken.
+	 * @param value - Configuration as received.
+	 */
+	offerConfiguration(value: unknown): boolean {
+		const parsed = parseConfiguration(value);
+		if (!parsed.ok) {
+			this.#refuse('peer', parsed.detail);
+			return false;
+		}
+
+		return this.#take(parsed.value, 'peer');
+	}
+
+	/** Reads the platform now; resolves to whether that worked. */
+	async refresh(): Promise<boolean> {
+		return this.#follower.refresh();
+	}
+
+	/** Gets the counters. */
+	getStatus(): ConfigurationFollowerStatus {
+		return {
+			...this.#follower.getStatus(), version: this.getConfiguration().version, refusedValues: this.#refusedValues, olderValues: this.#olderValues,
+		};
+	}
+
+	/** Ends the following; the last version stays readable. */
+	close(): void {
+		this.#follower.close();
+		this.#current.close();
+	}
+
+	#takeEntry({key, value, modRevision}: KeyValue): void {
+		if (key !== this.#key || modRevision === this.#refusedRevision) {
+			return;
+		}
+
+		const parsed = parseStoredConfiguration(value);
+		if (parsed.ok) {
+			this.#take(parsed.value, 'platform');
+			return;
+		}
+
+		this.#refusedRevision = modRevision;
+		this.#refuse('platform', parsed.detail);
+	}
+
+	#take(configuration: Configuration, source: string): boolean {
+		const {version} = configuration;
+		const inForce = this.getConfiguration().version;
+		if (version <= inForce) {
+			this.#olderValues += version < inForce ? 1 : 0;
+			return false;
+		}
+
+		this.#options.events?.addEvent('version-in-force', String(version), source);
+		this.#options.logger?.info({version, changeId: configuration.changeId, source}, 'configuration version in force');
+		this.#current.set(configuration);
+		return true;
+	}
+
+	#refuse(source: string, detail: string): void {
+		const inForce = this.getConfiguration().version;
+		this.#refusedValues++;
+		this.#options.events?.addEvent('version-refused', source, detail);
+		this.#options.logger?.warn({source, detail, version: inForce}, 'invalid configuration refused; the version in force stays');
+	}
+}
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -11,7 +11,7 @@
 	| 'peer-up' | 'peer-silent' | 'peer-down' | 'owners-changed'
 	| 'upstream-ejected' | 'upstream-probed' | 'upstream-restored' | 'upstream-leaving'
 	| 'records-handed-over' | 'records-taken-over'
-	| 'version-in-force' | 'platform-up' | 'platform-down' | 'process-paused' | 'process-stopping';
+	| 'version-in-force' | 'version-refused' | 'platform-up' | 'platform-down' | 'process-paused' | 'process-stopping';
 
 /** One event of the time line. */
 export type TimelineEvent = {
--- /dev/null
+++ b/src/process/prefix-follower.ts
@@ -0,0 +1,202 @@
+/**
+ * Follows the keys below a prefix of the platform's store by a watch and by a slow poll, since a watch can be silent.
+ */
+import type Logger from 'bunyan';
+import {type Stream} from 'most';
+import {
+	type KeyRange, type KeyValue, type Platform, type WatchEvent,
+} from '../platform/index.js';
+import {Backoff} from '../platform/backoff.js';
+import {
+	type Clock, type Random, systemClock, systemRandom, type Timer,
+} from '../seams/index.js';
+import {type EventLog} from './events.js';
+
+/** A change below the prefix. */
+export type PrefixChange = Extract<WatchEvent, {kind: 'put' | 'delete'}>;
+
+/** What all followers are given. */
+export type FollowerOptions = {
+	readonly platform: Platform;
+	readonly deployment: string;
+	readonly clock?: Clock;
+	readonly random?: Random;
+	readonly events?: EventLog;
+	readonly logger?: Logger;
+	/** Mean time between polls in milliseconds. */
+	readonly pollMs?: number;
+};
+
+/** Options of a {@link PrefixFollower}. */
+export type PrefixFollowerOptions = FollowerOptions & {
+	/** What is followed, for events and logs. */
+	readonly subject: string;
+	readonly prefix: string;
+	readonly onRange: (range: KeyRange) => void;
+	readonly onChange: (change: PrefixChange) => void;
+};
+
+/** State of a follower's link to the platform. */
+export type FollowerStatus = {
+	/** Whether the last read worked; `undefined` before the first one has ended. */
+	readonly isPlatformUp: boolean | undefined;
+	readonly reads: number;
+	readonly failedReads: number;
+};
+
+const defaultPollMs = 3000;
+
+/** Share of the period by which a poll comes earlier or later. */
+const pollJitter = 0.25;
+const firstRetryMs = 200;
+
+/** Follows one prefix until it is closed. */
+export class PrefixFollower {
+	readonly #options: PrefixFollowerOptions;
+	readonly #clock: Clock;
+	readonly #random: Random;
+	readonly #pollMs: number;
+	readonly #backoff: Backoff;
+	/** Revision of each key's last known change; compared with the digest of a poll. */
+	readonly #known = new Map<string, number>();
+	readonly #subscription: ReturnType<Stream<WatchEvent>['subscribe']>;
+	#timer: Timer | undefined;
+	#reading: Promise<boolean> | undefined;
+	#isUp: boolean | undefined;
+	#reads = 0;
+	#failedReads = 0;
+	#isClosed = false;
+
+	constructor(options: PrefixFollowerOptions) {
+		this.#options = options;
+		this.#clock = options.clock ?? systemClock;
+		this.#random = options.random ?? systemRandom;
+		this.#pollMs = options.pollMs ?? defaultPollMs;
+		this.#backoff = new Backoff({random: this.#random, firstDelayMs: firstRetryMs, maxDelayMs: this.#pollMs});
+		this.#subscription = options.platform.watch(options.prefix).subscribe({
+			next: event => {
+				this.#takeEvent(event);
+			},
+			error(err) {
+				throw err;
+			},
+			complete: () => undefined,
+		});
+		void this.refresh();
+	}
+
+	/** Reads the prefix now; resolves to whether that worked. */
+	async refresh(): Promise<boolean> {
+		this.#reading ??= this.#readAndSchedule(async () => this.#readRange());
+		return this.#reading;
+	}
+
+	/** Gets the state of the link to the platform. */
+	getStatus(): FollowerStatus {
+		return {isPlatformUp: this.#isUp, reads: this.#reads, failedReads: this.#failedReads};
+	}
+
+	/** Ends the watch and the polls. */
+	close(): void {
+		this.#isClosed = true;
+		this.#timer?.close();
+		this.#subscription.unsubscribe();
+	}
+
+	#takeEvent(event: WatchEvent): void {
+		if (this.#isClosed) {
+			return;
+		}
+
+		if (event.kind === 'up' || event.kind === 'down') {
+			// After a break the prefix is read, and a platform that is away is noticed at once.
+			void this.refresh();
+			return;
+		}
+
+		if (event.kind === 'put') {
+			this.#known.set(event.entry.key, event.entry.modRevision);
+		} else {
+			this.#known.delete(event.key);
+		}
+
+		this.#options.onChange(event);
+	}
+
+	async #poll(): Promise<void> {
+		this.#reading ??= this.#readAndSchedule(async () => this.#readDigest());
+		await this.#reading;
+	}
+
+	async #readAndSchedule(read: () => Promise<string>): Promise<boolean> {
+		this.#timer?.close();
+		const detail = await read();
+		this.#reading = undefined;
+		if (this.#isClosed) {
+			return false;
+		}
+
+		this.#setUp(detail);
+		const delayMs = detail === '' ? this.#getPollDelay() : this.#backoff.getNextDelay();
+		this.#timer = this.#clock.setTimer(() => {
+			void this.#poll();
+		}, delayMs);
+		return detail === '';
+	}
+
+	/** Reads the digest, and the range when the digest shows an unknown change; resolves to why that failed, or ''. */
+	async #readDigest(): Promise<string> {
+		const digest = await this.#options.platform.getDigest(this.#options.prefix);
+		if (!digest.ok) {
+			return `${digest.reason}: ${digest.detail}`;
+		}
+
+		const newest = Math.max(0, ...this.#known.values());
+		const isKnown = digest.value.newestModRevision === newest && digest.value.count === this.#known.size;
+		return isKnown ? '' : this.#readRange();
+	}
+
+	async #readRange(): Promise<string> {
+		const range = await this.#options.platform.getRange(this.#options.prefix);
+		if (!range.ok) {
+			return `${range.reason}: ${range.detail}`;
+		}
+
+		if (!this.#isClosed) {
+			this.#setKnown(range.value.entries);
+			this.#options.onRange(range.value);
+		}
+
+		return '';
+	}
+
+	#setKnown(entries: readonly KeyValue[]): void {
+		this.#known.clear();
+		for (const {key, modRevision} of entries) {
+			this.#known.set(key, modRevision);
+		}
+	}
+
+	#setUp(detail: string): void {
+		const isUp = detail === '';
+		this.#reads++;
+		if (isUp) {
+			this.#backoff.reset();
+		} else {
+			this.#failedReads++;
+		}
+
+		if (this.#isUp === isUp) {
+			return;
+		}
+
+		this.#isUp = isUp;
+		const {events, logger, subject} = this.#options;
+		events?.addEvent(isUp ? 'platform-up' : 'platform-down', subject, detail);
+		logger?.[isUp ? 'info' : 'warn']({subject, detail}, isUp ? 'platform up' : 'platform down');
+	}
+
+	#getPollDelay(): number {
+		return this.#pollMs * (1 - pollJitter + (2 * pollJitter * this.#random.getFloat()));
+	}
+}
--- /dev/null
+++ b/src/process/vm-list-state.ts
@@ -0,0 +1,161 @@
+/**
+ * The newest list of VMs out of whole lists and single changes, in whatever order these arrive.
+ */
+import {
+	type KeyValue, type ListedEntryVm, type ListedUpstream, type ListedVm, listedVmSchema, type VmList,
+} from '../platform/index.js';
+
+/** One key of the list. */
+export type VmListEntry = {
+	readonly modRevision: number;
+	/** Absent when the entry is invalid. */
+	readonly vm: ListedVm | undefined;
+};
+
+type EntryChange = {
+	readonly modRevision: number;
+	/** Absent when the key was removed. */
+	readonly entry: VmListEntry | undefined;
+};
+
+/** Merges whole lists and changes by their revisions. */
+export class VmListState {
+	readonly #prefix: string;
+	#base: ReadonlyMap<string, VmListEntry> = new Map();
+	#baseRevision = 0;
+	/** The last change of each key since the base. */
+	readonly #changes = new Map<string, EntryChange>();
+
+	/**
+	 * Creates an empty state.
+	 * @param prefix - Prefix of the VMs' keys.
+	 */
+	constructor(prefix: string) {
+		this.#prefix = prefix;
+	}
+
+	/** Gets the revision up to which all is known; 0 before the first whole list. */
+	getRevision(): number {
+		if (this.#baseRevision === 0) {
+			return 0;
+		}
+
+		return Math.max(this.#baseRevision, ...[...this.#changes.values()].map(({modRevision}) => modRevision));
+	}
+
+	/** Gets the present keys and their entries. */
+	getEntries(): ReadonlyMap<string, VmListEntry> {
+		const entries = new Map(this.#base);
+		for (const [key, {entry}] of this.#changes) {
+			if (entry) {
+				entries.set(key, entry);
+			} else {
+				entries.delete(key);
+			}
+		}
+
+		return entries;
+	}
+
+	/** Gets the list, in the order of data centres and names. */
+	getVmList(): VmList {
+		const vms = [...this.getEntries().values()].flatMap(({vm}) => vm ?? []).sort(compareVms);
+		return {
+			revision: this.getRevision(),
+			entryVms: vms.filter((vm): vm is ListedEntryVm => vm.kind === 'entry'),
+			upstreams: vms.filter((vm): vm is ListedUpstream => vm.kind === 'upstream'),
+		};
+	}
+
+	/**
+	 * Takes a whole list from the platform; gets whether it is as new as the last one.
+	 * @param revision - Revision that the list was read at.
+	 * @param keys - Keys of the list.
+	 */
+	setRange(revision: number, keys: readonly KeyValue[]): boolean {
+		const known = this.getEntries();
+		return this.#setBase(revision, () => new Map(keys.map(key => [key.key, this.#parse(key, known)])));
+	}
+
+	/**
+	 * Takes a whole list from a peer; gets whether it is newer than all that is known.
+	 * @param list - List of the peer.
+	 */
+	setList(list: VmList): boolean {
+		if (list.revision <= this.getRevision()) {
+			return false;
+		}
+
+		const vms = [...list.entryVms, ...list.upstreams];
+		return this.#setBase(list.revision, () => new Map(vms.map(vm => [this.#getKey(vm), {modRevision: list.revision, vm}])));
+	}
+
+	/**
+	 * Takes a written key; gets whether it is newer than what is known of the key.
+	 * @param entry - The key as written.
+	 */
+	putKey(entry: KeyValue): boolean {
+		return this.#setChange(entry.key, {modRevision: entry.modRevision, entry: this.#parse(entry, this.#base)});
+	}
+
+	/**
+	 * Takes a removed key; gets whether the removal is newer than what is known of the key.
+	 * @param key - Removed key.
+	 * @param modRevision - Revision of the removal.
+	 */
+	removeKey(key: string, modRevision: number): boolean {
+		return this.#setChange(key, {modRevision, entry: undefined});
+	}
+
+	#setBase(revision: number, createBase: () => ReadonlyMap<string, VmListEntry>): boolean {
+		if (revision < this.#baseRevision) {
+			return false;
+		}
+
+		this.#base = createBase();
+		this.#baseRevision = revision;
+		for (const [key, change] of this.#changes) {
+			if (change.modRevision <= revision) {
+				this.#changes.delete(key);
+			}
+		}
+
+		return true;
+	}
+
+	#setChange(key: string, change: EntryChange): boolean {
+		const knownRevision = Math.max(this.#baseRevision, this.#changes.get(key)?.modRevision ?? 0);
+		if (change.modRevision <= knownRevision) {
+			return false;
+		}
+
+		this.#changes.set(key, change);
+		return true;
+	}
+
+	#parse({key, value, modRevision}: KeyValue, known: ReadonlyMap<string, VmListEntry>): VmListEntry {
+		const same = known.get(key);
+		if (same?.modRevision === modRevision) {
+			return same;
+		}
+
+		const vm = parseVm(value);
+		return {modRevision, vm: vm && this.#getKey(vm) === key ? vm : undefined};
+	}
+
+	#getKey({dataCenter, name}: ListedVm): string {
+		return `${this.#prefix}${dataCenter}/${name}`;
+	}
+}
+
+function parseVm(value: string): ListedVm | undefined {
+	try {
+		return listedVmSchema.safeParse(JSON.parse(value)).data;
+	} catch {
+		return undefined;
+	}
+}
+
+function compareVms(left: ListedVm, right: ListedVm): number {
+	return `${left.dataCenter}/${left.name}` < `${right.dataCenter}/${right.name}` ? -1 : 1;
+}
--- /dev/null
+++ b/src/testing/index.ts
@@ -0,0 +1,3 @@
+export {
+	createPlatformStandIn, PlatformStandIn, type PlatformFaults, type PlatformStandInOptions,
+} from './platform-stand-in.js';
--- /dev/null
+++ b/src/testing/platform-stand-in.ts
@@ -0,0 +1,300 @@
+/**
+ * A stand-in for the platform on loopback: a small key-value service that speaks the JSON/HTTP form of the etcd v3 API,
+ * with faults that can be switched.
+ */
+import {once} from 'node:events';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {type AddressInfo, type Socket} from 'node:net';
+import {getVmPrefix, type ListedVm} from '../platform/index.js';
+import {encode} from '../platform/etcd-messages.js';
+import {type Clock, sleep, systemClock} from '../seams/index.js';
+import {
+	answerDelete, answerPut, answerRange, answerTxn, normalizeNames,
+} from './etcd-stand-in-messages.js';
+import {EtcdStandInLeases} from './etcd-stand-in-leases.js';
+import {EtcdStandInStore} from './etcd-stand-in-store.js';
+import {EtcdStandInWatches} from './etcd-stand-in-watches.js';
+import {readJson, sendJson} from './http-json.js';
+import {StandInControl} from './stand-in-control.js';
+
+/** Faults of the stand-in; all can be on at once, and an absent one is off. */
+export type PlatformFaults = {
+	/** Refuses connections and breaks the open ones. */
+	readonly isDown?: boolean;
+	/** Waits before each answer and each message of a watch, in milliseconds. */
+	readonly delayMs?: number;
+	/** Serves reads at a revision this many writes ago. */
+	readonly staleRevisions?: number;
+	/** Breaks the connection after a write has taken effect, in place of the answer. */
+	readonly losesAnswers?: boolean;
+	/** Accepts and never answers; the connections of this time stay silent for good. */
+	readonly isSilent?: boolean;
+};
+
+/** Options of {@link createPlatformStandIn}. */
+export type PlatformStandInOptions = {
+	readonly clock?: Clock;
+	/** Deployment whose VMs `addVm` lists. */
+	readonly deployment?: string;
+	readonly host?: string;
+	/** Ports; 0 leaves the choice to the operating system. */
+	readonly port?: number;
+	readonly controlPort?: number;
+};
+
+type Answer = (json: unknown) => unknown;
+
+const writePaths = new Set(['/v3/kv/put', '/v3/kv/txn', '/v3/kv/deleterange', '/v3/lease/revoke']);
+
+/**
+ * Creates a stand-in that listens.
+ * @param options - Deployment, addresses and seams.
+ */
+export async function createPlatformStandIn(options: PlatformStandInOptions = {}): Promise<PlatformStandIn> {
+	const standIn = new PlatformStandIn(options);
+	await standIn.listen();
+	return standIn;
+}
+
+/** The platform's stand-in. */
+export class PlatformStandIn {
+	readonly #clock: Clock;
+	readonly #deployment: string;
+	readonly #host: string;
+	readonly #control: StandInControl;
+	readonly #store = new EtcdStandInStore();
+	readonly #watches: EtcdStandInWatches;
+	readonly #leases: EtcdStandInLeases;
+	readonly #sockets = new Set<Socket>();
+	readonly #silentSockets = new WeakSet<Socket>();
+	readonly #closing = new AbortController();
+	readonly #callCounts = new Map<string, number>();
+	readonly #answers: ReadonlyMap<string, Answer>;
+	#server: Server | undefined;
+	#port: number;
+	#faults: PlatformFaults = {};
+
+	constructor(options: PlatformStandInOptions = {}) {
+		this.#clock = options.clock ?? systemClock;
+		this.#deployment = options.deployment ?? 'test';
+		this.#host = options.host ?? '127.0.0.1';
+		this.#port = options.port ?? 0;
+		this.#watches = new EtcdStandInWatches(this.#store, async () => this.#delay());
+		this.#leases = new EtcdStandInLeases(this.#store, this.#clock);
+		this.#control = new StandInControl(this, {host: this.#host, port: options.controlPort ?? 0});
+		this.#answers = new Map<string, Answer>([
+			['/v3/kv/range', json => answerRange(this.#store, json, this.#faults.staleRevisions)],
+			['/v3/kv/put', json => answerPut(this.#store, json)],
+			['/v3/kv/txn', json => answerTxn(this.#store, json)],
+			['/v3/kv/deleterange', json => answerDelete(this.#store, json)],
+			['/v3/lease/grant', json => this.#leases.grant(json)],
+			['/v3/lease/keepalive', json => this.#leases.keepAlive(json)],
+			['/v3/lease/revoke', json => this.#leases.revoke(json)],
+		]);
+	}
+
+	/** Begins to listen, both for the API and for the control of the faults. */
+	async listen(): Promise<void> {
+		await this.#listen();
+		await this.#control.listen();
+	}
+
+	/** Gets the base URL of the API. */
+	getUrl(): string {
+		return `http://${this.#host}:${this.#port}`;
+	}
+
+	/** Gets the base URL of the control of the faults. */
+	getControlUrl(): string {
+		return this.#control.getUrl();
+	}
+
+	/** Gets the name of the deployment whose VMs are listed. */
+	getDeployment(): string {
+		return this.#deployment;
+	}
+
+	/** Gets the number of requests taken, a watch counted as one. */
+	getCallCount(): number {
+		return [...this.#callCounts.values()].reduce((sum, count) => sum + count, 0);
+	}
+
+	/** Gets the number of requests taken by path. */
+	getCallCounts(): Readonly<Record<string, number>> {
+		return Object.fromEntries(this.#callCounts);
+	}
+
+	/**
+	 * Adds a VM to the list, or changes its entry.
+	 * @param vm - Entry of the VM.
+	 */
+	addVm(vm: ListedVm): number {
+		return this.putKey(this.#getVmKey(vm), JSON.stringify(vm));
+	}
+
+	/**
+	 * Removes a VM from the list.
+	 * @param vm - VM to remove.
+	 */
+	removeVm(vm: Pick<ListedVm, 'dataCenter' | 'name'>): number {
+		return this.removeKey(this.#getVmKey(vm));
+	}
+
+	/**
+	 * Writes a key; gets the revision of the write.
+	 * @param key - Key to write.
+	 * @param value - New value.
+	 */
+	putKey(key: string, value: string): number {
+		return this.#store.commit([{kind: 'put', key, value: encode(value)}]);
+	}
+
+	/**
+	 * Removes a key; gets the revision of the removal.
+	 * @param key - Key to remove.
+	 */
+	removeKey(key: string): number {
+		return this.#store.commit([{kind: 'delete', range: {key}}]);
+	}
+
+	/** Forgets the history, so that a watch cannot resume from before. */
+	compact(): void {
+		this.#store.compact();
+	}
+
+	/** Silences the connections that are open now for good; new ones work. */
+	silenceConnections(): void {
+		for (const socket of this.#sockets) {
+			this.#silentSockets.add(socket);
+		}
+	}
+
+	/** Gets the faults that are on. */
+	getFault(): PlatformFaults {
+		return this.#faults;
+	}
+
+	/**
+	 * Sets the faults in place of the present ones; without any, all works again.
+	 * @param faults - Faults to switch on.
+	 */
+	async setFault(faults: PlatformFaults = {}): Promise<void> {
+		this.#faults = faults;
+		if (faults.isSilent) {
+			this.silenceConnections();
+		}
+
+		if (faults.isDown) {
+			await this.#closeServer();
+		} else if (!this.#server) {
+			await this.#listen();
+		}
+	}
+
+	/** Ends the stand-in and its connections. */
+	async close(): Promise<void> {
+		this.#closing.abort();
+		this.#leases.close();
+		await this.#control.close();
+		await this.#closeServer();
+	}
+
+	#getVmKey({dataCenter, name}: Pick<ListedVm, 'dataCenter' | 'name'>): string {
+		return `${getVmPrefix(this.#deployment)}${dataCenter}/${name}`;
+	}
+
+	async #listen(): Promise<void> {
+		const server = createServer((req, res) => {
+			void this.#handle(req, res);
+		});
+		server.on('connection', socket => {
+			this.#addSocket(socket);
+		});
+		server.listen(this.#port, this.#host);
+		await once(server, 'listening');
+		this.#server = server;
+		this.#port = (server.address() as AddressInfo).port;
+	}
+
+	#addSocket(socket: Socket): void {
+		this.#sockets.add(socket);
+		socket.on('error', () => {
+			socket.destroy();
+		});
+		socket.on('close', () => {
+			this.#sockets.delete(socket);
+		});
+		if (this.#faults.isSilent) {
+			this.#silentSockets.add(socket);
+		}
+	}
+
+	async #closeServer(): Promise<void> {
+		const server = this.#server;
+		if (!server) {
+			return;
+		}
+
+		this.#server = undefined;
+		const closed = once(server, 'close');
+		server.close();
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+
+		await closed;
+	}
+
+	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const path = req.url ?? '';
+		this.#callCounts.set(path, (this.#callCounts.get(path) ?? 0) + 1);
+		const json = normalizeNames(await readJson(req));
+		await this.#delay();
+		if (this.#isSilent(req.socket) || req.socket.destroyed) {
+			return;
+		}
+
+		if (path === '/v3/watch') {
+			this.#watches.addWatch(json, res, () => this.#isSilent(req.socket));
+			return;
+		}
+
+		this.#answer(path, json, res);
+	}
+
+	#answer(path: string, json: unknown, res: ServerResponse): void {
+		const answer = this.#answers.get(path);
+		if (!answer) {
+			sendJson(res, 404, {error: 'not found', code: 5, message: 'not found'});
+			return;
+		}
+
+		let body: unknown;
+		try {
+			body = answer(json);
+		} catch (err) {
+			sendJson(res, 400, {error: String(err), code: 3, message: String(err)});
+			return;
+		}
+
+		if (this.#faults.losesAnswers && writePaths.has(path)) {
+			res.socket?.destroy();
+			return;
+		}
+
+		sendJson(res, 200, body);
+	}
+
+	#isSilent(socket: Socket): boolean {
+		return this.#silentSockets.has(socket);
+	}
+
+	async #delay(): Promise<void> {
+		const delayMs = this.#faults.delayMs ?? 0;
+		if (delayMs > 0) {
+			await sleep(this.#clock, delayMs, this.#closing.signal);
+		}
+	}
+}
--- /dev/null
+++ b/src/testing/stand-in-control.ts
@@ -0,0 +1,89 @@
+/**
+ * The control of the platform's stand-in over HTTP, on an address of its own so that it answers during the faults.
+ */
+import {once} from 'node:events';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {z} from 'zod';
+import {listedVmSchema} from '../platform/index.js';
+import {readJson, sendJson} from './http-json.js';
+import {type PlatformStandIn} from './platform-stand-in.js';
+
+/** Schema of the faults as the control takes them. */
+export const platformFaultsSchema = z.strictObject({
+	isDown: z.boolean().optional(),
+	delayMs: z.number().min(0).optional(),
+	staleRevisions: z.int().min(0).optional(),
+	losesAnswers: z.boolean().optional(),
+	isSilent: z.boolean().optional(),
+});
+
+const vmNameSchema = z.object({dataCenter: z.string(), name: z.string()});
+const keySchema = z.object({key: z.string(), value: z.string()});
+
+type Command = (json: unknown) => unknown;
+
+/** Takes commands for a stand-in. */
+export class StandInControl {
+	readonly #commands: ReadonlyMap<string, Command>;
+	readonly #address: {readonly host: string; readonly port: number};
+	readonly #server = createServer((req, res) => {
+		void this.#handle(req, res);
+	});
+
+	constructor(standIn: PlatformStandIn, address: {readonly host: string; readonly port: number}) {
+		this.#address = address;
+		this.#commands = new Map<string, Command>([
+			['GET /fault', () => standIn.getFault()],
+			['PUT /fault', async json => standIn.setFault(platformFaultsSchema.parse(json))],
+			['GET /calls', () => standIn.getCallCounts()],
+			['PUT /vm', json => standIn.addVm(listedVmSchema.parse(json))],
+			['DELETE /vm', json => standIn.removeVm(vmNameSchema.parse(json))],
+			['PUT /key', json => {
+				const {key, value} = keySchema.parse(json);
+				return standIn.putKey(key, value);
+			}],
+			['POST /compact', () => {
+				standIn.compact();
+			}],
+			['POST /silence', () => {
+				standIn.silenceConnections();
+			}],
+		]);
+	}
+
+	/** Begins to listen. */
+	async listen(): Promise<void> {
+		this.#server.listen(this.#address.port, this.#address.host);
+		await once(this.#server, 'listening');
+	}
+
+	/** Gets the base URL. */
+	getUrl(): string {
+		const {port} = this.#server.address() as AddressInfo;
+		return `http://${this.#address.host}:${port}`;
+	}
+
+	/** Ends the listener. */
+	async close(): Promise<void> {
+		const closed = once(this.#server, 'close');
+		this.#server.close();
+		this.#server.closeAllConnections();
+		await closed;
+	}
+
+	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const json = await readJson(req);
+		const command = this.#commands.get(`${req.method ?? ''} ${req.url ?? ''}`);
+		if (!command) {
+			sendJson(res, 404, {commands: [...this.#commands.keys()]});
+			return;
+		}
+
+		try {
+			sendJson(res, 200, await command(json) ?? {});
+		} catch (err) {
+			sendJson(res, 400, {error: String(err)});
+		}
+	}
+}
--- a/src/version/index.ts
+++ b/src/version/index.ts
@@ -1,1 +1,3 @@
 export * from './configuration.js';
+export * from './parse-configuration.js';
+export * from './reference-faults.js';
--- /dev/null
+++ b/test/process/follower-fixture.ts
@@ -0,0 +1,56 @@
+import {type Stream} from 'most';
+import {
+	createEtcdPlatform, getConfigurationKey, type ListedEntryVm, type ListedUpstream, type Platform,
+} from '../../src/platform/index.js';
+import {createPlatformStandIn, type PlatformStandIn} from '../../src/testing/index.js';
+import {type Configuration, configurationSchema} from '../../src/version/index.js';
+
+export type FollowerFixture = {
+	readonly standIn: PlatformStandIn;
+	readonly platform: Platform;
+};
+
+/** Starts a stand-in and a platform that reacts fast. */
+export async function startPlatform(t: {readonly teardown: (clean: () => Promise<void>) => void}): Promise<FollowerFixture> {
+	const standIn = await createPlatformStandIn();
+	const platform = createEtcdPlatform({
+		endpoints: [standIn.getUrl()], callTimeoutMs: 300, firstBackoffMs: 5, maxBackoffMs: 20, callsPerSecond: 1000,
+	});
+	t.teardown(async () => {
+		await platform.close();
+		await standIn.close();
+	});
+	return {standIn, platform};
+}
+
+/** Waits for the first value of a stream that passes. */
+export async function waitFor<T>(stream: Stream<T>, isWanted: (value: T) => boolean): Promise<T> {
+	const values: T[] = [];
+	await stream.filter(value => isWanted(value)).take(1).observe(value => {
+		values.push(value);
+	});
+	return values[0]!;
+}
+
+export function createConfiguration(version: number): Configuration {
+	return configurationSchema.parse({
+		version, changeId: `change-${version}`, declarations: {profiles: {fast: {}}, services: {seats: {profile: 'fast'}}},
+	});
+}
+
+export function storeConfiguration(standIn: PlatformStandIn, version: number): number {
+	return standIn.putKey(getConfigurationKey('test'), JSON.stringify(createConfiguration(version)));
+}
+
+export function createEntryVm(name: string): ListedEntryVm {
+	return {
+		kind: 'entry', name, dataCenter: 'shanti', state: 'live', callerAddress: '127.0.0.1:1', operatorAddress: '127.0.0.1:2', peerAddress: '127.0.0.1:3',
+	};
+}
+
+export function createUpstream(name: string): ListedUpstream {
+	return {
+		kind: 'upstream', name, dataCenter: 'shanti', state: 'live', service: 'seats', address: '127.0.0.1:4', slots: 8, connections: 64,
+		cores: 16, memoryMb: 32_000, accelerators: 0, rack: 'r1',
+	};
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -24,6 +24,11 @@
 			],
 		},
 	},
+	{
+		// The field names of the store's messages are given.
+		files: ['src/platform/etcd-messages.ts', 'src/testing/etcd-stand-in-*.ts'],
+		rules: {'@typescript-eslint/naming-convention': 'off'},
+	},
 	{
 		files: ['src/seams/**/*.ts'],
 		rules: {'no-restricted-syntax': 'off'},
