--- a/src/process/index.ts
+++ b/src/process/index.ts
@@ -1,4 +1,7 @@
+export * from './configuration-follower.js';
+export * from './current-value.js';
 export * from './events.js';
+export type {FollowerOptions, FollowerStatus} from './prefix-follower.js';
 export type * from './task-scheduler.js';
 export * from './adopted-records.js';
 export * from './caller-api.js';
@@ -11,3 +14,4 @@
 export * from './job-runner.js';
 export * from './operator-api.js';
 export * from './record-store.js';
+export * from './vm-list-follower.js';
