--- /dev/null
+++ b/src/connection/control-channel.ts
@@ -0,0 +1,94 @@
+/**
+ * The control messages to and from one incarnation, over all links to it that follow one another.
+ */
+
+import {encodeFrame} from './frame-codec.js';
+import {type Data} from './control-messages.js';
+import {type ControlMessage} from './peer-network.js';
+
+type Unacknowledged = {
+	readonly number: number;
+	readonly frame: Uint8Array;
+};
+
+/**
+ * Numbers the messages to one incarnation, keeps them until they are acknowledged, and tells which ones that come in
+ * are new.
+ * @internal
+ */
+export class ControlChannel {
+	readonly #maxBytes: number;
+	#unacknowledged: Unacknowledged[] = [];
+	#bytes = 0;
+	#lastSent = 0;
+	#lastReceived = 0;
+
+	constructor(maxBytes: number) {
+		this.#maxBytes = maxBytes;
+	}
+
+	/** Gets the number of the last message that came in. */
+	getLastReceived(): number {
+		return this.#lastReceived;
+	}
+
+	/**
+	 * Adds a message to send; gets its frame, or `undefined` when the buffer is full.
+	 * @param message - Message to send.
+	 * @param logicalTime - Logical time to send with it.
+	 */
+	addMessage(message: ControlMessage, logicalTime: number): Uint8Array | undefined {
+		const data: Data = {
+			type: 'data', number: this.#lastSent + 1, logicalTime, topic: message.topic, body: message.body,
+		};
+		const frame = encodeFrame(data);
+		if (this.#bytes + frame.length > this.#maxBytes) {
+			return undefined;
+		}
+
+		this.#lastSent++;
+		this.#bytes += frame.length;
+		this.#unacknowledged.push({number: this.#lastSent, frame});
+		return frame;
+	}
+
+	/** Gets the frames that are not acknowledged, in order. */
+	getUnacknowledgedFrames(): readonly Uint8Array[] {
+		return this.#unacknowledged.map(({frame}) => frame);
+	}
+
+	/**
+	 * Removes the messages that the other end has.
+	 * @param lastReceived - Number of the last one that it has.
+	 */
+	acknowledge(lastReceived: number): void {
+		let count = 0;
+		while (count < this.#unacknowledged.length && this.#unacknowledged[count]!.number <= lastReceived) {
+			this.#bytes -= this.#unacknowledged[count]!.frame.length;
+			count++;
+		}
+
+		if (count > 0) {
+			this.#unacknowledged.splice(0, count);
+		}
+	}
+
+	/**
+	 * Takes note of a message that came in; false when it came in before.
+	 * @param number - Number of the message.
+	 */
+	addReceived(number: number): boolean {
+		if (number <= this.#lastReceived) {
+			return false;
+		}
+
+		this.#lastReceived = number;
+		return true;
+	}
+
+	/** Drops what is not acknowledged; the numbers go on. */
+	clear(): void {
+		this.#unacknowledged = [];
+		this.#bytes = 0;
+	}
+}
--- /dev/null
+++ b/src/connection/control-link.ts
@@ -0,0 +1,267 @@
+/**
+ * One control connection to one incarnation.
+ */
+
+import {Buffer} from 'node:buffer';
+import {type ControlChannel} from './control-channel.js';
+import {
+	type Beat, type ControlLinkMessage, controlLinkMessageSchema, type HeartbeatBody, type KnownAddress, type Report, type ReportedMember,
+} from './control-messages.js';
+import {decodeValue, encodeFrame, encodeValue} from './frame-codec.js';
+import {type FrameConnection} from './frame-connection.js';
+import {type ControlMessage} from './peer-network.js';
+import {type LinkFault} from './traffic.js';
+
+/** What a link tells of. */
+export type ControlLinkHandlers = {
+	readonly onLogicalTime: (logicalTime: number) => void;
+	readonly onAddresses: (addresses: readonly KnownAddress[]) => void;
+	readonly onHeartbeat: (body: HeartbeatBody) => void;
+	readonly onReports: (reports: readonly CompleteReport[]) => void;
+	readonly onMessage: (message: ControlMessage) => void;
+	readonly onBye: () => void;
+	readonly onFault: (fault: LinkFault) => void;
+};
+
+/** Options of a {@link ControlLink}. */
+export type ControlLinkOptions = {
+	readonly id: string;
+	/** Incarnation that made the connection. */
+	readonly dialerId: string;
+	readonly connection: FrameConnection;
+	readonly channel: ControlChannel;
+	readonly handlers: ControlLinkHandlers;
+};
+
+/** A report with its members. */
+export type CompleteReport = Report & {readonly members: readonly ReportedMember[]};
+
+/** What one heartbeat says. */
+export type BeatContent = {
+	readonly logicalTime: number;
+	readonly body: HeartbeatBody;
+	readonly reports: readonly CompleteReport[];
+};
+
+/** Messages that come in before an acknowledgement is sent without waiting for the next heartbeat. */
+const messagesPerAck = 64;
+
+/** Bytes waiting on a link above which no heartbeat is added; what waits serves as one. */
+const maxBytesBeforeBeat = 64 * 1024;
+
+/**
+ * Exchanges heartbeats and control messages over one connection.
+ * @internal
+ */
+export class ControlLink {
+	readonly id: string;
+	readonly dialerId: string;
+	readonly #connection: FrameConnection;
+	readonly #channel: ControlChannel;
+	readonly #handlers: ControlLinkHandlers;
+	readonly #sentMembers = new Map<string, readonly ReportedMember[]>();
+	readonly #receivedMembers = new Map<string, readonly ReportedMember[]>();
+	#sentBody: Uint8Array | undefined;
+	#receivedBody: HeartbeatBody | undefined;
+	#isStarted = false;
+	#unacknowledgedCount = 0;
+
+	constructor(options: ControlLinkOptions) {
+		this.id = options.id;
+		this.dialerId = options.dialerId;
+		this.#connection = options.connection;
+		this.#channel = options.channel;
+		this.#handlers = options.handlers;
+	}
+
+	/** Gets whether the link is closed. */
+	isClosed(): boolean {
+		return this.#connection.isClosed();
+	}
+
+	/** Gets the monotonic time at which bytes last came in. */
+	getLastReceived(): number {
+		return this.#connection.getLastReceived();
+	}
+
+	/**
+	 * Reads messages until the connection is closed.
+	 * @param addresses - Addresses of other entry VMs to tell the other end first.
+	 */
+	async run(addresses: readonly KnownAddress[]): Promise<void> {
+		this.#send({type: 'start', received: this.#channel.getLastReceived(), addresses});
+		for (;;) {
+			const payloads = await this.#connection.receiveAll();
+			if (payloads === undefined) {
+				return;
+			}
+
+			if (!payloads.every(payload => this.#handlePayload(payload))) {
+				this.#connection.close();
+				return;
+			}
+		}
+	}
+
+	/**
+	 * Sends a heartbeat, without the parts that are as last sent.
+	 * @param content - What it says.
+	 */
+	sendBeat(content: BeatContent): void {
+		if (this.#connection.getBufferedBytes() > maxBytesBeforeBeat) {
+			return;
+		}
+
+		this.#unacknowledgedCount = 0;
+		const beat: Beat = {
+			type: 'beat',
+			logicalTime: content.logicalTime,
+			received: this.#channel.getLastReceived(),
+			...this.#getChangedBody(content.body),
+			...(content.reports.length > 0 && {reports: content.reports.map(report => this.#getChangedReport(report))}),
+		};
+		this.#send(beat);
+	}
+
+	/**
+	 * Gets whether a report has other members than those last sent over this link.
+	 * @param report - Report to send.
+	 */
+	hasNewMembers(report: CompleteReport): boolean {
+		return this.#sentMembers.get(report.reporter) !== report.members;
+	}
+
+	/**
+	 * Sends a control message; one that is sent before the other end has told what it has leaves after that.
+	 * @param frame - Frame of the message, kept in the channel as well.
+	 */
+	sendMessage(frame: Uint8Array): void {
+		if (this.#isStarted) {
+			this.#connection.send(frame);
+		}
+	}
+
+	/** Tells the other end that this process ends, and closes the link. */
+	sayBye(): void {
+		this.#send({type: 'bye'});
+		this.#connection.closeAfterWrites();
+	}
+
+	/** Closes the link. */
+	close(): void {
+		this.#connection.close();
+	}
+
+	#send(message: ControlLinkMessage): void {
+		this.#connection.send(encodeFrame(message));
+	}
+
+	#getChangedBody(body: HeartbeatBody): {readonly body?: HeartbeatBody} {
+		const encoded = encodeValue(body);
+		if (this.#sentBody && Buffer.compare(this.#sentBody, encoded) === 0) {
+			return {};
+		}
+
+		this.#sentBody = encoded;
+		return {body};
+	}
+
+	#getChangedReport(report: CompleteReport): Report {
+		const {dataCenter, reporter, beat} = report;
+		if (!this.hasNewMembers(report)) {
+			return {dataCenter, reporter, beat};
+		}
+
+		this.#sentMembers.set(reporter, report.members);
+		return report;
+	}
+
+	#handlePayload(payload: Uint8Array): boolean {
+		const decoded = decodeValue(payload);
+		const parsed = controlLinkMessageSchema.safeParse(decoded.ok ? decoded.value : undefined);
+		if (!parsed.success) {
+			this.#handlers.onFault('garbage');
+			return false;
+		}
+
+		this.#handleMessage(parsed.data);
+		return parsed.data.type !== 'bye';
+	}
+
+	#handleMessage(message: ControlLinkMessage): void {
+		switch (message.type) {
+			case 'start': {
+				this.#start(message.received);
+				this.#handlers.onAddresses(message.addresses);
+				break;
+			}
+
+			case 'beat': {
+				this.#handleBeat(message);
+				break;
+			}
+
+			case 'data': {
+				this.#handlers.onLogicalTime(message.logicalTime);
+				this.#handleData(message.number, message);
+				break;
+			}
+
+			case 'ack': {
+				this.#channel.acknowledge(message.received);
+				break;
+			}
+
+			case 'bye': {
+				this.#handlers.onBye();
+				break;
+			}
+		}
+	}
+
+	#start(received: number): void {
+		if (this.#isStarted) {
+			return;
+		}
+
+		this.#isStarted = true;
+		this.#channel.acknowledge(received);
+		for (const frame of this.#channel.getUnacknowledgedFrames()) {
+			this.#connection.send(frame);
+		}
+	}
+
+	#handleBeat(beat: Beat): void {
+		this.#channel.acknowledge(beat.received);
+		this.#handlers.onLogicalTime(beat.logicalTime);
+		this.#receivedBody = beat.body ?? this.#receivedBody;
+		if (this.#receivedBody) {
+			this.#handlers.onHeartbeat(this.#receivedBody);
+		}
+
+		const reports = (beat.reports ?? []).map(report => this.#completeReport(report));
+		if (reports.length > 0) {
+			this.#handlers.onReports(reports);
+		}
+	}
+
+	#completeReport(report: Report): CompleteReport {
+		const members = report.members ?? this.#receivedMembers.get(report.reporter) ?? [];
+		this.#receivedMembers.set(report.reporter, members);
+		return {...report, members};
+	}
+
+	#handleData(number: number, {topic, body}: ControlMessage): void {
+		if (!this.#channel.addReceived(number)) {
+			this.#handlers.onFault('duplicate-message');
+			return;
+		}
+
+		this.#handlers.onMessage({topic, body});
+		this.#unacknowledgedCount++;
+		if (this.#unacknowledgedCount >= messagesPerAck) {
+			this.#unacknowledgedCount = 0;
+			this.#send({type: 'ack', received: this.#channel.getLastReceived()});
+		}
+	}
+}
--- /dev/null
+++ b/src/connection/control-links.ts
@@ -0,0 +1,193 @@
+/**
+ * The control links of one process, one for each linked incarnation.
+ */
+import {type CompleteReport, ControlLink, type ControlLinkHandlers} from './control-link.js';
+import {type HeartbeatBody, type KnownAddress} from './control-messages.js';
+import {type DialingSide, type HandshakePeer} from './handshake.js';
+import {type RejectReason} from './handshake-messages.js';
+import {type MemberRecord} from './member-record.js';
+import {type MemberTable} from './member-table.js';
+import {type ConnectResult, type PeerConnection, type PeerConnector} from './peer-connector.js';
+import {type PeerMeshSettings} from './peer-mesh-options.js';
+import {type ControlMessage} from './peer-network.js';
+import {type TrafficMeter} from './traffic.js';
+
+/** Options of {@link ControlLinks}. */
+export type ControlLinksOptions = {
+	readonly settings: PeerMeshSettings;
+	readonly table: MemberTable;
+	readonly connector: PeerConnector;
+	readonly meter: TrafficMeter;
+	readonly onAddresses: (addresses: readonly KnownAddress[]) => void;
+	readonly onReports: (reports: readonly CompleteReport[]) => void;
+	/** Called when a link ends or a new one is there. */
+	readonly onChange: (record: MemberRecord) => void;
+};
+
+/**
+ * Makes, takes and replaces control links; two incarnations keep one between them.
+ * @internal
+ */
+export class ControlLinks {
+	readonly #options: ControlLinksOptions;
+	#isClosed = false;
+
+	constructor(options: ControlLinksOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Makes a link to whoever answers at an address.
+	 * @param address - Address to dial.
+	 */
+	async dial(address: string): Promise<ConnectResult> {
+		const {connector, settings, table} = this.#options;
+		const side: DialingSide = {
+			kind: 'control',
+			getObjection: ({id}) => table.getRecord(id)?.getOpenLink() ? 'duplicate' : undefined,
+			getLastLinkId: ({id}) => table.getRecord(id)?.lastLinkId ?? '',
+		};
+		const result = await connector.connect(address, side);
+		if (result.ok) {
+			this.#addDialed(result, settings.self.id);
+		}
+
+		return result;
+	}
+
+	/**
+	 * Gets why a link made by a peer is not taken. Of two that were made at the same time, the one made by the
+	 * incarnation with the lower identifier stays.
+	 * @param peer - Peer that made the link.
+	 */
+	getObjection(peer: HandshakePeer): RejectReason | undefined {
+		const link = this.#options.table.getRecord(peer.incarnation.id)?.getOpenLink();
+		if (!link || link.dialerId === peer.incarnation.id || peer.lastLinkId === link.id) {
+			return undefined;
+		}
+
+		return peer.incarnation.id < this.#options.settings.self.id ? undefined : 'duplicate';
+	}
+
+	/**
+	 * Adds a link, in the place of an earlier one to the same incarnation.
+	 * @param connection - Connection after its handshake.
+	 * @param dialerId - Incarnation that made it.
+	 */
+	addLink({peer, connection}: PeerConnection, dialerId: string): void {
+		if (this.#isClosed) {
+			connection.close();
+			return;
+		}
+
+		const {clock, self} = this.#options.settings;
+		const {table, onChange} = this.#options;
+		const record = table.getOrAddRecord(peer.incarnation, peer.address);
+		table.setAddress(record, peer.address);
+		record.link?.close();
+		const link = new ControlLink({
+			id: peer.linkId, dialerId, connection, channel: record.channel, handlers: this.#createHandlers(record),
+		});
+		record.link = link;
+		record.lastLinkId = link.id;
+		record.lastHeard = clock.getMonotonicTime();
+		table.setState(record, 'up', dialerId === self.id ? 'linked' : 'linked by the peer');
+		void this.#run(record, link);
+		onChange(record);
+	}
+
+	/**
+	 * Sends a heartbeat to each member that is due.
+	 * @param content - What it says.
+	 * @param isFarDue - Whether the members in other data centres are due as well.
+	 */
+	sendBeats(content: {readonly body: HeartbeatBody; readonly ownReport: CompleteReport; readonly farReports: readonly CompleteReport[]}, isFarDue: boolean): void {
+		const {settings, table} = this.#options;
+		const logicalTime = settings.events.getLogicalTime();
+		for (const record of table.getRecords()) {
+			const link = record.getOpenLink();
+			const isNear = record.incarnation.dataCenter === settings.self.dataCenter;
+			if (!link || !(isNear || isFarDue)) {
+				continue;
+			}
+
+			const own = !isNear || link.hasNewMembers(content.ownReport) ? [content.ownReport] : [];
+			const far = isNear && isFarDue ? content.farReports : [];
+			link.sendBeat({logicalTime, body: content.body, reports: [...own, ...far]});
+		}
+	}
+
+	/**
+	 * Sends a control message; false when it is not taken.
+	 * @param record - Member to send to.
+	 * @param message - Message to send.
+	 */
+	sendMessage(record: MemberRecord, message: ControlMessage): boolean {
+		const frame = record.channel.addMessage(message, this.#options.settings.events.getLogicalTime());
+		if (!frame) {
+			this.#options.meter.addFault('buffer-full');
+			return false;
+		}
+
+		record.getOpenLink()?.sendMessage(frame);
+		return true;
+	}
+
+	/** Tells the peers that this process ends, and closes all links. */
+	close(): void {
+		this.#isClosed = true;
+		for (const record of this.#options.table.getRecords()) {
+			record.getOpenLink()?.sayBye();
+		}
+	}
+
+	#addDialed(dialed: PeerConnection, selfId: string): void {
+		const {table} = this.#options;
+		const existing = table.getRecord(dialed.peer.incarnation.id)?.getOpenLink();
+		// The peer made a link meanwhile, and by the same rule keeps that one.
+		if (existing && existing.dialerId !== selfId && existing.dialerId < selfId) {
+			dialed.connection.close();
+			return;
+		}
+
+		this.addLink(dialed, selfId);
+	}
+
+	async #run(record: MemberRecord, link: ControlLink): Promise<void> {
+		await link.run(this.#getKnownAddresses(record));
+		link.close();
+		if (record.link === link) {
+			record.link = undefined;
+			this.#options.onChange(record);
+		}
+	}
+
+	#getKnownAddresses(except: MemberRecord): readonly KnownAddress[] {
+		const records = this.#options.table.getRecords().filter(record => record !== except && record.state === 'up');
+		return records.map(({incarnation, address}) => ({...incarnation, address}));
+	}
+
+	#createHandlers(record: MemberRecord): ControlLinkHandlers {
+		const {settings, table, meter, onAddresses, onReports} = this.#options;
+		return {
+			onAddresses,
+			onReports,
+			onLogicalTime(logicalTime) {
+				settings.events.observeLogicalTime(logicalTime);
+			},
+			onHeartbeat(body) {
+				table.setHeartbeat(record, body);
+				settings.onHeartbeat(body, record.incarnation);
+			},
+			onMessage(message) {
+				settings.onControl(message, record.incarnation);
+			},
+			onBye() {
+				table.setState(record, 'down', 'it ended');
+			},
+			onFault(fault) {
+				meter.addFault(fault);
+			},
+		};
+	}
+}
--- /dev/null
+++ b/src/connection/control-messages.ts
@@ -0,0 +1,102 @@
+/**
+ * The messages of a control link.
+ */
+import {z} from 'zod';
+
+const text = z.string().max(128);
+const count = z.int().min(0);
+
+/** Schema of what a process tells of itself with each heartbeat. */
+export const heartbeatBodySchema = z.object({
+	/** Version of the configuration in force. */
+	configurationVersion: count,
+	/** Whether the process is stopping. */
+	isLeaving: z.boolean(),
+	/** Further state for the other end; the mesh does not look into it. */
+	load: z.unknown(),
+}).readonly();
+
+/** Schema of a member in another process's view. */
+export const reportedMemberSchema = z.object({
+	id: text,
+	vm: text,
+	address: text,
+	state: z.enum(['up', 'silent', 'down']),
+	isLeaving: z.boolean(),
+	configurationVersion: count,
+}).readonly();
+
+/** Schema of one process's view of its own data centre; the members are absent where they are as last sent. */
+export const reportSchema = z.object({
+	dataCenter: text,
+	reporter: text,
+	/** Rises with each heartbeat of the reporter. */
+	beat: count,
+	members: z.array(reportedMemberSchema).max(4096).readonly().optional(),
+}).readonly();
+
+/** Schema of an address at which an entry VM was seen. */
+export const knownAddressSchema = z.object({
+	dataCenter: text, vm: text, id: text, address: text,
+}).readonly();
+
+/** Schema of the first message of each side of a link. */
+export const startSchema = z.object({
+	type: z.literal('start'),
+	/** Number of the last control message that came in before, over earlier links. */
+	received: count,
+	addresses: z.array(knownAddressSchema).max(4096).readonly(),
+}).readonly();
+
+/** Schema of a heartbeat. */
+export const beatSchema = z.object({
+	type: z.literal('beat'),
+	logicalTime: count,
+	/** Number of the last control message that came in. */
+	received: count,
+	/** Absent where it is as last sent over this link. */
+	body: heartbeatBodySchema.optional(),
+	reports: z.array(reportSchema).max(256).readonly().optional(),
+}).readonly();
+
+/** Schema of a message from one part of the process to its twin in the other. */
+export const dataSchema = z.object({
+	type: z.literal('data'),
+	number: count,
+	logicalTime: count,
+	topic: text,
+	body: z.unknown(),
+}).readonly();
+
+/** Schema of the word that control messages came in, sent when many did since the last heartbeat. */
+export const ackSchema = z.object({type: z.literal('ack'), received: count}).readonly();
+
+/** Schema of the word that the process ends. */
+export const byeSchema = z.object({type: z.literal('bye')}).readonly();
+
+/** Schema of any message of a control link. */
+export const controlLinkMessageSchema = z.discriminatedUnion('type', [startSchema, beatSchema, dataSchema, ackSchema, byeSchema]);
+
+/** What a process tells of itself with each heartbeat. */
+export type HeartbeatBody = z.infer<typeof heartbeatBodySchema>;
+
+/** A member in another process's view. */
+export type ReportedMember = z.infer<typeof reportedMemberSchema>;
+
+/** One process's view of its own data centre. */
+export type Report = z.infer<typeof reportSchema>;
+
+/** An address at which an entry VM was seen. */
+export type KnownAddress = z.infer<typeof knownAddressSchema>;
+
+/** First message of each side of a link. */
+export type Start = z.infer<typeof startSchema>;
+
+/** A heartbeat. */
+export type Beat = z.infer<typeof beatSchema>;
+
+/** A message from one part of the process to its twin in the other. */
+export type Data = z.infer<typeof dataSchema>;
+
+/** Any message of a control link. */
+export type ControlLinkMessage = z.infer<typeof controlLinkMessageSchema>;
--- /dev/null
+++ b/src/connection/handshake.ts
@@ -0,0 +1,281 @@
+/**
+ * The handshake of a connection: each side names itself and proves by a keyed MAC over both sides' first messages, and
+ * so over both challenges, that it has the deployment's key.
+ */
+import {Buffer} from 'node:buffer';
+import {createHmac, timingSafeEqual} from 'node:crypto';
+import {type Clock, type Random} from '../seams/index.js';
+import {decodeValue, encodeFrame, frameHeaderBytes} from './frame-codec.js';
+import {type FrameConnection} from './frame-connection.js';
+import {
+	challengeBytes, type ConnectionKind, type HandshakeMessage, handshakeMessageSchema, type Hello, type Proof, protocolVersion, type RejectReason,
+} from './handshake-messages.js';
+import {type Incarnation} from './peer-network.js';
+
+/** What both sides of a handshake need. */
+export type HandshakeOptions = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly deployment: string;
+	readonly self: Incarnation;
+	/** Address at which this process takes connections. */
+	readonly address: string;
+	readonly key: string;
+	readonly timeoutMs: number;
+};
+
+/** The other side as the handshake proved it. */
+export type HandshakePeer = {
+	readonly incarnation: Incarnation;
+	readonly address: string;
+	readonly kind: ConnectionKind;
+	/** Identifier of this connection, known to both sides. */
+	readonly linkId: string;
+	/** Last link to this incarnation that the other side had and gave up; empty for none. */
+	readonly lastLinkId: string;
+};
+
+/** Why a handshake failed; `garbage` stands for anything out of order. */
+export type HandshakeFailure = RejectReason | 'garbage' | 'handshake-timeout' | 'closed';
+
+/** Result of a handshake. */
+export type HandshakeResult =
+	| {readonly ok: true; readonly peer: HandshakePeer}
+	| {readonly ok: false; readonly reason: HandshakeFailure; readonly wasToldByPeer: boolean; readonly incarnation?: Incarnation};
+
+/** Decisions of the dialling side. */
+export type DialingSide = {
+	readonly kind: ConnectionKind;
+	/** Gets why a connection to this incarnation is not wanted; `undefined` when it is. */
+	readonly getObjection: (incarnation: Incarnation) => RejectReason | undefined;
+	/** Gets the last link to this incarnation that was given up; empty for none. */
+	readonly getLastLinkId: (incarnation: Incarnation) => string;
+};
+
+/** Decisions of the listening side. */
+export type ListeningSide = {
+	/** Gets why the connection is not taken; `undefined` when it is. */
+	readonly getObjection: (peer: HandshakePeer) => RejectReason | undefined;
+};
+
+/** Longest payload of a message of a handshake. */
+export const maxHandshakeFrameBytes = 2048;
+
+type Role = 'dialer' | 'listener';
+type Received<T> = {readonly ok: true; readonly message: T; readonly payload: Uint8Array} | {readonly ok: false; readonly result: HandshakeResult};
+
+/**
+ * Runs a handshake on one connection.
+ * @internal
+ */
+export class Handshake {
+	readonly #options: HandshakeOptions;
+	readonly #connection: FrameConnection;
+	#isTimedOut = false;
+
+	constructor(connection: FrameConnection, options: HandshakeOptions) {
+		this.#connection = connection;
+		this.#options = options;
+	}
+
+	/**
+	 * Runs the dialling side; the connection is closed unless the result is good.
+	 * @param side - Decisions of this side.
+	 */
+	async dial(side: DialingSide): Promise<HandshakeResult> {
+		return this.#runWithTimeout(async () => this.#dial(side));
+	}
+
+	/**
+	 * Runs the listening side; the connection is closed unless the result is good.
+	 * @param side - Decisions of this side.
+	 */
+	async accept(side: ListeningSide): Promise<HandshakeResult> {
+		return this.#runWithTimeout(async () => this.#accept(side));
+	}
+
+	async #runWithTimeout(run: () => Promise<HandshakeResult>): Promise<HandshakeResult> {
+		const timer = this.#options.clock.setTimer(() => {
+			this.#isTimedOut = true;
+			this.#connection.close();
+		}, this.#options.timeoutMs);
+		const result = await run();
+		timer.close();
+		if (!result.ok) {
+			this.#connection.closeAfterWrites();
+		}
+
+		return result;
+	}
+
+	async #dial(side: DialingSide): Promise<HandshakeResult> {
+		const ownHello = this.#sendHello(side.kind);
+		const received = await this.#receiveHello();
+		if (!received.ok) {
+			return received.result;
+		}
+
+		const incarnation = getIncarnation(received.message);
+		const objection = this.#getHelloObjection(received.message) ?? side.getObjection(incarnation);
+		if (objection !== undefined) {
+			return this.#reject(objection, incarnation);
+		}
+
+		const transcript = [ownHello, received.payload];
+		this.#sendProof('dialer', transcript, side.getLastLinkId(incarnation));
+		const proof = await this.#receiveProof('listener', transcript);
+		if (!proof.ok) {
+			return proof.result;
+		}
+
+		return {ok: true, peer: createPeer(received.message, ownHello, proof.message)};
+	}
+
+	async #accept(side: ListeningSide): Promise<HandshakeResult> {
+		const received = await this.#receiveHello();
+		if (!received.ok) {
+			return received.result;
+		}
+
+		const incarnation = getIncarnation(received.message);
+		const objection = this.#getHelloObjection(received.message);
+		if (objection !== undefined) {
+			return this.#reject(objection, incarnation);
+		}
+
+		const transcript = [received.payload, this.#sendHello(received.message.kind)];
+		const proof = await this.#receiveProof('dialer', transcript);
+		if (!proof.ok) {
+			return proof.result;
+		}
+
+		const peer = createPeer(received.message, received.payload, proof.message);
+		const laterObjection = side.getObjection(peer);
+		if (laterObjection !== undefined) {
+			return this.#reject(laterObjection, incarnation);
+		}
+
+		this.#sendProof('listener', transcript, '');
+		return {ok: true, peer};
+	}
+
+	#sendHello(kind: ConnectionKind): Uint8Array {
+		const {deployment, self, address, random} = this.#options;
+		const hello: Hello = {
+			type: 'hello',
+			protocol: protocolVersion,
+			deployment,
+			kind,
+			dataCenter: self.dataCenter,
+			vm: self.vm,
+			id: self.id,
+			address,
+			challenge: Buffer.from(random.getHex(challengeBytes), 'hex'),
+		};
+		const frame = encodeFrame(hello);
+		this.#connection.send(frame);
+		return frame.subarray(frameHeaderBytes);
+	}
+
+	#sendProof(role: Role, transcript: readonly Uint8Array[], lastLinkId: string): void {
+		const proof: Proof = {type: 'proof', mac: this.#computeMac(role, transcript, lastLinkId), lastLinkId};
+		this.#connection.send(encodeFrame(proof));
+	}
+
+	#computeMac(role: Role, transcript: readonly Uint8Array[], lastLinkId: string): Uint8Array {
+		const mac = createHmac('sha256', this.#options.key);
+		for (const part of [Buffer.from(role), ...transcript, Buffer.from(lastLinkId)]) {
+			const length = Buffer.alloc(frameHeaderBytes);
+			length.writeUInt32BE(part.length);
+			mac.update(length);
+			mac.update(part);
+		}
+
+		return mac.digest();
+	}
+
+	#getHelloObjection(hello: Hello): RejectReason | undefined {
+		if (hello.protocol !== protocolVersion) {
+			return 'wrong-protocol';
+		}
+
+		if (hello.deployment !== this.#options.deployment) {
+			return 'wrong-deployment';
+		}
+
+		return hello.id === this.#options.self.id ? 'self' : undefined;
+	}
+
+	async #receiveHello(): Promise<Received<Hello>> {
+		const received = await this.#receive();
+		if (!received.ok || received.message.type === 'hello') {
+			return received as Received<Hello>;
+		}
+
+		return {ok: false, result: this.#fail('garbage')};
+	}
+
+	async #receiveProof(role: Role, transcript: readonly Uint8Array[]): Promise<Received<Proof>> {
+		const received = await this.#receive();
+		if (!received.ok) {
+			return received;
+		}
+
+		const {message, payload} = received;
+		if (message.type !== 'proof') {
+			return {ok: false, result: this.#fail('garbage')};
+		}
+
+		if (!timingSafeEqual(message.mac, this.#computeMac(role, transcript, message.lastLinkId))) {
+			return {ok: false, result: this.#reject('wrong-key')};
+		}
+
+		return {ok: true, message, payload};
+	}
+
+	async #receive(): Promise<Received<HandshakeMessage>> {
+		const payload = await this.#connection.receive();
+		if (payload === undefined) {
+			return {ok: false, result: this.#fail(this.#isTimedOut ? 'handshake-timeout' : 'closed')};
+		}
+
+		const decoded = decodeValue(payload);
+		const parsed = handshakeMessageSchema.safeParse(decoded.ok ? decoded.value : undefined);
+		if (!parsed.success) {
+			return {ok: false, result: this.#fail('garbage')};
+		}
+
+		if (parsed.data.type === 'reject') {
+			return {ok: false, result: {ok: false, reason: parsed.data.reason, wasToldByPeer: true}};
+		}
+
+		return {ok: true, message: parsed.data, payload};
+	}
+
+	#reject(reason: RejectReason, incarnation?: Incarnation): HandshakeResult {
+		this.#connection.send(encodeFrame({type: 'reject', reason}));
+		return {
+			ok: false, reason, wasToldByPeer: false, incarnation,
+		};
+	}
+
+	#fail(reason: HandshakeFailure): HandshakeResult {
+		return {ok: false, reason, wasToldByPeer: false};
+	}
+}
+
+function getIncarnation({dataCenter, vm, id}: Hello): Incarnation {
+	return {dataCenter, vm, id};
+}
+
+function createPeer(hello: Hello, dialerHello: Uint8Array, proof: Proof): HandshakePeer {
+	const dialer = decodeValue(dialerHello);
+	const {challenge} = (dialer as {readonly value: Hello}).value;
+	return {
+		incarnation: getIncarnation(hello),
+		address: hello.address,
+		kind: hello.kind,
+		linkId: Buffer.from(challenge).toString('hex'),
+		lastLinkId: proof.lastLinkId,
+	};
+}
--- /dev/null
+++ b/src/connection/job-client.ts
@@ -0,0 +1,287 @@
+/**
+ * Requests to one incarnation over a job connection that is made when needed.
+ */
+import {type Clock} from '../seams/index.js';
+import {decodeValue, encodeFrame, encodeValue} from './frame-codec.js';
+import {type FrameConnection} from './frame-connection.js';
+import {decodeJobMessage, type JobAnswer, type JobMessage} from './job-messages.js';
+import {type CollectedBody, PartCollector} from './part-collector.js';
+import {type OutgoingBody, PartSender} from './part-sender.js';
+import {type PeerOutcome, type PeerRequest} from './peer-network.js';
+import {type LinkFault} from './traffic.js';
+
+/** A job connection after its handshake, or why there is none. */
+export type JobConnectResult =
+	| {readonly ok: true; readonly connection: FrameConnection}
+	| {readonly ok: false; readonly detail: string};
+
+/** Options of a {@link JobClient}. */
+export type JobClientOptions = {
+	readonly clock: Clock;
+	readonly connect: () => Promise<JobConnectResult>;
+	/** Longest encoded body. */
+	readonly maxBodyBytes: number;
+	/** Time without a byte after which the connection is given up. */
+	readonly silenceMs: number;
+	/** Time without a request after which the connection is closed. */
+	readonly idleMs: number;
+	readonly getLogicalTime: () => number;
+	readonly onLogicalTime: (logicalTime: number) => void;
+	readonly onFault: (fault: LinkFault) => void;
+};
+
+type PendingRequest = {
+	readonly outgoing: OutgoingBody;
+	/** Set when the first byte is handed to the connection. */
+	id: number | undefined;
+	readonly finish: (outcome: PeerOutcome) => void;
+};
+
+type OpenConnection = {
+	readonly connection: FrameConnection;
+	readonly sender: PartSender;
+	readonly collector: PartCollector<JobAnswer>;
+};
+
+/** Bodies that may be incomplete at a time, in longest bodies. */
+const maxIncompleteBodies = 4;
+
+const keepAliveFrame = encodeFrame({type: 'keep-alive'});
+
+/**
+ * Sends requests to one incarnation, many at a time.
+ * @internal
+ */
+export class JobClient {
+	readonly #options: JobClientOptions;
+	readonly #pending = new Set<PendingRequest>();
+	readonly #sent = new Map<number, PendingRequest>();
+	#open: OpenConnection | undefined;
+	#isConnecting = false;
+	#lastId = 0;
+	#lastUsed: number;
+	#silentFrom = 0;
+
+	constructor(options: JobClientOptions) {
+		this.#options = options;
+		this.#lastUsed = options.clock.getMonotonicTime();
+	}
+
+	/**
+	 * Sends a request and waits for the answer.
+	 * @param request - Request to send.
+	 * @param signal - Ends the wait and cancels the request.
+	 */
+	async request(request: PeerRequest, signal?: AbortSignal): Promise<PeerOutcome> {
+		if (signal?.aborted) {
+			return {kind: 'not_sent', detail: 'cancelled'};
+		}
+
+		const body = encodeValue(request.body);
+		if (body.length > this.#options.maxBodyBytes) {
+			return {kind: 'not_sent', detail: `a request of ${body.length} bytes is over the limit of ${this.#options.maxBodyBytes}`};
+		}
+
+		this.#lastUsed = this.#options.clock.getMonotonicTime();
+		return new Promise(resolve => {
+			const pending = this.#createPending(request.topic, body, outcome => {
+				signal?.removeEventListener('abort', cancel);
+				resolve(outcome);
+			});
+			const cancel = (): void => {
+				this.#cancel(pending);
+			};
+
+			signal?.addEventListener('abort', cancel, {once: true});
+			this.#start(pending);
+		});
+	}
+
+	/** Sends a keep-alive, and gives up a connection that is silent or closes one that is idle. */
+	tick(): void {
+		const open = this.#open;
+		if (!open) {
+			return;
+		}
+
+		const now = this.#options.clock.getMonotonicTime();
+		if (now - Math.max(open.connection.getLastReceived(), this.#silentFrom) > this.#options.silenceMs) {
+			this.#options.onFault('silent');
+			open.connection.close();
+			return;
+		}
+
+		if (this.#pending.size === 0 && now - this.#lastUsed > this.#options.idleMs) {
+			open.connection.close();
+			return;
+		}
+
+		open.connection.send(keepAliveFrame);
+	}
+
+	/** Starts the time of silence anew, after a pause of this process. */
+	restartSilence(): void {
+		this.#silentFrom = this.#options.clock.getMonotonicTime();
+	}
+
+	/**
+	 * Closes the connection if nothing came in for a time.
+	 * @param silenceMs - Time without a byte.
+	 */
+	closeIfSilent(silenceMs: number): void {
+		const now = this.#options.clock.getMonotonicTime();
+		if (this.#open && now - this.#open.connection.getLastReceived() > silenceMs) {
+			this.#open.connection.close();
+		}
+	}
+
+	/** Closes the connection; requests in progress end. */
+	close(): void {
+		this.#open?.connection.close();
+	}
+
+	#createPending(topic: string, body: ReturnType<typeof encodeValue>, onFinish: (outcome: PeerOutcome) => void): PendingRequest {
+		const pending: PendingRequest = {
+			id: undefined,
+			outgoing: {
+				body,
+				createFirst: part => {
+					const id = ++this.#lastId;
+					pending.id = id;
+					this.#sent.set(id, pending);
+					return {
+						type: 'request', id, logicalTime: this.#options.getLogicalTime(), topic, size: body.length, part,
+					};
+				},
+			},
+			finish: outcome => {
+				this.#pending.delete(pending);
+				if (pending.id !== undefined) {
+					this.#sent.delete(pending.id);
+				}
+
+				this.#lastUsed = this.#options.clock.getMonotonicTime();
+				onFinish(outcome);
+			},
+		};
+		return pending;
+	}
+
+	#start(pending: PendingRequest): void {
+		this.#pending.add(pending);
+		if (this.#open) {
+			this.#open.sender.addBody(pending.outgoing);
+			return;
+		}
+
+		if (!this.#isConnecting) {
+			this.#isConnecting = true;
+			void this.#run();
+		}
+	}
+
+	async #run(): Promise<void> {
+		const result = await this.#options.connect();
+		this.#isConnecting = false;
+		if (!result.ok) {
+			this.#finishAll(result.detail);
+			return;
+		}
+
+		const {connection} = result;
+		const open = {
+			connection,
+			sender: new PartSender(connection),
+			collector: new PartCollector<JobAnswer>(this.#options.maxBodyBytes * maxIncompleteBodies),
+		};
+		this.#open = open;
+		for (const pending of this.#pending) {
+			open.sender.addBody(pending.outgoing);
+		}
+
+		await this.#read(open);
+		this.#open = undefined;
+		this.#finishAll('the job connection ended');
+	}
+
+	async #read(open: OpenConnection): Promise<void> {
+		for (;;) {
+			const payloads = await open.connection.receiveAll();
+			if (payloads === undefined) {
+				return;
+			}
+
+			if (!payloads.every(payload => this.#handleMessage(open, decodeJobMessage(payload)))) {
+				this.#options.onFault('garbage');
+				open.connection.close();
+				return;
+			}
+		}
+	}
+
+	#handleMessage(open: OpenConnection, message: JobMessage | undefined): boolean {
+		switch (message?.type) {
+			case 'answer': {
+				this.#options.onLogicalTime(message.logicalTime);
+				if (this.#sent.has(message.id)) {
+					this.#finishWith(message.id, open.collector.addFirst(message));
+				}
+
+				return true;
+			}
+
+			case 'part': {
+				this.#finishWith(message.id, open.collector.addPart(message.id, message.part));
+				return true;
+			}
+
+			case 'failure': {
+				this.#sent.get(message.id)?.finish({kind: 'lost', detail: message.detail});
+				return true;
+			}
+
+			case 'keep-alive': {
+				return true;
+			}
+
+			case 'request':
+			case 'cancel':
+			case undefined: {
+				return false;
+			}
+		}
+	}
+
+	#finishWith(id: number, collected: CollectedBody<JobAnswer> | undefined | 'too-large'): void {
+		if (collected === undefined) {
+			return;
+		}
+
+		const pending = this.#sent.get(id);
+		if (collected === 'too-large') {
+			pending?.finish({kind: 'lost', detail: 'the answer is too large'});
+			return;
+		}
+
+		const decoded = decodeValue(collected.body);
+		pending?.finish(decoded.ok ? {kind: 'answered', body: decoded.value} : {kind: 'lost', detail: 'the answer cannot be decoded'});
+	}
+
+	#cancel(pending: PendingRequest): void {
+		this.#open?.sender.removeBody(pending.outgoing);
+		if (pending.id === undefined) {
+			pending.finish({kind: 'not_sent', detail: 'cancelled'});
+			return;
+		}
+
+		this.#open?.collector.remove(pending.id);
+		this.#open?.connection.send(encodeFrame({type: 'cancel', id: pending.id}));
+		pending.finish({kind: 'lost', detail: 'cancelled'});
+	}
+
+	#finishAll(detail: string): void {
+		for (const pending of this.#pending) {
+			pending.finish({kind: pending.id === undefined ? 'not_sent' : 'lost', detail});
+		}
+	}
+}
--- /dev/null
+++ b/src/connection/job-links.ts
@@ -0,0 +1,116 @@
+/**
+ * The job connections of one process.
+ */
+import {type ControlLinksOptions} from './control-links.js';
+import {JobClient, type JobConnectResult} from './job-client.js';
+import {JobServer} from './job-server.js';
+import {type MemberRecord} from './member-record.js';
+import {type PeerConnection} from './peer-connector.js';
+import {type PeerOutcome, type PeerRequest} from './peer-network.js';
+
+/** Options of {@link JobLinks}. */
+export type JobLinksOptions = Pick<ControlLinksOptions, 'settings' | 'table' | 'connector' | 'meter'>;
+
+type JobLinkOptions = Pick<ConstructorParameters<typeof JobClient>[0], 'clock' | 'maxBodyBytes' | 'silenceMs' | 'getLogicalTime' | 'onLogicalTime' | 'onFault'>;
+
+/**
+ * Sends requests to members and takes those that come in.
+ * @internal
+ */
+export class JobLinks {
+	readonly #options: JobLinksOptions;
+	readonly #servers = new Set<JobServer>();
+
+	constructor(options: JobLinksOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Sends a request and waits for its outcome.
+	 * @param record - Member to ask.
+	 * @param request - Request to send.
+	 * @param signal - Ends the wait.
+	 */
+	async request(record: MemberRecord, request: PeerRequest, signal?: AbortSignal): Promise<PeerOutcome> {
+		record.jobClient ??= this.#createClient(record);
+		return record.jobClient.request(request, signal);
+	}
+
+	/**
+	 * Adds a connection that a peer made.
+	 * @param connection - Connection after its handshake.
+	 */
+	addConnection({peer, connection}: PeerConnection): void {
+		const {settings, table} = this.#options;
+		const record = table.getOrAddRecord(peer.incarnation, peer.address);
+		const server = new JobServer({
+			...this.#getLinkOptions(record), connection, record, onRequest: settings.onRequest,
+		});
+		this.#servers.add(server);
+		void this.#runServer(server);
+	}
+
+	/** Sends keep-alives and gives up silent connections. */
+	tick(): void {
+		for (const server of this.#servers) {
+			server.tick();
+		}
+
+		for (const {jobClient} of this.#options.table.getRecords()) {
+			jobClient?.tick();
+		}
+	}
+
+	/** Starts the time of silence anew, after a pause of this process. */
+	restartSilence(): void {
+		for (const server of this.#servers) {
+			server.restartSilence();
+		}
+
+		for (const {jobClient} of this.#options.table.getRecords()) {
+			jobClient?.restartSilence();
+		}
+	}
+
+	async #runServer(server: JobServer): Promise<void> {
+		await server.run();
+		this.#servers.delete(server);
+	}
+
+	#createClient(record: MemberRecord): JobClient {
+		return new JobClient({
+			...this.#getLinkOptions(record),
+			idleMs: this.#options.settings.jobIdleMs,
+			connect: async () => this.#connect(record),
+		});
+	}
+
+	async #connect(record: MemberRecord): Promise<JobConnectResult> {
+		const result = await this.#options.connector.connect(record.address, {
+			kind: 'job',
+			getObjection: ({id}) => id === record.incarnation.id ? undefined : 'wrong-incarnation',
+			getLastLinkId: () => '',
+		});
+		return result.ok ? result : {ok: false, detail: result.reason};
+	}
+
+	#getLinkOptions({incarnation}: MemberRecord): JobLinkOptions {
+		const {
+			meter, settings: {
+				clock, self, events, beatMs, farBeatMs, downBeats, maxJobBodyBytes,
+			},
+		} = this.#options;
+		return {
+			clock,
+			maxBodyBytes: maxJobBodyBytes,
+			silenceMs: downBeats * (incarnation.dataCenter === self.dataCenter ? beatMs : farBeatMs),
+			getLogicalTime: () => events.getLogicalTime(),
+			onLogicalTime(logicalTime) {
+				events.observeLogicalTime(logicalTime);
+			},
+			onFault(fault) {
+				meter.addFault(fault);
+			},
+		};
+	}
+}
--- /dev/null
+++ b/src/connection/job-messages.ts
@@ -0,0 +1,107 @@
+/**
+ * The messages of a job connection, checked by hand since they lie on each request's way.
+ */
+import {decodeValue} from './frame-codec.js';
+
+/** First part of a request; `size` is that of the whole encoded body. */
+export type JobRequest = {
+	readonly type: 'request';
+	readonly id: number;
+	readonly logicalTime: number;
+	readonly topic: string;
+	readonly size: number;
+	readonly part: Uint8Array;
+};
+
+/** First part of an answer; `size` is that of the whole encoded body. */
+export type JobAnswer = {
+	readonly type: 'answer';
+	readonly id: number;
+	readonly logicalTime: number;
+	readonly size: number;
+	readonly part: Uint8Array;
+};
+
+/** A further part of a body. */
+export type JobPart = {
+	readonly type: 'part';
+	readonly id: number;
+	readonly part: Uint8Array;
+};
+
+/** Tells that a request has no answer. */
+export type JobFailure = {
+	readonly type: 'failure';
+	readonly id: number;
+	readonly detail: string;
+};
+
+/** Tells that nobody waits for the answer any more. */
+export type JobCancel = {
+	readonly type: 'cancel';
+	readonly id: number;
+};
+
+/** Tells that the sender lives. */
+export type JobKeepAlive = {
+	readonly type: 'keep-alive';
+};
+
+/** Any message of a job connection. */
+export type JobMessage = JobRequest | JobAnswer | JobPart | JobFailure | JobCancel | JobKeepAlive;
+
+const maxTopicLength = 128;
+
+/**
+ * Decodes a message; `undefined` where it is none.
+ * @param payload - Payload of a frame.
+ */
+export function decodeJobMessage(payload: Uint8Array): JobMessage | undefined {
+	const decoded = decodeValue(payload);
+	if (!decoded.ok || typeof decoded.value !== 'object' || decoded.value === null) {
+		return undefined;
+	}
+
+	const message = decoded.value as Readonly<Record<string, unknown>>;
+	return isJobMessage(message) ? message as JobMessage : undefined;
+}
+
+function isJobMessage(message: Readonly<Record<string, unknown>>): boolean {
+	switch (message.type) {
+		case 'request': {
+			return isCount(message.id) && hasBody(message) && typeof message.topic === 'string' && message.topic.length <= maxTopicLength;
+		}
+
+		case 'answer': {
+			return isCount(message.id) && hasBody(message);
+		}
+
+		case 'part': {
+			return isCount(message.id) && message.part instanceof Uint8Array;
+		}
+
+		case 'failure': {
+			return isCount(message.id) && typeof message.detail === 'string';
+		}
+
+		case 'cancel': {
+			return isCount(message.id);
+		}
+
+		case 'keep-alive': {
+			return true;
+		}
+
+		default: {
+			return false;
+		}
+	}
+}
+
+function hasBody({logicalTime, size, part}: Readonly<Record<string, unknown>>): boolean {
+	return isCount(logicalTime) && isCount(size) && part instanceof Uint8Array && part.length <= size;
+}
+
+function isCount(value: unknown): value is number {
+	return Number.isSafeInteger(value) && (value as number) >= 0;
+}
--- /dev/null
+++ b/src/connection/job-server.ts
@@ -0,0 +1,204 @@
+/**
+ * The requests that come in over one job connection.
+ */
+
+import {type Clock} from '../seams/index.js';
+import {decodeValue, encodeFrame, encodeValue} from './frame-codec.js';
+import {type FrameConnection} from './frame-connection.js';
+import {decodeJobMessage, type JobMessage, type JobRequest} from './job-messages.js';
+import {type MemberRecord} from './member-record.js';
+import {type CollectedBody, PartCollector} from './part-collector.js';
+import {type OutgoingBody, PartSender} from './part-sender.js';
+import {type PeerRequestHandler} from './peer-network.js';
+import {type LinkFault} from './traffic.js';
+
+/** Options of a {@link JobServer}. */
+export type JobServerOptions = {
+	readonly clock: Clock;
+	readonly connection: FrameConnection;
+	readonly record: MemberRecord;
+	readonly onRequest: PeerRequestHandler;
+	/** Longest encoded body. */
+	readonly maxBodyBytes: number;
+	/** Time without a byte after which the connection is given up. */
+	readonly silenceMs: number;
+	readonly getLogicalTime: () => number;
+	readonly onLogicalTime: (logicalTime: number) => void;
+	readonly onFault: (fault: LinkFault) => void;
+};
+
+/** Why the signal of a handler aborts: the peer cancelled the request, or its connection ended. */
+export type RequestAbortReason = 'cancelled' | 'disconnected';
+
+/** Bodies that may be incomplete at a time, in longest bodies. */
+const maxIncompleteBodies = 4;
+
+const keepAliveFrame = encodeFrame({type: 'keep-alive'});
+
+/**
+ * Takes the requests of one job connection, each at most once, and sends the answers.
+ * @internal
+ */
+export class JobServer {
+	readonly #options: JobServerOptions;
+	readonly #connection: FrameConnection;
+	readonly #sender: PartSender;
+	readonly #collector: PartCollector<JobRequest>;
+	readonly #running = new Map<number, AbortController>();
+	#silentFrom = 0;
+
+	constructor(options: JobServerOptions) {
+		this.#options = options;
+		this.#connection = options.connection;
+		this.#sender = new PartSender(options.connection);
+		this.#collector = new PartCollector(options.maxBodyBytes * maxIncompleteBodies);
+	}
+
+	/** Takes requests until the connection is closed; the signals of those still in progress then abort. */
+	async run(): Promise<void> {
+		for (;;) {
+			const payloads = await this.#connection.receiveAll();
+			if (payloads === undefined) {
+				break;
+			}
+
+			if (!payloads.every(payload => this.#handleMessage(decodeJobMessage(payload)))) {
+				this.#options.onFault('garbage');
+				this.#connection.close();
+				break;
+			}
+		}
+
+		for (const controller of this.#running.values()) {
+			abort(controller, 'disconnected');
+		}
+	}
+
+	/** Sends a keep-alive, or gives up a connection that is silent. */
+	tick(): void {
+		const now = this.#options.clock.getMonotonicTime();
+		if (now - Math.max(this.#connection.getLastReceived(), this.#silentFrom) > this.#options.silenceMs) {
+			this.#options.onFault('silent');
+			this.#connection.close();
+			return;
+		}
+
+		this.#connection.send(keepAliveFrame);
+	}
+
+	/** Starts the time of silence anew, after a pause of this process. */
+	restartSilence(): void {
+		this.#silentFrom = this.#options.clock.getMonotonicTime();
+	}
+
+	/** Closes the connection. */
+	close(): void {
+		this.#connection.close();
+	}
+
+	#handleMessage(message: JobMessage | undefined): boolean {
+		switch (message?.type) {
+			case 'request': {
+				this.#addRequest(message);
+				return true;
+			}
+
+			case 'part': {
+				this.#handleCollected(message.id, this.#collector.addPart(message.id, message.part));
+				return true;
+			}
+
+			case 'cancel': {
+				this.#cancel(message.id);
+				return true;
+			}
+
+			case 'keep-alive': {
+				return true;
+			}
+
+			case 'answer':
+			case 'failure':
+			case undefined: {
+				return false;
+			}
+		}
+	}
+
+	#addRequest(request: JobRequest): void {
+		const {record, onFault, onLogicalTime} = this.#options;
+		// Identifiers rise over all connections of the incarnation that follow one another.
+		if (request.id <= record.lastRequestId) {
+			onFault('duplicate-request');
+			return;
+		}
+
+		record.lastRequestId = request.id;
+		onLogicalTime(request.logicalTime);
+		this.#handleCollected(request.id, this.#collector.addFirst(request));
+	}
+
+	#handleCollected(id: number, collected: CollectedBody<JobRequest> | undefined | 'too-large'): void {
+		if (collected === undefined) {
+			return;
+		}
+
+		if (collected === 'too-large') {
+			this.#sendFailure(id, 'the request is too large');
+			return;
+		}
+
+		const decoded = decodeValue(collected.body);
+		if (!decoded.ok) {
+			this.#sendFailure(id, 'the request cannot be decoded');
+			return;
+		}
+
+		void this.#answer(id, collected.first.topic, decoded.value);
+	}
+
+	async #answer(id: number, topic: string, body: unknown): Promise<void> {
+		const {onRequest, record} = this.#options;
+		const controller = new AbortController();
+		this.#running.set(id, controller);
+		try {
+			const answer = await onRequest({topic, body}, record.incarnation, controller.signal);
+			this.#sendAnswer(id, encodeValue(answer));
+		} catch (err) {
+			this.#sendFailure(id, err instanceof Error ? err.message : String(err));
+		} finally {
+			this.#running.delete(id);
+		}
+	}
+
+	#sendAnswer(id: number, body: Uint8Array): void {
+		if (body.length > this.#options.maxBodyBytes) {
+			this.#sendFailure(id, `an answer of ${body.length} bytes is over the limit of ${this.#options.maxBodyBytes}`);
+			return;
+		}
+
+		const outgoing: OutgoingBody = {
+			body,
+			createFirst: part => ({
+				type: 'answer', id, logicalTime: this.#options.getLogicalTime(), size: body.length, part,
+			}),
+		};
+		this.#sender.addBody(outgoing);
+	}
+
+	#sendFailure(id: number, detail: string): void {
+		this.#connection.send(encodeFrame({type: 'failure', id, detail}));
+	}
+
+	#cancel(id: number): void {
+		this.#collector.remove(id);
+		const controller = this.#running.get(id);
+		if (controller) {
+			abort(controller, 'cancelled');
+		}
+	}
+}
+
+function abort(controller: AbortController, reason: RequestAbortReason): void {
+	controller.abort(reason);
+}
--- /dev/null
+++ b/src/connection/link-plan.ts
@@ -0,0 +1,55 @@
+/**
+ * Which entry VMs of two data centres hold the links between them.
+ */
+import {createHash} from 'node:crypto';
+
+/** An entry VM that may hold a link. */
+export type LinkCandidate = {
+	readonly dataCenter: string;
+	readonly vm: string;
+	readonly address: string;
+};
+
+/** Options of {@link planLinks}. */
+export type LinkPlanOptions = {
+	readonly self: LinkCandidate;
+	/** Entry VMs of this data centre that are up, this one included. */
+	readonly local: readonly LinkCandidate[];
+	/** Entry VMs of the other data centre that may be up. */
+	readonly remote: readonly LinkCandidate[];
+	readonly linkCount: number;
+};
+
+/**
+ * Gets the addresses in another data centre to which this process holds links. Both data centres come to the same
+ * links where they see the same entry VMs; one that comes or goes moves few of them.
+ * @param options - Who is there.
+ */
+export function planLinks({self, local, remote, linkCount}: LinkPlanOptions): readonly string[] {
+	if (remote.length === 0) {
+		return [];
+	}
+
+	const pair = [self.dataCenter, remote[0]!.dataCenter].toSorted().join(' ');
+	const near = rank(local, pair);
+	const far = rank(remote, pair);
+	const addresses: string[] = [];
+	for (let index = 0; index < linkCount; index++) {
+		const {vm} = near[index % near.length]!;
+		const {address} = far[index % far.length]!;
+		if (vm === self.vm && !addresses.includes(address)) {
+			addresses.push(address);
+		}
+	}
+
+	return addresses;
+}
+
+function rank(candidates: readonly LinkCandidate[], pair: string): readonly LinkCandidate[] {
+	const weighted = candidates.map(candidate => ({candidate, weight: getWeight(pair, candidate)}));
+	return weighted.toSorted((a, b) => a.weight < b.weight ? 1 : -1).map(({candidate}) => candidate);
+}
+
+function getWeight(pair: string, {dataCenter, vm}: LinkCandidate): string {
+	return createHash('sha256').update(`${pair} ${dataCenter} ${vm}`).digest('hex');
+}
--- /dev/null
+++ b/src/connection/member-record.ts
@@ -0,0 +1,54 @@
+/**
+ * What one process keeps of another incarnation.
+ */
+import {ControlChannel} from './control-channel.js';
+import {type ControlLink} from './control-link.js';
+import {type JobClient} from './job-client.js';
+import {type Incarnation, type Member, type MemberState} from './peer-network.js';
+
+/**
+ * State of one other incarnation.
+ * @internal
+ */
+export class MemberRecord {
+	readonly channel: ControlChannel;
+	state: MemberState = 'silent';
+	isLeaving = false;
+	configurationVersion = 0;
+	/** Monotonic time of the last sign of life. */
+	lastHeard: number;
+	/** Monotonic time at which the member went down. */
+	downSince = 0;
+	link: ControlLink | undefined;
+	/** Identifier of the last link, also after its end; empty for none. */
+	lastLinkId = '';
+	jobClient: JobClient | undefined;
+	/** Highest identifier of a job request taken from this incarnation. */
+	lastRequestId = 0;
+
+	constructor(readonly incarnation: Incarnation, public address: string, options: {readonly now: number; readonly maxBufferBytes: number}) {
+		this.lastHeard = options.now;
+		this.channel = new ControlChannel(options.maxBufferBytes);
+	}
+
+	/** Gets the link if it is open. */
+	getOpenLink(): ControlLink | undefined {
+		return this.link?.isClosed() ? undefined : this.link;
+	}
+
+	/** Gets the time of the last sign of life, over the link or through others. */
+	getLastHeard(): number {
+		return Math.max(this.lastHeard, this.getOpenLink()?.getLastReceived() ?? 0);
+	}
+
+	/** Gets the member as others see it. */
+	toMember(): Member {
+		return {
+			incarnation: this.incarnation,
+			state: this.state,
+			isLeaving: this.isLeaving,
+			peerAddress: this.address,
+			configurationVersion: this.configurationVersion,
+		};
+	}
+}
--- /dev/null
+++ b/src/connection/member-table.ts
@@ -0,0 +1,171 @@
+/**
+ * The other incarnations known to this process.
+ */
+import type Logger from 'bunyan';
+import {type Stream} from 'most';
+import {CurrentValue} from '../process/current-value.js';
+import {type EventKind, type EventLog} from '../process/events.js';
+import {type Clock} from '../seams/index.js';
+import {type HeartbeatBody} from './control-messages.js';
+import {MemberRecord} from './member-record.js';
+import {type Incarnation, type Member, type MemberState} from './peer-network.js';
+
+/** Options of a {@link MemberTable}. */
+export type MemberTableOptions = {
+	readonly clock: Clock;
+	readonly events: EventLog;
+	readonly log?: Logger;
+	/** Bytes of control messages kept for one member. */
+	readonly maxBufferBytes: number;
+	/** Called when a member goes down. */
+	readonly onDown: (record: MemberRecord) => void;
+	/** Called when a member is forgotten. */
+	readonly onRemove: (record: MemberRecord) => void;
+};
+
+/** Down members kept beyond those that the list names. */
+const maxDownMembers = 256;
+
+const eventKinds: Readonly<Record<MemberState, EventKind>> = {up: 'peer-up', silent: 'peer-silent', down: 'peer-down'};
+
+/**
+ * Keeps the other incarnations with their states and tells of changes.
+ * @internal
+ */
+export class MemberTable {
+	readonly #options: MemberTableOptions;
+	readonly #records = new Map<string, MemberRecord>();
+	readonly #members = new CurrentValue<readonly Member[]>([]);
+	#revision = 0;
+
+	constructor(options: MemberTableOptions) {
+		this.#options = options;
+	}
+
+	/** Gets a number that rises with each change. */
+	getRevision(): number {
+		return this.#revision;
+	}
+
+	/** Gets the members. */
+	getMembers(): readonly Member[] {
+		return this.#members.get();
+	}
+
+	/** Gets the members now and after each change. */
+	getStream(): Stream<readonly Member[]> {
+		return this.#members.getStream();
+	}
+
+	/** Gets all records. */
+	getRecords(): readonly MemberRecord[] {
+		return [...this.#records.values()];
+	}
+
+	/**
+	 * Gets the record of an incarnation.
+	 * @param id - Identifier of the incarnation.
+	 */
+	getRecord(id: string): MemberRecord | undefined {
+		return this.#records.get(id);
+	}
+
+	/**
+	 * Gets the record of an incarnation, made anew where there is none.
+	 * @param incarnation - Incarnation wanted.
+	 * @param address - Address at which it was seen.
+	 */
+	getOrAddRecord(incarnation: Incarnation, address: string): MemberRecord {
+		const known = this.#records.get(incarnation.id);
+		if (known) {
+			return known;
+		}
+
+		const {clock, maxBufferBytes} = this.#options;
+		const record = new MemberRecord(incarnation, address, {now: clock.getMonotonicTime(), maxBufferBytes});
+		this.#records.set(incarnation.id, record);
+		this.#publish();
+		return record;
+	}
+
+	/**
+	 * Sets the state of a member.
+	 * @param record - Member to change.
+	 * @param state - New state.
+	 * @param detail - Why it changes.
+	 */
+	setState(record: MemberRecord, state: MemberState, detail: string): void {
+		if (record.state === state) {
+			return;
+		}
+
+		const {clock, events, log} = this.#options;
+		record.state = state;
+		events.addEvent(eventKinds[state], record.incarnation.id, detail);
+		log?.info({peer: record.incarnation.id, state, detail}, 'peer changed state');
+		if (state === 'down') {
+			record.downSince = clock.getMonotonicTime();
+			record.channel.clear();
+			this.#options.onDown(record);
+		}
+
+		this.#publish();
+	}
+
+	/**
+	 * Sets what a member tells of itself.
+	 * @param record - Member to change.
+	 * @param body - What it tells.
+	 */
+	setHeartbeat(record: MemberRecord, body: Pick<HeartbeatBody, 'configurationVersion' | 'isLeaving'>): void {
+		const {configurationVersion, isLeaving} = body;
+		if (record.configurationVersion === configurationVersion && record.isLeaving === isLeaving) {
+			return;
+		}
+
+		record.configurationVersion = configurationVersion;
+		record.isLeaving = isLeaving;
+		this.#publish();
+	}
+
+	/**
+	 * Sets the address of a member.
+	 * @param record - Member to change.
+	 * @param address - New address.
+	 */
+	setAddress(record: MemberRecord, address: string): void {
+		if (record.address !== address) {
+			record.address = address;
+			this.#publish();
+		}
+	}
+
+	/**
+	 * Removes the members that have been down for a time and are not expected back.
+	 * @param forgetMs - Time for which they have been down.
+	 * @param isGone - Tells whether a member is not expected back.
+	 */
+	removeGone(forgetMs: number, isGone: (record: MemberRecord) => boolean): void {
+		const now = this.#options.clock.getMonotonicTime();
+		const down = this.getRecords().filter(({state}) => state === 'down').toSorted((a, b) => b.downSince - a.downSince);
+		const gone = down.filter((record, index) => index >= maxDownMembers || (now - record.downSince > forgetMs && isGone(record)));
+		for (const record of gone) {
+			this.#records.delete(record.incarnation.id);
+			this.#options.onRemove(record);
+		}
+
+		if (gone.length > 0) {
+			this.#publish();
+		}
+	}
+
+	/** Ends the streams. */
+	close(): void {
+		this.#members.close();
+	}
+
+	#publish(): void {
+		this.#revision++;
+		this.#members.set(this.getRecords().map(record => record.toMember()));
+	}
+}
--- /dev/null
+++ b/src/connection/membership.ts
@@ -0,0 +1,317 @@
+/**
+ * Who is there: silence, reports of other data centres, and the addresses to keep links to.
+ */
+import {type ListedEntryVm} from '../platform/index.js';
+import {type CompleteReport} from './control-link.js';
+import {type KnownAddress, type ReportedMember} from './control-messages.js';
+import {type ControlLinks} from './control-links.js';
+import {type LinkCandidate, planLinks} from './link-plan.js';
+import {type MemberRecord} from './member-record.js';
+import {type MemberTable} from './member-table.js';
+import {PeerDialer} from './peer-dialer.js';
+import {type PeerMeshSettings} from './peer-mesh-options.js';
+import {type ReportBook} from './report-book.js';
+
+/** Options of {@link Membership}. */
+export type MembershipOptions = {
+	readonly settings: PeerMeshSettings;
+	/** Gets the address that this process tells others. */
+	readonly getAddress: () => string;
+	readonly table: MemberTable;
+	readonly reports: ReportBook;
+	readonly links: ControlLinks;
+};
+
+/**
+ * Decides the state of each member and keeps the tasks that dial.
+ * @internal
+ */
+export class Membership {
+	readonly #options: MembershipOptions;
+	readonly #dialers = new Map<string, PeerDialer>();
+	/** Incarnation that last answered at an address, which may differ from the address that it tells. */
+	readonly #answered = new Map<string, string>();
+	/** Addresses at which the last attempt failed. */
+	readonly #failed = new Set<string>();
+	#listed: readonly ListedEntryVm[] | undefined;
+	#isClosed = false;
+
+	constructor(options: MembershipOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Sets the platform's list.
+	 * @param listed - Entry VMs in the list.
+	 */
+	setListed(listed: readonly ListedEntryVm[]): void {
+		this.#listed = listed;
+		this.updateDialers();
+	}
+
+	/**
+	 * Adds members by addresses that a peer knows.
+	 * @param addresses - Addresses at which entry VMs were seen.
+	 */
+	addAddresses(addresses: readonly KnownAddress[]): void {
+		for (const {address, ...incarnation} of addresses) {
+			if (incarnation.id !== this.#options.settings.self.id) {
+				this.#options.table.getOrAddRecord(incarnation, address);
+			}
+		}
+
+		this.updateDialers();
+	}
+
+	/**
+	 * Takes reports that came in over a link.
+	 * @param reports - Reports of this data centre or of others.
+	 */
+	addReports(reports: readonly CompleteReport[]): void {
+		for (const report of reports) {
+			if (report.dataCenter === this.#options.settings.self.dataCenter) {
+				this.#addNearReport(report);
+			} else if (this.#options.reports.addReport(report)) {
+				this.#addFarReport(report);
+			}
+		}
+	}
+
+	/**
+	 * Notes that a link to a member began or ended.
+	 * @param record - Member concerned.
+	 */
+	handleLinkChange(record: MemberRecord): void {
+		if (!record.getOpenLink()) {
+			this.#wakeDialers(record);
+		}
+
+		this.updateDialers();
+	}
+
+	/** Gives every member that is not down a new chance to be heard. */
+	restartSilence(): void {
+		const now = this.#options.settings.clock.getMonotonicTime();
+		for (const record of this.#options.table.getRecords()) {
+			record.lastHeard = now;
+		}
+
+		this.#options.reports.refresh();
+	}
+
+	/** Decides the state of each member by the time since it was last heard. */
+	evaluate(): void {
+		if (this.#isClosed) {
+			return;
+		}
+
+		for (const record of this.#options.table.getRecords()) {
+			this.#evaluateRecord(record);
+		}
+
+		this.#options.reports.removeStale();
+		this.#options.table.removeGone(this.#options.settings.forgetMs, record => this.#isGone(record));
+		this.updateDialers();
+	}
+
+	/** Starts and ends dialling tasks so that each address wanted has one. */
+	updateDialers(): void {
+		if (this.#isClosed) {
+			return;
+		}
+
+		const wanted = this.#getWantedAddresses();
+		for (const [address, dialer] of this.#dialers) {
+			if (!wanted.has(address)) {
+				dialer.close();
+				this.#dialers.delete(address);
+			}
+		}
+
+		for (const address of wanted) {
+			if (!this.#dialers.has(address)) {
+				this.#addDialer(address);
+			}
+		}
+	}
+
+	/** Ends the dialling tasks. */
+	close(): void {
+		this.#isClosed = true;
+		for (const dialer of this.#dialers.values()) {
+			dialer.close();
+		}
+	}
+
+	#addNearReport(report: CompleteReport): void {
+		const up = report.members.filter(({id, state}) => state === 'up' && id !== this.#options.settings.self.id);
+		this.addAddresses(up
+			.filter(({id}) => !this.#options.table.getRecord(id))
+			.map(({id, vm, address}) => ({
+				dataCenter: report.dataCenter, vm, id, address,
+			})));
+	}
+
+	#addFarReport(report: CompleteReport): void {
+		for (const member of report.members) {
+			this.#addReportedMember(report.dataCenter, member);
+		}
+	}
+
+	#addReportedMember(dataCenter: string, member: ReportedMember): void {
+		const {table, reports, settings} = this.#options;
+		const {id, vm, address, state} = member;
+		if (state === 'up') {
+			const record = table.getOrAddRecord({dataCenter, vm, id}, address);
+			record.lastHeard = settings.clock.getMonotonicTime();
+			table.setAddress(record, address);
+			table.setHeartbeat(record, member);
+			table.setState(record, 'up', 'reported up');
+			return;
+		}
+
+		const record = table.getRecord(id);
+		if (record && state === 'down' && !record.getOpenLink() && reports.getReportedState(id) === 'down') {
+			table.setState(record, 'down', 'reported down');
+		}
+	}
+
+	#evaluateRecord(record: MemberRecord): void {
+		const {settings, table} = this.#options;
+		if (record.state === 'down') {
+			return;
+		}
+
+		const beatMs = this.#isNear(record) ? settings.beatMs : settings.farBeatMs;
+		const age = settings.clock.getMonotonicTime() - record.getLastHeard();
+		if (age > settings.downBeats * beatMs) {
+			table.setState(record, 'down', `not heard for ${Math.round(age)} ms`);
+		} else if (age > settings.silentBeats * beatMs) {
+			table.setState(record, 'silent', `not heard for ${Math.round(age)} ms`);
+			// A new connection may work where this one has gone silent.
+			record.link?.close();
+		}
+	}
+
+	#isNear({incarnation}: MemberRecord): boolean {
+		return incarnation.dataCenter === this.#options.settings.self.dataCenter;
+	}
+
+	#isGone(record: MemberRecord): boolean {
+		const {vm, dataCenter} = record.incarnation;
+		const isReplaced = this.#options.table.getRecords().some(({incarnation, address, state}) =>
+			state === 'up' && (address === record.address || (incarnation.vm === vm && incarnation.dataCenter === dataCenter)));
+		const isListed = this.#listed?.some(listed => listed.name === vm && listed.dataCenter === dataCenter) ?? true;
+		return isReplaced || !isListed;
+	}
+
+	#getWantedAddresses(): ReadonlySet<string> {
+		const {getAddress, table} = this.#options;
+		const {dataCenter} = this.#options.settings.self;
+		const near = table.getRecords().filter(record => this.#isNear(record)).map(record => record.address);
+		const listed = (this.#listed ?? []).filter(vm => vm.dataCenter === dataCenter).map(({peerAddress}) => peerAddress);
+		const wanted = new Set([...near, ...listed, ...this.#getSeeds(), ...this.#getFarAddresses()]);
+		wanted.delete(getAddress());
+		return wanted;
+	}
+
+	/** Gets the seeds at which nobody has answered yet, and all of them while no member is up. */
+	#getSeeds(): readonly string[] {
+		const {settings, table} = this.#options;
+		const isAlone = table.getRecords().every(({state}) => state !== 'up');
+		return settings.seeds.filter(seed => isAlone || !table.getRecord(this.#answered.get(seed) ?? ''));
+	}
+
+	#getFarAddresses(): readonly string[] {
+		const {settings, getAddress, table} = this.#options;
+		const {dataCenter, vm} = settings.self;
+		const self = {dataCenter, vm, address: getAddress()};
+		const near = table.getRecords().filter(record => this.#isNear(record) && record.state === 'up');
+		const local = [self, ...near.map(record => toCandidate(record))];
+		return [...this.#getFarCandidates().values()].flatMap(remote => planLinks({
+			self, local, remote, linkCount: settings.farLinks,
+		}));
+	}
+
+	#getFarCandidates(): ReadonlyMap<string, readonly LinkCandidate[]> {
+		const known = this.#options.table.getRecords().filter(record => !this.#isNear(record));
+		const listed = (this.#listed ?? []).map(vm => ({dataCenter: vm.dataCenter, vm: vm.name, address: vm.peerAddress}));
+		const all = [...known.filter(({state}) => state !== 'down').map(record => toCandidate(record)), ...listed, ...known.map(record => toCandidate(record))];
+		const byAddress = new Map<string, LinkCandidate>();
+		for (const candidate of all.filter(({dataCenter}) => dataCenter !== this.#options.settings.self.dataCenter)) {
+			byAddress.set(candidate.address, byAddress.get(candidate.address) ?? candidate);
+		}
+
+		const groups = new Map<string, LinkCandidate[]>();
+		for (const candidate of byAddress.values()) {
+			groups.set(candidate.dataCenter, [...groups.get(candidate.dataCenter) ?? [], candidate]);
+		}
+
+		return new Map([...groups].map(([dataCenter, candidates]) => [dataCenter, this.#preferReachable(candidates)]));
+	}
+
+	#preferReachable(candidates: readonly LinkCandidate[]): readonly LinkCandidate[] {
+		const reachable = candidates.filter(({address}) => !this.#failed.has(address));
+		return reachable.length > 0 ? reachable : candidates;
+	}
+
+	#addDialer(address: string): void {
+		const {clock, random, minBackoffMs, maxBackoffMs} = this.#options.settings;
+		const dialer = new PeerDialer({
+			clock,
+			random,
+			address,
+			minBackoffMs,
+			maxBackoffMs,
+			isLinked: () => this.#getLinkedRecord(address) !== undefined,
+			dial: async () => this.#dial(address),
+		});
+		this.#dialers.set(address, dialer);
+		void dialer.run();
+	}
+
+	#getLinkedRecord(address: string): MemberRecord | undefined {
+		const id = this.#answered.get(address);
+		return this.#options.table.getRecords().find(record => record.getOpenLink() && (record.address === address || record.incarnation.id === id));
+	}
+
+	async #dial(address: string): Promise<void> {
+		const result = await this.#options.links.dial(address);
+		if (this.#isClosed) {
+			return;
+		}
+
+		if (result.ok) {
+			this.#failed.delete(address);
+			this.#answered.set(address, result.peer.incarnation.id);
+			this.#setDown(address, 'another incarnation answered', result.peer.incarnation.id);
+		} else if (result.reason !== 'duplicate') {
+			this.#failed.add(address);
+			if (result.reason === 'refused') {
+				this.#setDown(address, 'connection refused');
+			}
+		}
+
+		this.updateDialers();
+	}
+
+	#setDown(address: string, detail: string, exceptId?: string): void {
+		for (const record of this.#options.table.getRecords()) {
+			if (record.address === address && record.incarnation.id !== exceptId && !record.getOpenLink()) {
+				this.#options.table.setState(record, 'down', detail);
+			}
+		}
+	}
+
+	#wakeDialers(record: MemberRecord): void {
+		for (const [address, dialer] of this.#dialers) {
+			if (address === record.address || this.#answered.get(address) === record.incarnation.id) {
+				dialer.wake();
+			}
+		}
+	}
+}
+
+function toCandidate({incarnation: {dataCenter, vm}, address}: MemberRecord): LinkCandidate {
+	return {dataCenter, vm, address};
+}
--- /dev/null
+++ b/src/connection/part-sender.ts
@@ -0,0 +1,92 @@
+/**
+ * Sends bodies over one connection in turn, part by part, so that a large one does not hold up the others.
+ */
+
+import {encodeFrame} from './frame-codec.js';
+import {type FrameConnection} from './frame-connection.js';
+import {type JobMessage, type JobPart} from './job-messages.js';
+
+/** A body to send. */
+export type OutgoingBody = {
+	readonly body: Uint8Array;
+	/** Creates the message that carries the first part; called when it leaves. */
+	readonly createFirst: (part: Uint8Array) => JobMessage & {readonly id: number};
+};
+
+type Sending = {
+	readonly outgoing: OutgoingBody;
+	id: number | undefined;
+	offset: number;
+};
+
+/** Longest part of a body in one frame. */
+export const maxPartBytes = 256 * 1024;
+
+/** Longest payload on a job connection: a part and the fields around it. */
+export const maxJobFrameBytes = maxPartBytes + 4096;
+
+/** Bytes waiting on a connection above which no further part is added. */
+const maxBufferedBytes = 1024 * 1024;
+
+/**
+ * Sends bodies over one connection.
+ * @internal
+ */
+export class PartSender {
+	readonly #connection: FrameConnection;
+	readonly #sendings: Sending[] = [];
+
+	constructor(connection: FrameConnection) {
+		this.#connection = connection;
+		connection.addDrainCallback(() => {
+			this.#sendParts();
+		});
+	}
+
+	/**
+	 * Adds a body behind those that wait.
+	 * @param outgoing - Body to send.
+	 */
+	addBody(outgoing: OutgoingBody): void {
+		this.#sendings.push({outgoing, id: undefined, offset: 0});
+		this.#sendParts();
+	}
+
+	/**
+	 * Removes a body; false when all of it has been sent.
+	 * @param outgoing - Body to remove.
+	 */
+	removeBody(outgoing: OutgoingBody): boolean {
+		const index = this.#sendings.findIndex(sending => sending.outgoing === outgoing);
+		if (index === -1) {
+			return false;
+		}
+
+		this.#sendings.splice(index, 1);
+		return true;
+	}
+
+	#sendParts(): void {
+		while (this.#sendings.length > 0 && !this.#connection.isClosed() && this.#connection.getBufferedBytes() < maxBufferedBytes) {
+			this.#sendPart(this.#sendings.shift()!);
+		}
+	}
+
+	#sendPart(sending: Sending): void {
+		const {body, createFirst} = sending.outgoing;
+		const part = body.subarray(sending.offset, sending.offset + maxPartBytes);
+		if (sending.id === undefined) {
+			const first = createFirst(part);
+			sending.id = first.id;
+			this.#connection.send(encodeFrame(first));
+		} else {
+			const further: JobPart = {type: 'part', id: sending.id, part};
+			this.#connection.send(encodeFrame(further));
+		}
+
+		sending.offset += part.length;
+		if (sending.offset < body.length) {
+			this.#sendings.push(sending);
+		}
+	}
+}
--- /dev/null
+++ b/src/connection/peer-connector.ts
@@ -0,0 +1,189 @@
+/**
+ * Makes and takes connections and runs their handshakes.
+ */
+import {type Duplex} from 'node:stream';
+import type Logger from 'bunyan';
+import {type EventLog} from '../process/events.js';
+import {FrameConnection} from './frame-connection.js';
+import {
+	type DialingSide, Handshake, type HandshakeFailure, type HandshakeOptions, type HandshakePeer, type ListeningSide, maxHandshakeFrameBytes,
+} from './handshake.js';
+import {type ConnectionKind} from './handshake-messages.js';
+import {type Dial, type Listen, type PeerListener} from './tcp-transport.js';
+import {type LinkFault, type TrafficMeter} from './traffic.js';
+
+/** A connection after its handshake. */
+export type PeerConnection = {
+	readonly peer: HandshakePeer;
+	readonly connection: FrameConnection;
+};
+
+/** Result of making a connection. */
+export type ConnectResult =
+	| ({readonly ok: true} & PeerConnection)
+	| {readonly ok: false; readonly reason: HandshakeFailure | 'refused' | 'unreachable'};
+
+/** Options of a {@link PeerConnector}. */
+export type PeerConnectorOptions = Omit<HandshakeOptions, 'address'> & {
+	readonly dial: Dial;
+	readonly listen: Listen;
+	readonly listenAddress: string;
+	/** Address that other entry VMs are told; the one listened on where it is absent. */
+	readonly advertisedAddress?: string;
+	/** Longest payload on each kind of connection. */
+	readonly maxFrameBytes: Readonly<Record<ConnectionKind, number>>;
+	/** Connections taken that may be in their handshake at a time. */
+	readonly maxHandshakes: number;
+	readonly meter: TrafficMeter;
+	readonly events: EventLog;
+	readonly log?: Logger;
+};
+
+/** Failures that tell of a wrong setting or a broken peer, as against the usual course of things. */
+const reportedFailures: ReadonlySet<string> = new Set<LinkFault>([
+	'garbage', 'handshake-timeout', 'wrong-key', 'wrong-deployment', 'wrong-protocol', 'wrong-incarnation',
+]);
+
+/** Least time between two events about refused connections. */
+const minEventIntervalMs = 1000;
+
+/**
+ * Makes and takes connections to other entry VMs of the deployment.
+ * @internal
+ */
+export class PeerConnector {
+	readonly #options: PeerConnectorOptions;
+	readonly #connections = new Set<FrameConnection>();
+	readonly #lastEvents = new Map<string, number>();
+	#listener: PeerListener | undefined;
+	#handshakeCount = 0;
+	#isClosed = false;
+
+	constructor(options: PeerConnectorOptions) {
+		this.#options = options;
+	}
+
+	/** Gets the address that other entry VMs are told. */
+	getAddress(): string {
+		return this.#options.advertisedAddress ?? this.#listener?.address ?? this.#options.listenAddress;
+	}
+
+	/**
+	 * Starts to take connections.
+	 * @param side - Decisions about them.
+	 * @param onConnection - Function that is given each one after its handshake.
+	 */
+	async listen(side: ListeningSide, onConnection: (connection: PeerConnection) => void): Promise<void> {
+		this.#listener = await this.#options.listen(this.#options.listenAddress, socket => {
+			void this.#accept(socket, side, onConnection);
+		});
+	}
+
+	/**
+	 * Makes a connection.
+	 * @param address - Address to dial.
+	 * @param side - Decisions about it.
+	 */
+	async connect(address: string, side: DialingSide): Promise<ConnectResult> {
+		const dialed = await this.#dialWithTimeout(address);
+		if (!dialed.ok) {
+			return {ok: false, reason: dialed.reason};
+		}
+
+		const connection = this.#createConnection(dialed.socket);
+		const result = await new Handshake(connection, this.#getHandshakeOptions()).dial(side);
+		if (!result.ok) {
+			this.#addFailure(result.reason, address);
+			return {ok: false, reason: result.reason};
+		}
+
+		this.#setPurpose(connection, result.peer.kind);
+		return {ok: true, peer: result.peer, connection};
+	}
+
+	/** Ends the listener and closes all connections. */
+	async close(): Promise<void> {
+		this.#isClosed = true;
+		await this.#listener?.close();
+		for (const connection of this.#connections) {
+			connection.close();
+		}
+	}
+
+	async #dialWithTimeout(address: string): ReturnType<Dial> {
+		const controller = new AbortController();
+		const timer = this.#options.clock.setTimer(() => {
+			controller.abort();
+		}, this.#options.timeoutMs);
+		const result = await this.#options.dial(address, controller.signal);
+		timer.close();
+		return result;
+	}
+
+	async #accept(socket: Duplex, side: ListeningSide, onConnection: (connection: PeerConnection) => void): Promise<void> {
+		if (this.#isClosed || this.#handshakeCount >= this.#options.maxHandshakes) {
+			this.#options.meter.addFault('too-many-handshakes');
+			socket.destroy();
+			return;
+		}
+
+		this.#handshakeCount++;
+		const connection = this.#createConnection(socket);
+		const result = await new Handshake(connection, this.#getHandshakeOptions()).accept(side);
+		this.#handshakeCount--;
+		if (!result.ok) {
+			this.#addFailure(result.reason, result.incarnation?.id ?? 'unknown');
+			return;
+		}
+
+		this.#setPurpose(connection, result.peer.kind);
+		onConnection({peer: result.peer, connection});
+	}
+
+	#getHandshakeOptions(): HandshakeOptions {
+		return {...this.#options, address: this.getAddress()};
+	}
+
+	#createConnection(socket: Duplex): FrameConnection {
+		const {clock, meter} = this.#options;
+		const connection = new FrameConnection({
+			clock,
+			socket,
+			traffic: meter.control,
+			maxFrameBytes: maxHandshakeFrameBytes,
+			onFault(fault) {
+				meter.addFault(fault);
+			},
+		});
+		this.#connections.add(connection);
+		socket.once('close', () => {
+			this.#connections.delete(connection);
+		});
+		if (this.#isClosed) {
+			connection.close();
+		}
+
+		return connection;
+	}
+
+	#setPurpose(connection: FrameConnection, kind: ConnectionKind): void {
+		connection.setPurpose(this.#options.maxFrameBytes[kind], this.#options.meter[kind]);
+	}
+
+	#addFailure(reason: HandshakeFailure, subject: string): void {
+		if (!reportedFailures.has(reason)) {
+			return;
+		}
+
+		const {clock, events, log, meter} = this.#options;
+		meter.addFault(reason as LinkFault);
+		const now = clock.getMonotonicTime();
+		if (now - (this.#lastEvents.get(reason) ?? -Infinity) < minEventIntervalMs) {
+			return;
+		}
+
+		this.#lastEvents.set(reason, now);
+		events.addEvent('peer-rejected', subject, reason);
+		log?.warn({peer: subject, reason}, 'connection refused in its handshake');
+	}
+}
--- /dev/null
+++ b/src/connection/peer-mesh.ts
@@ -0,0 +1,247 @@
+/**
+ * The links of one process to all other entry VMs.
+ */
+import {type Stream, type Subscription} from 'most';
+import {type ListedEntryVm} from '../platform/index.js';
+import {type Timer} from '../seams/index.js';
+import {ControlLinks} from './control-links.js';
+import {type HandshakePeer} from './handshake.js';
+import {type RejectReason} from './handshake-messages.js';
+import {JobLinks} from './job-links.js';
+import {type MemberRecord} from './member-record.js';
+import {MemberTable} from './member-table.js';
+import {Membership} from './membership.js';
+import {type PeerConnection, PeerConnector} from './peer-connector.js';
+import {type PeerMeshOptions, type PeerMeshSettings, resolvePeerMeshOptions} from './peer-mesh-options.js';
+import {
+	type ControlMessage, type Member, type PeerNetwork, type PeerOutcome, type PeerRequest,
+} from './peer-network.js';
+import {maxJobFrameBytes} from './part-sender.js';
+import {ReportBook} from './report-book.js';
+import {type PeerTraffic, TrafficMeter} from './traffic.js';
+
+/** Heartbeats that this process itself may miss before it counts as paused. */
+const pauseBeats = 2;
+
+/** Links to the other entry VMs: a full mesh within the data centre and a few links to each other one. */
+export class PeerMesh implements PeerNetwork {
+	readonly #settings: PeerMeshSettings;
+	readonly #meter: TrafficMeter;
+	readonly #table: MemberTable;
+	readonly #connector: PeerConnector;
+	readonly #links: ControlLinks;
+	readonly #jobs: JobLinks;
+	readonly #reports: ReportBook;
+	readonly #membership: Membership;
+	#beat = 0;
+	#lastTick: number;
+	#timer: Timer | undefined;
+	#subscription: Subscription<readonly ListedEntryVm[]> | undefined;
+	#isClosed = false;
+
+	/** @internal */
+	constructor(settings: PeerMeshSettings, connector: PeerConnector, meter: TrafficMeter) {
+		this.#settings = settings;
+		this.#connector = connector;
+		this.#meter = meter;
+		this.#lastTick = settings.clock.getMonotonicTime();
+		const {clock, events, log, maxControlBufferBytes, self, silentBeats, beatMs} = settings;
+		this.#table = new MemberTable({
+			clock,
+			events,
+			log,
+			maxBufferBytes: maxControlBufferBytes,
+			onDown(record) {
+				record.link?.close();
+				record.jobClient?.closeIfSilent(silentBeats * beatMs);
+			},
+			onRemove(record) {
+				record.jobClient?.close();
+			},
+		});
+		const parts = {
+			settings, connector, meter, table: this.#table,
+		};
+		this.#jobs = new JobLinks(parts);
+		this.#links = new ControlLinks({
+			...parts,
+			onAddresses: addresses => {
+				this.#membership.addAddresses(addresses);
+			},
+			onReports: reports => {
+				this.#membership.addReports(reports);
+			},
+			onChange: record => {
+				this.#membership.handleLinkChange(record);
+			},
+		});
+		const getAddress = (): string => connector.getAddress();
+		this.#reports = new ReportBook({
+			clock, self, getAddress, table: this.#table, freshMs: settings.downBeats * settings.farBeatMs,
+		});
+		this.#membership = new Membership({
+			settings, getAddress, table: this.#table, reports: this.#reports, links: this.#links,
+		});
+	}
+
+	/** Gets the address at which this process takes connections. */
+	getAddress(): string {
+		return this.#connector.getAddress();
+	}
+
+	/** Gets the traffic of all links so far. */
+	getTraffic(): PeerTraffic {
+		return this.#meter.getTraffic();
+	}
+
+	/** Gets the other entry VMs known here, in all data centres. */
+	getMembers(): readonly Member[] {
+		return this.#table.getMembers();
+	}
+
+	/** Gets the members after each change, beginning with the present ones. */
+	getMemberStream(): Stream<readonly Member[]> {
+		return this.#table.getStream();
+	}
+
+	/**
+	 * Sends a message to a peer of the same data centre.
+	 * @param incarnationId - Peer to send to.
+	 * @param message - Message to send.
+	 */
+	sendControl(incarnationId: string, message: ControlMessage): boolean {
+		const record = this.#table.getRecord(incarnationId);
+		if (this.#isClosed || record?.state !== 'up' || !(this.#isNear(record) || record.getOpenLink())) {
+			return false;
+		}
+
+		return this.#links.sendMessage(record, message);
+	}
+
+	/**
+	 * Sends a request to a peer in any data centre.
+	 * @param incarnationId - Peer to ask; only this incarnation gets the request.
+	 * @param request - Request to send.
+	 * @param signal - Ends the wait and cancels the request at the peer.
+	 */
+	async request(incarnationId: string, request: PeerRequest, signal?: AbortSignal): Promise<PeerOutcome> {
+		const record = this.#table.getRecord(incarnationId);
+		if (this.#isClosed || record === undefined || record.state === 'down') {
+			return {kind: 'not_sent', detail: record ? 'the peer is down' : 'the peer is not known'};
+		}
+
+		return this.#jobs.request(record, request, signal);
+	}
+
+	/** Closes all links and ends the listener. */
+	async close(): Promise<void> {
+		if (this.#isClosed) {
+			return;
+		}
+
+		this.#isClosed = true;
+		this.#timer?.close();
+		this.#subscription?.unsubscribe();
+		this.#membership.close();
+		this.#links.close();
+		await this.#connector.close();
+		this.#table.close();
+	}
+
+	/**
+	 * Takes connections and begins to make them.
+	 * @internal
+	 */
+	async start(): Promise<void> {
+		const {clock, beatMs, entryVms} = this.#settings;
+		await this.#connector.listen({getObjection: peer => this.#getObjection(peer)}, connection => {
+			this.#addConnection(connection);
+		});
+		this.#timer = clock.setRepeatingTimer(() => {
+			this.#tick();
+		}, beatMs);
+		this.#subscription = entryVms?.subscribe({
+			next: listed => {
+				this.#membership.setListed(listed);
+			},
+			error: err => {
+				this.#settings.log?.error({err}, 'the stream of entry VMs failed');
+			},
+			complete: () => {
+				this.#subscription = undefined;
+			},
+		});
+		this.#membership.updateDialers();
+	}
+
+	#getObjection(peer: HandshakePeer): RejectReason | undefined {
+		return peer.kind === 'control' ? this.#links.getObjection(peer) : undefined;
+	}
+
+	#addConnection(connection: PeerConnection): void {
+		if (connection.peer.kind === 'job') {
+			this.#jobs.addConnection(connection);
+			return;
+		}
+
+		this.#links.addLink(connection, connection.peer.incarnation.id);
+	}
+
+	#isNear({incarnation}: MemberRecord): boolean {
+		return incarnation.dataCenter === this.#settings.self.dataCenter;
+	}
+
+	#tick(): void {
+		this.#notePause();
+		this.#sendBeats();
+		this.#jobs.tick();
+		// What came in during a busy turn is read before anybody is found silent.
+		setImmediate(() => {
+			this.#membership.evaluate();
+		});
+	}
+
+	#notePause(): void {
+		const {clock, beatMs, events, onPause} = this.#settings;
+		const now = clock.getMonotonicTime();
+		const gapMs = now - this.#lastTick;
+		this.#lastTick = now;
+		if (gapMs <= pauseBeats * beatMs) {
+			return;
+		}
+
+		this.#membership.restartSilence();
+		this.#jobs.restartSilence();
+		events.addEvent('process-paused', this.#settings.self.id, `${Math.round(gapMs)} ms`);
+		onPause(gapMs);
+	}
+
+	#sendBeats(): void {
+		const {beatMs, farBeatMs, getHeartbeat, self} = this.#settings;
+		this.#beat++;
+		const body = getHeartbeat();
+		const isFarDue = this.#beat % Math.max(Math.round(farBeatMs / beatMs), 1) === 0;
+		const farReports = this.#reports.getFreshReports().filter(({reporter, dataCenter}) =>
+			dataCenter !== self.dataCenter && this.#table.getRecord(reporter)?.getOpenLink());
+		const {configurationVersion, isLeaving} = body;
+		this.#links.sendBeats({body, ownReport: this.#reports.getOwnReport(this.#beat, {configurationVersion, isLeaving}), farReports}, isFarDue);
+	}
+}
+
+/**
+ * Creates the links of a process and starts to listen.
+ * @param options - Who this process is and how it reaches the others.
+ */
+export async function createPeerMesh(options: PeerMeshOptions): Promise<PeerMesh> {
+	const settings = resolvePeerMeshOptions(options);
+	const meter = new TrafficMeter();
+	const connector = new PeerConnector({
+		...settings,
+		meter,
+		timeoutMs: settings.connectTimeoutMs,
+		maxFrameBytes: {control: settings.maxControlFrameBytes, job: maxJobFrameBytes},
+	});
+	const mesh = new PeerMesh(settings, connector, meter);
+	await mesh.start();
+	return mesh;
+}
--- /dev/null
+++ b/src/connection/report-book.ts
@@ -0,0 +1,124 @@
+/**
+ * The views that processes of other data centres tell of their own data centre, and the view that this one tells.
+ */
+import {isDeepStrictEqual} from 'node:util';
+import {type Clock} from '../seams/index.js';
+import {type CompleteReport} from './control-link.js';
+import {type ReportedMember} from './control-messages.js';
+import {type MemberTable} from './member-table.js';
+import {type Incarnation, type MemberState} from './peer-network.js';
+
+/** Options of a {@link ReportBook}. */
+export type ReportBookOptions = {
+	readonly clock: Clock;
+	readonly self: Incarnation;
+	/** Gets the address that this process tells others. */
+	readonly getAddress: () => string;
+	readonly table: MemberTable;
+	/** Time after which a report that was not renewed counts for nothing. */
+	readonly freshMs: number;
+};
+
+type KeptReport = {
+	readonly report: CompleteReport;
+	readonly heard: number;
+};
+
+type OwnState = {
+	readonly isLeaving: boolean;
+	readonly configurationVersion: number;
+};
+
+/**
+ * Keeps the latest report of each reporter of another data centre and makes this process's own.
+ * @internal
+ */
+export class ReportBook {
+	readonly #options: ReportBookOptions;
+	readonly #reports = new Map<string, KeptReport>();
+	#ownMembers: readonly ReportedMember[] = [];
+	#ownKey = '';
+
+	constructor(options: ReportBookOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Gets this process's report of its own data centre; its members are the same array until they change.
+	 * @param beat - Number of the heartbeat.
+	 * @param own - What this process tells of itself.
+	 */
+	getOwnReport(beat: number, own: OwnState): CompleteReport {
+		const {self, table} = this.#options;
+		const key = `${table.getRevision()} ${own.configurationVersion} ${own.isLeaving}`;
+		if (key !== this.#ownKey) {
+			this.#ownKey = key;
+			const members = this.#createOwnMembers(own);
+			this.#ownMembers = isDeepStrictEqual(members, this.#ownMembers) ? this.#ownMembers : members;
+		}
+
+		return {
+			dataCenter: self.dataCenter, reporter: self.id, beat, members: this.#ownMembers,
+		};
+	}
+
+	/** Gets the reports that count. */
+	getFreshReports(): readonly CompleteReport[] {
+		const now = this.#options.clock.getMonotonicTime();
+		return [...this.#reports.values()].filter(({heard}) => now - heard <= this.#options.freshMs).map(({report}) => report);
+	}
+
+	/**
+	 * Gets the best state that a report that counts tells of an incarnation; `undefined` when none names it.
+	 * @param id - Identifier of the incarnation.
+	 */
+	getReportedState(id: string): MemberState | undefined {
+		const states = new Set(this.getFreshReports().flatMap(({members}) => members.filter(member => member.id === id).map(({state}) => state)));
+		return (['up', 'silent', 'down'] as const).find(state => states.has(state));
+	}
+
+	/**
+	 * Adds a report; false when it is no newer than the one kept.
+	 * @param report - Report to add.
+	 */
+	addReport(report: CompleteReport): boolean {
+		const known = this.#reports.get(report.reporter);
+		if (known && known.report.beat >= report.beat) {
+			return false;
+		}
+
+		this.#reports.set(report.reporter, {report, heard: this.#options.clock.getMonotonicTime()});
+		return true;
+	}
+
+	/** Counts all reports as just heard, after a pause of this process. */
+	refresh(): void {
+		const heard = this.#options.clock.getMonotonicTime();
+		for (const [reporter, {report}] of this.#reports) {
+			this.#reports.set(reporter, {report, heard});
+		}
+	}
+
+	/** Removes the reports that count for nothing. */
+	removeStale(): void {
+		const now = this.#options.clock.getMonotonicTime();
+		for (const [reporter, {heard}] of this.#reports) {
+			if (now - heard > this.#options.freshMs) {
+				this.#reports.delete(reporter);
+			}
+		}
+	}
+
+	#createOwnMembers(own: OwnState): readonly ReportedMember[] {
+		const {self, getAddress, table} = this.#options;
+		const local = table.getRecords().filter(({incarnation}) => incarnation.dataCenter === self.dataCenter);
+		return [
+			{
+				id: self.id, vm: self.vm, address: getAddress(), state: 'up', ...own,
+			},
+			...local.map(({incarnation, address: memberAddress, state, isLeaving, configurationVersion}): ReportedMember => ({
+				id: incarnation.id, vm: incarnation.vm, address: memberAddress, state, isLeaving, configurationVersion,
+			})),
+		];
+	}
+}
--- /dev/null
+++ b/src/connection/traffic.ts
@@ -0,0 +1,95 @@
+/**
+ * Counters of the bytes and messages on the links, kept by their ends.
+ */
+
+/** Bytes and messages of one kind of connection. */
+export type TrafficCounts = {
+	readonly bytesSent: number;
+	readonly bytesReceived: number;
+	readonly messagesSent: number;
+	readonly messagesReceived: number;
+};
+
+/** Why an end of a link closed it or refused a message. */
+export type LinkFault =
+	| 'garbage' | 'frame-too-long' | 'truncated' | 'handshake-timeout' | 'too-many-handshakes'
+	| 'wrong-key' | 'wrong-deployment' | 'wrong-protocol' | 'wrong-incarnation'
+	| 'duplicate-message' | 'duplicate-request' | 'buffer-full' | 'silent';
+
+/** Traffic of all links of one process. */
+export type PeerTraffic = {
+	readonly control: TrafficCounts;
+	readonly job: TrafficCounts;
+	/** Faults by their kind; those not seen yet are absent. */
+	readonly faults: Readonly<Partial<Record<LinkFault, number>>>;
+};
+
+/**
+ * Counts the traffic of one kind of connection.
+ * @internal
+ */
+export class TrafficCounter {
+	#bytesSent = 0;
+	#bytesReceived = 0;
+	#messagesSent = 0;
+	#messagesReceived = 0;
+
+	/**
+	 * Adds one message sent.
+	 * @param byteCount - Size of its frame.
+	 */
+	addSent(byteCount: number): void {
+		this.#bytesSent += byteCount;
+		this.#messagesSent++;
+	}
+
+	/**
+	 * Adds bytes received.
+	 * @param byteCount - Number of bytes.
+	 */
+	addBytesReceived(byteCount: number): void {
+		this.#bytesReceived += byteCount;
+	}
+
+	/** Adds one message received. */
+	addMessageReceived(): void {
+		this.#messagesReceived++;
+	}
+
+	/** Gets the counts. */
+	getCounts(): TrafficCounts {
+		return {
+			bytesSent: this.#bytesSent,
+			bytesReceived: this.#bytesReceived,
+			messagesSent: this.#messagesSent,
+			messagesReceived: this.#messagesReceived,
+		};
+	}
+}
+
+/**
+ * Counts the traffic and the faults of all links of one process.
+ * @internal
+ */
+export class TrafficMeter {
+	readonly control = new TrafficCounter();
+	readonly job = new TrafficCounter();
+	readonly #faults = new Map<LinkFault, number>();
+
+	/**
+	 * Adds a fault.
+	 * @param fault - Kind of the fault.
+	 */
+	addFault(fault: LinkFault): void {
+		this.#faults.set(fault, (this.#faults.get(fault) ?? 0) + 1);
+	}
+
+	/** Gets the traffic so far. */
+	getTraffic(): PeerTraffic {
+		return {
+			control: this.control.getCounts(),
+			job: this.job.getCounts(),
+			faults: Object.fromEntries(this.#faults),
+		};
+	}
+}
--- /dev/null
+++ b/src/process/current-value.ts
@@ -0,0 +1,99 @@
+/**
+ * A value that changes, as its present state and as a stream of the states that follow.
+ */
+import {type Scheduler, type Sink, Stream} from 'most';
+
+type Subscriber<T> = {
+	readonly sink: Sink<T>;
+	readonly scheduler: Scheduler;
+	hasFirst: boolean;
+};
+
+/** Holds a value and tells its subscribers of each new one. */
+export class CurrentValue<T> {
+	readonly #subscribers = new Set<Subscriber<T>>();
+	#value: T;
+	#isClosed = false;
+
+	constructor(value: T) {
+		this.#value = value;
+	}
+
+	/** Gets the present value. */
+	get(): T {
+		return this.#value;
+	}
+
+	/**
+	 * Sets the value and tells the subscribers; has no effect after `close`.
+	 * @param value - New value.
+	 */
+	set(value: T): void {
+		if (this.#isClosed) {
+			return;
+		}
+
+		this.#value = value;
+		for (const subscriber of this.#subscribers) {
+			if (subscriber.hasFirst) {
+				this.#emit(subscriber);
+			}
+		}
+	}
+
+	/** Gets a stream that starts with the present value at the time of subscription and ends with `close`. */
+	getStream(): Stream<T> {
+		return new Stream<T>({
+			run: (sink, scheduler) => this.#addSubscriber({sink, scheduler, hasFirst: false}),
+		});
+	}
+
+	/** Ends all streams; the last value stays readable. */
+	close(): void {
+		this.#isClosed = true;
+		for (const subscriber of this.#subscribers) {
+			if (subscriber.hasFirst) {
+				this.#end(subscriber);
+			}
+		}
+	}
+
+	#addSubscriber(subscriber: Subscriber<T>): {dispose: () => void} {
+		this.#subscribers.add(subscriber);
+		// A most source must not emit before `run` has returned.
+		queueMicrotask(() => {
+			this.#emitFirst(subscriber);
+		});
+		return {
+			dispose: () => {
+				this.#subscribers.delete(subscriber);
+			},
+		};
+	}
+
+	#emitFirst(subscriber: Subscriber<T>): void {
+		if (!this.#subscribers.has(subscriber)) {
+			return;
+		}
+
+		subscriber.hasFirst = true;
+		this.#emit(subscriber);
+		if (this.#isClosed) {
+			this.#end(subscriber);
+		}
+	}
+
+	#emit({sink, scheduler}: Subscriber<T>): void {
+		const time = scheduler.now();
+		try {
+			sink.event(time, this.#value);
+		} catch (err) {
+			sink.error(time, err as Error);
+		}
+	}
+
+	#end(subscriber: Subscriber<T>): void {
+		this.#subscribers.delete(subscriber);
+		subscriber.sink.end(subscriber.scheduler.now());
+	}
+}
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -8,7 +8,7 @@
 	| 'job-accepted' | 'job-refused' | 'job-joined' | 'job-ended' | 'job-cancelled' | 'job-forwarded'
 	| 'task-started' | 'task-ended' | 'task-retried'
 	| 'lease-asked' | 'lease-granted' | 'lease-returned' | 'lease-void'
-	| 'peer-up' | 'peer-silent' | 'peer-down' | 'owners-changed'
+	| 'peer-up' | 'peer-silent' | 'peer-down' | 'peer-rejected' | 'owners-changed'
 	| 'upstream-ejected' | 'upstream-probed' | 'upstream-restored' | 'upstream-leaving'
 	| 'records-handed-over' | 'records-taken-over'
 	| 'version-in-force' | 'platform-up' | 'platform-down' | 'process-paused' | 'process-stopping';
