--- a/src/process/index.ts
+++ b/src/process/index.ts
@@ -15,3 +15,4 @@
 export * from './operator-api.js';
 export * from './record-store.js';
 export * from './vm-list-follower.js';
+export * from './scheduler/index.js';
