Add the daemon settings and the tests of the upstream client

Cause: nothing may start on a wrong setting, and nothing showed that a request is sent at most once. Change: one table of settings read from flags and variables, faults named by both; a run of the daemon with signals and exit codes; raw TCP upstreams that refuse, fall silent, break off and answer wrongly. The settings have no test yet.

--- /dev/null
+++ b/src/daemon/index.ts
@@ -0,0 +1,2 @@
+export * from './run-daemon.js';
+export * from './settings.js';
--- /dev/null
+++ b/src/daemon/setting-conflicts.ts
@@ -0,0 +1,75 @@
+/**
+ * Checks of settings against each other.
+ */
+import {type SettingName, getFlag, getVariable} from './setting-table.js';
+import {type SettingValues} from './settings.js';
+
+const doors = ['caller', 'operator', 'peer'] as const;
+
+/**
+ * Finds settings that do not fit together; one line a fault.
+ * @param values - Values that were read.
+ */
+export function findConflicts(values: Partial<SettingValues>): readonly string[] {
+	return [
+		...findPeerKeyConflict(values),
+		...findWildcard(values),
+		...findSharedAddress(values),
+		...doors.flatMap(door => findTlsConflicts(values, door)),
+	];
+}
+
+function findPeerKeyConflict(values: Partial<SettingValues>): readonly string[] {
+	if (values.peerKey === undefined && values.peerKeyFile === undefined) {
+		return [`${nameAll('peerKey', 'peerKeyFile')}: one of them is required`];
+	}
+
+	if (values.peerKey !== undefined && values.peerKeyFile !== undefined) {
+		return [`${nameAll('peerKey', 'peerKeyFile')}: only one of them may be given`];
+	}
+
+	return [];
+}
+
+function findWildcard(values: Partial<SettingValues>): readonly string[] {
+	const isWildcard = values.peerAddress !== undefined && /^(?:0\.0\.0\.0|\[[0:]+\]):/v.test(values.peerAddress);
+	return isWildcard ? [`${nameAll('peerAddress')}: expected an address that peers can connect to, not a wildcard`] : [];
+}
+
+function findSharedAddress(values: Partial<SettingValues>): readonly string[] {
+	const names = ['callerAddress', 'operatorAddress', 'peerAddress'] as const;
+	const faults: string[] = [];
+	for (const [index, name] of names.entries()) {
+		const address = values[name];
+		const other = names.slice(0, index).find(earlier => values[earlier] === address);
+		if (address !== undefined && other !== undefined && !address.endsWith(':0')) {
+			faults.push(`${nameAll(other, name)}: must differ, both are ${address}`);
+		}
+	}
+
+	return faults;
+}
+
+function findTlsConflicts(values: Partial<SettingValues>, door: (typeof doors)[number]): readonly string[] {
+	const names = {cert: `${door}TlsCertFile`, key: `${door}TlsKeyFile`, ca: `${door}TlsCaFile`} as const;
+	const hasCert = values[names.cert] !== undefined;
+	const hasKey = values[names.key] !== undefined;
+	const hasCa = values[names.ca] !== undefined;
+	if (hasCert !== hasKey) {
+		return [`${nameAll(names.cert, names.key)}: both or none are required`];
+	}
+
+	if (hasCa && !hasCert) {
+		return [`${nameAll(names.ca)}: needs ${nameAll(names.cert, names.key)} as well`];
+	}
+
+	if (door === 'peer' && hasCert && !hasCa) {
+		return [`${nameAll(names.ca)}: required with TLS between peers`];
+	}
+
+	return [];
+}
+
+function nameAll(...names: readonly SettingName[]): string {
+	return names.map(name => `${getFlag(name)} (${getVariable(name)})`).join(', ');
+}
--- /dev/null
+++ b/src/daemon/setting-table.ts
@@ -0,0 +1,136 @@
+/**
+ * Every setting of the daemon, declared once: its type, default, unit and help.
+ */
+import {
+	type SettingSchema, addressListSetting, addressSetting, createChoiceSetting, createIntegerSetting, createSecretSetting,
+	fileSetting, nameSetting, urlListSetting,
+} from './setting-types.js';
+
+/** What a missing setting means. `required`: a fault. `optional`: `undefined`. `defaulted`: its default. */
+export type SettingPresence = 'required' | 'optional' | 'defaulted';
+
+/** One setting of the daemon. */
+export type SettingDefinition<T, Presence extends SettingPresence> = {
+	readonly schema: SettingSchema<T>;
+	readonly presence: Presence;
+	/** Default as text. */
+	readonly defaultText?: string;
+	/** Unit of the value. */
+	readonly unit?: string;
+	/** What stands for the value in the help. */
+	readonly placeholder: string;
+	readonly help: string;
+	/** Whether the value must not appear in logs, events or status. */
+	readonly isSecret?: boolean;
+};
+
+/** Any setting of the daemon. */
+export type AnySettingDefinition = SettingDefinition<unknown, SettingPresence>;
+
+type Details = {readonly help: string; readonly unit?: string; readonly isSecret?: boolean};
+
+/** Fewest characters of a secret. */
+export const minSecretLength = 16;
+
+const kibibyte = 1024;
+const mebibyte = 1024 * kibibyte;
+const maxBytes = 1024 * mebibyte;
+const maxMilliseconds = 86_400_000;
+
+/** The settings by name; flags and variables are derived from the names. */
+export const settingTable = {
+	deployment: required(nameSetting, 'name', {help: 'Name of the deployment'}),
+	dataCenter: required(nameSetting, 'name', {help: 'Data centre of this VM'}),
+	vm: required(nameSetting, 'name', {help: 'Name of this VM'}),
+	callerAddress: required(addressSetting, 'ip:port', {help: 'Address that callers connect to'}),
+	operatorAddress: required(addressSetting, 'ip:port', {help: 'Address that operators and health checks connect to'}),
+	peerAddress: required(addressSetting, 'ip:port', {help: 'Address that other entry VMs connect to; told to them, so no wildcard'}),
+	platformUrls: required(urlListSetting, 'url,…', {help: 'Addresses of the platform\'s key-value service'}),
+	peerSeeds: defaulted(addressListSetting, 'ip:port,…', '', {help: 'Peer addresses to try while the platform\'s list cannot be read'}),
+	peerKey: optional(createSecretSetting(minSecretLength), 'key', {help: 'Key shared by all entry VMs of the deployment; this or the file is required', isSecret: true}),
+	peerKeyFile: optional(fileSetting, 'file', {help: 'File that holds the peer key'}),
+	operatorTokenFile: optional(fileSetting, 'file', {help: 'File that holds the bearer token of operators'}),
+
+	callerTlsCertFile: optional(fileSetting, 'file', {help: 'Certificate chain of the caller address (PEM); turns TLS on'}),
+	callerTlsKeyFile: optional(fileSetting, 'file', {help: 'Private key of the caller address (PEM)'}),
+	callerTlsCaFile: optional(fileSetting, 'file', {help: 'Authorities of caller certificates (PEM); makes these required'}),
+	operatorTlsCertFile: optional(fileSetting, 'file', {help: 'Certificate chain of the operator address (PEM); turns TLS on'}),
+	operatorTlsKeyFile: optional(fileSetting, 'file', {help: 'Private key of the operator address (PEM)'}),
+	operatorTlsCaFile: optional(fileSetting, 'file', {help: 'Authorities of operator certificates (PEM); makes these required'}),
+	peerTlsCertFile: optional(fileSetting, 'file', {help: 'Certificate chain shown to peers (PEM); turns TLS on'}),
+	peerTlsKeyFile: optional(fileSetting, 'file', {help: 'Private key of the peer certificate (PEM)'}),
+	peerTlsCaFile: optional(fileSetting, 'file', {help: 'Authorities of peer certificates (PEM); required with peer TLS'}),
+
+	maxConnections: integer(10_000, 1, 1_000_000, {help: 'Most connections of callers'}),
+	maxHeaderBytes: integer(16 * kibibyte, kibibyte, mebibyte, {help: 'Longest head of a caller\'s request', unit: 'bytes'}),
+	maxBodyBytes: integer(8 * mebibyte, kibibyte, maxBytes, {help: 'Longest body of a caller\'s request', unit: 'bytes'}),
+	headTimeoutMs: integer(10_000, 1, maxMilliseconds, {help: 'Longest time that a caller may take over a request\'s head', unit: 'ms'}),
+	bodyTimeoutMs: integer(30_000, 1, maxMilliseconds, {help: 'Longest time that a caller may take over a whole request', unit: 'ms'}),
+	idleCallerMs: integer(65_000, 1, maxMilliseconds, {help: 'Idle time after which a caller\'s connection is closed', unit: 'ms'}),
+	maxJobsInFlight: integer(20_000, 1, 10_000_000, {help: 'Most jobs running or queued at this VM'}),
+	maxAnswerBytes: integer(4 * mebibyte, kibibyte, maxBytes, {help: 'Longest body of an upstream\'s answer', unit: 'bytes'}),
+	maxKeptAnswers: integer(200_000, 0, 100_000_000, {help: 'Most answers kept for callers that submit again'}),
+	maxKeptAnswerBytes: integer(64 * mebibyte, 0, 64 * maxBytes, {help: 'Memory for answers kept for callers that submit again', unit: 'bytes'}),
+	periodsKept: integer(10, 1, 1000, {help: 'Periods whose job records are kept'}),
+	periodSeconds: integer(60, 1, 86_400, {help: 'Length of a period of job records', unit: 's'}),
+	maxPeerFrameBytes: integer(16 * mebibyte, 64 * kibibyte, maxBytes, {help: 'Longest frame on a connection between entry VMs', unit: 'bytes'}),
+	connectTimeoutMs: integer(2000, 1, maxMilliseconds, {help: 'Longest time for making a connection to an upstream', unit: 'ms'}),
+	maxEvents: integer(20_000, 1, 10_000_000, {help: 'Events kept for the time line'}),
+
+	logLevel: {
+		schema: createChoiceSetting(['trace', 'debug', 'info', 'warn', 'error', 'fatal'] as const),
+		presence: 'defaulted',
+		defaultText: 'info',
+		placeholder: 'level',
+		help: 'Least level of log lines: trace, debug, info, warn, error or fatal',
+	},
+	stopTimeoutMs: integer(60_000, 0, maxMilliseconds, {help: 'Longest time of a graceful stop; running work is cut off after it', unit: 'ms'}),
+} as const satisfies Record<string, AnySettingDefinition>;
+
+/** Name of a setting. */
+export type SettingName = keyof typeof settingTable;
+
+/** Names of all settings in the order of the help. */
+export const settingNames = Object.keys(settingTable) as readonly SettingName[];
+
+/**
+ * Gets the flag of a setting.
+ * @param name - Name of the setting.
+ */
+export function getFlag(name: SettingName): string {
+	return `--${separateWords(name, '-')}`;
+}
+
+/**
+ * Gets the environment variable of a setting.
+ * @param name - Name of the setting.
+ */
+export function getVariable(name: SettingName): string {
+	return `ENDIVEMILL_${separateWords(name, '_').toUpperCase()}`;
+}
+
+function separateWords(name: string, separator: string): string {
+	return name.replaceAll(/[A-Z]/gv, letter => `${separator}${letter.toLowerCase()}`);
+}
+
+function required<T>(schema: SettingSchema<T>, placeholder: string, details: Details): SettingDefinition<T, 'required'> {
+	return {
+		schema, placeholder, presence: 'required', ...details,
+	};
+}
+
+function optional<T>(schema: SettingSchema<T>, placeholder: string, details: Details): SettingDefinition<T, 'optional'> {
+	return {
+		schema, placeholder, presence: 'optional', ...details,
+	};
+}
+
+function defaulted<T>(schema: SettingSchema<T>, placeholder: string, defaultText: string, details: Details): SettingDefinition<T, 'defaulted'> {
+	return {
+		schema, placeholder, defaultText, presence: 'defaulted', ...details,
+	};
+}
+
+function integer(defaultValue: number, min: number, max: number, details: Details): SettingDefinition<number, 'defaulted'> {
+	return defaulted(createIntegerSetting(min, max), 'number', String(defaultValue), details);
+}
