--- a/src/daemon/setting-conflicts.ts
+++ b/src/daemon/setting-conflicts.ts
@@ -9,22 +9,23 @@
 /**
  * Finds settings that do not fit together; one line a fault.
  * @param values - Values that were read.
+ * @param given - Settings that have a text, right or wrong.
  */
-export function findConflicts(values: Partial<SettingValues>): readonly string[] {
+export function findConflicts(values: Partial<SettingValues>, given: ReadonlySet<SettingName>): readonly string[] {
 	return [
-		...findPeerKeyConflict(values),
+		...findPeerKeyConflict(given),
 		...findWildcard(values),
 		...findSharedAddress(values),
-		...doors.flatMap(door => findTlsConflicts(values, door)),
+		...doors.flatMap(door => findTlsConflicts(given, door)),
 	];
 }
 
-function findPeerKeyConflict(values: Partial<SettingValues>): readonly string[] {
-	if (values.peerKey === undefined && values.peerKeyFile === undefined) {
+function findPeerKeyConflict(given: ReadonlySet<SettingName>): readonly string[] {
+	if (!given.has('peerKey') && !given.has('peerKeyFile')) {
 		return [`${nameAll('peerKey', 'peerKeyFile')}: one of them is required`];
 	}
 
-	if (values.peerKey !== undefined && values.peerKeyFile !== undefined) {
+	if (given.has('peerKey') && given.has('peerKeyFile')) {
 		return [`${nameAll('peerKey', 'peerKeyFile')}: only one of them may be given`];
 	}
 
@@ -50,11 +51,11 @@
 	return faults;
 }
 
-function findTlsConflicts(values: Partial<SettingValues>, door: (typeof doors)[number]): readonly string[] {
+function findTlsConflicts(given: ReadonlySet<SettingName>, door: (typeof doors)[number]): readonly string[] {
 	const names = {cert: `${door}TlsCertFile`, key: `${door}TlsKeyFile`, ca: `${door}TlsCaFile`} as const;
-	const hasCert = values[names.cert] !== undefined;
-	const hasKey = values[names.key] !== undefined;
-	const hasCa = values[names.ca] !== undefined;
+	const hasCert = given.has(names.cert);
+	const hasKey = given.has(names.key);
+	const hasCa = given.has(names.ca);
 	if (hasCert !== hasKey) {
 		return [`${nameAll(names.cert, names.key)}: both or none are required`];
 	}
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -75,7 +75,7 @@
 	const texts = mergeTexts(command.opts<SettingTexts>(), env);
 	const values = readValues(texts, faults);
 	const settings = addSecrets(values, faults, options.readFile ?? readTextFile);
-	faults.push(...findConflicts(values));
+	faults.push(...findConflicts(values, new Set(settingNames.filter(name => texts[name] !== undefined))));
 	return faults.length > 0 ? {ok: false, kind: 'faults', faults} : {ok: true, settings: settings as Settings};
 }
 
--- a/src/request/upstream-request-rules.ts
+++ b/src/request/upstream-request-rules.ts
@@ -81,7 +81,7 @@
 		return {ok: false, detail: fault};
 	}
 
-	const reserved = headers.find(([name]) => isConnectionHeader(name.toLowerCase()));
+	const reserved = headers.find(([name]) => isConnectionHeader(canonicalizeName(name)));
 	return reserved === undefined ? ok : {ok: false, detail: `header ${reserved[0]} belongs to the connection`};
 }
 
@@ -105,13 +105,18 @@
 function filterHeaders(headers: HeaderList): HeaderList {
 	const named = getNamedByConnection(headers);
 	return headers.filter(([name]) => {
-		const lowerCaseName = name.toLowerCase();
-		return !isConnectionHeader(lowerCaseName) && !lowerCaseName.startsWith('endivemill-') && !named?.has(lowerCaseName);
+		const canonicalName = canonicalizeName(name);
+		return !isConnectionHeader(canonicalName) && !canonicalName.startsWith('endivemill-') && !named?.has(canonicalName);
 	});
 }
 
-function isConnectionHeader(lowerCaseName: string): boolean {
-	return connectionHeaders.has(lowerCaseName) || lowerCaseName.startsWith('proxy-');
+/** Some servers take an underscore for a hyphen, so that both spellings count as one name. */
+function canonicalizeName(name: string): string {
+	return name.toLowerCase().replaceAll('_', '-');
+}
+
+function isConnectionHeader(canonicalName: string): boolean {
+	return connectionHeaders.has(canonicalName) || canonicalName.startsWith('proxy-');
 }
 
 function getNamedByConnection(headers: HeaderList): ReadonlySet<string> | undefined {
@@ -123,7 +128,7 @@
 
 		named ??= new Set();
 		for (const token of value.split(',')) {
-			named.add(token.trim().toLowerCase());
+			named.add(canonicalizeName(token.trim()));
 		}
 	}
 
--- /dev/null
+++ b/test/daemon/settings.test.ts
@@ -0,0 +1,140 @@
+import test from 'ava';
+import {type Settings, getPrintableSettings, parseSettings} from '../../src/daemon/index.js';
+import {
+	getFlag, getVariable, settingNames, settingTable,
+} from '../../src/daemon/setting-table.js';
+
+const peerKey = 'a-peer-key-of-24-letters';
+const neededFlags = [
+	'--deployment',
+	'sangha',
+	'--data-center',
+	'kolkata',
+	'--vm',
+	'entry-1',
+	'--caller-address',
+	'10.0.0.1:7300',
+	'--operator-address',
+	'10.0.0.1:7301',
+	'--peer-address',
+	'10.0.0.1:7302',
+	'--platform-urls',
+	'http://10.0.0.9:2379',
+];
+const goodFlags = [...neededFlags, '--peer-key', peerKey];
+
+function parseGood(argv: readonly string[], env: Record<string, string> = {}): Settings {
+	const result = parseSettings(argv, env);
+	if (!result.ok) {
+		throw new Error(JSON.stringify(result));
+	}
+
+	return result.settings;
+}
+
+function getFaults(argv: readonly string[], env: Record<string, string> = {}, readFile?: (path: string) => string): readonly string[] {
+	const result = parseSettings(argv, env, {readFile});
+	return !result.ok && result.kind === 'faults' ? result.faults : [];
+}
+
+test('defaults fill what is not given', t => {
+	const settings = parseGood(goodFlags);
+	t.is(settings.maxBodyBytes, 8 * 1024 * 1024);
+	t.is(settings.logLevel, 'info');
+	t.deepEqual(settings.peerSeeds, []);
+	t.is(settings.operatorTokenFile, undefined);
+});
+
+test('every setting can be given by its variable, and its flag goes first', t => {
+	const env: Record<string, string> = {[getVariable('maxBodyBytes')]: '2048', [getVariable('peerSeeds')]: '10.0.0.2:1, [::1]:2', [getVariable('logLevel')]: ''};
+	for (const [index, flag] of goodFlags.entries()) {
+		if (index % 2 === 0) {
+			env[`ENDIVEMILL_${flag.slice(2).replaceAll('-', '_').toUpperCase()}`] = goodFlags[index + 1]!;
+		}
+	}
+
+	const fromVariables = parseGood([], env);
+	t.like(fromVariables, {
+		dataCenter: 'kolkata', maxBodyBytes: 2048, peerSeeds: ['10.0.0.2:1', '[::1]:2'], logLevel: 'info', peerKey,
+	});
+	t.is(parseGood(['--max-body-bytes=4096', '--vm', 'entry-2'], env).maxBodyBytes, 4096);
+	t.is(parseGood(['--vm', 'entry-2'], env).vm, 'entry-2');
+});
+
+test('each fault has a line that names flag and variable', t => {
+	t.deepEqual(getFaults([]).map(line => line.split(':')[0]), [
+		'--deployment (ENDIVEMILL_DEPLOYMENT)',
+		'--data-center (ENDIVEMILL_DATA_CENTER)',
+		'--vm (ENDIVEMILL_VM)',
+		'--caller-address (ENDIVEMILL_CALLER_ADDRESS)',
+		'--operator-address (ENDIVEMILL_OPERATOR_ADDRESS)',
+		'--peer-address (ENDIVEMILL_PEER_ADDRESS)',
+		'--platform-urls (ENDIVEMILL_PLATFORM_URLS)',
+		'--peer-key (ENDIVEMILL_PEER_KEY), --peer-key-file (ENDIVEMILL_PEER_KEY_FILE)',
+	]);
+	const wrong: ReadonlyArray<readonly [flag: string, value: string]> = [
+		['--deployment', 'UPPER'],
+		['--caller-address', 'localhost:80'],
+		['--caller-address', '10.0.0.1:65536'],
+		['--caller-address', '[10.0.0.1]:80'],
+		['--platform-urls', 'ftp://a'],
+		['--platform-urls', 'http://user:word@a'],
+		['--max-body-bytes', '1e9'],
+		['--max-body-bytes', '-1'],
+		['--max-connections', '0'],
+		['--log-level', 'loud'],
+		['--peer-seeds', '10.0.0.1'],
+	];
+	for (const [flag, value] of wrong) {
+		const [line, ...others] = getFaults([...goodFlags, `${flag}=${value}`]);
+		t.regex(line ?? '', new RegExp(`^${flag} \\(ENDIVEMILL_[A-Z_]+\\): expected .*, got `, 'v'));
+		t.true(line?.endsWith(JSON.stringify(value)));
+		t.deepEqual(others, []);
+	}
+
+	t.deepEqual(getFaults([...goodFlags, '--max-bodybytes=1', '--speed', '9']), ['--max-bodybytes: unknown flag', '--speed: unknown flag']);
+	t.deepEqual(getFaults([...goodFlags, 'word']), ['expected flags only, got a further argument']);
+	t.is(getFaults([...goodFlags, '--vm']).length, 1);
+});
+
+test('settings that do not fit together are faults', t => {
+	const cases: ReadonlyArray<readonly [flags: readonly string[], pattern: RegExp]> = [
+		[['--peer-address', '0.0.0.0:7302'], /peer-address.*wildcard/v],
+		[['--peer-address', '10.0.0.1:7300'], /caller-address.*peer-address.*must differ/v],
+		[['--caller-tls-cert-file', 'a'], /caller-tls-cert-file.*caller-tls-key-file.*both or none/v],
+		[['--operator-tls-ca-file', 'a'], /operator-tls-ca-file.*needs/v],
+		[['--peer-tls-cert-file', 'a', '--peer-tls-key-file', 'b'], /peer-tls-ca-file.*required/v],
+	];
+	for (const [flags, pattern] of cases) {
+		const faults = getFaults([...goodFlags, ...flags]);
+		t.is(faults.length, 1);
+		t.regex(faults[0] ?? '', pattern);
+	}
+});
+
+test('secrets come from files, and a wrong one is not repeated', t => {
+	const argv = [...neededFlags, '--peer-key-file', '/key', '--operator-token-file', '/token'];
+	const result = parseSettings(argv, {}, {readFile: path => `secret-of-${path}-and-more\n`});
+	t.true(result.ok && result.settings.peerKey === 'secret-of-/key-and-more' && result.settings.operatorToken === 'secret-of-/token-and-more');
+	t.is(getFaults([...argv, '--peer-key', peerKey], {}, () => peerKey).length, 1);
+	t.deepEqual(getFaults(argv, {}, () => 'short').map(line => line.includes('short')), [false, false]);
+	t.deepEqual(getFaults([...neededFlags, '--peer-key', 'brief']), ['--peer-key (ENDIVEMILL_PEER_KEY): expected at least 16 characters']);
+	const unreadable = getFaults([...neededFlags, '--peer-key-file', '/does/not/exist']);
+	t.true(unreadable[0]?.startsWith('--peer-key-file (ENDIVEMILL_PEER_KEY_FILE): ENOENT'));
+	const printable = JSON.stringify(getPrintableSettings(parseGood(goodFlags)));
+	t.false(printable.includes(peerKey));
+	t.true(printable.includes('10.0.0.9:2379'));
+});
+
+test('the help names every flag and variable with its default and unit', t => {
+	const result = parseSettings(['--help'], {}, {version: '1.2.3'});
+	const help = !result.ok && result.kind === 'text' ? result.text.replaceAll(/\s+/gv, ' ') : '';
+	for (const name of settingNames) {
+		t.true(help.includes(`${getFlag(name)} <`));
+		t.true(help.includes(getVariable(name)));
+	}
+
+	t.true(help.includes('(unit: bytes; default: 8388608; ENDIVEMILL_MAX_BODY_BYTES)'));
+	t.is(settingTable.periodSeconds.unit, 's');
+	t.deepEqual(parseSettings(['--version'], {}, {version: '1.2.3'}), {ok: false, kind: 'text', text: '1.2.3\n'});
+});
