Add the upstream stand-in and the history checker

Cause: no test could tell how often a task ran, nor whether a concurrent run kept the promises. Change: an upstream stand-in that runs, fails and records tasks; the record types of a run; a checker that names each broken promise, with a naive twin.

--- /dev/null
+++ b/src/testing/index.ts
@@ -0,0 +1,5 @@
+export * from './history.js';
+export * from './history-checker.js';
+export * from './upstream-faults.js';
+export * from './upstream-record.js';
+export * from './upstream-stand-in.js';
--- /dev/null
+++ b/test/testing/naive-history-checker.ts
@@ -0,0 +1,141 @@
+/**
+ * The promises written down once more, each as a search over all records; only to compare the checker against.
+ */
+import {
+	type AnswerRecord, type HistoryRecord, type HistoryRule, type StartRecord, type SubmitRecord,
+} from '../../src/testing/index.js';
+
+/** Gets the broken promises as `rule subject`, without repeats and sorted. */
+export function checkHistoryNaively(unsorted: readonly HistoryRecord[], leavingBoundMs: number): readonly string[] {
+	const records = unsorted.toSorted((left, right) => left.time - right.time);
+	const found = new Set<string>();
+	const add = (rule: HistoryRule, subject: number | string): void => {
+		found.add(`${rule} ${subject}`);
+	};
+
+	for (const submit of getSubmits(records)) {
+		checkSameAnswer(records, submit, add);
+		checkAnswer(records, submit, add);
+		checkEnd(records, submit, add);
+	}
+
+	for (const start of records.filter(record => record.kind === 'start')) {
+		checkStart(records, start, leavingBoundMs, add);
+	}
+
+	const versions = records.filter(record => record.kind === 'version');
+	for (const [index, version] of versions.entries()) {
+		const earlier = versions.slice(0, index).findLast(other => other.vm === version.vm);
+		if (earlier !== undefined && earlier.version > version.version) {
+			add('version-fell', version.vm);
+		}
+	}
+
+	return [...found].toSorted();
+}
+
+type Add = (rule: HistoryRule, subject: number | string) => void;
+
+function getSubmits(records: readonly HistoryRecord[], request?: string): readonly SubmitRecord[] {
+	return records.filter(record => record.kind === 'submit').filter(record => request === undefined || record.request === request);
+}
+
+function getAnswer(records: readonly HistoryRecord[], submit: SubmitRecord): AnswerRecord | undefined {
+	return records.filter(record => record.kind === 'answer').findLast(answer => answer.call === submit.call);
+}
+
+function isNotKept(answer: AnswerRecord): boolean {
+	return answer.problemType.endsWith('answer-not-kept');
+}
+
+function getRan(records: readonly HistoryRecord[], request: string): readonly AnswerRecord[] {
+	return getSubmits(records, request)
+		.map(submit => getAnswer(records, submit))
+		.filter(answer => answer !== undefined)
+		.filter(answer => answer.outcome === 'complete' || (answer.outcome === 'failed' && !isNotKept(answer)));
+}
+
+function getNextAttemptTime(records: readonly HistoryRecord[], submit: SubmitRecord): number {
+	return getSubmits(records, submit.request).find(other => other.attempt > submit.attempt)?.time ?? Number.POSITIVE_INFINITY;
+}
+
+function isDisrupted(records: readonly HistoryRecord[], time: number, vm?: string): boolean {
+	return records.some(record => record.kind === 'disruption' && record.time <= time && (vm === undefined || record.vm === vm));
+}
+
+function checkStart(records: readonly HistoryRecord[], start: StartRecord, leavingBoundMs: number, add: Add): void {
+	const starts = records.filter(record => record.kind === 'start').filter(other => other.task === start.task);
+	const owner = getSubmits(records).find(submit => submit.tasks.includes(start.task));
+	if (owner === undefined || starts.some(other => other.time < owner.time)) {
+		add('started-unasked', start.task);
+	}
+
+	if (owner !== undefined && !owner.isIdempotent && starts.length > 1) {
+		add(owner.form === 'job' ? 'task-started-twice' : 'non-idempotent-ran-twice', start.task);
+	}
+
+	const marks = records.slice(0, records.indexOf(start))
+		.filter(record => record.kind === 'leaving')
+		.filter(record => record.upstream === start.upstream);
+	const mark = marks[marks.findLastIndex(record => !record.isLeaving) + 1];
+	if (mark !== undefined && start.time > mark.time + leavingBoundMs) {
+		add('started-on-leaving', start.task);
+	}
+}
+
+function checkSameAnswer(records: readonly HistoryRecord[], submit: SubmitRecord, add: Add): void {
+	const ran = getRan(records, submit.request);
+	const isSame = ran.every(one => ran.every(other =>
+		one.outcome === other.outcome && (one.outcome === 'failed' || one.hash === other.hash)));
+	if (!isSame) {
+		add('answer-changed', submit.request);
+	}
+
+	if (getAnswer(records, submit)?.outcome !== 'not_run') {
+		return;
+	}
+
+	const next = getNextAttemptTime(records, submit);
+	for (const record of records) {
+		if (record.kind === 'start' && record.time < next && submit.tasks.includes(record.task)) {
+			add('started-after-not-run', record.task);
+		}
+	}
+
+	if (ran.some(answer => answer.time < next)) {
+		add('answer-changed', submit.request);
+	}
+}
+
+function checkAnswer(records: readonly HistoryRecord[], submit: SubmitRecord, add: Add): void {
+	const answer = getAnswer(records, submit);
+	if (answer?.outcome === 'complete' && answer.echoes.length !== submit.tasks.length) {
+		add('answer-not-whole', submit.call);
+	} else if (answer?.outcome === 'complete' && answer.echoes.some((echo, index) => echo !== submit.tasks[index])) {
+		add('answer-not-own', submit.call);
+	}
+
+	if (answer?.outcome === 'unknown' && !isNotKept(answer) && !isDisrupted(records, answer.time)) {
+		add('unknown-without-cause', submit.call);
+	}
+}
+
+function checkEnd(records: readonly HistoryRecord[], submit: SubmitRecord, add: Add): void {
+	if (getSubmits(records, submit.request).every(other => getAnswer(records, other) === undefined)) {
+		add('no-answer', submit.request);
+	}
+
+	const end = records.filter(record => record.kind === 'no-answer').findLast(record => record.call === submit.call);
+	if (end === undefined) {
+		if (getAnswer(records, submit) === undefined) {
+			add('call-hung', submit.call);
+		}
+
+		return;
+	}
+
+	const isStopping = records.some(record => record.kind === 'stop-began' && record.vm === submit.vm && record.time <= end.time);
+	if (end.reason === 'cut' && isStopping && !isDisrupted(records, end.time, submit.vm)) {
+		add('stop-cut-request', submit.call);
+	}
+}
