Add the caller, the load generator and the lab's command line

Cause: nothing submitted work the way a careful caller does, nor measured what callers see. Change: a caller that keeps its id while it does not know and raises the attempt only after not_run; an open-loop load with a seeded mix; endivemill-lab upstream and load.

--- /dev/null
+++ b/src/lab/caller.ts
@@ -0,0 +1,255 @@
+/**
+ * A caller that does resubmission right: it keeps the id while it does not know, and raises the attempt only after it was
+ * told that nothing ran.
+ */
+import {
+	type Clock, type Random, sleep, systemClock, systemRandom,
+} from '../seams/index.js';
+import {
+	type CallAnswer, type CallerJob, type CallerJobId, type CallerRequest, type CallResult,
+} from './call.js';
+import {EntryVmClient} from './entry-vm-client.js';
+
+/** A call as an observer sees it. */
+export type ObservedCall = {
+	/** What the caller wants done once; the same for every call that submits it again. */
+	readonly request: string;
+	/** Rises with every `not_run` that the caller was told. */
+	readonly attempt: number;
+	readonly address: string;
+};
+
+/** Hears of every call that a caller makes. */
+export type CallObserver = {
+	/** Called before the call is sent. */
+	readonly submitted: (call: ObservedCall) => void;
+	/** Called when the call has ended. */
+	readonly ended: (call: ObservedCall, result: CallResult) => void;
+};
+
+/** Options of a {@link Caller}. */
+export type CallerOptions = {
+	/** Callers' addresses of the entry VMs, tried in turn. */
+	readonly addresses: readonly string[];
+	readonly clock?: Clock;
+	readonly random?: Random;
+	readonly observer?: CallObserver;
+	/** Wait before a call is made again when the answer names none. */
+	readonly retryDelayMs?: number;
+	/** Calls made for one request, those that found no entry VM included. */
+	readonly maxCalls?: number;
+};
+
+/** Options of one request. */
+export type SubmitOptions = {
+	/** Id of the request; by default a new one. */
+	readonly id?: CallerJobId;
+	/** Highest attempt; a request refused at this one stays refused. */
+	readonly maxAttempts?: number;
+	/** Times after the first call at which the request is submitted again through another entry VM. */
+	readonly resubmitAfterMs?: readonly number[];
+	/** Ends the request; running calls are given up. */
+	readonly signal?: AbortSignal;
+};
+
+/** How a request ended for its caller. */
+export type SubmitResult = {
+	readonly key: string;
+	/** Id that the last call was made under; absent when no entry VM gave a coordinator. */
+	readonly id?: CallerJobId;
+	readonly calls: number;
+	readonly attempts: number;
+	/** The last answer; absent when no call got one. */
+	readonly answer?: CallAnswer;
+};
+
+/** One request on its way. @internal */
+type Submission = {
+	readonly key: string;
+	readonly send: (address: string, id: CallerJobId, attempt: number) => Promise<CallResult>;
+	readonly options: SubmitOptions;
+	/** Number of the attempt as observers see it, whatever id it is made under. */
+	attempt: number;
+	calls: number;
+};
+
+const keyBytes = 12;
+const defaultRetryDelayMs = 50;
+const defaultMaxCalls = 40;
+const defaultMaxAttempts = 5;
+const maxRetryDelayMs = 5000;
+
+/** Submits requests to the entry VMs until each is answered. */
+export class Caller {
+	readonly #client = new EntryVmClient();
+	readonly #clock: Clock;
+	readonly #random: Random;
+	readonly #observer: CallObserver | undefined;
+	readonly #retryDelayMs: number;
+	readonly #maxCalls: number;
+	#addresses: readonly string[];
+	#nextAddress = 0;
+	#calls = 0;
+	#coordinator: string | undefined;
+
+	constructor(options: CallerOptions) {
+		this.#addresses = options.addresses;
+		this.#clock = options.clock ?? systemClock;
+		this.#random = options.random ?? systemRandom;
+		this.#observer = options.observer;
+		this.#retryDelayMs = options.retryDelayMs ?? defaultRetryDelayMs;
+		this.#maxCalls = options.maxCalls ?? defaultMaxCalls;
+	}
+
+	/** Gets the coordinator token of the last answer, or asks for one; `undefined` when no entry VM answers. */
+	async getCoordinator(): Promise<string | undefined> {
+		for (let tries = 0; this.#coordinator === undefined && tries < this.#addresses.length; tries++) {
+			this.#coordinator = await this.#client.getCoordinator(this.getNextAddress());
+		}
+
+		return this.#coordinator;
+	}
+
+	/**
+	 * Creates an id under the coordinator of the last answer; `undefined` when no entry VM answers.
+	 * @param key - Key of the request; by default a random one.
+	 */
+	async createId(key: string = this.#random.getHex(keyBytes)): Promise<CallerJobId | undefined> {
+		const coordinator = await this.getCoordinator();
+		return coordinator === undefined ? undefined : {coordinator, key};
+	}
+
+	/** Gets the entry VM that is next in turn. */
+	getNextAddress(): string {
+		const address = this.#addresses[this.#nextAddress % this.#addresses.length]!;
+		this.#nextAddress++;
+		return address;
+	}
+
+	/**
+	 * Sets the entry VMs that calls go to, as a balancer does when one is replaced.
+	 * @param addresses - Callers' addresses, tried in turn.
+	 */
+	setAddresses(addresses: readonly string[]): void {
+		this.#addresses = addresses;
+	}
+
+	/** Gets the number of calls made. */
+	getCallCount(): number {
+		return this.#calls;
+	}
+
+	/**
+	 * Submits a job and gets its answer.
+	 * @param job - Job to run.
+	 * @param options - Key, resubmissions and limits.
+	 */
+	async submitJob(job: CallerJob, options: SubmitOptions = {}): Promise<SubmitResult> {
+		return this.#submit(options, async (address, id, attempt) =>
+			this.#client.submitJob(address, id, job, {attempt, signal: options.signal}));
+	}
+
+	/**
+	 * Sends one plain request under an idempotency key and gets its answer.
+	 * @param req - Request to send.
+	 * @param options - Key, resubmissions and limits.
+	 */
+	async sendRequest(req: CallerRequest, options: SubmitOptions = {}): Promise<SubmitResult> {
+		return this.#submit(options, async (address, id, attempt) =>
+			this.#client.sendRequest(address, req, id, {attempt, signal: options.signal}));
+	}
+
+	/**
+	 * Cancels a job through the entry VM that is next in turn.
+	 * @param id - Id of the job.
+	 */
+	async cancelJob(id: CallerJobId): Promise<boolean> {
+		return this.#client.cancelJob(this.getNextAddress(), id);
+	}
+
+	/** Closes all connections. */
+	async close(): Promise<void> {
+		await this.#client.close();
+	}
+
+	async #submit(options: SubmitOptions, send: Submission['send']): Promise<SubmitResult> {
+		const key = options.id?.key ?? this.#random.getHex(keyBytes);
+		const submission: Submission = {
+			key, send, options, attempt: 1, calls: 0,
+		};
+		let {id} = options;
+		let idAttempt = 1;
+		let answer: CallAnswer | undefined;
+		while (submission.calls < this.#maxCalls && !options.signal?.aborted) {
+			id ??= await this.createId(key);
+			if (id === undefined) {
+				submission.calls++;
+				await this.#wait(this.#retryDelayMs, options);
+				continue;
+			}
+
+			const results = await this.#callAll(submission, id, idAttempt);
+			answer = getBestAnswer(results) ?? answer;
+			if (answer !== undefined && !isWorthAnotherAttempt(answer, submission)) {
+				break;
+			}
+
+			if (answer?.outcome === 'not_run') {
+				submission.attempt++;
+				// Nothing ran under the earlier id, so a new id under another coordinator is as safe as a higher attempt.
+				const hasMoved = this.#coordinator !== undefined && this.#coordinator !== id.coordinator;
+				idAttempt = hasMoved ? 1 : idAttempt + 1;
+				id = hasMoved ? undefined : id;
+			}
+
+			await this.#wait(answer?.retryAfterMs ?? this.#retryDelayMs, options);
+			answer = undefined;
+		}
+
+		return {
+			key, id, calls: submission.calls, attempts: submission.attempt, answer,
+		};
+	}
+
+	/** Makes the first call and the resubmissions that are due before it is answered, and waits for all of them. */
+	async #callAll(submission: Submission, id: CallerJobId, idAttempt: number): Promise<readonly CallResult[]> {
+		const first = this.#callOnce(submission, id, idAttempt);
+		const resubmitAfterMs = submission.attempt === 1 && submission.calls === 1 ? submission.options.resubmitAfterMs ?? [] : [];
+		const others = resubmitAfterMs.map(async delayMs => {
+			await sleep(this.#clock, delayMs, submission.options.signal);
+			return this.#callOnce(submission, id, idAttempt);
+		});
+		return Promise.all([first, ...others]);
+	}
+
+	async #callOnce(submission: Submission, id: CallerJobId, idAttempt: number): Promise<CallResult> {
+		const call: ObservedCall = {
+			request: submission.key, attempt: submission.attempt, address: this.getNextAddress(),
+		};
+		this.#calls++;
+		submission.calls++;
+		this.#observer?.submitted(call);
+		const result = await submission.send(call.address, id, idAttempt);
+		this.#coordinator = result.kind === 'answered' ? result.coordinator ?? this.#coordinator : undefined;
+		this.#observer?.ended(call, result);
+		return result;
+	}
+
+	async #wait(delayMs: number, options: SubmitOptions): Promise<void> {
+		await sleep(this.#clock, Math.min(delayMs, maxRetryDelayMs), options.signal);
+	}
+}
+
+/** A caller's mistake stays one; only a refusal that may pass is worth another attempt. */
+function isWorthAnotherAttempt({outcome, retryAfterMs, status}: CallAnswer, {attempt, options}: Submission): boolean {
+	const mayPass = retryAfterMs !== undefined || status >= 500;
+	return outcome === 'not_run' && mayPass && attempt < (options.maxAttempts ?? defaultMaxAttempts);
+}
+
+const outcomeOrder: ReadonlyArray<CallAnswer['outcome']> = ['complete', 'failed', 'not_run', 'unknown'];
+
+/** Gets the answer that says most. */
+function getBestAnswer(results: readonly CallResult[]): CallAnswer | undefined {
+	const answers = results.filter(result => result.kind === 'answered');
+	return answers.toSorted((left, right) => outcomeOrder.indexOf(left.outcome) - outcomeOrder.indexOf(right.outcome))[0];
+}
--- /dev/null
+++ b/src/lab/entry-vm-client.ts
@@ -0,0 +1,237 @@
+/**
+ * Single calls to the callers' interface of an entry VM.
+ */
+import {createHash} from 'node:crypto';
+import {Agent, type Dispatcher} from 'undici';
+import {z} from 'zod';
+import {
+	type CallAnswer, type CallerJob, type CallerJobId, type CallerRequest, type CallFault, type CallResult,
+} from './call.js';
+
+/** Options of one call. */
+export type CallOptions = {
+	/** Attempt that the call belongs to; raised on purpose after `not_run`. */
+	readonly attempt?: number;
+	/** Gives the call up. */
+	readonly signal?: AbortSignal;
+};
+
+const coordinatorHeader = 'endivemill-coordinator';
+const attemptHeader = 'endivemill-attempt';
+const idempotentHeader = 'endivemill-idempotent';
+const problemContentType = 'application/problem+json';
+const refusedCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
+const connectTimeoutMs = 2000;
+
+const completeSchema = z.object({
+	outcome: z.literal('complete'),
+	tasks: z.array(z.object({status: z.number(), body: z.string()})),
+});
+
+const problemSchema = z.object({
+	outcome: z.enum(['not_run', 'failed', 'unknown']),
+	type: z.string().default(''),
+	detail: z.string().default(''),
+});
+
+const coordinatorSchema = z.object({coordinator: z.string()});
+
+/** A whole HTTP answer. @internal */
+type RawAnswer = {
+	readonly status: number;
+	readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+	readonly body: string;
+};
+
+/** Sends single calls to entry VMs and reads their answers; tries nothing again. */
+export class EntryVmClient {
+	readonly #agent = new Agent({
+		connect: {timeout: connectTimeoutMs},
+		headersTimeout: 0,
+		bodyTimeout: 0,
+	});
+
+	/**
+	 * Gets the coordinator token of an entry VM; `undefined` when there is no answer.
+	 * @param address - Callers' address of the entry VM.
+	 * @param signal - Gives the call up.
+	 */
+	async getCoordinator(address: string, signal?: AbortSignal): Promise<string | undefined> {
+		const raw = await this.#send(address, {method: 'GET', path: '/v1/coordinator', signal});
+		return 'kind' in raw ? undefined : coordinatorSchema.safeParse(parseJson(raw.body)).data?.coordinator;
+	}
+
+	/**
+	 * Submits a job under an id, or submits it again.
+	 * @param address - Callers' address of the entry VM.
+	 * @param id - Id of the job.
+	 * @param job - Job to run.
+	 * @param options - Attempt and signal.
+	 */
+	async submitJob(address: string, id: CallerJobId, job: CallerJob, options: CallOptions = {}): Promise<CallResult> {
+		return this.#call(address, {
+			method: 'PUT',
+			path: getJobPath(id),
+			body: JSON.stringify(job),
+			headers: {'content-type': 'application/json', ...getAttemptHeaders(options)},
+			signal: options.signal,
+		});
+	}
+
+	/**
+	 * Submits a job that is never submitted again.
+	 * @param address - Callers' address of the entry VM.
+	 * @param job - Job to run.
+	 * @param options - Attempt and signal.
+	 */
+	async postJob(address: string, job: CallerJob, options: CallOptions = {}): Promise<CallResult> {
+		return this.#call(address, {
+			method: 'POST',
+			path: '/v1/jobs',
+			body: JSON.stringify(job),
+			headers: {'content-type': 'application/json'},
+			signal: options.signal,
+		});
+	}
+
+	/**
+	 * Gets the answer of a job, or the state that it is in, as the entry VM sends it.
+	 * @param address - Callers' address of the entry VM.
+	 * @param id - Id of the job.
+	 * @param signal - Gives the call up.
+	 */
+	async getJob(address: string, id: CallerJobId, signal?: AbortSignal): Promise<CallResult> {
+		return this.#call(address, {method: 'GET', path: getJobPath(id), signal});
+	}
+
+	/**
+	 * Cancels a job; true when the entry VM took the cancellation.
+	 * @param address - Callers' address of the entry VM.
+	 * @param id - Id of the job.
+	 * @param signal - Gives the call up.
+	 */
+	async cancelJob(address: string, id: CallerJobId, signal?: AbortSignal): Promise<boolean> {
+		const raw = await this.#send(address, {method: 'DELETE', path: getJobPath(id), signal});
+		return !('kind' in raw) && raw.status < 400;
+	}
+
+	/**
+	 * Sends one plain request.
+	 * @param address - Callers' address of the entry VM.
+	 * @param req - Request to send.
+	 * @param id - Idempotency key; absent when the request is never sent again.
+	 * @param options - Attempt and signal.
+	 */
+	async sendRequest(address: string, req: CallerRequest, id?: CallerJobId, options: CallOptions = {}): Promise<CallResult> {
+		const raw = await this.#send(address, {
+			method: req.method,
+			path: `/v1/services/${req.service}${req.path}`,
+			body: req.body,
+			headers: {
+				...req.headers,
+				...(id === undefined ? {} : {'idempotency-key': `${id.coordinator}/${id.key}`}),
+				...(req.isIdempotent ? {[idempotentHeader]: 'true'} : {}),
+				...getAttemptHeaders(options),
+			},
+			signal: options.signal,
+		});
+		return 'kind' in raw ? raw : getRequestAnswer(raw);
+	}
+
+	/** Closes all connections; running calls end as `cut`. */
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+
+	async #call(address: string, options: Omit<Dispatcher.RequestOptions, 'origin'>): Promise<CallResult> {
+		const raw = await this.#send(address, options);
+		return 'kind' in raw ? raw : getJobAnswer(raw);
+	}
+
+	async #send(address: string, options: Omit<Dispatcher.RequestOptions, 'origin'>): Promise<RawAnswer | CallFault> {
+		try {
+			const res = await this.#agent.request({...options, origin: `http://${address}`});
+			return {status: res.statusCode, headers: res.headers, body: await res.body.text()};
+		} catch (err) {
+			return getFault(err, options.signal as AbortSignal | undefined);
+		}
+	}
+}
+
+function getJobPath({coordinator, key}: CallerJobId): string {
+	return `/v1/jobs/${coordinator}/${key}`;
+}
+
+function getAttemptHeaders({attempt}: CallOptions): Record<string, string> {
+	return attempt === undefined || attempt === 1 ? {} : {[attemptHeader]: String(attempt)};
+}
+
+function getJobAnswer(raw: RawAnswer): CallResult {
+	const value = parseJson(raw.body);
+	const complete = completeSchema.safeParse(value);
+	if (raw.status === 200 && complete.success) {
+		const {tasks} = value as {tasks: unknown};
+		return {
+			...getCommonParts(raw), outcome: 'complete', tasks: complete.data.tasks, problemType: '', detail: '', hash: getHash(JSON.stringify(tasks)),
+		};
+	}
+
+	return getProblem(raw) ?? {kind: 'no-answer', reason: 'garbled', detail: `status ${raw.status}: ${raw.body.slice(0, 200)}`};
+}
+
+/** The answer of a plain request is the upstream's own, unless it is a problem with an outcome. */
+function getRequestAnswer(raw: RawAnswer): CallResult {
+	return getProblem(raw) ?? {
+		...getCommonParts(raw), outcome: 'complete', tasks: [{status: raw.status, body: raw.body}], problemType: '', detail: '', hash: getHash(`${raw.status} ${raw.body}`),
+	};
+}
+
+function getProblem(raw: RawAnswer): CallAnswer | undefined {
+	const contentType = raw.headers['content-type'];
+	if (typeof contentType !== 'string' || !contentType.startsWith(problemContentType)) {
+		return undefined;
+	}
+
+	const problem = problemSchema.safeParse(parseJson(raw.body));
+	if (!problem.success) {
+		return undefined;
+	}
+
+	const {outcome, type, detail} = problem.data;
+	return {
+		...getCommonParts(raw), outcome, tasks: [], problemType: type, detail, hash: '',
+	};
+}
+
+function getCommonParts(raw: RawAnswer): Pick<CallAnswer, 'coordinator' | 'kind' | 'retryAfterMs' | 'status'> {
+	const coordinator = raw.headers[coordinatorHeader];
+	const retryAfter = Number(raw.headers['retry-after'] ?? Number.NaN);
+	return {
+		kind: 'answered',
+		status: raw.status,
+		coordinator: typeof coordinator === 'string' ? coordinator : undefined,
+		retryAfterMs: Number.isFinite(retryAfter) ? retryAfter * 1000 : undefined,
+	};
+}
+
+function getFault(err: unknown, signal: AbortSignal | undefined): CallFault {
+	const {code, message} = err as {code?: string; message?: string};
+	const detail = `${code ?? ''} ${message ?? ''}`.trim();
+	if (signal?.aborted) {
+		return {kind: 'no-answer', reason: 'left', detail};
+	}
+
+	return {kind: 'no-answer', reason: code !== undefined && refusedCodes.has(code) ? 'refused' : 'cut', detail};
+}
+
+function getHash(value: string): string {
+	return createHash('sha256').update(value).digest('hex').slice(0, 32);
+}
+
+function parseJson(value: string): unknown {
+	try {
+		return JSON.parse(value);
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/lab/index.ts
@@ -0,0 +1,6 @@
+export type * from './call.js';
+export * from './caller.js';
+export * from './entry-vm-client.js';
+export * from './load-generator.js';
+export * from './load-mix.js';
+export * from './load-report.js';
--- /dev/null
+++ b/src/lab/load-command.ts
@@ -0,0 +1,96 @@
+/**
+ * `endivemill-lab load`: a synthetic load with a report.
+ */
+import process from 'node:process';
+import {type Command} from 'commander';
+import {request} from 'undici';
+import {
+	parseAddresses, parseCount, parseNumber, parsePart,
+} from './arguments.js';
+import {LoadGenerator} from './load-generator.js';
+import {defaultLoadMix} from './load-mix.js';
+import {formatLoadReport} from './load-report.js';
+
+type LoadCommandOptions = {
+	readonly entryVms: readonly string[];
+	readonly upstreams: readonly string[];
+	readonly service: string;
+	readonly teams: string;
+	readonly rate: number;
+	readonly seconds: number;
+	readonly burst: number;
+	readonly burstEveryMs: number;
+	readonly deadlineMs?: number;
+	readonly medianRunMs: number;
+	readonly resubmit: number;
+	readonly cancel: number;
+	readonly single: number;
+	readonly idempotent: number;
+	readonly seed: number;
+	readonly json?: boolean;
+};
+
+/**
+ * Adds the `load` command.
+ * @param program - Program to add it to.
+ */
+export function addLoadCommand(program: Command): void {
+	program.command('load')
+		.description('Submits jobs and requests at a given rate, whatever the answers, and prints what the callers saw.')
+		.requiredOption('--entry-vms <addresses>', 'callers\' addresses of the entry VMs, with commas between them', parseAddresses)
+		.option('--upstreams <addresses>', 'upstream stand-ins whose starts are counted', parseAddresses, [])
+		.option('--service <name>', 'service that the work is for', 'seats')
+		.option('--teams <names>', 'teams that the jobs are drawn from, with commas between them', '')
+		.option('--rate <perSecond>', 'arrivals a second', parseNumber, 10)
+		.option('--seconds <seconds>', 'time in which work arrives', parseNumber, 10)
+		.option('--burst <count>', 'arrivals at once, on top', parseCount, 0)
+		.option('--burst-every-ms <ms>', 'time between bursts', parseCount, 1000)
+		.option('--deadline-ms <ms>', 'deadline of the jobs', parseCount)
+		.option('--median-run-ms <ms>', 'median of the log-normal run times', parseNumber, defaultLoadMix.medianRunMs)
+		.option('--resubmit <part>', 'part that is submitted again through another entry VM', parsePart, defaultLoadMix.resubmitPart)
+		.option('--cancel <part>', 'part of the jobs that is cancelled', parsePart, defaultLoadMix.cancelPart)
+		.option('--single <part>', 'part of the arrivals that is one plain request', parsePart, defaultLoadMix.singlePart)
+		.option('--idempotent <part>', 'part of the plain requests that is idempotent', parsePart, defaultLoadMix.idempotentPart)
+		.option('--seed <number>', 'seed of all that is drawn', parseCount, 1)
+		.option('--json', 'print the report as JSON')
+		.action(runLoad);
+}
+
+async function runLoad(options: LoadCommandOptions): Promise<void> {
+	const generator = new LoadGenerator({
+		addresses: options.entryVms,
+		service: options.service,
+		teams: options.teams === '' ? [] : options.teams.split(','),
+		perSecond: options.rate,
+		durationMs: options.seconds * 1000,
+		burstSize: options.burst,
+		burstEveryMs: options.burstEveryMs,
+		deadlineMs: options.deadlineMs,
+		mix: {
+			medianRunMs: options.medianRunMs,
+			resubmitPart: options.resubmit,
+			cancelPart: options.cancel,
+			singlePart: options.single,
+			idempotentPart: options.idempotent,
+		},
+		seed: options.seed,
+	});
+	const startsBefore = await countStarts(options.upstreams);
+	const seen = await generator.run();
+	const startsAfter = await countStarts(options.upstreams);
+	await generator.close();
+	const report = startsBefore === undefined || startsAfter === undefined ? seen : {...seen, upstreamStarts: startsAfter - startsBefore};
+	process.stdout.write(options.json ? `${JSON.stringify(report)}\n` : formatLoadReport(report));
+}
+
+async function countStarts(upstreams: readonly string[]): Promise<number | undefined> {
+	if (upstreams.length === 0) {
+		return undefined;
+	}
+
+	const counts = await Promise.all(upstreams.map(async address => {
+		const res = await request(`http://${address}/control`);
+		return res.body.json() as Promise<{starts: number}>;
+	}));
+	return counts.reduce((sum, count) => sum + count.starts, 0);
+}
--- /dev/null
+++ b/src/lab/load-report.ts
@@ -0,0 +1,105 @@
+/**
+ * Gathers what a load saw and prints it.
+ */
+import {build, type Histogram} from 'hdr-histogram-js';
+import {type CallOutcome} from './call.js';
+
+/** Distribution of a figure. */
+export type Distribution = {
+	readonly count: number;
+	readonly mean: number;
+	readonly p50: number;
+	readonly p99: number;
+	readonly max: number;
+};
+
+/** What a load saw. */
+export type LoadReport = {
+	readonly seconds: number;
+	readonly jobs: number;
+	readonly singles: number;
+	readonly tasks: number;
+	readonly calls: number;
+	readonly outcomes: Readonly<Partial<Record<CallOutcome | 'none', number>>>;
+	/** Requests by type of problem. */
+	readonly problems: Readonly<Record<string, number>>;
+	/** Response over the longest own task, of complete jobs. */
+	readonly ratio: Distribution;
+	/** Response less the longest own task, of complete jobs, in milliseconds. */
+	readonly overheadMs: Distribution;
+	readonly resubmitted: number;
+	/** Resubmissions that got the same complete answer as the first call. */
+	readonly joined: number;
+	readonly cancelled: number;
+	/** Starts that the upstreams counted during the load; absent when none was asked. */
+	readonly upstreamStarts?: number;
+	/** Messages between entry VMs during the load; absent when none was asked. */
+	readonly peerMessages?: number;
+};
+
+/** Fixed-point factor that keeps three decimals in a histogram of whole numbers. */
+const decimals = 1000;
+
+/** Collects figures for a {@link Distribution}. */
+export class DistributionBuilder {
+	readonly #histogram: Histogram = build({lowestDiscernibleValue: 1, highestTrackableValue: 1e12, numberOfSignificantValueDigits: 3});
+
+	/**
+	 * Adds a figure.
+	 * @param value - Figure; negative ones count as 0.
+	 */
+	addValue(value: number): void {
+		this.#histogram.recordValue(Math.round(Math.max(value, 0) * decimals));
+	}
+
+	/** Gets the distribution of the figures so far. */
+	getDistribution(): Distribution {
+		const histogram = this.#histogram;
+		const count = histogram.totalCount;
+		return {
+			count,
+			mean: count === 0 ? 0 : round(histogram.mean / decimals),
+			p50: round(histogram.getValueAtPercentile(50) / decimals),
+			p99: round(histogram.getValueAtPercentile(99) / decimals),
+			max: round(histogram.maxValue / decimals),
+		};
+	}
+}
+
+/**
+ * Gets a report as text for people.
+ * @param report - Report to print.
+ */
+export function formatLoadReport(report: LoadReport): string {
+	const lines = [
+		`${report.jobs} jobs and ${report.singles} single requests with ${report.tasks} tasks in ${report.seconds} s, ${report.calls} calls`,
+		`outcomes       ${formatCounts(report.outcomes)}`,
+		`problems       ${formatCounts(report.problems)}`,
+		`response/ideal ${formatDistribution(report.ratio)}`,
+		`overhead ms    ${formatDistribution(report.overheadMs)}`,
+		`resubmitted    ${report.resubmitted}, of which ${report.joined} got the first call's answer`,
+		`cancelled      ${report.cancelled}`,
+	];
+	if (report.upstreamStarts !== undefined) {
+		lines.push(`starts         ${report.upstreamStarts} counted by the upstreams`);
+	}
+
+	if (report.peerMessages !== undefined) {
+		lines.push(`messages       ${report.peerMessages} between entry VMs, ${round(report.peerMessages / report.tasks)} a task`);
+	}
+
+	return `${lines.join('\n')}\n`;
+}
+
+function formatCounts(counts: Readonly<Record<string, number>>): string {
+	const parts = Object.entries(counts).filter(([, count]) => count > 0).map(([name, count]) => `${name} ${count}`);
+	return parts.length === 0 ? 'none' : parts.join(', ');
+}
+
+function formatDistribution({max, mean, p50, p99}: Distribution): string {
+	return `mean ${mean}, p50 ${p50}, p99 ${p99}, max ${max}`;
+}
+
+function round(value: number): number {
+	return Math.round(value * decimals) / decimals;
+}
--- /dev/null
+++ b/src/lab/main.ts
@@ -0,0 +1,15 @@
+#!/usr/bin/env node
+/**
+ * `endivemill-lab`: stand-ins and load for developers and for trying the product.
+ */
+import {Command} from 'commander';
+import {addLoadCommand} from './load-command.js';
+import {addUpstreamCommand} from './upstream-command.js';
+
+const program = new Command('endivemill-lab')
+	.description('Stand-ins and load for developers and for trying endivemill.')
+	.showHelpAfterError();
+
+addUpstreamCommand(program);
+addLoadCommand(program);
+await program.parseAsync();
--- /dev/null
+++ b/test/lab/load-generator.test.ts
@@ -0,0 +1,46 @@
+import test from 'ava';
+import {
+	defaultLoadMix, drawGapMs, drawWork, formatLoadReport, LoadGenerator,
+} from '../../src/lab/index.js';
+import {createSeededRandom} from '../../src/seams/index.js';
+import {sendComplete, startScriptedEntryVm} from './scripted-entry-vm.js';
+
+test('the same seed draws the same work', t => {
+	const first = createSeededRandom(3);
+	const second = createSeededRandom(3);
+	t.deepEqual(drawWork(defaultLoadMix, first), drawWork(defaultLoadMix, second));
+	t.is(drawGapMs(10, first), drawGapMs(10, second));
+});
+
+test('drawn work stays within the mix', t => {
+	const random = createSeededRandom(5);
+	const works = Array.from({length: 2000}, () => drawWork(defaultLoadMix, random));
+	t.true(works.every(work => work.runMs.length > 0 && work.runMs.length <= 199));
+	t.true(works.every(work => work.kind === 'job' || work.runMs.length === 1));
+	t.true(works.every(work => work.runMs.every(runMs => runMs <= defaultLoadMix.maxRunMs)));
+	t.true(works.some(work => work.resubmitAfterMs !== undefined) && works.some(work => work.cancelAfterMs !== undefined));
+});
+
+test('a load is submitted and reported', async t => {
+	const vm = await startScriptedEntryVm(() => 'dc.a.1.1', (seen, res) => {
+		if (seen.url.startsWith('/v1/services')) {
+			res.end('done');
+			return;
+		}
+
+		const {tasks} = JSON.parse(seen.body) as {tasks: unknown[]};
+		sendComplete(res, tasks.map(() => 'done'));
+	});
+	const generator = new LoadGenerator({
+		addresses: [vm.address], service: 'seats', perSecond: 400, durationMs: 150, seed: 2, mix: {resubmitPart: 0.5, cancelPart: 0, medianRunMs: 1},
+		burstSize: 5, burstEveryMs: 50,
+	});
+	const report = await generator.run();
+	await generator.close();
+	await vm.close();
+	t.true(report.jobs > 0 && report.singles > 0);
+	t.is(report.outcomes.complete, report.jobs + report.singles);
+	t.is(report.joined, report.resubmitted);
+	t.is(report.calls, vm.seen.length);
+	t.regex(formatLoadReport(report), /outcomes +complete \d+/v);
+});
