--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -1,3 +1,8 @@
 export {
 	createPlatformStandIn, PlatformStandIn, type PlatformFaults, type PlatformStandInOptions,
 } from './platform-stand-in.js';
+export * from './history.js';
+export * from './history-checker.js';
+export * from './upstream-faults.js';
+export * from './upstream-record.js';
+export * from './upstream-stand-in.js';
