Wire the entry VM and the daemon: a job is answered once, end to end

Cause: the parts existed side by side; nothing served a request. Change: createEntryVm wires followers, peer links, scheduler, upstream client, coordinator and both HTTP interfaces; graceful stop with hand-over; endivemilld starts it from its settings; a local cluster for tests.

--- a/src/connection/http-listener.ts
+++ b/src/connection/http-listener.ts
@@ -6,6 +6,7 @@
 } from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
 import {type CallerAnswer} from '../request/index.js';
+import {parseAddress} from './tcp-transport.js';
 
 /** Takes one request and writes its answer. */
 export type HttpHandler = (req: IncomingMessage, res: ServerResponse) => void;
@@ -56,7 +57,7 @@
 /** Listens for HTTP requests. */
 export class HttpListener {
 	readonly #server: Server;
-	readonly #address: string;
+	#address: string;
 	#isStopping = false;
 	#malformed = 0;
 	#dropped = 0;
@@ -97,20 +98,20 @@
 
 	/** Starts to listen; rejects when the address cannot be used. */
 	async open(): Promise<void> {
-		const {host, port} = splitAddress(this.#address);
+		const {host, port} = parseAddress(this.#address);
 		await new Promise<void>((resolve, reject) => {
 			this.#server.once('error', reject);
 			this.#server.listen({host, port}, () => {
 				this.#server.off('error', reject);
+				this.#address = formatAddress(this.#server.address() as AddressInfo);
 				resolve();
 			});
 		});
 	}
 
-	/** Gets the address and port that it listens on. */
+	/** Gets the address and port that it listens on, or listened on. */
 	getAddress(): string {
-		const {address, port, family} = this.#server.address() as AddressInfo;
-		return family === 'IPv6' ? `[${address}]:${port}` : `${address}:${port}`;
+		return this.#address;
 	}
 
 	/** Gets the counts so far. */
@@ -176,14 +177,8 @@
 	res.end(isBodyless ? undefined : answer.body);
 }
 
-/**
- * Splits `host:port`; an IPv6 host stands in brackets.
- * @param address - Address to split.
- */
-export function splitAddress(address: string): {readonly host: string; readonly port: number} {
-	const colon = address.lastIndexOf(':');
-	const host = address.slice(0, colon).replaceAll(/[\[\]]/gv, '');
-	return {host, port: Number(address.slice(colon + 1))};
+function formatAddress({address, port, family}: AddressInfo): string {
+	return family === 'IPv6' ? `[${address}]:${port}` : `${address}:${port}`;
 }
 
 function answerMalformed(err: NodeJS.ErrnoException, socket: Socket): void {
--- /dev/null
+++ b/src/daemon/entry-vm-settings.ts
@@ -0,0 +1,48 @@
+/**
+ * Turns the daemon's settings into the options of an entry VM.
+ */
+import type Logger from 'bunyan';
+import {type Platform} from '../platform/index.js';
+import {type EntryVmOptions} from '../process/index.js';
+import {type Settings} from './settings.js';
+
+const millisecondsPerSecond = 1000;
+
+/**
+ * Gets the options of the entry VM that a daemon runs.
+ * @param settings - Settings of the daemon.
+ * @param platform - The platform.
+ * @param log - Log of the daemon.
+ */
+export function getEntryVmOptions(settings: Settings, platform: Platform, log: Logger): EntryVmOptions {
+	return {
+		log,
+		platform,
+		deployment: settings.deployment,
+		dataCenter: settings.dataCenter,
+		vm: settings.vm,
+		callerAddress: settings.callerAddress,
+		operatorAddress: settings.operatorAddress,
+		peerAddress: settings.peerAddress,
+		peerKey: settings.peerKey,
+		peerSeeds: settings.peerSeeds,
+		operatorToken: settings.operatorToken,
+		periodMs: settings.periodSeconds * millisecondsPerSecond,
+		stopTimeoutMs: settings.stopTimeoutMs,
+		upstreams: {connectTimeoutMs: settings.connectTimeoutMs},
+		limits: {
+			maxBodyBytes: settings.maxBodyBytes,
+			maxJobsInFlight: settings.maxJobsInFlight,
+			maxAnswerBytes: settings.maxAnswerBytes,
+			maxEvents: settings.maxEvents,
+			records: {periodsKept: settings.periodsKept, maxAnswerBytes: settings.maxKeptAnswerBytes},
+			http: {
+				maxConnections: settings.maxConnections,
+				maxHeaderBytes: settings.maxHeaderBytes,
+				headTimeoutMs: settings.headTimeoutMs,
+				requestTimeoutMs: settings.bodyTimeoutMs,
+				idleTimeoutMs: settings.idleCallerMs,
+			},
+		},
+	};
+}
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,17 @@
+#!/usr/bin/env node
+/**
+ * The daemon of an entry VM.
+ */
+import {createEtcdPlatform} from '../platform/index.js';
+import {createEntryVm} from '../process/index.js';
+import {runDaemon} from './run-daemon.js';
+import {getEntryVmOptions} from './entry-vm-settings.js';
+
+await runDaemon(async (settings, log) => {
+	const platform = createEtcdPlatform({endpoints: settings.platformUrls});
+	const entryVm = await createEntryVm(getEntryVmOptions(settings, platform, log));
+	log.info({
+		caller: entryVm.getCallerAddress(), operator: entryVm.getOperatorAddress(), peer: entryVm.getPeerAddress(),
+	}, 'listening');
+	return entryVm;
+});
--- a/src/lab/index.ts
+++ b/src/lab/index.ts
@@ -4,3 +4,4 @@
 export * from './load-generator.js';
 export * from './load-mix.js';
 export * from './load-report.js';
+export * from './local-cluster.js';
--- /dev/null
+++ b/src/process/create-entry-vm.ts
@@ -0,0 +1,257 @@
+/**
+ * Creates an entry VM out of its parts.
+ */
+import {type Subscription} from 'most';
+import {
+	createHttpListener, createPeerMesh, createUpstreamClient, type PeerMesh,
+} from '../connection/index.js';
+import {sleep, systemClock, systemRandom} from '../seams/index.js';
+import {CallerApi} from './caller-api.js';
+import {createConfigurationFollower} from './configuration-follower.js';
+import {Coordinator} from './coordinator.js';
+import {CoordinatorDirectory, locateTopic, successionTopic} from './coordinator-directory.js';
+import {
+	EntryVm, type EntryVmListeners, type EntryVmParts, isEntryVmReady,
+} from './entry-vm.js';
+import {type EntryVmOptions} from './entry-vm-options.js';
+import {getEntryVmStatus} from './entry-vm-status.js';
+import {EventLog} from './events.js';
+import {getSuccessors, HandOverReceiver, handOverTopic} from './hand-over.js';
+import {JobRouter, jobTopic} from './job-router.js';
+import {JobRunner} from './job-runner.js';
+import {OperatorApi} from './operator-api.js';
+import {PeerInbox} from './peer-inbox.js';
+import {configurationTopic, PeerSync, vmListTopic} from './peer-sync.js';
+import {createTaskScheduler, type SlotScheduler, slotTopic} from './scheduler/index.js';
+import {createVmListFollower} from './vm-list-follower.js';
+
+const defaultMaxBodyBytes = 8 * 1024 * 1024;
+const defaultMaxHeldBytes = 256 * 1024 * 1024;
+const defaultMaxJobsInFlight = 20_000;
+const defaultMaxJobAnswerBytes = 16 * 1024 * 1024;
+const defaultPeriodMs = 60_000;
+const defaultPeriodsKept = 10;
+const incarnationBytes = 6;
+/** Longest wait for a fresh list of VMs after a pause of the process. */
+const confirmTimeoutMs = 1000;
+const maxOperatorConnections = 256;
+
+/** The parts that need no link to another process. */
+type BaseParts = Pick<EntryVmParts, 'state' | 'clock' | 'random' | 'self' | 'events' | 'configuration' | 'vmList' | 'inbox'>;
+
+/** The parts that link this process to others. */
+type NetworkParts = Pick<EntryVmParts, 'sync' | 'mesh' | 'scheduler' | 'upstreamClient'>;
+
+/**
+ * Creates an entry VM; it takes requests once it knows a configuration.
+ * @param options - Settings, platform and seams.
+ */
+export async function createEntryVm(options: EntryVmOptions): Promise<EntryVm> {
+	const base = createBaseParts(options);
+	const network = await createNetworkParts(options, base);
+	const parts = createJobParts(options, {...base, ...network});
+	addPeerHandlers(options, parts);
+	const listeners = await createListeners(options, parts, () => {
+		void entryVm.close();
+	});
+	const entryVm = new EntryVm(options, parts, listeners, subscribeParts(parts));
+	return entryVm;
+}
+
+function createBaseParts(options: EntryVmOptions): BaseParts {
+	const {clock = systemClock, random = systemRandom, log, deployment, dataCenter, vm, platform, pollMs, limits = {}} = options;
+	const self = {dataCenter, vm, id: `${vm}-${random.getHex(incarnationBytes)}`};
+	const events = new EventLog({clock, process: self.id, capacity: limits.maxEvents});
+	const followerOptions = {
+		platform, deployment, clock, random, events, logger: log, pollMs,
+	};
+	return {
+		state: {isStopping: false},
+		clock,
+		random,
+		self,
+		events,
+		configuration: createConfigurationFollower(followerOptions),
+		vmList: createVmListFollower(followerOptions),
+		inbox: new PeerInbox(),
+	};
+}
+
+async function createNetworkParts(options: EntryVmOptions, base: BaseParts): Promise<NetworkParts> {
+	const {clock, random, self, events, configuration, vmList} = base;
+	const sync = new PeerSync({configuration, vmList, getPeers: () => mesh});
+	const mesh = await createMesh(options, base, sync, () => {
+		void confirmAfterPause(base, scheduler);
+	});
+	const upstreamClient = createUpstreamClient({clock, maxAnswerBytes: options.limits?.maxAnswerBytes, ...options.upstreams});
+	const scheduler = createTaskScheduler({
+		clock,
+		random,
+		self,
+		events,
+		upstreams: vmList.getStream().map(({upstreams}) => upstreams),
+		configuration: configuration.getStream(),
+		members: mesh.getMemberStream(),
+		sendControl: (incarnationId, message) => mesh.sendControl(incarnationId, message),
+		decisions: options.decisions,
+		tuning: options.tuning,
+	});
+	return {
+		sync, mesh, scheduler, upstreamClient,
+	};
+}
+
+async function createMesh(options: EntryVmOptions, base: BaseParts, sync: PeerSync, onPause: () => void): Promise<PeerMesh> {
+	const {state, clock, random, self, events, configuration, vmList, inbox} = base;
+	return createPeerMesh({
+		...options.mesh,
+		clock,
+		random,
+		deployment: options.deployment,
+		self,
+		events,
+		log: options.log,
+		listenAddress: options.peerAddress,
+		key: options.peerKey,
+		seeds: options.peerSeeds,
+		entryVms: vmList.getStream().map(({entryVms}) => entryVms),
+		getHeartbeat: () => ({
+			configurationVersion: configuration.getConfiguration().version,
+			isLeaving: state.isStopping,
+			load: sync.getLoad(),
+		}),
+		onHeartbeat(body, from) {
+			sync.handleHeartbeat(body, from);
+		},
+		onControl(message, from) {
+			inbox.handleControl(message, from);
+		},
+		onRequest: async (request, from, signal) => inbox.handleRequest(request, from, signal),
+		onPause,
+	});
+}
+
+/** Starts no task after a pause until the list of VMs is fresh, or cannot be had. */
+async function confirmAfterPause({clock, vmList}: BaseParts, scheduler: SlotScheduler): Promise<void> {
+	scheduler.handlePause();
+	await Promise.race([vmList.refresh(), sleep(clock, confirmTimeoutMs)]);
+	scheduler.confirmView();
+}
+
+function createJobParts(options: EntryVmOptions, linked: BaseParts & NetworkParts): EntryVmParts {
+	const {state, clock, random, self, events, configuration, sync, mesh, scheduler, upstreamClient} = linked;
+	const {limits = {}, periodMs = defaultPeriodMs} = options;
+	const runner = new JobRunner({
+		clock,
+		events,
+		scheduler,
+		upstreamClient,
+		getConfiguration: () => configuration.getConfiguration(),
+		maxAnswerBytes: limits.maxJobAnswerBytes ?? defaultMaxJobAnswerBytes,
+		maxJobsInFlight: limits.maxJobsInFlight ?? defaultMaxJobsInFlight,
+	});
+	const coordinator = new Coordinator({
+		clock, random, events, incarnation: self, runner, periodMs, records: limits.records,
+	});
+	sync.setTokenSource(() => coordinator.getToken());
+	const directory = new CoordinatorDirectory({
+		clock, selfId: self.id, peers: mesh, retentionMs: periodMs * (limits.records?.periodsKept ?? defaultPeriodsKept),
+	});
+	const router = new JobRouter({
+		clock, events, self, coordinator, directory, peers: mesh, isStopping: () => state.isStopping,
+	});
+	const callerApi = new CallerApi({
+		router,
+		getCoordinatorToken: () => getTokenForNewJobs({...linked, coordinator}),
+		maxBodyBytes: limits.maxBodyBytes ?? defaultMaxBodyBytes,
+		maxHeldBytes: limits.maxHeldBytes ?? defaultMaxHeldBytes,
+	});
+	return {
+		...linked, runner, coordinator, directory, router, callerApi,
+	};
+}
+
+/** Gets this coordinator's token, or a peer's while this process is stopping. */
+function getTokenForNewJobs({state, self, sync, mesh, coordinator}: Pick<EntryVmParts, 'state' | 'self' | 'sync' | 'mesh' | 'coordinator'>): string {
+	if (state.isStopping) {
+		for (const {incarnation} of getSuccessors(mesh.getMembers(), self)) {
+			const token = sync.getToken(incarnation.id);
+			if (token !== undefined) {
+				return token;
+			}
+		}
+	}
+
+	return coordinator.getToken();
+}
+
+function addPeerHandlers(options: EntryVmOptions, {inbox, events, sync, scheduler, directory, router}: EntryVmParts): void {
+	const receiver = new HandOverReceiver({
+		records: options.limits?.records ?? {},
+		onAdopted(records) {
+			directory.addAdoptedRecords(records);
+			events.addEvent('records-taken-over', records.coordinator.incarnation.id, `${records.getRecordCount()} records`);
+		},
+	});
+	inbox.addControlHandler(slotTopic, (message, from) => {
+		scheduler.handleControl(message, from.id);
+	});
+	inbox.addControlHandler(successionTopic, ({body}) => {
+		directory.handleSuccession(body);
+	});
+	inbox.addRequestHandler(locateTopic, ({body}) => directory.handleLocate(body));
+	inbox.addRequestHandler(handOverTopic, ({body}) => receiver.handleMessage(body));
+	inbox.addRequestHandler(jobTopic, async ({body}, signal) => router.handleForwarded(body, signal));
+	for (const topic of [configurationTopic, vmListTopic]) {
+		inbox.addRequestHandler(topic, () => sync.getReply(topic));
+	}
+}
+
+async function createListeners(options: EntryVmOptions, parts: EntryVmParts, startDrain: () => void): Promise<EntryVmListeners> {
+	const {callerApi, events} = parts;
+	const operatorApi = new OperatorApi({
+		events,
+		isReady: () => isEntryVmReady(parts),
+		getStatus: () => getEntryVmStatus(parts),
+		getMetrics: async () => ({contentType: 'text/plain', text: ''}),
+		startDrain,
+	});
+	const operator = await createHttpListener({
+		address: options.operatorAddress,
+		maxConnections: maxOperatorConnections,
+		handler(req, res) {
+			void operatorApi.handleRequest(req, res);
+		},
+	});
+	const caller = await createHttpListener({
+		...options.limits?.http,
+		address: options.callerAddress,
+		handler(req, res) {
+			void callerApi.handleRequest(req, res);
+		},
+	});
+	return {caller, operator};
+}
+
+function subscribeParts({vmList, mesh, sync, upstreamClient}: EntryVmParts): ReadonlyArray<Subscription<unknown>> {
+	return [
+		vmList.getStream().subscribe({
+			next({upstreams}) {
+				upstreamClient.setUpstreams(upstreams);
+			},
+			error: rethrow,
+			complete: () => undefined,
+		}),
+		mesh.getMemberStream().subscribe({
+			next(members) {
+				sync.setMembers(new Set(members.map(({incarnation}) => incarnation.id)));
+			},
+			error: rethrow,
+			complete: () => undefined,
+		}),
+	];
+}
+
+function rethrow(err: Error): void {
+	throw err;
+}
--- /dev/null
+++ b/src/process/entry-vm.ts
@@ -0,0 +1,166 @@
+/**
+ * One running entry VM: its addresses, its state and its end.
+ */
+import {type Subscription} from 'most';
+import {
+	type HttpListener, type Incarnation, type PeerMesh, type UpstreamClient,
+} from '../connection/index.js';
+import {type Clock, type Random} from '../seams/index.js';
+import {type CallerApi} from './caller-api.js';
+import {type ConfigurationFollower} from './configuration-follower.js';
+import {type Coordinator} from './coordinator.js';
+import {type CoordinatorDirectory} from './coordinator-directory.js';
+import {type EntryVmOptions} from './entry-vm-options.js';
+import {type EntryVmStatus, getEntryVmStatus} from './entry-vm-status.js';
+import {type EventLog} from './events.js';
+import {stopGracefully} from './graceful-stop.js';
+import {type JobRouter} from './job-router.js';
+import {type JobRunner} from './job-runner.js';
+import {type PeerInbox} from './peer-inbox.js';
+import {type PeerSync} from './peer-sync.js';
+import {type SlotScheduler} from './scheduler/index.js';
+import {type VmListFollower} from './vm-list-follower.js';
+
+const defaultDrainMs = 3000;
+const defaultStopTimeoutMs = 60_000;
+
+/** State that several parts look at. */
+export type EntryVmState = {
+	isStopping: boolean;
+};
+
+/** Listeners of an entry VM. */
+export type EntryVmListeners = {
+	readonly caller: HttpListener;
+	readonly operator: HttpListener;
+};
+
+/** The parts of an entry VM. */
+export type EntryVmParts = {
+	readonly state: EntryVmState;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly self: Incarnation;
+	readonly events: EventLog;
+	readonly configuration: ConfigurationFollower;
+	readonly vmList: VmListFollower;
+	readonly sync: PeerSync;
+	readonly inbox: PeerInbox;
+	readonly mesh: PeerMesh;
+	readonly scheduler: SlotScheduler;
+	readonly upstreamClient: UpstreamClient;
+	readonly runner: JobRunner;
+	readonly coordinator: Coordinator;
+	readonly directory: CoordinatorDirectory;
+	readonly router: JobRouter;
+	readonly callerApi: CallerApi;
+};
+
+/** A running entry VM. */
+export class EntryVm {
+	readonly #options: EntryVmOptions;
+	readonly #parts: EntryVmParts;
+	readonly #callerListener: HttpListener;
+	readonly #operatorListener: HttpListener;
+	readonly #subscriptions: ReadonlyArray<Subscription<unknown>>;
+	#closing: Promise<void> | undefined;
+
+	/** @internal */
+	constructor(
+		options: EntryVmOptions,
+		parts: EntryVmParts,
+		listeners: EntryVmListeners,
+		subscriptions: ReadonlyArray<Subscription<unknown>>,
+	) {
+		this.#options = options;
+		this.#parts = parts;
+		this.#callerListener = listeners.caller;
+		this.#operatorListener = listeners.operator;
+		this.#subscriptions = subscriptions;
+	}
+
+	/** Gets this run of the entry VM. */
+	getIncarnation(): Incarnation {
+		return this.#parts.self;
+	}
+
+	/** Gets the address for callers. */
+	getCallerAddress(): string {
+		return this.#callerListener.getAddress();
+	}
+
+	/** Gets the address for operators. */
+	getOperatorAddress(): string {
+		return this.#operatorListener.getAddress();
+	}
+
+	/** Gets the address for other entry VMs. */
+	getPeerAddress(): string {
+		return this.#parts.mesh.getAddress();
+	}
+
+	/** Gets the parts, for measurements and metrics. */
+	getParts(): EntryVmParts {
+		return this.#parts;
+	}
+
+	/** Gets whether it takes new work. */
+	isReady(): boolean {
+		return isEntryVmReady(this.#parts);
+	}
+
+	/** Gets the state for operators. */
+	getStatus(): EntryVmStatus {
+		return getEntryVmStatus(this.#parts);
+	}
+
+	/** Stops gracefully: takes no new work, lets the running work end, hands the records over and closes everything. */
+	async close(): Promise<void> {
+		this.#closing ??= this.#closeGracefully();
+		await this.#closing;
+	}
+
+	/** Ends at once, as when the process dies. */
+	async abort(): Promise<void> {
+		this.#parts.state.isStopping = true;
+		const {mesh, scheduler} = this.#parts;
+		await Promise.all([mesh.close(), scheduler.close(), this.#callerListener.abort(), this.#operatorListener.abort()]);
+		await this.#closeRest();
+	}
+
+	async #closeGracefully(): Promise<void> {
+		const {clock, random, events, self, coordinator, directory, runner, mesh, scheduler, upstreamClient} = this.#parts;
+		const {log, drainMs, stopTimeoutMs} = this.#options;
+		this.#parts.state.isStopping = true;
+		log?.info({incarnation: self.id}, 'stopping');
+		await stopGracefully({
+			clock, random, log, events, self, coordinator, directory, runner, peers: mesh, callerListener: this.#callerListener,
+			drainMs: drainMs ?? defaultDrainMs,
+			stopTimeoutMs: stopTimeoutMs ?? defaultStopTimeoutMs,
+		});
+		await scheduler.close();
+		await upstreamClient.close();
+		await mesh.close();
+		await this.#operatorListener.abort();
+		await this.#closeRest();
+	}
+
+	async #closeRest(): Promise<void> {
+		for (const subscription of this.#subscriptions) {
+			subscription.unsubscribe();
+		}
+
+		this.#parts.coordinator.close();
+		this.#parts.configuration.close();
+		this.#parts.vmList.close();
+		await this.#options.platform.close();
+	}
+}
+
+/**
+ * Gets whether an entry VM takes new work: it knows a configuration and is not stopping.
+ * @param parts - Parts of the entry VM.
+ */
+export function isEntryVmReady({state, configuration}: Pick<EntryVmParts, 'state' | 'configuration'>): boolean {
+	return !state.isStopping && configuration.getConfiguration().version > 0;
+}
