--- /dev/null
+++ b/src/version/describe-issue.ts
@@ -0,0 +1,65 @@
+/**
+ * The schema's findings in words, with hints for misspelt names and values.
+ */
+import {type z} from 'zod';
+import {
+	declarationsSchema, profileSchema, serviceSchema, teamSchema,
+} from './configuration.js';
+import {findSimilarName} from './similar-name.js';
+
+/** A finding of the schema in words. */
+export type DescribedIssue = {
+	readonly path: readonly PropertyKey[];
+	readonly message: string;
+	readonly hint: string;
+	/** Whether it is about the key at the path and not about its value. */
+	readonly isAtKey: boolean;
+};
+
+const sectionFields: Readonly<Record<string, readonly string[]>> = {
+	profiles: Object.keys(profileSchema.unwrap().shape),
+	services: Object.keys(serviceSchema.unwrap().shape),
+	teams: Object.keys(teamSchema.unwrap().shape),
+};
+const sections = Object.keys(declarationsSchema.unwrap().shape);
+
+/**
+ * Gets a finding of the schema in words, one for each key that it is about.
+ * @param issue - Finding of the schema.
+ */
+export function describeIssue(issue: z.core.$ZodIssue): readonly DescribedIssue[] {
+	const {path} = issue;
+	if (issue.code === 'unrecognized_keys') {
+		return issue.keys.map(key => ({
+			path: [...path, key], message: `unknown field '${key}'`, hint: getFieldHint(path, key), isAtKey: true,
+		}));
+	}
+
+	const field = String(path.at(-1) ?? '');
+	if (issue.code === 'invalid_key') {
+		const detail = issue.issues[0]?.message ?? issue.message;
+		return [{
+			path, message: `invalid name '${field}': ${detail}`, hint: '', isAtKey: true,
+		}];
+	}
+
+	if (issue.code === 'invalid_value') {
+		return [{
+			path, message: `invalid value of '${field}'`, hint: getValueHint(issue.input, issue.values.map(String)), isAtKey: false,
+		}];
+	}
+
+	return [{
+		path, message: field ? `'${field}': ${issue.message}` : issue.message, hint: '', isAtKey: false,
+	}];
+}
+
+function getFieldHint(path: readonly PropertyKey[], key: string): string {
+	const known = path.length === 0 ? sections : sectionFields[String(path[0])] ?? [];
+	return getValueHint(key, known);
+}
+
+function getValueHint(input: unknown, known: readonly string[]): string {
+	const similar = typeof input === 'string' ? findSimilarName(input, known) : undefined;
+	return similar ? `did you mean '${similar}'?` : `expected one of: ${known.join(', ')}`;
+}
--- /dev/null
+++ b/src/version/parse-declarations.ts
@@ -0,0 +1,139 @@
+/**
+ * Parsing of a folder of YAML files into the operators' declarations.
+ */
+import {type Dirent} from 'node:fs';
+import {readdir, readFile} from 'node:fs/promises';
+import path from 'node:path';
+import {addUsedBuiltInProfiles, builtInProfiles} from './built-in-profiles.js';
+import {type Declarations} from './configuration.js';
+import {type DeclarationFault} from './declaration-fault.js';
+import {DeclarationFile} from './declaration-file.js';
+import {findReferenceFaults} from './reference-faults.js';
+
+/** The declarations of a folder, or all that is wrong with them. */
+export type ParsedDeclarations =
+	| {readonly ok: true; readonly declarations: Declarations; readonly files: readonly string[]}
+	| {readonly ok: false; readonly faults: readonly DeclarationFault[]};
+
+/** A file's name and text. */
+export type DeclarationText = {
+	readonly name: string;
+	readonly text: string;
+};
+
+type Section = 'profiles' | 'services' | 'teams';
+
+const sections: readonly Section[] = ['profiles', 'services', 'teams'];
+const fileNamePattern = /\.ya?ml$/v;
+
+/** Longest file that is read, in bytes. */
+const maxFileBytes = 1_000_000;
+
+/**
+ * Reads the YAML files of a folder, without its subfolders.
+ * @param folder - Path of the folder.
+ */
+export async function readDeclarations(folder: string): Promise<ParsedDeclarations> {
+	let entries: Dirent[];
+	try {
+		entries = await readdir(folder, {withFileTypes: true});
+	} catch (err) {
+		return createFolderFault(folder, `the folder cannot be read: ${(err as Error).message}`);
+	}
+
+	const names = entries.filter(entry => !entry.isDirectory() && fileNamePattern.test(entry.name)).map(({name}) => name).sort();
+	if (names.length === 0) {
+		return createFolderFault(folder, 'the folder holds no YAML file');
+	}
+
+	const texts: DeclarationText[] = [];
+	for (const name of names) {
+		const file = path.join(folder, name);
+		const text = await readText(file);
+		if (text === undefined) {
+			return createFolderFault(file, `the file cannot be read or is longer than ${maxFileBytes} bytes`);
+		}
+
+		texts.push({name: file, text});
+	}
+
+	return parseDeclarations(texts);
+}
+
+/**
+ * Parses and merges files; the built-in profiles that services name are added.
+ * @param texts - Names and texts of the files.
+ */
+export function parseDeclarations(texts: readonly DeclarationText[]): ParsedDeclarations {
+	const files = texts.map(({name, text}) => new DeclarationFile(name, text));
+	const ownFaults = files.flatMap(file => file.getFaults());
+	const faults = [...ownFaults, ...findDuplicates(files)];
+	// A file that is not valid may declare what others use.
+	const merged = merge(files);
+	if (ownFaults.length === 0) {
+		faults.push(...findUnknownNames(files, merged));
+	}
+
+	if (faults.length > 0) {
+		return {ok: false, faults};
+	}
+
+	const usedNames = Object.values(merged.services).map(({profile}) => profile);
+	const profiles = addUsedBuiltInProfiles(merged.profiles, usedNames);
+	return {ok: true, declarations: {...merged, profiles}, files: texts.map(({name}) => name)};
+}
+
+function merge(files: readonly DeclarationFile[]): Declarations {
+	const all = files.flatMap(file => file.getDeclarations() ?? []);
+	return {
+		profiles: Object.assign({}, ...all.map(({profiles}) => profiles)) as Declarations['profiles'],
+		services: Object.assign({}, ...all.map(({services}) => services)) as Declarations['services'],
+		teams: Object.assign({}, ...all.map(({teams}) => teams)) as Declarations['teams'],
+	};
+}
+
+function findDuplicates(files: readonly DeclarationFile[]): readonly DeclarationFault[] {
+	const faults: DeclarationFault[] = [];
+	const firstPlaces = new Map<string, DeclarationFault>();
+	for (const file of files) {
+		for (const section of sections) {
+			for (const name of Object.keys(file.getDeclarations()?.[section] ?? {})) {
+				const place = file.createFault([section, name], `'${name}' is declared twice in ${section}`, '', true);
+				const first = firstPlaces.get(`${section}/${name}`);
+				if (first) {
+					faults.push({...place, hint: `the other is at ${first.file}:${first.line}`});
+				} else {
+					firstPlaces.set(`${section}/${name}`, place);
+				}
+			}
+		}
+	}
+
+	return faults;
+}
+
+function findUnknownNames(files: readonly DeclarationFile[], merged: Declarations): readonly DeclarationFault[] {
+	const profiles = {...builtInProfiles, ...merged.profiles};
+	return files.flatMap(file => {
+		const services = file.getDeclarations()?.services ?? {};
+		return findReferenceFaults({services, profiles}).map(({path: place, message, hint}) => file.createFault(place, message, hint));
+	});
+}
+
+function createFolderFault(file: string, message: string): ParsedDeclarations {
+	return {
+		ok: false,
+		faults: [{
+			file, line: 1, column: 1, message, hint: '',
+		}],
+	};
+}
+
+async function readText(file: string): Promise<string | undefined> {
+	try {
+		const bytes = await readFile(file);
+		return bytes.length > maxFileBytes ? undefined : bytes.toString();
+	} catch {
+		return undefined;
+	}
+}
