Bound what waits on job connections and plan far links by reachability

Cause: answers that a peer does not read could wait without bound, and links to another data centre that were no longer planned stayed open.

Change: a limit on waiting bodies, a limit on control frames at their sender, surplus links closed after a time, addresses that failed passed over for a while.

--- a/src/connection/control-channel.ts
+++ b/src/connection/control-channel.ts
@@ -6,6 +6,14 @@
 import {type Data} from './control-messages.js';
 import {type ControlMessage} from './peer-network.js';
 
+/** Options of a {@link ControlChannel}. */
+export type ControlChannelOptions = {
+	/** Bytes kept until they are acknowledged. */
+	readonly maxBufferBytes: number;
+	/** Longest frame that the other end takes. */
+	readonly maxFrameBytes: number;
+};
+
 type Unacknowledged = {
 	readonly number: number;
 	readonly frame: Uint8Array;
@@ -17,14 +25,14 @@
  * @internal
  */
 export class ControlChannel {
-	readonly #maxBytes: number;
+	readonly #options: ControlChannelOptions;
 	#unacknowledged: Unacknowledged[] = [];
 	#bytes = 0;
 	#lastSent = 0;
 	#lastReceived = 0;
 
-	constructor(maxBytes: number) {
-		this.#maxBytes = maxBytes;
+	constructor(options: ControlChannelOptions) {
+		this.#options = options;
 	}
 
 	/** Gets the number of the last message that came in. */
@@ -33,7 +41,7 @@
 	}
 
 	/**
-	 * Adds a message to send; gets its frame, or `undefined` when the buffer is full.
+	 * Adds a message to send; gets its frame, or `undefined` when it is too long or the buffer is full.
 	 * @param message - Message to send.
 	 * @param logicalTime - Logical time to send with it.
 	 */
@@ -42,7 +50,7 @@
 			type: 'data', number: this.#lastSent + 1, logicalTime, topic: message.topic, body: message.body,
 		};
 		const frame = encodeFrame(data);
-		if (this.#bytes + frame.length > this.#maxBytes) {
+		if (frame.length > this.#options.maxFrameBytes || this.#bytes + frame.length > this.#options.maxBufferBytes) {
 			return undefined;
 		}
 
--- a/src/connection/control-link.ts
+++ b/src/connection/control-link.ts
@@ -46,6 +46,9 @@
 /** Messages that come in before an acknowledgement is sent without waiting for the next heartbeat. */
 const messagesPerAck = 64;
 
+/** Reporters whose members each end remembers as last sent; both ends drop the same one first. */
+const maxReporters = 256;
+
 /** Bytes waiting on a link above which no heartbeat is added; what waits serves as one. */
 const maxBytesBeforeBeat = 64 * 1024;
 
@@ -168,11 +171,12 @@
 
 	#getChangedReport(report: CompleteReport): Report {
 		const {dataCenter, reporter, beat} = report;
-		if (!this.hasNewMembers(report)) {
+		const hasNewMembers = this.hasNewMembers(report);
+		setLatest(this.#sentMembers, reporter, report.members);
+		if (!hasNewMembers) {
 			return {dataCenter, reporter, beat};
 		}
 
-		this.#sentMembers.set(reporter, report.members);
 		return report;
 	}
 
@@ -247,7 +251,7 @@
 
 	#completeReport(report: Report): CompleteReport {
 		const members = report.members ?? this.#receivedMembers.get(report.reporter) ?? [];
-		this.#receivedMembers.set(report.reporter, members);
+		setLatest(this.#receivedMembers, report.reporter, members);
 		return {...report, members};
 	}
 
@@ -265,3 +269,11 @@
 		}
 	}
 }
+
+function setLatest<T>(latest: Map<string, T>, key: string, value: T): void {
+	latest.delete(key);
+	latest.set(key, value);
+	if (latest.size > maxReporters) {
+		latest.delete(latest.keys().next().value!);
+	}
+}
--- /dev/null
+++ b/src/connection/far-planner.ts
@@ -0,0 +1,121 @@
+/**
+ * The links of this process to other data centres.
+ */
+import {type ListedEntryVm} from '../platform/index.js';
+import {type LinkCandidate, planLinks} from './link-plan.js';
+import {type MemberRecord} from './member-record.js';
+import {type MemberTable} from './member-table.js';
+import {type PeerMeshSettings} from './peer-mesh-options.js';
+
+/** Options of a {@link FarPlanner}. */
+export type FarPlannerOptions = {
+	readonly settings: PeerMeshSettings;
+	readonly getAddress: () => string;
+	readonly table: MemberTable;
+};
+
+type Candidate = LinkCandidate & {readonly isDown: boolean};
+
+/** Time for which an address that could not be reached is passed over while there are others. */
+const failureMs = 30_000;
+
+/**
+ * Chooses the addresses in other data centres to which this process holds links.
+ * @internal
+ */
+export class FarPlanner {
+	readonly #options: FarPlannerOptions;
+	readonly #failures = new Map<string, number>();
+
+	constructor(options: FarPlannerOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Notes that an address could not be reached.
+	 * @param address - Address that was dialled.
+	 */
+	addFailure(address: string): void {
+		this.#failures.set(address, this.#options.settings.clock.getMonotonicTime());
+	}
+
+	/**
+	 * Notes that an address was reached.
+	 * @param address - Address that was dialled.
+	 */
+	removeFailure(address: string): void {
+		this.#failures.delete(address);
+	}
+
+	/**
+	 * Gets the addresses to hold links to.
+	 * @param listed - Entry VMs in the platform's list.
+	 */
+	getAddresses(listed: readonly ListedEntryVm[]): readonly string[] {
+		this.#removeOldFailures();
+		const {settings, getAddress} = this.#options;
+		const {dataCenter, vm} = settings.self;
+		const self = {dataCenter, vm, address: getAddress()};
+		const local = [self, ...this.#getLocalCandidates()];
+		return this.#getRemoteCandidates(listed).flatMap(remote => planLinks({
+			self, local, remote: this.#preferReachable(remote), linkCount: settings.farLinks,
+		}));
+	}
+
+	#getLocalCandidates(): readonly LinkCandidate[] {
+		const {settings, table} = this.#options;
+		const records = table.getRecords().filter(({incarnation, state}) => incarnation.dataCenter === settings.self.dataCenter && state === 'up');
+		return records.map(record => toCandidate(record));
+	}
+
+	/** Gets the entry VMs of each other data centre, known or listed, one for each address. */
+	#getRemoteCandidates(listed: readonly ListedEntryVm[]): ReadonlyArray<readonly Candidate[]> {
+		const known = this.#options.table.getRecords().map(record => toCandidate(record));
+		const named = listed.map(({dataCenter, name, peerAddress}) => ({
+			dataCenter, vm: name, address: peerAddress, isDown: false,
+		}));
+		const groups = new Map<string, Map<string, Candidate>>();
+		// Of the incarnations seen at one address, one that is not down stands for it.
+		for (const candidate of [...named, ...known.toSorted((a, b) => Number(b.isDown) - Number(a.isDown))]) {
+			const group = groups.get(candidate.dataCenter) ?? new Map<string, Candidate>();
+			groups.set(candidate.dataCenter, group.set(candidate.address, candidate));
+		}
+
+		groups.delete(this.#options.settings.self.dataCenter);
+		return [...groups.values()].map(group => [...group.values()]);
+	}
+
+	#preferReachable(candidates: readonly Candidate[]): readonly Candidate[] {
+		const reachable = candidates.filter(({address, isDown}) => !isDown && !this.#failures.has(address));
+		if (reachable.length > 0) {
+			return reachable;
+		}
+
+		// All have been tried: down ones may be back, and the others get another turn.
+		const untried = candidates.filter(({address}) => !this.#failures.has(address));
+		if (untried.length > 0) {
+			return untried;
+		}
+
+		for (const {address} of candidates) {
+			this.#failures.delete(address);
+		}
+
+		return candidates;
+	}
+
+	#removeOldFailures(): void {
+		const now = this.#options.settings.clock.getMonotonicTime();
+		for (const [address, time] of this.#failures) {
+			if (now - time > failureMs) {
+				this.#failures.delete(address);
+			}
+		}
+	}
+}
+
+function toCandidate({incarnation: {dataCenter, vm}, address, state}: MemberRecord): Candidate {
+	return {
+		dataCenter, vm, address, isDown: state === 'down',
+	};
+}
--- a/src/connection/job-client.ts
+++ b/src/connection/job-client.ts
@@ -43,8 +43,8 @@
 	readonly collector: PartCollector<JobAnswer>;
 };
 
-/** Bodies that may be incomplete at a time, in longest bodies. */
-const maxIncompleteBodies = 4;
+/** Bytes of bodies that may wait in each direction, in longest bodies. */
+const maxWaitingBodies = 4;
 
 const keepAliveFrame = encodeFrame({type: 'keep-alive'});
 
@@ -116,7 +116,10 @@
 			return;
 		}
 
-		open.connection.send(keepAliveFrame);
+		// What waits to be sent serves as one.
+		if (open.connection.getBufferedBytes() === 0) {
+			open.connection.send(keepAliveFrame);
+		}
 	}
 
 	/** Starts the time of silence anew, after a pause of this process. */
@@ -170,7 +173,7 @@
 	#start(pending: PendingRequest): void {
 		this.#pending.add(pending);
 		if (this.#open) {
-			this.#open.sender.addBody(pending.outgoing);
+			this.#addToSender(this.#open, pending);
 			return;
 		}
 
@@ -191,12 +194,12 @@
 		const {connection} = result;
 		const open = {
 			connection,
-			sender: new PartSender(connection),
-			collector: new PartCollector<JobAnswer>(this.#options.maxBodyBytes * maxIncompleteBodies),
+			sender: new PartSender(connection, this.#options.maxBodyBytes * maxWaitingBodies),
+			collector: new PartCollector<JobAnswer>(this.#options.maxBodyBytes * maxWaitingBodies),
 		};
 		this.#open = open;
 		for (const pending of this.#pending) {
-			open.sender.addBody(pending.outgoing);
+			this.#addToSender(open, pending);
 		}
 
 		await this.#read(open);
@@ -204,6 +207,13 @@
 		this.#finishAll('the job connection ended');
 	}
 
+	#addToSender(open: OpenConnection, pending: PendingRequest): void {
+		if (!open.sender.addBody(pending.outgoing)) {
+			this.#options.onFault('buffer-full');
+			pending.finish({kind: 'not_sent', detail: 'too much waits to be sent'});
+		}
+	}
+
 	async #read(open: OpenConnection): Promise<void> {
 		for (;;) {
 			const payloads = await open.connection.receiveAll();
--- a/src/connection/job-server.ts
+++ b/src/connection/job-server.ts
@@ -30,8 +30,8 @@
 /** Why the signal of a handler aborts: the peer cancelled the request, or its connection ended. */
 export type RequestAbortReason = 'cancelled' | 'disconnected';
 
-/** Bodies that may be incomplete at a time, in longest bodies. */
-const maxIncompleteBodies = 4;
+/** Bytes of bodies that may wait in each direction, in longest bodies. */
+const maxWaitingBodies = 4;
 
 const keepAliveFrame = encodeFrame({type: 'keep-alive'});
 
@@ -50,8 +50,8 @@
 	constructor(options: JobServerOptions) {
 		this.#options = options;
 		this.#connection = options.connection;
-		this.#sender = new PartSender(options.connection);
-		this.#collector = new PartCollector(options.maxBodyBytes * maxIncompleteBodies);
+		this.#sender = new PartSender(options.connection, options.maxBodyBytes * maxWaitingBodies);
+		this.#collector = new PartCollector(options.maxBodyBytes * maxWaitingBodies);
 	}
 
 	/** Takes requests until the connection is closed; the signals of those still in progress then abort. */
@@ -83,7 +83,10 @@
 			return;
 		}
 
-		this.#connection.send(keepAliveFrame);
+		// What waits to be sent serves as one.
+		if (this.#connection.getBufferedBytes() === 0) {
+			this.#connection.send(keepAliveFrame);
+		}
 	}
 
 	/** Starts the time of silence anew, after a pause of this process. */
@@ -183,7 +186,10 @@
 				type: 'answer', id, logicalTime: this.#options.getLogicalTime(), size: body.length, part,
 			}),
 		};
-		this.#sender.addBody(outgoing);
+		if (!this.#sender.addBody(outgoing)) {
+			this.#options.onFault('buffer-full');
+			this.#connection.close();
+		}
 	}
 
 	#sendFailure(id: number, detail: string): void {
--- a/src/connection/member-record.ts
+++ b/src/connection/member-record.ts
@@ -20,15 +20,17 @@
 	/** Monotonic time at which the member went down. */
 	downSince = 0;
 	link: ControlLink | undefined;
+	/** Monotonic time since which the link is not planned. */
+	surplusSince: number | undefined;
 	/** Identifier of the last link, also after its end; empty for none. */
 	lastLinkId = '';
 	jobClient: JobClient | undefined;
 	/** Highest identifier of a job request taken from this incarnation. */
 	lastRequestId = 0;
 
-	constructor(readonly incarnation: Incarnation, public address: string, options: {readonly now: number; readonly maxBufferBytes: number}) {
+	constructor(readonly incarnation: Incarnation, public address: string, options: {readonly now: number; readonly maxBufferBytes: number; readonly maxFrameBytes: number}) {
 		this.lastHeard = options.now;
-		this.channel = new ControlChannel(options.maxBufferBytes);
+		this.channel = new ControlChannel(options);
 	}
 
 	/** Gets the link if it is open. */
--- a/src/connection/member-table.ts
+++ b/src/connection/member-table.ts
@@ -17,6 +17,8 @@
 	readonly log?: Logger;
 	/** Bytes of control messages kept for one member. */
 	readonly maxBufferBytes: number;
+	/** Longest control message. */
+	readonly maxFrameBytes: number;
 	/** Called when a member goes down. */
 	readonly onDown: (record: MemberRecord) => void;
 	/** Called when a member is forgotten. */
@@ -81,8 +83,8 @@
 			return known;
 		}
 
-		const {clock, maxBufferBytes} = this.#options;
-		const record = new MemberRecord(incarnation, address, {now: clock.getMonotonicTime(), maxBufferBytes});
+		const {clock, maxBufferBytes, maxFrameBytes} = this.#options;
+		const record = new MemberRecord(incarnation, address, {now: clock.getMonotonicTime(), maxBufferBytes, maxFrameBytes});
 		this.#records.set(incarnation.id, record);
 		this.#publish();
 		return record;
--- a/src/connection/membership.ts
+++ b/src/connection/membership.ts
@@ -5,7 +5,7 @@
 import {type CompleteReport} from './control-link.js';
 import {type KnownAddress, type ReportedMember} from './control-messages.js';
 import {type ControlLinks} from './control-links.js';
-import {type LinkCandidate, planLinks} from './link-plan.js';
+import {FarPlanner} from './far-planner.js';
 import {type MemberRecord} from './member-record.js';
 import {type MemberTable} from './member-table.js';
 import {PeerDialer} from './peer-dialer.js';
@@ -31,13 +31,13 @@
 	readonly #dialers = new Map<string, PeerDialer>();
 	/** Incarnation that last answered at an address, which may differ from the address that it tells. */
 	readonly #answered = new Map<string, string>();
-	/** Addresses at which the last attempt failed. */
-	readonly #failed = new Set<string>();
+	readonly #planner: FarPlanner;
 	#listed: readonly ListedEntryVm[] | undefined;
 	#isClosed = false;
 
 	constructor(options: MembershipOptions) {
 		this.#options = options;
+		this.#planner = new FarPlanner(options);
 	}
 
 	/**
@@ -107,6 +107,7 @@
 
 		for (const record of this.#options.table.getRecords()) {
 			this.#evaluateRecord(record);
+			this.#closeSurplusLink(record);
 		}
 
 		this.#options.reports.removeStale();
@@ -193,6 +194,29 @@
 		}
 	}
 
+	/** Closes a link to another data centre that this process made and that the plan no longer has. */
+	#closeSurplusLink(record: MemberRecord): void {
+		const {clock, self, downBeats, farBeatMs} = this.#options.settings;
+		const link = record.getOpenLink();
+		if (!link || this.#isNear(record) || link.dialerId !== self.id || this.#hasDialer(record)) {
+			record.surplusSince = undefined;
+			return;
+		}
+
+		record.surplusSince ??= clock.getMonotonicTime();
+		if (clock.getMonotonicTime() - record.surplusSince > downBeats * farBeatMs) {
+			link.close();
+		}
+	}
+
+	#hasDialer(record: MemberRecord): boolean {
+		return [...this.#dialers.keys()].some(address => this.#isAt(record, address));
+	}
+
+	#isAt({address: recordAddress, incarnation}: MemberRecord, address: string): boolean {
+		return address === recordAddress || this.#answered.get(address) === incarnation.id;
+	}
+
 	#isNear({incarnation}: MemberRecord): boolean {
 		return incarnation.dataCenter === this.#options.settings.self.dataCenter;
 	}
@@ -210,7 +234,7 @@
 		const {dataCenter} = this.#options.settings.self;
 		const near = table.getRecords().filter(record => this.#isNear(record)).map(record => record.address);
 		const listed = (this.#listed ?? []).filter(vm => vm.dataCenter === dataCenter).map(({peerAddress}) => peerAddress);
-		const wanted = new Set([...near, ...listed, ...this.#getSeeds(), ...this.#getFarAddresses()]);
+		const wanted = new Set([...near, ...listed, ...this.#getSeeds(), ...this.#planner.getAddresses(this.#listed ?? [])]);
 		wanted.delete(getAddress());
 		return wanted;
 	}
@@ -222,39 +246,6 @@
 		return settings.seeds.filter(seed => isAlone || !table.getRecord(this.#answered.get(seed) ?? ''));
 	}
 
-	#getFarAddresses(): readonly string[] {
-		const {settings, getAddress, table} = this.#options;
-		const {dataCenter, vm} = settings.self;
-		const self = {dataCenter, vm, address: getAddress()};
-		const near = table.getRecords().filter(record => this.#isNear(record) && record.state === 'up');
-		const local = [self, ...near.map(record => toCandidate(record))];
-		return [...this.#getFarCandidates().values()].flatMap(remote => planLinks({
-			self, local, remote, linkCount: settings.farLinks,
-		}));
-	}
-
-	#getFarCandidates(): ReadonlyMap<string, readonly LinkCandidate[]> {
-		const known = this.#options.table.getRecords().filter(record => !this.#isNear(record));
-		const listed = (this.#listed ?? []).map(vm => ({dataCenter: vm.dataCenter, vm: vm.name, address: vm.peerAddress}));
-		const all = [...known.filter(({state}) => state !== 'down').map(record => toCandidate(record)), ...listed, ...known.map(record => toCandidate(record))];
-		const byAddress = new Map<string, LinkCandidate>();
-		for (const candidate of all.filter(({dataCenter}) => dataCenter !== this.#options.settings.self.dataCenter)) {
-			byAddress.set(candidate.address, byAddress.get(candidate.address) ?? candidate);
-		}
-
-		const groups = new Map<string, LinkCandidate[]>();
-		for (const candidate of byAddress.values()) {
-			groups.set(candidate.dataCenter, [...groups.get(candidate.dataCenter) ?? [], candidate]);
-		}
-
-		return new Map([...groups].map(([dataCenter, candidates]) => [dataCenter, this.#preferReachable(candidates)]));
-	}
-
-	#preferReachable(candidates: readonly LinkCandidate[]): readonly LinkCandidate[] {
-		const reachable = candidates.filter(({address}) => !this.#failed.has(address));
-		return reachable.length > 0 ? reachable : candidates;
-	}
-
 	#addDialer(address: string): void {
 		const {clock, random, minBackoffMs, maxBackoffMs} = this.#options.settings;
 		const dialer = new PeerDialer({
@@ -271,8 +262,7 @@
 	}
 
 	#getLinkedRecord(address: string): MemberRecord | undefined {
-		const id = this.#answered.get(address);
-		return this.#options.table.getRecords().find(record => record.getOpenLink() && (record.address === address || record.incarnation.id === id));
+		return this.#options.table.getRecords().find(record => record.getOpenLink() && this.#isAt(record, address));
 	}
 
 	async #dial(address: string): Promise<void> {
@@ -282,11 +272,11 @@
 		}
 
 		if (result.ok) {
-			this.#failed.delete(address);
+			this.#planner.removeFailure(address);
 			this.#answered.set(address, result.peer.incarnation.id);
 			this.#setDown(address, 'another incarnation answered', result.peer.incarnation.id);
 		} else if (result.reason !== 'duplicate') {
-			this.#failed.add(address);
+			this.#planner.addFailure(address);
 			if (result.reason === 'refused') {
 				this.#setDown(address, 'connection refused');
 			}
@@ -305,13 +295,9 @@
 
 	#wakeDialers(record: MemberRecord): void {
 		for (const [address, dialer] of this.#dialers) {
-			if (address === record.address || this.#answered.get(address) === record.incarnation.id) {
+			if (this.#isAt(record, address)) {
 				dialer.wake();
 			}
 		}
 	}
 }
-
-function toCandidate({incarnation: {dataCenter, vm}, address}: MemberRecord): LinkCandidate {
-	return {dataCenter, vm, address};
-}
--- a/src/connection/part-sender.ts
+++ b/src/connection/part-sender.ts
@@ -34,22 +34,31 @@
  */
 export class PartSender {
 	readonly #connection: FrameConnection;
+	readonly #maxWaitingBytes: number;
 	readonly #sendings: Sending[] = [];
+	#waitingBytes = 0;
 
-	constructor(connection: FrameConnection) {
+	constructor(connection: FrameConnection, maxWaitingBytes: number) {
 		this.#connection = connection;
+		this.#maxWaitingBytes = maxWaitingBytes;
 		connection.addDrainCallback(() => {
 			this.#sendParts();
 		});
 	}
 
 	/**
-	 * Adds a body behind those that wait.
+	 * Adds a body behind those that wait; false when too much waits.
 	 * @param outgoing - Body to send.
 	 */
-	addBody(outgoing: OutgoingBody): void {
+	addBody(outgoing: OutgoingBody): boolean {
+		if (this.#waitingBytes + outgoing.body.length > this.#maxWaitingBytes) {
+			return false;
+		}
+
+		this.#waitingBytes += outgoing.body.length;
 		this.#sendings.push({outgoing, id: undefined, offset: 0});
 		this.#sendParts();
+		return true;
 	}
 
 	/**
@@ -62,7 +71,8 @@
 			return false;
 		}
 
-		this.#sendings.splice(index, 1);
+		const [removed] = this.#sendings.splice(index, 1);
+		this.#waitingBytes -= outgoing.body.length - removed!.offset;
 		return true;
 	}
 
@@ -85,6 +95,7 @@
 		}
 
 		sending.offset += part.length;
+		this.#waitingBytes -= part.length;
 		if (sending.offset < body.length) {
 			this.#sendings.push(sending);
 		}
--- a/src/connection/peer-mesh.ts
+++ b/src/connection/peer-mesh.ts
@@ -45,12 +45,13 @@
 		this.#connector = connector;
 		this.#meter = meter;
 		this.#lastTick = settings.clock.getMonotonicTime();
-		const {clock, events, log, maxControlBufferBytes, self, silentBeats, beatMs} = settings;
+		const {clock, events, log, maxControlBufferBytes, maxControlFrameBytes, self, silentBeats, beatMs} = settings;
 		this.#table = new MemberTable({
 			clock,
 			events,
 			log,
 			maxBufferBytes: maxControlBufferBytes,
+			maxFrameBytes: maxControlFrameBytes,
 			onDown(record) {
 				record.link?.close();
 				record.jobClient?.closeIfSilent(silentBeats * beatMs);
--- a/test/connection/test-mesh.ts
+++ b/test/connection/test-mesh.ts
@@ -1,12 +1,16 @@
-import {type ExecutionContext} from 'ava';
 import {just, type Stream} from 'most';
 import {
 	createPeerMesh, type Member, type PeerMesh, type PeerMeshOptions,
 } from '../../src/connection/index.js';
 import {type ListedEntryVm} from '../../src/platform/index.js';
 
+/** The part of a test that its fixtures need. */
+export type TestContext = {
+	readonly teardown: (callback: () => Promise<void>) => void;
+};
+
 /** Creates an entry VM's links with short periods, closed when the test ends. */
-export async function createTestMesh(t: ExecutionContext, vm: string, options: Partial<PeerMeshOptions> = {}): Promise<PeerMesh> {
+export async function createTestMesh(t: TestContext, vm: string, options: Partial<PeerMeshOptions> = {}): Promise<PeerMesh> {
 	const mesh = await createPeerMesh({
 		deployment: 'test',
 		key: 'a key that the test shares',
