Run upstream stand-ins in worker threads

Cause: in measurements the stand-ins shared the processor of what is measured. Change: UpstreamWorker starts a stand-in in a thread and asks it for counts and records.

--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -3,3 +3,4 @@
 export * from './upstream-faults.js';
 export * from './upstream-record.js';
 export * from './upstream-stand-in.js';
+export * from './upstream-worker.js';
