--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,18 @@
+/**
+ * `npm run bench -- NAME`: runs one measurement and writes its figures to bench/results/NAME.json.
+ */
+import process from 'node:process';
+
+const benches: Readonly<Record<string, () => Promise<{run: () => Promise<void>}>>> = {
+	dispatch: async () => import('./dispatch.js'),
+};
+
+const name = process.argv[2] ?? '';
+const load = benches[name];
+if (load === undefined) {
+	process.stderr.write(`usage: npm run bench -- NAME, where NAME is one of: ${Object.keys(benches).join(', ')}\n`);
+	process.exitCode = 2;
+} else {
+	const bench = await load();
+	await bench.run();
+}
--- /dev/null
+++ b/bench/support/results.ts
@@ -0,0 +1,21 @@
+/**
+ * Writes the figures of a measurement as data.
+ */
+import {mkdir, writeFile} from 'node:fs/promises';
+import {cpus} from 'node:os';
+import process from 'node:process';
+
+const folder = new URL('../results/', import.meta.url);
+
+/**
+ * Writes the figures of a measurement and prints where they are.
+ * @param name - Name of the measurement.
+ * @param figures - What was measured.
+ */
+export async function writeResults(name: string, figures: Record<string, unknown>): Promise<void> {
+	const file = new URL(`${name}.json`, folder);
+	const machine = {node: process.version, cores: cpus().length, model: cpus()[0]?.model ?? ''};
+	await mkdir(folder, {recursive: true});
+	await writeFile(file, `${JSON.stringify({measuredAt: new Date().toISOString(), machine, ...figures}, undefined, '\t')}\n`);
+	process.stdout.write(`written to bench/results/${name}.json\n`);
+}
