--- a/src/lab/caller.ts
+++ b/src/lab/caller.ts
@@ -79,6 +79,9 @@
 const defaultMaxAttempts = 5;
 const maxRetryDelayMs = 5000;
 
+/** Problems that leave the outcome open only for now. */
+const passingProblems = ['coordinator-unreachable', 'too-many-requests'];
+
 /** Submits requests to the entry VMs until each is answered. */
 export class Caller {
 	readonly #client = new EntryVmClient();
@@ -189,8 +192,8 @@
 			}
 
 			const results = await this.#callAll(submission, id, idAttempt);
-			answer = getBestAnswer(results) ?? answer;
-			if (answer !== undefined && !isWorthAnotherAttempt(answer, submission)) {
+			answer = getBestAnswer(results);
+			if (answer !== undefined && !isWorthAnotherCall(answer, submission)) {
 				break;
 			}
 
@@ -203,7 +206,6 @@
 			}
 
 			await this.#wait(answer?.retryAfterMs ?? this.#retryDelayMs, options);
-			answer = undefined;
 		}
 
 		return {
@@ -240,8 +242,12 @@
 	}
 }
 
-/** A caller's mistake stays one; only a refusal that may pass is worth another attempt. */
-function isWorthAnotherAttempt({outcome, retryAfterMs, status}: CallAnswer, {attempt, options}: Submission): boolean {
+/** A caller's mistake stays one; a refusal that may pass is worth another attempt, and a cut way to the coordinator another call. */
+function isWorthAnotherCall({outcome, problemType, retryAfterMs, status}: CallAnswer, {attempt, options}: Submission): boolean {
+	if (outcome === 'unknown') {
+		return passingProblems.some(problem => problemType.endsWith(problem));
+	}
+
 	const mayPass = retryAfterMs !== undefined || status >= 500;
 	return outcome === 'not_run' && mayPass && attempt < (options.maxAttempts ?? defaultMaxAttempts);
 }
--- a/src/lab/entry-vm-client.ts
+++ b/src/lab/entry-vm-client.ts
@@ -18,6 +18,7 @@
 
 const coordinatorHeader = 'endivemill-coordinator';
 const attemptHeader = 'endivemill-attempt';
+const outcomeHeader = 'endivemill-outcome';
 const idempotentHeader = 'endivemill-idempotent';
 const problemContentType = 'application/problem+json';
 const refusedCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
@@ -32,6 +33,7 @@
 	outcome: z.enum(['not_run', 'failed', 'unknown']),
 	type: z.string().default(''),
 	detail: z.string().default(''),
+	retryAfterMs: z.number().optional(),
 });
 
 const coordinatorSchema = z.object({coordinator: z.string()});
@@ -179,9 +181,11 @@
 	return getProblem(raw) ?? {kind: 'no-answer', reason: 'garbled', detail: `status ${raw.status}: ${raw.body.slice(0, 200)}`};
 }
 
-/** The answer of a plain request is the upstream's own, unless it is a problem with an outcome. */
+/** The answer of a plain request is the upstream's own, unless the entry VM says that there is none. */
 function getRequestAnswer(raw: RawAnswer): CallResult {
-	return getProblem(raw) ?? {
+	const isComplete = raw.headers[outcomeHeader] === 'complete';
+	const problem = isComplete ? undefined : getProblem(raw);
+	return problem ?? {
 		...getCommonParts(raw), outcome: 'complete', tasks: [{status: raw.status, body: raw.body}], problemType: '', detail: '', hash: getHash(`${raw.status} ${raw.body}`),
 	};
 }
@@ -197,9 +201,10 @@
 		return undefined;
 	}
 
-	const {outcome, type, detail} = problem.data;
+	const {outcome, type, detail, retryAfterMs} = problem.data;
+	const common = getCommonParts(raw);
 	return {
-		...getCommonParts(raw), outcome, tasks: [], problemType: type, detail, hash: '',
+		...common, outcome, tasks: [], problemType: type, detail, hash: '', retryAfterMs: retryAfterMs ?? common.retryAfterMs,
 	};
 }
 
--- a/src/testing/history-checker.ts
+++ b/src/testing/history-checker.ts
@@ -32,6 +32,7 @@
 };
 
 const defaultLeavingBoundMs = 5000;
+const stoppedRunningSuffix = 'stopped-running';
 const answerNotKeptSuffix = 'answer-not-kept';
 
 /**
@@ -230,6 +231,11 @@
 		for (const {submits} of this.#requests) {
 			for (const {call, request, vm} of submits) {
 				const end = this.#noAnswers.get(call);
+				const answer = this.#answers.get(call);
+				if (answer?.problemType.endsWith(stoppedRunningSuffix)) {
+					this.#add('stop-cut-request', String(call), `${request} at ${vm}: ${answer.problemType}`);
+				}
+
 				if (end?.reason === 'cut' && isBefore(stops.get(vm), end.time) && !isBefore(disruptions.get(vm), end.time)) {
 					this.#add('stop-cut-request', String(call), `${request} at ${vm}`);
 				}
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -7,3 +7,5 @@
 export * from './upstream-record.js';
 export * from './upstream-stand-in.js';
 export * from './upstream-worker.js';
+export * from './peer-faults.js';
+export * from './switchable-connection.js';
--- /dev/null
+++ b/src/testing/switchable-connection.ts
@@ -0,0 +1,83 @@
+/**
+ * A connection between two entry VMs that a test can cut or silence.
+ */
+import {Duplex} from 'node:stream';
+
+type Callback = Parameters<Duplex['_final']>[0];
+
+/** Passes bytes on until it is silenced; then both ends keep a connection that carries nothing. */
+export class SwitchableConnection extends Duplex {
+	readonly #inner: Duplex;
+	#isSilent = false;
+
+	constructor(inner: Duplex) {
+		super();
+		this.#inner = inner;
+		inner.on('data', (chunk: Uint8Array) => {
+			if (!this.#isSilent && !this.push(chunk)) {
+				inner.pause();
+			}
+		});
+		inner.once('end', () => {
+			if (!this.#isSilent) {
+				this.push(null);
+			}
+		});
+		inner.once('error', (err: Error) => {
+			if (!this.#isSilent) {
+				this.destroy(err);
+			}
+		});
+		inner.once('close', () => {
+			if (!this.#isSilent) {
+				this.destroy();
+			}
+		});
+	}
+
+	/** Drops all bytes from now on, both ways, and hides the other end's close. */
+	silence(): void {
+		this.#isSilent = true;
+		this.#inner.resume();
+	}
+
+	/** Tells whether the connection was silenced. */
+	isSilent(): boolean {
+		return this.#isSilent;
+	}
+
+	override _read(): void {
+		this.#inner.resume();
+	}
+
+	override _write(chunk: Uint8Array, _encoding: string, callback: Callback): void {
+		if (this.#isSilent) {
+			callback();
+			return;
+		}
+
+		this.#inner.write(chunk, callback);
+	}
+
+	override _final(callback: Callback): void {
+		if (!this.#isSilent) {
+			this.#inner.end();
+		}
+
+		callback();
+	}
+
+	override _destroy(err: Parameters<Callback>[0], callback: Callback): void {
+		if (!this.#isSilent) {
+			this.#inner.destroy();
+		}
+
+		callback(err);
+	}
+
+	/** Breaks the connection at both ends. */
+	breakOff(): void {
+		this.#inner.destroy();
+		this.destroy();
+	}
+}
--- a/src/testing/upstream-stand-in.ts
+++ b/src/testing/upstream-stand-in.ts
@@ -7,7 +7,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {type AddressInfo, type Socket} from 'node:net';
 import {text} from 'node:stream/consumers';
 import {finished} from 'node:stream/promises';
 import {
@@ -57,6 +57,8 @@
 	readonly #getRunMs: (random: Random) => number;
 	readonly #server: Server;
 	readonly #record: UpstreamRecord;
+	readonly #sockets = new Set<Socket>();
+	readonly #silentSockets = new WeakSet<Socket>();
 	#faults: UpstreamFaults;
 	#port: number;
 
@@ -78,6 +80,12 @@
 		this.#server = createServer({keepAliveTimeout: 60_000}, (req, res) => {
 			void this.#handle(req, res);
 		});
+		this.#server.on('connection', socket => {
+			this.#sockets.add(socket);
+			socket.once('close', () => {
+				this.#sockets.delete(socket);
+			});
+		});
 	}
 
 	/** Gets the address as `IP:port`; known after `listen`. */
@@ -126,6 +134,13 @@
 		await (this.#faults.refuse ? this.#closeListener() : this.#openListener());
 	}
 
+	/** Silences the connections that are open now for good: nothing more is read or answered on them; new ones work. */
+	silenceConnections(): void {
+		for (const socket of this.#sockets) {
+			this.#silentSockets.add(socket);
+		}
+	}
+
 	/** Closes every connection at once, as when the process dies; the listener stays as it is. */
 	breakConnections(): void {
 		this.#server.closeAllConnections();
@@ -159,6 +174,10 @@
 	}
 
 	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		if (this.#silentSockets.has(req.socket)) {
+			return;
+		}
+
 		const url = new URL(req.url ?? '/', 'http://upstream');
 		try {
 			if (url.pathname === recordPath) {
@@ -222,6 +241,11 @@
 			await this.#wait(this.#getTaskRunMs(req, url) * faults.slowFactor);
 		}
 
+		if (this.#silentSockets.has(req.socket)) {
+			this.#record.addEnd(request, 'abandoned');
+			return;
+		}
+
 		const answer = getAnswerBody(this.name, request.task, start, Number(getHeader(req, answerBytesHeader) ?? 0));
 		this.#record.addEnd(request, sendAnswer(res, answer, faults));
 	}
--- a/test/testing/history-checker-naive.test.ts
+++ b/test/testing/history-checker-naive.test.ts
@@ -16,7 +16,7 @@
 		time,
 		call,
 		outcome: fc.constantFrom('complete', 'not_run', 'failed', 'unknown'),
-		problemType: fc.constantFrom('', 'urn:x:answer-not-kept', 'urn:x:gone'),
+		problemType: fc.constantFrom('', 'urn:x:answer-not-kept', 'urn:x:stopped-running', 'urn:x:gone'),
 		hash: fc.constantFrom('h', 'i'),
 		echoes: fc.oneof(fc.constantFrom(['r/0', 'r/1'], ['s/0', 's/1']), fc.array(fc.option(task, {nil: undefined}), {maxLength: 2})),
 	}),
--- a/test/testing/history-checker.test.ts
+++ b/test/testing/history-checker.test.ts
@@ -96,6 +96,11 @@
 		kind: 'no-answer', time: 8, call: 1, reason: 'cut',
 	}, {kind: 'stop-ended', time: 8, vm: 'a'},
 ], ['stop-cut-request']);
+checkRules('a planned stop that failed a running job', [
+	submit(1, 0), start(2, 'r/0'), answer(5, 0, {
+		outcome: 'failed', problemType: 'urn:x:stopped-running', hash: '', echoes: [],
+	}),
+], ['stop-cut-request']);
 checkRules('a crash may cut a request', [
 	...run, submit(6, 1), {
 		kind: 'disruption', time: 7, vm: 'a', detail: 'killed',
--- a/test/testing/naive-history-checker.ts
+++ b/test/testing/naive-history-checker.ts
@@ -121,6 +121,10 @@
 }
 
 function checkEnd(records: readonly HistoryRecord[], submit: SubmitRecord, add: Add): void {
+	if (getAnswer(records, submit)?.problemType.endsWith('stopped-running')) {
+		add('stop-cut-request', submit.call);
+	}
+
 	if (getSubmits(records, submit.request).every(other => getAnswer(records, other) === undefined)) {
 		add('no-answer', submit.request);
 	}
--- a/test/testing/upstream-stand-in.test.ts
+++ b/test/testing/upstream-stand-in.test.ts
@@ -98,6 +98,23 @@
 	t.is(upstream.getRecord().at(-1)?.reason, 'abandoned');
 });
 
+test('silenced connections carry nothing more, and new ones work', async t => {
+	const {upstream, send} = await startUpstream(t);
+	const kept = new Agent({connections: 1});
+	const sendOver = async (dispatcher: Agent, task: string) => {
+		const answer = await request(`http://${upstream.getAddress()}/`, {dispatcher, headers: {'x-task-id': task}});
+		return answer.body.dump();
+	};
+
+	await sendOver(kept, 'a');
+	upstream.silenceConnections();
+	const lost = t.throwsAsync(sendOver(kept, 'b'));
+	await send('c');
+	t.deepEqual(upstream.getRecord().filter(entry => entry.kind === 'start').map(entry => entry.task), ['a', 'c']);
+	await kept.destroy();
+	await lost;
+});
+
 test('a refusing upstream takes no connection, and listens again on the same port', async t => {
 	const {upstream, send} = await startUpstream(t);
 	await upstream.setFaults({refuse: true});
