--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -6,3 +6,6 @@
 export * from './upstream-faults.js';
 export * from './upstream-record.js';
 export * from './upstream-stand-in.js';
+export * from './upstream-worker.js';
+export * from './peer-faults.js';
+export * from './switchable-connection.js';
