--- a/src/process/coordinator.ts
+++ b/src/process/coordinator.ts
@@ -168,10 +168,6 @@
 			return this.#wait(id, record, waitMs, signal);
 		}
 
-		if (existing.fingerprint !== '' && existing.fingerprint !== fingerprint) {
-			return createProblemAnswer('body-differs', {id, detail: 'this body does not run; the id stands for the body that came first'});
-		}
-
 		if (existing.outcome === 'not_run' && attempt > existing.attempt) {
 			this.#records.reopenRecord(existing, attempt);
 			existing.fingerprint = fingerprint;
@@ -179,6 +175,10 @@
 			return this.#wait(id, existing, waitMs, signal);
 		}
 
+		if (existing.fingerprint !== '' && existing.fingerprint !== fingerprint) {
+			return createProblemAnswer('body-differs', {id, detail: 'this body does not run; the id stands for the body that came first'});
+		}
+
 		this.#counters.joined++;
 		this.#options.events.addEvent('job-joined', id);
 		return this.#wait(id, existing, waitMs, signal);
