--- a/src/daemon/entry-vm-settings.ts
+++ b/src/daemon/entry-vm-settings.ts
@@ -28,6 +28,7 @@
 		peerSeeds: settings.peerSeeds,
 		operatorToken: settings.operatorToken,
 		periodMs: settings.periodSeconds * millisecondsPerSecond,
+		drainMs: settings.drainMs,
 		stopTimeoutMs: settings.stopTimeoutMs,
 		upstreams: {connectTimeoutMs: settings.connectTimeoutMs},
 		limits: {
--- a/src/daemon/setting-table.ts
+++ b/src/daemon/setting-table.ts
@@ -84,6 +84,7 @@
 		placeholder: 'level',
 		help: 'Least level of log lines: trace, debug, info, warn, error or fatal',
 	},
+	drainMs: integer(3000, 0, maxMilliseconds, {help: 'Time for which a stopping VM still takes new connections, so that the balancer notices', unit: 'ms'}),
 	stopTimeoutMs: integer(60_000, 0, maxMilliseconds, {help: 'Longest time of a graceful stop; running work is cut off after it', unit: 'ms'}),
 } as const satisfies Record<string, AnySettingDefinition>;
 
