Test the links between entry VMs under faults

Cause: the promises of the links (once, in order, bounded, nobody wrongly down) were shown only without faults. The tests found that a relay that ended stayed up elsewhere for as long as its own last report of itself counted.

Change: tests over loopback sockets that silence single directions, cut, reset, stall, pause, send garbage, replay messages and requests, use wrong keys and deployments, and cut off a data centre.

--- a/src/connection/peer-mesh.ts
+++ b/src/connection/peer-mesh.ts
@@ -52,7 +52,8 @@
 			log,
 			maxBufferBytes: maxControlBufferBytes,
 			maxFrameBytes: maxControlFrameBytes,
-			onDown(record) {
+			onDown: record => {
+				this.#reports.removeReport(record.incarnation.id);
 				record.link?.close();
 				record.jobClient?.closeIfSilent(silentBeats * beatMs);
 			},
@@ -78,7 +79,7 @@
 		});
 		const getAddress = (): string => connector.getAddress();
 		this.#reports = new ReportBook({
-			clock, self, getAddress, table: this.#table, freshMs: settings.downBeats * settings.farBeatMs,
+			clock, self, getAddress, table: this.#table, freshMs: settings.silentBeats * settings.farBeatMs,
 		});
 		this.#membership = new Membership({
 			settings, getAddress, table: this.#table, reports: this.#reports, links: this.#links,
--- a/src/connection/report-book.ts
+++ b/src/connection/report-book.ts
@@ -99,6 +99,14 @@
 		}
 	}
 
+	/**
+	 * Removes the report of a reporter that is down.
+	 * @param reporter - Identifier of its incarnation.
+	 */
+	removeReport(reporter: string): void {
+		this.#reports.delete(reporter);
+	}
+
 	/** Removes the reports that count for nothing. */
 	removeStale(): void {
 		const now = this.#options.clock.getMonotonicTime();
--- /dev/null
+++ b/test/connection/far-peers.test.ts
@@ -0,0 +1,89 @@
+import test from 'ava';
+import {type Member, type PeerMesh} from '../../src/connection/index.js';
+import {FaultyNetwork} from './faulty-network.js';
+import {createTestMesh, type TestContext, waitForMembers} from './test-mesh.js';
+
+const dataCenters = ['kolkata', 'shanti', 'siliguri'];
+
+type Site = {readonly dataCenter: string; readonly mesh: PeerMesh; readonly network: FaultyNetwork; readonly id: string};
+
+/** Three data centres of three entry VMs each, all of which know but one address. */
+async function createSites(t: TestContext): Promise<readonly Site[]> {
+	const sites: Site[] = [];
+	for (const dataCenter of dataCenters) {
+		for (const number of [1, 2, 3]) {
+			const vm = `${dataCenter}-${number}`;
+			const network = new FaultyNetwork();
+			const mesh = await createTestMesh(t, vm, {
+				self: {dataCenter, vm, id: `${vm}-1`},
+				dial: network.dial,
+				seeds: sites.slice(0, 1).map(site => site.mesh.getAddress()),
+				onRequest: async () => vm,
+				getHeartbeat: () => ({configurationVersion: vm.length, isLeaving: false, load: undefined}),
+			});
+			sites.push({
+				dataCenter, mesh, network, id: `${vm}-1`,
+			});
+		}
+	}
+
+	await Promise.all(sites.map(async ({mesh}) => waitForMembers(mesh, members => countMembers(members, 'up') === 8)));
+	return sites;
+}
+
+function countMembers(members: readonly Member[], state: Member['state']): number {
+	return members.filter(member => member.state === state).length;
+}
+
+test('each entry VM knows those of all data centres through a single seed, with what they tell', async t => {
+	const sites = await createSites(t);
+	for (const {mesh} of sites) {
+		await waitForMembers(mesh, members => members.every(({incarnation, configurationVersion}) => configurationVersion === incarnation.vm.length));
+	}
+
+	const addresses = new Map(sites.map(({id, mesh}) => [id, mesh.getAddress()]));
+	for (const {mesh} of sites) {
+		t.true(mesh.getMembers().every(({incarnation, peerAddress}) => addresses.get(incarnation.id) === peerAddress));
+	}
+});
+
+test('an entry VM asks each one in the other data centres', async t => {
+	const sites = await createSites(t);
+	const far = sites.filter(({dataCenter}) => dataCenter !== 'kolkata');
+	const outcomes = await Promise.all(far.map(async ({id}) => sites[0]!.mesh.request(id, {topic: 'x', body: undefined})));
+	t.deepEqual(outcomes, far.map(({id}) => ({kind: 'answered', body: id.slice(0, -2)})));
+});
+
+test('an entry VM that ends in another data centre is down everywhere', async t => {
+	const sites = await createSites(t);
+	const [ended] = sites.slice(-1);
+	await ended!.mesh.close();
+	await Promise.all(sites.slice(0, -1).map(async ({mesh}) => waitForMembers(mesh, members =>
+		members.some(({incarnation, state}) => incarnation.id === ended!.id && state === 'down') && countMembers(members, 'up') === 7)));
+	t.pass();
+});
+
+test('a data centre that is cut off is down for the others, goes on by itself, and comes back', async t => {
+	const sites = await createSites(t);
+	const cutOff = sites.filter(({dataCenter}) => dataCenter === 'shanti');
+	const rest = sites.filter(site => !cutOff.includes(site));
+	const getAddresses = (group: readonly Site[]): readonly string[] => group.map(({mesh}) => mesh.getAddress());
+	for (const {network} of rest) {
+		network.cut(getAddresses(cutOff));
+	}
+
+	for (const {network} of cutOff) {
+		network.cut(getAddresses(rest));
+	}
+
+	await Promise.all([
+		...rest.map(async ({mesh}) => waitForMembers(mesh, members => countMembers(members, 'down') === 3 && countMembers(members, 'up') === 5)),
+		...cutOff.map(async ({mesh}) => waitForMembers(mesh, members => countMembers(members, 'down') === 6 && countMembers(members, 'up') === 2)),
+	]);
+	for (const {network} of sites) {
+		network.heal();
+	}
+
+	await Promise.all(sites.map(async ({mesh}) => waitForMembers(mesh, members => countMembers(members, 'up') === 8)));
+	t.pass();
+});
--- /dev/null
+++ b/test/connection/peer-faults.test.ts
@@ -0,0 +1,125 @@
+import test from 'ava';
+import {EventLog} from '../../src/process/events.js';
+import {systemClock} from '../../src/seams/index.js';
+import {FaultyNetwork} from './faulty-network.js';
+import {
+	createList, createTestMesh, waitForMembers, waitForState, waitUntil,
+} from './test-mesh.js';
+
+for (const directions of [{sending: true}, {receiving: true}, {sending: true, receiving: true}]) {
+	test(`a connection silent in ${Object.keys(directions).join(' and ')} is replaced, and messages arrive once and in order`, async t => {
+		const network = new FaultyNetwork();
+		const received: unknown[] = [];
+		const first = await createTestMesh(t, 'a', {
+			onControl({body}) {
+				received.push(body);
+			},
+		});
+		const second = await createTestMesh(t, 'b', {dial: network.dial, seeds: [first.getAddress()]});
+		await waitForState(second, 'a-1', 'up');
+		const link = network.sockets.length;
+		second.sendControl('a-1', {topic: 'x', body: 1});
+		await waitUntil(() => received.length === 1);
+		network.silence(directions);
+		second.sendControl('a-1', {topic: 'x', body: 2});
+		await waitUntil(() => network.sockets.length > link && second.getMembers()[0]!.state === 'up' && first.getMembers()[0]!.state === 'up');
+		second.sendControl('a-1', {topic: 'x', body: 3});
+		await waitUntil(() => received.length === 3);
+		t.deepEqual(received, [1, 2, 3]);
+	});
+}
+
+test('members cut off from each other are down, and up again without help', async t => {
+	const network = new FaultyNetwork();
+	const first = await createTestMesh(t, 'a', {dial: network.dial});
+	const second = await createTestMesh(t, 'b', {dial: network.dial, entryVms: createList(['kolkata', 'a', first.getAddress()])});
+	await waitForState(second, 'a-1', 'up');
+	network.cut([first.getAddress(), second.getAddress()]);
+	await Promise.all([waitForState(first, 'b-1', 'down'), waitForState(second, 'a-1', 'down')]);
+	t.like(await first.request('b-1', {topic: 'x', body: 1}), {kind: 'not_sent'});
+	t.false(first.sendControl('b-1', {topic: 'x', body: 1}));
+	network.heal();
+	await Promise.all([waitForState(first, 'b-1', 'up'), waitForState(second, 'a-1', 'up')]);
+	t.pass();
+});
+
+test('a member whose address refuses is down, also while the list names it', async t => {
+	const first = await createTestMesh(t, 'a');
+	const second = await createTestMesh(t, 'b', {entryVms: createList(['kolkata', 'a', first.getAddress()])});
+	await waitForState(second, 'a-1', 'up');
+	await first.close();
+	await waitForState(second, 'a-1', 'down');
+	t.pass();
+});
+
+test('a member that the list lacks stays up', async t => {
+	const first = await createTestMesh(t, 'a');
+	const events = new EventLog({process: 'b'});
+	const second = await createTestMesh(t, 'b', {seeds: [first.getAddress()], entryVms: createList(), events});
+	await waitForState(second, 'a-1', 'up');
+	const {messagesReceived} = second.getTraffic().control;
+	await waitUntil(() => second.getTraffic().control.messagesReceived > messagesReceived + 20);
+	t.is(second.getMembers()[0]?.state, 'up');
+});
+
+test('another incarnation at the address of a member that went silent puts it down', async t => {
+	const network = new FaultyNetwork();
+	const watcher = await createTestMesh(t, 'a', {dial: network.dial, downBeats: 1000});
+	const stale = await createTestMesh(t, 'b', {dial: network.dial, seeds: [watcher.getAddress()]});
+	await waitForState(watcher, 'b-1', 'up');
+	// The old process goes away without a word that arrives.
+	network.silence({sending: true, receiving: true});
+	const address = stale.getAddress();
+	await stale.close();
+	const fresh = await createTestMesh(t, 'b', {self: {dataCenter: 'kolkata', vm: 'b', id: 'b-2'}, listenAddress: address});
+	await Promise.all([waitForState(watcher, 'b-1', 'down'), waitForState(watcher, 'b-2', 'up'), waitForState(fresh, 'a-1', 'up')]);
+	t.like(await watcher.request('b-1', {topic: 'x', body: 1}), {kind: 'not_sent'});
+});
+
+test('a pause of this process puts nobody down', async t => {
+	let skippedMs = 0;
+	const gaps: number[] = [];
+	const events = new EventLog({process: 'b'});
+	const first = await createTestMesh(t, 'a');
+	const second = await createTestMesh(t, 'b', {
+		seeds: [first.getAddress()],
+		events,
+		clock: {...systemClock, getMonotonicTime: () => systemClock.getMonotonicTime() + skippedMs},
+		onPause(gapMs) {
+			gaps.push(gapMs);
+		},
+	});
+	await waitForState(second, 'a-1', 'up');
+	skippedMs = 60_000;
+	await waitUntil(() => gaps.some(gapMs => gapMs >= skippedMs));
+	const {messagesReceived} = second.getTraffic().control;
+	await waitUntil(() => second.getTraffic().control.messagesReceived > messagesReceived + 3);
+	t.is(second.getMembers()[0]?.state, 'up');
+	t.false(events.getEvents().some(({kind}) => kind === 'peer-down'));
+});
+
+test('a peer that stops reading has a bounded buffer and holds up no other', async t => {
+	const network = new FaultyNetwork();
+	const received: unknown[] = [];
+	const slow = await createTestMesh(t, 'a');
+	const other = await createTestMesh(t, 'c', {
+		onControl({body}) {
+			received.push(body);
+		},
+	});
+	const sender = await createTestMesh(t, 'b', {
+		dial: network.dial, seeds: [slow.getAddress(), other.getAddress()], maxControlBufferBytes: 100_000, silentBeats: 1000, downBeats: 2000,
+	});
+	await waitForMembers(sender, members => members.filter(({state}) => state === 'up').length === 2);
+	for (const socket of network.sockets.filter(({address}) => address === slow.getAddress())) {
+		socket.isStalled = true;
+	}
+
+	const body = 'x'.repeat(10_000);
+	const taken = Array.from({length: 20}, () => sender.sendControl('a-1', {topic: 'x', body}));
+	t.is(taken.filter(Boolean).length, 9);
+	t.is(sender.getTraffic().faults['buffer-full'], 11);
+	t.true(sender.sendControl('c-1', {topic: 'x', body: 'small'}));
+	await waitUntil(() => received.length === 1);
+	t.deepEqual(received, ['small']);
+});
--- /dev/null
+++ b/test/connection/peer-handshake.test.ts
@@ -0,0 +1,158 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import test from 'ava';
+import {encodeFrame} from '../../src/connection/frame-codec.js';
+import {type LinkFault, type PeerMesh} from '../../src/connection/index.js';
+import {EventLog} from '../../src/process/events.js';
+import {connectPeer, connectRaw} from './raw-peer.js';
+import {createTestMesh, waitForState, waitUntil} from './test-mesh.js';
+
+/** Two linked entry VMs, of which the first is attacked and the second must notice nothing. */
+async function createPair(t: Parameters<typeof createTestMesh>[0]): Promise<{readonly first: PeerMesh; readonly firstEvents: EventLog; readonly checkUndisturbed: () => boolean}> {
+	const firstEvents = new EventLog({process: 'a'});
+	const events = new EventLog({process: 'b'});
+	const first = await createTestMesh(t, 'a', {events: firstEvents, onRequest: async ({body}) => body});
+	const second = await createTestMesh(t, 'b', {seeds: [first.getAddress()], events});
+	await waitForState(second, 'a-1', 'up');
+	return {
+		first,
+		firstEvents,
+		checkUndisturbed: () => second.getMembers()[0]?.state === 'up' && events.getEvents().every(({kind, subject}) => kind === 'peer-up' || subject !== 'a-1'),
+	};
+}
+
+const badBytes: ReadonlyArray<readonly [string, Uint8Array, LinkFault]> = [
+	['bytes that are no CBOR', Buffer.from([0, 0, 0, 3, 0xFF, 0xFF, 0xFF]), 'garbage'],
+	['a message of no known type', encodeFrame({type: 'nonsense'}), 'garbage'],
+	['a proof before the hello', encodeFrame({type: 'proof', mac: Buffer.alloc(32), lastLinkId: ''}), 'garbage'],
+	['a frame over the limit', Buffer.from([0x7F, 0xFF, 0xFF, 0xFF]), 'frame-too-long'],
+	['an HTTP request', Buffer.from('GET / HTTP/1.1\r\n\r\n'), 'frame-too-long'],
+];
+
+for (const [name, bytes, fault] of badBytes) {
+	test(`${name} before the handshake closes the connection and counts`, async t => {
+		const {first, checkUndisturbed} = await createPair(t);
+		const socket = await connectRaw(first.getAddress());
+		socket.write(bytes);
+		socket.resume();
+		await once(socket, 'close');
+		t.is(first.getTraffic().faults[fault], 1);
+		t.true(checkUndisturbed());
+	});
+}
+
+for (const kind of ['control', 'job'] as const) {
+	test(`garbage, a long frame and a cut one on a ${kind} connection close it and count`, async t => {
+		const {first, checkUndisturbed} = await createPair(t);
+		for (const [fault, bytes] of [['garbage', encodeFrame([1, 2])], ['frame-too-long', Buffer.from([0x7F, 0, 0, 0])]] as const) {
+			const {connection, result} = await connectPeer(first.getAddress(), kind);
+			t.true(result.ok);
+			connection.send(bytes);
+			while (await connection.receiveAll()) {
+				// Reads until the other end closes.
+			}
+
+			t.is(first.getTraffic().faults[fault], 1);
+		}
+
+		const {connection} = await connectPeer(first.getAddress(), kind);
+		connection.send(Buffer.from([0, 0, 0, 9, 1]));
+		connection.closeAfterWrites();
+		await waitUntil(() => first.getTraffic().faults.truncated === 1);
+		t.true(checkUndisturbed());
+	});
+}
+
+for (const [fault, options] of [['wrong-key', {key: 'another'}], ['wrong-deployment', {deployment: 'another'}]] as const) {
+	test(`a peer with the ${fault} is refused with a reason, a count and an event`, async t => {
+		const {first, firstEvents, checkUndisturbed} = await createPair(t);
+		const {result} = await connectPeer(first.getAddress(), 'control', options);
+		t.like(result, {ok: false, reason: fault, wasToldByPeer: true});
+		t.is(first.getTraffic().faults[fault], 1);
+		t.true(firstEvents.getEvents().some(({kind, detail}) => kind === 'peer-rejected' && detail === fault));
+		t.true(checkUndisturbed());
+	});
+}
+
+test('a peer with another protocol is refused', async t => {
+	const {first} = await createPair(t);
+	const socket = await connectRaw(first.getAddress());
+	const hello = {
+		type: 'hello', protocol: 99, deployment: 'test', kind: 'control', dataCenter: 'kolkata', vm: 'raw', id: 'raw-1', address: '127.0.0.1:1', challenge: Buffer.alloc(32),
+	};
+	socket.write(encodeFrame(hello));
+	socket.resume();
+	await once(socket, 'close');
+	t.is(first.getTraffic().faults['wrong-protocol'], 1);
+});
+
+test('a listener that has another key gets no proof and no link', async t => {
+	const first = await createTestMesh(t, 'a', {key: 'another'});
+	const second = await createTestMesh(t, 'b', {seeds: [first.getAddress()]});
+	await waitUntil(() => (second.getTraffic().faults['wrong-key'] ?? 0) > 0);
+	t.deepEqual(second.getMembers(), []);
+});
+
+test('a connection that says nothing is closed after the time limit', async t => {
+	const {first, checkUndisturbed} = await createPair(t);
+	const socket = await connectRaw(first.getAddress());
+	socket.resume();
+	await once(socket, 'close');
+	t.is(first.getTraffic().faults['handshake-timeout'], 1);
+	t.true(checkUndisturbed());
+});
+
+test('connections beyond the limit of those in their handshake are closed at once', async t => {
+	const first = await createTestMesh(t, 'a', {maxHandshakes: 2, connectTimeoutMs: 60_000});
+	const sockets = await Promise.all([1, 2, 3].map(async () => connectRaw(first.getAddress())));
+	await waitUntil(() => first.getTraffic().faults['too-many-handshakes'] === 1);
+	t.is(sockets.length, 3);
+	for (const socket of sockets) {
+		socket.destroy();
+	}
+});
+
+test('a control message that comes again over a new connection is not handled again', async t => {
+	const received: unknown[] = [];
+	const first = await createTestMesh(t, 'a', {
+		onControl({body}) {
+			received.push(body);
+		},
+	});
+	for (const bodies of [[1, 2], [1, 2, 3]]) {
+		const {connection} = await connectPeer(first.getAddress(), 'control');
+		connection.send(encodeFrame({type: 'start', received: 0, addresses: []}));
+		for (const body of bodies) {
+			connection.send(encodeFrame({
+				type: 'data', number: body, logicalTime: 0, topic: 'x', body,
+			}));
+		}
+
+		await waitUntil(() => received.length === bodies.length);
+	}
+
+	t.deepEqual(received, [1, 2, 3]);
+	t.is(first.getTraffic().faults['duplicate-message'], 2);
+});
+
+test('a request that comes again over a new connection is not handled again', async t => {
+	let count = 0;
+	const first = await createTestMesh(t, 'a', {
+		async onRequest() {
+			count++;
+		},
+	});
+	const request = encodeFrame({
+		type: 'request', id: 1, logicalTime: 0, topic: 'x', size: 1, part: Buffer.from([1]),
+	});
+	const isHandled = (): boolean => count === 1;
+	const isRefused = (): boolean => first.getTraffic().faults['duplicate-request'] === 1;
+	for (const isDone of [isHandled, isRefused]) {
+		const {connection} = await connectPeer(first.getAddress(), 'job');
+		connection.send(request);
+		await waitUntil(isDone);
+		connection.close();
+	}
+
+	t.is(count, 1);
+});
