--- a/test/daemon/daemon-process.ts
+++ b/test/daemon/daemon-process.ts
@@ -36,6 +36,8 @@
 		listed.operatorAddress,
 		'--peer-address',
 		listed.peerAddress,
+		'--peer-key',
+		'a key of the test, long enough',
 		'--drain-ms',
 		'200',
 	], {stdio: ['ignore', 'pipe', 'inherit']});
