Measure the ways of finding the one process that starts a job, and the hand-over

Cause: the design names the coordinator in the id; that choice needs a figure beside its rivals. Change: bench coordinator (direct, forwarded, record in the store first, in turns within one run) and bench hand-over.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,7 +4,9 @@
 import process from 'node:process';
 
 const benches: Readonly<Record<string, () => Promise<{run: () => Promise<void>}>>> = {
+	coordinator: async () => import('./coordinator.js'),
 	dispatch: async () => import('./dispatch.js'),
+	'hand-over': async () => import('./hand-over.js'),
 };
 
 const name = process.argv[2] ?? '';
