Add the declarations commands of endivemill

Cause: operators change the configuration from version control, race each other, and lose answers of the platform. Change: validate, diff, apply, history, show, rollback and schema; a change is written by compare-and-swap, a lost answer is settled by its change id, a version is kept before it is replaced, and apply waits for every live entry VM. Property tests of the order in which versions and lists arrive, and the example declarations.

--- /dev/null
+++ b/src/cli/commands/index.ts
@@ -0,0 +1,22 @@
+/**
+ * The commands of `endivemill`, in the order of the help.
+ */
+import {type AddCommand} from '../cli-host.js';
+import {addApplyCommand} from './apply.js';
+import {addDiffCommand} from './diff.js';
+import {addHistoryCommand} from './history.js';
+import {addRollbackCommand} from './rollback.js';
+import {addSchemaCommand} from './schema.js';
+import {addShowCommand} from './show.js';
+import {addValidateCommand} from './validate.js';
+
+/** Adds each command. */
+export const commands: readonly AddCommand[] = [
+	addValidateCommand,
+	addDiffCommand,
+	addApplyCommand,
+	addHistoryCommand,
+	addShowCommand,
+	addRollbackCommand,
+	addSchemaCommand,
+];
--- /dev/null
+++ b/src/cli/exit-codes.ts
@@ -0,0 +1,26 @@
+/**
+ * Exit codes of `endivemill`; scripts rely on them, so a number keeps its meaning.
+ */
+
+/** Exit codes by name. */
+export const exitCodes = {
+	/** Done as asked. */
+	success: 0,
+	/** There is a difference, or a promise that was checked did not hold. */
+	difference: 1,
+	/** The command line or the declarations are not valid; nothing was written. */
+	invalid: 2,
+	/** Accepted, but not in force on every live entry VM within the time limit. */
+	notInForce: 3,
+	/** Another change was accepted first; nothing was written. */
+	refused: 4,
+	/** The platform or the entry VMs could not be reached; nothing was written. */
+	unavailable: 5,
+	/** The answer of the platform was lost, and whether the change was accepted could not be settled. */
+	unknown: 6,
+	/** What was asked for does not exist. */
+	notFound: 7,
+} as const;
+
+/** An exit code of `endivemill`. */
+export type ExitCode = (typeof exitCodes)[keyof typeof exitCodes];
--- /dev/null
+++ b/src/cli/operator-client.ts
@@ -0,0 +1,91 @@
+/**
+ * Requests to the operator addresses of entry VMs.
+ */
+import {readFile} from 'node:fs/promises';
+import {Agent, request} from 'undici';
+import {z} from 'zod';
+import {type CliHost} from './cli-host.js';
+import {getFlagOrVariable, type OperatorFlags} from './cli-options.js';
+
+/** Options of an {@link OperatorClient}. */
+export type OperatorClientOptions = {
+	readonly agent?: Agent;
+	readonly isTls?: boolean;
+	readonly token?: string;
+	/** Time limit of a request in milliseconds. */
+	readonly timeoutMs?: number;
+};
+
+/** An answer of an entry VM, or why there is none. */
+export type OperatorAnswer<T> =
+	| {readonly ok: true; readonly value: T}
+	| {readonly ok: false; readonly detail: string};
+
+const defaultTimeoutMs = 2000;
+
+/** Asks entry VMs. */
+export class OperatorClient {
+	readonly #agent: Agent;
+	readonly #scheme: string;
+	readonly #headers: Record<string, string>;
+	readonly #timeoutMs: number;
+
+	constructor(options: OperatorClientOptions = {}) {
+		this.#agent = options.agent ?? new Agent();
+		this.#scheme = options.isTls ? 'https' : 'http';
+		this.#headers = options.token ? {authorization: `Bearer ${options.token}`} : {};
+		this.#timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
+	}
+
+	/**
+	 * Gets a JSON value of one entry VM.
+	 * @param address - Operator address of the entry VM.
+	 * @param path - Path of the value, for instance `/v1/status`.
+	 * @param schema - Schema of the value.
+	 */
+	async getJson<T>(address: string, path: string, schema: z.ZodType<T>): Promise<OperatorAnswer<T>> {
+		try {
+			const res = await request(`${this.#scheme}://${address}${path}`, {
+				dispatcher: this.#agent, headers: this.#headers, signal: AbortSignal.timeout(this.#timeoutMs),
+			});
+			if (res.statusCode !== 200) {
+				await res.body.dump();
+				return {ok: false, detail: `status ${res.statusCode}`};
+			}
+
+			const parsed = schema.safeParse(await res.body.json());
+			return parsed.success ? {ok: true, value: parsed.data} : {ok: false, detail: `unexpected answer: ${z.prettifyError(parsed.error)}`};
+		} catch (err) {
+			return {ok: false, detail: (err as Error).message};
+		}
+	}
+
+	/** Closes the connections. */
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+}
+
+/**
+ * Opens a client as the flags say; tells what is wrong with them and gives `undefined` otherwise.
+ * @param flags - Flags of the command.
+ * @param host - Host of the command.
+ */
+export async function openOperatorClient(flags: OperatorFlags, host: CliHost): Promise<OperatorClient | undefined> {
+	const read = async (flag: string | undefined, variable: string): Promise<string | undefined> => {
+		const file = getFlagOrVariable(flag, variable, host);
+		return file === undefined ? undefined : readFile(file, 'utf8');
+	};
+
+	try {
+		const token = await read(flags.operatorTokenFile, 'ENDIVEMILL_OPERATOR_TOKEN_FILE');
+		const ca = await read(flags.operatorTlsCaFile, 'ENDIVEMILL_OPERATOR_TLS_CA_FILE');
+		const cert = await read(flags.operatorTlsCertFile, 'ENDIVEMILL_OPERATOR_TLS_CERT_FILE');
+		const key = await read(flags.operatorTlsKeyFile, 'ENDIVEMILL_OPERATOR_TLS_KEY_FILE');
+		const agent = new Agent({connect: {ca, cert, key}});
+		return new OperatorClient({agent, isTls: ca !== undefined, token: token?.trim()});
+	} catch (err) {
+		host.writeErr(`error: ${(err as Error).message}\n`);
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/cli/version-wait.ts
@@ -0,0 +1,94 @@
+/**
+ * Waits until every live entry VM of the platform's list has a version of the configuration in force.
+ */
+import {z} from 'zod';
+import {
+	getVmPrefix, type ListedEntryVm, parseListedVm, type Platform,
+} from '../platform/index.js';
+import {type Clock, sleep, systemClock} from '../seams/index.js';
+import {type OperatorAnswer} from './operator-client.js';
+
+/** An entry VM that does not have the version in force, as far as known. */
+export type LaggingVm = {
+	readonly dataCenter: string;
+	readonly name: string;
+	/** Version that it reported last; absent when it did not answer. */
+	readonly version: number | undefined;
+	readonly detail: string;
+};
+
+/** How far a version has come. */
+export type VersionProgress = {
+	readonly inForce: number;
+	readonly lagging: readonly LaggingVm[];
+	/** Whether the list of VMs could be read. */
+	readonly isListKnown: boolean;
+};
+
+/** Options of {@link waitForVersion}. */
+export type VersionWaitOptions = {
+	readonly platform: Platform;
+	readonly deployment: string;
+	readonly version: number;
+	readonly timeoutMs: number;
+	readonly clock?: Clock;
+	/** Asks an entry VM for its version. */
+	readonly getVersion: (vm: ListedEntryVm) => Promise<OperatorAnswer<number>>;
+	readonly onProgress?: (progress: VersionProgress) => void;
+};
+
+/** Part of an entry VM's status that tells the version in force. */
+export const versionStatusSchema = z.object({configurationVersion: z.int()});
+
+const pollMs = 250;
+
+/** Polls of the entry VMs between two reads of their list. */
+const pollsPerListRead = 4;
+
+/**
+ * Waits until the version is in force everywhere or the time is up; resolves to how far it has come.
+ * @param options - Version, time limit and how to ask.
+ */
+export async function waitForVersion(options: VersionWaitOptions): Promise<VersionProgress> {
+	const clock = options.clock ?? systemClock;
+	const deadline = clock.getMonotonicTime() + options.timeoutMs;
+	let vms: readonly ListedEntryVm[] | undefined;
+	for (let poll = 0; ; poll++) {
+		if (poll % pollsPerListRead === 0 || !vms) {
+			vms = await readLiveEntryVms(options) ?? vms;
+		}
+
+		const progress = await getProgress(options, vms);
+		options.onProgress?.(progress);
+		const isDone = progress.isListKnown && progress.lagging.length === 0;
+		if (isDone || clock.getMonotonicTime() >= deadline) {
+			return progress;
+		}
+
+		await sleep(clock, pollMs);
+	}
+}
+
+async function getProgress({version, getVersion}: VersionWaitOptions, vms: readonly ListedEntryVm[] | undefined): Promise<VersionProgress> {
+	const states = await Promise.all((vms ?? []).map(async vm => {
+		const answer = await getVersion(vm);
+		const {dataCenter, name} = vm;
+		return {
+			dataCenter, name, version: answer.ok ? answer.value : undefined, detail: answer.ok ? '' : answer.detail,
+		};
+	}));
+	const lagging = states.filter(state => state.version === undefined || state.version < version);
+	return {inForce: states.length - lagging.length, lagging, isListKnown: vms !== undefined};
+}
+
+async function readLiveEntryVms({platform, deployment}: VersionWaitOptions): Promise<readonly ListedEntryVm[] | undefined> {
+	const range = await platform.getRange(getVmPrefix(deployment));
+	if (!range.ok) {
+		return undefined;
+	}
+
+	return range.value.entries.flatMap(({value}) => {
+		const vm = parseListedVm(value);
+		return vm?.kind === 'entry' && vm.state === 'live' ? vm : [];
+	});
+}
--- a/src/platform/vm-list.ts
+++ b/src/platform/vm-list.ts
@@ -55,6 +55,18 @@
 	readonly upstreams: readonly ListedUpstream[];
 };
 
+/**
+ * Parses a VM's entry; `undefined` when it is not valid.
+ * @param text - Stored value.
+ */
+export function parseListedVm(text: string): ListedVm | undefined {
+	try {
+		return listedVmSchema.safeParse(JSON.parse(text)).data;
+	} catch {
+		return undefined;
+	}
+}
+
 /**
  * Gets the prefix of the list of VMs; a VM's key is the prefix, its data centre, a slash and its name.
  * @param deployment - Name of the deployment.
@@ -70,3 +82,11 @@
 export function getConfigurationKey(deployment: string): string {
 	return `/endivemill/${deployment}/configuration`;
 }
+
+/**
+ * Gets the prefix of the earlier versions of the configuration; it does not begin with the configuration's key.
+ * @param deployment - Name of the deployment.
+ */
+export function getHistoryPrefix(deployment: string): string {
+	return `/endivemill/${deployment}/history/`;
+}
--- a/src/process/vm-list-state.ts
+++ b/src/process/vm-list-state.ts
@@ -2,7 +2,7 @@
  * The newest list of VMs out of whole lists and single changes, in whatever order these arrive.
  */
 import {
-	type KeyValue, type ListedEntryVm, type ListedUpstream, type ListedVm, listedVmSchema, type VmList,
+	type KeyValue, type ListedEntryVm, type ListedUpstream, type ListedVm, parseListedVm, type VmList,
 } from '../platform/index.js';
 
 /** One key of the list. */
@@ -139,7 +139,7 @@
 			return same;
 		}
 
-		const vm = parseVm(value);
+		const vm = parseListedVm(value);
 		return {modRevision, vm: vm && this.#getKey(vm) === key ? vm : undefined};
 	}
 
@@ -148,14 +148,6 @@
 	}
 }
 
-function parseVm(value: string): ListedVm | undefined {
-	try {
-		return listedVmSchema.safeParse(JSON.parse(value)).data;
-	} catch {
-		return undefined;
-	}
-}
-
 function compareVms(left: ListedVm, right: ListedVm): number {
 	return `${left.dataCenter}/${left.name}` < `${right.dataCenter}/${right.name}` ? -1 : 1;
 }
--- a/src/testing/platform-stand-in.ts
+++ b/src/testing/platform-stand-in.ts
@@ -46,8 +46,6 @@
 
 type Answer = (json: unknown) => unknown;
 
-const writePaths = new Set(['/v3/kv/put', '/v3/kv/txn', '/v3/kv/deleterange', '/v3/lease/revoke']);
-
 /**
  * Creates a stand-in that listens.
  * @param options - Deployment, addresses and seams.
@@ -271,6 +269,7 @@
 			return;
 		}
 
+		const revision = this.#store.getRevision();
 		let body: unknown;
 		try {
 			body = answer(json);
@@ -279,7 +278,7 @@
 			return;
 		}
 
-		if (this.#faults.losesAnswers && writePaths.has(path)) {
+		if (this.#faults.losesAnswers && this.#store.getRevision() !== revision) {
 			res.socket?.destroy();
 			return;
 		}
--- /dev/null
+++ b/test/cli/cli-fixture.ts
@@ -0,0 +1,69 @@
+import {once} from 'node:events';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {createServer} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {type CliHost, runCli} from '../../src/cli/index.js';
+import {type ListedEntryVm} from '../../src/platform/index.js';
+import {systemClock, systemRandom} from '../../src/seams/index.js';
+import {createPlatformStandIn, type PlatformStandIn} from '../../src/testing/index.js';
+
+type Teardown = {readonly teardown: (clean: () => Promise<void>) => void};
+
+export type CliRun = {
+	readonly exitCode: number;
+	readonly out: string;
+	readonly err: string;
+};
+
+/** Runs one command and collects what it prints. */
+export async function run(argv: readonly string[], env: Readonly<Record<string, string>> = {}): Promise<CliRun> {
+	let out = '';
+	let err = '';
+	const host: CliHost = {
+		env, clock: systemClock, random: systemRandom, isTerminal: false, userName: 'asha',
+		writeOut(text) {
+			out += text;
+		},
+		writeErr(text) {
+			err += text;
+		},
+	};
+	const exitCode = await runCli(argv, {host});
+	return {exitCode, out, err};
+}
+
+/** Starts a stand-in; gets the variables that name it. */
+export async function startStandIn(t: Teardown): Promise<{standIn: PlatformStandIn; env: Readonly<Record<string, string>>}> {
+	const standIn = await createPlatformStandIn();
+	t.teardown(async () => standIn.close());
+	const env = Object.fromEntries([['ENDIVEMILL_PLATFORM_URLS', standIn.getUrl()], ['ENDIVEMILL_DEPLOYMENT', 'test']]);
+	return {standIn, env};
+}
+
+/** Creates a folder with one file of declarations. */
+export async function createFolder(t: Teardown, text: string): Promise<string> {
+	const folder = await mkdtemp(path.join(tmpdir(), 'endivemill-'));
+	t.teardown(async () => rm(folder, {recursive: true}));
+	await writeFile(path.join(folder, 'declarations.yaml'), text);
+	await writeFile(path.join(folder, 'README.txt'), 'no declarations');
+	return folder;
+}
+
+/** Starts the operator address of an entry VM that reports a version. */
+export async function startEntryVm(t: Teardown, name: string, getVersion: () => number): Promise<ListedEntryVm> {
+	const server = createServer((_, res) => {
+		res.end(JSON.stringify({configurationVersion: getVersion()}));
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(async () => {
+		server.closeAllConnections();
+		server.close();
+	});
+	const {port} = server.address() as AddressInfo;
+	return {
+		kind: 'entry', name, dataCenter: 'shanti', state: 'live', callerAddress: '127.0.0.1:1', operatorAddress: `127.0.0.1:${port}`, peerAddress: '127.0.0.1:1',
+	};
+}
