--- a/src/connection/index.ts
+++ b/src/connection/index.ts
@@ -1,4 +1,12 @@
-export type * from './peer-network.js';
+export * from './http-listener.js';
+export * from './request-body.js';
 export * from './upstream-client.js';
+export type * from './peer-network.js';
 export type * from './upstream-outcome.js';
 export type {UpstreamPoolStatus} from './upstream-pool.js';
+export * from './control-messages.js';
+export type {RequestAbortReason} from './job-server.js';
+export * from './peer-mesh.js';
+export type {PeerMeshOptions} from './peer-mesh-options.js';
+export * from './tcp-transport.js';
+export type {LinkFault, PeerTraffic, TrafficCounts} from './traffic.js';
