--- a/src/lab/call-history.ts
+++ b/src/lab/call-history.ts
@@ -51,6 +51,7 @@
 			request: observed.request,
 			attempt: observed.attempt,
 			vm: this.#getVm(observed.address),
+			coordinator: getCoordinatorVm(observed.coordinator),
 			...this.#requests.get(observed.request)!,
 		});
 	}
@@ -74,6 +75,11 @@
 	}
 }
 
+/** Gets the entry VM that a coordinator token names. */
+function getCoordinatorVm(token: string): string {
+	return token.split('.')[1] ?? token;
+}
+
 /** Gets the task id that an upstream stand-in answered with. */
 function getEcho(body: string): string | undefined {
 	try {
--- a/src/lab/caller.ts
+++ b/src/lab/caller.ts
@@ -17,6 +17,8 @@
 	/** Rises with every `not_run` that the caller was told. */
 	readonly attempt: number;
 	readonly address: string;
+	/** Coordinator token of the id. */
+	readonly coordinator: string;
 };
 
 /** Hears of every call that a caller makes. */
@@ -226,7 +228,7 @@
 
 	async #callOnce(submission: Submission, id: CallerJobId, idAttempt: number): Promise<CallResult> {
 		const call: ObservedCall = {
-			request: submission.key, attempt: submission.attempt, address: this.getNextAddress(),
+			request: submission.key, attempt: submission.attempt, address: this.getNextAddress(), coordinator: id.coordinator,
 		};
 		this.#calls++;
 		submission.calls++;
--- a/src/lab/index.ts
+++ b/src/lab/index.ts
@@ -5,3 +5,4 @@
 export * from './load-mix.js';
 export * from './load-report.js';
 export * from './local-cluster.js';
+export * from './call-history.js';
--- a/src/testing/history-checker.ts
+++ b/src/testing/history-checker.ts
@@ -53,6 +53,8 @@
 	readonly #noAnswers = new Map<number, NoAnswerRecord>();
 	readonly #starts: ReadonlyMap<string, readonly StartRecord[]>;
 	readonly #requests: readonly RequestHistory[];
+	readonly #disruptions: ReadonlyMap<string, number>;
+	readonly #stops: ReadonlyMap<string, number>;
 	readonly #firstDisruption: number;
 
 	constructor(records: readonly HistoryRecord[], options: HistoryCheckOptions) {
@@ -69,7 +71,9 @@
 		this.#starts = groupBy(this.#records.filter(record => record.kind === 'start'), record => record.task);
 		const submits = groupBy(this.#records.filter(record => record.kind === 'submit'), record => record.request);
 		this.#requests = [...submits].map(([request, calls]) => ({request, submits: calls}));
-		this.#firstDisruption = this.#records.find(record => record.kind === 'disruption')?.time ?? Number.POSITIVE_INFINITY;
+		this.#disruptions = getFirstTimes(this.#records.filter(record => record.kind === 'disruption'));
+		this.#stops = getFirstTimes(this.#records.filter(record => record.kind === 'stop-began'));
+		this.#firstDisruption = Math.min(...this.#disruptions.values());
 	}
 
 	getViolations(): readonly Violation[] {
@@ -135,12 +139,18 @@
 				this.#checkWhole(submit, answer);
 			}
 
-			if (answer?.outcome === 'unknown' && !isNotKept(answer) && answer.time < this.#firstDisruption) {
+			if (answer?.outcome === 'unknown' && !isNotKept(answer) && !this.#isUnknownDue(submit, answer.time)) {
 				this.#add('unknown-without-cause', String(submit.call), `${submit.request} at ${submit.vm}: ${answer.problemType}`);
 			}
 		}
 	}
 
+	/** Records are lost with the coordinator, with a successor of one that stopped, or behind a cut at either end. */
+	#isUnknownDue({coordinator, vm}: SubmitRecord, time: number): boolean {
+		const isHit = isBefore(this.#disruptions.get(coordinator), time) || isBefore(this.#disruptions.get(vm), time);
+		return isHit || (isBefore(this.#stops.get(coordinator), time) && this.#firstDisruption <= time);
+	}
+
 	#checkWhole(submit: SubmitRecord, answer: AnswerRecord): void {
 		if (answer.echoes.length !== submit.tasks.length) {
 			this.#add('answer-not-whole', String(submit.call), `${answer.echoes.length} of ${submit.tasks.length} tasks`);
@@ -226,8 +236,6 @@
 	}
 
 	#checkStops(): void {
-		const stops = getFirstTimes(this.#records.filter(record => record.kind === 'stop-began'));
-		const disruptions = getFirstTimes(this.#records.filter(record => record.kind === 'disruption'));
 		for (const {submits} of this.#requests) {
 			for (const {call, request, vm} of submits) {
 				const end = this.#noAnswers.get(call);
@@ -236,7 +244,7 @@
 					this.#add('stop-cut-request', String(call), `${request} at ${vm}: ${answer.problemType}`);
 				}
 
-				if (end?.reason === 'cut' && isBefore(stops.get(vm), end.time) && !isBefore(disruptions.get(vm), end.time)) {
+				if (end?.reason === 'cut' && isBefore(this.#stops.get(vm), end.time) && !isBefore(this.#disruptions.get(vm), end.time)) {
 					this.#add('stop-cut-request', String(call), `${request} at ${vm}`);
 				}
 			}
--- a/src/testing/history.ts
+++ b/src/testing/history.ts
@@ -21,6 +21,8 @@
 	readonly isIdempotent: boolean;
 	/** Entry VM that the call went to. */
 	readonly vm: string;
+	/** Entry VM that coordinates the request, by the id of the call. */
+	readonly coordinator: string;
 };
 
 /** A call got an answer. */
--- /dev/null
+++ b/test/history/history-run.ts
@@ -0,0 +1,260 @@
+/**
+ * Runs a small deployment under load and faults that are drawn from a seed, and checks the record of the run.
+ */
+import {
+	Caller, CallHistory, createLocalCluster, drawGapMs, type DrawnWork, drawWork, type LoadMix, type CallerJobId, type LocalCluster,
+} from '../../src/lab/index.js';
+import {type EntryVm} from '../../src/process/index.js';
+import {
+	createSeededRandom, type Random, sleep, systemClock,
+} from '../../src/seams/index.js';
+import {
+	checkHistory, History, type HistoryRecord, PeerFaults, type Violation,
+} from '../../src/testing/index.js';
+import {drawFaults, type Fault, type FaultKind} from './fault-schedule.js';
+import {RunFaults} from './run-faults.js';
+
+/** Options of {@link runHistory}. */
+export type HistoryRunOptions = {
+	readonly seed: number;
+	readonly durationMs?: number;
+	readonly perSecond?: number;
+	readonly faultCount?: number;
+	readonly faultKinds?: readonly FaultKind[];
+};
+
+/** What a run came to. */
+export type HistoryRunResult = {
+	readonly seed: number;
+	readonly faults: readonly Fault[];
+	readonly records: readonly HistoryRecord[];
+	readonly violations: readonly Violation[];
+	/** Requests by their last outcome. */
+	readonly outcomes: Readonly<Record<string, number>>;
+	readonly starts: number;
+};
+
+const defaultDurationMs = 2500;
+const defaultPerSecond = 80;
+const defaultFaultCount = 6;
+const leavingBoundMs = 2000;
+const settleMs = 20_000;
+const versionPollMs = 20;
+const clock = systemClock;
+const service = 'demo';
+
+const mix: LoadMix = {
+	sizes: [{weight: 6, minTasks: 1, maxTasks: 4}, {weight: 3, minTasks: 5, maxTasks: 20}],
+	medianRunMs: 10,
+	runSigma: 0.8,
+	maxRunMs: 120,
+	resubmitPart: 0.4,
+	cancelPart: 0.05,
+	singlePart: 0.3,
+	idempotentPart: 0.4,
+};
+
+const declarations = {
+	profiles: {
+		standard: {
+			taskTimeoutMs: 1500, defaultDeadlineMs: 6000, notStartedStatuses: [503], spillToOtherDataCenters: true, spillWaitMs: 50, idleConnectionMs: 1000,
+		},
+	},
+	services: {[service]: {profile: 'standard'}},
+};
+
+/** A run on its way. */
+class HistoryRun {
+	readonly #options: HistoryRunOptions;
+	readonly #random: Random;
+	readonly #history = new History();
+	readonly #peerFaults = new PeerFaults();
+	readonly #vms = new Map<string, string>();
+	readonly #running = new Map<string, CallerJobId>();
+	readonly #outcomes: Record<string, number> = {};
+	readonly #calls = new CallHistory({history: this.#history, getVm: address => this.#vms.get(address) ?? address});
+	readonly #caller = new Caller({
+		addresses: [], observer: this.#calls, retryDelayMs: 30, maxCalls: 200,
+	});
+
+	#cluster!: LocalCluster;
+	#balanced: readonly string[] = [];
+
+	constructor(options: HistoryRunOptions) {
+		this.#options = options;
+		this.#random = createSeededRandom(options.seed);
+	}
+
+	async run(): Promise<HistoryRunResult> {
+		const {seed, durationMs = defaultDurationMs, faultCount = defaultFaultCount, faultKinds} = this.#options;
+		const faults = drawFaults(this.#random, {durationMs, count: faultCount, kinds: faultKinds});
+		await this.#start();
+		const watching = new AbortController();
+		const versions = this.#watchVersions(watching.signal);
+		const startedAt = clock.getMonotonicTime();
+		const [work] = await Promise.all([this.#submitAll(startedAt + durationMs), this.#causeFaults(faults, startedAt)]);
+		await this.#settle(work);
+		watching.abort();
+		await versions;
+		this.#addUpstreamRecords();
+		await this.#close();
+		const records = this.#history.getRecords();
+		return {
+			seed,
+			faults,
+			records,
+			violations: checkHistory(records, {leavingBoundMs}),
+			outcomes: this.#outcomes,
+			starts: records.filter(record => record.kind === 'start').length,
+		};
+	}
+
+	async #start(): Promise<void> {
+		this.#cluster = await createLocalCluster({
+			service, slots: 8, declarations, dataCenters: [{name: 'dc1', entryVms: 0, upstreams: 3}, {name: 'dc2', entryVms: 0, upstreams: 2}],
+		});
+		for (const dataCenter of ['dc1', 'dc1', 'dc1', 'dc2', 'dc2']) {
+			await this.#addEntryVm(dataCenter);
+		}
+
+		await this.#cluster.waitUntilReady();
+	}
+
+	async #addEntryVm(dataCenter: string): Promise<void> {
+		const vm = `h${this.#vms.size + 1}`;
+		const entryVm = await this.#cluster.addEntryVm(dataCenter, {
+			vm,
+			drainMs: 150,
+			periodMs: 1000,
+			mesh: {
+				dial: this.#peerFaults.createDial(vm), beatMs: 50, farBeatMs: 100, connectTimeoutMs: 300,
+			},
+		});
+		this.#vms.set(entryVm.getCallerAddress(), vm);
+		this.#peerFaults.setAddress(entryVm.getPeerAddress(), vm);
+		this.#setBalanced([...this.#balanced, entryVm.getCallerAddress()]);
+	}
+
+	#setBalanced(addresses: readonly string[]): void {
+		this.#balanced = addresses;
+		this.#caller.setAddresses(addresses);
+	}
+
+	async #submitAll(end: number): Promise<ReadonlyArray<Promise<void>>> {
+		const work: Array<Promise<void>> = [];
+		for (;;) {
+			await sleep(clock, drawGapMs(this.#options.perSecond ?? defaultPerSecond, this.#random));
+			if (clock.getMonotonicTime() >= end) {
+				return work;
+			}
+
+			work.push(this.#submit(drawWork(mix, this.#random)));
+		}
+	}
+
+	async #submit(work: DrawnWork): Promise<void> {
+		const key = this.#random.getHex(8);
+		const tasks = work.runMs.map((_runMs, index) => `${key}/${index}`);
+		this.#calls.addRequest(key, {form: work.kind, isIdempotent: work.isIdempotent, tasks});
+		const id = await this.#caller.createId(key);
+		if (id !== undefined) {
+			this.#running.set(key, id);
+			void this.#cancelLater(id, work.cancelAfterMs);
+		}
+
+		const result = await this.#send(work, key, id, tasks);
+		this.#running.delete(key);
+		const outcome = result.answer?.outcome ?? 'none';
+		this.#outcomes[outcome] = (this.#outcomes[outcome] ?? 0) + 1;
+	}
+
+	async #send(work: DrawnWork, key: string, id: CallerJobId | undefined, tasks: readonly string[]) {
+		const options = {id, key, resubmitAfterMs: work.resubmitAfterMs === undefined ? [] : [work.resubmitAfterMs, work.resubmitAfterMs * 3]};
+		const bodies = tasks.map((task, index) => ({
+			path: '/run', method: 'POST', headers: {'x-task-id': task, 'x-run-ms': String(work.runMs[index])}, body: '',
+		}));
+		return work.kind === 'job'
+			? this.#caller.submitJob({service, tasks: bodies}, options)
+			: this.#caller.sendRequest({...bodies[0]!, service, isIdempotent: work.isIdempotent}, options);
+	}
+
+	async #cancelLater(id: CallerJobId, delayMs: number | undefined): Promise<void> {
+		if (delayMs !== undefined) {
+			await sleep(clock, delayMs);
+			await this.#cancel(id);
+		}
+	}
+
+	async #cancel(id: CallerJobId): Promise<void> {
+		this.#history.addRecord({kind: 'cancel', time: clock.getMonotonicTime(), request: id.key});
+		await this.#caller.cancelJob(id);
+	}
+
+	async #causeFaults(faults: readonly Fault[], startedAt: number): Promise<void> {
+		const runFaults = new RunFaults({
+			clock,
+			cluster: this.#cluster,
+			history: this.#history,
+			peerFaults: this.#peerFaults,
+			addEntryVm: async dataCenter => this.#addEntryVm(dataCenter),
+			removeFromBalancer: (entryVm: EntryVm) => {
+				this.#setBalanced(this.#balanced.filter(address => address !== entryVm.getCallerAddress()));
+			},
+			cancelAll: async () => {
+				await Promise.all([...this.#running.values()].map(async id => this.#cancel(id)));
+			},
+		});
+		await Promise.all(faults.map(async fault => {
+			await sleep(clock, startedAt + fault.atMs - clock.getMonotonicTime());
+			await runFaults.run(fault);
+		}));
+	}
+
+	/** Waits for the answers; calls that are still open then are left to the checker. */
+	async #settle(work: ReadonlyArray<Promise<void>>): Promise<void> {
+		const ended = new AbortController();
+		await Promise.race([Promise.all(work), sleep(clock, settleMs, ended.signal)]);
+		ended.abort();
+	}
+
+	async #watchVersions(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			for (const entryVm of this.#cluster.getEntryVms()) {
+				this.#history.addRecord({
+					kind: 'version',
+					time: clock.getMonotonicTime(),
+					vm: entryVm.getIncarnation().id,
+					version: entryVm.getStatus().configurationVersion,
+				});
+			}
+
+			await sleep(clock, versionPollMs, signal);
+		}
+	}
+
+	#addUpstreamRecords(): void {
+		for (const {standIn} of this.#cluster.getUpstreams()) {
+			for (const {kind, task, time, upstream} of standIn.getRecord()) {
+				if (kind !== 'refusal') {
+					this.#history.addRecord({
+						kind, task, time, upstream,
+					});
+				}
+			}
+		}
+	}
+
+	async #close(): Promise<void> {
+		await this.#caller.close();
+		await this.#cluster.close();
+		this.#peerFaults.close();
+	}
+}
+
+/**
+ * Runs a deployment and checks its record.
+ * @param options - Seed, length and faults.
+ */
+export async function runHistory(options: HistoryRunOptions): Promise<HistoryRunResult> {
+	return new HistoryRun(options).run();
+}
--- a/test/testing/history-checker-naive.test.ts
+++ b/test/testing/history-checker-naive.test.ts
@@ -41,7 +41,7 @@
 /** Calls have numbers of their own, and a request keeps its form and its tasks. */
 const submits = fc.array(
 	fc.record({
-		time, request, attempt: fc.integer({min: 1, max: 2}), vm,
+		time, request, attempt: fc.integer({min: 1, max: 2}), vm, coordinator: vm,
 	}),
 	{maxLength: 6},
 ).map(list => list.map((submit, index): HistoryRecord => ({
--- a/test/testing/history-checker.test.ts
+++ b/test/testing/history-checker.test.ts
@@ -5,7 +5,7 @@
 
 function submit(time: number, call: number, change: Partial<SubmitRecord> = {}): SubmitRecord {
 	return {
-		kind: 'submit', time, call, request: 'r', form: 'job', attempt: 1, tasks: ['r/0', 'r/1'], isIdempotent: false, vm: 'a', ...change,
+		kind: 'submit', time, call, request: 'r', form: 'job', attempt: 1, tasks: ['r/0', 'r/1'], isIdempotent: false, vm: 'a', coordinator: 'a', ...change,
 	};
 }
 
@@ -74,6 +74,16 @@
 		kind: 'disruption', time: 5, vm: 'a', detail: 'killed',
 	}, submit(6, 1, {vm: 'b'}), answer(7, 1, unknown),
 ], []);
+checkRules('unknown after another entry VM crashed', [
+	...run, {
+		kind: 'disruption', time: 5, vm: 'c', detail: 'killed',
+	}, submit(6, 1, {vm: 'b'}), answer(7, 1, unknown),
+], ['unknown-without-cause']);
+checkRules('unknown after the successor of a coordinator that stopped crashed', [
+	...run, {kind: 'stop-began', time: 5, vm: 'a'}, {
+		kind: 'disruption', time: 6, vm: 'c', detail: 'killed',
+	}, submit(6, 1, {vm: 'b'}), answer(7, 1, unknown),
+], []);
 checkRules('a task that nobody asked for', [...run, start(6, 's/0')], ['started-unasked']);
 checkRules('a start on a leaving upstream within the bound', [{
 	kind: 'leaving', time: 0, upstream: 'u', isLeaving: true,
--- a/test/testing/naive-history-checker.ts
+++ b/test/testing/naive-history-checker.ts
@@ -115,7 +115,15 @@
 		add('answer-not-own', submit.call);
 	}
 
-	if (answer?.outcome === 'unknown' && !isNotKept(answer) && !isDisrupted(records, answer.time)) {
+	if (answer?.outcome !== 'unknown' || isNotKept(answer)) {
+		return;
+	}
+
+	const {coordinator, vm} = submit;
+	const hasStopped = records.some(record => record.kind === 'stop-began' && record.vm === coordinator && record.time <= answer.time);
+	const isDue = isDisrupted(records, answer.time, vm) || isDisrupted(records, answer.time, coordinator)
+		|| (hasStopped && isDisrupted(records, answer.time));
+	if (!isDue) {
 		add('unknown-without-cause', submit.call);
 	}
 }
