Measure compiled code, and make a request's way shorter

Cause: the dispatch measurement ran under a loader that wraps every function; a profile of the request's way showed random keys for requests that nobody can ask for again, an abort signal for each request, the token formatted for each answer, and head and body written apart.

--- a/bench/support/driver.ts
+++ b/bench/support/driver.ts
@@ -3,7 +3,7 @@
  */
 import {once} from 'node:events';
 import {Worker} from 'node:worker_threads';
-import {tsWorkerExecArgv} from '../../test/support/ts-worker.js';
+import {workerExecArgv} from './worker-exec-argv.js';
 
 /** What a driver does. */
 export type DriverOptions = {
@@ -38,7 +38,8 @@
  * @param measure - Called when the measured time begins and when it ends.
  */
 export async function runDriver(options: DriverOptions, measure: () => Promise<void>): Promise<DriverResult> {
-	const worker = new Worker(new URL('driver-main.ts', import.meta.url), {workerData: options, execArgv: [...tsWorkerExecArgv]});
+	const extension = import.meta.url.endsWith('.ts') ? 'ts' : 'js';
+	const worker = new Worker(new URL(`driver-main.${extension}`, import.meta.url), {workerData: options, execArgv: [...workerExecArgv]});
 	const [begin] = await once(worker, 'message') as [DriverMessage];
 	await measure();
 	const [end] = await once(worker, 'message') as [DriverMessage];
--- a/bench/support/results.ts
+++ b/bench/support/results.ts
@@ -4,8 +4,9 @@
 import {mkdir, writeFile} from 'node:fs/promises';
 import {cpus} from 'node:os';
 import process from 'node:process';
+import {pathToFileURL} from 'node:url';
 
-const folder = new URL('../results/', import.meta.url);
+const folder = pathToFileURL(`${process.cwd()}/bench/results/`);
 
 /**
  * Writes the figures of a measurement and prints where they are.
--- a/src/connection/http-listener.ts
+++ b/src/connection/http-listener.ts
@@ -1,11 +1,12 @@
 /**
  * An HTTP listener with limits on connections, heads and times, and with a graceful end.
  */
+import {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
-import {type CallerAnswer} from '../request/index.js';
+import {type CallerAnswer, type Header} from '../request/index.js';
 import {parseAddress} from './tcp-transport.js';
 
 /** Takes one request and writes its answer. */
@@ -44,7 +45,9 @@
 const defaultHeadTimeoutMs = 10_000;
 const defaultRequestTimeoutMs = 60_000;
 const defaultIdleTimeoutMs = 30_000;
-const maxRequestsPerCheckMs = 1000;
+const connectionCheckMs = 1000;
+/** Largest body that is written together with its head. */
+const maxJoinedBodyBytes = 4096;
 
 /** Statuses by which Node's parser faults are answered. */
 const faultStatuses: Readonly<Record<string, string>> = {
@@ -71,11 +74,11 @@
 			headersTimeout: options.headTimeoutMs ?? defaultHeadTimeoutMs,
 			requestTimeout: options.requestTimeoutMs ?? defaultRequestTimeoutMs,
 			keepAliveTimeout: options.idleTimeoutMs ?? defaultIdleTimeoutMs,
-			connectionsCheckingInterval: maxRequestsPerCheckMs,
+			connectionsCheckingInterval: connectionCheckMs,
 			noDelay: true,
 		}, (req, res) => {
 			if (this.#isStopping) {
-				res.setHeader('Connection', 'close');
+				res.shouldKeepAlive = false;
 			}
 
 			options.handler(req, res);
@@ -158,23 +161,29 @@
  * @param req - Request that is answered.
  * @param res - Where to write to.
  * @param answer - Answer to write.
+ * @param moreHeaders - Headers besides those of the answer.
  */
-export function writeAnswer(req: IncomingMessage, res: ServerResponse, answer: CallerAnswer): void {
+export function writeAnswer(req: IncomingMessage, res: ServerResponse, answer: CallerAnswer, moreHeaders: readonly Header[] = []): void {
 	if (res.destroyed || res.headersSent) {
 		return;
 	}
 
-	res.statusCode = answer.status;
-	for (const [name, value] of answer.headers) {
-		res.appendHeader(name, value);
-	}
-
-	const isBodyless = req.method === 'HEAD' || answer.status === 204 || answer.status === 304;
+	const {status, body} = answer;
+	const isBodyless = req.method === 'HEAD' || status === 204 || status === 304;
+	const headers = [...answer.headers, ...moreHeaders].flat();
 	if (!isBodyless) {
-		res.setHeader('Content-Length', answer.body.length);
+		headers.push('Content-Length', String(body.length));
 	}
 
-	res.end(isBodyless ? undefined : answer.body);
+	res.writeHead(status, headers);
+	if (isBodyless) {
+		res.end();
+	} else if (body.length <= maxJoinedBodyBytes) {
+		// A string is joined with the head into one write.
+		res.end(Buffer.from(body.buffer, body.byteOffset, body.byteLength).toString('latin1'), 'latin1');
+	} else {
+		res.end(body);
+	}
 }
 
 function formatAddress({address, port, family}: AddressInfo): string {
--- a/src/process/caller-api.ts
+++ b/src/process/caller-api.ts
@@ -10,6 +10,7 @@
 	type CallerPreferences, type CallerResource, type Checked, getRequestHeaders, parsePreferences, parseResource,
 } from './caller-request.js';
 import {type JobRouter} from './job-router.js';
+import {CallerConnection} from './caller-connection.js';
 
 /** Options of a {@link CallerApi}. */
 export type CallerApiOptions = {
@@ -36,7 +37,7 @@
 	readonly req: IncomingMessage;
 	readonly resource: CallerResource;
 	readonly preferences: CallerPreferences;
-	readonly signal: AbortSignal;
+	readonly caller: CallerConnection;
 };
 
 const coordinatorHeader = 'Endivemill-Coordinator';
@@ -64,24 +65,22 @@
 	 * @param res - Where the answer goes.
 	 */
 	async handleRequest(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const gone = new AbortController();
-		res.once('close', () => {
-			if (!res.writableFinished) {
-				this.#disconnected++;
-				gone.abort();
-			}
-		});
-		const answer = await this.#answerSafely(req, gone.signal);
-		res.setHeader(coordinatorHeader, this.#options.getCoordinatorToken());
+		const caller = new CallerConnection(res);
+		const answer = await this.#answerSafely(req, caller);
+		if (res.destroyed) {
+			this.#disconnected++;
+			return;
+		}
+
 		if (!req.complete) {
 			// The rest of the body is not read, so the connection cannot be used again.
-			res.setHeader('Connection', 'close');
+			res.shouldKeepAlive = false;
 		}
 
-		writeAnswer(req, res, answer);
+		writeAnswer(req, res, answer, [[coordinatorHeader, this.#options.getCoordinatorToken()]]);
 	}
 
-	async #answerSafely(req: IncomingMessage, signal: AbortSignal): Promise<CallerAnswer> {
+	async #answerSafely(req: IncomingMessage, caller: CallerConnection): Promise<CallerAnswer> {
 		const resource = parseResource(req.url ?? '');
 		if (!resource.ok) {
 			return this.#refuse(resource.problem, resource.detail);
@@ -93,7 +92,7 @@
 		}
 
 		return this.#answer({
-			req, resource: resource.value, preferences: preferences.value, signal,
+			req, resource: resource.value, preferences: preferences.value, caller,
 		});
 	}
 
@@ -127,7 +126,7 @@
 	}
 
 	async #answerJob(context: RequestContext, id: JobId): Promise<CallerAnswer> {
-		const {req, preferences, signal} = context;
+		const {req, preferences, caller} = context;
 		const {period} = id.coordinator;
 		const {key} = id;
 		const {attempt, waitMs} = preferences;
@@ -141,13 +140,13 @@
 			case 'HEAD': {
 				return this.#options.router.performOperation(id.coordinator, {
 					kind: 'get', period, key, waitMs: waitMs ?? 0,
-				}, {patienceMs: waitMs, signal});
+				}, caller.withPatience(waitMs));
 			}
 
 			case 'DELETE': {
 				return this.#options.router.performOperation(id.coordinator, {
 					kind: 'cancel', period, key, attempt,
-				}, {patienceMs: waitMs, signal});
+				}, caller.withPatience(waitMs));
 			}
 
 			default: {
@@ -163,11 +162,11 @@
 		}
 
 		const waitMs = getSubmitWait(context.preferences);
-		return this.#hold(content.value, async () => this.#options.router.performNewOperation({kind: 'create', content: content.value, waitMs}, context.signal));
+		return this.#hold(content.value, async () => this.#options.router.performNewOperation({kind: 'create', content: content.value, waitMs}, context.caller));
 	}
 
 	async #runPlainRequest(context: RequestContext, service: string, path: string): Promise<CallerAnswer> {
-		const {req, preferences, signal} = context;
+		const {req, preferences, caller} = context;
 		const {team, isIdempotent, deadlineMs, idempotencyKey} = preferences;
 		const content = await this.#readContent(context, body => ({
 			kind: 'plain', service, team, method: req.method ?? 'GET', path, headers: getRequestHeaders(req), body, isIdempotent, deadlineMs,
@@ -180,11 +179,11 @@
 			return this.#submit(context, idempotencyKey, content.value);
 		}
 
-		return this.#hold(content.value, async () => this.#options.router.performNewOperation({kind: 'run-once', content: content.value}, signal));
+		return this.#hold(content.value, async () => this.#options.router.performNewOperation({kind: 'run-once', content: content.value}, caller));
 	}
 
 	async #submit(context: RequestContext, id: JobId, content: SubmissionContent): Promise<CallerAnswer> {
-		const {preferences, signal} = context;
+		const {preferences, caller} = context;
 		const {attempt} = preferences;
 		if (content.kind === 'refused') {
 			this.#countBadRequest(content.problem);
@@ -192,7 +191,7 @@
 
 		const answer = await this.#hold(content, async () => this.#options.router.performOperation(id.coordinator, {
 			kind: 'submit', period: id.coordinator.period, key: id.key, attempt, content, waitMs: getSubmitWait(preferences),
-		}, {patienceMs: preferences.waitMs, signal}));
+		}, caller.withPatience(preferences.waitMs)));
 		if (answer.outcome !== undefined) {
 			return answer;
 		}
--- a/src/process/coordinator.ts
+++ b/src/process/coordinator.ts
@@ -6,8 +6,8 @@
  * Helland, "Life beyond Distributed Transactions: an Apostate's Opinion" (CIDR 2007).
  */
 import {
-	type CallerAnswer, createCoordinatorToken, createJsonAnswer, createProblemAnswer, formatCoordinatorToken, formatJobId,
-	getFingerprint, type Header, type SubmissionContent,
+	type CallerAnswer, createCoordinatorToken, createJsonAnswer, createProblemAnswer, formatCoordinatorToken,
+	getFingerprint, type Header, type Job, type SubmissionContent,
 } from '../request/index.js';
 import {type Incarnation} from '../connection/index.js';
 import {
@@ -33,6 +33,12 @@
 	readonly records?: RecordStoreOptions;
 };
 
+/** Tells when a caller is gone. */
+export type CallerPresence = {
+	/** Aborts when the caller is gone. */
+	readonly signal?: AbortSignal;
+};
+
 /** Counts of what happened to submissions. */
 export type CoordinatorCounters = {
 	readonly submitted: number;
@@ -49,6 +55,8 @@
 	readonly #options: CoordinatorOptions;
 	readonly #records: RecordStore;
 	readonly #periodTimer: Timer;
+	/** Text of the token that was last asked for. */
+	#token = {period: 0, text: ''};
 	readonly #counters = {submitted: 0, joined: 0, cancelled: 0};
 
 	constructor(options: CoordinatorOptions) {
@@ -61,7 +69,7 @@
 
 	/** Gets the present token of this coordinator. */
 	getToken(): string {
-		return formatCoordinatorToken(createCoordinatorToken(this.#options.incarnation, this.#records.getPeriod()));
+		return this.#getTokenText(this.#records.getPeriod());
 	}
 
 	/** Gets the records, for status and hand-over. */
@@ -87,9 +95,9 @@
 	/**
 	 * Does what a caller asks of a job of this coordinator; never rejects.
 	 * @param operation - What the caller asks.
-	 * @param signal - Tells that the caller is gone.
+	 * @param caller - Tells when the caller is gone.
 	 */
-	async performOperation(operation: JobOperation, signal?: AbortSignal): Promise<CallerAnswer> {
+	async performOperation(operation: JobOperation, caller: CallerPresence = {}): Promise<CallerAnswer> {
 		const id = this.#getId(operation.period, operation.key);
 		if (!this.#records.isPeriodKept(operation.period) && this.#records.getRecord(operation.period, operation.key) === undefined) {
 			return createProblemAnswer('record-expired', {id, detail: 'the record of this id is not kept or was never made; the id does not run'});
@@ -97,11 +105,11 @@
 
 		switch (operation.kind) {
 			case 'submit': {
-				return this.#submit(id, operation, signal);
+				return this.#submit(id, operation, caller);
 			}
 
 			case 'get': {
-				return this.#get(id, operation, signal);
+				return this.#get(id, operation, caller);
 			}
 
 			case 'cancel': {
@@ -113,11 +121,11 @@
 	/**
 	 * Runs a request that has no id, so that nobody can ask for it again; never rejects.
 	 * @param content - What the caller sent.
-	 * @param signal - Tells that the caller is gone.
+	 * @param caller - Tells when the caller is gone.
 	 */
-	async runOnce(content: SubmissionContent, signal?: AbortSignal): Promise<CallerAnswer> {
+	async runOnce(content: SubmissionContent, caller: CallerPresence = {}): Promise<CallerAnswer> {
 		this.#counters.submitted++;
-		const id = this.#getId(this.#records.getPeriod(), this.createKey());
+		const id = this.#getId(this.#records.getPeriod(), `once-${this.#counters.submitted}`);
 		const started = this.#options.runner.startJob(id, content);
 		if (!started.isRunning) {
 			return started.answer;
@@ -125,7 +133,7 @@
 
 		const {job, profile} = started;
 		if (profile.cancelOnDisconnect) {
-			signal?.addEventListener('abort', () => {
+			caller.signal?.addEventListener('abort', () => {
 				job.cancel('the caller disconnected');
 			}, {once: true});
 		}
@@ -136,14 +144,14 @@
 	/**
 	 * Accepts a job under a key made here; never rejects. The answer names the id in `Location`.
 	 * @param operation - What the caller asks.
-	 * @param signal - Tells that the caller is gone.
+	 * @param caller - Tells when the caller is gone.
 	 */
-	async createJob(operation: CreateOperation, signal?: AbortSignal): Promise<CallerAnswer> {
+	async createJob(operation: CreateOperation, caller: CallerPresence = {}): Promise<CallerAnswer> {
 		const period = this.#records.getPeriod();
 		const key = this.createKey();
 		const answer = await this.performOperation({
 			kind: 'submit', period, key, attempt: 1, content: operation.content, waitMs: operation.waitMs,
-		}, signal);
+		}, caller);
 		const location: Header = ['Location', `/v1/jobs/${this.#getId(period, key)}`];
 		return {...answer, headers: [...answer.headers.filter(([name]) => name !== 'Location'), location]};
 	}
@@ -154,10 +162,18 @@
 	}
 
 	#getId(period: number, key: string): string {
-		return formatJobId({coordinator: createCoordinatorToken(this.#options.incarnation, period), key});
+		return `${this.#getTokenText(period)}/${key}`;
 	}
 
-	async #submit(id: string, operation: SubmitOperation, signal: AbortSignal | undefined): Promise<CallerAnswer> {
+	#getTokenText(period: number): string {
+		if (this.#token.period !== period) {
+			this.#token = {period, text: formatCoordinatorToken(createCoordinatorToken(this.#options.incarnation, period))};
+		}
+
+		return this.#token.text;
+	}
+
+	async #submit(id: string, operation: SubmitOperation, caller: CallerPresence): Promise<CallerAnswer> {
 		const {period, key, attempt, content, waitMs} = operation;
 		const fingerprint = getFingerprint(content);
 		const existing = this.#records.getRecord(period, key);
@@ -165,14 +181,14 @@
 			const record = new JobRecord(key, period, attempt, fingerprint);
 			this.#records.addRecord(record);
 			this.#start(id, record, operation);
-			return this.#wait(id, record, waitMs, signal);
+			return this.#wait(id, record, waitMs, caller);
 		}
 
 		if (existing.outcome === 'not_run' && attempt > existing.attempt) {
 			this.#records.reopenRecord(existing, attempt);
 			existing.fingerprint = fingerprint;
 			this.#start(id, existing, operation);
-			return this.#wait(id, existing, waitMs, signal);
+			return this.#wait(id, existing, waitMs, caller);
 		}
 
 		if (existing.fingerprint !== '' && existing.fingerprint !== fingerprint) {
@@ -181,7 +197,7 @@
 
 		this.#counters.joined++;
 		this.#options.events.addEvent('job-joined', id);
-		return this.#wait(id, existing, waitMs, signal);
+		return this.#wait(id, existing, waitMs, caller);
 	}
 
 	#start(id: string, record: JobRecord, {content, waitMs}: SubmitOperation): void {
@@ -201,13 +217,13 @@
 		this.#records.endRecord(record, await answer);
 	}
 
-	async #get(id: string, operation: GetOperation, signal: AbortSignal | undefined): Promise<CallerAnswer> {
+	async #get(id: string, operation: GetOperation, caller: CallerPresence): Promise<CallerAnswer> {
 		const record = this.#records.getRecord(operation.period, operation.key);
 		if (record === undefined) {
 			return createProblemAnswer('no-such-job', {id, detail: 'nothing was submitted under this id so far'});
 		}
 
-		return this.#wait(id, record, operation.waitMs, signal);
+		return this.#wait(id, record, operation.waitMs, caller);
 	}
 
 	/** Cancels a job, or records the refusal of one that has not come yet, so that a late copy does not run. */
@@ -237,7 +253,7 @@
 		return answer;
 	}
 
-	async #wait(id: string, record: JobRecord, waitMs: number | undefined, signal: AbortSignal | undefined): Promise<CallerAnswer> {
+	async #wait(id: string, record: JobRecord, waitMs: number | undefined, caller: CallerPresence): Promise<CallerAnswer> {
 		const {job} = record;
 		if (job === undefined) {
 			return record.getAnswer(id);
@@ -247,33 +263,34 @@
 			return createRunningAnswer(id, record);
 		}
 
-		record.waiters++;
-		const answer = await this.#waitForAnswer(job.answer, waitMs, signal);
-		record.waiters--;
-		if (signal?.aborted && record.waiters === 0 && record.isCancelledWithoutCallers) {
-			job.cancel('all callers disconnected');
+		if (record.isCancelledWithoutCallers) {
+			this.#countWaiter(record, job, caller.signal);
 		}
 
+		if (waitMs === undefined) {
+			return job.answer;
+		}
+
+		const answer = await this.#waitAtMost(job.answer, waitMs);
 		return answer ?? createRunningAnswer(id, record);
 	}
 
-	/** Gets the answer, or nothing when the wait or the caller ends first. */
-	async #waitForAnswer(answer: Promise<CallerAnswer>, waitMs: number | undefined, signal: AbortSignal | undefined): Promise<CallerAnswer | undefined> {
-		if (waitMs === undefined && signal === undefined) {
-			return answer;
-		}
+	/** Cancels the job once the last of its callers is gone. */
+	#countWaiter(record: JobRecord, job: Job, signal: AbortSignal | undefined): void {
+		record.waiters++;
+		signal?.addEventListener('abort', () => {
+			record.waiters--;
+			if (record.waiters === 0) {
+				job.cancel('all callers disconnected');
+			}
+		}, {once: true});
+	}
 
+	/** Gets the answer, or nothing when the time passes first. */
+	async #waitAtMost(answer: Promise<CallerAnswer>, waitMs: number): Promise<CallerAnswer | undefined> {
 		const ended = new AbortController();
-		const longestMs = waitMs ?? Number.MAX_SAFE_INTEGER;
-		const onAbort = (): void => {
-			ended.abort();
-		};
-
-		signal?.addEventListener('abort', onAbort, {once: true});
-		const waited = sleep(this.#options.clock, longestMs, ended.signal);
-		const first = await Promise.race([answer, waited]);
+		const first = await Promise.race([answer, sleep(this.#options.clock, waitMs, ended.signal)]);
 		ended.abort();
-		signal?.removeEventListener('abort', onAbort);
 		return first ?? undefined;
 	}
 }
--- a/src/process/job-router.ts
+++ b/src/process/job-router.ts
@@ -6,7 +6,7 @@
 	type CallerAnswer, type CoordinatorToken, createProblemAnswer, formatJobId,
 } from '../request/index.js';
 import {type Clock, sleep} from '../seams/index.js';
-import {type Coordinator} from './coordinator.js';
+import {type CallerPresence, type Coordinator} from './coordinator.js';
 import {type CoordinatorDirectory, type CoordinatorPlace} from './coordinator-directory.js';
 import {type EventLog} from './events.js';
 import {getSuccessors} from './hand-over.js';
@@ -32,11 +32,9 @@
 };
 
 /** How a caller wants to be served. */
-export type RouteOptions = {
+export type RouteOptions = CallerPresence & {
 	/** Time for which the caller waits for a coordinator that cannot be reached, in milliseconds. */
 	readonly patienceMs?: number;
-	/** Tells that the caller is gone. */
-	readonly signal?: AbortSignal;
 };
 
 /** Counts of forwarded operations. */
@@ -100,15 +98,15 @@
 	/**
 	 * Runs something that no coordinator has yet, here or, when this process is stopping, at a peer; never rejects.
 	 * @param operation - What the caller asks.
-	 * @param signal - Tells that the caller is gone.
+	 * @param caller - Tells when the caller is gone.
 	 */
-	async performNewOperation(operation: NewOperation, signal?: AbortSignal): Promise<CallerAnswer> {
+	async performNewOperation(operation: NewOperation, caller: CallerPresence = {}): Promise<CallerAnswer> {
 		if (!this.#options.isStopping()) {
-			return this.#performNewHere(operation, signal);
+			return this.#performNewHere(operation, caller);
 		}
 
 		for (const member of getSuccessors(this.#options.peers.getMembers(), this.#options.self)) {
-			const result = await this.#forward(member, {kind: 'new', operation}, signal);
+			const result = await this.#forward(member, {kind: 'new', operation}, caller.signal);
 			if (result.isFinal) {
 				return result.answer;
 			}
@@ -118,7 +116,7 @@
 			}
 		}
 
-		return this.#performNewHere(operation, signal);
+		return this.#performNewHere(operation, caller);
 	}
 
 	/**
@@ -135,7 +133,7 @@
 
 		this.#counters.received++;
 		if (forwarded.kind === 'new') {
-			return createReply(await this.#performNewHere(forwarded.operation, signal));
+			return createReply(await this.#performNewHere(forwarded.operation, {signal}));
 		}
 
 		const place = this.#options.directory.getLocalPlace(forwarded.incarnationId);
@@ -143,14 +141,14 @@
 			return {kind: 'not-here'};
 		}
 
-		return createReply(await this.#performLocally(place, forwarded.operation, signal));
+		return createReply(await this.#performLocally(place, forwarded.operation, {signal}));
 	}
 
 	async #performAt(place: CoordinatorPlace, token: CoordinatorToken, operation: JobOperation, options: RouteOptions): Promise<RemoteResult> {
 		switch (place.kind) {
 			case 'self':
 			case 'adopted': {
-				return {isFinal: true, answer: await this.#performLocally(place, operation, options.signal)};
+				return {isFinal: true, answer: await this.#performLocally(place, operation, options)};
 			}
 
 			case 'member': {
@@ -168,17 +166,17 @@
 		}
 	}
 
-	async #performLocally(place: CoordinatorPlace, operation: JobOperation, signal: AbortSignal | undefined): Promise<CallerAnswer> {
+	async #performLocally(place: CoordinatorPlace, operation: JobOperation, caller: CallerPresence): Promise<CallerAnswer> {
 		if (place.kind === 'adopted') {
 			return place.records.performOperation(operation);
 		}
 
-		return this.#options.coordinator.performOperation(operation, signal);
+		return this.#options.coordinator.performOperation(operation, caller);
 	}
 
-	async #performNewHere(operation: NewOperation, signal: AbortSignal | undefined): Promise<CallerAnswer> {
+	async #performNewHere(operation: NewOperation, caller: CallerPresence): Promise<CallerAnswer> {
 		const {coordinator} = this.#options;
-		return operation.kind === 'run-once' ? coordinator.runOnce(operation.content, signal) : coordinator.createJob(operation, signal);
+		return operation.kind === 'run-once' ? coordinator.runOnce(operation.content, caller) : coordinator.createJob(operation, caller);
 	}
 
 	async #forward(member: Member, forwarded: ForwardedOperation, signal: AbortSignal | undefined): Promise<RemoteResult> {
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,7 +1,7 @@
 /** XO's rules as they ship; the few departures follow the house style and are explained in docs/DEVELOPERS.md. */
 const config = [
 	{
-		ignores: ['dist/**', 'coverage/**', 'bench/out/**'],
+		ignores: ['dist/**', 'build/**', 'coverage/**', 'bench/out/**'],
 	},
 	{
 		rules: {
