Make refresh begin a new read, and drop long-lived abort signals

Cause: a refresh joined a read that had begun before it, so that a process that had been paused could take an answer from before the pause for a fresh one. Change: refresh waits for the read under way and then begins its own; one AbortController a call, dropped with the call. After a watch comes up, the digest is read in place of the whole list. The poll comes every 2.5 s, so that a silent watch and one silent connection together stay under 5 s.

--- a/src/platform/etcd-client.ts
+++ b/src/platform/etcd-client.ts
@@ -27,9 +27,16 @@
 	readonly schema: z.ZodType<T>;
 };
 
-/** An open watch: the chunks of its answer. */
+/** The chunks of an answer. */
 export type EtcdChunks = AsyncIterable<Uint8Array>;
 
+/** A call whose answer goes on. */
+export type OpenCall = {
+	readonly chunks: EtcdChunks;
+	/** Ends the call; the chunks then end with an error. */
+	close(): void;
+};
+
 /** Longest answer that is read, in bytes. */
 const maxAnswerBytes = 33_554_432;
 
@@ -41,7 +48,8 @@
 /** Makes calls to one of several endpoints. */
 export class EtcdClient {
 	readonly #options: EtcdClientOptions;
-	readonly #closing = new AbortController();
+	readonly #active = new Set<AbortController>();
+	#isClosed = false;
 	#endpointIndex = 0;
 	#callCount = 0;
 
@@ -88,10 +96,9 @@
 	 * Opens a call whose answer goes on; each try's time limit holds until the head of the answer is there.
 	 * @param path - Path of the call.
 	 * @param body - Body of the call.
-	 * @param signal - Ends the call.
 	 */
-	async open(path: string, body: unknown, signal: AbortSignal): Promise<PlatformResult<EtcdChunks>> {
-		return this.#retry(async () => this.#limit(async limited => this.#send(path, body, AbortSignal.any([limited, signal]))));
+	async open(path: string, body: unknown): Promise<PlatformResult<OpenCall>> {
+		return this.#retry(async () => this.#limit(async controller => this.#openOnce(path, body, controller)));
 	}
 
 	/** Uses another endpoint from the next call on. */
@@ -101,7 +108,10 @@
 
 	/** Ends all calls. */
 	close(): void {
-		this.#closing.abort();
+		this.#isClosed = true;
+		for (const controller of this.#active) {
+			controller.abort();
+		}
 	}
 
 	async #retry<T>(makeCall: () => Promise<PlatformResult<T>>): Promise<PlatformResult<T>> {
@@ -115,26 +125,52 @@
 	}
 
 	async #try<T>(call: EtcdCall<T>): Promise<PlatformResult<T>> {
-		return this.#limit(async signal => this.#exchange(call, signal));
+		return this.#limit(async controller => {
+			const result = await this.#exchange(call, controller.signal);
+			this.#active.delete(controller);
+			return result;
+		});
 	}
 
-	async #limit<T>(makeCall: (signal: AbortSignal) => Promise<PlatformResult<T>>): Promise<PlatformResult<T>> {
-		const limit = new AbortController();
+	async #openOnce(path: string, body: unknown, controller: AbortController): Promise<PlatformResult<OpenCall>> {
+		const sent = await this.#send(path, body, controller.signal);
+		if (!sent.ok) {
+			return sent;
+		}
+
+		const close = (): void => {
+			this.#active.delete(controller);
+			controller.abort();
+		};
+
+		return {ok: true, value: {chunks: sent.value, close}};
+	}
+
+	async #limit<T>(makeCall: (controller: AbortController) => Promise<PlatformResult<T>>): Promise<PlatformResult<T>> {
+		const controller = new AbortController();
+		this.#active.add(controller);
+		let isTimedOut = false;
 		const timer = this.#options.clock.setTimer(() => {
-			limit.abort();
+			isTimedOut = true;
+			controller.abort();
 		}, this.#options.callTimeoutMs);
-		const result = await makeCall(AbortSignal.any([limit.signal, this.#closing.signal]));
+		const result = await makeCall(controller);
 		timer.close();
-		if (result.ok || result.reason === 'budget') {
+		if (result.ok) {
+			return result;
+		}
+
+		this.#active.delete(controller);
+		if (result.reason === 'budget') {
 			return result;
 		}
 
 		this.rotateEndpoint();
-		if (this.#closing.signal.aborted) {
+		if (this.#isClosed) {
 			return createFault('closed', 'the platform client is closed');
 		}
 
-		return limit.signal.aborted ? createFault('timeout', `no answer within ${this.#options.callTimeoutMs} ms`) : result;
+		return isTimedOut ? createFault('timeout', `no answer within ${this.#options.callTimeoutMs} ms`) : result;
 	}
 
 	async #exchange<T>(call: EtcdCall<T>, signal: AbortSignal): Promise<PlatformResult<T>> {
@@ -152,8 +188,8 @@
 	}
 
 	async #send(path: string, body: unknown, signal: AbortSignal): Promise<PlatformResult<EtcdChunks>> {
-		if (signal.aborted) {
-			return createFault('closed', 'the call was ended');
+		if (this.#isClosed) {
+			return createFault('closed', 'the platform client is closed');
 		}
 
 		if (!this.#options.budget.take()) {
--- a/src/platform/etcd-watch.ts
+++ b/src/platform/etcd-watch.ts
@@ -2,9 +2,9 @@
  * One watch of a prefix: it resumes by revision after a break, reads the prefix anew after a compaction,
  * and opens a new stream when the present one has been silent for long.
  */
-import {type Clock, sleep} from '../seams/index.js';
+import {type Clock, sleep, type Timer} from '../seams/index.js';
 import {type Backoff} from './backoff.js';
-import {type EtcdChunks, type EtcdClient} from './etcd-client.js';
+import {type EtcdChunks, type EtcdClient, type OpenCall} from './etcd-client.js';
 import {
 	createPrefixRequest, createWatchRequest, decodeKeyValue, rangeAnswerSchema, type WatchMessage, watchMessageSchema,
 } from './etcd-messages.js';
@@ -22,7 +22,8 @@
 	readonly onEvent: (event: WatchEvent) => void;
 };
 
-type StreamEnd = 'broken' | 'silent' | 'compacted' | 'closed';
+/** Why a step of the watch ended without a fault. */
+type StreamEnd = 'started' | 'silent' | 'compacted';
 
 /** Longest message of a watch, in characters. */
 const maxMessageLength = 33_554_432;
@@ -33,6 +34,7 @@
 	readonly #closing = new AbortController();
 	/** Revision of each key's last known change; tells what a compaction has hidden. */
 	readonly #known = new Map<string, number>();
+	#stream: OpenCall | undefined;
 	#nextRevision = 0;
 	#isUp = false;
 
@@ -56,6 +58,7 @@
 	/** Ends the watch; no event is given afterwards. */
 	close(): void {
 		this.#closing.abort();
+		this.#stream?.close();
 	}
 
 	async #runOnce(): Promise<PlatformResult<StreamEnd>> {
@@ -85,7 +88,7 @@
 		}
 
 		this.#nextRevision = range.value.revision + 1;
-		return {ok: true, value: 'closed'};
+		return {ok: true, value: 'started'};
 	}
 
 	async #resynchronize(): Promise<PlatformResult<StreamEnd>> {
@@ -136,22 +139,32 @@
 	}
 
 	async #runStream(): Promise<PlatformResult<StreamEnd>> {
-		const stream = new AbortController();
-		const signal = AbortSignal.any([stream.signal, this.#closing.signal]);
 		const body = createWatchRequest(this.#options.prefix, this.#nextRevision);
-		const opened = await this.#options.client.open('/v3/watch', body, signal);
+		const opened = await this.#options.client.open('/v3/watch', body);
 		if (!opened.ok) {
 			return opened;
 		}
 
+		this.#stream = opened.value;
+		if (this.#closing.signal.aborted) {
+			this.#stream.close();
+		}
+
+		const end = await this.#readStream(opened.value);
+		opened.value.close();
+		this.#stream = undefined;
+		return end;
+	}
+
+	async #readStream(stream: OpenCall): Promise<PlatformResult<StreamEnd>> {
 		let isSilent = false;
-		const startTimer = () => this.#options.clock.setTimer(() => {
+		const startTimer = (): Timer => this.#options.clock.setTimer(() => {
 			isSilent = true;
-			stream.abort();
+			stream.close();
 		}, this.#options.silenceMs);
 		let timer = startTimer();
 		try {
-			return await this.#readMessages(opened.value, () => {
+			return await this.#readMessages(stream.chunks, () => {
 				timer.close();
 				timer = startTimer();
 			});
@@ -161,7 +174,6 @@
 			return isSilent && this.#isUp ? {ok: true, value: 'silent'} : createFault('unavailable', describeError(err));
 		} finally {
 			timer.close();
-			stream.abort();
 		}
 	}
 
--- a/src/process/prefix-follower.ts
+++ b/src/process/prefix-follower.ts
@@ -44,7 +44,7 @@
 	readonly failedReads: number;
 };
 
-const defaultPollMs = 3000;
+const defaultPollMs = 2500;
 
 /** Share of the period by which a poll comes earlier or later. */
 const pollJitter = 0.25;
@@ -62,6 +62,7 @@
 	readonly #subscription: ReturnType<Stream<WatchEvent>['subscribe']>;
 	#timer: Timer | undefined;
 	#reading: Promise<boolean> | undefined;
+	#nextReading: Promise<boolean> | undefined;
 	#isUp: boolean | undefined;
 	#reads = 0;
 	#failedReads = 0;
@@ -85,9 +86,15 @@
 		void this.refresh();
 	}
 
-	/** Reads the prefix now; resolves to whether that worked. */
+	/** Reads the prefix, beginning not before now; resolves to whether that worked. */
 	async refresh(): Promise<boolean> {
-		this.#reading ??= this.#readAndSchedule(async () => this.#readRange());
+		if (this.#reading) {
+			// The read that is under way may have begun before what the caller knows of.
+			this.#nextReading ??= this.#readAfter(this.#reading);
+			return this.#nextReading;
+		}
+
+		this.#reading = this.#readAndSchedule(async () => this.#readRange());
 		return this.#reading;
 	}
 
@@ -109,8 +116,8 @@
 		}
 
 		if (event.kind === 'up' || event.kind === 'down') {
-			// After a break the prefix is read, and a platform that is away is noticed at once.
-			void this.refresh();
+			// Changes during a break may be unknown, and a platform that is away is noticed at once.
+			void this.#pollAgain();
 			return;
 		}
 
@@ -123,7 +130,22 @@
 		this.#options.onChange(event);
 	}
 
+	async #readAfter(reading: Promise<boolean>): Promise<boolean> {
+		await reading;
+		this.#nextReading = undefined;
+		return this.#isClosed ? false : this.refresh();
+	}
+
+	async #pollAgain(): Promise<void> {
+		await this.#reading;
+		await this.#poll();
+	}
+
 	async #poll(): Promise<void> {
+		if (this.#isClosed) {
+			return;
+		}
+
 		this.#reading ??= this.#readAndSchedule(async () => this.#readDigest());
 		await this.#reading;
 	}
--- /dev/null
+++ b/test/process/prefix-follower.test.ts
@@ -0,0 +1,53 @@
+import test from 'ava';
+import {type KeyRange, type PlatformResult} from '../../src/platform/index.js';
+import {PrefixFollower} from '../../src/process/prefix-follower.js';
+import {FakePlatform} from './fake-platform.js';
+
+/** A platform whose reads are answered one by one. */
+class HeldPlatform extends FakePlatform {
+	readonly #held: Array<(revision: number) => void> = [];
+
+	override async getRange(): Promise<PlatformResult<KeyRange>> {
+		return new Promise(resolve => {
+			this.#held.push(revision => {
+				resolve({ok: true, value: {revision, entries: []}});
+			});
+		});
+	}
+
+	getHeldCount(): number {
+		return this.#held.length;
+	}
+
+	answer(revision: number): void {
+		this.#held.shift()!(revision);
+	}
+}
+
+test('a refresh does not take the answer of a read that began before it', async t => {
+	const platform = new HeldPlatform();
+	const revisions: number[] = [];
+	const follower = new PrefixFollower({
+		platform,
+		deployment: 'test',
+		subject: 'test',
+		prefix: '/',
+		pollMs: 60_000,
+		onRange({revision}) {
+			revisions.push(revision);
+		},
+		onChange: () => undefined,
+	});
+	const refreshed = Promise.all([follower.refresh(), follower.refresh()]);
+	t.is(platform.getHeldCount(), 1);
+	platform.answer(1);
+	while (platform.getHeldCount() === 0) {
+		await Promise.resolve();
+	}
+
+	platform.answer(2);
+	t.deepEqual(await refreshed, [true, true]);
+	t.deepEqual(revisions, [1, 2]);
+	t.is(platform.getHeldCount(), 0);
+	follower.close();
+});
