--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 
 const benches: Readonly<Record<string, () => Promise<{run: () => Promise<void>}>>> = {
 	dispatch: async () => import('./dispatch.js'),
+	platform: async () => import('./platform.js'),
 };
 
 const name = process.argv[2] ?? '';
