Measure the upstream client beside bare undici

Cause: the cost of a request and of silent connections was not known. Change: a measurement with stand-in upstreams on worker threads; several requests may share one abort signal without a warning.

--- /dev/null
+++ b/bench/upstream-worker.mjs
@@ -0,0 +1,41 @@
+/**
+ * Stand-in upstream on a worker thread: a bare TCP socket that answers every request head at once.
+ */
+import {createServer} from 'node:net';
+import {parentPort, workerData} from 'node:worker_threads';
+
+const response = 'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 17\r\n\r\n{"status":"done"}';
+const headEnd = '\r\n\r\n';
+
+/** A connection that was idle for longer goes silent, as if a middlebox had lost track of it; 0: never. */
+const {forgetIdleMs} = workerData;
+
+const server = createServer(socket => {
+	let buffered = '';
+	let lastUse = performance.now();
+	let isSilent = false;
+	socket.setNoDelay(true);
+	socket.setEncoding('latin1');
+	socket.on('error', () => {
+		socket.destroy();
+	});
+	socket.on('data', chunk => {
+		const now = performance.now();
+		isSilent ||= forgetIdleMs > 0 && now - lastUse > forgetIdleMs;
+		lastUse = now;
+		if (isSilent) {
+			return;
+		}
+
+		buffered += chunk;
+		let end = buffered.indexOf(headEnd);
+		while (end !== -1) {
+			buffered = buffered.slice(end + headEnd.length);
+			socket.write(response);
+			end = buffered.indexOf(headEnd);
+		}
+	});
+});
+server.listen(0, '127.0.0.1', () => {
+	parentPort.postMessage(server.address().port);
+});
--- /dev/null
+++ b/bench/upstream.ts
@@ -0,0 +1,199 @@
+/**
+ * Measures the upstream client beside bare undici in the same run, and what silent connections cost.
+ * `npx tsx bench/upstream.ts [--quick]` writes bench/results/upstream.json.
+ */
+import {once} from 'node:events';
+import {mkdirSync, readFileSync, writeFileSync} from 'node:fs';
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import {Worker} from 'node:worker_threads';
+import {Pool} from 'undici';
+import {type UpstreamRunOptions, createUpstreamClient} from '../src/connection/index.js';
+import {type ListedUpstream, upstreamSchema} from '../src/platform/index.js';
+
+type Send = (upstream: ListedUpstream, signal: AbortSignal) => Promise<boolean>;
+
+type Figures = {
+	readonly requestsPerSecond: number;
+	/** Processor time of the main thread for each request. */
+	readonly cpuUsPerRequest: number;
+};
+
+const isQuick = process.argv.includes('--quick');
+const upstreamCount = 4;
+const slotsPerUpstream = 8;
+const roundCount = isQuick ? 2 : 7;
+const requestsPerRound = isQuick ? 4000 : 40_000;
+const runOptions: UpstreamRunOptions = {timeoutMs: 5000, notStartedStatuses: [503], idleConnectionMs: 4000};
+const headers = [['content-type', 'application/json'], ['x-request-id', '0123456789abcdef']] as const;
+const path = '/seats/hold?chair=17';
+
+const burstCount = isQuick ? 3 : 10;
+const burstSize = 200;
+const pauseMs = 400;
+const forgetIdleMs = 250;
+const shortIdleMs = 150;
+const longIdleMs = 60_000;
+const silentTimeoutMs = 100;
+
+async function startUpstreams(forgetAfterMs: number): Promise<{readonly upstreams: readonly ListedUpstream[]; readonly workers: readonly Worker[]}> {
+	const workers = Array.from({length: upstreamCount}, () => new Worker(new URL('upstream-worker.mjs', import.meta.url), {workerData: {forgetIdleMs: forgetAfterMs}}));
+	const ports = await Promise.all(workers.map(async worker => {
+		const [port] = await once(worker, 'message') as [number];
+		return port;
+	}));
+	const upstreams = ports.map((port, index) => upstreamSchema.parse({
+		kind: 'upstream', name: `upstream-${index}`, dataCenter: 'kolkata', state: 'live', service: 'seats', address: `127.0.0.1:${port}`, slots: slotsPerUpstream, connections: 64,
+	}));
+	return {upstreams, workers};
+}
+
+/** Gets the processor time of the main thread in microseconds. */
+function getCpuUs(): number {
+	const [onCpuNs] = readFileSync(`/proc/self/task/${process.pid}/schedstat`, 'utf8').split(' ');
+	return Number(onCpuNs) / 1000;
+}
+
+/** Sends requests with every slot of every upstream kept busy; gets the number that were answered. */
+async function sendAll(upstreams: readonly ListedUpstream[], send: Send, count: number): Promise<number> {
+	let left = count;
+	let answered = 0;
+	const {signal} = new AbortController();
+	const runSlot = async (upstream: ListedUpstream): Promise<void> => {
+		while (left > 0) {
+			left--;
+			const isAnswered = await send(upstream, signal);
+			answered += isAnswered ? 1 : 0;
+		}
+	};
+
+	await Promise.all(upstreams.flatMap(upstream => Array.from({length: slotsPerUpstream}, async () => runSlot(upstream))));
+	return answered;
+}
+
+async function measureRound(upstreams: readonly ListedUpstream[], send: Send): Promise<Figures> {
+	const startCpu = getCpuUs();
+	const startTime = performance.now();
+	const answered = await sendAll(upstreams, send, requestsPerRound);
+	const seconds = (performance.now() - startTime) / 1000;
+	const cpuUs = getCpuUs() - startCpu;
+	if (answered !== requestsPerRound) {
+		throw new Error(`${requestsPerRound - answered} requests were not answered`);
+	}
+
+	return {requestsPerSecond: requestsPerRound / seconds, cpuUsPerRequest: cpuUs / requestsPerRound};
+}
+
+function getMedian(values: readonly number[]): number {
+	const sorted = values.toSorted((a, b) => a - b);
+	return Math.round(sorted[Math.floor(sorted.length / 2)]! * 10) / 10;
+}
+
+async function compare(): Promise<Record<string, Figures>> {
+	const {upstreams, workers} = await startUpstreams(0);
+	const client = createUpstreamClient();
+	const pools = new Map(upstreams.map(upstream => [upstream, new Pool(`http://${upstream.address}`, {connections: 64, pipelining: 1})]));
+	const flatHeaders = headers.flat();
+	const ways: Record<string, Send> = {
+		async undiciRequest(upstream) {
+			const res = await pools.get(upstream)!.request({method: 'GET', path, headers: flatHeaders});
+			await res.body.arrayBuffer();
+			return res.statusCode === 200;
+		},
+		async undiciDispatch(upstream) {
+			return new Promise(resolve => {
+				let status = 0;
+				const chunks: Uint8Array[] = [];
+				pools.get(upstream)!.dispatch({method: 'GET', path, headers: flatHeaders}, {
+					onRequestStart() {
+						status = 0;
+					},
+					onResponseStart(_controller, statusCode) {
+						status = statusCode;
+					},
+					onResponseData(_controller, chunk) {
+						chunks.push(chunk);
+					},
+					onResponseEnd() {
+						resolve(status === 200);
+					},
+					onResponseError() {
+						resolve(false);
+					},
+				});
+			});
+		},
+		async upstreamClient(upstream) {
+			const outcome = await client.run(upstream, {method: 'GET', path, headers}, runOptions);
+			return outcome.kind === 'answered';
+		},
+		async upstreamClientWithSignal(upstream, signal) {
+			const outcome = await client.run(upstream, {method: 'GET', path, headers}, {...runOptions, signal});
+			return outcome.kind === 'answered';
+		},
+	};
+	const rounds = new Map<string, Figures[]>(Object.keys(ways).map(name => [name, []]));
+	for (let round = 0; round <= roundCount; round++) {
+		for (const [name, send] of Object.entries(ways)) {
+			const figures = await measureRound(upstreams, send);
+			const isWarmUp = round === 0;
+			if (!isWarmUp) {
+				rounds.get(name)!.push(figures);
+			}
+		}
+	}
+
+	await client.close();
+	await Promise.all([...pools.values()].map(async pool => pool.close()));
+	await Promise.all(workers.map(async worker => worker.terminate()));
+	return Object.fromEntries([...rounds].map(([name, all]) => [name, {
+		requestsPerSecond: getMedian(all.map(figures => figures.requestsPerSecond)),
+		cpuUsPerRequest: getMedian(all.map(figures => figures.cpuUsPerRequest)),
+	}]));
+}
+
+/** Sends bursts with pauses in which the kept connections go silent. */
+async function measureSilence(idleConnectionMs: number, forgetAfterMs: number): Promise<Record<string, number>> {
+	const {upstreams, workers} = await startUpstreams(forgetAfterMs);
+	const client = createUpstreamClient();
+	const options: UpstreamRunOptions = {timeoutMs: silentTimeoutMs, notStartedStatuses: [], idleConnectionMs};
+	let answered = 0;
+	for (let burst = 0; burst < burstCount; burst++) {
+		answered += await sendAll(upstreams, async upstream => {
+			const outcome = await client.run(upstream, {method: 'GET', path, headers}, options);
+			return outcome.kind === 'answered';
+		}, burstSize);
+		await delay(pauseMs);
+	}
+
+	const status = client.getStatus();
+	await client.close();
+	await Promise.all(workers.map(async worker => worker.terminate()));
+	return {
+		idleConnectionMs, requests: burstCount * burstSize, answered, failed: status.outcomes.failed, notStarted: status.outcomes.notStarted,
+	};
+}
+
+const rates = await compare();
+const report = {
+	command: process.argv.slice(1).join(' ').replace(/^.*?bench/v, 'bench'),
+	node: process.version,
+	setup: {
+		upstreamCount, slotsPerUpstream, roundCount, requestsPerRound,
+	},
+	rates,
+	silence: {
+		setup: {
+			burstCount, burstSize, pauseMs, forgetIdleMs, silentTimeoutMs,
+		},
+		withoutSilentConnections: await measureSilence(longIdleMs, 0),
+		silentConnectionsLongIdle: await measureSilence(longIdleMs, forgetIdleMs),
+		silentConnectionsShortIdle: await measureSilence(shortIdleMs, forgetIdleMs),
+	},
+};
+mkdirSync(new URL('results/', import.meta.url), {recursive: true});
+if (!isQuick) {
+	writeFileSync(new URL('results/upstream.json', import.meta.url), `${JSON.stringify(report, undefined, '\t')}\n`);
+}
+
+console.log(JSON.stringify(report, undefined, '\t'));
--- a/src/connection/upstream-client.ts
+++ b/src/connection/upstream-client.ts
@@ -1,6 +1,7 @@
 /**
  * Sends requests to upstreams, each at most once.
  */
+import {setMaxListeners} from 'node:events';
 import {buildConnector} from 'undici';
 import {type ListedUpstream} from '../platform/index.js';
 import {
@@ -93,7 +94,12 @@
 				this.#timeouts++;
 				exchange.abort(`no answer within ${options.timeoutMs} ms`, pool.getConnectionCount() === 0);
 			}, options.timeoutMs);
-			options.signal?.addEventListener('abort', cancel, {once: true});
+			if (options.signal !== undefined) {
+				// A whole job may share one signal.
+				setMaxListeners(0, options.signal);
+				options.signal.addEventListener('abort', cancel, {once: true});
+			}
+
 			pool.startExchange(req, exchange);
 		});
 	}
