Ask for slots whatever the expected wait when there are none in hand

Cause: an entry VM that owns no upstream counted its wait as one slot's; below demandWaitMs it asked nobody and set no timer, so a job waited to its deadline while the upstreams were idle. Change: the short wait only holds back an entry VM that has a slot whose task will end.

--- a/src/process/scheduler/lease-broker.ts
+++ b/src/process/scheduler/lease-broker.ts
@@ -25,6 +25,8 @@
 	readonly next: JobPart | undefined;
 	/** Expected wait of the last of these tasks on the slots in hand. */
 	readonly waitMs: number;
+	/** Whether there is a slot in hand whose task will end and make room. */
+	readonly hasSlots: boolean;
 	/** Whether other data centres may be asked. */
 	readonly maySpill: boolean;
 };
@@ -158,7 +160,8 @@
 	 * @param local - What waits here.
 	 */
 	tellDemand(local: LocalDemand): number | undefined {
-		if (!local.next || local.waitMs < this.#tuning.demandWaitMs) {
+		const isShortWait = local.hasSlots && local.waitMs < this.#tuning.demandWaitMs;
+		if (!local.next || isShortWait) {
 			return undefined;
 		}
 
--- a/src/process/scheduler/service-scheduler.ts
+++ b/src/process/scheduler/service-scheduler.ts
@@ -431,7 +431,7 @@
 		const waitMs = readyTasks * this.#getMsPerTask();
 		const maySpill = this.#profile.spillToOtherDataCenters && waitMs > this.#profile.spillWaitMs;
 		return {
-			order: this.#queue.getOrder(), readyTasks, next, waitMs, maySpill,
+			order: this.#queue.getOrder(), readyTasks, next, waitMs, maySpill, hasSlots: this.#pool.getUsableSlots() > 0,
 		};
 	}
 
--- a/test/process/scheduler/task-scheduler.test.ts
+++ b/test/process/scheduler/task-scheduler.test.ts
@@ -76,3 +76,27 @@
 
 	await harness.close();
 });
+
+test('an entry VM without slots asks for some however short its tasks are', async t => {
+	const harness = new SchedulerHarness({nodeCount: 2, upstreams: [createUpstream('u1', {slots: 8})]});
+	await harness.clock.advance(1000);
+	const {scheduler} = harness.nodes.find(node => !node.scheduler.getStatus().upstreams[0]!.isOwned)!;
+	for (let round = 0; round < 20; round++) {
+		scheduler.addJob(harness.createJob(`short${round}`, 50));
+		await harness.clock.advance(50);
+		while (harness.running.size > 0) {
+			for (const start of harness.running) {
+				start.end(answered);
+			}
+
+			await harness.clock.advance(2);
+		}
+	}
+
+	t.is(harness.starts.length, 1000);
+	await harness.clock.advance(1000);
+	scheduler.addJob(harness.createJob('one', 1));
+	await harness.clock.advance(100);
+	t.is(harness.starts.at(-1)!.task, 'one/0');
+	await harness.close();
+});
