--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -3,11 +3,17 @@
  */
 import {type AddCommand} from '../cli-host.js';
 import {addApplyCommand} from './apply.js';
+import {addCoordinatorCommand} from './coordinator.js';
 import {addDiffCommand} from './diff.js';
+import {addDrainCommand} from './drain.js';
 import {addHistoryCommand} from './history.js';
+import {addJobsCommand} from './jobs.js';
 import {addRollbackCommand} from './rollback.js';
 import {addSchemaCommand} from './schema.js';
 import {addShowCommand} from './show.js';
+import {addStatusCommand} from './status.js';
+import {addSubmitCommand} from './submit.js';
+import {addTimelineCommand} from './timeline.js';
 import {addValidateCommand} from './validate.js';
 
 /** Adds each command. */
@@ -19,4 +25,10 @@
 	addShowCommand,
 	addRollbackCommand,
 	addSchemaCommand,
+	addStatusCommand,
+	addTimelineCommand,
+	addSubmitCommand,
+	addJobsCommand,
+	addCoordinatorCommand,
+	addDrainCommand,
 ];
--- /dev/null
+++ b/src/cli/commands/timeline.ts
@@ -0,0 +1,90 @@
+/**
+ * `endivemill timeline`: the events of all entry VMs in one order in which causes come before effects.
+ */
+import {type Command, InvalidArgumentError, Option} from 'commander';
+import {type CliContext} from '../cli-host.js';
+import {addEntryVmFlags, type EntryVmFlags, openTargets} from '../entry-vm-targets.js';
+import {type ExitCode, exitCodes} from '../exit-codes.js';
+import {printResult} from '../output.js';
+import {sleep} from '../../seams/index.js';
+import {formatTimeline, formatTrace} from '../timeline-format.js';
+import {type GatheredEvents, TimelineGatherer, type TimelineFilter} from '../timeline-gatherer.js';
+
+type TimelineFlags = EntryVmFlags & {
+	readonly job?: string;
+	readonly since?: number;
+	readonly follow?: boolean;
+	readonly format: 'text' | 'json' | 'chrome';
+};
+
+const followMs = 500;
+const unitMilliseconds = {
+	ms: 1, s: 1000, m: 60_000, h: 3_600_000,
+} as const;
+
+/**
+ * Adds the command.
+ * @param program - Program to change.
+ * @param context - Host, and how to set the action.
+ */
+export function addTimelineCommand(program: Command, context: CliContext): void {
+	const command = program.command('timeline')
+		.description('print the events of all entry VMs, causes before effects')
+		.option('--job <id>', 'only the events of one job')
+		.option('--since <time>', 'only the events of the last time, for instance 5m, 30s or 1h', parseDuration)
+		.option('--follow', 'go on with new events until interrupted')
+		.addOption(new Option('--format <format>', 'text, json (one event a line with --follow), or chrome (Trace Event Format)')
+			.choices(['text', 'json', 'chrome']).default('text'));
+	context.setAction<TimelineFlags>(addEntryVmFlags(command), async flags => printTimeline(context, flags));
+}
+
+async function printTimeline(context: CliContext, flags: TimelineFlags): Promise<ExitCode> {
+	const {host} = context;
+	const opened = await openTargets(flags, host);
+	if (!opened.ok) {
+		return opened.exitCode;
+	}
+
+	const gatherer = new TimelineGatherer(opened);
+	const filter: TimelineFilter = {job: flags.job, sinceTime: flags.since === undefined ? undefined : host.clock.getTime() - flags.since};
+	const gathered = await gatherer.getNewEvents(filter);
+	const exitCode = flags.follow ? await follow(context, flags, gatherer, gathered) : printOnce(context, flags, gathered);
+	await opened.client.close();
+	return exitCode;
+}
+
+function printOnce({host}: CliContext, flags: TimelineFlags, {events, unreachable}: GatheredEvents): ExitCode {
+	for (const {name, detail} of unreachable) {
+		host.writeErr(`warning: ${name} was not reached: ${detail}\n`);
+	}
+
+	const isJson = flags.json === true || flags.format === 'json';
+	return printResult(host, isJson, {
+		exitCode: events.length === 0 && unreachable.length > 0 ? exitCodes.unavailable : exitCodes.success,
+		json: {events, unreachable},
+		text: flags.format === 'chrome' ? JSON.stringify(formatTrace(events)) : formatTimeline(events),
+	});
+}
+
+async function follow(context: CliContext, flags: TimelineFlags, gatherer: TimelineGatherer, first: GatheredEvents): Promise<ExitCode> {
+	const {host} = context;
+	let {events} = first;
+	for (;;) {
+		for (const event of events) {
+			host.writeOut(flags.format === 'text' && !flags.json ? `${formatTimeline([event])}\n` : `${JSON.stringify(event)}\n`);
+		}
+
+		await sleep(host.clock, followMs);
+		const gathered = await gatherer.getNewEvents({job: flags.job});
+		events = gathered.events;
+	}
+}
+
+function parseDuration(text: string): number {
+	const groups = /^(?<count>\d{1,9})(?<unit>ms|s|m|h)$/v.exec(text)?.groups;
+	if (groups === undefined) {
+		throw new InvalidArgumentError('expected a number with a unit, for instance 5m, 30s, 1h or 500ms');
+	}
+
+	return Number(groups.count) * unitMilliseconds[groups.unit as keyof typeof unitMilliseconds];
+}
--- a/src/cli/exit-codes.ts
+++ b/src/cli/exit-codes.ts
@@ -16,10 +16,14 @@
 	refused: 4,
 	/** The platform or the entry VMs could not be reached; nothing was written. */
 	unavailable: 5,
-	/** The answer of the platform was lost, and whether the change was accepted could not be settled. */
+	/** Whether the change was accepted, or the job ran, could not be settled. */
 	unknown: 6,
 	/** What was asked for does not exist. */
 	notFound: 7,
+	/** The job was not run; submitting it again is safe. */
+	notRun: 8,
+	/** The job failed after tasks had started. */
+	failed: 9,
 } as const;
 
 /** An exit code of `endivemill`. */
--- a/src/cli/operator-client.ts
+++ b/src/cli/operator-client.ts
@@ -44,11 +44,30 @@
 	 * @param schema - Schema of the value.
 	 */
 	async getJson<T>(address: string, path: string, schema: z.ZodType<T>): Promise<OperatorAnswer<T>> {
+		return this.#send('GET', `${address}${path}`, schema);
+	}
+
+	/**
+	 * Sends a command to one entry VM and gets its JSON answer.
+	 * @param address - Operator address of the entry VM.
+	 * @param path - Path of the command, for instance `/v1/drain`.
+	 * @param schema - Schema of the answer.
+	 */
+	async postJson<T>(address: string, path: string, schema: z.ZodType<T>): Promise<OperatorAnswer<T>> {
+		return this.#send('POST', `${address}${path}`, schema);
+	}
+
+	/** Closes the connections. */
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+
+	async #send<T>(method: 'GET' | 'POST', target: string, schema: z.ZodType<T>): Promise<OperatorAnswer<T>> {
 		try {
-			const res = await request(`${this.#scheme}://${address}${path}`, {
-				dispatcher: this.#agent, headers: this.#headers, signal: AbortSignal.timeout(this.#timeoutMs),
+			const res = await request(`${this.#scheme}://${target}`, {
+				method, dispatcher: this.#agent, headers: this.#headers, signal: AbortSignal.timeout(this.#timeoutMs),
 			});
-			if (res.statusCode !== 200) {
+			if (res.statusCode !== 200 && res.statusCode !== 202) {
 				await res.body.dump();
 				return {ok: false, detail: `status ${res.statusCode}`};
 			}
@@ -59,11 +78,6 @@
 			return {ok: false, detail: (err as Error).message};
 		}
 	}
-
-	/** Closes the connections. */
-	async close(): Promise<void> {
-		await this.#agent.destroy();
-	}
 }
 
 /**
--- /dev/null
+++ b/src/cli/timeline-gatherer.ts
@@ -0,0 +1,76 @@
+/**
+ * Gathers the events of several entry VMs and merges them.
+ */
+import {z} from 'zod';
+import {type EntryVmTarget} from './entry-vm-targets.js';
+import {type OperatorClient} from './operator-client.js';
+
+const eventSchema = z.object({
+	sequence: z.int(), logicalTime: z.number(), time: z.number(), process: z.string(), kind: z.string(), subject: z.string(), detail: z.string(),
+}).readonly();
+const eventsSchema = z.object({events: z.array(eventSchema)});
+
+/** One event as an entry VM told it. */
+export type GatheredEvent = z.infer<typeof eventSchema>;
+
+/** Events of several entry VMs, and those that did not tell theirs. */
+export type GatheredEvents = {
+	readonly events: readonly GatheredEvent[];
+	readonly unreachable: ReadonlyArray<{readonly name: string; readonly detail: string}>;
+};
+
+/** Which events are wanted. */
+export type TimelineFilter = {
+	readonly job?: string;
+	/** Wall-clock time in milliseconds since the Unix epoch. */
+	readonly sinceTime?: number;
+};
+
+/** Options of a {@link TimelineGatherer}. */
+export type TimelineGathererOptions = {
+	readonly targets: readonly EntryVmTarget[];
+	readonly client: OperatorClient;
+};
+
+/** Asks entry VMs for their events, each time for those that came since. */
+export class TimelineGatherer {
+	readonly #options: TimelineGathererOptions;
+	readonly #nextSequences = new Map<string, number>();
+
+	constructor(options: TimelineGathererOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Gets the events that were not given before, merged so that causes come before effects.
+	 * @param filter - Which events are wanted.
+	 */
+	async getNewEvents(filter: TimelineFilter = {}): Promise<GatheredEvents> {
+		const answers = await Promise.all(this.#options.targets.map(async target => this.#ask(target, filter)));
+		const events = answers.flatMap(answer => answer.events).sort(compareEvents);
+		return {events, unreachable: answers.flatMap(answer => answer.unreachable)};
+	}
+
+	async #ask(target: EntryVmTarget, filter: TimelineFilter): Promise<GatheredEvents> {
+		const {operatorAddress, name} = target;
+		const from = this.#nextSequences.get(operatorAddress) ?? 0;
+		const subject = filter.job === undefined ? '' : `&subject=${encodeURIComponent(filter.job)}`;
+		const answer = await this.#options.client.getJson(operatorAddress, `/v1/events?from=${from}${subject}`, eventsSchema);
+		if (!answer.ok) {
+			return {events: [], unreachable: [{name, detail: answer.detail}]};
+		}
+
+		const {events} = answer.value;
+		const last = events.at(-1);
+		if (last !== undefined) {
+			this.#nextSequences.set(operatorAddress, last.sequence + 1);
+		}
+
+		const {sinceTime = 0} = filter;
+		return {events: events.filter(({time}) => time >= sinceTime), unreachable: []};
+	}
+}
+
+function compareEvents(left: GatheredEvent, right: GatheredEvent): number {
+	return left.logicalTime - right.logicalTime || left.process.localeCompare(right.process) || left.sequence - right.sequence;
+}
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -17,7 +17,10 @@
 export type TimelineEvent = {
 	/** Position in this process's ring; rises by one. */
 	readonly sequence: number;
-	/** Lamport clock: greater than that of every event that may have caused this one. */
+	/**
+	 * Hybrid logical clock in microseconds: near the wall clock, and greater than that of every event that may have caused
+	 * this one, whatever the VMs' clocks say.
+	 */
 	readonly logicalTime: number;
 	/** Wall-clock time in milliseconds since the Unix epoch. */
 	readonly time: number;
@@ -38,6 +41,7 @@
 };
 
 const defaultCapacity = 20_000;
+const microsecondsPerMillisecond = 1000;
 
 /** Keeps the latest events of this process. */
 export class EventLog {
@@ -61,11 +65,12 @@
 	 * @param detail - Further text.
 	 */
 	addEvent(kind: EventKind, subject: string, detail = ''): void {
-		this.#logicalTime++;
+		const time = this.#clock.getTime();
+		this.#logicalTime = Math.max(this.#logicalTime + 1, Math.floor(time * microsecondsPerMillisecond));
 		this.#ring[this.#sequence % this.#capacity] = {
 			sequence: this.#sequence,
 			logicalTime: this.#logicalTime,
-			time: this.#clock.getTime(),
+			time,
 			process: this.#process,
 			kind,
 			subject,
