--- a/src/cli/cli-host.ts
+++ b/src/cli/cli-host.ts
@@ -14,7 +14,7 @@
 	readonly env: Readonly<Record<string, string | undefined>>;
 	readonly clock: Clock;
 	readonly random: Random;
-	/** Whether standard output is a terminal, which takes colours. */
+	/** Whether standard output is a terminal that takes colours. */
 	readonly isTerminal: boolean;
 	/** Name of the user, the default author of a change. */
 	readonly userName: string;
@@ -42,7 +42,7 @@
 	env: process.env,
 	clock: systemClock,
 	random: systemRandom,
-	isTerminal: process.stdout.isTTY,
+	isTerminal: process.stdout.isTTY && !process.env.NO_COLOR,
 	userName: getUserName(),
 	writeOut(text) {
 		process.stdout.write(text);
--- /dev/null
+++ b/test/support/fake-clock.ts
@@ -0,0 +1,27 @@
+import {createClock} from '@sinonjs/fake-timers';
+import {type Clock, type Timer} from '../../src/seams/index.js';
+
+/** A clock that stands still until it is moved on. */
+export type FakeClock = Clock & {
+	/** Moves the clock on and runs the timers that are due. */
+	tick(ms: number): void;
+};
+
+/** Creates a clock for tests. */
+export function createFakeClock(): FakeClock {
+	const timers = createClock();
+	const createTimer = (id: ReturnType<typeof timers.setTimeout>): Timer => ({
+		close() {
+			timers.clearTimeout(id);
+		},
+	});
+	return {
+		getTime: () => timers.now,
+		getMonotonicTime: () => timers.now,
+		setTimer: (callback, delayMs) => createTimer(timers.setTimeout(callback, delayMs)),
+		setRepeatingTimer: (callback, periodMs) => createTimer(timers.setInterval(callback, periodMs)),
+		tick(ms) {
+			timers.tick(ms);
+		},
+	};
+}
