--- a/src/platform/etcd-client.ts
+++ b/src/platform/etcd-client.ts
@@ -115,9 +115,10 @@
 	}
 
 	async #retry<T>(makeCall: () => Promise<PlatformResult<T>>): Promise<PlatformResult<T>> {
-		const tries = Math.max(minReadTries, this.#options.endpoints.length);
+		const {endpoints} = this.#options;
+		const tries = Math.max(minReadTries, endpoints.length);
 		let result = await makeCall();
-		for (let index = 1; index < tries && shouldRetryRead(result); index++) {
+		for (let index = 1; index < tries && shouldRetryRead(result, index < endpoints.length); index++) {
 			result = await makeCall();
 		}
 
@@ -210,8 +211,13 @@
 	}
 }
 
-function shouldRetryRead(result: PlatformResult<unknown>): boolean {
-	return !result.ok && (result.reason === 'unavailable' || result.reason === 'timeout' || result.reason === 'ambiguous');
+/** A refused connection is tried again only at another endpoint, a lost or late answer also at the same one. */
+function shouldRetryRead(result: PlatformResult<unknown>, hasOtherEndpoint: boolean): boolean {
+	if (result.ok) {
+		return false;
+	}
+
+	return result.reason === 'unavailable' ? hasOtherEndpoint : result.reason === 'timeout' || result.reason === 'ambiguous';
 }
 
 function isUnavailable(result: PlatformResult<unknown>): boolean {
