Send the parts of a heartbeat only when they change, and measure the links

Cause: at 28 entry VMs in 5 data centres, heartbeats whose load differs each time cost a node 14.9 KB/s on average and 19.8 KB/s at most, near the 21 KB/s that all control together may take.

Change: status and load are sent apart, each only when it differs from what the link carried last; a report whose view is unchanged carries reporter and beat alone. bench/peers.ts measures control traffic, processor time and requests.

--- /dev/null
+++ b/bench/peers.ts
@@ -0,0 +1,213 @@
+/**
+ * Measures what the links between entry VMs cost: control traffic and processor time by the number of entry VMs and of
+ * data centres, and requests from one to another.
+ */
+import {mkdir, writeFile} from 'node:fs/promises';
+import {cpus} from 'node:os';
+import process from 'node:process';
+import {pathToFileURL} from 'node:url';
+import {
+	createPeerMesh, type PeerMesh, type PeerMeshOptions, type TrafficCounts,
+} from '../src/connection/index.js';
+import {sleep, systemClock} from '../src/seams/index.js';
+
+/** Options of {@link measurePeers}. */
+export type PeersBenchOptions = {
+	readonly entryVmCounts?: readonly number[];
+	readonly dataCenterCounts?: readonly number[];
+	/** Time over which control traffic is measured. */
+	readonly windowMs?: number;
+	/** Requests in each measurement of requests. */
+	readonly requestCount?: number;
+};
+
+/** Cost of control for one entry VM. */
+export type ControlFigures = {
+	readonly entryVms: number;
+	readonly dataCenters: number;
+	readonly meanKilobytesPerSecond: number;
+	readonly maxKilobytesPerSecond: number;
+	readonly meanMessagesPerSecond: number;
+	readonly cpuPercentOfCore: number;
+	readonly heapMegabytes: number;
+};
+
+/** Cost of requests between two entry VMs that share a process. */
+export type RequestFigures = {
+	readonly bodyBytes: number;
+	readonly concurrency: number;
+	readonly requestsPerSecond: number;
+	/** Processor time of both ends together. */
+	readonly cpuMicrosecondsPerRequest: number;
+};
+
+/** Result of {@link measurePeers}. */
+export type PeersReport = {
+	readonly node: string;
+	readonly processor: string;
+	readonly control: readonly ControlFigures[];
+	readonly requests: readonly RequestFigures[];
+};
+
+const defaults = {
+	entryVmCounts: [3, 7, 14, 28], dataCenterCounts: [2, 5], windowMs: 5000, requestCount: 40_000,
+} as const satisfies PeersBenchOptions;
+
+const settleMs = 3000;
+const kilobyte = 1000;
+const megabyte = 1_000_000;
+
+/**
+ * Measures the links between entry VMs that share this process.
+ * @param options - What to measure.
+ */
+export async function measurePeers(options: PeersBenchOptions = {}): Promise<PeersReport> {
+	const settings = {...defaults, ...options};
+	const control: ControlFigures[] = [];
+	for (const dataCenters of settings.dataCenterCounts) {
+		for (const entryVms of settings.entryVmCounts) {
+			control.push(await measureControl(entryVms, dataCenters, settings.windowMs));
+		}
+	}
+
+	const requests: RequestFigures[] = [];
+	for (const [bodyBytes, concurrency] of [[200, 1], [200, 64], [20_000, 64]] as const) {
+		requests.push(await measureRequests(bodyBytes, concurrency, settings.requestCount));
+	}
+
+	return {
+		node: process.version, processor: cpus()[0]?.model ?? 'unknown', control, requests,
+	};
+}
+
+async function measureControl(entryVms: number, dataCenters: number, windowMs: number): Promise<ControlFigures> {
+	const heapBefore = getHeapBytes();
+	const meshes = await createMeshes(entryVms, dataCenters);
+	await sleep(systemClock, settleMs);
+	const trafficBefore = meshes.map(mesh => mesh.getTraffic().control);
+	const cpuBefore = process.cpuUsage();
+	const start = systemClock.getMonotonicTime();
+	await sleep(systemClock, windowMs);
+	const cpu = process.cpuUsage(cpuBefore);
+	const elapsedMs = systemClock.getMonotonicTime() - start;
+	const used = meshes.map((mesh, index) => subtract(mesh.getTraffic().control, trafficBefore[index]!));
+	const heapBytes = getHeapBytes() - heapBefore;
+	await closeAll(meshes);
+	const bytes = used.map(({bytesSent, bytesReceived}) => bytesSent + bytesReceived);
+	const messages = used.map(({messagesSent, messagesReceived}) => messagesSent + messagesReceived);
+	const seconds = elapsedMs / 1000;
+	return {
+		entryVms,
+		dataCenters,
+		meanKilobytesPerSecond: round(getMean(bytes) / kilobyte / seconds),
+		maxKilobytesPerSecond: round(Math.max(...bytes) / kilobyte / seconds),
+		meanMessagesPerSecond: round(getMean(messages) / seconds),
+		cpuPercentOfCore: round((cpu.user + cpu.system) / 10 / elapsedMs / entryVms),
+		heapMegabytes: round(heapBytes / megabyte / entryVms),
+	};
+}
+
+async function measureRequests(bodyBytes: number, concurrency: number, requestCount: number): Promise<RequestFigures> {
+	const [first, second] = await createMeshes(2, 1);
+	const body = 'x'.repeat(bodyBytes);
+	const [{incarnation}] = first!.getMembers() as [ReturnType<PeerMesh['getMembers']>[number]];
+	const ask = async (count: number): Promise<void> => {
+		for (let sent = 0; sent < count; sent++) {
+			const outcome = await first!.request(incarnation.id, {topic: 'bench', body});
+			if (outcome.kind !== 'answered') {
+				throw new Error(`a request ended as ${outcome.kind}: ${outcome.detail}`);
+			}
+		}
+	};
+
+	const askAll = async (count: number): Promise<void> => {
+		await Promise.all(Array.from({length: concurrency}, async () => ask(Math.ceil(count / concurrency))));
+	};
+
+	await askAll(requestCount / 10);
+	const cpuBefore = process.cpuUsage();
+	const start = systemClock.getMonotonicTime();
+	await askAll(requestCount);
+	const elapsedMs = systemClock.getMonotonicTime() - start;
+	const cpu = process.cpuUsage(cpuBefore);
+	await closeAll([first!, second!]);
+	return {
+		bodyBytes,
+		concurrency,
+		requestsPerSecond: Math.round(requestCount / elapsedMs * 1000),
+		cpuMicrosecondsPerRequest: round((cpu.user + cpu.system) / requestCount),
+	};
+}
+
+async function createMeshes(entryVms: number, dataCenters: number): Promise<readonly PeerMesh[]> {
+	const meshes: PeerMesh[] = [];
+	for (let index = 0; index < entryVms; index++) {
+		const seeds = meshes.slice(0, 1).map(mesh => mesh.getAddress());
+		meshes.push(await createPeerMesh(createOptions(index, dataCenters, seeds)));
+	}
+
+	await Promise.all(meshes.map(async mesh => waitForPeers(mesh, entryVms - 1)));
+	return meshes;
+}
+
+async function waitForPeers(mesh: PeerMesh, count: number): Promise<void> {
+	await mesh.getMemberStream().filter(members => members.filter(({state}) => state === 'up').length === count).take(1).drain();
+}
+
+function createOptions(index: number, dataCenters: number, seeds: readonly string[]): PeerMeshOptions {
+	const vm = `vm-${index}`;
+	let beat = 0;
+	return {
+		deployment: 'bench',
+		key: 'a key for the measurement',
+		self: {dataCenter: `dc-${index % dataCenters}`, vm, id: `${vm}-0123456789ab`},
+		listenAddress: '127.0.0.1:0',
+		seeds,
+		// What a busy scheduler would tell: it differs in each heartbeat.
+		getHeartbeat: () => ({
+			configurationVersion: 1, isLeaving: false, load: {queuedTasks: ++beat, runningTasks: 96, teams: {sales: [12, 40], floor: [8, 22]}},
+		}),
+		onRequest: async ({body}) => body,
+	};
+}
+
+async function closeAll(meshes: readonly PeerMesh[]): Promise<void> {
+	await Promise.all(meshes.map(async mesh => mesh.close()));
+}
+
+function subtract(after: TrafficCounts, before: TrafficCounts): TrafficCounts {
+	return {
+		bytesSent: after.bytesSent - before.bytesSent,
+		bytesReceived: after.bytesReceived - before.bytesReceived,
+		messagesSent: after.messagesSent - before.messagesSent,
+		messagesReceived: after.messagesReceived - before.messagesReceived,
+	};
+}
+
+function getHeapBytes(): number {
+	globalThis.gc?.();
+	const {heapUsed, external} = process.memoryUsage();
+	return heapUsed + external;
+}
+
+function getMean(values: readonly number[]): number {
+	let sum = 0;
+	for (const value of values) {
+		sum += value;
+	}
+
+	return sum / values.length;
+}
+
+function round(value: number): number {
+	return Math.round(value * 100) / 100;
+}
+
+if (process.argv[1] !== undefined && import.meta.url === pathToFileURL(process.argv[1]).href) {
+	const report = await measurePeers();
+	const folder = new URL('results/', import.meta.url);
+	await mkdir(folder, {recursive: true});
+	await writeFile(new URL('peers.json', folder), `${JSON.stringify(report, undefined, '\t')}\n`);
+	console.table(report.control);
+	console.table(report.requests);
+}
--- a/src/connection/control-link.ts
+++ b/src/connection/control-link.ts
@@ -5,7 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {type ControlChannel} from './control-channel.js';
 import {
-	type Beat, type ControlLinkMessage, controlLinkMessageSchema, type HeartbeatBody, type KnownAddress, type Report, type ReportedMember,
+	type Beat, type ControlLinkMessage, controlLinkMessageSchema, type DataCenterView, type HeartbeatBody, type KnownAddress, type MemberStatus, type Report,
 } from './control-messages.js';
 import {decodeValue, encodeFrame, encodeValue} from './frame-codec.js';
 import {type FrameConnection} from './frame-connection.js';
@@ -33,8 +33,8 @@
 	readonly handlers: ControlLinkHandlers;
 };
 
-/** A report with its members. */
-export type CompleteReport = Report & {readonly members: readonly ReportedMember[]};
+/** A report with its view. */
+export type CompleteReport = Report & {readonly view: DataCenterView};
 
 /** What one heartbeat says. */
 export type BeatContent = {
@@ -46,7 +46,7 @@
 /** Messages that come in before an acknowledgement is sent without waiting for the next heartbeat. */
 const messagesPerAck = 64;
 
-/** Reporters whose members each end remembers as last sent; both ends drop the same one first. */
+/** Reporters whose views each end remembers as last sent; both ends drop the same one first. */
 const maxReporters = 256;
 
 /** Bytes waiting on a link above which no heartbeat is added; what waits serves as one. */
@@ -62,10 +62,12 @@
 	readonly #connection: FrameConnection;
 	readonly #channel: ControlChannel;
 	readonly #handlers: ControlLinkHandlers;
-	readonly #sentMembers = new Map<string, readonly ReportedMember[]>();
-	readonly #receivedMembers = new Map<string, readonly ReportedMember[]>();
-	#sentBody: Uint8Array | undefined;
-	#receivedBody: HeartbeatBody | undefined;
+	readonly #sentViews = new Map<string, DataCenterView>();
+	readonly #receivedViews = new Map<string, DataCenterView>();
+	#sentStatus: Uint8Array | undefined;
+	#sentLoad: Uint8Array | undefined;
+	#receivedStatus: MemberStatus | undefined;
+	#receivedLoad: unknown;
 	#isStarted = false;
 	#unacknowledgedCount = 0;
 
@@ -120,18 +122,19 @@
 			type: 'beat',
 			logicalTime: content.logicalTime,
 			received: this.#channel.getLastReceived(),
-			...this.#getChangedBody(content.body),
+			...this.#getChangedStatus(content.body),
+			...this.#getChangedLoad(content.body),
 			...(content.reports.length > 0 && {reports: content.reports.map(report => this.#getChangedReport(report))}),
 		};
 		this.#send(beat);
 	}
 
 	/**
-	 * Gets whether a report has other members than those last sent over this link.
+	 * Gets whether a report has another view than the one last sent over this link.
 	 * @param report - Report to send.
 	 */
-	hasNewMembers(report: CompleteReport): boolean {
-		return this.#sentMembers.get(report.reporter) !== report.members;
+	hasNewView(report: CompleteReport): boolean {
+		return this.#sentViews.get(report.reporter) !== report.view;
 	}
 
 	/**
@@ -159,25 +162,32 @@
 		this.#connection.send(encodeFrame(message));
 	}
 
-	#getChangedBody(body: HeartbeatBody): {readonly body?: HeartbeatBody} {
-		const encoded = encodeValue(body);
-		if (this.#sentBody && Buffer.compare(this.#sentBody, encoded) === 0) {
+	#getChangedStatus({configurationVersion, isLeaving}: HeartbeatBody): {readonly status?: MemberStatus} {
+		const status = {configurationVersion, isLeaving};
+		const encoded = encodeValue(status);
+		if (isSame(this.#sentStatus, encoded)) {
 			return {};
 		}
 
-		this.#sentBody = encoded;
-		return {body};
+		this.#sentStatus = encoded;
+		return {status};
 	}
 
-	#getChangedReport(report: CompleteReport): Report {
-		const {dataCenter, reporter, beat} = report;
-		const hasNewMembers = this.hasNewMembers(report);
-		setLatest(this.#sentMembers, reporter, report.members);
-		if (!hasNewMembers) {
-			return {dataCenter, reporter, beat};
+	#getChangedLoad({load}: HeartbeatBody): {readonly load?: unknown} {
+		const encoded = encodeValue(load);
+		if (isSame(this.#sentLoad, encoded)) {
+			return {};
 		}
 
-		return report;
+		this.#sentLoad = encoded;
+		return {load};
+	}
+
+	#getChangedReport(report: CompleteReport): Report {
+		const {reporter, beat, view} = report;
+		const hasNewView = this.hasNewView(report);
+		setLatest(this.#sentViews, reporter, view);
+		return hasNewView ? report : {reporter, beat};
 	}
 
 	#handlePayload(payload: Uint8Array): boolean {
@@ -238,21 +248,26 @@
 	#handleBeat(beat: Beat): void {
 		this.#channel.acknowledge(beat.received);
 		this.#handlers.onLogicalTime(beat.logicalTime);
-		this.#receivedBody = beat.body ?? this.#receivedBody;
-		if (this.#receivedBody) {
-			this.#handlers.onHeartbeat(this.#receivedBody);
+		this.#receivedStatus = beat.status ?? this.#receivedStatus;
+		this.#receivedLoad = 'load' in beat ? beat.load : this.#receivedLoad;
+		if (this.#receivedStatus) {
+			this.#handlers.onHeartbeat({...this.#receivedStatus, load: this.#receivedLoad});
 		}
 
-		const reports = (beat.reports ?? []).map(report => this.#completeReport(report));
+		const reports = (beat.reports ?? []).flatMap(report => this.#completeReport(report));
 		if (reports.length > 0) {
 			this.#handlers.onReports(reports);
 		}
 	}
 
-	#completeReport(report: Report): CompleteReport {
-		const members = report.members ?? this.#receivedMembers.get(report.reporter) ?? [];
-		setLatest(this.#receivedMembers, report.reporter, members);
-		return {...report, members};
+	#completeReport(report: Report): readonly CompleteReport[] {
+		const view = report.view ?? this.#receivedViews.get(report.reporter);
+		if (!view) {
+			return [];
+		}
+
+		setLatest(this.#receivedViews, report.reporter, view);
+		return [{...report, view}];
 	}
 
 	#handleData(number: number, {topic, body}: ControlMessage): void {
@@ -270,6 +285,10 @@
 	}
 }
 
+function isSame(sent: Uint8Array | undefined, encoded: Uint8Array): boolean {
+	return sent !== undefined && Buffer.compare(sent, encoded) === 0;
+}
+
 function setLatest<T>(latest: Map<string, T>, key: string, value: T): void {
 	latest.delete(key);
 	latest.set(key, value);
--- a/src/connection/control-links.ts
+++ b/src/connection/control-links.ts
@@ -111,7 +111,7 @@
 				continue;
 			}
 
-			const own = !isNear || link.hasNewMembers(content.ownReport) ? [content.ownReport] : [];
+			const own = !isNear || link.hasNewView(content.ownReport) ? [content.ownReport] : [];
 			const far = isNear && isFarDue ? content.farReports : [];
 			link.sendBeat({logicalTime, body: content.body, reports: [...own, ...far]});
 		}
@@ -176,7 +176,7 @@
 				settings.events.observeLogicalTime(logicalTime);
 			},
 			onHeartbeat(body) {
-				table.setHeartbeat(record, body);
+				table.setStatus(record, body);
 				settings.onHeartbeat(body, record.incarnation);
 			},
 			onMessage(message) {
--- a/src/connection/control-messages.ts
+++ b/src/connection/control-messages.ts
@@ -6,14 +6,12 @@
 const text = z.string().max(128);
 const count = z.int().min(0);
 
-/** Schema of what a process tells of itself with each heartbeat. */
-export const heartbeatBodySchema = z.object({
+/** Schema of what a process tells of itself that seldom changes. */
+export const memberStatusSchema = z.object({
 	/** Version of the configuration in force. */
 	configurationVersion: count,
 	/** Whether the process is stopping. */
 	isLeaving: z.boolean(),
-	/** Further state for the other end; the mesh does not look into it. */
-	load: z.unknown(),
 }).readonly();
 
 /** Schema of a member in another process's view. */
@@ -26,13 +24,15 @@
 	configurationVersion: count,
 }).readonly();
 
-/** Schema of one process's view of its own data centre; the members are absent where they are as last sent. */
+/** Schema of one process's view of its own data centre; the view is absent where it is as last sent over the link. */
 export const reportSchema = z.object({
-	dataCenter: text,
 	reporter: text,
 	/** Rises with each heartbeat of the reporter. */
 	beat: count,
-	members: z.array(reportedMemberSchema).max(4096).readonly().optional(),
+	view: z.object({
+		dataCenter: text,
+		members: z.array(reportedMemberSchema).max(4096).readonly(),
+	}).readonly().optional(),
 }).readonly();
 
 /** Schema of an address at which an entry VM was seen. */
@@ -55,7 +55,9 @@
 	/** Number of the last control message that came in. */
 	received: count,
 	/** Absent where it is as last sent over this link. */
-	body: heartbeatBodySchema.optional(),
+	status: memberStatusSchema.optional(),
+	/** Absent where it is as last sent over this link. */
+	load: z.unknown().optional(),
 	reports: z.array(reportSchema).max(256).readonly().optional(),
 }).readonly();
 
@@ -77,8 +79,14 @@
 /** Schema of any message of a control link. */
 export const controlLinkMessageSchema = z.discriminatedUnion('type', [startSchema, beatSchema, dataSchema, ackSchema, byeSchema]);
 
+/** What a process tells of itself that seldom changes. */
+export type MemberStatus = z.infer<typeof memberStatusSchema>;
+
 /** What a process tells of itself with each heartbeat. */
-export type HeartbeatBody = z.infer<typeof heartbeatBodySchema>;
+export type HeartbeatBody = MemberStatus & {
+	/** Further state for the other end; the mesh does not look into it. */
+	readonly load: unknown;
+};
 
 /** A member in another process's view. */
 export type ReportedMember = z.infer<typeof reportedMemberSchema>;
@@ -86,6 +94,9 @@
 /** One process's view of its own data centre. */
 export type Report = z.infer<typeof reportSchema>;
 
+/** A process's view of its own data centre; the same object as long as it says the same. */
+export type DataCenterView = Exclude<Report['view'], undefined>;
+
 /** An address at which an entry VM was seen. */
 export type KnownAddress = z.infer<typeof knownAddressSchema>;
 
--- a/src/connection/member-table.ts
+++ b/src/connection/member-table.ts
@@ -6,7 +6,7 @@
 import {CurrentValue} from '../process/current-value.js';
 import {type EventKind, type EventLog} from '../process/events.js';
 import {type Clock} from '../seams/index.js';
-import {type HeartbeatBody} from './control-messages.js';
+import {type MemberStatus} from './control-messages.js';
 import {MemberRecord} from './member-record.js';
 import {type Incarnation, type Member, type MemberState} from './peer-network.js';
 
@@ -117,10 +117,10 @@
 	/**
 	 * Sets what a member tells of itself.
 	 * @param record - Member to change.
-	 * @param body - What it tells.
+	 * @param status - What it tells.
 	 */
-	setHeartbeat(record: MemberRecord, body: Pick<HeartbeatBody, 'configurationVersion' | 'isLeaving'>): void {
-		const {configurationVersion, isLeaving} = body;
+	setStatus(record: MemberRecord, status: MemberStatus): void {
+		const {configurationVersion, isLeaving} = status;
 		if (record.configurationVersion === configurationVersion && record.isLeaving === isLeaving) {
 			return;
 		}
--- a/src/connection/membership.ts
+++ b/src/connection/membership.ts
@@ -69,7 +69,7 @@
 	 */
 	addReports(reports: readonly CompleteReport[]): void {
 		for (const report of reports) {
-			if (report.dataCenter === this.#options.settings.self.dataCenter) {
+			if (report.view.dataCenter === this.#options.settings.self.dataCenter) {
 				this.#addNearReport(report);
 			} else if (this.#options.reports.addReport(report)) {
 				this.#addFarReport(report);
@@ -147,18 +147,18 @@
 		}
 	}
 
-	#addNearReport(report: CompleteReport): void {
-		const up = report.members.filter(({id, state}) => state === 'up' && id !== this.#options.settings.self.id);
+	#addNearReport({view}: CompleteReport): void {
+		const up = view.members.filter(({id, state}) => state === 'up' && id !== this.#options.settings.self.id);
 		this.addAddresses(up
 			.filter(({id}) => !this.#options.table.getRecord(id))
 			.map(({id, vm, address}) => ({
-				dataCenter: report.dataCenter, vm, id, address,
+				dataCenter: view.dataCenter, vm, id, address,
 			})));
 	}
 
-	#addFarReport(report: CompleteReport): void {
-		for (const member of report.members) {
-			this.#addReportedMember(report.dataCenter, member);
+	#addFarReport({view}: CompleteReport): void {
+		for (const member of view.members) {
+			this.#addReportedMember(view.dataCenter, member);
 		}
 	}
 
@@ -169,7 +169,7 @@
 			const record = table.getOrAddRecord({dataCenter, vm, id}, address);
 			record.lastHeard = settings.clock.getMonotonicTime();
 			table.setAddress(record, address);
-			table.setHeartbeat(record, member);
+			table.setStatus(record, member);
 			table.setState(record, 'up', 'reported up');
 			return;
 		}
--- a/src/connection/report-book.ts
+++ b/src/connection/report-book.ts
@@ -4,7 +4,7 @@
 import {isDeepStrictEqual} from 'node:util';
 import {type Clock} from '../seams/index.js';
 import {type CompleteReport} from './control-link.js';
-import {type ReportedMember} from './control-messages.js';
+import {type DataCenterView, type MemberStatus, type ReportedMember} from './control-messages.js';
 import {type MemberTable} from './member-table.js';
 import {type Incarnation, type MemberState} from './peer-network.js';
 
@@ -24,11 +24,6 @@
 	readonly heard: number;
 };
 
-type OwnState = {
-	readonly isLeaving: boolean;
-	readonly configurationVersion: number;
-};
-
 /**
  * Keeps the latest report of each reporter of another data centre and makes this process's own.
  * @internal
@@ -36,30 +31,29 @@
 export class ReportBook {
 	readonly #options: ReportBookOptions;
 	readonly #reports = new Map<string, KeptReport>();
-	#ownMembers: readonly ReportedMember[] = [];
+	#ownView: DataCenterView;
 	#ownKey = '';
 
 	constructor(options: ReportBookOptions) {
 		this.#options = options;
+		this.#ownView = {dataCenter: options.self.dataCenter, members: []};
 	}
 
 	/**
-	 * Gets this process's report of its own data centre; its members are the same array until they change.
+	 * Gets this process's report of its own data centre; its view is the same object until it changes.
 	 * @param beat - Number of the heartbeat.
 	 * @param own - What this process tells of itself.
 	 */
-	getOwnReport(beat: number, own: OwnState): CompleteReport {
+	getOwnReport(beat: number, own: MemberStatus): CompleteReport {
 		const {self, table} = this.#options;
 		const key = `${table.getRevision()} ${own.configurationVersion} ${own.isLeaving}`;
 		if (key !== this.#ownKey) {
 			this.#ownKey = key;
 			const members = this.#createOwnMembers(own);
-			this.#ownMembers = isDeepStrictEqual(members, this.#ownMembers) ? this.#ownMembers : members;
+			this.#ownView = isDeepStrictEqual(members, this.#ownView.members) ? this.#ownView : {dataCenter: self.dataCenter, members};
 		}
 
-		return {
-			dataCenter: self.dataCenter, reporter: self.id, beat, members: this.#ownMembers,
-		};
+		return {reporter: self.id, beat, view: this.#ownView};
 	}
 
 	/** Gets the reports that count. */
@@ -73,7 +67,7 @@
 	 * @param id - Identifier of the incarnation.
 	 */
 	getReportedState(id: string): MemberState | undefined {
-		const states = new Set(this.getFreshReports().flatMap(({members}) => members.filter(member => member.id === id).map(({state}) => state)));
+		const states = new Set(this.getFreshReports().flatMap(({view}) => view.members.filter(member => member.id === id).map(({state}) => state)));
 		return (['up', 'silent', 'down'] as const).find(state => states.has(state));
 	}
 
@@ -117,7 +111,7 @@
 		}
 	}
 
-	#createOwnMembers(own: OwnState): readonly ReportedMember[] {
+	#createOwnMembers(own: MemberStatus): readonly ReportedMember[] {
 		const {self, getAddress, table} = this.#options;
 		const local = table.getRecords().filter(({incarnation}) => incarnation.dataCenter === self.dataCenter);
 		return [
