Keep the dialling tasks in a class of their own

Change: DialerSet keeps the tasks; an answer refused as a duplicate tells who is at the address. Tests for dials at the same time and for such a seed.

--- /dev/null
+++ b/src/connection/dialer-set.ts
@@ -0,0 +1,130 @@
+/**
+ * The dialling tasks of one process, one for each address.
+ */
+import {type MemberRecord} from './member-record.js';
+import {type MemberTable} from './member-table.js';
+import {PeerDialer} from './peer-dialer.js';
+import {type PeerMeshSettings} from './peer-mesh-options.js';
+
+/** Options of a {@link DialerSet}. */
+export type DialerSetOptions = {
+	readonly settings: PeerMeshSettings;
+	readonly table: MemberTable;
+	/** Makes a connection to an address; gets the incarnation that answered, if one did. */
+	readonly dial: (address: string) => Promise<string | undefined>;
+};
+
+/** Factor of the longest delay between attempts to reach a member that has long been down. */
+const longDownBackoffFactor = 10;
+
+/**
+ * Keeps a dialling task for each address wanted.
+ * @internal
+ */
+export class DialerSet {
+	readonly #options: DialerSetOptions;
+	readonly #dialers = new Map<string, PeerDialer>();
+	/** Incarnation that last answered at an address, which may differ from the address that it tells. */
+	readonly #answered = new Map<string, string>();
+
+	constructor(options: DialerSetOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Starts and ends tasks so that each address wanted has one.
+	 * @param wanted - Addresses to keep links to.
+	 */
+	update(wanted: ReadonlySet<string>): void {
+		for (const [address, dialer] of this.#dialers) {
+			if (!wanted.has(address)) {
+				dialer.close();
+				this.#dialers.delete(address);
+				this.#forgetAnswer(address);
+			}
+		}
+
+		for (const address of wanted) {
+			if (!this.#dialers.has(address)) {
+				this.#addDialer(address);
+			}
+		}
+	}
+
+	/**
+	 * Gets the member that last answered at an address, if it is still known.
+	 * @param address - Address that was dialled.
+	 */
+	getAnswered(address: string): MemberRecord | undefined {
+		const id = this.#answered.get(address);
+		return id === undefined ? undefined : this.#options.table.getRecord(id);
+	}
+
+	/**
+	 * Gets whether a task keeps a link to a member.
+	 * @param record - Member concerned.
+	 */
+	hasDialer(record: MemberRecord): boolean {
+		return [...this.#dialers.keys()].some(address => this.#isAt(record, address));
+	}
+
+	/**
+	 * Ends the waits of the tasks that keep a link to a member.
+	 * @param record - Member concerned.
+	 */
+	wake(record: MemberRecord): void {
+		for (const [address, dialer] of this.#dialers) {
+			if (this.#isAt(record, address)) {
+				dialer.wake();
+			}
+		}
+	}
+
+	/** Ends all tasks; their links stay. */
+	close(): void {
+		for (const dialer of this.#dialers.values()) {
+			dialer.close();
+		}
+	}
+
+	#addDialer(address: string): void {
+		const {clock, random, minBackoffMs} = this.#options.settings;
+		const dialer = new PeerDialer({
+			clock,
+			random,
+			address,
+			minBackoffMs,
+			getMaxBackoffMs: () => this.#getMaxBackoffMs(address),
+			isLinked: () => this.#options.table.getRecords().some(record => record.getOpenLink() && this.#isAt(record, address)),
+			dial: async () => this.#dial(address),
+		});
+		this.#dialers.set(address, dialer);
+		void dialer.run();
+	}
+
+	async #dial(address: string): Promise<void> {
+		const id = await this.#options.dial(address);
+		if (id !== undefined) {
+			this.#answered.set(address, id);
+		}
+	}
+
+	#isAt({address: recordAddress, incarnation}: MemberRecord, address: string): boolean {
+		return address === recordAddress || this.#answered.get(address) === incarnation.id;
+	}
+
+	/** Forgets who answered at an address; at a seed it tells whether the seed is needed. */
+	#forgetAnswer(address: string): void {
+		if (!this.#options.settings.seeds.includes(address)) {
+			this.#answered.delete(address);
+		}
+	}
+
+	#getMaxBackoffMs(address: string): number {
+		const {clock, forgetMs, maxBackoffMs} = this.#options.settings;
+		const now = clock.getMonotonicTime();
+		const isLongDown = this.#options.table.getRecords().some(record =>
+			record.state === 'down' && this.#isAt(record, address) && now - record.downSince > forgetMs);
+		return isLongDown ? maxBackoffMs * longDownBackoffFactor : maxBackoffMs;
+	}
+}
--- a/src/connection/membership.ts
+++ b/src/connection/membership.ts
@@ -5,10 +5,10 @@
 import {type CompleteReport} from './control-link.js';
 import {type KnownAddress, type ReportedMember} from './control-messages.js';
 import {type ControlLinks} from './control-links.js';
+import {DialerSet} from './dialer-set.js';
 import {FarPlanner} from './far-planner.js';
 import {type MemberRecord} from './member-record.js';
 import {type MemberTable} from './member-table.js';
-import {PeerDialer} from './peer-dialer.js';
 import {type PeerMeshSettings} from './peer-mesh-options.js';
 import {type ReportBook} from './report-book.js';
 
@@ -22,18 +22,13 @@
 	readonly links: ControlLinks;
 };
 
-/** Factor of the longest delay between attempts to reach a member that has long been down. */
-const longDownBackoffFactor = 10;
-
 /**
  * Decides the state of each member and keeps the tasks that dial.
  * @internal
  */
 export class Membership {
 	readonly #options: MembershipOptions;
-	readonly #dialers = new Map<string, PeerDialer>();
-	/** Incarnation that last answered at an address, which may differ from the address that it tells. */
-	readonly #answered = new Map<string, string>();
+	readonly #dialers: DialerSet;
 	readonly #planner: FarPlanner;
 	#listed: readonly ListedEntryVm[] | undefined;
 	#isClosed = false;
@@ -41,6 +36,8 @@
 	constructor(options: MembershipOptions) {
 		this.#options = options;
 		this.#planner = new FarPlanner(options);
+		const {settings, table} = options;
+		this.#dialers = new DialerSet({settings, table, dial: async address => this.#dial(address)});
 	}
 
 	/**
@@ -86,7 +83,7 @@
 	 */
 	handleLinkChange(record: MemberRecord): void {
 		if (!record.getOpenLink()) {
-			this.#wakeDialers(record);
+			this.#dialers.wake(record);
 		}
 
 		this.updateDialers();
@@ -127,28 +124,13 @@
 			return;
 		}
 
-		const wanted = this.#getWantedAddresses();
-		for (const [address, dialer] of this.#dialers) {
-			if (!wanted.has(address)) {
-				dialer.close();
-				this.#dialers.delete(address);
-				this.#forgetAnswer(address);
-			}
-		}
-
-		for (const address of wanted) {
-			if (!this.#dialers.has(address)) {
-				this.#addDialer(address);
-			}
-		}
+		this.#dialers.update(this.#getWantedAddresses());
 	}
 
 	/** Ends the dialling tasks. */
 	close(): void {
 		this.#isClosed = true;
-		for (const dialer of this.#dialers.values()) {
-			dialer.close();
-		}
+		this.#dialers.close();
 	}
 
 	#addNearReport({view}: CompleteReport): void {
@@ -205,7 +187,7 @@
 	#closeSurplusLink(record: MemberRecord, now: number): void {
 		const {self, downBeats, farBeatMs} = this.#options.settings;
 		const link = record.getOpenLink();
-		if (!link || this.#isNear(record) || link.dialerId !== self.id || this.#hasDialer(record)) {
+		if (!link || this.#isNear(record) || link.dialerId !== self.id || this.#dialers.hasDialer(record)) {
 			record.surplusSince = undefined;
 			return;
 		}
@@ -216,14 +198,6 @@
 		}
 	}
 
-	#hasDialer(record: MemberRecord): boolean {
-		return [...this.#dialers.keys()].some(address => this.#isAt(record, address));
-	}
-
-	#isAt({address: recordAddress, incarnation}: MemberRecord, address: string): boolean {
-		return address === recordAddress || this.#answered.get(address) === incarnation.id;
-	}
-
 	#isNear({incarnation}: MemberRecord): boolean {
 		return incarnation.dataCenter === this.#options.settings.self.dataCenter;
 	}
@@ -250,52 +224,17 @@
 	#getSeeds(): readonly string[] {
 		const {settings, table} = this.#options;
 		const isAlone = table.getRecords().every(({state}) => state !== 'up');
-		return settings.seeds.filter(seed => isAlone || !table.getRecord(this.#answered.get(seed) ?? ''));
-	}
-
-	#addDialer(address: string): void {
-		const {clock, random, minBackoffMs} = this.#options.settings;
-		const dialer = new PeerDialer({
-			clock,
-			random,
-			address,
-			minBackoffMs,
-			getMaxBackoffMs: () => this.#getMaxBackoffMs(address),
-			isLinked: () => this.#getLinkedRecord(address) !== undefined,
-			dial: async () => this.#dial(address),
-		});
-		this.#dialers.set(address, dialer);
-		void dialer.run();
+		return settings.seeds.filter(seed => isAlone || !this.#dialers.getAnswered(seed));
 	}
 
-	/** Forgets who answered at an address; at a seed it tells whether the seed is needed. */
-	#forgetAnswer(address: string): void {
-		if (!this.#options.settings.seeds.includes(address)) {
-			this.#answered.delete(address);
-		}
-	}
-
-	#getMaxBackoffMs(address: string): number {
-		const {clock, forgetMs, maxBackoffMs} = this.#options.settings;
-		const now = clock.getMonotonicTime();
-		const isLongDown = this.#options.table.getRecords().some(record =>
-			record.state === 'down' && this.#isAt(record, address) && now - record.downSince > forgetMs);
-		return isLongDown ? maxBackoffMs * longDownBackoffFactor : maxBackoffMs;
-	}
-
-	#getLinkedRecord(address: string): MemberRecord | undefined {
-		return this.#options.table.getRecords().find(record => record.getOpenLink() && this.#isAt(record, address));
-	}
-
-	async #dial(address: string): Promise<void> {
+	async #dial(address: string): Promise<string | undefined> {
 		const result = await this.#options.links.dial(address);
 		if (this.#isClosed) {
-			return;
+			return undefined;
 		}
 
 		if (result.ok) {
 			this.#planner.removeFailure(address);
-			this.#answered.set(address, result.peer.incarnation.id);
 			this.#setDown(address, 'another incarnation answered', result.peer.incarnation.id);
 		} else if (result.reason !== 'duplicate') {
 			this.#planner.addFailure(address);
@@ -305,6 +244,7 @@
 		}
 
 		this.updateDialers();
+		return result.ok ? result.peer.incarnation.id : result.incarnationId;
 	}
 
 	#setDown(address: string, detail: string, exceptId?: string): void {
@@ -314,12 +254,4 @@
 			}
 		}
 	}
-
-	#wakeDialers(record: MemberRecord): void {
-		for (const [address, dialer] of this.#dialers) {
-			if (this.#isAt(record, address)) {
-				dialer.wake();
-			}
-		}
-	}
 }
--- a/src/connection/peer-connector.ts
+++ b/src/connection/peer-connector.ts
@@ -21,7 +21,12 @@
 /** Result of making a connection. */
 export type ConnectResult =
 	| ({readonly ok: true} & PeerConnection)
-	| {readonly ok: false; readonly reason: HandshakeFailure | 'refused' | 'unreachable'};
+	| {
+		readonly ok: false;
+		readonly reason: HandshakeFailure | 'refused' | 'unreachable';
+		/** Incarnation that answered, where this side refused it. */
+		readonly incarnationId?: string;
+	};
 
 /** Options of a {@link PeerConnector}. */
 export type PeerConnectorOptions = Omit<HandshakeOptions, 'address'> & {
@@ -95,7 +100,7 @@
 		const result = await new Handshake(connection, this.#getHandshakeOptions()).dial(side);
 		if (!result.ok) {
 			this.#addFailure(result.reason, address);
-			return {ok: false, reason: result.reason};
+			return {ok: false, reason: result.reason, incarnationId: result.incarnation?.id};
 		}
 
 		this.#setPurpose(connection, result.peer.kind);
--- a/test/connection/peer-mesh.test.ts
+++ b/test/connection/peer-mesh.test.ts
@@ -1,6 +1,10 @@
 import test from 'ava';
+import {CurrentValue} from '../../src/process/current-value.js';
+import {EventLog} from '../../src/process/events.js';
+import {type ListedEntryVm} from '../../src/platform/index.js';
+import {FaultyNetwork} from './faulty-network.js';
 import {
-	createTestMesh, createList, waitForState, waitForMembers,
+	createList, createListedVm, createTestMesh, waitForMembers, waitForState, waitUntil,
 } from './test-mesh.js';
 
 test('entry VMs in the list link up and exchange control messages and requests', async t => {
@@ -36,3 +40,34 @@
 	await Promise.all([first, second, third].map(async mesh => waitForMembers(mesh, isFull)));
 	t.pass();
 });
+
+test('entry VMs that dial each other at the same time keep one link each', async t => {
+	const list = new CurrentValue<readonly ListedEntryVm[]>([]);
+	const vms = ['a', 'b', 'c', 'd', 'e'];
+	const logs = vms.map(process => new EventLog({process}));
+	const meshes = await Promise.all(vms.map(async (vm, index) => createTestMesh(t, vm, {
+		entryVms: list.getStream(), events: logs[index], connectTimeoutMs: 10_000, beatMs: 100,
+	})));
+	list.set(meshes.map((mesh, index) => createListedVm('kolkata', vms[index]!, mesh.getAddress())));
+	await Promise.all(meshes.map(async mesh => waitForMembers(mesh, members => members.filter(({state}) => state === 'up').length === 4)));
+	for (const mesh of meshes) {
+		const {messagesReceived} = mesh.getTraffic().control;
+		await waitUntil(() => mesh.getTraffic().control.messagesReceived > messagesReceived + 20);
+	}
+
+	t.deepEqual(logs.map(events => events.getEvents().filter(({kind}) => kind === 'peer-up').length), [4, 4, 4, 4, 4]);
+});
+
+test('a seed that is another name of an address makes one link', async t => {
+	const network = new FaultyNetwork();
+	const first = await createTestMesh(t, 'a');
+	const second = await createTestMesh(t, 'b', {
+		seeds: ['192.0.2.1:1'],
+		connectTimeoutMs: 10_000,
+		dial: async (address, signal) => network.dial(address === '192.0.2.1:1' ? first.getAddress() : address, signal),
+	});
+	await waitForState(second, 'a-1', 'up');
+	const {messagesReceived} = second.getTraffic().control;
+	await waitUntil(() => second.getTraffic().control.messagesReceived > messagesReceived + 20);
+	t.is(network.sockets.length, 1);
+});
--- a/test/connection/test-mesh.ts
+++ b/test/connection/test-mesh.ts
@@ -47,9 +47,14 @@
 	}
 }
 
-/** Creates a list of entry VMs that never changes. */
-export function createList(...entries: ReadonlyArray<readonly [dataCenter: string, name: string, peerAddress: string]>): Stream<readonly ListedEntryVm[]> {
-	return just(entries.map(([dataCenter, name, peerAddress]) => ({
+/** Creates an entry VM of the platform's list. */
+export function createListedVm(dataCenter: string, name: string, peerAddress: string): ListedEntryVm {
+	return {
 		kind: 'entry', dataCenter, name, state: 'live', callerAddress: '127.0.0.1:1', operatorAddress: '127.0.0.1:1', peerAddress,
-	})));
+	};
+}
+
+/** Creates a list of entry VMs that never changes. */
+export function createList(...entries: ReadonlyArray<Parameters<typeof createListedVm>>): Stream<readonly ListedEntryVm[]> {
+	return just(entries.map(entry => createListedVm(...entry)));
 }
