Draw the load's arrivals from its start, not from the clock

Cause: the time of the first answer counted into the load's length; on a busy machine a short load had no arrival and its test failed. Change: the length counts from the first answer on, and the number of arrivals follows from the seed alone.

--- a/src/lab/load-generator.ts
+++ b/src/lab/load-generator.ts
@@ -83,10 +83,10 @@
 	 * @param signal - Ends the arrivals early; answers are still awaited.
 	 */
 	async run(signal?: AbortSignal): Promise<LoadReport> {
+		await this.#caller.getCoordinator();
 		const started = this.#clock.getMonotonicTime();
 		const end = started + this.#options.durationMs;
-		await this.#caller.getCoordinator();
-		const work = await Promise.all([this.#arrive(end, signal), this.#arriveInBursts(end, signal)]);
+		const work = await Promise.all([this.#arrive(started, end, signal), this.#arriveInBursts(started, end, signal)]);
 		await Promise.all(work.flat());
 		return {
 			seconds: Math.round(this.#clock.getMonotonicTime() - started) / 1000,
@@ -104,9 +104,9 @@
 		await this.#caller.close();
 	}
 
-	async #arrive(end: number, signal?: AbortSignal): Promise<ReadonlyArray<Promise<void>>> {
+	async #arrive(started: number, end: number, signal?: AbortSignal): Promise<ReadonlyArray<Promise<void>>> {
 		const running: Array<Promise<void>> = [];
-		let next = this.#clock.getMonotonicTime();
+		let next = started;
 		while (!signal?.aborted) {
 			next += drawGapMs(this.#options.perSecond, this.#random);
 			if (next >= end) {
@@ -124,15 +124,15 @@
 		return running;
 	}
 
-	async #arriveInBursts(end: number, signal?: AbortSignal): Promise<ReadonlyArray<Promise<void>>> {
+	async #arriveInBursts(started: number, end: number, signal?: AbortSignal): Promise<ReadonlyArray<Promise<void>>> {
 		const running: Array<Promise<void>> = [];
 		const {burstEveryMs = defaultBurstEveryMs, burstSize = 0} = this.#options;
 		if (burstSize === 0) {
 			return running;
 		}
 
-		while (!signal?.aborted && this.#clock.getMonotonicTime() + burstEveryMs < end) {
-			await sleep(this.#clock, burstEveryMs, signal);
+		for (let next = started + burstEveryMs; next < end && !signal?.aborted; next += burstEveryMs) {
+			await sleep(this.#clock, Math.max(next - this.#clock.getMonotonicTime(), 0), signal);
 			running.push(...Array.from({length: burstSize}, async () => this.#submit()));
 		}
 
