--- a/src/cli/cli-host.ts
+++ b/src/cli/cli-host.ts
@@ -20,6 +20,9 @@
 	readonly userName: string;
 	writeOut(text: string): void;
 	writeErr(text: string): void;
+
+	/** Waits until the user interrupts the process. */
+	waitForStop(): Promise<void>;
 };
 
 /** Adds a command to the program. */
@@ -37,6 +40,8 @@
 	setAction<Options>(command: Command, run: (options: Options, args: readonly string[]) => Promise<ExitCode>): void;
 };
 
+const stopSignals = ['SIGINT', 'SIGTERM'] as const;
+
 /** The running process. */
 export const processHost: CliHost = {
 	env: process.env,
@@ -50,6 +55,15 @@
 	writeErr(text) {
 		process.stderr.write(text);
 	},
+	async waitForStop() {
+		await new Promise<void>(resolve => {
+			for (const signal of stopSignals) {
+				process.once(signal, () => {
+					resolve();
+				});
+			}
+		});
+	},
 };
 
 function getUserName(): string {
--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -4,6 +4,8 @@
 import {type AddCommand} from '../cli-host.js';
 import {addApplyCommand} from './apply.js';
 import {addCoordinatorCommand} from './coordinator.js';
+import {addDemoCommand} from './demo.js';
+import {addDevCommand} from './dev.js';
 import {addDiffCommand} from './diff.js';
 import {addDrainCommand} from './drain.js';
 import {addHistoryCommand} from './history.js';
@@ -31,4 +33,6 @@
 	addJobsCommand,
 	addCoordinatorCommand,
 	addDrainCommand,
+	addDevCommand,
+	addDemoCommand,
 ];
--- a/test/cli/cli-fixture.ts
+++ b/test/cli/cli-fixture.ts
@@ -29,6 +29,9 @@
 		writeErr(text) {
 			err += text;
 		},
+		async waitForStop() {
+			out += 'stopped\n';
+		},
 	};
 	const exitCode = await runCli(argv, {host});
 	return {exitCode, out, err};
