--- /dev/null
+++ b/test/docs/callers-page.test.ts
@@ -0,0 +1,78 @@
+import {readFile} from 'node:fs/promises';
+import test from 'ava';
+import {createLocalCluster} from '../../src/lab/index.js';
+
+type Call = {
+	readonly method: string;
+	readonly url: string;
+	readonly headers: Record<string, string>;
+	readonly body?: string;
+};
+
+/** Reads the curl lines of the page; only the options that it uses are known. */
+async function readCalls(): Promise<readonly string[]> {
+	const page = await readFile('docs/CALLERS.md', 'utf8');
+	return page.split('\n').filter(line => line.startsWith('curl '));
+}
+
+function parseCall(line: string): Call {
+	const words = Array.from(line.matchAll(/'(?<single>[^']*)'|"(?<double>[^"]*)"|(?<bare>\S+)/gv), ({groups}) =>
+		groups!.single ?? groups!.double ?? groups!.bare!).slice(1);
+	const headers: Record<string, string> = {};
+	let method: string | undefined;
+	let body: string | undefined;
+	let url = '';
+	for (let index = 0; index < words.length; index++) {
+		const word = words[index]!;
+		switch (word) {
+			case '-X': {
+				method = words[++index]!;
+
+				break;
+			}
+
+			case '-d': {
+				body = words[++index]!;
+
+				break;
+			}
+
+			case '-H': {
+				const [name, value] = words[++index]!.split(': ') as [string, string];
+				headers[name] = value;
+
+				break;
+			}
+
+			default: {
+				url = word;
+			}
+		}
+	}
+
+	return {
+		method: method ?? (body === undefined ? 'GET' : 'POST'), url, headers, body,
+	};
+}
+
+test('the curl lines of the callers\' page work in their order', async t => {
+	const cluster = await createLocalCluster();
+	t.teardown(async () => cluster.close());
+	const addresses = cluster.getCallerAddresses();
+	let coordinator = '';
+	const lines = await readCalls();
+	t.true(lines.length >= 10);
+	for (const [index, line] of lines.entries()) {
+		const entry = addresses[index % addresses.length]!;
+		const {method, url, headers, body} = parseCall(line.replaceAll('$ENTRY', entry).replaceAll('$COORDINATOR', coordinator));
+		const res = await fetch(url, {method, headers, body});
+		const text = await res.text();
+		t.true(res.status < 300, `${line}: ${res.status} ${text}`);
+		if (coordinator === '') {
+			coordinator = (JSON.parse(text) as {coordinator: string}).coordinator;
+		}
+	}
+
+	const starts = cluster.getUpstreams().reduce((sum, {standIn}) => sum + standIn.getCounts().starts, 0);
+	t.is(starts, 6);
+});
