--- a/test/platform/etcd-watch.test.ts
+++ b/test/platform/etcd-watch.test.ts
@@ -49,6 +49,7 @@
 	{weight: 2, arbitrary: fc.record({kind: fc.constant('remove' as const), key: fc.constantFrom('a', 'b', 'c')})},
 	{weight: 2, arbitrary: fc.record({kind: fc.constant('fault' as const), faults})},
 	{weight: 1, arbitrary: fc.record({kind: fc.constantFrom('compact' as const, 'silence' as const, 'wait' as const)})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('hidden-removal' as const), key: fc.constantFrom('a', 'b', 'c')})},
 );
 
 test('a watch comes to the stored state after any faults, with each key\'s changes in order', async t => {
@@ -89,6 +90,15 @@
 					break;
 				}
 
+				case 'hidden-removal': {
+					await standIn.setFault({isDown: true});
+					standIn.removeKey(`/w/${current.key}`);
+					standIn.putKey('/other', String(index));
+					standIn.compact();
+					await standIn.setFault();
+					break;
+				}
+
 				case 'wait': {
 					await wait(20);
 					break;
