Tell a store that has lost versions, and share the back-off

Cause: entry VMs ignore a version below the one in force, so after a store was restored from an older copy apply said that its lower version was in force although no entry VM had taken it. Backoff moves to src/seams, since platform, process and cli use it.

--- a/src/cli/change-flow.ts
+++ b/src/cli/change-flow.ts
@@ -14,7 +14,7 @@
 import {
 	type CommandResult, describeVersion, getVersionSummary, printResult,
 } from './output.js';
-import {type VersionProgress, versionStatusSchema, waitForVersion} from './version-wait.js';
+import {waitForResult} from './wait-result.js';
 
 /** Flags of commands that change the configuration. */
 export type ChangeFlags = PlatformFlags & OperatorFlags & JsonFlag & {
@@ -23,6 +23,7 @@
 	readonly waitMs: number;
 	readonly dryRun?: boolean;
 	readonly expectVersion?: number;
+	readonly minVersion?: number;
 };
 
 /** What a command wants to change. */
@@ -37,6 +38,7 @@
 	readonly host: CliHost;
 	readonly flags: ChangeFlags;
 	readonly opened: OpenedPlatform;
+	readonly store: ConfigurationStore;
 	readonly client: OperatorClient;
 };
 
@@ -52,6 +54,7 @@
 		.option('--author <name>', 'who makes the change (ENDIVEMILL_AUTHOR; default: the user)')
 		.option('--wait-ms <milliseconds>', 'time limit for the version to be in force everywhere; 0: do not wait', parseCount, defaultWaitMs)
 		.option('--expect-version <number>', 'refuse the change if another version is the present one', parseCount)
+		.option('--min-version <number>', 'lowest number of the new version, after the platform\'s store has lost versions', parseCount)
 		.option('--dry-run', 'show the difference and write nothing');
 	return addJsonFlag(addOperatorFlags(addPlatformFlags(command)));
 }
@@ -95,7 +98,7 @@
 	}
 
 	const parts: ChangeParts = {
-		host, flags, opened, client,
+		host, flags, opened, client, store: createStore(host, opened),
 	};
 	const result = changes.length === 0 ? await waitUnchanged(parts, wanted) : await writeAndWait(parts, wanted, changes);
 	await client.close();
@@ -129,12 +132,13 @@
 }
 
 async function writeAndWait(parts: ChangeParts, wanted: WantedChange, changes: readonly unknown[]): Promise<CommandResult> {
-	const {flags, host, opened} = parts;
-	const outcome = await createStore(host, opened).applyChange({
+	const {flags, host, store} = parts;
+	const outcome = await store.applyChange({
 		base: wanted.base,
 		declarations: wanted.declarations,
 		author: getFlagOrVariable(flags.author, 'ENDIVEMILL_AUTHOR', host) ?? host.userName,
 		message: flags.message ?? wanted.defaultMessage,
+		minVersion: flags.minVersion,
 	});
 	if (outcome.kind !== 'accepted') {
 		return createOutcomeResult(outcome, wanted);
@@ -179,51 +183,3 @@
 		}
 	}
 }
-
-async function waitForResult(parts: ChangeParts, version: number, json: Record<string, unknown>, text: string): Promise<CommandResult> {
-	const {flags, host, opened, client} = parts;
-	if (flags.waitMs === 0) {
-		return {exitCode: exitCodes.success, json, text};
-	}
-
-	const progress = await waitForVersion({
-		...opened,
-		version,
-		timeoutMs: flags.waitMs,
-		clock: host.clock,
-		async getVersion({operatorAddress}) {
-			const answer = await client.getJson(operatorAddress, '/v1/status', versionStatusSchema);
-			return answer.ok ? {ok: true, value: answer.value.configurationVersion} : answer;
-		},
-		onProgress: createProgressLine(host, flags, version),
-	});
-	return createProgressResult(progress, version, json, text);
-}
-
-function createProgressLine(host: CliHost, {json}: ChangeFlags, version: number): (progress: VersionProgress) => void {
-	let last = '';
-	return ({inForce, lagging}) => {
-		const line = `version ${version} in force on ${inForce} of ${inForce + lagging.length} entry VMs\n`;
-		if (!json && line !== last) {
-			host.writeErr(line);
-		}
-
-		last = line;
-	};
-}
-
-function createProgressResult({inForce, lagging, isListKnown}: VersionProgress, version: number, json: Record<string, unknown>, text: string): CommandResult {
-	if (isListKnown && lagging.length === 0) {
-		return {exitCode: exitCodes.success, json: {...json, inForce, lagging}, text: `${text}; in force on all ${inForce} live entry VMs`};
-	}
-
-	const names = lagging.map(vm => `  ${vm.dataCenter}/${vm.name}: ${vm.version === undefined ? `no answer (${vm.detail})` : `version ${vm.version}`}`);
-	const error = isListKnown
-		? `version ${version} is not in force yet on:\n${names.join('\n')}`
-		: `whether version ${version} is in force is not known: the list of entry VMs cannot be read`;
-	return {
-		exitCode: exitCodes.notInForce, json: {
-			...json, inForce, lagging, isListKnown,
-		}, text, error,
-	};
-}
--- a/src/cli/configuration-store.ts
+++ b/src/cli/configuration-store.ts
@@ -2,12 +2,11 @@
  * The configuration as operators read and change it: the present version under one key, earlier ones under a bounded
  * number of others. A version is kept before it is replaced, so that no accepted version is missing from the history.
  */
-import {Backoff} from '../platform/backoff.js';
 import {
 	getConfigurationKey, getHistoryPrefix, type KeyValue, type Platform, type PlatformFault, type PlatformResult,
 } from '../platform/index.js';
 import {
-	type Clock, type Random, sleep, systemClock, systemRandom,
+	Backoff, type Clock, type Random, sleep, systemClock, systemRandom,
 } from '../seams/index.js';
 import {
 	type Configuration, type Declarations, emptyConfiguration, parseStoredConfiguration,
@@ -38,6 +37,8 @@
 	readonly declarations: Declarations;
 	readonly author: string;
 	readonly message: string;
+	/** Lowest number of the new version; for a store that has lost versions. */
+	readonly minVersion?: number;
 };
 
 /** What became of a change. */
@@ -103,7 +104,7 @@
 	 * @param change - Change to write.
 	 */
 	async applyChange(change: ConfigurationChange): Promise<ChangeOutcome> {
-		const {base, declarations, author, message} = change;
+		const {base, declarations, author, message, minVersion = 0} = change;
 		const deadline = this.#clock.getMonotonicTime() + this.#settleMs;
 		const fault = await this.#keepVersion(base, deadline);
 		if (fault) {
@@ -111,7 +112,7 @@
 		}
 
 		const configuration: Configuration = {
-			version: base.configuration.version + 1,
+			version: Math.max(base.configuration.version + 1, minVersion),
 			changeId: this.#random.getHex(changeIdBytes),
 			author,
 			message,
--- a/src/cli/version-wait.ts
+++ b/src/cli/version-wait.ts
@@ -8,8 +8,8 @@
 import {type Clock, sleep, systemClock} from '../seams/index.js';
 import {type OperatorAnswer} from './operator-client.js';
 
-/** An entry VM that does not have the version in force, as far as known. */
-export type LaggingVm = {
+/** An entry VM and the version that it has in force. */
+export type EntryVmVersion = {
 	readonly dataCenter: string;
 	readonly name: string;
 	/** Version that it reported last; absent when it did not answer. */
@@ -19,8 +19,12 @@
 
 /** How far a version has come. */
 export type VersionProgress = {
+	/** Entry VMs that have this version or a higher one. */
 	readonly inForce: number;
-	readonly lagging: readonly LaggingVm[];
+	/** Entry VMs that have a lower version or do not answer. */
+	readonly lagging: readonly EntryVmVersion[];
+	/** Entry VMs that have a higher version. */
+	readonly ahead: readonly EntryVmVersion[];
 	/** Whether the list of VMs could be read. */
 	readonly isListKnown: boolean;
 };
@@ -70,7 +74,7 @@
 }
 
 async function getProgress({version, getVersion}: VersionWaitOptions, vms: readonly ListedEntryVm[] | undefined): Promise<VersionProgress> {
-	const states = await Promise.all((vms ?? []).map(async vm => {
+	const states = await Promise.all((vms ?? []).map(async (vm): Promise<EntryVmVersion> => {
 		const answer = await getVersion(vm);
 		const {dataCenter, name} = vm;
 		return {
@@ -78,7 +82,10 @@
 		};
 	}));
 	const lagging = states.filter(state => state.version === undefined || state.version < version);
-	return {inForce: states.length - lagging.length, lagging, isListKnown: vms !== undefined};
+	const ahead = states.filter(state => state.version !== undefined && state.version > version);
+	return {
+		inForce: states.length - lagging.length, lagging, ahead, isListKnown: vms !== undefined,
+	};
 }
 
 async function readLiveEntryVms({platform, deployment}: VersionWaitOptions): Promise<readonly ListedEntryVm[] | undefined> {
--- /dev/null
+++ b/src/cli/wait-result.ts
@@ -0,0 +1,100 @@
+/**
+ * Waits for an accepted version and says how far it has come.
+ */
+import {type CliHost} from './cli-host.js';
+import {type OpenedPlatform} from './cli-options.js';
+import {type ConfigurationStore} from './configuration-store.js';
+import {exitCodes} from './exit-codes.js';
+import {type OperatorClient} from './operator-client.js';
+import {type CommandResult} from './output.js';
+import {
+	type EntryVmVersion, type VersionProgress, versionStatusSchema, waitForVersion,
+} from './version-wait.js';
+
+/** What the wait needs of its command. */
+export type WaitParts = {
+	readonly host: CliHost;
+	readonly flags: {readonly waitMs: number; readonly json?: boolean};
+	readonly opened: OpenedPlatform;
+	readonly store: ConfigurationStore;
+	readonly client: OperatorClient;
+};
+
+/**
+ * Waits until a version is in force everywhere or the time is up.
+ * @param parts - Parts of the command.
+ * @param version - Version that was accepted.
+ * @param json - JSON value of the result so far.
+ * @param text - Text of the result so far.
+ */
+export async function waitForResult(parts: WaitParts, version: number, json: Record<string, unknown>, text: string): Promise<CommandResult> {
+	const {flags, host, opened, client} = parts;
+	if (flags.waitMs === 0) {
+		return {exitCode: exitCodes.success, json, text};
+	}
+
+	const progress = await waitForVersion({
+		...opened,
+		version,
+		timeoutMs: flags.waitMs,
+		clock: host.clock,
+		async getVersion({operatorAddress}) {
+			const answer = await client.getJson(operatorAddress, '/v1/status', versionStatusSchema);
+			return answer.ok ? {ok: true, value: answer.value.configurationVersion} : answer;
+		},
+		onProgress: createProgressLine(host, flags.json, version),
+	});
+	const error = describeLagging(progress, version) ?? await describeAhead(parts.store, progress);
+	const {inForce, lagging, ahead, isListKnown} = progress;
+	const fullJson = {
+		...json, inForce, lagging, ahead, isListKnown,
+	};
+	return error === undefined
+		? {exitCode: exitCodes.success, json: fullJson, text: `${text}; in force on all ${inForce} live entry VMs`}
+		: {
+			exitCode: exitCodes.notInForce, json: fullJson, text, error,
+		};
+}
+
+function createProgressLine(host: CliHost, isJson: boolean | undefined, version: number): (progress: VersionProgress) => void {
+	let last = '';
+	return ({inForce, lagging}) => {
+		const line = `version ${version} in force on ${inForce} of ${inForce + lagging.length} entry VMs\n`;
+		if (!isJson && line !== last) {
+			host.writeErr(line);
+		}
+
+		last = line;
+	};
+}
+
+function describeLagging({lagging, isListKnown}: VersionProgress, version: number): string | undefined {
+	if (!isListKnown) {
+		return `whether version ${version} is in force is not known: the list of entry VMs cannot be read`;
+	}
+
+	return lagging.length === 0 ? undefined : `version ${version} is not in force yet on:\n${formatVms(lagging)}`;
+}
+
+/** A later version than the stored one means that the store has lost versions; entry VMs never go back. */
+async function describeAhead(store: ConfigurationStore, {ahead}: VersionProgress): Promise<string | undefined> {
+	if (ahead.length === 0) {
+		return undefined;
+	}
+
+	const current = await store.getCurrent();
+	const stored = current.ok ? current.value.configuration.version : 0;
+	const beyond = ahead.filter(vm => (vm.version ?? 0) > stored);
+	if (beyond.length === 0) {
+		return undefined;
+	}
+
+	const next = Math.max(...beyond.map(vm => vm.version ?? 0)) + 1;
+	return `the platform's store has lost versions; apply again with --min-version ${next}. Higher versions are in force on:\n${formatVms(beyond)}`;
+}
+
+function formatVms(vms: readonly EntryVmVersion[]): string {
+	return vms
+		.map(vm => `  ${vm.dataCenter}/${vm.name}: ${vm.version === undefined ? `no answer (${vm.detail})` : `version ${vm.version}`}`)
+		.join('\n');
+}
--- a/src/platform/etcd-platform.ts
+++ b/src/platform/etcd-platform.ts
@@ -4,9 +4,8 @@
 import {Stream} from 'most';
 import {Agent, type Dispatcher} from 'undici';
 import {
-	type Clock, type Random, systemClock, systemRandom,
+	Backoff, type Clock, type Random, systemClock, systemRandom,
 } from '../seams/index.js';
-import {Backoff} from './backoff.js';
 import {CallBudget} from './call-budget.js';
 import {EtcdClient} from './etcd-client.js';
 import {
--- a/src/platform/etcd-watch.ts
+++ b/src/platform/etcd-watch.ts
@@ -2,8 +2,9 @@
  * One watch of a prefix: it resumes by revision after a break, reads the prefix anew after a compaction,
  * and opens a new stream when the present one has been silent for long.
  */
-import {type Clock, sleep, type Timer} from '../seams/index.js';
-import {type Backoff} from './backoff.js';
+import {
+	type Backoff, type Clock, sleep, type Timer,
+} from '../seams/index.js';
 import {type EtcdChunks, type EtcdClient, type OpenCall} from './etcd-client.js';
 import {
 	createPrefixRequest, createWatchRequest, decodeKeyValue, rangeAnswerSchema, type WatchMessage, watchMessageSchema,
--- a/src/process/prefix-follower.ts
+++ b/src/process/prefix-follower.ts
@@ -6,9 +6,8 @@
 import {
 	type KeyRange, type KeyValue, type Platform, type WatchEvent,
 } from '../platform/index.js';
-import {Backoff} from '../platform/backoff.js';
 import {
-	type Clock, type Random, systemClock, systemRandom, type Timer,
+	Backoff, type Clock, type Random, systemClock, systemRandom, type Timer,
 } from '../seams/index.js';
 import {type EventLog} from './events.js';
 
--- a/src/platform/backoff.ts
+++ b/src/seams/backoff.ts
@@ -1,7 +1,7 @@
 /**
  * Delays between tries: they double from one failure to the next, with full jitter above a floor.
  */
-import {type Random, systemRandom} from '../seams/index.js';
+import {type Random, systemRandom} from './random.js';
 
 /** Options of a {@link Backoff}. */
 export type BackoffOptions = {
--- a/src/seams/index.ts
+++ b/src/seams/index.ts
@@ -1,2 +1,3 @@
+export * from './backoff.js';
 export * from './clock.js';
 export * from './random.js';
