Add the metrics of an entry VM

Cause: /metrics was empty, so that nobody could see outcomes, response against the ideal, wasted messages or the version in force.

--- a/src/process/create-entry-vm.ts
+++ b/src/process/create-entry-vm.ts
@@ -19,6 +19,7 @@
 import {getSuccessors, HandOverReceiver, handOverTopic} from './hand-over.js';
 import {JobRouter, jobTopic} from './job-router.js';
 import {JobRunner} from './job-runner.js';
+import {createMetrics} from './metrics/index.js';
 import {OperatorApi} from './operator-api.js';
 import {PeerInbox} from './peer-inbox.js';
 import {configurationTopic, PeerSync, vmListTopic} from './peer-sync.js';
@@ -37,7 +38,7 @@
 const maxOperatorConnections = 256;
 
 /** The parts that need no link to another process. */
-type BaseParts = Pick<EntryVmParts, 'state' | 'clock' | 'random' | 'self' | 'events' | 'configuration' | 'vmList' | 'inbox'>;
+type BaseParts = Pick<EntryVmParts, 'state' | 'clock' | 'random' | 'self' | 'events' | 'configuration' | 'vmList' | 'inbox' | 'metrics'>;
 
 /** The parts that link this process to others. */
 type NetworkParts = Pick<EntryVmParts, 'sync' | 'mesh' | 'scheduler' | 'upstreamClient'>;
@@ -74,6 +75,7 @@
 		configuration: createConfigurationFollower(followerOptions),
 		vmList: createVmListFollower(followerOptions),
 		inbox: new PeerInbox(),
+		metrics: createMetrics(),
 	};
 }
 
@@ -139,7 +141,7 @@
 }
 
 function createJobParts(options: EntryVmOptions, linked: BaseParts & NetworkParts): EntryVmParts {
-	const {state, clock, random, self, events, configuration, sync, mesh, scheduler, upstreamClient} = linked;
+	const {state, clock, random, self, events, configuration, metrics, sync, mesh, scheduler, upstreamClient} = linked;
 	const {limits = {}, periodMs = defaultPeriodMs} = options;
 	const runner = new JobRunner({
 		clock,
@@ -149,6 +151,9 @@
 		getConfiguration: () => configuration.getConfiguration(),
 		maxAnswerBytes: limits.maxJobAnswerBytes ?? defaultMaxJobAnswerBytes,
 		maxJobsInFlight: limits.maxJobsInFlight ?? defaultMaxJobsInFlight,
+		onJobEnded(job, answer, service) {
+			metrics.addJob(service, answer, job.getTimes());
+		},
 	});
 	const coordinator = new Coordinator({
 		clock, random, events, incarnation: self, runner, periodMs, records: limits.records,
@@ -208,12 +213,17 @@
 }
 
 async function createListeners(options: EntryVmOptions, parts: EntryVmParts, startDrain: () => void): Promise<EntryVmListeners> {
-	const {callerApi, events} = parts;
+	const {callerApi, events, metrics} = parts;
 	const operatorApi = new OperatorApi({
 		events,
 		isReady: () => isEntryVmReady(parts),
 		getStatus: () => getEntryVmStatus(parts),
-		getMetrics: async () => ({contentType: 'text/plain', text: ''}),
+		getMetrics: async () => metrics.getText({
+			status: getEntryVmStatus(parts),
+			platformCalls: options.platform.getCallCount(),
+			callerHttp: caller.getCounters(),
+			operatorHttp: operator.getCounters(),
+		}),
 		startDrain,
 	});
 	const operator = await createHttpListener({
--- a/src/process/entry-vm.ts
+++ b/src/process/entry-vm.ts
@@ -16,6 +16,7 @@
 import {stopGracefully} from './graceful-stop.js';
 import {type JobRouter} from './job-router.js';
 import {type JobRunner} from './job-runner.js';
+import {type Metrics} from './metrics/index.js';
 import {type PeerInbox} from './peer-inbox.js';
 import {type PeerSync} from './peer-sync.js';
 import {type SlotScheduler} from './scheduler/index.js';
@@ -46,6 +47,7 @@
 	readonly vmList: VmListFollower;
 	readonly sync: PeerSync;
 	readonly inbox: PeerInbox;
+	readonly metrics: Metrics;
 	readonly mesh: PeerMesh;
 	readonly scheduler: SlotScheduler;
 	readonly upstreamClient: UpstreamClient;
@@ -150,6 +152,7 @@
 			subscription.unsubscribe();
 		}
 
+		this.#parts.metrics.close();
 		this.#parts.coordinator.close();
 		this.#parts.configuration.close();
 		this.#parts.vmList.close();
--- /dev/null
+++ b/src/process/metrics/index.ts
@@ -0,0 +1,2 @@
+export * from './metrics.js';
+export type * from './metrics-source.js';
