--- a/src/connection/membership.ts
+++ b/src/connection/membership.ts
@@ -5,10 +5,10 @@
 import {type CompleteReport} from './control-link.js';
 import {type KnownAddress, type ReportedMember} from './control-messages.js';
 import {type ControlLinks} from './control-links.js';
+import {DialerSet} from './dialer-set.js';
 import {FarPlanner} from './far-planner.js';
 import {type MemberRecord} from './member-record.js';
 import {type MemberTable} from './member-table.js';
-import {PeerDialer} from './peer-dialer.js';
 import {type PeerMeshSettings} from './peer-mesh-options.js';
 import {type ReportBook} from './report-book.js';
 
@@ -28,9 +28,7 @@
  */
 export class Membership {
 	readonly #options: MembershipOptions;
-	readonly #dialers = new Map<string, PeerDialer>();
-	/** Incarnation that last answered at an address, which may differ from the address that it tells. */
-	readonly #answered = new Map<string, string>();
+	readonly #dialers: DialerSet;
 	readonly #planner: FarPlanner;
 	#listed: readonly ListedEntryVm[] | undefined;
 	#isClosed = false;
@@ -38,6 +36,8 @@
 	constructor(options: MembershipOptions) {
 		this.#options = options;
 		this.#planner = new FarPlanner(options);
+		const {settings, table} = options;
+		this.#dialers = new DialerSet({settings, table, dial: async address => this.#dial(address)});
 	}
 
 	/**
@@ -69,7 +69,7 @@
 	 */
 	addReports(reports: readonly CompleteReport[]): void {
 		for (const report of reports) {
-			if (report.dataCenter === this.#options.settings.self.dataCenter) {
+			if (report.view.dataCenter === this.#options.settings.self.dataCenter) {
 				this.#addNearReport(report);
 			} else if (this.#options.reports.addReport(report)) {
 				this.#addFarReport(report);
@@ -83,7 +83,7 @@
 	 */
 	handleLinkChange(record: MemberRecord): void {
 		if (!record.getOpenLink()) {
-			this.#wakeDialers(record);
+			this.#dialers.wake(record);
 		}
 
 		this.updateDialers();
@@ -99,15 +99,18 @@
 		this.#options.reports.refresh();
 	}
 
-	/** Decides the state of each member by the time since it was last heard. */
-	evaluate(): void {
+	/**
+	 * Decides the state of each member by the time since it was last heard.
+	 * @param now - Monotonic time up to which silence is measured.
+	 */
+	evaluate(now: number): void {
 		if (this.#isClosed) {
 			return;
 		}
 
 		for (const record of this.#options.table.getRecords()) {
-			this.#evaluateRecord(record);
-			this.#closeSurplusLink(record);
+			this.#evaluateRecord(record, now);
+			this.#closeSurplusLink(record, now);
 		}
 
 		this.#options.reports.removeStale();
@@ -121,41 +124,27 @@
 			return;
 		}
 
-		const wanted = this.#getWantedAddresses();
-		for (const [address, dialer] of this.#dialers) {
-			if (!wanted.has(address)) {
-				dialer.close();
-				this.#dialers.delete(address);
-			}
-		}
-
-		for (const address of wanted) {
-			if (!this.#dialers.has(address)) {
-				this.#addDialer(address);
-			}
-		}
+		this.#dialers.update(this.#getWantedAddresses());
 	}
 
 	/** Ends the dialling tasks. */
 	close(): void {
 		this.#isClosed = true;
-		for (const dialer of this.#dialers.values()) {
-			dialer.close();
-		}
+		this.#dialers.close();
 	}
 
-	#addNearReport(report: CompleteReport): void {
-		const up = report.members.filter(({id, state}) => state === 'up' && id !== this.#options.settings.self.id);
+	#addNearReport({view}: CompleteReport): void {
+		const up = view.members.filter(({id, state}) => state === 'up' && id !== this.#options.settings.self.id);
 		this.addAddresses(up
 			.filter(({id}) => !this.#options.table.getRecord(id))
 			.map(({id, vm, address}) => ({
-				dataCenter: report.dataCenter, vm, id, address,
+				dataCenter: view.dataCenter, vm, id, address,
 			})));
 	}
 
-	#addFarReport(report: CompleteReport): void {
-		for (const member of report.members) {
-			this.#addReportedMember(report.dataCenter, member);
+	#addFarReport({view}: CompleteReport): void {
+		for (const member of view.members) {
+			this.#addReportedMember(view.dataCenter, member);
 		}
 	}
 
@@ -166,7 +155,7 @@
 			const record = table.getOrAddRecord({dataCenter, vm, id}, address);
 			record.lastHeard = settings.clock.getMonotonicTime();
 			table.setAddress(record, address);
-			table.setHeartbeat(record, member);
+			table.setStatus(record, member);
 			table.setState(record, 'up', 'reported up');
 			return;
 		}
@@ -177,14 +166,14 @@
 		}
 	}
 
-	#evaluateRecord(record: MemberRecord): void {
+	#evaluateRecord(record: MemberRecord, now: number): void {
 		const {settings, table} = this.#options;
 		if (record.state === 'down') {
 			return;
 		}
 
 		const beatMs = this.#isNear(record) ? settings.beatMs : settings.farBeatMs;
-		const age = settings.clock.getMonotonicTime() - record.getLastHeard();
+		const age = now - record.getLastHeard();
 		if (age > settings.downBeats * beatMs) {
 			table.setState(record, 'down', `not heard for ${Math.round(age)} ms`);
 		} else if (age > settings.silentBeats * beatMs) {
@@ -195,28 +184,20 @@
 	}
 
 	/** Closes a link to another data centre that this process made and that the plan no longer has. */
-	#closeSurplusLink(record: MemberRecord): void {
-		const {clock, self, downBeats, farBeatMs} = this.#options.settings;
+	#closeSurplusLink(record: MemberRecord, now: number): void {
+		const {self, downBeats, farBeatMs} = this.#options.settings;
 		const link = record.getOpenLink();
-		if (!link || this.#isNear(record) || link.dialerId !== self.id || this.#hasDialer(record)) {
+		if (!link || this.#isNear(record) || link.dialerId !== self.id || this.#dialers.hasDialer(record)) {
 			record.surplusSince = undefined;
 			return;
 		}
 
-		record.surplusSince ??= clock.getMonotonicTime();
-		if (clock.getMonotonicTime() - record.surplusSince > downBeats * farBeatMs) {
+		record.surplusSince ??= now;
+		if (now - record.surplusSince > downBeats * farBeatMs) {
 			link.close();
 		}
 	}
 
-	#hasDialer(record: MemberRecord): boolean {
-		return [...this.#dialers.keys()].some(address => this.#isAt(record, address));
-	}
-
-	#isAt({address: recordAddress, incarnation}: MemberRecord, address: string): boolean {
-		return address === recordAddress || this.#answered.get(address) === incarnation.id;
-	}
-
 	#isNear({incarnation}: MemberRecord): boolean {
 		return incarnation.dataCenter === this.#options.settings.self.dataCenter;
 	}
@@ -243,37 +224,17 @@
 	#getSeeds(): readonly string[] {
 		const {settings, table} = this.#options;
 		const isAlone = table.getRecords().every(({state}) => state !== 'up');
-		return settings.seeds.filter(seed => isAlone || !table.getRecord(this.#answered.get(seed) ?? ''));
-	}
-
-	#addDialer(address: string): void {
-		const {clock, random, minBackoffMs, maxBackoffMs} = this.#options.settings;
-		const dialer = new PeerDialer({
-			clock,
-			random,
-			address,
-			minBackoffMs,
-			maxBackoffMs,
-			isLinked: () => this.#getLinkedRecord(address) !== undefined,
-			dial: async () => this.#dial(address),
-		});
-		this.#dialers.set(address, dialer);
-		void dialer.run();
-	}
-
-	#getLinkedRecord(address: string): MemberRecord | undefined {
-		return this.#options.table.getRecords().find(record => record.getOpenLink() && this.#isAt(record, address));
+		return settings.seeds.filter(seed => isAlone || !this.#dialers.getAnswered(seed));
 	}
 
-	async #dial(address: string): Promise<void> {
+	async #dial(address: string): Promise<string | undefined> {
 		const result = await this.#options.links.dial(address);
 		if (this.#isClosed) {
-			return;
+			return undefined;
 		}
 
 		if (result.ok) {
 			this.#planner.removeFailure(address);
-			this.#answered.set(address, result.peer.incarnation.id);
 			this.#setDown(address, 'another incarnation answered', result.peer.incarnation.id);
 		} else if (result.reason !== 'duplicate') {
 			this.#planner.addFailure(address);
@@ -283,6 +244,7 @@
 		}
 
 		this.updateDialers();
+		return result.ok ? result.peer.incarnation.id : result.incarnationId;
 	}
 
 	#setDown(address: string, detail: string, exceptId?: string): void {
@@ -292,12 +254,4 @@
 			}
 		}
 	}
-
-	#wakeDialers(record: MemberRecord): void {
-		for (const [address, dialer] of this.#dialers) {
-			if (this.#isAt(record, address)) {
-				dialer.wake();
-			}
-		}
-	}
 }
--- a/src/connection/peer-connector.ts
+++ b/src/connection/peer-connector.ts
@@ -21,7 +21,12 @@
 /** Result of making a connection. */
 export type ConnectResult =
 	| ({readonly ok: true} & PeerConnection)
-	| {readonly ok: false; readonly reason: HandshakeFailure | 'refused' | 'unreachable'};
+	| {
+		readonly ok: false;
+		readonly reason: HandshakeFailure | 'refused' | 'unreachable';
+		/** Incarnation that answered, where this side refused it. */
+		readonly incarnationId?: string;
+	};
 
 /** Options of a {@link PeerConnector}. */
 export type PeerConnectorOptions = Omit<HandshakeOptions, 'address'> & {
@@ -54,6 +59,7 @@
 export class PeerConnector {
 	readonly #options: PeerConnectorOptions;
 	readonly #connections = new Set<FrameConnection>();
+	readonly #dials = new Set<AbortController>();
 	readonly #lastEvents = new Map<string, number>();
 	#listener: PeerListener | undefined;
 	#handshakeCount = 0;
@@ -94,7 +100,7 @@
 		const result = await new Handshake(connection, this.#getHandshakeOptions()).dial(side);
 		if (!result.ok) {
 			this.#addFailure(result.reason, address);
-			return {ok: false, reason: result.reason};
+			return {ok: false, reason: result.reason, incarnationId: result.incarnation?.id};
 		}
 
 		this.#setPurpose(connection, result.peer.kind);
@@ -105,6 +111,10 @@
 	async close(): Promise<void> {
 		this.#isClosed = true;
 		await this.#listener?.close();
+		for (const controller of this.#dials) {
+			controller.abort();
+		}
+
 		for (const connection of this.#connections) {
 			connection.close();
 		}
@@ -115,7 +125,9 @@
 		const timer = this.#options.clock.setTimer(() => {
 			controller.abort();
 		}, this.#options.timeoutMs);
+		this.#dials.add(controller);
 		const result = await this.#options.dial(address, controller.signal);
+		this.#dials.delete(controller);
 		timer.close();
 		return result;
 	}
