Add TLS to the three listening addresses and the check of operators

Cause: the settings named certificates and a token, but nothing used them. Change: a store reads certificate, key and authorities again when the files change and keeps the old ones while the new do not fit; HTTP listeners and connections between peers take their material from it; operators show a token or a certificate; the daemon refuses unusable files at its start.

--- a/src/connection/http-listener.ts
+++ b/src/connection/http-listener.ts
@@ -3,11 +3,13 @@
  */
 import {Buffer} from 'node:buffer';
 import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
+	createServer, type IncomingMessage, type RequestListener, type Server, type ServerOptions, type ServerResponse,
 } from 'node:http';
+import {createServer as createTlsServer} from 'node:https';
 import {type AddressInfo, type Socket} from 'node:net';
 import {type CallerAnswer, type Header} from '../request/index.js';
 import {parseAddress} from './tcp-transport.js';
+import {minTlsVersion, type TlsMaterial, type TlsStore} from './tls-store.js';
 
 /** Takes one request and writes its answer. */
 export type HttpHandler = (req: IncomingMessage, res: ServerResponse) => void;
@@ -29,6 +31,10 @@
 	/** Address and port, `127.0.0.1:0` for any free port. */
 	readonly address: string;
 	readonly handler: HttpHandler;
+	/** Material for TLS; absent: plain HTTP. */
+	readonly tls?: TlsStore;
+	/** Whether a connection without a valid certificate is refused where the material names authorities; default true. */
+	readonly needsCertificate?: boolean;
 };
 
 /** Counts of an {@link HttpListener}. */
@@ -69,7 +75,7 @@
 	/** @internal */
 	constructor(options: HttpListenerOptions) {
 		this.#address = options.address;
-		this.#server = createServer({
+		this.#server = createHttpServer(options, {
 			maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
 			headersTimeout: options.headTimeoutMs ?? defaultHeadTimeoutMs,
 			requestTimeout: options.requestTimeoutMs ?? defaultRequestTimeoutMs,
@@ -186,12 +192,37 @@
 	}
 }
 
+function createHttpServer({tls, needsCertificate = true}: HttpListenerOptions, serverOptions: ServerOptions, handler: RequestListener): Server {
+	if (tls === undefined) {
+		return createServer(serverOptions, handler);
+	}
+
+	const server = createTlsServer({
+		...serverOptions,
+		...tls.getMaterial(),
+		minVersion: minTlsVersion,
+		handshakeTimeout: serverOptions.headersTimeout,
+		requestCert: tls.hasAuthorities,
+		rejectUnauthorized: tls.hasAuthorities && needsCertificate,
+	}, handler);
+	const setContext = (material: TlsMaterial): void => {
+		server.setSecureContext({...material, minVersion: minTlsVersion});
+	};
+
+	tls.addListener(setContext);
+	server.once('close', () => {
+		tls.removeListener(setContext);
+	});
+	return server;
+}
+
 function formatAddress({address, port, family}: AddressInfo): string {
 	return family === 'IPv6' ? `[${address}]:${port}` : `${address}:${port}`;
 }
 
 function answerMalformed(err: NodeJS.ErrnoException, socket: Socket): void {
-	if (err.code === 'ECONNRESET' || !socket.writable) {
+	const isHttpFault = err.code?.startsWith('HPE_') === true || err.code?.startsWith('ERR_HTTP_') === true;
+	if (!isHttpFault || !socket.writable) {
 		socket.destroy();
 		return;
 	}
--- a/src/connection/index.ts
+++ b/src/connection/index.ts
@@ -10,3 +10,7 @@
 export type {PeerMeshOptions} from './peer-mesh-options.js';
 export * from './tcp-transport.js';
 export type {LinkFault, PeerTraffic, TrafficCounts} from './traffic.js';
+export {
+	type TlsFiles, TlsStore, type TlsStoreOptions, createTlsStore, findTlsFault,
+} from './tls-store.js';
+export * from './tls-transport.js';
--- a/src/connection/tcp-transport.ts
+++ b/src/connection/tcp-transport.ts
@@ -85,22 +85,38 @@
 	});
 	server.removeAllListeners('error');
 	return {
-		address: formatAddress(server.address() as AddressInfo),
+		address: formatAddress(server.address()),
 		close: async () => closeServer(server),
 	};
 }
 
-async function closeServer(server: Server): Promise<void> {
+/**
+ * Ends a listener; the connections that it took stay open.
+ * @param server - Listener to end.
+ * @internal
+ */
+export async function closeServer(server: Server): Promise<void> {
 	// The callback waits for the connections too, which are not the listener's.
 	server.close();
 	server.unref();
 }
 
-function formatAddress({address, port}: AddressInfo): string {
+/**
+ * Gets a listening address as text.
+ * @param address - Address of a server.
+ * @internal
+ */
+export function formatAddress(listening: ReturnType<Server['address']>): string {
+	const {address, port} = listening as AddressInfo;
 	return isIPv6(address) ? `[${address}]:${port}` : `${address}:${port}`;
 }
 
-function prepareSocket(socket: Socket): void {
+/**
+ * Sets a connection up for small messages and for noticing a dead peer.
+ * @param socket - Connection.
+ * @internal
+ */
+export function prepareSocket(socket: Socket): void {
 	socket.setNoDelay(true);
 	socket.setKeepAlive(true, keepAliveDelayMs);
 }
--- a/src/daemon/entry-vm-settings.ts
+++ b/src/daemon/entry-vm-settings.ts
@@ -3,7 +3,7 @@
  */
 import type Logger from 'bunyan';
 import {type Platform} from '../platform/index.js';
-import {type EntryVmOptions} from '../process/index.js';
+import {type EntryVmOptions, type EntryVmTls} from '../process/index.js';
 import {type Settings} from './settings.js';
 
 const millisecondsPerSecond = 1000;
@@ -13,11 +13,13 @@
  * @param settings - Settings of the daemon.
  * @param platform - The platform.
  * @param log - Log of the daemon.
+ * @param tls - Material for TLS by address.
  */
-export function getEntryVmOptions(settings: Settings, platform: Platform, log: Logger): EntryVmOptions {
+export function getEntryVmOptions(settings: Settings, platform: Platform, log: Logger, tls: EntryVmTls = {}): EntryVmOptions {
 	return {
 		log,
 		platform,
+		tls,
 		deployment: settings.deployment,
 		dataCenter: settings.dataCenter,
 		vm: settings.vm,
--- a/src/daemon/setting-conflicts.ts
+++ b/src/daemon/setting-conflicts.ts
@@ -1,10 +1,9 @@
 /**
  * Checks of settings against each other.
  */
-import {type SettingName, getFlag, getVariable} from './setting-table.js';
+import {type SettingName, describeSettings} from './setting-table.js';
 import {type SettingValues} from './settings.js';
-
-const doors = ['caller', 'operator', 'peer'] as const;
+import {doors, getTlsNames} from './tls-settings.js';
 
 /**
  * Finds settings that do not fit together; one line a fault.
@@ -22,11 +21,11 @@
 
 function findPeerKeyConflict(given: ReadonlySet<SettingName>): readonly string[] {
 	if (!given.has('peerKey') && !given.has('peerKeyFile')) {
-		return [`${nameAll('peerKey', 'peerKeyFile')}: one of them is required`];
+		return [`${describeSettings('peerKey', 'peerKeyFile')}: one of them is required`];
 	}
 
 	if (given.has('peerKey') && given.has('peerKeyFile')) {
-		return [`${nameAll('peerKey', 'peerKeyFile')}: only one of them may be given`];
+		return [`${describeSettings('peerKey', 'peerKeyFile')}: only one of them may be given`];
 	}
 
 	return [];
@@ -34,7 +33,7 @@
 
 function findWildcard(values: Partial<SettingValues>): readonly string[] {
 	const isWildcard = values.peerAddress !== undefined && /^(?:0\.0\.0\.0|\[[0:]+\]):/v.test(values.peerAddress);
-	return isWildcard ? [`${nameAll('peerAddress')}: expected an address that peers can connect to, not a wildcard`] : [];
+	return isWildcard ? [`${describeSettings('peerAddress')}: expected an address that peers can connect to, not a wildcard`] : [];
 }
 
 function findSharedAddress(values: Partial<SettingValues>): readonly string[] {
@@ -44,7 +43,7 @@
 		const address = values[name];
 		const other = names.slice(0, index).find(earlier => values[earlier] === address);
 		if (address !== undefined && other !== undefined && !address.endsWith(':0')) {
-			faults.push(`${nameAll(other, name)}: must differ, both are ${address}`);
+			faults.push(`${describeSettings(other, name)}: must differ, both are ${address}`);
 		}
 	}
 
@@ -52,25 +51,21 @@
 }
 
 function findTlsConflicts(given: ReadonlySet<SettingName>, door: (typeof doors)[number]): readonly string[] {
-	const names = {cert: `${door}TlsCertFile`, key: `${door}TlsKeyFile`, ca: `${door}TlsCaFile`} as const;
+	const names = getTlsNames(door);
 	const hasCert = given.has(names.cert);
 	const hasKey = given.has(names.key);
 	const hasCa = given.has(names.ca);
 	if (hasCert !== hasKey) {
-		return [`${nameAll(names.cert, names.key)}: both or none are required`];
+		return [`${describeSettings(names.cert, names.key)}: both or none are required`];
 	}
 
 	if (hasCa && !hasCert) {
-		return [`${nameAll(names.ca)}: needs ${nameAll(names.cert, names.key)} as well`];
+		return [`${describeSettings(names.ca)}: needs ${describeSettings(names.cert, names.key)} as well`];
 	}
 
 	if (door === 'peer' && hasCert && !hasCa) {
-		return [`${nameAll(names.ca)}: required with TLS between peers`];
+		return [`${describeSettings(names.ca)}: required with TLS between peers`];
 	}
 
 	return [];
 }
-
-function nameAll(...names: readonly SettingName[]): string {
-	return names.map(name => `${getFlag(name)} (${getVariable(name)})`).join(', ');
-}
--- a/src/daemon/setting-table.ts
+++ b/src/daemon/setting-table.ts
@@ -110,6 +110,14 @@
 	return `ENDIVEMILL_${separateWords(name, '_').toUpperCase()}`;
 }
 
+/**
+ * Gets the flags and variables of settings as they are named to a person.
+ * @param names - Names of the settings.
+ */
+export function describeSettings(...names: readonly SettingName[]): string {
+	return names.map(name => `${getFlag(name)} (${getVariable(name)})`).join(', ');
+}
+
 function separateWords(name: string, separator: string): string {
 	return name.replaceAll(/[A-Z]/gv, letter => `${separator}${letter.toLowerCase()}`);
 }
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -4,9 +4,10 @@
 import {readFileSync} from 'node:fs';
 import {Command, CommanderError, Option} from 'commander';
 import {
-	type AnySettingDefinition, type SettingDefinition, type SettingName, getFlag, getVariable, minSecretLength, settingNames, settingTable,
+	type AnySettingDefinition, type SettingDefinition, type SettingName, describeSettings, getFlag, getVariable, minSecretLength, settingNames, settingTable,
 } from './setting-table.js';
 import {findConflicts} from './setting-conflicts.js';
+import {findTlsFaults} from './tls-settings.js';
 
 type ValueOf<Definition> = Definition extends SettingDefinition<infer T, infer Presence>
 	? (Presence extends 'optional' ? T | undefined : T)
@@ -76,6 +77,10 @@
 	const values = readValues(texts, faults);
 	const settings = addSecrets(values, faults, options.readFile ?? readTextFile);
 	faults.push(...findConflicts(values, new Set(settingNames.filter(name => texts[name] !== undefined))));
+	if (faults.length === 0) {
+		faults.push(...findTlsFaults(values, options.readFile ?? readTextFile));
+	}
+
 	return faults.length > 0 ? {ok: false, kind: 'faults', faults} : {ok: true, settings: settings as Settings};
 }
 
@@ -144,7 +149,7 @@
 		const text = texts[name] ?? definition.defaultText;
 		if (text === undefined) {
 			if (definition.presence === 'required') {
-				faults.push(`${nameBoth(name)}: missing`);
+				faults.push(`${describeSettings(name)}: missing`);
 			}
 
 			continue;
@@ -157,7 +162,7 @@
 		}
 
 		const given = definition.isSecret ? '' : `, got ${JSON.stringify(text)}`;
-		faults.push(`${nameBoth(name)}: ${result.error.issues[0]?.message ?? 'invalid'}${given}`);
+		faults.push(`${describeSettings(name)}: ${result.error.issues[0]?.message ?? 'invalid'}${given}`);
 	}
 
 	return values;
@@ -173,12 +178,12 @@
 		try {
 			const secret = readFile(path).trim();
 			if (secret.length < minSecretLength) {
-				faults.push(`${nameBoth(name)}: expected a file with at least ${minSecretLength} characters`);
+				faults.push(`${describeSettings(name)}: expected a file with at least ${minSecretLength} characters`);
 			}
 
 			return secret;
 		} catch (err) {
-			faults.push(`${nameBoth(name)}: ${(err as Error).message}`);
+			faults.push(`${describeSettings(name)}: ${(err as Error).message}`);
 			return undefined;
 		}
 	};
@@ -186,10 +191,6 @@
 	return {...values, peerKey: readSecret('peerKeyFile') ?? values.peerKey, operatorToken: readSecret('operatorTokenFile')};
 }
 
-function nameBoth(name: SettingName): string {
-	return `${getFlag(name)} (${getVariable(name)})`;
-}
-
 function readTextFile(path: string): string {
 	return readFileSync(path, 'utf8');
 }
--- a/src/process/create-entry-vm.ts
+++ b/src/process/create-entry-vm.ts
@@ -3,7 +3,7 @@
  */
 import {type Subscription} from 'most';
 import {
-	createHttpListener, createPeerMesh, createUpstreamClient, type PeerMesh,
+	createHttpListener, createPeerMesh, createTlsDial, createTlsListen, createUpstreamClient, type PeerMesh,
 } from '../connection/index.js';
 import {sleep, systemClock, systemRandom} from '../seams/index.js';
 import {CallerApi} from './caller-api.js';
@@ -20,6 +20,7 @@
 import {JobRouter, jobTopic} from './job-router.js';
 import {JobRunner} from './job-runner.js';
 import {createMetrics} from './metrics/index.js';
+import {createOperatorAccess} from './operator-access.js';
 import {OperatorApi} from './operator-api.js';
 import {PeerInbox} from './peer-inbox.js';
 import {configurationTopic, PeerSync, vmListTopic} from './peer-sync.js';
@@ -105,7 +106,9 @@
 
 async function createMesh(options: EntryVmOptions, base: BaseParts, sync: PeerSync, onPause: () => void): Promise<PeerMesh> {
 	const {state, clock, random, self, events, configuration, vmList, inbox} = base;
+	const peerTls = options.tls?.peer;
 	return createPeerMesh({
+		...(peerTls === undefined ? undefined : {dial: createTlsDial(peerTls), listen: createTlsListen(peerTls)}),
 		...options.mesh,
 		clock,
 		random,
@@ -225,9 +228,12 @@
 			operatorHttp: operator.getCounters(),
 		}),
 		startDrain,
+		isAllowed: createOperatorAccess({token: options.operatorToken, takesCertificates: options.tls?.operator?.hasAuthorities}),
 	});
 	const operator = await createHttpListener({
 		address: options.operatorAddress,
+		tls: options.tls?.operator,
+		needsCertificate: false,
 		maxConnections: maxOperatorConnections,
 		handler(req, res) {
 			void operatorApi.handleRequest(req, res);
@@ -236,6 +242,7 @@
 	const caller = await createHttpListener({
 		...options.limits?.http,
 		address: options.callerAddress,
+		tls: options.tls?.caller,
 		handler(req, res) {
 			void callerApi.handleRequest(req, res);
 		},
--- a/src/process/entry-vm-options.ts
+++ b/src/process/entry-vm-options.ts
@@ -2,7 +2,9 @@
  * Options of an entry VM.
  */
 import type Logger from 'bunyan';
-import {type HttpLimits, type PeerMeshOptions, type UpstreamClientOptions} from '../connection/index.js';
+import {
+	type HttpLimits, type PeerMeshOptions, type TlsStore, type UpstreamClientOptions,
+} from '../connection/index.js';
 import {type Platform} from '../platform/index.js';
 import {type Clock, type Random} from '../seams/index.js';
 import {type RecordStoreOptions} from './record-store.js';
@@ -39,6 +41,8 @@
 	readonly pollMs?: number;
 	/** Token that operators must show; absent: none. */
 	readonly operatorToken?: string;
+	/** Material for TLS; the entry VM closes it. */
+	readonly tls?: EntryVmTls;
 	/** Settings of the links to the other entry VMs. */
 	readonly mesh?: Partial<Pick<PeerMeshOptions, 'dial' | 'listen' | 'beatMs' | 'farBeatMs' | 'silentBeats' | 'downBeats' | 'forgetMs' | 'connectTimeoutMs'>>;
 	/** Settings of the connections to upstreams. */
@@ -47,6 +51,15 @@
 	readonly tuning?: Partial<SchedulerTuning>;
 };
 
+/** Material for TLS by address; an address without it is served in plain. */
+export type EntryVmTls = {
+	readonly caller?: TlsStore;
+	/** Where it names authorities, a certificate of theirs is as good as the operators' token. */
+	readonly operator?: TlsStore;
+	/** Names the authorities of all entry VMs. */
+	readonly peer?: TlsStore;
+};
+
 /** Bounds of what an entry VM holds. */
 export type EntryVmLimits = {
 	readonly http?: HttpLimits;
--- a/src/process/entry-vm.ts
+++ b/src/process/entry-vm.ts
@@ -152,6 +152,10 @@
 			subscription.unsubscribe();
 		}
 
+		for (const store of Object.values(this.#options.tls ?? {})) {
+			store?.close();
+		}
+
 		this.#parts.metrics.close();
 		this.#parts.coordinator.close();
 		this.#parts.configuration.close();
