--- a/src/request/upstream-request-rules.ts
+++ b/src/request/upstream-request-rules.ts
@@ -112,7 +112,8 @@
 
 /** Some servers take an underscore for a hyphen, so that both spellings count as one name. */
 function canonicalizeName(name: string): string {
-	return name.toLowerCase().replaceAll('_', '-');
+	const lowerCaseName = name.toLowerCase();
+	return lowerCaseName.includes('_') ? lowerCaseName.replaceAll('_', '-') : lowerCaseName;
 }
 
 function isConnectionHeader(canonicalName: string): boolean {
--- a/test/daemon/settings.test.ts
+++ b/test/daemon/settings.test.ts
@@ -3,6 +3,7 @@
 import {
 	getFlag, getVariable, settingNames, settingTable,
 } from '../../src/daemon/setting-table.js';
+import {getTlsFile} from '../support/tls-files.js';
 
 const peerKey = 'a-peer-key-of-24-letters';
 const neededFlags = [
@@ -112,6 +113,14 @@
 	}
 });
 
+test('certificates that cannot be used are faults', t => {
+	const getTlsFlags = (cert: string, key: string) => ['--caller-tls-cert-file', getTlsFile(cert), '--caller-tls-key-file', getTlsFile(key)];
+	t.true(parseSettings([...goodFlags, ...getTlsFlags('server', 'server-key')], {}).ok);
+	const names = '--caller-tls-cert-file (ENDIVEMILL_CALLER_TLS_CERT_FILE), --caller-tls-key-file (ENDIVEMILL_CALLER_TLS_KEY_FILE), --caller-tls-ca-file (ENDIVEMILL_CALLER_TLS_CA_FILE)';
+	t.deepEqual(getFaults([...goodFlags, ...getTlsFlags('server', 'client-key')]), [`${names}: certificate and key cannot be used: ERR_OSSL_X509_KEY_VALUES_MISMATCH`]);
+	t.is(getFaults([...goodFlags, ...getTlsFlags('server', 'none')]).length, 1);
+});
+
 test('secrets come from files, and a wrong one is not repeated', t => {
 	const argv = [...neededFlags, '--peer-key-file', '/key', '--operator-token-file', '/token'];
 	const result = parseSettings(argv, {}, {readFile: path => `secret-of-${path}-and-more\n`});
