--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,21 @@
+/**
+ * `npm run bench -- NAME`: runs one measurement and writes its figures to bench/results/NAME.json.
+ */
+import process from 'node:process';
+
+const benches: Readonly<Record<string, () => Promise<{run: () => Promise<void>}>>> = {
+	coordinator: async () => import('./coordinator.js'),
+	dispatch: async () => import('./dispatch.js'),
+	platform: async () => import('./platform.js'),
+	'hand-over': async () => import('./hand-over.js'),
+};
+
+const name = process.argv[2] ?? '';
+const load = benches[name];
+if (load === undefined) {
+	process.stderr.write(`usage: npm run bench -- NAME, where NAME is one of: ${Object.keys(benches).join(', ')}\n`);
+	process.exitCode = 2;
+} else {
+	const bench = await load();
+	await bench.run();
+}
--- /dev/null
+++ b/src/connection/membership.ts
@@ -0,0 +1,257 @@
+/**
+ * Who is there: silence, reports of other data centres, and the addresses to keep links to.
+ */
+import {type ListedEntryVm} from '../platform/index.js';
+import {type CompleteReport} from './control-link.js';
+import {type KnownAddress, type ReportedMember} from './control-messages.js';
+import {type ControlLinks} from './control-links.js';
+import {DialerSet} from './dialer-set.js';
+import {FarPlanner} from './far-planner.js';
+import {type MemberRecord} from './member-record.js';
+import {type MemberTable} from './member-table.js';
+import {type PeerMeshSettings} from './peer-mesh-options.js';
+import {type ReportBook} from './report-book.js';
+
+/** Options of {@link Membership}. */
+export type MembershipOptions = {
+	readonly settings: PeerMeshSettings;
+	/** Gets the address that this process tells others. */
+	readonly getAddress: () => string;
+	readonly table: MemberTable;
+	readonly reports: ReportBook;
+	readonly links: ControlLinks;
+};
+
+/**
+ * Decides the state of each member and keeps the tasks that dial.
+ * @internal
+ */
+export class Membership {
+	readonly #options: MembershipOptions;
+	readonly #dialers: DialerSet;
+	readonly #planner: FarPlanner;
+	#listed: readonly ListedEntryVm[] | undefined;
+	#isClosed = false;
+
+	constructor(options: MembershipOptions) {
+		this.#options = options;
+		this.#planner = new FarPlanner(options);
+		const {settings, table} = options;
+		this.#dialers = new DialerSet({settings, table, dial: async address => this.#dial(address)});
+	}
+
+	/**
+	 * Sets the platform's list.
+	 * @param listed - Entry VMs in the list.
+	 */
+	setListed(listed: readonly ListedEntryVm[]): void {
+		this.#listed = listed;
+		this.updateDialers();
+	}
+
+	/**
+	 * Adds members by addresses that a peer knows.
+	 * @param addresses - Addresses at which entry VMs were seen.
+	 */
+	addAddresses(addresses: readonly KnownAddress[]): void {
+		for (const {address, ...incarnation} of addresses) {
+			if (incarnation.id !== this.#options.settings.self.id) {
+				this.#options.table.getOrAddRecord(incarnation, address);
+			}
+		}
+
+		this.updateDialers();
+	}
+
+	/**
+	 * Takes reports that came in over a link.
+	 * @param reports - Reports of this data centre or of others.
+	 */
+	addReports(reports: readonly CompleteReport[]): void {
+		for (const report of reports) {
+			if (report.view.dataCenter === this.#options.settings.self.dataCenter) {
+				this.#addNearReport(report);
+			} else if (this.#options.reports.addReport(report)) {
+				this.#addFarReport(report);
+			}
+		}
+	}
+
+	/**
+	 * Notes that a link to a member began or ended.
+	 * @param record - Member concerned.
+	 */
+	handleLinkChange(record: MemberRecord): void {
+		if (!record.getOpenLink()) {
+			this.#dialers.wake(record);
+		}
+
+		this.updateDialers();
+	}
+
+	/** Gives every member that is not down a new chance to be heard. */
+	restartSilence(): void {
+		const now = this.#options.settings.clock.getMonotonicTime();
+		for (const record of this.#options.table.getRecords()) {
+			record.lastHeard = now;
+		}
+
+		this.#options.reports.refresh();
+	}
+
+	/**
+	 * Decides the state of each member by the time since it was last heard.
+	 * @param now - Monotonic time up to which silence is measured.
+	 */
+	evaluate(now: number): void {
+		if (this.#isClosed) {
+			return;
+		}
+
+		for (const record of this.#options.table.getRecords()) {
+			this.#evaluateRecord(record, now);
+			this.#closeSurplusLink(record, now);
+		}
+
+		this.#options.reports.removeStale();
+		this.#options.table.removeGone(this.#options.settings.forgetMs, record => this.#isGone(record));
+		this.updateDialers();
+	}
+
+	/** Starts and ends dialling tasks so that each address wanted has one. */
+	updateDialers(): void {
+		if (this.#isClosed) {
+			return;
+		}
+
+		this.#dialers.update(this.#getWantedAddresses());
+	}
+
+	/** Ends the dialling tasks. */
+	close(): void {
+		this.#isClosed = true;
+		this.#dialers.close();
+	}
+
+	#addNearReport({view}: CompleteReport): void {
+		const up = view.members.filter(({id, state}) => state === 'up' && id !== this.#options.settings.self.id);
+		this.addAddresses(up
+			.filter(({id}) => !this.#options.table.getRecord(id))
+			.map(({id, vm, address}) => ({
+				dataCenter: view.dataCenter, vm, id, address,
+			})));
+	}
+
+	#addFarReport({view}: CompleteReport): void {
+		for (const member of view.members) {
+			this.#addReportedMember(view.dataCenter, member);
+		}
+	}
+
+	#addReportedMember(dataCenter: string, member: ReportedMember): void {
+		const {table, reports, settings} = this.#options;
+		const {id, vm, address, state} = member;
+		if (state === 'up') {
+			const record = table.getOrAddRecord({dataCenter, vm, id}, address);
+			record.lastHeard = settings.clock.getMonotonicTime();
+			table.setAddress(record, address);
+			table.setStatus(record, member);
+			table.setState(record, 'up', 'reported up');
+			return;
+		}
+
+		const record = table.getRecord(id);
+		if (record && state === 'down' && !record.getOpenLink() && reports.getReportedState(id) === 'down') {
+			table.setState(record, 'down', 'reported down');
+		}
+	}
+
+	#evaluateRecord(record: MemberRecord, now: number): void {
+		const {settings, table} = this.#options;
+		if (record.state === 'down') {
+			return;
+		}
+
+		const beatMs = this.#isNear(record) ? settings.beatMs : settings.farBeatMs;
+		const age = now - record.getLastHeard();
+		if (age > settings.downBeats * beatMs) {
+			table.setState(record, 'down', `not heard for ${Math.round(age)} ms`);
+		} else if (age > settings.silentBeats * beatMs) {
+			table.setState(record, 'silent', `not heard for ${Math.round(age)} ms`);
+			// A new connection may work where this one has gone silent.
+			record.link?.close();
+		}
+	}
+
+	/** Closes a link to another data centre that this process made and that the plan no longer has. */
+	#closeSurplusLink(record: MemberRecord, now: number): void {
+		const {self, downBeats, farBeatMs} = this.#options.settings;
+		const link = record.getOpenLink();
+		if (!link || this.#isNear(record) || link.dialerId !== self.id || this.#dialers.hasDialer(record)) {
+			record.surplusSince = undefined;
+			return;
+		}
+
+		record.surplusSince ??= now;
+		if (now - record.surplusSince > downBeats * farBeatMs) {
+			link.close();
+		}
+	}
+
+	#isNear({incarnation}: MemberRecord): boolean {
+		return incarnation.dataCenter === this.#options.settings.self.dataCenter;
+	}
+
+	#isGone(record: MemberRecord): boolean {
+		const {vm, dataCenter} = record.incarnation;
+		const isReplaced = this.#options.table.getRecords().some(({incarnation, address, state}) =>
+			state === 'up' && (address === record.address || (incarnation.vm === vm && incarnation.dataCenter === dataCenter)));
+		const isListed = this.#listed?.some(listed => listed.name === vm && listed.dataCenter === dataCenter) ?? true;
+		return isReplaced || !isListed;
+	}
+
+	#getWantedAddresses(): ReadonlySet<string> {
+		const {getAddress, table} = this.#options;
+		const {dataCenter} = this.#options.settings.self;
+		const near = table.getRecords().filter(record => this.#isNear(record)).map(record => record.address);
+		const listed = (this.#listed ?? []).filter(vm => vm.dataCenter === dataCenter).map(({peerAddress}) => peerAddress);
+		const wanted = new Set([...near, ...listed, ...this.#getSeeds(), ...this.#planner.getAddresses(this.#listed ?? [])]);
+		wanted.delete(getAddress());
+		return wanted;
+	}
+
+	/** Gets the seeds at which nobody has answered yet, and all of them while no member is up. */
+	#getSeeds(): readonly string[] {
+		const {settings, table} = this.#options;
+		const isAlone = table.getRecords().every(({state}) => state !== 'up');
+		return settings.seeds.filter(seed => isAlone || !this.#dialers.getAnswered(seed));
+	}
+
+	async #dial(address: string): Promise<string | undefined> {
+		const result = await this.#options.links.dial(address);
+		if (this.#isClosed) {
+			return undefined;
+		}
+
+		if (result.ok) {
+			this.#planner.removeFailure(address);
+			this.#setDown(address, 'another incarnation answered', result.peer.incarnation.id);
+		} else if (result.reason !== 'duplicate') {
+			this.#planner.addFailure(address);
+			if (result.reason === 'refused') {
+				this.#setDown(address, 'connection refused');
+			}
+		}
+
+		this.updateDialers();
+		return result.ok ? result.peer.incarnation.id : result.incarnationId;
+	}
+
+	#setDown(address: string, detail: string, exceptId?: string): void {
+		for (const record of this.#options.table.getRecords()) {
+			if (record.address === address && record.incarnation.id !== exceptId && !record.getOpenLink()) {
+				this.#options.table.setState(record, 'down', detail);
+			}
+		}
+	}
+}
--- a/src/process/scheduler/lease-broker.ts
+++ b/src/process/scheduler/lease-broker.ts
@@ -25,6 +25,8 @@
 	readonly next: JobPart | undefined;
 	/** Expected wait of the last of these tasks on the slots in hand. */
 	readonly waitMs: number;
+	/** Whether there is a slot in hand whose task will end and make room. */
+	readonly hasSlots: boolean;
 	/** Tasks of the jobs that are about as urgent as the next one. */
 	readonly urgentTasks: number;
 	/** Expected wait of the last of these. */
@@ -165,7 +167,8 @@
 	 */
 	tellDemand(local: LocalDemand): number | undefined {
 		const isUrgent = local.urgentWaitMs >= this.#tuning.urgentWaitMs;
-		if (!local.next || (!isUrgent && local.waitMs < this.#tuning.demandWaitMs)) {
+		const isShortWait = local.hasSlots && !isUrgent && local.waitMs < this.#tuning.demandWaitMs;
+		if (!local.next || isShortWait) {
 			return undefined;
 		}
 
--- a/src/process/scheduler/service-scheduler.ts
+++ b/src/process/scheduler/service-scheduler.ts
@@ -461,6 +461,7 @@
 			urgentTasks,
 			urgentWaitMs: urgentTasks * msPerTask,
 			maySpill,
+			hasSlots: this.#pool.getUsableSlots() > 0,
 		};
 	}
 
--- /dev/null
+++ b/src/testing/index.ts
@@ -0,0 +1,11 @@
+export {
+	createPlatformStandIn, PlatformStandIn, type PlatformFaults, type PlatformStandInOptions,
+} from './platform-stand-in.js';
+export * from './history.js';
+export * from './history-checker.js';
+export * from './upstream-faults.js';
+export * from './upstream-record.js';
+export * from './upstream-stand-in.js';
+export * from './upstream-worker.js';
+export * from './peer-faults.js';
+export * from './switchable-connection.js';
--- /dev/null
+++ b/test/connection/peer-mesh.test.ts
@@ -0,0 +1,88 @@
+import test from 'ava';
+import {type Dial} from '../../src/connection/index.js';
+import {CurrentValue} from '../../src/process/current-value.js';
+import {type ListedEntryVm} from '../../src/platform/index.js';
+import {FaultyNetwork} from './faulty-network.js';
+import {
+	createList, createListedVm, createTestMesh, waitForMembers, waitForState, waitUntil,
+} from './test-mesh.js';
+
+test('entry VMs in the list link up and exchange control messages and requests', async t => {
+	const messages: unknown[] = [];
+	const first = await createTestMesh(t, 'a', {
+		onRequest: async ({topic, body}, from) => ({topic, body, from: from.id}),
+	});
+	const received = new Promise<void>(resolve => {
+		void createTestMesh(t, 'b', {
+			entryVms: createList(['kolkata', 'a', first.getAddress()]),
+			onControl({body}) {
+				messages.push(body);
+				if (messages.length === 3) {
+					resolve();
+				}
+			},
+			onRequest: async () => 'answer of b',
+		});
+	});
+	await waitForState(first, 'b-1', 'up');
+	t.deepEqual([1, 2, 3].map(body => first.sendControl('b-1', {topic: 'x', body})), [true, true, true]);
+	await received;
+	t.deepEqual(messages, [1, 2, 3]);
+	t.deepEqual(await first.request('b-1', {topic: 'y', body: {n: 1}}), {kind: 'answered', body: 'answer of b'});
+});
+
+test('an entry VM with a single seed joins all others', async t => {
+	const first = await createTestMesh(t, 'a');
+	const second = await createTestMesh(t, 'b', {seeds: [first.getAddress()]});
+	await waitForState(second, 'a-1', 'up');
+	const third = await createTestMesh(t, 'c', {seeds: [second.getAddress()]});
+	const isFull = (members: ReadonlyArray<{readonly state: string}>): boolean => members.filter(({state}) => state === 'up').length === 2;
+	await Promise.all([first, second, third].map(async mesh => waitForMembers(mesh, isFull)));
+	t.pass();
+});
+
+test('entry VMs that dial each other at the same time keep one link each', async t => {
+	const list = new CurrentValue<readonly ListedEntryVm[]>([]);
+	const network = new FaultyNetwork();
+	const waiting: Array<() => void> = [];
+	const dial: Dial = async (address, signal) => {
+		const result = await network.dial(address, signal);
+		// No handshake begins before both connections are there.
+		await new Promise<void>(resolve => {
+			waiting.push(resolve);
+			if (network.sockets.length >= 2) {
+				for (const release of waiting) {
+					release();
+				}
+			}
+		});
+		return result;
+	};
+
+	const meshes = await Promise.all(['a', 'b'].map(async vm => createTestMesh(t, vm, {
+		dial, entryVms: list.getStream(), connectTimeoutMs: 10_000, beatMs: 100,
+	})));
+	list.set(meshes.map((mesh, index) => createListedVm('kolkata', index === 0 ? 'a' : 'b', mesh.getAddress())));
+	await Promise.all(meshes.map(async mesh => waitForMembers(mesh, ([member]) => member?.state === 'up')));
+	for (const mesh of meshes) {
+		const {messagesReceived} = mesh.getTraffic().control;
+		await waitUntil(() => mesh.getTraffic().control.messagesReceived > messagesReceived + 20);
+	}
+
+	t.is(network.sockets.length, 2);
+	t.is(network.sockets.filter(({destroyed}) => !destroyed).length, 1);
+});
+
+test('a seed that is another name of an address makes one link', async t => {
+	const network = new FaultyNetwork();
+	const first = await createTestMesh(t, 'a');
+	const second = await createTestMesh(t, 'b', {
+		seeds: ['192.0.2.1:1'],
+		connectTimeoutMs: 10_000,
+		dial: async (address, signal) => network.dial(address === '192.0.2.1:1' ? first.getAddress() : address, signal),
+	});
+	await waitForState(second, 'a-1', 'up');
+	const {messagesReceived} = second.getTraffic().control;
+	await waitUntil(() => second.getTraffic().control.messagesReceived > messagesReceived + 20);
+	t.is(network.sockets.length, 1);
+});
