Let profiles say how eagerly slots move between entry VMs

Cause: the two ready profiles differed in retries only, while the lead at which a slot moves is what trades messages for waits.

--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -2,8 +2,9 @@
  * Compares policies of order, placement and leasing under the same arrivals.
  */
 import {mkdir, writeFile} from 'node:fs/promises';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
 import {Command} from 'commander';
-import {type Profile} from '../src/version/index.js';
 import {createPolicies, type Policy} from './policy/policies.js';
 import {createPlot} from './policy/plot.js';
 import {type RunResult, simulate} from './policy/simulation.js';
@@ -26,50 +27,76 @@
 	readonly latency: string;
 	readonly only: string;
 	readonly tuning: string;
+	readonly profile: string;
+	readonly name: string;
 	readonly out: string;
 };
 
 const upstreamCount = 12;
 const slots = 8;
 
-const options = new Command()
-	.description('Compares policies of order, placement and leasing under the same arrivals')
-	.option('--load <list>', 'parts of the slots that the tasks keep busy', '0.5,0.7,0.85,0.95')
-	.option('--faults <list>', 'faults of the first upstreams: black-hole, straggler', '')
-	.option('--scenario <list>', 'steady, bursts, cancels, lying, one-sided', 'steady')
-	.option('--seed <number>', 'seed of the arrivals', '1')
-	.option('--seconds <number>', 'length of the arrivals', '120')
-	.option('--latency <ms>', 'one-way latency between entry VMs', '0.5')
-	.option('--only <text>', 'run only the policies whose name contains this', '')
-	.option('--tuning <list>', 'tuning of the leases, as name=value', '')
-	.option('--out <folder>', 'folder of the results', 'bench/results')
-	.parse()
-	.opts<CliOptions>();
+/** Length of the name of a policy in the printed table. */
+const nameWidth = 28;
 
-const faults = options.faults.split(',').filter(Boolean) as UpstreamFault[];
-const policies = createPolicies({latencyMs: Number(options.latency), tuning: parseTuning(options.tuning)}).filter(policy => policy.name.includes(options.only));
-const lines: ReportLine[] = [];
-for (const scenario of options.scenario.split(',') as Scenario[]) {
-	for (const load of options.load.split(',').map(Number)) {
-		await runPolicies(scenario, load, policies);
+/** Runs the comparison that the command line asks for. */
+export async function run(): Promise<void> {
+	const options = parseOptions(process.argv);
+	const policies = createPolicies({latencyMs: Number(options.latency), tuning: parseNumbers(options.tuning), profile: parseNumbers(options.profile)});
+	const compared = policies.filter(policy => policy.name.includes(options.only));
+	const lines: ReportLine[] = [];
+	for (const scenario of options.scenario.split(',') as Scenario[]) {
+		for (const load of options.load.split(',').map(Number)) {
+			lines.push(...await runPolicies({
+				options, scenario, load, policies: compared,
+			}));
+		}
 	}
+
+	await mkdir(options.out, {recursive: true});
+	await writeFile(`${options.out}/${options.name}.json`, `${JSON.stringify({options, lines}, undefined, '\t')}\n`);
+	await writeFile(`${options.out}/${options.name}.svg`, createPlot(lines));
 }
 
-await mkdir(options.out, {recursive: true});
-await writeFile(`${options.out}/policy.json`, `${JSON.stringify({options, lines}, undefined, '\t')}\n`);
-await writeFile(`${options.out}/policy.svg`, createPlot(lines));
+function parseOptions(argv: readonly string[]): CliOptions {
+	const ownArguments = argv.slice(argv[2] === 'policy' ? 3 : 2);
+	return new Command()
+		.description('Compares policies of order, placement and leasing under the same arrivals')
+		.option('--load <list>', 'parts of the slots that the tasks keep busy', '0.5,0.7,0.85,0.95')
+		.option('--faults <list>', 'faults of the first upstreams: black-hole, straggler', '')
+		.option('--scenario <list>', 'steady, bursts, cancels, lying', 'steady')
+		.option('--seed <number>', 'seed of the arrivals', '1')
+		.option('--seconds <number>', 'length of the arrivals', '120')
+		.option('--latency <ms>', 'one-way latency between entry VMs', '0.5')
+		.option('--only <text>', 'run only the policies whose name contains this', '')
+		.option('--tuning <list>', 'tuning of the leases, as name=value', '')
+		.option('--profile <list>', 'numbers of the profiles, as name=value', '')
+		.option('--name <text>', 'name of the result files', 'policy')
+		.option('--out <folder>', 'folder of the results', 'bench/results')
+		.parse(ownArguments, {from: 'user'})
+		.opts<CliOptions>();
+}
 
-function parseTuning(text: string): Record<string, number> {
+function parseNumbers(text: string): Record<string, number> {
 	return Object.fromEntries(text.split(',').filter(Boolean).map(pair => pair.split('=')).map(([name, value]) => [name!, Number(value)]));
 }
 
-async function runPolicies(scenario: Scenario, load: number, compared: readonly Policy[]): Promise<void> {
+/** What one table compares. */
+type Comparison = {
+	readonly options: CliOptions;
+	readonly scenario: Scenario;
+	readonly load: number;
+	readonly policies: readonly Policy[];
+};
+
+async function runPolicies({options, scenario, load, policies}: Comparison): Promise<readonly ReportLine[]> {
+	const faults = options.faults.split(',').filter(Boolean) as UpstreamFault[];
 	const jobs = createWorkload({
 		seed: Number(options.seed), durationMs: Number(options.seconds) * 1000, load, slots: upstreamCount * slots, scenario,
 	});
+	const lines: ReportLine[] = [];
 	console.log(`\n${scenario}, load ${load}, ${jobs.length} jobs${faults.length > 0 ? `, ${faults.join(' and ')}` : ''}`);
-	console.log('policy                          mean    p50    p99  shed%  lost%  jobs failed%  spread  messages/task (demands grants returns leased)');
-	for (const policy of compared) {
+	console.log(`${'policy'.padEnd(nameWidth)}     mean    p50    p99  shed%  lost%  jobs failed%  spread  messages/task (demands grants returns leased)`);
+	for (const policy of policies) {
 		const result = await simulate({
 			jobs, upstreamCount, slots, faults, createDispatcher: policy.createDispatcher,
 		});
@@ -78,12 +105,14 @@
 		});
 		console.log(formatLine(policy.name, result));
 	}
+
+	return lines;
 }
 
 function formatLine(name: string, result: RunResult): string {
 	const {messagesPerTask: messages} = result;
 	const cells = [
-		name.padEnd(28),
+		name.padEnd(nameWidth),
 		result.mean.toFixed(3).padStart(8),
 		result.p50.toFixed(2).padStart(6),
 		result.p99.toFixed(2).padStart(6),
@@ -98,5 +127,6 @@
 	return cells.join(' ');
 }
 
-/** Profile fields that the policies set. */
-export type BenchProfile = Partial<Profile>;
+if (process.argv[1] === fileURLToPath(import.meta.url)) {
+	await run();
+}
--- a/bench/policy/policies.ts
+++ b/bench/policy/policies.ts
@@ -3,7 +3,9 @@
  */
 import {type SchedulerTuning} from '../../src/process/index.js';
 import {type ManualClock} from '../../src/testing/manual-clock.js';
-import {type Configuration, configurationSchema, type Profile} from '../../src/version/index.js';
+import {
+	builtInProfiles, type Configuration, configurationSchema, type Profile,
+} from '../../src/version/index.js';
 import {
 	chooseBetterOfTwo, chooseRandom, createDirectDispatcher, createSchedulerGroup, type Dispatcher,
 } from './dispatchers.js';
@@ -20,26 +22,35 @@
 export type PolicyOptions = {
 	readonly latencyMs: number;
 	readonly tuning?: Partial<SchedulerTuning>;
+	/** Fields that replace those of each policy's profile. */
+	readonly profile?: Partial<Profile>;
 };
 
 const orders = ['fifo', 'fair', 'shortest-remaining'] as const;
 
+/** Wait from which on nothing is asked of others. */
+const neverMs = 86_400_000;
+
 /** Creates all policies of a run. */
 export function createPolicies(options: PolicyOptions): readonly Policy[] {
-	const group = (name: string, order: Profile['order'], nodeCount: number, tuning: Partial<SchedulerTuning> = {}): Policy => ({
+	const group = (name: string, nodeCount: number, profile: Partial<Profile>, tuning: Partial<SchedulerTuning> = {}): Policy => ({
 		name,
 		createDispatcher: (clock, upstreams) => createSchedulerGroup({
-			clock, upstreams, nodeCount, latencyMs: options.latencyMs, configuration: createConfiguration({order}), tuning: {...options.tuning, ...tuning},
+			clock, upstreams, nodeCount, latencyMs: options.latencyMs, configuration: createConfiguration({...profile, ...options.profile}), tuning: {...options.tuning, ...tuning},
 		}),
 	});
 	return [
 		{name: 'random upstream', createDispatcher: (_clock, upstreams) => createDirectDispatcher(upstreams, chooseRandom)},
 		{name: 'better of two upstreams', createDispatcher: (_clock, upstreams) => createDirectDispatcher(upstreams, chooseBetterOfTwo)},
-		...orders.map(order => group(`one queue, ${order}`, order, 1)),
-		group('2 split, shortest-remaining', 'shortest-remaining', 2, {demandWaitMs: Number.POSITIVE_INFINITY, urgentWaitMs: Number.POSITIVE_INFINITY}),
-		...orders.map(order => group(`2 VMs, ${order}`, order, 2)),
-		group('3 VMs, shortest-remaining', 'shortest-remaining', 3),
-		group('7 VMs, shortest-remaining', 'shortest-remaining', 7),
+		...orders.map(order => group(`one queue, ${order}`, 1, {order})),
+		group('2 split, shortest-remaining', 2, {leaseWaitMs: neverMs}, {demandWaitMs: neverMs}),
+		...orders.map(order => group(`2 VMs, ${order}`, 2, {order})),
+		group('2 VMs, response-first', 2, builtInProfiles['response-first']!),
+		group('2 VMs, message-frugal', 2, builtInProfiles['message-frugal']!),
+		group('3 VMs, shortest-remaining', 3, {}),
+		group('3 VMs, message-frugal', 3, builtInProfiles['message-frugal']!),
+		group('7 VMs, shortest-remaining', 7, {}),
+		group('7 VMs, message-frugal', 7, builtInProfiles['message-frugal']!),
 	];
 }
 
--- a/src/process/scheduler/job-order.ts
+++ b/src/process/scheduler/job-order.ts
@@ -20,7 +20,7 @@
 	readonly isByTeam: boolean;
 	/** Growth of a new job's rank for each millisecond that it arrives later. */
 	readonly rankPerMs: number;
-	/** Difference of rank that is worth moving a slot to another entry VM. */
+	/** Difference of rank that counts as twice as urgent when a slot may move to another entry VM. */
 	readonly leaseMargin: number;
 	/**
 	 * Gets the rank of a job; the smallest runs first.
@@ -32,13 +32,13 @@
 /** Creates the order of a profile. */
 export type JobOrderFactory = (profile: Pick<Profile, 'order' | 'agingMs'>) => JobOrder;
 
-/** Lead in arrival that is worth moving a slot under the order of arrival, in milliseconds. */
+/** Lead in arrival that counts as twice as urgent under the order of arrival, in milliseconds. */
 const fifoLeaseMarginMs = 100;
 
-/** Lead in running tasks that is worth moving a slot under the fair order. */
+/** Lead in running tasks that counts as twice as urgent under the fair order. */
 const fairLeaseMargin = 4;
 
-/** Lead in the binary logarithm of the remaining work that is worth moving a slot. */
+/** Lead in the binary logarithm of the remaining work that counts as twice as urgent. */
 const remainingLeaseMargin = 1;
 
 /** Least remaining work that ranks tell apart, in milliseconds. */
--- a/src/process/scheduler/lease-broker.ts
+++ b/src/process/scheduler/lease-broker.ts
@@ -1,3 +1,4 @@
+import {type Profile} from '../../version/index.js';
 import {type MemberView} from './member-view.js';
 import {DemandBook, type KnownDemand} from './demand-book.js';
 import {type JobOrder} from './job-order.js';
@@ -14,6 +15,7 @@
 	readonly context: SchedulerContext;
 	readonly pool: SlotPool;
 	readonly tuning: SchedulerTuning;
+	readonly getProfile: () => Profile;
 };
 
 /** What waits here for slots. */
@@ -166,7 +168,7 @@
 	 * @param local - What waits here.
 	 */
 	tellDemand(local: LocalDemand): number | undefined {
-		const isUrgent = local.urgentWaitMs >= this.#tuning.urgentWaitMs;
+		const isUrgent = local.urgentWaitMs >= this.#options.getProfile().leaseWaitMs;
 		const isShortWait = local.hasSlots && !isUrgent && local.waitMs < this.#tuning.demandWaitMs;
 		if (!local.next || isShortWait) {
 			return undefined;
@@ -200,7 +202,7 @@
 		const now = this.#context.clock.getMonotonicTime();
 		const {rank} = local.next!;
 		const told = this.#demands.getTold(member, now);
-		const isUrgent = local.urgentWaitMs >= this.#tuning.urgentWaitMs;
+		const isUrgent = local.urgentWaitMs >= this.#options.getProfile().leaseWaitMs;
 		const isMoreUrgent = isUrgent && told && (told.urgentCount <= 0 || rank + this.#getMargin(local.order) < told.rank);
 		if (told && !isMoreUrgent && count <= told.count * demandGrowth) {
 			return told.validUntil;
@@ -255,6 +257,6 @@
 	}
 
 	#getMargin(order: JobOrder): number {
-		return order.leaseMargin * this.#tuning.leaseMarginFactor;
+		return order.leaseMargin * Math.log2(this.#options.getProfile().leaseLead);
 	}
 }
--- a/src/process/scheduler/scheduler-tuning.ts
+++ b/src/process/scheduler/scheduler-tuning.ts
@@ -4,10 +4,6 @@
 	readonly batchMs: number;
 	/** Expected wait for the own slots from which on others are asked for idle ones, in milliseconds. */
 	readonly demandWaitMs: number;
-	/** Expected wait of the most urgent jobs from which on others are asked before less urgent work, in milliseconds. */
-	readonly urgentWaitMs: number;
-	/** Lead in urgency that moves a slot, as a multiple of the order's. */
-	readonly leaseMarginFactor: number;
 	/** Owned slots that are kept free of leases for jobs that arrive. */
 	readonly reservedSlots: number;
 	/** Least number of idle slots leased out at a time. */
@@ -26,8 +22,6 @@
 export const defaultTuning: SchedulerTuning = {
 	batchMs: 10,
 	demandWaitMs: 20,
-	urgentWaitMs: 40,
-	leaseMarginFactor: 2,
 	reservedSlots: 2,
 	minGrant: 3,
 	demandIntervalMs: 20,
--- a/src/process/scheduler/service-scheduler.ts
+++ b/src/process/scheduler/service-scheduler.ts
@@ -101,7 +101,7 @@
 			},
 		}, view);
 		this.#broker = new LeaseBroker({
-			service, context, pool: this.#pool, tuning: options.tuning ?? defaultTuning,
+			service, context, pool: this.#pool, tuning: options.tuning ?? defaultTuning, getProfile: () => this.#profile,
 		}, view);
 		this.#detector = new OutlierDetector({context, getProfile: () => this.#profile, getEntries: () => this.#pool.getEntries()});
 		this.#queue = new JobQueue({order: this.#createOrder(), getWeight: team => options.limits.getWeight(team)});
--- a/src/version/built-in-profiles.ts
+++ b/src/version/built-in-profiles.ts
@@ -13,6 +13,8 @@
 		retryBackoffMs: 5,
 		spillToOtherDataCenters: true,
 		spillWaitMs: 150,
+		leaseLead: 2,
+		leaseWaitMs: 40,
 	}),
 	/** Puts few messages first: seldom tries again, and stays in the data centre. */
 	'message-frugal': profileSchema.parse({
@@ -21,6 +23,8 @@
 		maxTries: 2,
 		retryBackoffMs: 50,
 		spillToOtherDataCenters: false,
+		leaseLead: 8,
+		leaseWaitMs: 80,
 	}),
 };
 
--- a/src/version/configuration.ts
+++ b/src/version/configuration.ts
@@ -29,6 +29,13 @@
 	/** Whether tasks may run in another data centre, and from which expected local wait on. */
 	spillToOtherDataCenters: z.boolean().default(false),
 	spillWaitMs: milliseconds.default(250),
+	/**
+	 * How many times more work must remain in one entry VM's job before a slot moves from it to a more urgent job of
+	 * another. A higher number moves fewer slots, with fewer messages.
+	 */
+	leaseLead: z.number().min(1).max(1000).default(4),
+	/** Expected wait of the most urgent jobs from which on an entry VM asks the others for busy slots. */
+	leaseWaitMs: milliseconds.default(40),
 	/** Whether a caller that disconnects cancels its job. */
 	cancelOnDisconnect: z.boolean().default(false),
 	/** Share of a service's upstreams that may be put aside for failing, in percent. */
--- a/test/process/scheduler/behaviour.test.ts
+++ b/test/process/scheduler/behaviour.test.ts
@@ -142,8 +142,8 @@
 
 test('a more urgent job of the owner gets leased slots back', async t => {
 	const harness = new SchedulerHarness({
-		nodeCount: 2, upstreams, tuning: {
-			reservedSlots: 0, batchMs: 1, urgentWaitMs: 1, demandWaitMs: 1,
+		nodeCount: 2, upstreams, profile: {leaseWaitMs: 1}, tuning: {
+			reservedSlots: 0, batchMs: 1, demandWaitMs: 1,
 		},
 	});
 	const [holder, owner] = harness.nodes;
