Keep a part of the slots, not a number, and idle leases for 100 ms

Cause: two slots kept at each owner are 15% of the slots with seven entry VMs, and idle leases are out of use. Change: 4% of the owned slots are kept, 6% leased out at a time, idle leases go back after 100 ms.

--- a/src/process/scheduler/lease-broker.ts
+++ b/src/process/scheduler/lease-broker.ts
@@ -246,13 +246,15 @@
 	/** Tells whether idle slots are to be leased out: several at a time, and not the last ones. */
 	#isIdleEnough(demand: KnownDemand): boolean {
 		const free = this.#pool.getGrantableSlots();
-		const reserved = demand.isLocal ? this.#tuning.reservedSlots : this.#pool.getOwnedSlots() * this.#tuning.spillReserve;
+		const owned = this.#pool.getOwnedSlots();
+		const reserved = Math.round(owned * (demand.isLocal ? this.#tuning.reservedPart : this.#tuning.spillReserve));
+		const batch = Math.max(Math.round(owned * this.#tuning.grantPart), 1);
 		if (free <= reserved) {
 			this.#isGranting = false;
 			return false;
 		}
 
-		this.#isGranting ||= free >= reserved + Math.min(this.#tuning.minGrant, demand.count);
+		this.#isGranting ||= free >= reserved + Math.min(batch, demand.count);
 		return this.#isGranting;
 	}
 
--- a/src/process/scheduler/scheduler-tuning.ts
+++ b/src/process/scheduler/scheduler-tuning.ts
@@ -4,10 +4,10 @@
 	readonly batchMs: number;
 	/** Expected wait for the own slots from which on others are asked for idle ones, in milliseconds. */
 	readonly demandWaitMs: number;
-	/** Owned slots that are kept free of leases for jobs that arrive. */
-	readonly reservedSlots: number;
-	/** Least number of idle slots leased out at a time. */
-	readonly minGrant: number;
+	/** Part of the owned slots that is kept free of leases for jobs that arrive. */
+	readonly reservedPart: number;
+	/** Part of the owned slots that is leased out at a time when they are idle; at least one slot. */
+	readonly grantPart: number;
 	/** Least time between two demands told to the same member, in milliseconds. */
 	readonly demandIntervalMs: number;
 	/** Time for which a lease without a task is kept, in milliseconds. */
@@ -22,10 +22,10 @@
 export const defaultTuning: SchedulerTuning = {
 	batchMs: 10,
 	demandWaitMs: 20,
-	reservedSlots: 2,
-	minGrant: 3,
+	reservedPart: 0.04,
+	grantPart: 0.06,
 	demandIntervalMs: 20,
-	leaseIdleMs: 200,
+	leaseIdleMs: 100,
 	demandFanOut: 3,
 	spillReserve: 0.25,
 };
--- a/test/process/scheduler/behaviour.test.ts
+++ b/test/process/scheduler/behaviour.test.ts
@@ -102,7 +102,7 @@
 });
 
 test('a leaving upstream gets nothing new, not under a lease either', async t => {
-	const harness = new SchedulerHarness({nodeCount: 2, upstreams, tuning: {reservedSlots: 0, batchMs: 1}});
+	const harness = new SchedulerHarness({nodeCount: 2, upstreams, tuning: {reservedPart: 0, batchMs: 1}});
 	await harness.clock.advance(1000);
 	harness.nodes[0]!.scheduler.addJob(harness.createJob('j', 100));
 	await harness.clock.advance(20);
@@ -123,7 +123,7 @@
 
 test('leases of a dead holder are free once its tasks must have ended, not before', async t => {
 	const harness = new SchedulerHarness({
-		nodeCount: 2, upstreams, profile: {taskTimeoutMs: 3000}, tuning: {reservedSlots: 0, batchMs: 1},
+		nodeCount: 2, upstreams, profile: {taskTimeoutMs: 3000}, tuning: {reservedPart: 0, batchMs: 1},
 	});
 	const [holder, owner] = harness.nodes;
 	await harness.clock.advance(1000);
@@ -143,7 +143,7 @@
 test('a more urgent job of the owner gets leased slots back', async t => {
 	const harness = new SchedulerHarness({
 		nodeCount: 2, upstreams, profile: {leaseWaitMs: 1}, tuning: {
-			reservedSlots: 0, batchMs: 1, demandWaitMs: 1,
+			reservedPart: 0, batchMs: 1, demandWaitMs: 1,
 		},
 	});
 	const [holder, owner] = harness.nodes;
--- a/test/process/scheduler/task-scheduler.test.ts
+++ b/test/process/scheduler/task-scheduler.test.ts
@@ -49,7 +49,7 @@
 
 test('slots of the other entry VM are leased, kept while there is work, and given back', async t => {
 	const upstreams = Array.from({length: 8}, (_, index) => createUpstream(`u${index}`));
-	const harness = new SchedulerHarness({nodeCount: 2, upstreams, tuning: {reservedSlots: 0, batchMs: 1}});
+	const harness = new SchedulerHarness({nodeCount: 2, upstreams, tuning: {reservedPart: 0, batchMs: 1}});
 	const [first, second] = harness.nodes;
 	await harness.clock.advance(1000);
 	const countMessages = (): number => first!.scheduler.getCounters().messages + second!.scheduler.getCounters().messages;
