--- a/src/process/scheduler/job-queue.ts
+++ b/src/process/scheduler/job-queue.ts
@@ -57,7 +57,7 @@
 		part.ready.push(...tasks.toReversed());
 		if (part.heapIndex < 0 && part.ready.length > 0) {
 			part.rank = this.#order.getRank(part.job);
-			this.#getSubQueue(part).heap.addItem(part);
+			this.#addToHeap(part);
 		}
 	}
 
@@ -127,9 +127,7 @@
 	updateRank(job: QueuedJob): void {
 		const rank = this.#order.getRank(job);
 		for (const part of job.parts) {
-			if (part.heapIndex >= 0) {
-				this.#getSubQueue(part).heap.changeRank(part, rank);
-			}
+			part.heap?.changeRank(part, rank);
 		}
 	}
 
@@ -167,10 +165,15 @@
 			part.heapIndex = -1;
 			part.shape = getShape ? getShape(part) : part.shape;
 			part.rank = this.#order.getRank(part.job);
-			this.#getSubQueue(part).heap.addItem(part);
+			this.#addToHeap(part);
 		}
 	}
 
+	#addToHeap(part: JobPart): void {
+		part.heap = this.#getSubQueue(part).heap;
+		part.heap.addItem(part);
+	}
+
 	#getSubQueue(part: JobPart): SubQueue {
 		const {team} = part.job.source;
 		const key = `${part.shape}/${team}`;
@@ -185,14 +188,15 @@
 	}
 
 	#removeFromHeap(part: JobPart): void {
-		if (part.heapIndex < 0) {
+		const {heap} = part;
+		if (!heap) {
 			return;
 		}
 
-		const subQueue = this.#getSubQueue(part);
-		subQueue.heap.removeItem(part);
-		if (subQueue.heap.getSize() === 0) {
-			this.#subQueues.delete(`${part.shape}/${subQueue.team}`);
+		heap.removeItem(part);
+		part.heap = undefined;
+		if (heap.getSize() === 0) {
+			this.#subQueues.delete(`${part.shape}/${part.job.source.team}`);
 		}
 	}
 }
--- a/src/process/scheduler/queued-job.ts
+++ b/src/process/scheduler/queued-job.ts
@@ -1,6 +1,6 @@
 import {type ScheduledJob, type ScheduledTask} from '../task-scheduler.js';
 import {type RankedJob} from './job-order.js';
-import {type HeapItem} from './rank-heap.js';
+import {type HeapItem, type RankHeap} from './rank-heap.js';
 
 /** A task on its way through the scheduler. */
 export type QueuedTask = {
@@ -18,6 +18,8 @@
 	readonly job: QueuedJob;
 	/** Names the set of upstreams that the tasks fit. */
 	shape: string;
+	/** Heap that the part is in. */
+	heap: RankHeap<JobPart> | undefined;
 	/** Tasks that may start, the next one last. */
 	readonly ready: QueuedTask[];
 };
--- a/src/process/scheduler/service-scheduler.ts
+++ b/src/process/scheduler/service-scheduler.ts
@@ -420,7 +420,7 @@
 		for (const task of job.source.tasks) {
 			const shape = this.#shapes.getShape(task.needs);
 			const part = parts.get(shape) ?? {
-				job, shape, ready: [], heapIndex: -1, rank: 0, sequence: job.sequence,
+				job, shape, ready: [], heap: undefined, heapIndex: -1, rank: 0, sequence: job.sequence,
 			};
 			parts.set(shape, part);
 			const queued = {
--- a/test/process/scheduler/properties.test.ts
+++ b/test/process/scheduler/properties.test.ts
@@ -19,7 +19,7 @@
 	};
 	const job = new QueuedJob(source, arrivedAt, index, () => 250);
 	const part: JobPart = {
-		job, shape: 'any', ready: [], heapIndex: -1, rank: 0, sequence: index,
+		job, shape: 'any', ready: [], heap: undefined, heapIndex: -1, rank: 0, sequence: index,
 	};
 	job.parts = [part];
 	return {
