Close connections that fall idle while an entry VM stops

Cause: a stop closed the idle connections once; one whose request came before the stop stayed open with its answer, and held the stop up until its idle time of 30 s. Change: the listener looks again every 20 ms while it closes. History calls that are still open at the end of a run count as hanging, and entry VMs get callers once they are ready.

--- a/src/connection/http-listener.ts
+++ b/src/connection/http-listener.ts
@@ -7,6 +7,7 @@
 } from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
 import {type CallerAnswer, type Header} from '../request/index.js';
+import {type Clock, systemClock} from '../seams/index.js';
 import {parseAddress} from './tcp-transport.js';
 
 /** Takes one request and writes its answer. */
@@ -29,6 +30,7 @@
 	/** Address and port, `127.0.0.1:0` for any free port. */
 	readonly address: string;
 	readonly handler: HttpHandler;
+	readonly clock?: Clock;
 };
 
 /** Counts of an {@link HttpListener}. */
@@ -40,6 +42,8 @@
 	readonly dropped: number;
 };
 
+/** Time between looks for idle connections while the listener closes, in milliseconds. */
+const idleCheckMs = 20;
 const defaultMaxConnections = 10_000;
 const defaultMaxHeaderBytes = 16_384;
 const defaultHeadTimeoutMs = 10_000;
@@ -60,6 +64,7 @@
 /** Listens for HTTP requests. */
 export class HttpListener {
 	readonly #server: Server;
+	readonly #clock: Clock;
 	#address: string;
 	#isStopping = false;
 	#malformed = 0;
@@ -69,6 +74,7 @@
 	/** @internal */
 	constructor(options: HttpListenerOptions) {
 		this.#address = options.address;
+		this.#clock = options.clock ?? systemClock;
 		this.#server = createServer({
 			maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
 			headersTimeout: options.headTimeoutMs ?? defaultHeadTimeoutMs,
@@ -130,12 +136,17 @@
 	/** Stops listening, lets the requests in progress end and closes all connections. */
 	async close(): Promise<void> {
 		this.#isStopping = true;
+		// A connection whose request came before the stop is idle only once that request is answered.
+		const timer = this.#clock.setRepeatingTimer(() => {
+			this.#server.closeIdleConnections();
+		}, idleCheckMs);
 		await new Promise<void>(resolve => {
 			this.#server.close(() => {
 				resolve();
 			});
 			this.#server.closeIdleConnections();
 		});
+		timer.close();
 	}
 
 	/** Closes all connections at once, as when the process dies. */
--- a/src/lab/call-history.ts
+++ b/src/lab/call-history.ts
@@ -40,6 +40,11 @@
 		this.#requests.set(request, description);
 	}
 
+	/** Ends the record of calls; those that are still open then count as hanging. */
+	close(): void {
+		this.#calls.clear();
+	}
+
 	/** @internal */
 	submitted(observed: ObservedCall): void {
 		const call = this.#history.getNextCall();
@@ -58,7 +63,11 @@
 
 	/** @internal */
 	ended(observed: ObservedCall, result: CallResult): void {
-		const call = this.#calls.get(observed)!;
+		const call = this.#calls.get(observed);
+		if (call === undefined) {
+			return;
+		}
+
 		this.#calls.delete(observed);
 		const time = this.#clock.getMonotonicTime();
 		if (result.kind === 'answered') {
--- a/test/history/history-run.ts
+++ b/test/history/history-run.ts
@@ -40,6 +40,7 @@
 const leavingBoundMs = 2000;
 const settleMs = 20_000;
 const versionPollMs = 20;
+const readinessPollMs = 10;
 const clock = systemClock;
 const service = 'demo';
 
@@ -94,6 +95,7 @@
 		const startedAt = clock.getMonotonicTime();
 		const [work] = await Promise.all([this.#submitAll(startedAt + durationMs), this.#causeFaults(faults, startedAt)]);
 		await this.#settle(work);
+		this.#calls.close();
 		watching.abort();
 		await versions;
 		this.#addUpstreamRecords();
@@ -132,6 +134,10 @@
 		});
 		this.#vms.set(entryVm.getCallerAddress(), vm);
 		this.#peerFaults.setAddress(entryVm.getPeerAddress(), vm);
+		while (!entryVm.isReady()) {
+			await sleep(clock, readinessPollMs);
+		}
+
 		this.#setBalanced([...this.#balanced, entryVm.getCallerAddress()]);
 	}
 
@@ -190,6 +196,7 @@
 		await this.#caller.cancelJob(id);
 	}
 
+	/** Causes the faults; one that does not end in time is left to the checker, by the calls that it holds up. */
 	async #causeFaults(faults: readonly Fault[], startedAt: number): Promise<void> {
 		const runFaults = new RunFaults({
 			clock,
