--- a/test/history/history-run.ts
+++ b/test/history/history-run.ts
@@ -41,6 +41,9 @@
 const settleMs = 20_000;
 const versionPollMs = 20;
 const readinessPollMs = 10;
+/** Odd factor that spreads neighbouring seeds over all bits. */
+const seedFactor = 0x9E_37_79_B1;
+const skippedNumbers = 32;
 const clock = systemClock;
 const service = 'demo';
 
@@ -83,7 +86,7 @@
 
 	constructor(options: HistoryRunOptions) {
 		this.#options = options;
-		this.#random = createSeededRandom(options.seed);
+		this.#random = createMixedRandom(options.seed);
 	}
 
 	async run(): Promise<HistoryRunResult> {
@@ -258,6 +261,16 @@
 	}
 }
 
+/** Creates a source whose first numbers differ between neighbouring seeds. */
+function createMixedRandom(seed: number): Random {
+	const random = createSeededRandom(Math.imul(seed, seedFactor));
+	for (let skipped = 0; skipped < skippedNumbers; skipped++) {
+		random.getFloat();
+	}
+
+	return random;
+}
+
 /**
  * Runs a deployment and checks its record.
  * @param options - Seed, length and faults.
