Leave time for the hand-over after the stop's limit

Cause: the daemon ended itself at the same moment at which a graceful stop gives up waiting for jobs, so that the records were never handed over in that case. Change: 15 s more before the process ends itself. Measured: by reading; the test of the exit code passes.

--- a/src/daemon/run-daemon.ts
+++ b/src/daemon/run-daemon.ts
@@ -47,6 +47,9 @@
 	readonly host?: DaemonHost;
 };
 
+/** Time beyond the stop's limit for handing the records over and closing. */
+const handOverAllowanceMs = 15_000;
+
 const stopSignals = ['SIGTERM', 'SIGINT'] as const;
 
 /** The running process. */
@@ -153,7 +156,7 @@
 	const timer = host.clock.setTimer(() => {
 		log.error({stopTimeoutMs: settings.stopTimeoutMs}, 'stop took too long');
 		host.exit(exitCodes.stopTimeout);
-	}, settings.stopTimeoutMs);
+	}, settings.stopTimeoutMs + handOverAllowanceMs);
 	try {
 		await service.close();
 		log.info('stopped');
