Refuse a change that entry VMs would refuse, before it is written

The place of every declaration was searched while looking for duplicates, which is quadratic: a test with 20,000 teams held the loop for seconds, so that another test of the same file ran into the time limit of apply. Change: the new version is checked as entry VMs check it; places are searched for duplicates only.

--- a/src/cli/change-flow.ts
+++ b/src/cli/change-flow.ts
@@ -10,11 +10,11 @@
 import {type ChangeOutcome, ConfigurationStore, type StoredConfiguration} from './configuration-store.js';
 import {type ExitCode, exitCodes} from './exit-codes.js';
 import {formatChanges} from './format-changes.js';
-import {openOperatorClient, type OperatorClient} from './operator-client.js';
+import {openOperatorClient} from './operator-client.js';
 import {
 	type CommandResult, describeVersion, getVersionSummary, printResult,
 } from './output.js';
-import {waitForResult} from './wait-result.js';
+import {waitForResult, type WaitParts} from './wait-result.js';
 
 /** Flags of commands that change the configuration. */
 export type ChangeFlags = PlatformFlags & OperatorFlags & JsonFlag & {
@@ -34,12 +34,8 @@
 	readonly defaultMessage: string;
 };
 
-type ChangeParts = {
-	readonly host: CliHost;
+type ChangeParts = WaitParts & {
 	readonly flags: ChangeFlags;
-	readonly opened: OpenedPlatform;
-	readonly store: ConfigurationStore;
-	readonly client: OperatorClient;
 };
 
 const defaultWaitMs = 10_000;
@@ -89,7 +85,7 @@
 	}
 
 	if (flags.dryRun) {
-		return printResult(host, flags.json, createDryRunResult(wanted, changes));
+		return printResult(host, flags.json, createDryRunResult(flags, wanted, changes));
 	}
 
 	const client = await openOperatorClient(flags, host);
@@ -100,7 +96,8 @@
 	const parts: ChangeParts = {
 		host, flags, opened, client, store: createStore(host, opened),
 	};
-	const result = changes.length === 0 ? await waitUnchanged(parts, wanted) : await writeAndWait(parts, wanted, changes);
+	const isNew = changes.length > 0 || getNextVersion(flags, wanted) > wanted.base.configuration.version + 1;
+	const result = isNew ? await writeAndWait(parts, wanted, changes) : await waitUnchanged(parts, wanted);
 	await client.close();
 	return printResult(host, flags.json, result);
 }
@@ -117,12 +114,16 @@
 	};
 }
 
-function createDryRunResult({base}: WantedChange, changes: readonly unknown[]): CommandResult {
-	const {version} = base.configuration;
+function getNextVersion({minVersion = 0}: ChangeFlags, {base}: WantedChange): number {
+	return Math.max(base.configuration.version + 1, minVersion);
+}
+
+function createDryRunResult(flags: ChangeFlags, wanted: WantedChange, changes: readonly unknown[]): CommandResult {
+	const {version} = wanted.base.configuration;
 	return {
 		exitCode: exitCodes.success,
 		json: {outcome: 'dry-run', version, changes},
-		text: changes.length === 0 ? `no difference from version ${version}` : `dry run: this would become version ${version + 1}`,
+		text: changes.length === 0 ? `no difference from version ${version}` : `dry run: this would become version ${getNextVersion(flags, wanted)}`,
 	};
 }
 
@@ -138,7 +139,7 @@
 		declarations: wanted.declarations,
 		author: getFlagOrVariable(flags.author, 'ENDIVEMILL_AUTHOR', host) ?? host.userName,
 		message: flags.message ?? wanted.defaultMessage,
-		minVersion: flags.minVersion,
+		version: getNextVersion(flags, wanted),
 	});
 	if (outcome.kind !== 'accepted') {
 		return createOutcomeResult(outcome, wanted);
@@ -166,6 +167,14 @@
 			};
 		}
 
+		case 'invalid': {
+			return {
+				exitCode: exitCodes.invalid,
+				json: {outcome: 'invalid', detail: outcome.detail},
+				error: `nothing was written: ${outcome.detail}`,
+			};
+		}
+
 		case 'unavailable': {
 			return {
 				exitCode: exitCodes.unavailable,
--- a/src/cli/configuration-store.ts
+++ b/src/cli/configuration-store.ts
@@ -9,7 +9,7 @@
 	Backoff, type Clock, type Random, sleep, systemClock, systemRandom,
 } from '../seams/index.js';
 import {
-	type Configuration, type Declarations, emptyConfiguration, parseStoredConfiguration,
+	type Configuration, type Declarations, emptyConfiguration, parseConfiguration, parseStoredConfiguration,
 } from '../version/index.js';
 
 /** Options of a {@link ConfigurationStore}. */
@@ -37,8 +37,8 @@
 	readonly declarations: Declarations;
 	readonly author: string;
 	readonly message: string;
-	/** Lowest number of the new version; for a store that has lost versions. */
-	readonly minVersion?: number;
+	/** Number of the new version; one above the base when absent. */
+	readonly version?: number;
 };
 
 /** What became of a change. */
@@ -48,6 +48,8 @@
 	| {readonly kind: 'replaced'; readonly configuration: Configuration; readonly current: Configuration}
 	/** Another change of the same version was accepted first; nothing was written. */
 	| {readonly kind: 'refused'; readonly current: Configuration}
+	/** The change is not valid, or the value too long; nothing was written. */
+	| {readonly kind: 'invalid'; readonly detail: string}
 	/** Proven that nothing was written. */
 	| {readonly kind: 'unavailable'; readonly detail: string}
 	/** The answer was lost, and the outcome could not be settled in time. */
@@ -104,21 +106,21 @@
 	 * @param change - Change to write.
 	 */
 	async applyChange(change: ConfigurationChange): Promise<ChangeOutcome> {
-		const {base, declarations, author, message, minVersion = 0} = change;
+		const {base, declarations, author, message, version = base.configuration.version + 1} = change;
+		const configuration: Configuration = {
+			version, changeId: this.#random.getHex(changeIdBytes), author, message, changedAt: this.#clock.getTime(), declarations,
+		};
+		const checked = parseConfiguration(configuration);
+		if (!checked.ok) {
+			return {kind: 'invalid', detail: checked.detail};
+		}
+
 		const deadline = this.#clock.getMonotonicTime() + this.#settleMs;
 		const fault = await this.#keepVersion(base, deadline);
 		if (fault) {
 			return {kind: 'unavailable', detail: `version ${base.configuration.version} could not be kept in the history: ${fault.detail}`};
 		}
 
-		const configuration: Configuration = {
-			version: Math.max(base.configuration.version + 1, minVersion),
-			changeId: this.#random.getHex(changeIdBytes),
-			author,
-			message,
-			changedAt: this.#clock.getTime(),
-			declarations,
-		};
 		return this.#write(configuration, base.modRevision, deadline);
 	}
 
@@ -141,8 +143,7 @@
 			}
 
 			if (!shouldRetry(result) || this.#clock.getMonotonicTime() >= deadline) {
-				const {changeId} = configuration;
-				return isMaybeWritten ? {kind: 'unknown', changeId, detail: result.detail} : {kind: 'unavailable', detail: result.detail};
+				return isMaybeWritten ? {kind: 'unknown', changeId: configuration.changeId, detail: result.detail} : toOutcome(result);
 			}
 
 			await sleep(this.#clock, backoff.getNextDelay());
@@ -231,6 +232,10 @@
 	}
 }
 
+function toOutcome({reason, detail}: PlatformFault): ChangeOutcome {
+	return {kind: reason === 'invalid' ? 'invalid' : 'unavailable', detail};
+}
+
 function shouldRetry({reason}: PlatformFault): boolean {
 	return reason !== 'invalid' && reason !== 'closed';
 }
--- a/src/version/parse-declarations.ts
+++ b/src/version/parse-declarations.ts
@@ -94,17 +94,15 @@
 
 function findDuplicates(files: readonly DeclarationFile[]): readonly DeclarationFault[] {
 	const faults: DeclarationFault[] = [];
-	const firstPlaces = new Map<string, DeclarationFault>();
+	const firstFiles = new Map<string, DeclarationFile>();
 	for (const file of files) {
-		for (const section of sections) {
-			for (const name of Object.keys(file.getDeclarations()?.[section] ?? {})) {
-				const place = file.createFault([section, name], `'${name}' is declared twice in ${section}`, '', true);
-				const first = firstPlaces.get(`${section}/${name}`);
-				if (first) {
-					faults.push({...place, hint: `the other is at ${first.file}:${first.line}`});
-				} else {
-					firstPlaces.set(`${section}/${name}`, place);
-				}
+		for (const [section, name] of getDeclaredNames(file)) {
+			const key = `${section}/${name}`;
+			const first = firstFiles.get(key);
+			if (first) {
+				faults.push(createDuplicateFault(file, first, section, name));
+			} else {
+				firstFiles.set(key, file);
 			}
 		}
 	}
@@ -112,6 +110,15 @@
 	return faults;
 }
 
+function getDeclaredNames(file: DeclarationFile): ReadonlyArray<readonly [section: Section, name: string]> {
+	return sections.flatMap(section => Object.keys(file.getDeclarations()?.[section] ?? {}).map(name => [section, name] as const));
+}
+
+function createDuplicateFault(file: DeclarationFile, first: DeclarationFile, section: Section, name: string): DeclarationFault {
+	const other = first.createFault([section, name], '', '', true);
+	return file.createFault([section, name], `'${name}' is declared twice in ${section}`, `the other is at ${other.file}:${other.line}`, true);
+}
+
 function findUnknownNames(files: readonly DeclarationFile[], merged: Declarations): readonly DeclarationFault[] {
 	const profiles = {...builtInProfiles, ...merged.profiles};
 	return files.flatMap(file => {
