--- a/src/connection/http-listener.ts
+++ b/src/connection/http-listener.ts
@@ -3,11 +3,14 @@
  */
 import {Buffer} from 'node:buffer';
 import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
+	createServer, type IncomingMessage, type RequestListener, type Server, type ServerOptions, type ServerResponse,
 } from 'node:http';
+import {createServer as createTlsServer} from 'node:https';
 import {type AddressInfo, type Socket} from 'node:net';
 import {type CallerAnswer, type Header} from '../request/index.js';
+import {type Clock, systemClock} from '../seams/index.js';
 import {parseAddress} from './tcp-transport.js';
+import {minTlsVersion, type TlsMaterial, type TlsStore} from './tls-store.js';
 
 /** Takes one request and writes its answer. */
 export type HttpHandler = (req: IncomingMessage, res: ServerResponse) => void;
@@ -29,6 +32,11 @@
 	/** Address and port, `127.0.0.1:0` for any free port. */
 	readonly address: string;
 	readonly handler: HttpHandler;
+	/** Material for TLS; absent: plain HTTP. */
+	readonly tls?: TlsStore;
+	/** Whether a connection without a valid certificate is refused where the material names authorities; default true. */
+	readonly needsCertificate?: boolean;
+	readonly clock?: Clock;
 };
 
 /** Counts of an {@link HttpListener}. */
@@ -40,6 +48,8 @@
 	readonly dropped: number;
 };
 
+/** Time between looks for idle connections while the listener closes, in milliseconds. */
+const idleCheckMs = 20;
 const defaultMaxConnections = 10_000;
 const defaultMaxHeaderBytes = 16_384;
 const defaultHeadTimeoutMs = 10_000;
@@ -60,6 +70,7 @@
 /** Listens for HTTP requests. */
 export class HttpListener {
 	readonly #server: Server;
+	readonly #clock: Clock;
 	#address: string;
 	#isStopping = false;
 	#malformed = 0;
@@ -69,7 +80,8 @@
 	/** @internal */
 	constructor(options: HttpListenerOptions) {
 		this.#address = options.address;
-		this.#server = createServer({
+		this.#clock = options.clock ?? systemClock;
+		this.#server = createHttpServer(options, {
 			maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
 			headersTimeout: options.headTimeoutMs ?? defaultHeadTimeoutMs,
 			requestTimeout: options.requestTimeoutMs ?? defaultRequestTimeoutMs,
@@ -130,12 +142,17 @@
 	/** Stops listening, lets the requests in progress end and closes all connections. */
 	async close(): Promise<void> {
 		this.#isStopping = true;
+		// A connection whose request came before the stop is idle only once that request is answered.
+		const timer = this.#clock.setRepeatingTimer(() => {
+			this.#server.closeIdleConnections();
+		}, idleCheckMs);
 		await new Promise<void>(resolve => {
 			this.#server.close(() => {
 				resolve();
 			});
 			this.#server.closeIdleConnections();
 		});
+		timer.close();
 	}
 
 	/** Closes all connections at once, as when the process dies. */
@@ -186,12 +203,37 @@
 	}
 }
 
+function createHttpServer({tls, needsCertificate = true}: HttpListenerOptions, serverOptions: ServerOptions, handler: RequestListener): Server {
+	if (tls === undefined) {
+		return createServer(serverOptions, handler);
+	}
+
+	const server = createTlsServer({
+		...serverOptions,
+		...tls.getMaterial(),
+		minVersion: minTlsVersion,
+		handshakeTimeout: serverOptions.headersTimeout,
+		requestCert: tls.hasAuthorities,
+		rejectUnauthorized: tls.hasAuthorities && needsCertificate,
+	}, handler);
+	const setContext = (material: TlsMaterial): void => {
+		server.setSecureContext({...material, minVersion: minTlsVersion});
+	};
+
+	tls.addListener(setContext);
+	server.once('close', () => {
+		tls.removeListener(setContext);
+	});
+	return server;
+}
+
 function formatAddress({address, port, family}: AddressInfo): string {
 	return family === 'IPv6' ? `[${address}]:${port}` : `${address}:${port}`;
 }
 
 function answerMalformed(err: NodeJS.ErrnoException, socket: Socket): void {
-	if (err.code === 'ECONNRESET' || !socket.writable) {
+	const isHttpFault = err.code?.startsWith('HPE_') === true || err.code?.startsWith('ERR_HTTP_') === true;
+	if (!isHttpFault || !socket.writable) {
 		socket.destroy();
 		return;
 	}
--- a/src/process/create-entry-vm.ts
+++ b/src/process/create-entry-vm.ts
@@ -3,7 +3,7 @@
  */
 import {type Subscription} from 'most';
 import {
-	createHttpListener, createPeerMesh, createUpstreamClient, type PeerMesh,
+	createHttpListener, createPeerMesh, createTlsDial, createTlsListen, createUpstreamClient, type PeerMesh,
 } from '../connection/index.js';
 import {sleep, systemClock, systemRandom} from '../seams/index.js';
 import {CallerApi} from './caller-api.js';
@@ -19,6 +19,8 @@
 import {getSuccessors, HandOverReceiver, handOverTopic} from './hand-over.js';
 import {JobRouter, jobTopic} from './job-router.js';
 import {JobRunner} from './job-runner.js';
+import {createMetrics} from './metrics/index.js';
+import {createOperatorAccess} from './operator-access.js';
 import {OperatorApi} from './operator-api.js';
 import {PeerInbox} from './peer-inbox.js';
 import {configurationTopic, PeerSync, vmListTopic} from './peer-sync.js';
@@ -37,7 +39,7 @@
 const maxOperatorConnections = 256;
 
 /** The parts that need no link to another process. */
-type BaseParts = Pick<EntryVmParts, 'state' | 'clock' | 'random' | 'self' | 'events' | 'configuration' | 'vmList' | 'inbox'>;
+type BaseParts = Pick<EntryVmParts, 'state' | 'clock' | 'random' | 'self' | 'events' | 'configuration' | 'vmList' | 'inbox' | 'metrics'>;
 
 /** The parts that link this process to others. */
 type NetworkParts = Pick<EntryVmParts, 'sync' | 'mesh' | 'scheduler' | 'upstreamClient'>;
@@ -74,6 +76,7 @@
 		configuration: createConfigurationFollower(followerOptions),
 		vmList: createVmListFollower(followerOptions),
 		inbox: new PeerInbox(),
+		metrics: createMetrics(),
 	};
 }
 
@@ -103,7 +106,9 @@
 
 async function createMesh(options: EntryVmOptions, base: BaseParts, sync: PeerSync, onPause: () => void): Promise<PeerMesh> {
 	const {state, clock, random, self, events, configuration, vmList, inbox} = base;
+	const peerTls = options.tls?.peer;
 	return createPeerMesh({
+		...(peerTls === undefined ? undefined : {dial: createTlsDial(peerTls), listen: createTlsListen(peerTls)}),
 		...options.mesh,
 		clock,
 		random,
@@ -139,7 +144,7 @@
 }
 
 function createJobParts(options: EntryVmOptions, linked: BaseParts & NetworkParts): EntryVmParts {
-	const {state, clock, random, self, events, configuration, sync, mesh, scheduler, upstreamClient} = linked;
+	const {state, clock, random, self, events, configuration, metrics, sync, mesh, scheduler, upstreamClient} = linked;
 	const {limits = {}, periodMs = defaultPeriodMs} = options;
 	const runner = new JobRunner({
 		clock,
@@ -149,6 +154,9 @@
 		getConfiguration: () => configuration.getConfiguration(),
 		maxAnswerBytes: limits.maxJobAnswerBytes ?? defaultMaxJobAnswerBytes,
 		maxJobsInFlight: limits.maxJobsInFlight ?? defaultMaxJobsInFlight,
+		onJobEnded(job, answer, service) {
+			metrics.addJob(service, answer, job.getTimes());
+		},
 	});
 	const coordinator = new Coordinator({
 		clock, random, events, incarnation: self, runner, periodMs, records: limits.records,
@@ -208,16 +216,24 @@
 }
 
 async function createListeners(options: EntryVmOptions, parts: EntryVmParts, startDrain: () => void): Promise<EntryVmListeners> {
-	const {callerApi, events} = parts;
+	const {callerApi, events, metrics} = parts;
 	const operatorApi = new OperatorApi({
 		events,
 		isReady: () => isEntryVmReady(parts),
 		getStatus: () => getEntryVmStatus(parts),
-		getMetrics: async () => ({contentType: 'text/plain', text: ''}),
+		getMetrics: async () => metrics.getText({
+			status: getEntryVmStatus(parts),
+			platformCalls: options.platform.getCallCount(),
+			callerHttp: caller.getCounters(),
+			operatorHttp: operator.getCounters(),
+		}),
 		startDrain,
+		isAllowed: createOperatorAccess({token: options.operatorToken, takesCertificates: options.tls?.operator?.hasAuthorities}),
 	});
 	const operator = await createHttpListener({
 		address: options.operatorAddress,
+		tls: options.tls?.operator,
+		needsCertificate: false,
 		maxConnections: maxOperatorConnections,
 		handler(req, res) {
 			void operatorApi.handleRequest(req, res);
@@ -226,6 +242,7 @@
 	const caller = await createHttpListener({
 		...options.limits?.http,
 		address: options.callerAddress,
+		tls: options.tls?.caller,
 		handler(req, res) {
 			void callerApi.handleRequest(req, res);
 		},
