--- a/test/connection/far-peers.test.ts
+++ b/test/connection/far-peers.test.ts
@@ -1,7 +1,9 @@
 import test from 'ava';
 import {type Member, type PeerMesh, type PeerMeshOptions} from '../../src/connection/index.js';
 import {FaultyNetwork} from './faulty-network.js';
-import {createTestMesh, type TestContext, waitForMembers} from './test-mesh.js';
+import {
+	createTestMesh, type TestContext, waitForMembers, waitUntil,
+} from './test-mesh.js';
 
 const dataCenters = ['kolkata', 'shanti', 'siliguri'];
 
@@ -90,3 +92,11 @@
 	await Promise.all(sites.map(async ({mesh}) => waitForMembers(mesh, members => countMembers(members, 'up') === 8)));
 	t.pass();
 });
+
+test('links to another data centre that are not planned are closed', async t => {
+	const sites = await createSites(t, {connectTimeoutMs: 10_000});
+	const nearLinkCount = 3 * 3;
+	const farLinkCount = 3 * 2;
+	await waitUntil(() => sites.flatMap(({network}) => network.sockets).filter(({destroyed}) => !destroyed).length === nearLinkCount + farLinkCount);
+	t.true(sites.every(({mesh}) => countMembers(mesh.getMembers(), 'up') === 8));
+});
--- a/test/connection/peer-faults.test.ts
+++ b/test/connection/peer-faults.test.ts
@@ -148,3 +148,15 @@
 	await waitUntil(() => received.length === 1);
 	t.deepEqual(received, ['small']);
 });
+
+test('a member that is down and not in the list is forgotten, and a listed one is not', async t => {
+	const listed = await createTestMesh(t, 'a');
+	const unlisted = await createTestMesh(t, 'b');
+	const watcher = await createTestMesh(t, 'c', {
+		seeds: [unlisted.getAddress()], entryVms: createList(['kolkata', 'a', listed.getAddress()]), forgetMs: 50,
+	});
+	await waitForMembers(watcher, members => members.filter(({state}) => state === 'up').length === 2);
+	await Promise.all([listed.close(), unlisted.close()]);
+	await waitForMembers(watcher, members => members.length === 1 && members[0]!.state === 'down');
+	t.is(watcher.getMembers()[0]?.incarnation.id, 'a-1');
+});
--- a/test/connection/peer-handshake.test.ts
+++ b/test/connection/peer-handshake.test.ts
@@ -4,7 +4,7 @@
 import {encodeFrame} from '../../src/connection/frame-codec.js';
 import {type LinkFault, type PeerMesh} from '../../src/connection/index.js';
 import {EventLog} from '../../src/process/events.js';
-import {connectPeer, connectRaw} from './raw-peer.js';
+import {connectPeer, connectRaw, listenForPeers} from './raw-peer.js';
 import {createTestMesh, waitForState, waitUntil} from './test-mesh.js';
 
 /** Two linked entry VMs, of which the first is attacked and the second must notice nothing. */
@@ -156,3 +156,11 @@
 
 	t.is(count, 1);
 });
+
+test('of two links, the one made by the lower incarnation stays', async t => {
+	const mesh = await createTestMesh(t, 'm', {seeds: [await listenForPeers(t)], silentBeats: 1_000_000, downBeats: 2_000_000});
+	await waitForState(mesh, 'raw-1', 'up');
+	const {result} = await connectPeer(mesh.getAddress(), 'control');
+	t.like(result, {ok: false, reason: 'duplicate', wasToldByPeer: true});
+	t.is(mesh.getMembers()[0]?.state, 'up');
+});
--- a/test/connection/peer-mesh.test.ts
+++ b/test/connection/peer-mesh.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {type Dial} from '../../src/connection/index.js';
 import {CurrentValue} from '../../src/process/current-value.js';
+import {EventLog} from '../../src/process/events.js';
 import {type ListedEntryVm} from '../../src/platform/index.js';
 import {FaultyNetwork} from './faulty-network.js';
 import {
@@ -86,3 +87,28 @@
 	await waitUntil(() => second.getTraffic().control.messagesReceived > messagesReceived + 20);
 	t.is(network.sockets.length, 1);
 });
+
+test('logical time goes with control messages, requests and answers', async t => {
+	const logs = ['a', 'b'].map(process => new EventLog({process}));
+	let isReceived = false;
+	const first = await createTestMesh(t, 'a', {
+		events: logs[0],
+		beatMs: 60_000,
+		onControl() {
+			isReceived = true;
+		},
+		async onRequest() {
+			logs[0]!.observeLogicalTime(3000);
+			return logs[0]!.getLogicalTime();
+		},
+	});
+	const second = await createTestMesh(t, 'b', {events: logs[1], beatMs: 60_000, seeds: [first.getAddress()]});
+	await waitForState(second, 'a-1', 'up');
+	logs[1]!.observeLogicalTime(1000);
+	second.sendControl('a-1', {topic: 'x', body: 1});
+	await waitUntil(() => isReceived);
+	t.is(logs[0]!.getLogicalTime(), 1000);
+	logs[1]!.observeLogicalTime(2000);
+	t.like(await second.request('a-1', {topic: 'x', body: 1}), {kind: 'answered', body: 3000});
+	t.is(logs[1]!.getLogicalTime(), 3000);
+});
--- a/test/connection/raw-peer.ts
+++ b/test/connection/raw-peer.ts
@@ -1,11 +1,15 @@
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
+import {type Duplex} from 'node:stream';
 import {FrameConnection} from '../../src/connection/frame-connection.js';
 import {Handshake, type HandshakeOptions, type HandshakeResult} from '../../src/connection/handshake.js';
 import {type ConnectionKind} from '../../src/connection/handshake-messages.js';
-import {parseAddress} from '../../src/connection/index.js';
+import {listenTcp, parseAddress} from '../../src/connection/index.js';
 import {TrafficCounter} from '../../src/connection/traffic.js';
 import {systemClock, systemRandom} from '../../src/seams/index.js';
+import {type TestContext} from './test-mesh.js';
+
+type RawConnection = {readonly connection: FrameConnection; readonly result: HandshakeResult};
 
 /** Connects to an entry VM without a handshake. */
 export async function connectRaw(address: string): Promise<Socket> {
@@ -16,9 +20,32 @@
 }
 
 /** Connects to an entry VM with a handshake of the test's making. */
-export async function connectPeer(address: string, kind: ConnectionKind, options: Partial<HandshakeOptions> = {}): Promise<{readonly connection: FrameConnection; readonly result: HandshakeResult}> {
+export async function connectPeer(address: string, kind: ConnectionKind, options: Partial<HandshakeOptions> = {}): Promise<RawConnection> {
+	const {connection, handshake} = startHandshake(await connectRaw(address), options);
+	const result = await handshake.dial({kind, getObjection: () => undefined, getLastLinkId: () => ''});
+	return {connection, result};
+}
+
+/** Listens for entry VMs with a handshake of the test's making. */
+export async function listenForPeers(t: TestContext): Promise<string> {
+	const connections: FrameConnection[] = [];
+	const listener = await listenTcp('127.0.0.1:0', socket => {
+		const {connection, handshake} = startHandshake(socket, {});
+		connections.push(connection);
+		void handshake.accept({getObjection: () => undefined});
+	});
+	t.teardown(async () => {
+		await listener.close();
+		for (const connection of connections) {
+			connection.close();
+		}
+	});
+	return listener.address;
+}
+
+function startHandshake(socket: Duplex, options: Partial<HandshakeOptions>): {readonly connection: FrameConnection; readonly handshake: Handshake} {
 	const connection = new FrameConnection({
-		clock: systemClock, socket: await connectRaw(address), traffic: new TrafficCounter(), maxFrameBytes: 1_000_000, onFault: () => undefined,
+		clock: systemClock, socket, traffic: new TrafficCounter(), maxFrameBytes: 1_000_000, onFault: () => undefined,
 	});
 	const handshake = new Handshake(connection, {
 		clock: systemClock,
@@ -30,6 +57,5 @@
 		timeoutMs: 5000,
 		...options,
 	});
-	const result = await handshake.dial({kind, getObjection: () => undefined, getLastLinkId: () => ''});
-	return {connection, result};
+	return {connection, handshake};
 }
