--- a/src/cli/cli-host.ts
+++ b/src/cli/cli-host.ts
@@ -14,12 +14,15 @@
 	readonly env: Readonly<Record<string, string | undefined>>;
 	readonly clock: Clock;
 	readonly random: Random;
-	/** Whether standard output is a terminal, which takes colours. */
+	/** Whether standard output is a terminal that takes colours. */
 	readonly isTerminal: boolean;
 	/** Name of the user, the default author of a change. */
 	readonly userName: string;
 	writeOut(text: string): void;
 	writeErr(text: string): void;
+
+	/** Waits until the user interrupts the process. */
+	waitForStop(): Promise<void>;
 };
 
 /** Adds a command to the program. */
@@ -37,12 +40,14 @@
 	setAction<Options>(command: Command, run: (options: Options, args: readonly string[]) => Promise<ExitCode>): void;
 };
 
+const stopSignals = ['SIGINT', 'SIGTERM'] as const;
+
 /** The running process. */
 export const processHost: CliHost = {
 	env: process.env,
 	clock: systemClock,
 	random: systemRandom,
-	isTerminal: process.stdout.isTTY,
+	isTerminal: process.stdout.isTTY && !process.env.NO_COLOR,
 	userName: getUserName(),
 	writeOut(text) {
 		process.stdout.write(text);
@@ -50,6 +55,15 @@
 	writeErr(text) {
 		process.stderr.write(text);
 	},
+	async waitForStop() {
+		await new Promise<void>(resolve => {
+			for (const signal of stopSignals) {
+				process.once(signal, () => {
+					resolve();
+				});
+			}
+		});
+	},
 };
 
 function getUserName(): string {
