--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 	dispatch: async () => import('./dispatch.js'),
 	platform: async () => import('./platform.js'),
 	recovery: async () => import('./recovery.js'),
+	policy: async () => import('./policy.js'),
 	'hand-over': async () => import('./hand-over.js'),
 };
 
