--- a/src/process/coordinator-directory.ts
+++ b/src/process/coordinator-directory.ts
@@ -12,8 +12,8 @@
 	| {readonly kind: 'self'}
 	| {readonly kind: 'adopted'; readonly records: AdoptedRecords}
 	| {readonly kind: 'member'; readonly member: Member}
-	/** Known, but not reachable at present. */
-	| {readonly kind: 'unreachable'}
+	/** Not reachable at present. */
+	| {readonly kind: 'unreachable'; readonly isKnown: boolean}
 	/** Nobody has its records. */
 	| {readonly kind: 'lost'};
 
@@ -148,10 +148,11 @@
 		const answererId = await this.#askPeers(token);
 		if (answererId !== undefined) {
 			this.addSuccession(token.incarnationId, answererId);
-			return this.#getKnownPlace(token.incarnationId) ?? {kind: 'unreachable'};
+			return this.#getKnownPlace(token.incarnationId) ?? {kind: 'unreachable', isKnown: true};
 		}
 
-		return this.#getMissingPlace(token);
+		// It may have joined while the peers were asked.
+		return this.#getKnownPlace(token.incarnationId) ?? this.#getMissingPlace(token);
 	}
 
 	/** Gets the place as far as it is known here, following the hand-overs. */
@@ -189,7 +190,7 @@
 		const isDataCenterSeen = members.some(({incarnation, state}) => incarnation.dataCenter === token.dataCenter && state === 'up');
 		const isKnown = members.some(({incarnation}) => incarnation.id === token.incarnationId);
 		if (isKnown || !isDataCenterSeen) {
-			return {kind: 'unreachable'};
+			return {kind: 'unreachable', isKnown};
 		}
 
 		this.#addLost(token.incarnationId);
--- a/src/process/job-router.ts
+++ b/src/process/job-router.ts
@@ -29,6 +29,8 @@
 	readonly isStopping: () => boolean;
 	/** Time for which a link that broke is tried again, in milliseconds. */
 	readonly retryWindowMs?: number;
+	/** Time for which an entry VM that nobody knows may still turn up, in milliseconds. */
+	readonly joinWindowMs?: number;
 };
 
 /** How a caller wants to be served. */
@@ -48,6 +50,7 @@
 type RemoteResult = {readonly isFinal: true; readonly answer: CallerAnswer} | {readonly isFinal: false; readonly wasSent: boolean};
 
 const defaultRetryWindowMs = 3000;
+const defaultJoinWindowMs = 1000;
 const retryPauseMs = 50;
 
 /** Routes operations to this process, to records adopted here, or to a peer. */
@@ -84,7 +87,7 @@
 				return result.answer;
 			}
 
-			const limitMs = place.kind === 'member' ? Math.max(patienceMs, this.#options.retryWindowMs ?? defaultRetryWindowMs) : patienceMs;
+			const limitMs = Math.max(patienceMs, this.#getLeastWaitMs(place));
 			const isLate = clock.getMonotonicTime() - startedAt >= limitMs;
 			if (isLate || options.signal?.aborted) {
 				return createUnreachableAnswer(place, token, operation);
@@ -156,14 +159,22 @@
 				return this.#forward(place.member, {kind: 'job', incarnationId: token.incarnationId, operation}, options.signal);
 			}
 
-			case 'unreachable': {
+			case 'unreachable':
+			case 'lost': {
 				return {isFinal: false, wasSent: false};
 			}
+		}
+	}
 
-			case 'lost': {
-				return {isFinal: true, answer: createUnreachableAnswer(place, token, operation)};
-			}
+	/** Gets the time for which a place is tried again whatever the caller asks. */
+	#getLeastWaitMs(place: CoordinatorPlace): number {
+		if (place.kind === 'member') {
+			return this.#options.retryWindowMs ?? defaultRetryWindowMs;
 		}
+
+		// An entry VM that has just joined, here or there, may not be known yet.
+		const isUnknown = place.kind === 'lost' || (place.kind === 'unreachable' && !place.isKnown);
+		return isUnknown ? this.#options.joinWindowMs ?? defaultJoinWindowMs : 0;
 	}
 
 	async #performLocally(place: CoordinatorPlace, operation: JobOperation, caller: CallerPresence): Promise<CallerAnswer> {
--- a/test/process/entry-vm.test.ts
+++ b/test/process/entry-vm.test.ts
@@ -86,3 +86,17 @@
 	t.is(fresh.body.outcome, 'not_run');
 	t.is(countStarts(cluster), 30);
 });
+
+test('an id of an entry VM that has just joined is found from another one', async t => {
+	const cluster = await setUp(t);
+	const [other] = cluster.getCallerAddresses() as [string];
+	const joined = await cluster.addEntryVm('dc1');
+	const path = `/v1/jobs/${await getToken(joined.getCallerAddress())}/k`;
+	while (!joined.isReady()) {
+		await call(joined.getCallerAddress(), 'GET /v1/coordinator');
+	}
+
+	const reply = await call(other, `PUT ${path}`, createJob(2));
+	t.is(reply.body.outcome, 'complete', JSON.stringify(reply.body));
+	t.is(countStarts(cluster), 2);
+});
