--- /dev/null
+++ b/bench/capacity.ts
@@ -0,0 +1,256 @@
+/**
+ * Slopes of state and processor time: what one more record, queued task, upstream, team, version or event costs.
+ */
+import {Buffer} from 'node:buffer';
+import process from 'node:process';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import {type Member} from '../src/connection/index.js';
+import {type ListedUpstream} from '../src/platform/index.js';
+import {
+	createTaskScheduler, CurrentValue, EventLog, RecordStore, type SavedRecord, type ScheduledJob, type SlotScheduler, type TaskEnd,
+} from '../src/process/index.js';
+import {systemClock} from '../src/seams/index.js';
+import {type Configuration, configurationSchema} from '../src/version/index.js';
+import {writeResults} from './support/results.js';
+
+/** Figures at one size. */
+type Point = {
+	readonly size: number;
+	/** Heap per unit of the size, in bytes. */
+	readonly bytesEach?: number;
+	/** Processor time per operation, in microseconds. */
+	readonly usEach?: number;
+};
+
+const recordCounts = [10_000, 50_000, 100_000];
+const queuedTaskCounts = [10_000, 50_000];
+const upstreamCounts = [35, 220, 880];
+const teamCounts = [1, 28];
+const eventCounts = [20_000];
+const serviceCounts = [5, 50, 200];
+const tasksPerJob = 10;
+const startCount = 60_000;
+const slots = 8;
+const answerBytes = 300;
+const jobsInFlight = 400;
+const microsecondsPerMillisecond = 1000;
+const done: TaskEnd = {kind: 'answered', status: 200};
+
+setFlagsFromString('--expose-gc');
+const collectGarbage = runInNewContext('gc') as () => void;
+
+/** Runs the measurement. */
+export async function run(): Promise<void> {
+	const figures = {
+		recordsWithAnswers: recordCounts.map(size => measureRecords(size, answerBytes)),
+		recordsWithoutAnswers: recordCounts.map(size => measureRecords(size, 0)),
+		queuedTasks: await measureEach(queuedTaskCounts, measureQueuedTasks),
+		upstreams: await measureEach(upstreamCounts, measureUpstreams),
+		startsByUpstreams: await measureEach(upstreamCounts, async size => measureStarts(size, 1)),
+		startsByTeams: await measureEach(teamCounts, async size => measureStarts(220, size)),
+		events: eventCounts.map(size => measureEvents(size)),
+		versionsByServices: serviceCounts.map(size => measureVersion(size)),
+	};
+	for (const [name, points] of Object.entries(figures)) {
+		const texts = points.map(({size, bytesEach, usEach}) =>
+			`${size}: ${[bytesEach === undefined ? '' : `${bytesEach.toFixed(0)} B`, usEach === undefined ? '' : `${usEach.toFixed(2)} us`].filter(Boolean).join(', ')}`);
+		process.stdout.write(`${name.padEnd(22)} ${texts.join('; ')}\n`);
+	}
+
+	await writeResults('capacity', {tasksPerJob, answerBytes, ...figures});
+}
+
+async function measureEach(sizes: readonly number[], measure: (size: number) => Promise<Point>): Promise<readonly Point[]> {
+	const points: Point[] = [];
+	for (const size of sizes) {
+		points.push(await measure(size));
+	}
+
+	return points;
+}
+
+function measureRecords(size: number, bytes: number): Point {
+	const before = getHeapBytes();
+	const store = new RecordStore({maxRecordsPerPeriod: Number.POSITIVE_INFINITY, maxAnswerBytes: Number.POSITIVE_INFINITY});
+	const startedAt = performance.now();
+	for (let index = 0; index < size; index++) {
+		store.addSavedRecord(createRecord(index, bytes));
+	}
+
+	const usEach = (performance.now() - startedAt) * microsecondsPerMillisecond / size;
+	const bytesEach = (getHeapBytes() - before) / size;
+	return {size: store.getRecordCount(), bytesEach, usEach};
+}
+
+function createRecord(index: number, bytes: number): SavedRecord {
+	return {
+		key: `key-${index}`,
+		period: 1,
+		attempt: 1,
+		fingerprint: Buffer.from(`digest ${index}`.padEnd(20)).toString('base64'),
+		outcome: 'complete',
+		answer: bytes === 0
+			? undefined
+			: {
+				outcome: 'complete', status: 200, headers: [['Content-Type', 'application/json']], body: Buffer.alloc(bytes, 'a'),
+			},
+	};
+}
+
+async function runForever(): Promise<TaskEnd> {
+	return new Promise(() => {
+		// The task never ends.
+	});
+}
+
+/** Queues tasks behind an upstream whose only task never ends. */
+async function measureQueuedTasks(size: number): Promise<Point> {
+	const scheduler = await createScheduler(createUpstreams(1, 1), createConfiguration(1, 1));
+	const before = getHeapBytes();
+	const startedAt = performance.now();
+	for (let index = 0; index < size / tasksPerJob; index++) {
+		scheduler.addJob(createJob(index, '', runForever));
+	}
+
+	const usEach = (performance.now() - startedAt) * microsecondsPerMillisecond / size;
+	const bytesEach = (getHeapBytes() - before) / size;
+	await scheduler.close();
+	return {size, bytesEach, usEach};
+}
+
+async function measureUpstreams(size: number): Promise<Point> {
+	const before = getHeapBytes();
+	const scheduler = await createScheduler(createUpstreams(size, slots), createConfiguration(1, 1));
+	const bytesEach = (getHeapBytes() - before) / size;
+	await scheduler.close();
+	return {size, bytesEach};
+}
+
+/** Starts tasks that end at once, with some hundreds of jobs queued, and takes the scheduler's time for each. */
+async function measureStarts(upstreamCount: number, teamCount: number): Promise<Point> {
+	const scheduler = await createScheduler(createUpstreams(upstreamCount, slots), createConfiguration(1, teamCount));
+	let ended = 0;
+	let added = 0;
+	const cpu = process.cpuUsage();
+	await new Promise<void>(resolve => {
+		const addJob = (): void => {
+			added++;
+			let left = tasksPerJob;
+			scheduler.addJob(createJob(added, teamCount === 1 ? '' : `team-${added % teamCount}`, async () => {
+				await waitOneTurn();
+				ended++;
+				left--;
+				if (left === 0 && added * tasksPerJob < startCount) {
+					addJob();
+				}
+
+				if (ended === startCount) {
+					resolve();
+				}
+
+				return done;
+			}));
+		};
+
+		for (let index = 0; index < jobsInFlight; index++) {
+			addJob();
+		}
+	});
+	const {user, system} = process.cpuUsage(cpu);
+	await scheduler.close();
+	return {size: upstreamCount === 220 && teamCount > 1 ? teamCount : upstreamCount, usEach: (user + system) / startCount};
+}
+
+async function waitOneTurn(): Promise<void> {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+}
+
+function measureEvents(size: number): Point {
+	const before = getHeapBytes();
+	const events = new EventLog({process: 'bench', capacity: size});
+	const startedAt = performance.now();
+	for (let index = 0; index < size; index++) {
+		events.addEvent('task-started', `dc1.e1.e1-0123456789ab.1/key-${index}`, `task ${index} on u1`);
+	}
+
+	const usEach = (performance.now() - startedAt) * microsecondsPerMillisecond / size;
+	return {size: events.getEvents().length, bytesEach: (getHeapBytes() - before) / size, usEach};
+}
+
+/** Reads a version as a follower does. */
+function measureVersion(services: number): Point {
+	const text = JSON.stringify(createConfiguration(services, 28));
+	const rounds = 50;
+	const startedAt = performance.now();
+	for (let round = 0; round < rounds; round++) {
+		configurationSchema.parse(JSON.parse(text));
+	}
+
+	return {size: services, bytesEach: text.length / services, usEach: (performance.now() - startedAt) * microsecondsPerMillisecond / rounds};
+}
+
+async function createScheduler(upstreams: readonly ListedUpstream[], configuration: Configuration): Promise<SlotScheduler> {
+	const scheduler = createTaskScheduler({
+		self: {dataCenter: 'dc1', vm: 'e1', id: 'e1-0'},
+		upstreams: new CurrentValue(upstreams).getStream(),
+		configuration: new CurrentValue(configuration).getStream(),
+		members: new CurrentValue<readonly Member[]>([]).getStream(),
+		sendControl: () => false,
+		events: new EventLog({process: 'bench', capacity: 100}),
+		clock: systemClock,
+	});
+	await new Promise(resolve => {
+		setTimeout(resolve, 100);
+	});
+	return scheduler;
+}
+
+function createUpstreams(count: number, slotCount: number): readonly ListedUpstream[] {
+	return Array.from({length: count}, (_, index): ListedUpstream => ({
+		kind: 'upstream',
+		name: `u${index}`,
+		dataCenter: 'dc1',
+		state: 'live',
+		service: 'service-0',
+		address: `10.0.${index >> 8}.${index & 255}:80`, // eslint-disable-line no-bitwise -- Bytes of an address.
+		slots: slotCount,
+		connections: 64,
+		cores: 16,
+		memoryMb: 32_768,
+		accelerators: 1,
+		rack: `r${index % 8}`,
+	}));
+}
+
+function createConfiguration(services: number, teams: number): Configuration {
+	return configurationSchema.parse({
+		version: 1,
+		changeId: 'bench',
+		declarations: {
+			profiles: {p: {maxQueuedTasks: 1_000_000, defaultDeadlineMs: 600_000}},
+			services: Object.fromEntries(Array.from({length: services}, (_, index) => [`service-${index}`, {profile: 'p'}])),
+			teams: Object.fromEntries(Array.from({length: teams}, (_, index) => [`team-${index}`, {maxSlots: 100_000, startsPerSecond: 1_000_000, burst: 1_000_000}])),
+		},
+	});
+}
+
+function createJob(index: number, team: string, runTask: () => Promise<TaskEnd>): ScheduledJob {
+	return {
+		id: `dc1.e1.e1-0123456789ab.1/key-${index}`,
+		service: 'service-0',
+		team,
+		deadline: systemClock.getMonotonicTime() + 600_000,
+		tasks: Array.from({length: tasksPerJob}, () => ({
+			needs: {}, isIdempotent: false, run: async () => runTask(), giveUp: () => undefined,
+		})),
+		expire: () => undefined,
+	};
+}
+
+function getHeapBytes(): number {
+	collectGarbage();
+	return process.memoryUsage().heapUsed + process.memoryUsage().arrayBuffers;
+}
