--- a/src/cli/exit-codes.ts
+++ b/src/cli/exit-codes.ts
@@ -24,6 +24,8 @@
 	notRun: 8,
 	/** The job failed after tasks had started. */
 	failed: 9,
+	/** A fault of the program itself; whether anything was written is not known. */
+	internalError: 70,
 } as const;
 
 /** An exit code of `endivemill`. */
