--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,9 +4,11 @@
 import process from 'node:process';
 
 const benches: Readonly<Record<string, () => Promise<{run: () => Promise<void>}>>> = {
+	capacity: async () => import('./capacity.js'),
 	coordinator: async () => import('./coordinator.js'),
 	dispatch: async () => import('./dispatch.js'),
 	platform: async () => import('./platform.js'),
+	recovery: async () => import('./recovery.js'),
 	policy: async () => import('./policy.js'),
 	'hand-over': async () => import('./hand-over.js'),
 };
