--- a/src/process/scheduler/queued-job.ts
+++ b/src/process/scheduler/queued-job.ts
@@ -34,7 +34,7 @@
 export class QueuedJob implements RankedJob {
 	parts: JobPart[] = [];
 	/** Tasks that did not start, or that wait to be tried again. */
-	queuedTasks: number;
+	queuedTasks = 0;
 	runningTasks = 0;
 	isRemoved = false;
 	heapIndex = -1;
@@ -45,7 +45,6 @@
 
 	constructor(readonly source: ScheduledJob, readonly arrivedAt: number, readonly sequence: number, getServiceTaskMs: () => number) {
 		this.rank = source.deadline;
-		this.queuedTasks = source.tasks.length;
 		this.#getServiceTaskMs = getServiceTaskMs;
 	}
 
--- /dev/null
+++ b/src/process/scheduler/retry-planner.ts
@@ -0,0 +1,65 @@
+import {type Profile} from '../../version/index.js';
+import {type TaskEnd} from '../task-scheduler.js';
+import {type QueuedTask} from './queued-job.js';
+import {RetryBudget} from './retry-budget.js';
+import {type SchedulerContext} from './scheduler-context.js';
+
+/** Options of a {@link RetryPlanner}. */
+export type RetryPlannerOptions = {
+	readonly context: SchedulerContext;
+	readonly getProfile: () => Profile;
+};
+
+/** Part of the back-off that is not drawn at random. */
+const minJitter = 0.5;
+
+/**
+ * Decides which tasks of one service run again, and when.
+ * @internal
+ */
+export class RetryPlanner {
+	readonly #options: RetryPlannerOptions;
+	readonly #budget = new RetryBudget();
+
+	constructor(options: RetryPlannerOptions) {
+		this.#options = options;
+	}
+
+	/** Counts a first try. */
+	addFirstTry(): void {
+		this.#budget.addFirstTry(this.#options.getProfile().retryPercent);
+	}
+
+	/**
+	 * Gets the delay before a task runs again; `undefined` when it is to be given up.
+	 * @param queued - Task that ended without an answer.
+	 * @param end - How it ended.
+	 */
+	planRetry(queued: QueuedTask, end: TaskEnd): number | undefined {
+		const {context, getProfile} = this.#options;
+		const {retryPercent, maxTries} = getProfile();
+		const {task, job, attempts} = queued;
+		const mayRunAgain = end.kind === 'not_started' || task.isIdempotent;
+		if (!mayRunAgain || job.isRemoved || attempts >= maxTries) {
+			return undefined;
+		}
+
+		const delayMs = this.#getBackoffMs(attempts);
+		if (context.clock.getMonotonicTime() + delayMs >= job.source.deadline) {
+			return undefined;
+		}
+
+		if (!this.#budget.takeRetry(retryPercent)) {
+			context.counters.deniedRetries++;
+			return undefined;
+		}
+
+		context.counters.retries++;
+		return delayMs;
+	}
+
+	#getBackoffMs(attempts: number): number {
+		const jitter = minJitter + this.#options.context.random.getFloat();
+		return this.#options.getProfile().retryBackoffMs * (2 ** (attempts - 1)) * jitter;
+	}
+}
--- a/src/process/scheduler/service-scheduler.ts
+++ b/src/process/scheduler/service-scheduler.ts
@@ -4,19 +4,20 @@
 import {
 	type Admission, type QueueStatus, type ScheduledJob, type TaskEnd, type UpstreamStatus,
 } from '../task-scheduler.js';
-import {type AdmissionFunction, admitInTime} from './admission.js';
+import {admitInTime} from './admission.js';
 import {DecayedMean} from './decayed-mean.js';
-import {createInvariantError} from './invariant-error.js';
 import {createJobOrder, type JobOrderFactory} from './job-order.js';
 import {JobQueue} from './job-queue.js';
+import {JobTable} from './job-table.js';
 import {LeaseBroker, type LocalDemand} from './lease-broker.js';
 import {type MemberView} from './member-view.js';
 import {OutlierDetector} from './outlier-detector.js';
-import {type JobPart, QueuedJob, type QueuedTask} from './queued-job.js';
-import {RankHeap} from './rank-heap.js';
-import {RetryBudget} from './retry-budget.js';
+import {type JobPart, type QueuedJob, type QueuedTask} from './queued-job.js';
+import {RetryPlanner} from './retry-planner.js';
+import {type ServiceSchedulerOptions} from './service-scheduler-options.js';
+import {getUpstreamStatus} from './upstream-status.js';
 import {type SchedulerContext} from './scheduler-context.js';
-import {defaultTuning, type SchedulerTuning} from './scheduler-tuning.js';
+import {defaultTuning} from './scheduler-tuning.js';
 import {SlotPool} from './slot-pool.js';
 import {type ServiceUpdate} from './slot-messages.js';
 import {type TeamLimits} from './team-quotas.js';
@@ -24,24 +25,6 @@
 import {type HeldSlot, type UpstreamEntry} from './upstream-entry.js';
 import {chooseLeastLoaded, type UpstreamChoice} from './upstream-choice.js';
 import {WakeTimer} from './wake-timer.js';
-import {WorkAhead} from './work-ahead.js';
-
-/** Decisions that may be replaced. */
-export type SchedulerDecisions = {
-	readonly createOrder?: JobOrderFactory;
-	readonly chooseUpstream?: UpstreamChoice;
-	readonly admit?: AdmissionFunction;
-};
-
-/** Options of a {@link ServiceScheduler}. */
-export type ServiceSchedulerOptions = {
-	readonly service: string;
-	readonly profile: Profile;
-	readonly context: SchedulerContext;
-	readonly limits: TeamLimits;
-	readonly decisions?: SchedulerDecisions;
-	readonly tuning?: SchedulerTuning;
-};
 
 /** Expected time of a task before any was observed, in milliseconds. */
 const initialTaskMs = 250;
@@ -69,15 +52,11 @@
 	readonly #detector: OutlierDetector;
 	readonly #queue: JobQueue;
 	readonly #shapes = new UpstreamShapes();
-	readonly #ahead = new WorkAhead();
-	readonly #budget = new RetryBudget();
+	readonly #retries: RetryPlanner;
 	readonly #taskTime = new DecayedMean(initialTaskMs, taskTimeSamples);
-	readonly #jobs = new Map<string, QueuedJob>();
-	readonly #deadlines = new RankHeap<QueuedJob>();
+	readonly #jobs: JobTable;
 	readonly #wakeTimer: WakeTimer;
 	#profile: Profile;
-	#sequence = 0;
-	#queuedTasks = 0;
 	#runningTasks = 0;
 	#isPumping = false;
 	#shouldPumpAgain = false;
@@ -111,7 +90,9 @@
 				this.#pool.handleHealthChange();
 			},
 		});
+		this.#retries = new RetryPlanner({context, getProfile: () => this.#profile});
 		this.#queue = new JobQueue({order: this.#createOrder(), getWeight: team => options.limits.getWeight(team)});
+		this.#jobs = new JobTable({queue: this.#queue, limits: options.limits, getTaskMs: () => this.#taskTime.getMean()});
 	}
 
 	/** Gets the profile in force. */
@@ -180,23 +161,13 @@
 	 * @param source - Job to run.
 	 */
 	addJob(source: ScheduledJob): Admission {
-		if (this.#jobs.has(source.id)) {
-			throw createInvariantError(`Job ${source.id} is scheduled already`);
-		}
-
 		const now = this.#context.clock.getMonotonicTime();
-		this.#sequence++;
-		const job = new QueuedJob(source, now, this.#sequence, () => this.#taskTime.getMean());
-		const admission = this.#admit(job, now);
+		const admission = this.#admit(source, now);
 		if (!admission.admitted) {
 			return admission;
 		}
 
-		this.#jobs.set(source.id, job);
-		this.#deadlines.addItem(job);
-		this.#addQueued(job, source.tasks.length);
-		this.#ahead.addTasks(source.tasks.length, source.tasks.length);
-		this.#enqueue(job);
+		this.#enqueue(this.#jobs.addJob(source, now));
 		this.pump();
 		return admission;
 	}
@@ -206,8 +177,8 @@
 	 * @param jobId - Job to drop.
 	 */
 	removeJob(jobId: string): number {
-		const job = this.#jobs.get(jobId);
-		return job ? this.#removeJob(job) : 0;
+		const job = this.#jobs.getJob(jobId);
+		return job ? this.#jobs.removeJob(job) : 0;
 	}
 
 	/** Stops all starts, and makes leases in hand void. */
@@ -229,21 +200,21 @@
 	getQueueStatus(): QueueStatus {
 		return {
 			service: this.#options.service,
-			queuedTasks: this.#queuedTasks,
+			queuedTasks: this.#jobs.getQueuedTasks(),
 			runningTasks: this.#runningTasks,
-			expectedWaitMs: this.#queuedTasks * this.#getMsPerTask(),
+			expectedWaitMs: this.#jobs.getQueuedTasks() * this.#getMsPerTask(),
 		};
 	}
 
 	/** Gets the state of the upstreams. */
 	getUpstreamStatus(): readonly UpstreamStatus[] {
-		return this.#pool.getEntries().map(entry => getStatus(entry));
+		return this.#pool.getEntries().map(entry => getUpstreamStatus(entry));
 	}
 
 	/** Drops all queued tasks and gives back all leases. */
 	close(): void {
-		for (const job of this.#jobs.values()) {
-			this.#removeJob(job);
+		for (const job of this.#jobs.getJobs()) {
+			this.#jobs.removeJob(job);
 		}
 
 		this.#isPaused = true;
@@ -278,7 +249,7 @@
 
 		const local = this.#getLocalDemand();
 		this.#broker.returnLeases(local);
-		const times = [probeTime, this.#broker.tellDemand(local), this.#broker.getReturnTime(), this.#deadlines.getFirst()?.rank];
+		const times = [probeTime, this.#broker.tellDemand(local), this.#broker.getReturnTime(), this.#jobs.getFirstDeadline()];
 		this.#wakeTimer.wakeAt(Math.min(...times.filter(time => time !== undefined)));
 	}
 
@@ -312,8 +283,6 @@
 		const slot = this.#pool.takeSlot(entry);
 		queued.attempts++;
 		this.#countStart(queued, slot);
-		this.#ahead.moveTasks(job.queuedTasks, job.queuedTasks - 1);
-		job.queuedTasks--;
 		job.runningTasks++;
 		this.#queue.updateRank(job);
 		void this.#run(queued, slot, task.run(entry.listed, queued.attempts));
@@ -338,11 +307,11 @@
 		const {counters} = this.#context;
 		counters.starts++;
 		counters.leasedStarts += slot.lease ? 1 : 0;
-		this.#addQueued(queued.job, -1);
+		this.#jobs.addQueued(queued.job, -1);
 		this.#runningTasks++;
 		this.#limits.addStart(queued.job.source.team);
 		if (queued.attempts === 1) {
-			this.#budget.addFirstTry(this.#profile.retryPercent);
+			this.#retries.addFirstTry();
 		}
 	}
 
@@ -364,33 +333,20 @@
 			this.#retryOrGiveUp(queued, slot.entry.listed.name, end);
 		}
 
-		this.#forgetIfEnded(job);
+		this.#jobs.removeIfEnded(job);
 		this.pump();
 	}
 
 	#retryOrGiveUp(queued: QueuedTask, upstream: string, end: TaskEnd): void {
-		const {task, job} = queued;
-		const delayMs = this.#getBackoffMs(queued.attempts);
-		const now = this.#context.clock.getMonotonicTime();
-		const mayRunAgain = end.kind === 'not_started' || task.isIdempotent;
-		const isInTime = now + delayMs < job.source.deadline && queued.attempts < this.#profile.maxTries;
-		if (!mayRunAgain || job.isRemoved || !isInTime) {
-			task.giveUp(end);
+		const delayMs = this.#retries.planRetry(queued, end);
+		if (delayMs === undefined) {
+			queued.task.giveUp(end);
 			return;
 		}
 
-		if (!this.#budget.takeRetry(this.#profile.retryPercent)) {
-			this.#context.counters.deniedRetries++;
-			task.giveUp(end);
-			return;
-		}
-
-		this.#context.counters.retries++;
 		queued.triedUpstreams = [...queued.triedUpstreams, upstream];
-		this.#addQueued(job, 1);
-		job.queuedTasks++;
-		this.#ahead.moveTasks(job.queuedTasks - 1, job.queuedTasks);
-		this.#context.events.addEvent('task-retried', job.source.id, `attempt ${queued.attempts + 1}, after ${upstream}`);
+		this.#jobs.addQueued(queued.job, 1);
+		this.#context.events.addEvent('task-retried', queued.job.source.id, `attempt ${queued.attempts + 1}, after ${upstream}`);
 		this.#context.clock.setTimer(() => {
 			this.#enqueueRetry(queued);
 		}, delayMs);
@@ -409,11 +365,6 @@
 		this.pump();
 	}
 
-	#getBackoffMs(attempts: number): number {
-		const jitter = 0.5 + this.#context.random.getFloat();
-		return this.#profile.retryBackoffMs * (2 ** (attempts - 1)) * jitter;
-	}
-
 	#enqueue(job: QueuedJob): void {
 		const parts = new Map<string, JobPart>();
 		const tasks = new Map<JobPart, QueuedTask[]>();
@@ -440,15 +391,14 @@
 		}
 	}
 
-	#admit(job: QueuedJob, now: number): Admission {
-		const {tasks, team, deadline} = job.source;
+	#admit({tasks, team, deadline}: ScheduledJob, now: number): Admission {
 		const admit = this.#options.decisions?.admit ?? admitInTime;
 		return admit({
 			taskCount: tasks.length,
 			remainingMs: deadline - now,
 			hasUpstream: this.#shapes.hasLiveUpstream(),
 			isRunnable: tasks.every(task => this.#shapes.isRunnable(task.needs)),
-			queuedTasks: this.#queuedTasks,
+			queuedTasks: this.#jobs.getQueuedTasks(),
 			maxQueuedTasks: this.#profile.maxQueuedTasks,
 			tasksAhead: this.#getTasksAhead(tasks.length),
 			msPerTask: this.#getMsPerTask(),
@@ -457,7 +407,7 @@
 	}
 
 	#getTasksAhead(taskCount: number): number {
-		const ahead = this.#profile.order === 'shortest-remaining' ? this.#ahead.getTasksUpTo(taskCount) : this.#queuedTasks;
+		const ahead = this.#profile.order === 'shortest-remaining' ? this.#jobs.getTasksUpTo(taskCount) : this.#jobs.getQueuedTasks();
 		return Math.max(ahead + taskCount - this.#pool.getUsableSlots() + this.#runningTasks, 0);
 	}
 
@@ -485,7 +435,7 @@
 	}
 
 	#getUrgentTasks(next: JobPart): number {
-		return this.#profile.order === 'shortest-remaining' ? this.#ahead.getTasksUpTo(next.job.queuedTasks) : next.job.queuedTasks;
+		return this.#profile.order === 'shortest-remaining' ? this.#jobs.getTasksUpTo(next.job.queuedTasks) : next.job.queuedTasks;
 	}
 
 	/** Gives up the tasks that no listed upstream fits any more. */
@@ -493,47 +443,21 @@
 		for (const part of this.#queue.getParts().filter(({shape}) => !this.#shapes.isListed(shape))) {
 			const {job} = part;
 			const tasks = this.#queue.removePart(part);
-			this.#ahead.moveTasks(job.queuedTasks, job.queuedTasks - tasks.length);
-			this.#addQueued(job, -tasks.length);
-			job.queuedTasks -= tasks.length;
+			this.#jobs.addQueued(job, -tasks.length);
 			for (const {task} of tasks) {
 				task.giveUp({kind: 'not_started', detail: 'No listed upstream fits the task any more', isUnreachable: true});
 			}
 
-			this.#forgetIfEnded(job);
-		}
-	}
-
-	#removeJob(job: QueuedJob): number {
-		const dropped = job.queuedTasks;
-		job.isRemoved = true;
-		this.#queue.removeJob(job);
-		this.#ahead.removeTasks(dropped, dropped);
-		this.#addQueued(job, -dropped);
-		job.queuedTasks = 0;
-		this.#deadlines.removeItem(job);
-		this.#jobs.delete(job.source.id);
-		return dropped;
-	}
-
-	#addQueued(job: QueuedJob, count: number): void {
-		this.#queuedTasks += count;
-		this.#limits.addQueued(job.source.team, count);
-	}
-
-	#forgetIfEnded(job: QueuedJob): void {
-		if (job.queuedTasks === 0 && job.runningTasks === 0 && !job.isRemoved) {
-			this.#removeJob(job);
+			this.#jobs.removeIfEnded(job);
 		}
 	}
 
 	#expireJobs(): void {
 		const now = this.#context.clock.getMonotonicTime();
-		for (let job = this.#deadlines.getFirst(); job && job.rank <= now; job = this.#deadlines.getFirst()) {
-			const dropped = this.#removeJob(job);
-			if (dropped > 0) {
+		for (let expired = this.#jobs.takeExpired(now); expired; expired = this.#jobs.takeExpired(now)) {
+			if (expired.dropped > 0) {
 				this.#context.counters.expiredJobs++;
-				job.source.expire();
+				expired.job.source.expire();
 			}
 		}
 	}
@@ -542,21 +466,3 @@
 		return (this.#options.decisions?.createOrder ?? createJobOrder)(this.#profile);
 	}
 }
-
-function getStatus(entry: UpstreamEntry): UpstreamStatus {
-	const health = entry.health.getState();
-	const state = entry.listed.state === 'leaving' ? 'leaving' : (health === 'healthy' ? 'live' : health);
-	return {
-		name: entry.listed.name,
-		service: entry.listed.service,
-		state,
-		isOwned: entry.owned !== undefined,
-		slots: entry.listed.slots,
-		inUse: entry.running.size,
-		leasedOut: entry.owned?.getLeasedOut() ?? 0,
-		free: entry.owned?.getFree() ?? 0,
-		held: entry.getHeldLeases().length,
-		failurePercent: entry.health.getFailureRate() * 100,
-		latencyMs: entry.health.getLatencyMs(),
-	};
-}
--- a/src/process/scheduler/task-scheduler-options.ts
+++ b/src/process/scheduler/task-scheduler-options.ts
@@ -7,7 +7,7 @@
 import {type TaskScheduler} from '../task-scheduler.js';
 import {type SchedulerCounters} from './scheduler-counters.js';
 import {type SchedulerTuning} from './scheduler-tuning.js';
-import {type SchedulerDecisions} from './service-scheduler.js';
+import {type SchedulerDecisions} from './service-scheduler-options.js';
 
 /** Options of a scheduler. */
 export type TaskSchedulerOptions = {
--- a/test/process/scheduler/properties.test.ts
+++ b/test/process/scheduler/properties.test.ts
@@ -22,6 +22,7 @@
 		job, shape: 'any', ready: [], heap: undefined, heapIndex: -1, rank: 0, sequence: index,
 	};
 	job.parts = [part];
+	job.queuedTasks = size;
 	return {
 		job, part, tasks: source.tasks.map(source => ({
 			task: source, job, part, attempts: 0, triedUpstreams: [],
