Ask the same members until they answered, and give the last slot to who has none

Cause: each look at the queue asked members in turn, so that soon all were asked, and answers came from many; and an owner kept its last 4% of slots also from an entry VM that has no slot at all, which then waited without bound. Change: members that were asked stay asked until the demand lapses, four at most; a demand says whether its sender has a slot. The new test fails without the change.

--- a/src/process/scheduler/demand-book.ts
+++ b/src/process/scheduler/demand-book.ts
@@ -12,6 +12,8 @@
 	/** Monotonic time after which the demand has lapsed. */
 	readonly validUntil: number;
 	readonly isLocal: boolean;
+	/** Whether the member has a slot at all. */
+	readonly hasSlots: boolean;
 };
 
 /** What was last told to a member. */
--- a/src/process/scheduler/lease-broker.ts
+++ b/src/process/scheduler/lease-broker.ts
@@ -118,7 +118,7 @@
 			const rank = update.demand.urgency + (order.rankPerMs * now);
 			const isLocal = this.#view.dataCenters.get(from) === this.#context.self.dataCenter;
 			this.#demands.setKnown({
-				member: from, count: update.demand.count, urgentCount: update.demand.urgentCount, rank, validUntil: now + update.demand.validMs, isLocal,
+				member: from, count: update.demand.count, urgentCount: update.demand.urgentCount, rank, validUntil: now + update.demand.validMs, isLocal, hasSlots: update.demand.hasSlots,
 			});
 		}
 	}
@@ -191,15 +191,23 @@
 
 	#chooseAsked(local: LocalDemand): readonly string[] {
 		const owners = this.#pool.getOtherOwners(true);
-		const others = local.maySpill ? this.#pool.getOtherOwners(false) : [];
-		const candidates = [...new Set([...this.#pool.getHolders(), ...owners, ...others])];
+		const remote = local.maySpill ? this.#pool.getOtherOwners(false) : [];
+		const candidates = [...new Set([...this.#pool.getHolders(), ...owners, ...remote])];
 		const wanted = Math.min(candidates.length, this.#tuning.demandFanOut, Math.ceil(local.readyTasks / minAsked));
 		if (wanted === candidates.length) {
 			return candidates;
 		}
 
+		const now = this.#context.clock.getMonotonicTime();
+		const told = candidates.filter(member => this.#demands.getTold(member, now));
+		if (told.length >= wanted) {
+			return told;
+		}
+
 		this.#firstAsked++;
-		return Array.from({length: wanted}, (_, index) => candidates[(this.#firstAsked + index) % candidates.length]!);
+		const others = candidates.filter(member => !told.includes(member));
+		const added = Array.from({length: wanted - told.length}, (_, index) => others[(this.#firstAsked + index) % others.length]!);
+		return [...told, ...added];
 	}
 
 	#tellMember(member: string, count: number, local: LocalDemand): number {
@@ -221,7 +229,7 @@
 		const urgentCount = isUrgent ? Math.min(local.urgentTasks, count) : 0;
 		const urgency = rank - (local.order.rankPerMs * now);
 		const demand: SlotDemand = {
-			count, urgentCount, urgency, validMs,
+			count, urgentCount, urgency, validMs, hasSlots: local.hasSlots,
 		};
 		this.#demands.setTold(member, demand, rank, now);
 		this.#context.getOutbox(member)?.setDemand(this.#options.service, demand);
@@ -247,9 +255,13 @@
 		return demand.isLocal && demand.urgentCount > 0 && demand.rank + this.#getMargin(order) < next.rank;
 	}
 
-	/** Tells whether idle slots are to be leased out: several at a time, and not the last ones. */
+	/** Tells whether idle slots are to be leased out: several at a time, and the last ones only to a member that has none. */
 	#isIdleEnough(demand: KnownDemand): boolean {
 		const free = this.#pool.getGrantableSlots();
+		if (demand.isLocal && !demand.hasSlots) {
+			return free > 0;
+		}
+
 		const owned = this.#pool.getOwnedSlots();
 		const reserved = Math.round(owned * (demand.isLocal ? this.#tuning.reservedPart : this.#tuning.spillReserve));
 		const batch = Math.max(Math.round(owned * this.#tuning.grantPart), 1);
--- a/src/process/scheduler/scheduler-tuning.ts
+++ b/src/process/scheduler/scheduler-tuning.ts
@@ -26,6 +26,6 @@
 	grantPart: 0.06,
 	demandIntervalMs: 20,
 	leaseIdleMs: 100,
-	demandFanOut: 3,
+	demandFanOut: 4,
 	spillReserve: 0.25,
 };
--- a/src/process/scheduler/slot-messages.ts
+++ b/src/process/scheduler/slot-messages.ts
@@ -15,6 +15,8 @@
 	urgentCount: z.int().min(0),
 	/** Rank of the most urgent job, less what the time of sending adds to a rank. */
 	urgency: z.number(),
+	/** Whether the sender has a slot at all, whose task will end. */
+	hasSlots: z.boolean(),
 	/** Time after which the demand lapses. */
 	validMs: z.number().min(0),
 }).readonly();
--- a/test/process/scheduler/behaviour.test.ts
+++ b/test/process/scheduler/behaviour.test.ts
@@ -268,3 +268,14 @@
 		await harness.close();
 	}
 });
+
+test('an entry VM without a slot gets the last free one of another', async t => {
+	const harness = new SchedulerHarness({nodeCount: 2, upstreams: [createUpstream('u0', {slots: 40})]});
+	await harness.clock.advance(1000);
+	const owner = harness.nodes.findIndex(({scheduler}) => scheduler.getStatus().upstreams[0]!.isOwned);
+	harness.nodes[owner]!.scheduler.addJob(harness.createJob('own', 39));
+	harness.nodes[1 - owner]!.scheduler.addJob(harness.createJob('other', 1));
+	await harness.clock.advance(100);
+	t.true(harness.getStartedTasks().includes('other/0'));
+	await harness.close();
+});
