Collect garbage fully between the slopes, and check that the tasks were queued

Cause: buffers of one measurement were freed during the next (-2,748 B a record), and the queued jobs had been refused. Change: three collections with a turn between; 1,000 busy slots so that the wait stays below the deadline; a refusal ends the run.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -32,6 +32,8 @@
 const tasksPerJob = 10;
 const startCount = 60_000;
 const slots = 8;
+/** Slots whose tasks never end, so that the tasks after them stay queued. */
+const busySlots = 1000;
 const answerBytes = 300;
 const jobsInFlight = 400;
 const microsecondsPerMillisecond = 1000;
@@ -43,13 +45,13 @@
 /** Runs the measurement. */
 export async function run(): Promise<void> {
 	const figures = {
-		recordsWithAnswers: recordCounts.map(size => measureRecords(size, answerBytes)),
-		recordsWithoutAnswers: recordCounts.map(size => measureRecords(size, 0)),
+		recordsWithAnswers: await measureEach(recordCounts, async size => measureRecords(size, answerBytes)),
+		recordsWithoutAnswers: await measureEach(recordCounts, async size => measureRecords(size, 0)),
 		queuedTasks: await measureEach(queuedTaskCounts, measureQueuedTasks),
 		upstreams: await measureEach(upstreamCounts, measureUpstreams),
 		startsByUpstreams: await measureEach(upstreamCounts, async size => measureStarts(size, 1)),
 		startsByTeams: await measureEach(teamCounts, async size => measureStarts(220, size)),
-		events: eventCounts.map(size => measureEvents(size)),
+		events: await measureEach(eventCounts, measureEvents),
 		versionsByServices: serviceCounts.map(size => measureVersion(size)),
 	};
 	for (const [name, points] of Object.entries(figures)) {
@@ -70,8 +72,8 @@
 	return points;
 }
 
-function measureRecords(size: number, bytes: number): Point {
-	const before = getHeapBytes();
+async function measureRecords(size: number, bytes: number): Promise<Point> {
+	const before = await getHeapBytes();
 	const store = new RecordStore({maxRecordsPerPeriod: Number.POSITIVE_INFINITY, maxAnswerBytes: Number.POSITIVE_INFINITY});
 	const startedAt = performance.now();
 	for (let index = 0; index < size; index++) {
@@ -79,7 +81,7 @@
 	}
 
 	const usEach = (performance.now() - startedAt) * microsecondsPerMillisecond / size;
-	const bytesEach = (getHeapBytes() - before) / size;
+	const bytesEach = (await getHeapBytes() - before) / size;
 	return {size: store.getRecordCount(), bytesEach, usEach};
 }
 
@@ -106,23 +108,30 @@
 
 /** Queues tasks behind an upstream whose only task never ends. */
 async function measureQueuedTasks(size: number): Promise<Point> {
-	const scheduler = await createScheduler(createUpstreams(1, 1), createConfiguration(1, 1));
-	const before = getHeapBytes();
+	const scheduler = await createScheduler(createUpstreams(1, busySlots), createConfiguration(1, 1));
+	for (let index = 0; index < busySlots / tasksPerJob; index++) {
+		scheduler.addJob(createJob(-index - 1, '', runForever));
+	}
+
+	const before = await getHeapBytes();
 	const startedAt = performance.now();
 	for (let index = 0; index < size / tasksPerJob; index++) {
-		scheduler.addJob(createJob(index, '', runForever));
+		const admission = scheduler.addJob(createJob(index, '', runForever));
+		if (!admission.admitted) {
+			throw new Error(`job ${index} was refused: ${admission.detail}`);
+		}
 	}
 
 	const usEach = (performance.now() - startedAt) * microsecondsPerMillisecond / size;
-	const bytesEach = (getHeapBytes() - before) / size;
+	const bytesEach = (await getHeapBytes() - before) / size;
 	await scheduler.close();
 	return {size, bytesEach, usEach};
 }
 
 async function measureUpstreams(size: number): Promise<Point> {
-	const before = getHeapBytes();
+	const before = await getHeapBytes();
 	const scheduler = await createScheduler(createUpstreams(size, slots), createConfiguration(1, 1));
-	const bytesEach = (getHeapBytes() - before) / size;
+	const bytesEach = (await getHeapBytes() - before) / size;
 	await scheduler.close();
 	return {size, bytesEach};
 }
@@ -168,8 +177,8 @@
 	});
 }
 
-function measureEvents(size: number): Point {
-	const before = getHeapBytes();
+async function measureEvents(size: number): Promise<Point> {
+	const before = await getHeapBytes();
 	const events = new EventLog({process: 'bench', capacity: size});
 	const startedAt = performance.now();
 	for (let index = 0; index < size; index++) {
@@ -177,7 +186,8 @@
 	}
 
 	const usEach = (performance.now() - startedAt) * microsecondsPerMillisecond / size;
-	return {size: events.getEvents().length, bytesEach: (getHeapBytes() - before) / size, usEach};
+	const bytesEach = (await getHeapBytes() - before) / size;
+	return {size: events.getEvents().length, bytesEach, usEach};
 }
 
 /** Reads a version as a follower does. */
@@ -250,7 +260,11 @@
 	};
 }
 
-function getHeapBytes(): number {
-	collectGarbage();
+async function getHeapBytes(): Promise<number> {
+	for (let round = 0; round < 3; round++) {
+		collectGarbage();
+		await waitOneTurn();
+	}
+
 	return process.memoryUsage().heapUsed + process.memoryUsage().arrayBuffers;
 }
