Measure the list of VMs by its size

Cause: the capacity page needs slopes for the follower of the list. Change: npm run bench -- vm-list.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,7 @@
 	coordinator: async () => import('./coordinator.js'),
 	dispatch: async () => import('./dispatch.js'),
 	platform: async () => import('./platform.js'),
+	'vm-list': async () => import('./vm-list.js'),
 	recovery: async () => import('./recovery.js'),
 	policy: async () => import('./policy.js'),
 	'hand-over': async () => import('./hand-over.js'),
