Keep outcomes true when a graceful stop meets its time limit

Cause: a stop that met its limit ended the running jobs and in the same turn took the records to hand over, before the outcomes were in them; the successor then answered not_run for a job whose task had started. The daemon also ended the process at that very limit, before the hand-over, and the stop waited for requests of jobs that had been given up, up to their own time limits. Ruled out: the start count; the upstream had seen the task start once. Change: the stop waits until the ended jobs have their answers; the client for upstreams can end its running requests at once, which the stop and the abrupt end of an entry VM use; the daemon allows 15 s beyond the limit for handing over and closing.

--- a/src/connection/upstream-client.ts
+++ b/src/connection/upstream-client.ts
@@ -81,7 +81,7 @@
 				settle: outcome => {
 					timer.close();
 					options.signal?.removeEventListener('abort', cancel);
-					pool.endExchange();
+					pool.endExchange(exchange);
 					this.#countOutcome(outcome);
 					resolve(outcome);
 				},
@@ -136,6 +136,16 @@
 		await Promise.all(this.#closingPools.values());
 	}
 
+	/** Takes no new requests, ends the running ones at once and closes all connections. */
+	async abort(): Promise<void> {
+		const closed = this.close();
+		for (const pool of this.#closingPools.keys()) {
+			pool.abort('upstream client is closed');
+		}
+
+		await closed;
+	}
+
 	#findFault(req: UpstreamRequest, options: UpstreamRunOptions): string | undefined {
 		if (this.#isClosed) {
 			return 'upstream client is closed';
--- a/src/connection/upstream-pool.ts
+++ b/src/connection/upstream-pool.ts
@@ -37,7 +37,7 @@
 	readonly idleConnectionMs: number;
 	readonly #pool: Pool;
 	readonly #sockets = new Set<Socket>();
-	#running = 0;
+	readonly #exchanges = new Set<UpstreamExchange>();
 	#isClosing = false;
 	#resolveIdle: (() => void) | undefined;
 
@@ -73,7 +73,7 @@
 	/** Gets the state for operators. */
 	getStatus(): UpstreamPoolStatus {
 		return {
-			name: this.upstream.name, address: this.upstream.address, running: this.#running, connections: this.#sockets.size,
+			name: this.upstream.name, address: this.upstream.address, running: this.#exchanges.size, connections: this.#sockets.size,
 		};
 	}
 
@@ -83,7 +83,7 @@
 	 * @param exchange - Handler of the request; {@link endExchange} is due once it has settled.
 	 */
 	startExchange(req: UpstreamRequest, exchange: UpstreamExchange): void {
-		this.#running++;
+		this.#exchanges.add(exchange);
 		this.#pool.dispatch({
 			method: req.method,
 			path: req.path,
@@ -93,17 +93,30 @@
 		}, exchange);
 	}
 
-	/** Counts a request as ended. */
-	endExchange(): void {
-		this.#running--;
-		if (this.#running === 0) {
+	/**
+	 * Forgets a request that has ended.
+	 * @param exchange - Handler of the request.
+	 */
+	endExchange(exchange: UpstreamExchange): void {
+		this.#exchanges.delete(exchange);
+		if (this.#exchanges.size === 0) {
 			this.#resolveIdle?.();
 		}
 	}
 
+	/**
+	 * Ends the running requests at once.
+	 * @param detail - Reason given in their outcomes.
+	 */
+	abort(detail: string): void {
+		for (const exchange of this.#exchanges) {
+			exchange.abort(detail);
+		}
+	}
+
 	/** Lets the running requests end, then closes the connections. */
 	async close(): Promise<void> {
-		if (this.#running > 0) {
+		if (this.#exchanges.size > 0) {
 			await new Promise<void>(resolve => {
 				this.#resolveIdle = resolve;
 			});
--- a/src/daemon/run-daemon.ts
+++ b/src/daemon/run-daemon.ts
@@ -47,6 +47,9 @@
 	readonly host?: DaemonHost;
 };
 
+/** Time beyond the limit of running work for handing records over and closing, in milliseconds. */
+const closeMarginMs = 15_000;
+
 const stopSignals = ['SIGTERM', 'SIGINT'] as const;
 
 /** The running process. */
@@ -153,7 +156,7 @@
 	const timer = host.clock.setTimer(() => {
 		log.error({stopTimeoutMs: settings.stopTimeoutMs}, 'stop took too long');
 		host.exit(exitCodes.stopTimeout);
-	}, settings.stopTimeoutMs);
+	}, settings.stopTimeoutMs + closeMarginMs);
 	try {
 		await service.close();
 		log.info('stopped');
--- a/src/process/entry-vm.ts
+++ b/src/process/entry-vm.ts
@@ -125,8 +125,9 @@
 	/** Ends at once, as when the process dies. */
 	async abort(): Promise<void> {
 		this.#parts.state.isStopping = true;
-		const {mesh, scheduler} = this.#parts;
+		const {mesh, scheduler, upstreamClient} = this.#parts;
 		await Promise.all([mesh.close(), scheduler.close(), this.#callerListener.abort(), this.#operatorListener.abort()]);
+		await upstreamClient.abort();
 		await this.#closeRest();
 	}
 
@@ -141,7 +142,8 @@
 			stopTimeoutMs: stopTimeoutMs ?? defaultStopTimeoutMs,
 		});
 		await scheduler.close();
-		await upstreamClient.close();
+		// The jobs have ended or met the time limit; what still runs belongs to the latter.
+		await upstreamClient.abort();
 		await mesh.close();
 		await this.#operatorListener.abort();
 		await this.#closeRest();
--- a/src/process/graceful-stop.ts
+++ b/src/process/graceful-stop.ts
@@ -45,7 +45,7 @@
 	runner.stop();
 	const getRemainingMs = (): number => Math.max(shortestWaitMs, startedAt + stopTimeoutMs - clock.getMonotonicTime());
 	await waitAtMost(options, runner.waitUntilIdle(), getRemainingMs());
-	runner.abortJobs(`the graceful stop took longer than ${stopTimeoutMs} ms`);
+	await runner.abortJobs(`the graceful stop took longer than ${stopTimeoutMs} ms`);
 	await handOverAll(options);
 	await waitAtMost(options, callerListener.close(), getRemainingMs());
 	await callerListener.abort();
--- a/src/process/job-runner.ts
+++ b/src/process/job-runner.ts
@@ -101,13 +101,16 @@
 	}
 
 	/**
-	 * Ends all jobs in progress at once.
+	 * Ends all jobs in progress at once; resolves when their answers are known to all who wait for them.
 	 * @param detail - Why they end.
 	 */
-	abortJobs(detail: string): void {
-		for (const job of this.#running.values()) {
+	async abortJobs(detail: string): Promise<void> {
+		const jobs = [...this.#running.values()];
+		for (const job of jobs) {
 			job.stop(detail);
 		}
+
+		await Promise.all(jobs.map(async job => job.answer));
 	}
 
 	#getRefusal(id: string, content: SubmissionContent): CallerAnswer | undefined {
--- a/test/connection/upstream-client.test.ts
+++ b/test/connection/upstream-client.test.ts
@@ -215,6 +215,15 @@
 	t.deepEqual(client.getStatus().pools, []);
 });
 
+test('aborting ends the running request and closes its connection', async t => {
+	const {client, raw} = await start(t, () => {
+		void client.abort();
+	});
+	t.like(await client.run(raw.upstream, get, options), {kind: 'failed', detail: 'upstream client is closed'});
+	await raw.waitForNoConnection();
+	t.deepEqual(client.getStatus().pools, []);
+});
+
 test('the connections of an upstream that left the list close once its requests have ended', async t => {
 	const {client, raw} = await start(t, ({socket}) => {
 		client.setUpstreams([toUpstream(1)]);
--- a/test/daemon/run-daemon.test.ts
+++ b/test/daemon/run-daemon.test.ts
@@ -20,6 +20,7 @@
 	readonly out: string[];
 	readonly err: string[];
 	readonly codes: number[];
+	readonly delays: number[];
 	readonly fireTimers: () => void;
 	readonly signal: (name: string) => void;
 };
@@ -27,14 +28,17 @@
 function createHost(argv: readonly string[]): FakeHost {
 	const listeners: Array<(signal: string) => void> = [];
 	const timers = new Set<() => void>();
-	const host = {out: [] as string[], err: [] as string[], codes: [] as number[]};
+	const host = {
+		out: [] as string[], err: [] as string[], codes: [] as number[], delays: [] as number[],
+	};
 	return {
 		...host,
 		argv,
 		env: {},
 		clock: {
 			...systemClock,
-			setTimer(callback) {
+			setTimer(callback, delayMs) {
+				host.delays.push(delayMs);
 				timers.add(callback);
 				return {
 					close() {
@@ -125,6 +129,7 @@
 	t.deepEqual(host.codes, [exitCodes.forced]);
 	host.fireTimers();
 	t.deepEqual(host.codes, [exitCodes.forced, exitCodes.stopTimeout]);
+	t.true(host.delays[0]! > 60_000, 'the limit of running work ends before the process does');
 });
 
 test('a start or a stop that fails is told by the exit code', async t => {
