--- a/src/process/scheduler/lease-broker.ts
+++ b/src/process/scheduler/lease-broker.ts
@@ -151,7 +151,7 @@
 	 * @param local - What waits here.
 	 */
 	returnLeases(local: LocalDemand): void {
-		const oldest = this.#pool.getOldestIdleTime();
+		const oldest = this.#pool.getTable().getOldestIdleTime();
 		if (oldest === undefined) {
 			return;
 		}
@@ -163,7 +163,7 @@
 
 	/** Gets the monotonic time at which idle leases are due; `undefined` when there are none. */
 	getReturnTime(): number | undefined {
-		const oldest = this.#pool.getOldestIdleTime();
+		const oldest = this.#pool.getTable().getOldestIdleTime();
 		return oldest === undefined ? undefined : oldest + this.#tuning.leaseIdleMs;
 	}
 
@@ -257,12 +257,12 @@
 
 	/** Tells whether idle slots are to be leased out: several at a time, and the last ones only to a member that has none. */
 	#isIdleEnough(demand: KnownDemand): boolean {
-		const free = this.#pool.getGrantableSlots();
+		const free = this.#pool.getTable().getGrantableSlots();
 		if (demand.isLocal && !demand.hasSlots) {
 			return free > 0;
 		}
 
-		const owned = this.#pool.getOwnedSlots();
+		const owned = this.#pool.getTable().getOwnedSlots();
 		const reserved = Math.round(owned * (demand.isLocal ? this.#tuning.reservedPart : this.#tuning.spillReserve));
 		const batch = Math.max(Math.round(owned * this.#tuning.grantPart), 1);
 		if (free <= reserved) {
--- a/src/process/scheduler/service-scheduler.ts
+++ b/src/process/scheduler/service-scheduler.ts
@@ -86,7 +86,7 @@
 			service, context, pool: this.#pool, tuning: options.tuning ?? defaultTuning, getProfile: () => this.#profile,
 		}, view);
 		this.#detector = new OutlierDetector({
-			context, getProfile: () => this.#profile, getEntries: () => this.#pool.getEntries(), onChange: () => {
+			context, getProfile: () => this.#profile, getEntries: () => this.#pool.getTable().getEntries(), onChange: () => {
 				this.#pool.handleHealthChange();
 			},
 		});
@@ -208,7 +208,7 @@
 
 	/** Gets the state of the upstreams. */
 	getUpstreamStatus(): readonly UpstreamStatus[] {
-		return this.#pool.getEntries().map(entry => getUpstreamStatus(entry));
+		return this.#pool.getTable().getEntries().map(entry => getUpstreamStatus(entry));
 	}
 
 	/** Drops all queued tasks and gives back all leases. */
@@ -254,7 +254,7 @@
 	}
 
 	#step(): boolean {
-		const available = this.#pool.getAvailable();
+		const available = this.#pool.getTable().getAvailable();
 		const next = this.#getNext(available);
 		if (this.#broker.grantOne(next, this.#queue.getOrder())) {
 			return true;
@@ -408,17 +408,17 @@
 
 	#getTasksAhead(taskCount: number): number {
 		const ahead = this.#profile.order === 'shortest-remaining' ? this.#jobs.getTasksUpTo(taskCount) : this.#jobs.getQueuedTasks();
-		return Math.max(ahead + taskCount - this.#pool.getUsableSlots() + this.#runningTasks, 0);
+		return Math.max(ahead + taskCount - this.#pool.getTable().getUsableSlots() + this.#runningTasks, 0);
 	}
 
 	#getMsPerTask(): number {
-		return this.#taskTime.getMean() / Math.max(this.#pool.getUsableSlots(), this.#pool.getEvenShare(), 1);
+		return this.#taskTime.getMean() / Math.max(this.#pool.getTable().getUsableSlots(), this.#pool.getEvenShare(), 1);
 	}
 
 	#getLocalDemand(): LocalDemand {
 		const readyTasks = this.#queue.getReadyTasks();
 		const next = readyTasks > 0 ? this.#queue.getNextPart((shape, team) => this.#shapes.isListed(shape) && this.#limits.mayStart(team)) : undefined;
-		const msPerTask = this.#taskTime.getMean() / Math.max(this.#pool.getUsableSlots(), 1);
+		const msPerTask = this.#taskTime.getMean() / Math.max(this.#pool.getTable().getUsableSlots(), 1);
 		const waitMs = readyTasks * msPerTask;
 		const maySpill = this.#profile.spillToOtherDataCenters && waitMs > this.#profile.spillWaitMs;
 		const urgentTasks = next ? Math.min(this.#getUrgentTasks(next), readyTasks) : 0;
@@ -430,7 +430,7 @@
 			urgentTasks,
 			urgentWaitMs: urgentTasks * msPerTask,
 			maySpill,
-			hasSlots: this.#pool.getUsableSlots() > 0,
+			hasSlots: this.#pool.getTable().getUsableSlots() > 0,
 		};
 	}
 
--- a/src/process/scheduler/slot-pool.ts
+++ b/src/process/scheduler/slot-pool.ts
@@ -6,6 +6,7 @@
 import {type SchedulerContext} from './scheduler-context.js';
 import {type LeaseName, type ServiceUpdate} from './slot-messages.js';
 import {type HeldLease, type HeldSlot, UpstreamEntry} from './upstream-entry.js';
+import {UpstreamTable} from './upstream-table.js';
 
 /** Options of a {@link SlotPool}. */
 export type SlotPoolOptions = {
@@ -19,9 +20,6 @@
 	readonly onChange: () => void;
 };
 
-/** Time for which a count of the usable slots is good enough, in milliseconds. */
-const usableValidMs = 5;
-
 /**
  * The slots of one service that this entry VM may use: those of the upstreams it owns, and those it leases.
  * @internal
@@ -29,14 +27,10 @@
 export class SlotPool {
 	readonly #options: SlotPoolOptions;
 	readonly #context: SchedulerContext;
-	readonly #entries = new Map<string, UpstreamEntry>();
-	readonly #available = new Set<UpstreamEntry>();
+	readonly #table: UpstreamTable;
 	readonly #claims: ClaimRound;
 	readonly #holderWatch: HolderWatch;
 	#view: MemberView;
-	#isAvailableStale = true;
-	#usableSlots = 0;
-	#usableCountedAt = Number.NEGATIVE_INFINITY;
 	#lastLease = 0;
 
 	constructor(options: SlotPoolOptions, view: MemberView) {
@@ -44,6 +38,7 @@
 		this.#context = options.context;
 		this.#view = view;
 		const {clock} = this.#context;
+		this.#table = new UpstreamTable(clock);
 		this.#claims = new ClaimRound(clock, () => {
 			this.#endClaims();
 		});
@@ -57,26 +52,13 @@
 	}
 
 	/** Gets the upstreams. */
-	getEntries(): readonly UpstreamEntry[] {
-		return [...this.#entries.values()];
-	}
-
-	/** Gets the upstreams on which a task may start now. */
-	getAvailable(): readonly UpstreamEntry[] {
-		if (this.#isAvailableStale) {
-			this.#isAvailableStale = false;
-			this.#available.clear();
-			for (const entry of this.#entries.values()) {
-				this.#updateAvailable(entry);
-			}
-		}
-
-		return [...this.#available];
+	getTable(): UpstreamTable {
+		return this.#table;
 	}
 
 	/** Tells that the health of an upstream changed. */
 	handleHealthChange(): void {
-		this.#isAvailableStale = true;
+		this.#table.updateAllAvailable();
 		this.returnLeases((_lease, entry) => entry.health.getState() !== 'healthy');
 	}
 
@@ -86,40 +68,19 @@
 	 */
 	takeSlot(entry: UpstreamEntry): HeldSlot {
 		const slot = entry.takeSlot();
-		this.#updateAvailable(entry);
+		this.#table.updateAvailable(entry);
 		return slot;
 	}
 
-	/** Gets the number of slots that this entry VM has for its own tasks, free or in use, as of a moment ago. */
-	getUsableSlots(): number {
-		const now = this.#context.clock.getMonotonicTime();
-		if (now - this.#usableCountedAt >= usableValidMs) {
-			this.#usableCountedAt = now;
-			this.#usableSlots = this.#countUsableSlots();
-		}
-
-		return this.#usableSlots;
-	}
-
-	/** Gets the number of slots that this entry VM counts. */
-	getOwnedSlots(): number {
-		return this.getEntries().reduce((sum, entry) => sum + (entry.owned?.getCapacity() ?? 0), 0);
-	}
-
 	/** Gets the slots of this data centre divided by the number of its entry VMs. */
 	getEvenShare(): number {
-		let sum = 0;
-		for (const {isLocal, listed} of this.#entries.values()) {
-			sum += isLocal && listed.state === 'live' ? listed.slots : 0;
-		}
-
-		return sum / (this.#view.owners.get(this.#context.self.dataCenter)?.length ?? 1);
+		return this.#table.getLocalSlots() / (this.#view.owners.get(this.#context.self.dataCenter)?.length ?? 1);
 	}
 
 	/** Gets the other members that own upstreams of this service, by whether they are of this data centre. */
 	getOtherOwners(isLocal: boolean): readonly string[] {
 		const owners = new Set<string>();
-		for (const entry of this.#entries.values()) {
+		for (const entry of this.#table.getEntries()) {
 			if (entry.owner !== undefined && !entry.owned && entry.isLocal === isLocal && this.#view.up.has(entry.owner)) {
 				owners.add(entry.owner);
 			}
@@ -130,7 +91,7 @@
 
 	/** Gets the members that hold leases of this entry VM. */
 	getHolders(): readonly string[] {
-		return [...this.#getAllHolders()].filter(holder => this.#view.up.has(holder));
+		return [...this.#table.getHolders()].filter(holder => this.#view.up.has(holder));
 	}
 
 	/**
@@ -138,13 +99,9 @@
 	 * @param upstreams - Upstreams of the service that this entry VM may use.
 	 */
 	setUpstreams(upstreams: readonly ListedUpstream[]): void {
-		this.#isAvailableStale = true;
+		this.#table.updateAllAvailable();
 		const names = new Set(upstreams.map(upstream => upstream.name));
-		for (const name of this.#entries.keys()) {
-			if (!names.has(name)) {
-				this.#entries.delete(name);
-			}
-		}
+		this.#table.keepOnly(names);
 
 		for (const upstream of upstreams) {
 			this.#setUpstream(upstream);
@@ -158,10 +115,10 @@
 	 * @param view - New view.
 	 */
 	setMembers(view: MemberView): void {
-		this.#isAvailableStale = true;
+		this.#table.updateAllAvailable();
 		this.#view = view;
 		this.#updateOwners();
-		this.#holderWatch.update(this.#getAllHolders(), view.up);
+		this.#holderWatch.update(this.#table.getHolders(), view.up);
 		this.#claims.keepOnly(view.up);
 	}
 
@@ -171,9 +128,7 @@
 	 */
 	releaseSlot(slot: HeldSlot): void {
 		this.#releaseSlot(slot);
-		if (this.#entries.get(slot.entry.listed.name) === slot.entry) {
-			this.#updateAvailable(slot.entry);
-		}
+		this.#table.updateAvailable(slot.entry);
 	}
 
 	/**
@@ -182,7 +137,7 @@
 	 */
 	grantLease(holder: string): boolean {
 		const outbox = this.#context.getOutbox(holder);
-		const entry = this.#chooseGrant();
+		const entry = this.#table.getMostGrantable();
 		if (!outbox || !entry) {
 			return false;
 		}
@@ -191,29 +146,19 @@
 		entry.owned!.addLease({id, holder, messageNumber: outbox.getNextNumber()});
 		entry.owned!.checkSum();
 		outbox.addGrant(this.#options.service, {id, upstream: entry.listed.name});
-		this.#updateAvailable(entry);
+		this.#table.updateAvailable(entry);
 		return true;
 	}
 
-	/** Gets the number of slots that could be leased out now. */
-	getGrantableSlots(): number {
-		let sum = 0;
-		for (const entry of this.#entries.values()) {
-			sum += entry.isGrantable() ? entry.getFreeSlots() : 0;
-		}
-
-		return sum;
-	}
-
 	/**
 	 * Takes leases that another owner granted; those of unknown or leaving upstreams go back.
 	 * @param leases - Leases granted.
 	 * @param owner - Member that granted them.
 	 */
 	takeGranted(leases: readonly LeaseName[], owner: string): void {
-		this.#isAvailableStale = true;
+		this.#table.updateAllAvailable();
 		for (const {id, upstream} of leases) {
-			const entry = this.#entries.get(upstream);
+			const entry = this.#table.getEntry(upstream);
 			if (entry && !entry.owned && entry.listed.state === 'live') {
 				entry.idleLeases.push({id, idleSince: this.#context.clock.getMonotonicTime(), isVoid: false});
 			} else {
@@ -228,9 +173,9 @@
 	 * @param holder - Member that held them.
 	 */
 	takeReturned(ids: readonly string[], holder: string): void {
-		this.#isAvailableStale = true;
+		this.#table.updateAllAvailable();
 		for (const id of ids) {
-			for (const entry of this.#entries.values()) {
+			for (const entry of this.#table.getEntries()) {
 				if (entry.owned?.removeLease(id, holder)) {
 					entry.owned.checkSum();
 					break;
@@ -244,9 +189,9 @@
 	 * @param ids - Identifiers of the leases.
 	 */
 	takeRevoked(ids: readonly string[]): void {
-		this.#isAvailableStale = true;
+		this.#table.updateAllAvailable();
 		const revoked = new Set(ids);
-		for (const entry of this.#entries.values()) {
+		for (const entry of this.#table.getEntries()) {
 			const kept = entry.idleLeases.filter(lease => !revoked.has(lease.id));
 			entry.idleLeases.splice(0, entry.idleLeases.length, ...kept);
 			for (const {lease} of entry.running) {
@@ -265,9 +210,9 @@
 	 * @param lastReceived - Number of the last message that the member had taken; later grants stay.
 	 */
 	takeClaims(claims: NonNullable<ServiceUpdate['claims']>, holder: string, lastReceived: number): void {
-		this.#isAvailableStale = true;
+		this.#table.updateAllAvailable();
 		const named = new Set(claims.leases.map(lease => lease.id));
-		for (const entry of this.#entries.values()) {
+		for (const entry of this.#table.getEntries()) {
 			for (const lease of entry.owned?.getLeases() ?? []) {
 				if (lease.holder === holder && lease.messageNumber <= lastReceived && !named.has(lease.id)) {
 					entry.owned!.removeLease(lease.id, holder);
@@ -287,7 +232,7 @@
 	 * @param owner - Member that owns the upstreams.
 	 */
 	getClaims(owner: string): readonly LeaseName[] {
-		return this.getEntries().flatMap(entry => entry.getHeldLeases()
+		return this.#table.getEntries().flatMap(entry => entry.getHeldLeases()
 			.filter(lease => entry.owner === owner || lease.id.startsWith(`${owner}:`))
 			.map(lease => ({id: lease.id, upstream: entry.listed.name})));
 	}
@@ -304,31 +249,19 @@
 	 * @param shouldReturn - Tells which leases go back.
 	 */
 	returnLeases(shouldReturn: (lease: HeldLease, entry: UpstreamEntry) => boolean): void {
-		for (const entry of this.#entries.values()) {
+		for (const entry of this.#table.getEntries()) {
 			for (const lease of entry.idleLeases.filter(idle => shouldReturn(idle, entry))) {
 				entry.idleLeases.splice(entry.idleLeases.indexOf(lease), 1);
-				this.#updateAvailable(entry);
+				this.#table.updateAvailable(entry);
 				this.#tellReturn(entry, lease);
 			}
 		}
 	}
 
-	/** Gets the earliest time since when a lease runs no task. */
-	getOldestIdleTime(): number | undefined {
-		let oldest: number | undefined;
-		for (const entry of this.#available) {
-			for (const {idleSince} of entry.idleLeases) {
-				oldest = Math.min(oldest ?? idleSince, idleSince);
-			}
-		}
-
-		return oldest;
-	}
-
 	/** Makes all leases in hand void, after this process may have been taken for dead. */
 	voidLeases(): void {
 		this.returnLeases(() => true);
-		for (const entry of this.#entries.values()) {
+		for (const entry of this.#table.getEntries()) {
 			for (const {lease} of entry.running) {
 				if (lease) {
 					lease.isVoid = true;
@@ -339,7 +272,7 @@
 
 	/** Asks the other members for the leases they hold before any owned slot is used. */
 	reclaimOwned(): void {
-		this.#askClaims(this.getEntries().filter(entry => entry.owned));
+		this.#askClaims(this.#table.getEntries().filter(entry => entry.owned));
 	}
 
 	/** Gives back all leases and stops the timers. */
@@ -350,10 +283,10 @@
 	}
 
 	#setUpstream(upstream: ListedUpstream): void {
-		const entry = this.#entries.get(upstream.name);
+		const entry = this.#table.getEntry(upstream.name);
 		if (!entry) {
 			const isLocal = upstream.dataCenter === this.#context.self.dataCenter;
-			this.#entries.set(upstream.name, new UpstreamEntry(upstream, isLocal, this.#options.getTaskMs()));
+			this.#table.addEntry(new UpstreamEntry(upstream, isLocal, this.#options.getTaskMs()));
 			return;
 		}
 
@@ -369,7 +302,7 @@
 	#updateOwners(): void {
 		const gained: UpstreamEntry[] = [];
 		const lost = new Set<string>();
-		for (const entry of this.#entries.values()) {
+		for (const entry of this.#table.getEntries()) {
 			const owner = getOwner(entry.listed.name, this.#view.owners.get(entry.listed.dataCenter) ?? []);
 			if (owner === entry.owner) {
 				continue;
@@ -402,7 +335,7 @@
 	}
 
 	#askClaims(entries: readonly UpstreamEntry[]): void {
-		this.#isAvailableStale = true;
+		this.#table.updateAllAvailable();
 		for (const entry of entries) {
 			entry.isClaimed = true;
 		}
@@ -416,8 +349,8 @@
 	}
 
 	#endClaims(): void {
-		this.#isAvailableStale = true;
-		for (const entry of this.#entries.values()) {
+		this.#table.updateAllAvailable();
+		for (const entry of this.#table.getEntries()) {
 			entry.isClaimed = false;
 		}
 
@@ -425,7 +358,7 @@
 	}
 
 	#takeClaim(lease: LeaseName, holder: string): void {
-		const owned = this.#entries.get(lease.upstream)?.owned;
+		const owned = this.#table.getEntry(lease.upstream)?.owned;
 		if (!owned || owned.getLease(lease.id)?.holder === holder) {
 			return;
 		}
@@ -435,13 +368,9 @@
 		}
 	}
 
-	#getAllHolders(): ReadonlySet<string> {
-		return new Set(this.getEntries().flatMap(entry => entry.owned?.getLeases() ?? []).map(lease => lease.holder));
-	}
-
 	#freeHolder(holder: string): void {
-		this.#isAvailableStale = true;
-		for (const {owned} of this.#entries.values()) {
+		this.#table.updateAllAvailable();
+		for (const {owned} of this.#table.getEntries()) {
 			for (const lease of owned?.getLeases() ?? []) {
 				owned!.removeLease(lease.id, holder);
 			}
@@ -450,25 +379,6 @@
 		this.#options.onChange();
 	}
 
-	#updateAvailable(entry: UpstreamEntry): void {
-		if (entry.isAvailable()) {
-			this.#available.add(entry);
-		} else {
-			this.#available.delete(entry);
-		}
-	}
-
-	#chooseGrant(): UpstreamEntry | undefined {
-		let best: UpstreamEntry | undefined;
-		for (const entry of this.#entries.values()) {
-			if (entry.isGrantable() && (!best || entry.getFreeSlots() > best.getFreeSlots())) {
-				best = entry;
-			}
-		}
-
-		return best;
-	}
-
 	#tellReturn(entry: UpstreamEntry, lease: HeldLease): void {
 		if (entry.owner !== undefined) {
 			this.#context.getOutbox(entry.owner)?.addReturn(this.#options.service, lease.id);
@@ -501,15 +411,4 @@
 		lease.idleSince = this.#context.clock.getMonotonicTime();
 		entry.idleLeases.push(lease);
 	}
-
-	#countUsableSlots(): number {
-		let sum = 0;
-		for (const entry of this.#entries.values()) {
-			if (entry.listed.state === 'live' && entry.health.getState() === 'healthy') {
-				sum += entry.owned ? entry.owned.getCapacity() - entry.owned.getLeasedOut() : entry.getHeldLeases().length;
-			}
-		}
-
-		return sum;
-	}
 }
