Leave the upstreams to the others at a planned stop, and end all timers

Cause: an entry VM that stops went on as owner of its upstreams while the others had taken them over, so its running tasks were counted by nobody else. With that mended, test/process/stop-timeout.test.ts no longer ended: a task that ends after the scheduler was closed gave its lease back through an outbox that tried for ever. Messages to a member that is down were kept and would have reached it as old grants. Change: handleStopping() makes the running tasks claims of the new owners, and the entry VM calls it; nothing is sent after the close; what is gathered for a member that is not up is dropped, and the question about claims makes up for it. Ruled out: the entry VM's own stop, which ends in both cases in entry-vm.test.ts. Both new tests pass; the second fails without the guard. 30 scheduler tests and 6 history tests pass.

--- a/src/process/entry-vm.ts
+++ b/src/process/entry-vm.ts
@@ -135,6 +135,7 @@
 		const {clock, random, events, self, coordinator, directory, runner, mesh, scheduler, upstreamClient} = this.#parts;
 		const {log, drainMs, stopTimeoutMs} = this.#options;
 		this.#parts.state.isStopping = true;
+		scheduler.handleStopping();
 		log?.info({incarnation: self.id}, 'stopping');
 		await stopGracefully({
 			clock, random, log, events, self, coordinator, directory, runner, peers: mesh, callerListener: this.#callerListener,
--- a/src/process/scheduler/distributed-task-scheduler.ts
+++ b/src/process/scheduler/distributed-task-scheduler.ts
@@ -35,8 +35,12 @@
 	#upstreams: readonly ListedUpstream[] = [];
 	#view: MemberView;
 	#pumpTimer: Timer | undefined;
+	#members: readonly Member[] = [];
+	#isStopping = false;
 	#isPaused = false;
 	#isClosed = false;
+	/** Whether the last messages were sent; tasks that end later tell nobody. */
+	#areMessagesClosed = false;
 
 	constructor(options: TaskSchedulerOptions) {
 		this.#options = options;
@@ -139,6 +143,11 @@
 		}
 	}
 
+	handleStopping(): void {
+		this.#isStopping = true;
+		this.#setMembers(this.#members);
+	}
+
 	async close(): Promise<void> {
 		this.#isClosed = true;
 		this.#askTimer.close();
@@ -156,6 +165,8 @@
 			outbox.flush();
 			outbox.close();
 		}
+
+		this.#areMessagesClosed = true;
 	}
 
 	#admit(job: ScheduledJob): Admission {
@@ -176,10 +187,14 @@
 	}
 
 	#setMembers(members: readonly Member[]): void {
-		this.#view = createMemberView(this.#options.self, members);
+		this.#members = members;
+		this.#view = createMemberView(this.#options.self, members, this.#isStopping);
 		for (const [memberId, outbox] of this.#outboxes) {
-			if (!this.#view.dataCenters.has(memberId)) {
+			if (!this.#view.up.has(memberId)) {
 				outbox.close();
+			}
+
+			if (!this.#view.dataCenters.has(memberId)) {
 				this.#outboxes.delete(memberId);
 			}
 		}
@@ -268,7 +283,7 @@
 	}
 
 	#getOutbox(memberId: string): Outbox | undefined {
-		if (!this.#view.up.has(memberId)) {
+		if (this.#areMessagesClosed || !this.#view.up.has(memberId)) {
 			return undefined;
 		}
 
--- a/src/process/scheduler/member-view.ts
+++ b/src/process/scheduler/member-view.ts
@@ -14,8 +14,9 @@
  * Sums up the members. A silent one stays an owner: its upstreams change hands only once it is down.
  * @param self - This entry VM.
  * @param members - The others.
+ * @param isStopping - Whether this entry VM leaves its upstreams to the others of its data centre.
  */
-export function createMemberView(self: Incarnation, members: readonly Member[]): MemberView {
+export function createMemberView(self: Incarnation, members: readonly Member[], isStopping = false): MemberView {
 	const owners = new Map<string, string[]>([[self.dataCenter, [self.id]]]);
 	const up = new Set<string>();
 	const dataCenters = new Map([[self.id, self.dataCenter]]);
@@ -31,5 +32,10 @@
 		}
 	}
 
+	const locals = owners.get(self.dataCenter)!;
+	if (isStopping && locals.length > 1) {
+		owners.set(self.dataCenter, locals.filter(id => id !== self.id));
+	}
+
 	return {owners, up, dataCenters};
 }
--- a/src/process/scheduler/task-scheduler-options.ts
+++ b/src/process/scheduler/task-scheduler-options.ts
@@ -48,6 +48,9 @@
 	/** Tells that the lists of members and upstreams are fresh again. */
 	confirmView(): void;
 
+	/** Tells that this entry VM leaves: the others count its upstreams from now on, and its tasks go on under leases. */
+	handleStopping(): void;
+
 	/** Gets the counts for metrics. */
 	getCounters(): Readonly<SchedulerCounters>;
 };
--- a/test/process/scheduler/behaviour.test.ts
+++ b/test/process/scheduler/behaviour.test.ts
@@ -279,3 +279,33 @@
 	t.true(harness.getStartedTasks().includes('other/0'));
 	await harness.close();
 });
+
+test('an entry VM that stops leaves its upstreams to the others, which count its running tasks', async t => {
+	const harness = new SchedulerHarness({nodeCount: 2, upstreams, tuning: {reservedPart: 0}});
+	const [stopping, other] = harness.nodes;
+	await harness.clock.advance(1000);
+	stopping!.scheduler.addJob(harness.createJob('running', 4));
+	stopping!.scheduler.handleStopping();
+	other!.members.push(toMembers([stopping!.self]).map(member => ({...member, isLeaving: true})));
+	await harness.clock.advance(100);
+	other!.scheduler.addJob(harness.createJob('next', 40));
+	await harness.clock.advance(100);
+	t.is(harness.running.size, 16);
+	t.true(other!.scheduler.getStatus().upstreams.every(({isOwned}) => isOwned));
+	t.is(other!.scheduler.getStatus().upstreams.reduce((sum, {leasedOut}) => sum + leasedOut, 0), 4);
+	await harness.close();
+});
+
+test('a scheduler that was closed sets no timer when its last tasks end', async t => {
+	const harness = new SchedulerHarness({nodeCount: 2, upstreams, tuning: {reservedPart: 0, batchMs: 1}});
+	await harness.clock.advance(1000);
+	harness.nodes[0]!.scheduler.addJob(harness.createJob('j', 16));
+	await harness.clock.advance(20);
+	await harness.close();
+	for (const start of harness.running) {
+		start.end(answered);
+	}
+
+	await harness.clock.advance(0);
+	t.false(harness.clock.runNext());
+});
