--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,7 @@
 const benches: Readonly<Record<string, () => Promise<{run: () => Promise<void>}>>> = {
 	coordinator: async () => import('./coordinator.js'),
 	dispatch: async () => import('./dispatch.js'),
+	peers: async () => import('./peers.js'),
 	platform: async () => import('./platform.js'),
 	'hand-over': async () => import('./hand-over.js'),
 };
--- /dev/null
+++ b/test/connection/link-plan.test.ts
@@ -0,0 +1,34 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {type LinkCandidate, planLinks} from '../../src/connection/link-plan.js';
+
+function createVms(dataCenter: string, count: number): readonly LinkCandidate[] {
+	return Array.from({length: count}, (_, index) => ({dataCenter, vm: `vm-${index}`, address: `${dataCenter}:${index}`}));
+}
+
+function planAll(from: readonly LinkCandidate[], to: readonly LinkCandidate[]): readonly string[] {
+	return from.flatMap(self => planLinks({
+		self, local: from, remote: to, linkCount: 2,
+	}).map(address => [self.address, address].toSorted().join(' '))).toSorted();
+}
+
+const sizes = fc.integer({min: 1, max: 9});
+
+test('both data centres plan the same links, as many as wanted where there are VMs enough', t => {
+	fc.assert(fc.property(sizes, sizes, (near, far) => {
+		const [kolkata, shanti] = [createVms('kolkata', near), createVms('shanti', far)];
+		const links = planAll(kolkata, shanti);
+		t.deepEqual(links, planAll(shanti, kolkata));
+		t.is(links.length, near === 1 && far === 1 ? 1 : 2);
+	}), {seed: 7});
+});
+
+test('an entry VM without a link that goes away moves none', t => {
+	const [kolkata, shanti] = [createVms('kolkata', 6), createVms('shanti', 6)];
+	const links = planAll(kolkata, shanti);
+	const unlinked = kolkata.filter(({address}) => !links.some(link => link.split(' ').includes(address)));
+	t.true(unlinked.length >= 4);
+	for (const gone of unlinked) {
+		t.deepEqual(planAll(kolkata.filter(vm => vm !== gone), shanti), links);
+	}
+});
