--- a/src/connection/handshake.ts
+++ b/src/connection/handshake.ts
@@ -95,11 +95,18 @@
 	}
 
 	async #runWithTimeout(run: () => Promise<HandshakeResult>): Promise<HandshakeResult> {
+		let isDone = false;
 		const timer = this.#options.clock.setTimer(() => {
-			this.#isTimedOut = true;
-			this.#connection.close();
+			// What came in during a pause of this process is read first.
+			setImmediate(() => {
+				if (!isDone) {
+					this.#isTimedOut = true;
+					this.#connection.close();
+				}
+			});
 		}, this.#options.timeoutMs);
 		const result = await run();
+		isDone = true;
 		timer.close();
 		if (!result.ok) {
 			this.#connection.closeAfterWrites();
--- a/src/connection/job-client.ts
+++ b/src/connection/job-client.ts
@@ -4,6 +4,7 @@
 import {type Clock} from '../seams/index.js';
 import {decodeValue, encodeFrame, encodeValue} from './frame-codec.js';
 import {type FrameConnection} from './frame-connection.js';
+import {JobKeepAlive} from './job-keep-alive.js';
 import {decodeJobMessage, type JobAnswer, type JobMessage} from './job-messages.js';
 import {type CollectedBody, PartCollector} from './part-collector.js';
 import {type OutgoingBody, PartSender} from './part-sender.js';
@@ -41,13 +42,12 @@
 	readonly connection: FrameConnection;
 	readonly sender: PartSender;
 	readonly collector: PartCollector<JobAnswer>;
+	readonly keepAlive: JobKeepAlive;
 };
 
 /** Bytes of bodies that may wait in each direction, in longest bodies. */
 const maxWaitingBodies = 4;
 
-const keepAliveFrame = encodeFrame({type: 'keep-alive'});
-
 /**
  * Sends requests to one incarnation, many at a time.
  * @internal
@@ -60,7 +60,6 @@
 	#isConnecting = false;
 	#lastId = 0;
 	#lastUsed: number;
-	#silentFrom = 0;
 
 	constructor(options: JobClientOptions) {
 		this.#options = options;
@@ -107,7 +106,7 @@
 			return;
 		}
 
-		if (now - Math.max(open.connection.getLastReceived(), this.#silentFrom) > this.#options.silenceMs) {
+		if (open.keepAlive.isSilent(now)) {
 			this.#options.onFault('silent');
 			open.connection.close();
 			return;
@@ -118,15 +117,12 @@
 			return;
 		}
 
-		// What waits to be sent serves as one.
-		if (open.connection.getBufferedBytes() === 0) {
-			open.connection.send(keepAliveFrame);
-		}
+		open.keepAlive.send(now);
 	}
 
 	/** Starts the time of silence anew, after a pause of this process. */
 	restartSilence(): void {
-		this.#silentFrom = this.#options.clock.getMonotonicTime();
+		this.#open?.keepAlive.restart(this.#options.clock.getMonotonicTime());
 	}
 
 	/**
@@ -198,6 +194,7 @@
 			connection,
 			sender: new PartSender(connection, this.#options.maxBodyBytes * maxWaitingBodies),
 			collector: new PartCollector<JobAnswer>(this.#options.maxBodyBytes * maxWaitingBodies),
+			keepAlive: new JobKeepAlive(connection, this.#options.silenceMs),
 		};
 		this.#open = open;
 		for (const pending of this.#pending) {
--- a/src/connection/job-server.ts
+++ b/src/connection/job-server.ts
@@ -5,6 +5,7 @@
 import {type Clock} from '../seams/index.js';
 import {decodeValue, encodeFrame, encodeValue} from './frame-codec.js';
 import {type FrameConnection} from './frame-connection.js';
+import {JobKeepAlive} from './job-keep-alive.js';
 import {decodeJobMessage, type JobMessage, type JobRequest} from './job-messages.js';
 import {type MemberRecord} from './member-record.js';
 import {type CollectedBody, PartCollector} from './part-collector.js';
@@ -33,8 +34,6 @@
 /** Bytes of bodies that may wait in each direction, in longest bodies. */
 const maxWaitingBodies = 4;
 
-const keepAliveFrame = encodeFrame({type: 'keep-alive'});
-
 /**
  * Takes the requests of one job connection, each at most once, and sends the answers.
  * @internal
@@ -45,13 +44,14 @@
 	readonly #sender: PartSender;
 	readonly #collector: PartCollector<JobRequest>;
 	readonly #running = new Map<number, AbortController>();
-	#silentFrom = 0;
+	readonly #keepAlive: JobKeepAlive;
 
 	constructor(options: JobServerOptions) {
 		this.#options = options;
 		this.#connection = options.connection;
 		this.#sender = new PartSender(options.connection, options.maxBodyBytes * maxWaitingBodies);
 		this.#collector = new PartCollector(options.maxBodyBytes * maxWaitingBodies);
+		this.#keepAlive = new JobKeepAlive(options.connection, options.silenceMs);
 	}
 
 	/** Takes requests until the connection is closed; the signals of those still in progress then abort. */
@@ -79,21 +79,18 @@
 	 * @param now - Monotonic time up to which silence is measured.
 	 */
 	tick(now: number): void {
-		if (now - Math.max(this.#connection.getLastReceived(), this.#silentFrom) > this.#options.silenceMs) {
+		if (this.#keepAlive.isSilent(now)) {
 			this.#options.onFault('silent');
 			this.#connection.close();
 			return;
 		}
 
-		// What waits to be sent serves as one.
-		if (this.#connection.getBufferedBytes() === 0) {
-			this.#connection.send(keepAliveFrame);
-		}
+		this.#keepAlive.send(now);
 	}
 
 	/** Starts the time of silence anew, after a pause of this process. */
 	restartSilence(): void {
-		this.#silentFrom = this.#options.clock.getMonotonicTime();
+		this.#keepAlive.restart(this.#options.clock.getMonotonicTime());
 	}
 
 	/** Closes the connection. */
