--- a/src/process/scheduler/scheduler-tuning.ts
+++ b/src/process/scheduler/scheduler-tuning.ts
@@ -4,14 +4,10 @@
 	readonly batchMs: number;
 	/** Expected wait for the own slots from which on others are asked for idle ones, in milliseconds. */
 	readonly demandWaitMs: number;
-	/** Expected wait of the most urgent jobs from which on others are asked before less urgent work, in milliseconds. */
-	readonly urgentWaitMs: number;
-	/** Lead in urgency that moves a slot, as a multiple of the order's. */
-	readonly leaseMarginFactor: number;
-	/** Owned slots that are kept free of leases for jobs that arrive. */
-	readonly reservedSlots: number;
-	/** Least number of idle slots leased out at a time. */
-	readonly minGrant: number;
+	/** Part of the owned slots that is kept free of leases for jobs that arrive. */
+	readonly reservedPart: number;
+	/** Part of the owned slots that is leased out at a time when they are idle; at least one slot. */
+	readonly grantPart: number;
 	/** Least time between two demands told to the same member, in milliseconds. */
 	readonly demandIntervalMs: number;
 	/** Time for which a lease without a task is kept, in milliseconds. */
@@ -26,12 +22,10 @@
 export const defaultTuning: SchedulerTuning = {
 	batchMs: 10,
 	demandWaitMs: 20,
-	urgentWaitMs: 40,
-	leaseMarginFactor: 1,
-	reservedSlots: 2,
-	minGrant: 3,
+	reservedPart: 0.04,
+	grantPart: 0.06,
 	demandIntervalMs: 20,
-	leaseIdleMs: 200,
+	leaseIdleMs: 100,
 	demandFanOut: 3,
 	spillReserve: 0.25,
 };
