Name what the heartbeats of a tick say

Cause: the type stood in the middle of a parameter list.

Change: BeatsContent.

Result: 55 tests of the links pass. In one run of all tests on a busy machine (load 21) two tests of other parts failed: cli commands 'a platform that is down leaves everything as it was' and upstream-client 'a silent upstream costs one request, and its connection is not used again'.

--- a/src/connection/control-links.ts
+++ b/src/connection/control-links.ts
@@ -24,6 +24,15 @@
 	readonly onChange: (record: MemberRecord) => void;
 };
 
+/** What the heartbeats of one tick say. */
+export type BeatsContent = {
+	readonly body: HeartbeatBody;
+	/** This process's view of its own data centre; goes to other data centres, and near when it changed. */
+	readonly ownReport: CompleteReport;
+	/** Views of other data centres that came over this process's links; go to the near peers. */
+	readonly farReports: readonly CompleteReport[];
+};
+
 /**
  * Makes, takes and replaces control links; two incarnations keep one between them.
  * @internal
@@ -101,7 +110,7 @@
 	 * @param content - What it says.
 	 * @param isFarDue - Whether the members in other data centres are due as well.
 	 */
-	sendBeats(content: {readonly body: HeartbeatBody; readonly ownReport: CompleteReport; readonly farReports: readonly CompleteReport[]}, isFarDue: boolean): void {
+	sendBeats(content: BeatsContent, isFarDue: boolean): void {
 		const {settings, table} = this.#options;
 		const logicalTime = settings.events.getLogicalTime();
 		for (const record of table.getRecords()) {
