--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,7 @@
 	capacity: async () => import('./capacity.js'),
 	coordinator: async () => import('./coordinator.js'),
 	dispatch: async () => import('./dispatch.js'),
+	peers: async () => import('./peers.js'),
 	platform: async () => import('./platform.js'),
 	'vm-list': async () => import('./vm-list.js'),
 	recovery: async () => import('./recovery.js'),
