--- a/src/cli/change-flow.ts
+++ b/src/cli/change-flow.ts
@@ -10,11 +10,11 @@
 import {type ChangeOutcome, ConfigurationStore, type StoredConfiguration} from './configuration-store.js';
 import {type ExitCode, exitCodes} from './exit-codes.js';
 import {formatChanges} from './format-changes.js';
-import {openOperatorClient, type OperatorClient} from './operator-client.js';
+import {openOperatorClient} from './operator-client.js';
 import {
 	type CommandResult, describeVersion, getVersionSummary, printResult,
 } from './output.js';
-import {type VersionProgress, versionStatusSchema, waitForVersion} from './version-wait.js';
+import {waitForResult, type WaitParts} from './wait-result.js';
 
 /** Flags of commands that change the configuration. */
 export type ChangeFlags = PlatformFlags & OperatorFlags & JsonFlag & {
@@ -23,6 +23,7 @@
 	readonly waitMs: number;
 	readonly dryRun?: boolean;
 	readonly expectVersion?: number;
+	readonly minVersion?: number;
 };
 
 /** What a command wants to change. */
@@ -33,11 +34,8 @@
 	readonly defaultMessage: string;
 };
 
-type ChangeParts = {
-	readonly host: CliHost;
+type ChangeParts = WaitParts & {
 	readonly flags: ChangeFlags;
-	readonly opened: OpenedPlatform;
-	readonly client: OperatorClient;
 };
 
 const defaultWaitMs = 10_000;
@@ -52,6 +50,7 @@
 		.option('--author <name>', 'who makes the change (ENDIVEMILL_AUTHOR; default: the user)')
 		.option('--wait-ms <milliseconds>', 'time limit for the version to be in force everywhere; 0: do not wait', parseCount, defaultWaitMs)
 		.option('--expect-version <number>', 'refuse the change if another version is the present one', parseCount)
+		.option('--min-version <number>', 'lowest number of the new version, after the platform\'s store has lost versions', parseCount)
 		.option('--dry-run', 'show the difference and write nothing');
 	return addJsonFlag(addOperatorFlags(addPlatformFlags(command)));
 }
@@ -86,7 +85,7 @@
 	}
 
 	if (flags.dryRun) {
-		return printResult(host, flags.json, createDryRunResult(wanted, changes));
+		return printResult(host, flags.json, createDryRunResult(flags, wanted, changes));
 	}
 
 	const client = await openOperatorClient(flags, host);
@@ -95,9 +94,10 @@
 	}
 
 	const parts: ChangeParts = {
-		host, flags, opened, client,
+		host, flags, opened, client, store: createStore(host, opened),
 	};
-	const result = changes.length === 0 ? await waitUnchanged(parts, wanted) : await writeAndWait(parts, wanted, changes);
+	const isNew = changes.length > 0 || getNextVersion(flags, wanted) > wanted.base.configuration.version + 1;
+	const result = isNew ? await writeAndWait(parts, wanted, changes) : await waitUnchanged(parts, wanted);
 	await client.close();
 	return printResult(host, flags.json, result);
 }
@@ -114,12 +114,16 @@
 	};
 }
 
-function createDryRunResult({base}: WantedChange, changes: readonly unknown[]): CommandResult {
-	const {version} = base.configuration;
+function getNextVersion({minVersion = 0}: ChangeFlags, {base}: WantedChange): number {
+	return Math.max(base.configuration.version + 1, minVersion);
+}
+
+function createDryRunResult(flags: ChangeFlags, wanted: WantedChange, changes: readonly unknown[]): CommandResult {
+	const {version} = wanted.base.configuration;
 	return {
 		exitCode: exitCodes.success,
 		json: {outcome: 'dry-run', version, changes},
-		text: changes.length === 0 ? `no difference from version ${version}` : `dry run: this would become version ${version + 1}`,
+		text: changes.length === 0 ? `no difference from version ${version}` : `dry run: this would become version ${getNextVersion(flags, wanted)}`,
 	};
 }
 
@@ -129,12 +133,13 @@
 }
 
 async function writeAndWait(parts: ChangeParts, wanted: WantedChange, changes: readonly unknown[]): Promise<CommandResult> {
-	const {flags, host, opened} = parts;
-	const outcome = await createStore(host, opened).applyChange({
+	const {flags, host, store} = parts;
+	const outcome = await store.applyChange({
 		base: wanted.base,
 		declarations: wanted.declarations,
 		author: getFlagOrVariable(flags.author, 'ENDIVEMILL_AUTHOR', host) ?? host.userName,
 		message: flags.message ?? wanted.defaultMessage,
+		version: getNextVersion(flags, wanted),
 	});
 	if (outcome.kind !== 'accepted') {
 		return createOutcomeResult(outcome, wanted);
@@ -162,6 +167,14 @@
 			};
 		}
 
+		case 'invalid': {
+			return {
+				exitCode: exitCodes.invalid,
+				json: {outcome: 'invalid', detail: outcome.detail},
+				error: `nothing was written: ${outcome.detail}`,
+			};
+		}
+
 		case 'unavailable': {
 			return {
 				exitCode: exitCodes.unavailable,
@@ -179,51 +192,3 @@
 		}
 	}
 }
-
-async function waitForResult(parts: ChangeParts, version: number, json: Record<string, unknown>, text: string): Promise<CommandResult> {
-	const {flags, host, opened, client} = parts;
-	if (flags.waitMs === 0) {
-		return {exitCode: exitCodes.success, json, text};
-	}
-
-	const progress = await waitForVersion({
-		...opened,
-		version,
-		timeoutMs: flags.waitMs,
-		clock: host.clock,
-		async getVersion({operatorAddress}) {
-			const answer = await client.getJson(operatorAddress, '/v1/status', versionStatusSchema);
-			return answer.ok ? {ok: true, value: answer.value.configurationVersion} : answer;
-		},
-		onProgress: createProgressLine(host, flags, version),
-	});
-	return createProgressResult(progress, version, json, text);
-}
-
-function createProgressLine(host: CliHost, {json}: ChangeFlags, version: number): (progress: VersionProgress) => void {
-	let last = '';
-	return ({inForce, lagging}) => {
-		const line = `version ${version} in force on ${inForce} of ${inForce + lagging.length} entry VMs\n`;
-		if (!json && line !== last) {
-			host.writeErr(line);
-		}
-
-		last = line;
-	};
-}
-
-function createProgressResult({inForce, lagging, isListKnown}: VersionProgress, version: number, json: Record<string, unknown>, text: string): CommandResult {
-	if (isListKnown && lagging.length === 0) {
-		return {exitCode: exitCodes.success, json: {...json, inForce, lagging}, text: `${text}; in force on all ${inForce} live entry VMs`};
-	}
-
-	const names = lagging.map(vm => `  ${vm.dataCenter}/${vm.name}: ${vm.version === undefined ? `no answer (${vm.detail})` : `version ${vm.version}`}`);
-	const error = isListKnown
-		? `version ${version} is not in force yet on:\n${names.join('\n')}`
-		: `whether version ${version} is in force is not known: the list of entry VMs cannot be read`;
-	return {
-		exitCode: exitCodes.notInForce, json: {
-			...json, inForce, lagging, isListKnown,
-		}, text, error,
-	};
-}
--- a/src/connection/http-listener.ts
+++ b/src/connection/http-listener.ts
@@ -8,6 +8,7 @@
 import {createServer as createTlsServer} from 'node:https';
 import {type AddressInfo, type Socket} from 'node:net';
 import {type CallerAnswer, type Header} from '../request/index.js';
+import {type Clock, systemClock} from '../seams/index.js';
 import {parseAddress} from './tcp-transport.js';
 import {minTlsVersion, type TlsMaterial, type TlsStore} from './tls-store.js';
 
@@ -35,6 +36,7 @@
 	readonly tls?: TlsStore;
 	/** Whether a connection without a valid certificate is refused where the material names authorities; default true. */
 	readonly needsCertificate?: boolean;
+	readonly clock?: Clock;
 };
 
 /** Counts of an {@link HttpListener}. */
@@ -46,6 +48,8 @@
 	readonly dropped: number;
 };
 
+/** Time between looks for idle connections while the listener closes, in milliseconds. */
+const idleCheckMs = 20;
 const defaultMaxConnections = 10_000;
 const defaultMaxHeaderBytes = 16_384;
 const defaultHeadTimeoutMs = 10_000;
@@ -66,6 +70,7 @@
 /** Listens for HTTP requests. */
 export class HttpListener {
 	readonly #server: Server;
+	readonly #clock: Clock;
 	#address: string;
 	#isStopping = false;
 	#malformed = 0;
@@ -75,6 +80,7 @@
 	/** @internal */
 	constructor(options: HttpListenerOptions) {
 		this.#address = options.address;
+		this.#clock = options.clock ?? systemClock;
 		this.#server = createHttpServer(options, {
 			maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
 			headersTimeout: options.headTimeoutMs ?? defaultHeadTimeoutMs,
@@ -136,12 +142,17 @@
 	/** Stops listening, lets the requests in progress end and closes all connections. */
 	async close(): Promise<void> {
 		this.#isStopping = true;
+		// A connection whose request came before the stop is idle only once that request is answered.
+		const timer = this.#clock.setRepeatingTimer(() => {
+			this.#server.closeIdleConnections();
+		}, idleCheckMs);
 		await new Promise<void>(resolve => {
 			this.#server.close(() => {
 				resolve();
 			});
 			this.#server.closeIdleConnections();
 		});
+		timer.close();
 	}
 
 	/** Closes all connections at once, as when the process dies. */
--- a/src/process/scheduler/service-scheduler.ts
+++ b/src/process/scheduler/service-scheduler.ts
@@ -6,6 +6,7 @@
 } from '../task-scheduler.js';
 import {type AdmissionFunction, admitInTime} from './admission.js';
 import {DecayedMean} from './decayed-mean.js';
+import {createInvariantError} from './invariant-error.js';
 import {createJobOrder, type JobOrderFactory} from './job-order.js';
 import {JobQueue} from './job-queue.js';
 import {LeaseBroker, type LocalDemand} from './lease-broker.js';
@@ -22,6 +23,7 @@
 import {UpstreamShapes} from './upstream-shapes.js';
 import {type HeldSlot, type UpstreamEntry} from './upstream-entry.js';
 import {chooseLeastLoaded, type UpstreamChoice} from './upstream-choice.js';
+import {WakeTimer} from './wake-timer.js';
 import {WorkAhead} from './work-ahead.js';
 
 /** Decisions that may be replaced. */
@@ -47,8 +49,8 @@
 /** Number of tasks over which the observed time fades. */
 const taskTimeSamples = 200;
 
-/** Least delay of the timer, in milliseconds. */
-const minTimerMs = 1;
+/** Most upstreams compared for one task. */
+const maxCandidates = 32;
 
 /** Time for which queued tasks wait for an upstream that fits them after the last one left, in milliseconds. */
 const noUpstreamGraceMs = 1000;
@@ -72,6 +74,7 @@
 	readonly #taskTime = new DecayedMean(initialTaskMs, taskTimeSamples);
 	readonly #jobs = new Map<string, QueuedJob>();
 	readonly #deadlines = new RankHeap<QueuedJob>();
+	readonly #wakeTimer: WakeTimer;
 	#profile: Profile;
 	#sequence = 0;
 	#queuedTasks = 0;
@@ -79,13 +82,15 @@
 	#isPumping = false;
 	#shouldPumpAgain = false;
 	#isPaused = false;
-	#timer: Timer | undefined;
-	#timerAt = Number.POSITIVE_INFINITY;
+	#graceTimer: Timer | undefined;
 
 	constructor(options: ServiceSchedulerOptions, view: MemberView) {
 		this.#options = options;
 		this.#context = options.context;
 		this.#limits = options.limits;
+		this.#wakeTimer = new WakeTimer(options.context.clock, () => {
+			this.pump();
+		});
 		this.#profile = options.profile;
 		this.#chooseUpstream = options.decisions?.chooseUpstream ?? chooseLeastLoaded;
 		const {service, context} = options;
@@ -99,10 +104,14 @@
 			},
 		}, view);
 		this.#broker = new LeaseBroker({
-			service, context, pool: this.#pool, tuning: options.tuning ?? defaultTuning,
+			service, context, pool: this.#pool, tuning: options.tuning ?? defaultTuning, getProfile: () => this.#profile,
 		}, view);
-		this.#detector = new OutlierDetector({context, getProfile: () => this.#profile, getEntries: () => this.#pool.getEntries()});
-		this.#queue = new JobQueue({order: this.#createOrder(), getWeight: options.limits.getWeight});
+		this.#detector = new OutlierDetector({
+			context, getProfile: () => this.#profile, getEntries: () => this.#pool.getEntries(), onChange: () => {
+				this.#pool.handleHealthChange();
+			},
+		});
+		this.#queue = new JobQueue({order: this.#createOrder(), getWeight: team => options.limits.getWeight(team)});
 	}
 
 	/** Gets the profile in force. */
@@ -135,6 +144,13 @@
 			this.#queue.updateShapes(part => this.#shapes.getShape(part.ready.at(-1)!.task.needs));
 		}
 
+		if (this.#queue.getParts().some(part => !this.#shapes.isListed(part.shape))) {
+			this.#graceTimer ??= this.#context.clock.setTimer(() => {
+				this.#graceTimer = undefined;
+				this.#giveUpUnlisted();
+			}, noUpstreamGraceMs);
+		}
+
 		this.pump();
 	}
 
@@ -164,6 +180,10 @@
 	 * @param source - Job to run.
 	 */
 	addJob(source: ScheduledJob): Admission {
+		if (this.#jobs.has(source.id)) {
+			throw createInvariantError(`Job ${source.id} is scheduled already`);
+		}
+
 		const now = this.#context.clock.getMonotonicTime();
 		this.#sequence++;
 		const job = new QueuedJob(source, now, this.#sequence, () => this.#taskTime.getMean());
@@ -174,7 +194,7 @@
 
 		this.#jobs.set(source.id, job);
 		this.#deadlines.addItem(job);
-		this.#queuedTasks += source.tasks.length;
+		this.#addQueued(job, source.tasks.length);
 		this.#ahead.addTasks(source.tasks.length, source.tasks.length);
 		this.#enqueue(job);
 		this.pump();
@@ -227,7 +247,8 @@
 		}
 
 		this.#isPaused = true;
-		this.#timer?.close();
+		this.#wakeTimer.close();
+		this.#graceTimer?.close();
 		this.#pool.close();
 	}
 
@@ -250,6 +271,7 @@
 	#pumpOnce(): void {
 		this.#expireJobs();
 		const probeTime = this.#detector.startProbes();
+		this.#broker.returnLeases(this.#getLocalDemand());
 		while (this.#step()) {
 			// Each step starts or leases one slot.
 		}
@@ -257,7 +279,7 @@
 		const local = this.#getLocalDemand();
 		this.#broker.returnLeases(local);
 		const times = [probeTime, this.#broker.tellDemand(local), this.#broker.getReturnTime(), this.#deadlines.getFirst()?.rank];
-		this.#setTimer(Math.min(...times.filter(time => time !== undefined)));
+		this.#wakeTimer.wakeAt(Math.min(...times.filter(time => time !== undefined)));
 	}
 
 	#step(): boolean {
@@ -280,17 +302,14 @@
 			return undefined;
 		}
 
-		const listed = available.map(entry => entry.listed);
-		return this.#queue.getNextPart((shape, team) => this.#shapes.isServed(shape, listed) && this.#limits.mayStart(team));
+		return this.#queue.getNextPart((shape, team) => this.#shapes.isServed(shape, available) && this.#limits.mayStart(team));
 	}
 
 	#start(queued: QueuedTask, available: readonly UpstreamEntry[]): void {
 		const {task, job} = queued;
-		const candidates = available
-			.filter(entry => this.#shapes.fits(queued.part.shape, entry.listed))
-			.map(entry => entry.toCandidate(queued.triedUpstreams));
+		const candidates = this.#getCandidates(queued, available);
 		const {entry} = this.#chooseUpstream(candidates);
-		const slot = entry.takeSlot();
+		const slot = this.#pool.takeSlot(entry);
 		queued.attempts++;
 		this.#countStart(queued, slot);
 		this.#ahead.moveTasks(job.queuedTasks, job.queuedTasks - 1);
@@ -300,11 +319,26 @@
 		void this.#run(queued, slot, task.run(entry.listed, queued.attempts));
 	}
 
+	#getCandidates(queued: QueuedTask, available: readonly UpstreamEntry[]): ReadonlyArray<ReturnType<UpstreamEntry['toCandidate']>> {
+		const candidates: Array<ReturnType<UpstreamEntry['toCandidate']>> = [];
+		for (const entry of available) {
+			if (this.#shapes.fits(queued.part.shape, entry.listed)) {
+				candidates.push(entry.toCandidate(queued.triedUpstreams));
+			}
+
+			if (candidates.length === maxCandidates) {
+				break;
+			}
+		}
+
+		return candidates;
+	}
+
 	#countStart(queued: QueuedTask, slot: HeldSlot): void {
 		const {counters} = this.#context;
 		counters.starts++;
 		counters.leasedStarts += slot.lease ? 1 : 0;
-		this.#queuedTasks--;
+		this.#addQueued(queued.job, -1);
 		this.#runningTasks++;
 		this.#limits.addStart(queued.job.source.team);
 		if (queued.attempts === 1) {
@@ -353,7 +387,7 @@
 
 		this.#context.counters.retries++;
 		queued.triedUpstreams = [...queued.triedUpstreams, upstream];
-		this.#queuedTasks++;
+		this.#addQueued(job, 1);
 		job.queuedTasks++;
 		this.#ahead.moveTasks(job.queuedTasks - 1, job.queuedTasks);
 		this.#context.events.addEvent('task-retried', job.source.id, `attempt ${queued.attempts + 1}, after ${upstream}`);
@@ -367,7 +401,10 @@
 			return;
 		}
 
-		queued.part.shape = this.#shapes.getShape(queued.task.needs);
+		if (queued.part.heapIndex < 0) {
+			queued.part.shape = this.#shapes.getShape(queued.task.needs);
+		}
+
 		this.#queue.addTasks(queued.part, [queued]);
 		this.pump();
 	}
@@ -409,7 +446,7 @@
 		return admit({
 			taskCount: tasks.length,
 			remainingMs: deadline - now,
-			hasUpstream: this.#pool.getEntries().some(entry => entry.listed.state === 'live'),
+			hasUpstream: this.#shapes.hasLiveUpstream(),
 			isRunnable: tasks.every(task => this.#shapes.isRunnable(task.needs)),
 			queuedTasks: this.#queuedTasks,
 			maxQueuedTasks: this.#profile.maxQueuedTasks,
@@ -431,7 +468,8 @@
 	#getLocalDemand(): LocalDemand {
 		const readyTasks = this.#queue.getReadyTasks();
 		const next = readyTasks > 0 ? this.#queue.getNextPart((shape, team) => this.#shapes.isListed(shape) && this.#limits.mayStart(team)) : undefined;
-		const waitMs = readyTasks * this.#getMsPerTask();
+		const msPerTask = this.#taskTime.getMean() / Math.max(this.#pool.getUsableSlots(), 1);
+		const waitMs = readyTasks * msPerTask;
 		const maySpill = this.#profile.spillToOtherDataCenters && waitMs > this.#profile.spillWaitMs;
 		const urgentTasks = next ? Math.min(this.#getUrgentTasks(next), readyTasks) : 0;
 		return {
@@ -440,7 +478,7 @@
 			next,
 			waitMs,
 			urgentTasks,
-			urgentWaitMs: urgentTasks * this.#getMsPerTask(),
+			urgentWaitMs: urgentTasks * msPerTask,
 			maySpill,
 			hasSlots: this.#pool.getUsableSlots() > 0,
 		};
@@ -450,18 +488,39 @@
 		return this.#profile.order === 'shortest-remaining' ? this.#ahead.getTasksUpTo(next.job.queuedTasks) : next.job.queuedTasks;
 	}
 
+	/** Gives up the tasks that no listed upstream fits any more. */
+	#giveUpUnlisted(): void {
+		for (const part of this.#queue.getParts().filter(({shape}) => !this.#shapes.isListed(shape))) {
+			const {job} = part;
+			const tasks = this.#queue.removePart(part);
+			this.#ahead.moveTasks(job.queuedTasks, job.queuedTasks - tasks.length);
+			this.#addQueued(job, -tasks.length);
+			job.queuedTasks -= tasks.length;
+			for (const {task} of tasks) {
+				task.giveUp({kind: 'not_started', detail: 'No listed upstream fits the task any more', isUnreachable: true});
+			}
+
+			this.#forgetIfEnded(job);
+		}
+	}
+
 	#removeJob(job: QueuedJob): number {
 		const dropped = job.queuedTasks;
 		job.isRemoved = true;
 		this.#queue.removeJob(job);
 		this.#ahead.removeTasks(dropped, dropped);
-		this.#queuedTasks -= dropped;
+		this.#addQueued(job, -dropped);
 		job.queuedTasks = 0;
 		this.#deadlines.removeItem(job);
 		this.#jobs.delete(job.source.id);
 		return dropped;
 	}
 
+	#addQueued(job: QueuedJob, count: number): void {
+		this.#queuedTasks += count;
+		this.#limits.addQueued(job.source.team, count);
+	}
+
 	#forgetIfEnded(job: QueuedJob): void {
 		if (job.queuedTasks === 0 && job.runningTasks === 0 && !job.isRemoved) {
 			this.#removeJob(job);
@@ -479,24 +538,6 @@
 		}
 	}
 
-	#setTimer(time: number): void {
-		if (time === this.#timerAt) {
-			return;
-		}
-
-		this.#timer?.close();
-		this.#timer = undefined;
-		this.#timerAt = time;
-		if (time === Number.POSITIVE_INFINITY) {
-			return;
-		}
-
-		this.#timer = this.#context.clock.setTimer(() => {
-			this.#timerAt = Number.POSITIVE_INFINITY;
-			this.pump();
-		}, Math.max(time - this.#context.clock.getMonotonicTime(), minTimerMs));
-	}
-
 	#createOrder(): ReturnType<JobOrderFactory> {
 		return (this.#options.decisions?.createOrder ?? createJobOrder)(this.#profile);
 	}
@@ -513,6 +554,7 @@
 		slots: entry.listed.slots,
 		inUse: entry.running.size,
 		leasedOut: entry.owned?.getLeasedOut() ?? 0,
+		free: entry.owned?.getFree() ?? 0,
 		held: entry.getHeldLeases().length,
 		failurePercent: entry.health.getFailureRate() * 100,
 		latencyMs: entry.health.getLatencyMs(),
