Run the measurement of the upstream client like the others

Cause: under tsx each closure costs a call more than in the compiled program. Change: the measurement runs compiled, by npm run bench -- upstream.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,6 +10,7 @@
 	platform: async () => import('./platform.js'),
 	recovery: async () => import('./recovery.js'),
 	policy: async () => import('./policy.js'),
+	upstream: async () => import('./upstream.js'),
 	'hand-over': async () => import('./hand-over.js'),
 };
 
--- a/bench/upstream-worker.mjs
+++ b/bench/support/forgetful-upstream-main.ts
@@ -1,14 +1,14 @@
 /**
  * Stand-in upstream on a worker thread: a bare TCP socket that answers every request head at once.
  */
-import {createServer} from 'node:net';
+import {type AddressInfo, createServer} from 'node:net';
 import {parentPort, workerData} from 'node:worker_threads';
 
 const response = 'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 17\r\n\r\n{"status":"done"}';
 const headEnd = '\r\n\r\n';
 
 /** A connection that was idle for longer goes silent, as if a middlebox had lost track of it; 0: never. */
-const {forgetIdleMs} = workerData;
+const {forgetIdleMs} = workerData as {readonly forgetIdleMs: number};
 
 const server = createServer(socket => {
 	let buffered = '';
@@ -19,7 +19,7 @@
 	socket.on('error', () => {
 		socket.destroy();
 	});
-	socket.on('data', chunk => {
+	socket.on('data', (chunk: string) => {
 		const now = performance.now();
 		isSilent ||= forgetIdleMs > 0 && now - lastUse > forgetIdleMs;
 		lastUse = now;
@@ -37,5 +37,5 @@
 	});
 });
 server.listen(0, '127.0.0.1', () => {
-	parentPort.postMessage(server.address().port);
+	parentPort!.postMessage((server.address() as AddressInfo).port);
 });
--- a/bench/upstream.ts
+++ b/bench/upstream.ts
@@ -1,15 +1,16 @@
 /**
  * Measures the upstream client beside bare undici in the same run, and what silent connections cost.
- * `npx tsx bench/upstream.ts [--quick]` writes bench/results/upstream.json.
+ * `npm run bench -- upstream` writes bench/results/upstream.json.
  */
 import {once} from 'node:events';
-import {mkdirSync, readFileSync, writeFileSync} from 'node:fs';
-import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {Worker} from 'node:worker_threads';
 import {Pool} from 'undici';
 import {type UpstreamRunOptions, createUpstreamClient} from '../src/connection/index.js';
 import {type ListedUpstream, upstreamSchema} from '../src/platform/index.js';
+import {writeResults} from './support/results.js';
+import {getMainThreadCpuUs} from './support/thread-cpu.js';
+import {workerExecArgv} from './support/worker-exec-argv.js';
 
 type Send = (upstream: ListedUpstream, signal: AbortSignal) => Promise<boolean>;
 
@@ -19,16 +20,15 @@
 	readonly cpuUsPerRequest: number;
 };
 
-const isQuick = process.argv.includes('--quick');
 const upstreamCount = 4;
 const slotsPerUpstream = 8;
-const roundCount = isQuick ? 2 : 7;
-const requestsPerRound = isQuick ? 4000 : 40_000;
+const roundCount = 7;
+const requestsPerRound = 40_000;
 const runOptions: UpstreamRunOptions = {timeoutMs: 5000, notStartedStatuses: [503], idleConnectionMs: 4000};
 const headers = [['content-type', 'application/json'], ['x-request-id', '0123456789abcdef']] as const;
 const path = '/seats/hold?chair=17';
 
-const burstCount = isQuick ? 3 : 10;
+const burstCount = 10;
 const burstSize = 200;
 const pauseMs = 400;
 const forgetIdleMs = 250;
@@ -36,8 +36,13 @@
 const longIdleMs = 60_000;
 const silentTimeoutMs = 100;
 
+function createWorker(forgetAfterMs: number): Worker {
+	const extension = import.meta.url.slice(-2);
+	return new Worker(new URL(`support/forgetful-upstream-main.${extension}`, import.meta.url), {workerData: {forgetIdleMs: forgetAfterMs}, execArgv: [...workerExecArgv]});
+}
+
 async function startUpstreams(forgetAfterMs: number): Promise<{readonly upstreams: readonly ListedUpstream[]; readonly workers: readonly Worker[]}> {
-	const workers = Array.from({length: upstreamCount}, () => new Worker(new URL('upstream-worker.mjs', import.meta.url), {workerData: {forgetIdleMs: forgetAfterMs}}));
+	const workers = Array.from({length: upstreamCount}, () => createWorker(forgetAfterMs));
 	const ports = await Promise.all(workers.map(async worker => {
 		const [port] = await once(worker, 'message') as [number];
 		return port;
@@ -48,12 +53,6 @@
 	return {upstreams, workers};
 }
 
-/** Gets the processor time of the main thread in microseconds. */
-function getCpuUs(): number {
-	const [onCpuNs] = readFileSync(`/proc/self/task/${process.pid}/schedstat`, 'utf8').split(' ');
-	return Number(onCpuNs) / 1000;
-}
-
 /** Sends requests with every slot of every upstream kept busy; gets the number that were answered. */
 async function sendAll(upstreams: readonly ListedUpstream[], send: Send, count: number): Promise<number> {
 	let left = count;
@@ -72,11 +71,11 @@
 }
 
 async function measureRound(upstreams: readonly ListedUpstream[], send: Send): Promise<Figures> {
-	const startCpu = getCpuUs();
+	const startCpu = await getMainThreadCpuUs();
 	const startTime = performance.now();
 	const answered = await sendAll(upstreams, send, requestsPerRound);
 	const seconds = (performance.now() - startTime) / 1000;
-	const cpuUs = getCpuUs() - startCpu;
+	const cpuUs = await getMainThreadCpuUs() - startCpu;
 	if (answered !== requestsPerRound) {
 		throw new Error(`${requestsPerRound - answered} requests were not answered`);
 	}
@@ -174,26 +173,21 @@
 	};
 }
 
-const rates = await compare();
-const report = {
-	command: process.argv.slice(1).join(' ').replace(/^.*?bench/v, 'bench'),
-	node: process.version,
-	setup: {
-		upstreamCount, slotsPerUpstream, roundCount, requestsPerRound,
-	},
-	rates,
-	silence: {
-		setup: {
-			burstCount, burstSize, pauseMs, forgetIdleMs, silentTimeoutMs,
-		},
+/** Runs the measurement. */
+export async function run(): Promise<void> {
+	const rates = await compare();
+	console.table(rates);
+	const silence = {
 		withoutSilentConnections: await measureSilence(longIdleMs, 0),
 		silentConnectionsLongIdle: await measureSilence(longIdleMs, forgetIdleMs),
 		silentConnectionsShortIdle: await measureSilence(shortIdleMs, forgetIdleMs),
-	},
-};
-mkdirSync(new URL('results/', import.meta.url), {recursive: true});
-if (!isQuick) {
-	writeFileSync(new URL('results/upstream.json', import.meta.url), `${JSON.stringify(report, undefined, '\t')}\n`);
+	};
+	console.table(silence);
+	await writeResults('upstream', {
+		setup: {
+			upstreamCount, slotsPerUpstream, roundCount, requestsPerRound, burstCount, burstSize, pauseMs, forgetIdleMs, silentTimeoutMs,
+		},
+		rates,
+		silence,
+	});
 }
-
-console.log(JSON.stringify(report, undefined, '\t'));
