--- a/bench/main.ts
+++ b/bench/main.ts
@@ -12,6 +12,7 @@
 	'vm-list': async () => import('./vm-list.js'),
 	recovery: async () => import('./recovery.js'),
 	policy: async () => import('./policy.js'),
+	upstream: async () => import('./upstream.js'),
 	'hand-over': async () => import('./hand-over.js'),
 };
 
--- a/src/daemon/run-daemon.ts
+++ b/src/daemon/run-daemon.ts
@@ -47,8 +47,8 @@
 	readonly host?: DaemonHost;
 };
 
-/** Time beyond the limit of running work for handing records over and closing, in milliseconds. */
-const closeMarginMs = 15_000;
+/** Time beyond the stop's limit for handing the records over and closing. */
+const handOverAllowanceMs = 15_000;
 
 const stopSignals = ['SIGTERM', 'SIGINT'] as const;
 
@@ -156,7 +156,7 @@
 	const timer = host.clock.setTimer(() => {
 		log.error({stopTimeoutMs: settings.stopTimeoutMs}, 'stop took too long');
 		host.exit(exitCodes.stopTimeout);
-	}, settings.stopTimeoutMs + closeMarginMs);
+	}, settings.stopTimeoutMs + handOverAllowanceMs);
 	try {
 		await service.close();
 		log.info('stopped');
