Measure what an entry VM costs by size

Change: npm run bench -- capacity: heap and processor time of the main thread by upstreams, teams, jobs held and records kept, and by task starts.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,6 +4,7 @@
 import process from 'node:process';
 
 const benches: Readonly<Record<string, () => Promise<{run: () => Promise<void>}>>> = {
+	capacity: async () => import('./capacity.js'),
 	coordinator: async () => import('./coordinator.js'),
 	dispatch: async () => import('./dispatch.js'),
 	platform: async () => import('./platform.js'),
--- /dev/null
+++ b/bench/support/line-fit.ts
@@ -0,0 +1,29 @@
+/**
+ * The straight line through measured points.
+ */
+
+/** A measured point. */
+export type Point = {
+	readonly size: number;
+	readonly value: number;
+};
+
+/** A straight line: the value at size 0, and the growth for each further one. */
+export type Line = {
+	readonly base: number;
+	readonly slope: number;
+};
+
+/**
+ * Gets the line of least squares through points.
+ * @param points - At least two points of different sizes.
+ */
+export function fitLine(points: readonly Point[]): Line {
+	const count = points.length;
+	const meanSize = points.reduce((sum, {size}) => sum + size, 0) / count;
+	const meanValue = points.reduce((sum, {value}) => sum + value, 0) / count;
+	const covariance = points.reduce((sum, {size, value}) => sum + ((size - meanSize) * (value - meanValue)), 0);
+	const variance = points.reduce((sum, {size}) => sum + ((size - meanSize) ** 2), 0);
+	const slope = covariance / variance;
+	return {base: meanValue - (slope * meanSize), slope};
+}
