--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -1,258 +1,270 @@
 /**
- * What one entry VM costs for each upstream, team, job held, record kept and task start, as slopes over measured sizes.
- * The cost for each other entry VM is measured by `peers`.
+ * Slopes of state and processor time: what one more record, queued task, upstream, team, version or event costs.
  */
 import {Buffer} from 'node:buffer';
 import process from 'node:process';
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
+import {type Member} from '../src/connection/index.js';
 import {type ListedUpstream} from '../src/platform/index.js';
-import {createEntryVm, type EntryVm} from '../src/process/index.js';
-import {sleep, systemClock} from '../src/seams/index.js';
-import {createUpstreamWorker} from '../src/testing/index.js';
-import {runDriver} from './support/driver.js';
-import {createFixedPlatform} from './support/fixed-platform.js';
-import {fitLine, type Line} from './support/line-fit.js';
+import {
+	createTaskScheduler, CurrentValue, EventLog, RecordStore, type SavedRecord, type ScheduledJob, type SlotScheduler, type TaskEnd,
+} from '../src/process/index.js';
+import {systemClock} from '../src/seams/index.js';
+import {type Configuration, configurationSchema} from '../src/version/index.js';
 import {writeResults} from './support/results.js';
-import {getMainThreadCpuUs} from './support/thread-cpu.js';
-import {workerExecArgv} from './support/worker-exec-argv.js';
 
-/** Cost of an entry VM at one size. */
-type Cost = {
+/** Figures at one size. */
+type Point = {
 	readonly size: number;
-	readonly heapBytes: number;
-	readonly cpuUsPerSecond: number;
+	/** Heap per unit of the size, in bytes. */
+	readonly bytesEach?: number;
+	/** Processor time per operation, in microseconds. */
+	readonly usEach?: number;
 };
 
-/** Cost by size, with its lines. */
-type CostLines = {
-	readonly costs: readonly Cost[];
-	readonly heapBytes: Line;
-	readonly cpuUsPerSecond: Line;
-};
-
-/** Cost of task starts at one rate. */
-type StartCost = {
-	readonly concurrency: number;
-	readonly startsPerSecond: number;
-	readonly cpuUsPerSecond: number;
-	readonly failed: number;
-};
-
-/** What an entry VM is measured with. */
-type Content = {
-	readonly upstreams: readonly ListedUpstream[];
-	readonly teams?: number;
-};
-
-const deployment = 'capacity';
-const dataCenter = 'dc1';
-const service = 'seats';
-const anyPort = '127.0.0.1:0';
-/** Port that nobody listens on, for upstreams that get no task. */
-const deadAddress = '127.0.0.1:9';
-const idleMs = 4000;
-const settleMs = 500;
+const recordCounts = [10_000, 50_000, 100_000];
+const queuedTaskCounts = [10_000, 50_000];
+const upstreamCounts = [35, 220, 880];
+const teamCounts = [1, 28];
+const eventCounts = [20_000];
+const serviceCounts = [5, 50, 200];
 const tasksPerJob = 10;
-const startTasksPerJob = 20;
-const startRunMs = 20;
-const workerCount = 3;
-const slotsPerWorker = 64;
-const startMs = 3000;
-const upstreamCounts = [35, 176, 440, 880];
-const teamCounts = [0, 28, 280];
-const heldCounts = [0, 1000, 2000, 4000];
-const recordCounts = [0, 2000, 4000, 8000];
-const startConcurrencies = [1, 2, 4, 8];
+const startCount = 60_000;
+const slots = 8;
+/** Slots whose tasks never end, so that the tasks after them stay queued. */
+const busySlots = 1000;
+const answerBytes = 300;
+const jobsInFlight = 400;
+const microsecondsPerMillisecond = 1000;
+const done: TaskEnd = {kind: 'answered', status: 200};
 
 setFlagsFromString('--expose-gc');
 const collectGarbage = runInNewContext('gc') as () => void;
 
 /** Runs the measurement. */
 export async function run(): Promise<void> {
-	// The first entry VM pays for the code that all of them use.
-	await measureIdle({upstreams: createUpstreams(35)}, 35);
-	const perUpstream = await measureAll(upstreamCounts, async size => measureIdle({upstreams: createUpstreams(size)}, size));
-	print('upstream', perUpstream);
-	const perTeam = await measureAll(teamCounts, async size => measureIdle({upstreams: createUpstreams(35), teams: size}, size));
-	print('team', perTeam);
-	const perJobHeld = await measureAll(heldCounts, measureHeld);
-	print(`job held (${tasksPerJob} tasks)`, perJobHeld);
-	const perRecord = await measureAll(recordCounts, measureRecords);
-	print(`record kept (${tasksPerJob} answers)`, perRecord);
-	const starts = await measureStarts();
-	const perStart = fitLine(starts.map(({cpuUsPerSecond, startsPerSecond}) => ({size: startsPerSecond, value: cpuUsPerSecond})));
-	process.stdout.write(`start: ${perStart.slope.toFixed(1)} us\n`);
-	await writeResults('capacity', {
-		tasksPerJob, perUpstream, perTeam, perJobHeld, perRecord, starts, perStart,
-	});
+	const figures = {
+		recordsWithAnswers: await measureEach(recordCounts, async size => measureRecords(size, answerBytes)),
+		recordsWithoutAnswers: await measureEach(recordCounts, async size => measureRecords(size, 0)),
+		queuedTasks: await measureEach(queuedTaskCounts, measureQueuedTasks),
+		upstreams: await measureEach(upstreamCounts, measureUpstreams),
+		startsByUpstreams: await measureEach(upstreamCounts, async size => measureStarts(size, 1)),
+		startsByTeams: await measureEach(teamCounts, async size => measureStarts(220, size)),
+		events: await measureEach(eventCounts, measureEvents),
+		versionsByServices: serviceCounts.map(size => measureVersion(size)),
+	};
+	for (const [name, points] of Object.entries(figures)) {
+		const texts = points.map(({size, bytesEach, usEach}) =>
+			`${size}: ${[bytesEach === undefined ? '' : `${bytesEach.toFixed(0)} B`, usEach === undefined ? '' : `${usEach.toFixed(2)} us`].filter(Boolean).join(', ')}`);
+		process.stdout.write(`${name.padEnd(22)} ${texts.join('; ')}\n`);
+	}
+
+	await writeResults('capacity', {tasksPerJob, answerBytes, ...figures});
 }
 
-async function measureAll(sizes: readonly number[], measure: (size: number) => Promise<Cost>): Promise<CostLines> {
-	const costs: Cost[] = [];
+async function measureEach(sizes: readonly number[], measure: (size: number) => Promise<Point>): Promise<readonly Point[]> {
+	const points: Point[] = [];
 	for (const size of sizes) {
-		costs.push(await measure(size));
+		points.push(await measure(size));
+	}
+
+	return points;
+}
+
+async function measureRecords(size: number, bytes: number): Promise<Point> {
+	const before = await getHeapBytes();
+	const store = new RecordStore({maxRecordsPerPeriod: Number.POSITIVE_INFINITY, maxAnswerBytes: Number.POSITIVE_INFINITY});
+	const startedAt = performance.now();
+	for (let index = 0; index < size; index++) {
+		store.addSavedRecord(createRecord(index, bytes));
 	}
 
+	const usEach = (performance.now() - startedAt) * microsecondsPerMillisecond / size;
+	const bytesEach = (await getHeapBytes() - before) / size;
+	return {size: store.getRecordCount(), bytesEach, usEach};
+}
+
+function createRecord(index: number, bytes: number): SavedRecord {
 	return {
-		costs,
-		heapBytes: fitLine(costs.map(({heapBytes, size}) => ({size, value: heapBytes}))),
-		cpuUsPerSecond: fitLine(costs.map(({cpuUsPerSecond, size}) => ({size, value: cpuUsPerSecond}))),
+		key: `key-${index}`,
+		period: 1,
+		attempt: 1,
+		fingerprint: Buffer.from(`digest ${index}`.padEnd(20)).toString('base64'),
+		outcome: 'complete',
+		answer: bytes === 0
+			? undefined
+			: {
+				outcome: 'complete', status: 200, headers: [['Content-Type', 'application/json']], body: Buffer.alloc(bytes, 'a'),
+			},
 	};
 }
 
-async function measureIdle(content: Content, size: number): Promise<Cost> {
-	const heapBefore = getHeapBytes();
-	const entryVm = await startEntryVm(content);
-	return endMeasure(entryVm, heapBefore, size);
+async function runForever(): Promise<TaskEnd> {
+	return new Promise(() => {
+		// The task never ends.
+	});
 }
 
-/** Measures jobs that wait: a few of their tasks run on an upstream that never answers. */
-async function measureHeld(size: number): Promise<Cost> {
-	const worker = createUpstreamWorker({execArgv: workerExecArgv});
-	await worker.setFaults({mode: 'silent'});
-	const heapBefore = getHeapBytes();
-	const entryVm = await startEntryVm({
-		upstreams: [{
-			...createUpstream(0), address: await worker.getAddress(), slots: 100, connections: 100,
-		}],
-	});
-	const body = createJobBody(tasksPerJob, 0);
-	for (let index = 0; index < size; index++) {
-		await createJob(entryVm, body, 0);
+/** Queues tasks behind an upstream whose only task never ends. */
+async function measureQueuedTasks(size: number): Promise<Point> {
+	const scheduler = await createScheduler(createUpstreams(1, busySlots), createConfiguration(1, 1));
+	for (let index = 0; index < busySlots / tasksPerJob; index++) {
+		scheduler.addJob(createJob(-index - 1, '', runForever));
 	}
 
-	const held = entryVm.getStatus().jobsInProgress;
-	if (held !== size) {
-		throw new Error(`${held} of ${size} jobs are held`);
+	const before = await getHeapBytes();
+	const startedAt = performance.now();
+	for (let index = 0; index < size / tasksPerJob; index++) {
+		const admission = scheduler.addJob(createJob(index, '', runForever));
+		if (!admission.admitted) {
+			throw new Error(`job ${index} was refused: ${admission.detail}`);
+		}
 	}
 
-	const cost = await endMeasure(entryVm, heapBefore, size);
-	await worker.close();
-	return cost;
+	const usEach = (performance.now() - startedAt) * microsecondsPerMillisecond / size;
+	const bytesEach = (await getHeapBytes() - before) / size;
+	await scheduler.close();
+	return {size, bytesEach, usEach};
 }
 
-/** Measures the records of jobs that were answered. */
-async function measureRecords(size: number): Promise<Cost> {
-	const worker = createUpstreamWorker({execArgv: workerExecArgv});
-	const heapBefore = getHeapBytes();
-	const entryVm = await startEntryVm({
-		upstreams: [{
-			...createUpstream(0), address: await worker.getAddress(), slots: 64, connections: 64,
-		}],
-	});
-	const body = createJobBody(tasksPerJob, 0);
-	for (let index = 0; index < size; index += 10) {
-		await Promise.all(Array.from({length: 10}, async () => createJob(entryVm, body)));
-	}
-
-	const cost = await endMeasure(entryVm, heapBefore, size);
-	await worker.close();
-	return cost;
+async function measureUpstreams(size: number): Promise<Point> {
+	const before = await getHeapBytes();
+	const scheduler = await createScheduler(createUpstreams(size, slots), createConfiguration(1, 1));
+	const bytesEach = (await getHeapBytes() - before) / size;
+	await scheduler.close();
+	return {size, bytesEach};
 }
 
-async function measureStarts(): Promise<readonly StartCost[]> {
-	const workers = Array.from({length: workerCount}, () => createUpstreamWorker({execArgv: workerExecArgv}));
-	const upstreams = await Promise.all(workers.map(async (worker, index) => ({
-		...createUpstream(index), address: await worker.getAddress(), slots: slotsPerWorker, connections: slotsPerWorker,
-	})));
-	const entryVm = await startEntryVm({upstreams});
-	const costs: StartCost[] = [];
-	for (const concurrency of startConcurrencies) {
-		const cpuUs: number[] = [];
-		const {completed, failed, seconds} = await runDriver({
-			address: entryVm.getCallerAddress(),
-			method: 'POST',
-			path: '/v1/jobs',
-			headers: {'content-type': 'application/json'},
-			body: createJobBody(startTasksPerJob, startRunMs),
-			concurrency,
-			warmUpMs: settleMs,
-			measureMs: startMs,
-		}, async () => {
-			cpuUs.push(await getMainThreadCpuUs());
-		});
-		costs.push({
-			concurrency, failed, startsPerSecond: completed * startTasksPerJob / seconds, cpuUsPerSecond: (cpuUs[1]! - cpuUs[0]!) / seconds,
-		});
-	}
+/** Starts tasks that end at once, with some hundreds of jobs queued, and takes the scheduler's time for each. */
+async function measureStarts(upstreamCount: number, teamCount: number): Promise<Point> {
+	const scheduler = await createScheduler(createUpstreams(upstreamCount, slots), createConfiguration(1, teamCount));
+	let ended = 0;
+	let added = 0;
+	const cpu = process.cpuUsage();
+	await new Promise<void>(resolve => {
+		const addJob = (): void => {
+			added++;
+			let left = tasksPerJob;
+			scheduler.addJob(createJob(added, teamCount === 1 ? '' : `team-${added % teamCount}`, async () => {
+				await waitOneTurn();
+				ended++;
+				left--;
+				if (left === 0 && added * tasksPerJob < startCount) {
+					addJob();
+				}
 
-	await entryVm.abort();
-	await Promise.all(workers.map(async worker => worker.close()));
-	return costs;
-}
+				if (ended === startCount) {
+					resolve();
+				}
 
-async function startEntryVm({teams = 0, upstreams}: Content): Promise<EntryVm> {
-	const declarations = {
-		profiles: {p: {maxQueuedTasks: 1_000_000, defaultDeadlineMs: 600_000, taskTimeoutMs: 30_000}},
-		services: {[service]: {profile: 'p'}},
-		teams: Object.fromEntries(Array.from({length: teams}, (_value, index) => [`team${index}`, {maxSlots: 100, startsPerSecond: 1000}])),
-	};
-	const entryVm = await createEntryVm({
-		deployment,
-		dataCenter,
-		vm: 'e1',
-		callerAddress: anyPort,
-		operatorAddress: anyPort,
-		peerAddress: anyPort,
-		peerKey: 'the key of the measurement',
-		platform: createFixedPlatform(deployment, upstreams, declarations),
-		limits: {records: {maxRecordsPerPeriod: 1_000_000}},
+				return done;
+			}));
+		};
+
+		for (let index = 0; index < jobsInFlight; index++) {
+			addJob();
+		}
 	});
-	const {configuration, vmList} = entryVm.getParts();
-	await configuration.getStream().filter(({version}) => version > 0).take(1).drain();
-	await vmList.getStream().filter(list => list.upstreams.length === upstreams.length).take(1).drain();
-	return entryVm;
+	const {user, system} = process.cpuUsage(cpu);
+	await scheduler.close();
+	return {size: upstreamCount === 220 && teamCount > 1 ? teamCount : upstreamCount, usEach: (user + system) / startCount};
 }
 
-async function createJob(entryVm: EntryVm, body: string, waitMs?: number): Promise<void> {
-	await entryVm.getParts().router.performNewOperation({kind: 'create', content: {kind: 'job', body: Buffer.from(body)}, waitMs});
+async function waitOneTurn(): Promise<void> {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
 }
 
-async function endMeasure(entryVm: EntryVm, heapBefore: number, size: number): Promise<Cost> {
-	await sleep(systemClock, settleMs);
-	const heapBytes = getHeapBytes() - heapBefore;
-	const [cpuBefore, timeBefore] = [await getMainThreadCpuUs(), performance.now()];
-	await sleep(systemClock, idleMs);
-	const seconds = (performance.now() - timeBefore) / 1000;
-	const cpuUsPerSecond = (await getMainThreadCpuUs() - cpuBefore) / seconds;
-	await entryVm.abort();
-	return {size, heapBytes, cpuUsPerSecond};
+async function measureEvents(size: number): Promise<Point> {
+	const before = await getHeapBytes();
+	const events = new EventLog({process: 'bench', capacity: size});
+	const startedAt = performance.now();
+	for (let index = 0; index < size; index++) {
+		events.addEvent('task-started', `dc1.e1.e1-0123456789ab.1/key-${index}`, `task ${index} on u1`);
+	}
+
+	const usEach = (performance.now() - startedAt) * microsecondsPerMillisecond / size;
+	const bytesEach = (await getHeapBytes() - before) / size;
+	return {size: events.getEvents().length, bytesEach, usEach};
 }
 
-function getHeapBytes(): number {
-	collectGarbage();
-	collectGarbage();
-	const {arrayBuffers, heapUsed} = process.memoryUsage();
-	return heapUsed + arrayBuffers;
+/** Reads a version as a follower does. */
+function measureVersion(services: number): Point {
+	const text = JSON.stringify(createConfiguration(services, 28));
+	const rounds = 50;
+	const startedAt = performance.now();
+	for (let round = 0; round < rounds; round++) {
+		configurationSchema.parse(JSON.parse(text));
+	}
+
+	return {size: services, bytesEach: text.length / services, usEach: (performance.now() - startedAt) * microsecondsPerMillisecond / rounds};
 }
 
-function createUpstreams(count: number): readonly ListedUpstream[] {
-	return Array.from({length: count}, (_value, index) => createUpstream(index));
+async function createScheduler(upstreams: readonly ListedUpstream[], configuration: Configuration): Promise<SlotScheduler> {
+	const scheduler = createTaskScheduler({
+		self: {dataCenter: 'dc1', vm: 'e1', id: 'e1-0'},
+		upstreams: new CurrentValue(upstreams).getStream(),
+		configuration: new CurrentValue(configuration).getStream(),
+		members: new CurrentValue<readonly Member[]>([]).getStream(),
+		sendControl: () => false,
+		events: new EventLog({process: 'bench', capacity: 100}),
+		clock: systemClock,
+	});
+	await new Promise(resolve => {
+		setTimeout(resolve, 100);
+	});
+	return scheduler;
 }
 
-function createUpstream(index: number): ListedUpstream {
-	return {
+function createUpstreams(count: number, slotCount: number): readonly ListedUpstream[] {
+	return Array.from({length: count}, (_, index): ListedUpstream => ({
 		kind: 'upstream',
 		name: `u${index}`,
-		dataCenter,
+		dataCenter: 'dc1',
 		state: 'live',
-		service,
-		address: deadAddress,
-		slots: 8,
+		service: 'service-0',
+		address: `10.0.${index >> 8}.${index & 255}:80`, // eslint-disable-line no-bitwise -- Bytes of an address.
+		slots: slotCount,
 		connections: 64,
 		cores: 16,
 		memoryMb: 32_768,
 		accelerators: 1,
-		rack: `r${Math.floor(index / 8)}`,
-	};
+		rack: `r${index % 8}`,
+	}));
 }
 
-function createJobBody(tasks: number, runMs: number): string {
-	return JSON.stringify({service, tasks: Array.from({length: tasks}, (_value, index) => ({path: '/run', headers: {'x-task-id': `t/${index}`, 'x-run-ms': String(runMs)}}))});
+function createConfiguration(services: number, teams: number): Configuration {
+	return configurationSchema.parse({
+		version: 1,
+		changeId: 'bench',
+		declarations: {
+			profiles: {p: {maxQueuedTasks: 1_000_000, defaultDeadlineMs: 600_000}},
+			services: Object.fromEntries(Array.from({length: services}, (_, index) => [`service-${index}`, {profile: 'p'}])),
+			teams: Object.fromEntries(Array.from({length: teams}, (_, index) => [`team-${index}`, {maxSlots: 100_000, startsPerSecond: 1_000_000, burst: 1_000_000}])),
+		},
+	});
 }
 
-function print(name: string, {cpuUsPerSecond, heapBytes}: CostLines): void {
-	process.stdout.write(`${name}: ${heapBytes.slope.toFixed(0)} bytes, ${cpuUsPerSecond.slope.toFixed(2)} us/s; `
-		+ `none: ${(heapBytes.base / 1e6).toFixed(2)} MB, ${cpuUsPerSecond.base.toFixed(0)} us/s\n`);
+function createJob(index: number, team: string, runTask: () => Promise<TaskEnd>): ScheduledJob {
+	return {
+		id: `dc1.e1.e1-0123456789ab.1/key-${index}`,
+		service: 'service-0',
+		team,
+		deadline: systemClock.getMonotonicTime() + 600_000,
+		tasks: Array.from({length: tasksPerJob}, () => ({
+			needs: {}, isIdempotent: false, run: async () => runTask(), giveUp: () => undefined,
+		})),
+		expire: () => undefined,
+	};
+}
+
+async function getHeapBytes(): Promise<number> {
+	for (let round = 0; round < 3; round++) {
+		collectGarbage();
+		await waitOneTurn();
+	}
+
+	return process.memoryUsage().heapUsed + process.memoryUsage().arrayBuffers;
 }
--- a/src/process/scheduler/lease-broker.ts
+++ b/src/process/scheduler/lease-broker.ts
@@ -1,3 +1,4 @@
+import {type Profile} from '../../version/index.js';
 import {type MemberView} from './member-view.js';
 import {DemandBook, type KnownDemand} from './demand-book.js';
 import {type JobOrder} from './job-order.js';
@@ -14,6 +15,7 @@
 	readonly context: SchedulerContext;
 	readonly pool: SlotPool;
 	readonly tuning: SchedulerTuning;
+	readonly getProfile: () => Profile;
 };
 
 /** What waits here for slots. */
@@ -90,6 +92,7 @@
 	 */
 	takeUpdate(update: ServiceUpdate, from: string, lastReceived: number, order: JobOrder): void {
 		if (update.returned) {
+			this.#demands.addReceived(from, update.returned.length);
 			this.#pool.takeReturned(update.returned, from);
 		}
 
@@ -148,9 +151,13 @@
 	 * @param local - What waits here.
 	 */
 	returnLeases(local: LocalDemand): void {
-		const now = this.#context.clock.getMonotonicTime();
 		const oldest = this.#pool.getOldestIdleTime();
-		const isDue = oldest !== undefined && now - oldest >= this.#tuning.leaseIdleMs;
+		if (oldest === undefined) {
+			return;
+		}
+
+		const now = this.#context.clock.getMonotonicTime();
+		const isDue = now - oldest >= this.#tuning.leaseIdleMs;
 		this.#pool.returnLeases((_lease, entry) => isDue || this.#isWantedBack(entry, local, now));
 	}
 
@@ -165,7 +172,7 @@
 	 * @param local - What waits here.
 	 */
 	tellDemand(local: LocalDemand): number | undefined {
-		const isUrgent = local.urgentWaitMs >= this.#tuning.urgentWaitMs;
+		const isUrgent = local.urgentWaitMs >= this.#options.getProfile().leaseWaitMs;
 		const isShortWait = local.hasSlots && !isUrgent && local.waitMs < this.#tuning.demandWaitMs;
 		if (!local.next || isShortWait) {
 			return undefined;
@@ -184,7 +191,8 @@
 
 	#chooseAsked(local: LocalDemand): readonly string[] {
 		const owners = this.#pool.getOtherOwners(true);
-		const candidates = local.maySpill ? [...owners, ...this.#pool.getOtherOwners(false)] : owners;
+		const others = local.maySpill ? this.#pool.getOtherOwners(false) : [];
+		const candidates = [...new Set([...this.#pool.getHolders(), ...owners, ...others])];
 		const wanted = Math.min(candidates.length, this.#tuning.demandFanOut, Math.ceil(local.readyTasks / minAsked));
 		if (wanted === candidates.length) {
 			return candidates;
@@ -198,7 +206,7 @@
 		const now = this.#context.clock.getMonotonicTime();
 		const {rank} = local.next!;
 		const told = this.#demands.getTold(member, now);
-		const isUrgent = local.urgentWaitMs >= this.#tuning.urgentWaitMs;
+		const isUrgent = local.urgentWaitMs >= this.#options.getProfile().leaseWaitMs;
 		const isMoreUrgent = isUrgent && told && (told.urgentCount <= 0 || rank + this.#getMargin(local.order) < told.rank);
 		if (told && !isMoreUrgent && count <= told.count * demandGrowth) {
 			return told.validUntil;
@@ -227,7 +235,7 @@
 			return false;
 		}
 
-		if (local.next && !this.#isUrgent(demand, local.next, local.order)) {
+		if (local.next && demand.isLocal && !this.#isUrgent(demand, local.next, local.order)) {
 			return false;
 		}
 
@@ -242,17 +250,19 @@
 	/** Tells whether idle slots are to be leased out: several at a time, and not the last ones. */
 	#isIdleEnough(demand: KnownDemand): boolean {
 		const free = this.#pool.getGrantableSlots();
-		const reserved = demand.isLocal ? this.#tuning.reservedSlots : this.#pool.getUsableSlots() * this.#tuning.spillReserve;
+		const owned = this.#pool.getOwnedSlots();
+		const reserved = Math.round(owned * (demand.isLocal ? this.#tuning.reservedPart : this.#tuning.spillReserve));
+		const batch = Math.max(Math.round(owned * this.#tuning.grantPart), 1);
 		if (free <= reserved) {
 			this.#isGranting = false;
 			return false;
 		}
 
-		this.#isGranting ||= free >= reserved + Math.min(this.#tuning.minGrant, demand.count);
+		this.#isGranting ||= free >= reserved + Math.min(batch, demand.count);
 		return this.#isGranting;
 	}
 
 	#getMargin(order: JobOrder): number {
-		return order.leaseMargin * this.#tuning.leaseMarginFactor;
+		return order.leaseMargin * Math.log2(this.#options.getProfile().leaseLead);
 	}
 }
