Bound the time for which a cut or a pause excuses an unknown outcome

Change: passing faults carry the time until which they excuse; only the end of an entry VM excuses for good and for cut requests. Pauses are recorded. The naive twin follows.

--- a/src/testing/history-checker.ts
+++ b/src/testing/history-checker.ts
@@ -2,7 +2,7 @@
  * Checks the record of a concurrent run against the promises that callers and operators were given.
  */
 import {
-	type AnswerRecord, type HistoryRecord, type LeavingRecord, type NoAnswerRecord, type StartRecord, type SubmitRecord,
+	type AnswerRecord, type DisruptionRecord, type HistoryRecord, type LeavingRecord, type NoAnswerRecord, type StartRecord, type SubmitRecord,
 } from './history.js';
 
 /** Promises that the checker looks after. */
@@ -53,9 +53,8 @@
 	readonly #noAnswers = new Map<number, NoAnswerRecord>();
 	readonly #starts: ReadonlyMap<string, readonly StartRecord[]>;
 	readonly #requests: readonly RequestHistory[];
-	readonly #disruptions: ReadonlyMap<string, number>;
+	readonly #disruptions: readonly DisruptionRecord[];
 	readonly #stops: ReadonlyMap<string, number>;
-	readonly #firstDisruption: number;
 
 	constructor(records: readonly HistoryRecord[], options: HistoryCheckOptions) {
 		this.#records = records.toSorted((left, right) => left.time - right.time);
@@ -71,9 +70,8 @@
 		this.#starts = groupBy(this.#records.filter(record => record.kind === 'start'), record => record.task);
 		const submits = groupBy(this.#records.filter(record => record.kind === 'submit'), record => record.request);
 		this.#requests = [...submits].map(([request, calls]) => ({request, submits: calls}));
-		this.#disruptions = getFirstTimes(this.#records.filter(record => record.kind === 'disruption'));
+		this.#disruptions = this.#records.filter(record => record.kind === 'disruption');
 		this.#stops = getFirstTimes(this.#records.filter(record => record.kind === 'stop-began'));
-		this.#firstDisruption = Math.min(...this.#disruptions.values());
 	}
 
 	getViolations(): readonly Violation[] {
@@ -147,8 +145,12 @@
 
 	/** Records are lost with the coordinator, with a successor of one that stopped, or behind a cut at either end. */
 	#isUnknownDue({coordinator, vm}: SubmitRecord, time: number): boolean {
-		const isHit = isBefore(this.#disruptions.get(coordinator), time) || isBefore(this.#disruptions.get(vm), time);
-		return isHit || (isBefore(this.#stops.get(coordinator), time) && this.#firstDisruption <= time);
+		const hits = this.#disruptions.filter(disruption => disruption.time <= time && time <= (disruption.until ?? time));
+		return hits.some(hit => hit.vm === coordinator || hit.vm === vm) || (isBefore(this.#stops.get(coordinator), time) && hits.length > 0);
+	}
+
+	#isGone(vm: string, time: number): boolean {
+		return this.#disruptions.some(disruption => disruption.vm === vm && disruption.until === undefined && disruption.time <= time);
 	}
 
 	#checkWhole(submit: SubmitRecord, answer: AnswerRecord): void {
@@ -244,7 +246,7 @@
 					this.#add('stop-cut-request', String(call), `${request} at ${vm}: ${answer.problemType}`);
 				}
 
-				if (end?.reason === 'cut' && isBefore(this.#stops.get(vm), end.time) && !isBefore(this.#disruptions.get(vm), end.time)) {
+				if (end?.reason === 'cut' && isBefore(this.#stops.get(vm), end.time) && !this.#isGone(vm, end.time)) {
 					this.#add('stop-cut-request', String(call), `${request} at ${vm}`);
 				}
 			}
--- a/src/testing/history.ts
+++ b/src/testing/history.ts
@@ -109,6 +109,8 @@
 	readonly time: number;
 	/** Entry VM that the fault hit. */
 	readonly vm: string;
+	/** Time until which the fault excuses `unknown`; absent when the entry VM is gone with its records. */
+	readonly until?: number;
 	readonly detail: string;
 };
 
--- a/test/history/run-faults.ts
+++ b/test/history/run-faults.ts
@@ -43,6 +43,9 @@
 	'upstream-slow': {slowFactor: 8},
 };
 
+/** Time in which entry VMs must have found each other after a cut or a pause, in milliseconds. */
+const recoveryMs = 2000;
+
 /** Time after which the balancer takes notice of an entry VM that died, in milliseconds. */
 const balancerLagMs = 50;
 
@@ -157,18 +160,19 @@
 			const {dataCenter, vm} = entryVm.getIncarnation();
 			return [vm, dataCenter];
 		}));
-		for (const entryVm of cluster.getEntryVms()) {
-			this.#addDisruption(entryVm, 'cut off');
-		}
-
+		const entryVms = [...cluster.getEntryVms()];
+		const time = clock.getMonotonicTime();
 		peerFaults.cut((from, to) => places.get(from) !== places.get(to));
 		await sleep(clock, lengthMs);
 		peerFaults.heal();
+		this.#addPassingDisruption(entryVms, time, 'cut off');
 	}
 
 	/** Stops the whole process, as when its VM is paused. */
 	#pause(lengthMs: number): void {
+		const time = this.#targets.clock.getMonotonicTime();
 		Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, lengthMs);
+		this.#addPassingDisruption(this.#targets.cluster.getEntryVms(), time, 'paused');
 	}
 
 	async #leave(target: number): Promise<void> {
@@ -209,6 +213,16 @@
 		return upstreams[target % upstreams.length]!;
 	}
 
+	#addPassingDisruption(entryVms: readonly EntryVm[], time: number, detail: string): void {
+		const {clock, history} = this.#targets;
+		const until = clock.getMonotonicTime() + recoveryMs;
+		for (const entryVm of entryVms) {
+			history.addRecord({
+				kind: 'disruption', time, until, vm: entryVm.getIncarnation().vm, detail,
+			});
+		}
+	}
+
 	#addDisruption(entryVm: EntryVm, detail: string): void {
 		const {clock, history} = this.#targets;
 		history.addRecord({
--- a/test/testing/history-checker-naive.test.ts
+++ b/test/testing/history-checker-naive.test.ts
@@ -34,7 +34,7 @@
 	}),
 	fc.record({kind: fc.constant('stop-began' as const), time, vm}),
 	fc.record({
-		kind: fc.constant('disruption' as const), time, vm, detail: fc.constant('killed'),
+		kind: fc.constant('disruption' as const), time, vm, detail: fc.constant('fault'), until: fc.option(time, {nil: undefined}),
 	}),
 );
 
--- a/test/testing/history-checker.test.ts
+++ b/test/testing/history-checker.test.ts
@@ -74,6 +74,16 @@
 		kind: 'disruption', time: 5, vm: 'a', detail: 'killed',
 	}, submit(6, 1, {vm: 'b'}), answer(7, 1, unknown),
 ], []);
+checkRules('unknown while the coordinator is cut off', [
+	...run, {
+		kind: 'disruption', time: 5, until: 8, vm: 'a', detail: 'cut off',
+	}, submit(6, 1, {vm: 'b'}), answer(7, 1, unknown),
+], []);
+checkRules('unknown long after a cut was healed', [
+	...run, {
+		kind: 'disruption', time: 5, until: 8, vm: 'a', detail: 'cut off',
+	}, submit(6, 1, {vm: 'b'}), answer(9, 1, unknown),
+], ['unknown-without-cause']);
 checkRules('unknown after another entry VM crashed', [
 	...run, {
 		kind: 'disruption', time: 5, vm: 'c', detail: 'killed',
@@ -111,6 +121,13 @@
 		outcome: 'failed', problemType: 'urn:x:stopped-running', hash: '', echoes: [],
 	}),
 ], ['stop-cut-request']);
+checkRules('a planned stop that cut a request of an entry VM that had been cut off', [
+	...run, {
+		kind: 'disruption', time: 5, until: 20, vm: 'a', detail: 'cut off',
+	}, submit(6, 1), {kind: 'stop-began', time: 7, vm: 'a'}, {
+		kind: 'no-answer', time: 8, call: 1, reason: 'cut',
+	},
+], ['stop-cut-request']);
 checkRules('a crash may cut a request', [
 	...run, submit(6, 1), {
 		kind: 'disruption', time: 7, vm: 'a', detail: 'killed',
--- a/test/testing/naive-history-checker.ts
+++ b/test/testing/naive-history-checker.ts
@@ -60,7 +60,12 @@
 }
 
 function isDisrupted(records: readonly HistoryRecord[], time: number, vm?: string): boolean {
-	return records.some(record => record.kind === 'disruption' && record.time <= time && (vm === undefined || record.vm === vm));
+	return records.some(record => record.kind === 'disruption' && record.time <= time && (record.until === undefined || record.until >= time)
+		&& (vm === undefined || record.vm === vm));
+}
+
+function isGone(records: readonly HistoryRecord[], time: number, vm: string): boolean {
+	return records.some(record => record.kind === 'disruption' && record.time <= time && record.until === undefined && record.vm === vm);
 }
 
 function checkStart(records: readonly HistoryRecord[], start: StartRecord, leavingBoundMs: number, add: Add): void {
@@ -147,7 +152,7 @@
 	}
 
 	const isStopping = records.some(record => record.kind === 'stop-began' && record.vm === submit.vm && record.time <= end.time);
-	if (end.reason === 'cut' && isStopping && !isDisrupted(records, end.time, submit.vm)) {
+	if (end.reason === 'cut' && isStopping && !isGone(records, end.time, submit.vm)) {
 		add('stop-cut-request', submit.call);
 	}
 }
