--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 
 const benches: Readonly<Record<string, () => Promise<{run: () => Promise<void>}>>> = {
 	capacity: async () => import('./capacity.js'),
+	'entry-vm-cost': async () => import('./entry-vm-cost.js'),
 	coordinator: async () => import('./coordinator.js'),
 	dispatch: async () => import('./dispatch.js'),
 	peers: async () => import('./peers.js'),
