--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,12 +5,15 @@
 
 const benches: Readonly<Record<string, () => Promise<{run: () => Promise<void>}>>> = {
 	capacity: async () => import('./capacity.js'),
+	'entry-vm-cost': async () => import('./entry-vm-cost.js'),
 	coordinator: async () => import('./coordinator.js'),
 	dispatch: async () => import('./dispatch.js'),
+	peers: async () => import('./peers.js'),
 	platform: async () => import('./platform.js'),
 	'vm-list': async () => import('./vm-list.js'),
 	recovery: async () => import('./recovery.js'),
 	policy: async () => import('./policy.js'),
+	upstream: async () => import('./upstream.js'),
 	'hand-over': async () => import('./hand-over.js'),
 };
 
