--- a/bench/policy/simulated-upstream.ts
+++ b/bench/policy/simulated-upstream.ts
@@ -31,11 +31,6 @@
 		return this.#running + this.#waiting.length;
 	}
 
-	/** Gets the number of tasks that wait for a slot here. */
-	getWaiting(): number {
-		return this.#waiting.length;
-	}
-
 	/** Runs a task that takes a time when nothing is wrong. */
 	async run(durationMs: number): Promise<TaskEnd> {
 		return new Promise(resolve => {
--- a/bench/policy/workload.ts
+++ b/bench/policy/workload.ts
@@ -4,7 +4,7 @@
 import {createSeededRandom, type Random} from '../../src/seams/index.js';
 
 /** Shape of the arrivals. */
-export type Scenario = 'steady' | 'bursts' | 'cancels' | 'lying' | 'one-sided';
+export type Scenario = 'steady' | 'bursts' | 'cancels' | 'lying';
 
 /** A job of the workload. */
 export type WorkloadJob = {
