Switch the stand-in's listener one change after the other

Cause: two changes of the faults at once both opened the listener (EADDRINUSE), and one that ran beside close could leave it open, which keeps a process from ending. Change: changes of the listener run in order and look at the faults of the moment; the faults have a file of their own.

--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -1,6 +1,7 @@
 export {
-	createPlatformStandIn, PlatformStandIn, type PlatformFaults, type PlatformStandInOptions,
+	createPlatformStandIn, PlatformStandIn, type PlatformStandInOptions,
 } from './platform-stand-in.js';
+export type {PlatformFaults} from './platform-faults.js';
 export * from './history.js';
 export * from './history-checker.js';
 export * from './upstream-faults.js';
--- a/src/testing/platform-stand-in.ts
+++ b/src/testing/platform-stand-in.ts
@@ -17,22 +17,9 @@
 import {EtcdStandInStore} from './etcd-stand-in-store.js';
 import {EtcdStandInWatches} from './etcd-stand-in-watches.js';
 import {readJson, sendJson} from './http-json.js';
+import {type PlatformFaults} from './platform-faults.js';
 import {StandInControl} from './stand-in-control.js';
 
-/** Faults of the stand-in; all can be on at once, and an absent one is off. */
-export type PlatformFaults = {
-	/** Refuses connections and breaks the open ones. */
-	readonly isDown?: boolean;
-	/** Waits before each answer and each message of a watch, in milliseconds. */
-	readonly delayMs?: number;
-	/** Serves reads at a revision this many writes ago. */
-	readonly staleRevisions?: number;
-	/** Breaks the connection after a write has taken effect, in place of the answer. */
-	readonly losesAnswers?: boolean;
-	/** Accepts and never answers; the connections of this time stay silent for good. */
-	readonly isSilent?: boolean;
-};
-
 /** Options of {@link createPlatformStandIn}. */
 export type PlatformStandInOptions = {
 	readonly clock?: Clock;
@@ -71,6 +58,7 @@
 	readonly #callCounts = new Map<string, number>();
 	readonly #answers: ReadonlyMap<string, Answer>;
 	#server: Server | undefined;
+	#adjusting = Promise.resolve();
 	#port: number;
 	#faults: PlatformFaults = {};
 
@@ -95,7 +83,7 @@
 
 	/** Begins to listen, both for the API and for the control of the faults. */
 	async listen(): Promise<void> {
-		await this.#listen();
+		await this.#adjustServer();
 		await this.#control.listen();
 	}
 
@@ -184,11 +172,7 @@
 			this.silenceConnections();
 		}
 
-		if (faults.isDown) {
-			await this.#closeServer();
-		} else if (!this.#server) {
-			await this.#listen();
-		}
+		await this.#adjustServer();
 	}
 
 	/** Ends the stand-in and its connections. */
@@ -196,7 +180,24 @@
 		this.#closing.abort();
 		this.#leases.close();
 		await this.#control.close();
-		await this.#closeServer();
+		await this.#adjustServer();
+	}
+
+	/** Opens or closes the listener as the faults ask, one change after the other. */
+	async #adjustServer(): Promise<void> {
+		const before = this.#adjusting;
+		const adjust = async (): Promise<void> => {
+			await before;
+			const isWanted = !this.#faults.isDown && !this.#closing.signal.aborted;
+			if (isWanted && !this.#server) {
+				await this.#listen();
+			} else if (!isWanted) {
+				await this.#closeServer();
+			}
+		};
+
+		this.#adjusting = adjust();
+		await this.#adjusting;
 	}
 
 	#getVmKey({dataCenter, name}: Pick<ListedVm, 'dataCenter' | 'name'>): string {
--- a/src/testing/stand-in-control.ts
+++ b/src/testing/stand-in-control.ts
@@ -7,17 +7,9 @@
 import {z} from 'zod';
 import {listedVmSchema} from '../platform/index.js';
 import {readJson, sendJson} from './http-json.js';
+import {platformFaultsSchema} from './platform-faults.js';
 import {type PlatformStandIn} from './platform-stand-in.js';
 
-/** Schema of the faults as the control takes them. */
-export const platformFaultsSchema = z.strictObject({
-	isDown: z.boolean().optional(),
-	delayMs: z.number().min(0).optional(),
-	staleRevisions: z.int().min(0).optional(),
-	losesAnswers: z.boolean().optional(),
-	isSilent: z.boolean().optional(),
-});
-
 const vmNameSchema = z.object({dataCenter: z.string(), name: z.string()});
 const keySchema = z.object({key: z.string(), value: z.string()});
 
--- a/test/testing/platform-stand-in.test.ts
+++ b/test/testing/platform-stand-in.test.ts
@@ -67,3 +67,9 @@
 	t.is(res.statusCode, 400);
 	await standIn.close();
 });
+
+test('faults that are switched at once and a close leave no listener', async t => {
+	const standIn = await createPlatformStandIn();
+	await Promise.all([standIn.setFault({isDown: true}), standIn.setFault(), standIn.setFault({isDown: true}), standIn.setFault(), standIn.close()]);
+	await t.throwsAsync(call(`${standIn.getUrl()}/v3/kv/range`, {key: encode('/')}), {code: 'ECONNREFUSED'});
+});
