--- a/src/process/scheduler/task-scheduler-options.ts
+++ b/src/process/scheduler/task-scheduler-options.ts
@@ -7,7 +7,7 @@
 import {type TaskScheduler} from '../task-scheduler.js';
 import {type SchedulerCounters} from './scheduler-counters.js';
 import {type SchedulerTuning} from './scheduler-tuning.js';
-import {type SchedulerDecisions} from './service-scheduler.js';
+import {type SchedulerDecisions} from './service-scheduler-options.js';
 
 /** Options of a scheduler. */
 export type TaskSchedulerOptions = {
@@ -48,6 +48,9 @@
 	/** Tells that the lists of members and upstreams are fresh again. */
 	confirmView(): void;
 
+	/** Tells that this entry VM leaves: the others count its upstreams from now on, and its tasks go on under leases. */
+	handleStopping(): void;
+
 	/** Gets the counts for metrics. */
 	getCounters(): Readonly<SchedulerCounters>;
 };
--- a/test/connection/peer-mesh.test.ts
+++ b/test/connection/peer-mesh.test.ts
@@ -61,7 +61,7 @@
 	};
 
 	const meshes = await Promise.all(['a', 'b'].map(async vm => createTestMesh(t, vm, {
-		dial, entryVms: list.getStream(), connectTimeoutMs: 10_000, beatMs: 100,
+		dial, entryVms: list.getStream(), beatMs: 100,
 	})));
 	list.set(meshes.map((mesh, index) => createListedVm('kolkata', index === 0 ? 'a' : 'b', mesh.getAddress())));
 	await Promise.all(meshes.map(async mesh => waitForMembers(mesh, ([member]) => member?.state === 'up')));
@@ -79,7 +79,6 @@
 	const first = await createTestMesh(t, 'a');
 	const second = await createTestMesh(t, 'b', {
 		seeds: ['192.0.2.1:1'],
-		connectTimeoutMs: 10_000,
 		dial: async (address, signal) => network.dial(address === '192.0.2.1:1' ? first.getAddress() : address, signal),
 	});
 	await waitForState(second, 'a-1', 'up');
@@ -90,6 +89,8 @@
 
 test('logical time goes with control messages, requests and answers', async t => {
 	const logs = ['a', 'b'].map(process => new EventLog({process}));
+	// Beyond the clock from which the logs begin.
+	const future = 2 ** 52;
 	let isReceived = false;
 	const first = await createTestMesh(t, 'a', {
 		events: logs[0],
@@ -98,17 +99,17 @@
 			isReceived = true;
 		},
 		async onRequest() {
-			logs[0]!.observeLogicalTime(3000);
+			logs[0]!.observeLogicalTime(future + 3);
 			return logs[0]!.getLogicalTime();
 		},
 	});
 	const second = await createTestMesh(t, 'b', {events: logs[1], beatMs: 60_000, seeds: [first.getAddress()]});
 	await waitForState(second, 'a-1', 'up');
-	logs[1]!.observeLogicalTime(1000);
+	logs[1]!.observeLogicalTime(future + 1);
 	second.sendControl('a-1', {topic: 'x', body: 1});
 	await waitUntil(() => isReceived);
-	t.is(logs[0]!.getLogicalTime(), 1000);
-	logs[1]!.observeLogicalTime(2000);
-	t.like(await second.request('a-1', {topic: 'x', body: 1}), {kind: 'answered', body: 3000});
-	t.is(logs[1]!.getLogicalTime(), 3000);
+	t.is(logs[0]!.getLogicalTime(), future + 1);
+	logs[1]!.observeLogicalTime(future + 2);
+	t.like(await second.request('a-1', {topic: 'x', body: 1}), {kind: 'answered', body: future + 3});
+	t.is(logs[1]!.getLogicalTime(), future + 3);
 });
