Stop the outbox of a closed scheduler from sending again for ever

Cause: a task that ended after its scheduler was closed put the return of its lease into a closed outbox, which then tried to send it every 50 ms without end; the process could not exit. Found by the test of the stop limit: its process did not exit in 4 of 5 runs, and the only live timer was the one of the outbox. Ruled out: the stand-in, the time limits of requests, connections left open. Change: a closed outbox starts no timer; the graceful stop ends the requests of given-up jobs before it closes the scheduler, so that leases still go back; the test uses a silent upstream in place of a long run.

--- a/src/process/entry-vm.ts
+++ b/src/process/entry-vm.ts
@@ -141,9 +141,9 @@
 			drainMs: drainMs ?? defaultDrainMs,
 			stopTimeoutMs: stopTimeoutMs ?? defaultStopTimeoutMs,
 		});
-		await scheduler.close();
 		// The jobs have ended or met the time limit; what still runs belongs to the latter.
 		await upstreamClient.abort();
+		await scheduler.close();
 		await mesh.close();
 		await this.#operatorListener.abort();
 		await this.#closeRest();
--- a/src/process/scheduler/outbox.ts
+++ b/src/process/scheduler/outbox.ts
@@ -39,6 +39,7 @@
 	readonly #services = new Map<string, PendingUpdate>();
 	readonly #teams = new Map<string, TeamUpdate>();
 	#number = 0;
+	#isClosed = false;
 	#timer: Timer | undefined;
 
 	constructor(options: OutboxOptions) {
@@ -133,8 +134,9 @@
 		this.#teams.clear();
 	}
 
-	/** Drops what has been gathered. */
+	/** Drops what has been gathered; what is added later is not sent. */
 	close(): void {
+		this.#isClosed = true;
 		this.#timer?.close();
 		this.#timer = undefined;
 		this.#services.clear();
@@ -176,6 +178,10 @@
 	}
 
 	#startTimer(delayMs: number): void {
+		if (this.#isClosed) {
+			return;
+		}
+
 		this.#timer ??= this.#options.clock.setTimer(() => {
 			this.flush();
 		}, delayMs);
--- a/test/process/stop-timeout.test.ts
+++ b/test/process/stop-timeout.test.ts
@@ -2,21 +2,20 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import test from 'ava';
 import {createLocalCluster} from '../../src/lab/index.js';
+import {noUpstreamFaults} from '../../src/testing/upstream-faults.js';
 
-/** Run of the task, far beyond the time limit of the stop. */
-const longRunMs = 5000;
 const deadlineMs = 60_000;
 
 const patience = {headers: {prefer: 'wait=5'}};
 
 test('a stop that met its time limit ends the requests to upstreams and leaves the outcome with a successor', async t => {
-	const cluster = await createLocalCluster({entryVm: {stopTimeoutMs: 100}});
+	const cluster = await createLocalCluster({entryVm: {stopTimeoutMs: 100}, upstream: {faults: {...noUpstreamFaults, mode: 'silent'}}});
 	t.teardown(async () => cluster.close());
 	const [leaving, other] = cluster.getEntryVms();
 	const coordinator = await fetch(`http://${leaving!.getCallerAddress()}/v1/coordinator`);
 	const {coordinator: token} = await coordinator.json() as {coordinator: string};
 	const path = `/v1/jobs/${token}/${randomUUID()}`;
-	const job = {service: 'demo', tasks: [{path: '/task', headers: {'X-Run-Ms': String(longRunMs)}}], deadlineMs};
+	const job = {service: 'demo', tasks: [{path: '/task'}], deadlineMs};
 	const accepted = await fetch(`http://${leaving!.getCallerAddress()}${path}`, {method: 'PUT', body: JSON.stringify(job), headers: {prefer: 'respond-async'}});
 	t.is(accepted.status, 202);
 	while (cluster.getUpstreams().every(({standIn}) => standIn.getCounts().starts === 0)) {
