--- a/src/process/scheduler/queued-job.ts
+++ b/src/process/scheduler/queued-job.ts
@@ -1,6 +1,6 @@
 import {type ScheduledJob, type ScheduledTask} from '../task-scheduler.js';
 import {type RankedJob} from './job-order.js';
-import {type HeapItem} from './rank-heap.js';
+import {type HeapItem, type RankHeap} from './rank-heap.js';
 
 /** A task on its way through the scheduler. */
 export type QueuedTask = {
@@ -18,6 +18,8 @@
 	readonly job: QueuedJob;
 	/** Names the set of upstreams that the tasks fit. */
 	shape: string;
+	/** Heap that the part is in. */
+	heap: RankHeap<JobPart> | undefined;
 	/** Tasks that may start, the next one last. */
 	readonly ready: QueuedTask[];
 };
@@ -32,7 +34,7 @@
 export class QueuedJob implements RankedJob {
 	parts: JobPart[] = [];
 	/** Tasks that did not start, or that wait to be tried again. */
-	queuedTasks: number;
+	queuedTasks = 0;
 	runningTasks = 0;
 	isRemoved = false;
 	heapIndex = -1;
@@ -43,7 +45,6 @@
 
 	constructor(readonly source: ScheduledJob, readonly arrivedAt: number, readonly sequence: number, getServiceTaskMs: () => number) {
 		this.rank = source.deadline;
-		this.queuedTasks = source.tasks.length;
 		this.#getServiceTaskMs = getServiceTaskMs;
 	}
 
--- a/test/process/scheduler/properties.test.ts
+++ b/test/process/scheduler/properties.test.ts
@@ -19,9 +19,10 @@
 	};
 	const job = new QueuedJob(source, arrivedAt, index, () => 250);
 	const part: JobPart = {
-		job, shape: 'any', ready: [], heapIndex: -1, rank: 0, sequence: index,
+		job, shape: 'any', ready: [], heap: undefined, heapIndex: -1, rank: 0, sequence: index,
 	};
 	job.parts = [part];
+	job.queuedTasks = size;
 	return {
 		job, part, tasks: source.tasks.map(source => ({
 			task: source, job, part, attempts: 0, triedUpstreams: [],
