--- a/src/daemon/entry-vm-settings.ts
+++ b/src/daemon/entry-vm-settings.ts
@@ -36,9 +36,15 @@
 		limits: {
 			maxBodyBytes: settings.maxBodyBytes,
 			maxJobsInFlight: settings.maxJobsInFlight,
+			maxHeldBytes: settings.maxHeldBytes,
 			maxAnswerBytes: settings.maxAnswerBytes,
+			maxJobAnswerBytes: settings.maxJobAnswerBytes,
 			maxEvents: settings.maxEvents,
-			records: {periodsKept: settings.periodsKept, maxAnswerBytes: settings.maxKeptAnswerBytes},
+			records: {
+				periodsKept: settings.periodsKept,
+				maxRecordsPerPeriod: settings.maxRecordsPerPeriod,
+				maxAnswerBytes: settings.maxKeptAnswerBytes,
+			},
 			http: {
 				maxConnections: settings.maxConnections,
 				maxHeaderBytes: settings.maxHeaderBytes,
--- a/src/process/create-entry-vm.ts
+++ b/src/process/create-entry-vm.ts
@@ -13,7 +13,7 @@
 import {
 	EntryVm, type EntryVmListeners, type EntryVmParts, isEntryVmReady,
 } from './entry-vm.js';
-import {type EntryVmOptions} from './entry-vm-options.js';
+import {type EntryVmLimits, type EntryVmOptions} from './entry-vm-options.js';
 import {getEntryVmStatus} from './entry-vm-status.js';
 import {EventLog} from './events.js';
 import {getSuccessors, HandOverReceiver, handOverTopic} from './hand-over.js';
@@ -119,6 +119,7 @@
 		listenAddress: options.peerAddress,
 		key: options.peerKey,
 		seeds: options.peerSeeds,
+		maxJobBodyBytes: getMaxPeerBodyBytes(options.limits),
 		entryVms: vmList.getStream().map(({entryVms}) => entryVms),
 		getHeartbeat: () => ({
 			configurationVersion: configuration.getConfiguration().version,
@@ -136,6 +137,11 @@
 	});
 }
 
+/** Gets a bound that takes any forwarded request and any answer with what goes around it. */
+function getMaxPeerBodyBytes({maxBodyBytes = defaultMaxBodyBytes, maxJobAnswerBytes = defaultMaxJobAnswerBytes}: EntryVmLimits = {}): number {
+	return 2 * Math.max(maxBodyBytes, maxJobAnswerBytes);
+}
+
 /**
  * Sends a message about slots: over the control link where there is one, else over a job connection, since not every VM has
  * control links to the VMs of other data centres. One that is lost there is made good by the next exchange of claims.
