--- /dev/null
+++ b/src/process/entry-vm-listeners.ts
@@ -0,0 +1,53 @@
+/**
+ * The two HTTP listeners of an entry VM.
+ */
+import {createHttpListener} from '../connection/index.js';
+import {type EntryVmListeners, type EntryVmParts, isEntryVmReady} from './entry-vm.js';
+import {type EntryVmOptions} from './entry-vm-options.js';
+import {getEntryVmStatus} from './entry-vm-status.js';
+import {createOperatorAccess} from './operator-access.js';
+import {OperatorApi} from './operator-api.js';
+
+const maxOperatorConnections = 256;
+
+/**
+ * Creates the listeners for callers and operators; both take requests at once.
+ * @param options - Settings of the entry VM.
+ * @param parts - Parts of the entry VM.
+ * @param startDrain - Starts the graceful stop.
+ * @internal
+ */
+export async function createListeners(options: EntryVmOptions, parts: EntryVmParts, startDrain: () => void): Promise<EntryVmListeners> {
+	const {callerApi, events, metrics} = parts;
+	const operatorApi = new OperatorApi({
+		events,
+		isReady: () => isEntryVmReady(parts),
+		getStatus: () => getEntryVmStatus(parts),
+		getMetrics: async () => metrics.getText({
+			status: getEntryVmStatus(parts),
+			platformCalls: options.platform.getCallCount(),
+			callerHttp: caller.getCounters(),
+			operatorHttp: operator.getCounters(),
+		}),
+		startDrain,
+		isAllowed: createOperatorAccess({token: options.operatorToken, takesCertificates: options.tls?.operator?.hasAuthorities}),
+	});
+	const operator = await createHttpListener({
+		address: options.operatorAddress,
+		tls: options.tls?.operator,
+		needsCertificate: false,
+		maxConnections: maxOperatorConnections,
+		handler(req, res) {
+			void operatorApi.handleRequest(req, res);
+		},
+	});
+	const caller = await createHttpListener({
+		...options.limits?.http,
+		address: options.callerAddress,
+		tls: options.tls?.caller,
+		handler(req, res) {
+			void callerApi.handleRequest(req, res);
+		},
+	});
+	return {caller, operator};
+}
--- /dev/null
+++ b/src/process/entry-vm-network.ts
@@ -0,0 +1,115 @@
+/**
+ * The parts of an entry VM that link it to other processes: the links to the other entry VMs, the scheduler and the upstream client.
+ */
+import {
+	type ControlMessage, createPeerMesh, createTlsDial, createTlsListen, createUpstreamClient, type Incarnation, type PeerMesh,
+} from '../connection/index.js';
+import {sleep} from '../seams/index.js';
+import {
+	defaultMaxBodyBytes, defaultMaxJobAnswerBytes, type EntryVmLimits, type EntryVmOptions,
+} from './entry-vm-options.js';
+import {type EntryVmParts} from './entry-vm.js';
+import {PeerSync} from './peer-sync.js';
+import {createTaskScheduler, type SlotScheduler} from './scheduler/index.js';
+
+/** The parts that need no link to another process. */
+export type BaseParts = Pick<EntryVmParts, 'state' | 'clock' | 'random' | 'self' | 'events' | 'configuration' | 'vmList' | 'inbox' | 'metrics'>;
+
+/** The parts that link this process to others. */
+export type NetworkParts = Pick<EntryVmParts, 'sync' | 'mesh' | 'scheduler' | 'upstreamClient'>;
+
+/** Longest wait for a fresh list of VMs after a pause of the process, in milliseconds. */
+const confirmTimeoutMs = 1000;
+
+/**
+ * Creates the parts that link an entry VM to other processes.
+ * @param options - Settings of the entry VM.
+ * @param base - Parts that were made before.
+ * @internal
+ */
+export async function createNetworkParts(options: EntryVmOptions, base: BaseParts): Promise<NetworkParts> {
+	const {clock, random, self, events, configuration, vmList} = base;
+	const sync = new PeerSync({configuration, vmList, getPeers: () => mesh});
+	const mesh = await createMesh(options, base, sync, () => {
+		void confirmAfterPause(base, scheduler);
+	});
+	const upstreamClient = createUpstreamClient({clock, maxAnswerBytes: options.limits?.maxAnswerBytes, ...options.upstreams});
+	const scheduler = createTaskScheduler({
+		clock,
+		random,
+		self,
+		events,
+		upstreams: vmList.getStream().map(({upstreams}) => upstreams),
+		configuration: configuration.getStream(),
+		members: mesh.getMemberStream(),
+		sendControl: (incarnationId, message) => sendSlotMessage(mesh, self, incarnationId, message),
+		decisions: options.decisions,
+		tuning: options.tuning,
+	});
+	return {
+		sync, mesh, scheduler, upstreamClient,
+	};
+}
+
+async function createMesh(options: EntryVmOptions, base: BaseParts, sync: PeerSync, onPause: () => void): Promise<PeerMesh> {
+	const {state, clock, random, self, events, configuration, vmList, inbox} = base;
+	const peerTls = options.tls?.peer;
+	return createPeerMesh({
+		...(peerTls === undefined ? undefined : {dial: createTlsDial(peerTls), listen: createTlsListen(peerTls)}),
+		...options.mesh,
+		clock,
+		random,
+		deployment: options.deployment,
+		self,
+		events,
+		log: options.log,
+		listenAddress: options.peerAddress,
+		key: options.peerKey,
+		seeds: options.peerSeeds,
+		maxJobBodyBytes: getMaxPeerBodyBytes(options.limits),
+		entryVms: vmList.getStream().map(({entryVms}) => entryVms),
+		getHeartbeat: () => ({
+			configurationVersion: configuration.getConfiguration().version,
+			isLeaving: state.isStopping,
+			load: sync.getLoad(),
+		}),
+		onHeartbeat(body, from) {
+			sync.handleHeartbeat(body, from);
+		},
+		onControl(message, from) {
+			inbox.handleControl(message, from);
+		},
+		onRequest: async (request, from, signal) => inbox.handleRequest(request, from, signal),
+		onPause,
+	});
+}
+
+/** Gets a bound that takes any forwarded request and any answer with what goes around it. */
+function getMaxPeerBodyBytes({maxBodyBytes = defaultMaxBodyBytes, maxJobAnswerBytes = defaultMaxJobAnswerBytes}: EntryVmLimits = {}): number {
+	return 2 * Math.max(maxBodyBytes, maxJobAnswerBytes);
+}
+
+/**
+ * Sends a message about slots: over the control link where there is one, else over a job connection, since not every VM has
+ * control links to the VMs of other data centres. One that is lost there is made good by the next exchange of claims.
+ */
+function sendSlotMessage(mesh: PeerMesh, self: Incarnation, incarnationId: string, message: ControlMessage): boolean {
+	if (mesh.sendControl(incarnationId, message)) {
+		return true;
+	}
+
+	const member = mesh.getMembers().find(({incarnation}) => incarnation.id === incarnationId);
+	if (member?.state !== 'up' || member.incarnation.dataCenter === self.dataCenter) {
+		return false;
+	}
+
+	void mesh.request(incarnationId, message);
+	return true;
+}
+
+/** Starts no task after a pause until the list of VMs is fresh, or cannot be had. */
+async function confirmAfterPause({clock, vmList}: BaseParts, scheduler: SlotScheduler): Promise<void> {
+	scheduler.handlePause();
+	await Promise.race([vmList.refresh(), sleep(clock, confirmTimeoutMs)]);
+	scheduler.confirmView();
+}
--- a/src/process/entry-vm-options.ts
+++ b/src/process/entry-vm-options.ts
@@ -10,6 +10,12 @@
 import {type RecordStoreOptions} from './record-store.js';
 import {type SchedulerDecisions, type SchedulerTuning} from './scheduler/index.js';
 
+/** Largest body of a caller's request in bytes where the options name none. */
+export const defaultMaxBodyBytes = 8 * 1024 * 1024;
+
+/** Largest answer of one job in bytes where the options name none. */
+export const defaultMaxJobAnswerBytes = 16 * 1024 * 1024;
+
 /** Options of {@link createEntryVm}. */
 export type EntryVmOptions = {
 	readonly clock?: Clock;
