--- a/src/process/scheduler/outbox.ts
+++ b/src/process/scheduler/outbox.ts
@@ -39,7 +39,6 @@
 	readonly #services = new Map<string, PendingUpdate>();
 	readonly #teams = new Map<string, TeamUpdate>();
 	#number = 0;
-	#isClosed = false;
 	#timer: Timer | undefined;
 
 	constructor(options: OutboxOptions) {
@@ -134,9 +133,8 @@
 		this.#teams.clear();
 	}
 
-	/** Drops what has been gathered; what is added later is not sent. */
+	/** Drops what has been gathered. */
 	close(): void {
-		this.#isClosed = true;
 		this.#timer?.close();
 		this.#timer = undefined;
 		this.#services.clear();
@@ -178,10 +176,6 @@
 	}
 
 	#startTimer(delayMs: number): void {
-		if (this.#isClosed) {
-			return;
-		}
-
 		this.#timer ??= this.#options.clock.setTimer(() => {
 			this.flush();
 		}, delayMs);
