Split the planning of a job from its run, and refuse teams by own names only

Cause: one file read, checked and ran jobs (306 lines); a team named like a property of every object passed as declared; an operator's request could end in a rejection when the metrics failed. Change: JobPlanner reads and checks; the run options are made once a job; Object.hasOwn for teams; the operators' interface answers 500.

--- /dev/null
+++ b/src/process/job-planner.ts
@@ -0,0 +1,189 @@
+/**
+ * Reads what a caller sent and makes out of it what a job needs.
+ */
+import {Buffer} from 'node:buffer';
+import {type UpstreamClient, type UpstreamOutcome, type UpstreamRequest} from '../connection/index.js';
+import {type ListedUpstream} from '../platform/index.js';
+import {
+	type CallerAnswer, checkMethod, checkPath, createProblemAnswer, formatJobAnswer, formatPlainAnswer, getForwardedHeaders, type Header,
+	type JobContent, type JobOptions, parseJobBody, type PlainContent, type ProblemName, type TaskBody, type TaskResult, type TaskSpec,
+} from '../request/index.js';
+import {type Configuration, type Profile} from '../version/index.js';
+
+/** Options of a {@link JobPlanner}. */
+export type JobPlannerOptions = {
+	readonly upstreamClient: Pick<UpstreamClient, 'run'>;
+	readonly getConfiguration: () => Configuration;
+};
+
+/** What is needed to make a job. */
+export type JobPlan = {
+	readonly service: string;
+	readonly team: string;
+	readonly deadlineMs: number;
+	readonly profile: Profile;
+	readonly tasks: readonly TaskSpec[];
+	readonly formatAnswer: JobOptions['formatAnswer'];
+};
+
+/** A plan, or the answer that refuses what the caller sent. */
+export type PlanResult = {readonly ok: true; readonly plan: JobPlan} | {readonly ok: false; readonly answer: CallerAnswer};
+
+/** What a caller asks besides the tasks. */
+type JobTerms = {
+	readonly service: string;
+	readonly team: string;
+	readonly deadlineMs?: number;
+};
+
+type SendTask = (upstream: ListedUpstream, req: UpstreamRequest) => Promise<TaskResult>;
+
+type RequestResult = {readonly ok: true; readonly req: UpstreamRequest} | {readonly ok: false; readonly detail: string};
+
+type ProfileResult = {readonly ok: true; readonly profile: Profile} | {readonly ok: false; readonly answer: CallerAnswer};
+
+/** Plans jobs by the configuration in force. */
+export class JobPlanner {
+	readonly #options: JobPlannerOptions;
+
+	constructor(options: JobPlannerOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Reads and checks what a caller sent.
+	 * @param id - Job id.
+	 * @param content - What the caller sent.
+	 */
+	planJob(id: string, content: JobContent | PlainContent): PlanResult {
+		return content.kind === 'job' ? this.#planBody(id, content) : this.#planPlain(id, content);
+	}
+
+	#planBody(id: string, content: JobContent): PlanResult {
+		const parsed = parseJobBody(content.body);
+		if (!parsed.ok) {
+			return refuse('invalid-request', id, parsed.detail);
+		}
+
+		const {service, team, tasks, deadlineMs} = parsed.body;
+		const found = this.#findProfile(id, {service, team, deadlineMs});
+		if (!found.ok) {
+			return found;
+		}
+
+		const {profile} = found;
+		const send = this.#createSend(profile);
+		const specs: TaskSpec[] = [];
+		for (const [index, task] of tasks.entries()) {
+			const created = createTaskRequest(id, index, task);
+			if (!created.ok) {
+				return refuse('invalid-request', id, `tasks.${index}: ${created.detail}`);
+			}
+
+			const {req} = created;
+			specs.push({needs: task.needs, isIdempotent: task.isIdempotent, send: async upstream => send(upstream, req)});
+		}
+
+		return {
+			ok: true,
+			plan: {
+				service, team, profile, tasks: specs, formatAnswer: formatJobAnswer, deadlineMs: deadlineMs ?? profile.defaultDeadlineMs,
+			},
+		};
+	}
+
+	#planPlain(id: string, content: PlainContent): PlanResult {
+		const {service, team, method, path, headers, body, isIdempotent, deadlineMs} = content;
+		const found = this.#findProfile(id, {service, team, deadlineMs});
+		if (!found.ok) {
+			return found;
+		}
+
+		const created = createUpstreamRequest(method, path, headers, body);
+		if (!created.ok) {
+			return refuse('invalid-request', id, created.detail);
+		}
+
+		const {profile} = found;
+		const {req} = created;
+		const send = this.#createSend(profile);
+		const task: TaskSpec = {needs: {}, isIdempotent, send: async upstream => send(upstream, req)};
+		return {
+			ok: true,
+			plan: {
+				service, team, profile, tasks: [task], formatAnswer: formatPlainAnswer, deadlineMs: deadlineMs ?? profile.defaultDeadlineMs,
+			},
+		};
+	}
+
+	#findProfile(id: string, {service, team, deadlineMs}: JobTerms): ProfileResult {
+		const {services, profiles, teams} = this.#options.getConfiguration().declarations;
+		const declared = Object.hasOwn(services, service) ? services[service] : undefined;
+		const profile = declared === undefined ? undefined : profiles[declared.profile];
+		if (profile === undefined) {
+			return refuse('unknown-service', id, `service "${service}" is not declared`);
+		}
+
+		if (team !== '' && !Object.hasOwn(teams, team)) {
+			return refuse('unknown-team', id, `team "${team}" is not declared`);
+		}
+
+		if (deadlineMs !== undefined && deadlineMs > profile.maxDeadlineMs) {
+			return refuse('invalid-request', id, `deadlineMs: at most ${profile.maxDeadlineMs} for service "${service}"`);
+		}
+
+		return {ok: true, profile};
+	}
+
+	#createSend(profile: Profile): SendTask {
+		const {taskTimeoutMs, notStartedStatuses, idleConnectionMs} = profile;
+		const runOptions = {timeoutMs: taskTimeoutMs, notStartedStatuses, idleConnectionMs};
+		return async (upstream, req) => {
+			const outcome = await this.#options.upstreamClient.run(upstream, req, runOptions);
+			return getTaskResult(outcome);
+		};
+	}
+}
+
+function refuse(problem: ProblemName, id: string, detail: string): {readonly ok: false; readonly answer: CallerAnswer} {
+	return {ok: false, answer: createProblemAnswer(problem, {id, detail})};
+}
+
+function createTaskRequest(id: string, index: number, task: TaskBody): RequestResult {
+	const created = createUpstreamRequest(task.method, task.path, Object.entries(task.headers), Buffer.from(task.body, task.bodyEncoding));
+	if (!created.ok) {
+		return created;
+	}
+
+	const taskHeader: Header = ['Endivemill-Task', `${id}/${index}`];
+	return {ok: true, req: {...created.req, headers: [...created.req.headers, taskHeader]}};
+}
+
+function createUpstreamRequest(method: string, path: string, headers: readonly Header[], body: Uint8Array): RequestResult {
+	const forwarded = getForwardedHeaders(headers);
+	if (!forwarded.ok) {
+		return forwarded;
+	}
+
+	for (const result of [checkMethod(method), checkPath(path)]) {
+		if (!result.ok) {
+			return result;
+		}
+	}
+
+	return {
+		ok: true,
+		req: {
+			method, path, headers: forwarded.headers, body,
+		},
+	};
+}
+
+function getTaskResult(outcome: UpstreamOutcome): TaskResult {
+	if (outcome.kind === 'answered') {
+		const {status, headers, body} = outcome;
+		return {kind: 'answered', answer: {status, headers, body}};
+	}
+
+	return outcome;
+}
--- a/src/process/job-runner.ts
+++ b/src/process/job-runner.ts
@@ -1,16 +1,14 @@
 /**
  * Turns what a caller sent into a running job.
  */
-import {Buffer} from 'node:buffer';
-import {type UpstreamClient, type UpstreamOutcome, type UpstreamRequest} from '../connection/index.js';
-import {type ListedUpstream} from '../platform/index.js';
+import {type UpstreamClient} from '../connection/index.js';
 import {
-	checkMethod, checkPath, createProblemAnswer, formatJobAnswer, formatPlainAnswer, getForwardedHeaders, Job, parseJobBody, type CallerAnswer, type JobContent,
-	type Header, type JobOptions, type PlainContent, type ProblemName, type SubmissionContent, type TaskBody, type TaskResult, type TaskSpec,
+	type CallerAnswer, createProblemAnswer, Job, type JobContent, type PlainContent, type SubmissionContent,
 } from '../request/index.js';
 import {type Clock} from '../seams/index.js';
 import {type Configuration, type Profile} from '../version/index.js';
 import {type EventLog} from './events.js';
+import {type JobPlan, JobPlanner} from './job-planner.js';
 import {type TaskScheduler} from './task-scheduler.js';
 
 /** Told of each job that ended. */
@@ -35,32 +33,18 @@
 	| {readonly isRunning: true; readonly job: Job; readonly profile: Profile}
 	| {readonly isRunning: false; readonly answer: CallerAnswer};
 
-/** What is needed to make a job, read out of what the caller sent. */
-type JobPlan = {
-	readonly service: string;
-	readonly team: string;
-	readonly deadlineMs: number;
-	readonly profile: Profile;
-	readonly tasks: readonly TaskSpec[];
-	readonly formatAnswer: JobOptions['formatAnswer'];
-};
-
-type PlanResult = {readonly ok: true; readonly plan: JobPlan} | {readonly ok: false; readonly answer: CallerAnswer};
-
-type RequestResult = {readonly ok: true; readonly req: UpstreamRequest} | {readonly ok: false; readonly detail: string};
-
-type ProfileResult = {readonly ok: true; readonly profile: Profile} | {readonly ok: false; readonly answer: CallerAnswer};
-
 const tooManyJobsRetryMs = 1000;
 
 /** Makes jobs, hands them to the scheduler and counts those in progress. */
 export class JobRunner {
 	readonly #options: JobRunnerOptions;
+	readonly #planner: JobPlanner;
 	readonly #running = new Map<string, Job>();
 	#isStopping = false;
 
 	constructor(options: JobRunnerOptions) {
 		this.#options = options;
+		this.#planner = new JobPlanner(options);
 	}
 
 	/** Gets the number of jobs in progress. */
@@ -79,7 +63,7 @@
 			return {isRunning: false, answer: refusal};
 		}
 
-		const planned = this.#planJob(id, content as JobContent | PlainContent);
+		const planned = this.#planner.planJob(id, content as JobContent | PlainContent);
 		if (!planned.ok) {
 			return {isRunning: false, answer: planned.answer};
 		}
@@ -174,133 +158,4 @@
 		await job.idle;
 		this.#running.delete(id);
 	}
-
-	#planJob(id: string, content: JobContent | PlainContent): PlanResult {
-		return content.kind === 'job' ? this.#planBody(id, content) : this.#planPlain(id, content);
-	}
-
-	#planBody(id: string, content: JobContent): PlanResult {
-		const parsed = parseJobBody(content.body);
-		if (!parsed.ok) {
-			return refuse('invalid-request', id, parsed.detail);
-		}
-
-		const {service, team, tasks, deadlineMs} = parsed.body;
-		const found = this.#findProfile(id, service, deadlineMs);
-		if (!found.ok) {
-			return found;
-		}
-
-		const {profile} = found;
-		const specs: TaskSpec[] = [];
-		for (const [index, task] of tasks.entries()) {
-			const created = createTaskRequest(id, index, task);
-			if (!created.ok) {
-				return refuse('invalid-request', id, `tasks.${index}: ${created.detail}`);
-			}
-
-			specs.push(this.#createTaskSpec(created.req, task.needs, task.isIdempotent, profile));
-		}
-
-		return {
-			ok: true,
-			plan: {
-				service, team, profile, tasks: specs, formatAnswer: formatJobAnswer, deadlineMs: deadlineMs ?? profile.defaultDeadlineMs,
-			},
-		};
-	}
-
-	#planPlain(id: string, content: PlainContent): PlanResult {
-		const {service, team, method, path, headers, body, isIdempotent, deadlineMs} = content;
-		const found = this.#findProfile(id, service, deadlineMs);
-		if (!found.ok) {
-			return found;
-		}
-
-		const created = createUpstreamRequest(method, path, headers, body);
-		if (!created.ok) {
-			return refuse('invalid-request', id, created.detail);
-		}
-
-		const {profile} = found;
-		const task = this.#createTaskSpec(created.req, {}, isIdempotent, profile);
-		return {
-			ok: true,
-			plan: {
-				service, team, profile, tasks: [task], formatAnswer: formatPlainAnswer, deadlineMs: deadlineMs ?? profile.defaultDeadlineMs,
-			},
-		};
-	}
-
-	#findProfile(id: string, serviceName: string, deadlineMs: number | undefined): ProfileResult {
-		const {services, profiles} = this.#options.getConfiguration().declarations;
-		const service = Object.hasOwn(services, serviceName) ? services[serviceName] : undefined;
-		const profile = service === undefined ? undefined : profiles[service.profile];
-		if (profile === undefined) {
-			return refuse('unknown-service', id, `service "${serviceName}" is not declared`);
-		}
-
-		if (deadlineMs !== undefined && deadlineMs > profile.maxDeadlineMs) {
-			return refuse('invalid-request', id, `deadlineMs: at most ${profile.maxDeadlineMs} for service "${serviceName}"`);
-		}
-
-		return {ok: true, profile};
-	}
-
-	#createTaskSpec(req: UpstreamRequest, needs: TaskBody['needs'], isIdempotent: boolean, profile: Profile): TaskSpec {
-		const {taskTimeoutMs, notStartedStatuses, idleConnectionMs} = profile;
-		return {
-			needs,
-			isIdempotent,
-			send: async (upstream: ListedUpstream) => {
-				const outcome = await this.#options.upstreamClient.run(upstream, req, {
-					timeoutMs: taskTimeoutMs, notStartedStatuses, idleConnectionMs,
-				});
-				return getTaskResult(outcome);
-			},
-		};
-	}
-}
-
-function refuse(problem: ProblemName, id: string, detail: string): {readonly ok: false; readonly answer: CallerAnswer} {
-	return {ok: false, answer: createProblemAnswer(problem, {id, detail})};
-}
-
-function createTaskRequest(id: string, index: number, task: TaskBody): RequestResult {
-	const created = createUpstreamRequest(task.method, task.path, Object.entries(task.headers), Buffer.from(task.body, task.bodyEncoding));
-	if (!created.ok) {
-		return created;
-	}
-
-	const taskHeader: Header = ['Endivemill-Task', `${id}/${index}`];
-	return {ok: true, req: {...created.req, headers: [...created.req.headers, taskHeader]}};
-}
-
-function createUpstreamRequest(method: string, path: string, headers: readonly Header[], body: Uint8Array): RequestResult {
-	const forwarded = getForwardedHeaders(headers);
-	if (!forwarded.ok) {
-		return forwarded;
-	}
-
-	for (const result of [checkMethod(method), checkPath(path)]) {
-		if (!result.ok) {
-			return result;
-		}
-	}
-
-	return {
-		ok: true,
-		req: {
-			method, path, headers: forwarded.headers, body,
-		},
-	};
-}
-
-function getTaskResult(outcome: UpstreamOutcome): TaskResult {
-	if (outcome.kind === 'answered') {
-		const {status, headers, body} = outcome;
-		return {kind: 'answered', answer: {status, headers, body}};
-	}
-
-	return outcome;
 }
--- a/src/process/operator-api.ts
+++ b/src/process/operator-api.ts
@@ -43,7 +43,14 @@
 	 * @param res - Where the answer goes.
 	 */
 	async handleRequest(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		writeAnswer(req, res, await this.#answer(req));
+		let answer: CallerAnswer;
+		try {
+			answer = await this.#answer(req);
+		} catch (err) {
+			answer = createProblemAnswer('internal-error', {detail: (err as Error).message});
+		}
+
+		writeAnswer(req, res, answer);
 	}
 
 	async #answer(req: IncomingMessage): Promise<CallerAnswer> {
