Split the scheduler of a service by job

The expected time per task was worked out in two places.

Change: TaskRunner starts tasks and plans their retries, LoadEstimator works out waits and demand, UnlistedTaskWatch gives up what no upstream fits, createPartTasks divides a job, createServiceState builds the state that these share. The type LocalDemand has a module of its own. No change of behaviour.

--- a/src/process/scheduler/lease-broker.ts
+++ b/src/process/scheduler/lease-broker.ts
@@ -1,7 +1,11 @@
+/**
+ * Exchange of slots of one service between entry VMs.
+ */
 import {type Profile} from '../../version/index.js';
 import {type MemberView} from './member-view.js';
 import {DemandBook, type KnownDemand} from './demand-book.js';
 import {type JobOrder} from './job-order.js';
+import {type LocalDemand} from './local-demand.js';
 import {type JobPart} from './queued-job.js';
 import {type SchedulerContext} from './scheduler-context.js';
 import {type SchedulerTuning} from './scheduler-tuning.js';
@@ -18,25 +22,6 @@
 	readonly getProfile: () => Profile;
 };
 
-/** What waits here for slots. */
-export type LocalDemand = {
-	readonly order: JobOrder;
-	/** Tasks that may start. */
-	readonly readyTasks: number;
-	/** Part of a job that is next, whether a slot is free for it or not. */
-	readonly next: JobPart | undefined;
-	/** Expected wait of the last of these tasks on the slots in hand. */
-	readonly waitMs: number;
-	/** Whether there is a slot in hand whose task will end and make room. */
-	readonly hasSlots: boolean;
-	/** Tasks of the jobs that are about as urgent as the next one. */
-	readonly urgentTasks: number;
-	/** Expected wait of the last of these. */
-	readonly urgentWaitMs: number;
-	/** Whether other data centres may be asked. */
-	readonly maySpill: boolean;
-};
-
 /** Bounds of the time for which a demand is told, in milliseconds. */
 const minDemandMs = 50;
 const maxDemandMs = 1000;
--- a/src/process/scheduler/service-scheduler.ts
+++ b/src/process/scheduler/service-scheduler.ts
@@ -1,43 +1,35 @@
+/**
+ * Scheduler of the tasks of one service at one entry VM.
+ */
 import {type ListedUpstream} from '../../platform/index.js';
-import {type Timer} from '../../seams/index.js';
 import {type Profile} from '../../version/index.js';
 import {
-	type Admission, type QueueStatus, type ScheduledJob, type TaskEnd, type UpstreamStatus,
+	type Admission, type QueueStatus, type ScheduledJob, type UpstreamStatus,
 } from '../task-scheduler.js';
-import {admitInTime} from './admission.js';
-import {DecayedMean} from './decayed-mean.js';
-import {createJobOrder, type JobOrderFactory} from './job-order.js';
-import {JobQueue} from './job-queue.js';
-import {JobTable} from './job-table.js';
-import {LeaseBroker, type LocalDemand} from './lease-broker.js';
+import {type AdmissionFunction, admitInTime} from './admission.js';
+import {createJobOrder, type JobOrder} from './job-order.js';
+import {createPartTasks} from './job-parts.js';
+import {type JobQueue} from './job-queue.js';
+import {type JobTable} from './job-table.js';
+import {LeaseBroker} from './lease-broker.js';
+import {LoadEstimator} from './load-estimator.js';
 import {type MemberView} from './member-view.js';
 import {OutlierDetector} from './outlier-detector.js';
-import {type JobPart, type QueuedJob, type QueuedTask} from './queued-job.js';
-import {RetryPlanner} from './retry-planner.js';
-import {type ServiceSchedulerOptions} from './service-scheduler-options.js';
-import {getUpstreamStatus} from './upstream-status.js';
+import {type JobPart, type QueuedJob} from './queued-job.js';
 import {type SchedulerContext} from './scheduler-context.js';
 import {defaultTuning} from './scheduler-tuning.js';
-import {SlotPool} from './slot-pool.js';
+import {type ServiceSchedulerOptions} from './service-scheduler-options.js';
+import {createServiceState} from './service-state.js';
 import {type ServiceUpdate} from './slot-messages.js';
-import {type TeamLimits} from './team-quotas.js';
-import {UpstreamShapes} from './upstream-shapes.js';
-import {type HeldSlot, type UpstreamEntry} from './upstream-entry.js';
-import {chooseLeastLoaded, type UpstreamChoice} from './upstream-choice.js';
+import {type SlotPool} from './slot-pool.js';
+import {TaskRunner} from './task-runner.js';
+import {chooseLeastLoaded} from './upstream-choice.js';
+import {UnlistedTaskWatch} from './unlisted-task-watch.js';
+import {type UpstreamEntry} from './upstream-entry.js';
+import {type UpstreamShapes} from './upstream-shapes.js';
+import {getUpstreamStatus} from './upstream-status.js';
 import {WakeTimer} from './wake-timer.js';
 
-/** Expected time of a task before any was observed, in milliseconds. */
-const initialTaskMs = 250;
-
-/** Number of tasks over which the observed time fades. */
-const taskTimeSamples = 200;
-
-/** Most upstreams compared for one task. */
-const maxCandidates = 32;
-
-/** Time for which queued tasks wait for an upstream that fits them after the last one left, in milliseconds. */
-const noUpstreamGraceMs = 1000;
-
 /**
  * Queues the jobs of one service and starts their tasks as slots become free.
  * @internal
@@ -45,54 +37,62 @@
 export class ServiceScheduler {
 	readonly #options: ServiceSchedulerOptions;
 	readonly #context: SchedulerContext;
-	readonly #limits: TeamLimits;
-	readonly #chooseUpstream: UpstreamChoice;
+	readonly #admit: AdmissionFunction;
 	readonly #pool: SlotPool;
-	readonly #broker: LeaseBroker;
-	readonly #detector: OutlierDetector;
 	readonly #queue: JobQueue;
-	readonly #shapes = new UpstreamShapes();
-	readonly #retries: RetryPlanner;
-	readonly #taskTime = new DecayedMean(initialTaskMs, taskTimeSamples);
 	readonly #jobs: JobTable;
+	readonly #shapes: UpstreamShapes;
+	readonly #broker: LeaseBroker;
+	readonly #detector: OutlierDetector;
+	readonly #runner: TaskRunner;
+	readonly #load: LoadEstimator;
+	readonly #unlistedWatch: UnlistedTaskWatch;
 	readonly #wakeTimer: WakeTimer;
 	#profile: Profile;
-	#runningTasks = 0;
 	#isPumping = false;
 	#shouldPumpAgain = false;
 	#isPaused = false;
-	#graceTimer: Timer | undefined;
 
 	constructor(options: ServiceSchedulerOptions, view: MemberView) {
 		this.#options = options;
 		this.#context = options.context;
-		this.#limits = options.limits;
-		this.#wakeTimer = new WakeTimer(options.context.clock, () => {
+		this.#profile = options.profile;
+		this.#admit = options.decisions?.admit ?? admitInTime;
+		const onChange = (): void => {
 			this.pump();
+		};
+
+		this.#wakeTimer = new WakeTimer(options.context.clock, onChange);
+		const state = createServiceState({
+			service: options.service,
+			context: options.context,
+			limits: options.limits,
+			getProfile: () => this.#profile,
+			order: this.#createOrder(),
+			view,
+			onChange,
 		});
-		this.#profile = options.profile;
-		this.#chooseUpstream = options.decisions?.chooseUpstream ?? chooseLeastLoaded;
-		const {service, context} = options;
-		this.#pool = new SlotPool({
-			service,
-			context,
-			getTaskMs: () => this.#taskTime.getMean(),
-			getTaskTimeoutMs: () => this.#profile.taskTimeoutMs,
-			onChange: () => {
-				this.pump();
-			},
-		}, view);
+		this.#pool = state.pool;
+		this.#queue = state.queue;
+		this.#jobs = state.jobs;
+		this.#shapes = state.shapes;
+		this.#unlistedWatch = new UnlistedTaskWatch(state);
+		const {service, context, pool, getProfile} = state;
 		this.#broker = new LeaseBroker({
-			service, context, pool: this.#pool, tuning: options.tuning ?? defaultTuning, getProfile: () => this.#profile,
+			service, context, pool, getProfile, tuning: options.tuning ?? defaultTuning,
 		}, view);
 		this.#detector = new OutlierDetector({
-			context, getProfile: () => this.#profile, getEntries: () => this.#pool.getTable().getEntries(), onChange: () => {
-				this.#pool.handleHealthChange();
+			context,
+			getProfile,
+			getEntries: () => pool.getTable().getEntries(),
+			onChange() {
+				pool.handleHealthChange();
 			},
 		});
-		this.#retries = new RetryPlanner({context, getProfile: () => this.#profile});
-		this.#queue = new JobQueue({order: this.#createOrder(), getWeight: team => options.limits.getWeight(team)});
-		this.#jobs = new JobTable({queue: this.#queue, limits: options.limits, getTaskMs: () => this.#taskTime.getMean()});
+		this.#runner = new TaskRunner({
+			state, detector: this.#detector, chooseUpstream: options.decisions?.chooseUpstream ?? chooseLeastLoaded, onChange,
+		});
+		this.#load = new LoadEstimator({state, getRunningTasks: () => this.#runner.getRunningTasks()});
 	}
 
 	/** Gets the profile in force. */
@@ -125,13 +125,7 @@
 			this.#queue.updateShapes(part => this.#shapes.getShape(part.ready.at(-1)!.task.needs));
 		}
 
-		if (this.#queue.getParts().some(part => !this.#shapes.isListed(part.shape))) {
-			this.#graceTimer ??= this.#context.clock.setTimer(() => {
-				this.#graceTimer = undefined;
-				this.#giveUpUnlisted();
-			}, noUpstreamGraceMs);
-		}
-
+		this.#unlistedWatch.check();
 		this.pump();
 	}
 
@@ -162,7 +156,7 @@
 	 */
 	addJob(source: ScheduledJob): Admission {
 		const now = this.#context.clock.getMonotonicTime();
-		const admission = this.#admit(source, now);
+		const admission = this.#admit(this.#load.getAdmissionRequest(source, now));
 		if (!admission.admitted) {
 			return admission;
 		}
@@ -198,12 +192,7 @@
 
 	/** Gets the state of the queue. */
 	getQueueStatus(): QueueStatus {
-		return {
-			service: this.#options.service,
-			queuedTasks: this.#jobs.getQueuedTasks(),
-			runningTasks: this.#runningTasks,
-			expectedWaitMs: this.#jobs.getQueuedTasks() * this.#getMsPerTask(),
-		};
+		return this.#load.getQueueStatus();
 	}
 
 	/** Gets the state of the upstreams. */
@@ -219,7 +208,7 @@
 
 		this.#isPaused = true;
 		this.#wakeTimer.close();
-		this.#graceTimer?.close();
+		this.#unlistedWatch.close();
 		this.#pool.close();
 	}
 
@@ -242,18 +231,19 @@
 	#pumpOnce(): void {
 		this.#expireJobs();
 		const probeTime = this.#detector.startProbes();
-		this.#broker.returnLeases(this.#getLocalDemand());
-		while (this.#step()) {
+		this.#broker.returnLeases(this.#load.getLocalDemand());
+		while (this.#startOrLeaseOne()) {
 			// Each step starts or leases one slot.
 		}
 
-		const local = this.#getLocalDemand();
+		const local = this.#load.getLocalDemand();
 		this.#broker.returnLeases(local);
 		const times = [probeTime, this.#broker.tellDemand(local), this.#broker.getReturnTime(), this.#jobs.getFirstDeadline()];
 		this.#wakeTimer.wakeAt(Math.min(...times.filter(time => time !== undefined)));
 	}
 
-	#step(): boolean {
+	/** Starts one task or leases one slot; false when neither can be done now. */
+	#startOrLeaseOne(): boolean {
 		const available = this.#pool.getTable().getAvailable();
 		const next = this.#getNext(available);
 		if (this.#broker.grantOne(next, this.#queue.getOrder())) {
@@ -264,7 +254,7 @@
 			return false;
 		}
 
-		this.#start(this.#queue.takeTask(next), available);
+		this.#runner.startTask(this.#queue.takeTask(next), available);
 		return true;
 	}
 
@@ -273,182 +263,14 @@
 			return undefined;
 		}
 
-		return this.#queue.getNextPart((shape, team) => this.#shapes.isServed(shape, available) && this.#limits.mayStart(team));
-	}
-
-	#start(queued: QueuedTask, available: readonly UpstreamEntry[]): void {
-		const {task, job} = queued;
-		const candidates = this.#getCandidates(queued, available);
-		const {entry} = this.#chooseUpstream(candidates);
-		const slot = this.#pool.takeSlot(entry);
-		queued.attempts++;
-		this.#countStart(queued, slot);
-		job.runningTasks++;
-		this.#queue.updateRank(job);
-		void this.#run(queued, slot, task.run(entry.listed, queued.attempts));
-	}
-
-	#getCandidates(queued: QueuedTask, available: readonly UpstreamEntry[]): ReadonlyArray<ReturnType<UpstreamEntry['toCandidate']>> {
-		const candidates: Array<ReturnType<UpstreamEntry['toCandidate']>> = [];
-		for (const entry of available) {
-			if (this.#shapes.fits(queued.part.shape, entry.listed)) {
-				candidates.push(entry.toCandidate(queued.triedUpstreams));
-			}
-
-			if (candidates.length === maxCandidates) {
-				break;
-			}
-		}
-
-		return candidates;
-	}
-
-	#countStart(queued: QueuedTask, slot: HeldSlot): void {
-		const {counters} = this.#context;
-		counters.starts++;
-		counters.leasedStarts += slot.lease ? 1 : 0;
-		this.#jobs.addQueued(queued.job, -1);
-		this.#runningTasks++;
-		this.#limits.addStart(queued.job.source.team);
-		if (queued.attempts === 1) {
-			this.#retries.addFirstTry();
-		}
-	}
-
-	async #run(queued: QueuedTask, slot: HeldSlot, running: Promise<TaskEnd>): Promise<void> {
-		const startedAt = this.#context.clock.getMonotonicTime();
-		const end = await running;
-		const durationMs = this.#context.clock.getMonotonicTime() - startedAt;
-		const {job} = queued;
-		job.runningTasks--;
-		this.#runningTasks--;
-		this.#limits.addEnd(job.source.team);
-		this.#detector.addEnd(slot.entry, end, durationMs);
-		this.#pool.releaseSlot(slot);
-		if (end.kind === 'answered') {
-			this.#taskTime.addValue(durationMs);
-			job.addTaskTime(durationMs);
-			this.#queue.updateRank(job);
-		} else {
-			this.#retryOrGiveUp(queued, slot.entry.listed.name, end);
-		}
-
-		this.#jobs.removeIfEnded(job);
-		this.pump();
-	}
-
-	#retryOrGiveUp(queued: QueuedTask, upstream: string, end: TaskEnd): void {
-		const delayMs = this.#retries.planRetry(queued, end);
-		if (delayMs === undefined) {
-			queued.task.giveUp(end);
-			return;
-		}
-
-		queued.triedUpstreams = [...queued.triedUpstreams, upstream];
-		this.#jobs.addQueued(queued.job, 1);
-		this.#context.events.addEvent('task-retried', queued.job.source.id, `attempt ${queued.attempts + 1}, after ${upstream}`);
-		this.#context.clock.setTimer(() => {
-			this.#enqueueRetry(queued);
-		}, delayMs);
-	}
-
-	#enqueueRetry(queued: QueuedTask): void {
-		if (queued.job.isRemoved) {
-			return;
-		}
-
-		if (queued.part.heapIndex < 0) {
-			queued.part.shape = this.#shapes.getShape(queued.task.needs);
-		}
-
-		this.#queue.addTasks(queued.part, [queued]);
-		this.pump();
+		return this.#queue.getNextPart((shape, team) => this.#shapes.isServed(shape, available) && this.#options.limits.mayStart(team));
 	}
 
 	#enqueue(job: QueuedJob): void {
-		const parts = new Map<string, JobPart>();
-		const tasks = new Map<JobPart, QueuedTask[]>();
-		for (const task of job.source.tasks) {
-			const shape = this.#shapes.getShape(task.needs);
-			const part = parts.get(shape) ?? {
-				job, shape, ready: [], heap: undefined, heapIndex: -1, rank: 0, sequence: job.sequence,
-			};
-			parts.set(shape, part);
-			const queued = {
-				task, job, part, attempts: 0, triedUpstreams: [],
-			};
-			const known = tasks.get(part);
-			if (known) {
-				known.push(queued);
-			} else {
-				tasks.set(part, [queued]);
-			}
-		}
-
-		job.parts = [...parts.values()];
-		for (const [part, queued] of tasks) {
-			this.#queue.addTasks(part, queued);
-		}
-	}
-
-	#admit({tasks, team, deadline}: ScheduledJob, now: number): Admission {
-		const admit = this.#options.decisions?.admit ?? admitInTime;
-		return admit({
-			taskCount: tasks.length,
-			remainingMs: deadline - now,
-			hasUpstream: this.#shapes.hasLiveUpstream(),
-			isRunnable: tasks.every(task => this.#shapes.isRunnable(task.needs)),
-			queuedTasks: this.#jobs.getQueuedTasks(),
-			maxQueuedTasks: this.#profile.maxQueuedTasks,
-			tasksAhead: this.#getTasksAhead(tasks.length),
-			msPerTask: this.#getMsPerTask(),
-			quotaWaitMs: this.#limits.getWaitMs(team, tasks.length, this.#taskTime.getMean()),
-		});
-	}
-
-	#getTasksAhead(taskCount: number): number {
-		const ahead = this.#profile.order === 'shortest-remaining' ? this.#jobs.getTasksUpTo(taskCount) : this.#jobs.getQueuedTasks();
-		return Math.max(ahead + taskCount - this.#pool.getTable().getUsableSlots() + this.#runningTasks, 0);
-	}
-
-	#getMsPerTask(): number {
-		return this.#taskTime.getMean() / Math.max(this.#pool.getTable().getUsableSlots(), this.#pool.getEvenShare(), 1);
-	}
-
-	#getLocalDemand(): LocalDemand {
-		const readyTasks = this.#queue.getReadyTasks();
-		const next = readyTasks > 0 ? this.#queue.getNextPart((shape, team) => this.#shapes.isListed(shape) && this.#limits.mayStart(team)) : undefined;
-		const msPerTask = this.#taskTime.getMean() / Math.max(this.#pool.getTable().getUsableSlots(), 1);
-		const waitMs = readyTasks * msPerTask;
-		const maySpill = this.#profile.spillToOtherDataCenters && waitMs > this.#profile.spillWaitMs;
-		const urgentTasks = next ? Math.min(this.#getUrgentTasks(next), readyTasks) : 0;
-		return {
-			order: this.#queue.getOrder(),
-			readyTasks,
-			next,
-			waitMs,
-			urgentTasks,
-			urgentWaitMs: urgentTasks * msPerTask,
-			maySpill,
-			hasSlots: this.#pool.getTable().getUsableSlots() > 0,
-		};
-	}
-
-	#getUrgentTasks(next: JobPart): number {
-		return this.#profile.order === 'shortest-remaining' ? this.#jobs.getTasksUpTo(next.job.queuedTasks) : next.job.queuedTasks;
-	}
-
-	/** Gives up the tasks that no listed upstream fits any more. */
-	#giveUpUnlisted(): void {
-		for (const part of this.#queue.getParts().filter(({shape}) => !this.#shapes.isListed(shape))) {
-			const {job} = part;
-			const tasks = this.#queue.removePart(part);
-			this.#jobs.addQueued(job, -tasks.length);
-			for (const {task} of tasks) {
-				task.giveUp({kind: 'not_started', detail: 'No listed upstream fits the task any more', isUnreachable: true});
-			}
-
-			this.#jobs.removeIfEnded(job);
+		const parts = createPartTasks(job, needs => this.#shapes.getShape(needs));
+		job.parts = parts.map(({part}) => part);
+		for (const {part, tasks} of parts) {
+			this.#queue.addTasks(part, tasks);
 		}
 	}
 
@@ -462,7 +284,7 @@
 		}
 	}
 
-	#createOrder(): ReturnType<JobOrderFactory> {
+	#createOrder(): JobOrder {
 		return (this.#options.decisions?.createOrder ?? createJobOrder)(this.#profile);
 	}
 }
--- /dev/null
+++ b/src/process/scheduler/service-state.ts
@@ -0,0 +1,62 @@
+/**
+ * State that the parts of one service's scheduler share.
+ */
+import {type Profile} from '../../version/index.js';
+import {DecayedMean} from './decayed-mean.js';
+import {type JobOrder} from './job-order.js';
+import {JobQueue} from './job-queue.js';
+import {JobTable} from './job-table.js';
+import {type MemberView} from './member-view.js';
+import {type SchedulerContext} from './scheduler-context.js';
+import {SlotPool} from './slot-pool.js';
+import {type TeamLimits} from './team-quotas.js';
+import {UpstreamShapes} from './upstream-shapes.js';
+
+/** State that the parts of one service's scheduler share. */
+export type ServiceState = {
+	readonly service: string;
+	readonly context: SchedulerContext;
+	readonly limits: TeamLimits;
+	readonly pool: SlotPool;
+	readonly queue: JobQueue;
+	readonly jobs: JobTable;
+	readonly shapes: UpstreamShapes;
+	/** Observed time of the service's tasks in milliseconds. */
+	readonly taskTime: DecayedMean;
+	/** Gets the profile in force. */
+	readonly getProfile: () => Profile;
+};
+
+/** Options of {@link createServiceState}. */
+export type ServiceStateOptions = Pick<ServiceState, 'service' | 'context' | 'limits' | 'getProfile'> & {
+	readonly order: JobOrder;
+	readonly view: MemberView;
+	/** Called when slots may have become available by themselves. */
+	readonly onChange: () => void;
+};
+
+/** Expected time of a task before any was observed, in milliseconds. */
+const initialTaskMs = 250;
+
+/** Number of tasks over which the observed time fades. */
+const taskTimeSamples = 200;
+
+/**
+ * Creates the state of a service without jobs or upstreams.
+ * @param options - Options of the state.
+ */
+export function createServiceState(options: ServiceStateOptions): ServiceState {
+	const {
+		service, context, limits, getProfile, order, view, onChange,
+	} = options;
+	const taskTime = new DecayedMean(initialTaskMs, taskTimeSamples);
+	const getTaskMs = (): number => taskTime.getMean();
+	const queue = new JobQueue({order, getWeight: team => limits.getWeight(team)});
+	const jobs = new JobTable({queue, limits, getTaskMs});
+	const pool = new SlotPool({
+		service, context, getTaskMs, getTaskTimeoutMs: () => getProfile().taskTimeoutMs, onChange,
+	}, view);
+	return {
+		service, context, limits, pool, queue, jobs, shapes: new UpstreamShapes(), taskTime, getProfile,
+	};
+}
--- /dev/null
+++ b/src/process/scheduler/task-runner.ts
@@ -0,0 +1,147 @@
+/**
+ * Execution of the tasks of one service: choice of the upstream, start, end and retry.
+ */
+import {type TaskEnd} from '../task-scheduler.js';
+import {type OutlierDetector} from './outlier-detector.js';
+import {type QueuedTask} from './queued-job.js';
+import {RetryPlanner} from './retry-planner.js';
+import {type ServiceState} from './service-state.js';
+import {type UpstreamChoice} from './upstream-choice.js';
+import {type EntryCandidate, type HeldSlot, type UpstreamEntry} from './upstream-entry.js';
+
+/** Most upstreams compared for one task. */
+const maxCandidates = 32;
+
+/** Options of a {@link TaskRunner}. */
+export type TaskRunnerOptions = {
+	readonly state: ServiceState;
+	readonly detector: OutlierDetector;
+	readonly chooseUpstream: UpstreamChoice;
+	/** Called when a slot became free or a task waits again. */
+	readonly onChange: () => void;
+};
+
+/**
+ * Runs the tasks of one service on slots, and plans the retries of those that end without an answer.
+ * @internal
+ */
+export class TaskRunner {
+	readonly #options: TaskRunnerOptions;
+	readonly #state: ServiceState;
+	readonly #retries: RetryPlanner;
+	#runningTasks = 0;
+
+	constructor(options: TaskRunnerOptions) {
+		this.#options = options;
+		this.#state = options.state;
+		const {context, getProfile} = options.state;
+		this.#retries = new RetryPlanner({context, getProfile});
+	}
+
+	/** Gets the number of running tasks. */
+	getRunningTasks(): number {
+		return this.#runningTasks;
+	}
+
+	/**
+	 * Starts a task on one of the available upstreams.
+	 * @param queued - Task to start.
+	 * @param available - Upstreams with a free slot, at least one of which fits the task.
+	 */
+	startTask(queued: QueuedTask, available: readonly UpstreamEntry[]): void {
+		const {task, job} = queued;
+		const candidates = this.#getCandidates(queued, available);
+		const {entry} = this.#options.chooseUpstream(candidates);
+		const slot = this.#state.pool.takeSlot(entry);
+		queued.attempts++;
+		this.#countStart(queued, slot);
+		this.#state.queue.updateRank(job);
+		void this.#run(queued, slot, task.run(entry.listed, queued.attempts));
+	}
+
+	#getCandidates(queued: QueuedTask, available: readonly UpstreamEntry[]): readonly EntryCandidate[] {
+		const candidates: EntryCandidate[] = [];
+		for (const entry of available) {
+			if (this.#state.shapes.fits(queued.part.shape, entry.listed)) {
+				candidates.push(entry.toCandidate(queued.triedUpstreams));
+			}
+
+			if (candidates.length === maxCandidates) {
+				break;
+			}
+		}
+
+		return candidates;
+	}
+
+	#countStart(queued: QueuedTask, slot: HeldSlot): void {
+		const {job} = queued;
+		const {context: {counters}, jobs, limits} = this.#state;
+		counters.starts++;
+		counters.leasedStarts += slot.lease ? 1 : 0;
+		jobs.addQueued(job, -1);
+		job.runningTasks++;
+		this.#runningTasks++;
+		limits.addStart(job.source.team);
+		if (queued.attempts === 1) {
+			this.#retries.addFirstTry();
+		}
+	}
+
+	async #run(queued: QueuedTask, slot: HeldSlot, running: Promise<TaskEnd>): Promise<void> {
+		const {context: {clock}, jobs, pool, limits} = this.#state;
+		const startedAt = clock.getMonotonicTime();
+		const end = await running;
+		const durationMs = clock.getMonotonicTime() - startedAt;
+		const {job} = queued;
+		job.runningTasks--;
+		this.#runningTasks--;
+		limits.addEnd(job.source.team);
+		this.#options.detector.addEnd(slot.entry, end, durationMs);
+		pool.releaseSlot(slot);
+		if (end.kind === 'answered') {
+			this.#addTaskTime(queued, durationMs);
+		} else {
+			this.#retryOrGiveUp(queued, slot.entry.listed.name, end);
+		}
+
+		jobs.removeIfEnded(job);
+		this.#options.onChange();
+	}
+
+	#addTaskTime({job}: QueuedTask, durationMs: number): void {
+		this.#state.taskTime.addValue(durationMs);
+		job.addTaskTime(durationMs);
+		this.#state.queue.updateRank(job);
+	}
+
+	#retryOrGiveUp(queued: QueuedTask, upstream: string, end: TaskEnd): void {
+		const delayMs = this.#retries.planRetry(queued, end);
+		if (delayMs === undefined) {
+			queued.task.giveUp(end);
+			return;
+		}
+
+		const {context, jobs} = this.#state;
+		queued.triedUpstreams = [...queued.triedUpstreams, upstream];
+		jobs.addQueued(queued.job, 1);
+		context.events.addEvent('task-retried', queued.job.source.id, `attempt ${queued.attempts + 1}, after ${upstream}`);
+		context.clock.setTimer(() => {
+			this.#enqueueRetry(queued);
+		}, delayMs);
+	}
+
+	#enqueueRetry(queued: QueuedTask): void {
+		if (queued.job.isRemoved) {
+			return;
+		}
+
+		const {queue, shapes} = this.#state;
+		if (queued.part.heapIndex < 0) {
+			queued.part.shape = shapes.getShape(queued.task.needs);
+		}
+
+		queue.addTasks(queued.part, [queued]);
+		this.#options.onChange();
+	}
+}
--- a/src/process/scheduler/upstream-entry.ts
+++ b/src/process/scheduler/upstream-entry.ts
@@ -20,6 +20,9 @@
 	isVoid: boolean;
 };
 
+/** An upstream as the choice sees it. */
+export type EntryCandidate = UpstreamCandidate & {readonly entry: UpstreamEntry};
+
 /**
  * One upstream as this entry VM sees it, with the slots that it may use there.
  * @internal
@@ -72,7 +75,7 @@
 	 * Gets what the choice of an upstream sees.
 	 * @param tried - Upstreams on which the task ended without an answer.
 	 */
-	toCandidate(tried: readonly string[]): UpstreamCandidate & {readonly entry: UpstreamEntry} {
+	toCandidate(tried: readonly string[]): EntryCandidate {
 		return {
 			entry: this,
 			name: this.listed.name,
