Split the slots of a service by the side of the lease

The voiding of leases with running tasks, the removal of granted leases and the questions to holders stood twice each.

Change: GrantedLeases does the owner's side, HeldLeases the holder's, and SlotPool keeps the upstreams, their owners and the use of slots. Each of the repeated steps has one function. No change of behaviour.

--- a/src/process/scheduler/distributed-task-scheduler.ts
+++ b/src/process/scheduler/distributed-task-scheduler.ts
@@ -278,7 +278,7 @@
 
 	#askHolders(): void {
 		for (const service of this.#services.values()) {
-			service.getPool().askHolders();
+			service.getPool().getGranted().askHolders();
 		}
 	}
 
@@ -297,7 +297,7 @@
 			counters: this.#counters,
 			batchMs: this.#tuning.batchMs,
 			send: message => this.#options.sendControl(memberId, {topic: slotTopic, body: message}),
-			getClaims: service => this.#services.get(service)?.getPool().getClaims(memberId) ?? [],
+			getClaims: service => this.#services.get(service)?.getPool().getHeld().getClaims(memberId) ?? [],
 		});
 		this.#outboxes.set(memberId, created);
 		return created;
--- /dev/null
+++ b/src/process/scheduler/held-leases.ts
@@ -0,0 +1,129 @@
+/**
+ * Leases that this entry VM holds on the upstreams of other owners.
+ */
+import {type SchedulerContext} from './scheduler-context.js';
+import {type LeaseName} from './slot-messages.js';
+import {type HeldLease, type UpstreamEntry} from './upstream-entry.js';
+import {type UpstreamTable} from './upstream-table.js';
+
+/** Options of {@link HeldLeases}. */
+export type HeldLeasesOptions = {
+	readonly service: string;
+	readonly context: SchedulerContext;
+	readonly table: UpstreamTable;
+};
+
+/**
+ * The leases of one service that this entry VM holds: takes them from their owners and gives them back.
+ * @internal
+ */
+export class HeldLeases {
+	readonly #options: HeldLeasesOptions;
+	readonly #context: SchedulerContext;
+	readonly #table: UpstreamTable;
+
+	constructor(options: HeldLeasesOptions) {
+		this.#options = options;
+		this.#context = options.context;
+		this.#table = options.table;
+	}
+
+	/**
+	 * Takes leases that another owner granted; those of unknown or leaving upstreams go back.
+	 * @param leases - Leases granted.
+	 * @param owner - Member that granted them.
+	 */
+	takeGranted(leases: readonly LeaseName[], owner: string): void {
+		this.#table.updateAllAvailable();
+		for (const {id, upstream} of leases) {
+			const entry = this.#table.getEntry(upstream);
+			if (entry && !entry.owned && entry.listed.state === 'live') {
+				entry.idleLeases.push({id, idleSince: this.#context.clock.getMonotonicTime(), isVoid: false});
+			} else {
+				this.#context.getOutbox(owner)?.addReturn(this.#options.service, id);
+			}
+		}
+	}
+
+	/**
+	 * Ends leases whose owner doesn't know them; tasks that run on them go on.
+	 * @param ids - Identifiers of the leases.
+	 */
+	takeRevoked(ids: readonly string[]): void {
+		this.#table.updateAllAvailable();
+		const revoked = new Set(ids);
+		for (const entry of this.#table.getEntries()) {
+			const kept = entry.idleLeases.filter(lease => !revoked.has(lease.id));
+			entry.idleLeases.splice(0, entry.idleLeases.length, ...kept);
+			for (const lease of voidRunningLeases(entry, ({id}) => revoked.has(id))) {
+				this.#context.events.addEvent('lease-void', entry.listed.name, lease.id);
+			}
+		}
+	}
+
+	/**
+	 * Gets the leases held of the upstreams that a member owns, or that it granted.
+	 * @param owner - Member that owns the upstreams.
+	 */
+	getClaims(owner: string): readonly LeaseName[] {
+		return this.#table.getEntries().flatMap(entry => entry.getHeldLeases()
+			.filter(lease => entry.owner === owner || lease.id.startsWith(`${owner}:`))
+			.map(lease => ({id: lease.id, upstream: entry.listed.name})));
+	}
+
+	/**
+	 * Gives back idle leases.
+	 * @param shouldReturn - Tells which leases go back.
+	 */
+	returnIdle(shouldReturn: (lease: HeldLease, entry: UpstreamEntry) => boolean): void {
+		for (const entry of this.#table.getEntries()) {
+			for (const lease of entry.idleLeases.filter(idle => shouldReturn(idle, entry))) {
+				entry.idleLeases.splice(entry.idleLeases.indexOf(lease), 1);
+				this.#table.updateAvailable(entry);
+				this.#tellReturn(entry, lease);
+			}
+		}
+	}
+
+	/**
+	 * Keeps a lease whose task ended for the next one, or gives it back when it is not to be used again.
+	 * @param lease - Lease whose task ended.
+	 * @param entry - Upstream of the lease.
+	 */
+	releaseLease(lease: HeldLease, entry: UpstreamEntry): void {
+		if (lease.isVoid || entry.listed.state === 'leaving' || entry.health.getState() !== 'healthy') {
+			this.#tellReturn(entry, lease);
+			return;
+		}
+
+		lease.idleSince = this.#context.clock.getMonotonicTime();
+		entry.idleLeases.push(lease);
+	}
+
+	/** Makes all leases in hand void, after this process may have been taken for dead. */
+	voidAll(): void {
+		this.returnIdle(() => true);
+		for (const entry of this.#table.getEntries()) {
+			voidRunningLeases(entry, () => true);
+		}
+	}
+
+	#tellReturn(entry: UpstreamEntry, lease: HeldLease): void {
+		if (entry.owner !== undefined) {
+			this.#context.getOutbox(entry.owner)?.addReturn(this.#options.service, lease.id);
+		}
+	}
+}
+
+/** Makes leases with running tasks void; gets them. */
+function voidRunningLeases(entry: UpstreamEntry, shouldVoid: (lease: HeldLease) => boolean): readonly HeldLease[] {
+	const voided: HeldLease[] = [];
+	for (const {lease} of entry.running) {
+		if (lease && shouldVoid(lease)) {
+			lease.isVoid = true;
+			voided.push(lease);
+		}
+	}
+
+	return voided;
+}
--- a/src/process/scheduler/lease-broker.ts
+++ b/src/process/scheduler/lease-broker.ts
@@ -78,20 +78,20 @@
 	takeUpdate(update: ServiceUpdate, from: string, lastReceived: number, order: JobOrder): void {
 		if (update.returned) {
 			this.#demands.addReceived(from, update.returned.length);
-			this.#pool.takeReturned(update.returned, from);
+			this.#pool.getGranted().takeReturned(update.returned, from);
 		}
 
 		if (update.granted) {
 			this.#demands.addReceived(from, update.granted.length);
-			this.#pool.takeGranted(update.granted, from);
+			this.#pool.getHeld().takeGranted(update.granted, from);
 		}
 
 		if (update.revoked) {
-			this.#pool.takeRevoked(update.revoked);
+			this.#pool.getHeld().takeRevoked(update.revoked);
 		}
 
 		if (update.claims) {
-			this.#pool.takeClaims(update.claims, from, lastReceived);
+			this.#pool.getGranted().takeClaims(update.claims, from, lastReceived);
 		}
 
 		if (update.claimRound !== undefined) {
@@ -123,7 +123,7 @@
 			return false;
 		}
 
-		if (!this.#pool.grantLease(demand.member)) {
+		if (!this.#pool.getGranted().grantLease(demand.member)) {
 			return false;
 		}
 
@@ -143,7 +143,7 @@
 
 		const now = this.#context.clock.getMonotonicTime();
 		const isDue = now - oldest >= this.#tuning.leaseIdleMs;
-		this.#pool.returnLeases((_lease, entry) => isDue || this.#isWantedBack(entry, local, now));
+		this.#pool.getHeld().returnIdle((_lease, entry) => isDue || this.#isWantedBack(entry, local, now));
 	}
 
 	/** Gets the monotonic time at which idle leases are due; `undefined` when there are none. */
@@ -177,7 +177,7 @@
 	#chooseAsked(local: LocalDemand): readonly string[] {
 		const owners = this.#pool.getOtherOwners(true);
 		const remote = local.maySpill ? this.#pool.getOtherOwners(false) : [];
-		const candidates = [...new Set([...this.#pool.getHolders(), ...owners, ...remote])];
+		const candidates = [...new Set([...this.#pool.getGranted().getHolders(), ...owners, ...remote])];
 		const wanted = Math.min(candidates.length, this.#tuning.demandFanOut, Math.ceil(local.readyTasks / minAsked));
 		if (wanted === candidates.length) {
 			return candidates;
--- a/src/process/scheduler/service-scheduler.ts
+++ b/src/process/scheduler/service-scheduler.ts
@@ -178,7 +178,7 @@
 	/** Stops all starts, and makes leases in hand void. */
 	handlePause(): void {
 		this.#isPaused = true;
-		this.#pool.voidLeases();
+		this.#pool.getHeld().voidAll();
 	}
 
 	/** Starts tasks again, on owned slots once the other members have told their leases. */
