Separate the allotment of quotas from the keeping to them

The question whether this entry VM allots a team's shares stood in three places.

Change: QuotaAllotment divides quotas by the reports of the members, TeamQuotas keeps to the shares and exchanges the messages, the type TeamLimits has a module of its own. No change of behaviour.

Scheduler tests: 30 passed before and after.

--- a/src/process/scheduler/job-table.ts
+++ b/src/process/scheduler/job-table.ts
@@ -3,7 +3,7 @@
 import {type JobQueue} from './job-queue.js';
 import {QueuedJob} from './queued-job.js';
 import {RankHeap} from './rank-heap.js';
-import {type TeamLimits} from './team-quotas.js';
+import {type TeamLimits} from './team-limits.js';
 import {WorkAhead} from './work-ahead.js';
 
 /** Options of a {@link JobTable}. */
--- a/src/process/scheduler/service-scheduler-options.ts
+++ b/src/process/scheduler/service-scheduler-options.ts
@@ -3,7 +3,7 @@
 import {type JobOrderFactory} from './job-order.js';
 import {type SchedulerContext} from './scheduler-context.js';
 import {type SchedulerTuning} from './scheduler-tuning.js';
-import {type TeamLimits} from './team-quotas.js';
+import {type TeamLimits} from './team-limits.js';
 import {type UpstreamChoice} from './upstream-choice.js';
 
 /** Decisions that may be replaced. */
--- a/src/process/scheduler/service-state.ts
+++ b/src/process/scheduler/service-state.ts
@@ -9,7 +9,7 @@
 import {type MemberView} from './member-view.js';
 import {type SchedulerContext} from './scheduler-context.js';
 import {SlotPool} from './slot-pool.js';
-import {type TeamLimits} from './team-quotas.js';
+import {type TeamLimits} from './team-limits.js';
 import {UpstreamShapes} from './upstream-shapes.js';
 
 /** State that the parts of one service's scheduler share. */
--- a/src/process/scheduler/team-quotas.ts
+++ b/src/process/scheduler/team-quotas.ts
@@ -1,34 +1,17 @@
+/**
+ * Quotas of the teams at one entry VM.
+ */
 import {type Timer} from '../../seams/index.js';
 import {type Team} from '../../version/index.js';
 import {type SchedulerStatus} from '../task-scheduler.js';
 import {type MemberView} from './member-view.js';
 import {getOwner} from './owner-table.js';
+import {QuotaAllotment} from './quota-allotment.js';
 import {type SchedulerContext} from './scheduler-context.js';
-import {ShareAllotter, type TeamAmount} from './share-allotter.js';
-import {type TeamUpdate} from './slot-messages.js';
+import {type TeamShare, type TeamUpdate} from './slot-messages.js';
+import {type TeamLimits} from './team-limits.js';
 import {TeamQuota} from './team-quota.js';
 
-/** What a service's queue asks about a team. */
-export type TeamLimits = {
-	/** Gets the team's share under contention. */
-	getWeight(team: string): number;
-
-	/** Tells whether the quota lets a task of the team start now. */
-	mayStart(team: string): boolean;
-
-	/** Counts a start. */
-	addStart(team: string): void;
-
-	/** Counts the end of a task. */
-	addEnd(team: string): void;
-
-	/** Counts tasks that began to wait, or ceased to when negative. */
-	addQueued(team: string, count: number): void;
-
-	/** Gets the time until the quota lets a number of further tasks start; infinite when it never does. */
-	getWaitMs(team: string, taskCount: number, taskMs: number): number;
-};
-
 /** Options of {@link TeamQuotas}. */
 export type TeamQuotasOptions = {
 	readonly context: SchedulerContext;
@@ -45,12 +28,6 @@
 /** Change of the demand that is reported before that, as a part of it. */
 const reportTolerance = 0.25;
 
-/** Longest wait for the reports of the other members before shares are allotted, in milliseconds. */
-const reportWaitMs = 1000;
-
-/** Time after which the share of a member is free that is no longer listed, in milliseconds. */
-const absentMs = 30_000;
-
 /** Least delay of a timer, in milliseconds. */
 const minDelayMs = 1;
 
@@ -70,9 +47,8 @@
 	readonly #options: TeamQuotasOptions;
 	readonly #context: SchedulerContext;
 	readonly #quotas = new Map<string, TeamQuota>();
-	readonly #allotters = new Map<string, {readonly since: number; readonly allotter: ShareAllotter}>();
+	readonly #allotment: QuotaAllotment;
 	readonly #reported = new Map<string, Reported>();
-	readonly #absentSince = new Map<string, number>();
 	readonly #timer: Timer;
 	#wakeTimer: Timer | undefined;
 	#view: MemberView;
@@ -81,6 +57,7 @@
 		this.#options = options;
 		this.#context = options.context;
 		this.#view = view;
+		this.#allotment = new QuotaAllotment(this.#context, view);
 		this.#timer = this.#context.clock.setRepeatingTimer(() => {
 			this.#exchange();
 		}, reportMs);
@@ -95,7 +72,7 @@
 		for (const name of this.#quotas.keys()) {
 			if (!teams[name]) {
 				this.#quotas.delete(name);
-				this.#allotters.delete(name);
+				this.#allotment.removeTeam(name);
 			}
 		}
 
@@ -117,6 +94,7 @@
 	 */
 	setMembers(view: MemberView): void {
 		this.#view = view;
+		this.#allotment.setMembers(view);
 		this.#exchange();
 	}
 
@@ -132,7 +110,7 @@
 		}
 
 		if (update.report) {
-			this.#getAllotter(update.team).allotter.addReport(from, update.report);
+			this.#allotment.addReport(update.team, from, update.report);
 			this.#allot(update.team, quota);
 		}
 
@@ -209,7 +187,7 @@
 	}
 
 	#exchange(): void {
-		this.#forgetAbsent();
+		this.#allotment.removeAbsent();
 		for (const [team, quota] of this.#quotas) {
 			if (this.#getLimited(team) && this.#isReportDue(team, quota)) {
 				this.#report(team, quota);
@@ -220,8 +198,7 @@
 	#isReportDue(team: string, quota: TeamQuota): boolean {
 		const last = this.#reported.get(team);
 		const to = this.#getAllottingMember(team);
-		const isOwn = to === this.#context.self.id;
-		if (isOwn || last?.to !== to || last.slots !== quota.getKeptShare().slots) {
+		if (this.#isAllottedHere(team) || last?.to !== to || last.slots !== quota.getKeptShare().slots) {
 			return true;
 		}
 
@@ -241,24 +218,17 @@
 			return;
 		}
 
-		this.#getAllotter(team).allotter.addReport(to, report);
+		this.#allotment.addReport(team, to, report);
 		this.#allot(team, quota);
 	}
 
 	#allot(team: string, quota: TeamQuota): void {
-		if (this.#getAllottingMember(team) !== this.#context.self.id) {
-			this.#allotters.delete(team);
+		if (!this.#isAllottedHere(team)) {
+			this.#allotment.removeTeam(team);
 			return;
 		}
 
-		const {allotter, since} = this.#getAllotter(team);
-		const isComplete = this.#getLocalMembers().every(member => allotter.hasReport(member));
-		if (!isComplete && this.#context.clock.getMonotonicTime() - since < reportWaitMs) {
-			return;
-		}
-
-		const reachable = new Set([this.#context.self.id, ...this.#view.up]);
-		for (const [member, share] of allotter.allot(isComplete ? quota.getQuota() : this.#getKnownPart(quota, allotter), reachable)) {
+		for (const [member, share] of this.#allotment.allot(team, quota.getQuota())) {
 			if (member === this.#context.self.id) {
 				this.#setShare(team, quota, share);
 			} else {
@@ -267,65 +237,20 @@
 		}
 	}
 
-	/**
-	 * Gets the part of a quota that is surely not in use at members that have not reported: what the others had, or,
-	 * when none was told a share yet, their even part.
-	 */
-	#getKnownPart(quota: TeamQuota, allotter: ShareAllotter): TeamAmount {
-		if (allotter.hasToldMember()) {
-			return allotter.getCommitted();
-		}
-
-		const members = this.#getLocalMembers();
-		const part = members.filter(member => allotter.hasReport(member)).length / members.length;
-		const {slots, startsPerSecond} = quota.getQuota();
-		return {slots: Math.floor(slots * part), startsPerSecond: startsPerSecond * part};
-	}
-
-	#setShare(team: string, quota: TeamQuota, share: NonNullable<TeamUpdate['share']>): void {
+	#setShare(team: string, quota: TeamQuota, share: TeamShare): void {
 		quota.setShare(share, this.#context.clock.getMonotonicTime());
 		this.#report(team, quota);
 		this.#options.onChange();
 	}
 
-	/** Frees the shares of members that are no longer listed, once their tasks have ended. */
-	#forgetAbsent(): void {
-		const now = this.#context.clock.getMonotonicTime();
-		for (const {allotter} of this.#allotters.values()) {
-			for (const member of allotter.getMembers()) {
-				if (this.#view.dataCenters.has(member)) {
-					this.#absentSince.delete(member);
-					continue;
-				}
-
-				const since = this.#absentSince.get(member) ?? now;
-				this.#absentSince.set(member, since);
-				if (now - since >= absentMs) {
-					allotter.removeMember(member);
-				}
-			}
-		}
-	}
-
-	#getAllotter(team: string): {readonly since: number; readonly allotter: ShareAllotter} {
-		const known = this.#allotters.get(team);
-		if (known) {
-			return known;
-		}
-
-		const created = {since: this.#context.clock.getMonotonicTime(), allotter: new ShareAllotter()};
-		this.#allotters.set(team, created);
-		return created;
+	#isAllottedHere(team: string): boolean {
+		return this.#getAllottingMember(team) === this.#context.self.id;
 	}
 
 	#getAllottingMember(team: string): string {
 		return getOwner(team, this.#getOwners()) ?? this.#context.self.id;
 	}
 
-	#getLocalMembers(): readonly string[] {
-		return [...this.#view.dataCenters].filter(([, dataCenter]) => dataCenter === this.#context.self.dataCenter).map(([member]) => member);
-	}
-
 	#getOwners(): readonly string[] {
 		return this.#view.owners.get(this.#context.self.dataCenter) ?? [this.#context.self.id];
 	}
