Give the scheduler's outboxes and services a table each

Change: OutboxTable keeps the outboxes, ServiceTable the schedulers of the services with their profiles and upstreams. No change of behaviour.

--- a/src/process/scheduler/distributed-task-scheduler.ts
+++ b/src/process/scheduler/distributed-task-scheduler.ts
@@ -1,15 +1,18 @@
+/**
+ * Scheduler of one entry VM, and its messages to the schedulers of the others.
+ */
 import {type Stream} from 'most';
 import {type ControlMessage, type Member} from '../../connection/index.js';
-import {type ListedUpstream} from '../../platform/index.js';
 import {systemClock, systemRandom, type Timer} from '../../seams/index.js';
-import {type Configuration, emptyConfiguration, type Profile} from '../../version/index.js';
+import {type Configuration, emptyConfiguration} from '../../version/index.js';
 import {type Admission, type ScheduledJob, type SchedulerStatus} from '../task-scheduler.js';
-import {createMemberView, type MemberView} from './member-view.js';
+import {createMemberView} from './member-view.js';
 import {Outbox} from './outbox.js';
+import {OutboxTable} from './outbox-table.js';
 import {createSchedulerCounters, type SchedulerCounters} from './scheduler-counters.js';
 import {type SchedulerContext} from './scheduler-context.js';
 import {defaultTuning, type SchedulerTuning} from './scheduler-tuning.js';
-import {ServiceScheduler} from './service-scheduler.js';
+import {ServiceTable} from './service-table.js';
 import {parseSlotMessage, slotTopic} from './slot-messages.js';
 import {type SlotScheduler, type TaskSchedulerOptions} from './task-scheduler-options.js';
 import {TeamQuotas} from './team-quotas.js';
@@ -26,26 +29,21 @@
 	readonly #context: SchedulerContext;
 	readonly #tuning: SchedulerTuning;
 	readonly #counters = createSchedulerCounters();
-	readonly #services = new Map<string, ServiceScheduler>();
-	readonly #outboxes = new Map<string, Outbox>();
+	readonly #services: ServiceTable;
+	readonly #outboxes: OutboxTable;
 	readonly #subscriptions: ReadonlyArray<{unsubscribe(): void}>;
 	readonly #askTimer: Timer;
 	readonly #quotas: TeamQuotas;
 	#configuration: Configuration = emptyConfiguration;
-	#upstreams: readonly ListedUpstream[] = [];
-	#view: MemberView;
 	#pumpTimer: Timer | undefined;
 	#members: readonly Member[] = [];
 	#isStopping = false;
-	#isPaused = false;
 	#isClosed = false;
-	/** Whether the last messages were sent; tasks that end later tell nobody. */
-	#areMessagesClosed = false;
 
 	constructor(options: TaskSchedulerOptions) {
 		this.#options = options;
 		this.#tuning = {...defaultTuning, ...options.tuning};
-		this.#view = createMemberView(options.self, []);
+		const view = createMemberView(options.self, []);
 		const clock = options.clock ?? systemClock;
 		this.#context = {
 			clock,
@@ -53,13 +51,17 @@
 			self: options.self,
 			events: options.events,
 			counters: this.#counters,
-			getOutbox: memberId => this.#getOutbox(memberId),
+			getOutbox: memberId => this.#outboxes.getOutbox(memberId),
 		};
+		this.#outboxes = new OutboxTable(memberId => this.#createOutbox(memberId), view);
 		this.#quotas = new TeamQuotas({
 			context: this.#context, onChange: () => {
 				this.#pumpSoon();
 			},
-		}, this.#view);
+		}, view);
+		this.#services = new ServiceTable({
+			context: this.#context, limits: this.#quotas, tuning: this.#tuning, ...(options.decisions && {decisions: options.decisions}),
+		}, view);
 		this.#askTimer = clock.setRepeatingTimer(() => {
 			this.#askHolders();
 		}, askHoldersMs);
@@ -71,7 +73,7 @@
 				this.#setConfiguration(configuration);
 			}),
 			subscribe(options.upstreams, upstreams => {
-				this.#setUpstreams(upstreams);
+				this.#services.setUpstreams(upstreams);
 			}),
 		];
 	}
@@ -88,7 +90,7 @@
 	}
 
 	removeJob(jobId: string): number {
-		for (const service of this.#services.values()) {
+		for (const service of this.#services.getServices()) {
 			const dropped = service.removeJob(jobId);
 			if (dropped > 0) {
 				return dropped;
@@ -99,7 +101,7 @@
 	}
 
 	getStatus(): SchedulerStatus {
-		const services = [...this.#services.values()];
+		const services = [...this.#services.getServices()];
 		return {
 			upstreams: services.flatMap(service => service.getUpstreamStatus()),
 			queues: services.map(service => service.getQueueStatus()),
@@ -113,7 +115,7 @@
 
 	handleControl(message: ControlMessage, fromIncarnationId: string): void {
 		const slotMessage = message.topic === slotTopic ? parseSlotMessage(message.body) : undefined;
-		const outbox = this.#getOutbox(fromIncarnationId);
+		const outbox = this.#outboxes.getOutbox(fromIncarnationId);
 		if (!slotMessage || !outbox || slotMessage.number <= outbox.lastReceived || this.#isClosed) {
 			this.#counters.ignoredMessages++;
 			return;
@@ -121,7 +123,7 @@
 
 		outbox.lastReceived = slotMessage.number;
 		for (const update of slotMessage.services) {
-			this.#services.get(update.service)?.takeUpdate(update, fromIncarnationId, slotMessage.lastReceived);
+			this.#services.getService(update.service)?.takeUpdate(update, fromIncarnationId, slotMessage.lastReceived);
 		}
 
 		for (const update of slotMessage.teams) {
@@ -130,17 +132,11 @@
 	}
 
 	handlePause(): void {
-		this.#isPaused = true;
-		for (const service of this.#services.values()) {
-			service.handlePause();
-		}
+		this.#services.handlePause();
 	}
 
 	confirmView(): void {
-		this.#isPaused = false;
-		for (const service of this.#services.values()) {
-			service.confirmView();
-		}
+		this.#services.confirmView();
 	}
 
 	handleStopping(): void {
@@ -157,16 +153,8 @@
 			subscription.unsubscribe();
 		}
 
-		for (const service of this.#services.values()) {
-			service.close();
-		}
-
-		for (const outbox of this.#outboxes.values()) {
-			outbox.flush();
-			outbox.close();
-		}
-
-		this.#areMessagesClosed = true;
+		this.#services.close();
+		this.#outboxes.close();
 	}
 
 	#admit(job: ScheduledJob): Admission {
@@ -174,7 +162,7 @@
 			return {admitted: false, reason: 'stopping', detail: 'The entry VM is stopping'};
 		}
 
-		const service = this.#services.get(job.service);
+		const service = this.#services.getService(job.service);
 		if (!service) {
 			return {admitted: false, reason: 'unknown-service', detail: `No service "${job.service}" is configured`};
 		}
@@ -188,119 +176,41 @@
 
 	#setMembers(members: readonly Member[]): void {
 		this.#members = members;
-		this.#view = createMemberView(this.#options.self, members, this.#isStopping);
-		for (const [memberId, outbox] of this.#outboxes) {
-			if (!this.#view.up.has(memberId)) {
-				outbox.close();
-			}
-
-			if (!this.#view.dataCenters.has(memberId)) {
-				this.#outboxes.delete(memberId);
-			}
-		}
-
-		this.#quotas.setMembers(this.#view);
-		for (const service of this.#services.values()) {
-			service.setMembers(this.#view);
-		}
+		const view = createMemberView(this.#options.self, members, this.#isStopping);
+		this.#outboxes.setMembers(view);
+		this.#quotas.setMembers(view);
+		this.#services.setMembers(view);
 	}
 
 	#setConfiguration(configuration: Configuration): void {
 		this.#configuration = configuration;
 		this.#quotas.setTeams(configuration.declarations.teams);
-		const {services} = configuration.declarations;
-		for (const [name, service] of this.#services) {
-			if (!services[name]) {
-				service.close();
-				this.#services.delete(name);
-			}
-		}
-
-		for (const name of Object.keys(services)) {
-			this.#setService(name, this.#getProfile(name));
-		}
-	}
-
-	#setService(name: string, profile: Profile | undefined): void {
-		if (!profile) {
-			return;
-		}
-
-		const known = this.#services.get(name);
-		if (known) {
-			known.setProfile(profile);
-			known.setUpstreams(this.#getUpstreams(name, profile));
-			return;
-		}
-
-		const created = new ServiceScheduler({
-			service: name,
-			profile,
-			context: this.#context,
-			limits: this.#quotas,
-			tuning: this.#tuning,
-			...(this.#options.decisions && {decisions: this.#options.decisions}),
-		}, this.#view);
-		this.#services.set(name, created);
-		if (this.#isPaused) {
-			created.handlePause();
-		}
-
-		created.setUpstreams(this.#getUpstreams(name, profile));
-	}
-
-	#setUpstreams(upstreams: readonly ListedUpstream[]): void {
-		this.#upstreams = upstreams;
-		for (const [name, service] of this.#services) {
-			service.setUpstreams(this.#getUpstreams(name, service.getProfile()));
-		}
-	}
-
-	#getUpstreams(service: string, profile: Profile): readonly ListedUpstream[] {
-		const {dataCenter} = this.#options.self;
-		return this.#upstreams.filter(upstream => upstream.service === service
-			&& (profile.spillToOtherDataCenters || upstream.dataCenter === dataCenter));
-	}
-
-	#getProfile(service: string): Profile | undefined {
-		const {services, profiles} = this.#configuration.declarations;
-		return profiles[services[service]!.profile];
+		this.#services.setDeclarations(configuration.declarations);
 	}
 
 	#pumpSoon(): void {
 		this.#pumpTimer ??= this.#context.clock.setTimer(() => {
 			this.#pumpTimer = undefined;
-			for (const service of this.#services.values()) {
+			for (const service of this.#services.getServices()) {
 				service.pump();
 			}
 		}, 0);
 	}
 
 	#askHolders(): void {
-		for (const service of this.#services.values()) {
+		for (const service of this.#services.getServices()) {
 			service.getPool().getGranted().askHolders();
 		}
 	}
 
-	#getOutbox(memberId: string): Outbox | undefined {
-		if (this.#areMessagesClosed || !this.#view.up.has(memberId)) {
-			return undefined;
-		}
-
-		const known = this.#outboxes.get(memberId);
-		if (known) {
-			return known;
-		}
-
-		const created = new Outbox({
+	#createOutbox(memberId: string): Outbox {
+		return new Outbox({
 			clock: this.#context.clock,
 			counters: this.#counters,
 			batchMs: this.#tuning.batchMs,
 			send: message => this.#options.sendControl(memberId, {topic: slotTopic, body: message}),
-			getClaims: service => this.#services.get(service)?.getPool().getHeld().getClaims(memberId) ?? [],
+			getClaims: service => this.#services.getService(service)?.getPool().getHeld().getClaims(memberId) ?? [],
 		});
-		this.#outboxes.set(memberId, created);
-		return created;
 	}
 }
 
--- /dev/null
+++ b/src/process/scheduler/outbox-table.ts
@@ -0,0 +1,68 @@
+/**
+ * Outboxes of the members that the scheduler sends messages to.
+ */
+import {type MemberView} from './member-view.js';
+import {type Outbox} from './outbox.js';
+
+/**
+ * Keeps one outbox for each member, and gives it out while the member is up.
+ * @internal
+ */
+export class OutboxTable {
+	readonly #createOutbox: (memberId: string) => Outbox;
+	readonly #outboxes = new Map<string, Outbox>();
+	#view: MemberView;
+	/** Whether the last messages were sent; tasks that end later tell nobody. */
+	#isClosed = false;
+
+	constructor(createOutbox: (memberId: string) => Outbox, view: MemberView) {
+		this.#createOutbox = createOutbox;
+		this.#view = view;
+	}
+
+	/**
+	 * Gets the outbox of a member; `undefined` when it is not up.
+	 * @param memberId - Identifier of the member.
+	 */
+	getOutbox(memberId: string): Outbox | undefined {
+		if (this.#isClosed || !this.#view.up.has(memberId)) {
+			return undefined;
+		}
+
+		const known = this.#outboxes.get(memberId);
+		if (known) {
+			return known;
+		}
+
+		const created = this.#createOutbox(memberId);
+		this.#outboxes.set(memberId, created);
+		return created;
+	}
+
+	/**
+	 * Takes a new view of the members.
+	 * @param view - New view.
+	 */
+	setMembers(view: MemberView): void {
+		this.#view = view;
+		for (const [memberId, outbox] of this.#outboxes) {
+			if (!view.up.has(memberId)) {
+				outbox.close();
+			}
+
+			if (!view.dataCenters.has(memberId)) {
+				this.#outboxes.delete(memberId);
+			}
+		}
+	}
+
+	/** Sends what is waiting; gives out no outbox any more. */
+	close(): void {
+		for (const outbox of this.#outboxes.values()) {
+			outbox.flush();
+			outbox.close();
+		}
+
+		this.#isClosed = true;
+	}
+}
