--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -25,6 +25,7 @@
 
 const recordCounts = [10_000, 50_000, 100_000];
 const queuedTaskCounts = [10_000, 50_000];
+const removedJobCounts = [1000, 10_000];
 const upstreamCounts = [35, 220, 880];
 const teamCounts = [1, 28];
 const eventCounts = [20_000];
@@ -51,6 +52,7 @@
 		upstreams: await measureEach(upstreamCounts, measureUpstreams),
 		startsByUpstreams: await measureEach(upstreamCounts, async size => measureStarts(size, 1)),
 		startsByTeams: await measureEach(teamCounts, async size => measureStarts(220, size)),
+		removedJobs: await measureEach(removedJobCounts, measureRemovals),
 		events: await measureEach(eventCounts, measureEvents),
 		versionsByServices: serviceCounts.map(size => measureVersion(size)),
 	};
@@ -128,6 +130,32 @@
 	return {size, bytesEach, usEach};
 }
 
+/** Queues jobs of one task behind an upstream whose tasks never end, and removes all in one turn of the event loop. */
+async function measureRemovals(size: number): Promise<Point> {
+	const scheduler = await createScheduler(createUpstreams(1, busySlots), createConfiguration(1, 1));
+	for (let index = 0; index < busySlots / tasksPerJob; index++) {
+		scheduler.addJob(createJob(-index - 1, '', runForever));
+	}
+
+	const jobs = Array.from({length: size}, (_, index) => createJob(index, '', runForever, 1));
+	for (const job of jobs) {
+		const admission = scheduler.addJob(job);
+		if (!admission.admitted) {
+			throw new Error(`job ${job.id} was refused: ${admission.detail}`);
+		}
+	}
+
+	await waitOneTurn();
+	const startedAt = performance.now();
+	for (const job of jobs) {
+		scheduler.removeJob(job.id);
+	}
+
+	const usEach = (performance.now() - startedAt) * microsecondsPerMillisecond / size;
+	await scheduler.close();
+	return {size, usEach};
+}
+
 async function measureUpstreams(size: number): Promise<Point> {
 	const before = await getHeapBytes();
 	const scheduler = await createScheduler(createUpstreams(size, slots), createConfiguration(1, 1));
@@ -247,13 +275,13 @@
 	});
 }
 
-function createJob(index: number, team: string, runTask: () => Promise<TaskEnd>): ScheduledJob {
+function createJob(index: number, team: string, runTask: () => Promise<TaskEnd>, taskCount = tasksPerJob): ScheduledJob {
 	return {
 		id: `dc1.e1.e1-0123456789ab.1/key-${index}`,
 		service: 'service-0',
 		team,
 		deadline: systemClock.getMonotonicTime() + 600_000,
-		tasks: Array.from({length: tasksPerJob}, () => ({
+		tasks: Array.from({length: taskCount}, () => ({
 			needs: {}, isIdempotent: false, run: async () => runTask(), giveUp: () => undefined,
 		})),
 		expire: () => undefined,
--- a/src/process/scheduler/job-queue.ts
+++ b/src/process/scheduler/job-queue.ts
@@ -67,7 +67,9 @@
 	 */
 	removeJob(job: QueuedJob): void {
 		for (const part of job.parts) {
-			this.removePart(part);
+			this.#readyTasks -= part.ready.length;
+			part.ready.length = 0;
+			this.#removeFromHeap(part);
 		}
 	}
 
