Begin each module of the scheduler with a doc comment

Cause: 32 modules of the scheduler had no module doc comment, and owner-table.ts held no table but the function that chooses an owner.

Change: the comments added; owner-table.ts is now owner-choice.ts, and getOwner names its parameter for what it is, as teams have owners too.

--- a/src/process/scheduler/claim-round.ts
+++ b/src/process/scheduler/claim-round.ts
@@ -1,3 +1,6 @@
+/**
+ * Collection of the answers of members that were asked for the leases they hold.
+ */
 import {type Clock, type Timer} from '../../seams/index.js';
 
 /** Longest wait for the answers of the members, in milliseconds. */
--- a/src/process/scheduler/create-task-scheduler.ts
+++ b/src/process/scheduler/create-task-scheduler.ts
@@ -1,3 +1,6 @@
+/**
+ * Creation of the scheduler of one entry VM.
+ */
 import {DistributedTaskScheduler} from './distributed-task-scheduler.js';
 import {type SlotScheduler, type TaskSchedulerOptions} from './task-scheduler-options.js';
 
--- a/src/process/scheduler/decayed-mean.ts
+++ b/src/process/scheduler/decayed-mean.ts
@@ -1,3 +1,7 @@
+/**
+ * Mean of observed values that follows their changes.
+ */
+
 /**
  * Mean of observed values in which older ones count less.
  * @internal
--- a/src/process/scheduler/demand-book.ts
+++ b/src/process/scheduler/demand-book.ts
@@ -1,3 +1,6 @@
+/**
+ * Demand for slots, as told by and to the other members.
+ */
 import {type SlotDemand} from './slot-messages.js';
 
 /** What another member wants, as told by it. */
--- a/src/process/scheduler/holder-watch.ts
+++ b/src/process/scheduler/holder-watch.ts
@@ -1,3 +1,6 @@
+/**
+ * Wait for the running tasks of lease holders that are gone.
+ */
 import {type Clock, type Timer} from '../../seams/index.js';
 
 /** Options of a {@link HolderWatch}. */
--- a/src/process/scheduler/index.ts
+++ b/src/process/scheduler/index.ts
@@ -1,3 +1,6 @@
+/**
+ * Public items of the scheduler.
+ */
 export * from './admission.js';
 export * from './create-task-scheduler.js';
 export * from './job-order.js';
--- a/src/process/scheduler/invariant-error.ts
+++ b/src/process/scheduler/invariant-error.ts
@@ -1,3 +1,6 @@
+/**
+ * Error of a broken invariant.
+ */
 import ModernError from 'modern-errors';
 
 /** A broken invariant: the process must not go on with its state. */
--- a/src/process/scheduler/job-queue.ts
+++ b/src/process/scheduler/job-queue.ts
@@ -1,3 +1,6 @@
+/**
+ * Queue of the jobs of one service.
+ */
 import {type JobOrder} from './job-order.js';
 import {type JobPart, type QueuedJob, type QueuedTask} from './queued-job.js';
 import {RankHeap} from './rank-heap.js';
--- a/src/process/scheduler/job-table.ts
+++ b/src/process/scheduler/job-table.ts
@@ -1,3 +1,6 @@
+/**
+ * Jobs of one service with their counts and deadlines.
+ */
 import {type ScheduledJob} from '../task-scheduler.js';
 import {createInvariantError} from './invariant-error.js';
 import {type JobQueue} from './job-queue.js';
--- a/src/process/scheduler/member-view.ts
+++ b/src/process/scheduler/member-view.ts
@@ -1,3 +1,6 @@
+/**
+ * Members of the deployment, as the scheduler sees them.
+ */
 import {type Incarnation, type Member} from '../../connection/index.js';
 
 /** The entry VMs that count slots, by data centre, and those that can be told something. */
--- a/src/process/scheduler/outbox.ts
+++ b/src/process/scheduler/outbox.ts
@@ -1,3 +1,6 @@
+/**
+ * Messages to the scheduler of another entry VM, sent in batches.
+ */
 import {type Clock, type Timer} from '../../seams/index.js';
 import {type SchedulerCounters} from './scheduler-counters.js';
 import {
--- a/src/process/scheduler/outlier-detector.ts
+++ b/src/process/scheduler/outlier-detector.ts
@@ -1,3 +1,6 @@
+/**
+ * Detection of upstreams that fail more than others.
+ */
 import {type Profile} from '../../version/index.js';
 import {type TaskEnd} from '../task-scheduler.js';
 import {
--- a/src/process/scheduler/owned-slots.ts
+++ b/src/process/scheduler/owned-slots.ts
@@ -1,3 +1,6 @@
+/**
+ * Counts of the slots of one owned upstream.
+ */
 import {createInvariantError} from './invariant-error.js';
 
 /** A lease that another entry VM holds. */
--- a/src/process/scheduler/owner-table.ts
+++ b/src/process/scheduler/owner-choice.ts
@@ -1,3 +1,6 @@
+/**
+ * Choice of the member that owns a name.
+ */
 import xxhash from 'xxhash-wasm';
 
 const {h32} = await xxhash();
@@ -6,16 +9,16 @@
 const hashRange = 2 ** 32;
 
 /**
- * Gets the owner of an upstream by rendezvous hashing, so that a change of the members moves only the upstreams of
+ * Gets the owner of a name by rendezvous hashing, so that a change of the members moves only the names of
  * the member that came or went.
- * @param upstream - Name of the upstream.
+ * @param name - Name of an upstream or a team.
  * @param members - Identifiers of the live members; the order doesn't matter.
  */
-export function getOwner(upstream: string, members: readonly string[]): string | undefined {
+export function getOwner(name: string, members: readonly string[]): string | undefined {
 	let owner: string | undefined;
 	let ownerScore = -1;
 	for (const member of members) {
-		const score = h32(`${member}/${upstream}`) / hashRange;
+		const score = h32(`${member}/${name}`) / hashRange;
 		if (score > ownerScore || (score === ownerScore && member < owner!)) {
 			owner = member;
 			ownerScore = score;
--- a/src/process/scheduler/queued-job.ts
+++ b/src/process/scheduler/queued-job.ts
@@ -1,3 +1,6 @@
+/**
+ * Jobs and tasks on their way through the scheduler.
+ */
 import {type ScheduledJob, type ScheduledTask} from '../task-scheduler.js';
 import {type RankedJob} from './job-order.js';
 import {type HeapItem, type RankHeap} from './rank-heap.js';
--- a/src/process/scheduler/retry-budget.ts
+++ b/src/process/scheduler/retry-budget.ts
@@ -1,3 +1,7 @@
+/**
+ * Limit of the retries of one service.
+ */
+
 /** Retries that a service may make before it had any traffic, and the most that it may save up. */
 const initialRetries = 10;
 const maxSavedRetries = 100;
--- a/src/process/scheduler/retry-planner.ts
+++ b/src/process/scheduler/retry-planner.ts
@@ -1,3 +1,6 @@
+/**
+ * Decision whether and when a task runs again.
+ */
 import {type Profile} from '../../version/index.js';
 import {type TaskEnd} from '../task-scheduler.js';
 import {type QueuedTask} from './queued-job.js';
--- a/src/process/scheduler/scheduler-context.ts
+++ b/src/process/scheduler/scheduler-context.ts
@@ -1,3 +1,6 @@
+/**
+ * What the parts of one scheduler share.
+ */
 import {type Clock, type Random} from '../../seams/index.js';
 import {type Incarnation} from '../../connection/index.js';
 import {type EventLog} from '../events.js';
--- a/src/process/scheduler/scheduler-counters.ts
+++ b/src/process/scheduler/scheduler-counters.ts
@@ -1,3 +1,6 @@
+/**
+ * Counters of one scheduler.
+ */
 import {type RefusalReason} from '../task-scheduler.js';
 
 /** Counts since the start, for metrics. */
--- a/src/process/scheduler/scheduler-tuning.ts
+++ b/src/process/scheduler/scheduler-tuning.ts
@@ -1,3 +1,7 @@
+/**
+ * Settings of the exchange of slots.
+ */
+
 /** How eagerly slots move between entry VMs; fewer messages against shorter waits. */
 export type SchedulerTuning = {
 	/** Time for which changes are gathered into one message, in milliseconds. */
--- a/src/process/scheduler/service-scheduler-options.ts
+++ b/src/process/scheduler/service-scheduler-options.ts
@@ -1,3 +1,6 @@
+/**
+ * Options of the scheduler of one service.
+ */
 import {type Profile} from '../../version/index.js';
 import {type AdmissionFunction} from './admission.js';
 import {type JobOrderFactory} from './job-order.js';
--- a/src/process/scheduler/share-allotter.ts
+++ b/src/process/scheduler/share-allotter.ts
@@ -1,3 +1,6 @@
+/**
+ * Division of the quota of one team among the members.
+ */
 import {type TeamShare} from './slot-messages.js';
 
 /** Slots and starts a second of a team, over some members. */
--- a/src/process/scheduler/slot-pool.ts
+++ b/src/process/scheduler/slot-pool.ts
@@ -5,7 +5,7 @@
 import {GrantedLeases} from './granted-leases.js';
 import {HeldLeases} from './held-leases.js';
 import {type MemberView} from './member-view.js';
-import {getOwner} from './owner-table.js';
+import {getOwner} from './owner-choice.js';
 import {type SchedulerContext} from './scheduler-context.js';
 import {type HeldSlot, UpstreamEntry} from './upstream-entry.js';
 import {UpstreamTable} from './upstream-table.js';
--- a/src/process/scheduler/task-scheduler-options.ts
+++ b/src/process/scheduler/task-scheduler-options.ts
@@ -1,3 +1,6 @@
+/**
+ * Options and interface of the scheduler of one entry VM.
+ */
 import {type Stream} from 'most';
 import {type ControlMessage, type Incarnation, type Member} from '../../connection/index.js';
 import {type ListedUpstream} from '../../platform/index.js';
--- a/src/process/scheduler/team-quota.ts
+++ b/src/process/scheduler/team-quota.ts
@@ -1,3 +1,6 @@
+/**
+ * Quota of one team at one entry VM.
+ */
 import {type Team} from '../../version/index.js';
 import {noShare, type TeamAmount} from './share-allotter.js';
 import {type TeamShare} from './slot-messages.js';
--- a/src/process/scheduler/team-quotas.ts
+++ b/src/process/scheduler/team-quotas.ts
@@ -5,7 +5,7 @@
 import {type Team} from '../../version/index.js';
 import {type SchedulerStatus} from '../task-scheduler.js';
 import {type MemberView} from './member-view.js';
-import {getOwner} from './owner-table.js';
+import {getOwner} from './owner-choice.js';
 import {QuotaAllotment} from './quota-allotment.js';
 import {type SchedulerContext} from './scheduler-context.js';
 import {type TeamShare, type TeamUpdate} from './slot-messages.js';
--- a/src/process/scheduler/team-turns.ts
+++ b/src/process/scheduler/team-turns.ts
@@ -1,3 +1,6 @@
+/**
+ * Turns of the teams under the fair order.
+ */
 import {type JobPart} from './queued-job.js';
 
 /**
--- a/src/process/scheduler/upstream-entry.ts
+++ b/src/process/scheduler/upstream-entry.ts
@@ -1,3 +1,6 @@
+/**
+ * One upstream with its slots, leases and running tasks.
+ */
 import {type ListedUpstream} from '../../platform/index.js';
 import {type TaskNeeds} from '../task-scheduler.js';
 import {type UpstreamCandidate} from './upstream-choice.js';
--- a/src/process/scheduler/upstream-health.ts
+++ b/src/process/scheduler/upstream-health.ts
@@ -1,3 +1,6 @@
+/**
+ * Health of one upstream by the ends of its tasks.
+ */
 import {DecayedMean} from './decayed-mean.js';
 
 /** Whether an upstream gets tasks: `ejected` gets none, `probing` one at a time until an answer restores it. */
--- a/src/process/scheduler/upstream-shapes.ts
+++ b/src/process/scheduler/upstream-shapes.ts
@@ -1,3 +1,6 @@
+/**
+ * Sets of upstreams that fit the needs of tasks.
+ */
 import {type ListedUpstream} from '../../platform/index.js';
 import {type TaskNeeds} from '../task-scheduler.js';
 import {fitsNeeds} from './upstream-entry.js';
--- a/src/process/scheduler/upstream-status.ts
+++ b/src/process/scheduler/upstream-status.ts
@@ -1,3 +1,6 @@
+/**
+ * State of one upstream for operators.
+ */
 import {type UpstreamStatus} from '../task-scheduler.js';
 import {type UpstreamEntry} from './upstream-entry.js';
 
--- a/src/process/scheduler/upstream-table.ts
+++ b/src/process/scheduler/upstream-table.ts
@@ -1,3 +1,6 @@
+/**
+ * Upstreams of one service.
+ */
 import {type Clock} from '../../seams/index.js';
 import {type UpstreamEntry} from './upstream-entry.js';
 
--- a/src/process/scheduler/wake-timer.ts
+++ b/src/process/scheduler/wake-timer.ts
@@ -1,3 +1,6 @@
+/**
+ * Timer that keeps the earliest time asked for.
+ */
 import {type Clock, type Timer} from '../../seams/index.js';
 
 /** Least delay, in milliseconds. */
--- a/src/process/scheduler/work-ahead.ts
+++ b/src/process/scheduler/work-ahead.ts
@@ -1,3 +1,7 @@
+/**
+ * Counts of queued tasks by the size of their job.
+ */
+
 /** Doubling of the number of tasks that one counter stands for, divided into this many steps. */
 const stepsPerDoubling = 2;
 
