--- a/src/process/scheduler/job-queue.ts
+++ b/src/process/scheduler/job-queue.ts
@@ -1,3 +1,6 @@
+/**
+ * Queue of the jobs of one service.
+ */
 import {type JobOrder} from './job-order.js';
 import {type JobPart, type QueuedJob, type QueuedTask} from './queued-job.js';
 import {RankHeap} from './rank-heap.js';
@@ -67,7 +70,9 @@
 	 */
 	removeJob(job: QueuedJob): void {
 		for (const part of job.parts) {
-			this.removePart(part);
+			this.#readyTasks -= part.ready.length;
+			part.ready.length = 0;
+			this.#removeFromHeap(part);
 		}
 	}
 
--- a/src/process/scheduler/lease-broker.ts
+++ b/src/process/scheduler/lease-broker.ts
@@ -1,7 +1,11 @@
+/**
+ * Exchange of slots of one service between entry VMs.
+ */
 import {type Profile} from '../../version/index.js';
 import {type MemberView} from './member-view.js';
 import {DemandBook, type KnownDemand} from './demand-book.js';
 import {type JobOrder} from './job-order.js';
+import {type LocalDemand} from './local-demand.js';
 import {type JobPart} from './queued-job.js';
 import {type SchedulerContext} from './scheduler-context.js';
 import {type SchedulerTuning} from './scheduler-tuning.js';
@@ -18,25 +22,6 @@
 	readonly getProfile: () => Profile;
 };
 
-/** What waits here for slots. */
-export type LocalDemand = {
-	readonly order: JobOrder;
-	/** Tasks that may start. */
-	readonly readyTasks: number;
-	/** Part of a job that is next, whether a slot is free for it or not. */
-	readonly next: JobPart | undefined;
-	/** Expected wait of the last of these tasks on the slots in hand. */
-	readonly waitMs: number;
-	/** Whether there is a slot in hand whose task will end and make room. */
-	readonly hasSlots: boolean;
-	/** Tasks of the jobs that are about as urgent as the next one. */
-	readonly urgentTasks: number;
-	/** Expected wait of the last of these. */
-	readonly urgentWaitMs: number;
-	/** Whether other data centres may be asked. */
-	readonly maySpill: boolean;
-};
-
 /** Bounds of the time for which a demand is told, in milliseconds. */
 const minDemandMs = 50;
 const maxDemandMs = 1000;
@@ -93,20 +78,20 @@
 	takeUpdate(update: ServiceUpdate, from: string, lastReceived: number, order: JobOrder): void {
 		if (update.returned) {
 			this.#demands.addReceived(from, update.returned.length);
-			this.#pool.takeReturned(update.returned, from);
+			this.#pool.getGranted().takeReturned(update.returned, from);
 		}
 
 		if (update.granted) {
 			this.#demands.addReceived(from, update.granted.length);
-			this.#pool.takeGranted(update.granted, from);
+			this.#pool.getHeld().takeGranted(update.granted, from);
 		}
 
 		if (update.revoked) {
-			this.#pool.takeRevoked(update.revoked);
+			this.#pool.getHeld().takeRevoked(update.revoked);
 		}
 
 		if (update.claims) {
-			this.#pool.takeClaims(update.claims, from, lastReceived);
+			this.#pool.getGranted().takeClaims(update.claims, from, lastReceived);
 		}
 
 		if (update.claimRound !== undefined) {
@@ -138,7 +123,7 @@
 			return false;
 		}
 
-		if (!this.#pool.grantLease(demand.member)) {
+		if (!this.#pool.getGranted().grantLease(demand.member)) {
 			return false;
 		}
 
@@ -158,7 +143,7 @@
 
 		const now = this.#context.clock.getMonotonicTime();
 		const isDue = now - oldest >= this.#tuning.leaseIdleMs;
-		this.#pool.returnLeases((_lease, entry) => isDue || this.#isWantedBack(entry, local, now));
+		this.#pool.getHeld().returnIdle((_lease, entry) => isDue || this.#isWantedBack(entry, local, now));
 	}
 
 	/** Gets the monotonic time at which idle leases are due; `undefined` when there are none. */
@@ -192,7 +177,7 @@
 	#chooseAsked(local: LocalDemand): readonly string[] {
 		const owners = this.#pool.getOtherOwners(true);
 		const remote = local.maySpill ? this.#pool.getOtherOwners(false) : [];
-		const candidates = [...new Set([...this.#pool.getHolders(), ...owners, ...remote])];
+		const candidates = [...new Set([...this.#pool.getGranted().getHolders(), ...owners, ...remote])];
 		const wanted = Math.min(candidates.length, this.#tuning.demandFanOut, Math.ceil(local.readyTasks / minAsked));
 		if (wanted === candidates.length) {
 			return candidates;
--- a/src/process/scheduler/service-scheduler-options.ts
+++ b/src/process/scheduler/service-scheduler-options.ts
@@ -1,9 +1,12 @@
+/**
+ * Options of the scheduler of one service.
+ */
 import {type Profile} from '../../version/index.js';
 import {type AdmissionFunction} from './admission.js';
 import {type JobOrderFactory} from './job-order.js';
 import {type SchedulerContext} from './scheduler-context.js';
 import {type SchedulerTuning} from './scheduler-tuning.js';
-import {type TeamLimits} from './team-quotas.js';
+import {type TeamLimits} from './team-limits.js';
 import {type UpstreamChoice} from './upstream-choice.js';
 
 /** Decisions that may be replaced. */
