Hear the end of the driver's thread even when it comes early

Cause: the end was listened for after the last figures were read; a thread that ended meanwhile left the measurement waiting for ever (seen once, for 10 minutes). Change: the listener is there from the start.

--- a/bench/support/driver.ts
+++ b/bench/support/driver.ts
@@ -40,11 +40,12 @@
 export async function runDriver(options: DriverOptions, measure: () => Promise<void>): Promise<DriverResult> {
 	const extension = import.meta.url.endsWith('.ts') ? 'ts' : 'js';
 	const worker = new Worker(new URL(`driver-main.${extension}`, import.meta.url), {workerData: options, execArgv: [...workerExecArgv]});
+	const exited = once(worker, 'exit');
 	const [begin] = await once(worker, 'message') as [DriverMessage];
 	await measure();
 	const [end] = await once(worker, 'message') as [DriverMessage];
 	await measure();
-	await once(worker, 'exit');
+	await exited;
 	if (begin.kind !== 'begin' || end.kind !== 'end') {
 		throw new Error('driver sent its messages out of order');
 	}
