Run the daemon with more room for young objects

Cause: a profile of a quiet machine showed the collector copying the young objects of requests in progress again and again; the default room is 16 MB.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --max-semi-space-size=32
 /**
  * The daemon of an entry VM.
  */
