--- a/src/process/scheduler/held-leases.ts
+++ b/src/process/scheduler/held-leases.ts
@@ -1,6 +1,7 @@
 /**
  * Leases that this entry VM holds on the upstreams of other owners.
  */
+import {isLeaseOf} from './lease-id.js';
 import {type SchedulerContext} from './scheduler-context.js';
 import {type LeaseName} from './slot-messages.js';
 import {type HeldLease, type UpstreamEntry} from './upstream-entry.js';
@@ -67,7 +68,7 @@
 	 */
 	getClaims(owner: string): readonly LeaseName[] {
 		return this.#table.getEntries().flatMap(entry => entry.getHeldLeases()
-			.filter(lease => entry.owner === owner || lease.id.startsWith(`${owner}:`))
+			.filter(lease => entry.owner === owner || isLeaseOf(lease.id, owner))
 			.map(lease => ({id: lease.id, upstream: entry.listed.name})));
 	}
 
--- a/src/process/scheduler/slot-pool.ts
+++ b/src/process/scheduler/slot-pool.ts
@@ -4,6 +4,7 @@
 import {type ListedUpstream} from '../../platform/index.js';
 import {GrantedLeases} from './granted-leases.js';
 import {HeldLeases} from './held-leases.js';
+import {createLeaseId} from './lease-id.js';
 import {type MemberView} from './member-view.js';
 import {getOwner} from './owner-choice.js';
 import {type SchedulerContext} from './scheduler-context.js';
@@ -207,6 +208,6 @@
 
 	#createLeaseId(): string {
 		this.#lastLease++;
-		return `${this.#context.self.id}:${this.#options.service}:${this.#lastLease}`;
+		return createLeaseId(this.#context.self.id, this.#lastLease);
 	}
 }
