End the jobs of an entry VM that is aborted

Cause: an aborted entry VM left the deadline timers of its jobs running, so that a test's process could live on for as long as a deadline (two files failed to exit once). Change: abort ends the jobs after all connections.

--- a/src/process/entry-vm.ts
+++ b/src/process/entry-vm.ts
@@ -125,9 +125,11 @@
 	/** Ends at once, as when the process dies. */
 	async abort(): Promise<void> {
 		this.#parts.state.isStopping = true;
-		const {mesh, scheduler, upstreamClient} = this.#parts;
+		const {mesh, scheduler, upstreamClient, runner} = this.#parts;
 		await Promise.all([mesh.close(), scheduler.close(), this.#callerListener.abort(), this.#operatorListener.abort()]);
 		await upstreamClient.abort();
+		// No caller is connected any more; this ends the jobs' timers.
+		await runner.abortJobs('the entry VM ended');
 		await this.#closeRest();
 	}
 
