--- a/test/process/coordinator.test.ts
+++ b/test/process/coordinator.test.ts
@@ -216,7 +216,7 @@
 	coordinator.close();
 });
 
-test('a request without an id never has the id of a caller\'s job', async t => {
+test('a request without an id never has the id of a caller\'s job', t => {
 	const {coordinator, runner, submit, startTask} = setUp();
 	void coordinator.runOnce(createContent('a'));
 	for (const key of ['1', 'once-1', '.1']) {
