--- a/src/request/job.ts
+++ b/src/request/job.ts
@@ -28,7 +28,7 @@
 	readonly needs: TaskNeeds;
 	readonly isIdempotent: boolean;
 	/** Sends the task to an upstream; never rejects. */
-	readonly send: (upstream: ListedUpstream, remainingMs: number) => Promise<TaskResult>;
+	readonly send: (upstream: ListedUpstream) => Promise<TaskResult>;
 };
 
 /** Options of a {@link Job}. */
@@ -175,12 +175,12 @@
 			return {kind: 'not_started', detail: 'the job has ended', isUnreachable: false};
 		}
 
-		const {clock, id, deadlineMs, onTaskStarted, onTaskEnded} = this.#options;
+		const {clock, id, onTaskStarted, onTaskEnded} = this.#options;
 		const startedAt = clock.getMonotonicTime();
 		this.#startedCount++;
 		this.#runningCount++;
 		onTaskStarted?.(id, index, upstream);
-		const result = await task.send(upstream, this.#acceptedAt + deadlineMs - startedAt);
+		const result = await task.send(upstream);
 		this.#runningCount--;
 		if (result.kind === 'not_started') {
 			this.#startedCount--;
