--- a/bench/main.ts
+++ b/bench/main.ts
@@ -13,6 +13,7 @@
 	'vm-list': async () => import('./vm-list.js'),
 	recovery: async () => import('./recovery.js'),
 	policy: async () => import('./policy.js'),
+	pool: async () => import('./pool.js'),
 	upstream: async () => import('./upstream.js'),
 	'hand-over': async () => import('./hand-over.js'),
 };
--- /dev/null
+++ b/bench/pool/simulate-pool.ts
@@ -0,0 +1,130 @@
+/**
+ * Plays a load pattern against the owner of one pool with simulated upstreams.
+ */
+import {
+	type DecisionLog, PoolOwner, type PoolJobOutcome, type SubmittedJob,
+} from '../../src/pool/index.js';
+import {ManualClock} from '../../src/testing/manual-clock.js';
+import {SimulatedUpstreams} from '../../src/testing/simulated-upstreams.js';
+import {type Arrival} from './load-pattern.js';
+
+/** What became of the jobs of a kind. */
+export type KindResult = {
+	asked: number;
+	inTime: number;
+	late: number;
+	refused: number;
+	/** Refused after a quarter of the objective or more. */
+	refusedLate: number;
+	failed: number;
+};
+
+const silentLog: DecisionLog = {
+	debug() {/* Kept nowhere. */},
+	info() {/* Kept nowhere. */},
+	warn() {/* Kept nowhere. */},
+};
+
+const stretch = 1.6;
+const slackMs = 60;
+const deadlineMs = 1500;
+const settleMs = 5000;
+/** Speeds of upstreams, in turns. */
+const speeds = [0.8, 1, 1.25];
+
+/**
+ * Plays arrivals.
+ * @param arrivals - Jobs.
+ * @param upstreamCount - Upstreams of 16 cores, each third of 24.
+ */
+export async function simulatePool(arrivals: readonly Arrival[], upstreamCount: number): Promise<Readonly<Record<string, KindResult>>> {
+	const clock = new ManualClock();
+	const works = new Map<string, {readonly arrival: Arrival; readonly durationMs: number}>();
+	const upstreams = new SimulatedUpstreams({
+		clock,
+		getWork(task) {
+			const {arrival, durationMs} = works.get(task)!;
+			return {needs: {cpu: arrival.cpu, memoryMb: 64, accelerators: 0}, durationMs};
+		},
+	});
+	const descriptions = Array.from({length: upstreamCount}, (_, position) => ({
+		id: `u${position}`, bornMs: 1, address: `u${position}`, dataCenter: 'dc1', service: 's', rack: 'r', labels: [], isLeaving: false,
+		capacity: {cpu: position % 3 === 2 ? 24_000 : 16_000, memoryMb: 32_768, accelerators: 0},
+	}));
+	for (const [position, description] of descriptions.entries()) {
+		upstreams.addUpstream(description).slowness = 1 / speeds[Math.floor(position / 3) % 3]!;
+	}
+
+	const owner = new PoolOwner({
+		pool: 'dc1', clock, log: silentLog, orders: upstreams, getStoredFence: async () => 1, async onFenced() {/* There is one owner. */}, knownFence: 0, maxLeaseMs: 1000,
+	}, descriptions);
+	const results: Record<string, KindResult> = {};
+	await clock.advance(100);
+	const startedAt = clock.getMonotonicTime();
+	for (const [position, arrival] of arrivals.entries()) {
+		await clock.advance(startedAt + arrival.at - clock.getMonotonicTime());
+		void run(position, arrival);
+	}
+
+	await clock.advance(settleMs);
+	return results;
+
+	async function run(position: number, arrival: Arrival): Promise<void> {
+		const id = `j${position}`;
+		for (const [index, durationMs] of arrival.durations.entries()) {
+			works.set(`${id}.0.0.${index}`, {arrival, durationMs});
+		}
+
+		const job = createJob(id, arrival);
+		const arrivedAt = clock.getMonotonicTime();
+		const controller = new AbortController();
+		const timer = clock.setTimer(() => {
+			controller.abort();
+		}, deadlineMs);
+		const outcome = await owner.submit(job, controller.signal);
+		timer.close();
+		addResult(results[arrival.kind.name] ??= createResult(), outcome, clock.getMonotonicTime() - arrivedAt, getObjectiveMs(arrival));
+	}
+}
+
+function createJob(id: string, {kind, taskCount, cpu, estimateMs}: Arrival): SubmittedJob {
+	return {
+		id,
+		spec: '',
+		steps: [{
+			taskCount, needs: {cpu, memoryMb: 64, accelerators: 0}, estimateMs, after: [],
+		}],
+		rules: {
+			route: kind.name, service: 's', priority: kind.priority, maxAttempts: kind.maxAttempts, stretch, slackMs,
+		},
+		ageMs: 0,
+		remainingMs: deadlineMs,
+		priorFence: 0,
+	};
+}
+
+function createResult(): KindResult {
+	return {
+		asked: 0, inTime: 0, late: 0, refused: 0, refusedLate: 0, failed: 0,
+	};
+}
+
+function getObjectiveMs({durations}: Arrival): number {
+	return (stretch * Math.max(...durations)) + slackMs;
+}
+
+function addResult(result: KindResult, outcome: PoolJobOutcome, totalMs: number, objectiveMs: number): void {
+	result.asked++;
+	if (outcome.kind === 'completed') {
+		if (totalMs <= objectiveMs) {
+			result.inTime++;
+		} else {
+			result.late += Number(totalMs <= 3 * objectiveMs);
+		}
+	} else if (outcome.kind === 'refused') {
+		result.refused++;
+		result.refusedLate += Number(totalMs > objectiveMs / 4);
+	} else {
+		result.failed++;
+	}
+}
--- /dev/null
+++ b/src/platform/caller-door.ts
@@ -0,0 +1,173 @@
+/**
+ * The callers' interface on the platform: jobs by route and identifier.
+ */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {Buffer} from 'node:buffer';
+import {readRequestBody} from '../connection/index.js';
+import {
+	type DecisionLog, findRoute, type PoolJobOutcome, type PoolNode, type Route, type RoutingTable,
+} from '../pool/index.js';
+import {type Clock} from '../seams/index.js';
+import {decodeJob} from './decode-job.js';
+
+/** Options of {@link CallerDoor}. */
+export type CallerDoorOptions = {
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly node: PoolNode;
+	readonly getTable: () => RoutingTable | undefined;
+	/** Takes the end of each request. */
+	readonly onAnswer: (answer: {readonly route: string; readonly status: number; readonly cause: string; readonly totalMs: number}) => void;
+};
+
+type Answer = {
+	readonly status: number;
+	readonly body?: unknown;
+	readonly retryAfterMs?: number;
+	/** What decided the status, for logs and metrics. */
+	readonly cause: string;
+};
+
+/** What a request is about. */
+type Target = {readonly table: RoutingTable | undefined; readonly route: Route | undefined; readonly path: string};
+
+const deadlineHeader = 'x-endivemill-deadline-ms';
+
+/** Time that a caller is taken to wait where it does not say, in milliseconds. */
+const defaultDeadlineMs = 30_000;
+
+/** Time after the caller's deadline for which an answer that is late is still waited for, in milliseconds. */
+const lateMs = 2000;
+
+const jobId = /^[\da-f]{16}$/v;
+
+/** Answers callers. */
+export class CallerDoor {
+	readonly #options: CallerDoorOptions;
+	#open = 0;
+
+	constructor(options: CallerDoorOptions) {
+		this.#options = options;
+	}
+
+	/** Gets the number of requests that wait for their answer. */
+	getOpenCount(): number {
+		return this.#open;
+	}
+
+	/**
+	 * Answers a request; never rejects.
+	 * @param req - Request.
+	 * @param res - Where the answer goes.
+	 */
+	async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const {clock, onAnswer, log} = this.#options;
+		const arrivedAt = clock.getMonotonicTime();
+		this.#open++;
+		const host = (req.headers.host ?? '').split(':')[0]!;
+		const path = (req.url ?? '/').split('?')[0]!;
+		const table = this.#options.getTable();
+		const route = table && findRoute(table, host, path);
+		const answer = await this.#answer(req, res, {table, route, path});
+		this.#open--;
+		const totalMs = clock.getMonotonicTime() - arrivedAt;
+		log.info({
+			req: path, method: req.method, route: route?.rules.route, version: table?.version, status: answer.status, cause: answer.cause, totalMs: Math.round(totalMs), isGone: res.destroyed,
+		}, 'request answered');
+		onAnswer({
+			route: route?.rules.route ?? '', status: answer.status, cause: answer.cause, totalMs,
+		});
+		writeJson(res, answer);
+	}
+
+	async #answer(req: IncomingMessage, res: ServerResponse, {table, route, path}: Target): Promise<Answer> {
+		if (table === undefined) {
+			return {status: 503, retryAfterMs: 1000, cause: 'no-configuration'};
+		}
+
+		if (route === undefined) {
+			return {status: 404, cause: 'no-route'};
+		}
+
+		const id = path.slice(route.prefix.length);
+		if (req.method === 'GET' && id === '') {
+			// Jobs that are not stored are answered when they end, so none of them waits between requests.
+			return {status: 200, body: {pending: 0}, cause: 'count'};
+		}
+
+		if (!jobId.test(id)) {
+			return {status: 400, cause: 'bad-id'};
+		}
+
+		if (req.method === 'POST') {
+			return this.#submit(req, res, {id, route, maxBodyBytes: table.maxBodyBytes});
+		}
+
+		return req.method === 'GET' || req.method === 'DELETE' ? {status: 410, cause: 'no-such-job'} : {status: 405, cause: 'bad-method'};
+	}
+
+	async #submit(req: IncomingMessage, res: ServerResponse, {id, route, maxBodyBytes}: {readonly id: string; readonly route: Route; readonly maxBodyBytes: number}): Promise<Answer> {
+		const {clock, node} = this.#options;
+		const body = await readRequestBody(req, maxBodyBytes);
+		if (body.kind !== 'whole') {
+			return {status: body.kind === 'too-large' ? 413 : 400, cause: body.kind};
+		}
+
+		const decoded = decodeJob(id, Buffer.from(body.bytes).toString(), route.rules);
+		if (decoded.kind === 'invalid') {
+			return {status: 400, cause: 'bad-body', body: {error: decoded.detail}};
+		}
+
+		if (decoded.kind === 'unsupported') {
+			return {status: 503, cause: 'unsupported', body: {error: decoded.detail}};
+		}
+
+		const remainingMs = Number(req.headers[deadlineHeader] ?? defaultDeadlineMs);
+		const controller = new AbortController();
+		const abort = (): void => {
+			controller.abort();
+		};
+
+		res.once('close', abort);
+		const timer = clock.setTimer(abort, remainingMs + lateMs);
+		const outcome = await node.submit(decoded.job, remainingMs, controller.signal);
+		timer.close();
+		res.off('close', abort);
+		return toAnswer(outcome);
+	}
+}
+
+function toAnswer(outcome: PoolJobOutcome): Answer {
+	switch (outcome.kind) {
+		case 'completed':
+		case 'failed': {
+			return {status: 200, body: {state: outcome.kind}, cause: outcome.kind};
+		}
+
+		case 'refused': {
+			return {status: 503, retryAfterMs: outcome.retryAfterMs, cause: outcome.reason};
+		}
+
+		case 'moved': {
+			return {status: 502, cause: 'moved'};
+		}
+
+		case 'interrupted': {
+			return {status: 502, cause: outcome.reason};
+		}
+	}
+}
+
+function writeJson(res: ServerResponse, {status, body, retryAfterMs}: Answer): void {
+	if (res.destroyed || res.headersSent) {
+		return;
+	}
+
+	const text = body === undefined ? '' : JSON.stringify(body);
+	res.writeHead(status, {
+		...(text === '' ? undefined : {'Content-Type': 'application/json'}),
+		...(retryAfterMs === undefined ? undefined : {'Retry-After': String(Math.ceil(retryAfterMs / 1000))}),
+		'Content-Length': Buffer.byteLength(text),
+	});
+	res.end(text);
+}
--- /dev/null
+++ b/src/platform/decode-job.ts
@@ -0,0 +1,52 @@
+/**
+ * Callers' jobs.
+ */
+import {type JobStep, type PoolJobRequest, type RouteRules} from '../pool/index.js';
+import {parseJson} from './decode-configuration.js';
+import {jobBodySchema} from './wire-messages.js';
+
+/** A decoded job. `unsupported`: it is valid and needs what this version does not do. */
+export type DecodedJob =
+	| {readonly kind: 'job'; readonly job: PoolJobRequest}
+	| {readonly kind: 'unsupported'; readonly detail: string}
+	| {readonly kind: 'invalid'; readonly detail: string};
+
+/**
+ * Decodes the body of a job.
+ * @param id - The caller's identifier.
+ * @param text - Body.
+ * @param rules - Rules of the route.
+ */
+export function decodeJob(id: string, text: string, rules: RouteRules): DecodedJob {
+	const parsed = jobBodySchema.safeParse(parseJson(text));
+	if (!parsed.success) {
+		return {kind: 'invalid', detail: parsed.error.message};
+	}
+
+	const {spec, steps, best_effort: isUnstored, times} = parsed.data;
+	if (!isUnstored || times > 0) {
+		return {kind: 'unsupported', detail: 'jobs that must be stored'};
+	}
+
+	if (steps.some(step => step.gang || step.long_running || step.fills)) {
+		return {kind: 'unsupported', detail: 'gangs, tasks that last and tasks that fill'};
+	}
+
+	return {
+		kind: 'job',
+		job: {
+			id,
+			spec,
+			rules,
+			steps: steps.map((step): JobStep => ({
+				taskCount: step.count,
+				needs: {cpu: step.cpu, memoryMb: step.mem_mb, accelerators: step.gpu},
+				estimateMs: step.estimate_ms,
+				after: step.after,
+				requiredLabel: step.requirements || undefined,
+				dataRack: step.affinity || undefined,
+				maxPerUpstream: step.max_per_server || undefined,
+			})),
+		},
+	};
+}
--- /dev/null
+++ b/src/platform/decode-upstream.ts
@@ -0,0 +1,37 @@
+/**
+ * Upstreams' entries in the store.
+ */
+import {type UpstreamDescription} from '../pool/index.js';
+import {parseJson} from './decode-configuration.js';
+import {type StoredItem} from './store-client.js';
+import {upstreamEntrySchema} from './wire-messages.js';
+
+/** Prefix of the upstreams' entries. */
+export const upstreamPrefix = 'servers/';
+
+/** Position of the rack among an upstream's labels; the first is its kind. */
+const rackPosition = 1;
+
+/**
+ * Decodes an entry; `undefined` where it names no upstream that can be used.
+ * @param item - Item of the store.
+ */
+export function decodeUpstream({key, value}: Pick<StoredItem, 'key' | 'value'>): UpstreamDescription | undefined {
+	const parsed = upstreamEntrySchema.safeParse(parseJson(value));
+	if (!parsed.success) {
+		return undefined;
+	}
+
+	const {service, address, zone, state, capacity, labels, born} = parsed.data;
+	return {
+		id: key.slice(upstreamPrefix.length),
+		bornMs: born,
+		address,
+		dataCenter: zone,
+		service,
+		rack: labels[rackPosition] ?? '',
+		labels,
+		capacity: {cpu: capacity.cpu, memoryMb: capacity.mem_mb, accelerators: capacity.gpu},
+		isLeaving: state === 'draining',
+	};
+}
--- /dev/null
+++ b/src/platform/http-orders.ts
@@ -0,0 +1,126 @@
+/**
+ * Orders to upstreams over HTTP.
+ */
+import {Agent} from 'undici';
+import {
+	type LookOutcome, type OrderOptions, type OrderOutcome, type OrderRefusal, type Run, type RunEnd, type UpstreamOrders,
+} from '../pool/index.js';
+import {type Clock} from '../seams/index.js';
+import {callJson, type JsonOutcome} from './json-client.js';
+import {
+	createHoldBody, createStartBody, createStopBody, holdAnswerSchema, orderAnswerSchema,
+} from './wire-messages.js';
+
+/** Options of {@link HttpOrders}. */
+export type HttpOrdersOptions = {
+	readonly clock: Clock;
+};
+
+/** Connections to one upstream: a look that waits, and orders beside it. */
+const connectionsPerUpstream = 4;
+const connectTimeoutMs = 250;
+
+/** Idle time after which a connection is closed, in milliseconds; new connections cost more than idle ones. */
+const idleConnectionMs = 30_000;
+
+const instanceHeader = 'X-Endivemill-Target-Instance';
+
+const refusals: Readonly<Record<string, OrderRefusal>> = {
+	fence: 'fenced', old: 'stale-run', late: 'late', room: 'no-room',
+};
+
+/** Sends orders; each is sent once. */
+export class HttpOrders implements UpstreamOrders {
+	readonly #clock: Clock;
+	readonly #agent = new Agent({
+		connections: connectionsPerUpstream,
+		pipelining: 1,
+		connect: {timeout: connectTimeoutMs},
+		keepAliveTimeout: idleConnectionMs,
+	});
+
+	constructor(options: HttpOrdersOptions) {
+		this.#clock = options.clock;
+	}
+
+	async startRun(options: OrderOptions & {readonly run: Run; readonly spec: string; readonly leaseUntilMs: number}): Promise<OrderOutcome> {
+		return toOrderOutcome(await this.#send(options, '/api/run-start', createStartBody(options)));
+	}
+
+	async stopRun(options: OrderOptions & {readonly run: Run}): Promise<OrderOutcome> {
+		return toOrderOutcome(await this.#send(options, '/api/run-stop', createStopBody(options)));
+	}
+
+	async look(options: OrderOptions & {readonly acknowledged: number; readonly leaseUntilMs?: number; readonly waitMs: number}): Promise<LookOutcome> {
+		const outcome = await this.#send(options, '/api/hold', createHoldBody(options));
+		if (outcome.kind === 'unanswered') {
+			return outcome;
+		}
+
+		if (outcome.status !== 200) {
+			return toRefusal(outcome.status, outcome.body);
+		}
+
+		const parsed = holdAnswerSchema.safeParse(outcome.body);
+		if (!parsed.success) {
+			return {kind: 'unanswered', detail: parsed.error.message};
+		}
+
+		const {clock_ms: upstreamTimeMs, born: bornMs, running, ended} = parsed.data;
+		return {
+			kind: 'seen',
+			bornMs,
+			upstreamTimeMs,
+			running: running.map(([task, number]) => ({task, number})),
+			ended: ended.map(([position, task, number, end]) => ({
+				position, task, number, end: end as RunEnd,
+			})),
+		};
+	}
+
+	/** Closes all connections. */
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+
+	async #send({upstream, timeoutMs}: OrderOptions, path: string, body: unknown): Promise<JsonOutcome> {
+		return callJson(this.#agent, this.#clock, {
+			origin: `http://${upstream.address}`, method: 'POST', path, headers: {[instanceHeader]: upstream.id}, body, timeoutMs,
+		});
+	}
+}
+
+function toOrderOutcome(outcome: JsonOutcome): OrderOutcome {
+	if (outcome.kind === 'unanswered') {
+		return outcome;
+	}
+
+	if (outcome.status !== 200) {
+		return toRefusal(outcome.status, outcome.body);
+	}
+
+	const parsed = orderAnswerSchema.safeParse(outcome.body);
+	return parsed.success ? {kind: 'done', upstreamTimeMs: parsed.data.clock_ms} : {kind: 'unanswered', detail: parsed.error.message};
+}
+
+function toRefusal(status: number, body: unknown): {readonly kind: 'refused'; readonly reason: OrderRefusal} {
+	switch (status) {
+		case 409: {
+			const reason = orderAnswerSchema.safeParse(body).data?.reason ?? '';
+			return {kind: 'refused', reason: refusals[reason] ?? 'invalid'};
+		}
+
+		case 421: {
+			return {kind: 'refused', reason: 'wrong-instance'};
+		}
+
+		case 429:
+		case 503: {
+			return {kind: 'refused', reason: 'unhealthy'};
+		}
+
+		default: {
+			return {kind: 'refused', reason: 'invalid'};
+		}
+	}
+}
--- /dev/null
+++ b/src/platform/main.ts
@@ -0,0 +1,59 @@
+/**
+ * The daemon of an entry VM on the platform.
+ */
+import {readFile} from 'node:fs/promises';
+import process from 'node:process';
+import bunyan from 'bunyan';
+import {createPlatformEntryVm} from './platform-entry-vm.js';
+import {parseSettingsFile} from './settings-file.js';
+import {StdoutLog} from './stdout-log.js';
+
+/** Environment variable that holds the path of the settings file. */
+const settingsVariable = 'ENDIVEMILL_CONFIG';
+const wrongSettingsCode = 2;
+
+const stdout = new StdoutLog();
+const logger = bunyan.createLogger({name: 'endivemill', streams: [{stream: stdout, level: 'info'}]});
+
+/** Reads and checks the settings; `undefined` after a line that names each fault. */
+async function readSettings(): Promise<ReturnType<typeof parseSettingsFile> & {readonly ok: true} | undefined> {
+	const path = process.env[settingsVariable];
+	if (path === undefined) {
+		logger.fatal({variable: settingsVariable}, 'the variable with the path of the settings file is not set');
+		return undefined;
+	}
+
+	try {
+		const parsed = parseSettingsFile(await readFile(path, 'utf8'));
+		if (parsed.ok) {
+			return parsed;
+		}
+
+		logger.fatal({path, faults: parsed.faults}, 'wrong settings');
+	} catch (err) {
+		logger.fatal({path, err}, 'the settings file cannot be read');
+	}
+
+	return undefined;
+}
+
+async function end(code: number): Promise<void> {
+	await stdout.drain();
+	process.exit(code); // eslint-disable-line unicorn/no-process-exit
+}
+
+const read = await readSettings();
+if (read === undefined) {
+	await end(wrongSettingsCode);
+} else {
+	const entryVm = await createPlatformEntryVm({settings: read.settings, logger});
+	process.on('SIGTERM', async () => {
+		await entryVm.close();
+		await end(0);
+	});
+	process.on('SIGHUP', async () => {
+		// Addresses do not change while a process runs; what the file says anew holds from the next start.
+		const again = await readSettings();
+		logger.info({isValid: again !== undefined}, 'settings read again');
+	});
+}
--- /dev/null
+++ b/src/platform/platform-entry-vm.ts
@@ -0,0 +1,349 @@
+/**
+ * An entry VM on the platform: the parts of the product joined to the platform's store, callers and upstreams.
+ */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import type Logger from 'bunyan';
+import {
+	createHttpListener, createPeerMesh, type HttpListener, type Incarnation, type PeerMesh, type PeerRequest,
+} from '../connection/index.js';
+import {
+	configurationTopic, createBoundedLog, type DecisionLog, PoolNode, type StoredClaim, submitTopic, upstreamsSchema, upstreamsTopic,
+} from '../pool/index.js';
+import {
+	type Clock, type Random, sleep, systemClock, systemRandom,
+} from '../seams/index.js';
+import {CallerDoor} from './caller-door.js';
+import {ConfigurationWatch} from './configuration-watch.js';
+import {HttpOrders} from './http-orders.js';
+import {PoolMetrics} from './pool-metrics.js';
+import {type PlatformSettings} from './settings-file.js';
+import {StoreClient} from './store-client.js';
+import {UpstreamList} from './upstream-list.js';
+import {VmRegistry} from './vm-registry.js';
+
+/** Options of {@link createPlatformEntryVm}. */
+export type PlatformEntryVmOptions = {
+	readonly settings: PlatformSettings;
+	readonly logger: Logger;
+	readonly clock?: Clock;
+	readonly random?: Random;
+	/** Port of the metrics on this VM's address. */
+	readonly metricsPort?: number;
+};
+
+/** Time between heartbeats, in milliseconds: silence is noticed after 300 ms and a VM taken to be down after 500 ms. */
+const beatMs = 100;
+const silentBeats = 3;
+const downBeats = 5;
+
+/** Longest time between tries to link to a VM, in milliseconds: soon after a cut has healed its VMs should be seen again. */
+const maxRedialMs = 300;
+
+/** Links to each other data centre: at most to all of its VMs, so that every owner is heard directly. */
+const farLinks = 16;
+
+/** Time limit of the write that gives a new owner its fence, in milliseconds; without it the owner goes on. */
+const fenceTimeoutMs = 200;
+
+/** Time after the stop signal in which the balancer still sends new connections, in milliseconds: two missed checks. */
+const balancerMs = 2200;
+
+/** Time before the kill at which a stopping process ends in any case, in milliseconds. */
+const stopMarginMs = 500;
+const stopPollMs = 20;
+
+/** Shortest time between two questions for a newer configuration, in milliseconds: two heartbeats. */
+const configurationAskMs = 200;
+
+/** Prefix of the items that tell who owns a pool. */
+const claimPrefix = 'pools/';
+
+const defaultMetricsPort = 9464;
+const incarnationBytes = 4;
+
+/** Runs until `close`. */
+export class PlatformEntryVm {
+	readonly #settings: PlatformSettings;
+	readonly #clock: Clock;
+	readonly #log: DecisionLog;
+	readonly #self: Incarnation;
+	readonly #store: StoreClient;
+	readonly #orders: HttpOrders;
+	readonly #configuration: ConfigurationWatch;
+	readonly #upstreams: UpstreamList;
+	readonly #registry: VmRegistry;
+	readonly #options: PlatformEntryVmOptions;
+	readonly #listeners: HttpListener[] = [];
+	#mesh!: PeerMesh;
+	#node!: PoolNode;
+	#door!: CallerDoor;
+	#callers!: HttpListener;
+	#isStopping = false;
+	#askedAt = -Infinity;
+	#toldUpstreams = '';
+
+	constructor(options: PlatformEntryVmOptions) {
+		const {settings, logger, clock = systemClock, random = systemRandom} = options;
+		this.#options = options;
+		this.#settings = settings;
+		this.#clock = clock;
+		this.#log = createBoundedLog({clock, log: logger});
+		this.#self = {dataCenter: settings.dataCenter, vm: settings.vm, id: `${settings.vm}-${random.getHex(incarnationBytes)}`};
+		this.#store = new StoreClient({address: settings.storeAddress, clock});
+		this.#orders = new HttpOrders({clock});
+		const parts = {clock, log: this.#log, store: this.#store};
+		this.#configuration = new ConfigurationWatch(parts);
+		this.#upstreams = new UpstreamList({
+			...parts,
+			onChange: () => {
+				this.#handleUpstreamsChanged();
+			},
+		});
+		const {vm: name, dataCenter, peerAddress, callerAddress} = settings;
+		this.#registry = new VmRegistry({
+			...parts, self: {
+				name, dataCenter, peerAddress, callerAddress,
+			},
+		});
+	}
+
+	/** Gets the addresses it listens on, callers first. */
+	getAddresses(): readonly string[] {
+		return this.#listeners.map(listener => listener.getAddress());
+	}
+
+	/** Starts all parts. */
+	async start(): Promise<void> {
+		this.#mesh = await this.#createMesh();
+		this.#node = this.#createNode();
+		this.#door = new CallerDoor({
+			clock: this.#clock,
+			log: this.#log,
+			node: this.#node,
+			getTable: () => this.#configuration.getTable(),
+			onAnswer(answer) {
+				metrics.addAnswer(answer);
+			},
+		});
+		const metrics = new PoolMetrics(this.#node, this.#store);
+		this.#callers = await this.#listen(this.#settings.callerAddress, (req, res) => {
+			void this.#door.handle(req, res);
+		});
+		await this.#listen(this.#settings.readinessAddress, (_, res) => {
+			res.writeHead(this.isReady() ? 200 : 503).end();
+		});
+		await this.#listen(`${this.#settings.ip}:${this.#options.metricsPort ?? defaultMetricsPort}`, async (_, res) => {
+			res.writeHead(200, {'Content-Type': 'text/plain; version=0.0.4'}).end(await metrics.getText());
+		});
+		void this.#configuration.run();
+		void this.#registry.run();
+		void this.#upstreams.read();
+		this.#log.warn({vm: this.#settings.vm, id: this.#self.id, dataCenter: this.#settings.dataCenter}, 'started');
+	}
+
+	/** Gets whether new callers' connections should come here. */
+	isReady(): boolean {
+		return !this.#isStopping && this.#configuration.getTable() !== undefined && this.#node.directory.getViews().length > 0;
+	}
+
+	/** Stops: callers go elsewhere, pools go to other VMs, accepted requests are answered. */
+	async close(): Promise<void> {
+		if (this.#isStopping) {
+			return;
+		}
+
+		const startedAt = this.#clock.getMonotonicTime();
+		const endAt = startedAt + this.#settings.stopGraceMs - stopMarginMs;
+		this.#isStopping = true;
+		this.#log.warn({open: this.#door.getOpenCount()}, 'stopping');
+		this.#callers.drain();
+		this.#node.leave();
+		while (this.#clock.getMonotonicTime() < endAt && !this.#mayEnd(startedAt)) {
+			await sleep(this.#clock, stopPollMs);
+		}
+
+		// Requests that come on open connections are answered until all of them are closed.
+		await Promise.race([this.#callers.close(), sleep(this.#clock, Math.max(0, endAt - this.#clock.getMonotonicTime()))]);
+		await this.#closeParts();
+		this.#log.warn({open: this.#door.getOpenCount(), tookMs: Math.round(this.#clock.getMonotonicTime() - startedAt)}, 'stopped');
+	}
+
+	#mayEnd(startedAt: number): boolean {
+		return this.#clock.getMonotonicTime() - startedAt >= balancerMs && this.#door.getOpenCount() === 0 && this.#node.isFree();
+	}
+
+	async #closeParts(): Promise<void> {
+		this.#configuration.close();
+		this.#registry.close();
+		this.#upstreams.close();
+		this.#node.close();
+		await this.#mesh.close();
+		await this.#orders.close();
+		await this.#store.close();
+	}
+
+	async #listen(address: string, handler: (req: IncomingMessage, res: ServerResponse) => void): Promise<HttpListener> {
+		const listener = await createHttpListener({address, handler, clock: this.#clock});
+		this.#listeners.push(listener);
+		return listener;
+	}
+
+	async #createMesh(): Promise<PeerMesh> {
+		const {settings} = this.#options;
+		return createPeerMesh({
+			clock: this.#clock,
+			random: this.#options.random ?? systemRandom,
+			deployment: 'endivemill',
+			self: this.#self,
+			log: this.#options.logger,
+			listenAddress: settings.peerAddress,
+			// The platform hands out no secret; the store's address keeps VMs of other deployments apart.
+			key: settings.storeAddress,
+			seeds: settings.peerSeeds.filter(seed => seed !== settings.peerAddress),
+			entryVms: this.#registry.getStream(),
+			beatMs,
+			farBeatMs: beatMs,
+			silentBeats,
+			downBeats,
+			maxBackoffMs: maxRedialMs,
+			farLinks,
+			getHeartbeat: () => ({
+				configurationVersion: this.#configuration.getTable()?.version ?? 0,
+				isLeaving: this.#isStopping,
+				load: this.#node?.getClaims() ?? {},
+			}),
+			onHeartbeat: (body, from) => {
+				this.#node?.handleHeartbeat(body.load, from);
+				void this.#askConfiguration(body.configurationVersion, from);
+			},
+			onControl: ({topic, body}) => {
+				this.#handleControl(topic, body);
+			},
+			onRequest: async (request, from, signal) => this.#handleRequest(request, from, signal),
+			onPause: gapMs => {
+				this.#log.warn({gapMs: Math.round(gapMs)}, 'process was paused');
+			},
+		});
+	}
+
+	#createNode(): PoolNode {
+		const {dataCenters, maxLeaseMs} = this.#settings;
+		return new PoolNode({
+			clock: this.#clock,
+			log: this.#log,
+			self: this.#self,
+			pools: dataCenters,
+			peers: this.#mesh,
+			orders: this.#orders,
+			maxLeaseMs,
+			claims: {
+				addClaim: async pool => this.#addClaim(pool),
+				getClaim: async pool => this.#getClaim(pool),
+			},
+			getUpstreams: pool => this.#upstreams.getUpstreams(pool),
+			onOwnedChanged: pools => {
+				this.#toldUpstreams = '';
+				this.#upstreams.setFollowing(pools.length > 0);
+			},
+		});
+	}
+
+	/** The store's revision rises with each write, so that the revision of a write is a fence above all earlier ones. */
+	async #addClaim(pool: string): Promise<number | undefined> {
+		const result = await this.#store.setItem(`${claimPrefix}${pool}`, this.#self.id, fenceTimeoutMs);
+		if (!result.ok) {
+			this.#log.warn({pool, reason: result.reason, detail: result.detail}, 'claim not written');
+			return undefined;
+		}
+
+		return result.value.revision;
+	}
+
+	async #getClaim(pool: string): Promise<StoredClaim | undefined> {
+		const result = await this.#store.getItem(`${claimPrefix}${pool}`);
+		if (!result.ok) {
+			this.#log.warn({pool, reason: result.reason, detail: result.detail}, 'claim not read');
+			return undefined;
+		}
+
+		const {item} = result.value;
+		return item && {ownerId: item.value, revision: item.revision};
+	}
+
+	#handleUpstreamsChanged(): void {
+		this.#node.handleUpstreamsChanged();
+		for (const owner of this.#node.getOwners()) {
+			this.#tellUpstreams(owner.getPool());
+		}
+	}
+
+	/** Tells the VMs of the data centre, one of which may own the pool when the store is away. */
+	#tellUpstreams(pool: string): void {
+		const upstreams = this.#upstreams.getUpstreams(pool);
+		const near = this.#mesh.getMembers().filter(({incarnation, state}) => incarnation.dataCenter === pool && state === 'up');
+		const text = JSON.stringify([near.map(({incarnation}) => incarnation.id), upstreams]);
+		if (text === this.#toldUpstreams) {
+			return;
+		}
+
+		this.#toldUpstreams = text;
+		for (const {incarnation} of near) {
+			this.#mesh.sendControl(incarnation.id, {topic: upstreamsTopic, body: {pool, revision: this.#upstreams.getRevision(), upstreams}});
+		}
+	}
+
+	#handleControl(topic: string, body: unknown): void {
+		if (topic !== upstreamsTopic) {
+			this.#log.warn({topic}, 'message of an unknown topic');
+			return;
+		}
+
+		const told = upstreamsSchema.safeParse(body);
+		if (told.success) {
+			this.#upstreams.addTold(told.data);
+		} else {
+			this.#log.warn({topic, err: told.error.message}, 'message not understood');
+		}
+	}
+
+	async #handleRequest(request: PeerRequest, from: Incarnation, signal: AbortSignal): Promise<unknown> {
+		switch (request.topic) {
+			case submitTopic: {
+				return this.#node.handleSubmit(request, signal);
+			}
+
+			case configurationTopic: {
+				return this.#configuration.getText();
+			}
+
+			default: {
+				this.#log.warn({topic: request.topic, peer: from.id}, 'request of an unknown topic');
+				return {};
+			}
+		}
+	}
+
+	/** Takes a newer configuration from a peer; the store may turn this VM away while it serves the peer. */
+	async #askConfiguration(version: number, from: Incarnation): Promise<void> {
+		const now = this.#clock.getMonotonicTime();
+		if (version <= (this.#configuration.getTable()?.version ?? 0) || now - this.#askedAt < configurationAskMs) {
+			return;
+		}
+
+		this.#askedAt = now;
+		const outcome = await this.#mesh.request(from.id, {topic: configurationTopic, body: {}});
+		if (outcome.kind === 'answered' && typeof outcome.body === 'string') {
+			this.#configuration.addText(outcome.body, from.id);
+		}
+	}
+}
+
+/**
+ * Creates and starts an entry VM on the platform.
+ * @param options - Settings and seams.
+ */
+export async function createPlatformEntryVm(options: PlatformEntryVmOptions): Promise<PlatformEntryVm> {
+	const entryVm = new PlatformEntryVm(options);
+	await entryVm.start();
+	return entryVm;
+}
--- /dev/null
+++ b/src/platform/pool-metrics.ts
@@ -0,0 +1,63 @@
+/**
+ * Counters and histograms of an entry VM on the platform.
+ */
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import {type PoolNode} from '../pool/index.js';
+import {type StoreClient} from './store-client.js';
+
+/** Bounds of the latency buckets in seconds: from a task of 10 ms to the longest deadline. */
+const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 0.9, 1.5, 3];
+
+/** Metrics of one process. */
+export class PoolMetrics {
+	readonly #registry = new Registry();
+	readonly #answers = new Counter({
+		name: 'endivemill_answers_total', help: 'Answers to callers', labelNames: ['route', 'status', 'cause'], registers: [this.#registry],
+	});
+
+	readonly #latency = new Histogram({
+		name: 'endivemill_answer_seconds', help: 'Time from request to answer', labelNames: ['route'], buckets: latencyBuckets, registers: [this.#registry],
+	});
+
+	constructor(node: PoolNode, store: StoreClient) {
+		this.#addGauge('endivemill_pool_cores', 'Cores of the upstreams that take tasks', node, load => load.cores);
+		this.#addGauge('endivemill_pool_free_cpu', 'Thousandths of a core that are free', node, load => load.freeCpu);
+		this.#addGauge('endivemill_pool_queued_work', 'Core-milliseconds that wait', node, load => load.queuedWork);
+		this.#addGauge('endivemill_pool_view_age_ms', 'Age of what is known of a pool', node, load => load.ageMs);
+		const calls = new Gauge({
+			name: 'endivemill_store_calls', help: 'Calls to the store so far', labelNames: ['call'], registers: [this.#registry],
+			collect() {
+				for (const [call, count] of Object.entries(store.getCounts())) {
+					calls.set({call}, count);
+				}
+			},
+		});
+	}
+
+	/**
+	 * Adds an answer to a caller.
+	 * @param answer - Answer.
+	 */
+	addAnswer({route, status, cause, totalMs}: {readonly route: string; readonly status: number; readonly cause: string; readonly totalMs: number}): void {
+		this.#answers.inc({route, status, cause});
+		this.#latency.observe({route}, totalMs / 1000);
+	}
+
+	/** Gets all metrics as text. */
+	async getText(): Promise<string> {
+		return this.#registry.metrics();
+	}
+
+	#addGauge(name: string, help: string, node: PoolNode, getValue: (load: ReturnType<PoolNode['directory']['getViews']>[number]) => number): void {
+		const gauge = new Gauge({
+			name, help, labelNames: ['pool'], registers: [this.#registry],
+			collect() {
+				for (const view of node.directory.getViews()) {
+					gauge.set({pool: view.pool}, getValue(view));
+				}
+			},
+		});
+	}
+}
--- /dev/null
+++ b/src/platform/store-client.ts
@@ -0,0 +1,184 @@
+/**
+ * The one client of the platform's store.
+ */
+import {Buffer} from 'node:buffer';
+import {Agent, type Dispatcher} from 'undici';
+import {type z} from 'zod';
+import {type Clock} from '../seams/index.js';
+import {callJson, type JsonCall} from './json-client.js';
+import {
+	itemAnswerSchema, rangeAnswerSchema, watchAnswerSchema, writeAnswerSchema,
+} from './wire-messages.js';
+
+/** An item of the store. */
+export type StoredItem = {
+	readonly key: string;
+	readonly value: string;
+	/** Revision of its last change. */
+	readonly revision: number;
+};
+
+/** One change. */
+export type StoredChange = {readonly key: string; readonly revision: number; readonly value: string | undefined};
+
+/** Why a call gave nothing. `refused`: nothing was done. `unanswered`: a write may have been or may yet be carried out. */
+export type StoreFault = {
+	readonly ok: false;
+	readonly reason: 'refused' | 'unanswered' | 'invalid' | 'history-lost';
+	readonly detail: string;
+};
+
+/** The value of a call, or why there is none. */
+export type StoreResult<T> = {readonly ok: true; readonly value: T} | StoreFault;
+
+/** Counts of calls by their kind and result. */
+export type StoreCounts = Readonly<Record<string, number>>;
+
+/** Options of {@link StoreClient}. */
+export type StoreClientOptions = {
+	readonly address: string;
+	readonly clock: Clock;
+	readonly dispatcher?: Dispatcher;
+	/** Time limit of a call that does not wait, in milliseconds: the store answers in 4 ms, 50 times as much when slow. */
+	readonly callTimeoutMs?: number;
+};
+
+const defaultCallTimeoutMs = 400;
+
+/** Connections: one waits for changes, the others carry reads and writes. */
+const connections = 4;
+const connectTimeoutMs = 400;
+
+/** Faults by status; a status that is not named here is a fault of this client. */
+const statusFaults: ReadonlyMap<number, StoreFault['reason']> = new Map([
+	[404, 'refused'], [410, 'history-lost'], [429, 'refused'], [503, 'refused'],
+]);
+
+/** Reads, watches and writes items. */
+export class StoreClient {
+	readonly #origin: string;
+	readonly #clock: Clock;
+	readonly #callTimeoutMs: number;
+	readonly #dispatcher: Dispatcher;
+	readonly #ownAgent: Agent | undefined;
+	readonly #counts: Record<string, number> = {};
+
+	constructor(options: StoreClientOptions) {
+		this.#origin = `http://${options.address}`;
+		this.#clock = options.clock;
+		this.#callTimeoutMs = options.callTimeoutMs ?? defaultCallTimeoutMs;
+		this.#ownAgent = options.dispatcher ? undefined : new Agent({connections, connect: {timeout: connectTimeoutMs}});
+		this.#dispatcher = options.dispatcher ?? this.#ownAgent!;
+	}
+
+	/** Gets the number of calls so far by kind and result. */
+	getCounts(): StoreCounts {
+		return this.#counts;
+	}
+
+	/**
+	 * Gets an item and the revision of the store at which it was read.
+	 * @param key - Key.
+	 */
+	async getItem(key: string): Promise<StoreResult<{readonly item: StoredItem | undefined; readonly revision: number}>> {
+		const result = await this.#call('read', {method: 'GET', path: `/api/kv-key?key=${encodeURIComponent(key)}`}, itemAnswerSchema);
+		return result.ok ? {ok: true, value: {item: decodeItem(result.value), revision: result.value.as_of}} : result;
+	}
+
+	/**
+	 * Gets all items under a prefix. Pages are read one after another, so the items are not of one moment.
+	 * @param prefix - Prefix.
+	 */
+	async getRange(prefix: string): Promise<StoreResult<{readonly items: readonly StoredItem[]; readonly revision: number}>> {
+		const items: StoredItem[] = [];
+		let revision: number | undefined;
+		for (let after = ''; ;) {
+			const page = after === '' ? '' : `&after=${encodeURIComponent(after)}`;
+			const result = await this.#call('range', {method: 'GET', path: `/api/kv-range?prefix=${encodeURIComponent(prefix)}${page}`}, rangeAnswerSchema);
+			if (!result.ok) {
+				return result;
+			}
+
+			items.push(...result.value.items.map(item => decodeItem(item)));
+			// Changes after the first page are seen by a watch from its revision on.
+			revision ??= result.value.as_of;
+			const last = items.at(-1);
+			if (!result.value.has_more || last === undefined) {
+				return {ok: true, value: {items, revision}};
+			}
+
+			after = last.key;
+		}
+	}
+
+	/**
+	 * Gets the changes under a prefix since a revision; waits for the first.
+	 * @param prefix - Prefix.
+	 * @param after - Revision.
+	 * @param waitMs - Longest wait in milliseconds.
+	 */
+	async getChanges(prefix: string, after: number, waitMs: number): Promise<StoreResult<{readonly changes: readonly StoredChange[]; readonly revision: number}>> {
+		const result = await this.#call('watch', {
+			method: 'GET',
+			path: `/api/kv-watch?prefix=${encodeURIComponent(prefix)}&after=${after}&wait_ms=${Math.round(waitMs)}`,
+			timeoutMs: waitMs + this.#callTimeoutMs,
+		}, watchAnswerSchema);
+		if (!result.ok) {
+			return result;
+		}
+
+		const changes = result.value.events.map(({key, revision, value, tombstone}) => ({key, revision, value: tombstone ? undefined : decodeText(value)}));
+		return {ok: true, value: {changes, revision: result.value.as_of}};
+	}
+
+	/**
+	 * Writes an item, whatever it holds now.
+	 * @param key - Key.
+	 * @param value - Value.
+	 * @param timeoutMs - Time limit in milliseconds.
+	 */
+	async setItem(key: string, value: string, timeoutMs?: number): Promise<StoreResult<{readonly revision: number}>> {
+		return this.#call('write', {
+			method: 'POST',
+			path: '/api/kv-txn',
+			body: {precondition: [], writes: [{key, value: Buffer.from(value).toString('base64')}], deletes: []},
+			timeoutMs,
+		}, writeAnswerSchema);
+	}
+
+	/** Ends all calls. */
+	async close(): Promise<void> {
+		await this.#ownAgent?.destroy();
+	}
+
+	async #call<T>(kind: string, call: Pick<JsonCall, 'method' | 'path' | 'body'> & {readonly timeoutMs?: number}, schema: z.ZodType<T>): Promise<StoreResult<T>> {
+		const outcome = await callJson(this.#dispatcher, this.#clock, {
+			...call, origin: this.#origin, timeoutMs: call.timeoutMs ?? this.#callTimeoutMs,
+		});
+		const result = toResult(outcome, schema);
+		const name = `${kind} ${result.ok ? 'ok' : result.reason}`;
+		this.#counts[name] = (this.#counts[name] ?? 0) + 1;
+		return result;
+	}
+}
+
+function toResult<T>(outcome: Awaited<ReturnType<typeof callJson>>, schema: z.ZodType<T>): StoreResult<T> {
+	if (outcome.kind === 'unanswered') {
+		return {ok: false, reason: 'unanswered', detail: outcome.detail};
+	}
+
+	if (outcome.status !== 200) {
+		return {ok: false, reason: statusFaults.get(outcome.status) ?? 'invalid', detail: `status ${outcome.status}`};
+	}
+
+	const parsed = schema.safeParse(outcome.body);
+	return parsed.success ? {ok: true, value: parsed.data} : {ok: false, reason: 'invalid', detail: parsed.error.message};
+}
+
+function decodeItem({key, value, revision}: StoredItem): StoredItem {
+	return {key, value: decodeText(value), revision};
+}
+
+function decodeText(value: string): string {
+	return Buffer.from(value, 'base64').toString();
+}
--- /dev/null
+++ b/src/platform/upstream-list.ts
@@ -0,0 +1,166 @@
+/**
+ * The list of upstreams: read from the store where a pool is owned here, and heard from owners elsewhere.
+ */
+import {type DecisionLog, type PoolUpstreams, type UpstreamDescription} from '../pool/index.js';
+import {type Clock, sleep} from '../seams/index.js';
+import {decodeUpstream, upstreamPrefix} from './decode-upstream.js';
+import {type StoreClient} from './store-client.js';
+
+/**
+ * Time between reads of changes, in milliseconds. Each read is a priced call whatever it brings, and every upstream writes each
+ * 1.5 s, so changes are read in batches; a leaving upstream must be known within 2 s.
+ */
+const pollMs = 500;
+
+/** Age of the list from which it is read anew rather than caught up with, in milliseconds. */
+const maxCatchUpMs = 4000;
+
+/** Options of {@link UpstreamList}. */
+export type UpstreamListOptions = {
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly store: StoreClient;
+	readonly onChange: () => void;
+};
+
+/** Keeps the upstreams of all data centres as last heard. */
+export class UpstreamList {
+	readonly #options: UpstreamListOptions;
+	readonly #upstreams = new Map<string, UpstreamDescription>();
+	readonly #closing = new AbortController();
+	#revision: number | undefined;
+	#readAt = 0;
+	#isFollowing = false;
+	#isRunning = false;
+
+	constructor(options: UpstreamListOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Gets the upstreams of a data centre.
+	 * @param dataCenter - Data centre.
+	 */
+	getUpstreams(dataCenter: string): readonly UpstreamDescription[] {
+		return [...this.#upstreams.values()].filter(upstream => upstream.dataCenter === dataCenter);
+	}
+
+	/** Gets the revision of the store at which the list was read; 0 for none. */
+	getRevision(): number {
+		return this.#revision ?? 0;
+	}
+
+	/** Reads the list once; false where the store does not answer. */
+	async read(): Promise<boolean> {
+		const {store, clock, log} = this.#options;
+		const result = await store.getRange(upstreamPrefix);
+		if (!result.ok) {
+			log.info({reason: result.reason, detail: result.detail}, 'list of upstreams not read');
+			return false;
+		}
+
+		this.#readAt = clock.getMonotonicTime();
+		this.#revision = result.value.revision;
+		const listed = new Set<string>();
+		for (const item of result.value.items) {
+			listed.add(item.key);
+			this.#setEntry(item.key, item.value);
+		}
+
+		for (const key of this.#upstreams.keys()) {
+			if (!listed.has(key)) {
+				this.#upstreams.delete(key);
+			}
+		}
+
+		this.#options.onChange();
+		return true;
+	}
+
+	/**
+	 * Sets whether the list is kept up to date from the store.
+	 * @param isFollowing - Whether a pool is owned here.
+	 */
+	setFollowing(isFollowing: boolean): void {
+		this.#isFollowing = isFollowing;
+		if (isFollowing && !this.#isRunning) {
+			this.#isRunning = true;
+			void this.#follow();
+		}
+	}
+
+	/**
+	 * Takes the upstreams of a pool from its owner.
+	 * @param told - Upstreams.
+	 */
+	addTold({pool, upstreams}: PoolUpstreams): void {
+		if (this.#isFollowing) {
+			return;
+		}
+
+		for (const [key, upstream] of this.#upstreams) {
+			if (upstream.dataCenter === pool) {
+				this.#upstreams.delete(key);
+			}
+		}
+
+		for (const upstream of upstreams) {
+			this.#upstreams.set(`${upstreamPrefix}${upstream.id}`, upstream);
+		}
+	}
+
+	/** Ends the reads. */
+	close(): void {
+		this.#closing.abort();
+	}
+
+	async #follow(): Promise<void> {
+		const {clock} = this.#options;
+		while (this.#isFollowing && !this.#closing.signal.aborted) {
+			await (this.#canCatchUp() ? this.#catchUp() : this.read());
+			await sleep(clock, pollMs, this.#closing.signal);
+		}
+
+		this.#isRunning = false;
+	}
+
+	#canCatchUp(): boolean {
+		return this.#revision !== undefined && this.#options.clock.getMonotonicTime() - this.#readAt < maxCatchUpMs;
+	}
+
+	async #catchUp(): Promise<void> {
+		const {store, clock, log} = this.#options;
+		const result = await store.getChanges(upstreamPrefix, this.#revision!, 1);
+		if (!result.ok) {
+			log.info({reason: result.reason, detail: result.detail}, 'changes of upstreams not read');
+			this.#revision = result.reason === 'history-lost' ? undefined : this.#revision;
+			return;
+		}
+
+		this.#readAt = clock.getMonotonicTime();
+		this.#revision = result.value.revision;
+		for (const {key, value} of result.value.changes) {
+			if (value === undefined) {
+				this.#upstreams.delete(key);
+			} else {
+				this.#setEntry(key, value);
+			}
+		}
+
+		this.#options.onChange();
+	}
+
+	/** An entry that cannot be used names no upstream; the last good one under its key goes too. */
+	#setEntry(key: string, value: string): void {
+		const upstream = decodeUpstream({key, value});
+		if (upstream === undefined) {
+			if (this.#upstreams.delete(key)) {
+				this.#options.log.warn({key}, 'entry of an upstream not understood');
+			}
+
+			return;
+		}
+
+		this.#upstreams.set(key, upstream);
+	}
+}
--- /dev/null
+++ b/src/platform/vm-registry.ts
@@ -0,0 +1,106 @@
+/**
+ * The entry VMs that registered in the store, so that they find each other beyond the seeds of their settings.
+ */
+import {Stream} from 'most';
+import {z} from 'zod';
+import {type DecisionLog} from '../pool/index.js';
+import {type Clock, sleep} from '../seams/index.js';
+import {parseJson} from './decode-configuration.js';
+import {type StoreClient} from './store-client.js';
+import {type ListedEntryVm} from './vm-list.js';
+
+const prefix = 'vms/';
+
+/** Time between tries until this VM is registered, in milliseconds. */
+const retryMs = 500;
+
+/** Time between reads, in milliseconds: VMs that are linked tell each other of new ones, so reads are a second way only. */
+const readMs = 10_000;
+const firstReadMs = 300;
+
+const entrySchema = z.object({
+	name: z.string(), dataCenter: z.string(), peerAddress: z.string(), callerAddress: z.string(),
+});
+
+/** Options of {@link VmRegistry}. */
+export type VmRegistryOptions = {
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly store: StoreClient;
+	readonly self: Pick<ListedEntryVm, 'name' | 'dataCenter' | 'peerAddress' | 'callerAddress'>;
+};
+
+/** Registers this VM and reads who else did. */
+export class VmRegistry {
+	readonly #options: VmRegistryOptions;
+	readonly #closing = new AbortController();
+	readonly #listeners = new Set<(listed: readonly ListedEntryVm[]) => void>();
+
+	constructor(options: VmRegistryOptions) {
+		this.#options = options;
+	}
+
+	/** Gets the registered entry VMs after each read. */
+	getStream(): Stream<readonly ListedEntryVm[]> {
+		return new Stream({
+			run: (sink, scheduler) => {
+				const listener = (listed: readonly ListedEntryVm[]): void => {
+					sink.event(scheduler.now(), listed);
+				};
+
+				this.#listeners.add(listener);
+				return {
+					dispose: () => {
+						this.#listeners.delete(listener);
+					},
+				};
+			},
+		});
+	}
+
+	/** Registers and reads until `close`. */
+	async run(): Promise<void> {
+		const {clock, store, self, log} = this.#options;
+		const {signal} = this.#closing;
+		while (!signal.aborted) {
+			const result = await store.setItem(`${prefix}${self.name}`, JSON.stringify(self));
+			if (result.ok) {
+				break;
+			}
+
+			log.info({reason: result.reason, detail: result.detail}, 'not registered');
+			await sleep(clock, retryMs, signal);
+		}
+
+		await sleep(clock, firstReadMs, signal);
+		while (!signal.aborted) {
+			await this.#read();
+			await sleep(clock, readMs, signal);
+		}
+	}
+
+	/** Ends the reads; the registration stays, since the VM may come back under its name. */
+	close(): void {
+		this.#closing.abort();
+	}
+
+	async #read(): Promise<void> {
+		const result = await this.#options.store.getRange(prefix);
+		if (!result.ok) {
+			this.#options.log.info({reason: result.reason, detail: result.detail}, 'registered VMs not read');
+			return;
+		}
+
+		const listed = result.value.items.flatMap(({value}): ListedEntryVm[] => {
+			const parsed = entrySchema.safeParse(parseJson(value));
+			return parsed.success
+				? [{
+					...parsed.data, kind: 'entry', state: 'live', operatorAddress: parsed.data.callerAddress,
+				}]
+				: [];
+		});
+		for (const listener of this.#listeners) {
+			listener(listed);
+		}
+	}
+}
--- /dev/null
+++ b/src/pool/duration-estimator.ts
@@ -0,0 +1,40 @@
+/**
+ * How long tasks really take, learnt by route, against the callers' estimates.
+ */
+
+/** Weight of a new observation in the running mean; about the last 20 tasks count. */
+const observationWeight = 0.05;
+
+/** Bounds of one observed ratio, so that a single stuck task moves the mean little. */
+const minRatio = 0.2;
+const maxRatio = 5;
+
+/** Keeps the mean ratio of measured to estimated durations of each route. */
+export class DurationEstimator {
+	readonly #ratios = new Map<string, number>();
+
+	/**
+	 * Gets the expected duration of a task in milliseconds.
+	 * @param route - Route of the job.
+	 * @param estimateMs - The caller's estimate.
+	 */
+	getExpectedMs(route: string, estimateMs: number): number {
+		return estimateMs * (this.#ratios.get(route) ?? 1);
+	}
+
+	/**
+	 * Adds the duration of a task that ended well.
+	 * @param route - Route of the job.
+	 * @param estimateMs - The caller's estimate.
+	 * @param measuredMs - Time from the start's answer to the end.
+	 */
+	addDuration(route: string, estimateMs: number, measuredMs: number): void {
+		if (estimateMs <= 0) {
+			return;
+		}
+
+		const ratio = Math.min(maxRatio, Math.max(minRatio, measuredMs / estimateMs));
+		const mean = this.#ratios.get(route) ?? 1;
+		this.#ratios.set(route, mean + ((ratio - mean) * observationWeight));
+	}
+}
--- /dev/null
+++ b/src/pool/overdue.ts
@@ -0,0 +1,39 @@
+/**
+ * When a run has taken so long that its upstream must be slow or stuck. Answers upstreams on which tasks stand still or take
+ * many times as long while they answer every look.
+ */
+
+/** What is known of a run. */
+export type RunAge = {
+	readonly ageMs: number;
+	/** Expected duration by the caller's estimate and what was learnt of the route. */
+	readonly expectedMs: number;
+	/** Longest time that another task of the same job took; 0 for none. */
+	readonly siblingMs: number;
+};
+
+/** Estimates are off by a factor of up to 2.2 in nine of ten jobs; three times leaves room for a slow upstream. */
+const expectedFactor = 3;
+
+/** Tasks of a job differ by 15%, upstreams by a factor of 1.6. */
+const siblingFactor = 2;
+
+/** Time for orders and looks, in milliseconds. */
+const allowanceMs = 60;
+
+/**
+ * Gets the age in milliseconds from which a run is overdue.
+ * @param run - What is known of it.
+ */
+export function getOverdueAge({expectedMs, siblingMs}: Omit<RunAge, 'ageMs'>): number {
+	const byEstimate = expectedMs * expectedFactor;
+	return allowanceMs + (siblingMs > 0 ? Math.min(byEstimate, siblingMs * siblingFactor) : byEstimate);
+}
+
+/**
+ * Gets whether a run is overdue.
+ * @param run - What is known of it.
+ */
+export function isOverdue(run: RunAge): boolean {
+	return run.ageMs > getOverdueAge(run);
+}
--- /dev/null
+++ b/src/pool/pool-node.ts
@@ -0,0 +1,570 @@
+/**
+ * One entry VM's part in the pools: it owns those that it is elected for, and brings callers' jobs to the owners.
+ */
+import {
+	type Incarnation, type PeerNetwork, type PeerRequest, type RequestAbortReason,
+} from '../connection/index.js';
+import {type Clock, sleep, type Timer} from '../seams/index.js';
+import {type DecisionLog} from './decision-log.js';
+import {PoolDirectory, getFirstCpu} from './pool-directory.js';
+import {sortPools} from './pool-choice.js';
+import {type Candidate} from './pool-election.js';
+import {
+	type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob,
+} from './pool-job.js';
+import {
+	type PoolClaims, poolClaimsSchema, submitAnswerSchema, submitRequestSchema, submitTopic, type SubmitAnswer,
+} from './pool-messages.js';
+import {type PoolLoad} from './pool-scheduler.js';
+import {PoolOwner} from './pool-owner.js';
+import {type StoredClaims} from './stored-claims.js';
+import {type UpstreamDescription, type UpstreamOrders} from './upstream-orders.js';
+
+/** Options of {@link PoolNode}. */
+export type PoolNodeOptions = {
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly self: Incarnation;
+	/** Data centres of the deployment, each with a pool of upstreams. */
+	readonly pools: readonly string[];
+	readonly peers: PeerNetwork;
+	readonly orders: UpstreamOrders;
+	/** What the store holds of the owners of pools. */
+	readonly claims: StoredClaims;
+	/** Gets the upstreams of a pool as last listed. */
+	readonly getUpstreams: (pool: string) => readonly UpstreamDescription[];
+	/** Takes the number of pools owned here whenever it changes. */
+	readonly onOwnedChanged: (pools: readonly string[]) => void;
+	/** Longest lease of a run, in milliseconds. */
+	readonly maxLeaseMs: number;
+};
+
+/** Time between elections, in milliseconds: half a heartbeat. */
+const electionMs = 50;
+
+/** Time after the start in which claims of others are heard before this VM makes any, in milliseconds: four heartbeats. */
+const quietStartMs = 400;
+
+/** Time without any VM in a pool's data centre before another one takes the pool, in milliseconds: VMs restart within it. */
+const farTakeoverMs = 1500;
+
+/** Time between tries to reach the upstreams of a pool without VMs, in milliseconds. */
+const probeMs = 500;
+
+/** Time for which upstreams must have answered, in milliseconds: VMs that were cut off are linked again within it. */
+const reachedMs = 1000;
+
+/** Upstreams that are tried. */
+const probedUpstreams = 3;
+
+/** Time limit of such a try, in milliseconds. */
+const probeTimeoutMs = 200;
+
+/** Time between an owner's writes to the store while it does not see all VMs, in milliseconds. */
+const assertMs = 1000;
+
+/** Time for which a VM leaves a pool to an owner that it cannot see, in milliseconds; longer than two of the owner's writes. */
+const yieldMs = 2500;
+
+/** Time for which a job waits for the next owner of its pool, in milliseconds: silence is noticed after 500 ms. */
+const ownerWaitMs = 1200;
+const ownerPollMs = 20;
+
+/** Time after a lost connection until its jobs are given up, in milliseconds; the sender comes back within it. */
+const orphanMs = 300;
+
+/** Pools that are asked for room before a job is refused. */
+const maxPoolsAsked = 2;
+
+/** Time until a job is brought again to an owner whose connection was lost but who seems to live, in milliseconds. */
+const sameOwnerRetryMs = 100;
+
+/** Tries to reach the upstreams of a pool. */
+type Probe = {sentAt: number; isAnswered: boolean; reachedSince: number};
+
+type Ownership = {readonly ownerId: string; readonly fence: number; readonly askedAt: number};
+
+/** What an owner made of a job, or whether the question left this VM. */
+type AskResult =
+	| {readonly kind: 'answered'; readonly outcome: PoolJobOutcome}
+	| {readonly kind: 'not_sent' | 'lost'};
+
+/** Takes part in the pools of a deployment. */
+export class PoolNode {
+	readonly directory: PoolDirectory;
+	readonly #options: PoolNodeOptions;
+	readonly #owned = new Map<string, PoolOwner>();
+	readonly #claims = new Map<string, PoolClaims>();
+	readonly #abandonedSince = new Map<string, number>();
+	readonly #probes = new Map<string, Probe>();
+	/** Pools left to owners that are not seen here, with the revision of their last write. */
+	readonly #yielded = new Map<string, {until: number; revision: number}>();
+	/** Pools taken over while no other VM was seen. */
+	readonly #takenAlone = new Set<string>();
+	#assertedAt = 0;
+	readonly #startedAt: number;
+	readonly #timer: Timer;
+	#isLeaving = false;
+	#isClosed = false;
+
+	constructor(options: PoolNodeOptions) {
+		this.#options = options;
+		this.#startedAt = options.clock.getMonotonicTime();
+		this.directory = new PoolDirectory({
+			clock: options.clock,
+			dataCenter: options.self.dataCenter,
+			pools: options.pools,
+			getCandidates: () => this.#getCandidates(),
+		});
+		this.#timer = options.clock.setRepeatingTimer(() => {
+			this.#elect();
+		}, electionMs);
+	}
+
+	/** Gets what heartbeats tell of the pools owned here. */
+	getClaims(): PoolClaims {
+		const ready = [...this.#owned].filter(([, owner]) => owner.isReady());
+		const entries = ready.map(([pool, owner]) => [pool, {fence: owner.getFence(), load: roundLoad(owner.getLoad())}] as const);
+		return Object.fromEntries(entries);
+	}
+
+	/** Gets the pools owned here. */
+	getOwners(): readonly PoolOwner[] {
+		return [...this.#owned.values()];
+	}
+
+	/**
+	 * Takes what a heartbeat tells of the sender's pools.
+	 * @param load - Part of the heartbeat.
+	 * @param from - Sender.
+	 */
+	handleHeartbeat(load: unknown, from: Incarnation): void {
+		const parsed = poolClaimsSchema.safeParse(load);
+		if (!parsed.success) {
+			this.#options.log.warn({peer: from.id, err: parsed.error.message}, 'heartbeat not understood');
+			return;
+		}
+
+		this.#claims.set(from.id, parsed.data);
+		this.directory.addClaims(parsed.data);
+	}
+
+	/** Tells the owners here that the list of upstreams changed. */
+	handleUpstreamsChanged(): void {
+		for (const [pool, owner] of this.#owned) {
+			owner.setUpstreams(this.#options.getUpstreams(pool));
+		}
+	}
+
+	/** Begins a planned stop: the pools go to other VMs, jobs are still brought to their owners. */
+	leave(): void {
+		this.#isLeaving = true;
+	}
+
+	/** Gets whether no pool is owned here. */
+	isFree(): boolean {
+		return this.#owned.size === 0;
+	}
+
+	/**
+	 * Brings a job to a pool and waits for its outcome.
+	 * @param job - Job.
+	 * @param remainingMs - Time until the caller stops waiting.
+	 * @param signal - Aborts when the caller has gone.
+	 */
+	async submit(job: PoolJobRequest, remainingMs: number, signal: AbortSignal): Promise<PoolJobOutcome> {
+		const arrivedAt = this.#options.clock.getMonotonicTime();
+		const getSubmitted = (priorFence: number): SubmittedJob => {
+			const ageMs = this.#options.clock.getMonotonicTime() - arrivedAt;
+			return {
+				...job, ageMs, remainingMs: remainingMs - ageMs, priorFence,
+			};
+		};
+
+		const asked = new Set<string>();
+		let refusal: PoolJobOutcome = {kind: 'refused', reason: 'no-upstream', retryAfterMs: 1000};
+		while (asked.size < maxPoolsAsked && !signal.aborted) {
+			const view = await this.#choosePool(job, asked, signal);
+			if (view === undefined) {
+				break;
+			}
+
+			asked.add(view.pool);
+			this.directory.addSent(view.pool, job);
+			this.#options.log.debug({job: job.id, ...view}, 'pool chosen');
+			const outcome = await this.#submitToPool(view.pool, getSubmitted, signal);
+			if (outcome.kind !== 'refused') {
+				return outcome;
+			}
+
+			refusal = outcome;
+			if (outcome.reason === 'deadline') {
+				break;
+			}
+		}
+
+		return refusal;
+	}
+
+	/**
+	 * Answers a job that a peer brings.
+	 * @param request - Request of the peer.
+	 * @param signal - Aborts when the peer does not wait any more.
+	 */
+	async handleSubmit(request: PeerRequest, signal: AbortSignal): Promise<SubmitAnswer> {
+		const {pool, job} = submitRequestSchema.parse(request.body);
+		const owner = this.#owned.get(pool);
+		if (owner === undefined) {
+			return {outcome: {kind: 'moved'}};
+		}
+
+		const outcome = await owner.submit(job, this.#delayDisconnect(signal));
+		return {outcome, load: roundLoad(owner.getLoad())};
+	}
+
+	/** Gives up all pools. */
+	close(): void {
+		this.#isClosed = true;
+		this.#timer.close();
+		for (const pool of this.#owned.keys()) {
+			this.#release(pool);
+		}
+	}
+
+	#getCandidates(): readonly Candidate[] {
+		const {self, peers} = this.#options;
+		const others = peers.getMembers().map(({incarnation, state, isLeaving}): Candidate => ({
+			id: incarnation.id,
+			dataCenter: incarnation.dataCenter,
+			isUp: state === 'up',
+			isLeaving,
+			claims: toFences(this.#claims.get(incarnation.id) ?? {}),
+		}));
+		const own: Candidate = {
+			id: self.id,
+			dataCenter: self.dataCenter,
+			isUp: true,
+			isLeaving: this.#isLeaving,
+			claims: Object.fromEntries([...this.#owned].map(([pool, owner]) => [pool, owner.getFence()])),
+		};
+		return [own, ...others];
+	}
+
+	#elect(): void {
+		const now = this.#options.clock.getMonotonicTime();
+		if (this.#isClosed || now - this.#startedAt < quietStartMs) {
+			return;
+		}
+
+		this.#forgetGoneMembers();
+		this.#endYields();
+		this.#assertOwnership(now);
+		for (const pool of this.directory.getPools()) {
+			const elected = this.directory.getElected(pool);
+			const isOwn = elected?.id === this.#options.self.id;
+			if (isOwn && !this.#owned.has(pool) && this.#mayTake(pool, now)) {
+				this.#take(pool);
+			} else if (!isOwn && this.#owned.has(pool) && elected?.claims[pool] !== undefined) {
+				this.#release(pool);
+			}
+		}
+	}
+
+	/** A VM that sees a neighbour again hears of the owner by heartbeats. */
+	#endYields(): void {
+		const {self, peers} = this.#options;
+		for (const pool of this.#yielded.keys()) {
+			if (peers.getMembers().some(({incarnation, state}) => state === 'up' && incarnation.dataCenter === pool && pool === self.dataCenter)) {
+				this.#yielded.delete(pool);
+			}
+		}
+	}
+
+	#forgetGoneMembers(): void {
+		const known = new Set(this.#options.peers.getMembers().map(({incarnation}) => incarnation.id));
+		for (const id of this.#claims.keys()) {
+			if (!known.has(id)) {
+				this.#claims.delete(id);
+			}
+		}
+	}
+
+	/**
+	 * A pool of another data centre is taken only once no VM was seen there for a while and its upstreams can be reached: a data
+	 * centre that is cut off goes on by itself.
+	 */
+	#mayTake(pool: string, now: number): boolean {
+		if (this.#isYielded(pool, now)) {
+			return false;
+		}
+
+		if (pool === this.#options.self.dataCenter) {
+			return true;
+		}
+
+		const isInhabited = this.#getCandidates().some(({dataCenter, isUp}) => dataCenter === pool && isUp);
+		if (isInhabited) {
+			this.#abandonedSince.delete(pool);
+			return false;
+		}
+
+		const since = this.#abandonedSince.get(pool) ?? now;
+		this.#abandonedSince.set(pool, since);
+		return now - since >= farTakeoverMs && this.#isReached(pool, now);
+	}
+
+	/**
+	 * Gets whether upstreams of a pool have answered for a while; tries again now and then. Where they answer only now, a cut has
+	 * just healed, and the VMs on its other side will soon be seen.
+	 */
+	#isReached(pool: string, now: number): boolean {
+		const probe = this.#probes.get(pool) ?? {sentAt: -Infinity, isAnswered: false, reachedSince: Infinity};
+		this.#probes.set(pool, probe);
+		if (now - probe.sentAt >= probeMs) {
+			probe.reachedSince = probe.isAnswered ? Math.min(probe.reachedSince, probe.sentAt) : Infinity;
+			probe.sentAt = now;
+			probe.isAnswered = false;
+			for (const upstream of this.#options.getUpstreams(pool).slice(0, probedUpstreams)) {
+				void this.#probe(upstream, probe);
+			}
+		}
+
+		return now - probe.reachedSince >= reachedMs;
+	}
+
+	/** Any answer will do; without a fence, an upstream that has an owner refuses the look and changes nothing. */
+	async #probe(upstream: UpstreamDescription, probe: Probe): Promise<void> {
+		const outcome = await this.#options.orders.look({
+			upstream, fence: 0, timeoutMs: probeTimeoutMs, acknowledged: 0, waitMs: 0,
+		});
+		probe.isAnswered ||= outcome.kind !== 'unanswered';
+	}
+
+	/**
+	 * While VMs are missing here they may be cut off and want the pools too; the store then tells them that this VM lives. A VM
+	 * that sees no other one keeps quiet about pools from before, since the others may have taken them over.
+	 */
+	#assertOwnership(now: number): void {
+		const members = this.#options.peers.getMembers();
+		if (members.every(({state}) => state === 'up') || now - this.#assertedAt < assertMs) {
+			return;
+		}
+
+		this.#assertedAt = now;
+		const isIsolated = this.#isIsolated();
+		for (const pool of this.#owned.keys()) {
+			if (!isIsolated || this.#takenAlone.has(pool)) {
+				void this.#options.claims.addClaim(pool);
+			}
+		}
+	}
+
+	/** Gets whether other VMs are known and none is seen. */
+	#isIsolated(): boolean {
+		const members = this.#options.peers.getMembers();
+		return members.length > 0 && members.every(({state}) => state !== 'up');
+	}
+
+	#isYielded(pool: string, now: number): boolean {
+		const yielded = this.#yielded.get(pool);
+		if (yielded === undefined) {
+			return false;
+		}
+
+		if (now >= yielded.until) {
+			// Until the store answers, the pool stays with whoever was seen to own it.
+			yielded.until = now + yieldMs;
+			void this.#reconsider(pool, yielded);
+		}
+
+		return true;
+	}
+
+	/** Takes part in the election again once the owner has stopped writing. */
+	async #reconsider(pool: string, yielded: {until: number; revision: number}): Promise<void> {
+		const claim = await this.#options.claims.getClaim(pool);
+		if (claim === undefined || claim.revision <= yielded.revision) {
+			this.#yielded.delete(pool);
+			return;
+		}
+
+		yielded.revision = claim.revision;
+	}
+
+	/** Upstreams refuse this VM's orders: another VM owns the pool, or its fence was given without the store. */
+	async #handleFenced(pool: string, owner: PoolOwner): Promise<void> {
+		const claim = await this.#options.claims.getClaim(pool);
+		if (this.#owned.get(pool) !== owner) {
+			return;
+		}
+
+		if (claim !== undefined && claim.ownerId !== this.#options.self.id && (claim.revision > owner.getFence() || this.#isIsolated())) {
+			this.#options.log.warn({
+				pool, owner: claim.ownerId, revision: claim.revision, fence: owner.getFence(),
+			}, 'pool left to an owner that is not seen here');
+			this.#yielded.set(pool, {until: this.#options.clock.getMonotonicTime() + yieldMs, revision: claim.revision});
+			this.#release(pool);
+			return;
+		}
+
+		await owner.raiseFence();
+	}
+
+	#take(pool: string): void {
+		const {clock, log, orders, claims, getUpstreams, maxLeaseMs} = this.#options;
+		this.#abandonedSince.delete(pool);
+		const owner: PoolOwner = new PoolOwner({
+			pool,
+			clock,
+			log,
+			orders,
+			maxLeaseMs,
+			knownFence: this.directory.getKnownFence(pool),
+			getStoredFence: async () => claims.addClaim(pool),
+			onFenced: async () => this.#handleFenced(pool, owner),
+		}, getUpstreams(pool));
+		this.#owned.set(pool, owner);
+		if (this.#isIsolated()) {
+			this.#takenAlone.add(pool);
+		}
+
+		this.#options.onOwnedChanged([...this.#owned.keys()]);
+	}
+
+	#release(pool: string): void {
+		this.#owned.get(pool)?.close({kind: 'moved'});
+		this.#owned.delete(pool);
+		this.#takenAlone.delete(pool);
+		this.#options.onOwnedChanged([...this.#owned.keys()]);
+	}
+
+	/** Chooses the pool that can start the job soonest; waits a little where no pool has an owner yet. */
+	async #choosePool(job: PoolJobRequest, asked: ReadonlySet<string>, signal: AbortSignal): Promise<ReturnType<typeof sortPools>[number] | undefined> {
+		const {clock} = this.#options;
+		const giveUpAt = clock.getMonotonicTime() + (this.#yielded.size > 0 ? 0 : orphanMs);
+		for (;;) {
+			const views = this.directory.getViews().filter(({pool}) => !asked.has(pool));
+			if (views.length > 0 || asked.size > 0) {
+				return sortPools(views, getFirstCpu(job))[0];
+			}
+
+			if (signal.aborted || clock.getMonotonicTime() > giveUpAt) {
+				return undefined;
+			}
+
+			await sleep(clock, ownerPollMs, signal);
+		}
+	}
+
+	/** Brings a job to whoever owns a pool, and again to the next owner where the pool moves meanwhile. */
+	async #submitToPool(pool: string, getSubmitted: (priorFence: number) => SubmittedJob, signal: AbortSignal): Promise<PoolJobOutcome> {
+		let priorFence = 0;
+		let last: Ownership | undefined;
+		const {clock} = this.#options;
+		let giveUpAt = Infinity;
+		for (;;) {
+			const owner = clock.getMonotonicTime() > giveUpAt ? undefined : await this.#waitForOwner(pool, last, signal);
+			if (owner === undefined) {
+				return priorFence > 0 ? {kind: 'interrupted', reason: 'the owner of the pool is gone'} : createRefusal('not-owner');
+			}
+
+			last = owner;
+			const result = await this.#ask(pool, owner, getSubmitted(priorFence), signal);
+			if (result.kind === 'answered' && result.outcome.kind !== 'moved') {
+				return priorFence > 0 && result.outcome.kind === 'refused'
+					// An earlier owner may have started tasks, so that the job cannot be said not to have run.
+					? {kind: 'interrupted', reason: `not continued: ${result.outcome.reason}`}
+					: result.outcome;
+			}
+
+			if (signal.aborted) {
+				return {kind: 'interrupted', reason: 'the caller has gone'};
+			}
+
+			if (result.kind === 'not_sent' && priorFence === 0) {
+				return createRefusal('not-owner');
+			}
+
+			priorFence = result.kind === 'not_sent' ? priorFence : Math.max(priorFence, owner.fence);
+			giveUpAt = Math.min(giveUpAt, clock.getMonotonicTime() + ownerWaitMs);
+		}
+	}
+
+	async #ask(pool: string, {ownerId}: Ownership, job: SubmittedJob, signal: AbortSignal): Promise<AskResult> {
+		const own = this.#owned.get(pool);
+		if (ownerId === this.#options.self.id && own !== undefined) {
+			return {kind: 'answered', outcome: await own.submit(job, signal)};
+		}
+
+		const result = await this.#options.peers.request(ownerId, {topic: submitTopic, body: {pool, job}}, signal);
+		if (result.kind !== 'answered') {
+			this.#options.log.info({
+				job: job.id, pool, owner: ownerId, result: result.kind, detail: result.detail,
+			}, 'owner did not answer');
+			return {kind: result.kind};
+		}
+
+		const parsed = submitAnswerSchema.safeParse(result.body);
+		if (!parsed.success) {
+			this.#options.log.warn({job: job.id, owner: ownerId, err: parsed.error.message}, 'answer of the owner not understood');
+			return {kind: 'lost'};
+		}
+
+		if (parsed.data.load !== undefined) {
+			this.directory.setLoad(pool, parsed.data.load);
+		}
+
+		return {kind: 'answered', outcome: parsed.data.outcome};
+	}
+
+	/** Gets the owner of a pool; after a failed try, one that took the pool later or that can be reached again. */
+	async #waitForOwner(pool: string, last: Ownership | undefined, signal: AbortSignal): Promise<Ownership | undefined> {
+		const {clock} = this.#options;
+		const giveUpAt = clock.getMonotonicTime() + ownerWaitMs;
+		while (!signal.aborted) {
+			const owner = this.directory.getOwner(pool);
+			const fence = owner?.claims[pool];
+			const now = clock.getMonotonicTime();
+			const isSame = owner?.id === last?.ownerId && fence === last?.fence;
+			if (owner !== undefined && fence !== undefined && (last === undefined || !isSame || now - last.askedAt >= sameOwnerRetryMs)) {
+				return {ownerId: owner.id, fence, askedAt: now};
+			}
+
+			if (clock.getMonotonicTime() > giveUpAt || (last === undefined && owner === undefined)) {
+				return undefined;
+			}
+
+			await sleep(clock, ownerPollMs, signal);
+		}
+
+		return undefined;
+	}
+
+	/** Gets a signal that aborts at once when the peer cancels, and after a while when its connection was lost. */
+	#delayDisconnect(signal: AbortSignal): AbortSignal {
+		const controller = new AbortController();
+		signal.addEventListener('abort', () => {
+			if ((signal.reason as RequestAbortReason) === 'cancelled') {
+				controller.abort();
+				return;
+			}
+
+			this.#options.clock.setTimer(() => {
+				controller.abort();
+			}, orphanMs);
+		}, {once: true});
+		return controller.signal;
+	}
+}
+
+function createRefusal(reason: RefusalReason): PoolJobOutcome {
+	return {kind: 'refused', reason, retryAfterMs: 1000};
+}
+
+function toFences(claims: PoolClaims): Readonly<Record<string, number>> {
+	return Object.fromEntries(Object.entries(claims).map(([pool, {fence}]) => [pool, fence]));
+}
+
+function roundLoad({cores, freeCpu, queuedWork}: PoolLoad): PoolLoad {
+	return {cores, freeCpu: Math.max(0, Math.round(freeCpu)), queuedWork: Math.max(0, Math.round(queuedWork))};
+}
--- /dev/null
+++ b/src/pool/pool-owner.ts
@@ -0,0 +1,311 @@
+/**
+ * The time during which this entry VM owns one pool: its fence, its links to the upstreams, and its queue.
+ */
+import {type Clock, sleep} from '../seams/index.js';
+import {type DecisionLog} from './decision-log.js';
+import {type PoolJobOutcome, type SubmittedJob} from './pool-job.js';
+import {type PoolLoad, PoolScheduler} from './pool-scheduler.js';
+import {UpstreamLink} from './upstream-link.js';
+import {type UpstreamDescription, type UpstreamOrders} from './upstream-orders.js';
+
+/** Options of {@link PoolOwner}. */
+export type PoolOwnerOptions = {
+	readonly pool: string;
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly orders: UpstreamOrders;
+	/** Gets a fence from the store that is higher than all before; `undefined` where the store does not answer in time. */
+	readonly getStoredFence: () => Promise<number | undefined>;
+	/** Highest fence that was heard of the pool. */
+	readonly knownFence: number;
+	/** Called when an upstream refuses the fence; the pool may have another owner. */
+	readonly onFenced: () => Promise<void>;
+	/** Longest lease of a run, in milliseconds. */
+	readonly maxLeaseMs: number;
+};
+
+/** Time in which the upstreams of a pool are looked at before its new owner takes jobs, in milliseconds. */
+const takeoverMs = 250;
+
+/** Distance between the fences of two owners that could not ask the store, doubled with each refusal. */
+const firstFenceStep = 1;
+
+/**
+ * Time after a refused fence before a higher one is taken, in milliseconds: two heartbeats, in which this VM hears of a newer
+ * owner if there is one.
+ */
+const fenceDoubtMs = 250;
+
+/** Time for which an upstream that its list no longer names is kept, in milliseconds: entries are back 2 s after the store. */
+const unlistedMs = 2500;
+
+/** Runs one pool for as long as this entry VM owns it. */
+export class PoolOwner {
+	readonly #options: PoolOwnerOptions;
+	readonly #scheduler: PoolScheduler;
+	readonly #links = new Map<string, UpstreamLink>();
+	readonly #unlistedSince = new Map<string, number>();
+	#fence: number;
+	#fenceStep = firstFenceStep;
+	readonly #ready: Promise<void>;
+	#isReady = false;
+	#isClosed = false;
+	#isSettlingFence = false;
+	/** Monotonic time at which the last looks at all upstreams were sent. */
+	#lookedAt = -Infinity;
+	#looking: Promise<void> | undefined;
+
+	constructor(options: PoolOwnerOptions, upstreams: readonly UpstreamDescription[]) {
+		this.#options = options;
+		this.#fence = options.knownFence + firstFenceStep;
+		this.#scheduler = new PoolScheduler({
+			clock: options.clock,
+			log: options.log,
+			getLinks: () => [...this.#links.values()],
+			isHeldBack: () => this.#isSettlingFence,
+			getUnseenUntil: () => this.#getUnseenUntil(),
+		});
+		this.#ready = this.#takeOver(upstreams);
+	}
+
+	/** Gets whether the pool is taken over: the fence is settled and the upstreams were looked at. */
+	isReady(): boolean {
+		return this.#isReady;
+	}
+
+	/** Gets the fence of this owner's orders. */
+	getFence(): number {
+		return this.#fence;
+	}
+
+	/** Gets the pool. */
+	getPool(): string {
+		return this.#options.pool;
+	}
+
+	/** Gets the load. */
+	getLoad(): PoolLoad {
+		return this.#scheduler.getLoad();
+	}
+
+	/** Gets the number of jobs in hand. */
+	getJobCount(): number {
+		return this.#scheduler.getJobCount();
+	}
+
+	/** Gets the state of each upstream for the status page and metrics. */
+	getUpstreams(): ReadonlyArray<{readonly id: string; readonly isSilent: boolean; readonly isLeaving: boolean; readonly freeCpu: number; readonly slowness: number}> {
+		return [...this.#links.values()].map(link => ({
+			id: link.description.id, isSilent: link.isSilent(), isLeaving: link.description.isLeaving, freeCpu: link.getFree().cpu, slowness: link.slowness,
+		}));
+	}
+
+	/**
+	 * Takes a job.
+	 * @param submitted - Job.
+	 * @param signal - Aborts when nobody waits any more.
+	 */
+	async submit(submitted: SubmittedJob, signal?: AbortSignal): Promise<PoolJobOutcome> {
+		const receivedAt = this.#options.clock.getMonotonicTime();
+		if (!this.#isReady) {
+			await this.#ready;
+		}
+
+		if (submitted.priorFence > 0 && !this.#isClosed) {
+			await this.#lookBehind(submitted.priorFence, receivedAt);
+		}
+
+		if (this.#isClosed) {
+			return {kind: 'moved'};
+		}
+
+		const waitedMs = this.#options.clock.getMonotonicTime() - receivedAt;
+		return this.#scheduler.submit(
+			waitedMs > 0 ? {...submitted, ageMs: submitted.ageMs + waitedMs, remainingMs: submitted.remainingMs - waitedMs} : submitted,
+			signal,
+		);
+	}
+
+	/** Gets above the fence that an upstream has seen; for the elected owner only. */
+	async raiseFence(atLeast = 0): Promise<void> {
+		const refused = this.#fence;
+		const stored = await this.#options.getStoredFence();
+		this.#fenceStep *= 2;
+		this.#fence = Math.max(stored ?? 0, atLeast, this.#fence + this.#fenceStep);
+		this.#options.log.warn({
+			pool: this.#options.pool, refused, fence: this.#fence, isStored: stored !== undefined,
+		}, 'fence raised');
+	}
+
+	/**
+	 * Sets the upstreams of the pool.
+	 * @param upstreams - Upstreams that the list names now.
+	 */
+	setUpstreams(upstreams: readonly UpstreamDescription[]): void {
+		const now = this.#options.clock.getMonotonicTime();
+		for (const upstream of upstreams) {
+			this.#setUpstream(upstream);
+		}
+
+		const listed = new Set(upstreams.map(({id}) => id));
+		for (const [id, link] of this.#links) {
+			if (listed.has(id)) {
+				this.#unlistedSince.delete(id);
+				continue;
+			}
+
+			const since = this.#unlistedSince.get(id) ?? now;
+			this.#unlistedSince.set(id, since);
+			if (now - since > unlistedMs && (link.isIdle() || link.isSilent())) {
+				this.#removeLink(id, link);
+			}
+		}
+
+		this.#scheduler.schedule();
+	}
+
+	/**
+	 * Ends the ownership; what runs is left to the next owner or to its lease.
+	 * @param outcome - What those who wait for jobs are told.
+	 */
+	close(outcome: PoolJobOutcome): void {
+		if (this.#isClosed) {
+			return;
+		}
+
+		this.#isClosed = true;
+		this.#options.log.warn({pool: this.#options.pool, fence: this.#fence, jobs: this.#scheduler.getJobCount()}, 'pool given up');
+		this.#scheduler.close(outcome);
+		for (const link of this.#links.values()) {
+			link.close();
+		}
+	}
+
+	async #takeOver(upstreams: readonly UpstreamDescription[]): Promise<void> {
+		const {clock, log, pool, getStoredFence, knownFence} = this.#options;
+		const stored = await getStoredFence();
+		this.#fence = Math.max(stored ?? 0, knownFence + firstFenceStep);
+		log.warn({
+			pool, fence: this.#fence, isStored: stored !== undefined, upstreams: upstreams.length,
+		}, 'pool taken over');
+		for (const upstream of upstreams) {
+			this.#setUpstream(upstream);
+		}
+
+		await this.#lookAtAll();
+		this.#isReady = true;
+	}
+
+	/** Gets until when runs of an earlier owner may go on where the last looks were not answered. */
+	#getUnseenUntil(): number {
+		const {clock, maxLeaseMs} = this.#options;
+		const isAllSeen = [...this.#links.values()].every(link => link.getSeenAt() >= this.#lookedAt);
+		// The takeover's time covers the earlier owner's last order and a slow clock.
+		return isAllSeen ? 0 : clock.getMonotonicTime() + maxLeaseMs + takeoverMs;
+	}
+
+	#setUpstream(upstream: UpstreamDescription): void {
+		const existing = this.#links.get(upstream.id);
+		if (existing?.description.address === upstream.address) {
+			const wasLeaving = existing.description.isLeaving;
+			// The life is known best from the upstream's own answers.
+			existing.description = {...upstream, bornMs: existing.description.bornMs};
+			if (upstream.isLeaving && !wasLeaving) {
+				this.#options.log.info({upstream: upstream.id, pool: this.#options.pool}, 'upstream leaving');
+			}
+
+			return;
+		}
+
+		if (existing !== undefined) {
+			this.#removeLink(upstream.id, existing);
+		}
+
+		this.#addLink(upstream);
+	}
+
+	#addLink(upstream: UpstreamDescription): void {
+		const {clock, orders, log, pool} = this.#options;
+		const link = new UpstreamLink(upstream, {
+			clock,
+			orders,
+			getFence: () => this.#fence,
+			events: {
+				onRunEnded: (from, run, end) => {
+					this.#scheduler.handleRunEnded(from, run, end);
+				},
+				onRunRefused: (from, run, reason) => {
+					this.#scheduler.handleRunRefused(from, run, reason);
+				},
+				onChange: () => {
+					this.#scheduler.schedule();
+				},
+				onFenced: from => {
+					void this.#handleFenced(from);
+				},
+				onUnclaimed(from, {task, number}) {
+					log.info({
+						task, run: number, upstream: from.description.id, pool,
+					}, 'unclaimed run stopped');
+				},
+				onSilence(from, isSilent) {
+					log.info({upstream: from.description.id, pool, silentMs: Math.round(from.getSilentMs())}, isSilent ? 'upstream silent' : 'upstream answers');
+				},
+			},
+		});
+		this.#links.set(upstream.id, link);
+		log.info({upstream: upstream.id, address: upstream.address, pool}, 'upstream added');
+		void link.follow();
+	}
+
+	#removeLink(id: string, link: UpstreamLink): void {
+		this.#links.delete(id);
+		this.#unlistedSince.delete(id);
+		this.#options.log.info({upstream: id, pool: this.#options.pool}, 'upstream removed');
+		link.endRuns();
+		link.close();
+	}
+
+	/** Waits for the heartbeats that tell of a newer owner before it lets the refusal be settled. */
+	async #handleFenced(link: UpstreamLink): Promise<void> {
+		if (this.#isSettlingFence || this.#isClosed) {
+			return;
+		}
+
+		this.#isSettlingFence = true;
+		this.#options.log.info({pool: this.#options.pool, upstream: link.description.id, fence: this.#fence}, 'fence refused');
+		await sleep(this.#options.clock, fenceDoubtMs);
+		if (!this.#isClosed) {
+			await this.#options.onFenced();
+		}
+
+		this.#isSettlingFence = false;
+		this.#scheduler.schedule();
+	}
+
+	/**
+	 * Looks at all upstreams with a fence above an earlier owner's, so that all of its runs are listed and none of its orders is
+	 * carried out afterwards. Jobs that come at the same time share the looks.
+	 */
+	async #lookBehind(priorFence: number, since: number): Promise<void> {
+		if (this.#fence <= priorFence) {
+			await this.raiseFence(priorFence + firstFenceStep);
+			await this.#lookAtAll();
+		}
+
+		while (this.#lookedAt < since && !this.#isClosed) {
+			await this.#lookAtAll();
+		}
+	}
+
+	async #lookAtAll(): Promise<void> {
+		this.#looking ??= (async () => {
+			const startedAt = this.#options.clock.getMonotonicTime();
+			const looks = [...this.#links.values()].map(async link => link.refresh());
+			await Promise.race([Promise.allSettled(looks), sleep(this.#options.clock, takeoverMs)]);
+			this.#lookedAt = startedAt;
+			this.#looking = undefined;
+		})();
+		await this.#looking;
+	}
+}
--- /dev/null
+++ b/src/pool/pool-scheduler.ts
@@ -0,0 +1,566 @@
+/**
+ * The queue of one pool: which jobs are taken, where and when their tasks start, and what becomes of them.
+ */
+import {type Clock, type Timer} from '../seams/index.js';
+import {type AdmissionDecision, decideAdmission} from './admission.js';
+import {type DecisionLog} from './decision-log.js';
+import {DurationEstimator} from './duration-estimator.js';
+import {OfferedLoad} from './offered-load.js';
+import {isOverdue} from './overdue.js';
+import {chooseUpstream, fits, type PlacementCandidate} from './placement.js';
+import {
+	getStepWork, type PoolJobOutcome, type RefusalReason, type SubmittedJob,
+} from './pool-job.js';
+import {sortByUrgency} from './queue-order.js';
+import {type JobTask, QueuedJob} from './queued-job.js';
+import {type LinkedRun, type UpstreamLink} from './upstream-link.js';
+import {type OrderRefusal, type RunEnd} from './upstream-orders.js';
+
+/** Options of {@link PoolScheduler}. */
+export type PoolSchedulerOptions = {
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	/** Gets the links to the pool's upstreams. */
+	readonly getLinks: () => readonly UpstreamLink[];
+	/** Gets whether starts are held back, because the pool may have another owner. */
+	readonly isHeldBack: () => boolean;
+	/** Gets the monotonic time until which runs of an earlier owner may go on where they are not seen. */
+	readonly getUnseenUntil: () => number;
+};
+
+/** Load of a pool as its owner tells it. */
+export type PoolLoad = {
+	readonly cores: number;
+	readonly freeCpu: number;
+	/** Core-milliseconds of queued work. */
+	readonly queuedWork: number;
+};
+
+/** Time between looks for overdue runs and hopeless jobs, in milliseconds: a fraction of the shortest task. */
+const sweepMs = 10;
+
+/** Share of the objective after which a job that waits is judged once more: soon enough for its caller to go elsewhere. */
+const secondLookShare = 0.18;
+
+/** Failed runs in a row after which an upstream is a last resort, and after which it gets no tasks for a while. */
+const doubtfulFailures = 1;
+const ejectingFailures = 2;
+
+/** Time for which an upstream that fails or stalls gets no tasks, in milliseconds; doubled with each further failure. */
+const ejectionMs = 500;
+const maxEjectionMs = 4000;
+
+/** Slowness from which an upstream is a last resort; usual upstreams are between 0.8 and 1.3. */
+const doubtfulSlowness = 2;
+
+/** Weight of a new observation in an upstream's slowness. */
+const slownessWeight = 0.2;
+
+/** Time of a task until something is known of a pool, in milliseconds. */
+const initialTaskMs = 200;
+
+/** Runs the queue of one pool. */
+export class PoolScheduler {
+	readonly #options: PoolSchedulerOptions;
+	readonly #estimator = new DurationEstimator();
+	readonly #offered = new OfferedLoad();
+	readonly #jobs = new Map<string, QueuedJob>();
+	readonly #tasksByName = new Map<string, {readonly job: QueuedJob; readonly task: JobTask}>();
+	readonly #sweep: Timer;
+	#isScheduled = false;
+	#isClosed = false;
+
+	constructor(options: PoolSchedulerOptions) {
+		this.#options = options;
+		this.#sweep = options.clock.setRepeatingTimer(() => {
+			this.#sweepJobs();
+		}, sweepMs);
+	}
+
+	/** Gets the load. */
+	getLoad(): PoolLoad {
+		let cores = 0;
+		let freeCpu = 0;
+		for (const link of this.#options.getLinks()) {
+			if (link.isOpen()) {
+				cores += link.description.capacity.cpu / 1000;
+				freeCpu += Math.max(0, link.getFree().cpu);
+			}
+		}
+
+		let queuedWork = 0;
+		for (const job of this.#jobs.values()) {
+			queuedWork += job.isEnding ? 0 : job.remainingWork;
+		}
+
+		return {cores, freeCpu, queuedWork};
+	}
+
+	/** Gets the number of jobs in hand. */
+	getJobCount(): number {
+		return this.#jobs.size;
+	}
+
+	/**
+	 * Takes a job or refuses it; a copy of a job in hand joins it.
+	 * @param submitted - Job.
+	 * @param signal - Aborts when nobody waits any more; the job is then given up.
+	 */
+	async submit(submitted: SubmittedJob, signal?: AbortSignal): Promise<PoolJobOutcome> {
+		const existing = this.#jobs.get(submitted.id);
+		if (existing !== undefined) {
+			return this.#join(existing, signal);
+		}
+
+		const job = new QueuedJob(submitted, this.#options.clock.getMonotonicTime(), this.#estimator);
+		if (submitted.priorFence > 0) {
+			this.#adoptRuns(job);
+		}
+
+		const decision = this.#decide(job);
+		this.#options.log.info({
+			job: job.req.id,
+			route: job.req.rules.route,
+			tasks: job.tasks.length,
+			ageMs: Math.round(submitted.ageMs),
+			priorFence: submitted.priorFence,
+			adopted: job.tasks.filter(({run}) => run !== undefined).length,
+			...decision,
+		}, decision.isAdmitted ? 'job admitted' : 'job refused');
+		if (!decision.isAdmitted) {
+			return {kind: 'refused', reason: decision.reason, retryAfterMs: decision.retryAfterMs};
+		}
+
+		this.#jobs.set(job.req.id, job);
+		this.#offered.addWork(job.priority, job.remainingWork, this.#options.clock.getMonotonicTime());
+		for (const task of job.tasks) {
+			this.#tasksByName.set(task.name, {job, task});
+		}
+
+		if (job.isDone()) {
+			this.#settle(job, {kind: 'completed'});
+			return {kind: 'completed'};
+		}
+
+		const outcome = this.#join(job, signal);
+		this.schedule();
+		return outcome;
+	}
+
+	/** Starts what has room, at the end of this turn. */
+	schedule(): void {
+		if (this.#isScheduled || this.#isClosed) {
+			return;
+		}
+
+		this.#isScheduled = true;
+		queueMicrotask(() => {
+			this.#isScheduled = false;
+			if (!this.#isClosed && !this.#options.isHeldBack()) {
+				this.#startTasks();
+			}
+		});
+	}
+
+	/**
+	 * Takes the end of a run.
+	 * @param link - Where it ran.
+	 * @param run - Run.
+	 * @param end - How it ended.
+	 */
+	handleRunEnded(link: UpstreamLink, run: LinkedRun, end: RunEnd): void {
+		const found = this.#tasksByName.get(run.task);
+		if (found?.task.run !== run) {
+			this.schedule();
+			return;
+		}
+
+		const {job, task} = found;
+		task.run = undefined;
+		task.link = undefined;
+		if (end === 'done') {
+			this.#observe(link, job, task, run);
+			task.status = 'done';
+		} else {
+			task.status = 'waiting';
+			this.#handleUndone(job, task, link, end);
+		}
+
+		this.#advance(job);
+		this.schedule();
+	}
+
+	/**
+	 * Takes the refusal of a start.
+	 * @param link - Where it was refused.
+	 * @param run - Run.
+	 * @param reason - Why.
+	 */
+	handleRunRefused(link: UpstreamLink, run: LinkedRun, reason: OrderRefusal): void {
+		const found = this.#tasksByName.get(run.task);
+		this.#options.log.info({
+			task: run.task, run: run.number, upstream: link.description.id, reason,
+		}, 'start refused');
+		if (reason === 'unhealthy') {
+			this.#addFailure(link);
+		}
+
+		if (found?.task.run === run) {
+			found.task.run = undefined;
+			found.task.link = undefined;
+			found.task.status = 'waiting';
+			this.#advance(found.job);
+		}
+
+		this.schedule();
+	}
+
+	/**
+	 * Gives up all jobs, because another entry VM owns the pool now or this one ends.
+	 * @param outcome - What those who wait are told.
+	 */
+	close(outcome: PoolJobOutcome): void {
+		this.#isClosed = true;
+		this.#sweep.close();
+		for (const job of this.#jobs.values()) {
+			job.settle(outcome);
+		}
+
+		this.#jobs.clear();
+		this.#tasksByName.clear();
+	}
+
+	async #join(job: QueuedJob, signal: AbortSignal | undefined): Promise<PoolJobOutcome> {
+		if (job.isEnding) {
+			return {kind: 'interrupted', reason: 'the job is being stopped'};
+		}
+
+		return new Promise(resolve => {
+			const listener = (outcome: PoolJobOutcome): void => {
+				signal?.removeEventListener('abort', leave);
+				resolve(outcome);
+			};
+
+			const leave = (): void => {
+				job.listeners.delete(listener);
+				resolve({kind: 'interrupted', reason: 'nobody waits for the job'});
+				if (job.listeners.size === 0) {
+					this.#giveUp(job, 'nobody waits for the job');
+				}
+			};
+
+			job.listeners.add(listener);
+			if (signal?.aborted) {
+				leave();
+			} else {
+				signal?.addEventListener('abort', leave, {once: true});
+			}
+		});
+	}
+
+	/** Finds the runs and ends that an earlier owner left. */
+	#adoptRuns(job: QueuedJob): void {
+		for (const task of job.tasks) {
+			for (const link of this.#options.getLinks()) {
+				const end = link.getRecentEnd(task.name);
+				if (end !== undefined) {
+					task.lastRun = Math.max(task.lastRun, end.number);
+					task.status = end.end === 'done' ? 'done' : task.status;
+				}
+
+				const run = link.adopt(task.name, job.getStep(task).needs, job.req.spec);
+				if (run !== undefined) {
+					task.lastRun = Math.max(task.lastRun, run.number);
+					task.status = 'placed';
+					task.run = run;
+					task.link = link;
+				}
+			}
+		}
+
+		// The earlier owner may have started tasks, so that the job cannot be refused as one that has not run.
+		job.hasStarted = true;
+
+		job.heldUntil = this.#options.getUnseenUntil();
+	}
+
+	#decide(job: QueuedJob): AdmissionDecision {
+		const now = this.#options.clock.getMonotonicTime();
+		if (job.hasStarted) {
+			return {isAdmitted: true, expectedWaitMs: 0};
+		}
+
+		const {cores} = this.getLoad();
+		const largest = job.req.steps.map(({needs}) => needs).toSorted((a, b) => b.cpu - a.cpu)[0]!;
+		const open = this.#options.getLinks().filter(link => link.isOpen());
+		return decideAdmission({
+			fittingUpstreams: open.filter(({description}) => fits(largest, description.capacity)).length,
+			workAhead: this.#getWorkAhead(job, now),
+			work: job.req.steps.reduce((sum, step) => sum + getStepWork(step), 0),
+			cores,
+			coresAbove: this.#offered.getCoresAbove(job.priority, now),
+			hasRoomNow: this.#hasRoom(job, open),
+			chainMs: job.chainMs,
+			objectiveMs: job.objectiveAt - now,
+			deadlineMs: job.deadlineAt - now,
+			nextEndMs: this.#getNextEndMs(now),
+		});
+	}
+
+	/** Gets the queued work that comes before a job, and half of that which may come in between. */
+	#getWorkAhead(job: QueuedJob, now: number): number {
+		const others = [...this.#jobs.values()].filter(other => !other.isEnding && other.remainingWork > 0);
+		let work = 0;
+		for (const other of sortByUrgency([...others, job], now)) {
+			if (other === job) {
+				break;
+			}
+
+			work += other.remainingWork;
+		}
+
+		return work;
+	}
+
+	#hasRoom(job: QueuedJob, open: readonly UpstreamLink[]): boolean {
+		const isQueueEmpty = [...this.#jobs.values()].every(other => other.isEnding || other.remainingWork === 0);
+		if (!isQueueEmpty) {
+			return false;
+		}
+
+		const free = open.map(link => ({...link.getFree()}));
+		return job.getReadyTasks().every(task => {
+			const {needs} = job.getStep(task);
+			const room = free.find(candidate => fits(needs, candidate));
+			if (room !== undefined) {
+				room.cpu -= needs.cpu;
+				room.memoryMb -= needs.memoryMb;
+				room.accelerators -= needs.accelerators;
+			}
+
+			return room !== undefined;
+		});
+	}
+
+	/** Gets the expected time until a running task ends. */
+	#getNextEndMs(now: number): number {
+		let nearest = initialTaskMs;
+		for (const {job, task} of this.#tasksByName.values()) {
+			if (task.run !== undefined) {
+				nearest = Math.min(nearest, Math.max(0, task.run.startedAt + job.getExpectedMs(task) - now));
+			}
+		}
+
+		return nearest;
+	}
+
+	#startTasks(): void {
+		const now = this.#options.clock.getMonotonicTime();
+		const waiting = [...this.#jobs.values()].filter(job => !job.isEnding && job.heldUntil <= now && job.remainingWork > 0);
+		if (waiting.length === 0) {
+			return;
+		}
+
+		const candidates = this.#getCandidates();
+		for (const job of sortByUrgency(waiting, now)) {
+			for (const task of job.getReadyTasks()) {
+				if (!this.#place(job, task, candidates)) {
+					// Tasks of a step are alike: where one has no room the others have none.
+					break;
+				}
+			}
+		}
+	}
+
+	#getCandidates(): Map<UpstreamLink, PlacementCandidate> {
+		const open = this.#options.getLinks().filter(link => link.isOpen());
+		return new Map(open.map(link => [link, toCandidate(link)]));
+	}
+
+	#place(job: QueuedJob, task: JobTask, candidates: Map<UpstreamLink, PlacementCandidate>): boolean {
+		const step = job.getStep(task);
+		const placed = step.maxPerUpstream === undefined ? undefined : job.getPlacedCounts(task.stepPosition);
+		const all = [...candidates.values()].filter(({id}) => !task.avoided.has(id));
+		const chosen = chooseUpstream(step, all.length > 0 ? all : [...candidates.values()], placed);
+		if (chosen === undefined) {
+			return false;
+		}
+
+		const link = [...candidates.keys()].find(({description}) => description.id === chosen.id)!;
+		task.lastRun++;
+		task.status = 'placed';
+		task.link = link;
+		job.hasStarted = true;
+		task.run = link.start({
+			task: task.name, number: task.lastRun, needs: step.needs, spec: job.req.spec,
+		});
+		this.#options.log.debug({
+			task: task.name, run: task.lastRun, upstream: chosen.id, freeCpu: chosen.free.cpu, waitedMs: Math.round(task.run.startedAt - job.arrivedAt),
+		}, 'task placed');
+		candidates.set(link, toCandidate(link));
+		return true;
+	}
+
+	#observe(link: UpstreamLink, job: QueuedJob, task: JobTask, run: LinkedRun): void {
+		const measuredMs = this.#options.clock.getMonotonicTime() - run.startedAt;
+		const {estimateMs} = job.getStep(task);
+		const expectedMs = Math.max(1, job.getExpectedMs(task));
+		this.#estimator.addDuration(job.req.rules.route, estimateMs, measuredMs);
+		const compared = job.longestRunMs > 0 ? job.longestRunMs : expectedMs;
+		link.slowness += ((Math.min(5, measuredMs / compared) - link.slowness) * slownessWeight);
+		link.failureStreak = 0;
+		job.longestRunMs = Math.max(job.longestRunMs, measuredMs);
+	}
+
+	#handleUndone(job: QueuedJob, task: JobTask, link: UpstreamLink, end: RunEnd): void {
+		if (end === 'failed') {
+			task.failures++;
+			task.avoided.add(link.description.id);
+			this.#addFailure(link);
+		}
+
+		if (!job.isEnding) {
+			this.#options.log.info({
+				job: job.req.id, task: task.name, upstream: link.description.id, end, failures: task.failures,
+			}, 'run ended without success');
+		}
+	}
+
+	#addFailure(link: UpstreamLink): void {
+		link.failureStreak++;
+		if (link.failureStreak >= ejectingFailures) {
+			const pauseMs = Math.min(maxEjectionMs, ejectionMs * (2 ** (link.failureStreak - ejectingFailures)));
+			link.pausedUntil = this.#options.clock.getMonotonicTime() + pauseMs;
+			this.#options.log.info({upstream: link.description.id, failures: link.failureStreak, pauseMs}, 'upstream ejected');
+		}
+	}
+
+	/** Ends a job that is done, has failed or is given up and has no runs left. */
+	#advance(job: QueuedJob): void {
+		if (job.isEnding) {
+			if (!job.hasRuns()) {
+				this.#remove(job);
+			}
+
+			return;
+		}
+
+		if (job.isDone()) {
+			this.#settle(job, {kind: 'completed'});
+			return;
+		}
+
+		if (job.tasks.some(({failures}) => failures >= job.req.rules.maxAttempts)) {
+			this.#options.log.info({job: job.req.id, route: job.req.rules.route}, 'job failed');
+			job.settle({kind: 'failed'});
+			this.#giveUp(job, 'a task failed too often');
+		}
+	}
+
+	#settle(job: QueuedJob, outcome: PoolJobOutcome): void {
+		this.#remove(job);
+		this.#options.log.info({
+			job: job.req.id, outcome: outcome.kind, totalMs: Math.round(this.#options.clock.getMonotonicTime() - job.arrivedAt),
+		}, 'job ended');
+		job.settle(outcome);
+	}
+
+	#remove(job: QueuedJob): void {
+		this.#jobs.delete(job.req.id);
+		for (const {name} of job.tasks) {
+			this.#tasksByName.delete(name);
+		}
+	}
+
+	#giveUp(job: QueuedJob, reason: string): void {
+		if (job.isEnding || this.#isClosed) {
+			return;
+		}
+
+		job.isEnding = true;
+		this.#options.log.info({job: job.req.id, reason}, 'job given up');
+		for (const {link, run} of job.tasks) {
+			if (link !== undefined && run !== undefined) {
+				link.stop(run);
+			}
+		}
+
+		this.#advance(job);
+		this.schedule();
+	}
+
+	/** Stops overdue runs to start them elsewhere, and refuses jobs that have not begun and cannot be in time any more. */
+	#sweepJobs(): void {
+		const now = this.#options.clock.getMonotonicTime();
+		for (const job of this.#jobs.values()) {
+			if (job.isEnding) {
+				continue;
+			}
+
+			if (!job.hasStarted && this.#isHopeless(job, now)) {
+				continue;
+			}
+
+			this.#stopOverdueRuns(job, now);
+		}
+
+		this.schedule();
+	}
+
+	/**
+	 * Refuses a job that cannot be in time. Early on, the queue is judged once more by what has come since; later the job keeps
+	 * its place as long as its deadline can be met.
+	 */
+	#isHopeless(job: QueuedJob, now: number): boolean {
+		if (now + job.chainMs > job.deadlineAt) {
+			this.#refuse(job, 'deadline');
+			return true;
+		}
+
+		if (job.isSettled || now - job.arrivedAt < (job.objectiveAt - job.arrivedAt) * secondLookShare) {
+			return false;
+		}
+
+		job.isSettled = true;
+		const decision = this.#decide(job);
+		if (!decision.isAdmitted) {
+			this.#refuse(job, decision.reason);
+		}
+
+		return !decision.isAdmitted;
+	}
+
+	#stopOverdueRuns(job: QueuedJob, now: number): void {
+		for (const task of job.tasks) {
+			const {link, run} = task;
+			if (link === undefined || run === undefined || run.isUnwanted || run.state !== 'running' || link.isSilent()) {
+				continue;
+			}
+
+			const age = {ageMs: now - run.startedAt, expectedMs: job.getExpectedMs(task), siblingMs: job.longestRunMs};
+			if (isOverdue(age)) {
+				this.#options.log.info({task: task.name, upstream: link.description.id, ...age}, 'run overdue');
+				task.avoided.add(link.description.id);
+				this.#addFailure(link);
+				link.stop(run);
+			}
+		}
+	}
+
+	#refuse(job: QueuedJob, reason: RefusalReason): void {
+		const {queuedWork, cores} = this.getLoad();
+		this.#options.log.info({
+			job: job.req.id, reason, queuedWork: Math.round(queuedWork), cores,
+		}, 'queued job refused');
+		this.#remove(job);
+		job.settle({kind: 'refused', reason, retryAfterMs: Math.max(1000, queuedWork / Math.max(1, cores))});
+	}
+}
+
+function toCandidate(link: UpstreamLink): PlacementCandidate {
+	const {id, rack, labels} = link.description;
+	return {
+		id, rack, labels, free: link.getFree(), slowness: link.slowness,
+		isDoubtful: link.failureStreak >= doubtfulFailures || link.slowness >= doubtfulSlowness,
+	};
+}
--- /dev/null
+++ b/src/pool/queued-job.ts
@@ -0,0 +1,163 @@
+/**
+ * A job in the hands of a pool's owner.
+ */
+import {type DurationEstimator} from './duration-estimator.js';
+import {
+	getChainMs, type JobStep, type PoolJobOutcome, type PoolJobRequest, type SubmittedJob,
+} from './pool-job.js';
+import {type OrderedJob} from './queue-order.js';
+import {type LinkedRun, type UpstreamLink} from './upstream-link.js';
+
+/** One task of a job. */
+export type JobTask = {
+	readonly name: string;
+	readonly stepPosition: number;
+	status: 'waiting' | 'placed' | 'done';
+	/** Number of the last start, 0 for none. */
+	lastRun: number;
+	failures: number;
+	link: UpstreamLink | undefined;
+	run: LinkedRun | undefined;
+	/** Upstreams on which a run failed or took too long. */
+	readonly avoided: Set<string>;
+};
+
+/** Waits for the outcome of a job. */
+export type JobListener = (outcome: PoolJobOutcome) => void;
+
+/** State of one job. */
+export class QueuedJob implements OrderedJob {
+	readonly req: PoolJobRequest;
+	readonly arrivedAt: number;
+	readonly deadlineAt: number;
+	readonly tasks: readonly JobTask[];
+	readonly listeners = new Set<JobListener>();
+	hasStarted = false;
+	/** Whether the job is given up; its tasks are being stopped. */
+	isEnding = false;
+	/** Whether the job was judged a second time and keeps its place. */
+	isSettled = false;
+	/** Set while it is not known whether an earlier owner's runs go on. */
+	heldUntil = 0;
+	/** Longest time that a task of the job took, in milliseconds; 0 for none yet. */
+	longestRunMs = 0;
+	readonly #estimator: DurationEstimator;
+
+	/**
+	 * @param submitted - Job as it came in.
+	 * @param now - Monotonic time.
+	 * @param estimator - Learnt durations.
+	 */
+	constructor(submitted: SubmittedJob, now: number, estimator: DurationEstimator) {
+		this.req = submitted;
+		this.arrivedAt = now - submitted.ageMs;
+		this.deadlineAt = now + submitted.remainingMs;
+		this.#estimator = estimator;
+		this.tasks = submitted.steps.flatMap((step, stepPosition) => Array.from({length: step.taskCount}, (_, index) => createTask(submitted.id, stepPosition, index)));
+	}
+
+	get priority(): number {
+		return this.req.rules.priority;
+	}
+
+	get chainMs(): number {
+		return this.#estimator.getExpectedMs(this.req.rules.route, getChainMs(this.req.steps));
+	}
+
+	get objectiveAt(): number {
+		const {stretch, slackMs} = this.req.rules;
+		return this.arrivedAt + (stretch * this.chainMs) + slackMs;
+	}
+
+	get remainingMs(): number {
+		return this.chainMs;
+	}
+
+	/** Core-milliseconds of the tasks that have not been started. */
+	get remainingWork(): number {
+		let work = 0;
+		for (const task of this.tasks) {
+			if (task.status === 'waiting') {
+				work += this.getTaskWork(task);
+			}
+		}
+
+		return work;
+	}
+
+	/**
+	 * Gets the step of a task.
+	 * @param task - Task of this job.
+	 */
+	getStep({stepPosition}: JobTask): JobStep {
+		return this.req.steps[stepPosition]!;
+	}
+
+	/**
+	 * Gets the expected duration of a task in milliseconds.
+	 * @param task - Task of this job.
+	 */
+	getExpectedMs(task: JobTask): number {
+		return this.#estimator.getExpectedMs(this.req.rules.route, this.getStep(task).estimateMs);
+	}
+
+	/**
+	 * Gets the core-milliseconds of a task.
+	 * @param task - Task of this job.
+	 */
+	getTaskWork(task: JobTask): number {
+		return this.getStep(task).needs.cpu / 1000 * this.getExpectedMs(task);
+	}
+
+	/** Gets the tasks that may start: those waiting whose earlier steps are done. */
+	getReadyTasks(): readonly JobTask[] {
+		return this.tasks.filter(task => task.status === 'waiting' && this.#isReady(this.getStep(task)));
+	}
+
+	/** Gets whether any task has a run. */
+	hasRuns(): boolean {
+		return this.tasks.some(({run}) => run !== undefined);
+	}
+
+	/** Gets whether all tasks are done. */
+	isDone(): boolean {
+		return this.tasks.every(({status}) => status === 'done');
+	}
+
+	/**
+	 * Counts the running tasks of a step by upstream.
+	 * @param stepPosition - Step.
+	 */
+	getPlacedCounts(stepPosition: number): ReadonlyMap<string, number> {
+		const counts = new Map<string, number>();
+		for (const {link, stepPosition: position} of this.tasks) {
+			if (link !== undefined && position === stepPosition) {
+				counts.set(link.description.id, (counts.get(link.description.id) ?? 0) + 1);
+			}
+		}
+
+		return counts;
+	}
+
+	/**
+	 * Tells all who wait.
+	 * @param outcome - What became of the job.
+	 */
+	settle(outcome: PoolJobOutcome): void {
+		const listeners = [...this.listeners];
+		this.listeners.clear();
+		for (const listener of listeners) {
+			listener(outcome);
+		}
+	}
+
+	#isReady({after}: JobStep): boolean {
+		return after.every(position => this.tasks.every(task => task.stepPosition !== position || task.status === 'done'));
+	}
+}
+
+function createTask(id: string, stepPosition: number, index: number): JobTask {
+	return {
+		name: `${id}.0.${stepPosition}.${index}`, stepPosition, status: 'waiting', lastRun: 0, failures: 0, link: undefined, run: undefined, avoided: new Set(),
+	};
+}
--- /dev/null
+++ b/src/pool/upstream-link.ts
@@ -0,0 +1,568 @@
+/**
+ * One owner's link to one upstream: the room that is taken, the lease of what runs, and whether the upstream is alive.
+ */
+import {type Clock, sleep, type Timer} from '../seams/index.js';
+import {type TaskNeeds} from './pool-job.js';
+import {
+	type ListedEnd, type LookOutcome, type OrderOutcome, type OrderRefusal, type Run, type RunEnd, type UpstreamDescription, type UpstreamOrders,
+} from './upstream-orders.js';
+
+/** Time limits of {@link UpstreamLink}, in milliseconds. */
+export type UpstreamLinkTiming = {
+	/** Lease of what runs; below the platform's longest lease of 1 s, so that no clock error shortens it. */
+	readonly leaseMs: number;
+	/** Longest wait of a look while tasks run: a third of the lease, so that a lost look costs no run. */
+	readonly busyWaitMs: number;
+	/** Longest wait of a look while nothing runs: half a lease, since a start brings a lease of its own. */
+	readonly idleWaitMs: number;
+	/** Time limit of an order, and of a look beyond its wait: far above the few milliseconds of an answer. */
+	readonly answerMs: number;
+	/** Time from the discovery of unknown runs until they are stopped; callers' VMs claim theirs again within it. */
+	readonly adoptionMs: number;
+};
+
+export const defaultUpstreamLinkTiming: UpstreamLinkTiming = {
+	leaseMs: 900, busyWaitMs: 300, idleWaitMs: 500, answerMs: 150, adoptionMs: 400,
+};
+
+/** Upstream clocks may be 2% slow; with the time of one answer this bounds when a lease has surely ended. */
+const clockErrorShare = 0.03;
+
+/** Sends of one start before the run is stopped: an unanswered order is sent again, since it may have been lost. */
+const maxStartSends = 3;
+
+/** Time for which a refused upstream gets no starts, in milliseconds: about one look. */
+const refusalPauseMs = 40;
+
+/** Delay between looks at an upstream that does not answer or refuses them, in milliseconds. */
+const retryMs = 100;
+
+/** What a look came to. */
+type LookResult = 'seen' | 'refused' | 'unanswered';
+
+/** What the link tells the scheduler. */
+export type UpstreamLinkEvents = {
+	/** A run of this link ended, for good. */
+	readonly onRunEnded: (link: UpstreamLink, run: LinkedRun, end: RunEnd) => void;
+	/** A run was refused and has not started. */
+	readonly onRunRefused: (link: UpstreamLink, run: LinkedRun, reason: OrderRefusal) => void;
+	/** Room or state changed. */
+	readonly onChange: (link: UpstreamLink) => void;
+	/** Another owner has a higher fence. */
+	readonly onFenced: (link: UpstreamLink) => void;
+	/** The upstream went silent, or answers again. */
+	readonly onSilence: (link: UpstreamLink, isSilent: boolean) => void;
+	/** A run that nobody claimed is stopped. */
+	readonly onUnclaimed: (link: UpstreamLink, run: Run) => void;
+};
+
+/** Options of {@link UpstreamLink}. */
+export type UpstreamLinkOptions = {
+	readonly clock: Clock;
+	readonly orders: UpstreamOrders;
+	readonly events: UpstreamLinkEvents;
+	readonly getFence: () => number;
+	readonly timing?: UpstreamLinkTiming;
+};
+
+/** A run that this link started or took over. `lost`: whether it runs is not known until the lease has ended. */
+export type LinkedRun = Run & {
+	readonly needs: TaskNeeds;
+	readonly spec: string;
+	readonly startedAt: number;
+	state: 'starting' | 'running' | 'stopping' | 'lost';
+	/** Monotonic time of the last answer that proves the run's fate to a later look. */
+	settledAt: number;
+	/** Whether the scheduler wants it to end. */
+	isUnwanted: boolean;
+};
+
+/** Follows one life of one upstream. */
+export class UpstreamLink {
+	/** Share by which tasks here take longer than expected; 1 is usual. */
+	slowness = 1;
+	/** Failed runs since the last that was done. */
+	failureStreak = 0;
+	/** Monotonic time until which no task starts here. */
+	pausedUntil = 0;
+	readonly #options: UpstreamLinkOptions;
+	readonly #timing: UpstreamLinkTiming;
+	readonly #runs = new Map<string, LinkedRun>();
+	/** Runs listed by the upstream that no job here knows, with the time they were first seen. */
+	readonly #unclaimed = new Map<string, Run & {readonly seenAt: number}>();
+	readonly #recentEnds = new Map<string, ListedEnd>();
+	readonly #closing = new AbortController();
+	#acknowledged = 0;
+	#seenAt = -Infinity;
+	#clockOffsetMs: number | undefined;
+	#clockObservedAt = 0;
+	#leaseEndsAt = 0;
+	#isSilent = true;
+	#silentSince: number;
+	#timer: Timer | undefined;
+
+	constructor(public description: UpstreamDescription, options: UpstreamLinkOptions) {
+		this.#options = options;
+		this.#timing = options.timing ?? defaultUpstreamLinkTiming;
+		this.#silentSince = options.clock.getMonotonicTime();
+	}
+
+	/** Gets what is free, by the runs known here. */
+	getFree(): TaskNeeds {
+		let {cpu, memoryMb, accelerators} = this.description.capacity;
+		for (const {needs} of this.#runs.values()) {
+			cpu -= needs.cpu;
+			memoryMb -= needs.memoryMb;
+			accelerators -= needs.accelerators;
+		}
+
+		return {cpu, memoryMb, accelerators};
+	}
+
+	/** Gets whether new tasks may start here. */
+	isOpen(): boolean {
+		return !this.#isSilent && !this.description.isLeaving && this.#clockOffsetMs !== undefined && this.#unclaimed.size === 0
+			&& this.#options.clock.getMonotonicTime() >= this.pausedUntil;
+	}
+
+	/** Gets whether the upstream does not answer. */
+	isSilent(): boolean {
+		return this.#isSilent;
+	}
+
+	/** Gets the monotonic time at which the last look that was answered was sent. */
+	getSeenAt(): number {
+		return this.#seenAt;
+	}
+
+	/** Gets the time without an answer in milliseconds. */
+	getSilentMs(): number {
+		return this.#isSilent ? this.#options.clock.getMonotonicTime() - this.#silentSince : 0;
+	}
+
+	/** Gets the runs that take room here. */
+	getRuns(): Iterable<LinkedRun> {
+		return this.#runs.values();
+	}
+
+	/** Gets whether nothing of this owner is left on the upstream. */
+	isIdle(): boolean {
+		return this.#runs.size === 0;
+	}
+
+	/** Looks at the upstream again and again until the link is closed. */
+	async follow(): Promise<void> {
+		const {clock} = this.#options;
+		while (!this.#closing.signal.aborted) {
+			let result = await this.#look(this.#getWaitMs());
+			if (result === 'unanswered') {
+				// One look may be lost, or its connection may have gone silent; a second one goes over another connection.
+				result = await this.#look(0);
+			}
+
+			if (result === 'unanswered') {
+				this.#setSilent();
+			}
+
+			if (result !== 'seen') {
+				await sleep(clock, retryMs, this.#closing.signal);
+			}
+		}
+	}
+
+	/** Looks once at once, beside the look that waits. */
+	async refresh(): Promise<void> {
+		await this.#look(0);
+	}
+
+	/**
+	 * Starts a run; its end or refusal comes as an event.
+	 * @param run - Run, with what it takes.
+	 */
+	start(run: Run & {readonly needs: TaskNeeds; readonly spec: string}): LinkedRun {
+		const now = this.#options.clock.getMonotonicTime();
+		const linked: LinkedRun = {
+			...run, startedAt: now, state: 'starting', settledAt: Infinity, isUnwanted: false,
+		};
+		this.#runs.set(run.task, linked);
+		void this.#sendStart(linked);
+		return linked;
+	}
+
+	/**
+	 * Stops a run; its end comes as an event.
+	 * @param run - Run of this link.
+	 */
+	stop(run: LinkedRun): void {
+		if (run.isUnwanted) {
+			return;
+		}
+
+		run.isUnwanted = true;
+		if (run.state === 'running') {
+			void this.#sendStop(run);
+		}
+	}
+
+	/**
+	 * Takes over a run that an earlier owner started.
+	 * @param task - Task.
+	 * @param needs - What the task takes.
+	 * @param spec - Text of the job.
+	 */
+	adopt(task: string, needs: TaskNeeds, spec: string): LinkedRun | undefined {
+		const run = this.#unclaimed.get(task);
+		if (run === undefined) {
+			return undefined;
+		}
+
+		this.#unclaimed.delete(task);
+		const linked: LinkedRun = {
+			task, number: run.number, needs, spec, startedAt: run.seenAt, state: 'running', settledAt: run.seenAt, isUnwanted: false,
+		};
+		this.#runs.set(task, linked);
+		return linked;
+	}
+
+	/**
+	 * Gets how a run of an earlier owner ended, if the upstream listed it lately.
+	 * @param task - Task.
+	 */
+	getRecentEnd(task: string): ListedEnd | undefined {
+		return this.#recentEnds.get(task);
+	}
+
+	/** Ends all runs, because the upstream is gone. */
+	endRuns(): void {
+		for (const run of this.#runs.values()) {
+			this.#finish(run, 'lapsed');
+		}
+	}
+
+	/** Ends the link; runs are left to their leases or to the next owner. */
+	close(): void {
+		this.#closing.abort();
+		this.#timer?.close();
+	}
+
+	#getWaitMs(): number {
+		if (this.#clockOffsetMs === undefined) {
+			return 0;
+		}
+
+		return this.#runs.size > 0 ? this.#timing.busyWaitMs : this.#timing.idleWaitMs;
+	}
+
+	/** Gets the lease end by the upstream's clock, and notes until when something may run by it. */
+	#extendLease(): number | undefined {
+		if (this.#clockOffsetMs === undefined) {
+			return undefined;
+		}
+
+		const now = this.#options.clock.getMonotonicTime();
+		const {leaseMs, answerMs} = this.#timing;
+		this.#leaseEndsAt = Math.max(this.#leaseEndsAt, now + (leaseMs * (1 + clockErrorShare)) + answerMs);
+		return Math.floor(now + this.#clockOffsetMs + leaseMs);
+	}
+
+	async #look(waitMs: number): Promise<LookResult> {
+		const {clock, orders, getFence} = this.#options;
+		const sentAt = clock.getMonotonicTime();
+		const outcome = await orders.look({
+			upstream: this.description,
+			fence: getFence(),
+			timeoutMs: waitMs + this.#timing.answerMs,
+			acknowledged: this.#acknowledged,
+			// A silent upstream gets no more lease, so that its runs end at a known time.
+			leaseUntilMs: this.#runs.size > 0 && !this.#isSilent ? this.#extendLease() : undefined,
+			waitMs,
+		});
+		if (this.#closing.signal.aborted) {
+			return 'seen';
+		}
+
+		const result = this.#handleLook(outcome, sentAt);
+		this.#seenAt = result === 'seen' ? Math.max(this.#seenAt, sentAt) : this.#seenAt;
+		return result;
+	}
+
+	#handleLook(outcome: LookOutcome, sentAt: number): LookResult {
+		if (outcome.kind === 'unanswered') {
+			return 'unanswered';
+		}
+
+		if (outcome.kind === 'refused') {
+			if (outcome.reason === 'fenced') {
+				this.#options.events.onFenced(this);
+			}
+
+			// Another life of the upstream, or another upstream, answers at the address.
+			return outcome.reason === 'wrong-instance' ? 'unanswered' : 'refused';
+		}
+
+		if (outcome.bornMs !== undefined && outcome.bornMs !== this.description.bornMs) {
+			this.#startNewLife(outcome.bornMs);
+		}
+
+		this.#observeClock(outcome.upstreamTimeMs);
+		this.#setHeard();
+		for (const end of outcome.ended) {
+			this.#handleListedEnd(end);
+		}
+
+		this.#handleRunningList(outcome.running, sentAt);
+		this.#options.events.onChange(this);
+		return 'seen';
+	}
+
+	/** The upstream came back under its id and holds nothing of its earlier life. */
+	#startNewLife(bornMs: number): void {
+		this.description = {...this.description, bornMs};
+		this.#acknowledged = 0;
+		this.#clockOffsetMs = undefined;
+		this.#unclaimed.clear();
+		this.#recentEnds.clear();
+		for (const run of this.#runs.values()) {
+			this.#finish(run, 'lapsed');
+		}
+	}
+
+	/** The quickest answer is nearest to the truth; it ages, since the upstream's clock may be slow. */
+	#observeClock(upstreamTimeMs: number): void {
+		const now = this.#options.clock.getMonotonicTime();
+		const agedMs = (now - this.#clockObservedAt) * clockErrorShare;
+		const offsetMs = Math.max(upstreamTimeMs - now, (this.#clockOffsetMs ?? -Infinity) - agedMs);
+		this.#clockOffsetMs = offsetMs;
+		this.#clockObservedAt = now;
+	}
+
+	#handleListedEnd(end: ListedEnd): void {
+		if (end.position <= this.#acknowledged) {
+			return;
+		}
+
+		this.#acknowledged = Math.max(this.#acknowledged, end.position);
+		const run = this.#runs.get(end.task);
+		if (run !== undefined && run.number <= end.number) {
+			this.#finish(run, end.end);
+			return;
+		}
+
+		this.#unclaimed.delete(end.task);
+		this.#recentEnds.set(end.task, end);
+		this.#options.clock.setTimer(() => {
+			if (this.#recentEnds.get(end.task) === end) {
+				this.#recentEnds.delete(end.task);
+			}
+		}, this.#timing.adoptionMs * 2);
+	}
+
+	#handleRunningList(running: readonly Run[], sentAt: number): void {
+		const listed = new Set<string>();
+		for (const run of running) {
+			listed.add(run.task);
+			this.#noteListed(run);
+		}
+
+		for (const task of this.#unclaimed.keys()) {
+			if (!listed.has(task)) {
+				this.#unclaimed.delete(task);
+			}
+		}
+
+		for (const run of this.#runs.values()) {
+			if (!listed.has(run.task) && run.settledAt < sentAt) {
+				// Neither running nor listed as ended although its order was settled before the look.
+				this.#finish(run, run.isUnwanted ? 'stopped' : 'lapsed');
+			}
+		}
+	}
+
+	#noteListed({task, number}: Run): void {
+		const now = this.#options.clock.getMonotonicTime();
+		const own = this.#runs.get(task);
+		if (own?.number === number) {
+			if (own.state === 'lost' || own.state === 'starting') {
+				own.state = 'running';
+				own.settledAt = Math.min(own.settledAt, now);
+				if (own.isUnwanted) {
+					void this.#sendStop(own);
+				}
+			}
+
+			return;
+		}
+
+		const seen = this.#unclaimed.get(task);
+		if (seen === undefined) {
+			this.#unclaimed.set(task, {task, number, seenAt: now});
+			this.#options.clock.setTimer(() => {
+				this.#stopUnclaimed(task, number);
+			}, this.#timing.adoptionMs);
+		}
+	}
+
+	#stopUnclaimed(task: string, number: number): void {
+		if (this.#unclaimed.get(task)?.number !== number || this.#closing.signal.aborted) {
+			return;
+		}
+
+		this.#options.events.onUnclaimed(this, {task, number});
+		void this.#options.orders.stopRun({...this.#getOrderOptions(), run: {task, number}});
+	}
+
+	async #sendStart(run: LinkedRun): Promise<void> {
+		const {orders} = this.#options;
+		for (let sends = 0; sends < maxStartSends && run.state === 'starting' && !run.isUnwanted; sends++) {
+			const leaseUntilMs = this.#extendLease();
+			if (leaseUntilMs === undefined) {
+				break;
+			}
+
+			const outcome = await orders.startRun({
+				...this.#getOrderOptions(), run: {task: run.task, number: run.number}, spec: run.spec, leaseUntilMs,
+			});
+			if (this.#closing.signal.aborted || this.#runs.get(run.task) !== run) {
+				return;
+			}
+
+			if (outcome.kind !== 'unanswered') {
+				this.#handleStartAnswer(run, outcome, sends);
+				return;
+			}
+
+			void this.#checkAlive();
+		}
+
+		if (run.state === 'starting') {
+			run.state = 'lost';
+			await this.#sendStop(run);
+		}
+	}
+
+	#handleStartAnswer(run: LinkedRun, outcome: Exclude<OrderOutcome, {readonly kind: 'unanswered'}>, earlierSends: number): void {
+		const now = this.#options.clock.getMonotonicTime();
+		if (outcome.kind === 'done') {
+			this.#observeClock(outcome.upstreamTimeMs);
+			run.settledAt = now;
+			if (run.state === 'starting') {
+				run.state = 'running';
+			}
+
+			if (run.isUnwanted) {
+				void this.#sendStop(run);
+			}
+
+			return;
+		}
+
+		if (outcome.reason === 'fenced') {
+			this.#options.events.onFenced(this);
+		}
+
+		if (outcome.reason === 'stale-run' && earlierSends > 0) {
+			// An earlier send may have been carried out and have ended; the list of ends tells.
+			run.state = 'lost';
+			run.settledAt = now;
+			void this.refresh();
+			return;
+		}
+
+		this.#runs.delete(run.task);
+		if (outcome.reason !== 'stale-run') {
+			this.pausedUntil = now + refusalPauseMs;
+			void this.refresh();
+		}
+
+		this.#options.events.onRunRefused(this, run, outcome.reason);
+	}
+
+	async #sendStop(run: LinkedRun): Promise<void> {
+		run.isUnwanted = true;
+		if (run.state === 'running') {
+			run.state = 'stopping';
+		}
+
+		for (let sends = 0; sends < maxStartSends && this.#runs.get(run.task) === run && !this.#closing.signal.aborted; sends++) {
+			const outcome = await this.#options.orders.stopRun({...this.#getOrderOptions(), run: {task: run.task, number: run.number}});
+			if (outcome.kind === 'done') {
+				run.settledAt = Math.min(run.settledAt, this.#options.clock.getMonotonicTime());
+				await this.refresh();
+				return;
+			}
+
+			if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
+				this.#options.events.onFenced(this);
+				return;
+			}
+		}
+
+		// The lease decides; it is extended while other tasks run here, so the stop is tried again with each look's end.
+		if (this.#runs.get(run.task) === run && !this.#closing.signal.aborted) {
+			this.#options.clock.setTimer(() => {
+				void this.#sendStop(run);
+			}, this.#timing.busyWaitMs);
+		}
+	}
+
+	async #checkAlive(): Promise<void> {
+		if (!this.#isSilent && await this.#look(0) === 'unanswered') {
+			this.#setSilent();
+		}
+	}
+
+	#setSilent(): void {
+		const {clock, events} = this.#options;
+		if (!this.#isSilent) {
+			this.#isSilent = true;
+			this.#silentSince = clock.getMonotonicTime();
+			events.onSilence(this, true);
+			events.onChange(this);
+		}
+
+		this.#timer ??= clock.setTimer(() => {
+			this.#timer = undefined;
+			this.#endLapsedRuns();
+		}, Math.max(0, this.#leaseEndsAt - clock.getMonotonicTime()));
+	}
+
+	/** Ends the runs of an upstream that has been silent until all leases ended. */
+	#endLapsedRuns(): void {
+		if (!this.#isSilent || this.#closing.signal.aborted) {
+			return;
+		}
+
+		if (this.#options.clock.getMonotonicTime() < this.#leaseEndsAt) {
+			this.#setSilent();
+			return;
+		}
+
+		for (const run of this.#runs.values()) {
+			this.#finish(run, 'lapsed');
+		}
+
+		this.#unclaimed.clear();
+		this.#options.events.onChange(this);
+	}
+
+	#setHeard(): void {
+		if (this.#isSilent) {
+			this.#options.events.onSilence(this, false);
+		}
+
+		this.#isSilent = false;
+		this.#timer?.close();
+		this.#timer = undefined;
+	}
+
+	#finish(run: LinkedRun, end: RunEnd): void {
+		if (this.#runs.get(run.task) === run) {
+			this.#runs.delete(run.task);
+			this.#options.events.onRunEnded(this, run, end);
+		}
+	}
+
+	#getOrderOptions(): {readonly upstream: UpstreamDescription; readonly fence: number; readonly timeoutMs: number} {
+		return {upstream: this.description, fence: this.#options.getFence(), timeoutMs: this.#timing.answerMs};
+	}
+}
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -10,3 +10,4 @@
 export * from './upstream-worker.js';
 export * from './peer-faults.js';
 export * from './switchable-connection.js';
+export * from './simulated-upstreams.js';
--- /dev/null
+++ b/test/pool/pool-harness.ts
@@ -0,0 +1,103 @@
+/**
+ * One pool owner with simulated upstreams on a manual clock.
+ */
+import {
+	type DecisionLog, type JobStep, PoolOwner, type PoolJobOutcome, type SubmittedJob, type UpstreamDescription,
+} from '../../src/pool/index.js';
+import {ManualClock} from '../../src/testing/manual-clock.js';
+import {type SimulatedFaults, SimulatedUpstreams, type SimulatedWork} from '../../src/testing/simulated-upstreams.js';
+
+/** Log that keeps nothing. */
+export const silentLog: DecisionLog = {
+	debug() {/* Kept nowhere. */},
+	info() {/* Kept nowhere. */},
+	warn() {/* Kept nowhere. */},
+};
+
+/** Options of {@link PoolHarness}. */
+export type PoolHarnessOptions = {
+	readonly upstreamCount?: number;
+	/** Thousandths of a core of each upstream. */
+	readonly cpu?: number;
+	readonly getWork?: (task: string) => SimulatedWork;
+};
+
+/** Work that takes 100 ms and 6.8 cores. */
+export const usualWork: SimulatedWork = {needs: {cpu: 6800, memoryMb: 64, accelerators: 0}, durationMs: 100};
+
+/** A pool under test. */
+export class PoolHarness {
+	readonly clock = new ManualClock();
+	readonly upstreams: SimulatedUpstreams;
+	readonly descriptions: readonly UpstreamDescription[];
+	readonly faults: readonly SimulatedFaults[];
+	readonly outcomes = new Map<string, PoolJobOutcome>();
+	fencedCount = 0;
+	#fence = 100;
+
+	constructor({upstreamCount = 4, cpu = 16_000, getWork = () => usualWork}: PoolHarnessOptions = {}) {
+		this.upstreams = new SimulatedUpstreams({clock: this.clock, getWork});
+		this.descriptions = Array.from({length: upstreamCount}, (_, position) => createUpstream(`u${position}`, cpu));
+		this.faults = this.descriptions.map(description => this.upstreams.addUpstream(description));
+	}
+
+	/** Creates an owner with a fence above all before. */
+	createOwner(): PoolOwner {
+		this.#fence += 10;
+		const fence = this.#fence;
+		return new PoolOwner({
+			pool: 'dc1',
+			clock: this.clock,
+			log: silentLog,
+			orders: this.upstreams,
+			getStoredFence: async () => fence,
+			onFenced: async () => {
+				this.fencedCount++;
+			},
+			knownFence: 0,
+			maxLeaseMs: 1000,
+		}, this.descriptions);
+	}
+
+	/**
+	 * Submits a job; its outcome comes into `outcomes`.
+	 * @param owner - Owner to ask.
+	 * @param id - Identifier.
+	 * @param options - What differs from a job of one usual task.
+	 * @param signal - Aborts when the caller goes.
+	 */
+	submit(owner: PoolOwner, id: string, options: Partial<SubmittedJob> & {readonly step?: Partial<JobStep>} = {}, signal?: AbortSignal): void {
+		void (async () => {
+			this.outcomes.set(id, await owner.submit(createJob(id, options), signal));
+		})();
+	}
+}
+
+/**
+ * Creates a job.
+ * @param id - Identifier.
+ * @param options - What differs from a job of one usual task.
+ */
+export function createJob(id: string, {step, ...options}: Partial<SubmittedJob> & {readonly step?: Partial<JobStep>} = {}): SubmittedJob {
+	return {
+		id,
+		spec: 'work',
+		steps: [{
+			taskCount: 1, needs: usualWork.needs, estimateMs: 100, after: [], ...step,
+		}],
+		rules: {
+			route: 'r', service: 's', priority: 0, maxAttempts: 3, stretch: 1.6, slackMs: 60,
+		},
+		ageMs: 0,
+		remainingMs: 1500,
+		priorFence: 0,
+		...options,
+	};
+}
+
+function createUpstream(id: string, cpu: number): UpstreamDescription {
+	return {
+		id, bornMs: 1, address: `${id}:1`, dataCenter: 'dc1', service: 's', rack: 'r1', labels: ['a', 'r1'], isLeaving: false,
+		capacity: {cpu, memoryMb: 32_768, accelerators: 0},
+	};
+}
--- /dev/null
+++ b/test/pool/pool-owner.test.ts
@@ -0,0 +1,182 @@
+import test from 'ava';
+import {createJob, PoolHarness, usualWork} from './pool-harness.js';
+
+test('the tasks of a job run at the same time and the job completes when all are done', async t => {
+	const harness = new PoolHarness();
+	const owner = harness.createOwner();
+	harness.submit(owner, 'a', {step: {taskCount: 8}});
+	await harness.clock.advance(150);
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
+	t.is(harness.upstreams.starts.length, 8);
+	t.true(harness.upstreams.starts.every(({startedAt}) => startedAt < 10));
+});
+
+test('an upstream is never given more than it holds', async t => {
+	const harness = new PoolHarness({upstreamCount: 1});
+	const owner = harness.createOwner();
+	for (const id of ['a', 'b', 'c']) {
+		harness.submit(owner, id, {step: {taskCount: 2}, rules: {...createJob(id).rules, slackMs: 1000}});
+	}
+
+	await harness.clock.advance(1000);
+	t.is(harness.upstreams.starts.length, 6);
+	t.deepEqual([...harness.outcomes.values()], Array.from({length: 3}, () => ({kind: 'completed'})));
+});
+
+test('a step starts only after the steps before it', async t => {
+	const harness = new PoolHarness();
+	const owner = harness.createOwner();
+	const step = {needs: usualWork.needs, estimateMs: 100, taskCount: 2};
+	harness.submit(owner, 'a', {steps: [{...step, after: []}, {...step, after: [0]}]});
+	await harness.clock.advance(300);
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
+	const ends = harness.upstreams.starts.filter(({task}) => task.startsWith('a.0.0')).map(({endedAt}) => endedAt!);
+	t.true(harness.upstreams.starts.filter(({task}) => task.startsWith('a.0.1')).every(({startedAt}) => startedAt >= Math.max(...ends)));
+});
+
+test('a copy of a job in hand joins it and starts nothing', async t => {
+	const harness = new PoolHarness();
+	const owner = harness.createOwner();
+	harness.submit(owner, 'a');
+	await harness.clock.advance(20);
+	const copy = owner.submit(createJob('a'));
+	await harness.clock.advance(200);
+	t.deepEqual(await copy, {kind: 'completed'});
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
+	t.is(harness.upstreams.starts.length, 1);
+});
+
+test('the tasks of a job are stopped when its caller goes', async t => {
+	const harness = new PoolHarness();
+	const owner = harness.createOwner();
+	const controller = new AbortController();
+	harness.submit(owner, 'a', {step: {taskCount: 4}}, controller.signal);
+	await harness.clock.advance(20);
+	controller.abort();
+	await harness.clock.advance(20);
+	t.deepEqual(harness.upstreams.starts.map(({end}) => end), ['stopped', 'stopped', 'stopped', 'stopped']);
+	t.is(owner.getJobCount(), 0);
+});
+
+test('a failed task runs again elsewhere, and the job fails with the attempts that its route allows', async t => {
+	const harness = new PoolHarness();
+	harness.faults[0]!.isFailing = true;
+	const owner = harness.createOwner();
+	harness.submit(owner, 'a', {step: {taskCount: 2}});
+	await harness.clock.advance(400);
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
+	const hopeless = new PoolHarness({getWork: () => ({...usualWork, end: 'failed'})});
+	hopeless.submit(hopeless.createOwner(), 'b');
+	await hopeless.clock.advance(600);
+	t.deepEqual(hopeless.outcomes.get('b'), {kind: 'failed'});
+	t.is(hopeless.upstreams.starts.length, 3);
+});
+
+test('a task on an upstream that is cut off starts elsewhere only after its lease has ended', async t => {
+	const harness = new PoolHarness({upstreamCount: 2});
+	const owner = harness.createOwner();
+	harness.submit(owner, 'a', {step: {estimateMs: 1000}, remainingMs: 10_000});
+	await harness.clock.advance(20);
+	const [first] = harness.upstreams.starts;
+	harness.faults[first!.upstream === 'u0' ? 0 : 1]!.isCutOff = true;
+	await harness.clock.advance(3000);
+	t.is(harness.upstreams.starts.length, 2);
+	t.deepEqual(harness.upstreams.getDoubleRuns(), []);
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
+});
+
+test('starts whose answers are lost run once', async t => {
+	const harness = new PoolHarness({upstreamCount: 1});
+	const owner = harness.createOwner();
+	await harness.clock.advance(20);
+	harness.faults[0]!.isMute = true;
+	harness.submit(owner, 'a', {step: {taskCount: 2}});
+	await harness.clock.advance(250);
+	harness.faults[0]!.isMute = false;
+	await harness.clock.advance(3000);
+	t.deepEqual(harness.upstreams.getDoubleRuns(), []);
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
+});
+
+test('a task that stands still is stopped and starts elsewhere', async t => {
+	const harness = new PoolHarness({upstreamCount: 2});
+	harness.faults[0]!.isHanging = true;
+	const owner = harness.createOwner();
+	harness.submit(owner, 'a', {step: {taskCount: 2}, remainingMs: 5000});
+	await harness.clock.advance(1200);
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
+	t.deepEqual(harness.upstreams.getDoubleRuns(), []);
+});
+
+test('the next owner goes on with what runs and starts nothing twice', async t => {
+	const harness = new PoolHarness();
+	const first = harness.createOwner();
+	harness.submit(first, 'a', {step: {taskCount: 6}});
+	await harness.clock.advance(30);
+	first.close({kind: 'moved'});
+	await harness.clock.advance(0);
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'moved'});
+	const second = harness.createOwner();
+	harness.submit(second, 'a', {step: {taskCount: 6}, priorFence: first.getFence()});
+	await harness.clock.advance(200);
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
+	t.is(harness.upstreams.starts.length, 6);
+});
+
+test('the next owner counts what ended meanwhile', async t => {
+	const harness = new PoolHarness();
+	const first = harness.createOwner();
+	harness.submit(first, 'a', {step: {taskCount: 6}});
+	await harness.clock.advance(50);
+	first.close({kind: 'moved'});
+	await harness.clock.advance(100);
+	const second = harness.createOwner();
+	harness.submit(second, 'a', {step: {taskCount: 6}, priorFence: first.getFence()});
+	await harness.clock.advance(50);
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
+	t.is(harness.upstreams.starts.length, 6);
+});
+
+test('an owner that has long been one goes behind the fence of another before it takes a job over', async t => {
+	const harness = new PoolHarness();
+	const near = harness.createOwner();
+	await harness.clock.advance(50);
+	const far = harness.createOwner();
+	harness.submit(far, 'a', {step: {taskCount: 4}});
+	await harness.clock.advance(20);
+	far.close({kind: 'moved'});
+	await harness.clock.advance(0);
+	harness.submit(near, 'a', {step: {taskCount: 4}, priorFence: far.getFence()});
+	await harness.clock.advance(400);
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
+	t.deepEqual(harness.upstreams.getDoubleRuns(), []);
+	t.is(harness.upstreams.starts.length, 4);
+	t.true(near.getFence() > far.getFence());
+});
+
+test('a job of an earlier owner waits until leases have ended where an upstream cannot be seen', async t => {
+	const harness = new PoolHarness({upstreamCount: 2});
+	const first = harness.createOwner();
+	harness.submit(first, 'a', {step: {estimateMs: 100}, remainingMs: 10_000});
+	await harness.clock.advance(20);
+	const [start] = harness.upstreams.starts;
+	harness.faults[start!.upstream === 'u0' ? 0 : 1]!.isCutOff = true;
+	first.close({kind: 'moved'});
+	await harness.clock.advance(0);
+	const second = harness.createOwner();
+	harness.submit(second, 'a', {priorFence: first.getFence(), remainingMs: 10_000});
+	await harness.clock.advance(4000);
+	t.deepEqual(harness.upstreams.getDoubleRuns(), []);
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
+});
+
+test('runs that nobody claims are stopped', async t => {
+	const harness = new PoolHarness({getWork: () => ({...usualWork, durationMs: 5000})});
+	const first = harness.createOwner();
+	harness.submit(first, 'a', {step: {taskCount: 2}});
+	await harness.clock.advance(30);
+	first.close({kind: 'moved'});
+	harness.createOwner();
+	await harness.clock.advance(800);
+	t.deepEqual(harness.upstreams.starts.map(({end}) => end), ['stopped', 'stopped']);
+});
