Count the free room of a pool in tasks of the usual size

Change: free room is told in whole tasks of the usual size; an entry VM waits 200 ms instead of 400 ms for claims of others at its start.

--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -42,8 +42,8 @@
 /** Time between elections, in milliseconds: half a heartbeat. */
 const electionMs = 50;
 
-/** Time after the start in which claims of others are heard before this VM makes any, in milliseconds: four heartbeats. */
-const quietStartMs = 400;
+/** Time after the start in which claims of others are heard before this VM makes any, in milliseconds: two heartbeats. */
+const quietStartMs = 200;
 
 /** Time without any VM in a pool's data centre before another one takes the pool, in milliseconds: VMs restart within it. */
 const farTakeoverMs = 1500;
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -56,6 +56,10 @@
 /** Weight of a new observation in an upstream's slowness. */
 const slownessWeight = 0.2;
 
+/** Thousandths of a core of a task until something is known of a pool, and the weight of a new observation. */
+const initialTaskCpu = 1000;
+const taskCpuWeight = 0.05;
+
 /** Time of a task until something is known of a pool, in milliseconds. */
 const initialTaskMs = 200;
 
@@ -67,6 +71,8 @@
 	readonly #jobs = new Map<string, QueuedJob>();
 	readonly #tasksByName = new Map<string, {readonly job: QueuedJob; readonly task: JobTask}>();
 	readonly #sweep: Timer;
+	/** Thousandths of a core that a task takes on average. */
+	#usualCpu = initialTaskCpu;
 	#isScheduled = false;
 	#isClosed = false;
 
@@ -84,7 +90,8 @@
 		for (const link of this.#options.getLinks()) {
 			if (link.isOpen()) {
 				cores += link.description.capacity.cpu / 1000;
-				freeCpu += Math.max(0, link.getFree().cpu);
+				// What is left over beside tasks of the usual size takes no further one.
+				freeCpu += Math.floor(Math.max(0, link.getFree().cpu) / this.#usualCpu) * this.#usualCpu;
 			}
 		}
 
@@ -132,6 +139,8 @@
 		}
 
 		this.#jobs.set(job.req.id, job);
+		const cpu = job.req.steps[0]!.needs.cpu;
+		this.#usualCpu += (Math.max(1, cpu) - this.#usualCpu) * taskCpuWeight;
 		this.#offered.addWork(job.priority, job.remainingWork, this.#options.clock.getMonotonicTime());
 		for (const task of job.tasks) {
 			this.#tasksByName.set(task.name, {job, task});
--- a/test/pool/pool-owner.test.ts
+++ b/test/pool/pool-owner.test.ts
@@ -180,3 +180,19 @@
 	await harness.clock.advance(800);
 	t.deepEqual(harness.upstreams.starts.map(({end}) => end), ['stopped', 'stopped']);
 });
+
+test('free room is counted in tasks of the usual size, not in what is left over beside them', async t => {
+	const harness = new PoolHarness({upstreamCount: 3});
+	const owner = harness.createOwner();
+	const rules = {...createJob('a').rules, slackMs: 10_000};
+	for (let round = 0; round < 20; round++) {
+		harness.submit(owner, `warm-${round}`, {step: {taskCount: 6}, rules});
+		await harness.clock.advance(150);
+	}
+
+	harness.submit(owner, 'a', {step: {taskCount: 5}, rules});
+	await harness.clock.advance(20);
+	// 16,000 less two tasks of 6,800 leaves 2,400 on two upstreams, which take none; the third one takes one more.
+	const {freeCpu} = owner.getLoad();
+	t.true(freeCpu > 3000 && freeCpu < 9200, String(freeCpu));
+});
