Know the load of a pool owned here, and test on a clock that a busy machine keeps

Cause: a pool's load came only with heartbeats and answers of others, so an owner saw its own pool without a core and sent its callers' jobs to other data centres first; found by waiting for the known cores in the tests of the platform folder.

--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -177,6 +177,11 @@
 		return this.#configuration.getTable()?.version ?? 0;
 	}
 
+	/** Gets the cores of all pools as last heard. */
+	getKnownCores(): number {
+		return this.#node.directory.getViews().reduce((sum, {cores}) => sum + cores, 0);
+	}
+
 	/** Gets whether this VM owns a pool. */
 	isOwner(): boolean {
 		return !this.#node.isFree();
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -265,6 +265,8 @@
 
 	#elect(): void {
 		this.#candidates = undefined;
+		// The load of a pool owned here is known at once; no heartbeat tells it.
+		this.directory.addClaims(this.getClaims());
 		const now = this.#options.clock.getMonotonicTime();
 		if (this.#isClosed || !this.#options.isSettled()) {
 			return;
--- /dev/null
+++ b/test/support/slow-clock.ts
@@ -0,0 +1,14 @@
+import {type Clock, systemClock} from '../../src/seams/index.js';
+
+/**
+ * Creates a clock that runs slower than the system's, so that time limits are kept on a busy machine too.
+ * @param factor - Real milliseconds of one millisecond of this clock.
+ */
+export function createSlowClock(factor: number): Clock {
+	return {
+		getTime: () => systemClock.getTime(),
+		getMonotonicTime: () => systemClock.getMonotonicTime() / factor,
+		setTimer: (callback, delayMs) => systemClock.setTimer(callback, delayMs * factor),
+		setRepeatingTimer: (callback, periodMs) => systemClock.setRepeatingTimer(callback, periodMs * factor),
+	};
+}
