Start tasks only on upstreams of the route's service

Cause: placement looked at all upstreams of a data centre; with a second service in it tasks would have started where no route sends them. Found by reading; both sites have one service.

--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -306,14 +306,13 @@
 			this.#startTasks();
 		}
 
-		const {cores} = this.getLoad();
 		const largest = job.req.steps.map(({needs}) => needs).toSorted((a, b) => b.cpu - a.cpu)[0]!;
-		const open = this.#options.getLinks().filter(link => link.isOpen());
+		const open = this.#getOpenLinks().filter(link => isForJob(link, job));
 		return decideAdmission({
 			fittingUpstreams: open.filter(({description}) => fits(largest, description.capacity)).length,
 			workAhead: this.#getWorkAhead(job, now),
 			work: job.req.steps.reduce((sum, step) => sum + getStepWork(step), 0),
-			cores,
+			cores: open.reduce((sum, {description}) => sum + (description.capacity.cpu / 1000), 0),
 			coresAbove: this.#offered.getCoresAbove(job.priority, now),
 			unplacedWork: this.#getUnplacedWork(job, open),
 			chainMs: job.chainMs,
@@ -377,7 +376,7 @@
 			return;
 		}
 
-		const candidates = this.#getCandidates();
+		const candidates = new Map(this.#getOpenLinks().map(link => [link, toCandidate(link)]));
 		for (const job of sortByUrgency(waiting, now)) {
 			for (const task of job.getReadyTasks()) {
 				if (!this.#place(job, task, candidates)) {
@@ -388,16 +387,16 @@
 		}
 	}
 
-	#getCandidates(): Map<UpstreamLink, PlacementCandidate> {
-		const open = this.#options.getLinks().filter(link => link.isOpen());
-		return new Map(open.map(link => [link, toCandidate(link)]));
+	#getOpenLinks(): readonly UpstreamLink[] {
+		return this.#options.getLinks().filter(link => link.isOpen());
 	}
 
 	#place(job: QueuedJob, task: JobTask, candidates: Map<UpstreamLink, PlacementCandidate>): boolean {
 		const step = job.getStep(task);
 		const placed = step.maxPerUpstream === undefined ? undefined : job.getPlacedCounts(task.stepPosition);
-		const all = [...candidates.values()].filter(({id}) => !task.avoided.has(id));
-		const chosen = chooseUpstream(step, all.length > 0 ? all : [...candidates.values()], placed);
+		const allowed = [...candidates].flatMap(([link, candidate]) => isForJob(link, job) ? candidate : []);
+		const preferred = allowed.filter(({id}) => !task.avoided.has(id));
+		const chosen = chooseUpstream(step, preferred.length > 0 ? preferred : allowed, placed);
 		if (chosen === undefined) {
 			return false;
 		}
@@ -573,6 +572,11 @@
 	}
 }
 
+/** Gets whether an upstream belongs to the service that the job's route names. */
+function isForJob({description}: UpstreamLink, {req}: QueuedJob): boolean {
+	return description.service === req.rules.service;
+}
+
 function toCandidate(link: UpstreamLink): PlacementCandidate {
 	const {id, rack, labels} = link.description;
 	return {
--- a/test/pool/pool-owner.test.ts
+++ b/test/pool/pool-owner.test.ts
@@ -213,3 +213,15 @@
 	t.deepEqual(harness.upstreams.getDoubleRuns(), []);
 	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
 });
+
+test('tasks start only on upstreams of the service that the route names', async t => {
+	const harness = new PoolHarness({upstreamCount: 2});
+	const other = {...harness.descriptions[0]!, service: 'other'};
+	const owner = harness.createOwner([other, harness.descriptions[1]!]);
+	harness.submit(owner, 'a', {step: {taskCount: 4}, rules: {...createJob('a').rules, slackMs: 1000}});
+	harness.submit(owner, 'b', {rules: {...createJob('b').rules, service: 'third'}});
+	await harness.clock.advance(1000);
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
+	t.like(harness.outcomes.get('b'), {kind: 'refused', reason: 'no-upstream'});
+	t.true(harness.upstreams.starts.every(({upstream}) => upstream === 'u1'));
+});
