--- a/test/platform/etcd-platform.test.ts
+++ b/test/platform/etcd-platform.test.ts
@@ -95,7 +95,7 @@
 
 test('a read on a connection that went silent is tried again on a new one', async t => {
 	// The time limit of the read on the silent connection passes when the test says so, that of the next one never.
-	const limits = new Set<() => void>();
+	const limits: Array<() => void> = [];
 	const callTimeoutMs = 200;
 	const {platform, standIn} = await start(t, {
 		callTimeoutMs,
@@ -106,26 +106,22 @@
 					return systemClock.setTimer(callback, delayMs);
 				}
 
-				limits.add(callback);
-				return {
-					close() {
-						limits.delete(callback);
-					},
-				};
+				limits.push(callback);
+				return {close() {/* The test alone passes time limits. */}};
 			},
 		},
 	});
 	await platform.getKey('/a');
 	standIn.silenceConnections();
+	const earlierLimits = limits.length;
 	const read = platform.getKey('/a');
-	while (limits.size === 0) {
+	while (limits.length === earlierLimits) {
 		await new Promise(resolve => {
 			setImmediate(resolve);
 		});
 	}
 
-	const [passLimit] = limits;
-	passLimit!();
+	limits[earlierLimits]!();
 	t.like(await read, {ok: true});
 });
 
