--- a/bench/pool/simulate-pool.ts
+++ b/bench/pool/simulate-pool.ts
@@ -56,7 +56,7 @@
 	}
 
 	const owner = new PoolOwner({
-		pool: 'dc1', clock, log: silentLog, orders: upstreams, getStoredFence: async () => 1, async onFenced() {/* There is one owner. */}, knownFence: 0, maxLeaseMs: 1000,
+		pool: 'dc1', clock, log: silentLog, orders: upstreams, getStoredFence: async () => 1, async onFenced() {/* There is one owner. */}, knownFence: 0, isListKnown: () => true, maxLeaseMs: 1000,
 	}, descriptions);
 	const results: Record<string, KindResult> = {};
 	await clock.advance(100);
--- a/src/platform/caller-door.ts
+++ b/src/platform/caller-door.ts
@@ -44,7 +44,9 @@
 /** Answers callers. */
 export class CallerDoor {
 	readonly #options: CallerDoorOptions;
+	readonly #waiting = new Set<AbortController>();
 	#open = 0;
+	#isRefusing = false;
 
 	constructor(options: CallerDoorOptions) {
 		this.#options = options;
@@ -55,6 +57,18 @@
 		return this.#open;
 	}
 
+	/** Refuses jobs from now on, because the process ends before they could. */
+	refuse(): void {
+		this.#isRefusing = true;
+	}
+
+	/** Gives up the jobs that are still waited for, so that their callers get whole answers before the process ends. */
+	abort(): void {
+		for (const controller of this.#waiting) {
+			controller.abort();
+		}
+	}
+
 	/**
 	 * Answers a request; never rejects.
 	 * @param req - Request.
@@ -95,6 +109,10 @@
 			return {status: 200, body: {pending: 0}, cause: 'count'};
 		}
 
+		if (this.#isRefusing) {
+			return {status: 503, retryAfterMs: 1000, cause: 'stopping'};
+		}
+
 		if (!jobId.test(id)) {
 			return {status: 400, cause: 'bad-id'};
 		}
@@ -128,10 +146,12 @@
 			controller.abort();
 		};
 
+		this.#waiting.add(controller);
 		res.once('close', abort);
 		const timer = clock.setTimer(abort, remainingMs + lateMs);
 		const outcome = await node.submit(decoded.job, remainingMs, controller.signal);
 		timer.close();
+		this.#waiting.delete(controller);
 		res.off('close', abort);
 		return toAnswer(outcome);
 	}
--- a/src/platform/http-orders.ts
+++ b/src/platform/http-orders.ts
@@ -8,7 +8,7 @@
 import {type Clock} from '../seams/index.js';
 import {callJson, type JsonOutcome} from './json-client.js';
 import {
-	createHoldBody, createStartBody, createStopBody, holdAnswerSchema, orderAnswerSchema,
+	createHoldBody, createStartBody, createStopBody, decodeHoldAnswer, decodeOrderAnswer,
 } from './wire-messages.js';
 
 /** Options of {@link HttpOrders}. */
@@ -23,6 +23,7 @@
 /** Idle time after which a connection is closed, in milliseconds; new connections cost more than idle ones. */
 const idleConnectionMs = 30_000;
 
+const badAnswer = 'the answer cannot be decoded';
 const instanceHeader = 'X-Endivemill-Target-Instance';
 
 const refusals: Readonly<Record<string, OrderRefusal>> = {
@@ -61,12 +62,12 @@
 			return toRefusal(outcome.status, outcome.body);
 		}
 
-		const parsed = holdAnswerSchema.safeParse(outcome.body);
-		if (!parsed.success) {
-			return {kind: 'unanswered', detail: parsed.error.message};
+		const answer = decodeHoldAnswer(outcome.body);
+		if (answer === undefined) {
+			return {kind: 'unanswered', detail: badAnswer};
 		}
 
-		const {clock_ms: upstreamTimeMs, born: bornMs, running, ended} = parsed.data;
+		const {clock_ms: upstreamTimeMs, born: bornMs, running, ended} = answer;
 		return {
 			kind: 'seen',
 			bornMs,
@@ -99,14 +100,14 @@
 		return toRefusal(outcome.status, outcome.body);
 	}
 
-	const parsed = orderAnswerSchema.safeParse(outcome.body);
-	return parsed.success ? {kind: 'done', upstreamTimeMs: parsed.data.clock_ms} : {kind: 'unanswered', detail: parsed.error.message};
+	const answer = decodeOrderAnswer(outcome.body);
+	return answer ? {kind: 'done', upstreamTimeMs: answer.clock_ms} : {kind: 'unanswered', detail: badAnswer};
 }
 
 function toRefusal(status: number, body: unknown): {readonly kind: 'refused'; readonly reason: OrderRefusal} {
 	switch (status) {
 		case 409: {
-			const reason = orderAnswerSchema.safeParse(body).data?.reason ?? '';
+			const reason = decodeOrderAnswer(body)?.reason ?? '';
 			return {kind: 'refused', reason: refusals[reason] ?? 'invalid'};
 		}
 
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -3,11 +3,12 @@
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import type Logger from 'bunyan';
+import {type Subscription} from 'most';
 import {
-	createHttpListener, createPeerMesh, type HttpListener, type Incarnation, type PeerMesh, type PeerRequest,
+	createHttpListener, createPeerMesh, dialTcp, type HttpListener, type Incarnation, type PeerMesh, type PeerRequest,
 } from '../connection/index.js';
 import {
-	configurationTopic, createBoundedLog, type DecisionLog, PoolNode, type StoredClaim, submitTopic, upstreamsSchema, upstreamsTopic,
+	configurationTopic, createBoundedLog, type DecisionLog, NeighbourCheck, PoolNode, type StoredClaim, submitTopic, upstreamsSchema, upstreamsTopic,
 } from '../pool/index.js';
 import {
 	type Clock, type Random, sleep, systemClock, systemRandom,
@@ -39,6 +40,9 @@
 /** Longest time between tries to link to a VM, in milliseconds: soon after a cut has healed its VMs should be seen again. */
 const maxRedialMs = 300;
 
+/** Time limit of a link between VMs to be made, in milliseconds: a hundred times the way between data centres. */
+const maxConnectMs = 300;
+
 /** Links to each other data centre: at most to all of its VMs, so that every owner is heard directly. */
 const farLinks = 16;
 
@@ -48,10 +52,16 @@
 /** Time after the stop signal in which the balancer still sends new connections, in milliseconds: two missed checks. */
 const balancerMs = 2200;
 
+/** Time after the stop signal until jobs are refused, in milliseconds: what came before has time to end. */
+const stopTakingMs = 3000;
+
 /** Time before the kill at which a stopping process ends in any case, in milliseconds. */
 const stopMarginMs = 500;
 const stopPollMs = 20;
 
+/** Time for the last answers to leave, in milliseconds. */
+const flushMs = 150;
+
 /** Shortest time between two questions for a newer configuration, in milliseconds: two heartbeats. */
 const configurationAskMs = 200;
 
@@ -72,8 +82,10 @@
 	readonly #configuration: ConfigurationWatch;
 	readonly #upstreams: UpstreamList;
 	readonly #registry: VmRegistry;
+	readonly #neighbours: NeighbourCheck;
 	readonly #options: PlatformEntryVmOptions;
 	readonly #listeners: HttpListener[] = [];
+	#subscription: Subscription<unknown> | undefined;
 	#mesh!: PeerMesh;
 	#node!: PoolNode;
 	#door!: CallerDoor;
@@ -101,10 +113,15 @@
 		});
 		const {vm: name, dataCenter, peerAddress, callerAddress} = settings;
 		this.#registry = new VmRegistry({
-			...parts, self: {
+			...parts,
+			self: {
 				name, dataCenter, peerAddress, callerAddress,
 			},
+			onRead: listed => {
+				this.#neighbours.setNeighbours(listed.filter(vm => vm.dataCenter === dataCenter && vm.name !== name));
+			},
 		});
+		this.#neighbours = new NeighbourCheck({clock, dial: dialTcp, isHeard: vm => this.#node.isHeard(vm)});
 	}
 
 	/** Gets the addresses it listens on, callers first. */
@@ -135,6 +152,15 @@
 		await this.#listen(`${this.#settings.ip}:${this.#options.metricsPort ?? defaultMetricsPort}`, async (_, res) => {
 			res.writeHead(200, {'Content-Type': 'text/plain; version=0.0.4'}).end(await metrics.getText());
 		});
+		this.#subscription = this.#mesh.getMemberStream().subscribe({
+			next: () => {
+				this.#tellAllUpstreams();
+			},
+			error: err => {
+				this.#log.warn({err: err.message}, 'the stream of members failed');
+			},
+			complete() {/* The mesh is closed. */},
+		});
 		void this.#configuration.run();
 		void this.#registry.run();
 		void this.#upstreams.read();
@@ -146,6 +172,21 @@
 		return !this.#isStopping && this.#configuration.getTable() !== undefined && this.#node.directory.getViews().length > 0;
 	}
 
+	/** Gets the version of the configuration in force; 0 for none. */
+	getConfigurationVersion(): number {
+		return this.#configuration.getTable()?.version ?? 0;
+	}
+
+	/** Gets whether this VM owns a pool. */
+	isOwner(): boolean {
+		return !this.#node.isFree();
+	}
+
+	/** Gets the number of upstreams of the pools owned here that take tasks. */
+	getOpenUpstreamCount(): number {
+		return this.#node.getOwners().flatMap(owner => owner.getUpstreams()).filter(({isSilent, isLeaving}) => !isSilent && !isLeaving).length;
+	}
+
 	/** Stops: callers go elsewhere, pools go to other VMs, accepted requests are answered. */
 	async close(): Promise<void> {
 		if (this.#isStopping) {
@@ -159,20 +200,35 @@
 		this.#callers.drain();
 		this.#node.leave();
 		while (this.#clock.getMonotonicTime() < endAt && !this.#mayEnd(startedAt)) {
+			if (this.#clock.getMonotonicTime() - startedAt >= stopTakingMs) {
+				this.#door.refuse();
+			}
+
 			await sleep(this.#clock, stopPollMs);
 		}
 
+		this.#door.refuse();
+		this.#door.abort();
+
 		// Requests that come on open connections are answered until all of them are closed.
-		await Promise.race([this.#callers.close(), sleep(this.#clock, Math.max(0, endAt - this.#clock.getMonotonicTime()))]);
+		await Promise.race([this.#callers.close(), sleep(this.#clock, Math.max(flushMs, endAt - this.#clock.getMonotonicTime()))]);
 		await this.#closeParts();
 		this.#log.warn({open: this.#door.getOpenCount(), tookMs: Math.round(this.#clock.getMonotonicTime() - startedAt)}, 'stopped');
 	}
 
+	/** Ends at once, as when the process dies. */
+	async abort(): Promise<void> {
+		this.#isStopping = true;
+		await this.#closeParts();
+		await Promise.all(this.#listeners.map(async listener => listener.abort()));
+	}
+
 	#mayEnd(startedAt: number): boolean {
 		return this.#clock.getMonotonicTime() - startedAt >= balancerMs && this.#door.getOpenCount() === 0 && this.#node.isFree();
 	}
 
 	async #closeParts(): Promise<void> {
+		this.#subscription?.unsubscribe();
 		this.#configuration.close();
 		this.#registry.close();
 		this.#upstreams.close();
@@ -206,6 +262,7 @@
 			silentBeats,
 			downBeats,
 			maxBackoffMs: maxRedialMs,
+			connectTimeoutMs: maxConnectMs,
 			farLinks,
 			getHeartbeat: () => ({
 				configurationVersion: this.#configuration.getTable()?.version ?? 0,
@@ -236,11 +293,13 @@
 			peers: this.#mesh,
 			orders: this.#orders,
 			maxLeaseMs,
+			isSettled: () => this.#neighbours.isSettled(),
 			claims: {
 				addClaim: async pool => this.#addClaim(pool),
 				getClaim: async pool => this.#getClaim(pool),
 			},
 			getUpstreams: pool => this.#upstreams.getUpstreams(pool),
+			isListKnown: pool => this.#upstreams.isKnown(pool),
 			onOwnedChanged: pools => {
 				this.#toldUpstreams = '';
 				this.#upstreams.setFollowing(pools.length > 0);
@@ -272,6 +331,10 @@
 
 	#handleUpstreamsChanged(): void {
 		this.#node.handleUpstreamsChanged();
+		this.#tellAllUpstreams();
+	}
+
+	#tellAllUpstreams(): void {
 		for (const owner of this.#node.getOwners()) {
 			this.#tellUpstreams(owner.getPool());
 		}
@@ -282,7 +345,7 @@
 		const upstreams = this.#upstreams.getUpstreams(pool);
 		const near = this.#mesh.getMembers().filter(({incarnation, state}) => incarnation.dataCenter === pool && state === 'up');
 		const text = JSON.stringify([near.map(({incarnation}) => incarnation.id), upstreams]);
-		if (text === this.#toldUpstreams) {
+		if (text === this.#toldUpstreams || upstreams.length === 0) {
 			return;
 		}
 
--- a/src/platform/upstream-list.ts
+++ b/src/platform/upstream-list.ts
@@ -27,6 +27,7 @@
 export class UpstreamList {
 	readonly #options: UpstreamListOptions;
 	readonly #upstreams = new Map<string, UpstreamDescription>();
+	readonly #told = new Set<string>();
 	readonly #closing = new AbortController();
 	#revision: number | undefined;
 	#readAt = 0;
@@ -45,6 +46,14 @@
 		return [...this.#upstreams.values()].filter(upstream => upstream.dataCenter === dataCenter);
 	}
 
+	/**
+	 * Gets whether the upstreams of a data centre were ever read or told.
+	 * @param dataCenter - Data centre.
+	 */
+	isKnown(dataCenter: string): boolean {
+		return this.#revision !== undefined || this.#told.has(dataCenter);
+	}
+
 	/** Gets the revision of the store at which the list was read; 0 for none. */
 	getRevision(): number {
 		return this.#revision ?? 0;
@@ -94,10 +103,12 @@
 	 * @param told - Upstreams.
 	 */
 	addTold({pool, upstreams}: PoolUpstreams): void {
-		if (this.#isFollowing) {
+		if (this.#isFollowing && this.#revision !== undefined) {
 			return;
 		}
 
+		this.#told.add(pool);
+
 		for (const [key, upstream] of this.#upstreams) {
 			if (upstream.dataCenter === pool) {
 				this.#upstreams.delete(key);
@@ -107,6 +118,8 @@
 		for (const upstream of upstreams) {
 			this.#upstreams.set(`${upstreamPrefix}${upstream.id}`, upstream);
 		}
+
+		this.#options.onChange();
 	}
 
 	/** Ends the reads. */
--- a/src/platform/vm-registry.ts
+++ b/src/platform/vm-registry.ts
@@ -16,7 +16,6 @@
 
 /** Time between reads, in milliseconds: VMs that are linked tell each other of new ones, so reads are a second way only. */
 const readMs = 10_000;
-const firstReadMs = 300;
 
 const entrySchema = z.object({
 	name: z.string(), dataCenter: z.string(), peerAddress: z.string(), callerAddress: z.string(),
@@ -27,6 +26,8 @@
 	readonly clock: Clock;
 	readonly log: DecisionLog;
 	readonly store: StoreClient;
+	/** Takes the registered entry VMs after each read. */
+	readonly onRead: (listed: readonly ListedEntryVm[]) => void;
 	readonly self: Pick<ListedEntryVm, 'name' | 'dataCenter' | 'peerAddress' | 'callerAddress'>;
 };
 
@@ -62,6 +63,7 @@
 	async run(): Promise<void> {
 		const {clock, store, self, log} = this.#options;
 		const {signal} = this.#closing;
+		void this.#read();
 		while (!signal.aborted) {
 			const result = await store.setItem(`${prefix}${self.name}`, JSON.stringify(self));
 			if (result.ok) {
@@ -72,10 +74,9 @@
 			await sleep(clock, retryMs, signal);
 		}
 
-		await sleep(clock, firstReadMs, signal);
 		while (!signal.aborted) {
-			await this.#read();
 			await sleep(clock, readMs, signal);
+			await this.#read();
 		}
 	}
 
@@ -99,6 +100,7 @@
 				}]
 				: [];
 		});
+		this.#options.onRead(listed);
 		for (const listener of this.#listeners) {
 			listener(listed);
 		}
--- a/src/platform/wire-messages.ts
+++ b/src/platform/wire-messages.ts
@@ -98,15 +98,56 @@
 export const writeAnswerSchema = z.object({revision: z.number()});
 
 /** Answer to an order. */
-export const orderAnswerSchema = z.object({clock_ms: z.number(), reason: z.string().default('')});
-
-/** Answer to a look at an upstream; rows are tuples on the wire. */
-export const holdAnswerSchema = z.object({
-	clock_ms: z.number(),
-	born: z.number().optional(),
-	running: z.array(z.tuple([z.string(), z.number()], z.unknown())).default([]),
-	ended: z.array(z.tuple([z.number(), z.string(), z.number(), z.string()], z.unknown())).default([]),
-});
+export type OrderAnswer = {readonly clock_ms: number; readonly reason: string};
+
+/** Answer to a look at an upstream; the lists are rows of tuples on the wire. */
+export type HoldAnswer = {
+	readonly clock_ms: number;
+	readonly born: number | undefined;
+	readonly running: ReadonlyArray<readonly [task: string, run: number]>;
+	readonly ended: ReadonlyArray<readonly [position: number, task: string, run: number, end: string]>;
+};
+
+/**
+ * Decodes the answer to an order, by hand since there is one for each task; `undefined` where it is none.
+ * @param body - Body.
+ */
+export function decodeOrderAnswer(body: unknown): OrderAnswer | undefined {
+	if (!isRecord(body) || typeof body.clock_ms !== 'number') {
+		return undefined;
+	}
+
+	return {clock_ms: body.clock_ms, reason: typeof body.reason === 'string' ? body.reason : ''};
+}
+
+/**
+ * Decodes the answer to a look, by hand since there is one for each end of a task; `undefined` where it is none.
+ * @param body - Body.
+ */
+export function decodeHoldAnswer(body: unknown): HoldAnswer | undefined {
+	if (!isRecord(body) || typeof body.clock_ms !== 'number') {
+		return undefined;
+	}
+
+	const {clock_ms, born, running = [], ended = []} = body;
+	if (!Array.isArray(running) || !Array.isArray(ended) || !running.every(row => isRow(row, ['string', 'number']))
+		|| !ended.every(row => isRow(row, ['number', 'string', 'number', 'string']))) {
+		return undefined;
+	}
+
+	return {
+		clock_ms, born: typeof born === 'number' ? born : undefined, running: running as HoldAnswer['running'], ended: ended as HoldAnswer['ended'],
+	};
+}
+
+function isRecord(value: unknown): value is Readonly<Record<string, unknown>> {
+	return typeof value === 'object' && value !== null;
+}
+
+/** Rows may have more columns than this system reads. */
+function isRow(row: unknown, types: readonly string[]): boolean {
+	return Array.isArray(row) && types.every((type, column) => typeof row[column] === type);
+}
 
 /**
  * Creates the body of a start.
--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -18,3 +18,4 @@
 export type * from './upstream-orders.js';
 export type * from './stored-claims.js';
 export * from './offered-load.js';
+export * from './neighbour-check.js';
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -29,21 +29,22 @@
 	readonly pools: readonly string[];
 	readonly peers: PeerNetwork;
 	readonly orders: UpstreamOrders;
+	/** Gets whether the VMs that may own pools had time to say so since the start. */
+	readonly isSettled: () => boolean;
 	/** What the store holds of the owners of pools. */
 	readonly claims: StoredClaims;
 	/** Gets the upstreams of a pool as last listed. */
 	readonly getUpstreams: (pool: string) => readonly UpstreamDescription[];
+	/** Gets whether the upstreams of a pool were ever read or told. */
+	readonly isListKnown: (pool: string) => boolean;
 	/** Takes the number of pools owned here whenever it changes. */
 	readonly onOwnedChanged: (pools: readonly string[]) => void;
 	/** Longest lease of a run, in milliseconds. */
 	readonly maxLeaseMs: number;
 };
 
-/** Time between elections, in milliseconds: half a heartbeat. */
-const electionMs = 50;
-
-/** Time after the start in which claims of others are heard before this VM makes any, in milliseconds: two heartbeats. */
-const quietStartMs = 200;
+/** Time between elections, in milliseconds: a quarter of a heartbeat. */
+const electionMs = 25;
 
 /** Time without any VM in a pool's data centre before another one takes the pool, in milliseconds: VMs restart within it. */
 const farTakeoverMs = 1500;
@@ -67,7 +68,7 @@
 const yieldMs = 2500;
 
 /** Time for which a job waits for the next owner of its pool, in milliseconds: silence is noticed after 500 ms. */
-const ownerWaitMs = 1200;
+const ownerWaitMs = 800;
 const ownerPollMs = 20;
 
 /** Time after a lost connection until its jobs are given up, in milliseconds; the sender comes back within it. */
@@ -102,19 +103,22 @@
 	/** Pools taken over while no other VM was seen. */
 	readonly #takenAlone = new Set<string>();
 	#assertedAt = 0;
-	readonly #startedAt: number;
 	readonly #timer: Timer;
+	/** Candidates as of the last election or heartbeat. */
+	#candidates: readonly Candidate[] | undefined;
 	#isLeaving = false;
 	#isClosed = false;
 
 	constructor(options: PoolNodeOptions) {
 		this.#options = options;
-		this.#startedAt = options.clock.getMonotonicTime();
 		this.directory = new PoolDirectory({
 			clock: options.clock,
 			dataCenter: options.self.dataCenter,
 			pools: options.pools,
-			getCandidates: () => this.#getCandidates(),
+			getCandidates: () => {
+				this.#candidates ??= this.#createCandidates();
+				return this.#candidates;
+			},
 		});
 		this.#timer = options.clock.setRepeatingTimer(() => {
 			this.#elect();
@@ -128,6 +132,14 @@
 		return Object.fromEntries(entries);
 	}
 
+	/**
+	 * Gets whether a VM has told of its pools.
+	 * @param vm - Name of the VM.
+	 */
+	isHeard(vm: string): boolean {
+		return this.#options.peers.getMembers().some(({incarnation, state}) => incarnation.vm === vm && state === 'up' && this.#claims.has(incarnation.id));
+	}
+
 	/** Gets the pools owned here. */
 	getOwners(): readonly PoolOwner[] {
 		return [...this.#owned.values()];
@@ -146,6 +158,7 @@
 		}
 
 		this.#claims.set(from.id, parsed.data);
+		this.#candidates = undefined;
 		this.directory.addClaims(parsed.data);
 	}
 
@@ -231,7 +244,7 @@
 		}
 	}
 
-	#getCandidates(): readonly Candidate[] {
+	#createCandidates(): readonly Candidate[] {
 		const {self, peers} = this.#options;
 		const others = peers.getMembers().map(({incarnation, state, isLeaving}): Candidate => ({
 			id: incarnation.id,
@@ -251,8 +264,9 @@
 	}
 
 	#elect(): void {
+		this.#candidates = undefined;
 		const now = this.#options.clock.getMonotonicTime();
-		if (this.#isClosed || now - this.#startedAt < quietStartMs) {
+		if (this.#isClosed || !this.#options.isSettled()) {
 			return;
 		}
 
@@ -302,7 +316,7 @@
 			return true;
 		}
 
-		const isInhabited = this.#getCandidates().some(({dataCenter, isUp}) => dataCenter === pool && isUp);
+		const isInhabited = this.#createCandidates().some(({dataCenter, isUp}) => dataCenter === pool && isUp);
 		if (isInhabited) {
 			this.#abandonedSince.delete(pool);
 			return false;
@@ -420,10 +434,12 @@
 			orders,
 			maxLeaseMs,
 			knownFence: this.directory.getKnownFence(pool),
+			isListKnown: () => this.#options.isListKnown(pool),
 			getStoredFence: async () => claims.addClaim(pool),
 			onFenced: async () => this.#handleFenced(pool, owner),
 		}, getUpstreams(pool));
 		this.#owned.set(pool, owner);
+		this.#candidates = undefined;
 		if (this.#isIsolated()) {
 			this.#takenAlone.add(pool);
 		}
@@ -434,6 +450,7 @@
 	#release(pool: string): void {
 		this.#owned.get(pool)?.close({kind: 'moved'});
 		this.#owned.delete(pool);
+		this.#candidates = undefined;
 		this.#takenAlone.delete(pool);
 		this.#options.onOwnedChanged([...this.#owned.keys()]);
 	}
@@ -530,7 +547,7 @@
 				return {ownerId: owner.id, fence, askedAt: now};
 			}
 
-			if (clock.getMonotonicTime() > giveUpAt || (last === undefined && owner === undefined)) {
+			if (now > giveUpAt || (owner === undefined && (last === undefined || !this.#mayHaveSuccessor(pool)))) {
 				return undefined;
 			}
 
@@ -540,6 +557,11 @@
 		return undefined;
 	}
 
+	/** Gets whether a VM that is seen here may soon own a pool: one of its data centre. */
+	#mayHaveSuccessor(pool: string): boolean {
+		return pool === this.#options.self.dataCenter || this.#createCandidates().some(({dataCenter, isUp}) => dataCenter === pool && isUp);
+	}
+
 	/** Gets a signal that aborts at once when the peer cancels, and after a while when its connection was lost. */
 	#delayDisconnect(signal: AbortSignal): AbortSignal {
 		const controller = new AbortController();
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -16,6 +16,8 @@
 	readonly orders: UpstreamOrders;
 	/** Gets a fence from the store that is higher than all before; `undefined` where the store does not answer in time. */
 	readonly getStoredFence: () => Promise<number | undefined>;
+	/** Gets whether the upstreams of the pool were ever read or told. */
+	readonly isListKnown: () => boolean;
 	/** Highest fence that was heard of the pool. */
 	readonly knownFence: number;
 	/** Called when an upstream refuses the fence; the pool may have another owner. */
@@ -48,6 +50,9 @@
 	#fence: number;
 	#fenceStep = firstFenceStep;
 	readonly #ready: Promise<void>;
+	/** Upstreams to begin with once the fence is settled. */
+	#awaited: readonly UpstreamDescription[];
+	#hasFence = false;
 	#isReady = false;
 	#isClosed = false;
 	#isSettlingFence = false;
@@ -65,7 +70,8 @@
 			isHeldBack: () => this.#isSettlingFence,
 			getUnseenUntil: () => this.#getUnseenUntil(),
 		});
-		this.#ready = this.#takeOver(upstreams);
+		this.#awaited = upstreams;
+		this.#ready = this.#takeOver();
 	}
 
 	/** Gets whether the pool is taken over: the fence is settled and the upstreams were looked at. */
@@ -142,6 +148,12 @@
 	 * @param upstreams - Upstreams that the list names now.
 	 */
 	setUpstreams(upstreams: readonly UpstreamDescription[]): void {
+		if (!this.#hasFence) {
+			// An order before the fence is settled would be refused as one of an earlier owner.
+			this.#awaited = upstreams;
+			return;
+		}
+
 		const now = this.#options.clock.getMonotonicTime();
 		for (const upstream of upstreams) {
 			this.#setUpstream(upstream);
@@ -181,14 +193,15 @@
 		}
 	}
 
-	async #takeOver(upstreams: readonly UpstreamDescription[]): Promise<void> {
+	async #takeOver(): Promise<void> {
 		const {clock, log, pool, getStoredFence, knownFence} = this.#options;
 		const stored = await getStoredFence();
 		this.#fence = Math.max(stored ?? 0, knownFence + firstFenceStep);
 		log.warn({
-			pool, fence: this.#fence, isStored: stored !== undefined, upstreams: upstreams.length,
+			pool, fence: this.#fence, isStored: stored !== undefined, upstreams: this.#awaited.length,
 		}, 'pool taken over');
-		for (const upstream of upstreams) {
+		this.#hasFence = true;
+		for (const upstream of this.#awaited) {
 			this.#setUpstream(upstream);
 		}
 
@@ -199,7 +212,8 @@
 	/** Gets until when runs of an earlier owner may go on where the last looks were not answered. */
 	#getUnseenUntil(): number {
 		const {clock, maxLeaseMs} = this.#options;
-		const isAllSeen = [...this.#links.values()].every(link => link.getSeenAt() >= this.#lookedAt);
+		// Without a list of upstreams there may be some that were not looked at.
+		const isAllSeen = this.#options.isListKnown() && [...this.#links.values()].every(link => link.getSeenAt() >= this.#lookedAt);
 		// The takeover's time covers the earlier owner's last order and a slow clock.
 		return isAllSeen ? 0 : clock.getMonotonicTime() + maxLeaseMs + takeoverMs;
 	}
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -139,7 +139,7 @@
 		}
 
 		this.#jobs.set(job.req.id, job);
-		const cpu = job.req.steps[0]!.needs.cpu;
+		const {cpu} = job.req.steps[0]!.needs;
 		this.#usualCpu += (Math.max(1, cpu) - this.#usualCpu) * taskCpuWeight;
 		this.#offered.addWork(job.priority, job.remainingWork, this.#options.clock.getMonotonicTime());
 		for (const task of job.tasks) {
@@ -189,9 +189,9 @@
 		task.link = undefined;
 		if (end === 'done') {
 			this.#observe(link, job, task, run);
-			task.status = 'done';
+			job.setStatus(task, 'done');
 		} else {
-			task.status = 'waiting';
+			job.setStatus(task, 'waiting');
 			this.#handleUndone(job, task, link, end);
 		}
 
@@ -217,7 +217,7 @@
 		if (found?.task.run === run) {
 			found.task.run = undefined;
 			found.task.link = undefined;
-			found.task.status = 'waiting';
+			found.job.setStatus(found.task, 'waiting');
 			this.#advance(found.job);
 		}
 
@@ -274,13 +274,15 @@
 				const end = link.getRecentEnd(task.name);
 				if (end !== undefined) {
 					task.lastRun = Math.max(task.lastRun, end.number);
-					task.status = end.end === 'done' ? 'done' : task.status;
+					if (end.end === 'done') {
+						job.setStatus(task, 'done');
+					}
 				}
 
 				const run = link.adopt(task.name, job.getStep(task).needs, job.req.spec);
 				if (run !== undefined) {
 					task.lastRun = Math.max(task.lastRun, run.number);
-					task.status = 'placed';
+					job.setStatus(task, 'placed');
 					task.run = run;
 					task.link = link;
 				}
@@ -397,7 +399,7 @@
 
 		const link = [...candidates.keys()].find(({description}) => description.id === chosen.id)!;
 		task.lastRun++;
-		task.status = 'placed';
+		job.setStatus(task, 'placed');
 		task.link = link;
 		job.hasStarted = true;
 		task.run = link.start({
--- a/src/pool/queue-order.ts
+++ b/src/pool/queue-order.ts
@@ -45,10 +45,10 @@
  * @param now - Monotonic time.
  */
 export function sortByUrgency<T extends OrderedJob>(jobs: readonly T[], now: number): readonly T[] {
-	const classes = new Map(jobs.map(job => [job, getUrgencyClass(job, now)]));
-	return jobs.toSorted((a, b) =>
-		(classes.get(a)! - classes.get(b)!)
-		|| (a.priority - b.priority)
-		|| (a.remainingWork - b.remainingWork)
-		|| (a.arrivedAt - b.arrivedAt));
+	// The keys are worked out once a job, since they are costly and a sort compares each job many times.
+	const keyed = jobs.map(job => ({
+		job, urgency: getUrgencyClass(job, now), priority: job.priority, work: job.remainingWork, arrivedAt: job.arrivedAt,
+	}));
+	keyed.sort((a, b) => (a.urgency - b.urgency) || (a.priority - b.priority) || (a.work - b.work) || (a.arrivedAt - b.arrivedAt));
+	return keyed.map(({job}) => job);
 }
--- a/src/pool/queued-job.ts
+++ b/src/pool/queued-job.ts
@@ -42,6 +42,9 @@
 	/** Longest time that a task of the job took, in milliseconds; 0 for none yet. */
 	longestRunMs = 0;
 	readonly #estimator: DurationEstimator;
+	readonly #waitingCounts: number[];
+	readonly #chainMs: number;
+	#doneCount = 0;
 
 	/**
 	 * @param submitted - Job as it came in.
@@ -53,6 +56,8 @@
 		this.arrivedAt = now - submitted.ageMs;
 		this.deadlineAt = now + submitted.remainingMs;
 		this.#estimator = estimator;
+		this.#waitingCounts = submitted.steps.map(({taskCount}) => taskCount);
+		this.#chainMs = getChainMs(submitted.steps);
 		this.tasks = submitted.steps.flatMap((step, stepPosition) => Array.from({length: step.taskCount}, (_, index) => createTask(submitted.id, stepPosition, index)));
 	}
 
@@ -61,7 +66,7 @@
 	}
 
 	get chainMs(): number {
-		return this.#estimator.getExpectedMs(this.req.rules.route, getChainMs(this.req.steps));
+		return this.#estimator.getExpectedMs(this.req.rules.route, this.#chainMs);
 	}
 
 	get objectiveAt(): number {
@@ -76,15 +81,25 @@
 	/** Core-milliseconds of the tasks that have not been started. */
 	get remainingWork(): number {
 		let work = 0;
-		for (const task of this.tasks) {
-			if (task.status === 'waiting') {
-				work += this.getTaskWork(task);
-			}
+		for (const [position, count] of this.#waitingCounts.entries()) {
+			const {needs, estimateMs} = this.req.steps[position]!;
+			work += count * needs.cpu / 1000 * this.#estimator.getExpectedMs(this.req.rules.route, estimateMs);
 		}
 
 		return work;
 	}
 
+	/**
+	 * Sets how far a task has come.
+	 * @param task - Task of this job.
+	 * @param status - Status.
+	 */
+	setStatus(task: JobTask, status: JobTask['status']): void {
+		this.#waitingCounts[task.stepPosition]! += Number(status === 'waiting') - Number(task.status === 'waiting');
+		this.#doneCount += Number(status === 'done') - Number(task.status === 'done');
+		task.status = status;
+	}
+
 	/**
 	 * Gets the step of a task.
 	 * @param task - Task of this job.
@@ -101,14 +116,6 @@
 		return this.#estimator.getExpectedMs(this.req.rules.route, this.getStep(task).estimateMs);
 	}
 
-	/**
-	 * Gets the core-milliseconds of a task.
-	 * @param task - Task of this job.
-	 */
-	getTaskWork(task: JobTask): number {
-		return this.getStep(task).needs.cpu / 1000 * this.getExpectedMs(task);
-	}
-
 	/** Gets the tasks that may start: those waiting whose earlier steps are done. */
 	getReadyTasks(): readonly JobTask[] {
 		return this.tasks.filter(task => task.status === 'waiting' && this.#isReady(this.getStep(task)));
@@ -121,7 +128,7 @@
 
 	/** Gets whether all tasks are done. */
 	isDone(): boolean {
-		return this.tasks.every(({status}) => status === 'done');
+		return this.#doneCount === this.tasks.length;
 	}
 
 	/**
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -88,6 +88,8 @@
 	readonly #options: UpstreamLinkOptions;
 	readonly #timing: UpstreamLinkTiming;
 	readonly #runs = new Map<string, LinkedRun>();
+	/** What all runs take together. */
+	readonly #taken = {cpu: 0, memoryMb: 0, accelerators: 0};
 	/** Runs listed by the upstream that no job here knows, with the time they were first seen. */
 	readonly #unclaimed = new Map<string, Run & {readonly seenAt: number}>();
 	readonly #recentEnds = new Map<string, ListedEnd>();
@@ -109,14 +111,9 @@
 
 	/** Gets what is free, by the runs known here. */
 	getFree(): TaskNeeds {
-		let {cpu, memoryMb, accelerators} = this.description.capacity;
-		for (const {needs} of this.#runs.values()) {
-			cpu -= needs.cpu;
-			memoryMb -= needs.memoryMb;
-			accelerators -= needs.accelerators;
-		}
-
-		return {cpu, memoryMb, accelerators};
+		const {capacity} = this.description;
+		const {cpu, memoryMb, accelerators} = this.#taken;
+		return {cpu: capacity.cpu - cpu, memoryMb: capacity.memoryMb - memoryMb, accelerators: capacity.accelerators - accelerators};
 	}
 
 	/** Gets whether new tasks may start here. */
@@ -184,7 +181,7 @@
 		const linked: LinkedRun = {
 			...run, startedAt: now, state: 'starting', settledAt: Infinity, isUnwanted: false,
 		};
-		this.#runs.set(run.task, linked);
+		this.#addRun(linked);
 		void this.#sendStart(linked);
 		return linked;
 	}
@@ -220,7 +217,7 @@
 		const linked: LinkedRun = {
 			task, number: run.number, needs, spec, startedAt: run.seenAt, state: 'running', settledAt: run.seenAt, isUnwanted: false,
 		};
-		this.#runs.set(task, linked);
+		this.#addRun(linked);
 		return linked;
 	}
 
@@ -468,7 +465,7 @@
 			return;
 		}
 
-		this.#runs.delete(run.task);
+		this.#removeRun(run);
 		if (outcome.reason !== 'stale-run') {
 			this.pausedUntil = now + refusalPauseMs;
 			void this.refresh();
@@ -555,9 +552,25 @@
 		this.#timer = undefined;
 	}
 
+	#addRun(run: LinkedRun): void {
+		this.#runs.set(run.task, run);
+		this.#addTaken(run.needs, 1);
+	}
+
+	#removeRun(run: LinkedRun): void {
+		this.#runs.delete(run.task);
+		this.#addTaken(run.needs, -1);
+	}
+
+	#addTaken({cpu, memoryMb, accelerators}: TaskNeeds, factor: number): void {
+		this.#taken.cpu += cpu * factor;
+		this.#taken.memoryMb += memoryMb * factor;
+		this.#taken.accelerators += accelerators * factor;
+	}
+
 	#finish(run: LinkedRun, end: RunEnd): void {
 		if (this.#runs.get(run.task) === run) {
-			this.#runs.delete(run.task);
+			this.#removeRun(run);
 			this.#options.events.onRunEnded(this, run, end);
 		}
 	}
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -11,3 +11,5 @@
 export * from './peer-faults.js';
 export * from './switchable-connection.js';
 export * from './simulated-upstreams.js';
+export * from './platform-store.js';
+export * from './platform-upstream.js';
--- /dev/null
+++ b/test/platform/decoding.test.ts
@@ -0,0 +1,95 @@
+import test from 'ava';
+import {decodeConfiguration} from '../../src/platform/decode-configuration.js';
+import {decodeJob} from '../../src/platform/decode-job.js';
+import {decodeUpstream} from '../../src/platform/decode-upstream.js';
+import {parseSettingsFile} from '../../src/platform/settings-file.js';
+import {decodeHoldAnswer, decodeOrderAnswer} from '../../src/platform/wire-messages.js';
+
+const settingsLines = [
+	'node_name=edge-a-1',
+	'zone=a',
+	'ip=10.0.0.1',
+	'zones.a=r',
+	'zones.b=r',
+	'listen.front=10.0.0.1:1',
+	'listen.ready=10.0.0.1:2',
+	'listen.control=10.0.0.1:3',
+	'seeds=10.0.0.2:3, 10.0.0.3:3',
+	'platform.address=10.0.0.9:4',
+	'bounds.grace_s=6',
+	'something.new=x',
+	'a line without sense',
+];
+
+const rules = {
+	route: 'r', service: 's', priority: 0, maxAttempts: 3, stretch: 1.6, slackMs: 60,
+};
+
+test('settings are read by the platform\'s names, and unknown ones are passed over', t => {
+	const parsed = parseSettingsFile(settingsLines.join('\n'));
+	t.like(parsed, {
+		ok: true,
+		settings: {
+			vm: 'edge-a-1', dataCenter: 'a', dataCenters: ['a', 'b'], callerAddress: '10.0.0.1:1', peerAddress: '10.0.0.1:3', peerSeeds: ['10.0.0.2:3', '10.0.0.3:3'], stopGraceMs: 6000, maxLeaseMs: 1000,
+		},
+	});
+});
+
+test('each wrong or missing setting is named with its reason', t => {
+	const parsed = parseSettingsFile(settingsLines.map(line => line.startsWith('listen.front') ? 'listen.front=here' : line).filter(line => !line.startsWith('zone=')).join('\n'));
+	t.false(parsed.ok);
+	t.deepEqual(parsed.ok ? [] : parsed.faults.map(fault => fault.split(':')[0]), ['zone', 'listen.front']);
+});
+
+test('a configuration becomes routes, and what is none is refused', t => {
+	const decoded = decodeConfiguration(JSON.stringify({
+		version: 7, services: [], routes: [{
+			name: 'r', host: 'h', prefix: '/p/', service: 's', target_runtime_ms: 60, priority: 2, max_attempts: 3, stretch: 1.6,
+		}],
+	}));
+	t.like(decoded, {ok: true, table: {version: 7, maxBodyBytes: 262_144, routes: [{host: 'h', prefix: '/p/', rules: {...rules, priority: 2}}]}});
+	t.false(decodeConfiguration('{"version":7}').ok);
+	t.false(decodeConfiguration('no JSON').ok);
+});
+
+test('an entry with fields missing, of another type or unreadable names no upstream', t => {
+	const entry = {
+		service: 's', address: '10.0.0.1:1', zone: 'a', state: 'ready', capacity: {cpu: 16_000, mem_mb: 1024}, labels: ['a', 'r1-3'], born: 5,
+	};
+	t.like(decodeUpstream({key: 'servers/i-1', value: JSON.stringify(entry)}), {
+		id: 'i-1', bornMs: 5, dataCenter: 'a', rack: 'r1-3', isLeaving: false, capacity: {cpu: 16_000, memoryMb: 1024, accelerators: 0},
+	});
+	t.true(decodeUpstream({key: 'servers/i-1', value: JSON.stringify({...entry, state: 'draining'})})?.isLeaving);
+	for (const bad of [{...entry, state: 'odd'}, {...entry, capacity: 3}, {...entry, address: undefined}, []]) {
+		t.is(decodeUpstream({key: 'servers/i-1', value: JSON.stringify(bad)}), undefined);
+	}
+
+	t.is(decodeUpstream({key: 'servers/i-1', value: '\u0000'}), undefined);
+});
+
+test('a job that needs what this version does not do is told apart from one that is wrong', t => {
+	const body = {
+		spec: 'x', best_effort: true, steps: [{
+			count: 2, cpu: 500, requirements: 'b', affinity: 'r1-3', max_per_server: 1,
+		}],
+	};
+	t.like(decodeJob('a', JSON.stringify(body), rules), {
+		kind: 'job', job: {
+			id: 'a', spec: 'x', steps: [{
+				taskCount: 2, requiredLabel: 'b', dataRack: 'r1-3', maxPerUpstream: 1, after: [],
+			}],
+		},
+	});
+	t.is(decodeJob('a', JSON.stringify({...body, best_effort: false}), rules).kind, 'unsupported');
+	t.is(decodeJob('a', JSON.stringify({...body, steps: [{count: 1, gang: true}]}), rules).kind, 'unsupported');
+	t.is(decodeJob('a', JSON.stringify({...body, steps: [{count: -1}]}), rules).kind, 'invalid');
+	t.is(decodeJob('a', '{', rules).kind, 'invalid');
+});
+
+test('answers of upstreams may have more columns than are read, and no wrong ones', t => {
+	t.deepEqual(decodeOrderAnswer({clock_ms: 5, reason: 'fence'}), {clock_ms: 5, reason: 'fence'});
+	t.is(decodeOrderAnswer({}), undefined);
+	t.like(decodeHoldAnswer({clock_ms: 5, running: [['t', 1, '', 100, 3]], ended: [[1, 't', 1, 'done', '']]}), {clock_ms: 5, born: undefined});
+	t.is(decodeHoldAnswer({clock_ms: 5, running: [['t']]}), undefined);
+	t.is(decodeHoldAnswer({clock_ms: 5, ended: [['1', 't', 1, 'done']]}), undefined);
+});
--- /dev/null
+++ b/test/platform/platform-deployment.ts
@@ -0,0 +1,137 @@
+/**
+ * A deployment on loopback: the store, upstreams and entry VMs of the platform.
+ */
+import {createServer} from 'node:net';
+import bunyan from 'bunyan';
+import {request} from 'undici';
+import {createPlatformEntryVm, type PlatformEntryVm} from '../../src/platform/platform-entry-vm.js';
+import {type PlatformSettings} from '../../src/platform/settings-file.js';
+import {
+	createPlatformStore, createPlatformUpstream, type PlatformStore, type PlatformUpstream, type SimulatedWork,
+} from '../../src/testing/index.js';
+
+/** Options of {@link createPlatformDeployment}. */
+export type PlatformDeploymentOptions = {
+	readonly dataCenters?: readonly string[];
+	readonly vmsPerDataCenter?: number;
+	readonly upstreamsPerDataCenter?: number;
+	readonly getWork?: (task: string) => SimulatedWork;
+};
+
+const usualWork: SimulatedWork = {needs: {cpu: 6800, memoryMb: 64, accelerators: 0}, durationMs: 30};
+
+/** Host and prefix of the route of the tests. */
+export const host = 'jobs.example';
+export const prefix = '/work/';
+
+/** A running deployment. */
+export class PlatformDeployment {
+	readonly entryVms: PlatformEntryVm[] = [];
+	readonly settings: PlatformSettings[] = [];
+
+	constructor(readonly store: PlatformStore, readonly upstreams: readonly PlatformUpstream[]) {}
+
+	/**
+	 * Submits a job of alike tasks and gets the status and the state.
+	 * @param position - Entry VM.
+	 * @param id - Identifier.
+	 * @param options - Tasks, and fields of the body that differ.
+	 */
+	async submit(position: number, id: string, {taskCount = 2, ...body}: {readonly taskCount?: number; readonly [field: string]: unknown} = {}): Promise<{readonly status: number; readonly state: string | undefined; readonly retryAfter: unknown}> {
+		const res = await request(`http://${this.entryVms[position]!.getAddresses()[0]!}${prefix}${id}`, {
+			method: 'POST',
+			headers: {host, 'x-endivemill-deadline-ms': '20000'},
+			body: JSON.stringify({
+				spec: 'x', best_effort: true, steps: [{
+					count: taskCount, cpu: 6800, mem_mb: 64, estimate_ms: 30,
+				}], ...body,
+			}),
+		});
+		const text = await res.body.text();
+		return {status: res.statusCode, state: text === '' ? undefined : (JSON.parse(text) as {state?: string}).state, retryAfter: res.headers['retry-after']};
+	}
+
+	/** Writes a version of the configuration. */
+	setConfiguration(version: number, prefixes: readonly string[] = [prefix]): void {
+		this.store.setText('op/config', JSON.stringify({
+			version,
+			routes: prefixes.map((path, position) => ({
+				name: `r${position}`, host, prefix: path, kind: 'non_idempotent', timeout_ms: 20_000, target_runtime_ms: 10_000, priority: 0, service: 's', max_attempts: 3, stretch: 1.6,
+			})),
+			services: [{
+				name: 's', health_path: '/health', max_conns: 64, admission_control: true,
+			}],
+			limits: {},
+		}));
+	}
+
+	/** Waits until all entry VMs are ready. */
+	async waitUntilReady(): Promise<void> {
+		await waitFor(() => this.entryVms.every(entryVm => entryVm.isReady()));
+	}
+
+	/** Ends everything. */
+	async close(): Promise<void> {
+		await Promise.all(this.entryVms.map(async entryVm => entryVm.abort()));
+		await Promise.all(this.upstreams.map(async upstream => upstream.close()));
+		await this.store.close();
+	}
+}
+
+/**
+ * Waits until a condition holds.
+ * @param isTrue - Condition.
+ */
+export async function waitFor(isTrue: () => boolean): Promise<void> {
+	while (!isTrue()) {
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+	}
+}
+
+/** Creates a deployment whose entry VMs are started. */
+export async function createPlatformDeployment(options: PlatformDeploymentOptions = {}): Promise<PlatformDeployment> {
+	const {dataCenters = ['dc1'], vmsPerDataCenter = 2, upstreamsPerDataCenter = 2, getWork = () => usualWork} = options;
+	const store = await createPlatformStore();
+	const upstreams: PlatformUpstream[] = [];
+	for (const dataCenter of dataCenters) {
+		for (let position = 0; position < upstreamsPerDataCenter; position++) {
+			upstreams.push(await createPlatformUpstream({
+				id: `i-${dataCenter}-${position}`, dataCenter, service: 's', store, getWork,
+			}));
+		}
+	}
+
+	const deployment = new PlatformDeployment(store, upstreams);
+	deployment.setConfiguration(1);
+	const vms = dataCenters.flatMap(dataCenter => Array.from({length: vmsPerDataCenter}, (_, position) => ({dataCenter, vm: `edge-${dataCenter}-${position}`})));
+	const peerAddresses = await Promise.all(vms.map(async () => `127.0.0.1:${await findFreePort()}`));
+	for (const [position, {vm, dataCenter}] of vms.entries()) {
+		const settings: PlatformSettings = {
+			vm, dataCenter, dataCenters, ip: '127.0.0.1', callerAddress: '127.0.0.1:0', readinessAddress: '127.0.0.1:0',
+			peerAddress: peerAddresses[position]!, peerSeeds: peerAddresses, storeAddress: store.getAddress(), maxLeaseMs: 1000, stopGraceMs: 6000,
+		};
+		deployment.settings.push(settings);
+		deployment.entryVms.push(await createPlatformEntryVm({settings, logger: createQuietLogger(), metricsPort: 0}));
+	}
+
+	return deployment;
+}
+
+function createQuietLogger(): bunyan {
+	return bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1});
+}
+
+/** Gets a port that nobody uses; another process may take it before it is used here. */
+async function findFreePort(): Promise<number> {
+	return new Promise(resolve => {
+		const server = createServer();
+		server.listen({host: '127.0.0.1', port: 0}, () => {
+			const {port} = server.address() as {port: number};
+			server.close(() => {
+				resolve(port);
+			});
+		});
+	});
+}
--- /dev/null
+++ b/test/platform/platform-entry-vm.test.ts
@@ -0,0 +1,95 @@
+import test from 'ava';
+import {request} from 'undici';
+import {
+	createPlatformDeployment, host, prefix, waitFor,
+} from './platform-deployment.js';
+
+async function getStatus(address: string, path: string, method: 'GET' | 'DELETE' = 'GET'): Promise<number> {
+	const res = await request(`http://${address}${path}`, {method, headers: {host}});
+	await res.body.dump();
+	return res.statusCode;
+}
+
+test('a job that any entry VM takes runs once and is answered when it ends', async t => {
+	const deployment = await createPlatformDeployment();
+	await deployment.waitUntilReady();
+	t.like(await deployment.submit(0, '00000000000000a1', {taskCount: 3}), {status: 200, state: 'completed'});
+	t.like(await deployment.submit(1, '00000000000000a2', {taskCount: 3}), {status: 200, state: 'completed'});
+	t.is(deployment.upstreams.flatMap(upstream => upstream.getStarts()).length, 6);
+	await deployment.close();
+});
+
+test('copies of a job at two entry VMs start its tasks once', async t => {
+	const deployment = await createPlatformDeployment();
+	await deployment.waitUntilReady();
+	const answers = await Promise.all([0, 1, 0].map(async position => deployment.submit(position, '00000000000000b1')));
+	t.deepEqual(answers.map(({status}) => status), [200, 200, 200]);
+	t.is(deployment.upstreams.flatMap(upstream => upstream.getStarts()).length, 2);
+	await deployment.close();
+});
+
+test('routes are those of the configuration in force', async t => {
+	const deployment = await createPlatformDeployment();
+	await deployment.waitUntilReady();
+	const [address] = deployment.entryVms[0]!.getAddresses();
+	t.is(await getStatus(address!, '/other/'), 404);
+	t.is(await getStatus(address!, prefix), 200);
+	t.is(await getStatus(address!, `${prefix}00000000000000c1`), 410);
+	t.is(await getStatus(address!, `${prefix}00000000000000c1`, 'DELETE'), 410);
+	deployment.setConfiguration(2, [prefix, '/other/']);
+	await waitFor(() => deployment.entryVms.every(entryVm => entryVm.getConfigurationVersion() === 2));
+	t.is(await getStatus(address!, '/other/'), 200);
+	await deployment.close();
+});
+
+test('a job that must be stored is refused, not taken and lost', async t => {
+	const deployment = await createPlatformDeployment({vmsPerDataCenter: 1});
+	await deployment.waitUntilReady();
+	t.like(await deployment.submit(0, '00000000000000d1', {best_effort: false}), {status: 503});
+	t.like(await deployment.submit(0, '00000000000000d2', {steps: []}), {status: 400});
+	t.is(deployment.upstreams.flatMap(upstream => upstream.getStarts()).length, 0);
+	await deployment.close();
+});
+
+test('jobs go on while the store is away', async t => {
+	const deployment = await createPlatformDeployment();
+	await deployment.waitUntilReady();
+	t.like(await deployment.submit(0, '00000000000000e1'), {status: 200});
+	deployment.store.faults.refusal = 503;
+	t.like(await deployment.submit(1, '00000000000000e2'), {status: 200});
+	deployment.store.faults.refusal = undefined;
+	await deployment.close();
+});
+
+test('when the owner of a pool dies, the next one finishes its jobs without a second start', async t => {
+	const deployment = await createPlatformDeployment({getWork: () => ({needs: {cpu: 6800, memoryMb: 64, accelerators: 0}, durationMs: 600})});
+	await deployment.waitUntilReady();
+	const ownerPosition = deployment.entryVms.findIndex(entryVm => entryVm.isOwner());
+	const other = 1 - ownerPosition;
+	const answer = deployment.submit(other, '00000000000000f1', {
+		steps: [{
+			count: 3, cpu: 6800, mem_mb: 64, estimate_ms: 600,
+		}],
+	});
+	await waitFor(() => deployment.upstreams.flatMap(upstream => upstream.getStarts()).length === 3);
+	await deployment.entryVms[ownerPosition]!.abort();
+	t.like(await answer, {status: 200, state: 'completed'});
+	const starts = deployment.upstreams.flatMap(upstream => upstream.getStarts());
+	t.is(new Set(starts.map(({task}) => task)).size, 3);
+	t.true(starts.every(({end}) => end !== 'lapsed'));
+	t.is(starts.length, 3);
+	await deployment.close();
+});
+
+test('an upstream that is leaving gets no new tasks', async t => {
+	const deployment = await createPlatformDeployment({vmsPerDataCenter: 1});
+	await deployment.waitUntilReady();
+	t.like(await deployment.submit(0, '0000000000000101', {taskCount: 4}), {status: 200});
+	const [leaving] = deployment.upstreams;
+	leaving!.register('draining');
+	await waitFor(() => deployment.entryVms[0]!.getOpenUpstreamCount() === 1);
+	const before = leaving!.getStarts().length;
+	t.like(await deployment.submit(0, '0000000000000102', {taskCount: 4}), {status: 200});
+	t.is(leaving!.getStarts().length, before);
+	await deployment.close();
+});
