--- a/src/testing/platform-stand-in.ts
+++ b/src/testing/platform-stand-in.ts
@@ -57,6 +57,8 @@
 	/** Aborts the waits of all requests; there may be many. */
 	readonly #closing = new AbortController();
 	readonly #callCounts = new Map<string, number>();
+	/** Told of each request that came over a silent connection. */
+	readonly #unansweredWaiters = new Set<() => void>();
 	readonly #answers: ReadonlyMap<string, Answer>;
 	#server: Server | undefined;
 	#adjusting = Promise.resolve();
@@ -159,6 +161,13 @@
 		}
 	}
 
+	/** Waits until a request has come whole over a silent connection, from the call on. */
+	async waitForUnansweredCall(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#unansweredWaiters.add(resolve);
+		});
+	}
+
 	/** Gets the faults that are on. */
 	getFault(): PlatformFaults {
 		return this.#faults;
@@ -232,6 +241,14 @@
 		}
 	}
 
+	#endUnansweredWaits(): void {
+		for (const resolve of this.#unansweredWaiters) {
+			resolve();
+		}
+
+		this.#unansweredWaiters.clear();
+	}
+
 	async #closeServer(): Promise<void> {
 		const server = this.#server;
 		if (!server) {
@@ -254,6 +271,7 @@
 		const json = normalizeNames(await readJson(req));
 		await this.#delay();
 		if (this.#isSilent(req.socket) || req.socket.destroyed) {
+			this.#endUnansweredWaits();
 			return;
 		}
 
