--- a/src/cli/commands/drain.ts
+++ b/src/cli/commands/drain.ts
@@ -2,7 +2,7 @@
  * `endivemill drain`: starts the graceful stop of one entry VM.
  */
 import {type Command} from 'commander';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type CliContext} from '../cli-host.js';
 import {addEntryVmFlags, type EntryVmFlags, openTargets} from '../entry-vm-targets.js';
 import {type ExitCode, exitCodes} from '../exit-codes.js';
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -2,7 +2,7 @@
  * `endivemill status`: the state of all entry VMs, their upstreams, queues and quotas.
  */
 import {type Command} from 'commander';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type CliContext} from '../cli-host.js';
 import {
 	addEntryVmFlags, type EntryVmFlags, type EntryVmTarget, openTargets,
--- a/src/cli/operator-client.ts
+++ b/src/cli/operator-client.ts
@@ -3,7 +3,7 @@
  */
 import {readFile} from 'node:fs/promises';
 import {Agent, request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type CliHost} from './cli-host.js';
 import {getFlagOrVariable, type OperatorFlags} from './cli-options.js';
 
--- a/src/cli/timeline-gatherer.ts
+++ b/src/cli/timeline-gatherer.ts
@@ -1,7 +1,7 @@
 /**
  * Gathers the events of several entry VMs and merges them.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {type EntryVmTarget} from './entry-vm-targets.js';
 import {type OperatorClient} from './operator-client.js';
 
--- a/src/cli/version-wait.ts
+++ b/src/cli/version-wait.ts
@@ -1,7 +1,7 @@
 /**
  * Waits until every live entry VM of the platform's list has a version of the configuration in force.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	getVmPrefix, type ListedEntryVm, parseListedVm, type Platform,
 } from '../platform/index.js';
--- a/src/connection/control-messages.ts
+++ b/src/connection/control-messages.ts
@@ -1,7 +1,7 @@
 /**
  * The messages of a control link.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const text = z.string().max(128);
 const count = z.int().min(0);
--- a/src/connection/handshake-messages.ts
+++ b/src/connection/handshake-messages.ts
@@ -1,7 +1,7 @@
 /**
  * The messages of a handshake.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {type LinkFault} from './traffic.js';
 
 /** Version of the protocol between entry VMs. */
--- a/src/daemon/setting-types.ts
+++ b/src/daemon/setting-types.ts
@@ -2,7 +2,7 @@
  * The types of values that settings take, each read from text.
  */
 import {isIP} from 'node:net';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Reads one setting's text; the message says what was expected. */
 export type SettingSchema<T> = z.ZodType<T, string>;
--- a/src/lab/entry-vm-client.ts
+++ b/src/lab/entry-vm-client.ts
@@ -3,7 +3,7 @@
  */
 import {createHash} from 'node:crypto';
 import {Agent, type Dispatcher} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	type CallAnswer, type CallerJob, type CallerJobId, type CallerRequest, type CallFault, type CallResult,
 } from './call.js';
--- a/src/platform/etcd-client.ts
+++ b/src/platform/etcd-client.ts
@@ -3,7 +3,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {type Dispatcher, request} from 'undici';
-import {type z} from 'zod';
+import type * as z from 'zod';
 import {type Clock} from '../seams/index.js';
 import {type CallBudget} from './call-budget.js';
 import {type PlatformResult} from './platform.js';
--- a/src/platform/etcd-messages.ts
+++ b/src/platform/etcd-messages.ts
@@ -2,7 +2,7 @@
  * Messages of the JSON/HTTP form of the etcd v3 API: 64-bit numbers are strings, keys and values are base64.
  */
 import {Buffer} from 'node:buffer';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type KeyValue} from './platform.js';
 
 const int64 = z.union([z.string().regex(/^\d{1,19}$/v), z.int().min(0)]).transform(Number);
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -42,10 +42,13 @@
 	process.exit(code); // eslint-disable-line unicorn/no-process-exit
 }
 
-const read = await readSettings();
-if (read === undefined) {
-	await end(wrongSettingsCode);
-} else {
+async function run(): Promise<void> {
+	const read = await readSettings();
+	if (read === undefined) {
+		await end(wrongSettingsCode);
+		return;
+	}
+
 	const entryVm = await createPlatformEntryVm({settings: read.settings, logger});
 	process.on('SIGTERM', async () => {
 		await entryVm.close();
@@ -57,3 +60,6 @@
 		logger.info({isValid: again !== undefined}, 'settings read again');
 	});
 }
+
+// The bundle is a CommonJS script, since only those take a code cache.
+void run(); // eslint-disable-line unicorn/prefer-top-level-await
--- a/src/platform/settings-file.ts
+++ b/src/platform/settings-file.ts
@@ -1,7 +1,7 @@
 /**
  * The settings file that the platform writes for each process.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const address = z.string().regex(/^[\d.]+:\d{1,5}$/v, 'expected an IP address and a port');
 const milliseconds = z.coerce.number().min(0);
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -3,7 +3,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {Agent, type Dispatcher} from 'undici';
-import {type z} from 'zod';
+import type * as z from 'zod';
 import {type Clock} from '../seams/index.js';
 import {callJson, type JsonCall} from './json-client.js';
 import {
--- a/src/platform/vm-list.ts
+++ b/src/platform/vm-list.ts
@@ -1,7 +1,7 @@
 /**
  * The platform's list of VMs: one JSON value a VM under a prefix of the store.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const address = z.string().regex(/^(?:\[[\da-fA-F:.]+\]|[\d.]+):\d{1,5}$/v, 'expected an IP address and a port');
 const name = z.string().regex(/^[a-z\d](?:[a-z\d\-]{0,62})$/v, 'expected lower-case letters, digits and hyphens');
--- a/src/platform/vm-registry.ts
+++ b/src/platform/vm-registry.ts
@@ -2,7 +2,7 @@
  * The entry VMs that registered in the store, so that they find each other beyond the seeds of their settings.
  */
 import {Stream} from 'most';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type DecisionLog} from '../pool/index.js';
 import {type Clock, sleep} from '../seams/index.js';
 import {parseJson} from './decode-configuration.js';
--- a/src/platform/wire-messages.ts
+++ b/src/platform/wire-messages.ts
@@ -1,7 +1,7 @@
 /**
  * The platform's messages, by the platform's field names. Nothing outside this folder knows them.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {type Run} from '../pool/index.js';
 
 const count = z.number().min(0);
--- a/src/process/coordinator-directory.ts
+++ b/src/process/coordinator-directory.ts
@@ -1,7 +1,7 @@
 /**
  * Finds out which process answers for a coordinator.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {type Member, type PeerNetwork} from '../connection/index.js';
 import {type CoordinatorToken} from '../request/index.js';
 import {type Clock} from '../seams/index.js';
--- a/src/process/hand-over.ts
+++ b/src/process/hand-over.ts
@@ -1,7 +1,7 @@
 /**
  * Moves the complete records of a stopping coordinator to its successor, in parts and with a closing count.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {type Incarnation, type Member, type PeerNetwork} from '../connection/index.js';
 import {AdoptedRecords, type AdoptedCoordinator} from './adopted-records.js';
 import {savedRecordSchema} from './job-operation.js';
--- a/src/process/job-operation.ts
+++ b/src/process/job-operation.ts
@@ -1,7 +1,7 @@
 /**
  * What callers ask of jobs, in the form in which entry VMs pass it on to each other.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {type CallerAnswer, isProblemName, type ProblemName} from '../request/index.js';
 
 const headers = z.array(z.tuple([z.string(), z.string()]).readonly()).readonly();
--- a/src/process/peer-sync.ts
+++ b/src/process/peer-sync.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps this process up to date through its peers: newer configurations, and the list of VMs while the platform is away.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {type HeartbeatBody, type Incarnation, type PeerNetwork} from '../connection/index.js';
 import {listedVmSchema, type VmList} from '../platform/index.js';
 import {type ConfigurationFollower} from './configuration-follower.js';
--- a/src/process/scheduler/slot-messages.ts
+++ b/src/process/scheduler/slot-messages.ts
@@ -1,7 +1,7 @@
 /**
  * Messages about slots between entry VMs.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const leaseSchema = z.object({
 	id: z.string(),
--- a/src/request/job-body.ts
+++ b/src/request/job-body.ts
@@ -1,7 +1,7 @@
 /**
  * The body of a submitted job.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Most tasks of one job. */
 export const maxTasksPerJob = 1000;
--- a/src/testing/etcd-stand-in-messages.ts
+++ b/src/testing/etcd-stand-in-messages.ts
@@ -2,7 +2,7 @@
  * Requests and answers of the stand-in, in the JSON/HTTP form of the etcd v3 API.
  */
 import {Buffer} from 'node:buffer';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	type EtcdStandInStore, type KeySelection, type StoredChange, type StoredKey, type StoreWrite,
 } from './etcd-stand-in-store.js';
--- a/src/testing/platform-faults.ts
+++ b/src/testing/platform-faults.ts
@@ -1,7 +1,7 @@
 /**
  * The faults that the platform's stand-in can be given while it runs.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Faults of the stand-in; all can be on at once, and an absent one is off. */
 export type PlatformFaults = {
--- a/src/testing/stand-in-control.ts
+++ b/src/testing/stand-in-control.ts
@@ -4,7 +4,7 @@
 import {once} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
-import {z} from 'zod';
+import * as z from 'zod';
 import {listedVmSchema} from '../platform/index.js';
 import {readJson, sendJson} from './http-json.js';
 import {platformFaultsSchema} from './platform-faults.js';
--- a/src/testing/upstream-faults.ts
+++ b/src/testing/upstream-faults.ts
@@ -1,7 +1,7 @@
 /**
  * The faults that an upstream stand-in can be given while it runs.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Schema of the faults of an upstream stand-in. */
 export const upstreamFaultsSchema = z.strictObject({
--- a/src/version/configuration.ts
+++ b/src/version/configuration.ts
@@ -1,7 +1,7 @@
 /**
  * One version of the operators' configuration: its schema, its defaults and the types that all other parts use.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const name = z.string().regex(/^[a-z\d](?:[a-z\d\-]{0,62})$/v, 'expected 1 to 63 lower-case letters, digits and hyphens');
 const milliseconds = z.int().min(0).max(86_400_000);
--- a/src/version/declaration-file.ts
+++ b/src/version/declaration-file.ts
@@ -4,7 +4,7 @@
 import {
 	type Document, isMap, isNode, isPair, isScalar, LineCounter, parseAllDocuments, type YAMLError,
 } from 'yaml';
-import {type z} from 'zod';
+import type * as z from 'zod';
 import {type Declarations, declarationsSchema} from './configuration.js';
 import {type DeclarationFault} from './declaration-fault.js';
 import {describeIssue} from './describe-issue.js';
--- a/src/version/declarations-json-schema.ts
+++ b/src/version/declarations-json-schema.ts
@@ -1,7 +1,7 @@
 /**
  * The JSON Schema of the declarations, for editors.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {declarationsSchema} from './configuration.js';
 
 /** Gets the JSON Schema of one file of declarations. */
--- a/src/version/describe-issue.ts
+++ b/src/version/describe-issue.ts
@@ -1,7 +1,7 @@
 /**
  * The schema's findings in words, with hints for misspelt names and values.
  */
-import {type z} from 'zod';
+import type * as z from 'zod';
 import {
 	declarationsSchema, profileSchema, serviceSchema, teamSchema,
 } from './configuration.js';
