--- a/bench/pool/simulate-pool.ts
+++ b/bench/pool/simulate-pool.ts
@@ -2,9 +2,10 @@
  * Plays a load pattern against the owner of one pool with simulated upstreams.
  */
 import {
-	type DecisionLog, PoolOwner, type PoolJobOutcome, type SubmittedJob,
+	choosePool, type DecisionLog, getFirstCpu, type PoolDirectory, type PoolJobOutcome, type SubmittedJob,
 } from '../../src/pool/index.js';
 import {ManualClock} from '../../src/testing/manual-clock.js';
+import {SimulatedPools} from '../../src/testing/simulated-pools.js';
 import {SimulatedUpstreams} from '../../src/testing/simulated-upstreams.js';
 import {type Arrival} from './load-pattern.js';
 
@@ -32,12 +33,27 @@
 /** Speeds of upstreams, in turns. */
 const speeds = [0.8, 1, 1.25];
 
+/** Entry VMs that choose pools. */
+const entryCount = 7;
+
+/** Pools that are asked for room before a job is refused. */
+const maxPoolsAsked = 3;
+
+/** Options of {@link simulatePool}. */
+export type SimulationOptions = {
+	/** Pools over which the upstreams are spread evenly. */
+	readonly poolCount?: number;
+	/** Whether the pools lend each other room and have a common queue. */
+	readonly isLending?: boolean;
+};
+
 /**
  * Plays arrivals.
  * @param arrivals - Jobs.
  * @param upstreamCount - Upstreams of 16 cores, each third of 24.
+ * @param options - Pools.
  */
-export async function simulatePool(arrivals: readonly Arrival[], upstreamCount: number): Promise<Readonly<Record<string, KindResult>>> {
+export async function simulatePool(arrivals: readonly Arrival[], upstreamCount: number, {poolCount = 1, isLending = true}: SimulationOptions = {}): Promise<Readonly<Record<string, KindResult>>> {
 	const clock = new ManualClock();
 	const works = new Map<string, {readonly arrival: Arrival; readonly durationMs: number}>();
 	const upstreams = new SimulatedUpstreams({
@@ -47,19 +63,21 @@
 			return {needs: {cpu: arrival.cpu, memoryMb: 64, accelerators: 0}, durationMs};
 		},
 	});
+	const pools = Array.from({length: poolCount}, (_, position) => `dc${position}`);
 	const descriptions = Array.from({length: upstreamCount}, (_, position) => ({
-		id: `u${position}`, bornMs: 1, address: `u${position}`, dataCenter: 'dc1', service: 's', rack: 'r', labels: [], isLeaving: false,
+		id: `u${position}`, bornMs: 1, address: `u${position}`, dataCenter: pools[position % poolCount]!, service: 's', rack: 'r', labels: [], isLeaving: false,
 		capacity: {cpu: position % 3 === 2 ? 24_000 : 16_000, memoryMb: 32_768, accelerators: 0},
 	}));
 	for (const [position, description] of descriptions.entries()) {
 		upstreams.addUpstream(description).slowness = 1 / speeds[Math.floor(position / 3) % 3]!;
 	}
 
-	const owner = new PoolOwner({
-		pool: 'dc1', clock, log: silentLog, orders: upstreams, getStoredFence: async () => 1, async onFenced() {/* There is one owner. */}, knownFence: 0, isListKnown: () => true, maxLeaseMs: 1000,
-	}, descriptions);
+	const deployment = new SimulatedPools({
+		clock, log: silentLog, orders: upstreams, upstreams: descriptions, isLending,
+	});
+	const directories = Array.from({length: entryCount}, (_, position) => deployment.createDirectory(pools[position % poolCount]!));
 	const results: Record<string, KindResult> = {};
-	await clock.advance(100);
+	await clock.advance(300);
 	const startedAt = clock.getMonotonicTime();
 	for (const [position, arrival] of arrivals.entries()) {
 		await clock.advance(startedAt + arrival.at - clock.getMonotonicTime());
@@ -69,6 +87,28 @@
 	await clock.advance(settleMs);
 	return results;
 
+	async function submit(job: SubmittedJob, directory: PoolDirectory, signal: AbortSignal): Promise<PoolJobOutcome> {
+		let outcome: PoolJobOutcome = {kind: 'failed'};
+		const asked = new Set<string>();
+		while (asked.size < maxPoolsAsked) {
+			const view = choosePool(directory.getViews(), {cpu: getFirstCpu(job), isBound: !isLending, asked});
+			if (view === undefined) {
+				break;
+			}
+
+			asked.add(view.pool);
+			directory.addSent(view.pool, job);
+			const owner = deployment.getOwner(view.pool);
+			outcome = await owner.submit(job, signal);
+			directory.setLoad(view.pool, owner.getLoad());
+			if (outcome.kind !== 'refused' || outcome.reason === 'deadline' || (outcome.reason === 'overloaded' && isLending && view.freeCpu < getFirstCpu(job))) {
+				break;
+			}
+		}
+
+		return outcome;
+	}
+
 	async function run(position: number, arrival: Arrival): Promise<void> {
 		const id = `j${position}`;
 		for (const [index, durationMs] of arrival.durations.entries()) {
@@ -81,7 +121,7 @@
 		const timer = clock.setTimer(() => {
 			controller.abort();
 		}, deadlineMs);
-		const outcome = await owner.submit(job, controller.signal);
+		const outcome = await submit(job, directories[position % entryCount]!, controller.signal);
 		timer.close();
 		addResult(results[arrival.kind.name] ??= createResult(), outcome, clock.getMonotonicTime() - arrivedAt, getObjectiveMs(arrival));
 	}
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -8,7 +8,7 @@
 	createHttpListener, createPeerMesh, dialTcp, type HttpListener, type Incarnation, type PeerMesh, type PeerRequest,
 } from '../connection/index.js';
 import {
-	configurationTopic, createBoundedLog, type DecisionLog, NeighbourCheck, PoolNode, type StoredClaim, submitTopic, upstreamsSchema, upstreamsTopic,
+	configurationTopic, createBoundedLog, type DecisionLog, NeighbourCheck, PoolNode, type StoredClaim, upstreamsSchema, upstreamsTopic,
 } from '../pool/index.js';
 import {
 	type Clock, type Random, sleep, systemClock, systemRandom,
@@ -375,20 +375,16 @@
 	}
 
 	async #handleRequest(request: PeerRequest, from: Incarnation, signal: AbortSignal): Promise<unknown> {
-		switch (request.topic) {
-			case submitTopic: {
-				return this.#node.handleSubmit(request, signal);
-			}
-
-			case configurationTopic: {
-				return this.#configuration.getText();
-			}
+		if (request.topic === configurationTopic) {
+			return this.#configuration.getText();
+		}
 
-			default: {
-				this.#log.warn({topic: request.topic, peer: from.id}, 'request of an unknown topic');
-				return {};
-			}
+		if (this.#node.isTopic(request.topic)) {
+			return this.#node.handleRequest(request, signal);
 		}
+
+		this.#log.warn({topic: request.topic, peer: from.id}, 'request of an unknown topic');
+		return {};
 	}
 
 	/** Takes a newer configuration from a peer; the store may turn this VM away while it serves the peer. */
--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -19,3 +19,5 @@
 export type * from './stored-claims.js';
 export * from './offered-load.js';
 export * from './neighbour-check.js';
+export * from './lending.js';
+export * from './pool-lending.js';
--- /dev/null
+++ b/src/pool/lending.ts
@@ -0,0 +1,104 @@
+/**
+ * Room that the owners of pools give to tasks of each other's jobs. Answers wide jobs and bursts that one data centre cannot
+ * hold while others have room: a job stays with one owner, its tasks start wherever room is free.
+ */
+import {type JobStep, type PoolJobRequest} from './pool-job.js';
+import {type Run, type RunEnd} from './upstream-orders.js';
+
+/** A task that an owner asks another one to run. */
+export type BorrowingTask = Run & {
+	/** Text of the job. */
+	readonly spec: string;
+	readonly service: string;
+	/** Step of the task: what it needs and where it may run. */
+	readonly step: JobStep;
+	/** Time that the task should take, in milliseconds, by which the other owner tells slow upstreams. */
+	readonly expectedMs: number;
+};
+
+/**
+ * What became of a task that was sent to another owner. `refused`: it has not started there. `lost`: it may run, and ends
+ * within {@link lostRunMs}.
+ */
+export type LendOutcome =
+	| {readonly kind: 'ended'; readonly end: RunEnd}
+	| {readonly kind: 'refused'; readonly reason: LendRefusal}
+	| {readonly kind: 'lost'};
+
+/** Why a task was not started in another pool. */
+export type LendRefusal = 'no-room' | 'does-not-fit' | 'not-owner' | 'stale-owner' | 'not-sent';
+
+/** Room on one upstream of another pool as last told, less what was sent there since. */
+export type NeighbourRoom = {
+	readonly pool: string;
+	/** Thousandths of a core. */
+	readonly cpu: number;
+};
+
+/** The owners of the other pools, as seen by the owner of one; nothing rejects. */
+export type PoolNeighbours = {
+	/** Gets the rooms of the other pools. */
+	getRooms(): readonly NeighbourRoom[];
+
+	/** Gets the cores of the other pools' upstreams that take new tasks. */
+	getCores(): number;
+
+	/**
+	 * Runs a task in another pool.
+	 * @param pool - Pool.
+	 * @param task - Task.
+	 * @param signal - Aborts when this owner gives the task up without waiting for its end.
+	 */
+	run(pool: string, task: BorrowingTask, signal: AbortSignal): Promise<LendOutcome>;
+
+	/**
+	 * Asks for a run to be stopped; its end comes as the outcome of `run`.
+	 * @param pool - Pool.
+	 * @param run - Run.
+	 * @param isOverdue - Whether it has taken too long, so that its upstream is to be avoided.
+	 */
+	stop(pool: string, run: Run, isOverdue: boolean): Promise<void>;
+
+	/**
+	 * Stops what runs elsewhere of a job whose earlier owner is gone.
+	 * @param job - Identifier of the job.
+	 * @param fence - Fence of the job's owner now; tasks of earlier owners are refused from then on.
+	 * @returns Whether all pools answered that nothing of the job runs there.
+	 */
+	recall(job: string, fence: number): Promise<boolean>;
+
+	/** Tells the other owners of this pool's room or queue. */
+	tellLoad(): void;
+};
+
+/** No other pools. */
+export const noNeighbours: PoolNeighbours = {
+	getRooms: () => [],
+	getCores: () => 0,
+	run: async () => ({kind: 'refused', reason: 'not-owner'}),
+	async stop() {/* Nothing runs elsewhere. */},
+	recall: async () => true,
+	tellLoad() {/* Nobody listens. */},
+};
+
+/**
+ * Time after which a run in a pool that cannot be asked any more has ended, in milliseconds: 500 until its owner notices that
+ * the borrower is gone, 100 between heartbeats, 50 for a stop, and 1030 for a lease where the stop is lost.
+ */
+export const lostRunMs = 1700;
+
+/**
+ * Gets whether tasks of a step can run only in the pool of their job: what they need is not told between pools.
+ * @param step - Step.
+ */
+export function isBoundStep({needs, maxPerUpstream}: JobStep): boolean {
+	return needs.accelerators > 0 || maxPerUpstream !== undefined;
+}
+
+/**
+ * Gets whether a job has steps that can run only in its own pool.
+ * @param job - Job.
+ */
+export function isBoundJob({steps}: Pick<PoolJobRequest, 'steps'>): boolean {
+	return steps.some(step => isBoundStep(step));
+}
--- /dev/null
+++ b/src/pool/load-teller.ts
@@ -0,0 +1,69 @@
+/**
+ * When the owner of a pool tells the others of its load between heartbeats. Answers short bursts: tasks last as long as a few
+ * heartbeats only, so that room elsewhere would be taken too late or not at all.
+ */
+import {type Clock, type Timer} from '../seams/index.js';
+import {type PoolView} from './pool-choice.js';
+import {type PoolLoad} from './pool-scheduler.js';
+
+/** Options of {@link LoadTeller}. */
+export type LoadTellerOptions = {
+	readonly clock: Clock;
+	/** Gets the load; `undefined` where the pool is owned here no more. */
+	readonly getLoad: () => PoolLoad | undefined;
+	/** Gets the other pools. */
+	readonly getOthers: () => readonly PoolView[];
+	readonly send: (pool: string, load: PoolLoad) => void;
+};
+
+/** Least time between two tellings, in milliseconds: a fraction of the shortest task. */
+const tellMs = 10;
+
+/** Tells the others when work begins to wait here, and when room comes free here while work waits there. */
+export class LoadTeller {
+	readonly #options: LoadTellerOptions;
+	#lastCheckAt = -Infinity;
+	#timer: Timer | undefined;
+	#wasWaiting = false;
+
+	constructor(options: LoadTellerOptions) {
+		this.#options = options;
+	}
+
+	/** Tells what has changed, now or soon. */
+	tell(): void {
+		const {clock} = this.#options;
+		if (this.#timer !== undefined) {
+			return;
+		}
+
+		const dueInMs = this.#lastCheckAt + tellMs - clock.getMonotonicTime();
+		if (dueInMs <= 0) {
+			this.#check();
+			return;
+		}
+
+		this.#timer = clock.setTimer(() => {
+			this.#timer = undefined;
+			this.#check();
+		}, dueInMs);
+	}
+
+	#check(): void {
+		const {clock, getLoad, getOthers, send} = this.#options;
+		this.#lastCheckAt = clock.getMonotonicTime();
+		const load = getLoad();
+		if (load === undefined) {
+			return;
+		}
+
+		const isWaiting = load.queuedWork > 0;
+		const hasNews = isWaiting && !this.#wasWaiting;
+		this.#wasWaiting = isWaiting;
+		for (const {pool, queuedWork} of getOthers()) {
+			if (hasNews || (load.rooms.length > 0 && queuedWork > 0)) {
+				send(pool, load);
+			}
+		}
+	}
+}
--- a/src/pool/pool-choice.ts
+++ b/src/pool/pool-choice.ts
@@ -1,6 +1,8 @@
 /**
  * To which pool a job goes. Answers callers that crowd into one data centre: their jobs start where room comes free
- * soonest, and stay near as long as that is about as soon.
+ * soonest, and stay near as long as that is about as soon. Answers overload of all data centres: the jobs that wait then do so
+ * in one queue, which gets the room of all pools in the order of the jobs; several queues would leave wide and urgent jobs
+ * waiting in one pool while others work on less urgent ones.
  */
 
 /** A pool as an entry VM last heard of it. */
@@ -12,6 +14,8 @@
 	readonly cores: number;
 	/** Thousandths of a core that are free, less what this VM sent there since. */
 	readonly freeCpu: number;
+	/** Thousandths of a core that are free on each of the emptiest upstreams, less what this VM sent there since. */
+	readonly rooms: readonly number[];
 	/** Core-milliseconds that wait, with what this VM sent there since. */
 	readonly queuedWork: number;
 };
@@ -45,3 +49,28 @@
 		return Number.isNaN(difference) || difference === 0 ? Number(b.isNear) - Number(a.isNear) : difference;
 	});
 }
+
+/** What the choice of a pool looks at of a job. */
+export type JobRoom = {
+	/** Thousandths of a core that the job's first tasks take together. */
+	readonly cpu: number;
+	/** Whether all of its tasks must run in one pool. */
+	readonly isBound: boolean;
+	/** Pools that refused it. */
+	readonly asked: ReadonlySet<string>;
+};
+
+/**
+ * Chooses the pool for a job: one with room for all of it now, or else the one whose queue is common to all.
+ * @param views - Pools with an owner, in the same order on all entry VMs.
+ * @param job - Job.
+ */
+export function choosePool(views: readonly PoolView[], {cpu, isBound, asked}: JobRoom): PoolView | undefined {
+	const best = sortPools(views.filter(({pool}) => !asked.has(pool)), cpu)[0];
+	if (best === undefined || isBound || best.freeCpu >= cpu) {
+		return best;
+	}
+
+	const common = views.find(({cores}) => cores > 0);
+	return common === undefined || asked.has(common.pool) ? best : common;
+}
--- a/src/pool/pool-directory.ts
+++ b/src/pool/pool-directory.ts
@@ -4,7 +4,7 @@
 import {type Clock} from '../seams/index.js';
 import {type PoolView} from './pool-choice.js';
 import {type Candidate, electOwner} from './pool-election.js';
-import {type PoolJobRequest, getStepWork} from './pool-job.js';
+import {type JobStep, type PoolJobRequest, getStepWork} from './pool-job.js';
 import {type PoolClaims} from './pool-messages.js';
 import {type PoolLoad} from './pool-scheduler.js';
 
@@ -19,29 +19,42 @@
 	readonly getCandidates: () => readonly Candidate[];
 };
 
+/** Work on its way to a pool, or just arrived there. */
+type Sent = {readonly at: number; readonly sequence: number; readonly cpu: number; readonly work: number};
+
 type Knowledge = {
 	load: PoolLoad;
 	heardAt: number;
-	/** Thousandths of a core and core-milliseconds of jobs sent there since. */
-	sentCpu: number;
-	sentWork: number;
+	/** What was sent there and is not yet counted in the load. */
+	sent: readonly Sent[];
 };
 
-const noLoad: PoolLoad = {cores: 0, freeCpu: 0, queuedWork: 0};
+/**
+ * Time after which the load that a heartbeat tells counts what was sent, in milliseconds: two trips between data centres and the
+ * queue of a busy process.
+ */
+const countedAfterMs = 8;
+
+const noLoad: PoolLoad = {
+	cores: 0, freeCpu: 0, rooms: [], queuedWork: 0,
+};
 
 /** Keeps the last loads heard and finds owners. */
 export class PoolDirectory {
 	readonly #options: PoolDirectoryOptions;
+	readonly #pools: readonly string[];
 	readonly #knowledge = new Map<string, Knowledge>();
 	readonly #fences = new Map<string, number>();
+	#sequence = 0;
 
 	constructor(options: PoolDirectoryOptions) {
 		this.#options = options;
+		this.#pools = options.pools.toSorted();
 	}
 
-	/** Gets the names of the pools. */
+	/** Gets the names of the pools, in the same order on all entry VMs. */
 	getPools(): readonly string[] {
-		return this.#options.pools;
+		return this.#pools;
 	}
 
 	/**
@@ -86,38 +99,60 @@
 	 * Sets the load of a pool as its owner just told it.
 	 * @param pool - Pool.
 	 * @param load - Load.
+	 * @param seen - Number of the last task of this VM that the load counts.
 	 */
-	setLoad(pool: string, load: PoolLoad): void {
+	setLoad(pool: string, load: PoolLoad, seen?: number): void {
+		const now = this.#options.clock.getMonotonicTime();
+		const sent = this.#knowledge.get(pool)?.sent ?? [];
 		this.#knowledge.set(pool, {
-			load, heardAt: this.#options.clock.getMonotonicTime(), sentCpu: 0, sentWork: 0,
+			load,
+			heardAt: now,
+			sent: sent.filter(({at, sequence}) => seen === undefined || sequence === 0 ? now - at < countedAfterMs : sequence > seen),
 		});
 	}
 
 	/**
-	 * Notes that a job goes to a pool, until its owner tells of its load again.
+	 * Notes that a job goes to a pool, until its owner counts it in its load.
 	 * @param pool - Pool.
 	 * @param job - Job.
 	 */
 	addSent(pool: string, job: PoolJobRequest): void {
-		const known = this.#knowledge.get(pool);
-		if (known !== undefined) {
-			known.sentCpu += getFirstCpu(job);
-			known.sentWork += job.steps.reduce((sum, step) => sum + getStepWork(step), 0);
-		}
+		this.#addSent(pool, 0, getFirstCpu(job), job.steps.reduce((sum, step) => sum + getStepWork(step), 0));
+	}
+
+	/**
+	 * Notes that a task goes to a pool, until its owner counts it in its load.
+	 * @param pool - Pool.
+	 * @param step - Step of the task.
+	 * @returns Number of the task among those sent to the pool, from 1 on.
+	 */
+	addSentTask(pool: string, {needs, estimateMs}: JobStep): number {
+		this.#sequence++;
+		this.#addSent(pool, this.#sequence, needs.cpu, needs.cpu / 1000 * estimateMs);
+		return this.#sequence;
+	}
+
+	/**
+	 * Takes the fence of a pool's owner.
+	 * @param pool - Pool.
+	 * @param fence - Fence.
+	 */
+	addFence(pool: string, fence: number): void {
+		this.#fences.set(pool, Math.max(fence, this.getKnownFence(pool)));
 	}
 
 	/** Gets the pools that have an owner, with what is known of their load and its age. */
 	getViews(): ReadonlyArray<PoolView & {readonly ageMs: number}> {
-		const {clock, dataCenter, pools} = this.#options;
-		return pools.flatMap(pool => {
+		const {clock, dataCenter} = this.#options;
+		return this.#pools.flatMap(pool => {
 			const owner = this.getOwner(pool);
 			if (owner === undefined) {
 				return [];
 			}
 
-			const {load, heardAt, sentCpu, sentWork} = this.#knowledge.get(pool) ?? {
-				load: noLoad, heardAt: 0, sentCpu: 0, sentWork: 0,
-			};
+			const {load, heardAt, sent} = this.#knowledge.get(pool) ?? {load: noLoad, heardAt: 0, sent: []};
+			const sentCpu = sent.reduce((sum, {cpu}) => sum + cpu, 0);
+			const sentWork = sent.reduce((sum, {work}) => sum + work, 0);
 			const overflowWork = sentCpu > load.freeCpu ? sentWork : 0;
 			return [{
 				pool,
@@ -125,12 +160,22 @@
 				ownerId: owner.id,
 				cores: load.cores,
 				freeCpu: load.freeCpu - sentCpu,
+				rooms: subtractSent(load.rooms, sent),
 				queuedWork: load.queuedWork + overflowWork,
 				ageMs: Math.round(clock.getMonotonicTime() - heardAt),
 			}];
 		});
 	}
 
+	#addSent(pool: string, sequence: number, cpu: number, work: number): void {
+		const known = this.#knowledge.get(pool);
+		if (known !== undefined) {
+			known.sent = [...known.sent, {
+				at: this.#options.clock.getMonotonicTime(), sequence, cpu, work,
+			}];
+		}
+	}
+
 	/** A VM that leaves goes on owning its pool until another one has taken it over. */
 	#getLeavingOwner(pool: string): Candidate | undefined {
 		const claimants = this.#options.getCandidates().filter(({isUp, claims}) => isUp && claims[pool] !== undefined);
@@ -138,6 +183,26 @@
 	}
 }
 
+/** Gets the rooms that are left once what is on its way has taken its own: the smallest that holds it, or else the largest. */
+function subtractSent(rooms: readonly number[], sent: readonly Sent[]): readonly number[] {
+	if (sent.length === 0 || rooms.length === 0) {
+		return rooms;
+	}
+
+	const left = [...rooms];
+	for (const {cpu} of sent) {
+		let chosen = 0;
+		for (const [position, room] of left.entries()) {
+			const isBetter = room >= cpu ? left[chosen]! < cpu || room < left[chosen]! : left[chosen]! < cpu && room > left[chosen]!;
+			chosen = isBetter ? position : chosen;
+		}
+
+		left[chosen]! -= cpu;
+	}
+
+	return left.filter(room => room > 0);
+}
+
 /**
  * Gets the thousandths of a core that the first tasks of a job take together.
  * @param job - Job.
--- /dev/null
+++ b/src/pool/pool-lending.ts
@@ -0,0 +1,233 @@
+/**
+ * How the owners of pools ask each other for room: messages between entry VMs, and the checks that only owners in office are heard.
+ */
+import {type PeerNetwork, type PeerRequest} from '../connection/index.js';
+import {type Clock} from '../seams/index.js';
+import {type DecisionLog} from './decision-log.js';
+import {
+	type BorrowingTask, type LendOutcome, type NeighbourRoom, type PoolNeighbours,
+} from './lending.js';
+import {type PoolDirectory} from './pool-directory.js';
+import {
+	lendAnswerSchema, type LendAnswer, lendRequestSchema, lendTopic, loadNewsSchema, loadTopic, recallAnswerSchema, recallRequestSchema, recallTopic,
+	stopLentRequestSchema, stopLentTopic,
+} from './pool-messages.js';
+import {type PoolOwner} from './pool-owner.js';
+import {LoadTeller} from './load-teller.js';
+import {type Run} from './upstream-orders.js';
+
+/** Options of {@link PoolLending}. */
+export type PoolLendingOptions = {
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly selfId: string;
+	readonly peers: PeerNetwork;
+	readonly directory: PoolDirectory;
+	/** Gets the owner of a pool, if it is this VM. */
+	readonly getOwner: (pool: string) => PoolOwner | undefined;
+};
+
+/** Time limit of a recall, in milliseconds: a stop takes 50, and an answer a few more. */
+const recallMs = 200;
+
+/** Sends of one stop: the link may break at the first. */
+const maxStopSends = 3;
+
+/** Topics that {@link PoolLending.handleRequest} answers. */
+const topics: ReadonlySet<string> = new Set([lendTopic, stopLentTopic, recallTopic, loadTopic]);
+
+/** Takes and sends the requests by which owners share room. */
+export class PoolLending {
+	readonly #options: PoolLendingOptions;
+
+	/** Number of the last task that came from each pool, and the fence of the owner that counts them. */
+	readonly #seen = new Map<string, {readonly fence: number; readonly sequence: number}>();
+
+	constructor(options: PoolLendingOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Gets whether a topic belongs to lending.
+	 * @param topic - Topic of a request.
+	 */
+	isTopic(topic: string): boolean {
+		return topics.has(topic);
+	}
+
+	/**
+	 * Creates what the owner of a pool sees of the others.
+	 * @param pool - Pool that is owned here.
+	 */
+	createNeighbours(pool: string): PoolNeighbours {
+		const {clock, directory, getOwner} = this.#options;
+		const teller = new LoadTeller({
+			clock,
+			getLoad: () => getOwner(pool)?.getLoad(),
+			getOthers: () => directory.getViews().filter(view => view.pool !== pool),
+			send: (other, load) => {
+				void this.#ask(other, {topic: loadTopic, body: {pool, load, seen: this.#getSeen(other)}});
+			},
+		});
+		return {
+			getRooms: () => this.#getRooms(pool),
+			getCores: () => directory.getViews().reduce((sum, view) => sum + (view.pool === pool ? 0 : view.cores), 0),
+			run: async (lender, task, signal) => this.#run(pool, lender, task, signal),
+			stop: async (lender, run, isOverdue) => this.#stop(lender, run, isOverdue),
+			recall: async (job, fence) => this.#recall(pool, job, fence),
+			tellLoad() {
+				teller.tell();
+			},
+		};
+	}
+
+	/**
+	 * Answers a request of another owner.
+	 * @param request - Request with a topic of lending.
+	 * @param signal - Aborts when the other owner does not wait any more or is gone.
+	 */
+	async handleRequest({topic, body}: PeerRequest, signal: AbortSignal): Promise<unknown> {
+		switch (topic) {
+			case lendTopic: {
+				return this.#handleLend(body, signal);
+			}
+
+			case stopLentTopic: {
+				const {pool, run, isOverdue} = stopLentRequestSchema.parse(body);
+				this.#options.getOwner(pool)?.stopLent(run, isOverdue);
+				return {};
+			}
+
+			case recallTopic: {
+				const {pool, borrower, fence, job} = recallRequestSchema.parse(body);
+				this.#options.directory.addFence(borrower, fence);
+				const owner = this.#options.getOwner(pool);
+				await owner?.recallLent(job);
+				return {isClear: owner !== undefined};
+			}
+
+			default: {
+				const {pool, load, seen} = loadNewsSchema.parse(body);
+				this.#options.directory.setLoad(pool, load, seen);
+				for (const own of this.#options.directory.getPools()) {
+					this.#options.getOwner(own)?.schedule();
+				}
+
+				return {};
+			}
+		}
+	}
+
+	async #handleLend(body: unknown, signal: AbortSignal): Promise<LendAnswer> {
+		const {directory, getOwner, log} = this.#options;
+		const {
+			pool, borrower, fence, load, sequence, task,
+		} = lendRequestSchema.parse(body);
+		const owner = getOwner(pool);
+		if (owner === undefined) {
+			return {outcome: {kind: 'refused', reason: 'not-owner'}};
+		}
+
+		if (fence < directory.getKnownFence(borrower)) {
+			log.info({
+				task: task.task, borrower, fence, known: directory.getKnownFence(borrower),
+			}, 'task of an earlier owner refused');
+			return {outcome: {kind: 'refused', reason: 'stale-owner'}};
+		}
+
+		directory.addClaims({[borrower]: {fence, load}});
+		this.#noteSeen(borrower, fence, sequence);
+		const outcome = await owner.lendRoom(task, signal);
+		return {outcome, load: owner.getLoad(), seen: this.#getSeen(borrower)};
+	}
+
+	#noteSeen(borrower: string, fence: number, sequence: number): void {
+		const last = this.#seen.get(borrower);
+		this.#seen.set(borrower, {fence, sequence: last?.fence === fence ? Math.max(sequence, last.sequence) : sequence});
+	}
+
+	#getSeen(borrower: string): number {
+		return this.#seen.get(borrower)?.sequence ?? 0;
+	}
+
+	#getRooms(pool: string): readonly NeighbourRoom[] {
+		const others = this.#options.directory.getViews().filter(view => view.pool !== pool);
+		return others.flatMap(view => view.rooms.map(cpu => ({pool: view.pool, cpu})));
+	}
+
+	async #run(borrower: string, lender: string, task: BorrowingTask, signal: AbortSignal): Promise<LendOutcome> {
+		const {directory, getOwner, log} = this.#options;
+		const owner = getOwner(borrower);
+		if (owner === undefined) {
+			return {kind: 'refused', reason: 'not-owner'};
+		}
+
+		const sequence = directory.addSentTask(lender, task.step);
+		const body = {
+			pool: lender, borrower, fence: owner.getFence(), load: owner.getLoad(), sequence, task,
+		};
+		const result = await this.#ask(lender, {topic: lendTopic, body}, signal);
+		if (result.kind !== 'answered') {
+			log.info({
+				task: task.task, pool: lender, result: result.kind, detail: result.detail,
+			}, 'other pool did not answer');
+			return result.kind === 'lost' ? {kind: 'lost'} : {kind: 'refused', reason: 'not-sent'};
+		}
+
+		const parsed = lendAnswerSchema.safeParse(result.body);
+		if (!parsed.success) {
+			log.warn({task: task.task, pool: lender, err: parsed.error.message}, 'answer of another pool not understood');
+			return {kind: 'lost'};
+		}
+
+		if (parsed.data.load !== undefined) {
+			directory.setLoad(lender, parsed.data.load, parsed.data.seen);
+		}
+
+		return parsed.data.outcome;
+	}
+
+	/** A stop that cannot be brought is of no use: the owner there stops the run when it sees that this one is gone. */
+	async #stop(lender: string, run: Run, isOverdue: boolean): Promise<void> {
+		for (let sends = 0; sends < maxStopSends; sends++) {
+			const result = await this.#ask(lender, {topic: stopLentTopic, body: {pool: lender, run, isOverdue}});
+			if (result.kind === 'answered') {
+				return;
+			}
+		}
+
+		this.#options.log.info({task: run.task, run: run.number, pool: lender}, 'stop not brought to another pool');
+	}
+
+	async #recall(borrower: string, job: string, fence: number): Promise<boolean> {
+		const others = this.#options.directory.getPools().filter(pool => pool !== borrower);
+		const controller = new AbortController();
+		const timer = this.#options.clock.setTimer(() => {
+			controller.abort();
+		}, recallMs);
+		const answers = await Promise.all(others.map(async pool => {
+			const body = {
+				pool, borrower, fence, job,
+			};
+			const result = await this.#ask(pool, {topic: recallTopic, body}, controller.signal);
+			return result.kind === 'answered' && recallAnswerSchema.safeParse(result.body).data?.isClear === true;
+		}));
+		timer.close();
+		return answers.every(Boolean);
+	}
+
+	/** Asks the owner of a pool, which may be this VM itself. */
+	async #ask(pool: string, request: PeerRequest, signal?: AbortSignal): ReturnType<PeerNetwork['request']> {
+		const {directory, peers, selfId} = this.#options;
+		const owner = directory.getOwner(pool);
+		if (owner === undefined) {
+			return {kind: 'not_sent', detail: 'the pool has no owner'};
+		}
+
+		if (owner.id === selfId) {
+			return {kind: 'answered', body: await this.handleRequest(request, signal ?? new AbortController().signal)};
+		}
+
+		return peers.request(owner.id, request, signal);
+	}
+}
--- a/src/pool/pool-messages.ts
+++ b/src/pool/pool-messages.ts
@@ -1,7 +1,7 @@
 /**
  * What entry VMs tell each other about pools and jobs.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Topic of jobs that go to the owner of a pool. */
 export const submitTopic = 'pool-submit';
@@ -12,6 +12,12 @@
 /** Topic by which an owner tells the VMs of its data centre of the upstreams. */
 export const upstreamsTopic = 'pool-upstreams';
 
+/** Topics by which the owners of pools share room. */
+export const lendTopic = 'pool-lend';
+export const stopLentTopic = 'pool-stop-lent';
+export const recallTopic = 'pool-recall';
+export const loadTopic = 'pool-load';
+
 const count = z.number().min(0);
 const name = z.string().max(256);
 
@@ -44,7 +50,9 @@
 export const submitRequestSchema = z.object({pool: name, job: submittedJobSchema}).readonly();
 
 /** Schema of the load of a pool, as its owner tells it. */
-export const poolLoadSchema = z.object({cores: count, freeCpu: count, queuedWork: count}).readonly();
+export const poolLoadSchema = z.object({
+	cores: count, freeCpu: count, rooms: z.array(count).max(64).readonly(), queuedWork: count,
+}).readonly();
 
 /** Schema of the answer to a job. */
 export const submitAnswerSchema = z.object({
@@ -62,6 +70,49 @@
 	load: poolLoadSchema.optional(),
 }).readonly();
 
+const runSchema = z.object({task: name, number: z.int().min(1)}).readonly();
+
+/** Schema of a request to run a task for another pool. */
+export const lendRequestSchema = z.object({
+	/** Pool that is asked. */
+	pool: name,
+	/** Pool of the task's job, its owner's fence and its load. */
+	borrower: name,
+	fence: count,
+	load: poolLoadSchema,
+	/** Number of the task among those that the borrower's VM sent to the pool. */
+	sequence: z.int().min(1),
+	task: z.object({
+		task: name, number: z.int().min(1), spec: z.string(), service: name, step: stepSchema, expectedMs: count,
+	}).readonly(),
+}).readonly();
+
+/** Schema of the answer, which comes when the task has ended or was refused. */
+export const lendAnswerSchema = z.object({
+	outcome: z.discriminatedUnion('kind', [
+		z.object({kind: z.literal('ended'), end: z.enum(['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone'])}).readonly(),
+		z.object({kind: z.literal('refused'), reason: z.enum(['no-room', 'does-not-fit', 'not-owner', 'stale-owner', 'not-sent'])}).readonly(),
+		z.object({kind: z.literal('lost')}).readonly(),
+	]),
+	load: poolLoadSchema.optional(),
+	/** Number of the borrower's last task that the load counts. */
+	seen: count.optional(),
+}).readonly();
+
+/** Schema of a request to stop a run for another pool. */
+export const stopLentRequestSchema = z.object({pool: name, run: runSchema, isOverdue: z.boolean()}).readonly();
+
+/** Schema of a request to end all that runs for a job, and to refuse earlier owners of its pool. */
+export const recallRequestSchema = z.object({
+	pool: name, borrower: name, fence: count, job: name,
+}).readonly();
+
+/** Schema of the answer: whether nothing of the job runs in the pool. */
+export const recallAnswerSchema = z.object({isClear: z.boolean()}).readonly();
+
+/** Schema of the news of a pool's load. */
+export const loadNewsSchema = z.object({pool: name, load: poolLoadSchema, seen: count}).readonly();
+
 /** Schema of what a VM tells of its pools with its heartbeats. */
 export const poolClaimsSchema = z.record(name, z.object({fence: count, load: poolLoadSchema}).readonly()).readonly();
 
@@ -89,6 +140,9 @@
 /** Answer to a job. */
 export type SubmitAnswer = z.infer<typeof submitAnswerSchema>;
 
+/** Answer to a request to run a task for another pool. */
+export type LendAnswer = z.infer<typeof lendAnswerSchema>;
+
 /** What a VM tells of its pools. */
 export type PoolClaims = z.infer<typeof poolClaimsSchema>;
 
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -7,7 +7,9 @@
 import {type Clock, sleep, type Timer} from '../seams/index.js';
 import {type DecisionLog} from './decision-log.js';
 import {PoolDirectory, getFirstCpu} from './pool-directory.js';
-import {sortPools} from './pool-choice.js';
+import {PoolLending} from './pool-lending.js';
+import {isBoundJob} from './lending.js';
+import {choosePool, type PoolView} from './pool-choice.js';
 import {type Candidate} from './pool-election.js';
 import {
 	type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob,
@@ -17,6 +19,7 @@
 } from './pool-messages.js';
 import {type PoolLoad} from './pool-scheduler.js';
 import {PoolOwner} from './pool-owner.js';
+import {PoolRouter} from './pool-router.js';
 import {type StoredClaims} from './stored-claims.js';
 import {type UpstreamDescription, type UpstreamOrders} from './upstream-orders.js';
 
@@ -67,29 +70,12 @@
 /** Time for which a VM leaves a pool to an owner that it cannot see, in milliseconds; longer than two of the owner's writes. */
 const yieldMs = 2500;
 
-/** Time for which a job waits for the next owner of its pool, in milliseconds: silence is noticed after 500 ms. */
-const ownerWaitMs = 800;
-const ownerPollMs = 20;
-
 /** Time after a lost connection until its jobs are given up, in milliseconds; the sender comes back within it. */
 const orphanMs = 300;
 
-/** Pools that are asked for room before a job is refused. */
-const maxPoolsAsked = 3;
-
-/** Time until a job is brought again to an owner whose connection was lost but who seems to live, in milliseconds. */
-const sameOwnerRetryMs = 100;
-
 /** Tries to reach the upstreams of a pool. */
 type Probe = {sentAt: number; isAnswered: boolean; reachedSince: number};
 
-type Ownership = {readonly ownerId: string; readonly fence: number; readonly askedAt: number};
-
-/** What an owner made of a job, or whether the question left this VM. */
-type AskResult =
-	| {readonly kind: 'answered'; readonly outcome: PoolJobOutcome}
-	| {readonly kind: 'not_sent' | 'lost'};
-
 /** Takes part in the pools of a deployment. */
 export class PoolNode {
 	readonly directory: PoolDirectory;
@@ -103,6 +89,8 @@
 	/** Pools taken over while no other VM was seen. */
 	readonly #takenAlone = new Set<string>();
 	#assertedAt = 0;
+	readonly #lending: PoolLending;
+	readonly #router: PoolRouter;
 	readonly #timer: Timer;
 	/** Candidates as of the last election or heartbeat. */
 	#candidates: readonly Candidate[] | undefined;
@@ -120,6 +108,25 @@
 				return this.#candidates;
 			},
 		});
+		this.#lending = new PoolLending({
+			clock: options.clock,
+			log: options.log,
+			selfId: options.self.id,
+			peers: options.peers,
+			directory: this.directory,
+			getOwner: pool => this.#owned.get(pool),
+		});
+		this.#router = new PoolRouter({
+			clock: options.clock,
+			log: options.log,
+			selfId: options.self.id,
+			dataCenter: options.self.dataCenter,
+			peers: options.peers,
+			directory: this.directory,
+			getOwner: pool => this.#owned.get(pool),
+			isInhabited: pool => this.#isInhabited(pool),
+			isYielding: () => this.#yielded.size > 0,
+		});
 		this.#timer = options.clock.setRepeatingTimer(() => {
 			this.#elect();
 		}, electionMs);
@@ -186,53 +193,24 @@
 	 * @param signal - Aborts when the caller has gone.
 	 */
 	async submit(job: PoolJobRequest, remainingMs: number, signal: AbortSignal): Promise<PoolJobOutcome> {
-		const arrivedAt = this.#options.clock.getMonotonicTime();
-		const getSubmitted = (priorFence: number): SubmittedJob => {
-			const ageMs = this.#options.clock.getMonotonicTime() - arrivedAt;
-			return {
-				...job, ageMs, remainingMs: remainingMs - ageMs, priorFence,
-			};
-		};
-
-		const asked = new Set<string>();
-		let refusal: PoolJobOutcome = {kind: 'refused', reason: 'no-upstream', retryAfterMs: 1000};
-		while (asked.size < maxPoolsAsked && !signal.aborted) {
-			const view = await this.#choosePool(job, asked, signal);
-			if (view === undefined) {
-				break;
-			}
-
-			asked.add(view.pool);
-			this.directory.addSent(view.pool, job);
-			this.#options.log.debug({job: job.id, ...view}, 'pool chosen');
-			const outcome = await this.#submitToPool(view.pool, getSubmitted, signal);
-			if (outcome.kind !== 'refused') {
-				return outcome;
-			}
-
-			refusal = outcome;
-			if (outcome.reason === 'deadline') {
-				break;
-			}
-		}
+		return this.#router.submit(job, remainingMs, signal);
+	}
 
-		return refusal;
+	/**
+	 * Gets whether requests of a topic are answered here.
+	 * @param topic - Topic.
+	 */
+	isTopic(topic: string): boolean {
+		return topic === submitTopic || this.#lending.isTopic(topic);
 	}
 
 	/**
-	 * Answers a job that a peer brings.
+	 * Answers a request of a peer: a job, or what the owners of pools ask each other.
 	 * @param request - Request of the peer.
 	 * @param signal - Aborts when the peer does not wait any more.
 	 */
-	async handleSubmit(request: PeerRequest, signal: AbortSignal): Promise<SubmitAnswer> {
-		const {pool, job} = submitRequestSchema.parse(request.body);
-		const owner = this.#owned.get(pool);
-		if (owner === undefined) {
-			return {outcome: {kind: 'moved'}};
-		}
-
-		const outcome = await owner.submit(job, this.#delayDisconnect(signal));
-		return {outcome, load: roundLoad(owner.getLoad())};
+	async handleRequest(request: PeerRequest, signal: AbortSignal): Promise<unknown> {
+		return request.topic === submitTopic ? this.#handleSubmit(request, signal) : this.#lending.handleRequest(request, signal);
 	}
 
 	/** Gives up all pools. */
@@ -244,6 +222,17 @@
 		}
 	}
 
+	async #handleSubmit(request: PeerRequest, signal: AbortSignal): Promise<SubmitAnswer> {
+		const {pool, job} = submitRequestSchema.parse(request.body);
+		const owner = this.#owned.get(pool);
+		if (owner === undefined) {
+			return {outcome: {kind: 'moved'}};
+		}
+
+		const outcome = await owner.submit(job, this.#delayDisconnect(signal));
+		return {outcome, load: roundLoad(owner.getLoad())};
+	}
+
 	#createCandidates(): readonly Candidate[] {
 		const {self, peers} = this.#options;
 		const others = peers.getMembers().map(({incarnation, state, isLeaving}): Candidate => ({
@@ -318,8 +307,7 @@
 			return true;
 		}
 
-		const isInhabited = this.#createCandidates().some(({dataCenter, isUp}) => dataCenter === pool && isUp);
-		if (isInhabited) {
+		if (this.#isInhabited(pool)) {
 			this.#abandonedSince.delete(pool);
 			return false;
 		}
@@ -381,6 +369,10 @@
 		return members.length > 0 && members.every(({state}) => state !== 'up');
 	}
 
+	#isInhabited(pool: string): boolean {
+		return this.#createCandidates().some(({dataCenter, isUp}) => dataCenter === pool && isUp);
+	}
+
 	#isYielded(pool: string, now: number): boolean {
 		const yielded = this.#yielded.get(pool);
 		if (yielded === undefined) {
@@ -439,6 +431,7 @@
 			isListKnown: () => this.#options.isListKnown(pool),
 			getStoredFence: async () => claims.addClaim(pool),
 			onFenced: async () => this.#handleFenced(pool, owner),
+			neighbours: this.#lending.createNeighbours(pool),
 		}, getUpstreams(pool));
 		this.#owned.set(pool, owner);
 		this.#candidates = undefined;
@@ -457,113 +450,6 @@
 		this.#options.onOwnedChanged([...this.#owned.keys()]);
 	}
 
-	/** Chooses the pool that can start the job soonest; waits a little where no pool has an owner yet. */
-	async #choosePool(job: PoolJobRequest, asked: ReadonlySet<string>, signal: AbortSignal): Promise<ReturnType<typeof sortPools>[number] | undefined> {
-		const {clock} = this.#options;
-		const giveUpAt = clock.getMonotonicTime() + (this.#yielded.size > 0 ? 0 : orphanMs);
-		for (;;) {
-			const views = this.directory.getViews().filter(({pool}) => !asked.has(pool));
-			if (views.length > 0 || asked.size > 0) {
-				return sortPools(views, getFirstCpu(job))[0];
-			}
-
-			if (signal.aborted || clock.getMonotonicTime() > giveUpAt) {
-				return undefined;
-			}
-
-			await sleep(clock, ownerPollMs, signal);
-		}
-	}
-
-	/** Brings a job to whoever owns a pool, and again to the next owner where the pool moves meanwhile. */
-	async #submitToPool(pool: string, getSubmitted: (priorFence: number) => SubmittedJob, signal: AbortSignal): Promise<PoolJobOutcome> {
-		let priorFence = 0;
-		let last: Ownership | undefined;
-		const {clock} = this.#options;
-		let giveUpAt = Infinity;
-		for (;;) {
-			const owner = clock.getMonotonicTime() > giveUpAt ? undefined : await this.#waitForOwner(pool, last, signal);
-			if (owner === undefined) {
-				return priorFence > 0 ? {kind: 'interrupted', reason: 'the owner of the pool is gone'} : createRefusal('not-owner');
-			}
-
-			last = owner;
-			const result = await this.#ask(pool, owner, getSubmitted(priorFence), signal);
-			if (result.kind === 'answered' && result.outcome.kind !== 'moved') {
-				return priorFence > 0 && result.outcome.kind === 'refused'
-					// An earlier owner may have started tasks, so that the job cannot be said not to have run.
-					? {kind: 'interrupted', reason: `not continued: ${result.outcome.reason}`}
-					: result.outcome;
-			}
-
-			if (signal.aborted) {
-				return {kind: 'interrupted', reason: 'the caller has gone'};
-			}
-
-			if (result.kind === 'not_sent' && priorFence === 0) {
-				return createRefusal('not-owner');
-			}
-
-			priorFence = result.kind === 'not_sent' ? priorFence : Math.max(priorFence, owner.fence);
-			giveUpAt = Math.min(giveUpAt, clock.getMonotonicTime() + ownerWaitMs);
-		}
-	}
-
-	async #ask(pool: string, {ownerId}: Ownership, job: SubmittedJob, signal: AbortSignal): Promise<AskResult> {
-		const own = this.#owned.get(pool);
-		if (ownerId === this.#options.self.id && own !== undefined) {
-			return {kind: 'answered', outcome: await own.submit(job, signal)};
-		}
-
-		const result = await this.#options.peers.request(ownerId, {topic: submitTopic, body: {pool, job}}, signal);
-		if (result.kind !== 'answered') {
-			this.#options.log.info({
-				job: job.id, pool, owner: ownerId, result: result.kind, detail: result.detail,
-			}, 'owner did not answer');
-			return {kind: result.kind};
-		}
-
-		const parsed = submitAnswerSchema.safeParse(result.body);
-		if (!parsed.success) {
-			this.#options.log.warn({job: job.id, owner: ownerId, err: parsed.error.message}, 'answer of the owner not understood');
-			return {kind: 'lost'};
-		}
-
-		if (parsed.data.load !== undefined) {
-			this.directory.setLoad(pool, parsed.data.load);
-		}
-
-		return {kind: 'answered', outcome: parsed.data.outcome};
-	}
-
-	/** Gets the owner of a pool; after a failed try, one that took the pool later or that can be reached again. */
-	async #waitForOwner(pool: string, last: Ownership | undefined, signal: AbortSignal): Promise<Ownership | undefined> {
-		const {clock} = this.#options;
-		const giveUpAt = clock.getMonotonicTime() + ownerWaitMs;
-		while (!signal.aborted) {
-			const owner = this.directory.getOwner(pool);
-			const fence = owner?.claims[pool];
-			const now = clock.getMonotonicTime();
-			const isSame = owner?.id === last?.ownerId && fence === last?.fence;
-			if (owner !== undefined && fence !== undefined && (last === undefined || !isSame || now - last.askedAt >= sameOwnerRetryMs)) {
-				return {ownerId: owner.id, fence, askedAt: now};
-			}
-
-			if (now > giveUpAt || (owner === undefined && (last === undefined || !this.#mayHaveSuccessor(pool)))) {
-				return undefined;
-			}
-
-			await sleep(clock, ownerPollMs, signal);
-		}
-
-		return undefined;
-	}
-
-	/** Gets whether a VM that is seen here may soon own a pool: one of its data centre. */
-	#mayHaveSuccessor(pool: string): boolean {
-		return pool === this.#options.self.dataCenter || this.#createCandidates().some(({dataCenter, isUp}) => dataCenter === pool && isUp);
-	}
-
 	/** Gets a signal that aborts at once when the peer cancels, and after a while when its connection was lost. */
 	#delayDisconnect(signal: AbortSignal): AbortSignal {
 		const controller = new AbortController();
@@ -581,14 +467,12 @@
 	}
 }
 
-function createRefusal(reason: RefusalReason): PoolJobOutcome {
-	return {kind: 'refused', reason, retryAfterMs: 1000};
-}
-
 function toFences(claims: PoolClaims): Readonly<Record<string, number>> {
 	return Object.fromEntries(Object.entries(claims).map(([pool, {fence}]) => [pool, fence]));
 }
 
-function roundLoad({cores, freeCpu, queuedWork}: PoolLoad): PoolLoad {
-	return {cores, freeCpu: Math.max(0, Math.round(freeCpu)), queuedWork: Math.max(0, Math.round(queuedWork))};
+function roundLoad({cores, freeCpu, rooms, queuedWork}: PoolLoad): PoolLoad {
+	return {
+		cores, freeCpu: Math.max(0, Math.round(freeCpu)), rooms: rooms.map(room => Math.round(room)), queuedWork: Math.max(0, Math.round(queuedWork)),
+	};
 }
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -3,10 +3,13 @@
  */
 import {type Clock, sleep} from '../seams/index.js';
 import {type DecisionLog} from './decision-log.js';
+import {
+	type BorrowingTask, type LendOutcome, lostRunMs, noNeighbours, type PoolNeighbours,
+} from './lending.js';
 import {type PoolJobOutcome, type SubmittedJob} from './pool-job.js';
 import {type PoolLoad, PoolScheduler} from './pool-scheduler.js';
 import {UpstreamLink} from './upstream-link.js';
-import {type UpstreamDescription, type UpstreamOrders} from './upstream-orders.js';
+import {type Run, type UpstreamDescription, type UpstreamOrders} from './upstream-orders.js';
 
 /** Options of {@link PoolOwner}. */
 export type PoolOwnerOptions = {
@@ -24,6 +27,8 @@
 	readonly onFenced: () => Promise<void>;
 	/** Longest lease of a run, in milliseconds. */
 	readonly maxLeaseMs: number;
+	/** The owners of the other pools. */
+	readonly neighbours?: PoolNeighbours;
 };
 
 /** Time in which the upstreams of a pool are looked at before its new owner takes jobs, in milliseconds. */
@@ -59,16 +64,21 @@
 	/** Monotonic time at which the last looks at all upstreams were sent. */
 	#lookedAt = -Infinity;
 	#looking: Promise<void> | undefined;
+	readonly #neighbours: PoolNeighbours;
+	/** Monotonic time until which tasks of an earlier owner may run in other pools. */
+	#unrecalledUntil = 0;
 
 	constructor(options: PoolOwnerOptions, upstreams: readonly UpstreamDescription[]) {
 		this.#options = options;
 		this.#fence = options.knownFence + firstFenceStep;
+		this.#neighbours = options.neighbours ?? noNeighbours;
 		this.#scheduler = new PoolScheduler({
 			clock: options.clock,
 			log: options.log,
 			getLinks: () => [...this.#links.values()],
 			isHeldBack: () => this.#isSettlingFence,
-			getUnseenUntil: () => this.#getUnseenUntil(),
+			getUnseenUntil: () => Math.max(this.#unrecalledUntil, this.#getUnseenUntil()),
+			neighbours: this.#neighbours,
 		});
 		this.#awaited = upstreams;
 		this.#ready = this.#takeOver();
@@ -119,6 +129,7 @@
 
 		if (submitted.priorFence > 0 && !this.#isClosed) {
 			await this.#lookBehind(submitted.priorFence, receivedAt);
+			await this.#recall(submitted.id);
 		}
 
 		if (this.#isClosed) {
@@ -132,6 +143,37 @@
 		);
 	}
 
+	/**
+	 * Runs a task of another pool's job if there is room now.
+	 * @param task - Task.
+	 * @param signal - Aborts when the borrower is gone.
+	 */
+	async lendRoom(task: BorrowingTask, signal: AbortSignal): Promise<LendOutcome> {
+		return this.#isReady && !this.#isClosed ? this.#scheduler.lendRoom(task, signal) : {kind: 'refused', reason: 'not-owner'};
+	}
+
+	/**
+	 * Stops a run for another pool.
+	 * @param run - Run.
+	 * @param isOverdue - Whether it has taken too long.
+	 */
+	stopLent(run: Run, isOverdue: boolean): void {
+		this.#scheduler.stopLent(run, isOverdue);
+	}
+
+	/**
+	 * Stops all runs of another pool's job; resolves when none is left.
+	 * @param job - Identifier of the job.
+	 */
+	async recallLent(job: string): Promise<void> {
+		await this.#scheduler.recallLent(job);
+	}
+
+	/** Starts what has room; for when other pools told of theirs. */
+	schedule(): void {
+		this.#scheduler.schedule();
+	}
+
 	/** Gets above the fence that an upstream has seen; for the elected owner only. */
 	async raiseFence(atLeast = 0): Promise<void> {
 		const refused = this.#fence;
@@ -312,6 +354,18 @@
 		}
 	}
 
+	/** Ends what an earlier owner sent to other pools, so that no task runs twice at the same time. */
+	async #recall(job: string): Promise<void> {
+		if (this.#scheduler.hasJob(job) || this.#isClosed) {
+			return;
+		}
+
+		if (!await this.#neighbours.recall(job, this.#fence)) {
+			this.#unrecalledUntil = this.#options.clock.getMonotonicTime() + lostRunMs;
+			this.#options.log.info({job, pool: this.#options.pool, heldMs: lostRunMs}, 'not all pools answered a recall');
+		}
+	}
+
 	async #lookAtAll(): Promise<void> {
 		this.#looking ??= (async () => {
 			const startedAt = this.#options.clock.getMonotonicTime();
--- /dev/null
+++ b/src/pool/pool-router.ts
@@ -0,0 +1,213 @@
+/**
+ * How an entry VM brings callers' jobs to the owners of pools, and to the next owner where a pool changes hands meanwhile.
+ */
+import {type PeerNetwork} from '../connection/index.js';
+import {type Clock, sleep} from '../seams/index.js';
+import {type DecisionLog} from './decision-log.js';
+import {isBoundJob} from './lending.js';
+import {choosePool, type PoolView} from './pool-choice.js';
+import {getFirstCpu, type PoolDirectory} from './pool-directory.js';
+import {
+	type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob,
+} from './pool-job.js';
+import {submitAnswerSchema, submitTopic} from './pool-messages.js';
+import {type PoolOwner} from './pool-owner.js';
+
+/** Options of {@link PoolRouter}. */
+export type PoolRouterOptions = {
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly selfId: string;
+	/** Data centre of this VM. */
+	readonly dataCenter: string;
+	readonly peers: PeerNetwork;
+	readonly directory: PoolDirectory;
+	/** Gets the owner of a pool, if it is this VM. */
+	readonly getOwner: (pool: string) => PoolOwner | undefined;
+	/** Gets whether a VM of a pool's data centre is seen. */
+	readonly isInhabited: (pool: string) => boolean;
+	/** Gets whether pools are left to owners that are not seen here. */
+	readonly isYielding: () => boolean;
+};
+
+/** Time for which a job waits for a first owner of any pool, in milliseconds: two heartbeats and an election. */
+const firstOwnerMs = 300;
+
+/** Time for which a job waits for the next owner of its pool, in milliseconds: silence is noticed after 500 ms. */
+const ownerWaitMs = 800;
+const ownerPollMs = 20;
+
+/** Pools that are asked for room before a job is refused. */
+const maxPoolsAsked = 3;
+
+/** Time until a job is brought again to an owner whose connection was lost but who seems to live, in milliseconds. */
+const sameOwnerRetryMs = 100;
+
+type Ownership = {readonly ownerId: string; readonly fence: number; readonly askedAt: number};
+
+/** What an owner made of a job, or whether the question left this VM. */
+type AskResult =
+	| {readonly kind: 'answered'; readonly outcome: PoolJobOutcome}
+	| {readonly kind: 'not_sent' | 'lost'};
+
+/** Brings jobs to pools. */
+export class PoolRouter {
+	readonly #options: PoolRouterOptions;
+
+	constructor(options: PoolRouterOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Brings a job to a pool and waits for its outcome.
+	 * @param job - Job.
+	 * @param remainingMs - Time until the caller stops waiting.
+	 * @param signal - Aborts when the caller has gone.
+	 */
+	async submit(job: PoolJobRequest, remainingMs: number, signal: AbortSignal): Promise<PoolJobOutcome> {
+		const arrivedAt = this.#options.clock.getMonotonicTime();
+		const getSubmitted = (priorFence: number): SubmittedJob => {
+			const ageMs = this.#options.clock.getMonotonicTime() - arrivedAt;
+			return {
+				...job, ageMs, remainingMs: remainingMs - ageMs, priorFence,
+			};
+		};
+
+		const asked = new Set<string>();
+		let refusal: PoolJobOutcome = {kind: 'refused', reason: 'no-upstream', retryAfterMs: 1000};
+		while (asked.size < maxPoolsAsked && !signal.aborted) {
+			const view = await this.#choosePool(job, asked, signal);
+			if (view === undefined) {
+				break;
+			}
+
+			asked.add(view.pool);
+			this.#options.directory.addSent(view.pool, job);
+			this.#options.log.debug({job: job.id, ...view}, 'pool chosen');
+			const outcome = await this.#submitToPool(view.pool, getSubmitted, signal);
+			if (outcome.kind !== 'refused') {
+				return outcome;
+			}
+
+			refusal = outcome;
+			if (outcome.reason === 'deadline' || (outcome.reason === 'overloaded' && view.freeCpu < getFirstCpu(job))) {
+				// Pools without room have nothing to offer that the common queue has not.
+				break;
+			}
+		}
+
+		return refusal;
+	}
+
+	/** Chooses the pool for a job; waits a little where no pool has an owner yet. */
+	async #choosePool(job: PoolJobRequest, asked: ReadonlySet<string>, signal: AbortSignal): Promise<PoolView | undefined> {
+		const {clock} = this.#options;
+		const giveUpAt = clock.getMonotonicTime() + (this.#options.isYielding() ? 0 : firstOwnerMs);
+		const room = {cpu: getFirstCpu(job), isBound: isBoundJob(job), asked};
+		for (;;) {
+			const view = choosePool(this.#options.directory.getViews(), room);
+			if (view !== undefined || asked.size > 0) {
+				return view;
+			}
+
+			if (signal.aborted || clock.getMonotonicTime() > giveUpAt) {
+				return undefined;
+			}
+
+			await sleep(clock, ownerPollMs, signal);
+		}
+	}
+
+	/** Brings a job to whoever owns a pool, and again to the next owner where the pool moves meanwhile. */
+	async #submitToPool(pool: string, getSubmitted: (priorFence: number) => SubmittedJob, signal: AbortSignal): Promise<PoolJobOutcome> {
+		let priorFence = 0;
+		let last: Ownership | undefined;
+		const {clock} = this.#options;
+		let giveUpAt = Infinity;
+		for (;;) {
+			const owner = clock.getMonotonicTime() > giveUpAt ? undefined : await this.#waitForOwner(pool, last, signal);
+			if (owner === undefined) {
+				return priorFence > 0 ? {kind: 'interrupted', reason: 'the owner of the pool is gone'} : createRefusal('not-owner');
+			}
+
+			last = owner;
+			const result = await this.#ask(pool, owner, getSubmitted(priorFence), signal);
+			if (result.kind === 'answered' && result.outcome.kind !== 'moved') {
+				return priorFence > 0 && result.outcome.kind === 'refused'
+					// An earlier owner may have started tasks, so that the job cannot be said not to have run.
+					? {kind: 'interrupted', reason: `not continued: ${result.outcome.reason}`}
+					: result.outcome;
+			}
+
+			if (signal.aborted) {
+				return {kind: 'interrupted', reason: 'the caller has gone'};
+			}
+
+			if (result.kind === 'not_sent' && priorFence === 0) {
+				return createRefusal('not-owner');
+			}
+
+			priorFence = result.kind === 'not_sent' ? priorFence : Math.max(priorFence, owner.fence);
+			giveUpAt = Math.min(giveUpAt, clock.getMonotonicTime() + ownerWaitMs);
+		}
+	}
+
+	async #ask(pool: string, {ownerId}: Ownership, job: SubmittedJob, signal: AbortSignal): Promise<AskResult> {
+		const own = this.#options.getOwner(pool);
+		if (ownerId === this.#options.selfId && own !== undefined) {
+			return {kind: 'answered', outcome: await own.submit(job, signal)};
+		}
+
+		const result = await this.#options.peers.request(ownerId, {topic: submitTopic, body: {pool, job}}, signal);
+		if (result.kind !== 'answered') {
+			this.#options.log.info({
+				job: job.id, pool, owner: ownerId, result: result.kind, detail: result.detail,
+			}, 'owner did not answer');
+			return {kind: result.kind};
+		}
+
+		const parsed = submitAnswerSchema.safeParse(result.body);
+		if (!parsed.success) {
+			this.#options.log.warn({job: job.id, owner: ownerId, err: parsed.error.message}, 'answer of the owner not understood');
+			return {kind: 'lost'};
+		}
+
+		if (parsed.data.load !== undefined) {
+			this.#options.directory.setLoad(pool, parsed.data.load);
+		}
+
+		return {kind: 'answered', outcome: parsed.data.outcome};
+	}
+
+	/** Gets the owner of a pool; after a failed try, one that took the pool later or that can be reached again. */
+	async #waitForOwner(pool: string, last: Ownership | undefined, signal: AbortSignal): Promise<Ownership | undefined> {
+		const {clock} = this.#options;
+		const giveUpAt = clock.getMonotonicTime() + ownerWaitMs;
+		while (!signal.aborted) {
+			const owner = this.#options.directory.getOwner(pool);
+			const fence = owner?.claims[pool];
+			const now = clock.getMonotonicTime();
+			const isSame = owner?.id === last?.ownerId && fence === last?.fence;
+			if (owner !== undefined && fence !== undefined && (last === undefined || !isSame || now - last.askedAt >= sameOwnerRetryMs)) {
+				return {ownerId: owner.id, fence, askedAt: now};
+			}
+
+			if (now > giveUpAt || (owner === undefined && (last === undefined || !this.#mayHaveSuccessor(pool)))) {
+				return undefined;
+			}
+
+			await sleep(clock, ownerPollMs, signal);
+		}
+
+		return undefined;
+	}
+
+	/** Gets whether a VM that is seen here may soon own a pool: one of its data centre. */
+	#mayHaveSuccessor(pool: string): boolean {
+		return pool === this.#options.dataCenter || this.#options.isInhabited(pool);
+	}
+}
+
+function createRefusal(reason: RefusalReason): PoolJobOutcome {
+	return {kind: 'refused', reason, retryAfterMs: 1000};
+}
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -1,20 +1,25 @@
 /**
  * The queue of one pool: which jobs are taken, where and when their tasks start, and what becomes of them.
  */
-import {type Clock, type Timer} from '../seams/index.js';
+import {type Clock, sleep, type Timer} from '../seams/index.js';
 import {type AdmissionDecision, decideAdmission} from './admission.js';
 import {type DecisionLog} from './decision-log.js';
 import {DurationEstimator} from './duration-estimator.js';
+import {
+	type BorrowingTask, isBoundJob, isBoundStep, type LendOutcome, type LendRefusal, type NeighbourRoom, type PoolNeighbours,
+} from './lending.js';
+import {NeighbourPool} from './neighbour-pool.js';
 import {OfferedLoad} from './offered-load.js';
 import {isOverdue} from './overdue.js';
 import {chooseUpstream, fits, type PlacementCandidate} from './placement.js';
 import {
-	getStepWork, type PoolJobOutcome, type RefusalReason, type SubmittedJob,
+	getStepWork, type JobStep, type PoolJobOutcome, type RefusalReason, type SubmittedJob,
 } from './pool-job.js';
 import {sortByUrgency} from './queue-order.js';
 import {type JobTask, QueuedJob} from './queued-job.js';
-import {type LinkedRun, type UpstreamLink} from './upstream-link.js';
-import {type OrderRefusal, type RunEnd} from './upstream-orders.js';
+import {type RunHost} from './run-host.js';
+import {type LinkedRun, UpstreamLink} from './upstream-link.js';
+import {type OrderRefusal, type Run, type RunEnd} from './upstream-orders.js';
 
 /** Options of {@link PoolScheduler}. */
 export type PoolSchedulerOptions = {
@@ -26,12 +31,25 @@
 	readonly isHeldBack: () => boolean;
 	/** Gets the monotonic time until which runs of an earlier owner may go on where they are not seen. */
 	readonly getUnseenUntil: () => number;
+	/** The owners of the other pools. */
+	readonly neighbours: PoolNeighbours;
+};
+
+/** A run for another pool, and who waits for its end. */
+type LentRun = {
+	readonly run: LinkedRun;
+	readonly link: UpstreamLink;
+	readonly expectedMs: number;
+	readonly settle: (outcome: LendOutcome) => void;
 };
 
 /** Load of a pool as its owner tells it. */
 export type PoolLoad = {
 	readonly cores: number;
+	/** Thousandths of a core that are free for tasks of the usual size. */
 	readonly freeCpu: number;
+	/** Thousandths of a core that are free on each of the emptiest upstreams, the most first. */
+	readonly rooms: readonly number[];
 	/** Core-milliseconds of queued work. */
 	readonly queuedWork: number;
 };
@@ -53,6 +71,9 @@
 /** Slowness from which an upstream is a last resort; usual upstreams are between 0.8 and 1.3. */
 const doubtfulSlowness = 2;
 
+/** Largest slowness that one task is taken for, so that one that stood still does not count for ever. */
+const maxSlowness = 5;
+
 /** Weight of a new observation in an upstream's slowness. */
 const slownessWeight = 0.2;
 
@@ -60,6 +81,12 @@
 const initialTaskCpu = 1000;
 const taskCpuWeight = 0.05;
 
+/** Least room that is told to other pools, in tasks of the usual size: few tasks are smaller. */
+const leastRoom = 0.6;
+
+/** Rooms that are told at most, which bounds a heartbeat to about 50 bytes for them. */
+const maxRoomsTold = 16;
+
 /** Time of a task until something is known of a pool, in milliseconds. */
 const initialTaskMs = 200;
 
@@ -70,6 +97,9 @@
 	readonly #offered = new OfferedLoad();
 	readonly #jobs = new Map<string, QueuedJob>();
 	readonly #tasksByName = new Map<string, {readonly job: QueuedJob; readonly task: JobTask}>();
+	readonly #neighbourPools = new Map<string, NeighbourPool>();
+	/** Runs for other pools by their tasks. */
+	readonly #lent = new Map<string, LentRun>();
 	readonly #sweep: Timer;
 	/** Thousandths of a core that a task takes on average. */
 	#usualCpu = initialTaskCpu;
@@ -87,11 +117,14 @@
 	getLoad(): PoolLoad {
 		let cores = 0;
 		let freeCpu = 0;
+		const rooms: number[] = [];
 		for (const link of this.#options.getLinks()) {
 			if (link.isOpen()) {
 				cores += link.description.capacity.cpu / 1000;
 				// What is left over beside tasks of the usual size takes no further one.
-				freeCpu += Math.floor(Math.max(0, link.getFree().cpu) / this.#usualCpu) * this.#usualCpu;
+				const free = Math.max(0, link.getFree().cpu);
+				freeCpu += Math.floor(free / this.#usualCpu) * this.#usualCpu;
+				rooms.push(free);
 			}
 		}
 
@@ -100,7 +133,17 @@
 			queuedWork += job.isEnding ? 0 : job.remainingWork;
 		}
 
-		return {cores, freeCpu, queuedWork};
+		return {
+			cores, freeCpu, rooms: rooms.filter(room => room >= this.#usualCpu * leastRoom).sort((a, b) => b - a).slice(0, maxRoomsTold), queuedWork,
+		};
+	}
+
+	/**
+	 * Gets whether a job is in hand.
+	 * @param id - Identifier.
+	 */
+	hasJob(id: string): boolean {
+		return this.#jobs.has(id);
 	}
 
 	/** Gets the number of jobs in hand. */
@@ -139,8 +182,7 @@
 		}
 
 		this.#jobs.set(job.req.id, job);
-		const {cpu} = job.req.steps[0]!.needs;
-		this.#usualCpu += (Math.max(1, cpu) - this.#usualCpu) * taskCpuWeight;
+		this.#observeNeeds(job.req.steps[0]!);
 		this.#offered.addWork(job.priority, job.remainingWork, this.#options.clock.getMonotonicTime());
 		for (const task of job.tasks) {
 			this.#tasksByName.set(task.name, {job, task});
@@ -167,17 +209,94 @@
 			this.#isScheduled = false;
 			if (!this.#isClosed && !this.#options.isHeldBack()) {
 				this.#startTasks();
+				this.#options.neighbours.tellLoad();
 			}
 		});
 	}
 
+	/**
+	 * Starts a task of another pool's job if there is room now, and waits for its end.
+	 * @param task - Task.
+	 * @param signal - Aborts when the borrower is gone; the task is then stopped.
+	 */
+	async lendRoom(task: BorrowingTask, signal: AbortSignal): Promise<LendOutcome> {
+		if (this.#isClosed || this.#options.isHeldBack() || this.#lent.has(task.task)) {
+			return {kind: 'refused', reason: 'no-room'};
+		}
+
+		if (this.#isScheduled) {
+			// Tasks of this pool's jobs that came before in this turn get their room first.
+			this.#startTasks();
+		}
+
+		const open = this.#getOpenLinks().filter(({description}) => description.service === task.service);
+		const chosen = chooseUpstream(task.step, open.map(link => toCandidate(link)));
+		if (chosen === undefined) {
+			const isPossible = open.some(link => chooseUpstream(task.step, [{...toCandidate(link), free: link.description.capacity}]) !== undefined);
+			return {kind: 'refused', reason: isPossible ? 'no-room' : 'does-not-fit'};
+		}
+
+		const link = open.find(({name}) => name === chosen.id)!;
+		const {needs} = task.step;
+		this.#observeNeeds(task.step);
+		const run = link.start({
+			task: task.task, number: task.number, needs, spec: task.spec,
+		});
+		this.#options.log.debug({task: task.task, run: task.number, upstream: link.name}, 'task placed for another pool');
+		signal.addEventListener('abort', () => {
+			link.stop(run);
+		}, {once: true});
+		return new Promise(resolve => {
+			this.#lent.set(task.task, {
+				run, link, expectedMs: task.expectedMs, settle: resolve,
+			});
+		});
+	}
+
+	/**
+	 * Stops a run for another pool; its end comes as the outcome of `lendRoom`.
+	 * @param run - Run.
+	 * @param isOverdue - Whether it has taken too long.
+	 */
+	stopLent({task, number}: Run, isOverdue: boolean): void {
+		const lent = this.#lent.get(task);
+		if (lent?.run.number !== number) {
+			return;
+		}
+
+		if (isOverdue) {
+			this.#addFailure(lent.link);
+		}
+
+		lent.link.stop(lent.run);
+	}
+
+	/**
+	 * Stops all runs of another pool's job; resolves when none is left.
+	 * @param job - Identifier of the job.
+	 */
+	async recallLent(job: string): Promise<void> {
+		const runs = [...this.#lent.values()].filter(({run}) => run.task.startsWith(`${job}.`));
+		for (const {run, link} of runs) {
+			link.stop(run);
+		}
+
+		await Promise.all(runs.map(async lent => this.#waitForLentEnd(lent)));
+	}
+
 	/**
 	 * Takes the end of a run.
-	 * @param link - Where it ran.
+	 * @param host - Where it ran.
 	 * @param run - Run.
 	 * @param end - How it ended.
 	 */
-	handleRunEnded(link: UpstreamLink, run: LinkedRun, end: RunEnd): void {
+	handleRunEnded(host: RunHost, run: LinkedRun, end: RunEnd): void {
+		const lent = this.#lent.get(run.task);
+		if (lent?.run === run) {
+			this.#handleLentEnd(lent, end);
+			return;
+		}
+
 		const found = this.#tasksByName.get(run.task);
 		if (found?.task.run !== run) {
 			this.schedule();
@@ -186,13 +305,13 @@
 
 		const {job, task} = found;
 		task.run = undefined;
-		task.link = undefined;
+		task.host = undefined;
 		if (end === 'done') {
-			this.#observe(link, job, task, run);
+			this.#observe(host, job, task, run);
 			job.setStatus(task, 'done');
 		} else {
 			job.setStatus(task, 'waiting');
-			this.#handleUndone(job, task, link, end);
+			this.#handleUndone(job, task, host, end);
 		}
 
 		this.#advance(job);
@@ -201,23 +320,40 @@
 
 	/**
 	 * Takes the refusal of a start.
-	 * @param link - Where it was refused.
+	 * @param host - Where it was refused.
 	 * @param run - Run.
 	 * @param reason - Why.
 	 */
-	handleRunRefused(link: UpstreamLink, run: LinkedRun, reason: OrderRefusal): void {
+	handleRunRefused(host: RunHost, run: LinkedRun, reason: OrderRefusal | LendRefusal): void {
 		const found = this.#tasksByName.get(run.task);
-		this.#options.log.info({
-			task: run.task, run: run.number, upstream: link.description.id, reason,
-		}, 'start refused');
+		const fields = {
+			task: run.task, run: run.number, upstream: host.name, reason,
+		};
+		if (host instanceof UpstreamLink) {
+			this.#options.log.info(fields, 'start refused');
+		} else {
+			// Room elsewhere is often gone when a task comes for it; there may be hundreds of these a second.
+			this.#options.log.debug(fields, 'start refused by another pool');
+		}
+
 		if (reason === 'unhealthy') {
-			this.#addFailure(link);
+			this.#addFailure(host);
+		}
+
+		if (this.#settleLent(run, {kind: 'refused', reason: 'no-room'})) {
+			this.schedule();
+			return;
 		}
 
 		if (found?.task.run === run) {
-			found.task.run = undefined;
-			found.task.link = undefined;
-			found.job.setStatus(found.task, 'waiting');
+			const {task} = found;
+			task.run = undefined;
+			task.host = undefined;
+			if (reason === 'does-not-fit') {
+				task.avoided.add(host.name);
+			}
+
+			found.job.setStatus(task, 'waiting');
 			this.#advance(found.job);
 		}
 
@@ -237,6 +373,18 @@
 
 		this.#jobs.clear();
 		this.#tasksByName.clear();
+		for (const {settle} of this.#lent.values()) {
+			settle({kind: 'lost'});
+		}
+
+		this.#lent.clear();
+		for (const neighbour of this.#neighbourPools.values()) {
+			neighbour.close();
+		}
+	}
+
+	#observeNeeds({needs}: JobStep): void {
+		this.#usualCpu += (Math.max(1, needs.cpu) - this.#usualCpu) * taskCpuWeight;
 	}
 
 	async #join(job: QueuedJob, signal: AbortSignal | undefined): Promise<PoolJobOutcome> {
@@ -284,7 +432,7 @@
 					task.lastRun = Math.max(task.lastRun, run.number);
 					job.setStatus(task, 'placed');
 					task.run = run;
-					task.link = link;
+					task.host = link;
 				}
 			}
 		}
@@ -308,11 +456,15 @@
 
 		const largest = job.req.steps.map(({needs}) => needs).toSorted((a, b) => b.cpu - a.cpu)[0]!;
 		const open = this.#getOpenLinks().filter(link => isForJob(link, job));
+		const ownCores = open.reduce((sum, {description}) => sum + (description.capacity.cpu / 1000), 0);
+		const otherCores = isBoundJob(job.req) ? 0 : this.#options.neighbours.getCores();
+		const fittingUpstreams = open.filter(({description}) => fits(largest, description.capacity)).length;
 		return decideAdmission({
-			fittingUpstreams: open.filter(({description}) => fits(largest, description.capacity)).length,
+			// Without upstreams of its own, a pool relies on those of the others.
+			fittingUpstreams: open.length === 0 && otherCores > 0 ? 1 : fittingUpstreams,
 			workAhead: this.#getWorkAhead(job, now),
 			work: job.req.steps.reduce((sum, step) => sum + getStepWork(step), 0),
-			cores: open.reduce((sum, {description}) => sum + (description.capacity.cpu / 1000), 0),
+			cores: ownCores + otherCores,
 			coresAbove: this.#offered.getCoresAbove(job.priority, now),
 			unplacedWork: this.#getUnplacedWork(job, open),
 			chainMs: job.chainMs,
@@ -339,7 +491,8 @@
 
 	/** Gets the work of a job's tasks that find no room beside what runs now. */
 	#getUnplacedWork(job: QueuedJob, open: readonly UpstreamLink[]): number {
-		const free = open.map(link => ({...link.getFree()}));
+		const rooms = this.#getRooms(job).map(({cpu}) => ({cpu, memoryMb: Infinity, accelerators: 0}));
+		const free = [...open.map(link => ({...link.getFree()})), ...rooms];
 		let work = 0;
 		for (const task of job.tasks) {
 			const {needs, estimateMs} = job.getStep(task);
@@ -377,13 +530,110 @@
 		}
 
 		const candidates = new Map(this.#getOpenLinks().map(link => [link, toCandidate(link)]));
+		const rooms = this.#options.neighbours.getRooms().map(room => ({...room}));
+		let largestRoom = getLargestRoom(candidates, rooms);
 		for (const job of sortByUrgency(waiting, now)) {
+			// Most jobs of a long queue are passed over here, before the upstreams are gone through for them.
+			if (job.smallestCpu > largestRoom) {
+				continue;
+			}
+
 			for (const task of job.getReadyTasks()) {
-				if (!this.#place(job, task, candidates)) {
+				if (!this.#place(job, task, candidates) && !this.#borrow(job, task, rooms)) {
 					// Tasks of a step are alike: where one has no room the others have none.
 					break;
 				}
 			}
+
+			largestRoom = getLargestRoom(candidates, rooms);
+		}
+	}
+
+	/** Gets the room of other pools that the tasks of a job may use. */
+	#getRooms(job: QueuedJob): readonly NeighbourRoom[] {
+		return isBoundJob(job.req) ? [] : this.#options.neighbours.getRooms();
+	}
+
+	/** Starts a task in the smallest room of other pools that holds it; the rooms are counted down. */
+	#borrow(job: QueuedJob, task: JobTask, rooms: Array<NeighbourRoom & {cpu: number}>): boolean {
+		const step = job.getStep(task);
+		if (isBoundStep(step)) {
+			return false;
+		}
+
+		const fitting = rooms.filter(({pool, cpu}) => cpu >= step.needs.cpu && !task.avoided.has(pool) && this.#getNeighbourPool(pool).isOpen());
+		const room = fitting.toSorted((a, b) => a.cpu - b.cpu)[0];
+		if (room === undefined) {
+			return false;
+		}
+
+		room.cpu -= step.needs.cpu;
+		const host = this.#getNeighbourPool(room.pool);
+		task.lastRun++;
+		job.setStatus(task, 'placed');
+		task.host = host;
+		job.hasStarted = true;
+		task.run = host.start({
+			task: task.name, number: task.lastRun, spec: job.req.spec, service: job.req.rules.service, step, expectedMs: job.longestRunMs > 0 ? job.longestRunMs : job.getExpectedMs(task),
+		});
+		this.#options.log.debug({
+			task: task.name, run: task.lastRun, pool: room.pool, freeCpu: room.cpu, waitedMs: Math.round(task.run.startedAt - job.arrivedAt),
+		}, 'task sent to another pool');
+		return true;
+	}
+
+	#getNeighbourPool(pool: string): NeighbourPool {
+		let neighbour = this.#neighbourPools.get(pool);
+		if (neighbour === undefined) {
+			const {clock, neighbours} = this.#options;
+			neighbour = new NeighbourPool(pool, {
+				clock,
+				neighbours,
+				events: {
+					onRunEnded: (host, run, end) => {
+						this.handleRunEnded(host, run, end);
+					},
+					onRunRefused: (host, run, reason) => {
+						this.handleRunRefused(host, run, reason);
+					},
+				},
+			});
+			this.#neighbourPools.set(pool, neighbour);
+		}
+
+		return neighbour;
+	}
+
+	#handleLentEnd({run, link, expectedMs}: LentRun, end: RunEnd): void {
+		if (end === 'done') {
+			this.#observeSpeed(link, this.#options.clock.getMonotonicTime() - run.startedAt, expectedMs);
+		} else if (end === 'failed') {
+			this.#addFailure(link);
+		}
+
+		this.#settleLent(run, {kind: 'ended', end});
+		this.schedule();
+	}
+
+	#observeSpeed(link: UpstreamLink, measuredMs: number, expectedMs: number): void {
+		link.slowness += ((Math.min(maxSlowness, measuredMs / Math.max(1, expectedMs)) - link.slowness) * slownessWeight);
+		link.failureStreak = 0;
+	}
+
+	#settleLent(run: LinkedRun, outcome: LendOutcome): boolean {
+		const lent = this.#lent.get(run.task);
+		if (lent?.run !== run) {
+			return false;
+		}
+
+		this.#lent.delete(run.task);
+		lent.settle(outcome);
+		return true;
+	}
+
+	async #waitForLentEnd({run}: LentRun): Promise<void> {
+		while (this.#lent.get(run.task)?.run === run) {
+			await sleep(this.#options.clock, sweepMs);
 		}
 	}
 
@@ -404,7 +654,7 @@
 		const link = [...candidates.keys()].find(({description}) => description.id === chosen.id)!;
 		task.lastRun++;
 		job.setStatus(task, 'placed');
-		task.link = link;
+		task.host = link;
 		job.hasStarted = true;
 		task.run = link.start({
 			task: task.name, number: task.lastRun, needs: step.needs, spec: job.req.spec,
@@ -416,32 +666,39 @@
 		return true;
 	}
 
-	#observe(link: UpstreamLink, job: QueuedJob, task: JobTask, run: LinkedRun): void {
+	#observe(host: RunHost, job: QueuedJob, task: JobTask, run: LinkedRun): void {
 		const measuredMs = this.#options.clock.getMonotonicTime() - run.startedAt;
 		const {estimateMs} = job.getStep(task);
 		const expectedMs = Math.max(1, job.getExpectedMs(task));
 		this.#estimator.addDuration(job.req.rules.route, estimateMs, measuredMs);
 		const compared = job.longestRunMs > 0 ? job.longestRunMs : expectedMs;
-		link.slowness += ((Math.min(5, measuredMs / compared) - link.slowness) * slownessWeight);
-		link.failureStreak = 0;
+		if (host instanceof UpstreamLink) {
+			this.#observeSpeed(host, measuredMs, compared);
+		}
+
 		job.longestRunMs = Math.max(job.longestRunMs, measuredMs);
 	}
 
-	#handleUndone(job: QueuedJob, task: JobTask, link: UpstreamLink, end: RunEnd): void {
+	#handleUndone(job: QueuedJob, task: JobTask, host: RunHost, end: RunEnd): void {
 		if (end === 'failed') {
 			task.failures++;
-			task.avoided.add(link.description.id);
-			this.#addFailure(link);
+			task.avoided.add(host.name);
+			this.#addFailure(host);
 		}
 
 		if (!job.isEnding) {
 			this.#options.log.info({
-				job: job.req.id, task: task.name, upstream: link.description.id, end, failures: task.failures,
+				job: job.req.id, task: task.name, upstream: host.name, end, failures: task.failures,
 			}, 'run ended without success');
 		}
 	}
 
-	#addFailure(link: UpstreamLink): void {
+	/** The owner of another pool counts the failures of its own upstreams. */
+	#addFailure(link: RunHost): void {
+		if (!(link instanceof UpstreamLink)) {
+			return;
+		}
+
 		link.failureStreak++;
 		if (link.failureStreak >= ejectingFailures) {
 			const pauseMs = Math.min(maxEjectionMs, ejectionMs * (2 ** (link.failureStreak - ejectingFailures)));
@@ -494,9 +751,9 @@
 
 		job.isEnding = true;
 		this.#options.log.info({job: job.req.id, reason}, 'job given up');
-		for (const {link, run} of job.tasks) {
-			if (link !== undefined && run !== undefined) {
-				link.stop(run);
+		for (const {host, run} of job.tasks) {
+			if (host !== undefined && run !== undefined) {
+				host.stop(run);
 			}
 		}
 
@@ -547,17 +804,17 @@
 
 	#stopOverdueRuns(job: QueuedJob, now: number): void {
 		for (const task of job.tasks) {
-			const {link, run} = task;
-			if (link === undefined || run === undefined || run.isUnwanted || run.state !== 'running' || link.isSilent()) {
+			const {host, run} = task;
+			if (host === undefined || run === undefined || run.isUnwanted || run.state !== 'running' || host.isSilent()) {
 				continue;
 			}
 
 			const age = {ageMs: now - run.startedAt, expectedMs: job.getExpectedMs(task), siblingMs: job.longestRunMs};
 			if (isOverdue(age)) {
-				this.#options.log.info({task: task.name, upstream: link.description.id, ...age}, 'run overdue');
-				task.avoided.add(link.description.id);
-				this.#addFailure(link);
-				link.stop(run);
+				this.#options.log.info({task: task.name, upstream: host.name, ...age}, 'run overdue');
+				task.avoided.add(host.name);
+				this.#addFailure(host);
+				host.stop(run, true);
 			}
 		}
 	}
@@ -577,6 +834,19 @@
 	return description.service === req.rules.service;
 }
 
+function getLargestRoom(candidates: ReadonlyMap<UpstreamLink, PlacementCandidate>, rooms: readonly NeighbourRoom[]): number {
+	let largest = 0;
+	for (const {free} of candidates.values()) {
+		largest = Math.max(largest, free.cpu);
+	}
+
+	for (const {cpu} of rooms) {
+		largest = Math.max(largest, cpu);
+	}
+
+	return largest;
+}
+
 function toCandidate(link: UpstreamLink): PlacementCandidate {
 	const {id, rack, labels} = link.description;
 	return {
--- a/src/pool/queued-job.ts
+++ b/src/pool/queued-job.ts
@@ -6,7 +6,8 @@
 	getChainMs, type JobStep, type PoolJobOutcome, type PoolJobRequest, type SubmittedJob,
 } from './pool-job.js';
 import {type OrderedJob} from './queue-order.js';
-import {type LinkedRun, type UpstreamLink} from './upstream-link.js';
+import {type RunHost} from './run-host.js';
+import {type LinkedRun} from './upstream-link.js';
 
 /** One task of a job. */
 export type JobTask = {
@@ -16,9 +17,10 @@
 	/** Number of the last start, 0 for none. */
 	lastRun: number;
 	failures: number;
-	link: UpstreamLink | undefined;
+	/** Where the task's run is. */
+	host: RunHost | undefined;
 	run: LinkedRun | undefined;
-	/** Upstreams on which a run failed or took too long. */
+	/** Upstreams on which a run failed or took too long, and pools that cannot hold the task. */
 	readonly avoided: Set<string>;
 };
 
@@ -35,6 +37,8 @@
 	readonly deadlineAt: number;
 	readonly tasks: readonly JobTask[];
 	readonly listeners = new Set<JobListener>();
+	/** Least thousandths of a core that a task of the job needs. */
+	readonly smallestCpu: number;
 	hasStarted = false;
 	/** Whether the job is given up; its tasks are being stopped. */
 	isEnding = false;
@@ -61,6 +65,7 @@
 		this.#estimator = estimator;
 		this.#waitingCounts = submitted.steps.map(({taskCount}) => taskCount);
 		this.#chainMs = getChainMs(submitted.steps);
+		this.smallestCpu = Math.min(...submitted.steps.map(({needs}) => needs.cpu));
 		this.tasks = submitted.steps.flatMap((step, stepPosition) => Array.from({length: step.taskCount}, (_, index) => createTask(submitted.id, stepPosition, index)));
 	}
 
@@ -145,9 +150,9 @@
 	 */
 	getPlacedCounts(stepPosition: number): ReadonlyMap<string, number> {
 		const counts = new Map<string, number>();
-		for (const {link, stepPosition: position} of this.tasks) {
-			if (link !== undefined && position === stepPosition) {
-				counts.set(link.description.id, (counts.get(link.description.id) ?? 0) + 1);
+		for (const {host, stepPosition: position} of this.tasks) {
+			if (host !== undefined && position === stepPosition) {
+				counts.set(host.name, (counts.get(host.name) ?? 0) + 1);
 			}
 		}
 
@@ -173,6 +178,6 @@
 
 function createTask(id: string, stepPosition: number, index: number): JobTask {
 	return {
-		name: `${id}.0.${stepPosition}.${index}`, stepPosition, status: 'waiting', lastRun: 0, failures: 0, link: undefined, run: undefined, avoided: new Set(),
+		name: `${id}.0.${stepPosition}.${index}`, stepPosition, status: 'waiting', lastRun: 0, failures: 0, host: undefined, run: undefined, avoided: new Set(),
 	};
 }
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -3,6 +3,7 @@
  */
 import {type Clock, sleep, type Timer} from '../seams/index.js';
 import {type TaskNeeds} from './pool-job.js';
+import {type RunHost} from './run-host.js';
 import {
 	type ListedEnd, type LookOutcome, type OrderOutcome, type OrderRefusal, type Run, type RunEnd, type UpstreamDescription, type UpstreamOrders,
 } from './upstream-orders.js';
@@ -78,7 +79,7 @@
 };
 
 /** Follows one life of one upstream. */
-export class UpstreamLink {
+export class UpstreamLink implements RunHost {
 	/** Share by which tasks here take longer than expected; 1 is usual. */
 	slowness = 1;
 	/** Failed runs since the last that was done. */
@@ -109,6 +110,10 @@
 		this.#silentSince = options.clock.getMonotonicTime();
 	}
 
+	get name(): string {
+		return this.description.id;
+	}
+
 	/** Gets what is free, by the runs known here. */
 	getFree(): TaskNeeds {
 		const {capacity} = this.description;
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -13,3 +13,6 @@
 export * from './simulated-upstreams.js';
 export * from './platform-store.js';
 export * from './platform-upstream.js';
+export * from './simulated-peers.js';
+export * from './simulated-pools.js';
+export * from './manual-clock.js';
--- a/test/pool/decisions.test.ts
+++ b/test/pool/decisions.test.ts
@@ -134,7 +134,7 @@
 
 function createView(pool: string, options: Partial<PoolView> = {}): PoolView {
 	return {
-		pool, isNear: false, ownerId: pool, cores: 200, freeCpu: 50_000, queuedWork: 0, ...options,
+		pool, isNear: false, ownerId: pool, cores: 200, freeCpu: 50_000, rooms: [24_000, 24_000], queuedWork: 0, ...options,
 	};
 }
 
--- /dev/null
+++ b/test/pool/lending.test.ts
@@ -0,0 +1,154 @@
+import test from 'ava';
+import {createSeededRandom} from '../../src/seams/index.js';
+import {
+	choosePool, lostRunMs, type PoolJobOutcome, type PoolView,
+} from '../../src/pool/index.js';
+import {
+	ManualClock, SimulatedPools, SimulatedUpstreams, type SimulatedWork,
+} from '../../src/testing/index.js';
+import {createArrivals, siteKinds} from '../../bench/pool/load-pattern.js';
+import {simulatePool} from '../../bench/pool/simulate-pool.js';
+import {
+	createJob, createUpstream, silentLog, usualWork,
+} from './pool-harness.js';
+
+type Fixture = {
+	readonly clock: ManualClock;
+	readonly upstreams: SimulatedUpstreams;
+	readonly pools: SimulatedPools;
+	readonly outcomes: Map<string, PoolJobOutcome>;
+	readonly submit: (pool: string, id: string, options?: Parameters<typeof createJob>[1], signal?: AbortSignal) => void;
+};
+
+/** Two pools of two upstreams each, every one with room for two usual tasks. */
+async function createPools({isLending = true, getWork = () => usualWork}: {readonly isLending?: boolean; readonly getWork?: (task: string) => SimulatedWork} = {}): Promise<Fixture> {
+	const clock = new ManualClock();
+	const upstreams = new SimulatedUpstreams({clock, getWork});
+	const descriptions = ['a', 'b'].flatMap(dataCenter => [1, 2].map(position => ({...createUpstream(`${dataCenter}${position}`, 16_000), dataCenter})));
+	for (const description of descriptions) {
+		upstreams.addUpstream(description);
+	}
+
+	const pools = new SimulatedPools({
+		clock, log: silentLog, orders: upstreams, upstreams: descriptions, isLending,
+	});
+	const outcomes = new Map<string, PoolJobOutcome>();
+	await clock.advance(300);
+	return {
+		clock,
+		upstreams,
+		pools,
+		outcomes,
+		submit(pool, id, options, signal) {
+			void (async () => {
+				outcomes.set(id, await pools.getOwner(pool).submit(createJob(id, options), signal));
+			})();
+		},
+	};
+}
+
+test('a job that is wider than its pool starts at once where other pools have room', async t => {
+	const {clock, upstreams, outcomes, submit} = await createPools();
+	submit('a', 'wide', {step: {taskCount: 8}});
+	await clock.advance(120);
+	t.deepEqual(outcomes.get('wide'), {kind: 'completed'});
+	t.is(upstreams.starts.filter(({upstream}) => upstream.startsWith('b')).length, 4);
+
+	const alone = await createPools({isLending: false});
+	alone.submit('a', 'wide', {step: {taskCount: 8}});
+	await alone.clock.advance(120);
+	t.is(alone.outcomes.get('wide'), undefined);
+});
+
+test('queued tasks get the room that comes free in another pool', async t => {
+	const {clock, upstreams, outcomes, submit} = await createPools();
+	submit('b', 'first', {step: {taskCount: 4}});
+	await clock.advance(20);
+	submit('a', 'wide', {step: {taskCount: 8}, rules: {...createJob('wide').rules, slackMs: 500}});
+	await clock.advance(200);
+	t.deepEqual(outcomes.get('wide'), {kind: 'completed'});
+	t.is(upstreams.starts.filter(({task, upstream}) => task.startsWith('wide') && upstream.startsWith('b')).length, 4);
+});
+
+test('a task that fails in another pool is tried again, and the failure counts', async t => {
+	const {clock, upstreams, outcomes, submit} = await createPools({getWork: () => ({...usualWork, durationMs: 20, end: 'failed'})});
+	submit('a', 'bad', {step: {taskCount: 8}, rules: {...createJob('bad').rules, maxAttempts: 2}});
+	await clock.advance(500);
+	t.deepEqual(outcomes.get('bad'), {kind: 'failed'});
+	t.true(upstreams.starts.some(({upstream}) => upstream.startsWith('b')));
+	t.true(upstreams.starts.every(({task}) => upstreams.starts.filter(start => start.task === task).length <= 2));
+});
+
+test('tasks in another pool are stopped when the caller goes', async t => {
+	const {clock, upstreams, submit} = await createPools();
+	const controller = new AbortController();
+	submit('a', 'wide', {step: {taskCount: 8}}, controller.signal);
+	await clock.advance(20);
+	controller.abort();
+	await clock.advance(20);
+	t.deepEqual(upstreams.starts.map(({end}) => end), Array.from({length: 8}, () => 'stopped'));
+});
+
+test('a task whose pool is cut off starts again only after its run has surely ended', async t => {
+	const {clock, upstreams, pools, outcomes, submit} = await createPools({getWork: () => ({...usualWork, durationMs: 5000})});
+	submit('a', 'wide', {step: {taskCount: 5, estimateMs: 5000}, remainingMs: 20_000});
+	await clock.advance(20);
+	const lent = upstreams.starts.find(({upstream}) => upstream.startsWith('b'))!;
+	pools.cutOwner('b');
+	await clock.advance(700);
+	t.is(lent.end, 'stopped');
+	await clock.advance(lostRunMs - 300);
+	t.is(upstreams.starts.filter(({task}) => task === lent.task).length, 1);
+	await clock.advance(12_000);
+	t.deepEqual(outcomes.get('wide'), {kind: 'completed'});
+	t.deepEqual(upstreams.getDoubleRuns(), []);
+});
+
+test('the next owner of a pool ends what the one before has in other pools before it starts it again', async t => {
+	const {clock, upstreams, pools, outcomes, submit} = await createPools({getWork: () => ({...usualWork, durationMs: 400})});
+	const job = {step: {taskCount: 8, estimateMs: 400}, remainingMs: 10_000};
+	submit('a', 'wide', job);
+	await clock.advance(20);
+	const priorFence = pools.replaceOwner('a');
+	submit('a', 'wide', {...job, priorFence});
+	await clock.advance(1500);
+	t.deepEqual(outcomes.get('wide'), {kind: 'completed'});
+	t.deepEqual(upstreams.getDoubleRuns(), []);
+});
+
+test('a task of an earlier owner is refused', async t => {
+	const {clock, upstreams, pools, submit} = await createPools();
+	const before = pools.getOwner('a');
+	const priorFence = pools.replaceOwner('a');
+	submit('a', 'job', {priorFence});
+	await clock.advance(150);
+	const count = upstreams.starts.length;
+	void before.submit(createJob('late', {step: {taskCount: 8}}));
+	await clock.advance(150);
+	t.true(upstreams.starts.slice(count).every(({upstream}) => !upstream.startsWith('b')));
+});
+
+const view = (pool: string, options: Partial<PoolView>): PoolView => ({
+	pool, isNear: false, ownerId: pool, cores: 100, freeCpu: 0, rooms: [], queuedWork: 0, ...options,
+});
+
+test('a job goes to a pool with room for all of it, and to the common queue where none has', t => {
+	const need = {cpu: 10_000, isBound: false, asked: new Set<string>()};
+	t.is(choosePool([view('a', {}), view('b', {freeCpu: 12_000}), view('c', {isNear: true})], need)?.pool, 'b');
+	t.is(choosePool([view('a', {cores: 0}), view('b', {freeCpu: 8000}), view('c', {isNear: true})], need)?.pool, 'b');
+	t.is(choosePool([view('a', {queuedWork: 9000}), view('b', {}), view('c', {isNear: true})], need)?.pool, 'a');
+	t.is(choosePool([view('a', {queuedWork: 9000}), view('b', {}), view('c', {isNear: true})], {...need, isBound: true})?.pool, 'c');
+	t.is(choosePool([view('a', {}), view('b', {}), view('c', {isNear: true})], {...need, asked: new Set(['a'])})?.pool, 'c');
+});
+
+test('at overload, more jobs are in time with one common queue than with a queue a pool', async t => {
+	const shares = await Promise.all([true, false].map(async isLending => {
+		const arrivals = createArrivals({
+			kinds: siteKinds, durationMs: 3000, getFactor: () => 1.14, random: createSeededRandom(1),
+		});
+		const results = Object.values(await simulatePool(arrivals, 32, {poolCount: 4, isLending}));
+		return results.reduce((sum, {inTime}) => sum + inTime, 0) / results.reduce((sum, {asked}) => sum + asked, 0);
+	}));
+	t.log(shares);
+	t.true(shares[0]! > shares[1]!);
+});
--- a/test/pool/pool-harness.ts
+++ b/test/pool/pool-harness.ts
@@ -97,7 +97,12 @@
 	};
 }
 
-function createUpstream(id: string, cpu: number): UpstreamDescription {
+/**
+ * Creates an upstream.
+ * @param id - Identifier.
+ * @param cpu - Thousandths of a core.
+ */
+export function createUpstream(id: string, cpu: number): UpstreamDescription {
 	return {
 		id, bornMs: 1, address: `${id}:1`, dataCenter: 'dc1', service: 's', rack: 'r1', labels: ['a', 'r1'], isLeaving: false,
 		capacity: {cpu, memoryMb: 32_768, accelerators: 0},
