Split lent runs, other pools and the health of upstreams from the scheduler

Read again, a task that comes after its borrower has gone would have been started and never stopped, and a heartbeat of a version before this one would not have been understood.

Change: LentRuns, NeighbourPools and upstream-health are modules of their own; such a task is refused; a load without rooms is one that lends nothing.

--- /dev/null
+++ b/src/pool/lent-runs.ts
@@ -0,0 +1,156 @@
+/**
+ * Runs on a pool's upstreams that belong to jobs of other pools.
+ */
+import {type Clock, sleep} from '../seams/index.js';
+import {type DecisionLog} from './decision-log.js';
+import {type BorrowingTask, type LendOutcome} from './lending.js';
+import {chooseUpstream} from './placement.js';
+import {addFailure, addSuccess, toCandidate} from './upstream-health.js';
+import {type LinkedRun, type UpstreamLink} from './upstream-link.js';
+import {type Run, type RunEnd} from './upstream-orders.js';
+
+/** Options of {@link LentRuns}. */
+export type LentRunsOptions = {
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+};
+
+/** A run, and who waits for its end. */
+type LentRun = {
+	readonly run: LinkedRun;
+	readonly link: UpstreamLink;
+	readonly expectedMs: number;
+	readonly settle: (outcome: LendOutcome) => void;
+};
+
+/** Time between looks whether recalled runs have ended, in milliseconds: a fraction of the time that a stop takes. */
+const recallPollMs = 10;
+
+/** Starts, stops and settles runs for other pools. */
+export class LentRuns {
+	readonly #options: LentRunsOptions;
+	/** By task. */
+	readonly #runs = new Map<string, LentRun>();
+
+	constructor(options: LentRunsOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Starts a task if there is room now, and waits for its end.
+	 * @param task - Task.
+	 * @param open - Upstreams that take new tasks.
+	 * @param signal - Aborts when the borrower is gone; the task is then stopped.
+	 */
+	async start(task: BorrowingTask, open: readonly UpstreamLink[], signal: AbortSignal): Promise<LendOutcome> {
+		if (signal.aborted || this.#runs.has(task.task)) {
+			return {kind: 'refused', reason: 'no-room'};
+		}
+
+		const ofService = open.filter(({description}) => description.service === task.service);
+		const chosen = chooseUpstream(task.step, ofService.map(link => toCandidate(link)));
+		if (chosen === undefined) {
+			const isPossible = ofService.some(link => chooseUpstream(task.step, [{...toCandidate(link), free: link.description.capacity}]) !== undefined);
+			return {kind: 'refused', reason: isPossible ? 'no-room' : 'does-not-fit'};
+		}
+
+		const link = ofService.find(({name}) => name === chosen.id)!;
+		const run = link.start({
+			task: task.task, number: task.number, needs: task.step.needs, spec: task.spec,
+		});
+		this.#options.log.debug({task: task.task, run: task.number, upstream: link.name}, 'task placed for another pool');
+		signal.addEventListener('abort', () => {
+			link.stop(run);
+		}, {once: true});
+		return new Promise(resolve => {
+			this.#runs.set(task.task, {
+				run, link, expectedMs: task.expectedMs, settle: resolve,
+			});
+		});
+	}
+
+	/**
+	 * Stops a run; its end comes as the outcome of `start`.
+	 * @param run - Run.
+	 * @param isOverdue - Whether it has taken too long, which counts against its upstream.
+	 */
+	stop({task, number}: Run, isOverdue: boolean): void {
+		const lent = this.#runs.get(task);
+		if (lent?.run.number !== number) {
+			return;
+		}
+
+		if (isOverdue) {
+			this.#addFailure(lent.link);
+		}
+
+		lent.link.stop(lent.run);
+	}
+
+	/**
+	 * Stops all runs of a job; resolves when none is left.
+	 * @param job - Identifier of the job.
+	 */
+	async recall(job: string): Promise<void> {
+		const runs = [...this.#runs.values()].filter(({run}) => run.task.startsWith(`${job}.`));
+		for (const {run, link} of runs) {
+			link.stop(run);
+		}
+
+		for (const {run} of runs) {
+			while (this.#runs.get(run.task)?.run === run) {
+				await sleep(this.#options.clock, recallPollMs);
+			}
+		}
+	}
+
+	/**
+	 * Takes the end of a run; false where it is not one of these.
+	 * @param run - Run.
+	 * @param end - How it ended.
+	 */
+	handleRunEnded(run: LinkedRun, end: RunEnd): boolean {
+		const lent = this.#runs.get(run.task);
+		if (lent?.run !== run) {
+			return false;
+		}
+
+		if (end === 'done') {
+			addSuccess(lent.link, this.#options.clock.getMonotonicTime() - run.startedAt, lent.expectedMs);
+		} else if (end === 'failed') {
+			this.#addFailure(lent.link);
+		}
+
+		this.#runs.delete(run.task);
+		lent.settle({kind: 'ended', end});
+		return true;
+	}
+
+	/**
+	 * Takes the refusal of a start; false where it is not one of these.
+	 * @param run - Run.
+	 */
+	handleRunRefused(run: LinkedRun): boolean {
+		const lent = this.#runs.get(run.task);
+		if (lent?.run !== run) {
+			return false;
+		}
+
+		this.#runs.delete(run.task);
+		lent.settle({kind: 'refused', reason: 'no-room'});
+		return true;
+	}
+
+	/** Tells the borrowers that their runs are not followed here any more. */
+	close(): void {
+		for (const {settle} of this.#runs.values()) {
+			settle({kind: 'lost'});
+		}
+
+		this.#runs.clear();
+	}
+
+	#addFailure(link: UpstreamLink): void {
+		addFailure(link, this.#options.clock.getMonotonicTime(), this.#options.log);
+	}
+}
--- a/src/pool/pool-messages.ts
+++ b/src/pool/pool-messages.ts
@@ -51,7 +51,7 @@
 
 /** Schema of the load of a pool, as its owner tells it. */
 export const poolLoadSchema = z.object({
-	cores: count, freeCpu: count, rooms: z.array(count).max(64).readonly(), queuedWork: count,
+	cores: count, freeCpu: count, rooms: z.array(count).max(64).readonly().default([]), queuedWork: count,
 }).readonly();
 
 /** Schema of the answer to a job. */
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -1,14 +1,15 @@
 /**
  * The queue of one pool: which jobs are taken, where and when their tasks start, and what becomes of them.
  */
-import {type Clock, sleep, type Timer} from '../seams/index.js';
+import {type Clock, type Timer} from '../seams/index.js';
 import {type AdmissionDecision, decideAdmission} from './admission.js';
 import {type DecisionLog} from './decision-log.js';
 import {DurationEstimator} from './duration-estimator.js';
 import {
-	type BorrowingTask, isBoundJob, isBoundStep, type LendOutcome, type LendRefusal, type NeighbourRoom, type PoolNeighbours,
+	type BorrowingTask, isBoundJob, type LendOutcome, type LendRefusal, type NeighbourRoom, type PoolNeighbours,
 } from './lending.js';
-import {NeighbourPool} from './neighbour-pool.js';
+import {LentRuns} from './lent-runs.js';
+import {NeighbourPools} from './neighbour-pools.js';
 import {OfferedLoad} from './offered-load.js';
 import {isOverdue} from './overdue.js';
 import {chooseUpstream, fits, type PlacementCandidate} from './placement.js';
@@ -18,6 +19,7 @@
 import {sortByUrgency} from './queue-order.js';
 import {type JobTask, QueuedJob} from './queued-job.js';
 import {type RunHost} from './run-host.js';
+import {addFailure, addSuccess, toCandidate} from './upstream-health.js';
 import {type LinkedRun, UpstreamLink} from './upstream-link.js';
 import {type OrderRefusal, type Run, type RunEnd} from './upstream-orders.js';
 
@@ -35,14 +37,6 @@
 	readonly neighbours: PoolNeighbours;
 };
 
-/** A run for another pool, and who waits for its end. */
-type LentRun = {
-	readonly run: LinkedRun;
-	readonly link: UpstreamLink;
-	readonly expectedMs: number;
-	readonly settle: (outcome: LendOutcome) => void;
-};
-
 /** Load of a pool as its owner tells it. */
 export type PoolLoad = {
 	readonly cores: number;
@@ -60,23 +54,6 @@
 /** Share of the objective after which a job that waits is judged once more: soon enough for its caller to go elsewhere. */
 const secondLookShare = 0.18;
 
-/** Failed runs in a row after which an upstream is a last resort, and after which it gets no tasks for a while. */
-const doubtfulFailures = 1;
-const ejectingFailures = 2;
-
-/** Time for which an upstream that fails or stalls gets no tasks, in milliseconds; doubled with each further failure. */
-const ejectionMs = 500;
-const maxEjectionMs = 4000;
-
-/** Slowness from which an upstream is a last resort; usual upstreams are between 0.8 and 1.3. */
-const doubtfulSlowness = 2;
-
-/** Largest slowness that one task is taken for, so that one that stood still does not count for ever. */
-const maxSlowness = 5;
-
-/** Weight of a new observation in an upstream's slowness. */
-const slownessWeight = 0.2;
-
 /** Thousandths of a core of a task until something is known of a pool, and the weight of a new observation. */
 const initialTaskCpu = 1000;
 const taskCpuWeight = 0.05;
@@ -97,9 +74,9 @@
 	readonly #offered = new OfferedLoad();
 	readonly #jobs = new Map<string, QueuedJob>();
 	readonly #tasksByName = new Map<string, {readonly job: QueuedJob; readonly task: JobTask}>();
-	readonly #neighbourPools = new Map<string, NeighbourPool>();
-	/** Runs for other pools by their tasks. */
-	readonly #lent = new Map<string, LentRun>();
+	readonly #neighbourPools: NeighbourPools;
+	/** Runs for other pools. */
+	readonly #lent: LentRuns;
 	readonly #sweep: Timer;
 	/** Thousandths of a core that a task takes on average. */
 	#usualCpu = initialTaskCpu;
@@ -108,6 +85,19 @@
 
 	constructor(options: PoolSchedulerOptions) {
 		this.#options = options;
+		this.#lent = new LentRuns(options);
+		this.#neighbourPools = new NeighbourPools({
+			clock: options.clock,
+			neighbours: options.neighbours,
+			events: {
+				onRunEnded: (host, run, end) => {
+					this.handleRunEnded(host, run, end);
+				},
+				onRunRefused: (host, run, reason) => {
+					this.handleRunRefused(host, run, reason);
+				},
+			},
+		});
 		this.#sweep = options.clock.setRepeatingTimer(() => {
 			this.#sweepJobs();
 		}, sweepMs);
@@ -220,7 +210,7 @@
 	 * @param signal - Aborts when the borrower is gone; the task is then stopped.
 	 */
 	async lendRoom(task: BorrowingTask, signal: AbortSignal): Promise<LendOutcome> {
-		if (this.#isClosed || this.#options.isHeldBack() || this.#lent.has(task.task)) {
+		if (this.#isClosed || this.#options.isHeldBack()) {
 			return {kind: 'refused', reason: 'no-room'};
 		}
 
@@ -229,28 +219,8 @@
 			this.#startTasks();
 		}
 
-		const open = this.#getOpenLinks().filter(({description}) => description.service === task.service);
-		const chosen = chooseUpstream(task.step, open.map(link => toCandidate(link)));
-		if (chosen === undefined) {
-			const isPossible = open.some(link => chooseUpstream(task.step, [{...toCandidate(link), free: link.description.capacity}]) !== undefined);
-			return {kind: 'refused', reason: isPossible ? 'no-room' : 'does-not-fit'};
-		}
-
-		const link = open.find(({name}) => name === chosen.id)!;
-		const {needs} = task.step;
 		this.#observeNeeds(task.step);
-		const run = link.start({
-			task: task.task, number: task.number, needs, spec: task.spec,
-		});
-		this.#options.log.debug({task: task.task, run: task.number, upstream: link.name}, 'task placed for another pool');
-		signal.addEventListener('abort', () => {
-			link.stop(run);
-		}, {once: true});
-		return new Promise(resolve => {
-			this.#lent.set(task.task, {
-				run, link, expectedMs: task.expectedMs, settle: resolve,
-			});
-		});
+		return this.#lent.start(task, this.#getOpenLinks(), signal);
 	}
 
 	/**
@@ -258,17 +228,8 @@
 	 * @param run - Run.
 	 * @param isOverdue - Whether it has taken too long.
 	 */
-	stopLent({task, number}: Run, isOverdue: boolean): void {
-		const lent = this.#lent.get(task);
-		if (lent?.run.number !== number) {
-			return;
-		}
-
-		if (isOverdue) {
-			this.#addFailure(lent.link);
-		}
-
-		lent.link.stop(lent.run);
+	stopLent(run: Run, isOverdue: boolean): void {
+		this.#lent.stop(run, isOverdue);
 	}
 
 	/**
@@ -276,12 +237,7 @@
 	 * @param job - Identifier of the job.
 	 */
 	async recallLent(job: string): Promise<void> {
-		const runs = [...this.#lent.values()].filter(({run}) => run.task.startsWith(`${job}.`));
-		for (const {run, link} of runs) {
-			link.stop(run);
-		}
-
-		await Promise.all(runs.map(async lent => this.#waitForLentEnd(lent)));
+		await this.#lent.recall(job);
 	}
 
 	/**
@@ -291,9 +247,8 @@
 	 * @param end - How it ended.
 	 */
 	handleRunEnded(host: RunHost, run: LinkedRun, end: RunEnd): void {
-		const lent = this.#lent.get(run.task);
-		if (lent?.run === run) {
-			this.#handleLentEnd(lent, end);
+		if (this.#lent.handleRunEnded(run, end)) {
+			this.schedule();
 			return;
 		}
 
@@ -340,7 +295,7 @@
 			this.#addFailure(host);
 		}
 
-		if (this.#settleLent(run, {kind: 'refused', reason: 'no-room'})) {
+		if (this.#lent.handleRunRefused(run)) {
 			this.schedule();
 			return;
 		}
@@ -373,14 +328,8 @@
 
 		this.#jobs.clear();
 		this.#tasksByName.clear();
-		for (const {settle} of this.#lent.values()) {
-			settle({kind: 'lost'});
-		}
-
-		this.#lent.clear();
-		for (const neighbour of this.#neighbourPools.values()) {
-			neighbour.close();
-		}
+		this.#lent.close();
+		this.#neighbourPools.close();
 	}
 
 	#observeNeeds({needs}: JobStep): void {
@@ -557,18 +506,13 @@
 	/** Starts a task in the smallest room of other pools that holds it; the rooms are counted down. */
 	#borrow(job: QueuedJob, task: JobTask, rooms: Array<NeighbourRoom & {cpu: number}>): boolean {
 		const step = job.getStep(task);
-		if (isBoundStep(step)) {
-			return false;
-		}
-
-		const fitting = rooms.filter(({pool, cpu}) => cpu >= step.needs.cpu && !task.avoided.has(pool) && this.#getNeighbourPool(pool).isOpen());
-		const room = fitting.toSorted((a, b) => a.cpu - b.cpu)[0];
+		const room = this.#neighbourPools.chooseRoom(step, rooms, task.avoided);
 		if (room === undefined) {
 			return false;
 		}
 
 		room.cpu -= step.needs.cpu;
-		const host = this.#getNeighbourPool(room.pool);
+		const host = this.#neighbourPools.getPool(room.pool);
 		task.lastRun++;
 		job.setStatus(task, 'placed');
 		task.host = host;
@@ -582,61 +526,6 @@
 		return true;
 	}
 
-	#getNeighbourPool(pool: string): NeighbourPool {
-		let neighbour = this.#neighbourPools.get(pool);
-		if (neighbour === undefined) {
-			const {clock, neighbours} = this.#options;
-			neighbour = new NeighbourPool(pool, {
-				clock,
-				neighbours,
-				events: {
-					onRunEnded: (host, run, end) => {
-						this.handleRunEnded(host, run, end);
-					},
-					onRunRefused: (host, run, reason) => {
-						this.handleRunRefused(host, run, reason);
-					},
-				},
-			});
-			this.#neighbourPools.set(pool, neighbour);
-		}
-
-		return neighbour;
-	}
-
-	#handleLentEnd({run, link, expectedMs}: LentRun, end: RunEnd): void {
-		if (end === 'done') {
-			this.#observeSpeed(link, this.#options.clock.getMonotonicTime() - run.startedAt, expectedMs);
-		} else if (end === 'failed') {
-			this.#addFailure(link);
-		}
-
-		this.#settleLent(run, {kind: 'ended', end});
-		this.schedule();
-	}
-
-	#observeSpeed(link: UpstreamLink, measuredMs: number, expectedMs: number): void {
-		link.slowness += ((Math.min(maxSlowness, measuredMs / Math.max(1, expectedMs)) - link.slowness) * slownessWeight);
-		link.failureStreak = 0;
-	}
-
-	#settleLent(run: LinkedRun, outcome: LendOutcome): boolean {
-		const lent = this.#lent.get(run.task);
-		if (lent?.run !== run) {
-			return false;
-		}
-
-		this.#lent.delete(run.task);
-		lent.settle(outcome);
-		return true;
-	}
-
-	async #waitForLentEnd({run}: LentRun): Promise<void> {
-		while (this.#lent.get(run.task)?.run === run) {
-			await sleep(this.#options.clock, sweepMs);
-		}
-	}
-
 	#getOpenLinks(): readonly UpstreamLink[] {
 		return this.#options.getLinks().filter(link => link.isOpen());
 	}
@@ -673,7 +562,7 @@
 		this.#estimator.addDuration(job.req.rules.route, estimateMs, measuredMs);
 		const compared = job.longestRunMs > 0 ? job.longestRunMs : expectedMs;
 		if (host instanceof UpstreamLink) {
-			this.#observeSpeed(host, measuredMs, compared);
+			addSuccess(host, measuredMs, compared);
 		}
 
 		job.longestRunMs = Math.max(job.longestRunMs, measuredMs);
@@ -693,17 +582,10 @@
 		}
 	}
 
-	/** The owner of another pool counts the failures of its own upstreams. */
-	#addFailure(link: RunHost): void {
-		if (!(link instanceof UpstreamLink)) {
-			return;
-		}
-
-		link.failureStreak++;
-		if (link.failureStreak >= ejectingFailures) {
-			const pauseMs = Math.min(maxEjectionMs, ejectionMs * (2 ** (link.failureStreak - ejectingFailures)));
-			link.pausedUntil = this.#options.clock.getMonotonicTime() + pauseMs;
-			this.#options.log.info({upstream: link.description.id, failures: link.failureStreak, pauseMs}, 'upstream ejected');
+	/** Counts a failure against an upstream; the owner of another pool counts those of its own. */
+	#addFailure(host: RunHost): void {
+		if (host instanceof UpstreamLink) {
+			addFailure(host, this.#options.clock.getMonotonicTime(), this.#options.log);
 		}
 	}
 
@@ -846,11 +728,3 @@
 
 	return largest;
 }
-
-function toCandidate(link: UpstreamLink): PlacementCandidate {
-	const {id, rack, labels} = link.description;
-	return {
-		id, rack, labels, free: link.getFree(), slowness: link.slowness,
-		isDoubtful: link.failureStreak >= doubtfulFailures || link.slowness >= doubtfulSlowness,
-	};
-}
--- a/test/pool/lending.test.ts
+++ b/test/pool/lending.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {createSeededRandom} from '../../src/seams/index.js';
 import {
-	choosePool, lostRunMs, type PoolJobOutcome, type PoolView,
+	choosePool, lostRunMs, poolClaimsSchema, type PoolJobOutcome, type PoolView,
 } from '../../src/pool/index.js';
 import {
 	ManualClock, SimulatedPools, SimulatedUpstreams, type SimulatedWork,
@@ -128,6 +128,21 @@
 	t.true(upstreams.starts.slice(count).every(({upstream}) => !upstream.startsWith('b')));
 });
 
+test('a task whose borrower is gone before it comes is not started', async t => {
+	const {clock, upstreams, pools} = await createPools();
+	const task = {
+		task: 'x.0.0.0', number: 1, spec: '', service: 's', step: createJob('x').steps[0]!, expectedMs: 100,
+	};
+	t.deepEqual(await pools.getOwner('b').lendRoom(task, AbortSignal.abort()), {kind: 'refused', reason: 'no-room'});
+	await clock.advance(50);
+	t.is(upstreams.starts.length, 0);
+});
+
+test('a VM of an earlier version, which tells of no rooms, is understood and gets no tasks', t => {
+	const load = {cores: 10, freeCpu: 7000, queuedWork: 0};
+	t.deepEqual(poolClaimsSchema.parse({b: {fence: 3, load}}), {b: {fence: 3, load: {...load, rooms: []}}});
+});
+
 const view = (pool: string, options: Partial<PoolView>): PoolView => ({
 	pool, isNear: false, ownerId: pool, cores: 100, freeCpu: 0, rooms: [], queuedWork: 0, ...options,
 });
