--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -40,7 +40,7 @@
 	readonly getUpstreams: (pool: string) => readonly UpstreamDescription[];
 	/** Gets whether the upstreams of a pool were ever read or told. */
 	readonly isListKnown: (pool: string) => boolean;
-	/** Takes the number of pools owned here whenever it changes. */
+	/** Takes the names of the pools owned here whenever they change. */
 	readonly onOwnedChanged: (pools: readonly string[]) => void;
 	/** Longest lease of a run, in milliseconds. */
 	readonly maxLeaseMs: number;
