--- a/bench/pool.ts
+++ b/bench/pool.ts
@@ -24,8 +24,34 @@
 /** Value of a late answer against one in time, as the users' sheets have it. */
 const lateValue = 0.2;
 
-/** Plays all patterns and prints what became of the jobs. */
+/** Upstreams of a deployment of several data centres, and rates against the sites' usual ones for all of it. */
+const deploymentUpstreams = 32;
+const deploymentPools = 4;
+const deploymentFactors = [0.93, 1.14, 1.38];
+
+/** Plays the patterns of one pool, then several pools with and without lending, and prints what became of the jobs. */
 export async function run(): Promise<void> {
+	await playPool();
+	for (const isLending of [false, true]) {
+		for (const factor of deploymentFactors) {
+			await playDeployment(factor, isLending);
+		}
+	}
+}
+
+async function playDeployment(factor: number, isLending: boolean): Promise<void> {
+	const arrivals = createArrivals({
+		kinds: siteKinds, durationMs, getFactor: () => factor, random: createSeededRandom(1),
+	});
+	const results = await simulatePool(arrivals, deploymentUpstreams, {poolCount: deploymentPools, isLending});
+	const values = Object.values(results);
+	const asked = values.reduce((sum, result) => sum + result.asked, 0);
+	const inTime = values.reduce((sum, result) => sum + result.inTime, 0) / asked;
+	const value = values.reduce((sum, result) => sum + ((result.inTime + (lateValue * result.late)) / result.asked), 0) / values.length;
+	console.log(`${deploymentPools} pools${isLending ? ' that lend' : ''} at ${factor}: in time ${inTime.toFixed(3)} value by kind ${value.toFixed(3)}`);
+}
+
+async function playPool(): Promise<void> {
 	for (const [name, getFactor] of Object.entries(patterns)) {
 		const sums = {
 			inTime: 0, late: 0, asked: 0, refusedLate: 0, value: 0, kinds: 0,
