Count a start as not started only if none of its sends may have been carried out

A start whose answer does not come within 150 ms is sent again; the resend was then refused for its old fence, and every refusal but one counted as "not started". Before lending only the former owner believed it, whose orders were refused; now the borrower in another pool starts the task again at once. Ruled out: a lapsed lease (0.48 s is too short for it), a lost connection (the borrower waits 1.7 s).

Change: a refusal after an unanswered send leaves the run's fate open; looks, a stop or the pool's change of hands settle it.

Measured: the new test has two runs of `wide.0.0.4` at once before, none after.

--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -462,11 +462,11 @@
 			this.#options.events.onFenced(this);
 		}
 
-		if (outcome.reason === 'stale-run' && earlierSends > 0) {
-			// An earlier send may have been carried out and have ended; the list of ends tells.
+		if (earlierSends > 0 && outcome.reason !== 'wrong-instance') {
+			// An earlier send may have been carried out; a look tells, or the lease ends it.
 			run.state = 'lost';
-			run.settledAt = now;
-			void this.refresh();
+			run.settledAt = outcome.reason === 'stale-run' ? now : Infinity;
+			void (outcome.reason === 'stale-run' ? this.refresh() : this.#sendStop(run));
 			return;
 		}
 
--- a/test/pool/lending.test.ts
+++ b/test/pool/lending.test.ts
@@ -4,7 +4,7 @@
 	choosePool, lostRunMs, poolClaimsSchema, type PoolJobOutcome, type PoolView,
 } from '../../src/pool/index.js';
 import {
-	ManualClock, SimulatedPools, SimulatedUpstreams, type SimulatedWork,
+	ManualClock, SimulatedPools, type SimulatedFaults, SimulatedUpstreams, type SimulatedWork,
 } from '../../src/testing/index.js';
 import {createArrivals, siteKinds} from '../../bench/pool/load-pattern.js';
 import {simulatePool} from '../../bench/pool/simulate-pool.js';
@@ -15,6 +15,8 @@
 type Fixture = {
 	readonly clock: ManualClock;
 	readonly upstreams: SimulatedUpstreams;
+	/** Faults of the upstreams, those of pool `a` first. */
+	readonly faults: readonly SimulatedFaults[];
 	readonly pools: SimulatedPools;
 	readonly outcomes: Map<string, PoolJobOutcome>;
 	readonly submit: (pool: string, id: string, options?: Parameters<typeof createJob>[1], signal?: AbortSignal) => void;
@@ -25,9 +27,7 @@
 	const clock = new ManualClock();
 	const upstreams = new SimulatedUpstreams({clock, getWork});
 	const descriptions = ['a', 'b'].flatMap(dataCenter => [1, 2].map(position => ({...createUpstream(`${dataCenter}${position}`, 16_000), dataCenter})));
-	for (const description of descriptions) {
-		upstreams.addUpstream(description);
-	}
+	const faults = descriptions.map(description => upstreams.addUpstream(description));
 
 	const pools = new SimulatedPools({
 		clock, log: silentLog, orders: upstreams, upstreams: descriptions, isLending,
@@ -37,6 +37,7 @@
 	return {
 		clock,
 		upstreams,
+		faults,
 		pools,
 		outcomes,
 		submit(pool, id, options, signal) {
@@ -116,6 +117,28 @@
 	t.deepEqual(upstreams.getDoubleRuns(), []);
 });
 
+test('a refusal after a start whose answer was lost does not count as not started', async t => {
+	const {clock, upstreams, faults, pools, outcomes, submit} = await createPools({getWork: () => ({...usualWork, durationMs: 600})});
+	submit('a', 'wide', {step: {taskCount: 5, estimateMs: 600}, remainingMs: 10_000});
+	for (const [position, fault] of faults.entries()) {
+		fault.isMute = position >= 2;
+	}
+
+	await clock.advance(50);
+	const before = pools.getOwner('b');
+	pools.replaceOwner('b');
+	await clock.advance(60);
+	for (const fault of faults) {
+		fault.isMute = false;
+	}
+
+	await clock.advance(300);
+	before.close({kind: 'moved'});
+	await clock.advance(5000);
+	t.deepEqual(outcomes.get('wide'), {kind: 'completed'});
+	t.deepEqual(upstreams.getDoubleRuns(), []);
+});
+
 test('a task of an earlier owner is refused', async t => {
 	const {clock, upstreams, pools, submit} = await createPools();
 	const before = pools.getOwner('a');
