Name the shortest Retry-After once, and the time by which upstreams are judged

Cause: read as a whole, the change had the shortest Retry-After written four times, in three places without a name; the time by which an upstream's speed is judged in two; and the cores of a job's first tasks worked out anew for each pool asked.

Change: minRetryAfterMs of admission is used by all; QueuedJob.getComparableMs; PoolRouter works a job's needs out once.

--- a/src/pool/admission.ts
+++ b/src/pool/admission.ts
@@ -47,7 +47,7 @@
 export const defaultAdmissionLimits: AdmissionLimits = {usableShare: 0.8, maxObjectives: 1, minShare: 0.6};
 
 /** Shortest time that a refused caller is told, in milliseconds: an HTTP header names whole seconds. */
-const minRetryAfterMs = 1000;
+export const minRetryAfterMs = 1000;
 
 /**
  * Decides on a job.
--- a/src/pool/pool-lending.ts
+++ b/src/pool/pool-lending.ts
@@ -7,13 +7,13 @@
 import {
 	type BorrowingTask, type LendOutcome, type NeighbourRoom, type PoolNeighbours,
 } from './lending.js';
+import {LoadTeller} from './load-teller.js';
 import {type PoolDirectory} from './pool-directory.js';
 import {
 	lendAnswerSchema, type LendAnswer, lendRequestSchema, lendTopic, loadNewsSchema, loadTopic, recallAnswerSchema, recallRequestSchema, recallTopic,
 	stopLentRequestSchema, stopLentTopic,
 } from './pool-messages.js';
 import {type PoolOwner} from './pool-owner.js';
-import {LoadTeller} from './load-teller.js';
 import {type Run} from './upstream-orders.js';
 
 /** Options of {@link PoolLending}. */
@@ -39,7 +39,6 @@
 /** Takes and sends the requests by which owners share room. */
 export class PoolLending {
 	readonly #options: PoolLendingOptions;
-
 	/** Number of the last task that came from each pool, and the fence of the owner that counts them. */
 	readonly #seen = new Map<string, {readonly fence: number; readonly sequence: number}>();
 
--- a/src/pool/pool-router.ts
+++ b/src/pool/pool-router.ts
@@ -3,9 +3,10 @@
  */
 import {type PeerNetwork} from '../connection/index.js';
 import {type Clock, sleep} from '../seams/index.js';
+import {minRetryAfterMs} from './admission.js';
 import {type DecisionLog} from './decision-log.js';
 import {isBoundJob} from './lending.js';
-import {choosePool, type PoolView} from './pool-choice.js';
+import {choosePool, type JobRoom, type PoolView} from './pool-choice.js';
 import {getFirstCpu, type PoolDirectory} from './pool-directory.js';
 import {
 	type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob,
@@ -73,10 +74,11 @@
 			};
 		};
 
+		const cpu = getFirstCpu(job);
 		const asked = new Set<string>();
-		let refusal: PoolJobOutcome = {kind: 'refused', reason: 'no-upstream', retryAfterMs: 1000};
+		let refusal: PoolJobOutcome = createRefusal('no-upstream');
 		while (asked.size < maxPoolsAsked && !signal.aborted) {
-			const view = await this.#choosePool(job, asked, signal);
+			const view = await this.#choosePool({cpu, isBound: isBoundJob(job), asked}, signal);
 			if (view === undefined) {
 				break;
 			}
@@ -90,7 +92,7 @@
 			}
 
 			refusal = outcome;
-			if (outcome.reason === 'deadline' || (outcome.reason === 'overloaded' && view.freeCpu < getFirstCpu(job))) {
+			if (outcome.reason === 'deadline' || (outcome.reason === 'overloaded' && view.freeCpu < cpu)) {
 				// Pools without room have nothing to offer that the common queue has not.
 				break;
 			}
@@ -100,13 +102,12 @@
 	}
 
 	/** Chooses the pool for a job; waits a little where no pool has an owner yet. */
-	async #choosePool(job: PoolJobRequest, asked: ReadonlySet<string>, signal: AbortSignal): Promise<PoolView | undefined> {
+	async #choosePool(job: JobRoom, signal: AbortSignal): Promise<PoolView | undefined> {
 		const {clock} = this.#options;
 		const giveUpAt = clock.getMonotonicTime() + (this.#options.isYielding() ? 0 : firstOwnerMs);
-		const room = {cpu: getFirstCpu(job), isBound: isBoundJob(job), asked};
 		for (;;) {
-			const view = choosePool(this.#options.directory.getViews(), room);
-			if (view !== undefined || asked.size > 0) {
+			const view = choosePool(this.#options.directory.getViews(), job);
+			if (view !== undefined || job.asked.size > 0) {
 				return view;
 			}
 
@@ -209,5 +210,5 @@
 }
 
 function createRefusal(reason: RefusalReason): PoolJobOutcome {
-	return {kind: 'refused', reason, retryAfterMs: 1000};
+	return {kind: 'refused', reason, retryAfterMs: minRetryAfterMs};
 }
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -2,7 +2,7 @@
  * The queue of one pool: which jobs are taken, where and when their tasks start, and what becomes of them.
  */
 import {type Clock, type Timer} from '../seams/index.js';
-import {type AdmissionDecision, decideAdmission} from './admission.js';
+import {type AdmissionDecision, decideAdmission, minRetryAfterMs} from './admission.js';
 import {type DecisionLog} from './decision-log.js';
 import {DurationEstimator} from './duration-estimator.js';
 import {
@@ -518,7 +518,7 @@
 		task.host = host;
 		job.hasStarted = true;
 		task.run = host.start({
-			task: task.name, number: task.lastRun, spec: job.req.spec, service: job.req.rules.service, step, expectedMs: job.longestRunMs > 0 ? job.longestRunMs : job.getExpectedMs(task),
+			task: task.name, number: task.lastRun, spec: job.req.spec, service: job.req.rules.service, step, expectedMs: job.getComparableMs(task),
 		});
 		this.#options.log.debug({
 			task: task.name, run: task.lastRun, pool: room.pool, freeCpu: room.cpu, waitedMs: Math.round(task.run.startedAt - job.arrivedAt),
@@ -558,11 +558,11 @@
 	#observe(host: RunHost, job: QueuedJob, task: JobTask, run: LinkedRun): void {
 		const measuredMs = this.#options.clock.getMonotonicTime() - run.startedAt;
 		const {estimateMs} = job.getStep(task);
-		const expectedMs = Math.max(1, job.getExpectedMs(task));
+		// Before the estimator learns from this very run.
+		const comparableMs = job.getComparableMs(task);
 		this.#estimator.addDuration(job.req.rules.route, estimateMs, measuredMs);
-		const compared = job.longestRunMs > 0 ? job.longestRunMs : expectedMs;
 		if (host instanceof UpstreamLink) {
-			addSuccess(host, measuredMs, compared);
+			addSuccess(host, measuredMs, comparableMs);
 		}
 
 		job.longestRunMs = Math.max(job.longestRunMs, measuredMs);
@@ -707,7 +707,7 @@
 			job: job.req.id, reason, queuedWork: Math.round(queuedWork), cores,
 		}, 'queued job refused');
 		this.#remove(job);
-		job.settle({kind: 'refused', reason, retryAfterMs: Math.max(1000, queuedWork / Math.max(1, cores))});
+		job.settle({kind: 'refused', reason, retryAfterMs: Math.max(minRetryAfterMs, queuedWork / Math.max(1, cores))});
 	}
 }
 
--- a/src/pool/queued-job.ts
+++ b/src/pool/queued-job.ts
@@ -129,6 +129,14 @@
 		return this.#estimator.getExpectedMs(this.req.rules.route, this.getStep(task).estimateMs);
 	}
 
+	/**
+	 * Gets the time by which a task's upstream is judged, in milliseconds: that of the job's longest run so far, or else the expected one.
+	 * @param task - Task of this job.
+	 */
+	getComparableMs(task: JobTask): number {
+		return this.longestRunMs > 0 ? this.longestRunMs : this.getExpectedMs(task);
+	}
+
 	/** Gets the tasks that may start: those waiting whose earlier steps are done. */
 	getReadyTasks(): readonly JobTask[] {
 		return this.tasks.filter(task => task.status === 'waiting' && this.#isReady(this.getStep(task)));
