--- a/bench/policy/dispatchers.ts
+++ b/bench/policy/dispatchers.ts
@@ -62,7 +62,7 @@
 	const nodes: SlotScheduler[] = [];
 	for (const [index, self] of selves.entries()) {
 		const members = selves.filter(other => other !== self).map((incarnation): Member => ({
-			incarnation, state: 'up', isLeaving: false, peerAddress: '127.0.0.1:1', configurationVersion: 1,
+			incarnation, state: 'up', isLeaving: false, peerAddress: '127.0.0.1:1', configurationVersion: 1, claims: {}, cores: 1,
 		}));
 		nodes.push(createTaskScheduler({
 			clock,
--- a/bench/pool/simulate-pool.ts
+++ b/bench/pool/simulate-pool.ts
@@ -4,6 +4,7 @@
 import {
 	choosePool, type DecisionLog, getFirstCpu, type PoolDirectory, type PoolJobOutcome, type SubmittedJob,
 } from '../../src/pool/index.js';
+import {createSeededRandom} from '../../src/seams/index.js';
 import {ManualClock} from '../../src/testing/manual-clock.js';
 import {SimulatedPools} from '../../src/testing/simulated-pools.js';
 import {SimulatedUpstreams} from '../../src/testing/simulated-upstreams.js';
@@ -63,6 +64,7 @@
 			return {needs: {cpu: arrival.cpu, memoryMb: 64, accelerators: 0}, durationMs};
 		},
 	});
+	const random = createSeededRandom(1);
 	const pools = Array.from({length: poolCount}, (_, position) => `dc${position}`);
 	const descriptions = Array.from({length: upstreamCount}, (_, position) => ({
 		id: `u${position}`, bornMs: 1, address: `u${position}`, dataCenter: pools[position % poolCount]!, service: 's', rack: 'r', labels: [], isLeaving: false,
@@ -91,7 +93,7 @@
 		let outcome: PoolJobOutcome = {kind: 'failed'};
 		const asked = new Set<string>();
 		while (asked.size < maxPoolsAsked) {
-			const view = choosePool(directory.getViews(), {cpu: getFirstCpu(job), isBound: !isLending, asked});
+			const view = choosePool(directory.getViews(), {cpu: getFirstCpu(job), isBound: !isLending, asked}, random);
 			if (view === undefined) {
 				break;
 			}
--- a/src/connection/control-link.ts
+++ b/src/connection/control-link.ts
@@ -5,7 +5,8 @@
 import {Buffer} from 'node:buffer';
 import {type ControlChannel} from './control-channel.js';
 import {
-	type Beat, type ControlLinkMessage, controlLinkMessageSchema, type DataCenterView, type HeartbeatBody, type KnownAddress, type MemberStatus, type Report,
+	type Beat, type ControlLinkMessage, controlLinkMessageSchema, type DataCenterView, type HeartbeatBody, type KnownAddress, type MemberStatus,
+	memberStatusSchema, type ReceivedHeartbeat, type Report,
 } from './control-messages.js';
 import {decodeValue, encodeFrame, encodeValue} from './frame-codec.js';
 import {type FrameConnection} from './frame-connection.js';
@@ -16,7 +17,7 @@
 export type ControlLinkHandlers = {
 	readonly onLogicalTime: (logicalTime: number) => void;
 	readonly onAddresses: (addresses: readonly KnownAddress[]) => void;
-	readonly onHeartbeat: (body: HeartbeatBody) => void;
+	readonly onHeartbeat: (body: ReceivedHeartbeat) => void;
 	readonly onReports: (reports: readonly CompleteReport[]) => void;
 	readonly onMessage: (message: ControlMessage) => void;
 	readonly onBye: () => void;
@@ -36,11 +37,33 @@
 /** A report with its view. */
 export type CompleteReport = Report & {readonly view: DataCenterView};
 
+/** What this process tells of itself with its heartbeats, encoded once for all links. */
+export type EncodedBody = {
+	readonly status: MemberStatus;
+	readonly load: unknown;
+	/** Encoded status and load, by which each link knows whether they are as last sent. */
+	readonly statusBytes: Uint8Array;
+	readonly loadBytes: Uint8Array;
+};
+
+/**
+ * Encodes what a process tells of itself.
+ * @param body - What it tells.
+ */
+export function encodeBody({load, ...given}: HeartbeatBody): EncodedBody {
+	const status = memberStatusSchema.parse(given);
+	return {
+		status, load, statusBytes: encodeValue(status), loadBytes: encodeValue(load),
+	};
+}
+
 /** What one heartbeat says. */
 export type BeatContent = {
 	readonly logicalTime: number;
-	readonly body: HeartbeatBody;
+	readonly body: EncodedBody;
 	readonly reports: readonly CompleteReport[];
+	/** Time until the next heartbeat over the link, in milliseconds; absent where it is the usual one. */
+	readonly nextMs?: number;
 };
 
 /** Messages that come in before an acknowledgement is sent without waiting for the next heartbeat. */
@@ -69,6 +92,7 @@
 	#receivedStatus: MemberStatus | undefined;
 	#receivedLoad: unknown;
 	#isStarted = false;
+	#nextBeatMs = 0;
 	#unacknowledgedCount = 0;
 
 	constructor(options: ControlLinkOptions) {
@@ -89,6 +113,19 @@
 		return this.#connection.getLastReceived();
 	}
 
+	/** Gets the time in which the other end said that it would send its next heartbeat, in milliseconds; 0 for the usual one. */
+	getNextBeatMs(): number {
+		return this.#nextBeatMs;
+	}
+
+	/**
+	 * Gets whether the other end was told something else of this process.
+	 * @param body - What is to be told.
+	 */
+	hasNewStatus({statusBytes}: EncodedBody): boolean {
+		return !isSame(this.#sentStatus, statusBytes);
+	}
+
 	/**
 	 * Reads messages until the connection is closed.
 	 * @param addresses - Addresses of other entry VMs to tell the other end first.
@@ -122,6 +159,7 @@
 			type: 'beat',
 			logicalTime: content.logicalTime,
 			received: this.#channel.getLastReceived(),
+			...(content.nextMs !== undefined && {nextMs: content.nextMs}),
 			...this.#getChangedStatus(content.body),
 			...this.#getChangedLoad(content.body),
 			...(content.reports.length > 0 && {reports: content.reports.map(report => this.#getChangedReport(report))}),
@@ -162,24 +200,21 @@
 		this.#connection.send(encodeFrame(message));
 	}
 
-	#getChangedStatus({configurationVersion, isLeaving}: HeartbeatBody): {readonly status?: MemberStatus} {
-		const status = {configurationVersion, isLeaving};
-		const encoded = encodeValue(status);
-		if (isSame(this.#sentStatus, encoded)) {
+	#getChangedStatus({status, statusBytes}: EncodedBody): {readonly status?: MemberStatus} {
+		if (isSame(this.#sentStatus, statusBytes)) {
 			return {};
 		}
 
-		this.#sentStatus = encoded;
+		this.#sentStatus = statusBytes;
 		return {status};
 	}
 
-	#getChangedLoad({load}: HeartbeatBody): {readonly load?: unknown} {
-		const encoded = encodeValue(load);
-		if (isSame(this.#sentLoad, encoded)) {
+	#getChangedLoad({load, loadBytes}: EncodedBody): {readonly load?: unknown} {
+		if (isSame(this.#sentLoad, loadBytes)) {
 			return {};
 		}
 
-		this.#sentLoad = encoded;
+		this.#sentLoad = loadBytes;
 		return {load};
 	}
 
@@ -248,6 +283,7 @@
 	#handleBeat(beat: Beat): void {
 		this.#channel.acknowledge(beat.received);
 		this.#handlers.onLogicalTime(beat.logicalTime);
+		this.#nextBeatMs = beat.nextMs ?? 0;
 		this.#receivedStatus = beat.status ?? this.#receivedStatus;
 		this.#receivedLoad = 'load' in beat ? beat.load : this.#receivedLoad;
 		if (this.#receivedStatus) {
--- a/src/connection/control-links.ts
+++ b/src/connection/control-links.ts
@@ -1,8 +1,10 @@
 /**
  * The control links of one process, one for each linked incarnation.
  */
-import {type CompleteReport, ControlLink, type ControlLinkHandlers} from './control-link.js';
-import {type HeartbeatBody, type KnownAddress} from './control-messages.js';
+import {
+	type CompleteReport, ControlLink, type ControlLinkHandlers, type EncodedBody,
+} from './control-link.js';
+import {type KnownAddress} from './control-messages.js';
 import {type DialingSide, type HandshakePeer} from './handshake.js';
 import {type RejectReason} from './handshake-messages.js';
 import {type MemberRecord} from './member-record.js';
@@ -26,7 +28,9 @@
 
 /** What the heartbeats of one tick say. */
 export type BeatsContent = {
-	readonly body: HeartbeatBody;
+	/** Number of the tick. */
+	readonly beat: number;
+	readonly body: EncodedBody;
 	/** This process's view of its own data centre; goes to other data centres, and near when it changed. */
 	readonly ownReport: CompleteReport;
 	/** Views of other data centres that came over this process's links; go to the near peers. */
@@ -106,7 +110,7 @@
 	}
 
 	/**
-	 * Sends a heartbeat to each member that is due.
+	 * Sends a heartbeat to each member that is due; one that tells of a new state is always due.
 	 * @param content - What it says.
 	 * @param isFarDue - Whether the members in other data centres are due as well.
 	 */
@@ -120,9 +124,17 @@
 				continue;
 			}
 
+			const factor = settings.getBeatFactor(record.incarnation);
+			if (content.beat % factor > 0 && !link.hasNewStatus(content.body)) {
+				continue;
+			}
+
 			const own = !isNear || link.hasNewView(content.ownReport) ? [content.ownReport] : [];
 			const far = isNear && isFarDue ? content.farReports : [];
-			link.sendBeat({logicalTime, body: content.body, reports: [...own, ...far]});
+			const nextMs = factor > 1 ? factor * (isNear ? settings.beatMs : settings.farBeatMs) : undefined;
+			link.sendBeat({
+				logicalTime, body: content.body, reports: [...own, ...far], nextMs,
+			});
 		}
 	}
 
@@ -185,6 +197,7 @@
 				settings.events.observeLogicalTime(logicalTime);
 			},
 			onHeartbeat(body) {
+				record.nextBeatMs = record.link?.getNextBeatMs() ?? 0;
 				table.setStatus(record, body);
 				settings.onHeartbeat(body, record.incarnation);
 			},
--- a/src/connection/control-messages.ts
+++ b/src/connection/control-messages.ts
@@ -6,12 +6,18 @@
 const text = z.string().max(128);
 const count = z.int().min(0);
 
+const claimsSchema = z.record(text, count).readonly().default({});
+
 /** Schema of what a process tells of itself that seldom changes. */
 export const memberStatusSchema = z.object({
 	/** Version of the configuration in force. */
 	configurationVersion: count,
 	/** Whether the process is stopping. */
 	isLeaving: z.boolean(),
+	/** Fences of what the process owns, by name; the mesh does not look into them. */
+	claims: claimsSchema,
+	/** Cores that the process may use. */
+	cores: z.number().positive().default(1),
 }).readonly();
 
 /** Schema of a member in another process's view. */
@@ -22,6 +28,8 @@
 	state: z.enum(['up', 'silent', 'down']),
 	isLeaving: z.boolean(),
 	configurationVersion: count,
+	claims: claimsSchema,
+	cores: z.number().positive().default(1),
 }).readonly();
 
 /** Schema of one process's view of its own data centre; the view is absent where it is as last sent over the link. */
@@ -54,6 +62,8 @@
 	logicalTime: count,
 	/** Number of the last control message that came in. */
 	received: count,
+	/** Time until the next heartbeat over this link, in milliseconds; absent where it is the usual one. */
+	nextMs: z.number().positive().optional(),
 	/** Absent where it is as last sent over this link. */
 	status: memberStatusSchema.optional(),
 	/** Absent where it is as last sent over this link. */
@@ -82,12 +92,15 @@
 /** What a process tells of itself that seldom changes. */
 export type MemberStatus = z.infer<typeof memberStatusSchema>;
 
-/** What a process tells of itself with each heartbeat. */
-export type HeartbeatBody = MemberStatus & {
+/** What a process tells of itself with each heartbeat; without claims it owns nothing. */
+export type HeartbeatBody = z.input<typeof memberStatusSchema> & {
 	/** Further state for the other end; the mesh does not look into it. */
 	readonly load: unknown;
 };
 
+/** What a peer told of itself, with the defaults of what it left out. */
+export type ReceivedHeartbeat = MemberStatus & Pick<HeartbeatBody, 'load'>;
+
 /** A member in another process's view. */
 export type ReportedMember = z.infer<typeof reportedMemberSchema>;
 
--- a/src/connection/dialer-set.ts
+++ b/src/connection/dialer-set.ts
@@ -26,11 +26,17 @@
 	readonly #dialers = new Map<string, PeerDialer>();
 	/** Incarnation that last answered at an address, which may differ from the address that it tells. */
 	readonly #answered = new Map<string, string>();
+	#revision = 0;
 
 	constructor(options: DialerSetOptions) {
 		this.#options = options;
 	}
 
+	/** Gets a number that rises when another incarnation answered at an address. */
+	getRevision(): number {
+		return this.#revision;
+	}
+
 	/**
 	 * Starts and ends tasks so that each address wanted has one.
 	 * @param wanted - Addresses to keep links to.
@@ -105,6 +111,7 @@
 	async #dial(address: string): Promise<void> {
 		const id = await this.#options.dial(address);
 		if (id !== undefined) {
+			this.#revision += Number(this.#answered.get(address) !== id);
 			this.#answered.set(address, id);
 		}
 	}
--- a/src/connection/far-planner.ts
+++ b/src/connection/far-planner.ts
@@ -26,17 +26,25 @@
 export class FarPlanner {
 	readonly #options: FarPlannerOptions;
 	readonly #failures = new Map<string, number>();
+	#revision = 0;
 
 	constructor(options: FarPlannerOptions) {
 		this.#options = options;
 	}
 
+	/** Gets a number that rises when addresses may be chosen otherwise than before for what was reached. */
+	getRevision(): number {
+		this.#removeOldFailures();
+		return this.#revision;
+	}
+
 	/**
 	 * Notes that an address could not be reached.
 	 * @param address - Address that was dialled.
 	 */
 	addFailure(address: string): void {
 		this.#failures.set(address, this.#options.settings.clock.getMonotonicTime());
+		this.#revision++;
 	}
 
 	/**
@@ -44,7 +52,7 @@
 	 * @param address - Address that was dialled.
 	 */
 	removeFailure(address: string): void {
-		this.#failures.delete(address);
+		this.#revision += Number(this.#failures.delete(address));
 	}
 
 	/**
@@ -57,8 +65,10 @@
 		const {dataCenter, vm} = settings.self;
 		const self = {dataCenter, vm, address: getAddress()};
 		const local = [self, ...this.#getLocalCandidates()];
-		return this.#getRemoteCandidates(listed).flatMap(remote => planLinks({
-			self, local, remote: this.#chooseReachable(remote), linkCount: settings.farLinks,
+		const groups = this.#getRemoteCandidates(listed).map(remote => this.#chooseReachable(remote));
+		const vmCount = groups.reduce((sum, {length}) => sum + length, local.length);
+		return groups.flatMap(remote => planLinks({
+			self, local, remote, linkCount: vmCount <= settings.maxMeshVms ? local.length * remote.length : settings.farLinks,
 		}));
 	}
 
@@ -101,6 +111,8 @@
 			this.#failures.delete(address);
 		}
 
+		this.#revision++;
+
 		return candidates;
 	}
 
@@ -109,6 +121,7 @@
 		for (const [address, time] of this.#failures) {
 			if (now - time > failureMs) {
 				this.#failures.delete(address);
+				this.#revision++;
 			}
 		}
 	}
--- a/src/connection/link-plan.ts
+++ b/src/connection/link-plan.ts
@@ -64,6 +64,24 @@
 	return weighted.toSorted((a, b) => a.weight < b.weight ? 1 : -1).map(({candidate}) => candidate);
 }
 
+/** Weights worked out so far; they are asked for again whenever a VM comes or goes. */
+const weights = new Map<string, string>();
+
+/** More weights than this are of VMs that are long gone. */
+const maxWeights = 10_000;
+
 function getWeight(pair: string, {dataCenter, vm}: LinkCandidate): string {
-	return createHash('sha256').update(`${pair} ${dataCenter} ${vm}`).digest('hex');
+	const key = `${pair} ${dataCenter} ${vm}`;
+	const known = weights.get(key);
+	if (known !== undefined) {
+		return known;
+	}
+
+	if (weights.size >= maxWeights) {
+		weights.clear();
+	}
+
+	const weight = createHash('sha256').update(key).digest('hex');
+	weights.set(key, weight);
+	return weight;
 }
--- a/src/connection/member-record.ts
+++ b/src/connection/member-record.ts
@@ -15,11 +15,15 @@
 	state: MemberState = 'silent';
 	isLeaving = false;
 	configurationVersion = 0;
+	claims: Readonly<Record<string, number>> = {};
+	cores = 1;
 	/** Monotonic time of the last sign of life. */
 	lastHeard: number;
 	/** Monotonic time at which the member went down. */
 	downSince = 0;
 	link: ControlLink | undefined;
+	/** Time between heartbeats that the member announced over its last link, in milliseconds; 0 for the usual one. */
+	nextBeatMs = 0;
 	/** Monotonic time since which the link is not planned. */
 	surplusSince: number | undefined;
 	/** Identifier of the last link, also after its end; empty for none. */
@@ -51,6 +55,8 @@
 			isLeaving: this.isLeaving,
 			peerAddress: this.address,
 			configurationVersion: this.configurationVersion,
+			claims: this.claims,
+			cores: this.cores,
 		};
 	}
 }
--- a/src/connection/member-table.ts
+++ b/src/connection/member-table.ts
@@ -1,6 +1,7 @@
 /**
  * The other incarnations known to this process.
  */
+import {isDeepStrictEqual} from 'node:util';
 import type Logger from 'bunyan';
 import {type Stream} from 'most';
 import {CurrentValue} from '../process/current-value.js';
@@ -120,13 +121,16 @@
 	 * @param status - What it tells.
 	 */
 	setStatus(record: MemberRecord, status: MemberStatus): void {
-		const {configurationVersion, isLeaving} = status;
-		if (record.configurationVersion === configurationVersion && record.isLeaving === isLeaving) {
+		const {configurationVersion, isLeaving, claims, cores} = status;
+		if (record.configurationVersion === configurationVersion && record.isLeaving === isLeaving && record.cores === cores
+			&& (record.claims === claims || isDeepStrictEqual(record.claims, claims))) {
 			return;
 		}
 
 		record.configurationVersion = configurationVersion;
 		record.isLeaving = isLeaving;
+		record.claims = claims;
+		record.cores = cores;
 		this.#publish();
 	}
 
--- a/src/connection/membership.ts
+++ b/src/connection/membership.ts
@@ -31,6 +31,9 @@
 	readonly #dialers: DialerSet;
 	readonly #planner: FarPlanner;
 	#listed: readonly ListedEntryVm[] | undefined;
+	#listRevision = 0;
+	/** What the dialling tasks were last chosen by. */
+	#dialedKey = '';
 	#isClosed = false;
 
 	constructor(options: MembershipOptions) {
@@ -46,6 +49,7 @@
 	 */
 	setListed(listed: readonly ListedEntryVm[]): void {
 		this.#listed = listed;
+		this.#listRevision++;
 		this.updateDialers();
 	}
 
@@ -124,7 +128,11 @@
 			return;
 		}
 
-		this.#dialers.update(this.#getWantedAddresses());
+		const key = `${this.#options.table.getRevision()} ${this.#planner.getRevision()} ${this.#dialers.getRevision()} ${this.#listRevision}`;
+		if (key !== this.#dialedKey) {
+			this.#dialedKey = key;
+			this.#dialers.update(this.#getWantedAddresses());
+		}
 	}
 
 	/** Ends the dialling tasks. */
@@ -172,7 +180,7 @@
 			return;
 		}
 
-		const beatMs = this.#isNear(record) ? settings.beatMs : settings.farBeatMs;
+		const beatMs = this.#getExpectedBeatMs(record);
 		const age = now - record.getLastHeard();
 		if (age > settings.downBeats * beatMs) {
 			table.setState(record, 'down', `not heard for ${Math.round(age)} ms`);
@@ -183,6 +191,17 @@
 		}
 	}
 
+	/** Gets the time between signs of life of a member: its heartbeats, or what others report of it. */
+	#getExpectedBeatMs(record: MemberRecord): number {
+		const {settings} = this.#options;
+		const isNear = this.#isNear(record);
+		if (!isNear && !record.getOpenLink() && !this.#dialers.hasDialer(record)) {
+			return settings.reportFreshMs / settings.silentBeats;
+		}
+
+		return Math.max(isNear ? settings.beatMs : settings.farBeatMs, record.nextBeatMs);
+	}
+
 	/** Closes a link to another data centre that this process made and that the plan no longer has. */
 	#closeSurplusLink(record: MemberRecord, now: number): void {
 		const {self, downBeats, farBeatMs} = this.#options.settings;
--- a/src/connection/peer-mesh-options.ts
+++ b/src/connection/peer-mesh-options.ts
@@ -49,12 +49,21 @@
 	readonly beatMs?: number;
 	/** Time between heartbeats to other data centres. */
 	readonly farBeatMs?: number;
+	/**
+	 * Gets every how many ticks a heartbeat goes to a peer; for pairs of which neither needs to know at once when the other dies.
+	 * The peer is told, and takes this process for silent only later.
+	 */
+	readonly getBeatFactor?: (peer: Incarnation) => number;
+	/** Time for which a report of another data centre counts, in milliseconds. */
+	readonly reportFreshMs?: number;
 	/** Heartbeats missed before a member is silent and a new connection is tried. */
 	readonly silentBeats?: number;
 	/** Heartbeats missed before a member is down. */
 	readonly downBeats?: number;
 	/** Links to each other data centre. */
 	readonly farLinks?: number;
+	/** Entry VMs of all data centres up to which each is linked to each. */
+	readonly maxMeshVms?: number;
 	/** Time after which a down member that the list does not name is forgotten. */
 	readonly forgetMs?: number;
 	/** Time limits of a dial and of a handshake. */
@@ -91,6 +100,8 @@
 	silentBeats: 3,
 	downBeats: 8,
 	farLinks: 2,
+	maxMeshVms: 0,
+	getBeatFactor: () => 1,
 	forgetMs: 60_000,
 	connectTimeoutMs: 1000,
 	minBackoffMs: 50,
@@ -115,5 +126,8 @@
 export function resolvePeerMeshOptions(options: PeerMeshOptions): PeerMeshSettings {
 	const given = Object.fromEntries(Object.entries(options).filter(([, value]) => value !== undefined)) as PeerMeshOptions;
 	const {clock = systemClock, self} = options;
-	return {events: new EventLog({clock, process: self.id}), ...defaults, ...given};
+	const {silentBeats, farBeatMs} = {...defaults, ...given};
+	return {
+		events: new EventLog({clock, process: self.id}), ...defaults, reportFreshMs: silentBeats * farBeatMs, ...given,
+	};
 }
--- a/src/connection/peer-mesh.ts
+++ b/src/connection/peer-mesh.ts
@@ -4,6 +4,7 @@
 import {type Stream, type Subscription} from 'most';
 import {type ListedEntryVm} from '../platform/index.js';
 import {type Timer} from '../seams/index.js';
+import {encodeBody} from './control-link.js';
 import {ControlLinks} from './control-links.js';
 import {type HandshakePeer} from './handshake.js';
 import {type RejectReason} from './handshake-messages.js';
@@ -79,7 +80,7 @@
 		});
 		const getAddress = (): string => connector.getAddress();
 		this.#reports = new ReportBook({
-			clock, self, getAddress, table: this.#table, freshMs: settings.silentBeats * settings.farBeatMs,
+			clock, self, getAddress, table: this.#table, freshMs: settings.reportFreshMs,
 		});
 		this.#membership = new Membership({
 			settings, getAddress, table: this.#table, reports: this.#reports, links: this.#links,
@@ -222,11 +223,12 @@
 	#sendBeats(): void {
 		const {beatMs, farBeatMs, getHeartbeat} = this.#settings;
 		this.#beat++;
-		const body = getHeartbeat();
+		const body = encodeBody(getHeartbeat());
 		const isFarDue = this.#beat % Math.max(Math.round(farBeatMs / beatMs), 1) === 0;
 		const farReports = this.#reports.getReports().filter(({reporter}) => this.#table.getRecord(reporter)?.getOpenLink());
-		const {configurationVersion, isLeaving} = body;
-		this.#links.sendBeats({body, ownReport: this.#reports.getOwnReport(this.#beat, {configurationVersion, isLeaving}), farReports}, isFarDue);
+		this.#links.sendBeats({
+			beat: this.#beat, body, ownReport: this.#reports.getOwnReport(this.#beat, body.status), farReports,
+		}, isFarDue);
 	}
 }
 
--- a/src/connection/peer-network.ts
+++ b/src/connection/peer-network.ts
@@ -26,6 +26,10 @@
 	readonly peerAddress: string;
 	/** Version of the configuration that the member has in force. */
 	readonly configurationVersion: number;
+	/** Fences of what the member says it owns, by name. */
+	readonly claims: Readonly<Record<string, number>>;
+	/** Cores that the member may use. */
+	readonly cores: number;
 };
 
 /** A message on a control connection; the parts that exchange them give them their types. */
--- a/src/connection/report-book.ts
+++ b/src/connection/report-book.ts
@@ -46,7 +46,7 @@
 	 */
 	getOwnReport(beat: number, own: MemberStatus): CompleteReport {
 		const {self, table} = this.#options;
-		const key = `${table.getRevision()} ${own.configurationVersion} ${own.isLeaving}`;
+		const key = `${table.getRevision()} ${JSON.stringify(own)}`;
 		if (key !== this.#ownKey) {
 			this.#ownKey = key;
 			const members = this.#createOwnMembers(own);
@@ -117,8 +117,8 @@
 			{
 				id: self.id, vm: self.vm, address: getAddress(), state: 'up', ...own,
 			},
-			...local.map(({incarnation, address: memberAddress, state, isLeaving, configurationVersion}): ReportedMember => ({
-				id: incarnation.id, vm: incarnation.vm, address: memberAddress, state, isLeaving, configurationVersion,
+			...local.map(({incarnation, address: memberAddress, state, isLeaving, configurationVersion, claims, cores}): ReportedMember => ({
+				id: incarnation.id, vm: incarnation.vm, address: memberAddress, state, isLeaving, configurationVersion, claims, cores,
 			})),
 		];
 	}
--- a/src/platform/decode-upstream.ts
+++ b/src/platform/decode-upstream.ts
@@ -12,6 +12,16 @@
 /** Position of the rack among an upstream's labels; the first is its kind. */
 const rackPosition = 1;
 
+/**
+ * Gets the data centre of an entry without decoding the rest; `undefined` where it names none.
+ * @param value - Value of the item.
+ */
+export function getUpstreamDataCenter(value: string): string | undefined {
+	const parsed = parseJson(value);
+	const zone: unknown = typeof parsed === 'object' && parsed !== null && 'zone' in parsed ? parsed.zone : undefined;
+	return typeof zone === 'string' ? zone : undefined;
+}
+
 /**
  * Decodes an entry; `undefined` where it names no upstream that can be used.
  * @param item - Item of the store.
--- /dev/null
+++ b/src/platform/layout-keeper.ts
@@ -0,0 +1,126 @@
+/**
+ * Reads from the store into how many pools each data centre is divided, and decides it once for a data centre that is new.
+ */
+import * as z from 'zod';
+import {type DecisionLog, getPoolCount, type PoolLayout} from '../pool/index.js';
+import {type Clock, sleep} from '../seams/index.js';
+import {parseJson} from './decode-configuration.js';
+import {type StoreClient} from './store-client.js';
+import {type UpstreamList} from './upstream-list.js';
+
+/** Options of {@link LayoutKeeper}. */
+export type LayoutKeeperOptions = {
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly store: StoreClient;
+	readonly layout: PoolLayout;
+	readonly upstreams: UpstreamList;
+	readonly dataCenter: string;
+	/** Data centres of the deployment. */
+	readonly dataCenters: readonly string[];
+	/** Gets whether this VM is the one of its data centre that decides. */
+	readonly isDecider: () => boolean;
+	/** Time for which the number of upstreams must not change before it is decided upon, in milliseconds. */
+	readonly settleMs?: number;
+};
+
+const prefix = 'layout/';
+
+/** Upstreams write to the store each 1.5 s, so that all that are there have registered within it. */
+const defaultSettleMs = 1600;
+
+/** Time between reads while the own data centre's pools are not known, in milliseconds: jobs wait for them. */
+const readMs = 250;
+
+/** Time between reads while only those of other data centres are missing, in milliseconds. */
+const otherReadMs = 5000;
+
+const layoutSchema = z.object({pools: z.int().min(1).max(1000)});
+
+/** Learns the pools of all data centres. */
+export class LayoutKeeper {
+	readonly #options: LayoutKeeperOptions;
+	readonly #closing = new AbortController();
+	#count = 0;
+	#countSince: number;
+
+	constructor(options: LayoutKeeperOptions) {
+		this.#options = options;
+		this.#countSince = options.clock.getMonotonicTime();
+	}
+
+	/** Reads until the pools of all data centres are known, or until `close`. */
+	async run(): Promise<void> {
+		const {clock, dataCenters, layout} = this.#options;
+		const {signal} = this.#closing;
+		while (!signal.aborted && dataCenters.some(name => layout.getPoolsOf(name).length === 0)) {
+			await this.#read();
+			if (!this.#isOwnKnown() && this.#options.isDecider()) {
+				await this.#decide();
+			}
+
+			await sleep(clock, this.#isOwnKnown() ? otherReadMs : readMs, signal);
+		}
+	}
+
+	/** Ends the reads. */
+	close(): void {
+		this.#closing.abort();
+	}
+
+	#isOwnKnown(): boolean {
+		return this.#options.layout.getPoolsOf(this.#options.dataCenter).length > 0;
+	}
+
+	async #read(): Promise<void> {
+		const {store, log} = this.#options;
+		const result = await store.getRange(prefix);
+		if (!result.ok) {
+			log.info({reason: result.reason, detail: result.detail}, 'number of pools not read');
+			return;
+		}
+
+		for (const {key, value} of result.value.items) {
+			const parsed = layoutSchema.safeParse(parseJson(value));
+			if (parsed.success) {
+				this.#set(key.slice(prefix.length), parsed.data.pools, 'store');
+			} else {
+				log.warn({key, err: parsed.error.message}, 'number of pools not understood');
+			}
+		}
+	}
+
+	/** Writes the number that follows from the upstreams that are there; another VM may have been first. */
+	async #decide(): Promise<void> {
+		const {clock, log, store, upstreams, dataCenter, settleMs = defaultSettleMs} = this.#options;
+		await upstreams.read();
+		const now = clock.getMonotonicTime();
+		const count = upstreams.getCount(dataCenter);
+		if (count !== this.#count) {
+			this.#count = count;
+			this.#countSince = now;
+		}
+
+		if (count === 0 || now - this.#countSince < settleMs) {
+			return;
+		}
+
+		const pools = getPoolCount(count);
+		const result = await store.addItem(`${prefix}${dataCenter}`, JSON.stringify({pools}));
+		if (!result.ok) {
+			// A write without an answer may have been carried out; the next read tells.
+			log.info({reason: result.reason, detail: result.detail}, 'number of pools not written');
+		} else if (result.value) {
+			this.#set(dataCenter, pools, 'decided');
+		}
+	}
+
+	#set(dataCenter: string, pools: number, source: string): void {
+		const {layout, log, upstreams} = this.#options;
+		if (layout.setCount(dataCenter, pools)) {
+			log.warn({
+				dataCenter, pools, source, upstreams: upstreams.getCount(dataCenter),
+			}, 'number of pools known');
+		}
+	}
+}
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -8,7 +8,8 @@
 	createHttpListener, createPeerMesh, dialTcp, type HttpListener, type Incarnation, type PeerMesh, type PeerRequest,
 } from '../connection/index.js';
 import {
-	configurationTopic, createBoundedLog, type DecisionLog, NeighbourCheck, PoolNode, type StoredClaim, upstreamsSchema, upstreamsTopic,
+	configurationTopic, createBoundedLog, type DecisionLog, getDataCenter, maxMeshVms, NeighbourCheck, PoolLayout, PoolNode, type StoredClaim, upstreamsSchema,
+	upstreamsTopic,
 } from '../pool/index.js';
 import {
 	type Clock, type Random, sleep, systemClock, systemRandom,
@@ -16,6 +17,7 @@
 import {CallerDoor} from './caller-door.js';
 import {ConfigurationWatch} from './configuration-watch.js';
 import {HttpOrders} from './http-orders.js';
+import {LayoutKeeper} from './layout-keeper.js';
 import {PoolMetrics} from './pool-metrics.js';
 import {type PlatformSettings} from './settings-file.js';
 import {StoreClient} from './store-client.js';
@@ -30,6 +32,8 @@
 	readonly random?: Random;
 	/** Port of the metrics on this VM's address. */
 	readonly metricsPort?: number;
+	/** Time for which the number of upstreams must not change before the number of pools is decided, in milliseconds. */
+	readonly layoutSettleMs?: number;
 };
 
 /** Time between heartbeats, in milliseconds: silence is noticed after 300 ms and a VM taken to be down after 500 ms. */
@@ -43,8 +47,11 @@
 /** Time limit of a link between VMs to be made, in milliseconds: a hundred times the way between data centres. */
 const maxConnectMs = 300;
 
-/** Links to each other data centre: at most to all of its VMs, so that every owner is heard directly. */
-const farLinks = 64;
+/** Links to each other data centre where not all VMs are linked: one may fail while another one is made anew. */
+const farLinks = 3;
+
+/** Time for which a report of another data centre counts, in milliseconds: five heartbeats of the slow pace, and its relay. */
+const reportFreshMs = 3000;
 
 /** Time limit of the write that gives a new owner its fence, in milliseconds; without it the owner goes on. */
 const fenceTimeoutMs = 200;
@@ -80,6 +87,8 @@
 	readonly #store: StoreClient;
 	readonly #orders: HttpOrders;
 	readonly #configuration: ConfigurationWatch;
+	readonly #layout = new PoolLayout();
+	readonly #layoutKeeper: LayoutKeeper;
 	readonly #upstreams: UpstreamList;
 	readonly #registry: VmRegistry;
 	readonly #neighbours: NeighbourCheck;
@@ -92,10 +101,13 @@
 	#callers!: HttpListener;
 	#isStopping = false;
 	#askedAt = -Infinity;
-	#toldUpstreams = '';
+	/** What was last told of the upstreams of each pool owned here, and to whom. */
+	readonly #told = new Map<string, {readonly text: string; readonly to: Set<string>}>();
 
 	constructor(options: PlatformEntryVmOptions) {
-		const {settings, logger, clock = systemClock, random = systemRandom} = options;
+		const {
+			settings, logger, clock = systemClock, random = systemRandom, layoutSettleMs: settleMs,
+		} = options;
 		this.#options = options;
 		this.#settings = settings;
 		this.#clock = clock;
@@ -107,11 +119,16 @@
 		this.#configuration = new ConfigurationWatch(parts);
 		this.#upstreams = new UpstreamList({
 			...parts,
+			layout: this.#layout,
 			onChange: () => {
 				this.#handleUpstreamsChanged();
 			},
 		});
 		const {vm: name, dataCenter, peerAddress, callerAddress} = settings;
+		this.#layoutKeeper = new LayoutKeeper({
+			...parts, layout: this.#layout, upstreams: this.#upstreams, dataCenter, dataCenters: settings.dataCenters, settleMs,
+			isDecider: () => this.#isFirstOfDataCenter(),
+		});
 		this.#registry = new VmRegistry({
 			...parts,
 			self: {
@@ -164,6 +181,7 @@
 		void this.#configuration.run();
 		void this.#registry.run();
 		void this.#upstreams.read();
+		void this.#layoutKeeper.run();
 		this.#log.warn({vm: this.#settings.vm, id: this.#self.id, dataCenter: this.#settings.dataCenter}, 'started');
 	}
 
@@ -177,6 +195,11 @@
 		return this.#configuration.getTable()?.version ?? 0;
 	}
 
+	/** Gets the number of pools known. */
+	getPoolCount(): number {
+		return this.#layout.getPools().length;
+	}
+
 	/** Gets the cores of all pools as last heard. */
 	getKnownCores(): number {
 		return this.#node.directory.getViews().reduce((sum, {cores}) => sum + cores, 0);
@@ -236,6 +259,7 @@
 		this.#subscription?.unsubscribe();
 		this.#configuration.close();
 		this.#registry.close();
+		this.#layoutKeeper.close();
 		this.#upstreams.close();
 		this.#node.close();
 		await this.#mesh.close();
@@ -269,9 +293,14 @@
 			maxBackoffMs: maxRedialMs,
 			connectTimeoutMs: maxConnectMs,
 			farLinks,
+			maxMeshVms,
+			reportFreshMs,
+			getBeatFactor: peer => this.#node?.getBeatFactor(peer) ?? 1,
 			getHeartbeat: () => ({
 				configurationVersion: this.#configuration.getTable()?.version ?? 0,
 				isLeaving: this.#isStopping,
+				claims: this.#node?.getFences() ?? {},
+				cores: settings.cores,
 				load: this.#node?.getClaims() ?? {},
 			}),
 			onHeartbeat: (body, from) => {
@@ -289,12 +318,14 @@
 	}
 
 	#createNode(): PoolNode {
-		const {dataCenters, maxLeaseMs} = this.#settings;
+		const {cores, maxLeaseMs} = this.#settings;
 		return new PoolNode({
 			clock: this.#clock,
+			random: this.#options.random ?? systemRandom,
 			log: this.#log,
 			self: this.#self,
-			pools: dataCenters,
+			cores,
+			layout: this.#layout,
 			peers: this.#mesh,
 			orders: this.#orders,
 			maxLeaseMs,
@@ -306,7 +337,7 @@
 			getUpstreams: pool => this.#upstreams.getUpstreams(pool),
 			isListKnown: pool => this.#upstreams.isKnown(pool),
 			onOwnedChanged: pools => {
-				this.#toldUpstreams = '';
+				this.#told.clear();
 				this.#upstreams.setFollowing(pools.length > 0);
 			},
 		});
@@ -334,6 +365,12 @@
 		return item && {ownerId: item.value, revision: item.revision};
 	}
 
+	/** Gets whether this VM has the first name of those of its data centre that are seen here. */
+	#isFirstOfDataCenter(): boolean {
+		const {vm, dataCenter} = this.#self;
+		return this.#mesh.getMembers().every(({incarnation, state}) => state !== 'up' || incarnation.dataCenter !== dataCenter || vm <= incarnation.vm);
+	}
+
 	#handleUpstreamsChanged(): void {
 		this.#node.handleUpstreamsChanged();
 		this.#tellAllUpstreams();
@@ -348,15 +385,20 @@
 	/** Tells the VMs of the data centre, one of which may own the pool when the store is away. */
 	#tellUpstreams(pool: string): void {
 		const upstreams = this.#upstreams.getUpstreams(pool);
-		const near = this.#mesh.getMembers().filter(({incarnation, state}) => incarnation.dataCenter === pool && state === 'up');
-		const text = JSON.stringify([near.map(({incarnation}) => incarnation.id), upstreams]);
-		if (text === this.#toldUpstreams || upstreams.length === 0) {
+		if (upstreams.length === 0) {
 			return;
 		}
 
-		this.#toldUpstreams = text;
-		for (const {incarnation} of near) {
-			this.#mesh.sendControl(incarnation.id, {topic: upstreamsTopic, body: {pool, revision: this.#upstreams.getRevision(), upstreams}});
+		const text = JSON.stringify(upstreams);
+		const last = this.#told.get(pool);
+		const told = last?.text === text ? last : {text, to: new Set<string>()};
+		this.#told.set(pool, told);
+		const dataCenter = getDataCenter(pool);
+		for (const {incarnation, state} of this.#mesh.getMembers()) {
+			const isDue = incarnation.dataCenter === dataCenter && state === 'up' && !told.to.has(incarnation.id);
+			if (isDue && this.#mesh.sendControl(incarnation.id, {topic: upstreamsTopic, body: {pool, revision: this.#upstreams.getRevision(), upstreams}})) {
+				told.to.add(incarnation.id);
+			}
 		}
 	}
 
--- a/src/platform/settings-file.ts
+++ b/src/platform/settings-file.ts
@@ -16,6 +16,9 @@
 	'listen.control': address,
 	seeds: z.string().default(''),
 	'platform.address': address,
+	'limits.cpu_share': z.coerce.number().positive().default(1),
+	// How many times as fast as one core the processor is.
+	'limits.cores': z.coerce.number().positive().default(1),
 	'bounds.max_hold_ms': milliseconds.default(1000),
 	'bounds.grace_s': milliseconds.default(6),
 });
@@ -34,6 +37,8 @@
 	/** Peer addresses of some other VMs; they may be gone. */
 	readonly peerSeeds: readonly string[];
 	readonly storeAddress: string;
+	/** Cores that the process may use, a share of a faster one counted by its speed. */
+	readonly cores: number;
 	/** Longest lease that upstreams give a run, in milliseconds. */
 	readonly maxLeaseMs: number;
 	/** Time from the stop signal to the kill, in milliseconds. */
@@ -75,6 +80,7 @@
 			ip: file.ip,
 			peerSeeds: file.seeds.split(',').map(seed => seed.trim()).filter(seed => seed !== ''),
 			storeAddress: file['platform.address'],
+			cores: file['limits.cpu_share'] * file['limits.cores'],
 			maxLeaseMs: file['bounds.max_hold_ms'],
 			stopGraceMs: file['bounds.grace_s'] * 1000,
 		},
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -21,10 +21,13 @@
 /** One change. */
 export type StoredChange = {readonly key: string; readonly revision: number; readonly value: string | undefined};
 
-/** Why a call gave nothing. `refused`: nothing was done. `unanswered`: a write may have been or may yet be carried out. */
+/**
+ * Why a call gave nothing. `refused`: nothing was done. `exists`: nothing was done, since there is such an item. `unanswered`: a write
+ * may have been or may yet be carried out.
+ */
 export type StoreFault = {
 	readonly ok: false;
-	readonly reason: 'refused' | 'unanswered' | 'invalid' | 'history-lost';
+	readonly reason: 'refused' | 'exists' | 'unanswered' | 'invalid' | 'history-lost';
 	readonly detail: string;
 };
 
@@ -51,7 +54,7 @@
 
 /** Faults by status; a status that is not named here is a fault of this client. */
 const statusFaults: ReadonlyMap<number, StoreFault['reason']> = new Map([
-	[404, 'refused'], [410, 'history-lost'], [429, 'refused'], [503, 'refused'],
+	[404, 'refused'], [410, 'history-lost'], [412, 'exists'], [429, 'refused'], [503, 'refused'],
 ]);
 
 /** Reads, watches and writes items. */
@@ -146,6 +149,25 @@
 		}, writeAnswerSchema);
 	}
 
+	/**
+	 * Writes an item unless there is one; false where there is.
+	 * @param key - Key.
+	 * @param value - Value.
+	 */
+	async addItem(key: string, value: string): Promise<StoreResult<boolean>> {
+		const result = await this.#call('write', {
+			method: 'POST',
+			path: '/api/kv-txn',
+			// Revision 0 stands for an item that does not exist.
+			body: {precondition: [{key, revision: 0}], writes: [{key, value: Buffer.from(value).toString('base64')}], deletes: []},
+		}, writeAnswerSchema);
+		if (result.ok) {
+			return {ok: true, value: true};
+		}
+
+		return result.reason === 'exists' ? {ok: true, value: false} : result;
+	}
+
 	/** Ends all calls. */
 	async close(): Promise<void> {
 		await this.#ownAgent?.destroy();
--- a/src/platform/upstream-list.ts
+++ b/src/platform/upstream-list.ts
@@ -1,9 +1,11 @@
 /**
  * The list of upstreams: read from the store where a pool is owned here, and heard from owners elsewhere.
  */
-import {type DecisionLog, type PoolUpstreams, type UpstreamDescription} from '../pool/index.js';
+import {
+	type DecisionLog, getDataCenter, getPoolOfUpstream, type PoolLayout, type PoolUpstreams, type UpstreamDescription,
+} from '../pool/index.js';
 import {type Clock, sleep} from '../seams/index.js';
-import {decodeUpstream, upstreamPrefix} from './decode-upstream.js';
+import {decodeUpstream, getUpstreamDataCenter, upstreamPrefix} from './decode-upstream.js';
 import {type StoreClient} from './store-client.js';
 
 /**
@@ -20,13 +22,21 @@
 	readonly clock: Clock;
 	readonly log: DecisionLog;
 	readonly store: StoreClient;
+	readonly layout: PoolLayout;
 	readonly onChange: () => void;
 };
 
+/** An entry; those of other data centres are decoded only when they are asked for. */
+type Entry = {
+	readonly dataCenter: string;
+	readonly value: string;
+	upstream: UpstreamDescription | undefined;
+};
+
 /** Keeps the upstreams of all data centres as last heard. */
 export class UpstreamList {
 	readonly #options: UpstreamListOptions;
-	readonly #upstreams = new Map<string, UpstreamDescription>();
+	readonly #entries = new Map<string, Entry>();
 	readonly #told = new Set<string>();
 	readonly #closing = new AbortController();
 	#revision: number | undefined;
@@ -39,19 +49,39 @@
 	}
 
 	/**
-	 * Gets the upstreams of a data centre.
-	 * @param dataCenter - Data centre.
+	 * Gets the upstreams of a pool.
+	 * @param pool - Pool.
 	 */
-	getUpstreams(dataCenter: string): readonly UpstreamDescription[] {
-		return [...this.#upstreams.values()].filter(upstream => upstream.dataCenter === dataCenter);
+	getUpstreams(pool: string): readonly UpstreamDescription[] {
+		const dataCenter = getDataCenter(pool);
+		const pools = this.#options.layout.getPoolsOf(dataCenter);
+		if (pools.length === 0) {
+			return [];
+		}
+
+		const wanted = [...this.#entries].filter(([key, entry]) => entry.dataCenter === dataCenter && getPoolOfUpstream(getId(key), pools) === pool);
+		return wanted.flatMap(([key, entry]) => this.#decode(key, entry) ?? []);
 	}
 
 	/**
-	 * Gets whether the upstreams of a data centre were ever read or told.
+	 * Gets the number of upstreams of a data centre.
 	 * @param dataCenter - Data centre.
 	 */
-	isKnown(dataCenter: string): boolean {
-		return this.#revision !== undefined || this.#told.has(dataCenter);
+	getCount(dataCenter: string): number {
+		let count = 0;
+		for (const entry of this.#entries.values()) {
+			count += Number(entry.dataCenter === dataCenter);
+		}
+
+		return count;
+	}
+
+	/**
+	 * Gets whether the upstreams of a pool were ever read or told.
+	 * @param pool - Pool.
+	 */
+	isKnown(pool: string): boolean {
+		return this.#revision !== undefined || this.#told.has(pool);
 	}
 
 	/** Gets the revision of the store at which the list was read; 0 for none. */
@@ -76,9 +106,9 @@
 			this.#setEntry(item.key, item.value);
 		}
 
-		for (const key of this.#upstreams.keys()) {
+		for (const key of this.#entries.keys()) {
 			if (!listed.has(key)) {
-				this.#upstreams.delete(key);
+				this.#entries.delete(key);
 			}
 		}
 
@@ -109,14 +139,12 @@
 
 		this.#told.add(pool);
 
-		for (const [key, upstream] of this.#upstreams) {
-			if (upstream.dataCenter === pool) {
-				this.#upstreams.delete(key);
-			}
+		for (const {id} of this.getUpstreams(pool)) {
+			this.#entries.delete(`${upstreamPrefix}${id}`);
 		}
 
 		for (const upstream of upstreams) {
-			this.#upstreams.set(`${upstreamPrefix}${upstream.id}`, upstream);
+			this.#entries.set(`${upstreamPrefix}${upstream.id}`, {dataCenter: upstream.dataCenter, value: '', upstream});
 		}
 
 		this.#options.onChange();
@@ -154,7 +182,7 @@
 		this.#revision = result.value.revision;
 		for (const {key, value} of result.value.changes) {
 			if (value === undefined) {
-				this.#upstreams.delete(key);
+				this.#entries.delete(key);
 			} else {
 				this.#setEntry(key, value);
 			}
@@ -165,15 +193,30 @@
 
 	/** An entry that cannot be used names no upstream; the last good one under its key goes too. */
 	#setEntry(key: string, value: string): void {
-		const upstream = decodeUpstream({key, value});
-		if (upstream === undefined) {
-			if (this.#upstreams.delete(key)) {
-				this.#options.log.warn({key}, 'entry of an upstream not understood');
-			}
-
+		const dataCenter = getUpstreamDataCenter(value);
+		if (dataCenter === undefined) {
+			this.#removeBadEntry(key);
 			return;
 		}
 
-		this.#upstreams.set(key, upstream);
+		this.#entries.set(key, {dataCenter, value, upstream: undefined});
 	}
+
+	#decode(key: string, entry: Entry): UpstreamDescription | undefined {
+		entry.upstream ??= decodeUpstream({key, value: entry.value});
+		if (entry.upstream === undefined) {
+			this.#removeBadEntry(key);
+		}
+
+		return entry.upstream;
+	}
+
+	#removeBadEntry(key: string): void {
+		this.#entries.delete(key);
+		this.#options.log.info({key}, 'entry of an upstream not understood');
+	}
+}
+
+function getId(key: string): string {
+	return key.slice(upstreamPrefix.length);
 }
--- a/src/pool/load-teller.ts
+++ b/src/pool/load-teller.ts
@@ -9,6 +9,8 @@
 /** Options of {@link LoadTeller}. */
 export type LoadTellerOptions = {
 	readonly clock: Clock;
+	/** Gets whether work waits in the pool. */
+	readonly hasQueue: () => boolean;
 	/** Gets the load; `undefined` where the pool is owned here no more. */
 	readonly getLoad: () => PoolLoad | undefined;
 	/** Gets the other pools. */
@@ -19,10 +21,14 @@
 /** Least time between two tellings, in milliseconds: a fraction of the shortest task. */
 const tellMs = 10;
 
+/** Messages a second to all others together, which bounds them to a few hundredths of a core among many pools. */
+const messagesPerSecond = 300;
+
 /** Tells the others when work begins to wait here, and when room comes free here while work waits there. */
 export class LoadTeller {
 	readonly #options: LoadTellerOptions;
 	#lastCheckAt = -Infinity;
+	#periodMs = tellMs;
 	#timer: Timer | undefined;
 	#wasWaiting = false;
 
@@ -37,7 +43,7 @@
 			return;
 		}
 
-		const dueInMs = this.#lastCheckAt + tellMs - clock.getMonotonicTime();
+		const dueInMs = this.#lastCheckAt + this.#periodMs - clock.getMonotonicTime();
 		if (dueInMs <= 0) {
 			this.#check();
 			return;
@@ -50,17 +56,23 @@
 	}
 
 	#check(): void {
-		const {clock, getLoad, getOthers, send} = this.#options;
+		const {clock, getLoad, getOthers, hasQueue, send} = this.#options;
 		this.#lastCheckAt = clock.getMonotonicTime();
+		const isWaiting = hasQueue();
+		const hasNews = isWaiting && !this.#wasWaiting;
+		this.#wasWaiting = isWaiting;
+		const others = getOthers();
+		this.#periodMs = Math.max(tellMs, others.length * 1000 / messagesPerSecond);
+		if (!hasNews && others.every(({queuedWork}) => queuedWork === 0)) {
+			return;
+		}
+
 		const load = getLoad();
 		if (load === undefined) {
 			return;
 		}
 
-		const isWaiting = load.queuedWork > 0;
-		const hasNews = isWaiting && !this.#wasWaiting;
-		this.#wasWaiting = isWaiting;
-		for (const {pool, queuedWork} of getOthers()) {
+		for (const {pool, queuedWork} of others) {
 			if (hasNews || (load.rooms.length > 0 && queuedWork > 0)) {
 				send(pool, load);
 			}
--- a/src/pool/pool-choice.ts
+++ b/src/pool/pool-choice.ts
@@ -5,6 +5,8 @@
  * waiting in one pool while others work on less urgent ones.
  */
 
+import {type Random} from '../seams/index.js';
+
 /** A pool as an entry VM last heard of it. */
 export type PoolView = {
 	readonly pool: string;
@@ -61,16 +63,38 @@
 };
 
 /**
- * Chooses the pool for a job: one with room for all of it now, or else the one whose queue is common to all.
+ * Chooses the pool for a job: one with room for all of it now, or else the one whose queue is common to the pools of a data centre,
+ * or of all data centres where each has one pool.
  * @param views - Pools with an owner, in the same order on all entry VMs.
  * @param job - Job.
+ * @param random - Source of random numbers.
  */
-export function choosePool(views: readonly PoolView[], {cpu, isBound, asked}: JobRoom): PoolView | undefined {
+export function choosePool(views: readonly PoolView[], job: JobRoom, random: Pick<Random, 'getFloat'>): PoolView | undefined {
+	const near = views.filter(({isNear, cores}) => isNear && cores > 0);
+	if (near.length <= 1) {
+		return chooseAmongAll(views, views, job);
+	}
+
+	const roomy = near.filter(({pool, freeCpu}) => freeCpu >= job.cpu && !job.asked.has(pool));
+	return roomy.length > 0 ? pickRoomier(roomy, random) : chooseAmongAll(views, near, job);
+}
+
+/**
+ * Of two pools taken at random, gets the one with more room. Many VMs choose at the same time by news of the same age; if all took
+ * the best pool, it would be full before the next news.
+ */
+function pickRoomier(roomy: readonly PoolView[], random: Pick<Random, 'getFloat'>): PoolView {
+	const first = roomy[Math.floor(random.getFloat() * roomy.length)]!;
+	const second = roomy[Math.floor(random.getFloat() * roomy.length)]!;
+	return second.freeCpu > first.freeCpu ? second : first;
+}
+
+function chooseAmongAll(views: readonly PoolView[], sharing: readonly PoolView[], {cpu, isBound, asked}: JobRoom): PoolView | undefined {
 	const best = sortPools(views.filter(({pool}) => !asked.has(pool)), cpu)[0];
 	if (best === undefined || isBound || best.freeCpu >= cpu) {
 		return best;
 	}
 
-	const common = views.find(({cores}) => cores > 0);
+	const common = sharing.find(({cores}) => cores > 0);
 	return common === undefined || asked.has(common.pool) ? best : common;
 }
--- a/src/pool/pool-directory.ts
+++ b/src/pool/pool-directory.ts
@@ -3,8 +3,9 @@
  */
 import {type Clock} from '../seams/index.js';
 import {type PoolView} from './pool-choice.js';
-import {type Candidate, electOwner} from './pool-election.js';
+import {type Candidate, electOwners} from './pool-election.js';
 import {type JobStep, type PoolJobRequest, getStepWork} from './pool-job.js';
+import {getDataCenter} from './pool-layout.js';
 import {type PoolClaims} from './pool-messages.js';
 import {type PoolLoad} from './pool-scheduler.js';
 
@@ -13,9 +14,9 @@
 	readonly clock: Clock;
 	/** Data centre of this VM. */
 	readonly dataCenter: string;
-	/** Data centres, each with one pool. */
-	readonly pools: readonly string[];
-	/** Gets all entry VMs known, this one included. */
+	/** Gets the names of the pools known, in the same order on all entry VMs. */
+	readonly getPools: () => readonly string[];
+	/** Gets all entry VMs known, this one included; the same list as long as nothing of it changed. */
 	readonly getCandidates: () => readonly Candidate[];
 };
 
@@ -42,19 +43,19 @@
 /** Keeps the last loads heard and finds owners. */
 export class PoolDirectory {
 	readonly #options: PoolDirectoryOptions;
-	readonly #pools: readonly string[];
 	readonly #knowledge = new Map<string, Knowledge>();
 	readonly #fences = new Map<string, number>();
 	#sequence = 0;
+	/** Outcome of the last election, and what it was held among. */
+	#election: Election | undefined;
 
 	constructor(options: PoolDirectoryOptions) {
 		this.#options = options;
-		this.#pools = options.pools.toSorted();
 	}
 
 	/** Gets the names of the pools, in the same order on all entry VMs. */
 	getPools(): readonly string[] {
-		return this.#pools;
+		return this.#options.getPools();
 	}
 
 	/**
@@ -62,7 +63,7 @@
 	 * @param pool - Pool.
 	 */
 	getElected(pool: string): Candidate | undefined {
-		return electOwner(pool, this.#options.getCandidates());
+		return this.#elect().elected.get(pool);
 	}
 
 	/**
@@ -70,8 +71,7 @@
 	 * @param pool - Pool.
 	 */
 	getOwner(pool: string): Candidate | undefined {
-		const elected = this.getElected(pool);
-		return elected?.claims[pool] === undefined ? this.#getLeavingOwner(pool) : elected;
+		return this.#elect().owners.get(pool);
 	}
 
 	/**
@@ -141,11 +141,15 @@
 		this.#fences.set(pool, Math.max(fence, this.getKnownFence(pool)));
 	}
 
-	/** Gets the pools that have an owner, with what is known of their load and its age. */
-	getViews(): ReadonlyArray<PoolView & {readonly ageMs: number}> {
+	/**
+	 * Gets the pools that have an owner, with what is known of their load and its age.
+	 * @param pools - Pools to look at; all where it is absent.
+	 */
+	getViews(pools = this.getPools()): ReadonlyArray<PoolView & {readonly ageMs: number}> {
 		const {clock, dataCenter} = this.#options;
-		return this.#pools.flatMap(pool => {
-			const owner = this.getOwner(pool);
+		const {owners} = this.#elect();
+		return pools.flatMap(pool => {
+			const owner = owners.get(pool);
 			if (owner === undefined) {
 				return [];
 			}
@@ -156,7 +160,7 @@
 			const overflowWork = sentCpu > load.freeCpu ? sentWork : 0;
 			return [{
 				pool,
-				isNear: pool === dataCenter,
+				isNear: getDataCenter(pool) === dataCenter,
 				ownerId: owner.id,
 				cores: load.cores,
 				freeCpu: load.freeCpu - sentCpu,
@@ -176,13 +180,47 @@
 		}
 	}
 
-	/** A VM that leaves goes on owning its pool until another one has taken it over. */
-	#getLeavingOwner(pool: string): Candidate | undefined {
-		const claimants = this.#options.getCandidates().filter(({isUp, claims}) => isUp && claims[pool] !== undefined);
-		return claimants.toSorted((a, b) => b.claims[pool]! - a.claims[pool]!)[0];
+	/** Elections are asked for with each job and are costly among many VMs. */
+	#elect(): Election {
+		const pools = this.getPools();
+		const candidates = this.#options.getCandidates();
+		if (this.#election?.pools !== pools || this.#election.candidates !== candidates) {
+			const elected = electOwners(pools, candidates);
+			this.#election = {
+				pools, candidates, elected, owners: getOwners(pools, elected, candidates),
+			};
+		}
+
+		return this.#election;
 	}
 }
 
+type Election = {
+	readonly pools: readonly string[];
+	readonly candidates: readonly Candidate[];
+	readonly elected: ReadonlyMap<string, Candidate>;
+	readonly owners: ReadonlyMap<string, Candidate>;
+};
+
+/** Gets who owns each pool by its own word. A VM that leaves goes on owning its pool until another one has taken it over. */
+function getOwners(pools: readonly string[], elected: ReadonlyMap<string, Candidate>, candidates: readonly Candidate[]): ReadonlyMap<string, Candidate> {
+	const owners = new Map<string, Candidate>();
+	for (const pool of pools) {
+		const next = elected.get(pool);
+		const owner = next?.claims[pool] === undefined ? getLastOwner(pool, candidates) : next;
+		if (owner !== undefined) {
+			owners.set(pool, owner);
+		}
+	}
+
+	return owners;
+}
+
+function getLastOwner(pool: string, candidates: readonly Candidate[]): Candidate | undefined {
+	const claimants = candidates.filter(({isUp, claims}) => isUp && claims[pool] !== undefined);
+	return claimants.toSorted((a, b) => b.claims[pool]! - a.claims[pool]!)[0];
+}
+
 /** Gets the rooms that are left once what is on its way has taken its own: the smallest that holds it, or else the largest. */
 function subtractSent(rooms: readonly number[], sent: readonly Sent[]): readonly number[] {
 	if (sent.length === 0 || rooms.length === 0) {
--- a/src/pool/pool-election.ts
+++ b/src/pool/pool-election.ts
@@ -4,11 +4,14 @@
  * Heartbeats decide, not the store, which may be away or turn a VM away while the others serve. Two owners at a time are
  * harmless, since every order carries a fence and upstreams refuse all but the highest.
  */
+import {getDataCenter} from './pool-layout.js';
 
 /** An entry VM as the election sees it. */
 export type Candidate = {
 	readonly id: string;
 	readonly dataCenter: string;
+	/** Cores that the VM may use; pools go to VMs in proportion to them. */
+	readonly cores: number;
 	readonly isUp: boolean;
 	readonly isLeaving: boolean;
 	/** Fences of the pools that the VM says it owns. */
@@ -16,34 +19,81 @@
 };
 
 /**
- * Elects the owner of a pool; `undefined` where no VM is up. A claim is kept while its holder may own the pool, so that a
- * VM that comes back does not move the pool again.
- * @param pool - Data centre of the pool.
+ * Elects the owners of pools; a pool for which no VM is up is left out. A claim is kept while its holder may own the pool, so
+ * that a VM that comes back does not move the pool again. Pools without a claim go where they add least to the load of a VM:
+ * a start costs an owner processor time, and VMs differ by a factor of four.
+ * @param pools - Pools, in the same order on all entry VMs.
  * @param candidates - All entry VMs known, this one included.
  */
-export function electOwner(pool: string, candidates: readonly Candidate[]): Candidate | undefined {
-	const eligible = getEligible(pool, candidates);
-	const claimants = eligible.filter(({claims}) => claims[pool] !== undefined);
-	if (claimants.length > 0) {
-		return claimants.toSorted((a, b) => (b.claims[pool]! - a.claims[pool]!) || compareText(a.id, b.id))[0];
+export function electOwners(pools: readonly string[], candidates: readonly Candidate[]): ReadonlyMap<string, Candidate> {
+	const eligible = new Map<string, readonly Candidate[]>();
+	const getEligibleOf = (pool: string): readonly Candidate[] => {
+		const dataCenter = getDataCenter(pool);
+		const known = eligible.get(dataCenter) ?? getEligible(dataCenter, candidates);
+		eligible.set(dataCenter, known);
+		return known;
+	};
+
+	const counts = new Map(candidates.map(candidate => [candidate, countClaims(candidate)]));
+	const elected = new Map<string, Candidate>();
+	for (const pool of pools) {
+		const holder = getHolder(pool, getEligibleOf(pool));
+		if (holder !== undefined) {
+			elected.set(pool, holder);
+		}
+	}
+
+	for (const pool of pools.filter(name => !elected.has(name))) {
+		const next = getLeastLoaded(getEligibleOf(pool), counts);
+		if (next !== undefined) {
+			counts.set(next, counts.get(next)! + 1);
+			elected.set(pool, next);
+		}
 	}
 
-	return eligible.toSorted((a, b) => countClaims(a) - countClaims(b) || compareText(a.id, b.id))[0];
+	return elected;
 }
 
 /** VMs of the pool's data centre go before others, and those that stay before those that leave. */
-function getEligible(pool: string, candidates: readonly Candidate[]): readonly Candidate[] {
+function getEligible(dataCenter: string, candidates: readonly Candidate[]): readonly Candidate[] {
 	const up = candidates.filter(({isUp}) => isUp);
-	const near = up.filter(({dataCenter}) => dataCenter === pool);
+	const near = up.filter(candidate => candidate.dataCenter === dataCenter);
 	const preferred = near.length > 0 ? near : up;
 	const staying = preferred.filter(({isLeaving}) => !isLeaving);
 	return staying.length > 0 ? staying : preferred;
 }
 
-function countClaims({claims}: Candidate): number {
-	return Object.keys(claims).length;
+function getHolder(pool: string, eligible: readonly Candidate[]): Candidate | undefined {
+	let holder: Candidate | undefined;
+	for (const candidate of eligible) {
+		const fence = candidate.claims[pool];
+		if (fence === undefined) {
+			continue;
+		}
+
+		const difference = holder === undefined ? 1 : fence - holder.claims[pool]!;
+		if (difference > 0 || (difference === 0 && candidate.id < holder!.id)) {
+			holder = candidate;
+		}
+	}
+
+	return holder;
 }
 
-function compareText(a: string, b: string): number {
-	return a < b ? -1 : Number(a > b);
+function getLeastLoaded(eligible: readonly Candidate[], counts: ReadonlyMap<Candidate, number>): Candidate | undefined {
+	let best: Candidate | undefined;
+	let bestLoad = Infinity;
+	for (const candidate of eligible) {
+		const load = (counts.get(candidate)! + 1) / candidate.cores;
+		if (load < bestLoad || (load === bestLoad && candidate.id < best!.id)) {
+			best = candidate;
+			bestLoad = load;
+		}
+	}
+
+	return best;
+}
+
+function countClaims({claims}: Candidate): number {
+	return Object.keys(claims).length;
 }
--- a/src/pool/pool-job.ts
+++ b/src/pool/pool-job.ts
@@ -61,14 +61,15 @@
 };
 
 /**
- * What became of a job. `refused`: no task was started and none will be. `moved`: another entry VM owns the pool now.
+ * What became of a job. `refused`: no task was started and none will be. `moved`: another entry VM owns the pool now, which has to look
+ * for tasks only where some may have been started.
  * `interrupted`: tasks may have run and the job is given up; none runs on.
  */
 export type PoolJobOutcome =
 	| {readonly kind: 'completed'}
 	| {readonly kind: 'failed'}
 	| {readonly kind: 'refused'; readonly reason: RefusalReason; readonly retryAfterMs: number}
-	| {readonly kind: 'moved'}
+	| {readonly kind: 'moved'; readonly hasStarted: boolean}
 	| {readonly kind: 'interrupted'; readonly reason: string};
 
 /** Why a job was refused. */
--- a/src/pool/pool-lending.ts
+++ b/src/pool/pool-lending.ts
@@ -8,7 +8,9 @@
 	type BorrowingTask, type LendOutcome, type NeighbourRoom, type PoolNeighbours,
 } from './lending.js';
 import {LoadTeller} from './load-teller.js';
+import {type PoolView} from './pool-choice.js';
 import {type PoolDirectory} from './pool-directory.js';
+import {isNeighbourPool} from './pool-layout.js';
 import {
 	lendAnswerSchema, type LendAnswer, lendRequestSchema, lendTopic, loadNewsSchema, loadTopic, recallAnswerSchema, recallRequestSchema, recallTopic,
 	stopLentRequestSchema, stopLentTopic,
@@ -39,6 +41,8 @@
 /** Takes and sends the requests by which owners share room. */
 export class PoolLending {
 	readonly #options: PoolLendingOptions;
+	/** Neighbours of the pools owned here, and the list of pools that they were taken from. */
+	readonly #neighbourNames = new Map<string, {readonly pools: readonly string[]; readonly names: readonly string[]}>();
 	/** Number of the last task that came from each pool, and the fence of the owner that counts them. */
 	readonly #seen = new Map<string, {readonly fence: number; readonly sequence: number}>();
 
@@ -62,15 +66,16 @@
 		const {clock, directory, getOwner} = this.#options;
 		const teller = new LoadTeller({
 			clock,
+			hasQueue: () => getOwner(pool)?.hasQueue() ?? false,
 			getLoad: () => getOwner(pool)?.getLoad(),
-			getOthers: () => directory.getViews().filter(view => view.pool !== pool),
+			getOthers: () => this.#getNeighbours(pool),
 			send: (other, load) => {
 				void this.#ask(other, {topic: loadTopic, body: {pool, load, seen: this.#getSeen(other)}});
 			},
 		});
 		return {
 			getRooms: () => this.#getRooms(pool),
-			getCores: () => directory.getViews().reduce((sum, view) => sum + (view.pool === pool ? 0 : view.cores), 0),
+			getCores: () => this.#getNeighbours(pool).reduce((sum, {cores}) => sum + cores, 0),
 			run: async (lender, task, signal) => this.#run(pool, lender, task, signal),
 			stop: async (lender, run, isOverdue) => this.#stop(lender, run, isOverdue),
 			recall: async (job, fence) => this.#recall(pool, job, fence),
@@ -150,8 +155,19 @@
 	}
 
 	#getRooms(pool: string): readonly NeighbourRoom[] {
-		const others = this.#options.directory.getViews().filter(view => view.pool !== pool);
-		return others.flatMap(view => view.rooms.map(cpu => ({pool: view.pool, cpu})));
+		return this.#getNeighbours(pool).flatMap(view => view.rooms.map(cpu => ({pool: view.pool, cpu})));
+	}
+
+	#getNeighbours(pool: string): readonly PoolView[] {
+		const {directory} = this.#options;
+		const pools = directory.getPools();
+		let known = this.#neighbourNames.get(pool);
+		if (known?.pools !== pools) {
+			known = {pools, names: pools.filter(other => isNeighbourPool(pool, other))};
+			this.#neighbourNames.set(pool, known);
+		}
+
+		return directory.getViews(known.names);
 	}
 
 	async #run(borrower: string, lender: string, task: BorrowingTask, signal: AbortSignal): Promise<LendOutcome> {
@@ -199,7 +215,7 @@
 	}
 
 	async #recall(borrower: string, job: string, fence: number): Promise<boolean> {
-		const others = this.#options.directory.getPools().filter(pool => pool !== borrower);
+		const others = this.#options.directory.getPools().filter(pool => isNeighbourPool(borrower, pool));
 		const controller = new AbortController();
 		const timer = this.#options.clock.setTimer(() => {
 			controller.abort();
--- a/src/pool/pool-messages.ts
+++ b/src/pool/pool-messages.ts
@@ -64,7 +64,7 @@
 			reason: z.enum(['no-upstream', 'does-not-fit', 'overloaded', 'deadline', 'not-owner', 'stopping']),
 			retryAfterMs: count,
 		}).readonly(),
-		z.object({kind: z.literal('moved')}).readonly(),
+		z.object({kind: z.literal('moved'), hasStarted: z.boolean().default(true)}).readonly(),
 		z.object({kind: z.literal('interrupted'), reason: z.string()}).readonly(),
 	]),
 	load: poolLoadSchema.optional(),
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -2,20 +2,18 @@
  * One entry VM's part in the pools: it owns those that it is elected for, and brings callers' jobs to the owners.
  */
 import {
-	type Incarnation, type PeerNetwork, type PeerRequest, type RequestAbortReason,
+	type Incarnation, type Member, type PeerNetwork, type PeerRequest, type RequestAbortReason,
 } from '../connection/index.js';
-import {type Clock, sleep, type Timer} from '../seams/index.js';
+import {type Clock, type Random, type Timer} from '../seams/index.js';
 import {type DecisionLog} from './decision-log.js';
-import {PoolDirectory, getFirstCpu} from './pool-directory.js';
-import {PoolLending} from './pool-lending.js';
-import {isBoundJob} from './lending.js';
-import {choosePool, type PoolView} from './pool-choice.js';
+import {getBeatFactor} from './beat-pace.js';
+import {PoolDirectory} from './pool-directory.js';
 import {type Candidate} from './pool-election.js';
+import {type PoolJobOutcome, type PoolJobRequest} from './pool-job.js';
+import {getDataCenter, type PoolLayout} from './pool-layout.js';
+import {PoolLending} from './pool-lending.js';
 import {
-	type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob,
-} from './pool-job.js';
-import {
-	type PoolClaims, poolClaimsSchema, submitAnswerSchema, submitRequestSchema, submitTopic, type SubmitAnswer,
+	type PoolClaims, poolClaimsSchema, submitRequestSchema, submitTopic, type SubmitAnswer,
 } from './pool-messages.js';
 import {type PoolLoad} from './pool-scheduler.js';
 import {PoolOwner} from './pool-owner.js';
@@ -26,10 +24,13 @@
 /** Options of {@link PoolNode}. */
 export type PoolNodeOptions = {
 	readonly clock: Clock;
+	readonly random: Random;
 	readonly log: DecisionLog;
 	readonly self: Incarnation;
-	/** Data centres of the deployment, each with a pool of upstreams. */
-	readonly pools: readonly string[];
+	/** Cores that this process may use. */
+	readonly cores: number;
+	/** The pools as far as they are known; those that other VMs say they own are added. */
+	readonly layout: PoolLayout;
 	readonly peers: PeerNetwork;
 	readonly orders: UpstreamOrders;
 	/** Gets whether the VMs that may own pools had time to say so since the start. */
@@ -81,7 +82,8 @@
 	readonly directory: PoolDirectory;
 	readonly #options: PoolNodeOptions;
 	readonly #owned = new Map<string, PoolOwner>();
-	readonly #claims = new Map<string, PoolClaims>();
+	/** Last load heard of each VM, as it came and as it was understood. */
+	readonly #loads = new Map<string, {readonly load: unknown; readonly claims: PoolClaims}>();
 	readonly #abandonedSince = new Map<string, number>();
 	readonly #probes = new Map<string, Probe>();
 	/** Pools left to owners that are not seen here, with the revision of their last write. */
@@ -92,8 +94,9 @@
 	readonly #lending: PoolLending;
 	readonly #router: PoolRouter;
 	readonly #timer: Timer;
-	/** Candidates as of the last election or heartbeat. */
-	#candidates: readonly Candidate[] | undefined;
+	/** Candidates, and what they were made of. */
+	#candidates: {readonly members: readonly Member[]; readonly ownKey: string; readonly list: readonly Candidate[]} | undefined;
+	#paces = new Map<string, number>();
 	#isLeaving = false;
 	#isClosed = false;
 
@@ -102,11 +105,8 @@
 		this.directory = new PoolDirectory({
 			clock: options.clock,
 			dataCenter: options.self.dataCenter,
-			pools: options.pools,
-			getCandidates: () => {
-				this.#candidates ??= this.#createCandidates();
-				return this.#candidates;
-			},
+			getPools: () => options.layout.getPools(),
+			getCandidates: () => this.#getCandidates(),
 		});
 		this.#lending = new PoolLending({
 			clock: options.clock,
@@ -118,6 +118,7 @@
 		});
 		this.#router = new PoolRouter({
 			clock: options.clock,
+			random: options.random,
 			log: options.log,
 			selfId: options.self.id,
 			dataCenter: options.self.dataCenter,
@@ -139,12 +140,30 @@
 		return Object.fromEntries(entries);
 	}
 
+	/** Gets the fences of the pools owned here, by pool. */
+	getFences(): Readonly<Record<string, number>> {
+		const ready = [...this.#owned].filter(([, owner]) => owner.isReady());
+		return Object.fromEntries(ready.map(([pool, owner]) => [pool, owner.getFence()]));
+	}
+
+	/**
+	 * Gets every how many ticks a heartbeat goes to a VM.
+	 * @param peer - The VM.
+	 */
+	getBeatFactor(peer: Incarnation): number {
+		this.#getCandidates();
+		const known = this.#paces.get(peer.id);
+		const factor = known ?? this.#createBeatFactor(peer);
+		this.#paces.set(peer.id, factor);
+		return factor;
+	}
+
 	/**
 	 * Gets whether a VM has told of its pools.
 	 * @param vm - Name of the VM.
 	 */
 	isHeard(vm: string): boolean {
-		return this.#options.peers.getMembers().some(({incarnation, state}) => incarnation.vm === vm && state === 'up' && this.#claims.has(incarnation.id));
+		return this.#options.peers.getMembers().some(({incarnation, state}) => incarnation.vm === vm && state === 'up' && this.#loads.has(incarnation.id));
 	}
 
 	/** Gets the pools owned here. */
@@ -158,14 +177,19 @@
 	 * @param from - Sender.
 	 */
 	handleHeartbeat(load: unknown, from: Incarnation): void {
+		const last = this.#loads.get(from.id);
+		if (last !== undefined && last.load === load) {
+			this.directory.addClaims(last.claims);
+			return;
+		}
+
 		const parsed = poolClaimsSchema.safeParse(load);
 		if (!parsed.success) {
 			this.#options.log.warn({peer: from.id, err: parsed.error.message}, 'heartbeat not understood');
 			return;
 		}
 
-		this.#claims.set(from.id, parsed.data);
-		this.#candidates = undefined;
+		this.#loads.set(from.id, {load, claims: parsed.data});
 		this.directory.addClaims(parsed.data);
 	}
 
@@ -226,34 +250,57 @@
 		const {pool, job} = submitRequestSchema.parse(request.body);
 		const owner = this.#owned.get(pool);
 		if (owner === undefined) {
-			return {outcome: {kind: 'moved'}};
+			return {outcome: {kind: 'moved', hasStarted: false}};
 		}
 
 		const outcome = await owner.submit(job, this.#delayDisconnect(signal));
 		return {outcome, load: roundLoad(owner.getLoad())};
 	}
 
-	#createCandidates(): readonly Candidate[] {
-		const {self, peers} = this.#options;
-		const others = peers.getMembers().map(({incarnation, state, isLeaving}): Candidate => ({
-			id: incarnation.id,
-			dataCenter: incarnation.dataCenter,
-			isUp: state === 'up',
-			isLeaving,
-			claims: toFences(this.#claims.get(incarnation.id) ?? {}),
-		}));
-		const own: Candidate = {
-			id: self.id,
-			dataCenter: self.dataCenter,
-			isUp: true,
-			isLeaving: this.#isLeaving,
-			claims: Object.fromEntries([...this.#owned].map(([pool, owner]) => [pool, owner.getFence()])),
-		};
-		return [own, ...others];
+	/** Gets all VMs; the same list until a member or what is owned here changes. */
+	#getCandidates(): readonly Candidate[] {
+		const {self, peers, cores} = this.#options;
+		const members = peers.getMembers();
+		let ownKey = String(this.#isLeaving);
+		for (const [pool, owner] of this.#owned) {
+			ownKey += ` ${pool} ${owner.getFence()}`;
+		}
+
+		if (this.#candidates?.members !== members || this.#candidates.ownKey !== ownKey) {
+			const claims = Object.fromEntries([...this.#owned].map(([pool, owner]) => [pool, owner.getFence()]));
+			const own: Candidate = {
+				id: self.id, dataCenter: self.dataCenter, cores, isUp: true, isLeaving: this.#isLeaving, claims,
+			};
+			this.#candidates = {members, ownKey, list: [own, ...members.map(member => toCandidate(member))]};
+			this.#paces = new Map();
+			this.#learnPools();
+		}
+
+		return this.#candidates.list;
+	}
+
+	/** Pools that other VMs own are known here even if the store has not told of them. */
+	#learnPools(): void {
+		for (const {claims} of this.#candidates?.list ?? []) {
+			for (const pool of Object.keys(claims)) {
+				this.#options.layout.addPool(pool);
+			}
+		}
+	}
+
+	#createBeatFactor(peer: Incarnation): number {
+		const {dataCenter} = this.#options.self;
+		const list = this.#getCandidates();
+		const up = list.filter(({isUp}) => isUp);
+		return getBeatFactor({
+			isNear: peer.dataCenter === dataCenter,
+			hasOwner: this.#owned.size > 0 || Object.keys(list.find(({id}) => id === peer.id)?.claims ?? {}).length > 0,
+			nearCount: up.filter(candidate => candidate.dataCenter === dataCenter).length - 1,
+			vmCount: up.length,
+		});
 	}
 
 	#elect(): void {
-		this.#candidates = undefined;
 		// The load of a pool owned here is known at once; no heartbeat tells it.
 		this.directory.addClaims(this.getClaims());
 		const now = this.#options.clock.getMonotonicTime();
@@ -279,7 +326,7 @@
 	#endYields(): void {
 		const {self, peers} = this.#options;
 		for (const pool of this.#yielded.keys()) {
-			if (peers.getMembers().some(({incarnation, state}) => state === 'up' && incarnation.dataCenter === pool && pool === self.dataCenter)) {
+			if (peers.getMembers().some(({incarnation, state}) => state === 'up' && incarnation.dataCenter === self.dataCenter) && getDataCenter(pool) === self.dataCenter) {
 				this.#yielded.delete(pool);
 			}
 		}
@@ -287,9 +334,9 @@
 
 	#forgetGoneMembers(): void {
 		const known = new Set(this.#options.peers.getMembers().map(({incarnation}) => incarnation.id));
-		for (const id of this.#claims.keys()) {
+		for (const id of this.#loads.keys()) {
 			if (!known.has(id)) {
-				this.#claims.delete(id);
+				this.#loads.delete(id);
 			}
 		}
 	}
@@ -303,7 +350,7 @@
 			return false;
 		}
 
-		if (pool === this.#options.self.dataCenter) {
+		if (getDataCenter(pool) === this.#options.self.dataCenter) {
 			return true;
 		}
 
@@ -370,7 +417,7 @@
 	}
 
 	#isInhabited(pool: string): boolean {
-		return this.#createCandidates().some(({dataCenter, isUp}) => dataCenter === pool && isUp);
+		return this.#getCandidates().some(({dataCenter, isUp}) => isUp && dataCenter === getDataCenter(pool));
 	}
 
 	#isYielded(pool: string, now: number): boolean {
@@ -434,7 +481,6 @@
 			neighbours: this.#lending.createNeighbours(pool),
 		}, getUpstreams(pool));
 		this.#owned.set(pool, owner);
-		this.#candidates = undefined;
 		if (this.#isIsolated()) {
 			this.#takenAlone.add(pool);
 		}
@@ -443,9 +489,8 @@
 	}
 
 	#release(pool: string): void {
-		this.#owned.get(pool)?.close({kind: 'moved'});
+		this.#owned.get(pool)?.close();
 		this.#owned.delete(pool);
-		this.#candidates = undefined;
 		this.#takenAlone.delete(pool);
 		this.#options.onOwnedChanged([...this.#owned.keys()]);
 	}
@@ -467,8 +512,10 @@
 	}
 }
 
-function toFences(claims: PoolClaims): Readonly<Record<string, number>> {
-	return Object.fromEntries(Object.entries(claims).map(([pool, {fence}]) => [pool, fence]));
+function toCandidate({incarnation, state, isLeaving, claims, cores}: Member): Candidate {
+	return {
+		id: incarnation.id, dataCenter: incarnation.dataCenter, cores, isUp: state === 'up', isLeaving, claims,
+	};
 }
 
 function roundLoad({cores, freeCpu, rooms, queuedWork}: PoolLoad): PoolLoad {
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -104,6 +104,11 @@
 		return this.#scheduler.getLoad();
 	}
 
+	/** Gets whether work waits for room. */
+	hasQueue(): boolean {
+		return this.#scheduler.hasQueue();
+	}
+
 	/** Gets the number of jobs in hand. */
 	getJobCount(): number {
 		return this.#scheduler.getJobCount();
@@ -133,7 +138,7 @@
 		}
 
 		if (this.#isClosed) {
-			return {kind: 'moved'};
+			return {kind: 'moved', hasStarted: false};
 		}
 
 		const waitedMs = this.#options.clock.getMonotonicTime() - receivedAt;
@@ -218,18 +223,15 @@
 		this.#scheduler.schedule();
 	}
 
-	/**
-	 * Ends the ownership; what runs is left to the next owner or to its lease.
-	 * @param outcome - What those who wait for jobs are told.
-	 */
-	close(outcome: PoolJobOutcome): void {
+	/** Ends the ownership; what runs is left to the next owner or to its lease. */
+	close(): void {
 		if (this.#isClosed) {
 			return;
 		}
 
 		this.#isClosed = true;
 		this.#options.log.warn({pool: this.#options.pool, fence: this.#fence, jobs: this.#scheduler.getJobCount()}, 'pool given up');
-		this.#scheduler.close(outcome);
+		this.#scheduler.close();
 		for (const link of this.#links.values()) {
 			link.close();
 		}
--- a/src/pool/pool-router.ts
+++ b/src/pool/pool-router.ts
@@ -2,7 +2,7 @@
  * How an entry VM brings callers' jobs to the owners of pools, and to the next owner where a pool changes hands meanwhile.
  */
 import {type PeerNetwork} from '../connection/index.js';
-import {type Clock, sleep} from '../seams/index.js';
+import {type Clock, type Random, sleep} from '../seams/index.js';
 import {minRetryAfterMs} from './admission.js';
 import {type DecisionLog} from './decision-log.js';
 import {isBoundJob} from './lending.js';
@@ -11,12 +11,14 @@
 import {
 	type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob,
 } from './pool-job.js';
+import {getDataCenter} from './pool-layout.js';
 import {submitAnswerSchema, submitTopic} from './pool-messages.js';
 import {type PoolOwner} from './pool-owner.js';
 
 /** Options of {@link PoolRouter}. */
 export type PoolRouterOptions = {
 	readonly clock: Clock;
+	readonly random: Random;
 	readonly log: DecisionLog;
 	readonly selfId: string;
 	/** Data centre of this VM. */
@@ -103,10 +105,10 @@
 
 	/** Chooses the pool for a job; waits a little where no pool has an owner yet. */
 	async #choosePool(job: JobRoom, signal: AbortSignal): Promise<PoolView | undefined> {
-		const {clock} = this.#options;
+		const {clock, random} = this.#options;
 		const giveUpAt = clock.getMonotonicTime() + (this.#options.isYielding() ? 0 : firstOwnerMs);
 		for (;;) {
-			const view = choosePool(this.#options.directory.getViews(), job);
+			const view = choosePool(this.#options.directory.getViews(), job, random);
 			if (view !== undefined || job.asked.size > 0) {
 				return view;
 			}
@@ -148,7 +150,7 @@
 				return createRefusal('not-owner');
 			}
 
-			priorFence = result.kind === 'not_sent' ? priorFence : Math.max(priorFence, owner.fence);
+			priorFence = mayHaveStarted(result) ? Math.max(priorFence, owner.fence) : priorFence;
 			giveUpAt = Math.min(giveUpAt, clock.getMonotonicTime() + ownerWaitMs);
 		}
 	}
@@ -205,10 +207,15 @@
 
 	/** Gets whether a VM that is seen here may soon own a pool: one of its data centre. */
 	#mayHaveSuccessor(pool: string): boolean {
-		return pool === this.#options.dataCenter || this.#options.isInhabited(pool);
+		return getDataCenter(pool) === this.#options.dataCenter || this.#options.isInhabited(pool);
 	}
 }
 
+/** Gets whether the owner that was asked may have started tasks of the job. */
+function mayHaveStarted(result: AskResult): boolean {
+	return result.kind === 'answered' ? result.outcome.kind !== 'moved' || result.outcome.hasStarted : result.kind === 'lost';
+}
+
 function createRefusal(reason: RefusalReason): PoolJobOutcome {
 	return {kind: 'refused', reason, retryAfterMs: minRetryAfterMs};
 }
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -128,6 +128,17 @@
 		};
 	}
 
+	/** Gets whether work waits for room. */
+	hasQueue(): boolean {
+		for (const job of this.#jobs.values()) {
+			if (!job.isEnding && job.hasWaitingTasks()) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
 	/**
 	 * Gets whether a job is in hand.
 	 * @param id - Identifier.
@@ -315,15 +326,12 @@
 		this.schedule();
 	}
 
-	/**
-	 * Gives up all jobs, because another entry VM owns the pool now or this one ends.
-	 * @param outcome - What those who wait are told.
-	 */
-	close(outcome: PoolJobOutcome): void {
+	/** Gives up all jobs, because another entry VM owns the pool now or this one ends; those who wait are told so. */
+	close(): void {
 		this.#isClosed = true;
 		this.#sweep.close();
 		for (const job of this.#jobs.values()) {
-			job.settle(outcome);
+			job.settle({kind: 'moved', hasStarted: job.hasStarted});
 		}
 
 		this.#jobs.clear();
@@ -473,7 +481,7 @@
 
 	#startTasks(): void {
 		const now = this.#options.clock.getMonotonicTime();
-		const waiting = [...this.#jobs.values()].filter(job => !job.isEnding && job.heldUntil <= now && job.remainingWork > 0);
+		const waiting = [...this.#jobs.values()].filter(job => !job.isEnding && job.heldUntil <= now && job.hasWaitingTasks());
 		if (waiting.length === 0) {
 			return;
 		}
@@ -645,6 +653,10 @@
 
 	/** Stops overdue runs to start them elsewhere, and refuses jobs that have not begun and cannot be in time any more. */
 	#sweepJobs(): void {
+		if (this.#jobs.size === 0) {
+			return;
+		}
+
 		const now = this.#options.clock.getMonotonicTime();
 		for (const job of this.#jobs.values()) {
 			if (job.isEnding) {
--- a/src/pool/queued-job.ts
+++ b/src/pool/queued-job.ts
@@ -91,6 +91,11 @@
 		return this.chainMs;
 	}
 
+	/** Gets whether any task has not been started. */
+	hasWaitingTasks(): boolean {
+		return this.#waitingCounts.some(count => count > 0);
+	}
+
 	/** Core-milliseconds of the tasks that have not been started. */
 	get remainingWork(): number {
 		let work = 0;
--- a/src/testing/simulated-pools.ts
+++ b/src/testing/simulated-pools.ts
@@ -60,7 +60,7 @@
 	 */
 	createDirectory(dataCenter: string): PoolDirectory {
 		const directory = new PoolDirectory({
-			clock: this.#options.clock, dataCenter, pools: this.pools, getCandidates: () => this.#getCandidates(),
+			clock: this.#options.clock, dataCenter, getPools: () => this.pools, getCandidates: () => this.#getCandidates(),
 		});
 		this.#directories.add(directory);
 		return directory;
@@ -123,7 +123,7 @@
 
 	#getCandidates(): readonly Candidate[] {
 		return [...this.#offices.values()].map(({vm, pool, fence}) => ({
-			id: vm, dataCenter: pool, isUp: true, isLeaving: false, claims: {[pool]: fence},
+			id: vm, dataCenter: pool, cores: 1, isUp: true, isLeaving: false, claims: {[pool]: fence},
 		}));
 	}
 }
--- a/test/connection/peer-mesh.test.ts
+++ b/test/connection/peer-mesh.test.ts
@@ -113,3 +113,30 @@
 	t.like(await second.request('a-1', {topic: 'x', body: 1}), {kind: 'answered', body: future + 3});
 	t.is(logs[1]!.getLogicalTime(), future + 3);
 });
+
+test('a peer that announces a slower pace is not taken for silent, and tells of a new state at once', async t => {
+	let version = 1;
+	const slow = await createTestMesh(t, 'a', {
+		getBeatFactor: () => 10, getHeartbeat: () => ({configurationVersion: version, isLeaving: false, load: undefined}),
+	});
+	const heard: number[] = [];
+	const states = new Set<string>();
+	const other = await createTestMesh(t, 'b', {
+		seeds: [slow.getAddress()],
+		onHeartbeat(body) {
+			heard.push(body.configurationVersion);
+		},
+	});
+	await waitForState(other, 'a-1', 'up');
+	void other.getMemberStream().observe(members => {
+		for (const {state} of members) {
+			states.add(state);
+		}
+	});
+	await waitUntil(() => heard.length >= 4);
+	const before = heard.length;
+	version = 2;
+	await waitUntil(() => heard.includes(2));
+	t.true(heard.length <= before + 2);
+	t.deepEqual([...states], ['up']);
+});
--- /dev/null
+++ b/test/platform/json-client.test.ts
@@ -0,0 +1,97 @@
+import {Buffer} from 'node:buffer';
+import test from 'ava';
+import {Dispatcher} from 'undici';
+import {callJson} from '../../src/platform/json-client.js';
+import {type Clock} from '../../src/seams/index.js';
+
+/** Client whose calls are answered by hand. */
+class HeldDispatcher extends Dispatcher {
+	handlers: Dispatcher.DispatchHandler[] = [];
+	abortedCount = 0;
+
+	override dispatch(_options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+		handler.onRequestStart?.(this.#createController(), undefined);
+		this.handlers.push(handler);
+		return true;
+	}
+
+	answer(status: number, ...chunks: readonly string[]): void {
+		const handler = this.handlers.shift()!;
+		handler.onResponseStart?.(this.#createController(), status, {}, '');
+		for (const chunk of chunks) {
+			handler.onResponseData?.(this.#createController(), Buffer.from(chunk));
+		}
+
+		handler.onResponseEnd?.(this.#createController(), {});
+	}
+
+	#createController(): Dispatcher.DispatchController {
+		return {
+			aborted: false, paused: false, reason: null,
+			abort: () => {
+				this.abortedCount++;
+			},
+			pause() {/* Nothing is read. */},
+			resume() {/* Nothing is read. */},
+		};
+	}
+}
+
+type HandClock = Clock & {now: number; readonly due: Array<() => void>};
+
+/** Clock whose timers are called by hand, as late as a test wants. */
+function createHandClock(): HandClock {
+	const clock: HandClock = {
+		now: 0,
+		due: [],
+		getTime: () => clock.now,
+		getMonotonicTime: () => clock.now,
+		setTimer(callback) {
+			clock.due.push(callback);
+			return {close() {/* Late calls must do no harm. */}};
+		},
+		setRepeatingTimer: () => ({close() {/* Not used. */}}),
+	};
+	return clock;
+}
+
+const call = {
+	origin: 'http://u', method: 'POST', path: '/x', body: {a: 1}, timeoutMs: 150,
+} as const;
+
+test('an answer in parts is put together', async t => {
+	const dispatcher = new HeldDispatcher();
+	const outcome = callJson(dispatcher, createHandClock(), call);
+	dispatcher.answer(200, '{"a', '":"\u00E9"}');
+	t.deepEqual(await outcome, {kind: 'answered', status: 200, body: {a: '\u00E9'}});
+	const bad = callJson(dispatcher, createHandClock(), call);
+	dispatcher.answer(200, '{');
+	t.like(await bad, {kind: 'unanswered'});
+});
+
+test('a call without an answer is given up in time, and its connection with it', async t => {
+	const dispatcher = new HeldDispatcher();
+	const clock = createHandClock();
+	const outcome = callJson(dispatcher, clock, call);
+	clock.now = 151;
+	clock.due[0]!();
+	t.like(await outcome, {kind: 'unanswered'});
+	t.is(dispatcher.abortedCount, 1);
+});
+
+test('a process that was late itself reads the answer before it gives a call up', async t => {
+	const dispatcher = new HeldDispatcher();
+	const clock = createHandClock();
+	const outcome = callJson(dispatcher, clock, call);
+	clock.now = 400;
+	clock.due[0]!();
+	t.is(dispatcher.abortedCount, 0);
+	dispatcher.answer(200, '{}');
+	t.deepEqual(await outcome, {kind: 'answered', status: 200, body: {}});
+	const second = callJson(dispatcher, clock, call);
+	clock.now = 800;
+	clock.due[2]!();
+	clock.now = 951;
+	clock.due[3]!();
+	t.like(await second, {kind: 'unanswered'});
+});
--- a/test/platform/platform-deployment.ts
+++ b/test/platform/platform-deployment.ts
@@ -37,6 +37,8 @@
 	readonly store: PlatformStore;
 	readonly upstreams: readonly PlatformUpstream[];
 	readonly entryVms: PlatformEntryVm[] = [];
+	/** Adds an entry VM that is started. */
+	addEntryVm!: (dataCenter: string, vm: string) => Promise<PlatformEntryVm>;
 
 	constructor({store, upstreams}: {readonly store: PlatformStore; readonly upstreams: readonly PlatformUpstream[]}) {
 		this.store = store;
@@ -121,19 +123,33 @@
 
 	const deployment = new PlatformDeployment({store, upstreams});
 	deployment.setConfiguration(1);
+	deployment.addEntryVm = async (dataCenter, vm) => {
+		const entryVm = await createPlatformEntryVm({
+			settings: createSettings({
+				vm, dataCenter, peerAddress: `127.0.0.1:${await findFreePort()}`,
+			}), logger: createQuietLogger(), metricsPort: 0, clock, layoutSettleMs: 0,
+		});
+		deployment.entryVms.push(entryVm);
+		return entryVm;
+	};
+
 	const vms = dataCenters.flatMap(dataCenter => Array.from({length: vmsPerDataCenter}, (_, position) => ({dataCenter, vm: `edge-${dataCenter}-${position}`})));
 	const peerAddresses = await Promise.all(vms.map(async () => `127.0.0.1:${await findFreePort()}`));
 	for (const [position, {vm, dataCenter}] of vms.entries()) {
-		const settings: PlatformSettings = {
-			vm, dataCenter, dataCenters, ip: '127.0.0.1', callerAddress: '127.0.0.1:0', readinessAddress: '127.0.0.1:0',
-			peerAddress: peerAddresses[position]!, peerSeeds: peerAddresses, storeAddress: store.getAddress(), maxLeaseMs: 1000, stopGraceMs: 6000,
-		};
+		const settings = createSettings({vm, dataCenter, peerAddress: peerAddresses[position]!});
 		deployment.entryVms.push(await createPlatformEntryVm({
-			settings, logger: createQuietLogger(), metricsPort: 0, clock,
+			settings, logger: createQuietLogger(), metricsPort: 0, clock, layoutSettleMs: 0,
 		}));
 	}
 
 	return deployment;
+
+	function createSettings(own: Pick<PlatformSettings, 'vm' | 'dataCenter' | 'peerAddress'>): PlatformSettings {
+		return {
+			...own, dataCenters, ip: '127.0.0.1', callerAddress: '127.0.0.1:0', readinessAddress: '127.0.0.1:0',
+			peerSeeds: peerAddresses, storeAddress: store.getAddress(), cores: 1, maxLeaseMs: 1000, stopGraceMs: 6000,
+		};
+	}
 }
 
 function createQuietLogger(): bunyan {
--- a/test/platform/platform-entry-vm.test.ts
+++ b/test/platform/platform-entry-vm.test.ts
@@ -95,3 +95,29 @@
 	t.is(leaving!.getStarts().length, before);
 	await deployment.close();
 });
+
+test('a data centre with many upstreams has several pools, which share the starts and lend each other room', async t => {
+	const deployment = await createPlatformDeployment({vmsPerDataCenter: 3, upstreamsPerDataCenter: 24});
+	await deployment.waitUntilReady();
+	t.is(deployment.store.getText('layout/dc1'), '{"pools":2}');
+	const answers = await Promise.all(Array.from({length: 12}, async (_, index) => deployment.submit(index % 3, `00000000000002${String(index).padStart(2, '0')}`, {taskCount: 3})));
+	t.true(answers.every(({status}) => status === 200));
+	// Wider than either pool.
+	t.like(await deployment.submit(0, '0000000000000301', {taskCount: 40}), {status: 200, state: 'completed'});
+	const starts = deployment.upstreams.flatMap(upstream => upstream.getStarts());
+	t.is(starts.length, 76);
+	t.is(new Set(starts.map(({task}) => task)).size, 76);
+	t.true(deployment.entryVms.filter(entryVm => entryVm.isOwner()).length >= 2);
+	await deployment.close();
+});
+
+test('a VM that cannot read the number of pools learns it from the others', async t => {
+	const deployment = await createPlatformDeployment({vmsPerDataCenter: 2, upstreamsPerDataCenter: 20});
+	await deployment.waitUntilReady();
+	t.true(deployment.entryVms.every(entryVm => entryVm.getPoolCount() === 2));
+	deployment.store.setText('layout/dc1', 'not a number');
+	const added = await deployment.addEntryVm('dc1', 'edge-dc1-9');
+	await waitFor(() => added.isReady() && added.getPoolCount() === 2);
+	t.pass();
+	await deployment.close();
+});
--- a/test/pool/decisions.test.ts
+++ b/test/pool/decisions.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {
-	type AdmissionInput, canMeetObjective, chooseUpstream, decideAdmission, DurationEstimator, electOwner, findRoute, getChainMs, isOverdue, type JobStep,
+	type AdmissionInput, canMeetObjective, chooseUpstream, decideAdmission, DurationEstimator, electOwners, findRoute, getChainMs, getPoolNames, isOverdue, type JobStep,
 	type OrderedJob, type PlacementCandidate, type PoolView, sortByUrgency, sortPools, type Candidate,
 } from '../../src/pool/index.js';
 
@@ -105,31 +105,50 @@
 
 function createVm(id: string, options: Partial<Candidate> = {}): Candidate {
 	return {
-		id, dataCenter: 'dc1', isUp: true, isLeaving: false, claims: {}, ...options,
+		id, dataCenter: 'dc1', cores: 1, isUp: true, isLeaving: false, claims: {}, ...options,
 	};
 }
 
 test('an owner keeps its pool when VMs come and go', t => {
 	const owner = createVm('b', {claims: {dc1: 7}});
-	t.is(electOwner('dc1', [createVm('a'), owner, createVm('c')])?.id, 'b');
-	t.is(electOwner('dc1', [createVm('a'), {...owner, isUp: false}, createVm('c')])?.id, 'a');
+	t.is(electOwners(['dc1'], [createVm('a'), owner, createVm('c')]).get('dc1')?.id, 'b');
+	t.is(electOwners(['dc1'], [createVm('a'), {...owner, isUp: false}, createVm('c')]).get('dc1')?.id, 'a');
 });
 
 test('of two owners the one with the higher fence stays', t => {
-	t.is(electOwner('dc1', [createVm('a', {claims: {dc1: 3}}), createVm('b', {claims: {dc1: 7}})])?.id, 'b');
+	t.is(electOwners(['dc1'], [createVm('a', {claims: {dc1: 3}}), createVm('b', {claims: {dc1: 7}})]).get('dc1')?.id, 'b');
 });
 
 test('a VM that leaves hands its pool on, unless it is the last', t => {
 	const leaving = createVm('a', {isLeaving: true, claims: {dc1: 3}});
-	t.is(electOwner('dc1', [leaving, createVm('b')])?.id, 'b');
-	t.is(electOwner('dc1', [leaving])?.id, 'a');
+	t.is(electOwners(['dc1'], [leaving, createVm('b')]).get('dc1')?.id, 'b');
+	t.is(electOwners(['dc1'], [leaving]).get('dc1')?.id, 'a');
 });
 
 test('a pool without VMs of its own is taken from elsewhere, and given back', t => {
 	const far = createVm('f', {dataCenter: 'dc2', claims: {dc1: 9, dc2: 1}});
-	t.is(electOwner('dc1', [far])?.id, 'f');
-	t.is(electOwner('dc1', [far, createVm('a')])?.id, 'a');
-	t.is(electOwner('dc1', []), undefined);
+	t.is(electOwners(['dc1'], [far]).get('dc1')?.id, 'f');
+	t.is(electOwners(['dc1'], [far, createVm('a')]).get('dc1')?.id, 'a');
+	t.is(electOwners(['dc1'], []).get('dc1'), undefined);
+});
+
+test('pools without an owner go to VMs in proportion to their cores', t => {
+	const large = createVm('z', {cores: 1.35});
+	const small = ['a', 'b', 'c'].map(id => createVm(id, {cores: 0.324}));
+	const pools = getPoolNames('dc1', 6);
+	const elected = electOwners(pools, [...small, large]);
+	const counts = [large, ...small].map(vm => [...elected.values()].filter(({id}) => id === vm.id).length);
+	t.deepEqual(counts, [4, 1, 1, 0]);
+	t.deepEqual(electOwners(pools, [large, ...small]), elected);
+});
+
+test('when an owner dies, its pools go to the VMs that have least to do, and the others stay', t => {
+	const pools = getPoolNames('dc1', 4);
+	const claim = (...positions: readonly number[]) => Object.fromEntries(positions.map(position => [pools[position]!, position + 1]));
+	const busy = createVm('a', {claims: claim(0, 1)});
+	const dead = createVm('b', {isUp: false, claims: claim(2, 3)});
+	const elected = electOwners(pools, [busy, dead, createVm('c'), createVm('d')]);
+	t.deepEqual(pools.map(pool => elected.get(pool)?.id), ['a', 'a', 'c', 'd']);
 });
 
 function createView(pool: string, options: Partial<PoolView> = {}): PoolView {
--- a/test/pool/lending.test.ts
+++ b/test/pool/lending.test.ts
@@ -133,7 +133,7 @@
 	}
 
 	await clock.advance(300);
-	before.close({kind: 'moved'});
+	before.close();
 	await clock.advance(5000);
 	t.deepEqual(outcomes.get('wide'), {kind: 'completed'});
 	t.deepEqual(upstreams.getDoubleRuns(), []);
@@ -172,11 +172,28 @@
 
 test('a job goes to a pool with room for all of it, and to the common queue where none has', t => {
 	const need = {cpu: 10_000, isBound: false, asked: new Set<string>()};
-	t.is(choosePool([view('a', {}), view('b', {freeCpu: 12_000}), view('c', {isNear: true})], need)?.pool, 'b');
-	t.is(choosePool([view('a', {cores: 0}), view('b', {freeCpu: 8000}), view('c', {isNear: true})], need)?.pool, 'b');
-	t.is(choosePool([view('a', {queuedWork: 9000}), view('b', {}), view('c', {isNear: true})], need)?.pool, 'a');
-	t.is(choosePool([view('a', {queuedWork: 9000}), view('b', {}), view('c', {isNear: true})], {...need, isBound: true})?.pool, 'c');
-	t.is(choosePool([view('a', {}), view('b', {}), view('c', {isNear: true})], {...need, asked: new Set(['a'])})?.pool, 'c');
+	const random = createSeededRandom(1);
+	t.is(choosePool([view('a', {}), view('b', {freeCpu: 12_000}), view('c', {isNear: true})], need, random)?.pool, 'b');
+	t.is(choosePool([view('a', {cores: 0}), view('b', {freeCpu: 8000}), view('c', {isNear: true})], need, random)?.pool, 'b');
+	t.is(choosePool([view('a', {queuedWork: 9000}), view('b', {}), view('c', {isNear: true})], need, random)?.pool, 'a');
+	t.is(choosePool([view('a', {queuedWork: 9000}), view('b', {}), view('c', {isNear: true})], {...need, isBound: true}, random)?.pool, 'c');
+	t.is(choosePool([view('a', {}), view('b', {}), view('c', {isNear: true})], {...need, asked: new Set(['a'])}, random)?.pool, 'c');
+});
+
+test('where a data centre has several pools, jobs spread over those with room, and wait in one of its queues', t => {
+	const need = {cpu: 10_000, isBound: false, asked: new Set<string>()};
+	const random = createSeededRandom(1);
+	const near = [0, 1, 2].map(position => view(`b#${position}/3`, {isNear: true, freeCpu: 20_000 + (position * 1000)}));
+	const views = [view('a', {freeCpu: 90_000}), ...near];
+	const chosen = Array.from({length: 300}, () => choosePool(views, need, random)!.pool);
+	for (const [position, least] of [20, 70, 130].entries()) {
+		t.true(chosen.filter(pool => pool === `b#${position}/3`).length > least);
+	}
+
+	t.false(chosen.includes('a'));
+	const full = near.map(pool => ({...pool, freeCpu: 5000}));
+	t.is(choosePool([view('a', {freeCpu: 90_000}), ...full], need, random)?.pool, 'a');
+	t.is(choosePool([view('a', {freeCpu: 5000}), ...full], need, random)?.pool, 'b#0/3');
 });
 
 test('at overload, more jobs are in time with one common queue than with a queue a pool', async t => {
--- a/test/pool/load-news.test.ts
+++ b/test/pool/load-news.test.ts
@@ -16,10 +16,12 @@
 function createDirectory(): {readonly clock: ManualClock; readonly directory: PoolDirectory; readonly getRooms: () => readonly number[] | undefined} {
 	const clock = new ManualClock();
 	const owner: Candidate = {
-		id: 'b-1', dataCenter: 'b', isUp: true, isLeaving: false, claims: {b: 1},
+		id: 'b-1', dataCenter: 'b', cores: 1, isUp: true, isLeaving: false, claims: {b: 1},
 	};
+	const candidates = [owner];
+	const pools = ['a', 'b'];
 	const directory = new PoolDirectory({
-		clock, dataCenter: 'a', pools: ['b', 'a'], getCandidates: () => [owner],
+		clock, dataCenter: 'a', getPools: () => pools, getCandidates: () => candidates,
 	});
 	directory.addClaims({b: {fence: 1, load: idle}});
 	return {clock, directory, getRooms: () => directory.getViews().find(({pool}) => pool === 'b')?.rooms};
@@ -66,6 +68,7 @@
 	};
 	const teller = new LoadTeller({
 		clock,
+		hasQueue: () => fixture.load.queuedWork > 0,
 		getLoad: () => fixture.load,
 		getOthers: () => fixture.others,
 		send(pool) {
--- a/test/pool/pool-owner.test.ts
+++ b/test/pool/pool-owner.test.ts
@@ -113,9 +113,9 @@
 	const first = harness.createOwner();
 	harness.submit(first, 'a', {step: {taskCount: 6}});
 	await harness.clock.advance(30);
-	first.close({kind: 'moved'});
+	first.close();
 	await harness.clock.advance(0);
-	t.deepEqual(harness.outcomes.get('a'), {kind: 'moved'});
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'moved', hasStarted: true});
 	const second = harness.createOwner();
 	harness.submit(second, 'a', {step: {taskCount: 6}, priorFence: first.getFence()});
 	await harness.clock.advance(200);
@@ -128,7 +128,7 @@
 	const first = harness.createOwner();
 	harness.submit(first, 'a', {step: {taskCount: 6}});
 	await harness.clock.advance(50);
-	first.close({kind: 'moved'});
+	first.close();
 	await harness.clock.advance(100);
 	const second = harness.createOwner();
 	harness.submit(second, 'a', {step: {taskCount: 6}, priorFence: first.getFence()});
@@ -144,7 +144,7 @@
 	const far = harness.createOwner();
 	harness.submit(far, 'a', {step: {taskCount: 4}});
 	await harness.clock.advance(20);
-	far.close({kind: 'moved'});
+	far.close();
 	await harness.clock.advance(0);
 	harness.submit(near, 'a', {step: {taskCount: 4}, priorFence: far.getFence()});
 	await harness.clock.advance(400);
@@ -161,7 +161,7 @@
 	await harness.clock.advance(20);
 	const [start] = harness.upstreams.starts;
 	harness.faults[start!.upstream === 'u0' ? 0 : 1]!.isCutOff = true;
-	first.close({kind: 'moved'});
+	first.close();
 	await harness.clock.advance(0);
 	const second = harness.createOwner();
 	harness.submit(second, 'a', {priorFence: first.getFence(), remainingMs: 10_000});
@@ -175,7 +175,7 @@
 	const first = harness.createOwner();
 	harness.submit(first, 'a', {step: {taskCount: 2}});
 	await harness.clock.advance(30);
-	first.close({kind: 'moved'});
+	first.close();
 	harness.createOwner();
 	await harness.clock.advance(800);
 	t.deepEqual(harness.upstreams.starts.map(({end}) => end), ['stopped', 'stopped']);
@@ -202,7 +202,7 @@
 	const first = harness.createOwner();
 	harness.submit(first, 'a', {step: {estimateMs: 800, taskCount: 3}, remainingMs: 10_000});
 	await harness.clock.advance(30);
-	first.close({kind: 'moved'});
+	first.close();
 	harness.isListKnown = false;
 	const second = harness.createOwner([]);
 	harness.submit(second, 'a', {step: {estimateMs: 800, taskCount: 3}, priorFence: first.getFence(), remainingMs: 10_000});
--- a/test/process/scheduler/scheduler-harness.ts
+++ b/test/process/scheduler/scheduler-harness.ts
@@ -165,6 +165,6 @@
 
 export function toMembers(incarnations: readonly Incarnation[], state: Member['state'] = 'up'): readonly Member[] {
 	return incarnations.map(incarnation => ({
-		incarnation, state, isLeaving: false, peerAddress: '127.0.0.1:1', configurationVersion: 1,
+		incarnation, state, isLeaving: false, peerAddress: '127.0.0.1:1', configurationVersion: 1, claims: {}, cores: 1,
 	}));
 }
