Size pools by the cores of a usual VM

Cause: on VMs of 0.12 of a core, owners of 12 upstreams were at 0.086 of a core at most while the mean was 0.045. Change: 40 upstreams for each core of the median VM of a data centre, 4 to 12 a pool.

--- a/src/platform/layout-keeper.ts
+++ b/src/platform/layout-keeper.ts
@@ -18,6 +18,8 @@
 	readonly dataCenter: string;
 	/** Data centres of the deployment. */
 	readonly dataCenters: readonly string[];
+	/** Gets the cores of a usual entry VM of this data centre. */
+	readonly getUsualCores: () => number;
 	/** Gets whether this VM is the one of its data centre that decides. */
 	readonly isDecider: () => boolean;
 	/** Time for which the number of upstreams must not change before it is decided upon, in milliseconds. */
@@ -105,7 +107,7 @@
 			return;
 		}
 
-		const pools = getPoolCount(count);
+		const pools = getPoolCount(count, this.#options.getUsualCores());
 		const result = await store.addItem(`${prefix}${dataCenter}`, JSON.stringify({pools}));
 		if (!result.ok) {
 			// A write without an answer may have been carried out; the next read tells.
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -127,6 +127,7 @@
 		const {vm: name, dataCenter, peerAddress, callerAddress} = settings;
 		this.#layoutKeeper = new LayoutKeeper({
 			...parts, layout: this.#layout, upstreams: this.#upstreams, dataCenter, dataCenters: settings.dataCenters, settleMs,
+			getUsualCores: () => this.#getUsualCores(),
 			isDecider: () => this.#isFirstOfDataCenter(),
 		});
 		this.#registry = new VmRegistry({
@@ -365,6 +366,13 @@
 		return item && {ownerId: item.value, revision: item.revision};
 	}
 
+	/** Gets the median of the cores of the VMs seen in this data centre. */
+	#getUsualCores(): number {
+		const near = this.#mesh.getMembers().filter(({incarnation, state}) => state === 'up' && incarnation.dataCenter === this.#self.dataCenter);
+		const cores = [this.#settings.cores, ...near.map(member => member.cores)].toSorted((a, b) => a - b);
+		return cores[Math.floor(cores.length / 2)]!;
+	}
+
 	/** Gets whether this VM has the first name of those of its data centre that are seen here. */
 	#isFirstOfDataCenter(): boolean {
 		const {vm, dataCenter} = this.#self;
--- a/src/pool/pool-layout.ts
+++ b/src/pool/pool-layout.ts
@@ -3,11 +3,15 @@
  * the number of pools follows from the number of upstreams, and each pool has an owner of its own.
  */
 
+/** Bounds of the number of upstreams of a pool: wide jobs, of up to 32 tasks, should often find room in one; all should in a few. */
+const leastPoolSize = 4;
+const largestPoolSize = 12;
+
 /**
- * Upstreams of a pool. Owners spent 2 ms of processor time on a start, and the users' sites start 8 tasks a second on an upstream:
- * 12 upstreams take a fifth of a core. Fewer would leave wide jobs, of up to 32 tasks, more often without room in one pool.
+ * Upstreams for each core of an owner: the users' sites start 5 to 8 tasks a second on an upstream, and a start took an owner 2 to
+ * 3 ms, so that this is three quarters of its processor time.
  */
-export const upstreamsPerPool = 12;
+const upstreamsPerCore = 40;
 
 /** Separates a data centre from the position of a pool and the number of pools in the name of a pool. */
 const separator = '#';
@@ -15,9 +19,11 @@
 /**
  * Gets the number of pools for a data centre.
  * @param upstreamCount - Upstreams of the data centre.
+ * @param cores - Cores of a usual entry VM there.
  */
-export function getPoolCount(upstreamCount: number): number {
-	return Math.max(1, Math.round(upstreamCount / upstreamsPerPool));
+export function getPoolCount(upstreamCount: number, cores: number): number {
+	const poolSize = Math.min(largestPoolSize, Math.max(leastPoolSize, upstreamsPerCore * cores));
+	return Math.max(1, Math.round(upstreamCount / poolSize));
 }
 
 /**
--- a/test/pool/pool-layout.test.ts
+++ b/test/pool/pool-layout.test.ts
@@ -4,8 +4,9 @@
 	getDataCenter, getPoolCount, getPoolNames, getPoolOfUpstream, getPoolPosition, isNeighbourPool, PoolLayout,
 } from '../../src/pool/index.js';
 
-test('the number of pools follows from the number of upstreams', t => {
-	t.deepEqual([0, 1, 11, 17, 18, 76, 108].map(count => getPoolCount(count)), [1, 1, 1, 1, 2, 6, 9]);
+test('the number of pools follows from the number of upstreams and what a VM can do', t => {
+	t.deepEqual([0, 1, 11, 17, 18, 76, 108].map(count => getPoolCount(count, 0.675)), [1, 1, 1, 1, 2, 6, 9]);
+	t.deepEqual([0.05, 0.1, 0.2, 0.324, 4].map(cores => getPoolCount(48, cores)), [12, 12, 6, 4, 4]);
 });
 
 test('the name of a pool tells its data centre, its position and how many there are', t => {
