Take jobs into own pools first, and elect on changes of members

Cause: each job that another VM's pool takes costs both VMs a message and its answer, and elections each 25 ms woke every process 40 times a second. Change: a near pool that this VM owns is chosen where it has room; its load is read, not told. Elections follow changes of members and else come each 100 ms. A VM without pools that sees several owners watches the configuration every 4 s and hears of changes from them.

--- a/src/platform/configuration-watch.ts
+++ b/src/platform/configuration-watch.ts
@@ -12,6 +12,9 @@
 /** Longest wait for a change, in milliseconds: a watch that fell silent is opened anew well within the 2 s a change may take. */
 const watchWaitMs = 1000;
 
+/** The same on a VM whose peers tell it of a change as soon, in milliseconds; each watch is a priced call. */
+const backedWaitMs = 4000;
+
 const firstRetryMs = 50;
 const maxRetryMs = 300;
 
@@ -20,6 +23,8 @@
 	readonly clock: Clock;
 	readonly log: DecisionLog;
 	readonly store: StoreClient;
+	/** Gets whether peers that follow the store closely tell this VM of new versions. */
+	readonly isBacked?: () => boolean;
 };
 
 /** Keeps the newest configuration; versions only rise. */
@@ -100,7 +105,8 @@
 	}
 
 	async #watch(after: number): Promise<number | undefined> {
-		const result = await this.#options.store.getChanges(configurationKey, after, watchWaitMs);
+		const {store, isBacked = () => false} = this.#options;
+		const result = await store.getChanges(configurationKey, after, isBacked() ? backedWaitMs : watchWaitMs);
 		if (!result.ok) {
 			if (result.reason !== 'history-lost') {
 				await this.#handleFault(result);
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -116,7 +116,7 @@
 		this.#store = new StoreClient({address: settings.storeAddress, clock});
 		this.#orders = new HttpOrders({clock});
 		const parts = {clock, log: this.#log, store: this.#store};
-		this.#configuration = new ConfigurationWatch(parts);
+		this.#configuration = new ConfigurationWatch({...parts, isBacked: () => this.#node.isBacked()});
 		this.#upstreams = new UpstreamList({
 			...parts,
 			layout: this.#layout,
--- a/src/platform/upstream-list.ts
+++ b/src/platform/upstream-list.ts
@@ -31,6 +31,8 @@
 	readonly dataCenter: string;
 	readonly value: string;
 	upstream: UpstreamDescription | undefined;
+	/** Pool, worked out when it is first asked for; it does not change, since the number of pools stays. */
+	pool: string | undefined;
 };
 
 /** Keeps the upstreams of all data centres as last heard. */
@@ -59,7 +61,14 @@
 			return [];
 		}
 
-		const wanted = [...this.#entries].filter(([key, entry]) => entry.dataCenter === dataCenter && getPoolOfUpstream(getId(key), pools) === pool);
+		const wanted = [...this.#entries].filter(([key, entry]) => {
+			if (entry.dataCenter !== dataCenter) {
+				return false;
+			}
+
+			entry.pool ??= getPoolOfUpstream(getId(key), pools);
+			return entry.pool === pool;
+		});
 		return wanted.flatMap(([key, entry]) => this.#decode(key, entry) ?? []);
 	}
 
@@ -144,7 +153,9 @@
 		}
 
 		for (const upstream of upstreams) {
-			this.#entries.set(`${upstreamPrefix}${upstream.id}`, {dataCenter: upstream.dataCenter, value: '', upstream});
+			this.#entries.set(`${upstreamPrefix}${upstream.id}`, {
+				dataCenter: upstream.dataCenter, value: '', upstream, pool,
+			});
 		}
 
 		this.#options.onChange();
@@ -199,7 +210,10 @@
 			return;
 		}
 
-		this.#entries.set(key, {dataCenter, value, upstream: undefined});
+		const last = this.#entries.get(key);
+		this.#entries.set(key, {
+			dataCenter, value, upstream: undefined, pool: last?.dataCenter === dataCenter ? last.pool : undefined,
+		});
 	}
 
 	#decode(key: string, entry: Entry): UpstreamDescription | undefined {
--- a/src/pool/pool-choice.ts
+++ b/src/pool/pool-choice.ts
@@ -11,6 +11,8 @@
 export type PoolView = {
 	readonly pool: string;
 	readonly isNear: boolean;
+	/** Whether this VM owns it, so that a job there needs no way between VMs. */
+	readonly isOwn: boolean;
 	readonly ownerId: string;
 	/** Cores of the upstreams that take new tasks. */
 	readonly cores: number;
@@ -76,7 +78,7 @@
 	}
 
 	const roomy = near.filter(({pool, freeCpu}) => freeCpu >= job.cpu && !job.asked.has(pool));
-	return roomy.length > 0 ? pickRoomier(roomy, random) : chooseAmongAll(views, near, job);
+	return roomy.find(({isOwn}) => isOwn) ?? (roomy.length > 0 ? pickRoomier(roomy, random) : chooseAmongAll(views, near, job));
 }
 
 /**
--- a/src/pool/pool-directory.ts
+++ b/src/pool/pool-directory.ts
@@ -12,12 +12,16 @@
 /** Options of {@link PoolDirectory}. */
 export type PoolDirectoryOptions = {
 	readonly clock: Clock;
+	/** Identifier of this process. */
+	readonly selfId: string;
 	/** Data centre of this VM. */
 	readonly dataCenter: string;
 	/** Gets the names of the pools known, in the same order on all entry VMs. */
 	readonly getPools: () => readonly string[];
 	/** Gets all entry VMs known, this one included; the same list as long as nothing of it changed. */
 	readonly getCandidates: () => readonly Candidate[];
+	/** Gets the load of a pool that is owned here, which is known without being told. */
+	readonly getOwnLoad?: (pool: string) => PoolLoad | undefined;
 };
 
 /** Work on its way to a pool, or just arrived there. */
@@ -146,7 +150,7 @@
 	 * @param pools - Pools to look at; all where it is absent.
 	 */
 	getViews(pools = this.getPools()): ReadonlyArray<PoolView & {readonly ageMs: number}> {
-		const {clock, dataCenter} = this.#options;
+		const {clock, dataCenter, selfId} = this.#options;
 		const {owners} = this.#elect();
 		return pools.flatMap(pool => {
 			const owner = owners.get(pool);
@@ -154,13 +158,14 @@
 				return [];
 			}
 
-			const {load, heardAt, sent} = this.#knowledge.get(pool) ?? {load: noLoad, heardAt: 0, sent: []};
+			const {load, heardAt, sent} = this.#getKnowledge(pool);
 			const sentCpu = sent.reduce((sum, {cpu}) => sum + cpu, 0);
 			const sentWork = sent.reduce((sum, {work}) => sum + work, 0);
 			const overflowWork = sentCpu > load.freeCpu ? sentWork : 0;
 			return [{
 				pool,
 				isNear: getDataCenter(pool) === dataCenter,
+				isOwn: owner.id === selfId,
 				ownerId: owner.id,
 				cores: load.cores,
 				freeCpu: load.freeCpu - sentCpu,
@@ -171,6 +176,13 @@
 		});
 	}
 
+	#getKnowledge(pool: string): Readonly<Knowledge> {
+		const own = this.#options.getOwnLoad?.(pool);
+		return own === undefined
+			? this.#knowledge.get(pool) ?? {load: noLoad, heardAt: 0, sent: []}
+			: {load: own, heardAt: this.#options.clock.getMonotonicTime(), sent: []};
+	}
+
 	#addSent(pool: string, sequence: number, cpu: number, work: number): void {
 		const known = this.#knowledge.get(pool);
 		if (known !== undefined) {
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -1,6 +1,7 @@
 /**
  * One entry VM's part in the pools: it owns those that it is elected for, and brings callers' jobs to the owners.
  */
+import {type Subscription} from 'most';
 import {
 	type Incarnation, type Member, type PeerNetwork, type PeerRequest, type RequestAbortReason,
 } from '../connection/index.js';
@@ -47,8 +48,11 @@
 	readonly maxLeaseMs: number;
 };
 
-/** Time between elections, in milliseconds: a quarter of a heartbeat. */
-const electionMs = 25;
+/** Time between elections where no VM changed its state, in milliseconds: a heartbeat. A change is followed by one at once. */
+const electionMs = 100;
+
+/** The same until this process may take part, in milliseconds: after a loss of all VMs, callers wait for the first owner. */
+const firstElectionMs = 25;
 
 /** Time without any VM in a pool's data centre before another one takes the pool, in milliseconds: VMs restart within it. */
 const farTakeoverMs = 1500;
@@ -93,7 +97,8 @@
 	#assertedAt = 0;
 	readonly #lending: PoolLending;
 	readonly #router: PoolRouter;
-	readonly #timer: Timer;
+	readonly #subscription: Subscription<unknown>;
+	#timer: Timer;
 	/** Candidates, and what they were made of. */
 	#candidates: {readonly members: readonly Member[]; readonly ownKey: string; readonly list: readonly Candidate[]} | undefined;
 	#paces = new Map<string, number>();
@@ -104,9 +109,11 @@
 		this.#options = options;
 		this.directory = new PoolDirectory({
 			clock: options.clock,
+			selfId: options.self.id,
 			dataCenter: options.self.dataCenter,
 			getPools: () => options.layout.getPools(),
 			getCandidates: () => this.#getCandidates(),
+			getOwnLoad: pool => this.#owned.get(pool)?.getLoad(),
 		});
 		this.#lending = new PoolLending({
 			clock: options.clock,
@@ -128,9 +135,16 @@
 			isInhabited: pool => this.#isInhabited(pool),
 			isYielding: () => this.#yielded.size > 0,
 		});
-		this.#timer = options.clock.setRepeatingTimer(() => {
-			this.#elect();
-		}, electionMs);
+		this.#timer = this.#setTimer();
+		this.#subscription = options.peers.getMemberStream().subscribe({
+			next: () => {
+				this.#elect();
+			},
+			error(err) {
+				options.log.warn({err: err.message}, 'the stream of members failed');
+			},
+			complete() {/* The links are closed. */},
+		});
 	}
 
 	/** Gets what heartbeats tell of the pools owned here. */
@@ -200,9 +214,17 @@
 		}
 	}
 
+	/** Gets whether this VM owns nothing and sees several owners in its data centre, which follow the store closely. */
+	isBacked(): boolean {
+		const {self} = this.#options;
+		const owners = this.#getCandidates().filter(({dataCenter, isUp, claims}) => isUp && dataCenter === self.dataCenter && Object.keys(claims).length > 0);
+		return this.#owned.size === 0 && owners.length > 1;
+	}
+
 	/** Begins a planned stop: the pools go to other VMs, jobs are still brought to their owners. */
 	leave(): void {
 		this.#isLeaving = true;
+		this.#elect();
 	}
 
 	/** Gets whether no pool is owned here. */
@@ -241,6 +263,7 @@
 	close(): void {
 		this.#isClosed = true;
 		this.#timer.close();
+		this.#subscription.unsubscribe();
 		for (const pool of this.#owned.keys()) {
 			this.#release(pool);
 		}
@@ -300,9 +323,15 @@
 		});
 	}
 
+	#setTimer(): Timer {
+		const {clock, isSettled} = this.#options;
+		return clock.setTimer(() => {
+			this.#timer = this.#setTimer();
+			this.#elect();
+		}, isSettled() ? electionMs : firstElectionMs);
+	}
+
 	#elect(): void {
-		// The load of a pool owned here is known at once; no heartbeat tells it.
-		this.directory.addClaims(this.getClaims());
 		const now = this.#options.clock.getMonotonicTime();
 		if (this.#isClosed || !this.#options.isSettled()) {
 			return;
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -49,7 +49,7 @@
 };
 
 /** Time between looks for overdue runs and hopeless jobs, in milliseconds: a fraction of the shortest task. */
-const sweepMs = 10;
+const sweepMs = 20;
 
 /** Share of the objective after which a job that waits is judged once more: soon enough for its caller to go elsewhere. */
 const secondLookShare = 0.18;
--- a/src/testing/simulated-pools.ts
+++ b/src/testing/simulated-pools.ts
@@ -57,10 +57,11 @@
 	/**
 	 * Creates what an entry VM knows of the pools.
 	 * @param dataCenter - Its data centre.
+	 * @param selfId - Identifier of the VM.
 	 */
-	createDirectory(dataCenter: string): PoolDirectory {
+	createDirectory(dataCenter: string, selfId = ''): PoolDirectory {
 		const directory = new PoolDirectory({
-			clock: this.#options.clock, dataCenter, getPools: () => this.pools, getCandidates: () => this.#getCandidates(),
+			clock: this.#options.clock, selfId, dataCenter, getPools: () => this.pools, getCandidates: () => this.#getCandidates(),
 		});
 		this.#directories.add(directory);
 		return directory;
@@ -77,7 +78,7 @@
 		const fence = this.#fence;
 		const vm = `${pool}-${fence}`;
 		const before = this.#offices.get(pool)?.fence ?? 0;
-		const directory = this.createDirectory(pool);
+		const directory = this.createDirectory(pool, vm);
 		const lending: PoolLending = new PoolLending({
 			clock,
 			log,
--- a/test/pool/decisions.test.ts
+++ b/test/pool/decisions.test.ts
@@ -153,7 +153,7 @@
 
 function createView(pool: string, options: Partial<PoolView> = {}): PoolView {
 	return {
-		pool, isNear: false, ownerId: pool, cores: 200, freeCpu: 50_000, rooms: [24_000, 24_000], queuedWork: 0, ...options,
+		pool, isNear: false, isOwn: false, ownerId: pool, cores: 200, freeCpu: 50_000, rooms: [24_000, 24_000], queuedWork: 0, ...options,
 	};
 }
 
--- a/test/pool/lending.test.ts
+++ b/test/pool/lending.test.ts
@@ -167,7 +167,7 @@
 });
 
 const view = (pool: string, options: Partial<PoolView>): PoolView => ({
-	pool, isNear: false, ownerId: pool, cores: 100, freeCpu: 0, rooms: [], queuedWork: 0, ...options,
+	pool, isNear: false, isOwn: false, ownerId: pool, cores: 100, freeCpu: 0, rooms: [], queuedWork: 0, ...options,
 });
 
 test('a job goes to a pool with room for all of it, and to the common queue where none has', t => {
@@ -191,6 +191,10 @@
 	}
 
 	t.false(chosen.includes('a'));
+	// A job that its own VM can start needs no way to another one.
+	const own = near.map((pool, position) => ({...pool, isOwn: position === 0}));
+	t.is(choosePool(own, need, random)?.pool, 'b#0/3');
+	t.not(choosePool(own, {...need, cpu: 20_500}, random)?.pool, 'b#0/3');
 	const full = near.map(pool => ({...pool, freeCpu: 5000}));
 	t.is(choosePool([view('a', {freeCpu: 90_000}), ...full], need, random)?.pool, 'a');
 	t.is(choosePool([view('a', {freeCpu: 5000}), ...full], need, random)?.pool, 'b#0/3');
--- a/test/pool/load-news.test.ts
+++ b/test/pool/load-news.test.ts
@@ -21,7 +21,7 @@
 	const candidates = [owner];
 	const pools = ['a', 'b'];
 	const directory = new PoolDirectory({
-		clock, dataCenter: 'a', getPools: () => pools, getCandidates: () => candidates,
+		clock, selfId: 'a-1', dataCenter: 'a', getPools: () => pools, getCandidates: () => candidates,
 	});
 	directory.addClaims({b: {fence: 1, load: idle}});
 	return {clock, directory, getRooms: () => directory.getViews().find(({pool}) => pool === 'b')?.rooms};
@@ -80,7 +80,7 @@
 
 function createView(pool: string, queuedWork: number): PoolView {
 	return {
-		pool, isNear: false, ownerId: pool, cores: 64, freeCpu: 0, rooms: [], queuedWork,
+		pool, isNear: false, isOwn: false, ownerId: pool, cores: 64, freeCpu: 0, rooms: [], queuedWork,
 	};
 }
 
