Split the candidates for pools from the pool node

Change: PoolCandidates keeps the list, made anew only on changes, and what follows from it, with tests. Conclusion: none beyond the split.

--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -3,13 +3,12 @@
  */
 import {type Subscription} from 'most';
 import {
-	type Incarnation, type Member, type PeerNetwork, type PeerRequest, type RequestAbortReason,
+	type Incarnation, type PeerNetwork, type PeerRequest, type RequestAbortReason,
 } from '../connection/index.js';
 import {type Clock, type Random, type Timer} from '../seams/index.js';
 import {type DecisionLog} from './decision-log.js';
-import {getBeatFactor} from './beat-pace.js';
+import {PoolCandidates} from './pool-candidates.js';
 import {PoolDirectory} from './pool-directory.js';
-import {type Candidate} from './pool-election.js';
 import {type PoolJobOutcome, type PoolJobRequest} from './pool-job.js';
 import {getDataCenter, type PoolLayout} from './pool-layout.js';
 import {PoolLending} from './pool-lending.js';
@@ -95,24 +94,27 @@
 	/** Pools taken over while no other VM was seen. */
 	readonly #takenAlone = new Set<string>();
 	#assertedAt = 0;
+	readonly #candidates: PoolCandidates;
 	readonly #lending: PoolLending;
 	readonly #router: PoolRouter;
 	readonly #subscription: Subscription<unknown>;
 	#timer: Timer;
-	/** Candidates, and what they were made of. */
-	#candidates: {readonly members: readonly Member[]; readonly ownKey: string; readonly list: readonly Candidate[]} | undefined;
-	#paces = new Map<string, number>();
 	#isLeaving = false;
 	#isClosed = false;
 
 	constructor(options: PoolNodeOptions) {
 		this.#options = options;
+		this.#candidates = new PoolCandidates({
+			...options,
+			getOwned: () => [...this.#owned].map(([pool, owner]) => [pool, owner.getFence()]),
+			isLeaving: () => this.#isLeaving,
+		});
 		this.directory = new PoolDirectory({
 			clock: options.clock,
 			selfId: options.self.id,
 			dataCenter: options.self.dataCenter,
 			getPools: () => options.layout.getPools(),
-			getCandidates: () => this.#getCandidates(),
+			getCandidates: () => this.#candidates.getList(),
 			getOwnLoad: pool => this.#owned.get(pool)?.getLoad(),
 		});
 		this.#lending = new PoolLending({
@@ -165,11 +167,7 @@
 	 * @param peer - The VM.
 	 */
 	getBeatFactor(peer: Incarnation): number {
-		this.#getCandidates();
-		const known = this.#paces.get(peer.id);
-		const factor = known ?? this.#createBeatFactor(peer);
-		this.#paces.set(peer.id, factor);
-		return factor;
+		return this.#candidates.getBeatFactor(peer);
 	}
 
 	/**
@@ -216,9 +214,7 @@
 
 	/** Gets whether this VM owns nothing and sees several owners in its data centre, which follow the store closely. */
 	isBacked(): boolean {
-		const {self} = this.#options;
-		const owners = this.#getCandidates().filter(({dataCenter, isUp, claims}) => isUp && dataCenter === self.dataCenter && Object.keys(claims).length > 0);
-		return this.#owned.size === 0 && owners.length > 1;
+		return this.#owned.size === 0 && this.#candidates.countNearOwners() > 1;
 	}
 
 	/** Begins a planned stop: the pools go to other VMs, jobs are still brought to their owners. */
@@ -280,49 +276,6 @@
 		return {outcome, load: roundLoad(owner.getLoad())};
 	}
 
-	/** Gets all VMs; the same list until a member or what is owned here changes. */
-	#getCandidates(): readonly Candidate[] {
-		const {self, peers, cores} = this.#options;
-		const members = peers.getMembers();
-		let ownKey = String(this.#isLeaving);
-		for (const [pool, owner] of this.#owned) {
-			ownKey += ` ${pool} ${owner.getFence()}`;
-		}
-
-		if (this.#candidates?.members !== members || this.#candidates.ownKey !== ownKey) {
-			const claims = Object.fromEntries([...this.#owned].map(([pool, owner]) => [pool, owner.getFence()]));
-			const own: Candidate = {
-				id: self.id, dataCenter: self.dataCenter, cores, isUp: true, isLeaving: this.#isLeaving, claims,
-			};
-			this.#candidates = {members, ownKey, list: [own, ...members.map(member => toCandidate(member))]};
-			this.#paces = new Map();
-			this.#learnPools();
-		}
-
-		return this.#candidates.list;
-	}
-
-	/** Pools that other VMs own are known here even if the store has not told of them. */
-	#learnPools(): void {
-		for (const {claims} of this.#candidates?.list ?? []) {
-			for (const pool of Object.keys(claims)) {
-				this.#options.layout.addPool(pool);
-			}
-		}
-	}
-
-	#createBeatFactor(peer: Incarnation): number {
-		const {dataCenter} = this.#options.self;
-		const list = this.#getCandidates();
-		const up = list.filter(({isUp}) => isUp);
-		return getBeatFactor({
-			isNear: peer.dataCenter === dataCenter,
-			hasOwner: this.#owned.size > 0 || Object.keys(list.find(({id}) => id === peer.id)?.claims ?? {}).length > 0,
-			nearCount: up.filter(candidate => candidate.dataCenter === dataCenter).length - 1,
-			vmCount: up.length,
-		});
-	}
-
 	#setTimer(): Timer {
 		const {clock, isSettled} = this.#options;
 		return clock.setTimer(() => {
@@ -446,7 +399,7 @@
 	}
 
 	#isInhabited(pool: string): boolean {
-		return this.#getCandidates().some(({dataCenter, isUp}) => isUp && dataCenter === getDataCenter(pool));
+		return this.#candidates.isInhabited(getDataCenter(pool));
 	}
 
 	#isYielded(pool: string, now: number): boolean {
@@ -541,12 +494,6 @@
 	}
 }
 
-function toCandidate({incarnation, state, isLeaving, claims, cores}: Member): Candidate {
-	return {
-		id: incarnation.id, dataCenter: incarnation.dataCenter, cores, isUp: state === 'up', isLeaving, claims,
-	};
-}
-
 function roundLoad({cores, freeCpu, rooms, queuedWork}: PoolLoad): PoolLoad {
 	return {
 		cores, freeCpu: Math.max(0, Math.round(freeCpu)), rooms: rooms.map(room => Math.round(room)), queuedWork: Math.max(0, Math.round(queuedWork)),
--- /dev/null
+++ b/test/pool/pool-candidates.test.ts
@@ -0,0 +1,62 @@
+import test from 'ava';
+import {type Member} from '../../src/connection/index.js';
+import {PoolLayout} from '../../src/pool/index.js';
+import {PoolCandidates} from '../../src/pool/pool-candidates.js';
+
+function createMember(vm: string, options: Partial<Member> = {}): Member {
+	return {
+		incarnation: {dataCenter: 'a', vm, id: `${vm}-1`}, state: 'up', isLeaving: false, peerAddress: '', configurationVersion: 1, claims: {}, cores: 1, ...options,
+	};
+}
+
+function createFixture() {
+	const state: {members: readonly Member[]; owned: ReadonlyArray<readonly [string, number]>; isLeaving: boolean} = {members: [], owned: [], isLeaving: false};
+	const layout = new PoolLayout();
+	const candidates = new PoolCandidates({
+		self: {dataCenter: 'a', vm: 'self', id: 'self-1'},
+		cores: 0.324,
+		layout,
+		peers: {getMembers: () => state.members},
+		getOwned: () => state.owned,
+		isLeaving: () => state.isLeaving,
+	});
+	return {state, layout, candidates};
+}
+
+test('the list is made anew only when a member or what is owned here changes', t => {
+	const {state, candidates} = createFixture();
+	const first = candidates.getList();
+	t.like(first, [{id: 'self-1', cores: 0.324, isUp: true, claims: {}}]);
+	t.is(candidates.getList(), first);
+	state.owned = [['a', 3]];
+	t.like(candidates.getList(), [{claims: {a: 3}}]);
+	state.owned = [['a', 5]];
+	t.like(candidates.getList(), [{claims: {a: 5}}]);
+	state.isLeaving = true;
+	t.like(candidates.getList(), [{isLeaving: true}]);
+	state.members = [createMember('b', {state: 'silent'})];
+	t.like(candidates.getList()[1], {id: 'b-1', isUp: false});
+});
+
+test('pools are learnt from the VMs that own them, also those of other data centres', t => {
+	const {state, layout, candidates} = createFixture();
+	state.members = [createMember('b', {claims: {'a#1/2': 7}}), createMember('c', {incarnation: {dataCenter: 'z', vm: 'c', id: 'c-1'}, claims: {z: 2}})];
+	candidates.getList();
+	t.deepEqual(layout.getPools(), ['a#0/2', 'a#1/2', 'z']);
+	t.is(candidates.countNearOwners(), 1);
+	t.true(candidates.isInhabited('z'));
+	t.false(candidates.isInhabited('y'));
+});
+
+test('heartbeats to a VM that comes to own a pool go at the pace of owners', t => {
+	const {state, candidates} = createFixture();
+	const others = Array.from({length: 20}, (_, index) => createMember(`v${index}`));
+	state.members = others;
+	const peer = others[0]!.incarnation;
+	t.is(candidates.getBeatFactor(peer), 5);
+	state.members = [createMember('v0', {claims: {a: 1}}), ...others.slice(1)];
+	t.is(candidates.getBeatFactor(peer), 2);
+	state.members = others;
+	state.owned = [['a', 2]];
+	t.is(candidates.getBeatFactor(peer), 2);
+});
