Hand pools on from a VM that is short of processor time

Change: StarvationWatch judges by how late the process's own timers are; a starved VM says that it is leaving as far as pools are concerned. Measured: tests only: the hand-over of a late owner in test/platform, which fails without the watch since nobody else takes the pool.

--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -18,6 +18,7 @@
 import {type PoolLoad} from './pool-scheduler.js';
 import {PoolOwner} from './pool-owner.js';
 import {PoolRouter} from './pool-router.js';
+import {StarvationWatch} from './starvation-watch.js';
 import {type StoredClaims} from './stored-claims.js';
 import {type UpstreamDescription, type UpstreamOrders} from './upstream-orders.js';
 
@@ -99,6 +100,7 @@
 	readonly #router: PoolRouter;
 	readonly #subscription: Subscription<unknown>;
 	#timer: Timer;
+	readonly #starvation = new StarvationWatch();
 	#isLeaving = false;
 	#isClosed = false;
 
@@ -107,7 +109,7 @@
 		this.#candidates = new PoolCandidates({
 			...options,
 			getOwned: () => [...this.#owned].map(([pool, owner]) => [pool, owner.getFence()]),
-			isLeaving: () => this.#isLeaving,
+			isLeaving: () => this.isYieldingOffice(),
 		});
 		this.directory = new PoolDirectory({
 			clock: options.clock,
@@ -217,6 +219,11 @@
 		return this.#owned.size === 0 && this.#candidates.countNearOwners() > 1;
 	}
 
+	/** Gets whether other VMs should take the pools: this one stops, or is short of processor time. */
+	isYieldingOffice(): boolean {
+		return this.#isLeaving || this.#starvation.isStarved();
+	}
+
 	/** Begins a planned stop: the pools go to other VMs, jobs are still brought to their owners. */
 	leave(): void {
 		this.#isLeaving = true;
@@ -278,10 +285,24 @@
 
 	#setTimer(): Timer {
 		const {clock, isSettled} = this.#options;
+		const delayMs = isSettled() ? electionMs : firstElectionMs;
+		const dueAt = clock.getMonotonicTime() + delayMs;
 		return clock.setTimer(() => {
+			this.#checkStarvation(dueAt);
 			this.#timer = this.#setTimer();
 			this.#elect();
-		}, isSettled() ? electionMs : firstElectionMs);
+		}, delayMs);
+	}
+
+	#checkStarvation(dueAt: number): void {
+		const {clock, log, isSettled} = this.#options;
+		const now = clock.getMonotonicTime();
+		// The start of a process takes all of a small VM's time and says nothing of what follows.
+		if (isSettled() && this.#starvation.addCheck(now - dueAt, now)) {
+			log.warn({
+				lateMs: Math.round(now - dueAt), isStarved: this.#starvation.isStarved(), pools: [...this.#owned.keys()],
+			}, 'processor time of this VM judged anew');
+		}
 	}
 
 	#elect(): void {
--- a/test/platform/platform-deployment.ts
+++ b/test/platform/platform-deployment.ts
@@ -6,6 +6,7 @@
 import {request} from 'undici';
 import {createPlatformEntryVm, type PlatformEntryVm} from '../../src/platform/platform-entry-vm.js';
 import {type PlatformSettings} from '../../src/platform/settings-file.js';
+import {type Clock} from '../../src/seams/index.js';
 import {createSlowClock} from '../support/slow-clock.js';
 import {
 	createPlatformStore, createPlatformUpstream, type PlatformStore, type PlatformUpstream, type SimulatedWork,
@@ -17,6 +18,8 @@
 	readonly vmsPerDataCenter?: number;
 	readonly upstreamsPerDataCenter?: number;
 	readonly getWork?: (task: string) => SimulatedWork;
+	/** Gets the clock of an entry VM; for VMs that are late with their timers. */
+	readonly getClock?: (clock: Clock, vm: string) => Clock;
 };
 
 const coresPerUpstream = 16;
@@ -109,7 +112,7 @@
 
 /** Creates a deployment whose entry VMs are started. */
 export async function createPlatformDeployment(options: PlatformDeploymentOptions = {}): Promise<PlatformDeployment> {
-	const {dataCenters = ['dc1'], vmsPerDataCenter = 2, upstreamsPerDataCenter = 2, getWork = () => usualWork} = options;
+	const {dataCenters = ['dc1'], vmsPerDataCenter = 2, upstreamsPerDataCenter = 2, getWork = () => usualWork, getClock = own => own} = options;
 	const clock = createSlowClock(clockFactor);
 	const store = await createPlatformStore();
 	const upstreams: PlatformUpstream[] = [];
@@ -138,7 +141,7 @@
 	for (const [position, {vm, dataCenter}] of vms.entries()) {
 		const settings = createSettings({vm, dataCenter, peerAddress: peerAddresses[position]!});
 		deployment.entryVms.push(await createPlatformEntryVm({
-			settings, logger: createQuietLogger(), metricsPort: 0, clock, layoutSettleMs: 0,
+			settings, logger: createQuietLogger(), metricsPort: 0, clock: getClock(clock, vm), layoutSettleMs: 0,
 		}));
 	}
 
--- a/test/platform/platform-entry-vm.test.ts
+++ b/test/platform/platform-entry-vm.test.ts
@@ -121,3 +121,25 @@
 	t.pass();
 	await deployment.close();
 });
+
+test('an owner that is late with everything hands its pool to a VM that is not, and takes none', async t => {
+	let lateMs = 0;
+	const deployment = await createPlatformDeployment({
+		getClock: (clock, vm) => vm === 'edge-dc1-0' ? {...clock, setTimer: (callback, delayMs) => clock.setTimer(callback, delayMs + lateMs)} : clock,
+	});
+	await deployment.waitUntilReady();
+	const [late, sound] = deployment.entryVms;
+	if (!late!.isOwner()) {
+		// The pool goes to the VM that is to become late.
+		await sound!.abort();
+		await waitFor(() => late!.isOwner());
+		deployment.entryVms[1] = await deployment.addEntryVm('dc1', 'edge-dc1-8');
+		await waitFor(() => deployment.entryVms[1]!.isReady());
+	}
+
+	lateMs = 200;
+	await waitFor(() => !late!.isOwner() && deployment.entryVms[1]!.isOwner());
+	t.like(await deployment.submit(1, '0000000000000401'), {status: 200, state: 'completed'});
+	t.false(late!.isOwner());
+	await deployment.close();
+});
