--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -299,7 +299,7 @@
 			getBeatFactor: peer => this.#node?.getBeatFactor(peer) ?? 1,
 			getHeartbeat: () => ({
 				configurationVersion: this.#configuration.getTable()?.version ?? 0,
-				isLeaving: this.#isStopping || (this.#node?.isYieldingOffice() ?? false),
+				isLeaving: this.#isStopping || (this.#node?.isResigning() ?? false),
 				claims: this.#node?.getFences() ?? {},
 				cores: settings.cores,
 				load: this.#node?.getClaims() ?? {},
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -109,7 +109,7 @@
 		this.#candidates = new PoolCandidates({
 			...options,
 			getOwned: () => [...this.#owned].map(([pool, owner]) => [pool, owner.getFence()]),
-			isLeaving: () => this.isYieldingOffice(),
+			isLeaving: () => this.isResigning(),
 		});
 		this.directory = new PoolDirectory({
 			clock: options.clock,
@@ -220,7 +220,7 @@
 	}
 
 	/** Gets whether other VMs should take the pools: this one stops, or is short of processor time. */
-	isYieldingOffice(): boolean {
+	isResigning(): boolean {
 		return this.#isLeaving || this.#starvation.isStarved();
 	}
 
