--- a/src/connection/member-record.ts
+++ b/src/connection/member-record.ts
@@ -44,7 +44,9 @@
 
 	/** Gets the time of the last sign of life, over the link or through others. */
 	getLastHeard(): number {
-		return Math.max(this.lastHeard, this.getOpenLink()?.getLastReceived() ?? 0);
+		// Kept here, since a link that is closed for its silence must not take the time of its last sign of life with it.
+		this.lastHeard = Math.max(this.lastHeard, this.getOpenLink()?.getLastReceived() ?? 0);
+		return this.lastHeard;
 	}
 
 	/** Gets the member as others see it. */
