Slow down keep-alives of idle job connections and heartbeats to owners

Cause: 39 daemons on loopback sent 39,546 heartbeats and 21,032 keep-alives of 77,006 frames in 10 s at 200 jobs a second. Job connections without requests carried keep-alives at full pace, and VMs that own nothing sent owners heartbeats at the owners' pace, though an owner learns from the job connection that a VM is gone whose jobs it holds. Change: keep-alives go at a quarter of the pace while no request waits; the pace of heartbeats follows from what the sender owns; owners send at full pace to 6 other VMs, VMs without pools to 3.

--- a/src/connection/job-client.ts
+++ b/src/connection/job-client.ts
@@ -162,6 +162,7 @@
 				}
 
 				this.#lastUsed = this.#options.clock.getMonotonicTime();
+				this.#open?.keepAlive.setBusy(this.#pending.size > 0, this.#lastUsed);
 				onFinish(outcome);
 			},
 		};
@@ -207,6 +208,7 @@
 	}
 
 	#addToSender(open: OpenConnection, pending: PendingRequest): void {
+		open.keepAlive.setBusy(true, this.#options.clock.getMonotonicTime());
 		if (!open.sender.addBody(pending.outgoing)) {
 			this.#options.onFault('buffer-full');
 			pending.finish({kind: 'not_sent', detail: 'too much waits to be sent'});
--- a/src/connection/job-keep-alive.ts
+++ b/src/connection/job-keep-alive.ts
@@ -7,33 +7,55 @@
 /** Keep-alives sent in the time after which the other end gives the connection up. */
 const keepAlivesPerSilence = 4;
 
+/**
+ * Factor on all times while no request waits for its answer. Smaller, keep-alives of idle connections are most of what tens of entry VMs send;
+ * larger, the first request over a connection that went silent meanwhile is lost more often.
+ */
+const idleFactor = 4;
+
 const keepAliveFrame = encodeFrame({type: 'keep-alive'});
 
 /**
- * Sends keep-alives over one connection and tells when the other end has gone silent.
+ * Sends keep-alives over one connection and tells when the other end has gone silent. Both ends know of each request that waits for its
+ * answer, so that both keep the same pace.
  * @internal
  */
 export class JobKeepAlive {
 	readonly #connection: FrameConnection;
 	readonly #silenceMs: number;
+	#isBusy = false;
 	#silentFrom = 0;
 	#lastSent = 0;
 
 	/**
 	 * @param connection - Connection to watch.
-	 * @param silenceMs - Time without a byte after which the other end counts as silent.
+	 * @param silenceMs - Time without a byte after which the other end counts as silent while requests wait.
 	 */
 	constructor(connection: FrameConnection, silenceMs: number) {
 		this.#connection = connection;
 		this.#silenceMs = silenceMs;
 	}
 
+	/**
+	 * Sets whether requests wait for their answers.
+	 * @param isBusy - Whether any waits.
+	 * @param now - Monotonic time.
+	 */
+	setBusy(isBusy: boolean, now: number): void {
+		if (isBusy && !this.#isBusy) {
+			// Until now the other end kept the slow pace.
+			this.restart(now);
+		}
+
+		this.#isBusy = isBusy;
+	}
+
 	/**
 	 * Gets whether nothing came in for too long.
 	 * @param now - Monotonic time up to which silence is measured.
 	 */
 	isSilent(now: number): boolean {
-		return now - Math.max(this.#connection.getLastReceived(), this.#silentFrom) > this.#silenceMs;
+		return now - Math.max(this.#connection.getLastReceived(), this.#silentFrom) > this.#getSilenceMs();
 	}
 
 	/**
@@ -42,7 +64,7 @@
 	 */
 	send(now: number): void {
 		// What waits to be sent serves as one.
-		if (now - this.#lastSent < this.#silenceMs / keepAlivesPerSilence || this.#connection.getBufferedBytes() > 0) {
+		if (now - this.#lastSent < this.#getSilenceMs() / keepAlivesPerSilence || this.#connection.getBufferedBytes() > 0) {
 			return;
 		}
 
@@ -57,4 +79,8 @@
 	restart(now: number): void {
 		this.#silentFrom = now;
 	}
+
+	#getSilenceMs(): number {
+		return this.#isBusy ? this.#silenceMs : this.#silenceMs * idleFactor;
+	}
 }
--- a/src/connection/job-server.ts
+++ b/src/connection/job-server.ts
@@ -162,15 +162,25 @@
 	async #answer(id: number, topic: string, body: unknown): Promise<void> {
 		const {onRequest, record} = this.#options;
 		const controller = new AbortController();
-		this.#running.set(id, controller);
+		this.#setRunning(id, controller);
 		try {
 			const answer = await onRequest({topic, body}, record.incarnation, controller.signal);
 			this.#sendAnswer(id, encodeValue(answer));
 		} catch (err) {
 			this.#sendFailure(id, err instanceof Error ? err.message : String(err));
 		} finally {
+			this.#setRunning(id, undefined);
+		}
+	}
+
+	#setRunning(id: number, controller: AbortController | undefined): void {
+		if (controller === undefined) {
 			this.#running.delete(id);
+		} else {
+			this.#running.set(id, controller);
 		}
+
+		this.#keepAlive.setBusy(this.#running.size > 0, this.#options.clock.getMonotonicTime());
 	}
 
 	#sendAnswer(id: number, body: Uint8Array): void {
@@ -199,6 +209,8 @@
 		this.#collector.remove(id);
 		const controller = this.#running.get(id);
 		if (controller) {
+			// The peer does not wait for it any more, also where it takes a while to end.
+			this.#setRunning(id, undefined);
 			abort(controller, 'cancelled');
 		}
 	}
--- a/src/pool/beat-pace.ts
+++ b/src/pool/beat-pace.ts
@@ -1,23 +1,27 @@
 /**
  * How often an entry VM sends heartbeats to another one. Answers fleets of tens of VMs a data centre: heartbeats of all pairs at
- * full pace would take more of a small VM than its callers do. The owners of pools must be missed soon, and must miss others soon;
- * the rest matter less to each other. A VM sends about as many heartbeats whatever the number of the others.
+ * full pace would take more of a small VM than its callers do. The owners of pools must be missed soon, and tell their load. The rest matter
+ * less: an owner notices that a VM is gone whose jobs it holds by the job connection. A VM sends about as many heartbeats whatever the number
+ * of the others.
  */
 
 /** What decides over the pace of one link. */
 export type BeatPaceInput = {
 	readonly isNear: boolean;
-	/** Whether either VM owns a pool. */
-	readonly hasOwner: boolean;
+	/** Whether the VM that sends owns a pool. */
+	readonly isOwner: boolean;
 	/** Other VMs of this data centre. */
 	readonly nearCount: number;
 	/** VMs of all data centres. */
 	readonly vmCount: number;
 };
 
-/** Links within a data centre up to which heartbeats go at full pace: with owners, and among VMs that own nothing. */
-const ownerLinks = 12;
-const otherLinks = 2;
+/**
+ * Other VMs of the data centre up to which an owner, and a VM that owns nothing, sends heartbeats at full pace. Larger, heartbeats take more of a
+ * VM; smaller, VMs that went silent are noticed later.
+ */
+const ownerLinks = 6;
+const otherLinks = 3;
 
 /** VMs of all data centres up to which each is linked to each, so that owners hear each other directly. */
 export const maxMeshVms = 10;
@@ -29,10 +33,10 @@
  * Gets every how many ticks a heartbeat is sent.
  * @param input - What is known of the two VMs.
  */
-export function getBeatFactor({isNear, hasOwner, nearCount, vmCount}: BeatPaceInput): number {
+export function getBeatFactor({isNear, isOwner, nearCount, vmCount}: BeatPaceInput): number {
 	if (!isNear) {
 		return vmCount <= maxMeshVms ? 1 : farFactor;
 	}
 
-	return Math.max(1, Math.ceil(nearCount / (hasOwner ? ownerLinks : otherLinks)));
+	return Math.max(1, Math.ceil(nearCount / (isOwner ? ownerLinks : otherLinks)));
 }
--- a/src/pool/pool-candidates.ts
+++ b/src/pool/pool-candidates.ts
@@ -82,10 +82,9 @@
 	#createBeatFactor(list: readonly Candidate[], peer: Incarnation): number {
 		const {dataCenter} = this.#options.self;
 		const up = list.filter(({isUp}) => isUp);
-		const other = list.find(({id}) => id === peer.id);
 		return getBeatFactor({
 			isNear: peer.dataCenter === dataCenter,
-			hasOwner: isOwner(list[0]!) || (other !== undefined && isOwner(other)),
+			isOwner: isOwner(list[0]!),
 			nearCount: up.filter(candidate => candidate.dataCenter === dataCenter).length - 1,
 			vmCount: up.length,
 		});
