Log the tasks that start together in one line, and gather lines for a write

Cause: 12 daemons on loopback wrote 8.7 lines a job (15,669 lines for 1,793 jobs in 12 s) in 7,359 writes, each with a switch of threads; logs took about a tenth of the processor time by a profile. Change: one line for the tasks of a job that get room at once; standard output is written each 50 ms. The scheduler's next turn is a promise instead of a microtask with an asynchronous context of its own.

--- a/src/platform/stdout-log.ts
+++ b/src/platform/stdout-log.ts
@@ -4,19 +4,38 @@
 import {Buffer} from 'node:buffer';
 import {write} from 'node:fs';
 import {Writable} from 'node:stream';
+import {type Clock, systemClock, type Timer} from '../seams/index.js';
 
 const standardOutput = 1;
 
 /** Bytes that may wait; lines beyond are dropped and counted. */
 const maxWaitingBytes = 256 * 1024;
 
+/**
+ * Time in which lines are gathered for one write, in milliseconds. Smaller, each line costs a write and a switch of threads; larger, more lines
+ * are lost where the process is killed.
+ */
+const gatherMs = 50;
+
+/** Options of {@link StdoutLog}. */
+export type StdoutLogOptions = {
+	readonly clock?: Clock;
+};
+
 /** Writes to standard output off the event loop, one write at a time. */
 export class StdoutLog extends Writable {
+	readonly #clock: Clock;
+	#timer: Timer | undefined;
 	#waiting: string[] = [];
 	#waitingBytes = 0;
 	#isWriting = false;
 	#dropped = 0;
 
+	constructor({clock = systemClock}: StdoutLogOptions = {}) {
+		super();
+		this.#clock = clock;
+	}
+
 	override _write(chunk: Uint8Array | string, _encoding: string, callback: () => void): void {
 		const text = typeof chunk === 'string' ? chunk : Buffer.from(chunk).toString();
 		if (this.#waitingBytes + text.length > maxWaitingBytes) {
@@ -26,7 +45,10 @@
 			this.#waitingBytes += text.length;
 		}
 
-		this.#flush();
+		this.#timer ??= this.#clock.setTimer(() => {
+			this.#timer = undefined;
+			this.#flush();
+		}, gatherMs);
 		callback();
 	}
 
@@ -37,6 +59,7 @@
 
 	/** Waits until all lines are written. */
 	async drain(): Promise<void> {
+		this.#flush();
 		while (this.#isWriting) {
 			await new Promise(resolve => {
 				setImmediate(resolve);
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -48,6 +48,16 @@
 	readonly queuedWork: number;
 };
 
+/** A task that was started, as the log tells it: on an upstream of this pool or in another pool, with the room seen there before. */
+type StartedTask = {
+	readonly task: string;
+	readonly run: number;
+	readonly upstream?: string;
+	readonly pool?: string;
+	/** Thousandths of a core that were free; in another pool, what is left of the room. */
+	readonly freeCpu: number;
+};
+
 /** Time between looks for overdue runs and hopeless jobs, in milliseconds: a fraction of the shortest task. */
 const sweepMs = 20;
 
@@ -64,6 +74,8 @@
 /** Rooms that are told at most, which bounds a heartbeat to about 50 bytes for them. */
 const maxRoomsTold = 16;
 
+const afterThisTurn = Promise.resolve();
+
 /** Time of a task until something is known of a pool, in milliseconds. */
 const initialTaskMs = 200;
 
@@ -206,13 +218,7 @@
 		}
 
 		this.#isScheduled = true;
-		queueMicrotask(() => {
-			this.#isScheduled = false;
-			if (!this.#isClosed && !this.#options.isHeldBack()) {
-				this.#startTasks();
-				this.#options.neighbours.tellLoad();
-			}
-		});
+		void this.#startSoon();
 	}
 
 	/**
@@ -340,6 +346,16 @@
 		this.#neighbourPools.close();
 	}
 
+	/** Starts what has room after this turn; a promise costs less than `queueMicrotask`, which keeps an asynchronous context for each call. */
+	async #startSoon(): Promise<void> {
+		await afterThisTurn;
+		this.#isScheduled = false;
+		if (!this.#isClosed && !this.#options.isHeldBack()) {
+			this.#startTasks();
+			this.#options.neighbours.tellLoad();
+		}
+	}
+
 	#observeNeeds({needs}: JobStep): void {
 		this.#usualCpu += (Math.max(1, needs.cpu) - this.#usualCpu) * taskCpuWeight;
 	}
@@ -495,11 +511,19 @@
 				continue;
 			}
 
+			const started: StartedTask[] = [];
 			for (const task of job.getReadyTasks()) {
-				if (!this.#place(job, task, candidates) && !this.#borrow(job, task, rooms)) {
+				const start = this.#place(job, task, candidates) ?? this.#borrow(job, task, rooms);
+				if (start === undefined) {
 					// Tasks of a step are alike: where one has no room the others have none.
 					break;
 				}
+
+				started.push(start);
+			}
+
+			if (started.length > 0) {
+				this.#options.log.debug({job: job.req.id, waitedMs: Math.round(now - job.arrivedAt), started}, 'tasks started');
 			}
 
 			largestRoom = getLargestRoom(candidates, rooms);
@@ -511,12 +535,12 @@
 		return isBoundJob(job.req) ? [] : this.#options.neighbours.getRooms();
 	}
 
-	/** Starts a task in the smallest room of other pools that holds it; the rooms are counted down. */
-	#borrow(job: QueuedJob, task: JobTask, rooms: Array<NeighbourRoom & {cpu: number}>): boolean {
+	/** Starts a task in the smallest room of other pools that holds it, where there is one; the rooms are counted down. */
+	#borrow(job: QueuedJob, task: JobTask, rooms: Array<NeighbourRoom & {cpu: number}>): StartedTask | undefined {
 		const step = job.getStep(task);
 		const room = this.#neighbourPools.chooseRoom(step, rooms, task.avoided);
 		if (room === undefined) {
-			return false;
+			return undefined;
 		}
 
 		room.cpu -= step.needs.cpu;
@@ -528,24 +552,24 @@
 		task.run = host.start({
 			task: task.name, number: task.lastRun, spec: job.req.spec, service: job.req.rules.service, step, expectedMs: job.getComparableMs(task),
 		});
-		this.#options.log.debug({
-			task: task.name, run: task.lastRun, pool: room.pool, freeCpu: room.cpu, waitedMs: Math.round(task.run.startedAt - job.arrivedAt),
-		}, 'task sent to another pool');
-		return true;
+		return {
+			task: task.name, run: task.lastRun, pool: room.pool, freeCpu: room.cpu,
+		};
 	}
 
 	#getOpenLinks(): readonly UpstreamLink[] {
 		return this.#options.getLinks().filter(link => link.isOpen());
 	}
 
-	#place(job: QueuedJob, task: JobTask, candidates: Map<UpstreamLink, PlacementCandidate>): boolean {
+	/** Starts a task on an upstream of this pool, where one has room. */
+	#place(job: QueuedJob, task: JobTask, candidates: Map<UpstreamLink, PlacementCandidate>): StartedTask | undefined {
 		const step = job.getStep(task);
 		const placed = step.maxPerUpstream === undefined ? undefined : job.getPlacedCounts(task.stepPosition);
 		const allowed = [...candidates].flatMap(([link, candidate]) => isForJob(link, job) ? candidate : []);
 		const preferred = allowed.filter(({id}) => !task.avoided.has(id));
 		const chosen = chooseUpstream(step, preferred.length > 0 ? preferred : allowed, placed);
 		if (chosen === undefined) {
-			return false;
+			return undefined;
 		}
 
 		const link = [...candidates.keys()].find(({description}) => description.id === chosen.id)!;
@@ -556,11 +580,10 @@
 		task.run = link.start({
 			task: task.name, number: task.lastRun, needs: step.needs, spec: job.req.spec,
 		});
-		this.#options.log.debug({
-			task: task.name, run: task.lastRun, upstream: chosen.id, freeCpu: chosen.free.cpu, waitedMs: Math.round(task.run.startedAt - job.arrivedAt),
-		}, 'task placed');
 		candidates.set(link, toCandidate(link));
-		return true;
+		return {
+			task: task.name, run: task.lastRun, upstream: chosen.id, freeCpu: chosen.free.cpu,
+		};
 	}
 
 	#observe(host: RunHost, job: QueuedJob, task: JobTask, run: LinkedRun): void {
