Share pools out among VMs that start together, and bear the silence of new members for longer

Change: for a second after its start a VM owns at most its share by the number of registered VMs, in an order of its own; for 3 s after a member became known its silence is borne four times as long, on control and job connections.

--- a/src/connection/job-client.ts
+++ b/src/connection/job-client.ts
@@ -24,6 +24,8 @@
 	readonly maxBodyBytes: number;
 	/** Time without a byte after which the connection is given up. */
 	readonly silenceMs: number;
+	/** Gets the factor on that time now. */
+	readonly getPatience: () => number;
 	/** Time without a request after which the connection is closed. */
 	readonly idleMs: number;
 	readonly getLogicalTime: () => number;
@@ -195,7 +197,7 @@
 			connection,
 			sender: new PartSender(connection, this.#options.maxBodyBytes * maxWaitingBodies),
 			collector: new PartCollector<JobAnswer>(this.#options.maxBodyBytes * maxWaitingBodies),
-			keepAlive: new JobKeepAlive(connection, this.#options.silenceMs),
+			keepAlive: new JobKeepAlive(connection, this.#options.silenceMs, this.#options.getPatience),
 		};
 		this.#open = open;
 		for (const pending of this.#pending) {
--- a/src/connection/job-keep-alive.ts
+++ b/src/connection/job-keep-alive.ts
@@ -23,6 +23,7 @@
 export class JobKeepAlive {
 	readonly #connection: FrameConnection;
 	readonly #silenceMs: number;
+	readonly #getPatience: () => number;
 	#isBusy = false;
 	#silentFrom = 0;
 	#lastSent = 0;
@@ -30,10 +31,12 @@
 	/**
 	 * @param connection - Connection to watch.
 	 * @param silenceMs - Time without a byte after which the other end counts as silent while requests wait.
+	 * @param getPatience - Gets the factor on that time now.
 	 */
-	constructor(connection: FrameConnection, silenceMs: number) {
+	constructor(connection: FrameConnection, silenceMs: number, getPatience: () => number = () => 1) {
 		this.#connection = connection;
 		this.#silenceMs = silenceMs;
+		this.#getPatience = getPatience;
 	}
 
 	/**
@@ -55,7 +58,7 @@
 	 * @param now - Monotonic time up to which silence is measured.
 	 */
 	isSilent(now: number): boolean {
-		return now - Math.max(this.#connection.getLastReceived(), this.#silentFrom) > this.#getSilenceMs();
+		return now - Math.max(this.#connection.getLastReceived(), this.#silentFrom) > this.#getSilenceMs() * this.#getPatience();
 	}
 
 	/**
--- a/src/connection/job-links.ts
+++ b/src/connection/job-links.ts
@@ -11,7 +11,7 @@
 /** Options of {@link JobLinks}. */
 export type JobLinksOptions = Pick<ControlLinksOptions, 'settings' | 'table' | 'connector' | 'meter'>;
 
-type JobLinkOptions = Pick<ConstructorParameters<typeof JobClient>[0], 'clock' | 'maxBodyBytes' | 'silenceMs' | 'getLogicalTime' | 'onLogicalTime' | 'onFault'>;
+type JobLinkOptions = Pick<ConstructorParameters<typeof JobClient>[0], 'clock' | 'maxBodyBytes' | 'silenceMs' | 'getPatience' | 'getLogicalTime' | 'onLogicalTime' | 'onFault'>;
 
 /**
  * Sends requests to members and takes those that come in.
@@ -97,16 +97,17 @@
 		return result.ok ? result : {ok: false, detail: result.reason};
 	}
 
-	#getLinkOptions({incarnation}: MemberRecord): JobLinkOptions {
+	#getLinkOptions(record: MemberRecord): JobLinkOptions {
 		const {
 			meter, settings: {
-				clock, self, events, beatMs, farBeatMs, downBeats, maxJobBodyBytes,
+				clock, self, events, beatMs, farBeatMs, downBeats, maxJobBodyBytes, newcomerMs,
 			},
 		} = this.#options;
 		return {
 			clock,
 			maxBodyBytes: maxJobBodyBytes,
-			silenceMs: downBeats * (incarnation.dataCenter === self.dataCenter ? beatMs : farBeatMs),
+			silenceMs: downBeats * (record.incarnation.dataCenter === self.dataCenter ? beatMs : farBeatMs),
+			getPatience: () => record.getPatience(clock.getMonotonicTime(), newcomerMs),
 			getLogicalTime: () => events.getLogicalTime(),
 			onLogicalTime(logicalTime) {
 				events.observeLogicalTime(logicalTime);
--- a/src/connection/job-server.ts
+++ b/src/connection/job-server.ts
@@ -23,6 +23,8 @@
 	readonly maxBodyBytes: number;
 	/** Time without a byte after which the connection is given up. */
 	readonly silenceMs: number;
+	/** Gets the factor on that time now. */
+	readonly getPatience: () => number;
 	readonly getLogicalTime: () => number;
 	readonly onLogicalTime: (logicalTime: number) => void;
 	readonly onFault: (fault: LinkFault) => void;
@@ -51,7 +53,7 @@
 		this.#connection = options.connection;
 		this.#sender = new PartSender(options.connection, options.maxBodyBytes * maxWaitingBodies);
 		this.#collector = new PartCollector(options.maxBodyBytes * maxWaitingBodies);
-		this.#keepAlive = new JobKeepAlive(options.connection, options.silenceMs);
+		this.#keepAlive = new JobKeepAlive(options.connection, options.silenceMs, options.getPatience);
 	}
 
 	/** Takes requests until the connection is closed; the signals of those still in progress then abort. */
--- a/src/connection/member-record.ts
+++ b/src/connection/member-record.ts
@@ -6,6 +6,9 @@
 import {type JobClient} from './job-client.js';
 import {type Incarnation, type Member, type MemberState} from './peer-network.js';
 
+/** Factor on the time of silence of new members. Smaller, VMs that start are taken for silent; larger, new ones that die are missed later. */
+const newcomerPatience = 4;
+
 /**
  * State of one other incarnation.
  * @internal
@@ -19,6 +22,8 @@
 	cores = 1;
 	/** Monotonic time of the last sign of life. */
 	lastHeard: number;
+	/** Monotonic time since which the incarnation is known here. */
+	readonly knownSince: number;
 	/** Monotonic time at which the member went down. */
 	downSince = 0;
 	link: ControlLink | undefined;
@@ -34,6 +39,7 @@
 
 	constructor(readonly incarnation: Incarnation, public address: string, options: {readonly now: number; readonly maxBufferBytes: number; readonly maxFrameBytes: number}) {
 		this.lastHeard = options.now;
+		this.knownSince = options.now;
 		this.channel = new ControlChannel(options);
 	}
 
@@ -49,6 +55,16 @@
 		return this.lastHeard;
 	}
 
+	/**
+	 * Gets the factor on the time after which the member counts as silent. The start of a process takes all of a small VM's time, and after a
+	 * loss of all VMs that of each VM; links that are given up for it and made anew take more of it.
+	 * @param now - Monotonic time.
+	 * @param newcomerMs - Time for which a member counts as new, in milliseconds.
+	 */
+	getPatience(now: number, newcomerMs: number): number {
+		return now - this.knownSince < newcomerMs ? newcomerPatience : 1;
+	}
+
 	/** Gets the member as others see it. */
 	toMember(): Member {
 		return {
--- a/src/connection/membership.ts
+++ b/src/connection/membership.ts
@@ -192,7 +192,7 @@
 			return;
 		}
 
-		const beatMs = this.#getExpectedBeatMs(record);
+		const beatMs = this.#getExpectedBeatMs(record) * record.getPatience(now, settings.newcomerMs);
 		const age = now - record.getLastHeard();
 		if (age > settings.downBeats * beatMs) {
 			table.setState(record, 'down', `not heard for ${Math.round(age)} ms`);
--- a/src/connection/peer-mesh-options.ts
+++ b/src/connection/peer-mesh-options.ts
@@ -60,6 +60,8 @@
 	readonly silentBeats?: number;
 	/** Heartbeats missed before a member is down. */
 	readonly downBeats?: number;
+	/** Time for which a member counts as new, in milliseconds; its silence is then borne for longer. */
+	readonly newcomerMs?: number;
 	/** Links to each other data centre. */
 	readonly farLinks?: number;
 	/** Entry VMs of all data centres up to which each is linked to each. */
@@ -99,6 +101,7 @@
 	farBeatMs: 1000,
 	silentBeats: 3,
 	downBeats: 8,
+	newcomerMs: 0,
 	farLinks: 2,
 	maxMeshVms: 0,
 	getBeatFactor: () => 1,
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -41,6 +41,12 @@
 const silentBeats = 3;
 const downBeats = 5;
 
+/**
+ * Time for which a VM that started counts as new, in milliseconds. Smaller, small VMs that start at the same time take each other for silent;
+ * larger, one that dies soon after its start is missed later.
+ */
+const newcomerMs = 3000;
+
 /** Longest time between tries to link to a VM, in milliseconds: soon after a cut has healed its VMs should be seen again. */
 const maxRedialMs = 300;
 
@@ -299,6 +305,7 @@
 			downBeats,
 			maxBackoffMs: maxRedialMs,
 			connectTimeoutMs: maxConnectMs,
+			newcomerMs,
 			farLinks,
 			maxMeshVms,
 			reportFreshMs,
@@ -337,6 +344,7 @@
 			orders: this.#orders,
 			maxLeaseMs,
 			isSettled: () => this.#neighbours.isSettled(),
+			getVmCount: () => this.#neighbours.getCount() + 1,
 			claims: {
 				addClaim: async pool => this.#addClaim(pool),
 				getClaim: async pool => this.#getClaim(pool),
--- a/src/pool/neighbour-check.ts
+++ b/src/pool/neighbour-check.ts
@@ -34,6 +34,7 @@
 	readonly #startedAt: number;
 	#live: Set<string> | undefined;
 	#pending = 0;
+	#count = Infinity;
 
 	constructor(options: NeighbourCheckOptions) {
 		this.#options = options;
@@ -45,6 +46,7 @@
 	 * @param neighbours - VMs of the data centre but this one.
 	 */
 	setNeighbours(neighbours: readonly Neighbour[]): void {
+		this.#count = neighbours.length;
 		if (this.#live !== undefined) {
 			return;
 		}
@@ -56,6 +58,11 @@
 		}
 	}
 
+	/** Gets the number of VMs last set; `Infinity` before the first time. */
+	getCount(): number {
+		return this.#count;
+	}
+
 	/** Gets whether all VMs that may own the pool have been heard, or had their time. */
 	isSettled(): boolean {
 		const elapsedMs = this.#options.clock.getMonotonicTime() - this.#startedAt;
--- a/src/pool/pool-layout.ts
+++ b/src/pool/pool-layout.ts
@@ -134,8 +134,11 @@
 const hashOffset = 2_166_136_261;
 const hashPrime = 16_777_619;
 
-/** FNV-1a with a final mix, since positions of pools differ in one character only. */
-function getHash(text: string): number {
+/**
+ * Gets a hash of a text: FNV-1a with a final mix, since positions of pools differ in one character only.
+ * @param text - Text.
+ */
+export function getHash(text: string): number {
 	let hash = hashOffset;
 	for (let index = 0; index < text.length; index++) {
 		hash = Math.imul(hash ^ text.charCodeAt(index), hashPrime); // eslint-disable-line no-bitwise, unicorn/prefer-code-point
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -19,6 +19,7 @@
 import {type PoolLoad} from './pool-scheduler.js';
 import {PoolOwner} from './pool-owner.js';
 import {PoolRouter} from './pool-router.js';
+import {mayTakeMore, sortForVm} from './pool-share.js';
 import {StarvationWatch} from './starvation-watch.js';
 import {type StoredClaims} from './stored-claims.js';
 import {type UpstreamDescription, type UpstreamOrders} from './upstream-orders.js';
@@ -37,6 +38,8 @@
 	readonly orders: UpstreamOrders;
 	/** Gets whether the VMs that may own pools had time to say so since the start. */
 	readonly isSettled: () => boolean;
+	/** Gets the number of entry VMs registered in the own data centre, this one included; `Infinity` until the list was read. */
+	readonly getVmCount: () => number;
 	/** What the store holds of the owners of pools. */
 	readonly claims: StoredClaims;
 	/** Gets the upstreams of a pool as last listed. */
@@ -102,6 +105,10 @@
 	readonly #subscription: Subscription<unknown>;
 	#timer: Timer;
 	readonly #starvation = new StarvationWatch();
+	/** Monotonic time at which this VM could first take pools. */
+	#settledAt: number | undefined;
+	/** The pools in the order in which this VM takes them, and the list that they were sorted from. */
+	#takeOrder: {readonly pools: readonly string[]; readonly sorted: readonly string[]} = {pools: [], sorted: []};
 	#isLeaving = false;
 	#isClosed = false;
 
@@ -331,10 +338,11 @@
 			return;
 		}
 
+		this.#settledAt ??= now;
 		this.#forgetGoneMembers();
 		this.#endYields();
 		this.#assertOwnership(now);
-		for (const pool of this.directory.getPools()) {
+		for (const pool of this.#getTakeOrder()) {
 			const elected = this.directory.getElected(pool);
 			const isOwn = elected?.id === this.#options.self.id;
 			if (isOwn && !this.#owned.has(pool) && this.#mayTake(pool, now)) {
@@ -374,7 +382,7 @@
 		}
 
 		if (getDataCenter(pool) === this.#options.self.dataCenter) {
-			return true;
+			return this.#mayTakeNear(now);
 		}
 
 		if (this.#isInhabited(pool)) {
@@ -387,6 +395,25 @@
 		return now - since >= farTakeoverMs && this.#isReached(pool, now);
 	}
 
+	#mayTakeNear(now: number): boolean {
+		const {self, layout, getVmCount} = this.#options;
+		return mayTakeMore({
+			poolCount: layout.getPoolsOf(self.dataCenter).length,
+			vmCount: getVmCount(),
+			ownedCount: [...this.#owned.keys()].filter(pool => getDataCenter(pool) === self.dataCenter).length,
+			ageMs: now - this.#settledAt!,
+		});
+	}
+
+	#getTakeOrder(): readonly string[] {
+		const pools = this.directory.getPools();
+		if (this.#takeOrder.pools !== pools) {
+			this.#takeOrder = {pools, sorted: sortForVm(pools, this.#options.self.vm)};
+		}
+
+		return this.#takeOrder.sorted;
+	}
+
 	/**
 	 * Gets whether upstreams of a pool have answered for a while; tries again now and then. Where they answer only now, a cut has
 	 * just healed, and the VMs on its other side will soon be seen.
