Write the script of a test as a raw string

Cause: the linter asks for it. Change: the test of gathered log lines only. Measured: the test passes, the linter is clean.

--- a/test/platform/stdout-log.test.ts
+++ b/test/platform/stdout-log.test.ts
@@ -13,7 +13,7 @@
 }
 
 const lines = Array.from({length: 500}, (_, position) => `line ${position}\n`).join('');
-const writeLines = 'for (let position = 0; position < 500; position++) log.write("line " + position + "\\n");';
+const writeLines = String.raw`for (let position = 0; position < 500; position++) log.write('line ' + position + '\n');`;
 
 test('lines that are gathered when the process ends are all written, in order', async t => {
 	t.is(await getOutput(`${writeLines}\nawait log.drain();\nprocess.exit(0);`), lines);
