End the runs that an earlier owner lent before a recall is answered

The pool of the job and the pool that lent it room had changed owners together; the new lender answered a recall that nothing of the job ran, since it knew only of runs that it had lent itself, although its upstreams listed the earlier owner's run. Change: a recall also stops listed runs that nobody claimed, waits until they are gone, and is answered as unclear where not all upstreams were seen since the pool was taken over. Measured: three of four new tests fail without the change (the one that waits longest passes); all pass with it.

--- a/src/pool/pool-lending.ts
+++ b/src/pool/pool-lending.ts
@@ -107,8 +107,7 @@
 				const {pool, borrower, fence, job} = recallRequestSchema.parse(body);
 				this.#options.directory.addFence(borrower, fence);
 				const owner = this.#options.getOwner(pool);
-				await owner?.recallLent(job);
-				return {isClear: owner !== undefined};
+				return {isClear: await owner?.recallLent(job, signal) ?? false};
 			}
 
 			default: {
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -43,6 +43,9 @@
  */
 const fenceDoubtMs = 250;
 
+/** Time between looks whether the runs of a recalled job have ended, in milliseconds: a fraction of the time that a stop takes. */
+const recallPollMs = 10;
+
 /** Time for which an upstream that its list no longer names is kept, in milliseconds: entries are back 2 s after the store. */
 const unlistedMs = 2500;
 
@@ -59,6 +62,8 @@
 	#awaited: readonly UpstreamDescription[];
 	#hasFence = false;
 	#isReady = false;
+	/** Monotonic time at which the pool was taken over. */
+	#readyAt = Infinity;
 	#isClosed = false;
 	#isSettlingFence = false;
 	/** Monotonic time at which the last looks at all upstreams were sent. */
@@ -167,11 +172,27 @@
 	}
 
 	/**
-	 * Stops all runs of another pool's job; resolves when none is left.
+	 * Stops all runs of another pool's job, also those that an earlier owner of this pool started for it.
 	 * @param job - Identifier of the job.
+	 * @param signal - Aborts when nobody waits for it.
+	 * @returns Whether none is left; false where that is not known.
 	 */
-	async recallLent(job: string): Promise<void> {
+	async recallLent(job: string, signal: AbortSignal): Promise<boolean> {
+		if (!this.#isReady || this.#isClosed) {
+			return false;
+		}
+
 		await this.#scheduler.recallLent(job);
+		const links = [...this.#links.values()];
+		for (const link of links) {
+			link.stopUnclaimed(job);
+		}
+
+		while (!signal.aborted && !this.#isClosed && links.some(link => link.hasUnclaimed(job))) {
+			await sleep(this.#options.clock, recallPollMs);
+		}
+
+		return !signal.aborted && !this.#isClosed && this.#hasSeenEarlierRuns();
 	}
 
 	/** Starts what has room; for when other pools told of theirs. */
@@ -251,6 +272,13 @@
 
 		await this.#lookAtAll();
 		this.#isReady = true;
+		this.#readyAt = this.#options.clock.getMonotonicTime();
+	}
+
+	/** Gets whether the runs of earlier owners of the pool are known here, or have ended. */
+	#hasSeenEarlierRuns(): boolean {
+		const isOld = this.#options.clock.getMonotonicTime() - this.#readyAt >= lostRunMs;
+		return isOld || (this.#options.isListKnown() && [...this.#links.values()].every(link => link.getSeenAt() > -Infinity));
 	}
 
 	/** Gets until when runs of an earlier owner may go on where the last looks were not answered. */
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -226,6 +226,24 @@
 		return linked;
 	}
 
+	/**
+	 * Gets whether the upstream lists runs of a job that nobody here has claimed.
+	 * @param job - Identifier of the job.
+	 */
+	hasUnclaimed(job: string): boolean {
+		return this.#getUnclaimed(job).length > 0;
+	}
+
+	/**
+	 * Stops the runs of a job that nobody here has claimed, because nobody will.
+	 * @param job - Identifier of the job.
+	 */
+	stopUnclaimed(job: string): void {
+		for (const {task, number} of this.#getUnclaimed(job)) {
+			this.#stopUnclaimed(task, number);
+		}
+	}
+
 	/**
 	 * Gets how a run of an earlier owner ended, if the upstream listed it lately.
 	 * @param task - Task.
@@ -404,6 +422,10 @@
 		}
 	}
 
+	#getUnclaimed(job: string): readonly Run[] {
+		return [...this.#unclaimed.values()].filter(({task}) => task.startsWith(`${job}.`));
+	}
+
 	#stopUnclaimed(task: string, number: number): void {
 		if (this.#unclaimed.get(task)?.number !== number || this.#closing.signal.aborted) {
 			return;
--- a/test/pool/lending.test.ts
+++ b/test/pool/lending.test.ts
@@ -117,6 +117,30 @@
 	t.deepEqual(upstreams.getDoubleRuns(), []);
 });
 
+for (const delayMs of [20, 150, 300, 600]) {
+	test(`where the pools of a job and of its lent tasks change owners together, no task runs twice at a time (after ${delayMs} ms)`, async t => {
+		const getWork = (task: string): SimulatedWork => ({...usualWork, durationMs: task.startsWith('short') ? 50 : 900});
+		const {clock, upstreams, pools, outcomes, submit} = await createPools({getWork});
+		const job = {step: {taskCount: 4, estimateMs: 900}, remainingMs: 20_000};
+		submit('a', 'short', {step: {taskCount: 4, estimateMs: 50}});
+		submit('a', 'lent', job);
+		await clock.advance(100);
+		t.is(upstreams.starts.filter(({task, upstream}) => task.startsWith('lent') && upstream.startsWith('b')).length, 4);
+		const before = ['b', 'a'].map(pool => pools.getOwner(pool));
+		const priorFence = pools.replaceOwner('a');
+		pools.replaceOwner('b');
+		for (const owner of before) {
+			owner.close();
+		}
+
+		await clock.advance(delayMs);
+		submit('a', 'lent', {...job, priorFence});
+		await clock.advance(8000);
+		t.deepEqual(upstreams.getDoubleRuns(), []);
+		t.deepEqual(outcomes.get('lent'), {kind: 'completed'});
+	});
+}
+
 test('a refusal after a start whose answer was lost does not count as not started', async t => {
 	const {clock, upstreams, faults, pools, outcomes, submit} = await createPools({getWork: () => ({...usualWork, durationMs: 600})});
 	submit('a', 'wide', {step: {taskCount: 5, estimateMs: 600}, remainingMs: 10_000});
