--- a/src/pool/decision-log.ts
+++ b/src/pool/decision-log.ts
@@ -43,7 +43,7 @@
 /** A line costs about 20 microseconds of processor time, so that this bounds logs to 1% of a core. */
 const defaultLinesPerSecond = 500;
 
-/** An owner places about 130 tasks a second on a scale day of the users' sites; with this, logs stay within 1.5% of a core. */
+/** Smaller, jobs of a busy owner cannot be traced; larger, logs take more of a core. */
 const defaultDetailLinesPerSecond = 250;
 
 /**
--- a/src/pool/pool-choice.ts
+++ b/src/pool/pool-choice.ts
@@ -38,7 +38,10 @@
 	return penaltyMs + ((queuedWork + (missingCores * meanTaskMs)) / Math.max(1, cores));
 }
 
-/** Time for which a missing core is expected to be taken, in milliseconds: the mean task of the sites takes about 200. */
+/**
+ * Time for which a missing core is expected to be taken, in milliseconds. Smaller, jobs go to pools near by that are full; larger, to others that
+ * are no sooner free.
+ */
 const meanTaskMs = 200;
 
 /**
--- a/src/pool/pool-layout.ts
+++ b/src/pool/pool-layout.ts
@@ -7,10 +7,7 @@
 const leastPoolSize = 4;
 const largestPoolSize = 12;
 
-/**
- * Upstreams for each core of an owner: the users' sites start 5 to 8 tasks a second on an upstream, and a start took an owner 2 to
- * 3 ms, so that this is three quarters of its processor time.
- */
+/** Upstreams for each core of an owner. Smaller, wide jobs find room in one pool less often; larger, owners are short of processor time at full load. */
 const upstreamsPerCore = 40;
 
 /** Separates a data centre from the position of a pool and the number of pools in the name of a pool. */
