Log why runs count as ended that their upstream did not list

The log could not tell the hypotheses of the double run apart: a run that ended without success was logged without its number, nothing told whether its upstream had listed the end, and a lender logged nothing of the ends of lent runs.

`run counts as ended` names run, upstream, state and grounds ('unlisted', 'lease-expired', 'upstream-removed') of own and lent runs; `run ended without success` has the number of the run; the lender logs `lent run ended` and `lent run ended without success`; `upstream added` and `upstream removed` have address and start time; `upstream restarted` is logged when an answer shows another instance. No decision changes.

--- a/src/pool/lent-runs.ts
+++ b/src/pool/lent-runs.ts
@@ -129,6 +129,15 @@
 			return false;
 		}
 
+		const fields = {
+			task: run.task, run: run.number, upstream: lent.link.name, end,
+		};
+		if (end === 'done') {
+			this.#options.log.debug(fields, 'lent run ended');
+		} else {
+			this.#options.log.info(fields, 'lent run ended without success');
+		}
+
 		if (end === 'done') {
 			recordSuccess(lent.link, this.#options.clock.getMonotonicTime() - run.startedAt, lent.expectedMs);
 		} else if (end === 'failed') {
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -419,7 +419,13 @@
 			getFence: () => this.#fence,
 			maxLeaseMs,
 			events: {
-				onRunEnded: (from, run, end) => {
+				onRunEnded: (from, run, end, grounds) => {
+					if (grounds !== 'listed') {
+						log.info({
+							task: run.task, run: run.number, upstream: from.name, pool, state: run.state, end, grounds,
+						}, 'run counts as ended');
+					}
+
 					this.#scheduler.handleRunEnded(from, run, end);
 				},
 				onRunRefused: (from, run, reason) => {
@@ -431,6 +437,12 @@
 				onFenced: from => {
 					void this.#handleFenced(from);
 				},
+				onInstanceChanged(from, earlierBornMs) {
+					const {id, address, bornMs} = from.description;
+					log.info({
+						upstream: id, address, pool, bornMs, earlierBornMs, runs: [...from.getRuns()].length,
+					}, 'upstream restarted');
+				},
 				onUnclaimedRun(from, {task, number}) {
 					log.info({
 						task, run: number, upstream: from.description.id, pool,
@@ -442,7 +454,9 @@
 			},
 		});
 		this.#links.set(upstream.id, link);
-		log.info({upstream: upstream.id, address: upstream.address, pool}, 'upstream added');
+		log.info({
+			upstream: upstream.id, address: upstream.address, bornMs: upstream.bornMs, pool,
+		}, 'upstream added');
 		void link.pollUntilClosed();
 	}
 
@@ -458,7 +472,10 @@
 	#removeLink(id: string, link: UpstreamLink): void {
 		this.#links.delete(id);
 		this.#unlistedSince.delete(id);
-		this.#options.log.info({upstream: id, pool: this.#options.pool}, 'upstream removed');
+		const {address, bornMs} = link.description;
+		this.#options.log.info({
+			upstream: id, address, bornMs, pool: this.#options.pool,
+		}, 'upstream removed');
 		link.endRuns();
 		link.close();
 	}
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -329,7 +329,7 @@
 			job.setStatus(task, 'done');
 		} else {
 			job.setStatus(task, 'waiting');
-			this.#handleUnsuccessfulRun(job, task, host, end);
+			this.#handleUnsuccessfulRun(entry, host, run, end);
 		}
 
 		this.#advance(job);
@@ -661,7 +661,7 @@
 		job.longestRunMs = Math.max(job.longestRunMs, measuredMs);
 	}
 
-	#handleUnsuccessfulRun(job: QueuedJob, task: JobTask, host: RunHost, end: RunEnd): void {
+	#handleUnsuccessfulRun({job, task}: {readonly job: QueuedJob; readonly task: JobTask}, host: RunHost, run: LinkedRun, end: RunEnd): void {
 		if (end === 'failed') {
 			task.failures++;
 			task.avoided.add(host.name);
@@ -670,7 +670,7 @@
 
 		if (!job.isAbandoned) {
 			this.#options.log.info({
-				job: job.request.id, task: task.name, upstream: host.name, end, failures: task.failures,
+				job: job.request.id, task: task.name, run: run.number, upstream: host.name, end, failures: task.failures,
 			}, 'run ended without success');
 		}
 	}
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -59,10 +59,13 @@
 /** Result of a poll. */
 type PollResult = 'seen' | 'refused' | 'unanswered';
 
+/** Why a run counts as ended: its upstream listed the end or no longer lists the run, its lease expired, or its upstream was removed. */
+export type EndGrounds = 'listed' | 'unlisted' | 'lease-expired' | 'upstream-removed';
+
 /** Events of an {@link UpstreamLink}. */
 export type UpstreamLinkEvents = {
 	/** A run of this link ended. */
-	readonly onRunEnded: (link: UpstreamLink, run: LinkedRun, end: RunEnd) => void;
+	readonly onRunEnded: (link: UpstreamLink, run: LinkedRun, end: RunEnd, grounds: EndGrounds) => void;
 	/** A run was refused and has not started. */
 	readonly onRunRefused: (link: UpstreamLink, run: LinkedRun, reason: OrderRefusal) => void;
 	/** The free capacity or the state of the upstream changed. */
@@ -71,6 +74,8 @@
 	readonly onFenced: (link: UpstreamLink) => void;
 	/** The upstream became silent, or answers again. */
 	readonly onSilenceChanged: (link: UpstreamLink, isSilent: boolean) => void;
+	/** An answer showed another instance of the upstream. */
+	readonly onInstanceChanged: (link: UpstreamLink, earlierBornMs: number) => void;
 	/** An unclaimed run is about to be stopped. */
 	readonly onUnclaimedRun: (link: UpstreamLink, run: Run) => void;
 };
@@ -286,7 +291,7 @@
 	/** Ends all runs as lapsed, because the upstream is removed. */
 	endRuns(): void {
 		for (const run of this.#runs.values()) {
-			this.#finish(run, 'lapsed');
+			this.#finish(run, 'lapsed', 'upstream-removed');
 		}
 	}
 
@@ -394,11 +399,13 @@
 	 * their starts before its first poll, so that its list of runs decides.
 	 */
 	#resetForNewInstance(bornMs: number): void {
+		const earlierBornMs = this.description.bornMs;
 		this.description = {...this.description, bornMs};
 		this.#acknowledgedPosition = 0;
 		this.#clockOffsetMs = undefined;
 		this.#clearUnclaimed();
 		this.#recentEnds.clear();
+		this.#options.events.onInstanceChanged(this, earlierBornMs);
 	}
 
 	/** Estimates the offset of the upstream's clock. The fastest answer gives the best estimate, which ages since the upstream's clock may be slow. */
@@ -418,7 +425,7 @@
 		this.#acknowledgedPosition = Math.max(this.#acknowledgedPosition, end.position);
 		const run = this.#runs.get(end.task);
 		if (run !== undefined && run.number <= end.number) {
-			this.#finish(run, end.end);
+			this.#finish(run, end.end, 'listed');
 			return;
 		}
 
@@ -447,7 +454,7 @@
 		for (const run of this.#runs.values()) {
 			if (!listed.has(run.task) && run.confirmedAt < sentAt) {
 				// Listed neither as running nor as ended although its order was confirmed before the poll was sent.
-				this.#finish(run, run.isStopRequested ? 'stopped' : 'lapsed');
+				this.#finish(run, run.isStopRequested ? 'stopped' : 'lapsed', 'unlisted');
 			}
 		}
 	}
@@ -657,7 +664,7 @@
 		}
 
 		for (const run of this.#runs.values()) {
-			this.#finish(run, 'lapsed');
+			this.#finish(run, 'lapsed', 'lease-expired');
 		}
 
 		this.#clearUnclaimed();
@@ -691,10 +698,10 @@
 		this.#reserved.accelerators += accelerators * sign;
 	}
 
-	#finish(run: LinkedRun, end: RunEnd): void {
+	#finish(run: LinkedRun, end: RunEnd, grounds: EndGrounds): void {
 		if (this.#runs.get(run.task) === run) {
 			this.#removeRun(run);
-			this.#options.events.onRunEnded(this, run, end);
+			this.#options.events.onRunEnded(this, run, end, grounds);
 		}
 	}
 
--- a/test/pool/pool-harness.ts
+++ b/test/pool/pool-harness.ts
@@ -2,7 +2,7 @@
  * Test harness: pool owners with simulated upstreams on a manual clock.
  */
 import {
-	type DecisionLog, type JobStep, PoolOwner, type PoolJobOutcome, type SubmittedJob, type UpstreamDescription,
+	type DecisionLog, type JobStep, type LogFields, PoolOwner, type PoolJobOutcome, type SubmittedJob, type UpstreamDescription,
 } from '../../src/pool/index.js';
 import {sleep} from '../../src/seams/index.js';
 import {ManualClock} from '../../src/testing/manual-clock.js';
@@ -34,6 +34,8 @@
 	readonly descriptions: readonly UpstreamDescription[];
 	readonly faults: readonly SimulatedUpstreamFaults[];
 	readonly outcomes = new Map<string, PoolJobOutcome>();
+	/** Log lines of the owners. */
+	readonly logLines: Array<{readonly message: string; readonly fields: LogFields}> = [];
 	fencedCount = 0;
 	isListComplete = true;
 	#fence = 100;
@@ -55,7 +57,7 @@
 		return new PoolOwner({
 			pool: 'dc1',
 			clock: this.clock,
-			log: silentLog,
+			log: this.#createLog(),
 			orders: this.upstreams,
 			getStoredFence: async () => fence,
 			onFenced: async () => {
@@ -100,6 +102,14 @@
 			this.outcomes.set(id, await owner.submit(createJob(id, options), signal, isConnectionLost));
 		})();
 	}
+
+	#createLog(): DecisionLog {
+		const addLine = (fields: LogFields, message: string): void => {
+			this.logLines.push({message, fields});
+		};
+
+		return {debug: addLine, info: addLine, warn: addLine};
+	}
 }
 
 /**
