Log the status or failure behind each refused and each unanswered order

The log named only the reason that a refusal was mapped to ('start refused', 'invalid'), so that a status that promises nothing could not be told from one that promises that nothing was done, and an answer that could not be decoded left no line at all. The orders to upstreams now log the status, or the failure of the transport, with the order, the upstream and the run. Polls that an unreachable upstream does not answer are logged as detail only, since they recur several times a second; all lines pass the rate-limited log. No decision changes.

--- a/src/platform/http-orders.ts
+++ b/src/platform/http-orders.ts
@@ -3,7 +3,7 @@
  */
 import {Agent} from 'undici';
 import {
-	type PollOutcome, type OrderOptions, type OrderOutcome, type OrderRefusal, type Run, type RunEnd, type UpstreamOrders,
+	type DecisionLog, type PollOutcome, type OrderOptions, type OrderOutcome, type OrderRefusal, type Run, type RunEnd, type UpstreamOrders,
 } from '../pool/index.js';
 import {type Clock} from '../seams/index.js';
 import {callJson, type JsonOutcome} from './json-client.js';
@@ -14,8 +14,11 @@
 /** Options of {@link HttpOrders}. */
 export type HttpOrdersOptions = {
 	readonly clock: Clock;
+	readonly log: DecisionLog;
 };
 
+type Order = 'start' | 'stop' | 'poll';
+
 /** Connections to one upstream: one for a waiting poll, the others for concurrent orders. */
 const connectionsPerUpstream = 4;
 const connectTimeoutMs = 250;
@@ -25,6 +28,7 @@
 
 const undecodableAnswer = 'the answer cannot be decoded';
 const instanceHeader = 'X-Endivemill-Target-Instance';
+const paths: Readonly<Record<Order, string>> = {start: '/api/run-start', stop: '/api/run-stop', poll: '/api/hold'};
 
 const refusalReasons: Readonly<Record<string, OrderRefusal>> = {
 	fence: 'fenced', old: 'stale-run', late: 'late', room: 'no-room',
@@ -32,7 +36,7 @@
 
 /** Sends orders to upstreams; never retries. */
 export class HttpOrders implements UpstreamOrders {
-	readonly #clock: Clock;
+	readonly #options: HttpOrdersOptions;
 	readonly #agent = new Agent({
 		connections: connectionsPerUpstream,
 		pipelining: 1,
@@ -41,42 +45,19 @@
 	});
 
 	constructor(options: HttpOrdersOptions) {
-		this.#clock = options.clock;
+		this.#options = options;
 	}
 
 	async startRun(options: OrderOptions & {readonly run: Run; readonly spec: string; readonly leaseUntilMs: number}): Promise<OrderOutcome> {
-		return toOrderOutcome(await this.#send(options, '/api/run-start', createStartBody(options)));
+		return this.#order('start', options, createStartBody(options), toOrderOutcome);
 	}
 
 	async stopRun(options: OrderOptions & {readonly run: Run}): Promise<OrderOutcome> {
-		return toOrderOutcome(await this.#send(options, '/api/run-stop', createStopBody(options)));
+		return this.#order('stop', options, createStopBody(options), toOrderOutcome);
 	}
 
 	async poll(options: OrderOptions & {readonly acknowledged: number; readonly leaseUntilMs?: number; readonly waitMs: number}): Promise<PollOutcome> {
-		const outcome = await this.#send(options, '/api/hold', createHoldBody(options));
-		if (outcome.kind === 'unanswered') {
-			return outcome;
-		}
-
-		if (outcome.status !== 200) {
-			return toRefusal(outcome.status, outcome.body);
-		}
-
-		const answer = decodeHoldAnswer(outcome.body);
-		if (answer === undefined) {
-			return {kind: 'unanswered', detail: undecodableAnswer};
-		}
-
-		const {clock_ms: upstreamTimeMs, born: bornMs, running, ended} = answer;
-		return {
-			kind: 'seen',
-			bornMs,
-			upstreamTimeMs,
-			running: running.map(([task, number]) => ({task, number})),
-			ended: ended.map(([position, task, number, end]) => ({
-				position, task, number, end: end as RunEnd,
-			})),
-		};
+		return this.#order('poll', options, createHoldBody(options), toPollOutcome);
 	}
 
 	/** Closes all connections. */
@@ -84,10 +65,29 @@
 		await this.#agent.destroy();
 	}
 
-	async #send({upstream, timeoutMs}: OrderOptions, path: string, body: unknown): Promise<JsonOutcome> {
-		return callJson(this.#agent, this.#clock, {
-			origin: `http://${upstream.address}`, method: 'POST', path, headers: {[instanceHeader]: upstream.id}, body, timeoutMs,
+	async #order<T extends OrderOutcome | PollOutcome>(order: Order, options: OrderOptions & {readonly run?: Run}, body: unknown, toOutcome: (answer: JsonOutcome) => T): Promise<T> {
+		const {upstream, timeoutMs} = options;
+		const answer = await callJson(this.#agent, this.#options.clock, {
+			origin: `http://${upstream.address}`, method: 'POST', path: paths[order], headers: {[instanceHeader]: upstream.id}, body, timeoutMs,
 		});
+		const outcome = toOutcome(answer);
+		this.#logFailure(order, options, answer, outcome);
+		return outcome;
+	}
+
+	#logFailure(order: Order, {upstream, run}: OrderOptions & {readonly run?: Run}, answer: JsonOutcome, outcome: OrderOutcome | PollOutcome): void {
+		const {log} = this.#options;
+		const fields = {
+			order, upstream: upstream.id, task: run?.task, run: run?.number, status: answer.status,
+		};
+		if (outcome.kind === 'refused') {
+			log.info({...fields, reason: outcome.reason}, 'order refused by its upstream');
+		} else if (outcome.kind === 'unanswered' && order === 'poll' && answer.status === undefined) {
+			// An upstream that is down is polled several times a second.
+			log.debug({...fields, detail: outcome.detail}, 'order not answered');
+		} else if (outcome.kind === 'unanswered') {
+			log.info({...fields, detail: outcome.detail}, 'order not answered');
+		}
 	}
 }
 
@@ -104,6 +104,32 @@
 	return answer ? {kind: 'done', upstreamTimeMs: answer.clock_ms} : {kind: 'unanswered', detail: undecodableAnswer};
 }
 
+function toPollOutcome(outcome: JsonOutcome): PollOutcome {
+	if (outcome.kind === 'unanswered') {
+		return outcome;
+	}
+
+	if (outcome.status !== 200) {
+		return toRefusal(outcome.status, outcome.body);
+	}
+
+	const answer = decodeHoldAnswer(outcome.body);
+	if (answer === undefined) {
+		return {kind: 'unanswered', detail: undecodableAnswer};
+	}
+
+	const {clock_ms: upstreamTimeMs, born: bornMs, running, ended} = answer;
+	return {
+		kind: 'seen',
+		bornMs,
+		upstreamTimeMs,
+		running: running.map(([task, number]) => ({task, number})),
+		ended: ended.map(([position, task, number, end]) => ({
+			position, task, number, end: end as RunEnd,
+		})),
+	};
+}
+
 function toRefusal(status: number, body: unknown): {readonly kind: 'refused'; readonly reason: OrderRefusal} {
 	switch (status) {
 		case 409: {
--- a/src/platform/json-client.ts
+++ b/src/platform/json-client.ts
@@ -15,10 +15,10 @@
 	readonly timeoutMs: number;
 };
 
-/** The status and body of an answer, or why there is none. */
+/** The status and body of an answer, or why there is none; then with the status of an answer whose body could not be read. */
 export type JsonOutcome =
 	| {readonly kind: 'answered'; readonly status: number; readonly body: unknown}
-	| {readonly kind: 'unanswered'; readonly detail: string};
+	| {readonly kind: 'unanswered'; readonly detail: string; readonly status?: number};
 
 /** Timer delay above which this process counts as short of processor time, in milliseconds. */
 const lateTimerThresholdMs = 10;
@@ -37,7 +37,7 @@
 	readonly #chunks: Uint8Array[] = [];
 	#controller: Dispatcher.DispatchController | undefined;
 	#timer: Timer;
-	#status = 0;
+	#status: number | undefined;
 	#isFinished = false;
 
 	constructor({clock, timeoutMs, finish}: {readonly clock: Clock; readonly timeoutMs: number; readonly finish: (outcome: JsonOutcome) => void}) {
@@ -66,22 +66,22 @@
 		const [first] = this.#chunks;
 		const text = this.#chunks.length === 1 ? Buffer.from(first!.buffer, first!.byteOffset, first!.length).toString() : Buffer.concat(this.#chunks).toString();
 		try {
-			this.#end({kind: 'answered', status: this.#status, body: text === '' ? undefined : JSON.parse(text)});
+			this.#end({kind: 'answered', status: this.#status!, body: text === '' ? undefined : JSON.parse(text)});
 		} catch (err) {
-			this.#end({kind: 'unanswered', detail: err instanceof Error ? err.message : String(err)});
+			this.fail(err);
 		}
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
-		this.#end({kind: 'unanswered', detail: err.message});
+		this.fail(err);
 	}
 
 	/**
-	 * Ends a call that could not be passed to the HTTP client.
-	 * @param err - Error of the HTTP client.
+	 * Ends a call that has no answer, or none that can be read.
+	 * @param err - Error of the HTTP client or of the parser.
 	 */
 	fail(err: unknown): void {
-		this.#end({kind: 'unanswered', detail: err instanceof Error ? err.message : String(err)});
+		this.#end({kind: 'unanswered', detail: err instanceof Error ? err.message : String(err), status: this.#status});
 	}
 
 	#setTimer(delayMs: number): Timer {
@@ -94,7 +94,7 @@
 				return;
 			}
 
-			this.#end({kind: 'unanswered', detail: `no answer in ${this.#timeoutMs} ms`});
+			this.fail(new Error(`no answer in ${this.#timeoutMs} ms`));
 			this.#controller?.abort(new Error('no answer in time'));
 		}, delayMs);
 	}
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -126,7 +126,7 @@
 		this.#log = createRateLimitedLog({clock, log: logger});
 		this.#self = {dataCenter: settings.dataCenter, vm: settings.vm, id: `${settings.vm}-${random.getHex(incarnationBytes)}`};
 		this.#store = new StoreClient({address: settings.storeAddress, clock});
-		this.#orders = new HttpOrders({clock});
+		this.#orders = new HttpOrders({clock, log: this.#log});
 		const sharedOptions = {clock, log: this.#log, store: this.#store};
 		this.#configuration = new ConfigurationWatch({...sharedOptions, isNotifiedByPeers: () => this.#node.isStandby()});
 		this.#upstreams = new UpstreamList({
