Count an order as refused only where the protocol promises that nothing was done

What callers would see: a task twice at the same time. A start that was carried out and answered with a status such as 500, 502, 504, 404 or 408 counted as refused, its run was forgotten, and the task's next run started on another upstream at once, while the first went on to its end; a lender passed the refusal on to the borrower in the same way.

Cause: toRefusal mapped every status but 409, 421, 429 and 503 to the refusal 'invalid', and a 409 without a body or with an unknown reason as well. The protocol promises that nothing was done for 400, for 421, for 429 and 503, and for 409 with the reasons fence, old, late, room or ticket; every response with a body has clock_ms, so that a 409 without it is no answer of an upstream. Any other status now counts as unanswered: the start is sent again, then stopped, and the next run waits for the upstream's list or for the end of the lease. A reason named like a member of Object.prototype ('constructor') counted as known.

Tests, both failed before and pass now: 'an order counts as refused only with the answers that promise that nothing was done' (start, stop and poll; first failure before: start 201), and 'a run that started although its order was answered with 500 is not started again beside it' (an entry VM with two upstreams; before: the two runs overlapped).

--- a/src/platform/http-orders.ts
+++ b/src/platform/http-orders.ts
@@ -30,9 +30,15 @@
 const instanceHeader = 'X-Endivemill-Target-Instance';
 const paths: Readonly<Record<Order, string>> = {start: '/api/run-start', stop: '/api/run-stop', poll: '/api/hold'};
 
-const refusalReasons: Readonly<Record<string, OrderRefusal>> = {
-	fence: 'fenced', old: 'stale-run', late: 'late', room: 'no-room',
-};
+/** The reasons for which an upstream rejects an order with status 409. */
+const refusalReasons: ReadonlyMap<string, OrderRefusal> = new Map([
+	['fence', 'fenced'], ['old', 'stale-run'], ['late', 'late'], ['room', 'no-room'], ['ticket', 'invalid'],
+]);
+
+/** The other statuses that promise that an order was not carried out. */
+const refusalStatuses: ReadonlyMap<number, OrderRefusal> = new Map([
+	[400, 'invalid'], [421, 'wrong-instance'], [429, 'unhealthy'], [503, 'unhealthy'],
+]);
 
 /** Sends orders to upstreams; never retries. */
 export class HttpOrders implements UpstreamOrders {
@@ -97,7 +103,7 @@
 	}
 
 	if (outcome.status !== 200) {
-		return toRefusal(outcome.status, outcome.body);
+		return toFailure(outcome.status, outcome.body);
 	}
 
 	const answer = decodeOrderAnswer(outcome.body);
@@ -110,7 +116,7 @@
 	}
 
 	if (outcome.status !== 200) {
-		return toRefusal(outcome.status, outcome.body);
+		return toFailure(outcome.status, outcome.body);
 	}
 
 	const answer = decodeHoldAnswer(outcome.body);
@@ -130,24 +136,8 @@
 	};
 }
 
-function toRefusal(status: number, body: unknown): {readonly kind: 'refused'; readonly reason: OrderRefusal} {
-	switch (status) {
-		case 409: {
-			const reason = decodeOrderAnswer(body)?.reason ?? '';
-			return {kind: 'refused', reason: refusalReasons[reason] ?? 'invalid'};
-		}
-
-		case 421: {
-			return {kind: 'refused', reason: 'wrong-instance'};
-		}
-
-		case 429:
-		case 503: {
-			return {kind: 'refused', reason: 'unhealthy'};
-		}
-
-		default: {
-			return {kind: 'refused', reason: 'invalid'};
-		}
-	}
+/** Converts any answer but 200. After an answer that does not promise otherwise, such as 500, the order may have been carried out. */
+function toFailure(status: number, body: unknown): Exclude<OrderOutcome, {readonly kind: 'done'}> {
+	const reason = status === 409 ? refusalReasons.get(decodeOrderAnswer(body)?.reason ?? '') : refusalStatuses.get(status);
+	return reason === undefined ? {kind: 'unanswered', detail: `status ${status}`} : {kind: 'refused', reason};
 }
--- a/src/testing/platform-upstream.ts
+++ b/src/testing/platform-upstream.ts
@@ -5,7 +5,9 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
-import {type RunEnd, type TaskNeeds, type UpstreamDescription} from '../pool/index.js';
+import {
+	type Run, type RunEnd, type TaskNeeds, type UpstreamDescription,
+} from '../pool/index.js';
 import {type Clock, systemClock} from '../seams/index.js';
 import {readJson, sendJson} from './http-json.js';
 import {type PlatformStore} from './platform-store.js';
@@ -43,6 +45,8 @@
 /** An upstream that simulates its runs. */
 export class PlatformUpstream {
 	faults: SimulatedUpstreamFaults;
+	/** Gets the status with which a start is answered after it was carried out; `undefined` for the actual outcome. */
+	getStartStatus?: (run: Run) => number | undefined;
 	readonly #options: PlatformUpstreamOptions;
 	readonly #simulation: SimulatedUpstreams;
 	#server: Server;
@@ -124,7 +128,14 @@
 		const run = {task: request.task, number: request.run};
 		switch (req.url ?? '') {
 			case '/api/run-start': {
-				this.#send(res, await this.#simulation.startRun({...options, run, leaseUntilMs: request.until_ms ?? 0}));
+				const outcome = await this.#simulation.startRun({...options, run, leaseUntilMs: request.until_ms ?? 0});
+				const status = this.getStartStatus?.(run);
+				if (status === undefined) {
+					this.#send(res, outcome);
+				} else {
+					sendJson(res, status);
+				}
+
 				return;
 			}
 
--- a/test/platform/http-orders.test.ts
+++ b/test/platform/http-orders.test.ts
@@ -7,6 +7,7 @@
 	type DecisionLog, type LogFields, type OrderOutcome, type PollOutcome, type UpstreamDescription,
 } from '../../src/pool/index.js';
 import {systemClock} from '../../src/seams/index.js';
+import {createPlatformDeployment} from './platform-deployment.js';
 
 type SentOrder = 'start' | 'stop' | 'poll';
 
@@ -95,3 +96,70 @@
 	]);
 	t.is(upstream.logged.length, 6);
 });
+
+const refusals: ReadonlyArray<readonly [status: number, body: string, reason: string]> = [
+	[400, '', 'invalid'],
+	[409, '{"clock_ms":1,"reason":"fence"}', 'fenced'],
+	[409, '{"clock_ms":1,"reason":"old"}', 'stale-run'],
+	[409, '{"clock_ms":1,"reason":"late"}', 'late'],
+	[409, '{"clock_ms":1,"reason":"room"}', 'no-room'],
+	[409, '{"clock_ms":1,"reason":"ticket"}', 'invalid'],
+	[421, '', 'wrong-instance'],
+	[429, '', 'unhealthy'],
+	[503, '', 'unhealthy'],
+];
+
+const failures: ReadonlyArray<readonly [status: number, body: string]> = [
+	...[201, 202, 204, 206, 300, 301, 302, 304, 307, 308, 401, 403, 404, 405, 408, 410, 412, 413, 425, 499, 500, 501, 502, 504, 507, 599].map(status => [status, ''] as const),
+	[500, '{"clock_ms":1}'],
+	[500, '{"clock_ms":1,"reason":"room"}'],
+	// Only the reasons of the protocol promise that nothing was done.
+	[409, ''],
+	[409, '{}'],
+	[409, '{"reason":"room"}'],
+	[409, '{"clock_ms":1}'],
+	[409, '{"clock_ms":1,"reason":"running"}'],
+	[409, '{"clock_ms":1,"reason":"constructor"}'],
+	[409, '{"clock_ms":1,"reason":["room"]}'],
+	[200, ''],
+	[200, '{'],
+	[200, '{}'],
+	[200, 'null'],
+	[200, '{"clock_ms":"1"}'],
+];
+
+test('an order counts as refused only with the answers that promise that nothing was done', async t => {
+	const answers: Array<readonly [status: number, body: string]> = [];
+	let requestCount = 0;
+	const upstream = await createTestUpstream(t, (_req, res) => {
+		const [status, body] = answers.shift()!;
+		requestCount++;
+		res.writeHead(status, {location: '/api/hold'}).end(body);
+	});
+	for (const order of ['start', 'stop', 'poll'] as const) {
+		for (const [status, body, reason] of refusals) {
+			answers.push([status, body]);
+			t.deepEqual(await upstream.send(order), {kind: 'refused', reason} as OrderOutcome, `${order} ${status} ${body}`);
+		}
+
+		for (const [status, body] of failures) {
+			answers.push([status, body]);
+			t.like(await upstream.send(order), {kind: 'unanswered'}, `${order} ${status} ${body}`);
+		}
+	}
+
+	t.is(requestCount, (refusals.length + failures.length) * 3);
+});
+
+test('a run that started although its order was answered with 500 is not started again beside it', async t => {
+	const deployment = await createPlatformDeployment({vmsPerDataCenter: 1, getWork: () => ({needs: {cpu: 6800, memoryMb: 64, accelerators: 0}, durationMs: 100})});
+	t.teardown(async () => deployment.close());
+	await deployment.waitUntilReady();
+	for (const upstream of deployment.upstreams) {
+		upstream.getStartStatus = ({number}) => number === 1 ? 500 : undefined;
+	}
+
+	t.like(await deployment.submit(0, '00000000000000a1', {taskCount: 1}), {status: 200, state: 'completed'});
+	const starts = deployment.upstreams.flatMap(upstream => upstream.getStarts()).toSorted((a, b) => a.startedAt - b.startedAt);
+	t.true(starts.every(({startedAt}, position) => position === 0 || startedAt >= starts[position - 1]!.endedAt!));
+});
