--- /dev/null
+++ b/test/platform/http-orders.test.ts
@@ -0,0 +1,165 @@
+import {once} from 'node:events';
+import {createServer, type RequestListener} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import test, {type ExecutionContext} from 'ava';
+import {HttpOrders} from '../../src/platform/http-orders.js';
+import {
+	type DecisionLog, type LogFields, type OrderOutcome, type PollOutcome, type UpstreamDescription,
+} from '../../src/pool/index.js';
+import {systemClock} from '../../src/seams/index.js';
+import {createPlatformDeployment} from './platform-deployment.js';
+
+type SentOrder = 'start' | 'stop' | 'poll';
+
+const run = {task: 'a.0.0.1', number: 2};
+
+/** Sends orders to a server on loopback. */
+class TestUpstream {
+	readonly logged: Array<LogFields & {readonly message: string}> = [];
+	readonly orders: HttpOrders;
+	readonly #upstream: UpstreamDescription;
+
+	constructor(address: string) {
+		const add = (fields: LogFields, message: string): void => {
+			this.logged.push({...fields, message});
+		};
+
+		const log: DecisionLog = {debug: add, info: add, warn: add};
+		this.orders = new HttpOrders({clock: systemClock, log});
+		this.#upstream = {
+			id: 'i-1', bornMs: 1, address, dataCenter: 'dc1', service: 's', rack: 'r1', labels: [], isLeaving: false, capacity: {cpu: 1, memoryMb: 1, accelerators: 0},
+		};
+	}
+
+	async send(order: SentOrder): Promise<OrderOutcome | PollOutcome> {
+		const options = {upstream: this.#upstream, fence: 1, timeoutMs: 20_000};
+		switch (order) {
+			case 'start': {
+				return this.orders.startRun({
+					...options, run, spec: '', leaseUntilMs: 1,
+				});
+			}
+
+			case 'stop': {
+				return this.orders.stopRun({...options, run});
+			}
+
+			case 'poll': {
+				return this.orders.poll({...options, acknowledged: 0, waitMs: 0});
+			}
+		}
+	}
+}
+
+async function createTestUpstream(t: ExecutionContext, listener: RequestListener): Promise<TestUpstream> {
+	const server = createServer(listener).listen({host: '127.0.0.1', port: 0});
+	await once(server, 'listening');
+	const upstream = new TestUpstream(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+	t.teardown(async () => {
+		await upstream.orders.close();
+		server.close();
+	});
+	return upstream;
+}
+
+test('the log names the status or the failure behind each refused and each unanswered order', async t => {
+	const answers = [[503, ''], [409, '{"clock_ms":1,"reason":"room"}'], [200, '{'], [200, '[]'], [502, '<html>']] as const;
+	let position = 0;
+	const upstream = await createTestUpstream(t, (_req, res) => {
+		const answer = answers[position++];
+		if (answer === undefined) {
+			res.destroy();
+		} else {
+			res.writeHead(answer[0]).end(answer[1]);
+		}
+	});
+	for (const order of ['poll', 'start', 'start', 'stop', 'stop', 'poll'] as const) {
+		await upstream.send(order);
+	}
+
+	const message = 'order not answered';
+	t.like(upstream.logged, [
+		{
+			order: 'poll', upstream: 'i-1', task: undefined, status: 503, reason: 'unhealthy', message: 'order refused by its upstream',
+		},
+		{
+			order: 'start', task: run.task, run: run.number, status: 409, reason: 'no-room',
+		},
+		{order: 'start', status: 200, message},
+		{
+			order: 'stop', status: 200, detail: 'the answer cannot be decoded', message,
+		},
+		{order: 'stop', status: 502, message},
+		{
+			order: 'poll', status: undefined, detail: 'other side closed', message,
+		},
+	]);
+	t.is(upstream.logged.length, 6);
+});
+
+const refusals: ReadonlyArray<readonly [status: number, body: string, reason: string]> = [
+	[400, '', 'invalid'],
+	[409, '{"clock_ms":1,"reason":"fence"}', 'fenced'],
+	[409, '{"clock_ms":1,"reason":"old"}', 'stale-run'],
+	[409, '{"clock_ms":1,"reason":"late"}', 'late'],
+	[409, '{"clock_ms":1,"reason":"room"}', 'no-room'],
+	[409, '{"clock_ms":1,"reason":"ticket"}', 'invalid'],
+	[421, '', 'wrong-instance'],
+	[429, '', 'unhealthy'],
+	[503, '', 'unhealthy'],
+];
+
+const failures: ReadonlyArray<readonly [status: number, body: string]> = [
+	...[201, 202, 204, 206, 300, 301, 302, 304, 307, 308, 401, 403, 404, 405, 408, 410, 412, 413, 425, 499, 500, 501, 502, 504, 507, 599].map(status => [status, ''] as const),
+	[500, '{"clock_ms":1}'],
+	[500, '{"clock_ms":1,"reason":"room"}'],
+	// Only the reasons of the protocol promise that nothing was done.
+	[409, ''],
+	[409, '{}'],
+	[409, '{"reason":"room"}'],
+	[409, '{"clock_ms":1}'],
+	[409, '{"clock_ms":1,"reason":"running"}'],
+	[409, '{"clock_ms":1,"reason":"constructor"}'],
+	[409, '{"clock_ms":1,"reason":["room"]}'],
+	[200, ''],
+	[200, '{'],
+	[200, '{}'],
+	[200, 'null'],
+	[200, '{"clock_ms":"1"}'],
+];
+
+test('an order counts as refused only with the answers that promise that nothing was done', async t => {
+	const answers: Array<readonly [status: number, body: string]> = [];
+	let requestCount = 0;
+	const upstream = await createTestUpstream(t, (_req, res) => {
+		const [status, body] = answers.shift()!;
+		requestCount++;
+		res.writeHead(status, {location: '/api/hold'}).end(body);
+	});
+	for (const order of ['start', 'stop', 'poll'] as const) {
+		for (const [status, body, reason] of refusals) {
+			answers.push([status, body]);
+			t.deepEqual(await upstream.send(order), {kind: 'refused', reason} as OrderOutcome, `${order} ${status} ${body}`);
+		}
+
+		for (const [status, body] of failures) {
+			answers.push([status, body]);
+			t.like(await upstream.send(order), {kind: 'unanswered'}, `${order} ${status} ${body}`);
+		}
+	}
+
+	t.is(requestCount, (refusals.length + failures.length) * 3);
+});
+
+test('a run that started although its order was answered with 500 is not started again beside it', async t => {
+	const deployment = await createPlatformDeployment({vmsPerDataCenter: 1, getWork: () => ({needs: {cpu: 6800, memoryMb: 64, accelerators: 0}, durationMs: 100})});
+	t.teardown(async () => deployment.close());
+	await deployment.waitUntilReady();
+	for (const upstream of deployment.upstreams) {
+		upstream.getStartStatus = ({number}) => number === 1 ? 500 : undefined;
+	}
+
+	t.like(await deployment.submit(0, '00000000000000a1', {taskCount: 1}), {status: 200, state: 'completed'});
+	const starts = deployment.upstreams.flatMap(upstream => upstream.getStarts()).toSorted((a, b) => a.startedAt - b.startedAt);
+	t.true(starts.every(({startedAt}, position) => position === 0 || startedAt >= starts[position - 1]!.endedAt!));
+});
