Refuse an upstream entry whose address is no IP address with a port

What callers saw: an entry of another writer with port 99999, port 0, no port, a host name, user information or a path was listed as an upstream and published to the other entry VMs. Its owner polled it in vain, and orders to `user:password@IP:80` went to the host.

Cause: the schema of an upstream's entry accepted any text as address.

Change: the address must be an IP address with a port from 1 to 65535, IPv6 in brackets. The platform dials by IP address and looks up no names, so no entry that it allows is refused. An entry that fails the schema is skipped alone, so that the others stay listed.

Evidence: 'an entry whose address is no IP address with a port names no upstream' and 'an entry with a port out of range names no upstream and leaves the others listed' failed before (17 of 17 odd addresses accepted in the table, u0, u3 and u4 listed), pass now.

--- a/src/platform/wire-messages.ts
+++ b/src/platform/wire-messages.ts
@@ -3,6 +3,7 @@
  */
 import * as z from 'zod';
 import {type Run} from '../pool/index.js';
+import {addressSchema} from './address-schema.js';
 
 const count = z.number().min(0);
 const flag = z.boolean().default(false);
@@ -64,7 +65,7 @@
 /** An upstream's entry in the store. */
 export const upstreamEntrySchema = z.object({
 	service: z.string(),
-	address: z.string(),
+	address: addressSchema,
 	zone: z.string(),
 	state: z.enum(['ready', 'draining']),
 	capacity: z.object({cpu: count, mem_mb: count, gpu: count.default(0)}),
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -68,6 +68,22 @@
 	t.is(decodeUpstream({key: 'servers/i-1', value: '\u0000'}), undefined);
 });
 
+const upstreamEntry = {
+	service: 's', address: '10.0.0.1:1', zone: 'a', state: 'ready', capacity: {cpu: 16_000, mem_mb: 1024}, labels: ['a', 'r1-3'], born: 5,
+};
+
+const oddAddresses = {
+	ports: ['10.0.0.1:65536', '10.0.0.1:99999', '10.0.0.1:0', '10.0.0.1:-1', '10.0.0.1:8e1', '10.0.0.1:', '10.0.0.1'],
+	hosts: [':80', '', '999.0.0.1:80', 'x y:80', 'host.example:80', '[10.0.0.1]:80', '[::1:80'],
+	others: ['10.0.0.1:80/path', '10.0.0.1:80#x', 'user:password@10.0.0.1:80'],
+};
+
+test('an entry whose address is no IP address with a port names no upstream', t => {
+	const decodeAddress = (address: string): string | undefined => decodeUpstream({key: 'servers/i-1', value: JSON.stringify({...upstreamEntry, address})})?.address;
+	const valid = ['10.0.0.1:1', '10.0.0.1:65535', '[::1]:80'];
+	t.deepEqual([...valid, ...Object.values(oddAddresses).flat()].filter(address => decodeAddress(address) === address), valid);
+});
+
 test('a job that needs an unsupported feature is distinguished from an invalid one', t => {
 	const body = {
 		spec: 'x', best_effort: true, steps: [{
--- a/test/platform/upstream-list.test.ts
+++ b/test/platform/upstream-list.test.ts
@@ -5,19 +5,19 @@
 import {ManualClock} from '../../src/testing/index.js';
 import {createUpstream, silentLog} from '../pool/pool-harness.js';
 
-function createEntry(id: string): {readonly key: string; readonly value: string} {
+function createEntry(id: string, overrides: Readonly<Record<string, unknown>> = {}): {readonly key: string; readonly value: string} {
 	const value = JSON.stringify({
-		service: 's', address: '10.0.0.1:80', zone: 'dc1', state: 'ready', capacity: {cpu: 16_000, mem_mb: 1000, gpu: 0}, labels: ['a', 'r1'], born: 1,
+		service: 's', address: '10.0.0.1:80', zone: 'dc1', state: 'ready', capacity: {cpu: 16_000, mem_mb: 1000, gpu: 0}, labels: ['a', 'r1'], born: 1, ...overrides,
 	});
 	return {key: `servers/${id}`, value};
 }
 
 function createFixture() {
 	const clock = new ManualClock();
-	const state = {ids: ['u1', 'u2']};
+	const state = {ids: ['u1', 'u2'], oddItems: [] as ReadonlyArray<{readonly key: string; readonly value: string}>};
 	const store: Pick<StoreClient, 'getRange' | 'getChanges'> = {
 		getChanges: async () => ({ok: true, value: {revision: 1, changes: []}}),
-		getRange: async () => ({ok: true, value: {revision: 1, items: state.ids.map(id => ({...createEntry(id), revision: 1}))}}),
+		getRange: async () => ({ok: true, value: {revision: 1, items: [...state.oddItems, ...state.ids.map(id => createEntry(id))].map(item => ({...item, revision: 1}))}}),
 	};
 	const layout = new PoolLayout();
 	layout.setCount('dc1', 1);
@@ -90,3 +90,11 @@
 	t.deepEqual(getIds(list.getMissingUpstreams('dc1')), []);
 	list.close();
 });
+
+test('an entry with a port out of range names no upstream and leaves the others listed', async t => {
+	const {state, list} = createFixture();
+	state.oddItems = [createEntry('u0', {address: '10.0.0.1:99999'}), createEntry('u3', {address: '10.0.0.1:0'}), createEntry('u4', {address: 'x y:80'})];
+	await list.read();
+	t.deepEqual(getIds(list.getUpstreams('dc1')), ['u1', 'u2']);
+	t.deepEqual(getIds(list.getMissingUpstreams('dc1')), []);
+});
