Refuse an upstream entry with a number too large or an odd identifier

What callers saw: two entries with 1e308 cores made the load of their pool infinite. The other entry VMs refuse a heartbeat's claims with such a load, so that they no longer saw any pool of that owner. A `born` of 1e308 or 1.5 replaced the known start time. The key `servers/` or one with a line feed gave an upstream that no order can be addressed to.

Cause: the schema limited numbers only from below, and the identifier was not checked.

Change: amounts are at most the largest safe integer, so that their sum over all upstreams is finite; `born` is a whole safe number of milliseconds; an identifier consists of visible ASCII characters without the slash of keys. Omitted fields and unknown ones are accepted as before.

Evidence: 'an entry with a number too large or an identifier that no header can carry names no upstream' failed before (1e308 cores accepted), passes now.

--- a/src/platform/decode-upstream.ts
+++ b/src/platform/decode-upstream.ts
@@ -9,6 +9,9 @@
 /** Prefix of the upstreams' entries. */
 export const upstreamPrefix = 'servers/';
 
+/** Characters of an identifier: those of a header value, without the separators of keys. */
+const identifierPattern = /^[!-.0-~]+$/v;
+
 /** Index of the rack in an upstream's labels; the first label is the kind of the upstream. */
 const rackPosition = 1;
 
@@ -27,14 +30,15 @@
  * @param item - Item of the store.
  */
 export function decodeUpstream({key, value}: Pick<StoredItem, 'key' | 'value'>): UpstreamDescription | undefined {
+	const id = key.slice(upstreamPrefix.length);
 	const parsed = upstreamEntrySchema.safeParse(parseJson(value));
-	if (!parsed.success) {
+	if (!parsed.success || !identifierPattern.test(id)) {
 		return undefined;
 	}
 
 	const {service, address, zone, state, capacity, labels, born} = parsed.data;
 	return {
-		id: key.slice(upstreamPrefix.length),
+		id,
 		bornMs: born,
 		address,
 		dataCenter: zone,
--- a/src/platform/wire-messages.ts
+++ b/src/platform/wire-messages.ts
@@ -6,6 +6,8 @@
 import {addressSchema} from './address-schema.js';
 
 const count = z.number().min(0);
+/** Amount whose sum over all upstreams is finite. */
+const boundedAmount = count.max(Number.MAX_SAFE_INTEGER);
 const flag = z.boolean().default(false);
 
 /** Body of a job. Fields with the value 0, false or empty are omitted on the wire. */
@@ -68,10 +70,10 @@
 	address: addressSchema,
 	zone: z.string(),
 	state: z.enum(['ready', 'draining']),
-	capacity: z.object({cpu: count, mem_mb: count, gpu: count.default(0)}),
+	capacity: z.object({cpu: boundedAmount, mem_mb: boundedAmount, gpu: boundedAmount.default(0)}),
 	labels: z.array(z.string()).default([]),
-	// Wall-clock start time of this instance of the upstream.
-	born: count.default(0),
+	// Wall-clock start time of this instance of the upstream, in whole milliseconds.
+	born: z.int().min(0).default(0),
 });
 
 /** An item of the store. */
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -84,6 +84,26 @@
 	t.deepEqual([...valid, ...Object.values(oddAddresses).flat()].filter(address => decodeAddress(address) === address), valid);
 });
 
+test('an entry with a number too large or an identifier that no header can carry names no upstream', t => {
+	const decode = (overrides: Readonly<Record<string, unknown>>, key = 'servers/i-1') => decodeUpstream({key, value: JSON.stringify({...upstreamEntry, ...overrides})});
+	t.like(decode({capacity: {cpu: 500.5, mem_mb: 0, gpu: 2}, new_field: {a: 1e308}}), {capacity: {cpu: 500.5, memoryMb: 0, accelerators: 2}});
+	t.is(decode({born: undefined})?.bornMs, 0);
+	for (const key of ['cpu', 'mem_mb', 'gpu']) {
+		for (const value of [1e308, 2 ** 60, -1, '5', null]) {
+			t.is(decode({capacity: {...upstreamEntry.capacity, [key]: value}}), undefined);
+		}
+	}
+
+	for (const born of [1e308, 2 ** 60, 1.5, -1, '5', null]) {
+		t.is(decode({born}), undefined);
+	}
+
+	t.is(decode({}, 'servers/i-A_1.b:2')?.id, 'i-A_1.b:2');
+	for (const id of ['', 'a/b', 'a b', 'a\nb', 'ä', '\u0000']) {
+		t.is(decode({}, `servers/${id}`), undefined);
+	}
+});
+
 test('a job that needs an unsupported feature is distinguished from an invalid one', t => {
 	const body = {
 		spec: 'x', best_effort: true, steps: [{
