Treat a peer with a port out of range as unreachable instead of ending the process

What callers saw: one entry in the list of VMs with port 99999 or without a port ended every entry VM that read the list, again and again after each restart.

Cause: `net.connect` throws for such a port. `dialTcp` and the TLS variant then rejected, though dials are documented never to reject, and the dialling tasks of the mesh and the check for other owners at the start await them without a handler: an unhandled rejection ends the process.

Change: opening the socket is part of the attempt; an error there is the outcome `unreachable`.

Evidence: 'a listed entry VM with a port out of range does not end the process, and the others are linked' failed before (2 unhandled rejections, RangeError ERR_SOCKET_BAD_PORT), passes now; the TLS test checks the same outcome.

--- a/src/connection/tcp-transport.ts
+++ b/src/connection/tcp-transport.ts
@@ -44,17 +44,24 @@
  * @param signal - Aborts the attempt.
  */
 export async function dialTcp(address: string, signal: AbortSignal): Promise<DialResult> {
-	return waitForConnection(connect(parseAddress(address)), 'connect', signal);
+	return waitForConnection(() => connect(parseAddress(address)), 'connect', signal);
 }
 
 /**
- * Waits until a socket is connected; destroys it when the signal aborts. Never rejects.
- * @param socket - Socket that is connecting.
+ * Opens a socket and waits until it is connected; destroys it when the signal aborts. Never rejects.
+ * @param open - Opens the socket; throws if the address is not valid.
  * @param readyEvent - Event that the socket emits once it is connected.
  * @param signal - Aborts the attempt.
  * @internal
  */
-export async function waitForConnection(socket: Socket, readyEvent: 'connect' | 'secureConnect', signal: AbortSignal): Promise<DialResult> {
+export async function waitForConnection(open: () => Socket, readyEvent: 'connect' | 'secureConnect', signal: AbortSignal): Promise<DialResult> {
+	let socket: Socket;
+	try {
+		socket = open();
+	} catch (err) {
+		return {ok: false, reason: 'unreachable', detail: err instanceof Error ? err.message : String(err)};
+	}
+
 	return new Promise(resolve => {
 		const abort = (): void => {
 			socket.destroy();
--- a/src/connection/tls-transport.ts
+++ b/src/connection/tls-transport.ts
@@ -19,7 +19,7 @@
  * @param store - TLS material of this entry VM.
  */
 export function createTlsDial(store: TlsStore): Dial {
-	return async (address, signal) => waitForConnection(connect({
+	return async (address, signal) => waitForConnection(() => connect({
 		...parseAddress(address),
 		...getContextOptions(store),
 		// Peers are dialled by IP address and replaced at any time, so that no host name can be checked. The certificate
--- a/test/connection/peer-mesh.test.ts
+++ b/test/connection/peer-mesh.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {type Dial} from '../../src/connection/index.js';
+import {type Dial, dialTcp} from '../../src/connection/index.js';
 import {CurrentValue} from '../../src/process/current-value.js';
 import {EventLog} from '../../src/process/events.js';
 import {type ListedEntryVm} from '../../src/platform/index.js';
@@ -32,6 +32,15 @@
 	t.deepEqual(await first.request('b-1', {topic: 'y', body: {n: 1}}), {kind: 'answered', body: 'answer of b'});
 });
 
+test('a listed entry VM with a port out of range does not end the process, and the others are linked', async t => {
+	const first = await createTestMesh(t, 'a');
+	const second = await createTestMesh(t, 'b', {
+		entryVms: createList(['kolkata', 'c', '127.0.0.1:99999'], ['kolkata', 'd', '127.0.0.1'], ['kolkata', 'a', first.getAddress()]),
+	});
+	await waitForState(second, 'a-1', 'up');
+	t.like(await dialTcp('127.0.0.1:99999', new AbortController().signal), {ok: false, reason: 'unreachable'});
+});
+
 test('an entry VM with a single seed joins all others', async t => {
 	const first = await createTestMesh(t, 'a');
 	const second = await createTestMesh(t, 'b', {seeds: [first.getAddress()]});
--- a/test/connection/tls.test.ts
+++ b/test/connection/tls.test.ts
@@ -147,4 +147,5 @@
 	t.is(acceptedCount, 1);
 	await listener.close();
 	t.like(await createTlsDial(client)(listener.address, neverAbortedSignal), {ok: false, reason: 'refused'});
+	t.like(await createTlsDial(client)('127.0.0.1:99999', neverAbortedSignal), {ok: false, reason: 'unreachable'});
 });
