Do not take a missing list of runs or ends for an empty one

What callers would see: a task twice at the same time. An upstream's answer without the field 'running' counted as an empty list, so that all runs confirmed before the poll ended as lapsed and were started again elsewhere, while they went on; without 'ended', runs that had ended as done counted as lapsed and were run again.

Cause: the decoder filled missing lists in with empty ones. The protocol says that a poll returns both lists. An answer without one of them is now unusable, as one that cannot be decoded is: the poll counts as unanswered, and the runs end by the next list or with their lease.

Test 'an answer without a list of runs or of ends does not count as one with an empty list' failed before (the answer was decoded with empty lists) and passes now. Two cases of an existing test lacked one list; they have both now, so that they still check the wrong type of a column.

--- a/src/platform/wire-messages.ts
+++ b/src/platform/wire-messages.ts
@@ -129,7 +129,8 @@
 		return undefined;
 	}
 
-	const {clock_ms, born, running = [], ended = []} = body;
+	// Without one of the lists, the answer says nothing about the runs: both are always present, even if empty.
+	const {clock_ms, born, running, ended} = body;
 	if (!Array.isArray(running) || !Array.isArray(ended) || !running.every(row => isRow(row, ['string', 'number']))
 		|| !ended.every(row => isRow(row, ['number', 'string', 'number', 'string']))) {
 		return undefined;
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -91,6 +91,13 @@
 	t.deepEqual(decodeOrderAnswer({clock_ms: 5, reason: 'fence'}), {clock_ms: 5, reason: 'fence'});
 	t.is(decodeOrderAnswer({}), undefined);
 	t.like(decodeHoldAnswer({clock_ms: 5, running: [['t', 1, '', 100, 3]], ended: [[1, 't', 1, 'done', '']]}), {clock_ms: 5, born: undefined});
-	t.is(decodeHoldAnswer({clock_ms: 5, running: [['t']]}), undefined);
-	t.is(decodeHoldAnswer({clock_ms: 5, ended: [['1', 't', 1, 'done']]}), undefined);
+	t.is(decodeHoldAnswer({clock_ms: 5, running: [['t']], ended: []}), undefined);
+	t.is(decodeHoldAnswer({clock_ms: 5, running: [], ended: [['1', 't', 1, 'done']]}), undefined);
+});
+
+test('an answer without a list of runs or of ends does not count as one with an empty list', t => {
+	t.like(decodeHoldAnswer({clock_ms: 5, running: [], ended: []}), {running: [], ended: []});
+	for (const lists of [{running: []}, {ended: []}, {running: null, ended: []}, {running: [], ended: {}}]) {
+		t.is(decodeHoldAnswer({clock_ms: 5, ...lists}), undefined);
+	}
 });
