Do not use an answer of an upstream with a number that is no possible time, run or position

What callers would see: tasks that ended and whose ends are never learnt, or orders that are still carried out long after they were given up. A position of 1e308 was acknowledged, so that the upstream forgets all later ends and the owner skips them; a clock of 1e308 or Infinity ('1e400' on the wire) stayed the estimate of the upstream's clock for good, so that each lease ended far in its future; a start time of another type counted as none.

Cause: the decoder checked types only. Times now have to be finite and not negative, and start times, positions and numbers of runs whole and safe; positions and runs begin at 1. An answer with any other number is unusable as a whole.

Test 'an answer with a number that is no possible time, run or position is not used' failed before (first at clock_ms -1) and passes now.

--- a/src/platform/wire-messages.ts
+++ b/src/platform/wire-messages.ts
@@ -100,12 +100,15 @@
 /** Answer to an order. */
 export type OrderAnswer = {readonly clock_ms: number; readonly reason: string};
 
+type RunRow = readonly [task: string, run: number];
+type EndRow = readonly [position: number, task: string, run: number, end: string];
+
 /** Answer to a poll of an upstream; both lists are arrays of tuples on the wire. */
 export type HoldAnswer = {
 	readonly clock_ms: number;
 	readonly born: number | undefined;
-	readonly running: ReadonlyArray<readonly [task: string, run: number]>;
-	readonly ended: ReadonlyArray<readonly [position: number, task: string, run: number, end: string]>;
+	readonly running: readonly RunRow[];
+	readonly ended: readonly EndRow[];
 };
 
 /**
@@ -113,7 +116,7 @@
  * @param body - Body.
  */
 export function decodeOrderAnswer(body: unknown): OrderAnswer | undefined {
-	if (!isRecord(body) || typeof body.clock_ms !== 'number') {
+	if (!isRecord(body) || !isTime(body.clock_ms)) {
 		return undefined;
 	}
 
@@ -125,19 +128,18 @@
  * @param body - Body.
  */
 export function decodeHoldAnswer(body: unknown): HoldAnswer | undefined {
-	if (!isRecord(body) || typeof body.clock_ms !== 'number') {
+	if (!isRecord(body) || !isTime(body.clock_ms)) {
 		return undefined;
 	}
 
 	// Without one of the lists, the answer says nothing about the runs: both are always present, even if empty.
 	const {clock_ms, born, running, ended} = body;
-	if (!Array.isArray(running) || !Array.isArray(ended) || !running.every(row => isRow(row, ['string', 'number']))
-		|| !ended.every(row => isRow(row, ['number', 'string', 'number', 'string']))) {
+	if (!(born === undefined || isCount(born)) || !Array.isArray(running) || !Array.isArray(ended) || !running.every(row => isRun(row)) || !ended.every(row => isEnd(row))) {
 		return undefined;
 	}
 
 	return {
-		clock_ms, born: typeof born === 'number' ? born : undefined, running: running as HoldAnswer['running'], ended: ended as HoldAnswer['ended'],
+		clock_ms, born, running, ended,
 	};
 }
 
@@ -145,9 +147,25 @@
 	return typeof value === 'object' && value !== null;
 }
 
-/** Checks the types of a row's first columns; further columns are ignored. */
-function isRow(row: unknown, types: readonly string[]): boolean {
-	return Array.isArray(row) && types.every((type, column) => typeof row[column] === type);
+/** Checks the first columns of a row; further columns are ignored. */
+function isRun(row: unknown): row is RunRow {
+	return Array.isArray(row) && typeof row[0] === 'string' && isPositive(row[1]);
+}
+
+function isEnd(row: unknown): row is EndRow {
+	return Array.isArray(row) && isPositive(row[0]) && typeof row[1] === 'string' && isPositive(row[2]) && typeof row[3] === 'string';
+}
+
+function isTime(value: unknown): value is number {
+	return typeof value === 'number' && value >= 0 && value <= Number.MAX_SAFE_INTEGER;
+}
+
+function isCount(value: unknown): value is number {
+	return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
+function isPositive(value: unknown): value is number {
+	return isCount(value) && value > 0;
 }
 
 /**
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -101,3 +101,30 @@
 		t.is(decodeHoldAnswer({clock_ms: 5, ...lists}), undefined);
 	}
 });
+
+const holdAnswer = {
+	clock_ms: 5, born: 3, running: [['t', 1, '', 100]], ended: [[1, 't', 1, 'done', '']],
+};
+
+const invalidNumbers = [-1, 1e308, Infinity, Number.NaN, Number.MAX_SAFE_INTEGER + 1, '5', null, [5], true];
+
+test('an answer with a number that is no possible time, run or position is not used', t => {
+	for (const value of invalidNumbers) {
+		for (const answer of [
+			{...holdAnswer, clock_ms: value},
+			{...holdAnswer, born: value},
+			{...holdAnswer, running: [['t', value]]},
+			{...holdAnswer, ended: [[value, 't', 1, 'done']]},
+			{...holdAnswer, ended: [[1, 't', value, 'done']]},
+		]) {
+			t.is(decodeHoldAnswer(answer), undefined, `${JSON.stringify(answer)}`);
+		}
+
+		t.is(decodeOrderAnswer({clock_ms: value}), undefined);
+	}
+
+	t.is(decodeHoldAnswer({...holdAnswer, ended: [[0, 't', 1, 'done']]}), undefined);
+	t.is(decodeHoldAnswer({...holdAnswer, running: [['t', 1.5]]}), undefined);
+	t.like(decodeHoldAnswer({...holdAnswer, clock_ms: 0}), {clock_ms: 0, born: 3});
+	t.like(decodeOrderAnswer({clock_ms: 0}), {clock_ms: 0});
+});
