Take the ends that an upstream lists in the order of their positions

What callers would see: a task that has ended is reported as lapsed or is run again. A later end at the front of the list was acknowledged, and those with lower positions behind it were skipped as known, although their runs had not been seen to end. The protocol says that positions increase, not that the list is sorted.

The decoder now sorts the list where it is not sorted. Test 'ends are taken in the order of their positions, so that none is acknowledged unseen' failed before (order 3, 1, 2) and passes now.

--- a/src/platform/wire-messages.ts
+++ b/src/platform/wire-messages.ts
@@ -139,7 +139,7 @@
 	}
 
 	return {
-		clock_ms, born, running, ended,
+		clock_ms, born, running, ended: sortByPosition(ended),
 	};
 }
 
@@ -168,6 +168,11 @@
 	return isCount(value) && value > 0;
 }
 
+/** An end is acknowledged together with all those before it. */
+function sortByPosition(ended: readonly EndRow[]): readonly EndRow[] {
+	return ended.every(([position], index) => index === 0 || position > ended[index - 1]![0]) ? ended : ended.toSorted(([a], [b]) => a - b);
+}
+
 /**
  * Creates the body of an order that starts a run.
  * @param options - Run, specification of its task, lease and fence.
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -128,3 +128,8 @@
 	t.like(decodeHoldAnswer({...holdAnswer, clock_ms: 0}), {clock_ms: 0, born: 3});
 	t.like(decodeOrderAnswer({clock_ms: 0}), {clock_ms: 0});
 });
+
+test('ends are taken in the order of their positions, so that none is acknowledged unseen', t => {
+	const ended = [[3, 'c', 1, 'done'], [1, 'a', 1, 'done'], [2, 'b', 1, 'failed']];
+	t.deepEqual(decodeHoldAnswer({...holdAnswer, ended})?.ended.map(([position]) => position), [1, 2, 3]);
+});
