Count an unknown end of a run as a failure

What callers would see: a task that is run again without limit until its deadline, or that waits for 2.4 s in another pool. How a run ended was passed on as the upstream wrote it: an unknown word was neither done nor failed, so that no attempt was counted, and a borrower could not decode it and took the run for lost.

The run is in the list of ended ones and is over, so that the next one cannot run beside it; whether its task is done is not known. It now counts as failed, which the attempts of the route limit, and the log has a line with the word.

Test 'an end of an unknown kind counts as a failure, which the attempts of its task limit' failed before ('evicted', 'constructor' passed through) and passes now.

--- a/src/platform/http-orders.ts
+++ b/src/platform/http-orders.ts
@@ -30,6 +30,11 @@
 const instanceHeader = 'X-Endivemill-Target-Instance';
 const paths: Readonly<Record<Order, string>> = {start: '/api/run-start', stop: '/api/run-stop', poll: '/api/hold'};
 
+const runEnds: ReadonlySet<string> = new Set<RunEnd>(['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone']);
+
+/** Maximum length of a text of an upstream in the log. */
+const maxLoggedLength = 64;
+
 /** The reasons for which an upstream rejects an order with status 409. */
 const refusalReasons: ReadonlyMap<string, OrderRefusal> = new Map([
 	['fence', 'fenced'], ['old', 'stale-run'], ['late', 'late'], ['room', 'no-room'], ['ticket', 'invalid'],
@@ -63,7 +68,7 @@
 	}
 
 	async poll(options: OrderOptions & {readonly acknowledged: number; readonly leaseUntilMs?: number; readonly waitMs: number}): Promise<PollOutcome> {
-		return this.#order('poll', options, createHoldBody(options), toPollOutcome);
+		return this.#order('poll', options, createHoldBody(options), answer => this.#toPollOutcome(options, answer));
 	}
 
 	/** Closes all connections. */
@@ -81,6 +86,44 @@
 		return outcome;
 	}
 
+	#toPollOutcome({upstream}: OrderOptions, outcome: JsonOutcome): PollOutcome {
+		if (outcome.kind === 'unanswered') {
+			return outcome;
+		}
+
+		if (outcome.status !== 200) {
+			return toFailure(outcome.status, outcome.body);
+		}
+
+		const answer = decodeHoldAnswer(outcome.body);
+		if (answer === undefined) {
+			return {kind: 'unanswered', detail: undecodableAnswer};
+		}
+
+		const {clock_ms: upstreamTimeMs, born: bornMs, running, ended} = answer;
+		return {
+			kind: 'seen',
+			bornMs,
+			upstreamTimeMs,
+			running: running.map(([task, number]) => ({task, number})),
+			ended: ended.map(([position, task, number, end]) => ({
+				position, task, number, end: this.#toRunEnd(upstream.id, {task, number}, end),
+			})),
+		};
+	}
+
+	/** Converts how a run ended. An unknown end counts as a failure: the run has ended, but its task is not known to be done. */
+	#toRunEnd(upstream: string, {task, number}: Run, end: string): RunEnd {
+		if (isRunEnd(end)) {
+			return end;
+		}
+
+		this.#options.log.info({
+			upstream, task: task.slice(0, maxLoggedLength), run: number, end: end.slice(0, maxLoggedLength),
+		}, 'unknown end of a run');
+		return 'failed';
+	}
+
 	#logFailure(order: Order, {upstream, run}: OrderOptions & {readonly run?: Run}, answer: JsonOutcome, outcome: OrderOutcome | PollOutcome): void {
 		const {log} = this.#options;
 		const fields = {
@@ -110,34 +153,12 @@
 	return answer ? {kind: 'done', upstreamTimeMs: answer.clock_ms} : {kind: 'unanswered', detail: undecodableAnswer};
 }
 
-function toPollOutcome(outcome: JsonOutcome): PollOutcome {
-	if (outcome.kind === 'unanswered') {
-		return outcome;
-	}
-
-	if (outcome.status !== 200) {
-		return toFailure(outcome.status, outcome.body);
-	}
-
-	const answer = decodeHoldAnswer(outcome.body);
-	if (answer === undefined) {
-		return {kind: 'unanswered', detail: undecodableAnswer};
-	}
-
-	const {clock_ms: upstreamTimeMs, born: bornMs, running, ended} = answer;
-	return {
-		kind: 'seen',
-		bornMs,
-		upstreamTimeMs,
-		running: running.map(([task, number]) => ({task, number})),
-		ended: ended.map(([position, task, number, end]) => ({
-			position, task, number, end: end as RunEnd,
-		})),
-	};
-}
-
 /** Converts any answer but 200. After an answer that does not promise otherwise, such as 500, the order may have been carried out. */
 function toFailure(status: number, body: unknown): Exclude<OrderOutcome, {readonly kind: 'done'}> {
 	const reason = status === 409 ? refusalReasons.get(decodeOrderAnswer(body)?.reason ?? '') : refusalStatuses.get(status);
 	return reason === undefined ? {kind: 'unanswered', detail: `status ${status}`} : {kind: 'refused', reason};
 }
+
+function isRunEnd(end: string): end is RunEnd {
+	return runEnds.has(end);
+}
--- a/test/platform/http-orders.test.ts
+++ b/test/platform/http-orders.test.ts
@@ -151,6 +151,17 @@
 	t.is(requestCount, (refusals.length + failures.length) * 3);
 });
 
+test('an end of an unknown kind counts as a failure, which the attempts of its task limit', async t => {
+	const upstream = await createTestUpstream(t, (_req, res) => {
+		res.end('{"clock_ms":1,"born":1,"running":[],"ended":[[1,"a.0.0.1",2,"evicted",""],[2,"a.0.0.2",1,"constructor",""],[3,"a.0.0.3",1,"done",""]]}');
+	});
+	const outcome = await upstream.send('poll') as Extract<PollOutcome, {readonly kind: 'seen'}>;
+	t.deepEqual(outcome.ended.map(({end}) => end), ['failed', 'failed', 'done']);
+	t.like(upstream.logged, [{
+		upstream: 'i-1', task: 'a.0.0.1', run: 2, end: 'evicted', message: 'unknown end of a run',
+	}, {end: 'constructor'}]);
+});
+
 test('a run that started although its order was answered with 500 is not started again beside it', async t => {
 	const deployment = await createPlatformDeployment({vmsPerDataCenter: 1, getWork: () => ({needs: {cpu: 6800, memoryMb: 64, accelerators: 0}, durationMs: 100})});
 	t.teardown(async () => deployment.close());
