--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -127,6 +127,45 @@
 	t.deepEqual(decodeOrderAnswer({clock_ms: 5, reason: 'fence'}), {clock_ms: 5, reason: 'fence'});
 	t.is(decodeOrderAnswer({}), undefined);
 	t.like(decodeHoldAnswer({clock_ms: 5, running: [['t', 1, '', 100, 3]], ended: [[1, 't', 1, 'done', '']]}), {clock_ms: 5, born: undefined});
-	t.is(decodeHoldAnswer({clock_ms: 5, running: [['t']]}), undefined);
-	t.is(decodeHoldAnswer({clock_ms: 5, ended: [['1', 't', 1, 'done']]}), undefined);
+	t.is(decodeHoldAnswer({clock_ms: 5, running: [['t']], ended: []}), undefined);
+	t.is(decodeHoldAnswer({clock_ms: 5, running: [], ended: [['1', 't', 1, 'done']]}), undefined);
+});
+
+test('an answer without a list of runs or of ends does not count as one with an empty list', t => {
+	t.like(decodeHoldAnswer({clock_ms: 5, running: [], ended: []}), {running: [], ended: []});
+	for (const lists of [{running: []}, {ended: []}, {running: null, ended: []}, {running: [], ended: {}}]) {
+		t.is(decodeHoldAnswer({clock_ms: 5, ...lists}), undefined);
+	}
+});
+
+const holdAnswer = {
+	clock_ms: 5, born: 3, running: [['t', 1, '', 100]], ended: [[1, 't', 1, 'done', '']],
+};
+
+const invalidNumbers = [-1, 1e308, Infinity, Number.NaN, Number.MAX_SAFE_INTEGER + 1, '5', null, [5], true];
+
+test('an answer with a number that is no possible time, run or position is not used', t => {
+	for (const value of invalidNumbers) {
+		for (const answer of [
+			{...holdAnswer, clock_ms: value},
+			{...holdAnswer, born: value},
+			{...holdAnswer, running: [['t', value]]},
+			{...holdAnswer, ended: [[value, 't', 1, 'done']]},
+			{...holdAnswer, ended: [[1, 't', value, 'done']]},
+		]) {
+			t.is(decodeHoldAnswer(answer), undefined, `${JSON.stringify(answer)}`);
+		}
+
+		t.is(decodeOrderAnswer({clock_ms: value}), undefined);
+	}
+
+	t.is(decodeHoldAnswer({...holdAnswer, ended: [[0, 't', 1, 'done']]}), undefined);
+	t.is(decodeHoldAnswer({...holdAnswer, running: [['t', 1.5]]}), undefined);
+	t.like(decodeHoldAnswer({...holdAnswer, clock_ms: 0}), {clock_ms: 0, born: 3});
+	t.like(decodeOrderAnswer({clock_ms: 0}), {clock_ms: 0});
+});
+
+test('ends are taken in the order of their positions, so that none is acknowledged unseen', t => {
+	const ended = [[3, 'c', 1, 'done'], [1, 'a', 1, 'done'], [2, 'b', 1, 'failed']];
+	t.deepEqual(decodeHoldAnswer({...holdAnswer, ended})?.ended.map(([position]) => position), [1, 2, 3]);
 });
