Do not end the runs of an upstream because of an entry of the store

Callers saw, or would see, a task run twice: an entry under a live upstream's identifier with another address and a later start time replaced its link and ended its runs as lapsed at once. A lender passed that on, and the borrower started the next run some 10 ms later while the first went on. Such an entry may be another writer's, or announce a restart whose former instance still works.

Cause: an entry of the store was taken for proof that an instance had ended.

Change: an entry at another address is only remembered. The link is replaced once its upstream is silent, no run is known there and all leases have ended, also those that an earlier owner may have granted before the link was added; the timer of the lapse triggers it, so no further entry is needed. The start time of the entry no longer matters. `endRuns` is gone: a link is removed only when nothing can run there, for an unlisted upstream too.

Why it works: runs now end by the upstream's list or by their lease only. An upstream whose entry is overwritten for a while stays in use; one that restarted elsewhere is used again after the silence is noticed and the leases have ended.

--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -73,6 +73,8 @@
 	readonly #scheduler: PoolScheduler;
 	readonly #links = new Map<string, UpstreamLink>();
 	readonly #unlistedSince = new Map<string, number>();
+	/** Descriptions of listed upstreams at other addresses than those of their links, by identifier. */
+	readonly #relocated = new Map<string, UpstreamDescription>();
 	#fence: number;
 	#fenceStep: number;
 	readonly #ready: Promise<void>;
@@ -288,6 +290,7 @@
 				continue;
 			}
 
+			this.#relocated.delete(id);
 			const since = this.#unlistedSince.get(id) ?? now;
 			this.#unlistedSince.set(id, since);
 			if (now - since > unlistedRetentionMs) {
@@ -387,7 +390,13 @@
 
 	#setUpstream(upstream: UpstreamDescription): void {
 		const existing = this.#links.get(upstream.id);
-		if (existing?.description.address === upstream.address) {
+		if (existing === undefined) {
+			this.#addLink(upstream);
+			return;
+		}
+
+		if (existing.description.address === upstream.address) {
+			this.#relocated.delete(upstream.id);
 			const wasLeaving = existing.description.isLeaving;
 			// The upstream's own answers are the best source for its start time.
 			existing.description = {...upstream, bornMs: existing.description.bornMs};
@@ -398,17 +407,27 @@
 			return;
 		}
 
-		if (existing !== undefined) {
-			// The wall clock of the VM may have been set back. The known instance counts as ended once it is silent and nothing can run there.
-			if (upstream.bornMs <= existing.description.bornMs && !(existing.isSilent() && existing.isIdle())) {
-				this.#options.log.info({upstream: upstream.id, address: upstream.address, known: existing.description.address}, 'address of the same or an earlier instance ignored');
-				return;
-			}
-
-			this.#removeLink(upstream.id, existing);
+		if (this.#relocated.get(upstream.id)?.address !== upstream.address) {
+			const {address, bornMs} = existing.description;
+			this.#options.log.info({
+				upstream: upstream.id, pool: this.#options.pool, address: upstream.address, bornMs: upstream.bornMs, known: {address, bornMs},
+			}, 'upstream listed at another address');
 		}
 
-		this.#addLink(upstream);
+		this.#relocated.set(upstream.id, upstream);
+		this.#replaceEndedLink(existing);
+	}
+
+	/**
+	 * Replaces the link of an upstream that is listed at another address, once the known instance is silent and nothing can run there. The entry alone
+	 * does not prove that the known instance has ended: another writer may have left it, or the instance may be partitioned from the store.
+	 */
+	#replaceEndedLink(link: UpstreamLink): void {
+		const relocated = this.#relocated.get(link.name);
+		if (relocated !== undefined && !this.#isClosed && link.isSilent() && link.isIdle()) {
+			this.#removeLink(link.name, link);
+			this.#addLink(relocated);
+		}
 	}
 
 	#addLink(upstream: UpstreamDescription): void {
@@ -431,7 +450,8 @@
 				onRunRefused: (from, run, reason) => {
 					this.#scheduler.handleRunRefused(from, run, reason);
 				},
-				onChange: () => {
+				onChange: from => {
+					this.#replaceEndedLink(from);
 					this.#scheduler.schedule();
 				},
 				onFenced: from => {
@@ -472,11 +492,11 @@
 	#removeLink(id: string, link: UpstreamLink): void {
 		this.#links.delete(id);
 		this.#unlistedSince.delete(id);
+		this.#relocated.delete(id);
 		const {address, bornMs} = link.description;
 		this.#options.log.info({
 			upstream: id, address, bornMs, pool: this.#options.pool,
 		}, 'upstream removed');
-		link.endRuns();
 		link.close();
 	}
 
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -59,8 +59,8 @@
 /** Result of a poll. */
 type PollResult = 'seen' | 'refused' | 'unanswered';
 
-/** Why a run counts as ended: its upstream listed the end or no longer lists the run, its lease expired, or its upstream was removed. */
-export type EndGrounds = 'listed' | 'unlisted' | 'lease-expired' | 'upstream-removed';
+/** Why a run counts as ended: its upstream listed the end or no longer lists the run, or its lease expired. */
+export type EndGrounds = 'listed' | 'unlisted' | 'lease-expired';
 
 /** Events of an {@link UpstreamLink}. */
 export type UpstreamLinkEvents = {
@@ -135,6 +135,8 @@
 		this.#options = options;
 		this.#timing = options.timing ?? defaultUpstreamLinkTiming;
 		this.#silentSince = options.clock.getMonotonicTime();
+		// An earlier owner may have extended the lease until now.
+		this.#recordLease(options.maxLeaseMs);
 	}
 
 	get name(): string {
@@ -174,9 +176,9 @@
 		return this.#runs.values();
 	}
 
-	/** Gets whether no run is known on the upstream. */
+	/** Gets whether nothing runs on the upstream: no run is known there and, if it is silent, all leases have ended. */
 	isIdle(): boolean {
-		return this.#runs.size === 0 && this.#unclaimed.size === 0;
+		return this.#runs.size === 0 && this.#unclaimed.size === 0 && (!this.#isSilent || this.#options.clock.getMonotonicTime() >= this.#leaseEndsAt);
 	}
 
 	/** Polls the upstream repeatedly until the link is closed. */
@@ -288,13 +290,6 @@
 		return this.#recentEnds.get(task);
 	}
 
-	/** Ends all runs as lapsed, because the upstream is removed. */
-	endRuns(): void {
-		for (const run of this.#runs.values()) {
-			this.#finish(run, 'lapsed', 'upstream-removed');
-		}
-	}
-
 	/** Closes the link. Its runs are left to their leases or to the next owner. */
 	close(): void {
 		this.#closeController.abort();
@@ -639,17 +634,16 @@
 
 	#setSilent(): void {
 		const {clock, events} = this.#options;
+		this.#lapseTimer ??= clock.setTimer(() => {
+			this.#lapseTimer = undefined;
+			this.#endLapsedRuns();
+		}, Math.max(minTimerMs, this.#leaseEndsAt - clock.getMonotonicTime()));
 		if (!this.#isSilent) {
 			this.#isSilent = true;
 			this.#silentSince = clock.getMonotonicTime();
 			events.onSilenceChanged(this, true);
 			events.onChange(this);
 		}
-
-		this.#lapseTimer ??= clock.setTimer(() => {
-			this.#lapseTimer = undefined;
-			this.#endLapsedRuns();
-		}, Math.max(minTimerMs, this.#leaseEndsAt - clock.getMonotonicTime()));
 	}
 
 	/** Ends the runs of a silent upstream once all of its leases have ended. */
