Ignore answers of the former instance of an upstream

A poll's answer from before a restart may arrive after an answer of the new instance, since answers on different connections may overtake each other. The link then went back to the former instance: its list counted, its runs became unclaimed ones, and its positions of ends were acknowledged to the new instance, which forgot ends that nobody had seen, so that a task that was done would start again.

Cause: any other start time counted as a newer instance.

Change: an answer with another start time whose poll was sent before the current instance was first seen is ignored as a whole. A poll that was sent later cannot be answered by an earlier instance.

--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -56,8 +56,8 @@
 /** Delay before the next poll of an upstream that did not answer or refused the last one, in milliseconds. */
 const pollRetryDelayMs = 100;
 
-/** Result of a poll. */
-type PollResult = 'seen' | 'refused' | 'unanswered';
+/** Result of a poll. `outdated`: a former instance answered. */
+type PollResult = 'seen' | 'outdated' | 'refused' | 'unanswered';
 
 /** Why a run counts as ended: its upstream listed the end or no longer lists the run, or its lease expired. */
 export type EndGrounds = 'listed' | 'unlisted' | 'lease-expired';
@@ -123,6 +123,8 @@
 	readonly #recentEnds = new Map<string, ListedEnd>();
 	readonly #closeController = new AbortController();
 	#acknowledgedPosition = 0;
+	/** Monotonic time at which an answer first showed the current instance; `-Infinity` if no other one is known. */
+	#instanceSeenAt = -Infinity;
 	#lastPollAt = -Infinity;
 	#clockOffsetMs: number | undefined;
 	#clockObservedAt = 0;
@@ -375,6 +377,11 @@
 		}
 
 		if (outcome.bornMs !== undefined && outcome.bornMs !== this.description.bornMs) {
+			// Answers on different connections may overtake each other.
+			if (sentAt < this.#instanceSeenAt) {
+				return 'outdated';
+			}
+
 			this.#resetForNewInstance(outcome.bornMs);
 		}
 
@@ -396,6 +403,7 @@
 	#resetForNewInstance(bornMs: number): void {
 		const earlierBornMs = this.description.bornMs;
 		this.description = {...this.description, bornMs};
+		this.#instanceSeenAt = this.#options.clock.getMonotonicTime();
 		this.#acknowledgedPosition = 0;
 		this.#clockOffsetMs = undefined;
 		this.#clearUnclaimed();
--- /dev/null
+++ b/test/pool/upstream-link.test.ts
@@ -0,0 +1,125 @@
+/**
+ * A link to one upstream whose answers the test gives.
+ */
+import test from 'ava';
+import {
+	defaultUpstreamLinkTiming, type EndGrounds, type LinkedRun, type OrderOutcome, type PollOutcome, type RunEnd, UpstreamLink, type UpstreamOrders,
+} from '../../src/pool/index.js';
+import {ManualClock} from '../../src/testing/manual-clock.js';
+import {createUpstream, typicalWork} from './pool-harness.js';
+
+/** Order that waits for its answer, until its time limit. */
+type SentOrder<O, T> = {readonly options: O; readonly answer: (outcome: T) => Promise<void>};
+
+type Sent<K extends keyof UpstreamOrders, T> = Array<SentOrder<Parameters<UpstreamOrders[K]>[0], T>>;
+
+type SeenOutcome = Extract<PollOutcome, {readonly kind: 'seen'}>;
+
+const unanswered = {kind: 'unanswered', detail: 'no answer'} as const;
+
+/** Link under test, with the orders that it sent and the events that it reported. */
+class LinkFixture {
+	readonly clock = new ManualClock();
+	readonly polls: Sent<'poll', PollOutcome> = [];
+	readonly starts: Sent<'startRun', OrderOutcome> = [];
+	readonly stops: Sent<'stopRun', OrderOutcome> = [];
+	readonly ended: Array<readonly [string, RunEnd, EndGrounds]> = [];
+	readonly refused: string[] = [];
+	readonly link: UpstreamLink;
+
+	constructor() {
+		this.link = new UpstreamLink(createUpstream('u0', 16_000), {
+			clock: this.clock,
+			orders: {
+				poll: async options => this.#send(this.polls, options),
+				startRun: async options => this.#send(this.starts, options),
+				stopRun: async options => this.#send(this.stops, options),
+			},
+			getFence: () => 1,
+			maxLeaseMs: 1000,
+			events: {
+				onRunEnded: (_link, run, end, grounds) => {
+					this.ended.push([run.task, end, grounds]);
+				},
+				onRunRefused: (_link, run) => {
+					this.refused.push(run.task);
+				},
+				onChange() {/* Not observed. */},
+				onFenced() {/* Not observed. */},
+				onSilenceChanged() {/* Not observed. */},
+				onInstanceChanged() {/* Not observed. */},
+				onUnclaimedRun() {/* Not observed. */},
+			},
+		});
+	}
+
+	/** Starts to poll and answers the first poll. */
+	async open(): Promise<void> {
+		void this.link.pollUntilClosed();
+		await this.clock.advance(1);
+		await this.polls[0]!.answer(this.createSeen());
+	}
+
+	/** Starts a run that the upstream confirms. */
+	async startRun(task: string): Promise<LinkedRun> {
+		const run = this.link.start({
+			task, number: 1, needs: typicalWork.needs, spec: 'work',
+		});
+		await this.clock.advance(1);
+		await this.starts.at(-1)!.answer(this.createDone());
+		await this.clock.advance(1);
+		return run;
+	}
+
+	createDone(): OrderOutcome {
+		return {kind: 'done', upstreamTimeMs: this.clock.getMonotonicTime()};
+	}
+
+	createSeen(options: Partial<SeenOutcome> = {}): PollOutcome {
+		return {
+			kind: 'seen', bornMs: 1, upstreamTimeMs: this.clock.getMonotonicTime(), running: [], ended: [], ...options,
+		};
+	}
+
+	async #send<O extends {readonly timeoutMs: number}, T extends PollOutcome | OrderOutcome>(sent: Array<SentOrder<O, T>>, options: O): Promise<T | typeof unanswered> {
+		return new Promise(resolve => {
+			const timer = this.clock.setTimer(() => {
+				resolve(unanswered);
+			}, options.timeoutMs);
+			sent.push({
+				options,
+				answer: async outcome => {
+					timer.close();
+					resolve(outcome);
+					await this.clock.advance(0);
+				},
+			});
+		});
+	}
+}
+
+test('an answer of the former instance that arrives after one of the current instance is ignored as a whole', async t => {
+	const fixture = new LinkFixture();
+	const {link, polls} = fixture;
+	await fixture.open();
+	await fixture.startRun('a.0.0.0');
+	void link.pollImmediately();
+	await fixture.clock.advance(1);
+	const [, longPoll, shortPoll] = polls;
+	await longPoll!.answer(fixture.createSeen({bornMs: 2, running: [{task: 'a.0.0.0', number: 1}]}));
+	const {length} = polls;
+	const lastPollAt = link.getLastPollAt();
+	await shortPoll!.answer(fixture.createSeen({
+		running: [{task: 'b.0.0.0', number: 1}],
+		ended: [{
+			position: 57, task: 'a.0.0.0', number: 1, end: 'lapsed',
+		}],
+	}));
+	t.is(link.description.bornMs, 2);
+	t.is(link.getUnclaimedCount(), 0);
+	t.is(link.getLastPollAt(), lastPollAt);
+	t.deepEqual(fixture.ended, []);
+	await polls[length - 1]!.answer(fixture.createSeen({bornMs: 2, running: [{task: 'a.0.0.0', number: 1}]}));
+	t.is(polls.at(-1)!.options.acknowledged, 0);
+	link.close();
+});
