Do not end runs that are missing in an incomplete list of ends

An upstream lists at most 500 ends in an answer. A run that had ended beyond them was in neither list and counted as lapsed, so that a task that was done would start again; an earlier owner's run was forgotten before its end was known.

Change: the outcome of a poll tells whether the list of ends is complete (`isEndListComplete`, set by HttpOrders from the number of ends); absence counts only then. The next poll follows at once and acknowledges the listed ends.

Result: test 'a run that is missing in an incomplete list of ends has not ended' failed before ([a.0.0.0, lapsed, unlisted] at the incomplete list), passes now.

--- a/src/platform/http-orders.ts
+++ b/src/platform/http-orders.ts
@@ -23,6 +23,9 @@
 /** Idle time after which a connection is closed, in milliseconds; opening a connection costs more than keeping an idle one. */
 const idleConnectionMs = 30_000;
 
+/** Maximum number of ends in an answer of an upstream. */
+const maxListedEnds = 500;
+
 const undecodableAnswer = 'the answer cannot be decoded';
 const instanceHeader = 'X-Endivemill-Target-Instance';
 
@@ -76,6 +79,7 @@
 			ended: ended.map(([position, task, number, end]) => ({
 				position, task, number, end: end as RunEnd,
 			})),
+			isEndListComplete: ended.length < maxListedEnds,
 		};
 	}
 
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -56,6 +56,8 @@
 /** Delay before the next poll of an upstream that did not answer or refused the last one, in milliseconds. */
 const pollRetryDelayMs = 100;
 
+type SeenOutcome = Extract<PollOutcome, {readonly kind: 'seen'}>;
+
 /** Result of a poll. `outdated`: a former instance answered. */
 type PollResult = 'seen' | 'outdated' | 'refused' | 'unanswered';
 
@@ -391,7 +393,7 @@
 			this.#handleListedEnd(end);
 		}
 
-		this.#handleRunningList(outcome.running, sentAt);
+		this.#handleRunningList(outcome, sentAt);
 		this.#options.events.onChange(this);
 		return 'seen';
 	}
@@ -441,13 +443,17 @@
 		}, this.#timing.adoptionTimeoutMs * 2);
 	}
 
-	#handleRunningList(running: readonly Run[], sentAt: number): void {
+	#handleRunningList({running, isEndListComplete}: SeenOutcome, sentAt: number): void {
 		const listed = new Set<string>();
 		for (const run of running) {
 			listed.add(run.task);
 			this.#handleListedRun(run);
 		}
 
+		if (!isEndListComplete) {
+			return;
+		}
+
 		for (const task of this.#unclaimed.keys()) {
 			if (!listed.has(task)) {
 				this.#removeUnclaimed(task);
--- a/src/pool/upstream-orders.ts
+++ b/src/pool/upstream-orders.ts
@@ -45,7 +45,15 @@
 
 /** Outcome of a poll of an upstream. */
 export type PollOutcome =
-	| {readonly kind: 'seen'; readonly bornMs: number | undefined; readonly upstreamTimeMs: number; readonly running: readonly Run[]; readonly ended: readonly ListedEnd[]}
+	| {
+		readonly kind: 'seen';
+		readonly bornMs: number | undefined;
+		readonly upstreamTimeMs: number;
+		readonly running: readonly Run[];
+		readonly ended: readonly ListedEnd[];
+		/** Whether `ended` has all ends since the acknowledged one; otherwise, a run in neither list may have ended in any way. */
+		readonly isEndListComplete: boolean;
+	}
 	| {readonly kind: 'refused'; readonly reason: OrderRefusal}
 	| {readonly kind: 'unanswered'; readonly detail: string};
 
--- a/src/testing/simulated-upstreams.ts
+++ b/src/testing/simulated-upstreams.ts
@@ -180,6 +180,7 @@
 				upstreamTimeMs: this.#getTime(instance),
 				running: [...instance.runs.values()].map(({task, number}) => ({task, number})),
 				ended: [...instance.ended],
+				isEndListComplete: true,
 			};
 		});
 	}
--- a/test/pool/upstream-link.test.ts
+++ b/test/pool/upstream-link.test.ts
@@ -77,7 +77,7 @@
 
 	createSeen(options: Partial<SeenOutcome> = {}): PollOutcome {
 		return {
-			kind: 'seen', bornMs: 1, upstreamTimeMs: this.clock.getMonotonicTime(), running: [], ended: [], ...options,
+			kind: 'seen', bornMs: 1, upstreamTimeMs: this.clock.getMonotonicTime(), running: [], ended: [], isEndListComplete: true, ...options,
 		};
 	}
 
@@ -123,3 +123,27 @@
 	t.is(polls.at(-1)!.options.acknowledged, 0);
 	link.close();
 });
+
+test('a run that is missing in an incomplete list of ends has not ended', async t => {
+	const fixture = new LinkFixture();
+	const {link, polls} = fixture;
+	await fixture.open();
+	await polls.at(-1)!.answer(fixture.createSeen({running: [{task: 'b.0.0.0', number: 1}]}));
+	await fixture.startRun('a.0.0.0');
+	const ends = [1, 2].map(position => ({
+		position, task: `c.0.0.${position}`, number: 1, end: 'done' as const,
+	}));
+	await polls.at(-1)!.answer(fixture.createSeen({running: [{task: 'b.0.0.0', number: 1}]}));
+	await polls.at(-1)!.answer(fixture.createSeen({ended: ends, isEndListComplete: false}));
+	t.deepEqual(fixture.ended, []);
+	t.is(link.getUnclaimedCount(), 1);
+	await fixture.clock.advance(1);
+	await polls.at(-1)!.answer(fixture.createSeen({
+		ended: ['a', 'b'].map((job, index) => ({
+			position: 3 + index, task: `${job}.0.0.0`, number: 1, end: 'done',
+		})),
+	}));
+	t.deepEqual(fixture.ended, [['a.0.0.0', 'done', 'listed']]);
+	t.is(link.getRecentEnd('b.0.0.0')?.end, 'done');
+	link.close();
+});
