Acknowledge no ends to an upstream that may have restarted

The numbers of ends start anew with each instance. The first poll that reached a new instance acknowledged the position of the former one, so that the new instance forgot ends that nobody had seen, and a task that was done there would start again.

Change: after an unanswered order or poll, or an answer of another upstream, polls acknowledge nothing until one that was sent later is answered. Ends that are listed again meanwhile are known by their positions.

What remains: a poll that is sent after a restart and before any order was left unanswered still carries the former position. The end of a run that the new instance forgets so is unknown, and the run counts as lapsed.

--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -128,6 +128,8 @@
 	/** Monotonic time at which an answer first showed the current instance; `-Infinity` if no other one is known. */
 	#instanceSeenAt = -Infinity;
 	#lastPollAt = -Infinity;
+	/** Monotonic time at which an order or a poll was last left unanswered, or refused by another upstream. */
+	#unansweredAt = -Infinity;
 	#clockOffsetMs: number | undefined;
 	#clockObservedAt = 0;
 	#leaseEndsAt = 0;
@@ -350,7 +352,8 @@
 			upstream: this.description,
 			fence: getFence(),
 			timeoutMs: waitMs + this.#timing.answerTimeoutMs,
-			acknowledged: this.#acknowledgedPosition,
+			// An upstream that left an order unanswered may have restarted, and would forget ends of the new instance that nobody has seen.
+			acknowledged: this.#lastPollAt >= this.#unansweredAt ? this.#acknowledgedPosition : 0,
 			// The lease of a silent upstream is not extended, so that its runs end at a known time.
 			leaseUntilMs: this.#runs.size > 0 && !this.#isSilent ? this.#extendLease() : undefined,
 			waitMs,
@@ -360,7 +363,12 @@
 		}
 
 		const result = this.#handlePollOutcome(outcome, sentAt);
-		this.#lastPollAt = result === 'seen' ? Math.max(this.#lastPollAt, sentAt) : this.#lastPollAt;
+		if (result === 'seen') {
+			this.#lastPollAt = Math.max(this.#lastPollAt, sentAt);
+		} else if (result === 'unanswered') {
+			this.#unansweredAt = clock.getMonotonicTime();
+		}
+
 		return result;
 	}
 
@@ -549,6 +557,7 @@
 				return;
 			}
 
+			this.#unansweredAt = this.#options.clock.getMonotonicTime();
 			void this.#checkAlive();
 		}
 
@@ -631,7 +640,9 @@
 				return true;
 			}
 
-			if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
+			if (outcome.kind === 'unanswered') {
+				this.#unansweredAt = this.#options.clock.getMonotonicTime();
+			} else if (outcome.reason === 'fenced') {
 				this.#options.events.onFenced(this);
 				return false;
 			}
--- a/test/pool/upstream-link.test.ts
+++ b/test/pool/upstream-link.test.ts
@@ -17,6 +17,12 @@
 
 const unanswered = {kind: 'unanswered', detail: 'no answer'} as const;
 
+function createRun(task: string): Parameters<UpstreamLink['start']>[0] {
+	return {
+		task, number: 1, needs: typicalWork.needs, spec: 'work',
+	};
+}
+
 /** Link under test, with the orders that it sent and the events that it reported. */
 class LinkFixture {
 	readonly clock = new ManualClock();
@@ -62,9 +68,7 @@
 
 	/** Starts a run that the upstream confirms. */
 	async startRun(task: string): Promise<LinkedRun> {
-		const run = this.link.start({
-			task, number: 1, needs: typicalWork.needs, spec: 'work',
-		});
+		const run = this.link.start(createRun(task));
 		await this.clock.advance(1);
 		await this.starts.at(-1)!.answer(this.createDone());
 		await this.clock.advance(1);
@@ -147,3 +151,24 @@
 	t.is(link.getRecentEnd('b.0.0.0')?.end, 'done');
 	link.close();
 });
+
+test('ends are not acknowledged to an upstream that may have restarted', async t => {
+	const fixture = new LinkFixture();
+	const {link, polls} = fixture;
+	await fixture.open();
+	await polls.at(-1)!.answer(fixture.createSeen({
+		ended: [{
+			position: 57, task: 'a.0.0.0', number: 1, end: 'done',
+		}],
+	}));
+	t.is(polls.at(-1)!.options.acknowledged, 57);
+	const {idlePollWaitMs, answerTimeoutMs} = defaultUpstreamLinkTiming;
+	await fixture.clock.advance(idlePollWaitMs + answerTimeoutMs);
+	t.is(polls.at(-1)!.options.acknowledged, 0);
+	await polls.at(-1)!.answer(fixture.createSeen());
+	t.is(polls.at(-1)!.options.acknowledged, 57);
+	link.start(createRun('b.0.0.0'));
+	await fixture.clock.advance(answerTimeoutMs);
+	t.is(polls.at(-1)!.options.acknowledged, 0);
+	link.close();
+});
