--- a/src/platform/http-orders.ts
+++ b/src/platform/http-orders.ts
@@ -26,6 +26,9 @@
 /** Idle time after which a connection is closed, in milliseconds; opening a connection costs more than keeping an idle one. */
 const idleConnectionMs = 30_000;
 
+/** Maximum number of ends in an answer of an upstream. */
+const maxListedEnds = 500;
+
 const undecodableAnswer = 'the answer cannot be decoded';
 const instanceHeader = 'X-Endivemill-Target-Instance';
 const paths: Readonly<Record<Order, string>> = {start: '/api/run-start', stop: '/api/run-stop', poll: '/api/hold'};
@@ -109,6 +112,7 @@
 			ended: ended.map(([position, task, number, end]) => ({
 				position, task, number, end: this.#toRunEnd(upstream.id, {task, number}, end),
 			})),
+			isEndListComplete: ended.length < maxListedEnds,
 		};
 	}
 
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -56,11 +56,13 @@
 /** Delay before the next poll of an upstream that did not answer or refused the last one, in milliseconds. */
 const pollRetryDelayMs = 100;
 
-/** Result of a poll. */
-type PollResult = 'seen' | 'refused' | 'unanswered';
+type SeenOutcome = Extract<PollOutcome, {readonly kind: 'seen'}>;
 
-/** Why a run counts as ended: its upstream listed the end or no longer lists the run, its lease expired, or its upstream was removed. */
-export type EndGrounds = 'listed' | 'unlisted' | 'lease-expired' | 'upstream-removed';
+/** Result of a poll. `outdated`: a former instance answered. */
+type PollResult = 'seen' | 'outdated' | 'refused' | 'unanswered';
+
+/** Why a run counts as ended: its upstream listed the end or no longer lists the run, or its lease expired. */
+export type EndGrounds = 'listed' | 'unlisted' | 'lease-expired';
 
 /** Events of an {@link UpstreamLink}. */
 export type UpstreamLinkEvents = {
@@ -123,7 +125,11 @@
 	readonly #recentEnds = new Map<string, ListedEnd>();
 	readonly #closeController = new AbortController();
 	#acknowledgedPosition = 0;
+	/** Monotonic time at which an answer first showed the current instance; `-Infinity` if no other one is known. */
+	#instanceSeenAt = -Infinity;
 	#lastPollAt = -Infinity;
+	/** Monotonic time at which an order or a poll was last left unanswered, or refused by another upstream. */
+	#unansweredAt = -Infinity;
 	#clockOffsetMs: number | undefined;
 	#clockObservedAt = 0;
 	#leaseEndsAt = 0;
@@ -135,6 +141,8 @@
 		this.#options = options;
 		this.#timing = options.timing ?? defaultUpstreamLinkTiming;
 		this.#silentSince = options.clock.getMonotonicTime();
+		// An earlier owner may have extended the lease until now.
+		this.#recordLease(options.maxLeaseMs);
 	}
 
 	get name(): string {
@@ -174,9 +182,9 @@
 		return this.#runs.values();
 	}
 
-	/** Gets whether no run is known on the upstream. */
+	/** Gets whether nothing runs on the upstream: no run is known there and, if it is silent, all leases have ended. */
 	isIdle(): boolean {
-		return this.#runs.size === 0 && this.#unclaimed.size === 0;
+		return this.#runs.size === 0 && this.#unclaimed.size === 0 && (!this.#isSilent || this.#options.clock.getMonotonicTime() >= this.#leaseEndsAt);
 	}
 
 	/** Polls the upstream repeatedly until the link is closed. */
@@ -288,13 +296,6 @@
 		return this.#recentEnds.get(task);
 	}
 
-	/** Ends all runs as lapsed, because the upstream is removed. */
-	endRuns(): void {
-		for (const run of this.#runs.values()) {
-			this.#finish(run, 'lapsed', 'upstream-removed');
-		}
-	}
-
 	/** Closes the link. Its runs are left to their leases or to the next owner. */
 	close(): void {
 		this.#closeController.abort();
@@ -351,7 +352,8 @@
 			upstream: this.description,
 			fence: getFence(),
 			timeoutMs: waitMs + this.#timing.answerTimeoutMs,
-			acknowledged: this.#acknowledgedPosition,
+			// An upstream that left an order unanswered may have restarted, and would forget ends of the new instance that nobody has seen.
+			acknowledged: this.#lastPollAt >= this.#unansweredAt ? this.#acknowledgedPosition : 0,
 			// The lease of a silent upstream is not extended, so that its runs end at a known time.
 			leaseUntilMs: this.#runs.size > 0 && !this.#isSilent ? this.#extendLease() : undefined,
 			waitMs,
@@ -361,7 +363,12 @@
 		}
 
 		const result = this.#handlePollOutcome(outcome, sentAt);
-		this.#lastPollAt = result === 'seen' ? Math.max(this.#lastPollAt, sentAt) : this.#lastPollAt;
+		if (result === 'seen') {
+			this.#lastPollAt = Math.max(this.#lastPollAt, sentAt);
+		} else if (result === 'unanswered') {
+			this.#unansweredAt = clock.getMonotonicTime();
+		}
+
 		return result;
 	}
 
@@ -380,6 +387,11 @@
 		}
 
 		if (outcome.bornMs !== undefined && outcome.bornMs !== this.description.bornMs) {
+			// Answers on different connections may overtake each other.
+			if (sentAt < this.#instanceSeenAt) {
+				return 'outdated';
+			}
+
 			this.#resetForNewInstance(outcome.bornMs);
 		}
 
@@ -389,7 +401,7 @@
 			this.#handleListedEnd(end);
 		}
 
-		this.#handleRunningList(outcome.running, sentAt);
+		this.#handleRunningList(outcome, sentAt);
 		this.#options.events.onChange(this);
 		return 'seen';
 	}
@@ -401,6 +413,7 @@
 	#resetForNewInstance(bornMs: number): void {
 		const earlierBornMs = this.description.bornMs;
 		this.description = {...this.description, bornMs};
+		this.#instanceSeenAt = this.#options.clock.getMonotonicTime();
 		this.#acknowledgedPosition = 0;
 		this.#clockOffsetMs = undefined;
 		this.#clearUnclaimed();
@@ -438,13 +451,17 @@
 		}, this.#timing.adoptionTimeoutMs * 2);
 	}
 
-	#handleRunningList(running: readonly Run[], sentAt: number): void {
+	#handleRunningList({running, isEndListComplete}: SeenOutcome, sentAt: number): void {
 		const listed = new Set<string>();
 		for (const run of running) {
 			listed.add(run.task);
 			this.#handleListedRun(run);
 		}
 
+		if (!isEndListComplete) {
+			return;
+		}
+
 		for (const task of this.#unclaimed.keys()) {
 			if (!listed.has(task)) {
 				this.#removeUnclaimed(task);
@@ -540,6 +557,7 @@
 				return;
 			}
 
+			this.#unansweredAt = this.#options.clock.getMonotonicTime();
 			void this.#checkAlive();
 		}
 
@@ -622,7 +640,9 @@
 				return true;
 			}
 
-			if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
+			if (outcome.kind === 'unanswered') {
+				this.#unansweredAt = this.#options.clock.getMonotonicTime();
+			} else if (outcome.reason === 'fenced') {
 				this.#options.events.onFenced(this);
 				return false;
 			}
@@ -639,17 +659,16 @@
 
 	#setSilent(): void {
 		const {clock, events} = this.#options;
+		this.#lapseTimer ??= clock.setTimer(() => {
+			this.#lapseTimer = undefined;
+			this.#endLapsedRuns();
+		}, Math.max(minTimerMs, this.#leaseEndsAt - clock.getMonotonicTime()));
 		if (!this.#isSilent) {
 			this.#isSilent = true;
 			this.#silentSince = clock.getMonotonicTime();
 			events.onSilenceChanged(this, true);
 			events.onChange(this);
 		}
-
-		this.#lapseTimer ??= clock.setTimer(() => {
-			this.#lapseTimer = undefined;
-			this.#endLapsedRuns();
-		}, Math.max(minTimerMs, this.#leaseEndsAt - clock.getMonotonicTime()));
 	}
 
 	/** Ends the runs of a silent upstream once all of its leases have ended. */
