Skip entries of the VM list with a port out of range or a number too large

What callers saw: in the product's daemon, an entry with port 99999 counted as a VM. Its mesh then dialled a peer there, which ended the process, and creating a connection pool for an upstream there throws `Invalid URL`. Addresses such as 999.0.0.1:80 and 1e308 cores were accepted too.

Cause: the pattern of an address allowed any five digits as port and any digits as IP address, and the amounts had no upper limit.

Change: the list uses the schema of addresses of the upstreams' entries; amounts are at most the largest safe integer. A VM whose entry is skipped is logged and counted as before.

Evidence: 'an entry with a port out of range or a number too large names no VM and leaves the others listed' failed before (u0 and e0 listed), passes now.

--- a/src/platform/vm-list.ts
+++ b/src/platform/vm-list.ts
@@ -2,8 +2,10 @@
  * The platform's list of VMs: one JSON value per VM under a prefix of the store.
  */
 import * as z from 'zod';
+import {addressSchema} from './address-schema.js';
 
-const address = z.string().regex(/^(?:\[[\da-fA-F:.]+\]|[\d.]+):\d{1,5}$/v, 'expected an IP address and a port');
+/** Amount whose sum over all upstreams is finite. */
+const amount = z.number().min(0).max(Number.MAX_SAFE_INTEGER).default(0);
 const name = z.string().regex(/^[a-z\d](?:[a-z\d\-]{0,62})$/v, 'expected lower-case letters, digits and hyphens');
 
 /** Schema of an entry VM in the list. */
@@ -12,9 +14,9 @@
 	name,
 	dataCenter: name,
 	state: z.enum(['live', 'leaving']),
-	callerAddress: address,
-	operatorAddress: address,
-	peerAddress: address,
+	callerAddress: addressSchema,
+	operatorAddress: addressSchema,
+	peerAddress: addressSchema,
 }).readonly();
 
 /** Schema of an upstream in the list. */
@@ -24,14 +26,14 @@
 	dataCenter: name,
 	state: z.enum(['live', 'leaving']),
 	service: name,
-	address,
+	address: addressSchema,
 	/** Maximum number of tasks that the upstream runs concurrently. */
 	slots: z.int().min(1).max(10_000),
 	/** Maximum number of connections that the upstream accepts. */
 	connections: z.int().min(1).max(100_000),
-	cores: z.number().min(0).default(0),
-	memoryMb: z.number().min(0).default(0),
-	accelerators: z.number().min(0).default(0),
+	cores: amount,
+	memoryMb: amount,
+	accelerators: amount,
 	rack: z.string().default(''),
 }).readonly();
 
--- a/test/process/vm-list-follower.test.ts
+++ b/test/process/vm-list-follower.test.ts
@@ -39,6 +39,29 @@
 	follower.close();
 });
 
+test('an entry with a port out of range or a number too large names no VM and leaves the others listed', async t => {
+	const fixture = await startPlatform(t);
+	fixture.standIn.addVm(createUpstream('u1'));
+	const follower = startFollower(fixture);
+	await waitFor(follower.getStream(), list => getNames(list) === 'u1');
+	for (const address of ['10.0.0.1:99999', '10.0.0.1:0', '999.0.0.1:80', '1.2:80', '[10.0.0.1]:80']) {
+		fixture.standIn.addVm({...createUpstream('u0'), address});
+		fixture.standIn.addVm({...createEntryVm('e0'), peerAddress: address});
+		await follower.refresh();
+		t.is(getNames(follower.getVmList()), 'u1');
+	}
+
+	for (const amount of ['cores', 'memoryMb', 'accelerators']) {
+		fixture.standIn.addVm({...createUpstream('u0'), [amount]: 1e308});
+		await follower.refresh();
+		t.is(getNames(follower.getVmList()), 'u1');
+	}
+
+	fixture.standIn.addVm(createUpstream('u2'));
+	await waitFor(follower.getStream(), list => getNames(list) === 'u1 u2');
+	follower.close();
+});
+
 test('the last list stays while the platform is unavailable, and a newer list from a peer is applied', async t => {
 	const fixture = await startPlatform(t);
 	fixture.standIn.addVm(createUpstream('u1'));
