Skip registered VMs with a port out of range or under another key

What callers saw: a registration with port 99999 or without a port ended each entry VM at its start, since the check for other owners of the pool dials every registered VM. Entries under odd keys counted as VMs.

Cause: the addresses of a registration were any text, and its key was not compared with its name.

Change: the peers' address must be an IP address with a port, and the key that of the VM. Others are logged and skipped. The callers' address is not dialled and stays unchecked.

Evidence: 'a registered VM with a port out of range or under a key that is not its own is skipped, and the others are listed' failed before (10 VMs listed instead of 2), passes now.

--- a/src/platform/vm-registry.ts
+++ b/src/platform/vm-registry.ts
@@ -5,8 +5,9 @@
 import * as z from 'zod';
 import {type DecisionLog} from '../pool/index.js';
 import {type Clock, sleep} from '../seams/index.js';
+import {addressSchema} from './address-schema.js';
 import {parseJson} from './decode-configuration.js';
-import {type StoreClient} from './store-client.js';
+import {type StoreClient, type StoredItem} from './store-client.js';
 import {type ListedEntryVm} from './vm-list.js';
 
 const prefix = 'vms/';
@@ -18,7 +19,7 @@
 const readIntervalMs = 10_000;
 
 const entrySchema = z.object({
-	name: z.string(), dataCenter: z.string(), peerAddress: z.string(), callerAddress: z.string(),
+	name: z.string().min(1), dataCenter: z.string(), peerAddress: addressSchema, callerAddress: z.string(),
 });
 
 /** Options of {@link VmRegistry}. */
@@ -92,17 +93,23 @@
 			return;
 		}
 
-		const listed = result.value.items.flatMap(({value}): ListedEntryVm[] => {
-			const parsed = entrySchema.safeParse(parseJson(value));
-			return parsed.success
-				? [{
-					...parsed.data, kind: 'entry', state: 'live', operatorAddress: parsed.data.callerAddress,
-				}]
-				: [];
-		});
+		const listed = result.value.items.flatMap(item => this.#decode(item) ?? []);
 		this.#options.onRead(listed);
 		for (const listener of this.#listeners) {
 			listener(listed);
 		}
 	}
+
+	/** Decodes an entry; an invalid one is logged and skipped. */
+	#decode({key, value}: StoredItem): ListedEntryVm | undefined {
+		const {data} = entrySchema.safeParse(parseJson(value));
+		if (data === undefined || key !== `${prefix}${data.name}`) {
+			this.#options.log.info({key}, 'invalid entry of a registered VM');
+			return undefined;
+		}
+
+		return {
+			...data, kind: 'entry', state: 'live', operatorAddress: data.callerAddress,
+		};
+	}
 }
