Add faults in what upstreams tell to the simulated fleets

The fleets lacked the faults that make an owner take a run for ended or refused while it goes on. The outcome is 'unanswered', as the decoder has to read it; the decoding itself is left to the soak of processes, as the decoder of orders is not exported. - overtake: answers are delayed by up to 400 ms, so that those of two connections or two instances overtake each other. - few-ends: an answer lists 1 to 3 ends. - entry-overwritten: another writer's entry under an upstream's key is unreadable, or has an address without a listener or of another upstream, and a later or earlier start time, until the upstream writes its entry again. - reborn: a new instance under the same identifier at once, announced at once or late, at the same or another address. - two-lives: as reborn at another address, and the former instance works on; some or all VMs cannot reach it. - late-reborn: late orders reach the next instance of the upstream. - late-grant: the lease of a late order counts from its execution.

--- a/bench/pool-soak.ts
+++ b/bench/pool-soak.ts
@@ -5,13 +5,15 @@
 import process from 'node:process';
 import {Command} from 'commander';
 import {
-	describeResult, getFleetFaults, runFleet, shrinkFaults,
+	describeResult, getFleetFaults, getUpstreamAnswerFaults, runFleet, shrinkFaults,
 } from '../src/testing/fleet-run.js';
 
 type SoakOptions = {
 	readonly seed: string;
 	readonly runs: string;
 	readonly faults: string;
+	readonly answerFaults: string;
+	readonly only: string;
 	readonly shrink: boolean;
 	readonly quiet: boolean;
 	readonly without: string;
@@ -21,17 +23,22 @@
 	.option('--seed <number>', 'first seed', '1')
 	.option('--runs <count>', 'seeds to run', '20')
 	.option('--faults <count>', 'minimum number of faults in each run', '10')
+	.option('--answer-faults <count>', 'minimum number of faults in what upstreams, their entries and their restarts tell', '0')
 	.option('--shrink', 'remove faults that a violation does not need', false)
 	.option('--quiet', 'print one line for each run with violations', false)
 	.option('--without <kinds>', 'kinds of faults to omit, separated by commas', '')
+	.option('--only <kinds>', 'kinds of answer faults to keep, separated by commas', '')
 	.parse()
 	.opts<SoakOptions>();
 const failed: number[] = [];
 const outcomes = new Map<string, number>();
 const first = Number(options.seed);
+const only = new Set(options.only.split(','));
 const without = new Set(options.without.split(','));
 for (let seed = first; seed < first + Number(options.runs); seed++) {
-	let result = await runFleet(seed, getFleetFaults(seed, Number(options.faults)).filter(({kind}) => !without.has(kind)));
+	const answerFaults = getUpstreamAnswerFaults(seed, Number(options.answerFaults)).filter(({kind}) => options.only === '' || only.has(kind));
+	const faults = [...getFleetFaults(seed, Number(options.faults)), ...answerFaults].filter(({kind}) => !without.has(kind));
+	let result = await runFleet(seed, faults);
 	for (const {outcome = 'open'} of result.submissions) {
 		outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1);
 	}
--- a/src/testing/fleet-faults.ts
+++ b/src/testing/fleet-faults.ts
@@ -6,7 +6,11 @@
 /** Kind of a fault. */
 export type FleetFaultKind =
 	| 'kill' | 'power' | 'stop' | 'freeze' | 'suspend' | 'starve' | 'cut' | 'cut-one-way' | 'cut-center' | 'reset' | 'silence'
-	| 'late' | 'mute' | 'crash' | 'crash-for-good' | 'slow' | 'hang' | 'fail' | 'unlisted' | 'new-upstream' | 'store-away' | 'store-lost';
+	| 'late' | 'mute' | 'crash' | 'crash-for-good' | 'slow' | 'hang' | 'fail' | 'unlisted' | 'new-upstream' | 'store-away' | 'store-lost'
+	| UpstreamAnswerFaultKind;
+
+/** Kind of a fault in what an upstream, its entry or its restart tells. */
+export type UpstreamAnswerFaultKind = 'odd-answer' | 'overtake' | 'few-ends' | 'entry-overwritten' | 'reborn' | 'two-lives' | 'late-reborn' | 'late-grant';
 
 /** Scheduled fault. */
 export type FleetFault = {
@@ -23,8 +27,10 @@
 
 type Range = readonly [min: number, max: number];
 
-/** Range of durations in milliseconds and relative frequency of each kind. */
-const faultKinds: ReadonlyArray<{readonly kind: FleetFaultKind; readonly durationMs: Range; readonly weight: number}> = [
+/** Range of durations in milliseconds and relative frequency of a kind. */
+type WeightedKind = {readonly kind: FleetFaultKind; readonly durationMs: Range; readonly weight: number};
+
+const faultKinds: readonly WeightedKind[] = [
 	{kind: 'kill', durationMs: [300, 3000], weight: 5},
 	{kind: 'power', durationMs: [300, 3000], weight: 1},
 	{kind: 'stop', durationMs: [300, 1000], weight: 4},
@@ -49,7 +55,17 @@
 	{kind: 'store-lost', durationMs: [500, 3000], weight: 1},
 ];
 
-const totalWeight = faultKinds.reduce((sum, {weight}) => sum + weight, 0);
+/** Kinds of {@link createUpstreamAnswerFaults}; a table of their own, so that the schedules of the other kinds stay as they are. */
+const upstreamAnswerFaultKinds: readonly WeightedKind[] = [
+	{kind: 'odd-answer', durationMs: [300, 3000], weight: 3},
+	{kind: 'overtake', durationMs: [500, 3000], weight: 3},
+	{kind: 'few-ends', durationMs: [500, 3000], weight: 1},
+	{kind: 'entry-overwritten', durationMs: [200, 1500], weight: 3},
+	{kind: 'reborn', durationMs: [50, 1500], weight: 2},
+	{kind: 'two-lives', durationMs: [300, 3000], weight: 2},
+	{kind: 'late-reborn', durationMs: [500, 2500], weight: 2},
+	{kind: 'late-grant', durationMs: [500, 2500], weight: 1},
+];
 
 /** Interval between the faults of a series, in milliseconds, and share of faults that begin a series. */
 const seriesIntervalMs: Range = [1000, 2000];
@@ -60,17 +76,34 @@
 	return min + (random.getFloat() * (max - min));
 }
 
+type FaultScheduleOptions = {readonly count: number; readonly firstMs: number; readonly lastMs: number};
+
 /**
  * Creates a schedule of single faults and of series of faults of one kind.
  * @param random - Source of random numbers.
  * @param options - Minimum number of faults and the period in which they or their series begin, in milliseconds.
  * @returns Faults in the order of their start.
  */
-export function createFleetFaults(random: Random, {count, firstMs, lastMs}: {readonly count: number; readonly firstMs: number; readonly lastMs: number}): readonly FleetFault[] {
+export function createFleetFaults(random: Random, options: FaultScheduleOptions): readonly FleetFault[] {
+	return createFaults(random, options, faultKinds);
+}
+
+/**
+ * Creates a schedule of faults in what upstreams, their entries and their restarts tell.
+ * @param random - Source of random numbers.
+ * @param options - Minimum number of faults and the period in which they or their series begin, in milliseconds.
+ * @returns Faults in the order of their start.
+ */
+export function createUpstreamAnswerFaults(random: Random, options: FaultScheduleOptions): readonly FleetFault[] {
+	return createFaults(random, options, upstreamAnswerFaultKinds);
+}
+
+function createFaults(random: Random, {count, firstMs, lastMs}: FaultScheduleOptions, kinds: readonly WeightedKind[]): readonly FleetFault[] {
+	const totalWeight = kinds.reduce((sum, {weight}) => sum + weight, 0);
 	const faults: FleetFault[] = [];
 	while (faults.length < count) {
 		let remainingWeight = random.getFloat() * totalWeight;
-		const {kind, durationMs} = faultKinds.find(({weight}) => {
+		const {kind, durationMs} = kinds.find(({weight}) => {
 			remainingWeight -= weight;
 			return remainingWeight < 0;
 		})!;
--- a/src/testing/fleet-run.ts
+++ b/src/testing/fleet-run.ts
@@ -3,9 +3,9 @@
  */
 import {createSeededRandom} from '../seams/index.js';
 import {type FleetSubmission} from './fleet-callers.js';
-import {createFleetFaults, type FleetFault} from './fleet-faults.js';
+import {createFleetFaults, createUpstreamAnswerFaults, type FleetFault} from './fleet-faults.js';
 import {type FleetLogLine} from './fleet-vm.js';
-import {PoolFleet} from './pool-fleet.js';
+import {PoolFleet, type PoolFleetOptions} from './pool-fleet.js';
 import {type RecordedStart} from './simulated-upstreams.js';
 
 /** Violation of a guarantee. */
@@ -31,6 +31,9 @@
 const firstFaultMs = 2500;
 const lastFaultMs = 9000;
 
+/** Far from the offsets of the other sources of random numbers, so that neighbouring seeds share none. */
+const upstreamAnswerSeedOffset = 500_000_000;
+
 /**
  * Gets the fault schedule of a seed.
  * @param seed - Seed.
@@ -40,13 +43,23 @@
 	return createFleetFaults(createSeededRandom(seed + 4), {count, firstMs: firstFaultMs, lastMs: lastFaultMs});
 }
 
+/**
+ * Gets faults of a seed in what upstreams, their entries and their restarts tell; they are drawn apart from those of {@link getFleetFaults}.
+ * @param seed - Seed.
+ * @param count - Minimum number of faults.
+ */
+export function getUpstreamAnswerFaults(seed: number, count: number): readonly FleetFault[] {
+	return createUpstreamAnswerFaults(createSeededRandom(seed + upstreamAnswerSeedOffset), {count, firstMs: firstFaultMs, lastMs: lastFaultMs});
+}
+
 /**
  * Runs a simulated fleet and checks its record.
  * @param seed - Seed of the fleet, its callers and its timing.
  * @param faults - Fault schedule; that of the seed by default.
+ * @param options - Further options of the fleet.
  */
-export async function runFleet(seed: number, faults = getFleetFaults(seed)): Promise<FleetResult> {
-	const fleet = new PoolFleet({seed, faults});
+export async function runFleet(seed: number, faults = getFleetFaults(seed), options: Pick<PoolFleetOptions, 'wrapOrders'> = {}): Promise<FleetResult> {
+	const fleet = new PoolFleet({seed, faults, ...options});
 	await fleet.run();
 	const {upstreams: {starts}, callers: {submissions}, logLines} = fleet;
 	return {
--- a/src/testing/fleet-vm.ts
+++ b/src/testing/fleet-vm.ts
@@ -41,6 +41,8 @@
 	readonly addLogLine: (line: FleetLogLine) => void;
 	/** Returns whether an order that is sent during a network cut is delivered once the cut has healed. */
 	readonly isDeliveredAfterCut: () => boolean;
+	/** Replaces the orders of all owners, for tests of the checks. */
+	readonly wrapOrders?: (orders: UpstreamOrders) => UpstreamOrders;
 };
 
 /** Timeout of calls to the store, and round-trip time of the store, in milliseconds. */
@@ -234,12 +236,12 @@
 	}
 
 	#createOrders(): UpstreamOrders {
-		const {upstreams} = this.#options;
-		return {
+		const {upstreams, wrapOrders = orders => orders} = this.#options;
+		return wrapOrders({
 			startRun: async options => this.#sendOrder(options, async () => upstreams.startRun(options)),
 			stopRun: async options => this.#sendOrder(options, async () => upstreams.stopRun(options)),
 			poll: async options => this.#sendOrder<PollOutcome>(options, async () => upstreams.poll(options)),
-		};
+		});
 	}
 
 	async #sendOrder<T extends OrderOutcome | PollOutcome>({upstream, timeoutMs}: OrderOptions, execute: () => Promise<T>): Promise<T | {readonly kind: 'unanswered'; readonly detail: string}> {
@@ -250,13 +252,13 @@
 			}, timeoutMs);
 			void (async () => {
 				await sleep(clock, orderLatencyMs);
-				if (network.isCut(self.vm, upstream.id) && !await this.#waitForHeal(upstream.id)) {
+				if (network.isCut(self.vm, upstream.address) && !await this.#waitForHeal(upstream.address)) {
 					return;
 				}
 
 				const outcome = await execute();
 				await sleep(clock, orderLatencyMs);
-				if (!network.isCut(upstream.id, self.vm)) {
+				if (!network.isCut(upstream.address, self.vm)) {
 					this.process.dispatch(() => {
 						timer.close();
 						resolve(outcome);
--- a/src/testing/pool-fleet.ts
+++ b/src/testing/pool-fleet.ts
@@ -1,7 +1,9 @@
 /**
  * A simulated fleet of entry VMs in several data centres on a manual clock, with scheduled faults.
  */
-import {getPoolNames, getPoolOfUpstream, type UpstreamDescription} from '../pool/index.js';
+import {
+	getPoolNames, getPoolOfUpstream, type UpstreamDescription, type UpstreamOrders,
+} from '../pool/index.js';
 import {createSeededRandom, type Random} from '../seams/index.js';
 import {FleetCallers} from './fleet-callers.js';
 import {type FleetFault} from './fleet-faults.js';
@@ -11,7 +13,15 @@
 import {SimulatedVmNetwork} from './simulated-vm-network.js';
 
 /** Entry of an upstream in the store. */
-type UpstreamEntry = {description: UpstreamDescription; listedAt: number; unlistedAt: number; isDown: boolean};
+type UpstreamEntry = {
+	/** Newest instance of the upstream. */
+	description: UpstreamDescription;
+	/** What the entry says while it differs from the upstream's own description. */
+	overwritten?: UpstreamDescription | 'unreadable';
+	listedAt: number;
+	unlistedAt: number;
+	isDown: boolean;
+};
 
 /** Options of {@link PoolFleet}. */
 export type PoolFleetOptions = {
@@ -21,6 +31,8 @@
 	readonly callersUntilMs?: number;
 	/** Time at which the run ends, in milliseconds. */
 	readonly untilMs?: number;
+	/** Replaces the orders of all owners, for tests of the checks. */
+	readonly wrapOrders?: (orders: UpstreamOrders) => UpstreamOrders;
 };
 
 /** Time from which callers arrive, in milliseconds: the first owners are active by then. */
@@ -54,6 +66,16 @@
 const orderDelayRangeMs = 2900;
 const delayedOrderShare = 0.4;
 
+/** Shares of answers that are odd or delayed, maximum delay of an answer and of the announcement of a restart, in milliseconds. */
+const oddAnswerShare = 0.3;
+const delayedAnswerShare = 0.4;
+const maxAnswerDelayMs = 400;
+const maxAnnouncementDelayMs = 1500;
+
+/** Strengths up to which an overwritten entry is unreadable or has an address without a listener; above, it has another upstream's address. */
+const maxUnreadableStrength = 0.25;
+const maxNoListenerStrength = 0.6;
+
 /** Maximum delay of timers in a starved VM: its minimum and range over the faults, in milliseconds. */
 const minStarvationDelayMs = 60;
 const starvationDelayRangeMs = 340;
@@ -97,7 +119,7 @@
 		const random = createSeededRandom(options.seed);
 		this.#random = createSeededRandom(options.seed + 1);
 		this.upstreams = new SimulatedUpstreams({
-			clock, oneWayLatencyMs: 0, stopMs: runStopMs, clockRate: upstreamClockRate,
+			clock, oneWayLatencyMs: 0, stopMs: runStopMs, clockRate: upstreamClockRate, isRoutedByAddress: true,
 			getWork: task => ({needs: {cpu: upstreamCpu / 2, memoryMb: 64, accelerators: 0}, durationMs: this.#taskDurations.get(task.slice(0, task.indexOf('.')))!}),
 		});
 		this.#network = new SimulatedVmNetwork({
@@ -185,6 +207,7 @@
 				this.logLines.push(line);
 			},
 			isDeliveredAfterCut: () => this.#random.getFloat() < deliveredAfterCutShare,
+			wrapOrders: this.#options.wrapOrders,
 		}));
 	}
 
@@ -192,12 +215,12 @@
 		const now = this.clock.getMonotonicTime();
 		const names = [...this.poolCounts].flatMap(([dataCenter, count]) => getPoolNames(dataCenter, count));
 		const vmIndex = this.#registered.findIndex(({name}) => name === vm);
-		return this.#entries.filter(({description: {id, dataCenter}, listedAt, unlistedAt}, index) => {
+		return this.#entries.filter(({description: {id, dataCenter}, overwritten, listedAt, unlistedAt}, index) => {
 			const pools = names.filter(name => name === dataCenter || name.startsWith(`${dataCenter}#`));
 			return getPoolOfUpstream(id, pools) === pool
 				&& now >= (listedAt === 0 ? 0 : listedAt + (maxListDelayMs * vmIndex / this.#registered.length))
-				&& now < unlistedAt && !this.#isHidden(vm, vmIndex, index);
-		}).map(({description}) => description);
+				&& now < unlistedAt && !this.#isHidden(vm, vmIndex, index) && overwritten !== 'unreadable';
+		}).map(({description, overwritten}) => typeof overwritten === 'object' ? overwritten : description);
 	}
 
 	/** Entries expire while the store is unavailable; VMs that start during the fault, or a part of all VMs, then read a list without them. */
@@ -250,6 +273,10 @@
 			this.#impairUpstreams(fault, endAfterDuration);
 		};
 
+		const changeAnswers = (): void => {
+			this.#changeAnswers(fault, endAfterDuration);
+		};
+
 		const actions: Readonly<Record<FleetFault['kind'], () => void>> = {
 			kill: () => {
 				this.#kill(vmName, vm, false, durationMs);
@@ -289,6 +316,25 @@
 			'crash-for-good': () => {
 				this.#crash(target % this.#entries.length, Infinity);
 			},
+			'entry-overwritten': () => {
+				this.#overwriteEntry(fault, endAfterDuration);
+			},
+			reborn: () => {
+				this.#restart(target % this.#entries.length, fault, false);
+			},
+			'two-lives': () => {
+				this.#restart(target % this.#entries.length, fault, true);
+			},
+			'late-reborn': () => {
+				this.#changeAnswers(fault, endAfterDuration);
+				this.clock.setTimer(() => {
+					this.#restart(target % this.#entries.length, {...fault, durationMs: 0}, false);
+				}, durationMs / 2);
+			},
+			'late-grant': changeAnswers,
+			'odd-answer': changeAnswers,
+			overtake: changeAnswers,
+			'few-ends': changeAnswers,
 			late: impair,
 			mute: impair,
 			slow: impair,
@@ -371,17 +417,100 @@
 		const affectsSeveral = strength > 0.7;
 		const affected = this.#upstreamFaults.filter((_, index) => index === target % this.#upstreamFaults.length || (affectsSeveral && hasBit(salt, index)));
 		for (const faults of affected) {
-			const original = {...faults};
+			const {isMute, isHanging, isFailing, slowness, getLateMs} = faults;
 			faults.isMute ||= kind === 'mute';
 			faults.isHanging ||= kind === 'hang';
 			faults.isFailing ||= kind === 'fail';
 			faults.slowness = kind === 'slow' ? 2 + (strength * 8) : faults.slowness;
-			faults.getLateMs = kind === 'late' ? () => this.#random.getFloat() < delayedOrderShare ? minOrderDelayMs + (this.#random.getFloat() * orderDelayRangeMs) : 0 : faults.getLateMs;
+			faults.getLateMs = kind === 'late' ? () => this.#getOrderDelayMs() : faults.getLateMs;
 			endAfterDuration(() => {
 				Object.assign(faults, {
-					...original, getLateMs: original.getLateMs,
+					isMute, isHanging, isFailing, slowness, getLateMs,
 				});
 			});
 		}
 	}
+
+	/** Gets the random delay of an order; 0 for most. */
+	#getOrderDelayMs(): number {
+		return this.#random.getFloat() < delayedOrderShare ? minOrderDelayMs + (this.#random.getFloat() * orderDelayRangeMs) : 0;
+	}
+
+	/** Changes what upstreams answer, or makes their orders late, for the duration of a fault. */
+	#changeAnswers({kind, salt, strength, target}: FleetFault, endAfterDuration: (action: () => void) => void): void {
+		const changes: Partial<SimulatedUpstreamFaults> = {
+			...(kind === 'odd-answer' && {isAnswerOdd: () => this.#random.getFloat() < oddAnswerShare}),
+			...(kind === 'overtake' && {getAnswerDelayMs: () => this.#random.getFloat() < delayedAnswerShare ? this.#random.getFloat() * maxAnswerDelayMs : 0}),
+			...(kind === 'few-ends' && {maxListedEnds: 1 + (salt % 3)}),
+			...(kind === 'late-reborn' && {getLateMs: () => this.#getOrderDelayMs(), reachesNextInstance: true}),
+			...(kind === 'late-grant' && {getLateMs: () => this.#getOrderDelayMs(), grantsLeaseLate: true}),
+		};
+		const affectsSeveral = strength > 0.7;
+		const affected = this.#upstreamFaults.filter((_, index) => index === target % this.#upstreamFaults.length || (affectsSeveral && hasBit(salt, index)));
+		for (const faults of affected) {
+			Object.assign(faults, changes);
+			endAfterDuration(() => {
+				for (const name of Object.keys(changes) as Array<keyof typeof changes>) {
+					if (faults[name] === changes[name]) {
+						Reflect.deleteProperty(faults, name);
+					}
+				}
+			});
+		}
+	}
+
+	/** Overwrites the entry of an upstream, which writes it again at the end of the fault. */
+	#overwriteEntry({target, salt, strength}: FleetFault, endAfterDuration: (action: () => void) => void): void {
+		const entry = this.#entries[target % this.#entries.length]!;
+		const other = this.#entries[salt % this.#entries.length]!.description;
+		const address = strength < maxNoListenerStrength || other.id === entry.description.id ? `${entry.description.dataCenter}-nowhere` : other.address;
+		const overwritten = strength < maxUnreadableStrength
+			? 'unreadable'
+			: {
+				...entry.description, address, bornMs: entry.description.bornMs + (hasBit(salt, 20) ? 1 : -1),
+			};
+		this.#setOverwritten(entry, overwritten, endAfterDuration);
+	}
+
+	#setOverwritten(entry: UpstreamEntry, overwritten: UpstreamDescription | 'unreadable', schedule: (action: () => void) => void): void {
+		entry.overwritten = overwritten;
+		schedule(() => {
+			if (entry.overwritten === overwritten) {
+				entry.overwritten = undefined;
+			}
+		});
+	}
+
+	/**
+	 * Starts an upstream again under its identifier, at the same or another address, and announces it at once or late. A former instance that works on
+	 * does so at its address for the duration of the fault; some of the VMs cannot reach it.
+	 */
+	#restart(index: number, {kind, salt, strength, durationMs}: FleetFault, doesFormerWorkOn: boolean): void {
+		const entry = this.#entries[index]!;
+		if (entry.isDown) {
+			return;
+		}
+
+		const former = entry.description;
+		const bornMs = former.bornMs + 1;
+		const hasOtherAddress = doesFormerWorkOn || (kind === 'reborn' && hasBit(salt, 21));
+		entry.description = {...former, bornMs, address: hasOtherAddress ? `${former.id}@${bornMs}` : former.address};
+		if (doesFormerWorkOn) {
+			const isCutOff = (vm: string): boolean => strength > 0.7 || hasBit(salt, this.#registered.findIndex(({name}) => name === vm));
+			const endCut = this.#network.addCut((from, to) => (to === former.address && isCutOff(from)) || (from === former.address && isCutOff(to)));
+			this.clock.setTimer(() => {
+				this.upstreams.crashFormer(former.address);
+				endCut();
+			}, durationMs);
+		} else {
+			this.upstreams.crash(former.id);
+		}
+
+		this.upstreams.addUpstream(entry.description);
+		if (hasBit(salt, 22)) {
+			this.#setOverwritten(entry, former, action => {
+				this.clock.setTimer(action, maxAnnouncementDelayMs * strength);
+			});
+		}
+	}
 }
--- a/src/testing/simulated-upstreams.ts
+++ b/src/testing/simulated-upstreams.ts
@@ -39,6 +39,16 @@
 	slowness: number;
 	/** Returns the delay of the next order, in milliseconds; a delayed order is executed but not answered. */
 	getLateMs?: () => number;
+	/** Whether a delayed order is executed by a later instance if the one that it was sent to has crashed. */
+	reachesNextInstance?: boolean;
+	/** Whether the lease of a delayed order counts from its execution. */
+	grantsLeaseLate?: boolean;
+	/** Returns whether the next order is executed and then answered with something that cannot be understood. */
+	isAnswerOdd?: () => boolean;
+	/** Returns the delay of the next answer, in milliseconds; answers may overtake each other. */
+	getAnswerDelayMs?: () => number;
+	/** Maximum number of ends in one answer. */
+	maxListedEnds?: number;
 };
 
 type SimulatedRun = RecordedStart & {readonly work: SimulatedWork; timer: Timer | undefined; isStopping: boolean};
@@ -73,12 +83,20 @@
 	readonly stopMs?: number;
 	/** Rate of the upstreams' clocks; below 1 they are slow. */
 	readonly clockRate?: number;
+	/** Whether orders reach only the instance at the address that they are sent to; otherwise the newest one of the upstream. */
+	readonly isRoutedByAddress?: boolean;
 };
 
 type OrderFailure =
-	| {readonly kind: 'refused'; readonly reason: 'fenced'}
+	| {readonly kind: 'refused'; readonly reason: 'fenced' | 'wrong-instance'}
 	| {readonly kind: 'unanswered'; readonly detail: string};
 
+/** Executes an order; `lateMs` is added to its lease. */
+type Operation<T> = (instance: UpstreamInstance, lateMs: number) => T | Promise<T>;
+
+/** Detail of the outcome of an order that was executed and whose answer cannot be understood. */
+export const oddAnswerDetail = 'the answer cannot be understood';
+
 const defaultOneWayLatencyMs = 0.4;
 const defaultMaxLeaseMs = 1000;
 
@@ -86,7 +104,10 @@
 export class SimulatedUpstreams implements UpstreamOrders {
 	readonly starts: RecordedStart[] = [];
 	readonly #options: SimulatedUpstreamsOptions;
+	/** Newest instance of each upstream. */
 	readonly #instances = new Map<string, UpstreamInstance>();
+	/** Earlier instances that work on at another address, by address. */
+	readonly #formerInstances = new Map<string, UpstreamInstance>();
 	#pollCount = 0;
 
 	constructor(options: SimulatedUpstreamsOptions) {
@@ -94,15 +115,19 @@
 	}
 
 	/**
-	 * Adds an upstream, or a new instance of one that has crashed, whose clock restarts at 0.
+	 * Adds an upstream, or a new instance of one, whose clock restarts at 0. An earlier instance that has not crashed works on at its address.
 	 * @param description - Upstream.
-	 * @returns Faults of the upstream, to be changed by the test; those of the crashed instance stay in force.
+	 * @returns Faults of the upstream, to be changed by the test; those of the earlier instance stay in force.
 	 */
 	addUpstream(description: UpstreamDescription): SimulatedUpstreamFaults {
 		const previousInstance = this.#instances.get(description.id);
 		const faults: SimulatedUpstreamFaults = previousInstance?.faults ?? {
 			isCutOff: false, isMute: false, isHanging: false, isFailing: false, slowness: 1,
 		};
+		if (previousInstance?.isCrashed === false) {
+			this.#formerInstances.set(previousInstance.description.address, previousInstance);
+		}
+
 		const clockOriginMs = previousInstance === undefined ? 0 : this.#options.clock.getMonotonicTime();
 		this.#instances.set(description.id, {
 			description, faults, clockOriginMs, isCrashed: false, runs: new Map(), stopped: new Map(), ended: [], position: 0, fence: 0, leaseUntil: 0, leaseTimer: undefined, waiters: new Set(),
@@ -115,11 +140,18 @@
 	 * @param id - Identifier of the upstream.
 	 */
 	crash(id: string): void {
-		const instance = this.#instances.get(id)!;
-		instance.isCrashed = true;
-		instance.leaseTimer?.close();
-		for (const run of instance.runs.values()) {
-			this.#end(instance, run, 'lapsed');
+		this.#crash(this.#instances.get(id)!);
+	}
+
+	/**
+	 * Crashes an earlier instance that works on; its runs end and their end is not reported.
+	 * @param address - Address of the instance.
+	 */
+	crashFormer(address: string): void {
+		const instance = this.#formerInstances.get(address);
+		if (instance !== undefined) {
+			this.#formerInstances.delete(address);
+			this.#crash(instance);
 		}
 	}
 
@@ -139,12 +171,13 @@
 	}
 
 	async startRun(options: OrderOptions & {readonly run: Run; readonly leaseUntilMs: number}): Promise<OrderOutcome> {
-		return this.#execute(options, instance => {
-			if (options.leaseUntilMs <= this.#getTime(instance)) {
+		return this.#execute(options, (instance, lateMs) => {
+			const leaseUntilMs = options.leaseUntilMs + lateMs;
+			if (leaseUntilMs <= this.#getTime(instance)) {
 				return {kind: 'refused', reason: 'late'};
 			}
 
-			this.#extendLease(instance, options.leaseUntilMs);
+			this.#extendLease(instance, leaseUntilMs);
 			return this.#start(instance, options.run, options.fence);
 		});
 	}
@@ -164,10 +197,10 @@
 
 	async poll(options: OrderOptions & {readonly acknowledged: number; readonly leaseUntilMs?: number; readonly waitMs: number}): Promise<PollOutcome> {
 		this.#pollCount++;
-		return this.#execute<PollOutcome>(options, async instance => {
+		return this.#execute<PollOutcome>(options, async (instance, lateMs) => {
 			instance.ended = instance.ended.filter(({position}) => position > options.acknowledged);
 			if (options.leaseUntilMs !== undefined) {
-				this.#extendLease(instance, options.leaseUntilMs);
+				this.#extendLease(instance, options.leaseUntilMs + lateMs);
 			}
 
 			if (instance.ended.length === 0 && options.waitMs > 0) {
@@ -179,20 +212,24 @@
 				bornMs: instance.description.bornMs,
 				upstreamTimeMs: this.#getTime(instance),
 				running: [...instance.runs.values()].map(({task, number}) => ({task, number})),
-				ended: [...instance.ended],
+				ended: instance.ended.slice(0, instance.faults.maxListedEnds),
 			};
 		});
 	}
 
-	async #execute<T extends OrderOutcome | PollOutcome>(options: OrderOptions, operation: (instance: UpstreamInstance) => T | Promise<T>): Promise<T | OrderFailure> {
+	async #execute<T extends OrderOutcome | PollOutcome>(options: OrderOptions, operation: Operation<T>): Promise<T | OrderFailure> {
 		const {clock, oneWayLatencyMs = defaultOneWayLatencyMs} = this.#options;
 		const unanswered = {kind: 'unanswered', detail: 'no answer'} as const;
 		await this.#wait(oneWayLatencyMs);
-		const instance = this.#instances.get(options.upstream.id);
+		const instance = this.#getInstance(options);
 		if (instance?.isCrashed) {
 			return unanswered;
 		}
 
+		if (instance === undefined && this.#options.isRoutedByAddress) {
+			return this.#isAddressInUse(options.upstream.address) ? {kind: 'refused', reason: 'wrong-instance'} : unanswered;
+		}
+
 		if (instance === undefined || instance.faults.isCutOff) {
 			await this.#wait(options.timeoutMs - oneWayLatencyMs);
 			return unanswered;
@@ -212,22 +249,55 @@
 
 		instance.fence = options.fence;
 		const startedAt = clock.getMonotonicTime();
-		const outcome = await operation(instance);
-		await this.#wait(oneWayLatencyMs);
-		if (instance.faults.isCutOff || instance.faults.isMute || instance.isCrashed) {
+		const outcome = await operation(instance, 0);
+		if (!await this.#deliverAnswer(instance, oneWayLatencyMs)) {
 			await this.#wait(Math.max(0, options.timeoutMs - (clock.getMonotonicTime() - startedAt)));
 			return unanswered;
 		}
 
-		return outcome;
+		return instance.faults.isAnswerOdd?.() ? {kind: 'unanswered', detail: oddAnswerDetail} : outcome;
 	}
 
-	async #executeLate<T>(instance: UpstreamInstance, {fence}: OrderOptions, operation: (instance: UpstreamInstance) => T | Promise<T>, delayMs: number): Promise<void> {
+	/** Waits until an answer arrives; returns whether it does. A delayed answer arrives even if the instance crashes meanwhile. */
+	async #deliverAnswer(instance: UpstreamInstance, oneWayLatencyMs: number): Promise<boolean> {
+		const {faults, isCrashed} = instance;
+		const delayMs = faults.getAnswerDelayMs?.() ?? 0;
+		await this.#wait(oneWayLatencyMs + delayMs);
+		return !faults.isCutOff && !faults.isMute && !(delayMs > 0 ? isCrashed : instance.isCrashed);
+	}
+
+	async #executeLate<T>(recipient: UpstreamInstance, {fence}: OrderOptions, operation: Operation<T>, delayMs: number): Promise<void> {
+		const {reachesNextInstance = false, grantsLeaseLate = false} = recipient.faults;
 		await this.#wait(delayMs);
+		const {id, address} = recipient.description;
+		const newest = this.#instances.get(id)!;
+		const instance = reachesNextInstance && recipient.isCrashed && newest.description.address === address ? newest : recipient;
 		if (!instance.isCrashed && fence >= instance.fence) {
 			this.#endExpiredRuns(instance);
 			instance.fence = fence;
-			await operation(instance);
+			await operation(instance, grantsLeaseLate ? delayMs : 0);
+		}
+	}
+
+	#getInstance({upstream: {id, address}}: OrderOptions): UpstreamInstance | undefined {
+		const newest = this.#instances.get(id);
+		if (!this.#options.isRoutedByAddress || newest?.description.address === address) {
+			return newest;
+		}
+
+		const former = this.#formerInstances.get(address);
+		return former?.description.id === id ? former : undefined;
+	}
+
+	#isAddressInUse(address: string): boolean {
+		return [...this.#instances.values()].some(({description, isCrashed}) => description.address === address && !isCrashed);
+	}
+
+	#crash(instance: UpstreamInstance): void {
+		instance.isCrashed = true;
+		instance.leaseTimer?.close();
+		for (const run of instance.runs.values()) {
+			this.#end(instance, run, 'lapsed');
 		}
 	}
 
