Show that the checks of simulated fleets find wrong readings of answers

Two replaced readings of an upstream's answers, switched in through the orders of the fleet and not through the product: an odd answer to a start that was executed is read as a refusal, and a missing list of runs is read as an empty one.

--- /dev/null
+++ b/test/pool/fleet-mutants.test.ts
@@ -0,0 +1,49 @@
+/**
+ * The checks of simulated fleets find double runs that earlier, wrong readings of an upstream's answers cause.
+ */
+import test from 'ava';
+import {type UpstreamOrders} from '../../src/pool/index.js';
+import {createSeededRandom} from '../../src/seams/index.js';
+import {getUpstreamAnswerFaults, runFleet} from '../../src/testing/fleet-run.js';
+import {oddAnswerDetail} from '../../src/testing/simulated-upstreams.js';
+
+const seed = 1;
+const oddAnswers = getUpstreamAnswerFaults(seed, 60).filter(({kind}) => kind === 'odd-answer');
+
+/** Reads an answer that cannot be understood as a refusal. */
+function refuseOddAnswers(orders: UpstreamOrders): UpstreamOrders {
+	return {
+		...orders,
+		async startRun(options) {
+			const outcome = await orders.startRun(options);
+			return outcome.kind === 'unanswered' && outcome.detail === oddAnswerDetail ? {kind: 'refused', reason: 'invalid'} : outcome;
+		},
+	};
+}
+
+/** Drops the list of runs from one answer in twenty. */
+function dropLists(orders: UpstreamOrders): UpstreamOrders {
+	const random = createSeededRandom(seed);
+	return {
+		...orders,
+		async poll(options) {
+			const outcome = await orders.poll(options);
+			return outcome.kind === 'seen' && random.getFloat() < 0.05 ? {...outcome, running: []} : outcome;
+		},
+	};
+}
+
+test('a fleet whose upstreams give odd answers violates no invariant', async t => {
+	const {violations} = await runFleet(seed, oddAnswers);
+	t.deepEqual(violations, []);
+});
+
+for (const {name, faults, wrapOrders} of [
+	{name: 'an odd answer is read as a refusal', faults: oddAnswers, wrapOrders: refuseOddAnswers},
+	{name: 'a list that is missing is read as an empty one', faults: [], wrapOrders: dropLists},
+]) {
+	test(`a fleet in which ${name} has double runs`, async t => {
+		const {violations} = await runFleet(seed, faults, {wrapOrders});
+		t.true(violations.some(({rule}) => rule === 'double-run'));
+	});
+}
