Add odd entries, odd answers and two lives of an upstream to the soak of processes

The soak lacked what other writers leave among the entries and what an upstream may answer without saying whether an order was executed. An upstream of the stand-ins answers orders for another identifier with 421.

--- a/bench/soak-processes/plan.ts
+++ b/bench/soak-processes/plan.ts
@@ -14,16 +14,17 @@
 	readonly target: number;
 	/** Number of upstreams that are affected. */
 	readonly count: number;
-	/** Whether the store's entries of half the upstreams expire during the fault. */
+	/** Whether the store's entries of half the upstreams expire during the fault; for two lives, whether the former one receives no orders. */
 	readonly isLapsing: boolean;
 };
 
 const vmKinds = [plannedStopKind, 'kill', 'freeze'] as const;
 const storeKinds = ['store-away', 'store-silent', 'store-slow', 'store-loses-answers', 'store-forgets'] as const;
 const upstreamKinds = ['orders-late', 'answers-lost', 'upstream-crash', 'upstream-slow'] as const;
+const answerKinds = ['odd-answers', 'odd-entries', 'answers-overtake', 'few-ends', 'two-lives'] as const;
 
 /** Kind of a fault. */
-export type SoakFaultKind = typeof vmKinds[number] | typeof storeKinds[number] | typeof upstreamKinds[number];
+export type SoakFaultKind = typeof vmKinds[number] | typeof storeKinds[number] | typeof upstreamKinds[number] | typeof answerKinds[number];
 
 /** Options of {@link createFaultPlan}. */
 export type FaultPlanOptions = {
@@ -41,6 +42,7 @@
 /** Share of the other series that have a rolling restart too. */
 const rollingRestartShare = 0.6;
 const seedFactor = 2_654_435_769;
+const answerSeedFactor = 2_246_822_519;
 const maxSeries = 1000;
 
 /** Creates the faults of a series, by time. */
@@ -50,7 +52,8 @@
 	const hasPlannedStopsOnly = random.getFloat() < plannedStopsOnlyShare;
 	const rollingRestart = hasPlannedStopsOnly || random.getFloat() < rollingRestartShare ? createRollingRestart(options, random) : [];
 	const otherFaults = hasPlannedStopsOnly ? [] : Array.from({length: 4 + Math.floor(random.getFloat() * 6)}, () => createFault(options, random));
-	return [...rollingRestart, ...otherFaults].toSorted((a, b) => a.atMs - b.atMs);
+	const answerFaults = hasPlannedStopsOnly ? [] : createAnswerFaults(options);
+	return [...rollingRestart, ...otherFaults, ...answerFaults].toSorted((a, b) => a.atMs - b.atMs);
 }
 
 /** Creates a rolling restart: planned stops of one VM after another, 1 to 2 s apart. */
@@ -80,6 +83,28 @@
 	};
 }
 
+/**
+ * Creates faults in what upstreams and their entries tell, single ones and series. They are drawn apart from the others, so that those of earlier seeds
+ * stay as they are.
+ */
+function createAnswerFaults({seed, series, upstreamCount, lengthMs}: FaultPlanOptions): readonly PlannedFault[] {
+	const random = createSeededRandom(Math.imul((seed * maxSeries) + series, answerSeedFactor));
+	random.getFloat();
+	return Array.from({length: 2 + Math.floor(random.getFloat() * 3)}, () => {
+		const kind = pick<SoakFaultKind>(random, answerKinds);
+		const firstMs = drawInteger(random, 0, lengthMs);
+		const target = Math.floor(random.getFloat() * upstreamCount);
+		return Array.from({length: 1 + Math.floor(random.getFloat() * 3)}, (_, index): PlannedFault => ({
+			kind,
+			atMs: Math.min(lengthMs, firstMs + (index * drawInteger(random, 500, 1500))),
+			durationMs: drawInteger(random, 300, 2500),
+			target,
+			count: 1 + Math.floor(random.getFloat() * upstreamCount / 3),
+			isLapsing: random.getFloat() < 0.5,
+		}));
+	}).flat();
+}
+
 function drawInteger(random: Random, low: number, high: number): number {
 	return Math.round(low + (random.getFloat() * (high - low)));
 }
--- a/bench/soak-processes/soak-run.ts
+++ b/bench/soak-processes/soak-run.ts
@@ -57,6 +57,9 @@
 const requiredServedJobs = 3;
 const pollIntervalMs = 100;
 
+/** Maximum delay of answers that overtake each other, in milliseconds. */
+const maxAnswerDelayMs = 400;
+
 /**
  * Runs a soak and checks its history.
  * @param options - Seed, length and size of the deployment.
@@ -224,7 +227,12 @@
 			case 'orders-late':
 			case 'answers-lost':
 			case 'upstream-slow':
-			case 'upstream-crash': {
+			case 'upstream-crash':
+			case 'odd-answers':
+			case 'odd-entries':
+			case 'answers-overtake':
+			case 'few-ends':
+			case 'two-lives': {
 				return this.#injectIntoStandIns({...fault, kind: fault.kind});
 			}
 		}
@@ -327,6 +335,30 @@
 		case 'upstream-crash': {
 			return {begin: {kind: 'crash', positions}, end: [{kind: 'restart', positions}]};
 		}
+
+		case 'odd-answers': {
+			return {begin: upstreams({hasOddAnswers: true}), end: [upstreams({hasOddAnswers: false})]};
+		}
+
+		case 'odd-entries': {
+			return {begin: {kind: 'overwrite-entries', positions}, end: [{kind: 'restore-entries', positions}]};
+		}
+
+		case 'answers-overtake': {
+			return {begin: upstreams({maxAnswerDelayMs}), end: [upstreams({maxAnswerDelayMs: 0})]};
+		}
+
+		case 'few-ends': {
+			return {begin: upstreams({maxListedEnds: 2}), end: [upstreams({maxListedEnds: 500})]};
+		}
+
+		case 'two-lives': {
+			return {
+				begin: {
+					kind: 'start-again', positions, formerLifeMs: durationMs, isFormerReachable: !isLapsing,
+				}, end: [],
+			};
+		}
 	}
 }
 
--- a/bench/soak-processes/stand-in-process-main.ts
+++ b/bench/soak-processes/stand-in-process-main.ts
@@ -10,6 +10,7 @@
 } from '../../src/testing/index.js';
 import {type AppliedFault, getSharedTime, stallKind} from './history.js';
 import {getWork} from './jobs.js';
+import {createOddEntries} from './odd-entries.js';
 import {
 	host, prefix, type UpstreamFaults, type StandInCommand,
 } from './stand-in-process.js';
@@ -33,6 +34,11 @@
 /** Time between two checks from which on they count as a stall, in milliseconds: requests get no answer in this time. */
 const minStallMs = 300;
 
+/** Identifiers of odd entries under new keys: some cannot be sent in a header. */
+const oddIds = ['i-other-', 'i other ', 'i-\u{1F600}-', 'i-\r\nx: '];
+const newKeys: string[] = [];
+let oddEntryCount = 0;
+
 const stalls: AppliedFault[] = [];
 let checkedAt = getSharedTime();
 
@@ -103,9 +109,46 @@
 	}
 }
 
-function setUpstreamFaults(chosen: readonly PlatformUpstream[], {lateMs, ...faults}: UpstreamFaults): void {
+async function startAgain(upstream: PlatformUpstream, formerLifeMs: number, isFormerReachable: boolean): Promise<void> {
+	if (!crashed.has(upstream)) {
+		await upstream.startAgain(formerLifeMs, isFormerReachable);
+	}
+}
+
+/** Writes odd entries over those of upstreams, and one under a new key for each. */
+function overwriteEntries(chosen: readonly PlatformUpstream[]): void {
+	for (const upstream of chosen) {
+		const key = getKey(upstream);
+		const values = createOddEntries(store.getText(key) ?? '{}', store.getText(getKey(upstreams[oddEntryCount % upstreams.length]!)) ?? '{}');
+		store.setBytes(key, values[oddEntryCount % values.length]!);
+		const newKey = `servers/${oddIds[oddEntryCount % oddIds.length]!}${oddEntryCount}`;
+		store.setBytes(newKey, values[(oddEntryCount + 1) % values.length]!);
+		newKeys.push(newKey);
+		oddEntryCount++;
+	}
+}
+
+/** Lets upstreams write their entries again and removes those under new keys. */
+function restoreEntries(chosen: readonly PlatformUpstream[]): void {
+	for (const upstream of chosen) {
+		if (!crashed.has(upstream) && !removedFromStore.includes(upstream)) {
+			upstream.register('ready');
+		}
+	}
+
+	for (const key of newKeys.splice(0)) {
+		store.setText(key, undefined);
+	}
+}
+
+function setUpstreamFaults(chosen: readonly PlatformUpstream[], {lateMs, maxAnswerDelayMs, hasOddAnswers, ...faults}: UpstreamFaults): void {
 	for (const upstream of chosen) {
 		Object.assign(upstream.faults, faults);
+		upstream.hasOddAnswers = hasOddAnswers ?? upstream.hasOddAnswers;
+		if (maxAnswerDelayMs !== undefined) {
+			upstream.faults.getAnswerDelayMs = () => Math.random() * maxAnswerDelayMs;
+		}
+
 		if (lateMs !== undefined) {
 			upstream.faults.getLateMs = () => lateMs;
 		}
@@ -152,6 +195,21 @@
 			return {};
 		}
 
+		case 'start-again': {
+			void Promise.all(chosen.map(async upstream => startAgain(upstream, command.formerLifeMs, command.isFormerReachable)));
+			return {};
+		}
+
+		case 'overwrite-entries': {
+			overwriteEntries(chosen);
+			return {};
+		}
+
+		case 'restore-entries': {
+			restoreEntries(chosen);
+			return {};
+		}
+
 		case 'configuration': {
 			setConfiguration(command.version);
 			return {};
--- a/bench/soak-processes/stand-in-process.ts
+++ b/bench/soak-processes/stand-in-process.ts
@@ -12,15 +12,23 @@
 export const host = 'jobs.example';
 export const prefix = '/jobs/';
 
-/** Faults of upstreams; `lateMs` is the delay before a request to an upstream is executed, in milliseconds. */
-export type UpstreamFaults = Partial<Omit<SimulatedUpstreamFaults, 'getLateMs'>> & {readonly lateMs?: number};
+/**
+ * Faults of upstreams; `lateMs` is the delay before a request to an upstream is executed, `maxAnswerDelayMs` the maximum delay of an answer, in
+ * milliseconds.
+ */
+export type UpstreamFaults = Pick<Partial<SimulatedUpstreamFaults>, 'isMute' | 'slowness' | 'maxListedEnds'> & {
+	readonly lateMs?: number;
+	readonly maxAnswerDelayMs?: number;
+	readonly hasOddAnswers?: boolean;
+};
 
 /** Command to the store or the upstreams. */
 export type StandInCommand =
 	| {readonly kind: 'store'; readonly faults: Partial<StoreFaults>; readonly isLapsing: boolean}
 	| {readonly kind: 'relist' | 'forget' | 'runs' | 'stalls'}
 	| {readonly kind: 'upstreams'; readonly positions: readonly number[]; readonly faults: UpstreamFaults}
-	| {readonly kind: 'crash' | 'restart'; readonly positions: readonly number[]}
+	| {readonly kind: 'crash' | 'restart' | 'overwrite-entries' | 'restore-entries'; readonly positions: readonly number[]}
+	| {readonly kind: 'start-again'; readonly positions: readonly number[]; readonly formerLifeMs: number; readonly isFormerReachable: boolean}
 	| {readonly kind: 'configuration'; readonly version: number};
 
 /** Options of {@link StandInProcess}. */
--- a/src/testing/platform-store.ts
+++ b/src/testing/platform-store.ts
@@ -84,10 +84,19 @@
 		if (text === undefined) {
 			this.#delete(key);
 		} else {
-			this.#write(key, Buffer.from(text).toString('base64'));
+			this.setBytes(key, Buffer.from(text));
 		}
 	}
 
+	/**
+	 * Writes an item of any bytes.
+	 * @param key - Key of the item.
+	 * @param bytes - New value.
+	 */
+	setBytes(key: string, bytes: Uint8Array): void {
+		this.#write(key, Buffer.from(bytes).toString('base64'));
+	}
+
 	/** Discards the history, so that watches cannot resume from an earlier revision. */
 	compact(): void {
 		this.#compactRevision = this.#revision;
--- a/src/testing/platform-upstream.ts
+++ b/src/testing/platform-upstream.ts
@@ -5,6 +5,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {type RunEnd, type TaskNeeds, type UpstreamDescription} from '../pool/index.js';
 import {type Clock, systemClock} from '../seams/index.js';
 import {readJson, sendJson} from './http-json.js';
@@ -40,25 +41,39 @@
 
 const refusalReasons: Readonly<Record<string, string>> = {fenced: 'fence', 'stale-run': 'old', 'no-room': 'room'};
 
+const instanceHeader = 'x-endivemill-target-instance';
+
+/** Every n-th answer is odd while {@link PlatformUpstream.hasOddAnswers} is set. */
+const oddAnswerInterval = 3;
+
+/** Answers that do not say whether the order was executed. */
+const oddAnswers = [500, 'incomplete', 502, 'truncated', 504, 'nested', 404, 'empty', 408] as const;
+
 /** An upstream that simulates its runs. */
 export class PlatformUpstream {
 	faults: SimulatedUpstreamFaults;
+	/** Whether some orders are executed and answered with something that does not say so. */
+	hasOddAnswers = false;
 	readonly #options: PlatformUpstreamOptions;
 	readonly #simulation: SimulatedUpstreams;
 	#server: Server;
 	#description: UpstreamDescription;
+	#answerCount = 0;
+	#isFormerReachable = false;
 
 	/** @internal */
 	constructor(options: PlatformUpstreamOptions) {
 		this.#options = options;
 		const clock = options.clock ?? systemClock;
-		this.#simulation = new SimulatedUpstreams({clock, getWork: options.getWork, oneWayLatencyMs: 0});
+		this.#simulation = new SimulatedUpstreams({
+			clock, getWork: options.getWork, oneWayLatencyMs: 0, isRoutedByAddress: true,
+		});
 		this.#description = {
 			id: options.id, bornMs: 1, address: '', dataCenter: options.dataCenter, service: options.service, rack: 'r1', labels: ['a', 'r1'],
 			capacity: options.capacity ?? defaultCapacity, isLeaving: false,
 		};
 		this.faults = this.#simulation.addUpstream(this.#description);
-		this.#server = this.#createServer();
+		this.#server = this.#createServer(this.#description);
 	}
 
 	/** Opens the listener on loopback and registers the upstream. */
@@ -96,31 +111,54 @@
 
 	/** Starts a new instance after a crash, with the same identifier and another address. */
 	async restart(): Promise<void> {
-		this.#description = {...this.#description, bornMs: (this.#description.bornMs ?? 0) + 1};
-		this.faults = this.#simulation.addUpstream(this.#description);
-		this.#server = this.#createServer();
-		await this.open();
+		await this.#startInstance();
+	}
+
+	/**
+	 * Starts a new instance with the same identifier at another address, while the former one works on.
+	 * @param formerLifeMs - Time for which the former instance works on, in milliseconds.
+	 * @param isFormerReachable - Whether the former instance still receives orders.
+	 */
+	async startAgain(formerLifeMs: number, isFormerReachable: boolean): Promise<void> {
+		const {address} = this.#description;
+		const server = this.#server;
+		this.#isFormerReachable = isFormerReachable;
+		await this.#startInstance();
+		await delay(formerLifeMs);
+		this.#simulation.crashFormer(address);
+		await closeServer(server);
 	}
 
 	/** Closes the listener and all connections. */
 	async close(): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.#server.close(() => {
-				resolve();
-			});
-			this.#server.closeAllConnections();
-		});
+		await closeServer(this.#server);
+	}
+
+	async #startInstance(): Promise<void> {
+		const bornMs = this.#description.bornMs + 1;
+		this.#description = {...this.#description, bornMs, address: String(bornMs)};
+		this.faults = this.#simulation.addUpstream(this.#description);
+		this.#server = this.#createServer(this.#description);
+		await this.open();
 	}
 
-	#createServer(): Server {
+	#createServer(description: UpstreamDescription): Server {
 		return createServer((req, res) => {
-			void this.#handle(req, res);
+			if (description === this.#description || this.#isFormerReachable) {
+				void this.#handle(description, req, res);
+			}
 		});
 	}
 
-	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+	async #handle(description: UpstreamDescription, req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const request = await readJson(req) as UpstreamRequest;
-		const options = {upstream: this.#description, fence: request.fence ?? 0, timeoutMs: requestTimeoutMs};
+		const target = req.headers[instanceHeader];
+		if (target !== undefined && target !== description.id) {
+			sendJson(res, 421);
+			return;
+		}
+
+		const options = {upstream: description, fence: request.fence ?? 0, timeoutMs: requestTimeoutMs};
 		const run = {task: request.task, number: request.run};
 		switch (req.url ?? '') {
 			case '/api/run-start': {
@@ -143,7 +181,7 @@
 					return;
 				}
 
-				sendJson(res, 200, {
+				this.#answer(res, {
 					clock_ms: Math.floor(outcome.upstreamTimeMs),
 					born: outcome.bornMs,
 					running: outcome.running.map(({task, number}) => [task, number, '', 100, 0]),
@@ -162,11 +200,67 @@
 		if (outcome.kind === 'unanswered') {
 			res.destroy();
 		} else if (outcome.kind === 'done') {
-			sendJson(res, 200, {clock_ms: Math.floor(outcome.upstreamTimeMs)});
+			this.#answer(res, {clock_ms: Math.floor(outcome.upstreamTimeMs)});
 		} else {
 			sendJson(res, 409, {clock_ms: 0, reason: refusalReasons[outcome.reason] ?? outcome.reason});
 		}
 	}
+
+	/** Sends the answer to an executed order, or an odd one. */
+	#answer(res: ServerResponse, body: Readonly<Record<string, unknown>>): void {
+		this.#answerCount++;
+		if (!this.hasOddAnswers || this.#answerCount % oddAnswerInterval > 0) {
+			sendJson(res, 200, body);
+			return;
+		}
+
+		const kind = oddAnswers[Math.floor(this.#answerCount / oddAnswerInterval) % oddAnswers.length]!;
+		switch (kind) {
+			case 'incomplete': {
+				const {running, ...rest} = body;
+				sendJson(res, 200, running === undefined ? {} : rest);
+				return;
+			}
+
+			case 'truncated': {
+				const text = JSON.stringify(body);
+				res.writeHead(200, {'content-type': 'application/json', 'content-length': text.length});
+				res.write(text.slice(0, text.length / 2), () => {
+					res.destroy();
+				});
+				return;
+			}
+
+			case 'nested': {
+				const levels = 50_000;
+				res.writeHead(200, {'content-type': 'application/json'});
+				res.end('['.repeat(levels) + ']'.repeat(levels));
+				return;
+			}
+
+			case 'empty': {
+				sendJson(res, 200);
+				return;
+			}
+
+			case 500:
+			case 502:
+			case 504:
+			case 404:
+			case 408: {
+				sendJson(res, kind, {clock_ms: body.clock_ms});
+			}
+		}
+	}
+}
+
+async function closeServer(server: Server): Promise<void> {
+	await new Promise<void>(resolve => {
+		server.close(() => {
+			resolve();
+		});
+		server.closeAllConnections();
+	});
 }
 
 /**
