Keep a run as lost after any refusal that follows an unanswered attempt

After an attempt that was left unanswered, the refusal 'wrong-instance' of a later one counted as proof that the run had not started; the next run of the task started while the first could go on. Another process at the address says nothing of what the upstream accepted before.

Change: every refusal after an unanswered attempt leaves the run lost until its upstream lists it or its lease has ended. Refusals of a first attempt are as before.

Result: test 'after an unanswered attempt, the refusal wrong-instance does not prove that a run has not started' failed before (refused), passes now; the tests of the five other refusals passed before and after.

--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -587,7 +587,7 @@
 			this.#options.events.onFenced(this);
 		}
 
-		if (earlierAttempts > 0 && outcome.reason !== 'wrong-instance') {
+		if (earlierAttempts > 0) {
 			// An earlier attempt may have been carried out; a poll shows whether it was, or the run ends with its lease.
 			run.state = 'lost';
 			run.confirmedAt = outcome.reason === 'stale-run' ? now : Infinity;
--- a/test/pool/upstream-link.test.ts
+++ b/test/pool/upstream-link.test.ts
@@ -172,3 +172,25 @@
 	t.is(polls.at(-1)!.options.acknowledged, 0);
 	link.close();
 });
+
+for (const reason of ['wrong-instance', 'invalid', 'unhealthy', 'late', 'no-room', 'fenced'] as const) {
+	test(`after an unanswered attempt, the refusal ${reason} does not prove that a run has not started`, async t => {
+		const fixture = new LinkFixture();
+		const {link, polls, starts} = fixture;
+		await fixture.open();
+		const run = link.start(createRun('a.0.0.0'));
+		const {answerTimeoutMs} = defaultUpstreamLinkTiming;
+		await fixture.clock.advance(answerTimeoutMs + 1);
+		t.is(starts.length, 2);
+		await starts[1]!.answer({kind: 'refused', reason});
+		t.deepEqual(fixture.refused, []);
+		t.is(run.state, 'lost');
+		await polls.at(-1)!.answer(fixture.createSeen({
+			ended: [{
+				position: 1, task: 'a.0.0.0', number: 1, end: 'done',
+			}],
+		}));
+		t.deepEqual(fixture.ended, [['a.0.0.0', 'done', 'listed']]);
+		link.close();
+	});
+}
