End runs of a restarted upstream by their stop and lease, not by its first list

After a restart under the same identifier, the list of the new instance ended all confirmed runs of the former one at once, and a stop that the former instance had confirmed ended runs whose start had never been answered. The new instance has forgotten stops, though, and may carry out a start that was sent to the former one, so that such a task could run there while its next run went on elsewhere. An answer of the former instance to an order could also set the clock of the new one, so that leases were granted far in its future.

Cause: the list, the confirmed stops and the clock of one instance counted for another.

Change: when a new instance is seen, the runs that it does not list are stopped there; they end once the stop is confirmed in this instance, the leases of the former one have ended, and a later poll does not list them. Unclaimed runs are kept in the same way. Answers to orders that were sent before the instance was seen confirm nothing in it and do not set its clock, and no further attempt of a start is sent to another instance than the first. An unclaimed run is forgotten only by a poll that was sent after the run was first seen, as for own runs.

--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -127,6 +127,8 @@
 	#acknowledgedPosition = 0;
 	/** Monotonic time at which an answer first showed the current instance; `-Infinity` if no other one is known. */
 	#instanceSeenAt = -Infinity;
+	/** Monotonic time at which the leases of former instances have ended. */
+	#formerLeasesEndAt = -Infinity;
 	#lastPollAt = -Infinity;
 	/** Monotonic time at which an order or a poll was last left unanswered, or refused by another upstream. */
 	#unansweredAt = -Infinity;
@@ -257,7 +259,7 @@
 
 		this.#removeUnclaimed(task);
 		const linked: LinkedRun = {
-			task, number: run.number, needs, spec, startedAt: run.seenAt, state: 'running', confirmedAt: run.seenAt, isStopRequested: false,
+			task, number: run.number, needs, spec, startedAt: run.seenAt, state: 'running', confirmedAt: this.#getDecisiveAt(run.seenAt), isStopRequested: false,
 		};
 		this.#addRun(linked);
 		return linked;
@@ -386,7 +388,8 @@
 			return outcome.reason === 'wrong-instance' ? 'unanswered' : 'refused';
 		}
 
-		if (outcome.bornMs !== undefined && outcome.bornMs !== this.description.bornMs) {
+		const isNewInstance = outcome.bornMs !== undefined && outcome.bornMs !== this.description.bornMs;
+		if (isNewInstance) {
 			// Answers on different connections may overtake each other.
 			if (sentAt < this.#instanceSeenAt) {
 				return 'outdated';
@@ -402,25 +405,59 @@
 		}
 
 		this.#handleRunningList(outcome, sentAt);
+		if (isNewInstance) {
+			this.#stopFormerRuns(outcome.running);
+		}
+
 		this.#options.events.onChange(this);
 		return 'seen';
 	}
 
 	/**
-	 * Resets what is known of the upstream after it restarted under the same id. The runs of this link are kept: the new instance may have accepted
-	 * their starts before its first poll, so that its list of runs decides.
+	 * Resets what is known of the upstream after it restarted under the same id. Runs are kept: the new instance may have accepted their starts before
+	 * its first poll, and may yet carry out orders that were sent to the former one.
 	 */
 	#resetForNewInstance(bornMs: number): void {
 		const earlierBornMs = this.description.bornMs;
 		this.description = {...this.description, bornMs};
 		this.#instanceSeenAt = this.#options.clock.getMonotonicTime();
+		this.#formerLeasesEndAt = this.#leaseEndsAt;
 		this.#acknowledgedPosition = 0;
 		this.#clockOffsetMs = undefined;
-		this.#clearUnclaimed();
 		this.#recentEnds.clear();
+		for (const run of this.#runs.values()) {
+			run.confirmedAt = Infinity;
+		}
+
 		this.#options.events.onInstanceChanged(this, earlierBornMs);
 	}
 
+	/** Stops the runs that a new instance does not list, since it may carry out late orders, and those whose stop it has forgotten. */
+	#stopFormerRuns(running: readonly Run[]): void {
+		const {clock} = this.#options;
+		const listed = new Set(running.map(({task}) => task));
+		for (const run of this.#runs.values()) {
+			// A start that is still in progress is stopped if it stays unanswered.
+			if (run.state === 'starting' || (listed.has(run.task) && !run.isStopRequested)) {
+				continue;
+			}
+
+			run.state = listed.has(run.task) ? run.state : 'lost';
+			void this.#sendStop(run);
+		}
+
+		clock.setTimer(() => {
+			if (!this.#closeController.signal.aborted) {
+				void this.pollImmediately();
+			}
+		}, Math.max(minTimerMs, this.#formerLeasesEndAt - clock.getMonotonicTime()));
+	}
+
+	/** Gets the monotonic time from which a poll shows whether a run goes on that was known at a time: a new instance does not list those of former ones. */
+	#getDecisiveAt(knownAt: number): number {
+		return knownAt < this.#instanceSeenAt ? Math.max(knownAt, this.#formerLeasesEndAt) : knownAt;
+	}
+
 	/** Estimates the offset of the upstream's clock. The fastest answer gives the best estimate, which ages since the upstream's clock may be slow. */
 	#observeClock(upstreamTimeMs: number): void {
 		const now = this.#options.clock.getMonotonicTime();
@@ -462,8 +499,8 @@
 			return;
 		}
 
-		for (const task of this.#unclaimed.keys()) {
-			if (!listed.has(task)) {
+		for (const {task, seenAt} of this.#unclaimed.values()) {
+			if (!listed.has(task) && this.#getDecisiveAt(seenAt) < sentAt) {
 				this.#removeUnclaimed(task);
 			}
 		}
@@ -480,9 +517,9 @@
 		const now = this.#options.clock.getMonotonicTime();
 		const knownRun = this.#runs.get(task);
 		if (knownRun?.number === number) {
+			knownRun.confirmedAt = Math.min(knownRun.confirmedAt, now);
 			if (knownRun.state === 'lost' || knownRun.state === 'starting') {
 				knownRun.state = 'running';
-				knownRun.confirmedAt = Math.min(knownRun.confirmedAt, now);
 				if (knownRun.isStopRequested) {
 					void this.#sendStop(knownRun);
 				}
@@ -538,8 +575,11 @@
 	}
 
 	async #sendStart(run: LinkedRun): Promise<void> {
-		const {orders} = this.#options;
-		for (let attempts = 0; attempts < maxSendAttempts && run.state === 'starting' && !run.isStopRequested; attempts++) {
+		const {clock, orders} = this.#options;
+		const {bornMs} = this.description;
+		const isSendable = (): boolean => run.state === 'starting' && !run.isStopRequested && this.description.bornMs === bornMs;
+		for (let attempts = 0; attempts < maxSendAttempts && isSendable(); attempts++) {
+			const sentAt = clock.getMonotonicTime();
 			const leaseUntilMs = this.#extendLease();
 			if (leaseUntilMs === undefined) {
 				break;
@@ -553,11 +593,11 @@
 			}
 
 			if (outcome.kind !== 'unanswered') {
-				this.#handleStartAnswer(run, outcome, attempts);
+				this.#handleStartAnswer(run, outcome, {sentAt, isFirst: attempts === 0});
 				return;
 			}
 
-			this.#unansweredAt = this.#options.clock.getMonotonicTime();
+			this.#unansweredAt = clock.getMonotonicTime();
 			void this.#checkAlive();
 		}
 
@@ -567,11 +607,21 @@
 		}
 	}
 
-	#handleStartAnswer(run: LinkedRun, outcome: Exclude<OrderOutcome, {readonly kind: 'unanswered'}>, earlierAttempts: number): void {
+	#handleStartAnswer(run: LinkedRun, outcome: Exclude<OrderOutcome, {readonly kind: 'unanswered'}>, {sentAt, isFirst}: {readonly sentAt: number; readonly isFirst: boolean}): void {
 		const now = this.#options.clock.getMonotonicTime();
+		if (sentAt < this.#instanceSeenAt && !isFirst) {
+			// The new instance may yet carry out an earlier attempt.
+			run.state = 'lost';
+			void this.#sendStop(run);
+			return;
+		}
+
 		if (outcome.kind === 'done') {
-			this.#observeClock(outcome.upstreamTimeMs);
-			run.confirmedAt = now;
+			if (sentAt >= this.#instanceSeenAt) {
+				this.#observeClock(outcome.upstreamTimeMs);
+			}
+
+			run.confirmedAt = Math.max(now, this.#getDecisiveAt(sentAt));
 			if (run.state === 'starting') {
 				run.state = 'running';
 			}
@@ -587,7 +637,7 @@
 			this.#options.events.onFenced(this);
 		}
 
-		if (earlierAttempts > 0) {
+		if (!isFirst) {
 			// An earlier attempt may have been carried out; a poll shows whether it was, or the run ends with its lease.
 			run.state = 'lost';
 			run.confirmedAt = outcome.reason === 'stale-run' ? now : Infinity;
@@ -616,7 +666,11 @@
 		}
 
 		const isConfirmed = await this.#confirmStop(run, isListed, () => {
-			run.confirmedAt = Math.min(run.confirmedAt, this.#options.clock.getMonotonicTime());
+			run.confirmedAt = Math.min(run.confirmedAt, Math.max(this.#options.clock.getMonotonicTime(), this.#getDecisiveAt(run.startedAt)));
+			if (run.startedAt < this.#instanceSeenAt) {
+				// What is left of the run is not under the lease of this instance.
+				this.#stopRequestedAt.delete(run.task);
+			}
 		});
 
 		// The lease alone does not end the run while it is extended for other runs here, so that the stop is repeated.
@@ -633,8 +687,14 @@
 	 */
 	async #confirmStop({task, number}: Run, isListed: () => boolean, onConfirmed?: () => void): Promise<boolean> {
 		for (let attempts = 0; attempts < maxSendAttempts && isListed() && !this.#closeController.signal.aborted; attempts++) {
+			const sentAt = this.#options.clock.getMonotonicTime();
 			const outcome = await this.#options.orders.stopRun({...this.#getOrderOptions(), run: {task, number}});
 			if (outcome.kind === 'done') {
+				if (sentAt < this.#instanceSeenAt) {
+					// The former instance may have confirmed it.
+					continue;
+				}
+
 				onConfirmed?.();
 				await this.pollImmediately();
 				return true;
--- a/test/pool/upstream-link.test.ts
+++ b/test/pool/upstream-link.test.ts
@@ -3,7 +3,7 @@
  */
 import test from 'ava';
 import {
-	defaultUpstreamLinkTiming, type EndGrounds, type LinkedRun, type OrderOutcome, type PollOutcome, type RunEnd, UpstreamLink, type UpstreamOrders,
+	defaultUpstreamLinkTiming, type EndGrounds, getMaxStopMs, type LinkedRun, type OrderOutcome, type PollOutcome, type RunEnd, UpstreamLink, type UpstreamOrders,
 } from '../../src/pool/index.js';
 import {ManualClock} from '../../src/testing/manual-clock.js';
 import {createUpstream, typicalWork} from './pool-harness.js';
@@ -194,3 +194,96 @@
 		link.close();
 	});
 }
+
+/** Advances the clock and answers all polls and, if requested, all stops. */
+async function answerPolls(fixture: LinkFixture, durationMs: number, createAnswer: () => PollOutcome, areStopsAnswered = false): Promise<void> {
+	const until = fixture.clock.getMonotonicTime() + durationMs;
+	while (fixture.clock.getMonotonicTime() < until) {
+		await fixture.clock.advance(10);
+		for (const {answer} of areStopsAnswered ? fixture.stops.splice(0) : []) {
+			await answer(fixture.createDone());
+		}
+
+		for (const {answer} of fixture.polls.splice(0)) {
+			await answer(createAnswer());
+		}
+	}
+}
+
+test('a run ends only after its lease if a new instance of its upstream does not list it', async t => {
+	const fixture = new LinkFixture();
+	const {link, polls, stops} = fixture;
+	await fixture.open();
+	await fixture.startRun('a.0.0.0');
+	const createAnswer = (): PollOutcome => fixture.createSeen({bornMs: 2});
+	await polls.at(-1)!.answer(createAnswer());
+	await stops[0]!.answer(fixture.createDone());
+	const {leaseMs} = defaultUpstreamLinkTiming;
+	await answerPolls(fixture, leaseMs, createAnswer);
+	t.deepEqual(fixture.ended, []);
+	t.true(link.isAcceptingStarts());
+	await answerPolls(fixture, getMaxStopMs(1000) - leaseMs, createAnswer);
+	t.deepEqual(fixture.ended, [['a.0.0.0', 'stopped', 'unlisted']]);
+	t.is(stops.length, 1);
+	link.close();
+});
+
+test('a run whose start was not answered is stopped at a new instance of its upstream before it counts as ended', async t => {
+	const fixture = new LinkFixture();
+	const {link, starts, polls} = fixture;
+	await fixture.open();
+	link.start(createRun('a.0.0.0'));
+	await fixture.clock.advance(1);
+	const createAnswer = (): PollOutcome => fixture.createSeen({bornMs: 2});
+	await polls.at(-1)!.answer(createAnswer());
+	await answerPolls(fixture, 2000, createAnswer);
+	t.is(starts.length, 1);
+	t.deepEqual(fixture.ended, []);
+	const {answerTimeoutMs, busyPollWaitMs} = defaultUpstreamLinkTiming;
+	await answerPolls(fixture, busyPollWaitMs + answerTimeoutMs, createAnswer, true);
+	t.deepEqual(fixture.ended, [['a.0.0.0', 'stopped', 'unlisted']]);
+	link.close();
+});
+
+test('a stop that the former instance of an upstream confirmed does not count for the new one', async t => {
+	const fixture = new LinkFixture();
+	const {link, polls, stops} = fixture;
+	await fixture.open();
+	const run = await fixture.startRun('a.0.0.0');
+	link.stop(run);
+	await fixture.clock.advance(1);
+	const createAnswer = (): PollOutcome => fixture.createSeen({bornMs: 2});
+	await polls.at(-1)!.answer(createAnswer());
+	await stops[0]!.answer(fixture.createDone());
+	await answerPolls(fixture, 2000, createAnswer);
+	t.deepEqual(fixture.ended, []);
+	link.close();
+});
+
+test('the answer of a former instance to an order does not set the clock of the new one', async t => {
+	const fixture = new LinkFixture();
+	const {link, starts, polls} = fixture;
+	await fixture.open();
+	link.start(createRun('a.0.0.0'));
+	await fixture.clock.advance(1);
+	await polls.at(-1)!.answer(fixture.createSeen({bornMs: 2, upstreamTimeMs: 0}));
+	await starts[0]!.answer({kind: 'done', upstreamTimeMs: 1_000_000});
+	await polls.at(-1)!.answer(fixture.createSeen({bornMs: 2, upstreamTimeMs: 0}));
+	t.true(polls.at(-1)!.options.leaseUntilMs! <= defaultUpstreamLinkTiming.leaseMs);
+	link.close();
+});
+
+test('an unclaimed run is known until its lease has ended if a new instance of its upstream does not list it', async t => {
+	const fixture = new LinkFixture();
+	const {link, polls} = fixture;
+	await fixture.open();
+	await polls.at(-1)!.answer(fixture.createSeen({running: [{task: 'a.0.0.0', number: 1}]}));
+	await fixture.clock.advance(1);
+	const createAnswer = (): PollOutcome => fixture.createSeen({bornMs: 2});
+	await polls.at(-1)!.answer(createAnswer());
+	await answerPolls(fixture, defaultUpstreamLinkTiming.leaseMs, createAnswer);
+	t.true(link.hasUnclaimed('a'));
+	await answerPolls(fixture, getMaxStopMs(1000) - defaultUpstreamLinkTiming.leaseMs, createAnswer);
+	t.false(link.hasUnclaimed('a'));
+	link.close();
+});
