Wait for the longest lease before runs of a silent upstream count as ended

A lease ends at a time on the upstream's clock, which starts anew with each instance. After a restart that no poll has shown yet, a start or a poll carries a time far in the future of the new clock, and the upstream shortens the lease to the longest one only (1 s, on a clock that may be 2% slow). If the upstream became silent then, its runs counted as ended by the requested lease of 900 ms, up to 93 ms early, and their tasks could run twice.

Change: the end of each granted lease is recorded as that of the longest one. The requested leases are as before.

The price: the tasks of an upstream that becomes silent start again 103 ms later.

Result: test 'the runs of a silent upstream end only after the longest lease, since a restart that was not seen may have changed its clock' failed before, passes now.

--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -144,7 +144,7 @@
 		this.#timing = options.timing ?? defaultUpstreamLinkTiming;
 		this.#silentSince = options.clock.getMonotonicTime();
 		// An earlier owner may have extended the lease until now.
-		this.#recordLease(options.maxLeaseMs);
+		this.#recordLease();
 	}
 
 	get name(): string {
@@ -318,15 +318,17 @@
 			return undefined;
 		}
 
-		const {leaseMs} = this.#timing;
-		this.#recordLease(leaseMs);
-		return Math.floor(this.#options.clock.getMonotonicTime() + this.#clockOffsetMs + leaseMs);
+		this.#recordLease();
+		return Math.floor(this.#options.clock.getMonotonicTime() + this.#clockOffsetMs + this.#timing.leaseMs);
 	}
 
-	/** Records until when runs may continue under a lease that was granted now at the latest. */
-	#recordLease(leaseMs: number): void {
-		const now = this.#options.clock.getMonotonicTime();
-		this.#leaseEndsAt = Math.max(this.#leaseEndsAt, now + (leaseMs * (1 + maxClockErrorRatio)) + this.#timing.answerTimeoutMs);
+	/**
+	 * Records until when runs may continue under a lease that was granted now at the latest. It may be the longest one, whatever was requested: after a
+	 * restart that was not seen yet, the end of the lease is far in the future of the upstream's clock.
+	 */
+	#recordLease(): void {
+		const {clock, maxLeaseMs} = this.#options;
+		this.#leaseEndsAt = Math.max(this.#leaseEndsAt, clock.getMonotonicTime() + (maxLeaseMs * (1 + maxClockErrorRatio)) + this.#timing.answerTimeoutMs);
 	}
 
 	#recordStopRequest(task: string): void {
@@ -537,7 +539,7 @@
 		this.#removeUnclaimed(run.task);
 		this.#unclaimed.set(run.task, run);
 		// The earlier owner may have extended the lease until its fence was superseded.
-		this.#recordLease(this.#options.maxLeaseMs);
+		this.#recordLease();
 		this.#options.clock.setTimer(() => {
 			void this.#stopUnclaimed(run);
 		}, this.#timing.adoptionTimeoutMs);
--- a/test/pool/upstream-link.test.ts
+++ b/test/pool/upstream-link.test.ts
@@ -287,3 +287,25 @@
 	t.false(link.hasUnclaimed('a'));
 	link.close();
 });
+
+test('the runs of a silent upstream end only after the longest lease, since a restart that was not seen may have changed its clock', async t => {
+	const fixture = new LinkFixture();
+	const {clock, link, polls, ended} = fixture;
+	await fixture.open();
+	await fixture.startRun('a.0.0.0');
+	let grantedAt = 0;
+	let pollCount = polls.length;
+	while (ended.length === 0) {
+		await clock.advance(10);
+		if (polls.slice(pollCount).some(({options}) => options.leaseUntilMs !== undefined)) {
+			grantedAt = clock.getMonotonicTime();
+		}
+
+		pollCount = polls.length;
+	}
+
+	const slowestClockRate = 0.98;
+	t.true(clock.getMonotonicTime() - grantedAt >= defaultUpstreamLinkTiming.answerTimeoutMs + (1000 / slowestClockRate));
+	t.deepEqual(ended, [['a.0.0.0', 'lapsed', 'lease-expired']]);
+	link.close();
+});
