Limit the size of the answers that are read

What callers would see: an entry VM that runs out of memory and ends. The body of an answer was collected whole, however large it was and whoever sent it, until the time limit of the call. An address from an odd entry of the store may belong to any server.

An answer over its limit (1 MiB for orders, 16 MiB for the store) now counts as unanswered, and its connection is closed.

Tests: 'an answer beyond the size limit is abandoned and its connection is aborted' failed before (the answer was read) and passes now; 'an endless answer is abandoned, and its connection is closed' shows it with a server. 'a deeply nested answer is read or is unanswered, and never ends the process' (400,000 levels) passed before as well and stays as a guard.

--- a/src/platform/http-orders.ts
+++ b/src/platform/http-orders.ts
@@ -26,6 +26,9 @@
 /** Idle time after which a connection is closed, in milliseconds; opening a connection costs more than keeping an idle one. */
 const idleConnectionMs = 30_000;
 
+/** Maximum size of an answer, in bytes: far above that of 500 ends and as many runs. */
+const maxAnswerBytes = 1024 * 1024;
+
 const undecodableAnswer = 'the answer cannot be decoded';
 const instanceHeader = 'X-Endivemill-Target-Instance';
 const paths: Readonly<Record<Order, string>> = {start: '/api/run-start', stop: '/api/run-stop', poll: '/api/hold'};
@@ -79,7 +82,7 @@
 	async #order<T extends OrderOutcome | PollOutcome>(order: Order, options: OrderOptions & {readonly run?: Run}, body: unknown, toOutcome: (answer: JsonOutcome) => T): Promise<T> {
 		const {upstream, timeoutMs} = options;
 		const answer = await callJson(this.#agent, this.#options.clock, {
-			origin: `http://${upstream.address}`, method: 'POST', path: paths[order], headers: {[instanceHeader]: upstream.id}, body, timeoutMs,
+			origin: `http://${upstream.address}`, method: 'POST', path: paths[order], headers: {[instanceHeader]: upstream.id}, body, timeoutMs, maxAnswerBytes,
 		});
 		const outcome = toOutcome(answer);
 		this.#logFailure(order, options, answer, outcome);
--- a/src/platform/json-client.ts
+++ b/src/platform/json-client.ts
@@ -13,8 +13,13 @@
 	readonly headers?: Readonly<Record<string, string>>;
 	readonly body?: unknown;
 	readonly timeoutMs: number;
+	/** Maximum size of the answer's body, in bytes; {@link defaultMaxAnswerBytes} by default. */
+	readonly maxAnswerBytes?: number;
 };
 
+/** Several times the largest page of the store, in bytes. */
+const defaultMaxAnswerBytes = 16 * 1024 * 1024;
+
 /** The status and body of an answer, or why there is none; then with the status of an answer whose body could not be read. */
 export type JsonOutcome =
 	| {readonly kind: 'answered'; readonly status: number; readonly body: unknown}
@@ -33,18 +38,21 @@
 class AnswerHandler implements Dispatcher.DispatchHandler {
 	readonly #clock: Clock;
 	readonly #timeoutMs: number;
+	readonly #maxAnswerBytes: number;
 	readonly #finish: (outcome: JsonOutcome) => void;
-	readonly #chunks: Uint8Array[] = [];
+	#chunks: Uint8Array[] = [];
+	#receivedBytes = 0;
 	#controller: Dispatcher.DispatchController | undefined;
 	#timer: Timer;
 	#status: number | undefined;
 	#isFinished = false;
 
-	constructor({clock, timeoutMs, finish}: {readonly clock: Clock; readonly timeoutMs: number; readonly finish: (outcome: JsonOutcome) => void}) {
+	constructor({clock, call, finish}: {readonly clock: Clock; readonly call: JsonCall; readonly finish: (outcome: JsonOutcome) => void}) {
 		this.#clock = clock;
-		this.#timeoutMs = timeoutMs;
+		this.#timeoutMs = call.timeoutMs;
+		this.#maxAnswerBytes = call.maxAnswerBytes ?? defaultMaxAnswerBytes;
 		this.#finish = finish;
-		this.#timer = this.#setTimer(timeoutMs);
+		this.#timer = this.#setTimer(call.timeoutMs);
 	}
 
 	onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -59,10 +67,23 @@
 	}
 
 	onResponseData(_controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
-		this.#chunks.push(chunk);
+		this.#receivedBytes += chunk.length;
+		if (this.#receivedBytes <= this.#maxAnswerBytes) {
+			this.#chunks.push(chunk);
+			return;
+		}
+
+		this.#chunks = [];
+		const err = new Error(`an answer of more than ${this.#maxAnswerBytes} bytes`);
+		this.fail(err);
+		this.#controller?.abort(err);
 	}
 
 	onResponseEnd(): void {
+		if (this.#isFinished) {
+			return;
+		}
+
 		const [first] = this.#chunks;
 		const text = this.#chunks.length === 1 ? Buffer.from(first!.buffer, first!.byteOffset, first!.length).toString() : Buffer.concat(this.#chunks).toString();
 		try {
@@ -118,7 +139,7 @@
  */
 export async function callJson(dispatcher: Dispatcher, clock: Clock, call: JsonCall): Promise<JsonOutcome> {
 	return new Promise(resolve => {
-		const handler = new AnswerHandler({clock, timeoutMs: call.timeoutMs, finish: resolve});
+		const handler = new AnswerHandler({clock, call, finish: resolve});
 		try {
 			dispatcher.dispatch({
 				...callDefaults,
--- a/test/platform/http-orders.test.ts
+++ b/test/platform/http-orders.test.ts
@@ -162,6 +162,22 @@
 	}, {end: 'constructor'}]);
 });
 
+test('an endless answer is abandoned, and its connection is closed', async t => {
+	const closed: Array<Promise<unknown>> = [];
+	const upstream = await createTestUpstream(t, (_req, res) => {
+		closed.push(once(res, 'close'));
+		const write = (): void => {
+			while (!res.destroyed && res.write(' '.repeat(65_536))) {/* Writes until the buffer is full. */}
+		};
+
+		res.on('drain', write);
+		write();
+	});
+	t.like(await upstream.send('poll'), {kind: 'unanswered', detail: 'an answer of more than 1048576 bytes'});
+	await Promise.all(closed);
+	t.is(closed.length, 1);
+});
+
 test('a run that started although its order was answered with 500 is not started again beside it', async t => {
 	const deployment = await createPlatformDeployment({vmsPerDataCenter: 1, getWork: () => ({needs: {cpu: 6800, memoryMb: 64, accelerators: 0}, durationMs: 100})});
 	t.teardown(async () => deployment.close());
--- a/test/platform/json-client.test.ts
+++ b/test/platform/json-client.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import {Dispatcher} from 'undici';
 import {callJson} from '../../src/platform/json-client.js';
+import {decodeHoldAnswer} from '../../src/platform/wire-messages.js';
 import {type Clock} from '../../src/seams/index.js';
 
 /** HTTP client whose calls are answered explicitly by the test. */
@@ -95,3 +96,22 @@
 	clock.due[3]!();
 	t.like(await second, {kind: 'unanswered'});
 });
+
+test('an answer beyond the size limit is abandoned and its connection is aborted', async t => {
+	const dispatcher = new ManualDispatcher();
+	const outcome = callJson(dispatcher, createManualTimerClock(), {...call, maxAnswerBytes: 8});
+	dispatcher.answer(200, '"1234', '567"');
+	t.like(await outcome, {kind: 'unanswered', status: 200, detail: 'an answer of more than 8 bytes'});
+	t.is(dispatcher.abortedCount, 1);
+	const largest = callJson(dispatcher, createManualTimerClock(), {...call, maxAnswerBytes: 8});
+	dispatcher.answer(200, '"1234', '56"');
+	t.like(await largest, {kind: 'answered', body: '123456'});
+});
+
+test('a deeply nested answer is read or is unanswered, and never ends the process', async t => {
+	const dispatcher = new ManualDispatcher();
+	const outcome = callJson(dispatcher, createManualTimerClock(), call);
+	dispatcher.answer(200, '['.repeat(400_000), ']'.repeat(400_000));
+	t.is(decodeHoldAnswer((await outcome as {readonly body?: unknown}).body), undefined);
+	t.is(decodeHoldAnswer(JSON.parse(`{"clock_ms":1,"running":${'['.repeat(400_000)}${']'.repeat(400_000)},"ended":[]}`)), undefined);
+});
