Show that an order is sent once whatever happens to its connection

No fault found; the tests stay as guards for the HTTP client's version and options. A server that has received a whole request closes, resets or half-closes the connection, or ends it within its answer, over new and reused connections, beside orders that wait for a connection, and at the moment at which the next order is sent: it sees each order once (at most once in the last case), and the order counts as unanswered.

--- a/test/platform/http-orders.test.ts
+++ b/test/platform/http-orders.test.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {createServer, type RequestListener} from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {type AddressInfo, type Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {HttpOrders} from '../../src/platform/http-orders.js';
 import {
@@ -178,6 +178,86 @@
 	t.is(closed.length, 1);
 });
 
+/** Ways in which a server loses a connection after it has received the whole request. */
+const losses: ReadonlyArray<readonly [name: string, lose: (socket: Socket) => void]> = [
+	['closed', socket => socket.destroy()],
+	['reset', socket => socket.resetAndDestroy()],
+	['half-closed', socket => socket.end()],
+	['closed within the header', socket => socket.end('HTTP/1.1 200 OK\r\ncontent-le')],
+	['closed within the body', socket => socket.end('HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n{"clock_ms"')],
+	['closed within a chunk', socket => socket.end('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n10\r\n{"clock_ms"')],
+	['closed after garbage', socket => socket.end('garbage\r\n\r\n')],
+	['closed after a provisional answer', socket => socket.end('HTTP/1.1 103 Early Hints\r\n\r\n')],
+];
+
+for (const isReused of [false, true]) {
+	test(`an order whose connection is lost before its answer is sent once, over a ${isReused ? 'reused' : 'new'} connection`, async t => {
+		for (const [name, lose] of losses) {
+			const sockets = new Set<Socket>();
+			let requestCount = 0;
+			const upstream = await createTestUpstream(t, (req, res) => {
+				requestCount++;
+				sockets.add(req.socket);
+				req.resume().once('end', () => {
+					if (isReused && requestCount === 1) {
+						res.end('{"clock_ms":1}');
+					} else {
+						lose(req.socket);
+					}
+				});
+			});
+			if (isReused) {
+				t.like(await upstream.send('start'), {kind: 'done'});
+			}
+
+			t.like(await upstream.send('start'), {kind: 'unanswered'}, name);
+			// A copy of the order would arrive before this one.
+			t.like(await upstream.send('stop'), {kind: 'unanswered'}, name);
+			t.is(requestCount, isReused ? 3 : 2, name);
+			t.is(sockets.size, 2, name);
+		}
+	});
+}
+
+test('concurrent orders that wait for a connection are each sent once, even if all connections are lost', async t => {
+	const orderCount = 40;
+	let requestCount = 0;
+	const upstream = await createTestUpstream(t, (req, res) => {
+		const count = ++requestCount;
+		req.resume().once('end', () => {
+			if (count % 3 === 0) {
+				res.writeHead(200, {connection: count % 2 === 0 ? 'close' : 'keep-alive'}).end('{"clock_ms":1}');
+			} else {
+				losses[count % losses.length]![1](req.socket);
+			}
+		});
+	});
+	const outcomes = await Promise.all(Array.from({length: orderCount}, async () => upstream.send('start')));
+	t.true(outcomes.every(({kind}) => kind === 'done' || kind === 'unanswered'));
+	t.like(await upstream.send('poll'), {kind: 'unanswered'});
+	t.is(requestCount, orderCount + 1);
+});
+
+test('an order that meets the end of an idle connection arrives once at most', async t => {
+	for (const [name, lose] of losses.slice(0, 3)) {
+		let requestCount = 0;
+		let socket: Socket | undefined;
+		const upstream = await createTestUpstream(t, (req, res) => {
+			requestCount++;
+			socket = req.socket;
+			req.resume().once('end', () => {
+				res.end('{"clock_ms":1}');
+			});
+		});
+		t.like(await upstream.send('start'), {kind: 'done'});
+		lose(socket!);
+		const outcome = await upstream.send('start');
+		t.is(requestCount, outcome.kind === 'done' ? 2 : 1, name);
+		t.like(await upstream.send('stop'), {kind: 'done'}, name);
+		t.is(requestCount, outcome.kind === 'done' ? 3 : 2, name);
+	}
+});
+
 test('a run that started although its order was answered with 500 is not started again beside it', async t => {
 	const deployment = await createPlatformDeployment({vmsPerDataCenter: 1, getWork: () => ({needs: {cpu: 6800, memoryMb: 64, accelerators: 0}, durationMs: 100})});
 	t.teardown(async () => deployment.close());
