Count a request between pools of one VM as lost when its handler fails

What callers would see: an entry VM that ends. A request that the owner of another pool cannot handle is lost if that owner is on another VM; on the same VM the error was thrown out of the borrower's call, whose promise is documented never to reject and is not awaited by anyone, so that the process ended with an unhandled rejection.

It takes no faulty build: if the capacities of a pool's upstreams add up to more than the largest number (two entries of 1e308 thousandths of a core by another writer are enough), its load cannot be decoded.

A failure of the handler is now the outcome 'lost' with a log line, as between VMs. Test 'a request that the owner of another pool on the same VM cannot handle is lost, as one between VMs' failed before (rejected with 'the task cannot be decoded') and passes now.

--- a/src/pool/pool-lending.ts
+++ b/src/pool/pool-lending.ts
@@ -280,12 +280,18 @@
 			return {kind: 'not_sent', detail: 'the pool has no owner'};
 		}
 
-		if (owner.id === selfId) {
-			// As between VMs, the other owner handles the request only after the current call has returned.
-			await nextMicrotask;
-			return {kind: 'answered', body: await this.handleRequest(request, signal ?? new AbortController().signal)};
-		}
+		return owner.id === selfId ? this.#requestSelf(request, signal) : peers.request(owner.id, request, signal);
+	}
 
-		return peers.request(owner.id, request, signal);
+	/** Handles a request of this VM to itself. As between VMs, the other owner handles it only after the current call has returned, and a failure is an outcome. */
+	async #requestSelf(request: PeerRequest, signal = new AbortController().signal): ReturnType<PeerNetwork['request']> {
+		await nextMicrotask;
+		try {
+			return {kind: 'answered', body: await this.handleRequest(request, signal)};
+		} catch (err) {
+			const detail = err instanceof Error ? err.message : String(err);
+			this.#options.log.info({topic: request.topic, detail}, 'request between pools on this VM failed');
+			return {kind: 'lost', detail};
+		}
 	}
 }
--- a/test/pool/same-vm-lending.test.ts
+++ b/test/pool/same-vm-lending.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava';
-import {noNeighbours, PoolOwner, type PoolNeighbours} from '../../src/pool/index.js';
-import {ManualClock, SimulatedUpstreams} from '../../src/testing/index.js';
+import {
+	noNeighbours, PoolDirectory, PoolLending, PoolOwner, type PoolNeighbours, type UpstreamDescription,
+} from '../../src/pool/index.js';
+import {ManualClock, SimulatedPeers, SimulatedUpstreams} from '../../src/testing/index.js';
 import {
 	createJob, createUpstream, silentLog, typicalWork,
 } from './pool-harness.js';
@@ -48,3 +50,44 @@
 	t.is(upstreams.starts.filter(({task}) => task.startsWith('wide')).length, 6);
 	t.deepEqual(upstreams.getDoubleRuns(), []);
 });
+
+test('a request that the owner of another pool on the same VM cannot handle is lost, as one between VMs', async t => {
+	const clock = new ManualClock();
+	const upstreams = new SimulatedUpstreams({clock, getWork: () => typicalWork});
+	const candidates = [{
+		id: 'vm', dataCenter: 'a', cores: 1, isUp: true, isLeaving: false, claims: {a: 10, b: 10},
+	}];
+	const owners = new Map<string, PoolOwner>();
+	const lending = new PoolLending({
+		clock, log: silentLog, selfId: 'vm',
+		peers: new SimulatedPeers({clock}).addPeer('vm', async () => ({})),
+		directory: new PoolDirectory({
+			clock, selfId: 'vm', dataCenter: 'a', getPools: () => ['a', 'b'], getCandidates: () => candidates,
+		}),
+		getOwner: pool => owners.get(pool),
+		isLayoutKnown: () => true,
+	});
+	for (const pool of ['a', 'b']) {
+		// The sum of these capacities is no finite number, so that the load of the pool cannot be decoded.
+		const descriptions = [0, 1].map((position): UpstreamDescription => createUpstream(`${pool}${position}`, Number.MAX_VALUE));
+		for (const description of descriptions) {
+			upstreams.addUpstream(description);
+		}
+
+		owners.set(pool, new PoolOwner({
+			pool, clock, log: silentLog, orders: upstreams, knownFence: 0, maxLeaseMs: 1000, peerSilenceMs: 500,
+			getStoredFence: async () => 10, isListComplete: () => true, async onFenced() {/* There is one owner. */},
+		}, descriptions));
+	}
+
+	await clock.advance(300);
+	const neighbours = lending.createNeighbours('a');
+	const [step] = createJob('x').steps;
+	const task = {
+		task: 'x.0.0.0', number: 1, spec: '', service: 's', step: step!, expectedMs: 100,
+	};
+	t.deepEqual(await neighbours.run('b', task, new AbortController().signal), {kind: 'lost'});
+	await t.notThrowsAsync(neighbours.stop('b', {task: task.task, number: 0}, false));
+	t.is(await neighbours.recall('x'.repeat(300), 11), false);
+	t.is(upstreams.starts.length, 0);
+});
