Register an entry VM again when its entry is missing or invalid

What would be seen: a VM whose registration was overwritten by another writer is unknown to VMs that start later and have no living seed, until it restarts.

Cause: a VM registered once, at its start, and never looked at its entry again.

A valid entry under its name belongs to a newer process and stays.

Evidence: 'a VM whose registration was overwritten by an invalid entry or removed registers again' failed before, passes now.

--- a/src/platform/vm-registry.ts
+++ b/src/platform/vm-registry.ts
@@ -60,11 +60,30 @@
 		});
 	}
 
-	/** Registers this VM and reads the list until `close`. */
+	/** Registers this VM and reads the list until `close`; registers again when the entry is missing or was overwritten by an invalid one. */
 	async run(): Promise<void> {
-		const {clock, store, self, log} = this.#options;
+		const {clock, self} = this.#options;
 		const {signal} = this.#closing;
 		void this.#read();
+		await this.#register();
+		while (!signal.aborted) {
+			await sleep(clock, readIntervalMs, signal);
+			const listed = await this.#read();
+			if (listed?.every(({name}) => name !== self.name)) {
+				await this.#register();
+			}
+		}
+	}
+
+	/** Stops reading; the registration is kept, since the VM may restart under the same name. */
+	close(): void {
+		this.#closing.abort();
+	}
+
+	/** Registers this VM, with further attempts until one succeeds. */
+	async #register(): Promise<void> {
+		const {clock, store, self, log} = this.#options;
+		const {signal} = this.#closing;
 		while (!signal.aborted) {
 			const result = await store.setItem(`${prefix}${self.name}`, JSON.stringify(self));
 			if (result.ok) {
@@ -74,23 +93,14 @@
 			log.info({reason: result.reason, detail: result.detail}, 'failed to register');
 			await sleep(clock, retryDelayMs, signal);
 		}
-
-		while (!signal.aborted) {
-			await sleep(clock, readIntervalMs, signal);
-			await this.#read();
-		}
-	}
-
-	/** Stops reading; the registration is kept, since the VM may restart under the same name. */
-	close(): void {
-		this.#closing.abort();
 	}
 
-	async #read(): Promise<void> {
+	/** Reads the registered VMs; returns `undefined` if the read fails. */
+	async #read(): Promise<readonly ListedEntryVm[] | undefined> {
 		const result = await this.#options.store.getRange(prefix);
 		if (!result.ok) {
 			this.#options.log.info({reason: result.reason, detail: result.detail}, 'failed to read the registered VMs');
-			return;
+			return undefined;
 		}
 
 		const listed = result.value.items.flatMap(item => this.#decode(item) ?? []);
@@ -98,6 +108,8 @@
 		for (const listener of this.#listeners) {
 			listener(listed);
 		}
+
+		return listed;
 	}
 
 	/** Decodes an entry; an invalid one is logged and skipped. */
--- a/test/platform/store-fixture.ts
+++ b/test/platform/store-fixture.ts
@@ -19,12 +19,10 @@
 export function createFakeStoreClient(clock: Clock, getAnswer: (url: URL, body: unknown) => Answer): StoreClient {
 	const dispatch: Dispatcher['dispatch'] = ({path, body}, handler) => {
 		const answer = getAnswer(new URL(path, 'http://store'), typeof body === 'string' ? JSON.parse(body) : undefined);
-		queueMicrotask(() => {
-			const controller = {} as Dispatcher.DispatchController; // eslint-disable-line @typescript-eslint/consistent-type-assertions
-			handler.onResponseStart?.(controller, answer.status ?? 200, {});
-			handler.onResponseData?.(controller, Buffer.from(JSON.stringify(answer.body)));
-			handler.onResponseEnd?.(controller, {});
-		});
+		const controller = {} as Dispatcher.DispatchController; // eslint-disable-line @typescript-eslint/consistent-type-assertions
+		handler.onResponseStart?.(controller, answer.status ?? 200, {});
+		handler.onResponseData?.(controller, Buffer.from(JSON.stringify(answer.body)));
+		handler.onResponseEnd?.(controller, {});
 		return true;
 	};
 
--- a/test/platform/vm-registry.test.ts
+++ b/test/platform/vm-registry.test.ts
@@ -10,14 +10,36 @@
 };
 const other = {...self, name: 'edge-a-2', peerAddress: '10.0.0.2:3'};
 
-async function readRegistry(items: readonly WireItem[]): Promise<readonly ListedEntryVm[]> {
+/** Registry on a store with the given items, which registrations are added to. */
+function createRegistry(items: WireItem[], onRead: (listed: readonly ListedEntryVm[]) => void) {
 	const clock = new ManualClock();
-	const store = createFakeStoreClient(clock, url => ({body: url.pathname === '/api/kv-range' ? {items, as_of: 9} : {revision: 9}}));
+	const store = createFakeStoreClient(clock, (url, body) => {
+		const {writes = []} = (body ?? {}) as {readonly writes?: readonly WireItem[]};
+		for (const write of writes) {
+			const position = items.findIndex(({key}) => key === write.key);
+			items.splice(position === -1 ? items.length : position, 1, {...write, revision: 2});
+		}
+
+		return {body: url.pathname === '/api/kv-range' ? {items, as_of: 9} : {revision: 9}};
+	});
+	return {
+		clock, registry: new VmRegistry({
+			clock, store, self, log: silentLog, onRead,
+		}),
+	};
+}
+
+/** Advances by the time of two reads and a registration between them. */
+async function advanceToNextReads(clock: ManualClock): Promise<void> {
+	for (let second = 0; second < 25; second++) {
+		await clock.advance(1000);
+	}
+}
+
+async function readRegistry(items: readonly WireItem[]): Promise<readonly ListedEntryVm[]> {
 	let listed: readonly ListedEntryVm[] = [];
-	const registry = new VmRegistry({
-		clock, store, self, log: silentLog, onRead(vms) {
-			listed = vms;
-		},
+	const {registry} = createRegistry([...items], vms => {
+		listed = vms;
 	});
 	void registry.run();
 	await settlePromises();
@@ -42,3 +64,25 @@
 	]);
 	t.deepEqual(listed.map(({name}) => name), [self.name, other.name]);
 });
+
+test('a VM whose registration was overwritten by an invalid entry or removed registers again', async t => {
+	const key = `vms/${self.name}`;
+	const items: WireItem[] = [];
+	let listed: readonly ListedEntryVm[] = [];
+	const {clock, registry} = createRegistry(items, vms => {
+		listed = vms;
+	});
+	void registry.run();
+	const moved = createWireItem(key, JSON.stringify({...self, peerAddress: '10.0.0.9:3'}));
+	for (const odd of [[createWireItem(key, '{}')], [], [createWireItem(key, JSON.stringify({...self, peerAddress: '10.0.0.1:0'}))]]) {
+		items.splice(0, Infinity, ...odd);
+		await advanceToNextReads(clock);
+		t.deepEqual(listed.map(({name}) => name), [self.name]);
+	}
+
+	// Another process under the same name is the newer one.
+	items.splice(0, Infinity, moved);
+	await advanceToNextReads(clock);
+	t.deepEqual(items, [moved]);
+	registry.close();
+});
