Read items whose empty value is omitted

What callers would see: one entry with an empty value under `servers/`, `vms/` or `layout/` made each read of that list fail, so that an entry VM knew no upstreams, or followed none any more.

Cause: an item without the field `value` failed the schema of the whole answer. By the protocol fields with an empty value are omitted; whether the store does so for `value` is not known here. Changes of a watch already had the default.

Change: a missing value of an item is empty; such an entry names no upstream.

Evidence: 'an item whose empty value is omitted on the wire does not make the read fail' failed before (read and range of the item ended as `invalid`), passes now.

--- a/src/platform/wire-messages.ts
+++ b/src/platform/wire-messages.ts
@@ -79,7 +79,8 @@
 /** An item of the store. */
 export const itemSchema = z.object({
 	key: z.string(),
-	value: z.string(),
+	// Fields whose value is 0, false or empty may be omitted on the wire.
+	value: z.string().default(''),
 	revision: z.number(),
 });
 
