Keep the other upstreams of a report with an odd one

What callers would see: one entry with a service or label of more than 256 characters made every report of its pool's owner invalid. The other entry VMs of the data centre then knew none of the pool's upstreams from the owner, and one that took the pool over while the store was unavailable had none to use and none to look for runs on.

Cause: the schema of a report limited the texts of an upstream, which the protocol does not, and refused the whole report for one invalid upstream.

Change: the texts are not limited beyond the size of a frame; an invalid upstream is left out of the report, and a log line tells how many were.

Evidence: 'a report with an odd upstream or a long label keeps the other upstreams' failed before (ZodError for the whole report), passes now.

--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -439,11 +439,17 @@
 		}
 
 		const parsed = upstreamsSchema.safeParse(body);
-		if (parsed.success) {
-			this.#upstreams.addReport(parsed.data);
-		} else {
+		if (!parsed.success) {
 			this.#log.warn({topic, err: parsed.error.message}, 'invalid message');
+			return;
+		}
+
+		const {pool, invalidCount} = parsed.data;
+		if (invalidCount > 0) {
+			this.#log.info({topic, pool, invalidCount}, 'invalid upstreams of a report skipped');
 		}
+
+		this.#upstreams.addReport(parsed.data);
 	}
 
 	async #handleRequest(request: PeerRequest, from: Incarnation, signal: AbortSignal): Promise<unknown> {
--- a/src/platform/upstream-list.ts
+++ b/src/platform/upstream-list.ts
@@ -160,7 +160,7 @@
 	 * Applies an owner's report of the upstreams of its pool.
 	 * @param report - Pool and its upstreams.
 	 */
-	addReport({pool, upstreams}: PoolUpstreams): void {
+	addReport({pool, upstreams}: Omit<PoolUpstreams, 'invalidCount'>): void {
 		if (this.#isFollowing && this.#revision !== undefined) {
 			this.#addUnlisted(upstreams);
 			return;
--- a/src/pool/pool-messages.ts
+++ b/src/pool/pool-messages.ts
@@ -116,22 +116,28 @@
 /** Schema of the claims in a heartbeat: fence and load of each pool that the sender owns. */
 export const poolClaimsSchema = z.record(name, z.object({fence: count, load: poolLoadSchema}).readonly()).readonly();
 
-/** Schema of the upstreams that an owner reports. */
+// The texts of a valid entry may have any length; an upstream left out of a report counts as missing.
+const upstreamSchema = z.object({
+	id: z.string(),
+	bornMs: count,
+	address: z.string(),
+	dataCenter: z.string(),
+	service: z.string(),
+	rack: z.string(),
+	labels: z.array(z.string()).readonly(),
+	capacity: needsSchema,
+	isLeaving: z.boolean(),
+}).readonly();
+
+/** Schema of the upstreams that an owner reports; invalid ones are skipped and counted. */
 export const upstreamsSchema = z.object({
 	pool: name,
 	/** Store revision at which the owner read the upstreams. */
 	revision: count,
-	upstreams: z.array(z.object({
-		id: name,
-		bornMs: count,
-		address: name,
-		dataCenter: name,
-		service: name,
-		rack: name,
-		labels: z.array(name).readonly(),
-		capacity: needsSchema,
-		isLeaving: z.boolean(),
-	}).readonly()).max(5000).readonly(),
+	upstreams: z.array(z.unknown()).max(5000),
+}).transform(({upstreams, ...report}) => {
+	const valid = upstreams.flatMap(upstream => upstreamSchema.safeParse(upstream).data ?? []);
+	return {...report, upstreams: valid, invalidCount: upstreams.length - valid.length};
 }).readonly();
 
 /** Request that submits a job to the owner of a pool. */
