Keep an upstream whose entry was overwritten by an invalid one as missing

What callers would see: an entry that cannot be read, written over that of a live upstream, hid the upstream from the next owner of its pool.

Cause: an invalid value counted as the removal of the entry. Nobody but the store's expiry or the upstream itself removes an entry; another writer's value does not show that the upstream has left.

Change: for as long as the invalid value stands, the last valid description counts as missing, and for the usual 2.5 s after the key was removed. It gets no tasks: owners place by the listed upstreams, and a new owner polls the missing ones too. Reports to the other entry VMs name overwritten upstreams, so that one that did not read the store knows them. An entry that moved to another data centre leaves its former description missing for the usual time. Entries are decoded when they arrive, since what is invalid has to be known then; before, invalid ones also counted as upstreams when the number of pools was decided. Each is logged once while it stands.

--- a/src/platform/decode-upstream.ts
+++ b/src/platform/decode-upstream.ts
@@ -15,16 +15,6 @@
 /** Index of the rack in an upstream's labels; the first label is the kind of the upstream. */
 const rackPosition = 1;
 
-/**
- * Gets the data centre of an entry without decoding the rest; `undefined` if it has none.
- * @param value - Value of the item.
- */
-export function getUpstreamDataCenter(value: string): string | undefined {
-	const parsed = parseJson(value);
-	const zone: unknown = typeof parsed === 'object' && parsed !== null && 'zone' in parsed ? parsed.zone : undefined;
-	return typeof zone === 'string' ? zone : undefined;
-}
-
 /**
  * Decodes an entry; returns `undefined` if it is invalid.
  * @param item - Item of the store.
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -411,18 +411,22 @@
 	/** Publishes a pool's upstreams to the VMs of its data centre, any of which may have to take over the pool while the store is unavailable. */
 	#publishUpstreams(pool: string): void {
 		const upstreams = this.#upstreams.getUpstreams(pool);
+		const overwritten = this.#upstreams.getOverwrittenUpstreams(pool);
 		if (upstreams.length === 0) {
 			return;
 		}
 
-		const text = JSON.stringify(upstreams);
+		const text = JSON.stringify([upstreams, overwritten]);
 		const previous = this.#published.get(pool);
 		const publication = previous?.text === text ? previous : {text, to: new Set<string>()};
 		this.#published.set(pool, publication);
 		const dataCenter = getDataCenter(pool);
 		for (const {incarnation, state} of this.#mesh.getMembers()) {
 			const isDue = incarnation.dataCenter === dataCenter && state === 'up' && !publication.to.has(incarnation.id);
-			if (isDue && this.#mesh.sendControl(incarnation.id, {topic: upstreamsTopic, body: {pool, revision: this.#upstreams.getRevision(), upstreams}})) {
+			const body = {
+				pool, revision: this.#upstreams.getRevision(), upstreams, overwritten,
+			};
+			if (isDue && this.#mesh.sendControl(incarnation.id, {topic: upstreamsTopic, body})) {
 				publication.to.add(incarnation.id);
 			}
 		}
--- a/src/platform/upstream-list.ts
+++ b/src/platform/upstream-list.ts
@@ -5,7 +5,7 @@
 	type DecisionLog, getDataCenter, getPoolOfUpstream, type PoolLayout, type PoolUpstreams, type UpstreamDescription,
 } from '../pool/index.js';
 import {type Clock, sleep} from '../seams/index.js';
-import {decodeUpstream, getUpstreamDataCenter, upstreamPrefix} from './decode-upstream.js';
+import {decodeUpstream, upstreamPrefix} from './decode-upstream.js';
 import {type StoreClient} from './store-client.js';
 
 /**
@@ -33,11 +33,12 @@
 	readonly onChange: () => void;
 };
 
-/** An entry of the list; it is decoded only when needed, which spares the entries of other data centres. */
+/** An owner's report of the upstreams of its pool. */
+export type UpstreamReport = Pick<PoolUpstreams, 'pool' | 'revision' | 'upstreams'> & Partial<Pick<PoolUpstreams, 'overwritten'>>;
+
+/** A valid entry of the list. */
 type Entry = {
-	readonly dataCenter: string;
-	readonly value: string;
-	upstream: UpstreamDescription | undefined;
+	readonly upstream: UpstreamDescription;
 	/** Pool, computed on first use; it is constant since the number of pools never changes. */
 	pool: string | undefined;
 };
@@ -46,8 +47,10 @@
 export class UpstreamList {
 	readonly #options: UpstreamListOptions;
 	readonly #entries = new Map<string, Entry>();
-	/** Removed entries and the monotonic time of their removal. */
-	readonly #removed = new Map<string, {readonly entry: Entry; readonly removedAt: number}>();
+	/** Entries that are no longer listed, and the monotonic time of their removal; `Infinity` while an invalid value stands in their place. */
+	readonly #missing = new Map<string, {readonly entry: Entry; readonly removedAt: number}>();
+	/** Keys whose values are invalid. */
+	readonly #invalidKeys = new Set<string>();
 	/** Monotonic times of the first and last owner's report of each pool. */
 	readonly #reports = new Map<string, {readonly firstAt: number; readonly lastAt: number}>();
 	readonly #closing = new AbortController();
@@ -67,23 +70,30 @@
 	 * @param pool - Pool.
 	 */
 	getUpstreams(pool: string): readonly UpstreamDescription[] {
-		return this.#filterByPool(pool, this.#entries).flatMap(([key, entry]) => this.#decode(key, entry) ?? []);
+		return this.#filterByPool(pool, this.#entries);
 	}
 
 	/**
-	 * Gets the upstreams of a pool that are no longer listed but may be alive.
+	 * Gets the upstreams of a pool that are not listed but may be alive: those whose entries were removed recently or overwritten.
 	 * @param pool - Pool.
 	 */
 	getMissingUpstreams(pool: string): readonly UpstreamDescription[] {
 		const now = this.#options.clock.getMonotonicTime();
-		for (const [key, {removedAt}] of this.#removed) {
+		for (const [key, {removedAt}] of this.#missing) {
 			if (now - removedAt > missingGraceMs) {
-				this.#removed.delete(key);
+				this.#missing.delete(key);
 			}
 		}
 
-		const entries = [...this.#removed].map(([key, {entry}]) => [key, entry] as const);
-		return this.#filterByPool(pool, entries).flatMap(([key, {value, upstream}]) => upstream ?? decodeUpstream({key, value}) ?? []);
+		return this.#filterByPool(pool, [...this.#missing].map(([key, {entry}]) => [key, entry] as const));
+	}
+
+	/**
+	 * Gets the last valid descriptions of the upstreams of a pool whose entries were overwritten by invalid ones.
+	 * @param pool - Pool.
+	 */
+	getOverwrittenUpstreams(pool: string): readonly UpstreamDescription[] {
+		return this.#filterByPool(pool, [...this.#missing].flatMap(([key, {entry, removedAt}]) => removedAt === Infinity ? [[key, entry] as const] : []));
 	}
 
 	/**
@@ -93,7 +103,7 @@
 	getCount(dataCenter: string): number {
 		let count = 0;
 		for (const entry of this.#entries.values()) {
-			count += Number(entry.dataCenter === dataCenter);
+			count += Number(entry.upstream.dataCenter === dataCenter);
 		}
 
 		return count;
@@ -134,7 +144,7 @@
 			this.#setEntry(item.key, item.value);
 		}
 
-		for (const key of this.#entries.keys()) {
+		for (const key of [...this.#entries.keys(), ...this.#missing.keys(), ...this.#invalidKeys]) {
 			if (!listed.has(key)) {
 				this.#removeEntry(key);
 			}
@@ -160,25 +170,25 @@
 	 * Applies an owner's report of the upstreams of its pool.
 	 * @param report - Pool and its upstreams.
 	 */
-	addReport({pool, upstreams}: Omit<PoolUpstreams, 'invalidCount'>): void {
+	addReport({pool, upstreams, overwritten = []}: UpstreamReport): void {
 		if (this.#isFollowing && this.#revision !== undefined) {
-			this.#addUnlisted(upstreams);
+			this.#addUnlisted([...upstreams, ...overwritten]);
 			return;
 		}
 
 		const now = this.#options.clock.getMonotonicTime();
 		this.#reports.set(pool, {firstAt: this.#reports.get(pool)?.firstAt ?? now, lastAt: now});
 
-		for (const {id} of this.getUpstreams(pool)) {
+		for (const {id} of [...this.getUpstreams(pool), ...this.getOverwrittenUpstreams(pool)]) {
 			this.#removeEntry(`${upstreamPrefix}${id}`);
 		}
 
 		for (const upstream of upstreams) {
-			const key = `${upstreamPrefix}${upstream.id}`;
-			this.#removed.delete(key);
-			this.#entries.set(key, {
-				dataCenter: upstream.dataCenter, value: '', upstream, pool,
-			});
+			this.#addEntry(`${upstreamPrefix}${upstream.id}`, upstream);
+		}
+
+		for (const upstream of overwritten) {
+			this.#handleInvalidEntry(`${upstreamPrefix}${upstream.id}`, upstream);
 		}
 
 		this.#options.onChange();
@@ -225,28 +235,41 @@
 		this.#options.onChange();
 	}
 
-	/** Sets an entry; an invalid one also removes the last valid entry of its key. */
 	#setEntry(key: string, value: string): void {
-		const dataCenter = getUpstreamDataCenter(value);
-		if (dataCenter === undefined) {
-			this.#removeInvalidEntry(key);
+		const upstream = decodeUpstream({key, value});
+		if (upstream !== undefined) {
+			this.#addEntry(key, upstream);
 			return;
 		}
 
-		const previous = this.#entries.get(key) ?? this.#removed.get(key)?.entry;
-		this.#removed.delete(key);
-		this.#entries.set(key, {
-			dataCenter, value, upstream: undefined, pool: previous?.dataCenter === dataCenter ? previous.pool : undefined,
-		});
+		if (!this.#invalidKeys.has(key)) {
+			this.#options.log.info({key}, 'invalid upstream entry');
+		}
+
+		this.#handleInvalidEntry(key);
 	}
 
-	#decode(key: string, entry: Entry): UpstreamDescription | undefined {
-		entry.upstream ??= decodeUpstream({key, value: entry.value});
-		if (entry.upstream === undefined) {
-			this.#removeInvalidEntry(key);
+	#addEntry(key: string, upstream: UpstreamDescription): void {
+		const previous = this.#entries.get(key) ?? this.#missing.get(key)?.entry;
+		const isSameDataCenter = previous?.upstream.dataCenter === upstream.dataCenter;
+		if (previous !== undefined && !isSameDataCenter) {
+			this.#removeEntry(key);
+		} else if (this.#missing.get(key)?.entry.upstream.dataCenter === upstream.dataCenter) {
+			this.#missing.delete(key);
 		}
 
-		return entry.upstream;
+		this.#invalidKeys.delete(key);
+		this.#entries.set(key, {upstream, pool: isSameDataCenter ? previous.pool : undefined});
+	}
+
+	/** Keeps the last valid description of an upstream whose entry was overwritten: another writer's value does not show that it has left. */
+	#handleInvalidEntry(key: string, lastValid?: UpstreamDescription): void {
+		const entry = this.#entries.get(key) ?? this.#getMissingEntry(key) ?? (lastValid && {upstream: lastValid, pool: undefined});
+		this.#invalidKeys.add(key);
+		this.#entries.delete(key);
+		if (entry !== undefined) {
+			this.#missing.set(key, {entry, removedAt: Infinity});
+		}
 	}
 
 	/** Adds the reported upstreams that this VM has not read to the missing ones; the store may have rejected this VM's reads. */
@@ -254,47 +277,43 @@
 		const now = this.#options.clock.getMonotonicTime();
 		for (const upstream of upstreams) {
 			const key = `${upstreamPrefix}${upstream.id}`;
-			if (!this.#entries.has(key)) {
-				this.#removed.set(key, {
-					entry: {
-						dataCenter: upstream.dataCenter, value: '', upstream, pool: undefined,
-					}, removedAt: now,
-				});
+			if (this.#invalidKeys.has(key)) {
+				this.#handleInvalidEntry(key, upstream);
+			} else if (!this.#entries.has(key)) {
+				this.#missing.set(key, {entry: {upstream, pool: undefined}, removedAt: now});
 			}
 		}
 	}
 
-	#filterByPool(pool: string, entries: Iterable<readonly [string, Entry]>): ReadonlyArray<readonly [string, Entry]> {
+	#getMissingEntry(key: string): Entry | undefined {
+		const missing = this.#missing.get(key);
+		return missing !== undefined && this.#options.clock.getMonotonicTime() - missing.removedAt <= missingGraceMs ? missing.entry : undefined;
+	}
+
+	#filterByPool(pool: string, entries: Iterable<readonly [string, Entry]>): readonly UpstreamDescription[] {
 		const dataCenter = getDataCenter(pool);
 		const pools = this.#options.layout.getPoolsOf(dataCenter);
 		if (pools.length === 0) {
 			return [];
 		}
 
-		return [...entries].filter(([key, entry]) => {
-			if (entry.dataCenter !== dataCenter) {
-				return false;
+		return [...entries].flatMap(([, entry]) => {
+			if (entry.upstream.dataCenter !== dataCenter) {
+				return [];
 			}
 
-			entry.pool ??= getPoolOfUpstream(getId(key), pools);
-			return entry.pool === pool;
+			entry.pool ??= getPoolOfUpstream(entry.upstream.id, pools);
+			return entry.pool === pool ? [entry.upstream] : [];
 		});
 	}
 
+	/** Removes the entry of a key; its upstream counts as missing from now on. */
 	#removeEntry(key: string): void {
-		const entry = this.#entries.get(key);
+		const overwritten = this.#invalidKeys.delete(key) ? this.#getMissingEntry(key) : undefined;
+		const entry = this.#entries.get(key) ?? overwritten;
+		this.#entries.delete(key);
 		if (entry !== undefined) {
-			this.#entries.delete(key);
-			this.#removed.set(key, {entry, removedAt: this.#options.clock.getMonotonicTime()});
+			this.#missing.set(key, {entry, removedAt: this.#options.clock.getMonotonicTime()});
 		}
 	}
-
-	#removeInvalidEntry(key: string): void {
-		this.#removeEntry(key);
-		this.#options.log.info({key}, 'invalid upstream entry');
-	}
-}
-
-function getId(key: string): string {
-	return key.slice(upstreamPrefix.length);
 }
--- a/src/pool/pool-messages.ts
+++ b/src/pool/pool-messages.ts
@@ -129,15 +129,24 @@
 	isLeaving: z.boolean(),
 }).readonly();
 
+function skipInvalid(upstreams: readonly unknown[]): ReadonlyArray<z.infer<typeof upstreamSchema>> {
+	return upstreams.flatMap(upstream => upstreamSchema.safeParse(upstream).data ?? []);
+}
+
 /** Schema of the upstreams that an owner reports; invalid ones are skipped and counted. */
 export const upstreamsSchema = z.object({
 	pool: name,
 	/** Store revision at which the owner read the upstreams. */
 	revision: count,
 	upstreams: z.array(z.unknown()).max(5000),
-}).transform(({upstreams, ...report}) => {
-	const valid = upstreams.flatMap(upstream => upstreamSchema.safeParse(upstream).data ?? []);
-	return {...report, upstreams: valid, invalidCount: upstreams.length - valid.length};
+	/** Last valid descriptions of upstreams whose entries were overwritten by invalid ones. */
+	overwritten: z.array(z.unknown()).max(5000).default([]),
+}).transform(({upstreams, overwritten, ...report}) => {
+	const valid = skipInvalid(upstreams);
+	const validOverwritten = skipInvalid(overwritten);
+	return {
+		...report, upstreams: valid, overwritten: validOverwritten, invalidCount: upstreams.length + overwritten.length - valid.length - validOverwritten.length,
+	};
 }).readonly();
 
 /** Request that submits a job to the owner of a pool. */
--- a/test/platform/upstream-list.test.ts
+++ b/test/platform/upstream-list.test.ts
@@ -12,7 +12,7 @@
 	return {key: `servers/${id}`, value};
 }
 
-function createFixture() {
+function createFixture(log = silentLog) {
 	const clock = new ManualClock();
 	const state = {ids: ['u1', 'u2'], oddItems: [] as ReadonlyArray<{readonly key: string; readonly value: string}>};
 	const store: Pick<StoreClient, 'getRange' | 'getChanges'> = {
@@ -22,7 +22,7 @@
 	const layout = new PoolLayout();
 	layout.setCount('dc1', 1);
 	const list = new UpstreamList({
-		clock, log: silentLog, store: store as StoreClient, layout, onChange() {/* Not checked. */},
+		clock, log, store: store as StoreClient, layout, onChange() {/* Not checked. */},
 	});
 	return {clock, state, list};
 }
@@ -98,3 +98,86 @@
 	t.deepEqual(getIds(list.getUpstreams('dc1')), ['u1', 'u2']);
 	t.deepEqual(getIds(list.getMissingUpstreams('dc1')), []);
 });
+
+test('an upstream whose entry was overwritten by an invalid one counts as missing for as long as that stands', async t => {
+	const {clock, state, list} = createFixture();
+	await list.read();
+	await clock.advance(5000);
+	state.ids = ['u2'];
+	for (const value of ['[', '{}', createEntry('u1', {address: '10.0.0.1:0'}).value]) {
+		state.oddItems = [{key: 'servers/u1', value}];
+		await list.read();
+		await clock.advance(60_000);
+		t.deepEqual(getIds(list.getUpstreams('dc1')), ['u2']);
+		t.deepEqual(getIds(list.getMissingUpstreams('dc1')), ['u1']);
+	}
+
+	state.oddItems = [];
+	await list.read();
+	t.deepEqual(getIds(list.getMissingUpstreams('dc1')), ['u1']);
+	await clock.advance(2600);
+	t.deepEqual(getIds(list.getMissingUpstreams('dc1')), []);
+});
+
+test('an upstream whose entry was overwritten by a valid one of another data centre counts as missing for a limited time', async t => {
+	const {clock, state, list} = createFixture();
+	await list.read();
+	state.ids = ['u2'];
+	state.oddItems = [createEntry('u1', {zone: 'dc2'})];
+	await list.read();
+	await clock.advance(2000);
+	await list.read();
+	t.deepEqual(getIds(list.getMissingUpstreams('dc1')), ['u1']);
+	await clock.advance(600);
+	t.deepEqual(getIds(list.getMissingUpstreams('dc1')), []);
+	t.is(list.getCount('dc2'), 1);
+});
+
+test('invalid entries do not count as upstreams, and each is logged once while it stands', async t => {
+	const lines: unknown[] = [];
+	const {state, list} = createFixture({
+		...silentLog, info(fields) {
+			lines.push(fields);
+		},
+	});
+	state.oddItems = ['u3', 'u4'].map(id => createEntry(id, {capacity: 5}));
+	await list.read();
+	await list.read();
+	t.is(list.getCount('dc1'), 2);
+	t.deepEqual(lines, [{key: 'servers/u3'}, {key: 'servers/u4'}]);
+	state.oddItems = [];
+	await list.read();
+	state.oddItems = [{key: 'servers/u3', value: ''}];
+	await list.read();
+	t.is(lines.length, 3);
+});
+
+test('an upstream that an owner reports as overwritten counts as missing until it is no longer reported', async t => {
+	const {clock, list} = createFixture();
+	const [first, second] = ['u1', 'u2'].map(id => createUpstream(id, 16_000));
+	list.addReport({
+		pool: 'dc1', revision: 1, upstreams: [first!], overwritten: [second!],
+	});
+	await clock.advance(60_000);
+	t.deepEqual(getIds(list.getMissingUpstreams('dc1')), ['u2']);
+	list.addReport({
+		pool: 'dc1', revision: 2, upstreams: [first!], overwritten: [],
+	});
+	t.deepEqual(getIds(list.getMissingUpstreams('dc1')), ['u2']);
+	await clock.advance(2600);
+	t.deepEqual(getIds(list.getMissingUpstreams('dc1')), []);
+});
+
+test('on a VM that follows the store, a reported upstream whose entry was read as invalid counts as missing for as long as that stands', async t => {
+	const {clock, state, list} = createFixture();
+	state.oddItems = [{key: 'servers/u3', value: '['}];
+	await list.read();
+	list.setFollowing(true);
+	list.addReport({
+		pool: 'dc1', revision: 2, upstreams: [], overwritten: [createUpstream('u3', 16_000)],
+	});
+	await clock.advance(20_000);
+	t.deepEqual(getIds(list.getMissingUpstreams('dc1')), ['u3']);
+	t.deepEqual(getIds(list.getUpstreams('dc1')), ['u1', 'u2']);
+	list.close();
+});
