Take the configuration from its own key only

What callers would see: an item such as `op/config/old` or `op/config2` with a higher version became the active configuration, and the real one was ignored until its version was higher still.

Cause: the store watches prefixes, and the keys of the changes were not compared.

Change: changes of other keys are ignored.

Evidence: 'an item under another key that begins with the key of the configuration does not replace it' failed before (version 9 instead of 2), passes now.

--- a/src/platform/configuration-watch.ts
+++ b/src/platform/configuration-watch.ts
@@ -122,8 +122,9 @@
 		}
 
 		this.#setStoreUnavailable(false, '');
-		for (const {value} of result.value.changes) {
-			if (value !== undefined) {
+		// The changes are those of all keys that begin with this one.
+		for (const {key, value} of result.value.changes) {
+			if (key === configurationKey && value !== undefined) {
 				this.addText(value, 'store');
 			}
 		}
