Ignore the number of pools of a data centre that does not exist

What callers would see: an item such as `layout/ghost` or `layout/a/b` added up to 1,000 pools that no VM owns. While the number of pools was unknown, an invalid value wrote a line that is never omitted every 250 ms, as long as the value was odd.

Cause: each key under `layout/` counted as that of a data centre.

Change: only the data centres of the settings are read. An invalid number is logged within the rate limit, with the first issue only.

--- a/src/platform/layout-manager.ts
+++ b/src/platform/layout-manager.ts
@@ -5,6 +5,7 @@
 import {type DecisionLog, getPoolCount, type PoolLayout} from '../pool/index.js';
 import {type Clock, sleep} from '../seams/index.js';
 import {parseJson} from './decode-configuration.js';
+import {describeIssues} from './describe-issues.js';
 import {type StoreClient} from './store-client.js';
 import {type UpstreamList} from './upstream-list.js';
 
@@ -81,7 +82,7 @@
 	}
 
 	async #read(): Promise<void> {
-		const {store, log} = this.#options;
+		const {store, log, dataCenters} = this.#options;
 		const result = await store.getRange(layoutPrefix);
 		if (!result.ok) {
 			log.info({reason: result.reason, detail: result.detail}, 'failed to read the number of pools');
@@ -89,11 +90,16 @@
 		}
 
 		for (const {key, value} of result.value.items) {
+			const dataCenter = key.slice(layoutPrefix.length);
+			if (!dataCenters.includes(dataCenter)) {
+				continue;
+			}
+
 			const parsed = layoutSchema.safeParse(parseJson(value));
 			if (parsed.success) {
-				this.#setPoolCount(key.slice(layoutPrefix.length), parsed.data.pools, 'store');
+				this.#setPoolCount(dataCenter, parsed.data.pools, 'store');
 			} else {
-				log.warn({key, err: parsed.error.message}, 'invalid number of pools');
+				log.info({key, detail: describeIssues(parsed.error)}, 'invalid number of pools');
 			}
 		}
 	}
--- a/test/platform/layout-manager.test.ts
+++ b/test/platform/layout-manager.test.ts
@@ -18,7 +18,7 @@
 
 type Fixture = {readonly layout: PoolLayout; readonly close: () => Promise<void>};
 
-function createManager(store: PlatformStore, isDecider: () => boolean, settleMs = 0): Fixture {
+function createManager(store: PlatformStore, isDecider: () => boolean, log = silentLog): Fixture {
 	const clock = systemClock;
 	// A time limit that also holds on a busy machine.
 	const client = new StoreClient({address: store.getAddress(), clock, callTimeoutMs: 20_000});
@@ -27,7 +27,7 @@
 		clock, log: silentLog, store: client, layout, onChange() {/* Not checked. */},
 	});
 	const manager = new LayoutManager({
-		clock, log: silentLog, store: client, layout, upstreams, dataCenter: 'a', dataCenters: ['a'], isDecider, getMedianCores: () => 1, settleMs,
+		clock, log, store: client, layout, upstreams, dataCenter: 'a', dataCenters: ['a'], isDecider, getMedianCores: () => 1, settleMs: 0,
 	});
 	void manager.run();
 	return {
@@ -83,3 +83,25 @@
 	await manager.close();
 	await store.close();
 });
+
+test('the number of pools of a data centre that does not exist is ignored, and an invalid one is logged within the rate limit', async t => {
+	const store = await createPlatformStore();
+	for (const key of ['layout/ghost', 'layout/', 'layout/a/b', 'layout/a#0/2']) {
+		store.setText(key, '{"pools":1000}');
+	}
+
+	store.setText('layout/a', '['.repeat(10_000));
+	const lines: unknown[] = [];
+	const manager = createManager(store, () => false, {
+		...silentLog, info(fields, message) {
+			lines.push([fields, message]);
+		},
+	});
+	await waitFor(() => lines.length > 0);
+	t.deepEqual(lines[0], [{key: 'layout/a', detail: 'Invalid input: expected object, received undefined'}, 'invalid number of pools']);
+	store.setText('layout/a', '{"pools":2,"new_field":1}');
+	await waitFor(() => manager.layout.getPools().length > 0);
+	t.deepEqual(manager.layout.getPools(), ['a#0/2', 'a#1/2']);
+	await manager.close();
+	await store.close();
+});
