Do not limit the ends in an answer of the soak's upstreams to fewer than the protocol does

The soak speaks the wire protocol, in which an answer lists up to 500 ends; one that lists fewer is whole.

--- a/bench/soak-processes/plan.ts
+++ b/bench/soak-processes/plan.ts
@@ -21,7 +21,7 @@
 const vmKinds = [plannedStopKind, 'kill', 'freeze'] as const;
 const storeKinds = ['store-away', 'store-silent', 'store-slow', 'store-loses-answers', 'store-forgets'] as const;
 const upstreamKinds = ['orders-late', 'answers-lost', 'upstream-crash', 'upstream-slow'] as const;
-const answerKinds = ['odd-answers', 'odd-entries', 'answers-overtake', 'few-ends', 'two-lives'] as const;
+const answerKinds = ['odd-answers', 'odd-entries', 'answers-overtake', 'two-lives'] as const;
 
 /** Kind of a fault. */
 export type SoakFaultKind = typeof vmKinds[number] | typeof storeKinds[number] | typeof upstreamKinds[number] | typeof answerKinds[number];
--- a/bench/soak-processes/stand-in-process.ts
+++ b/bench/soak-processes/stand-in-process.ts
@@ -16,7 +16,7 @@
  * Faults of upstreams; `lateMs` is the delay before a request to an upstream is executed, `maxAnswerDelayMs` the maximum delay of an answer, in
  * milliseconds.
  */
-export type UpstreamFaults = Pick<Partial<SimulatedUpstreamFaults>, 'isMute' | 'slowness' | 'maxListedEnds'> & {
+export type UpstreamFaults = Pick<Partial<SimulatedUpstreamFaults>, 'isMute' | 'slowness'> & {
 	readonly lateMs?: number;
 	readonly maxAnswerDelayMs?: number;
 	readonly hasOddAnswers?: boolean;
