Take odd entries of the soak from the upstreams' own and not from the store

A new instance of an upstream now counts only once its listener is open, so that overlapping restarts of one upstream each end their own former instance.

--- a/bench/soak-processes/odd-entries.ts
+++ b/bench/soak-processes/odd-entries.ts
@@ -6,17 +6,17 @@
 const levels = 20_000;
 const nested = '['.repeat(levels) + ']'.repeat(levels);
 
+type Entry = Readonly<Record<string, unknown>>;
+
 /**
  * Creates odd values of an entry.
- * @param text - Entry of a live upstream.
- * @param otherText - Entry of another upstream.
+ * @param entry - Entry of a live upstream.
+ * @param otherEntry - Entry of another upstream.
  * @returns Values that cannot be read, or that name no upstream that exists.
  */
-export function createOddEntries(text: string, otherText: string): readonly Uint8Array[] {
-	const entry = parseRecord(text);
-	const otherAddress = parseRecord(otherText).address;
-	const born = Number(entry.born ?? 1);
-	const changed = (changes: Readonly<Record<string, unknown>>): string => JSON.stringify({...entry, ...changes});
+export function createOddEntries(entry: Entry, {address: otherAddress}: Entry): readonly Uint8Array[] {
+	const born = Number(entry.born);
+	const changed = (changes: Entry): string => JSON.stringify({...entry, ...changes});
 	const withRaw = (name: string, raw: string): string => changed({[name]: 'RAW'}).replace('"RAW"', raw);
 	const texts = [
 		changed({address: '127.0.0.1:1', born: born + 1}),
@@ -40,12 +40,3 @@
 	];
 	return [...texts.map(value => Buffer.from(value)), Buffer.from([0xFF, 0xFE, 0x00, 0x7B, 0xC3, 0x28])];
 }
-
-function parseRecord(text: string): Readonly<Record<string, unknown>> {
-	try {
-		const value: unknown = JSON.parse(text);
-		return typeof value === 'object' && value !== null ? {...value} : {};
-	} catch {
-		return {};
-	}
-}
--- a/bench/soak-processes/stand-in-process-main.ts
+++ b/bench/soak-processes/stand-in-process-main.ts
@@ -115,12 +115,17 @@
 	}
 }
 
+/** Gets one of the upstreams that are up, another one each time. */
+function getOtherUpstream(): PlatformUpstream {
+	const alive = upstreams.filter(upstream => !crashed.has(upstream));
+	return alive[oddEntryCount % alive.length]!;
+}
+
 /** Writes odd entries over those of upstreams, and one under a new key for each. */
 function overwriteEntries(chosen: readonly PlatformUpstream[]): void {
-	for (const upstream of chosen) {
-		const key = getKey(upstream);
-		const values = createOddEntries(store.getText(key) ?? '{}', store.getText(getKey(upstreams[oddEntryCount % upstreams.length]!)) ?? '{}');
-		store.setBytes(key, values[oddEntryCount % values.length]!);
+	for (const upstream of chosen.filter(upstream => !crashed.has(upstream))) {
+		const values = createOddEntries(upstream.getEntry('ready'), getOtherUpstream().getEntry('ready'));
+		store.setBytes(getKey(upstream), values[oddEntryCount % values.length]!);
 		const newKey = `servers/${oddIds[oddEntryCount % oddIds.length]!}${oddEntryCount}`;
 		store.setBytes(newKey, values[(oddEntryCount + 1) % values.length]!);
 		newKeys.push(newKey);
--- a/src/testing/platform-upstream.ts
+++ b/src/testing/platform-upstream.ts
@@ -57,8 +57,10 @@
 	readonly #options: PlatformUpstreamOptions;
 	readonly #simulation: SimulatedUpstreams;
 	#server: Server;
+	#address = '';
 	#description: UpstreamDescription;
 	#answerCount = 0;
+	#instanceCount = 1;
 	#isFormerReachable = false;
 
 	/** @internal */
@@ -78,9 +80,7 @@
 
 	/** Opens the listener on loopback and registers the upstream. */
 	async open(): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.#server.listen({host: '127.0.0.1', port: 0}, resolve);
-		});
+		this.#address = await listen(this.#server);
 		this.register('ready');
 	}
 
@@ -94,13 +94,20 @@
 	 * @param state - Whether it accepts tasks.
 	 */
 	register(state: 'ready' | 'draining'): void {
-		const {id, dataCenter, service, store} = this.#options;
-		const {address, port} = this.#server.address() as AddressInfo;
+		this.#options.store.setText(`servers/${this.#options.id}`, JSON.stringify(this.getEntry(state)));
+	}
+
+	/**
+	 * Gets the upstream's own entry, whatever is in the store.
+	 * @param state - Whether it accepts tasks.
+	 */
+	getEntry(state: 'ready' | 'draining'): Readonly<Record<string, unknown>> {
+		const {dataCenter, service} = this.#options;
 		const {cpu, memoryMb, accelerators} = this.#description.capacity;
-		store.setText(`servers/${id}`, JSON.stringify({
-			service, address: `${address}:${port}`, zone: dataCenter, version: 'v1', slots: 8, state, cold_remaining_ms: 0,
+		return {
+			service, address: this.#address, zone: dataCenter, version: 'v1', slots: 8, state, cold_remaining_ms: 0,
 			capacity: {cpu, mem_mb: memoryMb, gpu: accelerators}, labels: this.#description.labels, born: this.#description.bornMs, seq: 1,
-		}));
+		};
 	}
 
 	/** Stops the upstream as in a crash of its process: without notice, and its entry stays in the store. */
@@ -120,10 +127,8 @@
 	 * @param isFormerReachable - Whether the former instance still receives orders.
 	 */
 	async startAgain(formerLifeMs: number, isFormerReachable: boolean): Promise<void> {
-		const {address} = this.#description;
-		const server = this.#server;
+		const {server, address} = await this.#startInstance();
 		this.#isFormerReachable = isFormerReachable;
-		await this.#startInstance();
 		await delay(formerLifeMs);
 		this.#simulation.crashFormer(address);
 		await closeServer(server);
@@ -134,12 +139,21 @@
 		await closeServer(this.#server);
 	}
 
-	async #startInstance(): Promise<void> {
-		const bornMs = this.#description.bornMs + 1;
-		this.#description = {...this.#description, bornMs, address: String(bornMs)};
-		this.faults = this.#simulation.addUpstream(this.#description);
-		this.#server = this.#createServer(this.#description);
-		await this.open();
+	/**
+	 * Starts the next instance and registers it.
+	 * @returns Listener of the instance before it, and its address in the simulation.
+	 */
+	async #startInstance(): Promise<{readonly server: Server; readonly address: string}> {
+		this.#instanceCount++;
+		const description = {...this.#description, bornMs: this.#instanceCount, address: String(this.#instanceCount)};
+		const server = this.#createServer(description);
+		this.#address = await listen(server);
+		const former = {server: this.#server, address: this.#description.address};
+		this.#description = description;
+		this.#server = server;
+		this.faults = this.#simulation.addUpstream(description);
+		this.register('ready');
+		return former;
 	}
 
 	#createServer(description: UpstreamDescription): Server {
@@ -254,6 +268,15 @@
 	}
 }
 
+/** Opens a listener on loopback and gets its address. */
+async function listen(server: Server): Promise<string> {
+	await new Promise<void>(resolve => {
+		server.listen({host: '127.0.0.1', port: 0}, resolve);
+	});
+	const {address, port} = server.address() as AddressInfo;
+	return `${address}:${port}`;
+}
+
 async function closeServer(server: Server): Promise<void> {
 	await new Promise<void>(resolve => {
 		server.close(() => {
