--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -452,7 +452,7 @@
 			if (!this.#closeController.signal.aborted) {
 				void this.pollImmediately();
 			}
-		}, Math.max(minTimerMs, this.#formerLeasesEndAt - clock.getMonotonicTime()));
+		}, Math.max(0, this.#formerLeasesEndAt - clock.getMonotonicTime()) + minTimerMs);
 	}
 
 	/** Gets the monotonic time from which a poll shows whether a run goes on that was known at a time: a new instance does not list those of former ones. */
