--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -411,18 +411,22 @@
 	/** Publishes a pool's upstreams to the VMs of its data centre, any of which may have to take over the pool while the store is unavailable. */
 	#publishUpstreams(pool: string): void {
 		const upstreams = this.#upstreams.getUpstreams(pool);
+		const overwritten = this.#upstreams.getOverwrittenUpstreams(pool);
 		if (upstreams.length === 0) {
 			return;
 		}
 
-		const text = JSON.stringify(upstreams);
+		const text = JSON.stringify([upstreams, overwritten]);
 		const previous = this.#published.get(pool);
 		const publication = previous?.text === text ? previous : {text, to: new Set<string>()};
 		this.#published.set(pool, publication);
 		const dataCenter = getDataCenter(pool);
 		for (const {incarnation, state} of this.#mesh.getMembers()) {
 			const isDue = incarnation.dataCenter === dataCenter && state === 'up' && !publication.to.has(incarnation.id);
-			if (isDue && this.#mesh.sendControl(incarnation.id, {topic: upstreamsTopic, body: {pool, revision: this.#upstreams.getRevision(), upstreams}})) {
+			const body = {
+				pool, revision: this.#upstreams.getRevision(), upstreams, overwritten,
+			};
+			if (isDue && this.#mesh.sendControl(incarnation.id, {topic: upstreamsTopic, body})) {
 				publication.to.add(incarnation.id);
 			}
 		}
@@ -439,11 +443,17 @@
 		}
 
 		const parsed = upstreamsSchema.safeParse(body);
-		if (parsed.success) {
-			this.#upstreams.addReport(parsed.data);
-		} else {
+		if (!parsed.success) {
 			this.#log.warn({topic, err: parsed.error.message}, 'invalid message');
+			return;
+		}
+
+		const {pool, invalidCount} = parsed.data;
+		if (invalidCount > 0) {
+			this.#log.info({topic, pool, invalidCount}, 'invalid upstreams of a report skipped');
 		}
+
+		this.#upstreams.addReport(parsed.data);
 	}
 
 	async #handleRequest(request: PeerRequest, from: Incarnation, signal: AbortSignal): Promise<unknown> {
