Keep the recent ends of an upstream when it restarts

The ends that an upstream had just listed were forgotten when it restarted. A job that was submitted again then started tasks that were done.

--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -426,7 +426,6 @@
 		this.#formerLeasesEndAt = this.#leaseEndsAt;
 		this.#acknowledgedPosition = 0;
 		this.#clockOffsetMs = undefined;
-		this.#recentEnds.clear();
 		for (const run of this.#runs.values()) {
 			run.confirmedAt = Infinity;
 		}
--- a/test/pool/upstream-link.test.ts
+++ b/test/pool/upstream-link.test.ts
@@ -309,3 +309,17 @@
 	t.deepEqual(ended, [['a.0.0.0', 'lapsed', 'lease-expired']]);
 	link.close();
 });
+
+test('an end that a former instance listed is known after a restart', async t => {
+	const fixture = new LinkFixture();
+	const {link, polls} = fixture;
+	await fixture.open();
+	await polls.at(-1)!.answer(fixture.createSeen({
+		ended: [{
+			position: 1, task: 'a.0.0.0', number: 2, end: 'done',
+		}],
+	}));
+	await polls.at(-1)!.answer(fixture.createSeen({bornMs: 2}));
+	t.like(link.getRecentEnd('a.0.0.0'), {number: 2, end: 'done'});
+	link.close();
+});
