Stop unanswered starts at a new instance even if their runs have ended

A start that was left unanswered may be carried out seconds later. In the same instance, the end of its lease refuses it, or the run's end; a new instance has forgotten both and its clock has started anew, so that it would run the task while the next run goes on elsewhere, until the run was found unclaimed and stopped 400 ms later.

Change: unanswered starts are remembered for 30 s, whatever became of their runs. When a new instance is seen, it gets their stops at once, which refuse a start that has not arrived; the stops are repeated until they are confirmed.

What remains: a start that arrives between the restart and the stop.

--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -58,6 +58,9 @@
 
 type SeenOutcome = Extract<PollOutcome, {readonly kind: 'seen'}>;
 
+/** Time for which an unanswered start is remembered, in milliseconds: an order may be carried out seconds after it was sent. */
+const unansweredStartRetentionMs = 30_000;
+
 /** Result of a poll. `outdated`: a former instance answered. */
 type PollResult = 'seen' | 'outdated' | 'refused' | 'unanswered';
 
@@ -123,6 +126,8 @@
 	/** Monotonic times of the first stop request of runs that have not ended, by task. */
 	readonly #stopRequestedAt = new Map<string, number>();
 	readonly #recentEnds = new Map<string, ListedEnd>();
+	/** Starts that were left unanswered, by task, with the times at which they were sent. */
+	readonly #unansweredStarts = new Map<string, Run & {readonly sentAt: number}>();
 	readonly #closeController = new AbortController();
 	#acknowledgedPosition = 0;
 	/** Monotonic time at which an answer first showed the current instance; `-Infinity` if no other one is known. */
@@ -436,6 +441,12 @@
 	/** Stops the runs that a new instance does not list, since it may carry out late orders, and those whose stop it has forgotten. */
 	#stopFormerRuns(running: readonly Run[]): void {
 		const {clock} = this.#options;
+		for (const start of this.#unansweredStarts.values()) {
+			if (this.#runs.get(start.task)?.number !== start.number) {
+				void this.#stopUnansweredStart(start);
+			}
+		}
+
 		const listed = new Set(running.map(({task}) => task));
 		for (const run of this.#runs.values()) {
 			// A start that is still in progress is stopped if it stays unanswered.
@@ -454,6 +465,30 @@
 		}, Math.max(minTimerMs, this.#formerLeasesEndAt - clock.getMonotonicTime()));
 	}
 
+	/** Sends stops for a run that has ended as far as is known, so that a new instance does not start it late. */
+	async #stopUnansweredStart(start: Run & {readonly sentAt: number}): Promise<void> {
+		const {clock} = this.#options;
+		const isPending = (): boolean => clock.getMonotonicTime() - start.sentAt < unansweredStartRetentionMs && !this.#closeController.signal.aborted;
+		while (isPending() && !await this.#confirmStop(start, isPending)) {
+			await sleep(clock, this.#timing.busyPollWaitMs, this.#closeController.signal);
+		}
+	}
+
+	/** Remembers an unanswered start, which the next instance of the upstream may carry out, and forgets those that were sent long ago. */
+	#addUnansweredStart({task, number}: Run, sentAt: number): void {
+		for (const [earlierTask, earlier] of this.#unansweredStarts) {
+			if (sentAt - earlier.sentAt < unansweredStartRetentionMs) {
+				break;
+			}
+
+			this.#unansweredStarts.delete(earlierTask);
+		}
+
+		// Added at the end, since the order is that of the times.
+		this.#unansweredStarts.delete(task);
+		this.#unansweredStarts.set(task, {task, number, sentAt});
+	}
+
 	/** Gets the monotonic time from which a poll shows whether a run goes on that was known at a time: a new instance does not list those of former ones. */
 	#getDecisiveAt(knownAt: number): number {
 		return knownAt < this.#instanceSeenAt ? Math.max(knownAt, this.#formerLeasesEndAt) : knownAt;
@@ -599,6 +634,7 @@
 			}
 
 			this.#unansweredAt = clock.getMonotonicTime();
+			this.#addUnansweredStart(run, sentAt);
 			void this.#checkAlive();
 		}
 
--- a/test/pool/upstream-link.test.ts
+++ b/test/pool/upstream-link.test.ts
@@ -323,3 +323,20 @@
 	t.like(link.getRecentEnd('a.0.0.0'), {number: 2, end: 'done'});
 	link.close();
 });
+
+test('a start that was never answered is stopped at a new instance of its upstream even if its run has lapsed', async t => {
+	const fixture = new LinkFixture();
+	const {link, stops, ended, clock} = fixture;
+	await fixture.open();
+	link.start(createRun('a.0.0.0'));
+	await clock.advance(getMaxStopMs(1000) * 2);
+	t.deepEqual(ended, [['a.0.0.0', 'lapsed', 'lease-expired']]);
+	stops.length = 0;
+	const createAnswer = (): PollOutcome => fixture.createSeen({bornMs: 2});
+	await answerPolls(fixture, 300, createAnswer);
+	t.like(stops[0]?.options.run, {task: 'a.0.0.0', number: 1});
+	await answerPolls(fixture, 1000, createAnswer, true);
+	await answerPolls(fixture, 1000, createAnswer);
+	t.deepEqual(stops, []);
+	link.close();
+});
