Add a test that an older list does not forget an unclaimed run

A poll that was answered before an earlier owner's run was seen may arrive after the answer that lists the run. It forgot the run until the next poll, and a recall could be confirmed meanwhile.

--- a/test/pool/upstream-link.test.ts
+++ b/test/pool/upstream-link.test.ts
@@ -340,3 +340,20 @@
 	t.deepEqual(stops, []);
 	link.close();
 });
+
+test('a list that was requested before an unclaimed run was seen does not forget the run', async t => {
+	const fixture = new LinkFixture();
+	const {link, polls} = fixture;
+	await fixture.open();
+	void link.pollImmediately();
+	await fixture.clock.advance(1);
+	const [, longPoll, shortPoll] = polls;
+	await shortPoll!.answer(fixture.createSeen({running: [{task: 'a.0.0.0', number: 1}]}));
+	await longPoll!.answer(fixture.createSeen());
+	t.true(link.hasUnclaimed('a'));
+	await fixture.clock.advance(1);
+	await polls.at(-1)!.answer(fixture.createSeen());
+	await polls.at(-1)!.answer(fixture.createSeen());
+	t.false(link.hasUnclaimed('a'));
+	link.close();
+});
