--- a/test/pool/run-ends.test.ts
+++ b/test/pool/run-ends.test.ts
@@ -159,3 +159,48 @@
 		t.true(waitedMs < (2 * (busyPollWaitMs + answerTimeoutMs)) + getMaxLeaseEndMs() + answerTimeoutMs);
 	});
 }
+
+test('a task whose upstream restarted starts again only after the lease of the former instance, which may still work', async t => {
+	const harness = new PoolHarness({upstreamCount: 2, getWork: () => ({...longWork, durationMs: 5000})});
+	const owner = harness.createOwner();
+	await harness.clock.advance(50);
+	harness.submit(owner, 'a', {step: {estimateMs: 5000}, remainingMs: 20_000});
+	await harness.clock.advance(50);
+	const description = harness.descriptions.find(({id}) => id === harness.upstreams.starts[0]!.upstream)!;
+	harness.upstreams.addUpstream({...description, bornMs: 2});
+	await harness.clock.advance(3000);
+	t.is(harness.upstreams.starts.length, 2);
+	t.deepEqual(harness.upstreams.getDoubleRuns(), []);
+});
+
+test('a start that reaches the next instance of its upstream late does not run beside the next run of its task', async t => {
+	const harness = new PoolHarness({upstreamCount: 2, getWork: () => ({...longWork, durationMs: 5000})});
+	const {clock, upstreams} = harness;
+	const owner = harness.createOwner();
+	await clock.advance(50);
+	const startRun = upstreams.startRun.bind(upstreams);
+	let delayed: Parameters<typeof startRun>[0] | undefined;
+	upstreams.startRun = async options => {
+		if (delayed !== undefined) {
+			return startRun(options);
+		}
+
+		delayed = options;
+		await sleep(clock, options.timeoutMs);
+		return {kind: 'unanswered', detail: 'delayed'};
+	};
+
+	harness.submit(owner, 'a', {step: {estimateMs: 5000}, remainingMs: 20_000});
+	await clock.advance(10);
+	const position = harness.descriptions.findIndex(({id}) => id === delayed!.upstream.id);
+	harness.faults[position]!.isCutOff = true;
+	await clock.advance(2500);
+	t.is(upstreams.starts.length, 1);
+	upstreams.crash(delayed!.upstream.id);
+	upstreams.addUpstream({...harness.descriptions[position]!, bornMs: 2});
+	harness.faults[position]!.isCutOff = false;
+	await clock.advance(700);
+	void startRun(delayed!);
+	await clock.advance(1000);
+	t.deepEqual(upstreams.getDoubleRuns(), []);
+});
