Do not confirm a recall while a run of its job goes on that only the last polls list

One of them started a lent run; the other was asked to recall the job, had not listed that run yet, polled its upstreams to confirm that it was still the owner, and answered that nothing of the job was left, although just these polls listed the run. The borrower's next owner started the task again at once.

Cause: the runs of the job were checked before the polls that confirm the ownership, not after them.

Change: after these polls, the runs of the job that they listed are stopped and awaited too, within the time limit of the recall.

Result: test 'a recall is not confirmed while a run of the job goes on that only the confirming polls list' failed before (the run had not ended at the answer), passes now.

--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -229,17 +229,10 @@
 		}
 
 		const receivedAt = this.#options.clock.getMonotonicTime();
-		await this.#scheduler.recallLent(job);
-		const links = [...this.#links.values()];
-		for (const link of links) {
-			link.stopUnclaimed(job);
-		}
-
-		while (!signal.aborted && !this.#isClosed && links.some(link => link.hasUnclaimed(job))) {
-			await sleep(this.#options.clock, recallPollMs);
-		}
-
+		await this.#stopRunsOf(job, signal);
 		const isInOffice = await this.#isActiveOwner(receivedAt);
+		// The polls that confirm the ownership may have listed further runs.
+		await this.#stopRunsOf(job, signal);
 		const hasSeenEarlierRuns = this.#hasSeenEarlierRuns();
 		const isClear = isInOffice && hasSeenEarlierRuns && !signal.aborted && !this.#isClosed && !this.#scheduler.hasJob(job);
 		this.#options.log.info({
@@ -337,6 +330,19 @@
 		}, 'upstreams of the pool polled');
 	}
 
+	/** Stops all lent and unclaimed runs of a job and waits for their ends. */
+	async #stopRunsOf(job: string, signal: AbortSignal): Promise<void> {
+		await this.#scheduler.recallLent(job);
+		const links = [...this.#links.values()];
+		for (const link of links) {
+			link.stopUnclaimed(job);
+		}
+
+		while (!signal.aborted && !this.#isClosed && links.some(link => link.hasUnclaimed(job))) {
+			await sleep(this.#options.clock, recallPollMs);
+		}
+	}
+
 	/**
 	 * Checks whether the responsive upstreams still accept this owner's fence: a newer owner raises it before it starts anything, and its runs are
 	 * not known here.
--- a/test/pool/double-starts.test.ts
+++ b/test/pool/double-starts.test.ts
@@ -273,3 +273,23 @@
 	t.log(harness.upstreams.starts.map(({task, upstream, startedAt, endedAt, end}) => `${task} ${upstream} ${startedAt} ${endedAt} ${end}`));
 	t.deepEqual(harness.upstreams.getDoubleRuns(), []);
 });
+
+test('a recall is not confirmed while a run of the job goes on that only the confirming polls list', async t => {
+	const harness = new PoolHarness({upstreamCount: 2, getWork: () => ({...typicalWork, durationMs: 2000})});
+	const owner = harness.createOwner();
+	await harness.clock.advance(1100);
+	void harness.upstreams.startRun({
+		upstream: harness.descriptions[0]!, fence: owner.getFence(), timeoutMs: 150, run: {task: 'a.0.0.0', number: 3}, leaseUntilMs: 2000,
+	});
+	await harness.clock.advance(10);
+	let endAtAnswer: string | undefined;
+	let answer: boolean | undefined;
+	void (async () => {
+		answer = await recallWithTimeout(harness, owner, 'a');
+		endAtAnswer = harness.upstreams.starts[0]!.end;
+	})();
+
+	await harness.clock.advance(500);
+	t.is(answer, true);
+	t.is(endAtAnswer, 'stopped');
+});
