Describe an invalid value by its first issue

Cause: the message of a schema's error lists every issue.

Change: descriptions name the first issue and the number of the others.

Evidence: 'the description of an invalid value is short however many issues it has' failed before, passes now.

--- a/src/platform/decode-configuration.ts
+++ b/src/platform/decode-configuration.ts
@@ -2,6 +2,7 @@
  * Decoder of the operator's configuration.
  */
 import {type RoutingTable} from '../pool/index.js';
+import {describeIssues} from './describe-issues.js';
 import {configurationSchema} from './wire-messages.js';
 
 /** A decoded configuration, or the description of its fault. */
@@ -16,7 +17,7 @@
 export function decodeConfiguration(text: string): DecodedConfiguration {
 	const parsed = configurationSchema.safeParse(parseJson(text));
 	if (!parsed.success) {
-		return {ok: false, detail: parsed.error.message};
+		return {ok: false, detail: describeIssues(parsed.error)};
 	}
 
 	const {version, routes, limits} = parsed.data;
--- a/src/platform/decode-job.ts
+++ b/src/platform/decode-job.ts
@@ -3,6 +3,7 @@
  */
 import {type JobStep, type PoolJobRequest, type RouteRules} from '../pool/index.js';
 import {parseJson} from './decode-configuration.js';
+import {describeIssues} from './describe-issues.js';
 import {jobBodySchema} from './wire-messages.js';
 
 /** A decoded job. `unsupported`: the job is valid but needs a feature that is not implemented. */
@@ -20,7 +21,7 @@
 export function decodeJob(id: string, text: string, rules: RouteRules): DecodedJob {
 	const parsed = jobBodySchema.safeParse(parseJson(text));
 	if (!parsed.success) {
-		return {kind: 'invalid', detail: parsed.error.message};
+		return {kind: 'invalid', detail: describeIssues(parsed.error)};
 	}
 
 	const {spec, steps, best_effort: isUnstored, times} = parsed.data;
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -16,6 +16,7 @@
 } from '../seams/index.js';
 import {CallerEndpoint} from './caller-endpoint.js';
 import {ConfigurationWatch} from './configuration-watch.js';
+import {describeIssues} from './describe-issues.js';
 import {HttpOrders} from './http-orders.js';
 import {LayoutManager} from './layout-manager.js';
 import {PoolMetrics} from './pool-metrics.js';
@@ -444,7 +445,7 @@
 
 		const parsed = upstreamsSchema.safeParse(body);
 		if (!parsed.success) {
-			this.#log.warn({topic, err: parsed.error.message}, 'invalid message');
+			this.#log.warn({topic, err: describeIssues(parsed.error)}, 'invalid message');
 			return;
 		}
 
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -5,6 +5,7 @@
 import {Agent, type Dispatcher} from 'undici';
 import type * as z from 'zod';
 import {type Clock} from '../seams/index.js';
+import {describeIssues} from './describe-issues.js';
 import {callJson, type JsonCall} from './json-client.js';
 import {
 	itemAnswerSchema, rangeAnswerSchema, watchAnswerSchema, writeAnswerSchema,
@@ -194,7 +195,7 @@
 	}
 
 	const parsed = schema.safeParse(outcome.body);
-	return parsed.success ? {ok: true, value: parsed.data} : {ok: false, reason: 'invalid', detail: parsed.error.message};
+	return parsed.success ? {ok: true, value: parsed.data} : {ok: false, reason: 'invalid', detail: describeIssues(parsed.error)};
 }
 
 function decodeItem({key, value, revision}: StoredItem): StoredItem {
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -130,3 +130,13 @@
 	t.is(decodeHoldAnswer({clock_ms: 5, running: [['t']]}), undefined);
 	t.is(decodeHoldAnswer({clock_ms: 5, ended: [['1', 't', 1, 'done']]}), undefined);
 });
+
+test('the description of an invalid value is short however many issues it has', t => {
+	const many = Array.from({length: 5000}, () => ({}));
+	const configuration = decodeConfiguration(JSON.stringify({version: 1, services: [], routes: many}));
+	const first = decodeConfiguration(JSON.stringify({services: [], routes: [{}]}));
+	t.is(first.ok ? '' : first.detail, 'version: Invalid input: expected number, received undefined (and 4 more)');
+	t.true(!configuration.ok && configuration.detail.length < 200);
+	const job = decodeJob('a', JSON.stringify({steps: many.map(() => ({count: -1}))}), rules);
+	t.true(job.kind === 'invalid' && job.detail.length < 200);
+});
