--- a/test/pool/fleet-regressions.ts
+++ b/test/pool/fleet-regressions.ts
@@ -145,4 +145,31 @@
 			},
 		],
 	},
+	{
+		name: 'an entry with another address under the key of an upstream does not end its runs (seed 7)',
+		seed: 7,
+		faults: [
+			{
+				kind: 'entry-overwritten', atMs: 6181, durationMs: 1206, target: 5_739_160, salt: 1_958_810, strength: 0.863_149_225_711_822_5,
+			},
+		],
+	},
+	{
+		name: 'a restart of an upstream does not end the runs of its former instance, which works on (seed 12)',
+		seed: 12,
+		faults: [
+			{
+				kind: 'two-lives', atMs: 7474, durationMs: 2109, target: 12_836_383, salt: 1_084_745, strength: 0.786_162_912_845_611_6,
+			},
+		],
+	},
+	{
+		name: 'a start that the next instance of an upstream carries out late does not run beside a later one (seed 1)',
+		seed: 1,
+		faults: [
+			{
+				kind: 'late-reborn', atMs: 4554, durationMs: 2018, target: 10_821_947, salt: 6_746_286, strength: 0.200_488_865_375_518_8,
+			},
+		],
+	},
 ];
