--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -169,3 +169,13 @@
 	const ended = [[3, 'c', 1, 'done'], [1, 'a', 1, 'done'], [2, 'b', 1, 'failed']];
 	t.deepEqual(decodeHoldAnswer({...holdAnswer, ended})?.ended.map(([position]) => position), [1, 2, 3]);
 });
+
+test('the description of an invalid value is short however many issues it has', t => {
+	const many = Array.from({length: 5000}, () => ({}));
+	const configuration = decodeConfiguration(JSON.stringify({version: 1, services: [], routes: many}));
+	const first = decodeConfiguration(JSON.stringify({services: [], routes: [{}]}));
+	t.is(first.ok ? '' : first.detail, 'version: Invalid input: expected number, received undefined (and 4 more)');
+	t.true(!configuration.ok && configuration.detail.length < 200);
+	const job = decodeJob('a', JSON.stringify({steps: many.map(() => ({count: -1}))}), rules);
+	t.true(job.kind === 'invalid' && job.detail.length < 200);
+});
--- a/test/pool/upstream-link.test.ts
+++ b/test/pool/upstream-link.test.ts
@@ -309,3 +309,51 @@
 	t.deepEqual(ended, [['a.0.0.0', 'lapsed', 'lease-expired']]);
 	link.close();
 });
+
+test('an end that a former instance listed is known after a restart', async t => {
+	const fixture = new LinkFixture();
+	const {link, polls} = fixture;
+	await fixture.open();
+	await polls.at(-1)!.answer(fixture.createSeen({
+		ended: [{
+			position: 1, task: 'a.0.0.0', number: 2, end: 'done',
+		}],
+	}));
+	await polls.at(-1)!.answer(fixture.createSeen({bornMs: 2}));
+	t.like(link.getRecentEnd('a.0.0.0'), {number: 2, end: 'done'});
+	link.close();
+});
+
+test('a start that was never answered is stopped at a new instance of its upstream even if its run has lapsed', async t => {
+	const fixture = new LinkFixture();
+	const {link, stops, ended, clock} = fixture;
+	await fixture.open();
+	link.start(createRun('a.0.0.0'));
+	await clock.advance(getMaxStopMs(1000) * 2);
+	t.deepEqual(ended, [['a.0.0.0', 'lapsed', 'lease-expired']]);
+	stops.length = 0;
+	const createAnswer = (): PollOutcome => fixture.createSeen({bornMs: 2});
+	await answerPolls(fixture, 300, createAnswer);
+	t.like(stops[0]?.options.run, {task: 'a.0.0.0', number: 1});
+	await answerPolls(fixture, 1000, createAnswer, true);
+	await answerPolls(fixture, 1000, createAnswer);
+	t.deepEqual(stops, []);
+	link.close();
+});
+
+test('a list that was requested before an unclaimed run was seen does not forget the run', async t => {
+	const fixture = new LinkFixture();
+	const {link, polls} = fixture;
+	await fixture.open();
+	void link.pollImmediately();
+	await fixture.clock.advance(1);
+	const [, longPoll, shortPoll] = polls;
+	await shortPoll!.answer(fixture.createSeen({running: [{task: 'a.0.0.0', number: 1}]}));
+	await longPoll!.answer(fixture.createSeen());
+	t.true(link.hasUnclaimed('a'));
+	await fixture.clock.advance(1);
+	await polls.at(-1)!.answer(fixture.createSeen());
+	await polls.at(-1)!.answer(fixture.createSeen());
+	t.false(link.hasUnclaimed('a'));
+	link.close();
+});
