Treat an upstream entry of a data centre that does not exist as invalid

What callers would see: an entry with an unknown data centre, written over that of a live upstream, hid the upstream from the next owner of its pool after 2.5 s, like one that cannot be read.

Cause: the data centre of an entry was not compared with those of the deployment. Found by the property test of the store's readers once it changed addresses more often.

Change: the list takes the data centres of the settings; an entry of another one is invalid, and the last valid description counts as missing.

Evidence: 'an entry of a data centre that does not exist names no upstream and leaves the one that it overwrites missing' failed before, passes now.

--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -133,6 +133,7 @@
 		this.#upstreams = new UpstreamList({
 			...sharedOptions,
 			layout: this.#layout,
+			dataCenters: settings.dataCenters,
 			onChange: () => {
 				this.#handleUpstreamsChanged();
 			},
--- a/src/platform/upstream-list.ts
+++ b/src/platform/upstream-list.ts
@@ -30,6 +30,8 @@
 	readonly log: DecisionLog;
 	readonly store: StoreClient;
 	readonly layout: PoolLayout;
+	/** Data centres of the deployment; an entry of another one is invalid. By default, there may be any. */
+	readonly dataCenters?: readonly string[];
 	readonly onChange: () => void;
 };
 
@@ -236,14 +238,15 @@
 	}
 
 	#setEntry(key: string, value: string): void {
+		const {dataCenters, log} = this.#options;
 		const upstream = decodeUpstream({key, value});
-		if (upstream !== undefined) {
+		if (upstream !== undefined && (dataCenters?.includes(upstream.dataCenter) ?? true)) {
 			this.#addEntry(key, upstream);
 			return;
 		}
 
 		if (!this.#invalidKeys.has(key)) {
-			this.#options.log.info({key}, 'invalid upstream entry');
+			log.info({key}, 'invalid upstream entry');
 		}
 
 		this.#handleInvalidEntry(key);
--- a/test/platform/upstream-list.test.ts
+++ b/test/platform/upstream-list.test.ts
@@ -22,7 +22,7 @@
 	const layout = new PoolLayout();
 	layout.setCount('dc1', 1);
 	const list = new UpstreamList({
-		clock, log, store: store as StoreClient, layout, onChange() {/* Not checked. */},
+		clock, log, store: store as StoreClient, layout, dataCenters: ['dc1', 'dc2'], onChange() {/* Not checked. */},
 	});
 	return {clock, state, list};
 }
@@ -181,3 +181,17 @@
 	t.deepEqual(getIds(list.getUpstreams('dc1')), ['u1', 'u2']);
 	list.close();
 });
+
+test('an entry of a data centre that does not exist names no upstream and leaves the one that it overwrites missing', async t => {
+	const {clock, state, list} = createFixture();
+	await list.read();
+	state.ids = ['u2'];
+	for (const odd of [{zone: 'ghost'}, {zone: 'ghost', capacity: 5}, {zone: ''}]) {
+		state.oddItems = [createEntry('u1', odd), createEntry('u3', odd)];
+		await list.read();
+		await clock.advance(60_000);
+		t.deepEqual(getIds(list.getMissingUpstreams('dc1')), ['u1']);
+	}
+
+	t.is(list.getCount('ghost'), 0);
+});
