Recall the lent runs of earlier owners when a pool is taken over

What callers would see: tasks of one job run twice at the same time. The owner of a pool lends tasks to another pool and is replaced; the caller sends the job again through another entry VM, which knows no earlier owner and submits it with a prior fence of 0.

Cause: only a prior fence or unclaimed runs on its own upstreams made the next owner recall a job from the other pools. With neither, it admitted the job and started tasks that still ran there.

Change: while it takes a pool over, an owner sends its neighbour pools a recall without a job, beside the polls of its upstreams. A lender keeps the borrower's pool and fence with each lent task for as long as it runs, stops those with a lower fence, refuses later tasks of that owner (as for each recall), and answers when they have ended; at once if there are none. Jobs are accepted after the answers, or after the existing time limit of a recall (200 ms). The claim is announced and tasks of other pools are run after the polls, as before. Nothing is added to the messages of a task.

Why it works: no lender starts a task of the predecessor after the recall, and what it has started has ended before the first job is accepted. A VM of an earlier build cannot parse a recall without a job and does not confirm it; the takeover then continues as before.

Not closed: a pool that does not answer in time, or whose own owner was replaced too (it does not know whose unclaimed runs it has), may still run tasks of the predecessor. No general delay was added for it.

--- a/src/pool/lending.ts
+++ b/src/pool/lending.ts
@@ -61,12 +61,12 @@
 	stop(pool: string, run: Run, isOverdue: boolean): Promise<void>;
 
 	/**
-	 * Stops the lent runs of a job whose earlier owner was replaced.
-	 * @param job - Identifier of the job.
-	 * @param fence - Fence of the job's current owner; the lenders refuse tasks of earlier owners from then on.
-	 * @returns Whether all pools confirmed that nothing of the job runs there.
+	 * Stops the lent runs of a job whose earlier owner was replaced, or all lent runs of earlier owners.
+	 * @param job - Identifier of the job; `undefined` for all jobs of earlier owners.
+	 * @param fence - Fence of the pool's current owner; the lenders refuse tasks of earlier owners from then on.
+	 * @returns Whether all pools confirmed that none of the runs is left there.
 	 */
-	recall(job: string, fence: number): Promise<boolean>;
+	recall(job: string | undefined, fence: number): Promise<boolean>;
 
 	/** Publishes this pool's free capacity or queue to the other owners. */
 	publishLoad(): void;
--- a/src/pool/pool-lending.ts
+++ b/src/pool/pool-lending.ts
@@ -13,7 +13,7 @@
 import {type PoolDirectory} from './pool-directory.js';
 import {getDataCenter, isNeighbourPool} from './pool-layout.js';
 import {
-	type LendAnswer, lendTopic, loadTopic, recallAnswerSchema, recallRequestSchema, recallTopic,
+	type LendAnswer, type LendRequest, lendTopic, loadTopic, recallAnswerSchema, recallRequestSchema, recallTopic,
 	stopLentRunRequestSchema, stopLentRunTopic,
 } from './pool-messages.js';
 import {type PoolOwner} from './pool-owner.js';
@@ -32,6 +32,9 @@
 	readonly isLayoutKnown: () => boolean;
 };
 
+/** Task of another owner, and its outcome in the lender's pool. */
+type LentTaskEntry = Pick<LendRequest, 'pool' | 'borrower' | 'fence' | 'task'> & {readonly outcome: Promise<LendOutcome>};
+
 /** Time limit of a recall, in milliseconds: a stop takes 50 ms, and an answer a few more. */
 const recallTimeoutMs = 200;
 
@@ -50,6 +53,8 @@
 	readonly #neighboursByPool = new Map<string, {readonly pools: readonly string[]; readonly names: readonly string[]}>();
 	/** Sequence number of the last task received from each pool, and the fence of the owner that counts them. */
 	readonly #receivedSequences = new Map<string, {readonly fence: number; readonly sequence: number}>();
+	/** Tasks of other owners that run in the pools owned here. */
+	readonly #lentTasks = new Set<LentTaskEntry>();
 
 	constructor(options: PoolLendingOptions) {
 		this.#options = options;
@@ -111,8 +116,8 @@
 			case recallTopic: {
 				const {pool, borrower, fence, job} = recallRequestSchema.parse(body);
 				this.#options.directory.addFence(borrower, fence);
-				const owner = this.#options.getOwner(pool);
-				return {isClear: await owner?.recallLent(job, signal) ?? false};
+				const isClear = job === undefined ? this.#stopSuperseded(pool, borrower, fence) : this.#options.getOwner(pool)?.recallLent(job, signal);
+				return {isClear: await isClear ?? false};
 			}
 
 			default: {
@@ -164,8 +169,43 @@
 
 		directory.addClaims({[borrower]: {fence, load}});
 		this.#recordSequence(borrower, fence, sequence);
-		const outcome = await owner.runLent(task, signal);
-		return {outcome, load: owner.getLoad(), seen: this.#getReceivedSequence(borrower)};
+		const entry = {
+			pool, borrower, fence, task, outcome: owner.runLent(task, signal),
+		};
+		this.#lentTasks.add(entry);
+		try {
+			const outcome = await entry.outcome;
+			return {outcome, load: owner.getLoad(), seen: this.#getReceivedSequence(borrower)};
+		} finally {
+			this.#lentTasks.delete(entry);
+		}
+	}
+
+	/**
+	 * Stops the runs that earlier owners of the borrower's pool started in a pool, and waits for their ends.
+	 * @returns Whether none is left; `false` if the pool has runs whose borrower is unknown here.
+	 */
+	async #stopSuperseded(pool: string, borrower: string, fence: number): Promise<boolean> {
+		const {getOwner, log} = this.#options;
+		const owner = getOwner(pool);
+		if (owner === undefined) {
+			return false;
+		}
+
+		const superseded = [...this.#lentTasks].filter(entry => entry.pool === pool && entry.borrower === borrower && entry.fence < fence);
+		for (const {task} of superseded) {
+			owner.stopLent(task, false);
+		}
+
+		const outcomes = await Promise.all(superseded.map(async ({outcome}) => outcome));
+		const isClear = owner.isReady() && !owner.hasUnclaimedRuns() && outcomes.every(({kind}) => kind !== 'lost');
+		if (superseded.length > 0 || !isClear) {
+			log.info({
+				pool, borrower, fence, stopped: superseded.length, isClear,
+			}, 'runs of superseded owners recalled');
+		}
+
+		return isClear;
 	}
 
 	#recordSequence(borrower: string, fence: number, sequence: number): void {
@@ -244,7 +284,7 @@
 		this.#options.log.info({task: run.task, run: run.number, pool: lender}, 'stop could not be sent to another pool');
 	}
 
-	async #recall(borrower: string, job: string, fence: number): Promise<boolean> {
+	async #recall(borrower: string, job: string | undefined, fence: number): Promise<boolean> {
 		// An earlier owner may have lent runs in pools that are not known here.
 		const isLayoutKnown = this.#options.isLayoutKnown();
 		const neighbours = this.#options.directory.getPools().filter(pool => isNeighbourPool(borrower, pool));
--- a/src/pool/pool-messages.ts
+++ b/src/pool/pool-messages.ts
@@ -102,12 +102,12 @@
 /** Schema of a request to stop a lent run. */
 export const stopLentRunRequestSchema = z.object({pool: name, run: runSchema, isOverdue: z.boolean()}).readonly();
 
-/** Schema of a request to end all lent runs of a job and to refuse earlier owners of its pool. */
+/** Schema of a request to end all lent runs of a job, or without a job all that earlier owners of the borrower's pool started, and to refuse these owners. */
 export const recallRequestSchema = z.object({
-	pool: name, borrower: name, fence: count, job: name,
+	pool: name, borrower: name, fence: count, job: name.optional(),
 }).readonly();
 
-/** Schema of the answer to a recall: whether no run of the job is left in the pool. */
+/** Schema of the answer to a recall: whether none of the runs is left in the pool. */
 export const recallAnswerSchema = z.object({isClear: z.boolean()}).readonly();
 
 /** Schema of an update of a pool's load. */
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -82,6 +82,8 @@
 	#pendingUpstreams: readonly UpstreamDescription[];
 	#hasFence = false;
 	#isReady = false;
+	/** Whether the takeover is complete and the runs that earlier owners started in other pools were recalled. */
+	#mayAcceptJobs = false;
 	/** Monotonic time at which the takeover was complete. */
 	#readyAt = Infinity;
 	#isClosed = false;
@@ -122,7 +124,7 @@
 		this.#ready = this.#takeOver();
 	}
 
-	/** Gets whether the takeover is complete: the fence is known and the upstreams were polled. */
+	/** Gets whether the takeover is complete: the fence is known and the upstreams were polled. Jobs are accepted a little later. */
 	isReady(): boolean {
 		return this.#isReady;
 	}
@@ -157,6 +159,11 @@
 		return this.#scheduler.getJobCount();
 	}
 
+	/** Gets whether upstreams list runs that an earlier owner started and no job here has claimed. */
+	hasUnclaimedRuns(): boolean {
+		return [...this.#links.values()].some(link => link.getUnclaimedCount() > 0);
+	}
+
 	/** Gets whether jobs are in progress or tasks run for other pools. */
 	hasWork(): boolean {
 		return this.#scheduler.hasWork();
@@ -178,7 +185,7 @@
 	 */
 	async submit(submitted: SubmittedJob, signal?: AbortSignal, isConnectionLost?: () => boolean): Promise<PoolJobOutcome> {
 		const receivedAt = this.#options.clock.getMonotonicTime();
-		if (!this.#isReady) {
+		if (!this.#mayAcceptJobs) {
 			await this.#ready;
 		}
 
@@ -327,6 +334,7 @@
 			this.#setUpstream(upstream);
 		}
 
+		const recalling = this.#recallEarlierOwners();
 		await this.#pollAll();
 		this.#isReady = true;
 		this.#readyAt = this.#options.clock.getMonotonicTime();
@@ -335,6 +343,15 @@
 			pool, fence: this.#fence, answering: links.filter(link => !link.isSilent()).length, unclaimed: links.reduce((sum, link) => sum + link.getUnclaimedCount(), 0),
 			isListComplete: this.#options.isListComplete(),
 		}, 'upstreams of the pool polled');
+		await recalling;
+		this.#mayAcceptJobs = true;
+	}
+
+	/** Ends the runs that earlier owners started in other pools: a copy of a job may arrive without the fence of the owner that started it. */
+	async #recallEarlierOwners(): Promise<void> {
+		if (!this.#isClosed && !await this.#neighbours.recall(undefined, this.#fence)) {
+			this.#options.log.info({pool: this.#options.pool, fence: this.#fence}, 'not all pools answered the recall of earlier owners');
+		}
 	}
 
 	/**
--- a/test/pool/lending.test.ts
+++ b/test/pool/lending.test.ts
@@ -315,3 +315,27 @@
 	t.log(shares);
 	t.true(shares[0]! > shares[1]!);
 });
+
+test('the next owner starts no task of a job that its predecessor still runs in another pool, although the job is submitted without the fence of the predecessor', async t => {
+	const getWork = (task: string): SimulatedWork => ({...typicalWork, durationMs: task.startsWith('short') ? 50 : 900});
+	const {clock, upstreams, pools, outcomes, submit} = await createPools({getWork});
+	const job = {step: {taskCount: 4, estimateMs: 900}, remainingMs: 20_000};
+	submit('a', 'short', {step: {taskCount: 4, estimateMs: 50}});
+	submit('a', 'lent', job);
+	await clock.advance(200);
+	pools.replaceOwner('a');
+	await clock.advance(20);
+	submit('a', 'lent', job);
+	await clock.advance(8000);
+	t.deepEqual(upstreams.getDoubleRuns(), []);
+	t.deepEqual(outcomes.get('lent'), {kind: 'completed'});
+});
+
+test('the next owner accepts jobs within the time limit of a recall although another pool does not answer', async t => {
+	const {clock, upstreams, pools, submit} = await createPools();
+	pools.isolateOwner('b');
+	pools.replaceOwner('a');
+	submit('a', 'first');
+	await clock.advance(210);
+	t.deepEqual(upstreams.starts.map(({task}) => task), ['first.0.0.0']);
+});
