Play entry VMs beside odd entries of other writers

The whole path: three entry VMs serve jobs while odd entries stand under new keys, also among the registered VMs, the layout and the configuration, and are written over a live upstream's; then the owner ends.

The property test changes addresses more often and gives the list its data centres.

--- a/test/platform/odd-entries.test.ts
+++ b/test/platform/odd-entries.test.ts
@@ -78,7 +78,10 @@
 function createMutated(valid: Readonly<Record<string, unknown>>): fc.Arbitrary<string> {
 	const paths = Object.entries(valid).flatMap(([field, value]) =>
 		[[field], ...typeof value === 'object' && value !== null && !Array.isArray(value) ? Object.keys(value).map(inner => [field, inner]) : []]);
-	return fc.record({path: fc.constantFrom(...paths, ['new_field']), text: fc.option(fc.constantFrom(...oddTexts), {nil: undefined, freq: 8})}).map(({path: [field, inner], text}) => {
+	const addresses = paths.filter(([field]) => /address$/iv.test(field!));
+	const path = fc.oneof(fc.constantFrom(...paths, ['new_field']), fc.constantFrom(...addresses, ['new_field']));
+	const oddText = fc.option(fc.constantFrom(...oddTexts), {nil: undefined, freq: 8});
+	return fc.record({path, text: oddText}).map(({path: [field, inner], text}) => {
 		const replacement = text === undefined ? undefined : '\uE000';
 		const outer = valid[field!];
 		const mutated = {...valid, [field!]: inner === undefined ? replacement : {...outer as Record<string, unknown>, [inner]: replacement}};
@@ -100,7 +103,7 @@
 const oddSuffix = fc.oneof(fc.constantFrom('', 'a/b', 'x\n', 'ö', '__proto__', 'dc1/x', 'dc1#0/2', 'ghost', 'odd1', 'odd2', 'odd3'), fc.string({maxLength: 20}));
 const oddItem = fc.oneof(
 	{weight: 3, arbitrary: fc.record({key: fc.oneof(fc.constantFrom(...liveIds), oddSuffix).map(id => `servers/${id}`), value: createOddValue(createUpstreamEntry('u0'))})},
-	fc.record({key: oddSuffix.filter(name => name !== self.name && name !== peer.name).map(name => `vms/${name}`), value: createOddValue(self, {...self, name: 'odd1'})}),
+	fc.record({key: fc.oneof(fc.constant('odd1'), oddSuffix.filter(name => name !== self.name && name !== peer.name)).map(name => `vms/${name}`), value: createOddValue({...self, name: 'odd1'})}),
 	fc.record({key: oddSuffix.filter(name => name !== 'dc1').map(name => `layout/${name}`), value: createOddValue({pools: 3})}),
 );
 const step = fc.oneof(
@@ -194,7 +197,7 @@
 		const layout = new PoolLayout();
 		layout.setCount('dc1', 1);
 		const list = new UpstreamList({
-			clock, log: silentLog, store, layout, onChange() {/* Not checked. */},
+			clock, log: silentLog, store, layout, dataCenters: ['dc1'], onChange() {/* Not checked. */},
 		});
 		for (const id of liveIds) {
 			items.setText(`servers/${id}`, createUpstreamEntry(id));
--- a/test/platform/platform-entry-vm.test.ts
+++ b/test/platform/platform-entry-vm.test.ts
@@ -143,3 +143,61 @@
 	t.false(late!.isOwner());
 	await deployment.close();
 });
+
+test('odd entries under new keys and over that of a live upstream end no entry VM, and no task runs twice', async t => {
+	const deployment = await createPlatformDeployment({getWork: () => ({needs: {cpu: 6800, memoryMb: 64, accelerators: 0}, durationMs: 100})});
+	await deployment.waitUntilReady();
+	const {store, upstreams} = deployment;
+	const liveKey = 'servers/i-dc1-0';
+	const entry = JSON.parse(store.getText(liveKey)!) as Readonly<Record<string, unknown>>;
+	const oddValues = [
+		'',
+		'[',
+		'['.repeat(10_000),
+		`${'['.repeat(10_000)}${']'.repeat(10_000)}`,
+		'{}',
+		JSON.stringify(entry).replace('16000', '1e400'),
+		...[{address: '127.0.0.1:99999'}, {address: 'x y:80'}, {capacity: {cpu: 1e308, mem_mb: 1e308}}, {born: 1e308}, {state: 'odd'}].map(odd => JSON.stringify({...entry, ...odd})),
+	];
+	const vm = {
+		name: 'edge-dc1-7', dataCenter: 'dc1', peerAddress: '127.0.0.1:99999', callerAddress: '127.0.0.1:1',
+	};
+	store.setText('vms/edge-dc1-7', JSON.stringify(vm));
+	store.setText('layout/ghost', '{"pools":9}');
+	store.setText('op/config2', store.getText('op/config')!.replace('"version":1', '"version":9'));
+	for (const [position, value] of oddValues.entries()) {
+		store.setText(`servers/odd-${position}`, value);
+	}
+
+	const body = {
+		steps: [{
+			count: 2, cpu: 6800, mem_mb: 64, estimate_ms: 100,
+		}],
+	};
+	const added = await deployment.addEntryVm('dc1', 'edge-dc1-8');
+	await waitFor(() => added.isReady());
+	const answers = [];
+	for (const [position, value] of oddValues.entries()) {
+		store.setText(liveKey, value);
+		answers.push(deployment.submit(position % 3, `00000000000005${String(position).padStart(2, '0')}`, {body}));
+		await waitFor(() => upstreams.flatMap(upstream => upstream.getStarts()).length > position);
+		if (position % 2 === 1) {
+			upstreams[0]!.register('ready');
+		}
+	}
+
+	const owner = deployment.entryVms.find(entryVm => entryVm.isOwner())!;
+	const outcomes = await Promise.all(answers);
+	t.deepEqual(outcomes.map(({state}) => state), oddValues.map(() => 'completed'));
+	upstreams[0]!.register('ready');
+	const others = deployment.entryVms.filter(entryVm => entryVm !== owner);
+	await owner.abort();
+	await waitFor(() => others.some(entryVm => entryVm.isOwner() && entryVm.getAvailableUpstreamCount() === 2));
+	const other = deployment.entryVms.indexOf(others[0]!);
+	t.like(await deployment.submit(other, '0000000000000599', {body}), {status: 200, state: 'completed'});
+	const starts = upstreams.flatMap(upstream => upstream.getStarts());
+	t.is(new Set(starts.map(({task}) => task)).size, 2 * (oddValues.length + 1));
+	t.is(starts.length, 2 * (oddValues.length + 1));
+	t.is(others[0]!.getConfigurationVersion(), 1);
+	await deployment.close();
+});
