Let one report after a long gap no longer make the list of upstreams complete

What callers would see: on a VM that cannot read the store, one report of an owner long after the first one made the list complete at once. If that owner had itself read the list just after an outage of the store, upstreams whose entries had expired were unknown, and a new owner counted their runs as ended.

Change: after a gap of more than 4 s, the time that all live upstreams have to be listed starts anew.

Evidence: 'one report after a long gap does not make the list complete, since the owner may not have read all upstreams since' failed before, passes now.

--- a/src/platform/upstream-list.ts
+++ b/src/platform/upstream-list.ts
@@ -53,7 +53,7 @@
 	readonly #missing = new Map<string, {readonly entry: Entry; readonly removedAt: number}>();
 	/** Keys whose values are invalid. */
 	readonly #invalidKeys = new Set<string>();
-	/** Monotonic times of the first and last owner's report of each pool. */
+	/** Monotonic times of the first of an owner's reports without a long gap between them, and of the last one, by pool. */
 	readonly #reports = new Map<string, {readonly firstAt: number; readonly lastAt: number}>();
 	readonly #closing = new AbortController();
 	#revision: number | undefined;
@@ -179,7 +179,9 @@
 		}
 
 		const now = this.#options.clock.getMonotonicTime();
-		this.#reports.set(pool, {firstAt: this.#reports.get(pool)?.firstAt ?? now, lastAt: now});
+		const previous = this.#reports.get(pool);
+		const hasGap = previous === undefined || now - previous.lastAt > maxCatchUpAgeMs;
+		this.#reports.set(pool, {firstAt: hasGap ? now : previous.firstAt, lastAt: now});
 
 		for (const {id} of [...this.getUpstreams(pool), ...this.getOverwrittenUpstreams(pool)]) {
 			this.#removeEntry(`${upstreamPrefix}${id}`);
--- a/test/platform/upstream-list.test.ts
+++ b/test/platform/upstream-list.test.ts
@@ -195,3 +195,15 @@
 
 	t.is(list.getCount('ghost'), 0);
 });
+
+test('one report after a long gap does not make the list complete, since the owner may not have read all upstreams since', async t => {
+	const {clock, list} = createFixture();
+	const report = {pool: 'dc1', revision: 1, upstreams: [createUpstream('u1', 16_000)]};
+	list.addReport(report);
+	await clock.advance(60_000);
+	list.addReport(report);
+	t.false(list.isComplete('dc1'));
+	await clock.advance(2500);
+	list.addReport(report);
+	t.true(list.isComplete('dc1'));
+});
