Add a failing test of a new owner that forgets the missing upstreams before its fence is known

What callers would see: a task twice at the same time after a change of owners while the store is slow or loses answers. An owner is created with the listed upstreams and with those that were listed a moment ago. A read of the list before its fence is known calls setUpstreams, which replaces both by the listed ones, so that the missing upstreams are never polled and what runs there is started again.

--- a/test/pool/double-starts.test.ts
+++ b/test/pool/double-starts.test.ts
@@ -123,6 +123,28 @@
 	t.deepEqual(harness.outcomes.get('b'), {kind: 'completed'});
 });
 
+test('a new owner polls an upstream that is missing in the list even if the list is read again before its fence is known', async t => {
+	const harness = new PoolHarness({upstreamCount: 2, getWork: () => ({...typicalWork, durationMs: 900})});
+	const first = harness.createOwner();
+	await harness.clock.advance(300);
+	harness.submit(first, 'a', {remainingMs: 5000});
+	await harness.clock.advance(20);
+	const [run] = harness.upstreams.starts;
+	first.close();
+	const second = new PoolOwner({
+		pool: 'dc1', clock: harness.clock, log: silentLog, orders: harness.upstreams, async onFenced() {/* Not called. */},
+		async getStoredFence() {
+			await sleep(harness.clock, 200);
+			return 200;
+		},
+		isListComplete: () => true, knownFence: 0, maxLeaseMs: 1000, peerSilenceMs: 500,
+	}, harness.descriptions);
+	second.setUpstreams(harness.descriptions.filter(({id}) => id !== run!.upstream));
+	harness.submit(second, 'a', {remainingMs: 5000, priorFence: first.getFence()});
+	await harness.clock.advance(3000);
+	t.deepEqual(harness.upstreams.getDoubleRuns(), []);
+});
+
 test('recalls of many jobs share their polls', async t => {
 	const harness = new PoolHarness({upstreamCount: 10});
 	const owner = harness.createOwner();
