Add failing tests of runs on upstreams that restart, refuse polls or answer out of order

upstream-link: a run whose task a restarted upstream lists with an earlier number never ends (0 ends in 5 s); an end that the former instance listed is forgotten at the restart; an answer that is overtaken by the end of a run of the same instance adds the run as an unclaimed one, and starts are suspended there; a run on an upstream that refuses all polls as unhealthy never ends (0 ends in 5 s).

--- a/test/pool/upstream-link.test.ts
+++ b/test/pool/upstream-link.test.ts
@@ -309,3 +309,62 @@
 	t.deepEqual(ended, [['a.0.0.0', 'lapsed', 'lease-expired']]);
 	link.close();
 });
+
+test('a run ends although a restarted upstream lists an earlier run of its task in its first list', async t => {
+	const fixture = new LinkFixture();
+	const {link, polls, starts} = fixture;
+	await fixture.open();
+	link.start({...createRun('a.0.0.0'), number: 2});
+	await fixture.clock.advance(1);
+	await starts[0]!.answer(fixture.createDone());
+	await fixture.clock.advance(1);
+	await polls.at(-1)!.answer(fixture.createSeen({bornMs: 2, running: [{task: 'a.0.0.0', number: 1}]}));
+	await answerPolls(fixture, 5000, () => fixture.createSeen({bornMs: 2}), true);
+	t.is(fixture.ended.length, 1);
+	link.close();
+});
+
+test('an end that the former instance of an upstream listed still counts after the restart', async t => {
+	const fixture = new LinkFixture();
+	const {link, polls} = fixture;
+	await fixture.open();
+	await polls.at(-1)!.answer(fixture.createSeen({
+		ended: [{
+			position: 1, task: 'a.0.0.0', number: 1, end: 'done',
+		}],
+	}));
+	t.is(link.getRecentEnd('a.0.0.0')?.end, 'done');
+	await polls.at(-1)!.answer(fixture.createSeen({bornMs: 2}));
+	t.is(link.getRecentEnd('a.0.0.0')?.end, 'done');
+	link.close();
+});
+
+test('an answer that is overtaken by the end of a run does not show the run as an unclaimed one', async t => {
+	const fixture = new LinkFixture();
+	const {link, polls} = fixture;
+	await fixture.open();
+	await fixture.startRun('a.0.0.0');
+	void link.pollImmediately();
+	await fixture.clock.advance(1);
+	const [, longPoll, shortPoll] = polls;
+	await longPoll!.answer(fixture.createSeen({
+		ended: [{
+			position: 1, task: 'a.0.0.0', number: 1, end: 'done',
+		}],
+	}));
+	await fixture.clock.advance(1);
+	await shortPoll!.answer(fixture.createSeen({running: [{task: 'a.0.0.0', number: 1}]}));
+	t.is(link.getUnclaimedCount(), 0);
+	t.true(link.isAcceptingStarts());
+	link.close();
+});
+
+test('a run ends with its lease although its upstream refuses all polls', async t => {
+	const fixture = new LinkFixture();
+	const {link} = fixture;
+	await fixture.open();
+	await fixture.startRun('a.0.0.0');
+	await answerPolls(fixture, 5000, () => ({kind: 'refused', reason: 'unhealthy'}));
+	t.is(fixture.ended.length, 1);
+	link.close();
+});
