Stop a run at a restarted upstream that lists another run of its task

Callers would see a task that waits until its deadline: where the first list of a new instance names an earlier run of the task, the newer run was neither stopped nor ended, since the list was compared by task. It is now compared by the number of the run.

--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -447,14 +447,14 @@
 			}
 		}
 
-		const listed = new Set(running.map(({task}) => task));
 		for (const run of this.#runs.values()) {
+			const isListed = running.some(({task, number}) => task === run.task && number === run.number);
 			// A start that is still in progress is stopped if it stays unanswered.
-			if (run.state === 'starting' || (listed.has(run.task) && !run.isStopRequested)) {
+			if (run.state === 'starting' || (isListed && !run.isStopRequested)) {
 				continue;
 			}
 
-			run.state = listed.has(run.task) ? run.state : 'lost';
+			run.state = isListed ? run.state : 'lost';
 			void this.#sendStop(run);
 		}
 
