Poll the missing upstreams of a new owner although the list is read again before its fence is known

What callers would see: a task twice at the same time after a change of owners while the store is slow or loses answers. A new owner starts with the listed upstreams and those that are missing in the list; a read of the list before its fence was known replaced both by the listed ones, so that the missing upstreams were never polled and what ran there was started again.

The upstreams that are not in the new list are kept until the fence is known; from then on the usual retention applies.

--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -273,8 +273,9 @@
 	 */
 	setUpstreams(upstreams: readonly UpstreamDescription[]): void {
 		if (!this.#hasFence) {
-			// An order sent before the first fence is known would be refused as one of an earlier owner.
-			this.#pendingUpstreams = upstreams;
+			// An order sent before the first fence is known would be refused as one of an earlier owner. Upstreams that are missing in the list are still polled.
+			const listed = new Set(upstreams.map(({id}) => id));
+			this.#pendingUpstreams = [...upstreams, ...this.#pendingUpstreams.filter(({id}) => !listed.has(id))];
 			return;
 		}
 
