End a run whose stop stays unanswered with its lease although its upstream answers polls

What callers would see: an upstream that answers polls, but starts and stops with a status such as 500 without carrying them out, kept the run as lost for good, took no further starts, and the task waited until its deadline.

A list that was requested after all leases of this instance have ended, and that has the run in neither list, shows that it has ended: no lease is extended while a stop is overdue, and a start that arrives after its lease is refused. Runs of a former instance still need their confirmed stop. The task then avoids the upstream, as after a failed run, since it would return there.

'a task whose start and stop an upstream answers with failures, although it answers polls, starts elsewhere once its lease has ended' failed before (no start in 10 s), passes now; 'a task whose start was carried out unanswered and then refused by another instance at the address is not started again beside it' is a further guard.

--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -542,9 +542,11 @@
 		}
 
 		for (const run of this.#runs.values()) {
-			if (!listed.has(run.task) && run.confirmedAt < sentAt) {
-				// Listed neither as running nor as ended although its order was confirmed before the poll was sent.
-				this.#finish(run, run.isStopRequested ? 'stopped' : 'lapsed', 'unlisted');
+			// Listed neither as running nor as ended although its order was confirmed, or its lease had ended, before the poll was sent.
+			const isConfirmed = run.confirmedAt < sentAt;
+			const isLapsed = run.startedAt >= this.#instanceSeenAt && this.#leaseEndsAt < sentAt;
+			if (!listed.has(run.task) && (isConfirmed || isLapsed)) {
+				this.#finish(run, run.isStopRequested ? 'stopped' : 'lapsed', isConfirmed ? 'unlisted' : 'lease-expired');
 			}
 		}
 	}
--- a/test/pool/double-starts.test.ts
+++ b/test/pool/double-starts.test.ts
@@ -315,3 +315,40 @@
 	t.is(answer, true);
 	t.is(endAtAnswer, 'stopped');
 });
+
+test('a task whose start and stop an upstream answers with failures, although it answers polls, starts elsewhere once its lease has ended', async t => {
+	const harness = new PoolHarness({upstreamCount: 2});
+	const owner = harness.createOwner();
+	await harness.clock.advance(300);
+	const startRun = harness.upstreams.startRun.bind(harness.upstreams);
+	const stopRun = harness.upstreams.stopRun.bind(harness.upstreams);
+	const unanswered = {kind: 'unanswered', detail: 'status 500'} as const;
+	harness.upstreams.startRun = async options => options.upstream.id === 'u0' ? unanswered : startRun(options);
+	harness.upstreams.stopRun = async options => options.upstream.id === 'u0' ? unanswered : stopRun(options);
+	harness.submit(owner, 'a', {remainingMs: 60_000});
+	await harness.clock.advance(10_000);
+	t.deepEqual(harness.upstreams.starts.map(({upstream}) => upstream), ['u1']);
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
+});
+
+test('a task whose start was carried out unanswered and then refused by another instance at the address is not started again beside it', async t => {
+	const harness = new PoolHarness({upstreamCount: 2});
+	const owner = harness.createOwner();
+	await harness.clock.advance(300);
+	const startRun = harness.upstreams.startRun.bind(harness.upstreams);
+	let count = 0;
+	harness.upstreams.startRun = async options => {
+		count++;
+		if (count === 2) {
+			return {kind: 'refused', reason: 'wrong-instance'};
+		}
+
+		const outcome = await startRun(options);
+		return count === 1 ? {kind: 'unanswered', detail: 'no answer'} : outcome;
+	};
+
+	harness.submit(owner, 'a', {remainingMs: 60_000});
+	await harness.clock.advance(5000);
+	t.deepEqual(harness.upstreams.getDoubleRuns(), []);
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
+});
