End the runs of an upstream that refuses all polls with their lease

What callers would see: a task on an upstream that answers each poll with 429 or 503 waited until its deadline although its lease had run out there: a refused poll is no silence, and each of them moved the end of the lease that the owner assumes, though such an answer promises that nothing was done.

A refused poll takes back the end of the lease that it would have granted, and once the lease has ended, the refusal counts as silence, so that the runs lapse and the upstream gets no tasks until it answers. A refusal for the fence changes nothing: another owner may extend the lease.

--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -61,8 +61,8 @@
 /** Time for which an unanswered start is remembered, in milliseconds: an order may be carried out seconds after it was sent. */
 const unansweredStartRetentionMs = 30_000;
 
-/** Result of a poll. `outdated`: a former instance answered. */
-type PollResult = 'seen' | 'outdated' | 'refused' | 'unanswered';
+/** Result of a poll. `outdated`: a former instance answered. `fenced`: another owner has a higher fence. `refused`: nothing was done for another reason. */
+type PollResult = 'seen' | 'outdated' | 'fenced' | 'refused' | 'unanswered';
 
 /** Why a run counts as ended: its upstream listed the end or no longer lists the run, or its lease expired. */
 export type EndGrounds = 'listed' | 'unlisted' | 'lease-expired';
@@ -204,7 +204,7 @@
 				result = await this.#poll(0);
 			}
 
-			if (result === 'unanswered') {
+			if (result === 'unanswered' || (result === 'refused' && this.#runs.size > 0 && clock.getMonotonicTime() >= this.#leaseEndsAt)) {
 				this.#setSilent();
 			}
 
@@ -357,14 +357,17 @@
 	async #poll(waitMs: number): Promise<PollResult> {
 		const {clock, orders, getFence} = this.#options;
 		const sentAt = clock.getMonotonicTime();
+		const earlierLeaseEndsAt = this.#leaseEndsAt;
+		// The lease of a silent upstream is not extended, so that its runs end at a known time.
+		const leaseUntilMs = this.#runs.size > 0 && !this.#isSilent ? this.#extendLease() : undefined;
+		const grantedLeaseEndsAt = this.#leaseEndsAt;
 		const outcome = await orders.poll({
 			upstream: this.description,
 			fence: getFence(),
 			timeoutMs: waitMs + this.#timing.answerTimeoutMs,
 			// An upstream that left an order unanswered may have restarted, and would forget ends of the new instance that nobody has seen.
 			acknowledged: this.#lastPollAt >= this.#unansweredAt ? this.#acknowledgedPosition : 0,
-			// The lease of a silent upstream is not extended, so that its runs end at a known time.
-			leaseUntilMs: this.#runs.size > 0 && !this.#isSilent ? this.#extendLease() : undefined,
+			leaseUntilMs,
 			waitMs,
 		});
 		if (this.#closeController.signal.aborted) {
@@ -376,6 +379,8 @@
 			this.#lastPollAt = Math.max(this.#lastPollAt, sentAt);
 		} else if (result === 'unanswered') {
 			this.#unansweredAt = clock.getMonotonicTime();
+		} else if (result === 'refused' && this.#leaseEndsAt === grantedLeaseEndsAt) {
+			this.#leaseEndsAt = earlierLeaseEndsAt;
 		}
 
 		return result;
@@ -389,6 +394,7 @@
 		if (outcome.kind === 'refused') {
 			if (outcome.reason === 'fenced') {
 				this.#options.events.onFenced(this);
+				return 'fenced';
 			}
 
 			// Another instance of the upstream, or another upstream, answers at the address.
--- a/test/pool/double-starts.test.ts
+++ b/test/pool/double-starts.test.ts
@@ -352,3 +352,20 @@
 	t.deepEqual(harness.upstreams.getDoubleRuns(), []);
 	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
 });
+
+test('a task on an upstream that refuses all polls and orders starts elsewhere once its lease has ended', async t => {
+	const harness = new PoolHarness({upstreamCount: 2, getWork: () => ({...typicalWork, durationMs: 2000})});
+	const owner = harness.createOwner();
+	harness.submit(owner, 'a', {remainingMs: 60_000, step: {estimateMs: 2000}});
+	await harness.clock.advance(50);
+	const [first] = harness.upstreams.starts;
+	const poll = harness.upstreams.poll.bind(harness.upstreams);
+	const stopRun = harness.upstreams.stopRun.bind(harness.upstreams);
+	const refused = {kind: 'refused', reason: 'unhealthy'} as const;
+	harness.upstreams.poll = async options => options.upstream.id === first!.upstream ? refused : poll(options);
+	harness.upstreams.stopRun = async options => options.upstream.id === first!.upstream ? refused : stopRun(options);
+	await harness.clock.advance(20_000);
+	t.is(first!.end, 'lapsed');
+	t.deepEqual(harness.upstreams.getDoubleRuns(), []);
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
+});
