Compare leases by their count when a refused poll takes one back

Two leases that are granted within the same millisecond end at the same time, so that a refused poll could take back the end of a lease that a start had extended meanwhile, and the runs of the upstream would count as lapsed too early.

--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -140,6 +140,8 @@
 	#clockOffsetMs: number | undefined;
 	#clockObservedAt = 0;
 	#leaseEndsAt = 0;
+	/** Number of leases that were recorded. */
+	#leaseCount = 0;
 	#isSilent = true;
 	#silentSince: number;
 	#lapseTimer: Timer | undefined;
@@ -333,6 +335,7 @@
 	 */
 	#recordLease(): void {
 		const {clock, maxLeaseMs} = this.#options;
+		this.#leaseCount++;
 		this.#leaseEndsAt = Math.max(this.#leaseEndsAt, clock.getMonotonicTime() + (maxLeaseMs * (1 + maxClockErrorRatio)) + this.#timing.answerTimeoutMs);
 	}
 
@@ -360,7 +363,7 @@
 		const earlierLeaseEndsAt = this.#leaseEndsAt;
 		// The lease of a silent upstream is not extended, so that its runs end at a known time.
 		const leaseUntilMs = this.#runs.size > 0 && !this.#isSilent ? this.#extendLease() : undefined;
-		const grantedLeaseEndsAt = this.#leaseEndsAt;
+		const leaseCount = this.#leaseCount;
 		const outcome = await orders.poll({
 			upstream: this.description,
 			fence: getFence(),
@@ -379,7 +382,8 @@
 			this.#lastPollAt = Math.max(this.#lastPollAt, sentAt);
 		} else if (result === 'unanswered') {
 			this.#unansweredAt = clock.getMonotonicTime();
-		} else if (result === 'refused' && this.#leaseEndsAt === grantedLeaseEndsAt) {
+		} else if (result === 'refused' && this.#leaseCount === leaseCount) {
+			// Nothing was done, and no other order has extended the lease since.
 			this.#leaseEndsAt = earlierLeaseEndsAt;
 		}
 
