Ignore a run in an answer that was overtaken by the run's end

What callers would see: nothing but a short delay. A poll's answer that arrived after a later one listed a run that had ended; it counted as an unclaimed run, and no task started on the upstream until the next poll was answered.

The ends of own runs are remembered for 2 s, and a list that was requested before such an end does not bring the run back.

--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -61,6 +61,9 @@
 /** Time for which an unanswered start is remembered, in milliseconds: an order may be carried out seconds after it was sent. */
 const unansweredStartRetentionMs = 30_000;
 
+/** Time for which the end of a run is remembered, in milliseconds: longer than the longest poll. */
+const endedRunRetentionMs = 2000;
+
 /** Result of a poll. `outdated`: a former instance answered. `fenced`: another owner has a higher fence. `refused`: nothing was done for another reason. */
 type PollResult = 'seen' | 'outdated' | 'fenced' | 'refused' | 'unanswered';
 
@@ -126,6 +129,8 @@
 	/** Monotonic times of the first stop request of runs that have not ended, by task. */
 	readonly #stopRequestedAt = new Map<string, number>();
 	readonly #recentEnds = new Map<string, ListedEnd>();
+	/** Ends of runs of this link, by task, in the order of their times: a poll that was sent before may still list the run. */
+	readonly #endedRuns = new Map<string, {readonly number: number; readonly at: number}>();
 	/** Starts that were left unanswered, by task, with the times at which they were sent. */
 	readonly #unansweredStarts = new Map<string, Run & {readonly sentAt: number}>();
 	readonly #closeController = new AbortController();
@@ -538,7 +543,7 @@
 		const listed = new Set<string>();
 		for (const run of running) {
 			listed.add(run.task);
-			this.#handleListedRun(run);
+			this.#handleListedRun(run, sentAt);
 		}
 
 		if (!isEndListComplete) {
@@ -561,8 +566,13 @@
 		}
 	}
 
-	#handleListedRun({task, number}: Run): void {
+	#handleListedRun({task, number}: Run, sentAt: number): void {
 		const now = this.#options.clock.getMonotonicTime();
+		const endedRun = this.#endedRuns.get(task);
+		if (endedRun !== undefined && number <= endedRun.number && sentAt <= endedRun.at) {
+			return;
+		}
+
 		const knownRun = this.#runs.get(task);
 		if (knownRun?.number === number) {
 			knownRun.confirmedAt = Math.min(knownRun.confirmedAt, now);
@@ -820,6 +830,21 @@
 		this.#adjustReserved(run.needs, -1);
 	}
 
+	#addEndedRun({task, number}: Run): void {
+		const now = this.#options.clock.getMonotonicTime();
+		for (const [earlierTask, {at}] of this.#endedRuns) {
+			if (now - at < endedRunRetentionMs) {
+				break;
+			}
+
+			this.#endedRuns.delete(earlierTask);
+		}
+
+		// Added at the end, since the order is that of the times.
+		this.#endedRuns.delete(task);
+		this.#endedRuns.set(task, {number, at: now});
+	}
+
 	#adjustReserved({cpu, memoryMb, accelerators}: TaskNeeds, sign: number): void {
 		this.#reserved.cpu += cpu * sign;
 		this.#reserved.memoryMb += memoryMb * sign;
@@ -829,6 +854,7 @@
 	#finish(run: LinkedRun, end: RunEnd, grounds: EndGrounds): void {
 		if (this.#runs.get(run.task) === run) {
 			this.#removeRun(run);
+			this.#addEndedRun(run);
 			this.#options.events.onRunEnded(this, run, end, grounds);
 		}
 	}
