--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -3,6 +3,7 @@
  */
 import {type Clock, sleep, type Timer} from '../seams/index.js';
 import {type TaskNeeds} from './pool-job.js';
+import {type RecentRun, RecentRuns} from './recent-runs.js';
 import {type RunHost} from './run-host.js';
 import {
 	type ListedEnd, type PollOutcome, type OrderOutcome, type OrderRefusal, type Run, type RunEnd, type UpstreamDescription, type UpstreamOrders,
@@ -129,10 +130,10 @@
 	/** Monotonic times of the first stop request of runs that have not ended, by task. */
 	readonly #stopRequestedAt = new Map<string, number>();
 	readonly #recentEnds = new Map<string, ListedEnd>();
-	/** Ends of runs of this link, by task, in the order of their times: a poll that was sent before may still list the run. */
-	readonly #endedRuns = new Map<string, {readonly number: number; readonly at: number}>();
-	/** Starts that were left unanswered, by task, with the times at which they were sent. */
-	readonly #unansweredStarts = new Map<string, Run & {readonly sentAt: number}>();
+	/** Runs of this link that have ended; a poll that was sent before may still list them. */
+	readonly #endedRuns = new RecentRuns(endedRunRetentionMs);
+	/** Runs with a start that was left unanswered, with the time at which it was sent; the next instance of the upstream may carry it out. */
+	readonly #unansweredStarts = new RecentRuns(unansweredStartRetentionMs);
 	readonly #closeController = new AbortController();
 	#acknowledgedPosition = 0;
 	/** Monotonic time at which an answer first showed the current instance; `-Infinity` if no other one is known. */
@@ -456,7 +457,7 @@
 	/** Stops the runs that a new instance does not list, since it may carry out late orders, and those whose stop it has forgotten. */
 	#stopFormerRuns(running: readonly Run[]): void {
 		const {clock} = this.#options;
-		for (const start of this.#unansweredStarts.values()) {
+		for (const start of this.#unansweredStarts.getRuns()) {
 			if (this.#runs.get(start.task)?.number !== start.number) {
 				void this.#stopUnansweredStart(start);
 			}
@@ -481,29 +482,14 @@
 	}
 
 	/** Sends stops for a run that has ended as far as is known, so that a new instance does not start it late. */
-	async #stopUnansweredStart(start: Run & {readonly sentAt: number}): Promise<void> {
+	async #stopUnansweredStart(start: RecentRun): Promise<void> {
 		const {clock} = this.#options;
-		const isPending = (): boolean => clock.getMonotonicTime() - start.sentAt < unansweredStartRetentionMs && !this.#closeController.signal.aborted;
+		const isPending = (): boolean => clock.getMonotonicTime() - start.at < unansweredStartRetentionMs && !this.#closeController.signal.aborted;
 		while (isPending() && !await this.#confirmStop(start, isPending)) {
 			await sleep(clock, this.#timing.busyPollWaitMs, this.#closeController.signal);
 		}
 	}
 
-	/** Remembers an unanswered start, which the next instance of the upstream may carry out, and forgets those that were sent long ago. */
-	#addUnansweredStart({task, number}: Run, sentAt: number): void {
-		for (const [earlierTask, earlier] of this.#unansweredStarts) {
-			if (sentAt - earlier.sentAt < unansweredStartRetentionMs) {
-				break;
-			}
-
-			this.#unansweredStarts.delete(earlierTask);
-		}
-
-		// Added at the end, since the order is that of the times.
-		this.#unansweredStarts.delete(task);
-		this.#unansweredStarts.set(task, {task, number, sentAt});
-	}
-
 	/** Gets the monotonic time from which a poll shows whether a run goes on that was known at a time: a new instance does not list those of former ones. */
 	#getDecisiveAt(knownAt: number): number {
 		return knownAt < this.#instanceSeenAt ? Math.max(knownAt, this.#formerLeasesEndAt) : knownAt;
@@ -568,7 +554,7 @@
 
 	#handleListedRun({task, number}: Run, sentAt: number): void {
 		const now = this.#options.clock.getMonotonicTime();
-		const endedRun = this.#endedRuns.get(task);
+		const endedRun = this.#endedRuns.getRun(task);
 		if (endedRun !== undefined && number <= endedRun.number && sentAt <= endedRun.at) {
 			return;
 		}
@@ -656,7 +642,7 @@
 			}
 
 			this.#unansweredAt = clock.getMonotonicTime();
-			this.#addUnansweredStart(run, sentAt);
+			this.#unansweredStarts.addRun(run, sentAt);
 			void this.#checkAlive();
 		}
 
@@ -830,21 +816,6 @@
 		this.#adjustReserved(run.needs, -1);
 	}
 
-	#addEndedRun({task, number}: Run): void {
-		const now = this.#options.clock.getMonotonicTime();
-		for (const [earlierTask, {at}] of this.#endedRuns) {
-			if (now - at < endedRunRetentionMs) {
-				break;
-			}
-
-			this.#endedRuns.delete(earlierTask);
-		}
-
-		// Added at the end, since the order is that of the times.
-		this.#endedRuns.delete(task);
-		this.#endedRuns.set(task, {number, at: now});
-	}
-
 	#adjustReserved({cpu, memoryMb, accelerators}: TaskNeeds, sign: number): void {
 		this.#reserved.cpu += cpu * sign;
 		this.#reserved.memoryMb += memoryMb * sign;
@@ -854,7 +825,7 @@
 	#finish(run: LinkedRun, end: RunEnd, grounds: EndGrounds): void {
 		if (this.#runs.get(run.task) === run) {
 			this.#removeRun(run);
-			this.#addEndedRun(run);
+			this.#endedRuns.addRun(run, this.#options.clock.getMonotonicTime());
 			this.#options.events.onRunEnded(this, run, end, grounds);
 		}
 	}
