Avoid an upstream after an unsuccessful run in one place

The task avoided the upstream twice after a failed run. No change of behaviour: the tests of the owner, of lending and of double starts pass.

--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -662,13 +662,12 @@
 	}
 
 	#handleUnsuccessfulRun({job, task}: {readonly job: QueuedJob; readonly task: JobTask}, host: RunHost, run: LinkedRun, end: RunEnd): void {
-		if (host instanceof UpstreamLink) {
+		if (end === 'failed' || host instanceof UpstreamLink) {
 			task.avoided.add(host.name);
 		}
 
 		if (end === 'failed') {
 			task.failures++;
-			task.avoided.add(host.name);
 			this.#recordFailure(host);
 		}
 
