--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -126,7 +126,7 @@
 		await Promise.all([...this.vms.map(async vm => vm.close()), ...this.minions.map(async minion => minion.close())]);
 		this.#store.close();
 		writeFileSync(recordFile, this.#events.map(event => JSON.stringify(event)).join('\n') + '\n');
-		rmSync(this.#folder, {recursive: true});
+		rmSync(this.#folder, {recursive: true, force: true});
 	}
 
 	/** Sends a request and waits for its complete answer; `end` is `answered`, `cut` or `unconnected`. */
@@ -251,6 +251,10 @@
 		console.error('the case took too long');
 		close(exitCodes.notRun);
 	}, 110_000);
+	process.once('uncaughtException', err => {
+		console.error(err);
+		close(exitCodes.notRun);
+	});
 	for (const signal of ['SIGINT', 'SIGTERM']) {
 		process.once(signal, () => {
 			close(exitCodes.notRun);
--- a/review/lib/minion.mjs
+++ b/review/lib/minion.mjs
@@ -10,6 +10,8 @@
 const maxLeaseMs = 1000;
 const stopMs = 10;
 const maxListedEnds = 500;
+/** Fences are kept as signed integers of 64 bits; others are invalid. */
+const maxFence = 2 ** 63;
 
 export class Minion {
 	#options;
@@ -135,6 +137,11 @@
 
 		this.#endLapsedRuns();
 		const fence = body.fence ?? 0;
+		if (!Number.isInteger(fence) || fence < 0 || fence >= maxFence) {
+			sendJson(res, 400, {clock_ms: this.#getTime()});
+			return;
+		}
+
 		if (fence < this.#fence) {
 			sendJson(res, 409, {clock_ms: this.#getTime(), reason: 'fence'});
 			return;
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -40,6 +40,12 @@
 		this.#write(key, Buffer.from(JSON.stringify(body)).toString('base64'), this.#revision);
 	}
 
+	/** Gets the text of an item; `undefined` if there is none. */
+	get(key) {
+		const item = this.#items.get(key);
+		return item && Buffer.from(item.value, 'base64').toString();
+	}
+
 	close() {
 		this.#server.close();
 		this.#server.closeAllConnections();
