Raise a fence once for all jobs that come back, by one

Cause: the jobs of a lost job connection are submitted again to the same owner with its own fence as the prior one. Each compared the fences before it waited for the store, so each raised the fence, and a raise doubled its step, which was never given back. N jobs multiplied the fence by 2^N; the next heartbeat then threw for a claim above 2^53, which ended the process.

Change: jobs that come back share one raise, which takes the number above the known one. A step is searched only after a refusal, and anew once the upstream that refuses has accepted an order since the last raise. Starts wait for the last of several raises. Refusals of orders from before a raise are ignored. Claims are whole numbers up to 2^63 - 1024; a heartbeat is not parsed on sending, and peers' fences and the store's revisions outside the range are invalid instead of taken over.

--- a/src/connection/control-link.ts
+++ b/src/connection/control-link.ts
@@ -6,7 +6,7 @@
 import {type ControlChannel} from './control-channel.js';
 import {
 	type Heartbeat, type ControlLinkMessage, controlLinkMessageSchema, type DataCenterView, decodeCompleteHeartbeat, decodeData, type HeartbeatBody, type KnownAddress, type MemberStatus,
-	memberStatusSchema, type ReceivedHeartbeat, type Report,
+	type ReceivedHeartbeat, type Report,
 } from './control-messages.js';
 import {decodeValue, encodeFrame, encodeValue} from './frame-codec.js';
 import {type FrameConnection} from './frame-connection.js';
@@ -50,8 +50,12 @@
  * Encodes the status and load of this process.
  * @param body - Status and load to publish.
  */
-export function encodeHeartbeatBody({load, ...statusFields}: HeartbeatBody): EncodedHeartbeatBody {
-	const status = memberStatusSchema.parse(statusFields);
+export function encodeHeartbeatBody({
+	load, configurationVersion, isLeaving, claims = {}, cores = 1,
+}: HeartbeatBody): EncodedHeartbeatBody {
+	const status: MemberStatus = {
+		configurationVersion, isLeaving, claims, cores,
+	};
 	return {
 		status, load, statusBytes: encodeValue(status), loadBytes: encodeValue(load),
 	};
--- a/src/connection/control-messages.ts
+++ b/src/connection/control-messages.ts
@@ -9,7 +9,13 @@
 const text = z.string().max(maxTextLength);
 const count = z.int().min(0);
 
-const claimsSchema = z.record(text, count).readonly().default({});
+/** Largest claim: the largest double that is a signed 64-bit integer, as peers and stores of other languages may hold it. */
+export const maxClaim = (2 ** 63) - 1024;
+
+/** Schema of a claim: the number of an ownership, the highest of which counts. */
+export const claimSchema = z.number().min(0).max(maxClaim).refine(value => Number.isInteger(value));
+
+const claimsSchema = z.record(text, claimSchema).readonly().default({});
 
 /** Schema of the status that a process publishes and that seldom changes. */
 export const memberStatusSchema = z.object({
@@ -183,7 +189,7 @@
 }
 
 function isClaims(value: unknown): boolean {
-	return isObject(value) && Object.entries(value).every(([name, fence]) => isText(name) && isCount(fence));
+	return isObject(value) && Object.entries(value).every(([name, claim]) => isText(name) && isClaim(claim));
 }
 
 /**
@@ -205,6 +211,14 @@
 		: undefined;
 }
 
+/**
+ * Gets whether a value is a claim.
+ * @param value - Value of a message.
+ */
+export function isClaim(value: unknown): value is number {
+	return Number.isInteger(value) && (value as number) >= 0 && (value as number) <= maxClaim;
+}
+
 function isObject(value: unknown): value is Readonly<Record<string, unknown>> {
 	return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
--- a/src/pool/pool-decoding.ts
+++ b/src/pool/pool-decoding.ts
@@ -4,6 +4,7 @@
  */
 import type * as z from 'zod';
 import {type FailedRunCause} from './crash-ledger.js';
+import {isFence} from './fence.js';
 import {
 	type LendAnswer, lendAnswerSchema, type LendRequest, lendRequestSchema, type LoadUpdate, loadUpdateSchema, maxReportedFailedRuns, type PoolClaims,
 	poolClaimsSchema, type SubmitAnswer, submitAnswerSchema, type SubmitRequest, submitRequestSchema,
@@ -27,7 +28,7 @@
  * @returns Claims; `undefined` when the value is not valid.
  */
 export function decodePoolClaims(value: unknown): PoolClaims | undefined {
-	const isValid = isRecord(value) && Object.entries(value).every(([pool, claim]) => isName(pool) && isRecord(claim) && isNonNegative(claim.fence) && isPoolLoad(claim.load));
+	const isValid = isRecord(value) && Object.entries(value).every(([pool, claim]) => isName(pool) && isRecord(claim) && isFence(claim.fence) && isPoolLoad(claim.load));
 	return isValid ? value as PoolClaims : parse(poolClaimsSchema, value);
 }
 
@@ -65,7 +66,7 @@
  * @returns Request; `undefined` when the value is not valid.
  */
 export function decodeLendRequest(value: unknown): LendRequest | undefined {
-	const isValid = isRecord(value) && isName(value.pool) && isName(value.borrower) && isNonNegative(value.fence) && isPoolLoad(value.load)
+	const isValid = isRecord(value) && isName(value.pool) && isName(value.borrower) && isFence(value.fence) && isPoolLoad(value.load)
 		&& isPositiveInteger(value.sequence) && isTask(value.task);
 	return isValid ? value as LendRequest : parse(lendRequestSchema, value);
 }
@@ -87,7 +88,7 @@
 
 function isJob(value: unknown): boolean {
 	return isRecord(value) && isName(value.id) && typeof value.spec === 'string' && Array.isArray(value.steps) && value.steps.every(step => isStep(step))
-		&& isRules(value.rules) && isNonNegative(value.ageMs) && isNumber(value.remainingMs) && isNonNegative(value.priorFence)
+		&& isRules(value.rules) && isNonNegative(value.ageMs) && isNumber(value.remainingMs) && isFence(value.priorFence)
 		&& isOptional(value.failedRuns, isFailedRuns);
 }
 
--- a/src/pool/pool-messages.ts
+++ b/src/pool/pool-messages.ts
@@ -2,6 +2,7 @@
  * Messages between entry VMs about pools and jobs.
  */
 import * as z from 'zod';
+import {claimSchema as fenceSchema} from '../connection/index.js';
 
 /** Topic of jobs that are submitted to the owner of a pool. */
 export const submitTopic = 'pool-submit';
@@ -61,7 +62,7 @@
 	}).readonly(),
 	ageMs: count,
 	remainingMs: z.number(),
-	priorFence: count,
+	priorFence: fenceSchema,
 	failedRuns: failedRunsSchema.optional(),
 }).readonly();
 
@@ -97,7 +98,7 @@
 	pool: name,
 	/** Pool of the task's job, with its owner's fence and its load. */
 	borrower: name,
-	fence: count,
+	fence: fenceSchema,
 	load: poolLoadSchema,
 	/** Sequence number of the task among those that the borrower's VM sent to the pool. */
 	sequence: z.int().min(1),
@@ -125,7 +126,7 @@
 
 /** Schema of a request to end all lent runs of a job, or without a job all that earlier owners of the borrower's pool started, and to refuse these owners. */
 export const recallRequestSchema = z.object({
-	pool: name, borrower: name, fence: count, job: name.optional(),
+	pool: name, borrower: name, fence: fenceSchema, job: name.optional(),
 }).readonly();
 
 /** Schema of the answer to a recall: whether none of the runs is left in the pool. */
@@ -135,7 +136,7 @@
 export const loadUpdateSchema = z.object({pool: name, load: poolLoadSchema, seen: count}).readonly();
 
 /** Schema of the claims in a heartbeat: fence and load of each pool that the sender owns. */
-export const poolClaimsSchema = z.record(name, z.object({fence: count, load: poolLoadSchema}).readonly()).readonly();
+export const poolClaimsSchema = z.record(name, z.object({fence: fenceSchema, load: poolLoadSchema}).readonly()).readonly();
 
 // The texts of a valid entry may have any length; an upstream left out of a report counts as missing.
 const upstreamSchema = z.object({
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -4,6 +4,7 @@
 import {type Clock, sleep} from '../seams/index.js';
 import {CrashLedger} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
+import {getHigherFence, isFence, maxFence} from './fence.js';
 import {FormerLinks} from './former-links.js';
 import {type InstanceSign} from './instance-runs.js';
 import {
@@ -50,7 +51,7 @@
 /** Time limit of the polls of all upstreams, such as those before a new owner accepts jobs, in milliseconds. */
 const pollAllTimeoutMs = 250;
 
-/** First step of the fence when it is raised without the store; doubled with each refusal. */
+/** First step by which a refused fence is raised without the store; doubled until the upstream that refused it accepts one. */
 const initialFenceStep = 1;
 
 /**
@@ -130,12 +131,16 @@
 	/** Result of the last check whether the upstreams accept this owner's fence, and the time at which it was started. */
 	#ownershipCheck = {checkedAt: -Infinity, isConfirmed: false};
 	#checkingOwnership: Promise<void> | undefined;
-	/** Whether the fence is being raised above another owner's; starts are deferred meanwhile. */
-	#isRaisingFence = false;
+	/** Monotonic time at which the fence was last set. */
+	#fenceSetAt = -Infinity;
+	/** Highest fence under which an earlier owner may have started tasks of a job that was submitted here. */
+	#priorFence = 0;
+	/** Raise of the fence above those of earlier owners; starts are deferred meanwhile. */
+	#raisingFence: Promise<void> | undefined;
 
 	constructor(options: PoolOwnerOptions, upstreams: readonly UpstreamDescription[]) {
 		this.#options = options;
-		this.#fence = options.knownFence + initialFenceStep;
+		this.#fence = getHigherFence(options.knownFence);
 		this.#fenceStep = options.fenceStep ?? initialFenceStep;
 		this.#neighbours = options.neighbours ?? noNeighbours;
 		this.#ledger = options.ledger ?? new CrashLedger(options.clock);
@@ -153,7 +158,7 @@
 			clock: options.clock,
 			log: options.log,
 			getLinks: () => this.#getAllLinks(),
-			areStartsSuspended: () => this.#isHandlingFenceRefusal || this.#isRaisingFence || this.#isOwnershipUnconfirmed(),
+			areStartsSuspended: () => this.#isHandlingFenceRefusal || this.#raisingFence !== undefined || this.#isOwnershipUnconfirmed(),
 			getConfirmedSince: () => getConfirmedSince(options.clock.getMonotonicTime(), options.getPausedAt?.() ?? -Infinity),
 			getStoppedMs: options.getStoppedMs ?? (() => 0),
 			getUnobservedRunsUntil: job => Math.max(this.#removeUnrecalledUntil(job), this.#getUnobservedRunsUntil()),
@@ -300,17 +305,14 @@
 		this.#scheduler.schedule();
 	}
 
-	/**
-	 * Raises the fence after an upstream refused it. Only the elected owner may call this.
-	 * @param atLeast - Minimum of the new fence.
-	 */
-	async raiseFence(atLeast = 0): Promise<void> {
+	/** Raises the fence after an upstream refused it. Only the elected owner may call this. */
+	async raiseFence(): Promise<void> {
 		const refused = this.#fence;
-		const stored = await this.#options.getStoredFence();
-		this.#fenceStep *= 2;
-		this.#fence = Math.max(stored ?? 0, atLeast, this.#fence + this.#fenceStep);
+		const stored = await this.#getStoredFence();
+		this.#fenceStep = Math.min(maxFence, this.#fenceStep * 2);
+		this.#setFence(Math.max(stored ?? 0, getHigherFence(this.#fence, this.#fenceStep)));
 		this.#options.log.warn({
-			pool: this.#options.pool, refused, fence: this.#fence, isStored: stored !== undefined,
+			pool: this.#options.pool, refused, fence: this.#fence, step: this.#fenceStep, isStored: stored !== undefined,
 		}, 'fence raised');
 	}
 
@@ -366,9 +368,9 @@
 	}
 
 	async #takeOver(): Promise<void> {
-		const {clock, log, pool, getStoredFence, knownFence} = this.#options;
-		const stored = await getStoredFence();
-		this.#fence = Math.max(stored ?? 0, knownFence + initialFenceStep);
+		const {log, pool, knownFence} = this.#options;
+		const stored = await this.#getStoredFence();
+		this.#setFence(Math.max(stored ?? 0, getHigherFence(knownFence)));
 		log.warn({
 			pool, fence: this.#fence, isStored: stored !== undefined, upstreams: this.#pendingUpstreams.length,
 		}, 'pool taken over');
@@ -598,8 +600,8 @@
 
 					this.#scheduler.schedule();
 				},
-				onFenced: from => {
-					void this.#handleFenced(from);
+				onFenced: (from, fence) => {
+					void this.#handleFenced(from, fence);
 				},
 				onInstanceChanged(from, earlierBornMs) {
 					const {id, address, bornMs} = from.description;
@@ -698,11 +700,16 @@
 	}
 
 	/** Waits for the heartbeats that would announce a newer owner before the refusal is handled. */
-	async #handleFenced(link: UpstreamLink): Promise<void> {
-		if (this.#isHandlingFenceRefusal || this.#isClosed) {
+	async #handleFenced(link: UpstreamLink, fence: number): Promise<void> {
+		// An order that was sent before the fence was raised says nothing about the present one.
+		if (this.#isHandlingFenceRefusal || this.#isClosed || fence < this.#fence) {
 			return;
 		}
 
+		if (link.getLastPollAt() > this.#fenceSetAt) {
+			this.#fenceStep = initialFenceStep;
+		}
+
 		this.#isHandlingFenceRefusal = true;
 		this.#options.log.info({pool: this.#options.pool, upstream: link.description.id, fence: this.#fence}, 'fence refused');
 		await sleep(this.#options.clock, fenceRefusalDelayMs);
@@ -719,26 +726,55 @@
 	 * carried out afterwards. Jobs that arrive at the same time share the polls.
 	 */
 	async #pollAboveFence(priorFence: number, since: number): Promise<void> {
-		if (this.#fence <= priorFence) {
-			await this.#raiseFenceAbove(priorFence);
+		this.#priorFence = Math.max(this.#priorFence, priorFence);
+		if (this.#fence <= priorFence && this.#fence < maxFence) {
+			this.#raisingFence ??= this.#raiseFenceAbovePrior();
+			await this.#raisingFence;
 		}
 
 		await this.#pollAllSince(since);
 	}
 
-	/** Raises the fence above another owner's, which may have started tasks of the jobs in progress. */
+	/** Raises the fence above those of earlier owners; jobs that arrive at the same time share one raise. */
+	async #raiseFenceAbovePrior(): Promise<void> {
+		do {
+			await this.#raiseFenceAbove(this.#priorFence);
+		} while (this.#fence <= this.#priorFence && this.#fence < maxFence && !this.#isClosed);
+
+		this.#raisingFence = undefined;
+		this.#scheduler.schedule();
+	}
+
+	/** Raises the fence just above another owner's, which may have started tasks of the jobs in progress. */
 	async #raiseFenceAbove(priorFence: number): Promise<void> {
-		const isOtherOwner = this.#fence < priorFence;
-		this.#isRaisingFence = true;
-		await this.raiseFence(priorFence + initialFenceStep);
+		const ownFence = this.#fence;
+		const stored = await this.#getStoredFence();
+		this.#setFence(Math.max(stored ?? 0, this.#fence, getHigherFence(priorFence)));
+		this.#options.log.warn({
+			pool: this.#options.pool, priorFence, fence: this.#fence, isStored: stored !== undefined,
+		}, 'fence raised above another owner\'s');
 		await this.#pollAll();
-		if (isOtherOwner) {
+		if (ownFence < priorFence) {
 			await Promise.all(this.#scheduler.getJobIds().map(async job => this.#recallFromNeighbours(job)));
 			this.#scheduler.adoptRuns();
 		}
+	}
 
-		this.#isRaisingFence = false;
-		this.#scheduler.schedule();
+	#setFence(fence: number): void {
+		this.#fence = fence;
+		this.#fenceSetAt = this.#options.clock.getMonotonicTime();
+	}
+
+	/** Gets a fence from the store; `undefined` if it does not answer in time, or with a number that is none. */
+	async #getStoredFence(): Promise<number | undefined> {
+		const {getStoredFence, log, pool} = this.#options;
+		const stored = await getStoredFence();
+		if (stored === undefined || isFence(stored)) {
+			return stored;
+		}
+
+		log.warn({pool, stored}, 'the store\'s revision cannot serve as a fence');
+		return undefined;
 	}
 
 	/** Polls all upstreams unless that was done since a monotonic time. */
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -83,8 +83,8 @@
 	readonly onRunRefused: (link: UpstreamLink, run: LinkedRun, reason: StartRefusal) => void;
 	/** The free capacity or the state of the upstream changed. */
 	readonly onChange: (link: UpstreamLink) => void;
-	/** Another owner has a higher fence. */
-	readonly onFenced: (link: UpstreamLink) => void;
+	/** An order was refused for its fence, since the upstream knows a higher one. */
+	readonly onFenced: (link: UpstreamLink, fence: number) => void;
 	/** The upstream became silent, or answers again. */
 	readonly onSilenceChanged: (link: UpstreamLink, isSilent: boolean) => void;
 	/** An answer showed another instance of the upstream. */
@@ -120,6 +120,14 @@
 	isStopRequested: boolean;
 };
 
+/** One send of a start. */
+type SentStart = {
+	readonly sentAt: number;
+	readonly fence: number;
+	/** Whether the start was not sent before. */
+	readonly isFirst: boolean;
+};
+
 /** Starts, stops and polls the runs of one upstream. */
 export class UpstreamLink implements RunHost {
 	/** Average ratio of the duration of tasks here to the expected one; 1 for an average upstream. */
@@ -388,9 +396,10 @@
 		// The lease of a silent upstream is not extended, so that its runs end at a known time.
 		const leaseUntilMs = this.#runs.size > 0 && !this.#isSilent ? this.#extendLease() : undefined;
 		const leaseCount = this.#leaseCount;
+		const fence = getFence();
 		const outcome = await orders.poll({
 			upstream: this.description,
-			fence: getFence(),
+			fence,
 			timeoutMs: waitMs + this.#timing.answerTimeoutMs,
 			// An upstream that left an order unanswered may have restarted, and would forget ends of the new instance that nobody has seen.
 			acknowledged: this.#lastPollAt >= this.#unansweredAt ? this.#acknowledgedPosition : 0,
@@ -401,7 +410,7 @@
 			return 'seen';
 		}
 
-		const result = this.#handlePollOutcome(outcome, sentAt);
+		const result = this.#handlePollOutcome(outcome, {sentAt, fence});
 		if (result === 'seen') {
 			this.#lastPollAt = Math.max(this.#lastPollAt, sentAt);
 		} else if (result === 'unanswered') {
@@ -414,7 +423,7 @@
 		return result;
 	}
 
-	#handlePollOutcome(outcome: PollOutcome, sentAt: number): PollResult {
+	#handlePollOutcome(outcome: PollOutcome, {sentAt, fence}: {readonly sentAt: number; readonly fence: number}): PollResult {
 		this.#checkInstance(outcome, sentAt);
 		if (outcome.kind === 'unanswered') {
 			return 'unanswered';
@@ -422,7 +431,7 @@
 
 		if (outcome.kind === 'refused') {
 			if (outcome.reason === 'fenced') {
-				this.#options.events.onFenced(this);
+				this.#options.events.onFenced(this, fence);
 				return 'fenced';
 			}
 
@@ -670,8 +679,9 @@
 				break;
 			}
 
+			const orderOptions = this.#getOrderOptions();
 			const outcome = await orders.startRun({
-				...this.#getOrderOptions(), run: {task: run.task, number: run.number}, spec: run.spec, leaseUntilMs,
+				...orderOptions, run: {task: run.task, number: run.number}, spec: run.spec, leaseUntilMs,
 			});
 			if (this.#closeController.signal.aborted || this.#runs.get(run.task) !== run) {
 				return;
@@ -690,7 +700,7 @@
 			}
 
 			if (outcome.kind !== 'unanswered') {
-				this.#handleStartAnswer(run, outcome, {sentAt, isFirst: attempts === 0});
+				this.#handleStartAnswer(run, outcome, {sentAt, fence: orderOptions.fence, isFirst: attempts === 0});
 				return;
 			}
 
@@ -705,7 +715,7 @@
 		}
 	}
 
-	#handleStartAnswer(run: LinkedRun, outcome: Exclude<OrderOutcome, {readonly kind: 'unanswered'}>, {sentAt, isFirst}: {readonly sentAt: number; readonly isFirst: boolean}): void {
+	#handleStartAnswer(run: LinkedRun, outcome: Exclude<OrderOutcome, {readonly kind: 'unanswered'}>, {sentAt, fence, isFirst}: SentStart): void {
 		const now = this.#options.clock.getMonotonicTime();
 		if (sentAt < this.#instanceSeenAt && !isFirst) {
 			// The new instance may yet carry out an earlier attempt.
@@ -732,7 +742,7 @@
 		}
 
 		if (outcome.reason === 'fenced') {
-			this.#options.events.onFenced(this);
+			this.#options.events.onFenced(this, fence);
 		}
 
 		if (!isFirst) {
@@ -793,7 +803,8 @@
 	async #confirmStop({task, number}: Run, isListed: () => boolean, onConfirmed?: () => void): Promise<boolean> {
 		for (let attempts = 0; attempts < maxSendAttempts && isListed() && !this.#closeController.signal.aborted; attempts++) {
 			const sentAt = this.#options.clock.getMonotonicTime();
-			const outcome = await this.#options.orders.stopRun({...this.#getOrderOptions(), run: {task, number}});
+			const orderOptions = this.#getOrderOptions();
+			const outcome = await this.#options.orders.stopRun({...orderOptions, run: {task, number}});
 			this.#checkInstance(outcome, sentAt);
 			if (outcome.kind === 'done') {
 				if (sentAt < this.#instanceSeenAt) {
@@ -809,7 +820,7 @@
 			if (outcome.kind === 'unanswered') {
 				this.#unansweredAt = this.#options.clock.getMonotonicTime();
 			} else if (outcome.reason === 'fenced') {
-				this.#options.events.onFenced(this);
+				this.#options.events.onFenced(this, orderOptions.fence);
 				return false;
 			}
 		}
