Bound the memory of a job before its admission

Cause: the owner created an object for each task before the admission looked at the job, and nothing bounded their sum.

Change: tasks are created after the admission, which counts them by step. A job of which any step fits no upstream is refused at once. A job with which two owners were lost goes to no third one. Long lists of preceding steps and amounts above 2^53, which overflowed the stack or made sums infinite, are bounded as well.

--- a/src/platform/decode-job.ts
+++ b/src/platform/decode-job.ts
@@ -43,7 +43,7 @@
 				taskCount: step.count,
 				needs: {cpu: step.cpu, memoryMb: step.mem_mb, accelerators: step.gpu},
 				estimateMs: step.estimate_ms,
-				after: step.after,
+				after: [...new Set(step.after)],
 				requiredLabel: step.requirements || undefined,
 				dataRack: step.affinity || undefined,
 				maxPerUpstream: step.max_per_server || undefined,
--- a/src/platform/wire-messages.ts
+++ b/src/platform/wire-messages.ts
@@ -19,10 +19,10 @@
 	times: count.default(0),
 	steps: z.array(z.object({
 		count: z.int().min(0).max(10_000).default(0),
-		cpu: count.default(0),
-		mem_mb: count.default(0),
-		gpu: count.default(0),
-		estimate_ms: count.default(0),
+		cpu: boundedAmount.default(0),
+		mem_mb: boundedAmount.default(0),
+		gpu: boundedAmount.default(0),
+		estimate_ms: boundedAmount.default(0),
 		after: z.array(z.int().min(0)).default([]),
 		requirements: z.string().default(''),
 		affinity: z.string().default(''),
@@ -31,7 +31,7 @@
 		rack_local: flag,
 		long_running: flag,
 		fills: flag,
-	})).min(1).max(1000),
+	})).min(1).max(1000).refine(steps => steps.every(({after}, position) => after.every(earlier => earlier < position)), 'a step may only depend on earlier ones'),
 });
 
 /** The operator's configuration. */
--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -25,6 +25,7 @@
 export type * from './stored-claims.js';
 export * from './offered-load.js';
 export * from './startup-owner-check.js';
+export * from './job-size.js';
 export * from './lending.js';
 export * from './pause-detector.js';
 export * from './pool-lending.js';
--- a/src/pool/pool-decoding.ts
+++ b/src/pool/pool-decoding.ts
@@ -114,13 +114,13 @@
 	}
 
 	const {taskCount, needs, estimateMs, after, requiredLabel, dataRack, maxPerUpstream} = value;
-	return isInteger(taskCount) && taskCount >= 0 && taskCount <= maxTasks && isNeeds(needs) && isNonNegative(estimateMs)
+	return isInteger(taskCount) && taskCount >= 0 && taskCount <= maxTasks && isNeeds(needs) && isAmount(estimateMs)
 		&& Array.isArray(after) && after.every(step => isInteger(step) && step >= 0)
 		&& isOptional(requiredLabel, isName) && isOptional(dataRack, isName) && isOptional(maxPerUpstream, isInteger);
 }
 
 function isNeeds(value: unknown): boolean {
-	return isRecord(value) && isNonNegative(value.cpu) && isNonNegative(value.memoryMb) && isNonNegative(value.accelerators);
+	return isRecord(value) && isAmount(value.cpu) && isAmount(value.memoryMb) && isAmount(value.accelerators);
 }
 
 function isPoolLoad(value: unknown): value is PoolLoad {
@@ -177,6 +177,10 @@
 	return isNumber(value) && value >= 0;
 }
 
+function isAmount(value: unknown): boolean {
+	return isNonNegative(value) && value <= Number.MAX_SAFE_INTEGER;
+}
+
 function isInteger(value: unknown): value is number {
 	return Number.isSafeInteger(value);
 }
--- a/src/pool/pool-job.ts
+++ b/src/pool/pool-job.ts
@@ -94,9 +94,18 @@
 export function getCriticalPathMs(steps: readonly JobStep[]): number {
 	const ends: number[] = [];
 	for (const step of steps) {
-		const startMs = Math.max(0, ...step.after.map(position => ends[position] ?? 0));
-		ends.push(startMs + step.estimateMs);
+		ends.push(getLatest(step.after.map(position => ends[position] ?? 0)) + step.estimateMs);
 	}
 
-	return Math.max(0, ...ends);
+	return getLatest(ends);
+}
+
+/** A list in a message may be too long for the arguments of a call. */
+function getLatest(ends: readonly number[]): number {
+	let latest = 0;
+	for (const end of ends) {
+		latest = Math.max(latest, end);
+	}
+
+	return latest;
 }
--- a/src/pool/pool-messages.ts
+++ b/src/pool/pool-messages.ts
@@ -28,12 +28,15 @@
 const count = z.number().min(0);
 const name = z.string().max(256);
 
-const needsSchema = z.object({cpu: count, memoryMb: count, accelerators: count}).readonly();
+/** Amount whose sum over all tasks of a process is finite. */
+const amount = count.max(Number.MAX_SAFE_INTEGER);
+
+const needsSchema = z.object({cpu: amount, memoryMb: amount, accelerators: amount}).readonly();
 
 const stepSchema = z.object({
 	taskCount: z.int().min(0).max(10_000),
 	needs: needsSchema,
-	estimateMs: count,
+	estimateMs: amount,
 	after: z.array(z.int().min(0)).readonly(),
 	requiredLabel: name.optional(),
 	dataRack: name.optional(),
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -9,6 +9,7 @@
 import {CrashLedger} from './crash-ledger.js';
 import {CrashReports} from './crash-reports.js';
 import {type DecisionLog} from './decision-log.js';
+import {JobSizeBudget} from './job-size.js';
 import {PauseDetector} from './pause-detector.js';
 import {PoolCandidates} from './pool-candidates.js';
 import {decodePoolClaims, decodeSubmitRequest} from './pool-decoding.js';
@@ -116,6 +117,7 @@
 	#claimsRenewedAt = 0;
 	readonly #candidates: PoolCandidates;
 	readonly #ledger: CrashLedger;
+	readonly #jobSizes = new JobSizeBudget();
 	readonly #crashReports: CrashReports;
 	readonly #lending: PoolLending;
 	readonly #router: PoolRouter;
@@ -177,6 +179,7 @@
 			hasReachableVm: pool => this.#hasReachableVm(pool),
 			hasCededPools: () => this.#cededPools.size > 0,
 			pauses: this.#pauses,
+			jobSizes: this.#jobSizes,
 		});
 		this.#timer = this.#setTimer();
 		this.#subscription = options.peers.getMemberStream().subscribe({
@@ -601,6 +604,7 @@
 			onFenced: async () => this.#handleFenced(pool, owner),
 			neighbours: this.#lending.createNeighbours(pool),
 			ledger: this.#ledger,
+			jobSizes: this.#jobSizes,
 			getPausedAt: () => this.#pauses.getDetectedAt(),
 			getStoppedMs: () => this.#pauses.getStoppedMs(),
 		}, [...getUpstreams(pool), ...getMissingUpstreams(pool)]);
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -7,6 +7,7 @@
 import {getHigherFence, isFence, maxFence} from './fence.js';
 import {FormerLinks} from './former-links.js';
 import {type InstanceSign} from './instance-runs.js';
+import {type JobSizeBudget} from './job-size.js';
 import {
 	type LentTask, getLostRunTimeoutMs, type LendOutcome, noNeighbours, type PoolNeighbours,
 } from './lending.js';
@@ -42,6 +43,8 @@
 	readonly neighbours?: PoolNeighbours;
 	/** Runs that failed or were lost with their upstreams, known to all owners of this process; by default, only to this owner. */
 	readonly ledger?: CrashLedger;
+	/** Limits the jobs of this process; by default, only those of this owner. */
+	readonly jobSizes?: JobSizeBudget;
 	/** Gets the monotonic time at which the last pause of this process was detected, `-Infinity` for none; by default, no pause is detected. */
 	readonly getPausedAt?: () => number;
 	/** Gets the time in which the monotonic clock of this process stood still so far, in milliseconds; by default 0. */
@@ -165,6 +168,7 @@
 			neighbours: this.#neighbours,
 			ledger: this.#ledger,
 			lostRunTimeoutMs: this.#lostRunTimeoutMs,
+			jobSizes: options.jobSizes,
 		});
 		this.#pendingUpstreams = upstreams;
 		this.#ready = this.#takeOver();
--- a/src/pool/pool-router.ts
+++ b/src/pool/pool-router.ts
@@ -7,6 +7,7 @@
 import {type CrashLedger} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
 import {isSinglePoolJob} from './lending.js';
+import {getJobSize, JobSizeBudget, maxJobSize} from './job-size.js';
 import {type PauseDetector} from './pause-detector.js';
 import {choosePool, type JobDemand, type PoolView} from './pool-choice.js';
 import {decodeSubmitAnswer} from './pool-decoding.js';
@@ -39,6 +40,8 @@
 	readonly hasCededPools: () => boolean;
 	/** Detects pauses of this process. */
 	readonly pauses: PauseDetector;
+	/** Limits the jobs of this process; by default, only those that this router submits. */
+	readonly jobSizes?: JobSizeBudget;
 };
 
 /** Time for which a job waits until any pool has an owner, in milliseconds: two heartbeats and an election. */
@@ -48,6 +51,9 @@
 const ownerTimeoutMs = 800;
 const ownerPollIntervalMs = 20;
 
+/** Number of owners that may be lost with a job before it is given up: its tasks may be what ends them. */
+const maxLostOwners = 2;
+
 /** Number of pools that a job is submitted to before it is refused. */
 const maxPoolsTried = 3;
 
@@ -67,9 +73,11 @@
 /** Submits jobs to the owners of pools. */
 export class PoolRouter {
 	readonly #options: PoolRouterOptions;
+	readonly #jobSizes: JobSizeBudget;
 
 	constructor(options: PoolRouterOptions) {
 		this.#options = options;
+		this.#jobSizes = options.jobSizes ?? new JobSizeBudget();
 	}
 
 	/**
@@ -79,6 +87,23 @@
 	 * @param signal - Aborts when the caller disconnects.
 	 */
 	async submit(job: PoolJobRequest, remainingMs: number, signal: AbortSignal): Promise<PoolJobOutcome> {
+		const jobSizes = this.#jobSizes;
+		// Here a job takes the memory of its steps only.
+		const size = job.steps.length;
+		if (getJobSize(job.steps) > maxJobSize || !jobSizes.fits(size)) {
+			this.#options.log.info({job: job.id, size: getJobSize(job.steps), total: jobSizes.getTotal()}, 'job refused for its size');
+			return createRefusal(jobSizes.fits(size) ? 'does-not-fit' : 'overloaded');
+		}
+
+		jobSizes.add(size);
+		try {
+			return await this.#submitWithinBudget(job, remainingMs, signal);
+		} finally {
+			jobSizes.remove(size);
+		}
+	}
+
+	async #submitWithinBudget(job: PoolJobRequest, remainingMs: number, signal: AbortSignal): Promise<PoolJobOutcome> {
 		const {clock, pauses} = this.#options;
 		const arrivedAt = clock.getMonotonicTime();
 		const stoppedMs = pauses.getStoppedMs();
@@ -165,8 +190,9 @@
 	async #submitToPool(pool: string, {getSubmitted, sender}: Submission, signal: AbortSignal): Promise<PoolJobOutcome> {
 		let priorFence = 0;
 		let previous: Ownership | undefined;
-		const {clock} = this.#options;
+		const {clock, log} = this.#options;
 		let retryUntil = Infinity;
+		const lostOwners = new Set<string>();
 		for (;;) {
 			const owner = clock.getMonotonicTime() > retryUntil ? undefined : await this.#waitForOwner(pool, previous, signal);
 			if (owner === undefined) {
@@ -179,6 +205,11 @@
 				return priorFence > 0 ? {kind: 'interrupted', reason: 'the deadline of the caller has passed'} : createRefusal('deadline');
 			}
 
+			if (lostOwners.size >= maxLostOwners && !lostOwners.has(owner.ownerId)) {
+				log.warn({job: submitted.id, pool, owners: [...lostOwners]}, 'job given up whose owners were lost');
+				return {kind: 'interrupted', reason: 'the owners of the pool were lost with the job'};
+			}
+
 			previous = owner;
 			const result = await this.#sendToOwner(pool, owner, {submitted, sender}, signal);
 			if (result.kind === 'answered' && result.outcome.kind !== 'moved') {
@@ -192,6 +223,10 @@
 				return {kind: 'interrupted', reason: 'the caller has gone'};
 			}
 
+			if (result.kind === 'lost') {
+				lostOwners.add(owner.ownerId);
+			}
+
 			if (result.kind === 'not_sent' && priorFence === 0) {
 				return createRefusal('not-owner');
 			}
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -8,6 +8,7 @@
 } from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
 import {DurationEstimator} from './duration-estimator.js';
+import {getJobSize, JobSizeBudget, maxJobSize} from './job-size.js';
 import {
 	type LentTask, isSinglePoolJob, type LendOutcome, type LendRefusal, type NeighbourCapacity, type PoolNeighbours,
 } from './lending.js';
@@ -48,6 +49,8 @@
 	readonly ledger: CrashLedger;
 	/** Time after which a run in a pool that has become unreachable has ended, in milliseconds. */
 	readonly lostRunTimeoutMs: number;
+	/** Limits the jobs of this process; by default, only those of this scheduler. */
+	readonly jobSizes?: JobSizeBudget;
 };
 
 /** Load of a pool as its owner reports it. */
@@ -110,6 +113,7 @@
 	readonly #estimator = new DurationEstimator();
 	readonly #offeredLoad = new OfferedLoad();
 	readonly #jobs = new Map<string, QueuedJob>();
+	readonly #jobSizes: JobSizeBudget;
 	readonly #tasksByName = new Map<string, {readonly job: QueuedJob; readonly task: JobTask}>();
 	readonly #neighbourPools: NeighbourPools;
 	/** Runs of other pools' tasks on upstreams of this pool. */
@@ -131,6 +135,7 @@
 
 	constructor(options: PoolSchedulerOptions) {
 		this.#options = options;
+		this.#jobSizes = options.jobSizes ?? new JobSizeBudget();
 		this.#stoppedMs = options.getStoppedMs();
 		this.#lentRuns = new LentRuns(options);
 		this.#suspectPlacement = new SuspectPlacement(options);
@@ -285,6 +290,12 @@
 			return {kind: 'interrupted', reason: 'an earlier copy of the job runs here for another pool'};
 		}
 
+		const size = getJobSize(submitted.steps);
+		if (size > maxJobSize || !this.#jobSizes.fits(size)) {
+			this.#options.log.info({job: submitted.id, size, total: this.#jobSizes.getTotal()}, 'job refused for its size');
+			return {kind: 'refused', reason: size > maxJobSize ? 'does-not-fit' : 'overloaded', retryAfterMs: minRetryAfterMs};
+		}
+
 		const job = new QueuedJob(submitted, this.#options.clock.getMonotonicTime(), this.#estimator);
 		if (submitted.priorFence > 0 || this.hasUnclaimedRuns(submitted.id)) {
 			this.#adoptRuns(job);
@@ -294,10 +305,10 @@
 		this.#options.log.info({
 			job: job.request.id,
 			route: job.request.rules.route,
-			tasks: job.tasks.length,
+			tasks: job.taskCount,
 			ageMs: Math.round(submitted.ageMs),
 			priorFence: submitted.priorFence,
-			adopted: job.tasks.filter(({run}) => run !== undefined).length,
+			adopted: job.getRunCount(),
 			...this.#describeConfirmation(sender),
 			...decision,
 		}, decision.isAdmitted ? 'job admitted' : 'job refused');
@@ -306,6 +317,7 @@
 		}
 
 		this.#addStoppedTime();
+		this.#jobSizes.add(job.size);
 		this.#jobs.set(job.request.id, job);
 		this.#updateAverageTaskCpu(job.request.steps[0]!);
 		this.#offeredLoad.addWork(job.priority, job.remainingWork, this.#options.clock.getMonotonicTime());
@@ -472,6 +484,7 @@
 		this.#unsubscribe();
 		this.#sweepTimer.close();
 		for (const job of this.#jobs.values()) {
+			this.#jobSizes.remove(job.size);
 			job.settle({kind: 'moved', hasStarted: job.hasStarted});
 		}
 
@@ -482,10 +495,10 @@
 	}
 
 	/** Sends a task to no pool that it does not fit until the upstreams there may have changed. */
-	#avoidTemporarily({avoided}: JobTask, host: RunHost): void {
-		avoided.add(host.name);
+	#avoidTemporarily(task: JobTask, host: RunHost): void {
+		avoidHost(task, host);
 		this.#options.clock.setTimer(() => {
-			avoided.delete(host.name);
+			task.avoided = new Set([...task.avoided].filter(name => name !== host.name));
 		}, unfitRetryMs);
 	}
 
@@ -648,11 +661,10 @@
 			}
 		}
 
-		const largest = job.request.steps.map(({needs}) => needs).toSorted((a, b) => b.cpu - a.cpu)[0]!;
 		const acceptingLinks = this.#getAcceptingLinks().filter(link => servesJob(link, job));
 		const ownCores = acceptingLinks.reduce((sum, {description}) => sum + (description.capacity.cpu / 1000), 0);
 		const otherCores = isSinglePoolJob(job.request) ? 0 : this.#options.neighbours.getCores();
-		const fittingUpstreams = acceptingLinks.filter(({description}) => fits(largest, description.capacity)).length;
+		const fittingUpstreams = Math.min(...job.request.steps.map(({needs}) => acceptingLinks.filter(({description}) => fits(needs, description.capacity)).length));
 		return decideAdmission({
 			// Without upstreams of its own, a pool relies on those of other pools.
 			fittingUpstreams: acceptingLinks.length === 0 && otherCores > 0 ? 1 : fittingUpstreams,
@@ -688,17 +700,17 @@
 		const borrowable = this.#getBorrowableCapacities(job).map(({cpu}) => ({cpu, memoryMb: Infinity, accelerators: 0}));
 		const free = [...openLinks.map(link => ({...link.getFreeCapacity()})), ...borrowable];
 		let work = 0;
-		for (const task of job.tasks) {
-			const {needs, estimateMs} = job.getStep(task);
-			const capacity = free.find(candidate => fits(needs, candidate));
-			if (capacity === undefined) {
-				work += needs.cpu / 1000 * estimateMs;
-				continue;
+		for (const {step: {needs, estimateMs}, count} of job.getWaitingSteps()) {
+			let unplacedCount = count;
+			for (const capacity of free) {
+				const placedCount = Math.min(unplacedCount, countFitting(needs, capacity));
+				unplacedCount -= placedCount;
+				capacity.cpu -= needs.cpu * placedCount;
+				capacity.memoryMb -= needs.memoryMb * placedCount;
+				capacity.accelerators -= needs.accelerators * placedCount;
 			}
 
-			capacity.cpu -= needs.cpu;
-			capacity.memoryMb -= needs.memoryMb;
-			capacity.accelerators -= needs.accelerators;
+			work += unplacedCount * needs.cpu / 1000 * estimateMs;
 		}
 
 		return work;
@@ -877,7 +889,7 @@
 
 	#handleUnsuccessfulRun({job, task}: {readonly job: QueuedJob; readonly task: JobTask}, host: RunHost, run: LinkedRun, end: RunEnd): void {
 		if (end === 'failed' || host instanceof UpstreamLink) {
-			task.avoided.add(host.name);
+			avoidHost(task, host);
 		}
 
 		if (end === 'failed') {
@@ -981,7 +993,10 @@
 	}
 
 	#remove(job: QueuedJob): void {
-		this.#jobs.delete(job.request.id);
+		if (this.#jobs.delete(job.request.id)) {
+			this.#jobSizes.remove(job.size);
+		}
+
 		for (const {name} of job.tasks) {
 			this.#tasksByName.delete(name);
 		}
@@ -1067,7 +1082,7 @@
 			const age = {ageMs: now - run.startedAt, expectedMs: job.getExpectedMs(task), siblingMs: job.longestRunMs};
 			if (isOverdue(age)) {
 				this.#options.log.info({task: task.name, upstream: host.name, ...age}, 'run overdue');
-				task.avoided.add(host.name);
+				avoidHost(task, host);
 				this.#recordFailure(host);
 				host.stop(run, true);
 			}
@@ -1089,6 +1104,17 @@
 	return memoryMb < 0 || accelerators < 0 ? 0 : Math.max(0, cpu);
 }
 
+/** Starts a task elsewhere than on a host as far as possible. */
+function avoidHost(task: JobTask, {name}: RunHost): void {
+	task.avoided = new Set([...task.avoided, name]);
+}
+
+/** Gets how many tasks fit into a free capacity. */
+function countFitting({cpu, memoryMb, accelerators}: TaskNeeds, free: TaskNeeds): number {
+	const count = (need: number, available: number): number => need === 0 ? (available < 0 ? 0 : Infinity) : Math.max(0, Math.floor(available / need));
+	return Math.min(count(cpu, free.cpu), count(memoryMb, free.memoryMb), count(accelerators, free.accelerators));
+}
+
 /** Gets whether an upstream belongs to the service of a job's route. */
 function servesJob({description}: UpstreamLink, {request: req}: QueuedJob): boolean {
 	return description.service === req.rules.service;
--- a/src/pool/queued-job.ts
+++ b/src/pool/queued-job.ts
@@ -2,6 +2,7 @@
  * The state of a job that a pool's owner has admitted.
  */
 import {type DurationEstimator} from './duration-estimator.js';
+import {getJobSize} from './job-size.js';
 import {
 	getCriticalPathMs, type JobStep, type PoolJobOutcome, type PoolJobRequest, type SubmittedJob,
 } from './pool-job.js';
@@ -22,7 +23,7 @@
 	host: RunHost | undefined;
 	run: LinkedRun | undefined;
 	/** Names of upstreams and pools on which a run was unsuccessful or took too long, and of pools that the task did not fit a moment ago. */
-	readonly avoided: Set<string>;
+	avoided: ReadonlySet<string>;
 };
 
 /** Receives the outcome of a job. */
@@ -31,10 +32,13 @@
 /** Multiple of the objective after which an answer has no value to its caller, by the users' rules. */
 const maxUsefulObjectives = 3;
 
+const noNames: ReadonlySet<string> = new Set();
+
 /** A job with its tasks and the callers that wait for it. */
 export class QueuedJob implements OrderedJob {
 	readonly request: PoolJobRequest;
-	readonly tasks: readonly JobTask[];
+	/** Number of tasks and steps. */
+	readonly size: number;
 	/** Listeners of waiting callers and the senders that they wait at. */
 	readonly listeners = new Map<JobListener, JobSender>();
 	/** Smallest CPU need of the job's tasks, in thousandths of a core. */
@@ -55,8 +59,9 @@
 	#stoppedMs = 0;
 	readonly #estimator: DurationEstimator;
 	readonly #waitingCounts: number[];
+	readonly #doneCounts: number[];
 	readonly #criticalPathMs: number;
-	#doneCount = 0;
+	#tasks: readonly JobTask[] | undefined;
 
 	/**
 	 * @param submitted - Job as submitted.
@@ -71,7 +76,20 @@
 		this.#waitingCounts = submitted.steps.map(({taskCount}) => taskCount);
 		this.#criticalPathMs = getCriticalPathMs(submitted.steps);
 		this.minTaskCpu = Math.min(...submitted.steps.map(({needs}) => needs.cpu));
-		this.tasks = submitted.steps.flatMap((step, stepPosition) => Array.from({length: step.taskCount}, (_, index) => createTask(submitted.id, stepPosition, index)));
+		this.#doneCounts = submitted.steps.map(() => 0);
+		this.size = getJobSize(submitted.steps);
+	}
+
+	/** Tasks of the job, which are created at the first use: a job that is refused needs none. */
+	get tasks(): readonly JobTask[] {
+		const {id, steps} = this.request;
+		this.#tasks ??= steps.flatMap((step, stepPosition) => Array.from({length: step.taskCount}, (_, index) => createTask(id, stepPosition, index)));
+		return this.#tasks;
+	}
+
+	/** Number of tasks. */
+	get taskCount(): number {
+		return this.size - this.request.steps.length;
 	}
 
 	get arrivedAt(): number {
@@ -130,6 +148,11 @@
 		return this.#waitingCounts.some(count => count > 0);
 	}
 
+	/** Gets the steps with the number of their tasks that wait to be started. */
+	getWaitingSteps(): ReadonlyArray<{readonly step: JobStep; readonly count: number}> {
+		return this.request.steps.map((step, position) => ({step, count: this.#waitingCounts[position]!}));
+	}
+
 	/** Expected core-milliseconds of the tasks that wait to be started. */
 	get remainingWork(): number {
 		let work = 0;
@@ -148,7 +171,7 @@
 	 */
 	setStatus(task: JobTask, status: JobTask['status']): void {
 		this.#waitingCounts[task.stepPosition]! += Number(status === 'waiting') - Number(task.status === 'waiting');
-		this.#doneCount += Number(status === 'done') - Number(task.status === 'done');
+		this.#doneCounts[task.stepPosition]! += Number(status === 'done') - Number(task.status === 'done');
 		task.status = status;
 	}
 
@@ -178,7 +201,8 @@
 
 	/** Gets the waiting tasks whose preceding steps are done. */
 	getReadyTasks(): readonly JobTask[] {
-		return this.tasks.filter(task => task.status === 'waiting' && this.#isReady(this.getStep(task)));
+		const areReady = this.request.steps.map(step => this.#isReady(step));
+		return this.tasks.filter(({status, stepPosition}) => status === 'waiting' && areReady[stepPosition]);
 	}
 
 	/**
@@ -195,14 +219,19 @@
 		return false;
 	}
 
+	/** Gets the number of tasks that have a run. */
+	getRunCount(): number {
+		return this.#tasks?.filter(({run}) => run !== undefined).length ?? 0;
+	}
+
 	/** Gets whether any task has a run. */
 	hasRuns(): boolean {
-		return this.tasks.some(({run}) => run !== undefined);
+		return this.#tasks?.some(({run}) => run !== undefined) ?? false;
 	}
 
 	/** Gets whether all tasks are done. */
 	isDone(): boolean {
-		return this.#doneCount === this.tasks.length;
+		return this.request.steps.every((_, position) => this.#isStepDone(position));
 	}
 
 	/**
@@ -233,12 +262,16 @@
 	}
 
 	#isReady({after}: JobStep): boolean {
-		return after.every(position => this.tasks.every(task => task.stepPosition !== position || task.status === 'done'));
+		return after.every(position => this.#isStepDone(position));
+	}
+
+	#isStepDone(position: number): boolean {
+		return this.#doneCounts[position] === this.request.steps[position]?.taskCount;
 	}
 }
 
 function createTask(id: string, stepPosition: number, index: number): JobTask {
 	return {
-		name: `${id}.0.${stepPosition}.${index}`, stepPosition, status: 'waiting', lastRunNumber: 0, failures: 0, host: undefined, run: undefined, avoided: new Set(),
+		name: `${id}.0.${stepPosition}.${index}`, stepPosition, status: 'waiting', lastRunNumber: 0, failures: 0, host: undefined, run: undefined, avoided: noNames,
 	};
 }
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -120,6 +120,10 @@
 	t.is(decodeJob('a', JSON.stringify({...body, best_effort: false}), rules).kind, 'unsupported');
 	t.is(decodeJob('a', JSON.stringify({...body, steps: [{count: 1, gang: true}]}), rules).kind, 'unsupported');
 	t.is(decodeJob('a', JSON.stringify({...body, steps: [{count: -1}]}), rules).kind, 'invalid');
+	t.is(decodeJob('a', JSON.stringify({...body, steps: [{count: 1, after: [0]}]}), rules).kind, 'invalid');
+	t.is(decodeJob('a', JSON.stringify({...body, steps: [{count: 1, cpu: 1e300}]}), rules).kind, 'invalid');
+	const repeated = decodeJob('a', JSON.stringify({...body, steps: [{count: 1}, {count: 1, after: Array.from({length: 130_000}, () => 0)}]}), rules);
+	t.deepEqual(repeated.kind === 'job' && repeated.job.steps[1]!.after, [0]);
 	t.is(decodeJob('a', '{', rules).kind, 'invalid');
 });
 
