Disturb links, processors and callers in the soak of processes

The users' double runs with real processes came beside broken job connections, late VMs and many callers, none of which the soak had. The faults of a seed without it stay as they were.

--- a/bench/soak-processes/caller.ts
+++ b/bench/soak-processes/caller.ts
@@ -16,8 +16,7 @@
 const usualDeadlineMs = 1500;
 const patientDeadlineMs = 20_000;
 
-/** Time from the deadline until a caller abandons a submission, in milliseconds, because the VM may answer late. */
-const lateAnswerMs = 2500;
+const defaultLateAnswerMs = 2500;
 
 /** Time from the end of an unanswered submission until the job is submitted again, in milliseconds; the documented `resend_ms`. */
 const resubmitMs = 1300;
@@ -37,6 +36,8 @@
 	readonly meanPauseMs: number;
 	/** Whether it waits for long. */
 	readonly isPatient: boolean;
+	/** Time from the deadline until it abandons a submission, in milliseconds, because the VM may answer late. */
+	readonly lateAnswerMs?: number;
 	readonly onSubmission: (submission: Submission) => void;
 };
 
@@ -64,6 +65,11 @@
 		await this.#connection?.client.destroy();
 	}
 
+	/** Resets its connection, also while it waits for an answer. */
+	resetConnection(): void {
+		void this.#connection?.client.destroy();
+	}
+
 	/** Stops after the current job. */
 	close(): void {
 		this.#isClosed = true;
@@ -92,7 +98,8 @@
 	async #submitOnce(job: string, kind: JobKind): Promise<Submission | undefined> {
 		const connection = this.#connect();
 		const requestedAt = getSharedTime();
-		const result = await submitJob(connection.client, job, kind, this.#options.isPatient ? patientDeadlineMs : usualDeadlineMs);
+		const {isPatient, lateAnswerMs} = this.#options;
+		const result = await submitJob(connection.client, job, kind, {deadlineMs: isPatient ? patientDeadlineMs : usualDeadlineMs, lateAnswerMs});
 		if (!connection.isOpen || result.end === 'left') {
 			this.#connection = undefined;
 			void connection.client.destroy();
@@ -136,10 +143,10 @@
  * @param client - Connection to an entry VM.
  * @param job - Identifier of the job.
  * @param kind - Kind of the job.
- * @param deadlineMs - Time for which the caller waits, in milliseconds.
+ * @param limits - Deadline, and time from it until the submission is abandoned, in milliseconds.
  * @returns How the submission ended.
  */
-export async function submitJob(client: Client, job: string, {taskCount, durationMs}: JobKind, deadlineMs = usualDeadlineMs): Promise<Pick<Submission, 'end' | 'status' | 'state'>> {
+export async function submitJob(client: Client, job: string, {taskCount, durationMs}: JobKind, {deadlineMs = usualDeadlineMs, lateAnswerMs = defaultLateAnswerMs} = {}): Promise<Pick<Submission, 'end' | 'status' | 'state'>> {
 	const signal = AbortSignal.timeout(deadlineMs + lateAnswerMs);
 	let status: number | undefined;
 	try {
--- a/bench/soak-processes/main.ts
+++ b/bench/soak-processes/main.ts
@@ -14,6 +14,8 @@
 	readonly upstreams: string;
 	readonly callers: string;
 	readonly patient: string;
+	readonly links: string;
+	readonly pause: string;
 	readonly keep?: boolean;
 };
 
@@ -49,6 +51,8 @@
 	.option('--upstreams <count>', 'upstreams of each data centre', '18')
 	.option('--callers <count>', 'callers', '12')
 	.option('--patient <count>', 'further callers that wait for 20 s', '0')
+	.option('--links <count>', 'faults of links between VMs, of their processors and of callers\' connections in each series', '0')
+	.option('--pause <ms>', 'mean time between two jobs of a caller', '600')
 	.option('--keep', 'keep the logs even without violations')
 	.parse();
 const options = program.opts<Options>();
@@ -61,6 +65,8 @@
 		callerCount: Number(options.callers),
 		patientCallerCount: Number(options.patient),
 		keepsLogs: options.keep ?? false,
+		linkFaultCount: Number(options.links),
+		meanCallerPauseMs: Number(options.pause),
 	});
 	printResult(seed, result);
 	if (result.violations.length > 0) {
--- a/bench/soak-processes/plan.ts
+++ b/bench/soak-processes/plan.ts
@@ -24,9 +24,10 @@
 const answerKinds = ['odd-answers', 'odd-entries', 'answers-overtake', 'two-lives'] as const;
 
 const workloadKinds = ['deadly-jobs', 'capacity-shrinks'] as const;
+const linkKinds = ['link-reset', 'link-silent', 'link-one-way', 'link-slow', 'processor-late', 'callers-reset', 'freeze'] as const;
 
 /** Kind of a fault. */
-export type SoakFaultKind = typeof vmKinds[number] | typeof storeKinds[number] | typeof upstreamKinds[number] | typeof answerKinds[number] | typeof workloadKinds[number];
+export type SoakFaultKind = typeof vmKinds[number] | typeof storeKinds[number] | typeof upstreamKinds[number] | typeof answerKinds[number] | typeof workloadKinds[number] | typeof linkKinds[number];
 
 /** Options of {@link createFaultPlan}. */
 export type FaultPlanOptions = {
@@ -36,6 +37,8 @@
 	readonly vmCount: number;
 	readonly upstreamCount: number;
 	readonly lengthMs: number;
+	/** Faults of links between VMs, of their processors and of callers' connections, each of one or two; none by default. */
+	readonly linkFaultCount?: number;
 };
 
 /** Share of the series with planned stops only, in which no other fault excuses a request that is broken off. */
@@ -46,6 +49,7 @@
 const seedFactor = 2_654_435_769;
 const answerSeedFactor = 2_246_822_519;
 const workloadSeedFactor = 3_266_489_917;
+const linkSeedFactor = 668_265_263;
 const maxSeries = 1000;
 
 /** Longest time for which a capacity is small, in milliseconds. */
@@ -60,7 +64,8 @@
 	const otherFaults = hasPlannedStopsOnly ? [] : Array.from({length: 4 + Math.floor(random.getFloat() * 6)}, () => createFault(options, random));
 	const answerFaults = hasPlannedStopsOnly ? [] : createAnswerFaults(options);
 	const workloadFaults = hasPlannedStopsOnly ? [] : createWorkloadFaults(options);
-	return [...rollingRestart, ...otherFaults, ...answerFaults, ...workloadFaults].toSorted((a, b) => a.atMs - b.atMs);
+	const linkFaults = hasPlannedStopsOnly ? [] : createLinkFaults(options);
+	return [...rollingRestart, ...otherFaults, ...answerFaults, ...workloadFaults, ...linkFaults].toSorted((a, b) => a.atMs - b.atMs);
 }
 
 /** Creates a rolling restart: planned stops of one VM after another, 1 to 2 s apart. */
@@ -129,6 +134,24 @@
 	});
 }
 
+/** Creates faults of links, processors and callers' connections, drawn apart too. Half of them come in pairs, on VMs of one data centre. */
+function createLinkFaults({seed, series, vmCount, lengthMs, linkFaultCount = 0}: FaultPlanOptions): readonly PlannedFault[] {
+	const random = createSeededRandom(Math.imul((seed * maxSeries) + series, linkSeedFactor));
+	random.getFloat();
+	return Array.from({length: linkFaultCount}, (): readonly PlannedFault[] => {
+		const target = Math.floor(random.getFloat() * vmCount);
+		const firstMs = drawInteger(random, 0, lengthMs);
+		return Array.from({length: 1 + Math.floor(random.getFloat() * 2)}, (_, index): PlannedFault => ({
+			kind: pick<SoakFaultKind>(random, linkKinds),
+			atMs: Math.min(lengthMs, firstMs + (index * drawInteger(random, 50, 900))),
+			durationMs: drawInteger(random, 300, 3500),
+			target: (target + (index * 3)) % vmCount,
+			count: 1 + Math.floor(random.getFloat() * (vmCount - 1)),
+			isLapsing: random.getFloat() < 0.5,
+		}));
+	}).flat();
+}
+
 /**
  * Gets whether the upstreams of a soak refuse what exceeds their capacity.
  * @param seed - Seed of the soak.
--- a/bench/soak-processes/soak-run.ts
+++ b/bench/soak-processes/soak-run.ts
@@ -9,7 +9,7 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {Client} from 'undici';
-import {createSeededRandom} from '../../src/seams/index.js';
+import {createSeededRandom, type Random} from '../../src/seams/index.js';
 import {type StoreFaults} from '../../src/testing/index.js';
 import {Balancer} from './balancer.js';
 import {Caller, submitJob} from './caller.js';
@@ -23,7 +23,8 @@
 import {
 	areUpstreamsGuarded, createFaultPlan, type SoakFaultKind, type PlannedFault,
 } from './plan.js';
-import {VmProcess} from './vm-process.js';
+import {LinkProxies} from './link-proxies.js';
+import {peerPort, VmProcess} from './vm-process.js';
 import {type UpstreamFaults, StandInProcess, type StandInCommand} from './stand-in-process.js';
 
 /** Options of {@link runSoak}. */
@@ -37,6 +38,10 @@
 	readonly callerCount?: number;
 	/** Number of further callers that wait for long; none by default. */
 	readonly patientCallerCount?: number;
+	/** Number of the faults of links, processors and callers' connections in each series; none by default. */
+	readonly linkFaultCount?: number;
+	/** Mean time between two jobs of a caller, in milliseconds. */
+	readonly meanCallerPauseMs?: number;
 	/** Whether the folder of the logs is kept when there are no violations. */
 	readonly keepsLogs?: boolean;
 };
@@ -55,7 +60,16 @@
 /** Longest wait for normal service, in milliseconds, even if the stand-ins stall repeatedly on a busy machine. */
 const maxWaitMs = 60_000;
 const configurationIntervalMs = 1500;
-const meanCallerPauseMs = 600;
+const defaultMeanPauseMs = 600;
+
+/** Share of the processor time that a VM is left with, and period of its suspensions in milliseconds: minimum and range. */
+const minProcessorShare = 0.15;
+const processorShareRange = 0.5;
+const minStarvedPeriodMs = 40;
+const starvedPeriodRangeMs = 500;
+
+/** Maximum delay over a slow link, in milliseconds. */
+const maxLinkDelayMs = 400;
 
 /** Consecutive completed jobs that count as normal service. */
 const requiredServedJobs = 3;
@@ -86,7 +100,8 @@
 	}
 }
 
-type StandInFault = PlannedFault & {readonly kind: Exclude<SoakFaultKind, 'stop' | 'kill' | 'freeze'>};
+type LinkFaultKind = 'link-reset' | 'link-silent' | 'link-one-way' | 'link-slow';
+type StandInFault = PlannedFault & {readonly kind: Exclude<SoakFaultKind, 'stop' | 'kill' | 'freeze' | 'processor-late' | 'callers-reset' | LinkFaultKind>};
 
 class SoakRun {
 	readonly #options: Required<SoakOptions>;
@@ -98,14 +113,17 @@
 	readonly #processEnds: ProcessEnd[] = [];
 	readonly #recoveries: Recovery[] = [];
 	readonly #callers: Caller[] = [];
+	readonly #random: Random;
+	#links: LinkProxies | undefined;
 	#balancer: Balancer | undefined;
 	#configurationVersion = 1;
 	#probeCount = 0;
 
 	constructor(options: SoakOptions) {
 		this.#options = {
-			vmCount: 9, dataCenters: ['dc1', 'dc2', 'dc3'], upstreamsPerDataCenter: 18, callerCount: 12, patientCallerCount: 0, keepsLogs: false, ...options,
+			vmCount: 9, dataCenters: ['dc1', 'dc2', 'dc3'], upstreamsPerDataCenter: 18, callerCount: 12, patientCallerCount: 0, keepsLogs: false, linkFaultCount: 0, meanCallerPauseMs: defaultMeanPauseMs, ...options,
 		};
+		this.#random = createSeededRandom(options.seed + 1);
 		this.#folder = mkdtempSync(path.join(tmpdir(), `endivemill-soak-${options.seed}-`));
 		const logFile = openSync(path.join(this.#folder, 'world.log'), 'a');
 		const {dataCenters, upstreamsPerDataCenter} = this.#options;
@@ -149,6 +167,7 @@
 	/** Kills all processes, each through its own handle. */
 	async close(): Promise<void> {
 		this.#balancer?.close();
+		this.#links?.close();
 		for (const caller of this.#callers) {
 			caller.close();
 		}
@@ -158,13 +177,18 @@
 	}
 
 	async #start(): Promise<void> {
-		const {dataCenters, vmCount, callerCount, patientCallerCount, seed} = this.#options;
+		const {dataCenters, vmCount, callerCount, patientCallerCount, seed, linkFaultCount, meanCallerPauseMs} = this.#options;
 		const storeAddress = await this.#standIns.getStoreAddress();
 		const ips = Array.from({length: vmCount}, (_, position) => getIp(position));
+		if (linkFaultCount > 0) {
+			this.#links = new LinkProxies(ips.map(ip => `${ip}:${peerPort}`));
+			await this.#links.listen();
+		}
+
 		for (const [position, ip] of ips.entries()) {
 			const dataCenter = dataCenters[position % dataCenters.length]!;
 			this.#vms.push(new VmProcess({
-				name: `edge-${dataCenter}-${Math.floor(position / dataCenters.length)}`, dataCenter, dataCenters, ip, seedIps: ips.slice(0, 3), storeAddress, folder: this.#folder,
+				name: `edge-${dataCenter}-${Math.floor(position / dataCenters.length)}`, dataCenter, dataCenters, ip, seedIps: ips.slice(0, 3), storeAddress, folder: this.#folder, linkPorts: this.#links?.getPorts(position),
 				onEnd: end => this.#processEnds.push(end),
 				onFault: fault => this.#faults.push(fault),
 			}));
@@ -185,16 +209,16 @@
 		for (let position = 0; position < callerCount + patientCallerCount; position++) {
 			this.#callers.push(new Caller({
 				name: position.toString(16).padStart(3, '0'), dataCenter: dataCenters[position % dataCenters.length]!, balancer, random: createSeededRandom((seed * 1000) + position),
-				meanPauseMs: meanCallerPauseMs, isPatient: position >= callerCount, onSubmission: submission => this.#submissions.push(submission),
+				meanPauseMs: meanCallerPauseMs, isPatient: position >= callerCount, lateAnswerMs: linkFaultCount > 0 ? 0 : undefined, onSubmission: submission => this.#submissions.push(submission),
 			}));
 		}
 	}
 
 	/** Injects the faults of a series and waits for normal service. */
 	async #runSeries(series: number, lengthMs: number): Promise<void> {
-		const {seed, vmCount, dataCenters, upstreamsPerDataCenter} = this.#options;
+		const {seed, vmCount, dataCenters, upstreamsPerDataCenter, linkFaultCount} = this.#options;
 		const plan = createFaultPlan({
-			seed, series, vmCount, upstreamCount: dataCenters.length * upstreamsPerDataCenter, lengthMs,
+			seed, series, vmCount, upstreamCount: dataCenters.length * upstreamsPerDataCenter, lengthMs, linkFaultCount,
 		});
 		await Promise.all(plan.map(async fault => {
 			await delay(fault.atMs);
@@ -225,6 +249,15 @@
 				return vm.freeze(fault.durationMs);
 			}
 
+			case 'processor-late':
+			case 'callers-reset':
+			case 'link-reset':
+			case 'link-silent':
+			case 'link-one-way':
+			case 'link-slow': {
+				return this.#injectIntoLinks(fault, fault.kind);
+			}
+
 			case 'store-away':
 			case 'store-silent':
 			case 'store-slow':
@@ -245,6 +278,68 @@
 		}
 	}
 
+	async #injectIntoLinks(fault: PlannedFault, kind: LinkFaultKind | 'processor-late' | 'callers-reset'): Promise<void> {
+		if (kind === 'callers-reset') {
+			this.#resetCallers(fault);
+			return;
+		}
+
+		if (kind === 'processor-late') {
+			const share = minProcessorShare + (this.#random.getFloat() * processorShareRange);
+			await this.#vms[fault.target % this.#vms.length]!.starve(fault.durationMs, share, minStarvedPeriodMs + (this.#random.getFloat() * starvedPeriodRangeMs));
+			return;
+		}
+
+		await this.#disturbLinks(fault, kind);
+	}
+
+	/** Resets the connections of some callers. */
+	#resetCallers({isLapsing}: PlannedFault): void {
+		const at = getSharedTime();
+		for (const caller of this.#callers) {
+			if (isLapsing || this.#random.getFloat() < 0.3) {
+				caller.resetConnection();
+			}
+		}
+
+		this.#faults.push({
+			kind: 'callers-reset', target: '', at, until: getSharedTime(),
+		});
+	}
+
+	/** Disturbs the link of a VM to another one, or all of its links. */
+	async #disturbLinks({target, count, durationMs, isLapsing}: PlannedFault, kind: LinkFaultKind): Promise<void> {
+		const links = this.#links!;
+		const at = getSharedTime();
+		const vmCount = this.#vms.length;
+		const vm = target % vmCount;
+		const others = [...this.#vms.keys()].filter(position => position !== vm && (isLapsing || position === (vm + count) % vmCount));
+		for (const other of others) {
+			if (kind === 'link-reset') {
+				links.reset(vm, other);
+			} else if (kind === 'link-slow') {
+				const delayMs = this.#random.getFloat() * maxLinkDelayMs;
+				links.delay(vm, other, delayMs);
+				links.delay(other, vm, delayMs);
+			} else {
+				links.hold(vm, other, true);
+				links.hold(other, vm, kind === 'link-silent');
+			}
+		}
+
+		await delay(kind === 'link-reset' ? 0 : durationMs);
+		for (const other of others) {
+			for (const [from, to] of [[vm, other], [other, vm]] as const) {
+				links.hold(from, to, false);
+				links.delay(from, to, 0);
+			}
+		}
+
+		this.#faults.push({
+			kind, target: `${this.#vms[vm]!.getName()} ${isLapsing ? 'all' : this.#vms[others[0]!]!.getName()}`, at, until: getSharedTime(),
+		});
+	}
+
 	async #injectIntoStandIns(fault: StandInFault): Promise<void> {
 		const at = getSharedTime();
 		const {begin, end} = getStandInCommands(fault);
--- a/bench/soak-processes/vm-process.ts
+++ b/bench/soak-processes/vm-process.ts
@@ -19,6 +19,8 @@
 	readonly ip: string;
 	readonly seedIps: readonly string[];
 	readonly storeAddress: string;
+	/** Ports of the proxies through which it reaches the other VMs, by their addresses; reached directly by default. */
+	readonly linkPorts?: Readonly<Record<string, number>>;
 	/** Folder for its settings file and its log. */
 	readonly folder: string;
 	readonly onEnd: (end: ProcessEnd) => void;
@@ -26,6 +28,7 @@
 };
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
+const linkRouter = fileURLToPath(new URL('route-links.cjs', import.meta.url));
 const nodeArguments = ['--max-old-space-size=160', '--max-semi-space-size=16', '--interrupt-budget=1000000', 'deploy/start.cjs'];
 
 /** Time from the stop signal to the kill, in milliseconds; the documented `grace_s`. */
@@ -34,7 +37,8 @@
 /** Time after which a process that exited by itself is restarted, in milliseconds. */
 const restartDelayMs = 500;
 const callerPort = 8161;
-const peerPort = 8166;
+/** Port on which VMs reach each other. */
+export const peerPort = 8166;
 const readinessPort = 8167;
 
 /** Starts, stops and disturbs the process of one VM; times are of the shared clock. */
@@ -78,7 +82,9 @@
 		}
 
 		const logFile = openSync(this.#getFile('log'), 'a');
-		const child = spawn(process.execPath, nodeArguments, {cwd: root, env: {PATH: process.env.PATH, ENDIVEMILL_CONFIG: this.#getFile('conf')}, stdio: ['ignore', logFile, logFile]});
+		const {linkPorts} = this.#options;
+		const env = {PATH: process.env.PATH, ENDIVEMILL_CONFIG: this.#getFile('conf'), ...(linkPorts && {SOAK_LINKS: JSON.stringify(linkPorts)})};
+		const child = spawn(process.execPath, [...(linkPorts ? [`--require=${linkRouter}`] : []), ...nodeArguments], {cwd: root, env, stdio: ['ignore', logFile, logFile]});
 		closeSync(logFile);
 		this.#child = child;
 		this.#isEndExpected = false;
@@ -159,6 +165,29 @@
 		this.#addFault('freeze', at);
 	}
 
+	/**
+	 * Leaves the process a share of its processor time, by suspending it again and again.
+	 * @param durationMs - Time until it has all of it again, in milliseconds.
+	 * @param share - Share of each period.
+	 * @param periodMs - Period in milliseconds.
+	 */
+	async starve(durationMs: number, share: number, periodMs: number): Promise<void> {
+		const child = this.#child;
+		if (!child) {
+			return;
+		}
+
+		const at = getSharedTime();
+		while (getSharedTime() - at < durationMs && this.#child === child) {
+			child.kill('SIGSTOP');
+			await delay(periodMs * (1 - share));
+			child.kill('SIGCONT');
+			await delay(periodMs * share);
+		}
+
+		this.#addFault('processor-late', at);
+	}
+
 	/** Kills the process without a restart, even while it is suspended. */
 	async close(): Promise<void> {
 		this.#isClosed = true;
