Limit leases in other pools by the proof that the borrower has

A task that runs in another pool was protected by the borrower's connection only: the lender went on while the borrower waited, although the borrower may not have heard the sender of the job for as long, and for a lease more when both froze one after the other. The copy of the job starts 1.3 s after its caller's connection broke, so that the task could run twice at the same time.

Change: with each echo the borrower reports the requests whose job was last confirmed more than 150 ms ago, and how long. The lender takes that off the proof, and grants leases up to resend_ms less 150 ms after it, as for jobs of its own. A request that was cancelled is no longer confirmed by later echoes of its connection. VMs of earlier versions ignore the field and report none.

Evidence: 6 tests of test/connection/sender-confirmations.test.ts and test/pool/lease-limit.test.ts fail without the change in src.

--- a/src/connection/index.ts
+++ b/src/connection/index.ts
@@ -15,3 +15,4 @@
 } from './tls-store.js';
 export * from './tls-transport.js';
 export * from './sender-confirmations.js';
+export type {ConfirmationAges} from './job-messages.js';
--- a/src/connection/job-client.ts
+++ b/src/connection/job-client.ts
@@ -6,11 +6,12 @@
 import {type FrameConnection} from './frame-connection.js';
 import {JobKeepAlive} from './job-keep-alive.js';
 import {
-	decodeJobMessage, type JobAnswer, type JobKeepAlive as JobKeepAliveMessage, type JobMessage,
+	type ConfirmationAges, decodeJobMessage, type JobAnswer, type JobKeepAlive as JobKeepAliveMessage, type JobMessage,
 } from './job-messages.js';
 import {type CollectedBody, PartCollector} from './part-collector.js';
 import {type OutgoingBody, PartSender} from './part-sender.js';
-import {type PeerOutcome, type PeerRequest} from './peer-network.js';
+import {type PeerOutcome, type PeerRequest, type PeerRequestOptions} from './peer-network.js';
+import {getReportedAges} from './sender-confirmations.js';
 import {type LinkFault} from './traffic.js';
 
 /** A job connection that has completed its handshake, or why there is none. */
@@ -35,7 +36,7 @@
 	readonly onFault: (fault: LinkFault) => void;
 };
 
-type PendingRequest = {
+type PendingRequest = PeerRequestOptions & {
 	readonly outgoing: OutgoingBody;
 	/** Identifier of the request; assigned when its first part is sent. */
 	id: number | undefined;
@@ -76,8 +77,9 @@
 	 * Sends a request and waits for the answer.
 	 * @param request - Request to send.
 	 * @param signal - Ends the wait and cancels the request.
+	 * @param options - For whom the request is made.
 	 */
-	async request(request: PeerRequest, signal?: AbortSignal): Promise<PeerOutcome> {
+	async request(request: PeerRequest, signal?: AbortSignal, options: PeerRequestOptions = {}): Promise<PeerOutcome> {
 		if (signal?.aborted) {
 			return {kind: 'not_sent', detail: 'cancelled'};
 		}
@@ -89,9 +91,12 @@
 
 		this.#lastUsed = this.#options.clock.getMonotonicTime();
 		return new Promise(resolve => {
-			const pending = this.#createPending(request.topic, body, outcome => {
-				signal?.removeEventListener('abort', cancel);
-				resolve(outcome);
+			const pending = this.#createPending(request.topic, body, {
+				...options,
+				onFinish(outcome) {
+					signal?.removeEventListener('abort', cancel);
+					resolve(outcome);
+				},
 			});
 			const cancel = (): void => {
 				this.#cancel(pending);
@@ -147,8 +152,9 @@
 		this.#open?.connection.close();
 	}
 
-	#createPending(topic: string, body: ReturnType<typeof encodeValue>, onFinish: (outcome: PeerOutcome) => void): PendingRequest {
+	#createPending(topic: string, body: ReturnType<typeof encodeValue>, {onFinish, ...options}: PeerRequestOptions & {readonly onFinish: (outcome: PeerOutcome) => void}): PendingRequest {
 		const pending: PendingRequest = {
+			...options,
 			id: undefined,
 			outgoing: {
 				body,
@@ -157,7 +163,7 @@
 					pending.id = id;
 					this.#sent.set(id, pending);
 					return {
-						type: 'request', id, logicalTime: this.#options.getLogicalTime(), topic, echo: this.#open?.lastStamp ?? 0, size: body.length, part,
+						type: 'request', id, logicalTime: this.#options.getLogicalTime(), topic, ...this.#getEcho(this.#open), size: body.length, part,
 					};
 				},
 			},
@@ -201,7 +207,7 @@
 			connection,
 			sender: new PartSender(connection, this.#options.maxBodyBytes * maxBufferedBodies),
 			collector: new PartCollector<JobAnswer>(this.#options.maxBodyBytes * maxBufferedBodies),
-			keepAlive: new JobKeepAlive(connection, this.#options.silenceMs, () => ({echo: open.lastStamp}), this.#options.getTimeoutFactor),
+			keepAlive: new JobKeepAlive(connection, this.#options.silenceMs, () => this.#getEcho(open), this.#options.getTimeoutFactor),
 			lastStamp: 0,
 		};
 		this.#open = open;
@@ -278,10 +284,16 @@
 
 		open.lastStamp = stamp;
 		if (isUrgent === true) {
-			open.keepAlive.sendImmediately(this.#options.clock.getMonotonicTime(), {echo: stamp});
+			open.keepAlive.sendImmediately(this.#options.clock.getMonotonicTime(), this.#getEcho(open));
 		}
 	}
 
+	/** Gets the last stamp with the ages of the confirmations of the processes for which requests are made. */
+	#getEcho(open: OpenConnection | undefined): {readonly echo: number; readonly ages?: ConfirmationAges} {
+		const ages = getReportedAges(this.#sent.values(), this.#options.clock.getMonotonicTime());
+		return {echo: open?.lastStamp ?? 0, ...(ages && {ages})};
+	}
+
 	#finishWith(id: number, collected: CollectedBody<JobAnswer> | undefined | 'too-large'): void {
 		if (collected === undefined) {
 			return;
--- a/src/connection/job-links.ts
+++ b/src/connection/job-links.ts
@@ -6,7 +6,7 @@
 import {JobServer} from './job-server.js';
 import {type MemberRecord} from './member-record.js';
 import {type PeerConnection} from './peer-connector.js';
-import {type PeerOutcome, type PeerRequest} from './peer-network.js';
+import {type PeerOutcome, type PeerRequest, type PeerRequestOptions} from './peer-network.js';
 
 /** Options of {@link JobLinks}. */
 export type JobLinksOptions = Pick<ControlLinksOptions, 'settings' | 'table' | 'connector' | 'meter'>;
@@ -30,10 +30,11 @@
 	 * @param record - Member to send to.
 	 * @param request - Request to send.
 	 * @param signal - Ends the wait.
+	 * @param options - For whom the request is made.
 	 */
-	async request(record: MemberRecord, request: PeerRequest, signal?: AbortSignal): Promise<PeerOutcome> {
+	async request(record: MemberRecord, request: PeerRequest, signal?: AbortSignal, options?: PeerRequestOptions): Promise<PeerOutcome> {
 		record.jobClient ??= this.#createClient(record);
-		return record.jobClient.request(request, signal);
+		return record.jobClient.request(request, signal, options);
 	}
 
 	/**
--- a/src/connection/job-messages.ts
+++ b/src/connection/job-messages.ts
@@ -3,6 +3,9 @@
  */
 import {decodeValue} from './frame-codec.js';
 
+/** Requests that are made for processes which were not known to wait a moment ago: identifier, and age of the last confirmation in milliseconds. */
+export type ConfirmationAges = ReadonlyArray<readonly [id: number, ageMs: number]>;
+
 /** First part of a request; `size` is that of the whole encoded body, in bytes. */
 export type JobRequest = {
 	readonly type: 'request';
@@ -11,6 +14,8 @@
 	readonly topic: string;
 	/** Last stamp that the sender has received, 0 for none; `undefined` if its version echoes none. */
 	readonly echo?: number;
+	/** Ages for all requests of the connection, with an echo. */
+	readonly ages?: ConfirmationAges;
 	readonly size: number;
 	readonly part: Uint8Array;
 };
@@ -53,6 +58,8 @@
 	readonly isUrgent?: boolean;
 	/** Last stamp that the sender of requests has received. */
 	readonly echo?: number;
+	/** Ages for all requests of the connection, with an echo. */
+	readonly ages?: ConfirmationAges;
 };
 
 /** Any message of a job connection. */
@@ -77,7 +84,7 @@
 function isJobMessage(message: Readonly<Record<string, unknown>>): boolean {
 	switch (message.type) {
 		case 'request': {
-			return isCount(message.id) && hasBody(message) && typeof message.topic === 'string' && message.topic.length <= maxTopicLength && isOptionalTime(message.echo);
+			return isCount(message.id) && hasBody(message) && typeof message.topic === 'string' && message.topic.length <= maxTopicLength && isOptionalTime(message.echo) && areOptionalAges(message.ages);
 		}
 
 		case 'answer': {
@@ -97,7 +104,7 @@
 		}
 
 		case 'keep-alive': {
-			return isOptionalTime(message.stamp) && isOptionalTime(message.echo);
+			return isOptionalTime(message.stamp) && isOptionalTime(message.echo) && areOptionalAges(message.ages);
 		}
 
 		default: {
@@ -110,6 +117,10 @@
 	return isCount(logicalTime) && isCount(size) && part instanceof Uint8Array && part.length <= size;
 }
 
+function areOptionalAges(value: unknown): boolean {
+	return value === undefined || (Array.isArray(value) && value.every((entry: unknown) => Array.isArray(entry) && isCount(entry[0]) && entry[1] !== undefined && isOptionalTime(entry[1])));
+}
+
 function isOptionalTime(value: unknown): boolean {
 	return value === undefined || (Number.isFinite(value) && (value as number) >= 0);
 }
--- a/src/connection/job-server.ts
+++ b/src/connection/job-server.ts
@@ -164,7 +164,7 @@
 			}
 
 			case 'keep-alive': {
-				this.#confirmations.addEcho(message.echo);
+				this.#confirmations.addEcho(message.echo, message.ages);
 				return true;
 			}
 
@@ -186,7 +186,7 @@
 
 		record.lastRequestId = request.id;
 		onLogicalTime(request.logicalTime);
-		this.#confirmations.addRequest(request.echo);
+		this.#confirmations.addRequest(request.id, request.echo, request.ages);
 		this.#handleCollected(request.id, this.#collector.addFirst(request));
 	}
 
@@ -214,7 +214,7 @@
 		const controller = new AbortController();
 		this.#setRunning(id, controller);
 		try {
-			const answer = await onRequest({topic, body}, record.incarnation, controller.signal, this.#confirmations);
+			const answer = await onRequest({topic, body}, record.incarnation, controller.signal, this.#confirmations.getRequestConfirmation(id, controller.signal));
 			this.#sendAnswer(id, encodeValue(answer));
 		} catch (err) {
 			this.#sendFailure(id, err instanceof Error ? err.message : String(err));
--- a/src/connection/peer-mesh.ts
+++ b/src/connection/peer-mesh.ts
@@ -15,7 +15,7 @@
 import {type PeerConnection, PeerConnector} from './peer-connector.js';
 import {type PeerMeshOptions, type PeerMeshSettings, resolvePeerMeshOptions} from './peer-mesh-options.js';
 import {
-	type ControlMessage, type Member, type PeerNetwork, type PeerOutcome, type PeerRequest,
+	type ControlMessage, type Member, type PeerNetwork, type PeerOutcome, type PeerRequest, type PeerRequestOptions,
 } from './peer-network.js';
 import {maxJobFrameBytes} from './part-sender.js';
 import {ReportTable} from './report-table.js';
@@ -126,14 +126,15 @@
 	 * @param incarnationId - Receiver; no other incarnation gets the request.
 	 * @param request - Request to send.
 	 * @param signal - Ends the wait and cancels the request at the peer.
+	 * @param options - For whom the request is made.
 	 */
-	async request(incarnationId: string, request: PeerRequest, signal?: AbortSignal): Promise<PeerOutcome> {
+	async request(incarnationId: string, request: PeerRequest, signal?: AbortSignal, options?: PeerRequestOptions): Promise<PeerOutcome> {
 		const record = this.#table.getRecord(incarnationId);
 		if (this.#isClosed || record === undefined || record.state === 'down') {
 			return {kind: 'not_sent', detail: record ? 'the peer is down' : 'the peer is not known'};
 		}
 
-		return this.#jobs.request(record, request, signal);
+		return this.#jobs.request(record, request, signal, options);
 	}
 
 	/** Closes all links and stops the listener. */
--- a/src/connection/peer-network.ts
+++ b/src/connection/peer-network.ts
@@ -54,9 +54,15 @@
 	| {readonly kind: 'not_sent'; readonly detail: string}
 	| {readonly kind: 'lost'; readonly detail: string};
 
-/** Proof that the sender of a request still waits for its answer. */
+/** Options of a request to a peer. */
+export type PeerRequestOptions = {
+	/** Gets the monotonic time at which the process was known to wait for which the request is made; by default, it is made for this process itself. */
+	readonly getConfirmedAt?: () => number;
+};
+
+/** Proof that the sender of a request still waits for its answer, and with it the process for which it made the request. */
 export type SenderConfirmation = {
-	/** Gets the monotonic time in milliseconds at which the sender is known to have waited. */
+	/** Gets the monotonic time in milliseconds at which the sender is known to have waited; it no longer changes once the request is cancelled. */
 	getConfirmedAt(): number;
 
 	/** Asks the sender for a confirmation; resolves once one has arrived or the connection has ended, and never rejects. */
@@ -90,8 +96,9 @@
 	 * @param incarnationId - Receiver; no other incarnation gets the request.
 	 * @param request - Request to send.
 	 * @param signal - Ends the wait; the outcome is then `lost`, or `not_sent` if that is certain.
+	 * @param options - For whom the request is made.
 	 */
-	request(incarnationId: string, request: PeerRequest, signal?: AbortSignal): Promise<PeerOutcome>;
+	request(incarnationId: string, request: PeerRequest, signal?: AbortSignal, options?: PeerRequestOptions): Promise<PeerOutcome>;
 
 	/** Closes all links and stops the listener. */
 	close(): Promise<void>;
--- a/src/connection/sender-confirmations.ts
+++ b/src/connection/sender-confirmations.ts
@@ -3,6 +3,7 @@
  * waited in a buffer while the sender gave its requests up. The receiver therefore sends stamps, and the sender echoes the last one that it has received.
  */
 import {type Clock} from '../seams/index.js';
+import {type ConfirmationAges} from './job-messages.js';
 import {type SenderConfirmation} from './peer-network.js';
 
 /** Options of {@link SenderConfirmations}. */
@@ -14,6 +15,29 @@
 	readonly getLastReceived: () => number;
 };
 
+/** Longest age of a confirmation that the sender does not report, in milliseconds: sound senders of jobs are confirmed more often. */
+export const maxUnreportedAgeMs = 150;
+
+/** Age that is reported for a process that was never known to wait, in milliseconds. */
+const maxReportedAgeMs = 1_000_000;
+
+/**
+ * Gets the ages that a sender reports with an echo.
+ * @param requests - Requests in progress, with the times at which the processes were known to wait for which they are made.
+ * @param now - Monotonic time.
+ */
+export function getReportedAges(requests: Iterable<{readonly id: number | undefined; readonly getConfirmedAt?: () => number}>, now: number): ConfirmationAges | undefined {
+	const ages: Array<readonly [number, number]> = [];
+	for (const {id, getConfirmedAt} of requests) {
+		const ageMs = getConfirmedAt === undefined ? 0 : now - getConfirmedAt();
+		if (id !== undefined && ageMs > maxUnreportedAgeMs) {
+			ages.push([id, Math.min(maxReportedAgeMs, ageMs)]);
+		}
+	}
+
+	return ages.length === 0 ? undefined : ages;
+}
+
 /** Interval at which an unanswered request for a confirmation is repeated at the earliest, in milliseconds. */
 const minRepeatMs = 100;
 
@@ -27,6 +51,8 @@
 	#lastStamp: number;
 	#urgentStamp = -Infinity;
 	#confirmedAt: number;
+	/** Monotonic times at which the processes were known to wait whose ages the last echo reported, by request. */
+	#reported: ReadonlyMap<number, number> = new Map();
 	/** Whether the sender's version echoes no stamps. */
 	#isEcholess = false;
 	#isClosed = false;
@@ -69,14 +95,35 @@
 		return this.#lastStamp;
 	}
 
+	/**
+	 * Gets the confirmation of one request.
+	 * @param id - Identifier of the request.
+	 * @param signal - Aborts when the request is cancelled; later echoes do not confirm it.
+	 */
+	getRequestConfirmation(id: number, signal: AbortSignal): SenderConfirmation {
+		const getCurrent = (): number => Math.min(this.getConfirmedAt(), this.#reported.get(id) ?? Infinity);
+		let lastConfirmedAt: number | undefined;
+		signal.addEventListener('abort', () => {
+			lastConfirmedAt = getCurrent();
+		}, {once: true});
+		return {
+			getConfirmedAt: () => lastConfirmedAt ?? getCurrent(),
+			requestConfirmation: async () => this.requestConfirmation(),
+		};
+	}
+
 	/**
 	 * Adds the stamp that a message of the sender echoes.
 	 * @param echo - Stamp; `undefined` if the message echoes none.
+	 * @param ages - Ages that the message reports.
 	 */
-	addEcho(echo: number | undefined): void {
+	addEcho(echo: number | undefined, ages: ConfirmationAges = []): void {
 		// A stamp that was never sent proves nothing.
 		if (echo !== undefined && echo > this.#confirmedAt && echo <= this.#lastStamp) {
+			const earlier = this.#reported;
+			const unreportedSince = this.#confirmedAt - maxUnreportedAgeMs;
 			this.#confirmedAt = echo;
+			this.#reported = new Map(ages.map(([id, ageMs]) => [id, Math.max(earlier.get(id) ?? unreportedSince, echo - ageMs)]));
 			this.#report();
 		} else if (this.#isEcholess) {
 			this.#report();
@@ -85,11 +132,17 @@
 
 	/**
 	 * Adds the stamp that a request echoes.
+	 * @param id - Identifier of the request.
 	 * @param echo - Stamp, 0 if the sender has received none; `undefined` if its version echoes none.
+	 * @param ages - Ages that the request reports.
 	 */
-	addRequest(echo: number | undefined): void {
+	addRequest(id: number, echo: number | undefined, ages?: ConfirmationAges): void {
 		this.#isEcholess = echo === undefined;
-		this.addEcho(echo);
+		this.addEcho(echo, ages);
+		const ageMs = ages?.find(([agedId]) => agedId === id)?.[1];
+		if (ageMs !== undefined) {
+			this.#reported = new Map([...this.#reported, [id, this.#confirmedAt - ageMs]]);
+		}
 	}
 
 	/** Ends all waits, since no further echo can arrive. */
--- a/src/pool/lending.ts
+++ b/src/pool/lending.ts
@@ -52,8 +52,9 @@
 	 * @param pool - Pool.
 	 * @param task - Task.
 	 * @param signal - Aborts when this owner abandons the task without waiting for its end.
+	 * @param getConfirmedAt - Gets the monotonic time at which a sender of the job was last known to wait.
 	 */
-	run(pool: string, task: LentTask, signal: AbortSignal): Promise<LendOutcome>;
+	run(pool: string, task: LentTask, signal: AbortSignal, getConfirmedAt?: () => number): Promise<LendOutcome>;
 
 	/**
 	 * Requests the stop of a run; its end is the outcome of `run`.
--- a/src/pool/lent-runs.ts
+++ b/src/pool/lent-runs.ts
@@ -18,6 +18,16 @@
 	readonly ledger: CrashLedger;
 };
 
+/** Where a lent task may start, and how long it may run. */
+export type LentStartOptions = {
+	/** Links to the upstreams that accept new tasks. */
+	readonly links: readonly UpstreamLink[];
+	/** Aborts when the borrower disconnects; the task is then stopped. */
+	readonly signal: AbortSignal;
+	/** Gets the monotonic time until which a lease of the run may last. */
+	readonly getLeaseLimit: () => number;
+};
+
 /** Run, and the function that reports its outcome to the borrower. */
 type LentRun = {
 	readonly run: LinkedRun;
@@ -42,15 +52,14 @@
 	/**
 	 * Starts a task if there is free capacity now, and waits for its end.
 	 * @param task - Task.
-	 * @param acceptingLinks - Links to the upstreams that accept new tasks.
-	 * @param signal - Aborts when the borrower disconnects; the task is then stopped.
+	 * @param options - Where it may start, and how long it may run.
 	 */
-	async start(task: LentTask, acceptingLinks: readonly UpstreamLink[], signal: AbortSignal): Promise<LendOutcome> {
+	async start(task: LentTask, {links, signal, getLeaseLimit}: LentStartOptions): Promise<LendOutcome> {
 		if (signal.aborted || this.#runs.has(task.task)) {
 			return {kind: 'refused', reason: 'no-room'};
 		}
 
-		const matchingLinks = acceptingLinks.filter(({description}) => description.service === task.service);
+		const matchingLinks = links.filter(({description}) => description.service === task.service);
 		const chosen = chooseUpstream(task.step, matchingLinks.map(link => toCandidate(link)));
 		if (chosen === undefined) {
 			const fitsWhenIdle = matchingLinks.some(link => chooseUpstream(task.step, [{...toCandidate(link), free: link.description.capacity}]) !== undefined);
@@ -59,7 +68,7 @@
 
 		const link = matchingLinks.find(({name}) => name === chosen.id)!;
 		const run = link.start({
-			task: task.task, number: task.number, needs: task.step.needs, spec: task.spec,
+			task: task.task, number: task.number, needs: task.step.needs, spec: task.spec, getLeaseLimit,
 		});
 		this.#options.log.debug({task: task.task, run: task.number, upstream: link.name}, 'task placed for another pool');
 		signal.addEventListener('abort', () => {
--- a/src/pool/neighbour-pool.ts
+++ b/src/pool/neighbour-pool.ts
@@ -51,13 +51,14 @@
 	/**
 	 * Starts a run; its end or refusal is reported as an event.
 	 * @param task - Task.
+	 * @param getConfirmedAt - Gets the monotonic time at which a sender of the job was last known to wait.
 	 */
-	start(task: LentTask): LinkedRun {
+	start(task: LentTask, getConfirmedAt?: () => number): LinkedRun {
 		const now = this.#options.clock.getMonotonicTime();
 		const run: LinkedRun = {
 			task: task.task, number: task.number, needs: task.step.needs, spec: task.spec, startedAt: now, state: 'running', confirmedAt: now, isStopRequested: false,
 		};
-		void this.#awaitRun(run, task);
+		void this.#awaitRun(run, task, getConfirmedAt);
 		return run;
 	}
 
@@ -77,11 +78,11 @@
 		this.#runControllers.clear();
 	}
 
-	async #awaitRun(run: LinkedRun, task: LentTask): Promise<void> {
+	async #awaitRun(run: LinkedRun, task: LentTask, getConfirmedAt?: () => number): Promise<void> {
 		const {clock, neighbours, lostRunTimeoutMs, events} = this.#options;
 		const controller = new AbortController();
 		this.#runControllers.add(controller);
-		const outcome = await neighbours.run(this.name, task, controller.signal);
+		const outcome = await neighbours.run(this.name, task, controller.signal, getConfirmedAt);
 		if (outcome.kind === 'lost') {
 			run.state = 'lost';
 			await sleep(clock, lostRunTimeoutMs, controller.signal);
--- a/src/pool/pool-lending.ts
+++ b/src/pool/pool-lending.ts
@@ -1,7 +1,9 @@
 /**
  * Requests between the owners of pools for lending free capacity, with the checks that reject owners that have been superseded.
  */
-import {type PeerNetwork, type PeerRequest, type SenderConfirmation} from '../connection/index.js';
+import {
+	maxUnreportedAgeMs, type PeerNetwork, type PeerRequest, type PeerRequestOptions, type SenderConfirmation,
+} from '../connection/index.js';
 import {type Clock} from '../seams/index.js';
 import {type CrashLedger, getJob} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
@@ -96,7 +98,7 @@
 		return {
 			getFreeCapacities: () => this.#getFreeCapacities(pool),
 			getCores: () => this.#getCommonQueuePools(pool).reduce((sum, {cores}) => sum + cores, 0),
-			run: async (lender, task, signal) => this.#run(pool, lender, task, signal),
+			run: async (lender, task, signal, getConfirmedAt) => this.#run(pool, {lender, task}, signal, getConfirmedAt),
 			stop: async (lender, run, isOverdue) => this.#stop(lender, run, isOverdue),
 			recall: async (job, fence) => this.#recall(pool, job, fence),
 			publishLoad() {
@@ -194,7 +196,7 @@
 		directory.addClaims({[borrower]: {fence, load}});
 		this.#recordSequence(borrower, fence, sequence);
 		const entry = {
-			pool, borrower, fence, task, outcome: owner.runLent(task, signal),
+			pool, borrower, fence, task, outcome: owner.runLent(task, signal, () => confirmation.getConfirmedAt() - maxUnreportedAgeMs),
 		};
 		this.#lentTasks.add(entry);
 		try {
@@ -267,7 +269,7 @@
 		return directory.getViews(neighbours.names);
 	}
 
-	async #run(borrower: string, lender: string, task: LentTask, signal: AbortSignal): Promise<LendOutcome> {
+	async #run(borrower: string, {lender, task}: {readonly lender: string; readonly task: LentTask}, signal: AbortSignal, getConfirmedAt?: () => number): Promise<LendOutcome> {
 		const {directory, getOwner, log} = this.#options;
 		const owner = getOwner(borrower);
 		if (owner === undefined) {
@@ -278,7 +280,7 @@
 		const body = {
 			pool: lender, borrower, fence: owner.getFence(), load: owner.getLoad(), sequence, task,
 		};
-		const result = await this.#requestOwner(lender, {topic: lendTopic, body}, signal);
+		const result = await this.#requestOwner(lender, {topic: lendTopic, body}, signal, {getConfirmedAt});
 		if (result.kind !== 'answered') {
 			log.info({
 				task: task.task, pool: lender, result: result.kind, detail: result.detail,
@@ -341,21 +343,21 @@
 	}
 
 	/** Sends a request to the owner of a pool, which may be this VM itself. */
-	async #requestOwner(pool: string, request: PeerRequest, signal?: AbortSignal): ReturnType<PeerNetwork['request']> {
+	async #requestOwner(pool: string, request: PeerRequest, signal?: AbortSignal, options?: PeerRequestOptions): ReturnType<PeerNetwork['request']> {
 		const {directory, peers, selfId} = this.#options;
 		const owner = directory.getOwner(pool);
 		if (owner === undefined) {
 			return {kind: 'not_sent', detail: 'the pool has no owner'};
 		}
 
-		return owner.id === selfId ? this.#requestSelf(request, signal) : peers.request(owner.id, request, signal);
+		return owner.id === selfId ? this.#requestSelf(request, signal, options) : peers.request(owner.id, request, signal, options);
 	}
 
 	/** Handles a request of this VM to itself. As between VMs, the other owner handles it only after the current call has returned, and a failure is an outcome. */
-	async #requestSelf(request: PeerRequest, signal = new AbortController().signal): ReturnType<PeerNetwork['request']> {
+	async #requestSelf(request: PeerRequest, signal = new AbortController().signal, {getConfirmedAt = localSender.getConfirmedAt}: PeerRequestOptions = {}): ReturnType<PeerNetwork['request']> {
 		await nextMicrotask;
 		try {
-			return {kind: 'answered', body: await this.handleRequest(request, signal, localSender)};
+			return {kind: 'answered', body: await this.handleRequest(request, signal, {...localSender, getConfirmedAt})};
 		} catch (err) {
 			const detail = err instanceof Error ? err.message : String(err);
 			this.#options.log.info({topic: request.topic, detail}, 'request between pools on this VM failed');
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -269,9 +269,10 @@
 	 * Runs a task of another pool's job if there is free capacity now.
 	 * @param task - Task.
 	 * @param signal - Aborts when the borrower disconnects.
+	 * @param getConfirmedAt - Gets the monotonic time at which a sender of the job was last known to wait; always by default.
 	 */
-	async runLent(task: LentTask, signal: AbortSignal): Promise<LendOutcome> {
-		return this.#isReady && !this.#isClosed ? this.#scheduler.runLent(task, signal) : {kind: 'refused', reason: 'not-owner'};
+	async runLent(task: LentTask, signal: AbortSignal, getConfirmedAt?: () => number): Promise<LendOutcome> {
+		return this.#isReady && !this.#isClosed ? this.#scheduler.runLent(task, signal, getConfirmedAt) : {kind: 'refused', reason: 'not-owner'};
 	}
 
 	/**
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -358,9 +358,10 @@
 	 * Starts a task of another pool's job if there is free capacity now, and waits for its end.
 	 * @param task - Task.
 	 * @param signal - Aborts when the borrower has departed; the task is then stopped.
+	 * @param getConfirmedAt - Gets the monotonic time at which a sender of the job was last known to wait; always by default.
 	 * @returns How the run ended, or why it was refused.
 	 */
-	async runLent(task: LentTask, signal: AbortSignal): Promise<LendOutcome> {
+	async runLent(task: LentTask, signal: AbortSignal, getConfirmedAt = () => Infinity): Promise<LendOutcome> {
 		if (this.#isClosed || this.#isStarting || this.#options.areStartsSuspended()) {
 			return {kind: 'refused', reason: 'no-room'};
 		}
@@ -388,7 +389,8 @@
 		}
 
 		this.#updateAverageTaskCpu(task.step);
-		return this.#lentRuns.start(task, links, signal);
+		const {resendMs = defaultResendMs} = this.#options;
+		return this.#lentRuns.start(task, {links, signal, getLeaseLimit: () => getLeaseLimit(getConfirmedAt(), resendMs)});
 	}
 
 	/**
@@ -851,7 +853,7 @@
 		task.run = host.start({
 			task: task.name, number: task.lastRunNumber, spec: job.request.spec, service: job.request.rules.service, step, expectedMs: job.getReferenceMs(task),
 			...(failedRuns.length > 0 && {failedRuns}),
-		});
+		}, () => job.getConfirmedAt(this.#options.clock.getMonotonicTime()));
 		return {
 			task: task.name, run: task.lastRunNumber, pool: capacity.pool, freeCpu: capacity.cpu,
 		};
--- a/src/testing/simulated-vm-network.ts
+++ b/src/testing/simulated-vm-network.ts
@@ -5,8 +5,8 @@
 import {PassThrough} from 'node:stream';
 import {type Stream} from 'most';
 import {
-	type ControlMessage, type Dial, type Incarnation, type Member, type MemberState, type PeerNetwork, type PeerOutcome, type PeerRequest, type RequestAbortReason,
-	type SenderConfirmation, SenderConfirmations,
+	type ConfirmationAges, type ControlMessage, type Dial, getReportedAges, type Incarnation, type Member, type MemberState, type PeerNetwork, type PeerOutcome, type PeerRequest,
+	type PeerRequestOptions, type RequestAbortReason, type SenderConfirmation, SenderConfirmations,
 } from '../connection/index.js';
 import {type PoolClaims} from '../pool/index.js';
 import {CurrentValue} from '../process/current-value.js';
@@ -258,14 +258,14 @@
 	client: JobClientEnd | undefined;
 };
 
-type PendingRequest = {readonly id: number; readonly request: PeerRequest; isSent: boolean; readonly finish: (outcome: PeerOutcome) => void};
+type PendingRequest = PeerRequestOptions & {readonly id: number; readonly request: PeerRequest; isSent: boolean; readonly finish: (outcome: PeerOutcome) => void};
 type JobClientEnd = {connected: PeerConnection | undefined; readonly pending: Map<number, PendingRequest>; lastStamp: number};
 type JobServerEnd = PeerConnection & {readonly running: Map<number, AbortController>; readonly confirmations: SenderConfirmations; lastFrameAt: number};
 
-type KeepAliveFields = {readonly stamp?: number; readonly isUrgent?: boolean; readonly echo?: number};
+type KeepAliveFields = {readonly stamp?: number; readonly isUrgent?: boolean; readonly echo?: number; readonly ages?: ConfirmationAges};
 
 type JobFrame =
-	| {readonly type: 'request'; readonly id: number; readonly request: PeerRequest; readonly echo: number}
+	| {readonly type: 'request'; readonly id: number; readonly request: PeerRequest; readonly echo: number; readonly ages?: ConfirmationAges}
 	| {readonly type: 'answer'; readonly id: number; readonly body: unknown}
 	| {readonly type: 'failure' | 'cancel'; readonly id: number}
 	| ({readonly type: 'keep-alive'} & KeepAliveFields);
@@ -327,7 +327,7 @@
 		return true;
 	}
 
-	async request(incarnationId: string, request: PeerRequest, signal?: AbortSignal): Promise<PeerOutcome> {
+	async request(incarnationId: string, request: PeerRequest, signal?: AbortSignal, options: PeerRequestOptions = {}): Promise<PeerOutcome> {
 		const record = this.#records.get(incarnationId);
 		if (this.#isClosed || record === undefined || record.state === 'down') {
 			return {kind: 'not_sent', detail: 'the peer is down or not known'};
@@ -341,6 +341,7 @@
 			const client = record.client ?? this.#addClient(record);
 			this.#lastId++;
 			const pending: PendingRequest = {
+				...options,
 				id: this.#lastId,
 				request,
 				isSent: false,
@@ -620,15 +621,22 @@
 		}
 	}
 
-	#sendRequest({connected, lastStamp}: JobClientEnd, pending: PendingRequest): void {
+	#sendRequest(client: JobClientEnd, pending: PendingRequest): void {
+		const {connected} = client;
 		if (connected !== undefined) {
 			pending.isSent = true;
 			this.#sendJobFrame(connected, {
-				type: 'request', id: pending.id, request: pending.request, echo: lastStamp,
+				type: 'request', id: pending.id, request: pending.request, ...this.#getEcho(client),
 			});
 		}
 	}
 
+	/** Gets the last stamp with the ages of the confirmations of the processes for which requests are made. */
+	#getEcho({pending, lastStamp}: JobClientEnd): {readonly echo: number; readonly ages?: ConfirmationAges} {
+		const ages = getReportedAges([...pending.values()].filter(({isSent}) => isSent), this.#getNow());
+		return {echo: lastStamp, ...(ages && {ages})};
+	}
+
 	#sendJobFrame(connected: PeerConnection | undefined, frame: JobFrame): void {
 		connected?.connection.send(connected.end, frame);
 	}
@@ -651,12 +659,12 @@
 
 		switch (frame.type) {
 			case 'keep-alive': {
-				server.confirmations.addEcho(frame.echo);
+				server.confirmations.addEcho(frame.echo, frame.ages);
 				return;
 			}
 
 			case 'request': {
-				server.confirmations.addRequest(frame.echo);
+				server.confirmations.addRequest(frame.id, frame.echo, frame.ages);
 				void this.#answer(server, frame.id, frame.request);
 				return;
 			}
@@ -680,7 +688,7 @@
 		this.#restartIdleTimeout(server, server.running.size);
 		server.running.set(id, controller);
 		try {
-			this.#sendJobFrame(server, {type: 'answer', id, body: await this.#options.onRequest(request, controller.signal, server.confirmations)});
+			this.#sendJobFrame(server, {type: 'answer', id, body: await this.#options.onRequest(request, controller.signal, server.confirmations.getRequestConfirmation(id, controller.signal))});
 		} catch {
 			this.#sendJobFrame(server, {type: 'failure', id});
 		}
@@ -696,7 +704,7 @@
 		for (const record of this.#records.values()) {
 			const {client} = record;
 			if (client?.connected) {
-				this.#keepConnectionAlive(client.connected, {openCount: client.pending.size, timeoutFactor: this.#getTimeoutFactor(record, now), getFields: () => ({echo: client.lastStamp})}, now);
+				this.#keepConnectionAlive(client.connected, {openCount: client.pending.size, timeoutFactor: this.#getTimeoutFactor(record, now), getFields: () => this.#getEcho(client)}, now);
 			}
 		}
 	}
@@ -725,7 +733,7 @@
 			case 'keep-alive': {
 				client.lastStamp = frame.stamp ?? client.lastStamp;
 				if (frame.isUrgent === true) {
-					this.#sendJobFrame(client.connected, {type: 'keep-alive', echo: client.lastStamp});
+					this.#sendJobFrame(client.connected, {type: 'keep-alive', ...this.#getEcho(client)});
 				}
 
 				return;
--- a/test/connection/sender-confirmations.test.ts
+++ b/test/connection/sender-confirmations.test.ts
@@ -8,6 +8,7 @@
 import {type FrameConnection} from '../../src/connection/frame-connection.js';
 import {type SenderConfirmation} from '../../src/connection/index.js';
 import {JobClient} from '../../src/connection/job-client.js';
+import {decodeJobMessage} from '../../src/connection/job-messages.js';
 import {JobServer} from '../../src/connection/job-server.js';
 import {MemberRecord} from '../../src/connection/member-record.js';
 import {ManualClock} from '../../src/testing/index.js';
@@ -92,13 +93,26 @@
 	};
 }
 
-function createRequest(id: number, echo?: number): Message {
+function createRequest(id: number, echo?: number, ages?: ReadonlyArray<readonly [number, number]>): Message {
 	const body = encodeValue({});
 	return {
-		type: 'request', id, logicalTime: 0, topic: 'any', size: body.length, part: body, ...(echo === undefined ? {} : {echo}),
+		type: 'request', id, logicalTime: 0, topic: 'any', size: body.length, part: body, ...(echo === undefined ? {} : {echo}), ...(ages && {ages}),
 	};
 }
 
+function createClient(): {readonly clock: ManualClock; readonly connection: FakeConnection; readonly client: JobClient} {
+	const clock = new ManualClock();
+	const connection = new FakeConnection(clock);
+	const client = new JobClient({
+		...linkOptions,
+		clock,
+		connect: async () => ({ok: true, connection: connection as unknown as FrameConnection}),
+		getTimeoutFactor: () => 1,
+		idleMs: 10_000,
+	});
+	return {clock, connection, client};
+}
+
 test('bytes that a sender sent before it gave up do not confirm that it waits', async t => {
 	const {clock, connection, server, confirmations} = createServer();
 	await clock.advance(600);
@@ -161,15 +175,7 @@
 });
 
 test('a sender echoes an urgent stamp immediately and the last stamp with whatever it sends, and nothing once it has given up', async t => {
-	const clock = new ManualClock();
-	const connection = new FakeConnection(clock);
-	const client = new JobClient({
-		...linkOptions,
-		clock,
-		connect: async () => ({ok: true, connection: connection as unknown as FrameConnection}),
-		getTimeoutFactor: () => 1,
-		idleMs: 10_000,
-	});
+	const {clock, connection, client} = createClient();
 	void client.request({topic: 'first', body: 0});
 	await clock.advance(0);
 	await connection.deliver({type: 'keep-alive', stamp: 10_000});
@@ -186,3 +192,53 @@
 	await connection.deliver({type: 'keep-alive', stamp: 12_000, isUrgent: true});
 	t.is(connection.sent.length, 4);
 });
+
+// Guards against double runs: a task in another pool went on for its borrower, although the sender of the job had gone.
+test('a request that is made for another process is confirmed only as far as that one was', async t => {
+	const {clock, connection, server, confirmations} = createServer();
+	await clock.advance(600);
+	server.tick(600);
+	await connection.deliver(createRequest(1, 600), createRequest(2, 600));
+	await clock.advance(400);
+	server.tick(1000);
+	await connection.deliver({type: 'keep-alive', echo: 1000, ages: [[1, 450]]});
+	t.deepEqual(confirmations.map(confirmation => confirmation.getConfirmedAt()), [550, 1000]);
+	await clock.advance(200);
+	server.tick(1200);
+	// A new request reports the ages of all, also its own.
+	await connection.deliver(createRequest(3, 1200, [[1, 650], [3, 300]]));
+	t.deepEqual(confirmations.map(confirmation => confirmation.getConfirmedAt()), [550, 1200, 900]);
+	await clock.advance(100);
+	server.tick(1400);
+	await connection.deliver({type: 'keep-alive', echo: 1300});
+	t.deepEqual(confirmations.map(confirmation => confirmation.getConfirmedAt()), [1300, 1300, 1300]);
+});
+
+test('a cancelled request is not confirmed by later echoes of its connection', async t => {
+	const {clock, connection, server, confirmations} = createServer();
+	await clock.advance(600);
+	server.tick(600);
+	await connection.deliver(createRequest(1, 600), createRequest(2, 600));
+	await connection.deliver({type: 'cancel', id: 1});
+	await clock.advance(400);
+	server.tick(1000);
+	await connection.deliver({type: 'keep-alive', echo: 1000});
+	t.deepEqual(confirmations.map(confirmation => confirmation.getConfirmedAt()), [600, 1000]);
+});
+
+test('a sender reports the ages of the confirmations for which its requests wait', async t => {
+	const {clock, connection, client} = createClient();
+	void client.request({topic: 'own', body: 0});
+	void client.request({topic: 'fresh', body: 0}, undefined, {getConfirmedAt: () => clock.getMonotonicTime() - 100});
+	void client.request({topic: 'stale', body: 0}, undefined, {getConfirmedAt: () => 0});
+	void client.request({topic: 'unknown', body: 0}, undefined, {getConfirmedAt: () => -Infinity});
+	await clock.advance(300);
+	await connection.deliver({type: 'keep-alive', stamp: 10_000, isUrgent: true});
+	t.deepEqual(connection.sent.at(-1), {type: 'keep-alive', echo: 10_000, ages: [[3, 300], [4, 1_000_000]]});
+});
+
+test('ages that cannot be read make a message invalid', t => {
+	for (const ages of [{}, [[1]], [[1, -1]], [['1', 1]], [[1, Number.NaN]], [1]]) {
+		t.is(decodeJobMessage(encodeFrame({type: 'keep-alive', echo: 1, ages}).subarray(frameHeaderBytes)), undefined);
+	}
+});
--- a/test/pool/lease-limit.test.ts
+++ b/test/pool/lease-limit.test.ts
@@ -3,7 +3,7 @@
  */
 import test from 'ava';
 import {
-	type JobSender, localSender, PauseDetector, PoolOwner, type UpstreamOrders,
+	type JobSender, localSender, noNeighbours, PauseDetector, PoolOwner, type UpstreamOrders,
 } from '../../src/pool/index.js';
 import {createSeededRandom} from '../../src/seams/index.js';
 import {SimulatedProcess} from '../../src/testing/simulated-process.js';
@@ -114,3 +114,36 @@
 	const [first, second] = harness.upstreams.starts;
 	t.not(first!.upstream, second!.upstream);
 });
+
+test('a run for another pool ends before a copy of its job can start if the sender of the job and its borrower are not heard any more', async t => {
+	const fixture = await createFixture();
+	const {harness, owner, process} = fixture;
+	const confirmedUntil = startMs + 900;
+	const task = {
+		task: 'a.0.0.0', number: 1, spec: 'work', service: 's', step: createJob('a').steps[0]!, expectedMs: workMs,
+	};
+	void owner.runLent(task, new AbortController().signal, () => Math.min(confirmedUntil, process.getMonotonicTime()));
+	await harness.clock.advance(5000);
+	const [start] = harness.getStarts('a.0.0.0');
+	t.true(start!.endedAt! > confirmedUntil && start!.endedAt! < confirmedUntil + resendMs);
+});
+
+test('a task that is sent to another pool tells when a sender of its job was last known to wait', async t => {
+	const harness = new PoolHarness({upstreamCount: 0});
+	const confirmedAt: Array<number | undefined> = [];
+	const owner = harness.createOwner([], undefined, undefined, {
+		...noNeighbours,
+		getCores: () => 16,
+		getFreeCapacities: () => [{pool: 'other', cpu: 16_000}],
+		async run(_pool, _task, _signal, getConfirmedAt) {
+			confirmedAt.push(getConfirmedAt?.());
+			return new Promise(() => {/* The task goes on. */});
+		},
+	});
+	await harness.clock.advance(1000);
+	harness.submit(owner, 'a', {}, undefined, {getConfirmedAt: () => 900});
+	harness.submit(owner, 'b');
+	await harness.clock.advance(10);
+	t.is(confirmedAt[0], 900);
+	t.true(confirmedAt[1]! >= 1000);
+});
