Take exact ages of confirmations for leases in other pools

Cause: for a task in another pool the ages of two echoes add up, and 150 ms more were taken off for ages that are not reported. Below 450 ms of a grantable lease an upstream took no starts, which sound senders reached when they were a little late.

Change: the borrower reports the age for each request that it makes for another process, so that nothing is taken off by guess, and an upstream takes starts from 250 ms on.

--- a/src/connection/job-messages.ts
+++ b/src/connection/job-messages.ts
@@ -3,7 +3,7 @@
  */
 import {decodeValue} from './frame-codec.js';
 
-/** Requests that are made for processes which were not known to wait a moment ago: identifier, and age of the last confirmation in milliseconds. */
+/** Requests that are made for other processes: identifier, and age of the last confirmation of that process in milliseconds. */
 export type ConfirmationAges = ReadonlyArray<readonly [id: number, ageMs: number]>;
 
 /** First part of a request; `size` is that of the whole encoded body, in bytes. */
--- a/src/connection/sender-confirmations.ts
+++ b/src/connection/sender-confirmations.ts
@@ -15,9 +15,6 @@
 	readonly getLastReceived: () => number;
 };
 
-/** Longest age of a confirmation that the sender does not report, in milliseconds: sound senders of jobs are confirmed more often. */
-export const maxUnreportedAgeMs = 150;
-
 /** Age that is reported for a process that was never known to wait, in milliseconds. */
 const maxReportedAgeMs = 1_000_000;
 
@@ -30,7 +27,7 @@
 	const ages: Array<readonly [number, number]> = [];
 	for (const {id, getConfirmedAt} of requests) {
 		const ageMs = getConfirmedAt === undefined ? 0 : now - getConfirmedAt();
-		if (id !== undefined && ageMs > maxUnreportedAgeMs) {
+		if (id !== undefined && ageMs > 0) {
 			ages.push([id, Math.min(maxReportedAgeMs, ageMs)]);
 		}
 	}
@@ -121,9 +118,8 @@
 		// A stamp that was never sent proves nothing.
 		if (echo !== undefined && echo > this.#confirmedAt && echo <= this.#lastStamp) {
 			const earlier = this.#reported;
-			const unreportedSince = this.#confirmedAt - maxUnreportedAgeMs;
 			this.#confirmedAt = echo;
-			this.#reported = new Map(ages.map(([id, ageMs]) => [id, Math.max(earlier.get(id) ?? unreportedSince, echo - ageMs)]));
+			this.#reported = new Map(ages.map(([id, ageMs]) => [id, Math.max(earlier.get(id) ?? -Infinity, echo - ageMs)]));
 			this.#report();
 		} else if (this.#isEcholess) {
 			this.#report();
--- a/src/pool/pool-lending.ts
+++ b/src/pool/pool-lending.ts
@@ -2,7 +2,7 @@
  * Requests between the owners of pools for lending free capacity, with the checks that reject owners that have been superseded.
  */
 import {
-	maxUnreportedAgeMs, type PeerNetwork, type PeerRequest, type PeerRequestOptions, type SenderConfirmation,
+	type PeerNetwork, type PeerRequest, type PeerRequestOptions, type SenderConfirmation,
 } from '../connection/index.js';
 import {type Clock} from '../seams/index.js';
 import {type CrashLedger, getJob} from './crash-ledger.js';
@@ -196,7 +196,7 @@
 		directory.addClaims({[borrower]: {fence, load}});
 		this.#recordSequence(borrower, fence, sequence);
 		const entry = {
-			pool, borrower, fence, task, outcome: owner.runLent(task, signal, () => confirmation.getConfirmedAt() - maxUnreportedAgeMs),
+			pool, borrower, fence, task, outcome: owner.runLent(task, signal, () => confirmation.getConfirmedAt()),
 		};
 		this.#lentTasks.add(entry);
 		try {
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -55,6 +55,12 @@
 /** Minimum delay of the timer that ends lapsed runs, in milliseconds. With a smaller value, a timer that fires a fraction early is set again and again without time passing. */
 const minTimerMs = 1;
 
+/**
+ * Shortest lease that must be grantable for a start, in milliseconds. With a smaller value, tasks start beside runs that are being stopped and lapse with them;
+ * with a larger one, upstreams are left out whose senders are confirmed a little late.
+ */
+const minStartLeaseMs = 250;
+
 /** Delay before the next poll of an upstream that did not answer or refused the last one, in milliseconds. */
 const pollRetryDelayMs = 100;
 
@@ -202,7 +208,7 @@
 	/** Gets whether new tasks may be started here. */
 	isAcceptingStarts(): boolean {
 		return !this.#isSilent && !this.description.isLeaving && this.#clockOffsetMs !== undefined && this.#unclaimed.size === 0
-			&& this.#options.clock.getMonotonicTime() >= this.suspendedUntil && !this.#isStopOverdue() && this.#getGrantableLeaseMs() >= this.#timing.busyPollWaitMs + this.#timing.answerTimeoutMs;
+			&& this.#options.clock.getMonotonicTime() >= this.suspendedUntil && !this.#isStopOverdue() && this.#getGrantableLeaseMs() >= minStartLeaseMs;
 	}
 
 	/** Gets whether the upstream does not answer. */
