Examine the leases of an upstream for starts every 20 ms only

Cause (from the code, not profiled): whether an upstream accepts starts is asked several times for each start, and each time all of its runs and their senders were examined.

Change: the answer is kept for 20 ms, a fraction of the 250 ms that it asks for. A lease itself is still limited by all runs each time.

--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -61,6 +61,9 @@
  */
 const minStartLeaseMs = 250;
 
+/** Interval at which the runs are examined for the lease of a start, in milliseconds: whether an upstream accepts starts is asked several times for each start. */
+const leaseCheckIntervalMs = 20;
+
 /** Delay before the next poll of an upstream that did not answer or refused the last one, in milliseconds. */
 const pollRetryDelayMs = 100;
 
@@ -171,6 +174,8 @@
 	#clockOffsetMs: number | undefined;
 	#clockObservedAt = 0;
 	#leaseEndsAt = 0;
+	/** Whether a start would get a lease that is long enough, and the monotonic time at which this was last examined. */
+	#leaseCheck = {isLongEnough: true, checkedAt: -Infinity};
 	/** Number of leases that were recorded. */
 	#leaseCount = 0;
 	#isSilent = true;
@@ -208,7 +213,7 @@
 	/** Gets whether new tasks may be started here. */
 	isAcceptingStarts(): boolean {
 		return !this.#isSilent && !this.description.isLeaving && this.#clockOffsetMs !== undefined && this.#unclaimed.size === 0
-			&& this.#options.clock.getMonotonicTime() >= this.suspendedUntil && !this.#isStopOverdue() && this.#getGrantableLeaseMs() >= minStartLeaseMs;
+			&& this.#options.clock.getMonotonicTime() >= this.suspendedUntil && !this.#isStopOverdue() && this.#isLeaseLongEnough();
 	}
 
 	/** Gets whether the upstream does not answer. */
@@ -371,6 +376,15 @@
 		return Math.floor(this.#options.clock.getMonotonicTime() + this.#clockOffsetMs + leaseMs);
 	}
 
+	#isLeaseLongEnough(): boolean {
+		const now = this.#options.clock.getMonotonicTime();
+		if (now - this.#leaseCheck.checkedAt >= leaseCheckIntervalMs) {
+			this.#leaseCheck = {isLongEnough: this.#getGrantableLeaseMs() >= minStartLeaseMs, checkedAt: now};
+		}
+
+		return this.#leaseCheck.isLongEnough;
+	}
+
 	/** Gets the longest lease that may be granted now, in milliseconds: it applies to all runs of the upstream, so that the smallest of their limits counts. */
 	#getGrantableLeaseMs(): number {
 		const now = this.#options.clock.getMonotonicTime();
