Use another fleet for the count of deadly tasks without reports

The check of kept for 20 ms gives the fleet of seed 18 another course, in which its mutant (VMs that tell each other of no failed or lost runs) starts no deadly task too often; on it did. Neither the faults nor the checks of the two tests change: of seeds 18 to 77 the mutant breaks in 18 so far, in 35 with four violations, and the sound fleet of 35 has none.

--- a/test/pool/fleet-workload.test.ts
+++ b/test/pool/fleet-workload.test.ts
@@ -24,7 +24,7 @@
 }
 
 /** Seed and faults of a fleet in which owners change while tasks are deadly. */
-const ownerChangeSeed = 18;
+const ownerChangeSeed = 35;
 const ownerChangeFaults = [
 	...getFleetFaults(ownerChangeSeed, 200).filter(({kind}) => kind === 'kill' || kind === 'freeze'),
 	...getWorkloadFaults(ownerChangeSeed, 12).filter(({kind}) => kind === 'deadly'),
