Report one age with a request, and decide on the size of a job in one place

Change: JobSizeBudget gives the reason of the refusal; a request carries its own age, and keep-alives those of all; the loop ends; the clock is read once; the limit for jobs with runs has a name of its own.

--- a/src/connection/job-client.ts
+++ b/src/connection/job-client.ts
@@ -11,7 +11,7 @@
 import {type CollectedBody, PartCollector} from './part-collector.js';
 import {type OutgoingBody, PartSender} from './part-sender.js';
 import {type PeerOutcome, type PeerRequest, type PeerRequestOptions} from './peer-network.js';
-import {getReportedAges} from './sender-confirmations.js';
+import {getReportedAge, getReportedAges} from './sender-confirmations.js';
 import {type LinkFault} from './traffic.js';
 
 /** A job connection that has completed its handshake, or why there is none. */
@@ -163,7 +163,7 @@
 					pending.id = id;
 					this.#sent.set(id, pending);
 					return {
-						type: 'request', id, logicalTime: this.#options.getLogicalTime(), topic, ...this.#getEcho(this.#open), size: body.length, part,
+						type: 'request', id, logicalTime: this.#options.getLogicalTime(), topic, echo: this.#open?.lastStamp ?? 0, ...this.#getAge(pending), size: body.length, part,
 					};
 				},
 			},
@@ -289,9 +289,14 @@
 	}
 
 	/** Gets the last stamp with the ages of the confirmations of the processes for which requests are made. */
-	#getEcho(open: OpenConnection | undefined): {readonly echo: number; readonly ages?: ConfirmationAges} {
+	#getEcho({lastStamp}: OpenConnection): {readonly echo: number; readonly ages?: ConfirmationAges} {
 		const ages = getReportedAges(this.#sent.values(), this.#options.clock.getMonotonicTime());
-		return {echo: open?.lastStamp ?? 0, ...(ages && {ages})};
+		return {echo: lastStamp, ...(ages && {ages})};
+	}
+
+	#getAge({getConfirmedAt}: PendingRequest): {readonly ageMs?: number} {
+		const ageMs = getReportedAge(getConfirmedAt, this.#options.clock.getMonotonicTime());
+		return ageMs === undefined ? {} : {ageMs};
 	}
 
 	#finishWith(id: number, collected: CollectedBody<JobAnswer> | undefined | 'too-large'): void {
--- a/src/connection/job-messages.ts
+++ b/src/connection/job-messages.ts
@@ -14,8 +14,8 @@
 	readonly topic: string;
 	/** Last stamp that the sender has received, 0 for none; `undefined` if its version echoes none. */
 	readonly echo?: number;
-	/** Ages for all requests of the connection, with an echo. */
-	readonly ages?: ConfirmationAges;
+	/** Age of the last confirmation of the process for which the request is made, in milliseconds; absent if it is made for the sender itself. */
+	readonly ageMs?: number;
 	readonly size: number;
 	readonly part: Uint8Array;
 };
@@ -58,7 +58,7 @@
 	readonly isUrgent?: boolean;
 	/** Last stamp that the sender of requests has received. */
 	readonly echo?: number;
-	/** Ages for all requests of the connection, with an echo. */
+	/** Ages for all requests in progress that are made for other processes, with an echo. */
 	readonly ages?: ConfirmationAges;
 };
 
@@ -84,7 +84,7 @@
 function isJobMessage(message: Readonly<Record<string, unknown>>): boolean {
 	switch (message.type) {
 		case 'request': {
-			return isCount(message.id) && hasBody(message) && typeof message.topic === 'string' && message.topic.length <= maxTopicLength && isOptionalTime(message.echo) && areOptionalAges(message.ages);
+			return isCount(message.id) && hasBody(message) && typeof message.topic === 'string' && message.topic.length <= maxTopicLength && isOptionalTime(message.echo) && isOptionalTime(message.ageMs);
 		}
 
 		case 'answer': {
--- a/src/connection/job-server.ts
+++ b/src/connection/job-server.ts
@@ -186,7 +186,7 @@
 
 		record.lastRequestId = request.id;
 		onLogicalTime(request.logicalTime);
-		this.#confirmations.addRequest(request.id, request.echo, request.ages);
+		this.#confirmations.addRequest(request.id, request.echo, request.ageMs);
 		this.#handleCollected(request.id, this.#collector.addFirst(request));
 	}
 
--- a/src/connection/sender-confirmations.ts
+++ b/src/connection/sender-confirmations.ts
@@ -18,6 +18,17 @@
 /** Age that is reported for a process that was never known to wait, in milliseconds. */
 const maxReportedAgeMs = 1_000_000;
 
+/**
+ * Gets the age that a sender reports with a request.
+ * @param getConfirmedAt - Gets the time at which the process was known to wait for which the request is made; `undefined` if it is made for the sender itself.
+ * @param now - Monotonic time.
+ * @returns Age in milliseconds; `undefined` if there is nothing to report.
+ */
+export function getReportedAge(getConfirmedAt: (() => number) | undefined, now: number): number | undefined {
+	const ageMs = getConfirmedAt === undefined ? 0 : now - getConfirmedAt();
+	return ageMs > 0 ? Math.min(maxReportedAgeMs, ageMs) : undefined;
+}
+
 /**
  * Gets the ages that a sender reports with an echo.
  * @param requests - Requests in progress, with the times at which the processes were known to wait for which they are made.
@@ -26,9 +37,9 @@
 export function getReportedAges(requests: Iterable<{readonly id: number | undefined; readonly getConfirmedAt?: () => number}>, now: number): ConfirmationAges | undefined {
 	const ages: Array<readonly [number, number]> = [];
 	for (const {id, getConfirmedAt} of requests) {
-		const ageMs = getConfirmedAt === undefined ? 0 : now - getConfirmedAt();
-		if (id !== undefined && ageMs > 0) {
-			ages.push([id, Math.min(maxReportedAgeMs, ageMs)]);
+		const ageMs = getReportedAge(getConfirmedAt, now);
+		if (id !== undefined && ageMs !== undefined) {
+			ages.push([id, ageMs]);
 		}
 	}
 
@@ -49,7 +60,7 @@
 	#urgentStamp = -Infinity;
 	#confirmedAt: number;
 	/** Monotonic times at which the processes were known to wait whose ages the last echo reported, by request. */
-	#reported: ReadonlyMap<number, number> = new Map();
+	#reported = new Map<number, number>();
 	/** Whether the sender's version echoes no stamps. */
 	#isEcholess = false;
 	#isClosed = false;
@@ -115,29 +126,31 @@
 	 * @param ages - Ages that the message reports.
 	 */
 	addEcho(echo: number | undefined, ages: ConfirmationAges = []): void {
-		// A stamp that was never sent proves nothing.
-		if (echo !== undefined && echo > this.#confirmedAt && echo <= this.#lastStamp) {
+		if (this.#isNewStamp(echo)) {
 			const earlier = this.#reported;
-			this.#confirmedAt = echo;
 			this.#reported = new Map(ages.map(([id, ageMs]) => [id, Math.max(earlier.get(id) ?? -Infinity, echo - ageMs)]));
-			this.#report();
+			this.#confirm(echo);
 		} else if (this.#isEcholess) {
 			this.#report();
 		}
 	}
 
 	/**
-	 * Adds the stamp that a request echoes.
+	 * Adds the stamp that a request echoes. It reports its own age only, so that what is known of the others stays.
 	 * @param id - Identifier of the request.
 	 * @param echo - Stamp, 0 if the sender has received none; `undefined` if its version echoes none.
-	 * @param ages - Ages that the request reports.
+	 * @param ageMs - Age that the request reports, in milliseconds.
 	 */
-	addRequest(id: number, echo: number | undefined, ages?: ConfirmationAges): void {
+	addRequest(id: number, echo: number | undefined, ageMs?: number): void {
 		this.#isEcholess = echo === undefined;
-		this.addEcho(echo, ages);
-		const ageMs = ages?.find(([agedId]) => agedId === id)?.[1];
+		if (this.#isNewStamp(echo)) {
+			this.#confirm(echo);
+		} else if (this.#isEcholess) {
+			this.#report();
+		}
+
 		if (ageMs !== undefined) {
-			this.#reported = new Map([...this.#reported, [id, this.#confirmedAt - ageMs]]);
+			this.#reported.set(id, this.#confirmedAt - ageMs);
 		}
 	}
 
@@ -147,6 +160,16 @@
 		this.#report();
 	}
 
+	/** Gets whether an echo confirms more than the last one; a stamp that was never sent proves nothing. */
+	#isNewStamp(echo: number | undefined): echo is number {
+		return echo !== undefined && echo > this.#confirmedAt && echo <= this.#lastStamp;
+	}
+
+	#confirm(echo: number): void {
+		this.#confirmedAt = echo;
+		this.#report();
+	}
+
 	#report(): void {
 		const reportProgress = this.#reportProgress;
 		this.#progress = this.#createProgress();
--- a/src/pool/job-size.ts
+++ b/src/pool/job-size.ts
@@ -1,7 +1,7 @@
 /**
  * Sizes of jobs, which bound the memory that jobs take: a small body may describe millions of tasks.
  */
-import {type JobStep} from './pool-job.js';
+import {type JobStep, type RefusalReason} from './pool-job.js';
 
 /** Largest size of one job: about as many starts as an owner can order before the deadline of a caller. */
 export const maxJobSize = 10_000;
@@ -24,11 +24,17 @@
 	constructor(readonly max = maxTotalJobSize) {}
 
 	/**
-	 * Gets whether a job of a size is within the budget.
-	 * @param size - Size of the job.
+	 * Gets why a job must not be added: it is too large, or the budget is used up.
+	 * @param steps - Steps of the job.
+	 * @param added - What would be added; the size of the job by default.
+	 * @returns Reason; `undefined` if the job may be added.
 	 */
-	fits(size: number): boolean {
-		return this.#total + size <= this.max;
+	getRefusalReason(steps: readonly JobStep[], added = getJobSize(steps)): RefusalReason | undefined {
+		if (getJobSize(steps) > maxJobSize) {
+			return 'does-not-fit';
+		}
+
+		return this.#total + added > this.max ? 'overloaded' : undefined;
 	}
 
 	/**
--- a/src/pool/pool-router.ts
+++ b/src/pool/pool-router.ts
@@ -7,7 +7,7 @@
 import {type CrashLedger} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
 import {isSinglePoolJob} from './lending.js';
-import {getJobSize, JobSizeBudget, maxJobSize} from './job-size.js';
+import {getJobSize, JobSizeBudget} from './job-size.js';
 import {type PauseDetector} from './pause-detector.js';
 import {choosePool, type JobDemand, type PoolView} from './pool-choice.js';
 import {decodeSubmitAnswer} from './pool-decoding.js';
@@ -90,9 +90,10 @@
 		const jobSizes = this.#jobSizes;
 		// Here a job takes the memory of its steps only.
 		const size = job.steps.length;
-		if (getJobSize(job.steps) > maxJobSize || !jobSizes.fits(size)) {
+		const refusalReason = jobSizes.getRefusalReason(job.steps, size);
+		if (refusalReason !== undefined) {
 			this.#options.log.info({job: job.id, size: getJobSize(job.steps), total: jobSizes.getTotal()}, 'job refused for its size');
-			return createRefusal(jobSizes.fits(size) ? 'does-not-fit' : 'overloaded');
+			return createRefusal(refusalReason);
 		}
 
 		jobSizes.add(size);
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -8,7 +8,7 @@
 } from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
 import {DurationEstimator} from './duration-estimator.js';
-import {getJobSize, JobSizeBudget, maxJobSize} from './job-size.js';
+import {getJobSize, JobSizeBudget} from './job-size.js';
 import {
 	type LentTask, isSinglePoolJob, type LendOutcome, type LendRefusal, type NeighbourCapacity, type PoolNeighbours,
 } from './lending.js';
@@ -24,7 +24,7 @@
 import {type JobTask, QueuedJob} from './queued-job.js';
 import {type RunHost} from './run-host.js';
 import {
-	defaultResendMs, getLeaseLimit, type JobSender, localSender,
+	getLeaseLimit, type JobSender, localSender,
 } from './sender-confirmation.js';
 import {SuspectPlacement, type WaitingSuspect} from './suspect-placement.js';
 import {recordFailure, recordSuccess, toCandidate} from './upstream-health.js';
@@ -102,7 +102,7 @@
  * of VMs that are short of processor time are stopped; with a larger one, the other runs on the same upstreams lapse, since no lease there is
  * extended beyond what the last confirmation allows.
  */
-const maxConfirmationAgeMs = 800;
+const maxAgeWithRunsMs = 800;
 const minUnconfirmedMs = 150;
 
 /**
@@ -299,10 +299,10 @@
 			return {kind: 'interrupted', reason: 'an earlier copy of the job runs here for another pool'};
 		}
 
-		const size = getJobSize(submitted.steps);
-		if (size > maxJobSize || !this.#jobSizes.fits(size)) {
-			this.#options.log.info({job: submitted.id, size, total: this.#jobSizes.getTotal()}, 'job refused for its size');
-			return {kind: 'refused', reason: size > maxJobSize ? 'does-not-fit' : 'overloaded', retryAfterMs: minRetryAfterMs};
+		const refusalReason = this.#jobSizes.getRefusalReason(submitted.steps);
+		if (refusalReason !== undefined) {
+			this.#options.log.info({job: submitted.id, size: getJobSize(submitted.steps), total: this.#jobSizes.getTotal()}, 'job refused for its size');
+			return {kind: 'refused', reason: refusalReason, retryAfterMs: minRetryAfterMs};
 		}
 
 		const job = new QueuedJob(submitted, this.#options.clock.getMonotonicTime(), this.#estimator);
@@ -389,7 +389,7 @@
 		}
 
 		this.#updateAverageTaskCpu(task.step);
-		const {resendMs = defaultResendMs} = this.#options;
+		const {resendMs} = this.#options;
 		return this.#lentRuns.start(task, {links, signal, getLeaseLimit: () => getLeaseLimit(getConfirmedAt(), resendMs)});
 	}
 
@@ -569,7 +569,7 @@
 
 	/** Gets the monotonic time until which runs of a job may go on without a further confirmation of its senders. */
 	#getLeaseLimit(job: QueuedJob): number {
-		const {clock, resendMs = defaultResendMs} = this.#options;
+		const {clock, resendMs} = this.#options;
 		return getLeaseLimit(job.getConfirmedAt(clock.getMonotonicTime()), resendMs);
 	}
 
@@ -624,7 +624,7 @@
 
 	#isConfirmationOverdue(job: QueuedJob, now: number): boolean {
 		const unconfirmedMs = now - job.unconfirmedSince!;
-		return unconfirmedMs > maxUnconfirmedMs || (job.hasStarted && unconfirmedMs > minUnconfirmedMs && now - job.getConfirmedAt(now) > maxConfirmationAgeMs);
+		return unconfirmedMs > maxUnconfirmedMs || (job.hasStarted && unconfirmedMs > minUnconfirmedMs && now - job.getConfirmedAt(now) > maxAgeWithRunsMs);
 	}
 
 	/** Stops a job none of whose senders confirms that it waits. */
@@ -725,6 +725,10 @@
 		for (const {step: {needs, estimateMs}, count} of job.getWaitingSteps()) {
 			let unplacedCount = count;
 			for (const capacity of free) {
+				if (unplacedCount === 0) {
+					break;
+				}
+
 				const placedCount = Math.min(unplacedCount, countFitting(needs, capacity));
 				unplacedCount -= placedCount;
 				capacity.cpu -= needs.cpu * placedCount;
--- a/src/pool/sender-confirmation.ts
+++ b/src/pool/sender-confirmation.ts
@@ -25,7 +25,7 @@
 const maxConfirmationAgeMs = 600;
 
 /** Time after which a caller whose submission has failed submits its job again, in milliseconds, unless the deployment sets another one. */
-export const defaultResendMs = 1300;
+const defaultResendMs = 1300;
 
 /**
  * Margin between the end of the leases and a caller's resubmission, in milliseconds: clocks of upstreams may be 2% slow, and an upstream needs some time to
@@ -38,7 +38,7 @@
  * @param confirmedAt - Monotonic time at which a sender of the job was last known to wait.
  * @param resendMs - Time after which a caller submits its job again, in milliseconds.
  */
-export function getLeaseLimit(confirmedAt: number, resendMs: number): number {
+export function getLeaseLimit(confirmedAt: number, resendMs = defaultResendMs): number {
 	return confirmedAt + resendMs - resendMarginMs;
 }
 
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -212,8 +212,12 @@
 
 	/** Gets whether new tasks may be started here. */
 	isAcceptingStarts(): boolean {
-		return !this.#isSilent && !this.description.isLeaving && this.#clockOffsetMs !== undefined && this.#unclaimed.size === 0
-			&& this.#options.clock.getMonotonicTime() >= this.suspendedUntil && !this.#isStopOverdue() && this.#isLeaseLongEnough();
+		if (this.#isSilent || this.description.isLeaving || this.#clockOffsetMs === undefined || this.#unclaimed.size > 0) {
+			return false;
+		}
+
+		const now = this.#options.clock.getMonotonicTime();
+		return now >= this.suspendedUntil && !this.#isStopOverdue() && this.#isLeaseLongEnough(now);
 	}
 
 	/** Gets whether the upstream does not answer. */
@@ -376,8 +380,8 @@
 		return Math.floor(this.#options.clock.getMonotonicTime() + this.#clockOffsetMs + leaseMs);
 	}
 
-	#isLeaseLongEnough(): boolean {
-		const now = this.#options.clock.getMonotonicTime();
+	/** Gets whether a start would get a lease that outlasts the end of the runs beside it whose senders have gone. */
+	#isLeaseLongEnough(now: number): boolean {
 		if (now - this.#leaseCheck.checkedAt >= leaseCheckIntervalMs) {
 			this.#leaseCheck = {isLongEnough: this.#getGrantableLeaseMs() >= minStartLeaseMs, checkedAt: now};
 		}
--- a/src/testing/simulated-vm-network.ts
+++ b/src/testing/simulated-vm-network.ts
@@ -5,7 +5,7 @@
 import {PassThrough} from 'node:stream';
 import {type Stream} from 'most';
 import {
-	type ConfirmationAges, type ControlMessage, type Dial, getReportedAges, type Incarnation, type Member, type MemberState, type PeerNetwork, type PeerOutcome, type PeerRequest,
+	type ConfirmationAges, type ControlMessage, type Dial, getReportedAge, getReportedAges, type Incarnation, type Member, type MemberState, type PeerNetwork, type PeerOutcome, type PeerRequest,
 	type PeerRequestOptions, type RequestAbortReason, type SenderConfirmation, SenderConfirmations,
 } from '../connection/index.js';
 import {type PoolClaims} from '../pool/index.js';
@@ -265,7 +265,7 @@
 type KeepAliveFields = {readonly stamp?: number; readonly isUrgent?: boolean; readonly echo?: number; readonly ages?: ConfirmationAges};
 
 type JobFrame =
-	| {readonly type: 'request'; readonly id: number; readonly request: PeerRequest; readonly echo: number; readonly ages?: ConfirmationAges}
+	| {readonly type: 'request'; readonly id: number; readonly request: PeerRequest; readonly echo: number; readonly ageMs?: number}
 	| {readonly type: 'answer'; readonly id: number; readonly body: unknown}
 	| {readonly type: 'failure' | 'cancel'; readonly id: number}
 	| ({readonly type: 'keep-alive'} & KeepAliveFields);
@@ -626,7 +626,7 @@
 		if (connected !== undefined) {
 			pending.isSent = true;
 			this.#sendJobFrame(connected, {
-				type: 'request', id: pending.id, request: pending.request, ...this.#getEcho(client),
+				type: 'request', id: pending.id, request: pending.request, echo: client.lastStamp, ageMs: getReportedAge(pending.getConfirmedAt, this.#getNow()),
 			});
 		}
 	}
@@ -664,7 +664,7 @@
 			}
 
 			case 'request': {
-				server.confirmations.addRequest(frame.id, frame.echo, frame.ages);
+				server.confirmations.addRequest(frame.id, frame.echo, frame.ageMs);
 				void this.#answer(server, frame.id, frame.request);
 				return;
 			}
