--- a/bench/soak-processes/caller.ts
+++ b/bench/soak-processes/caller.ts
@@ -36,6 +36,8 @@
 	readonly meanPauseMs: number;
 	/** Whether it waits for long. */
 	readonly isPatient: boolean;
+	/** Kinds of its jobs; all by default. */
+	readonly kinds?: readonly JobKind[];
 	/** Time from the deadline until it abandons a submission, in milliseconds, because the VM may answer late. */
 	readonly lateAnswerMs?: number;
 	readonly onSubmission: (submission: Submission) => void;
@@ -56,10 +58,10 @@
 
 	/** Submits jobs; resolves after `close` when the last job has ended. */
 	async run(): Promise<void> {
-		const {random, meanPauseMs: pauseMs} = this.#options;
+		const {kinds, random, meanPauseMs: pauseMs} = this.#options;
 		while (!this.#isClosed) {
 			await delay(-Math.log(1 - random.getFloat()) * pauseMs);
-			await this.#submitJob(drawJobKind(random));
+			await this.#submitJob(drawJobKind(random, kinds));
 		}
 
 		await this.#connection?.client.destroy();
@@ -181,10 +183,10 @@
 	}
 }
 
-function drawJobKind(random: Random): JobKind {
-	let remainingWeight = random.getFloat() * jobKinds.reduce((sum, {weight}) => sum + weight, 0);
-	return jobKinds.find(({weight}) => {
+function drawJobKind(random: Random, kinds = jobKinds): JobKind {
+	let remainingWeight = random.getFloat() * kinds.reduce((sum, {weight}) => sum + weight, 0);
+	return kinds.find(({weight}) => {
 		remainingWeight -= weight;
 		return remainingWeight < 0;
-	}) ?? jobKinds[0]!;
+	}) ?? kinds[0]!;
 }
--- a/bench/soak-processes/vm-process.ts
+++ b/bench/soak-processes/vm-process.ts
@@ -21,6 +21,8 @@
 	readonly storeAddress: string;
 	/** Ports of the proxies through which it reaches the other VMs, by their addresses; reached directly by default. */
 	readonly linkPorts?: Readonly<Record<string, number>>;
+	/** Further arguments of the runtime; none by default. */
+	readonly runtimeArguments?: readonly string[];
 	/** Folder for its settings file and its log. */
 	readonly folder: string;
 	readonly onEnd: (end: ProcessEnd) => void;
@@ -65,6 +67,11 @@
 		return this.#options.dataCenter;
 	}
 
+	/** Gets the identifier of the running process; `undefined` if there is none. */
+	getProcessId(): number | undefined {
+		return this.#child?.pid;
+	}
+
 	/** Gets the base URL for callers. */
 	getCallerUrl(): string {
 		return `http://${this.#options.ip}:${callerPort}`;
@@ -82,9 +89,9 @@
 		}
 
 		const logFile = openSync(this.#getFile('log'), 'a');
-		const {linkPorts} = this.#options;
+		const {linkPorts, runtimeArguments = []} = this.#options;
 		const env = {PATH: process.env.PATH, ENDIVEMILL_CONFIG: this.#getFile('conf'), ...(linkPorts && {SOAK_LINKS: JSON.stringify(linkPorts)})};
-		const child = spawn(process.execPath, [...(linkPorts ? [`--require=${linkRouter}`] : []), ...nodeArguments], {cwd: root, env, stdio: ['ignore', logFile, logFile]});
+		const child = spawn(process.execPath, [...(linkPorts ? [`--require=${linkRouter}`] : []), ...runtimeArguments, ...nodeArguments], {cwd: root, env, stdio: ['ignore', logFile, logFile]});
 		closeSync(logFile);
 		this.#child = child;
 		this.#isEndExpected = false;
