Send orders to upstreams over a small HTTP client

Cause: a start and a poll of an upstream each passed through an Agent, a Pool and a Client of undici, with a request object, header and URL parsing, a timer a call and a parser in WebAssembly. The owner of a pool makes little else than these two calls.

Change: HttpOrders uses OrderClient, which keeps up to four connections an upstream (the one used last is used first), writes each request as one string, reads answers into a shared buffer, and has one timer for the time limits of all calls and connections. Each order is sent once; before an idle connection is used for a start or stop, what has arrived over it is read (undici does the same); ECONNREFUSED is told apart; answers are limited in size; late timers extend the limits as before. The time that an upstream names in Keep-Alive ends an idle connection a second early. The store is still called through undici.

--- a/src/platform/http-orders.ts
+++ b/src/platform/http-orders.ts
@@ -1,12 +1,12 @@
 /**
  * Orders to upstreams over HTTP.
  */
-import {Agent} from 'undici';
 import {
 	type DecisionLog, type PollOutcome, type OrderOptions, type OrderOutcome, type OrderRefusal, type Run, type RunEnd, type UpstreamOrders,
 } from '../pool/index.js';
 import {type Clock} from '../seams/index.js';
-import {callJson, type JsonOutcome} from './json-client.js';
+import {type JsonOutcome} from './json-client.js';
+import {OrderClient} from './order-client.js';
 import {
 	createHoldBody, createStartBody, createStopBody, decodeHoldAnswer, decodeOrderAnswer,
 } from './wire-messages.js';
@@ -33,6 +33,9 @@
 const maxAnswerBytes = 1024 * 1024;
 
 const undecodableAnswer = 'the answer cannot be decoded';
+
+/** What the value of a header may consist of. */
+const headerPattern = /^[\t\u0020-\u007E]*$/v;
 const instanceHeader = 'X-Endivemill-Target-Instance';
 const paths: Readonly<Record<Order, string>> = {start: '/api/run-start', stop: '/api/run-stop', poll: '/api/hold'};
 
@@ -54,15 +57,13 @@
 /** Sends orders to upstreams; never retries. */
 export class HttpOrders implements UpstreamOrders {
 	readonly #options: HttpOrdersOptions;
-	readonly #agent = new Agent({
-		connections: connectionsPerUpstream,
-		pipelining: 1,
-		connect: {timeout: connectTimeoutMs},
-		keepAliveTimeout: idleConnectionMs,
-	});
+	readonly #client: OrderClient;
 
 	constructor(options: HttpOrdersOptions) {
 		this.#options = options;
+		this.#client = new OrderClient({
+			clock: options.clock, maxConnections: connectionsPerUpstream, connectTimeoutMs, idleMs: idleConnectionMs, maxAnswerBytes,
+		});
 	}
 
 	async startRun(options: OrderOptions & {readonly run: Run; readonly spec: string; readonly leaseUntilMs: number}): Promise<OrderOutcome> {
@@ -79,14 +80,16 @@
 
 	/** Closes all connections. */
 	async close(): Promise<void> {
-		await this.#agent.destroy();
+		this.#client.close();
 	}
 
 	async #order<T extends OrderOutcome | PollOutcome>(order: Order, options: OrderOptions & {readonly run?: Run}, body: unknown, toOutcome: (answer: JsonOutcome) => T): Promise<T> {
 		const {upstream, timeoutMs} = options;
-		const answer = await callJson(this.#agent, this.#options.clock, {
-			origin: `http://${upstream.address}`, method: 'POST', path: paths[order], headers: {[instanceHeader]: upstream.id}, body, timeoutMs, maxAnswerBytes,
-		});
+		const answer: JsonOutcome = headerPattern.test(upstream.id)
+			? await this.#client.call({
+				address: upstream.address, path: paths[order], headers: `${instanceHeader}: ${upstream.id}\r\n`, body, timeoutMs, isRepeatable: order === 'poll',
+			})
+			: {kind: 'unanswered', detail: 'the id cannot be sent', isRefused: false};
 		const outcome = toOutcome(answer);
 		this.#logFailure(order, options, answer, outcome);
 		return outcome;
