Send a report of another data centre over a link once, and count the messages between VMs

Cause: every heartbeat within a data centre relayed every report of the others, also those that the receiver had and ignores by their beat, and each link encoded its heartbeat anew although most are equal. Several frames of a turn went out as several buffers, and each connection set an immediate of its own. Change: a link leaves out reports whose beat and view it has sent; links share the frames of equal heartbeats; the frames of a turn are joined into one buffer, and one immediate flushes all connections. New counters of messages, heartbeats, keep-alives, writes and bytes, which fleet-cost prints a job and a VM and second.

--- a/bench/fleet-cost/main.ts
+++ b/bench/fleet-cost/main.ts
@@ -116,12 +116,13 @@
 	const served = submissions.slice(before.submissions, after.submissions).filter(({state}) => state === 'completed').length;
 	const seconds = Number(options.seconds);
 	const perJob = (value: number): string => (value / jobs).toFixed(2);
+	const perVmSecond = (value: number): string => (value / seconds / vms.length).toFixed(1);
 	process.stdout.write(`${jobs} jobs (${served} completed), ${perJob(after.starts - before.starts)} starts a job\n`);
 	process.stdout.write(`${perJob(after.cpuMs - before.cpuMs)} ms a job, ${perJob(after.kernelMs - before.kernelMs)} of them in the kernel; `);
 	process.stdout.write(`${((after.cpuMs - before.cpuMs) / seconds / vms.length / 1000).toFixed(3)} of a core a VM\n`);
 	process.stdout.write(`${perJob(after.logLines - before.logLines)} log lines a job\n`);
 	for (const [name, value] of after.counters) {
-		process.stdout.write(`${perJob(value - (before.counters.get(name) ?? 0))} ${name} a job\n`);
+		process.stdout.write(`${perJob(value - (before.counters.get(name) ?? 0))} ${name} a job, ${perVmSecond(value - (before.counters.get(name) ?? 0))} a VM and second\n`);
 	}
 }
 
--- a/bench/peers.ts
+++ b/bench/peers.ts
@@ -181,7 +181,9 @@
 	await Promise.all(meshes.map(async mesh => mesh.close()));
 }
 
-function subtract(after: TrafficCounts, before: TrafficCounts): TrafficCounts {
+type MessageCounts = Omit<TrafficCounts, 'sentByKind' | 'writes'>;
+
+function subtract(after: MessageCounts, before: MessageCounts): MessageCounts {
 	return {
 		bytesSent: after.bytesSent - before.bytesSent,
 		bytesReceived: after.bytesReceived - before.bytesReceived,
--- a/src/connection/control-link.ts
+++ b/src/connection/control-link.ts
@@ -10,6 +10,7 @@
 } from './control-messages.js';
 import {decodeValue, encodeFrame, encodeValue} from './frame-codec.js';
 import {type FrameConnection} from './frame-connection.js';
+import {HeartbeatFrames} from './heartbeat-frames.js';
 import {type ControlMessage} from './peer-network.js';
 import {type LinkFault} from './traffic.js';
 
@@ -68,6 +69,8 @@
 	readonly reports: readonly CompleteReport[];
 	/** Time until the next heartbeat over the link, in milliseconds; absent for the default interval. */
 	readonly nextMs?: number;
+	/** Frames of the round, which links share. */
+	readonly frames?: HeartbeatFrames;
 };
 
 /** Received messages after which an acknowledgement is sent without waiting for the next heartbeat. */
@@ -89,7 +92,7 @@
 	readonly #connection: FrameConnection;
 	readonly #channel: ControlChannel;
 	readonly #handlers: ControlLinkHandlers;
-	readonly #sentViews = new Map<string, DataCenterView>();
+	readonly #sentReports = new Map<string, CompleteReport>();
 	readonly #receivedViews = new Map<string, DataCenterView>();
 	#sentStatus: Uint8Array | undefined;
 	#sentLoad: Uint8Array | undefined;
@@ -159,6 +162,7 @@
 		}
 
 		this.#unacknowledgedCount = 0;
+		const reports = content.reports.filter(report => !this.#hasSent(report));
 		const heartbeat: Heartbeat = {
 			type: 'beat',
 			logicalTime: content.logicalTime,
@@ -166,9 +170,9 @@
 			...(content.nextMs !== undefined && {nextMs: content.nextMs}),
 			...this.#getChangedStatus(content.body),
 			...this.#getChangedLoad(content.body),
-			...(content.reports.length > 0 && {reports: content.reports.map(report => this.#getChangedReport(report))}),
+			...(reports.length > 0 && {reports: reports.map(report => this.#getChangedReport(report))}),
 		};
-		this.#send(heartbeat);
+		this.#connection.send((content.frames ?? new HeartbeatFrames()).getFrame(heartbeat), 'heartbeat');
 	}
 
 	/**
@@ -176,7 +180,7 @@
 	 * @param report - Report to send.
 	 */
 	hasNewView(report: CompleteReport): boolean {
-		return this.#sentViews.get(report.reporter) !== report.view;
+		return this.#sentReports.get(report.reporter)?.view !== report.view;
 	}
 
 	/**
@@ -223,10 +227,16 @@
 		return {load};
 	}
 
+	/** Gets whether the other end has received a report, which it would ignore a second time. */
+	#hasSent({reporter, beat, view}: CompleteReport): boolean {
+		const sent = this.#sentReports.get(reporter);
+		return sent?.beat === beat && sent.view === view;
+	}
+
 	#getChangedReport(report: CompleteReport): Report {
-		const {reporter, beat, view} = report;
+		const {reporter, beat} = report;
 		const hasNewView = this.hasNewView(report);
-		setLatest(this.#sentViews, reporter, view);
+		setLatest(this.#sentReports, reporter, report);
 		return hasNewView ? report : {reporter, beat};
 	}
 
@@ -334,7 +344,7 @@
 }
 
 function isSame(sent: Uint8Array | undefined, encoded: Uint8Array): boolean {
-	return sent !== undefined && Buffer.compare(sent, encoded) === 0;
+	return sent === encoded || (sent !== undefined && Buffer.compare(sent, encoded) === 0);
 }
 
 function setLatest<T>(latest: Map<string, T>, key: string, value: T): void {
--- a/src/connection/control-links.ts
+++ b/src/connection/control-links.ts
@@ -6,6 +6,7 @@
 } from './control-link.js';
 import {type KnownAddress} from './control-messages.js';
 import {type DialingSide, type HandshakePeer} from './handshake.js';
+import {HeartbeatFrames} from './heartbeat-frames.js';
 import {type RejectReason} from './handshake-messages.js';
 import {type MemberRecord} from './member-record.js';
 import {type MemberTable} from './member-table.js';
@@ -119,6 +120,7 @@
 	sendHeartbeats(content: HeartbeatRound, isRemoteDue: boolean): void {
 		const {settings, table} = this.#options;
 		const logicalTime = settings.events.getLogicalTime();
+		const frames = new HeartbeatFrames();
 		for (const record of table.getRecords()) {
 			const link = record.getOpenLink();
 			const isLocal = record.incarnation.dataCenter === settings.self.dataCenter;
@@ -136,7 +138,7 @@
 			const remoteReports = isLocal && isRemoteDue ? content.remoteReports : [];
 			const nextMs = intervalTicks > 1 ? intervalTicks * (isLocal ? settings.heartbeatIntervalMs : settings.remoteHeartbeatIntervalMs) : undefined;
 			link.sendHeartbeat({
-				logicalTime, body: content.body, reports: [...ownReports, ...remoteReports], nextMs,
+				logicalTime, body: content.body, reports: [...ownReports, ...remoteReports], nextMs, frames,
 			});
 		}
 	}
--- a/src/connection/frame-connection.ts
+++ b/src/connection/frame-connection.ts
@@ -2,10 +2,11 @@
  * Framed communication over one TCP or TLS connection.
  */
 
+import {Buffer} from 'node:buffer';
 import {type Duplex} from 'node:stream';
 import {type Clock} from '../seams/index.js';
 import {FrameReader} from './frame-reader.js';
-import {type LinkFault, type TrafficCounter} from './traffic.js';
+import {type LinkFault, type MessageKind, type TrafficCounter} from './traffic.js';
 
 /** Options of a {@link FrameConnection}. */
 export type FrameConnectionOptions = {
@@ -24,6 +25,27 @@
 /** Time limit for writing the last frames before the socket is destroyed. */
 const flushTimeoutMs = 100;
 
+/** Bytes up to which the frames of one turn are copied into one buffer; above, copying them takes longer than writing several buffers. */
+const maxJoinedBytes = 64 * 1024;
+
+/** Flushes of the connections on which frames were sent in this turn of the event loop. */
+let pendingFlushes: Array<() => void> = [];
+
+function flushAll(): void {
+	const flushes = pendingFlushes;
+	pendingFlushes = [];
+	for (const flush of flushes) {
+		flush();
+	}
+}
+
+/** Calls a function at the end of the current turn of the event loop; one immediate serves all connections. */
+function flushAtEndOfTurn(flush: () => void): void {
+	if (pendingFlushes.push(flush) === 1) {
+		setImmediate(flushAll);
+	}
+}
+
 /**
  * Reads and writes frames on one socket. Frames sent in the same turn of the event loop are written in one system call.
  * @internal
@@ -34,6 +56,7 @@
 	readonly #onFault: (fault: LinkFault) => void;
 	readonly #reader: FrameReader;
 	readonly #drainCallbacks = new Set<() => void>();
+	readonly #flushPending: () => void;
 	#traffic: TrafficCounter;
 	#maxFrameBytes: number;
 	#pendingFrames: Uint8Array[] = [];
@@ -51,6 +74,10 @@
 		this.#maxFrameBytes = options.maxFrameBytes;
 		this.#reader = new FrameReader(options.maxFrameBytes);
 		this.#lastReceived = this.#clock.getMonotonicTime();
+		this.#flushPending = () => {
+			this.#flush();
+		};
+
 		this.#addSocketListeners();
 	}
 
@@ -120,21 +147,20 @@
 	/**
 	 * Sends a frame at the end of the current turn of the event loop; does nothing once the connection is closed.
 	 * @param frame - Frame to send, including its header.
+	 * @param kind - Kind of its message, for the counters.
 	 */
-	send(frame: Uint8Array): void {
+	send(frame: Uint8Array, kind?: MessageKind): void {
 		if (this.isClosed()) {
 			return;
 		}
 
 		if (this.#pendingFrames.length === 0) {
-			setImmediate(() => {
-				this.#flush();
-			});
+			flushAtEndOfTurn(this.#flushPending);
 		}
 
 		this.#pendingFrames.push(frame);
 		this.#pendingBytes += frame.length;
-		this.#traffic.addSent(frame.length);
+		this.#traffic.addSent(frame.length, kind);
 	}
 
 	/**
@@ -243,8 +269,15 @@
 		}
 
 		const frames = this.#pendingFrames;
+		const byteCount = this.#pendingBytes;
 		this.#pendingFrames = [];
 		this.#pendingBytes = 0;
+		this.#traffic.addWrite();
+		if (frames.length === 1 || byteCount <= maxJoinedBytes) {
+			this.#socket.write(frames.length === 1 ? frames[0] : Buffer.concat(frames, byteCount));
+			return;
+		}
+
 		this.#socket.cork();
 		for (const frame of frames) {
 			this.#socket.write(frame);
--- a/src/connection/job-keep-alive.ts
+++ b/src/connection/job-keep-alive.ts
@@ -84,7 +84,7 @@
 	 */
 	sendImmediately(now: number, fields: Omit<KeepAliveMessage, 'type'>): void {
 		this.#lastSent = now;
-		this.#connection.send(encodeFrame({type: 'keep-alive', ...fields}));
+		this.#connection.send(encodeFrame({type: 'keep-alive', ...fields}), 'keep-alive');
 	}
 
 	/**
--- a/src/connection/traffic.ts
+++ b/src/connection/traffic.ts
@@ -2,8 +2,15 @@
  * Counters of the bytes, messages and faults on the links of one process.
  */
 
+/** Kind of a message that is sent without a body of its own; messages of other kinds carry data of components, jobs or answers. */
+export type MessageKind = 'heartbeat' | 'keep-alive' | 'other';
+
 /** Bytes and messages of one kind of connection. */
 export type TrafficCounts = {
+	/** Number of messages sent by kind; kinds that have not occurred are absent. */
+	readonly sentByKind: Readonly<Partial<Record<MessageKind, number>>>;
+	/** Number of writes to sockets; one contains all messages of a turn of the event loop over one connection. */
+	readonly writes: number;
 	readonly bytesSent: number;
 	readonly bytesReceived: number;
 	readonly messagesSent: number;
@@ -33,14 +40,23 @@
 	#bytesReceived = 0;
 	#messagesSent = 0;
 	#messagesReceived = 0;
+	#writes = 0;
+	readonly #sentByKind: Partial<Record<MessageKind, number>> = {};
 
 	/**
 	 * Adds one message sent.
 	 * @param byteCount - Size of its frame in bytes.
+	 * @param kind - Kind of the message.
 	 */
-	addSent(byteCount: number): void {
+	addSent(byteCount: number, kind: MessageKind = 'other'): void {
 		this.#bytesSent += byteCount;
 		this.#messagesSent++;
+		this.#sentByKind[kind] = (this.#sentByKind[kind] ?? 0) + 1;
+	}
+
+	/** Adds one write to a socket. */
+	addWrite(): void {
+		this.#writes++;
 	}
 
 	/**
@@ -59,6 +75,8 @@
 	/** Gets the counts. */
 	getCounts(): TrafficCounts {
 		return {
+			sentByKind: {...this.#sentByKind},
+			writes: this.#writes,
 			bytesSent: this.#bytesSent,
 			bytesReceived: this.#bytesReceived,
 			messagesSent: this.#messagesSent,
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -176,7 +176,7 @@
 				metrics.addAnswer(answer);
 			},
 		});
-		const metrics = new PoolMetrics(this.#node, this.#store);
+		const metrics = new PoolMetrics({node: this.#node, store: this.#store, getTraffic: () => this.#mesh.getTraffic()});
 		this.#callerListener = await this.#listen(this.#settings.callerAddress, (req, res) => {
 			void this.#callerEndpoint.handle(req, res);
 		});
--- a/src/platform/pool-metrics.ts
+++ b/src/platform/pool-metrics.ts
@@ -4,12 +4,20 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import {type PeerTraffic, type TrafficCounts} from '../connection/index.js';
 import {type PoolNode} from '../pool/index.js';
 import {type StoreClient} from './store-client.js';
 
 /** Upper bounds of the latency buckets in seconds, from a task of 10 ms to the longest deadline. */
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 0.9, 1.5, 3];
 
+/** Sources of the metrics that are read when they are requested. */
+export type PoolMetricsOptions = {
+	readonly node: PoolNode;
+	readonly store: StoreClient;
+	readonly getTraffic: () => PeerTraffic;
+};
+
 /** Metrics of one process. */
 export class PoolMetrics {
 	readonly #registry = new Registry();
@@ -21,7 +29,19 @@
 		name: 'endivemill_answer_seconds', help: 'Time from request to answer', labelNames: ['route'], buckets: latencyBuckets, registers: [this.#registry],
 	});
 
-	constructor(node: PoolNode, store: StoreClient) {
+	constructor({node, store, getTraffic}: PoolMetricsOptions) {
+		const addTrafficCounter = (name: string, help: string, getValue: (counts: TrafficCounts) => number): void => {
+			this.#addCounter(name, help, () => {
+				const {control, job} = getTraffic();
+				return getValue(control) + getValue(job);
+			});
+		};
+
+		addTrafficCounter('endivemill_peer_messages_total', 'Messages sent to other entry VMs', ({messagesSent}) => messagesSent);
+		addTrafficCounter('endivemill_peer_heartbeats_total', 'Heartbeats among those messages', ({sentByKind}) => sentByKind.heartbeat ?? 0);
+		addTrafficCounter('endivemill_peer_keep_alives_total', 'Keep-alives of job connections among those messages', ({sentByKind}) => sentByKind['keep-alive'] ?? 0);
+		addTrafficCounter('endivemill_peer_writes_total', 'Socket writes of messages to other entry VMs', ({writes}) => writes);
+		addTrafficCounter('endivemill_peer_bytes_total', 'Bytes of messages to other entry VMs', ({bytesSent}) => bytesSent);
 		this.#addGauge('endivemill_pool_cores', 'Cores of the upstreams that take tasks', node, load => load.cores);
 		this.#addGauge('endivemill_pool_free_cpu', 'Thousandths of a core that are free', node, load => load.freeCpu);
 		this.#addGauge('endivemill_pool_queued_work', 'Core-milliseconds that wait', node, load => load.queuedWork);
@@ -50,6 +70,16 @@
 		return this.#registry.metrics();
 	}
 
+	#addCounter(name: string, help: string, getValue: () => number): void {
+		const counter = new Counter({
+			name, help, registers: [this.#registry],
+			collect() {
+				counter.reset();
+				counter.inc(getValue());
+			},
+		});
+	}
+
 	#addGauge(name: string, help: string, node: PoolNode, getValue: (load: ReturnType<PoolNode['directory']['getViews']>[number]) => number): void {
 		const gauge = new Gauge({
 			name, help, labelNames: ['pool'], registers: [this.#registry],
