Log a job in one line of its owner

Many lines a job cost processor time in all roles: each is serialised, goes through a Writable of Node.js and wakes a thread every 50 ms. The owner now writes one line at the end of a job with its admission and its starts; a job that is released writes it too, so that a takeover can be traced. Decisions that deviate keep their lines. Lines are gathered for 200 ms, without a Writable.

--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -13,7 +13,12 @@
 const invalidSettingsExitCode = 2;
 
 const stdout = new StdoutLog();
-const logger = bunyan.createLogger({name: 'endivemill', streams: [{stream: stdout, level: 'debug'}]});
+const stream = {
+	write(line: unknown) {
+		stdout.write(line as string);
+	},
+};
+const logger = bunyan.createLogger({name: 'endivemill', streams: [{stream, level: 'debug'}]});
 
 /** Reads and validates the settings; logs the faults and returns `undefined` if they are invalid. */
 async function readSettings(): Promise<ReturnType<typeof parseSettingsFile> & {readonly ok: true} | undefined> {
--- a/src/platform/stdout-log.ts
+++ b/src/platform/stdout-log.ts
@@ -4,7 +4,6 @@
 import {Buffer} from 'node:buffer';
 import {write} from 'node:fs';
 import process from 'node:process';
-import {Writable} from 'node:stream';
 import {type Clock, systemClock, type Timer} from '../seams/index.js';
 
 const standardOutput = 1;
@@ -16,7 +15,7 @@
  * Time for which lines are buffered for one write, in milliseconds. With a smaller value each line costs a write and a thread switch; with a larger one
  * more lines are lost when the process is killed.
  */
-const flushDelayMs = 50;
+const flushDelayMs = 200;
 
 /**
  * Delay before a write to a full pipe is retried, in milliseconds. With a smaller value a slow reader costs processor time; with a larger one a fast
@@ -35,8 +34,8 @@
 	readonly clock?: Clock;
 };
 
-/** Stream to standard output that writes on a worker thread, one write at a time. */
-export class StdoutLog extends Writable {
+/** Writes to standard output on a worker thread, one write at a time. It is no stream of Node.js, whose bookkeeping costs more than the lines. */
+export class StdoutLog {
 	readonly #clock: Clock;
 	#timer: Timer | undefined;
 	#buffered: string[] = [];
@@ -45,15 +44,17 @@
 	#dropped = 0;
 
 	constructor({clock = systemClock}: StdoutLogOptions = {}) {
-		super();
 		this.#clock = clock;
 
 		// The getter makes a pipe non-blocking; the process cannot end while a thread is blocked in a write.
 		Reflect.get(process, 'stdout');
 	}
 
-	override _write(chunk: Uint8Array | string, _encoding: string, callback: () => void): void {
-		const text = typeof chunk === 'string' ? chunk : Buffer.from(chunk).toString();
+	/**
+	 * Buffers a line for the next write.
+	 * @param text - Line with its end.
+	 */
+	write(text: string): void {
 		if (this.#bufferedBytes + text.length > maxBufferedBytes) {
 			this.#dropped++;
 		} else {
@@ -65,7 +66,6 @@
 			this.#timer = undefined;
 			this.#flush();
 		}, flushDelayMs);
-		callback();
 	}
 
 	/** Gets the number of dropped lines. */
--- a/src/pool/lent-runs.ts
+++ b/src/pool/lent-runs.ts
@@ -70,7 +70,6 @@
 		const run = link.start({
 			task: task.task, number: task.number, needs: task.step.needs, spec: task.spec, getLeaseLimit,
 		});
-		this.#options.log.debug({task: task.task, run: task.number, upstream: link.name}, 'task placed for another pool');
 		signal.addEventListener('abort', () => {
 			link.stop(run);
 		}, {once: true});
@@ -145,7 +144,7 @@
 			task: run.task, run: run.number, upstream: lent.link.name, end,
 		};
 		if (end === 'done') {
-			this.#options.log.debug(fields, 'lent run ended');
+			this.#options.log.debug({...fields, ranMs: Math.round(this.#options.clock.getMonotonicTime() - run.startedAt)}, 'lent run ended');
 		} else {
 			this.#options.log.info(fields, 'lent run ended without success');
 		}
--- a/src/pool/pool-router.ts
+++ b/src/pool/pool-router.ts
@@ -153,8 +153,11 @@
 
 			triedPools.add(target.pool);
 			this.#options.directory.addSentJob(target.pool, job);
-			this.#options.log.debug({job: job.id, ...target}, 'pool chosen');
 			const outcome = await this.#submitToPool(target.pool, submission, signal);
+			if (outcome.kind !== 'completed') {
+				this.#options.log.debug({job: job.id, outcome: outcome.kind, ...target}, 'pool did not complete the job');
+			}
+
 			if (outcome.kind !== 'refused') {
 				return outcome;
 			}
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -21,7 +21,7 @@
 	getStepWork, type JobStep, type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob, type TaskNeeds,
 } from './pool-job.js';
 import {sortByUrgency} from './queue-order.js';
-import {type JobTask, QueuedJob} from './queued-job.js';
+import {type JobTask, QueuedJob, type TaskStart} from './queued-job.js';
 import {type RunHost} from './run-host.js';
 import {
 	getLeaseLimit, type JobSender, localSender,
@@ -68,16 +68,6 @@
 	readonly queuedWork: number;
 };
 
-/** Log entry of a started task: on an upstream of this pool or in another pool. */
-type StartedTask = {
-	readonly task: string;
-	readonly run: number;
-	readonly upstream?: string;
-	readonly pool?: string;
-	/** Thousandths of a core: in this pool, what was free on the upstream before the start; in another pool, what remains free after it. */
-	readonly freeCpu: number;
-};
-
 /** Interval between checks for overdue runs and jobs that will be late, in milliseconds: a fraction of the shortest task. */
 const sweepIntervalMs = 20;
 
@@ -311,16 +301,21 @@
 		}
 
 		const decision = this.#checkAdmission(job);
-		this.#options.log.info({
-			job: job.request.id,
-			route: job.request.rules.route,
+		job.admission = {
 			tasks: job.taskCount,
 			ageMs: Math.round(submitted.ageMs),
-			priorFence: submitted.priorFence,
-			adopted: job.getRunCount(),
+			...(submitted.priorFence > 0 && {priorFence: submitted.priorFence}),
+			...(job.hasStarted && {adopted: job.getRunCount()}),
 			...this.#describeConfirmation(sender),
-			...decision,
-		}, decision.isAdmitted ? 'job admitted' : 'job refused');
+			expectedWaitMs: Math.round(decision.expectedWaitMs * 10) / 10,
+		};
+		if (!decision.isAdmitted) {
+			this.#options.log.info({...job.getLogFields(), ...decision}, 'job refused');
+		} else if (job.hasStarted) {
+			// Runs of an earlier owner go on; the other jobs are logged at their end.
+			this.#options.log.info(job.getLogFields(), 'job admitted');
+		}
+
 		if (!decision.isAdmitted) {
 			return {kind: 'refused', reason: decision.reason, retryAfterMs: decision.retryAfterMs};
 		}
@@ -496,6 +491,7 @@
 		this.#sweepTimer.close();
 		for (const job of this.#jobs.values()) {
 			this.#jobSizes.remove(job.size);
+			this.#options.log.info(job.getLogFields(), 'job released');
 			job.settle({kind: 'moved', hasStarted: job.hasStarted});
 		}
 
@@ -629,7 +625,7 @@
 
 	/** Stops a job none of whose senders confirms that it waits. */
 	#dropUnconfirmed(job: QueuedJob): void {
-		this.#options.log.info({job: job.request.id, hasStarted: job.hasStarted}, 'no sender of the job confirms that it waits');
+		this.#options.log.info({...job.getLogFields(), hasStarted: job.hasStarted}, 'no sender of the job confirms that it waits');
 		if (job.hasStarted) {
 			job.settle({kind: 'interrupted', reason: 'the sender did not confirm that it waits'});
 			this.#abandon(job, 'no sender confirms that it waits');
@@ -788,7 +784,6 @@
 				continue;
 			}
 
-			const started: StartedTask[] = [];
 			for (const task of job.getReadyTasks().filter(({name}) => this.#isClear(job, name))) {
 				const start = this.#startOnUpstream(job, task, candidates) ?? this.#startInOtherPool(job, task, borrowable);
 				if (start === undefined) {
@@ -796,11 +791,7 @@
 					break;
 				}
 
-				started.push(start);
-			}
-
-			if (started.length > 0) {
-				this.#options.log.debug({job: job.request.id, waitedMs: Math.round(now - job.arrivedAt), started}, 'tasks started');
+				job.addStart({...start, task: getPosition(task), afterMs: Math.round(now - job.arrivedAt)});
 			}
 
 			maxFreeCpu = getMaxFreeCpu(candidates, borrowable);
@@ -840,7 +831,7 @@
 	}
 
 	/** Starts a task in the smallest sufficient free capacity of other pools and reduces that capacity; `undefined` if it fits nowhere. */
-	#startInOtherPool(job: QueuedJob, task: JobTask, capacities: Array<NeighbourCapacity & {cpu: number}>): StartedTask | undefined {
+	#startInOtherPool(job: QueuedJob, task: JobTask, capacities: Array<NeighbourCapacity & {cpu: number}>): Pick<TaskStart, 'run' | 'upstream' | 'pool' | 'freeCpu'> | undefined {
 		const step = job.getStep(task);
 		const capacity = this.#neighbourPools.chooseFreeCapacity(step, capacities, task.avoided);
 		if (capacity === undefined) {
@@ -858,9 +849,7 @@
 			task: task.name, number: task.lastRunNumber, spec: job.request.spec, service: job.request.rules.service, step, expectedMs: job.getReferenceMs(task),
 			...(failedRuns.length > 0 && {failedRuns}),
 		}, () => job.getConfirmedAt(this.#options.clock.getMonotonicTime()));
-		return {
-			task: task.name, run: task.lastRunNumber, pool: capacity.pool, freeCpu: capacity.cpu,
-		};
+		return {run: task.lastRunNumber, pool: capacity.pool, freeCpu: capacity.cpu};
 	}
 
 	#getAcceptingLinks(): readonly UpstreamLink[] {
@@ -872,7 +861,7 @@
 	}
 
 	/** Starts a task on an upstream of this pool; `undefined` if none has enough free capacity. */
-	#startOnUpstream(job: QueuedJob, task: JobTask, candidates: Map<UpstreamLink, PlacementCandidate>): StartedTask | undefined {
+	#startOnUpstream(job: QueuedJob, task: JobTask, candidates: Map<UpstreamLink, PlacementCandidate>): Pick<TaskStart, 'run' | 'upstream' | 'pool' | 'freeCpu'> | undefined {
 		const step = job.getStep(task);
 		const placedCounts = step.maxPerUpstream === undefined ? undefined : job.getPlacedCounts(task.stepPosition);
 		const allowed = [...candidates].flatMap(([link, candidate]) => servesJob(link, job) ? candidate : []);
@@ -885,9 +874,7 @@
 		const link = [...candidates.keys()].find(({description}) => description.id === chosen.id)!;
 		this.#startOnLink(job, task, link);
 		candidates.set(link, toCandidate(link));
-		return {
-			task: task.name, run: task.lastRunNumber, upstream: chosen.id, freeCpu: chosen.free.cpu,
-		};
+		return {run: task.lastRunNumber, upstream: chosen.id, freeCpu: chosen.free.cpu};
 	}
 
 	#startOnLink(job: QueuedJob, task: JobTask, link: UpstreamLink): void {
@@ -1013,7 +1000,7 @@
 	#settle(job: QueuedJob, outcome: PoolJobOutcome): void {
 		this.#remove(job);
 		this.#options.log.info({
-			job: job.request.id, outcome: outcome.kind, totalMs: Math.round(this.#options.clock.getMonotonicTime() - job.arrivedAt),
+			...job.getLogFields(), outcome: outcome.kind, totalMs: Math.round(this.#options.clock.getMonotonicTime() - job.arrivedAt),
 		}, 'job ended');
 		job.settle(outcome);
 	}
@@ -1034,7 +1021,7 @@
 		}
 
 		job.isAbandoned = true;
-		this.#options.log.info({job: job.request.id, reason}, 'job abandoned');
+		this.#options.log.info({...job.getLogFields(), reason}, 'job abandoned');
 		for (const {host, run} of job.tasks) {
 			if (host !== undefined && run !== undefined) {
 				host.stop(run);
@@ -1118,7 +1105,7 @@
 	#refuse(job: QueuedJob, reason: RefusalReason): void {
 		const {queuedWork, cores} = this.getLoad();
 		this.#options.log.info({
-			job: job.request.id, reason, queuedWork: Math.round(queuedWork), cores,
+			...job.getLogFields(), reason, queuedWork: Math.round(queuedWork), cores,
 		}, 'queued job refused');
 		this.#remove(job);
 		job.settle({kind: 'refused', reason, retryAfterMs: Math.max(minRetryAfterMs, queuedWork / Math.max(1, cores))});
@@ -1130,6 +1117,11 @@
 	return memoryMb < 0 || accelerators < 0 ? 0 : Math.max(0, cpu);
 }
 
+/** Gets the positions of a task's step and of the task within it. */
+function getPosition({name}: JobTask): string {
+	return name.split('.').slice(2).join('.');
+}
+
 /** Starts a task elsewhere than on a host as far as possible. */
 function avoidHost(task: JobTask, {name}: RunHost): void {
 	task.avoided = new Set([...task.avoided, name]);
--- a/src/pool/queued-job.ts
+++ b/src/pool/queued-job.ts
@@ -1,6 +1,7 @@
 /**
  * The state of a job that a pool's owner has admitted.
  */
+import {type LogFields} from './decision-log.js';
 import {type DurationEstimator} from './duration-estimator.js';
 import {getJobSize} from './job-size.js';
 import {
@@ -26,6 +27,22 @@
 	avoided: ReadonlySet<string>;
 };
 
+/** A start of a task for the log: on an upstream of the pool or in another pool. */
+export type TaskStart = {
+	/** Positions of the step and of the task within it, as at the end of its name: `STEP.INDEX`. */
+	readonly task: string;
+	readonly run: number;
+	/** Time since the job's arrival, in milliseconds. */
+	readonly afterMs: number;
+	readonly upstream?: string;
+	readonly pool?: string;
+	/** Thousandths of a core: in this pool, what was free on the upstream before the start; in another pool, what remains free after it. */
+	readonly freeCpu: number;
+};
+
+/** Maximum number of starts of a job that are kept for the log. */
+const maxLoggedStarts = 64;
+
 /** Receives the outcome of a job. */
 export type JobListener = (outcome: PoolJobOutcome) => void;
 
@@ -54,6 +71,10 @@
 	longestRunMs = 0;
 	/** Monotonic time since which no sender of the job is known to wait; `undefined` while one is. */
 	unconfirmedSince: number | undefined;
+	/** Fields of the decision to admit the job, for the line at its end. */
+	admission: LogFields = {};
+	readonly #starts: TaskStart[] = [];
+	#omittedStarts = 0;
 	#arrivedAt: number;
 	#deadlineAt: number;
 	#stoppedMs = 0;
@@ -232,6 +253,27 @@
 		return this.#confirmedAt;
 	}
 
+	/**
+	 * Records a start for the log.
+	 * @param start - Start.
+	 */
+	addStart(start: TaskStart): void {
+		if (this.#starts.length < maxLoggedStarts) {
+			this.#starts.push(start);
+		} else {
+			this.#omittedStarts++;
+		}
+	}
+
+	/** Gets what is logged of the job at its end: how it was admitted and what was started. */
+	getLogFields(): LogFields {
+		return {
+			job: this.request.id, route: this.request.rules.route, ...this.admission,
+			...(this.#starts.length > 0 && {started: this.#starts}),
+			...(this.#omittedStarts > 0 && {omittedStarts: this.#omittedStarts}),
+		};
+	}
+
 	/** Gets the number of tasks that have a run. */
 	getRunCount(): number {
 		return this.#tasks?.filter(({run}) => run !== undefined).length ?? 0;
--- a/test/pool/sender-confirmation.test.ts
+++ b/test/pool/sender-confirmation.test.ts
@@ -47,10 +47,10 @@
 	await harness.clock.advance(2);
 	t.is(harness.upstreams.starts.length, 2);
 	t.is(sender.requestCount, 1);
-	t.like(harness.logLines.find(({message}) => message === 'job admitted')!.fields, {confirmedMsAgo: 2000});
 	sender.confirmedAt = Infinity;
 	await harness.clock.advance(1000);
 	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
+	t.like(harness.logLines.find(({message}) => message === 'job ended')!.fields, {confirmedMsAgo: 2000});
 });
 
 test('an owner starts nothing more for a job whose sender was last known to wait too long ago, and stops its runs', async t => {
