Tell what limited the lease of a run that lapsed

Change: the line of a run that ended as lapsed, own or for another pool, has the lease that was last found grantable on its upstream (leaseMs), the one that its own sender allows (ownLeaseMs) and the task of the run that limited the former (limitedBy). Lines of other ends do not change.

Evidence: a test in test/pool/lease-limit.test.ts.

--- a/src/pool/lent-runs.ts
+++ b/src/pool/lent-runs.ts
@@ -141,7 +141,7 @@
 		}
 
 		const fields = {
-			task: run.task, run: run.number, upstream: lent.link.name, end,
+			task: run.task, run: run.number, upstream: lent.link.name, end, ...(end === 'lapsed' && lent.link.describeLease(run)),
 		};
 		if (end === 'done') {
 			this.#options.log.debug({...fields, ranMs: Math.round(this.#options.clock.getMonotonicTime() - run.startedAt)}, 'lent run ended');
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -915,6 +915,7 @@
 		if (!job.isAbandoned) {
 			this.#options.log.info({
 				job: job.request.id, task: task.name, run: run.number, upstream: host.name, end, failures: this.#getFailureCount(task),
+				...(end === 'lapsed' && host instanceof UpstreamLink && host.describeLease(run)),
 			}, 'run ended without success');
 		}
 
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -176,6 +176,9 @@
 	#leaseEndsAt = 0;
 	/** Whether a start would get a lease that is long enough, and the monotonic time at which this was last examined. */
 	#leaseCheck = {isLongEnough: true, checkedAt: -Infinity};
+	/** Lease that was last found grantable, in milliseconds, and the task of the run that limited it. */
+	#lastLeaseMs: number;
+	#limitingTask: string | undefined;
 	/** Number of leases that were recorded. */
 	#leaseCount = 0;
 	#isSilent = true;
@@ -185,6 +188,7 @@
 	constructor(public description: UpstreamDescription, options: UpstreamLinkOptions) {
 		this.#options = options;
 		this.#timing = options.timing ?? defaultUpstreamLinkTiming;
+		this.#lastLeaseMs = this.#timing.leaseMs;
 		this.#silentSince = options.clock.getMonotonicTime();
 		this.#instanceRuns = new InstanceRuns({
 			getTime: () => options.clock.getMonotonicTime(),
@@ -355,6 +359,19 @@
 		return this.#recentEnds.get(task);
 	}
 
+	/**
+	 * Describes for the log why a run may have lapsed.
+	 * @param run - Run of this link, or one that has ended.
+	 * @returns The lease that was last found grantable here, and the one that the run itself would allow now, both in milliseconds; and the task of the run
+	 * that limited the former, if any.
+	 */
+	describeLease({getLeaseLimit}: LinkedRun): {readonly leaseMs: number; readonly ownLeaseMs: number; readonly limitedBy?: string} {
+		const ownLimitMs = (getLeaseLimit?.() ?? Infinity) - this.#options.clock.getMonotonicTime();
+		return {
+			leaseMs: Math.round(this.#lastLeaseMs), ownLeaseMs: Math.round(Math.min(this.#timing.leaseMs, ownLimitMs)), limitedBy: this.#limitingTask,
+		};
+	}
+
 	/** Closes the link. Its runs are left to their leases or to the next owner. */
 	close(): void {
 		this.#closeController.abort();
@@ -393,10 +410,16 @@
 	#getGrantableLeaseMs(): number {
 		const now = this.#options.clock.getMonotonicTime();
 		let {leaseMs} = this.#timing;
-		for (const {getLeaseLimit} of this.#runs.values()) {
-			leaseMs = Math.min(leaseMs, (getLeaseLimit?.() ?? Infinity) - now);
+		this.#limitingTask = undefined;
+		for (const {task, getLeaseLimit} of this.#runs.values()) {
+			const limitMs = (getLeaseLimit?.() ?? Infinity) - now;
+			if (limitMs < leaseMs) {
+				leaseMs = limitMs;
+				this.#limitingTask = task;
+			}
 		}
 
+		this.#lastLeaseMs = leaseMs;
 		return leaseMs;
 	}
 
--- a/test/pool/lease-limit.test.ts
+++ b/test/pool/lease-limit.test.ts
@@ -15,6 +15,8 @@
 const workMs = 3000;
 const startMs = 2000;
 
+const longJob = {remainingMs: 20_000, step: {estimateMs: workMs}};
+
 /** Owner in a process of its own, which can be frozen. */
 type FrozenOwnerFixture = {readonly harness: PoolHarness; readonly owner: PoolOwner; readonly process: SimulatedProcess};
 
@@ -149,3 +151,16 @@
 	t.is(confirmedAt[0], 900);
 	t.true(confirmedAt[1]! >= 1000);
 });
+
+test('the end of a run that lapsed names the run that limited its lease, and the lease that its own sender would have allowed', async t => {
+	const harness = new PoolHarness({upstreamCount: 1, getWork: () => ({...typicalWork, durationMs: workMs})});
+	const owner = harness.createOwner();
+	await harness.clock.advance(startMs);
+	harness.submit(owner, 'a', longJob, undefined, {getConfirmedAt: () => startMs});
+	harness.submit(owner, 'b', longJob);
+	harness.loseStops(100);
+	await harness.clock.advance(2000);
+	const lapsed = harness.logLines.find(({message, fields}) => message === 'run ended without success' && fields.task === 'b.0.0.0');
+	t.like(lapsed?.fields, {end: 'lapsed', ownLeaseMs: 900, limitedBy: 'a.0.0.0'});
+	t.true((lapsed!.fields as {readonly leaseMs: number}).leaseMs < 300);
+});
