--- a/bench/soak-processes/main.ts
+++ b/bench/soak-processes/main.ts
@@ -15,6 +15,7 @@
 	readonly callers: string;
 	readonly patient: string;
 	readonly links: string;
+	readonly restarts: string;
 	readonly pause: string;
 	readonly keep?: boolean;
 };
@@ -52,6 +53,7 @@
 	.option('--callers <count>', 'callers', '12')
 	.option('--patient <count>', 'further callers that wait for 20 s', '0')
 	.option('--links <count>', 'faults of links between VMs, of their processors and of callers\' connections in each series', '0')
+	.option('--restarts <count>', 'groups of upstreams that crash or start again around the faults of links in each series', '0')
 	.option('--pause <ms>', 'mean time between two jobs of a caller', '600')
 	.option('--keep', 'keep the logs even without violations')
 	.parse();
@@ -66,6 +68,7 @@
 		patientCallerCount: Number(options.patient),
 		keepsLogs: options.keep ?? false,
 		linkFaultCount: Number(options.links),
+		restartCount: Number(options.restarts),
 		meanCallerPauseMs: Number(options.pause),
 	});
 	printResult(seed, result);
--- a/bench/soak-processes/plan.ts
+++ b/bench/soak-processes/plan.ts
@@ -24,6 +24,7 @@
 const answerKinds = ['odd-answers', 'odd-entries', 'answers-overtake', 'two-lives'] as const;
 
 const workloadKinds = ['deadly-jobs', 'capacity-shrinks'] as const;
+const restartKinds = ['upstream-crash', 'two-lives'] as const;
 const linkKinds = ['link-reset', 'link-silent', 'link-one-way', 'link-slow', 'processor-late', 'callers-reset', 'freeze'] as const;
 
 /** Kind of a fault. */
@@ -39,6 +40,8 @@
 	readonly lengthMs: number;
 	/** Faults of links between VMs, of their processors and of callers' connections, each of one or two; none by default. */
 	readonly linkFaultCount?: number;
+	/** Upstreams that crash or start again around a fault of links, in groups; none by default. */
+	readonly restartCount?: number;
 };
 
 /** Share of the series with planned stops only, in which no other fault excuses a request that is broken off. */
@@ -50,8 +53,12 @@
 const answerSeedFactor = 2_246_822_519;
 const workloadSeedFactor = 3_266_489_917;
 const linkSeedFactor = 668_265_263;
+const restartSeedFactor = 374_761_393;
 const maxSeries = 1000;
 
+/** Longest time from a fault of links to the upstreams that crash or start again around it, in milliseconds. */
+const maxRestartDistanceMs = 600;
+
 /** Longest time for which a capacity is small, in milliseconds. */
 export const maxShrunkMs = 9000;
 
@@ -65,7 +72,8 @@
 	const answerFaults = hasPlannedStopsOnly ? [] : createAnswerFaults(options);
 	const workloadFaults = hasPlannedStopsOnly ? [] : createWorkloadFaults(options);
 	const linkFaults = hasPlannedStopsOnly ? [] : createLinkFaults(options);
-	return [...rollingRestart, ...otherFaults, ...answerFaults, ...workloadFaults, ...linkFaults].toSorted((a, b) => a.atMs - b.atMs);
+	const restarts = createRestarts(options, linkFaults);
+	return [...rollingRestart, ...otherFaults, ...answerFaults, ...workloadFaults, ...linkFaults, ...restarts].toSorted((a, b) => a.atMs - b.atMs);
 }
 
 /** Creates a rolling restart: planned stops of one VM after another, 1 to 2 s apart. */
@@ -152,6 +160,27 @@
 	}).flat();
 }
 
+/** Creates upstreams that crash or start again in the seconds of faults of links, drawn apart too. */
+function createRestarts({seed, series, upstreamCount, lengthMs, restartCount = 0}: FaultPlanOptions, linkFaults: readonly PlannedFault[]): readonly PlannedFault[] {
+	const random = createSeededRandom(Math.imul((seed * maxSeries) + series, restartSeedFactor));
+	random.getFloat();
+	if (linkFaults.length === 0) {
+		return [];
+	}
+
+	return Array.from({length: restartCount}, (): PlannedFault => {
+		const {atMs} = pick(random, linkFaults);
+		return {
+			kind: pick<SoakFaultKind>(random, restartKinds),
+			atMs: Math.min(lengthMs, Math.max(0, atMs + drawInteger(random, -maxRestartDistanceMs, maxRestartDistanceMs))),
+			durationMs: drawInteger(random, 200, 2000),
+			target: Math.floor(random.getFloat() * upstreamCount),
+			count: 1 + Math.floor(random.getFloat() * upstreamCount / 3),
+			isLapsing: random.getFloat() < 0.5,
+		};
+	});
+}
+
 /**
  * Gets whether the upstreams of a soak refuse what exceeds their capacity.
  * @param seed - Seed of the soak.
--- a/bench/soak-processes/soak-run.ts
+++ b/bench/soak-processes/soak-run.ts
@@ -40,6 +40,8 @@
 	readonly patientCallerCount?: number;
 	/** Number of the faults of links, processors and callers' connections in each series; none by default. */
 	readonly linkFaultCount?: number;
+	/** Number of groups of upstreams that crash or start again around faults of links in each series; none by default. */
+	readonly restartCount?: number;
 	/** Mean time between two jobs of a caller, in milliseconds. */
 	readonly meanCallerPauseMs?: number;
 	/** Whether the folder of the logs is kept when there are no violations. */
@@ -121,7 +123,7 @@
 
 	constructor(options: SoakOptions) {
 		this.#options = {
-			vmCount: 9, dataCenters: ['dc1', 'dc2', 'dc3'], upstreamsPerDataCenter: 18, callerCount: 12, patientCallerCount: 0, keepsLogs: false, linkFaultCount: 0, meanCallerPauseMs: defaultMeanPauseMs, ...options,
+			vmCount: 9, dataCenters: ['dc1', 'dc2', 'dc3'], upstreamsPerDataCenter: 18, callerCount: 12, patientCallerCount: 0, keepsLogs: false, linkFaultCount: 0, restartCount: 0, meanCallerPauseMs: defaultMeanPauseMs, ...options,
 		};
 		this.#random = createSeededRandom(options.seed + 1);
 		this.#folder = mkdtempSync(path.join(tmpdir(), `endivemill-soak-${options.seed}-`));
@@ -216,9 +218,9 @@
 
 	/** Injects the faults of a series and waits for normal service. */
 	async #runSeries(series: number, lengthMs: number): Promise<void> {
-		const {seed, vmCount, dataCenters, upstreamsPerDataCenter, linkFaultCount} = this.#options;
+		const {seed, vmCount, dataCenters, upstreamsPerDataCenter, linkFaultCount, restartCount} = this.#options;
 		const plan = createFaultPlan({
-			seed, series, vmCount, upstreamCount: dataCenters.length * upstreamsPerDataCenter, lengthMs, linkFaultCount,
+			seed, series, vmCount, upstreamCount: dataCenters.length * upstreamsPerDataCenter, lengthMs, linkFaultCount, restartCount,
 		});
 		await Promise.all(plan.map(async fault => {
 			await delay(fault.atMs);
--- a/test/soak-processes/plan.test.ts
+++ b/test/soak-processes/plan.test.ts
@@ -39,6 +39,28 @@
 	t.true(plans.flat().every(({kind, atMs, durationMs}) => atMs >= 0 && atMs <= 12_000 && durationMs >= 200 && durationMs <= (kind === 'capacity-shrinks' ? maxShrunkMs : 4000)));
 });
 
+test('upstreams crash and start again within 600 ms of faults of links, and the other faults stay as they are', t => {
+	const linkKinds = new Set(['link-reset', 'link-silent', 'link-one-way', 'link-slow', 'processor-late', 'callers-reset', 'freeze']);
+	const restartKinds = new Set<string>();
+	for (let seed = 0; seed < 20; seed++) {
+		const earlier = createFaultPlan({seed, ...options, linkFaultCount: 8});
+		const plan = createFaultPlan({
+			seed, ...options, linkFaultCount: 8, restartCount: 6,
+		});
+		const known = new Set(earlier.map(fault => JSON.stringify(fault)));
+		const restarts = plan.filter(fault => !known.has(JSON.stringify(fault)));
+		t.deepEqual(plan.filter(fault => known.has(JSON.stringify(fault))), earlier);
+		t.is(restarts.length, earlier.every(({kind}) => kind === 'stop') ? 0 : 6);
+		for (const {kind, atMs} of restarts) {
+			restartKinds.add(kind);
+			t.true(earlier.some(fault => linkKinds.has(fault.kind) && Math.abs(fault.atMs - atMs) <= 600));
+		}
+	}
+
+	t.deepEqual([...restartKinds].toSorted(), ['two-lives', 'upstream-crash']);
+	t.deepEqual(createFaultPlan({seed: 5, ...options, restartCount: 6}), createFaultPlan({seed: 5, ...options}));
+});
+
 test('the upstreams of some soaks refuse what exceeds their capacity, those of others do not', t => {
 	const guardedCount = Array.from({length: 100}, (_, seed) => seed).filter(seed => areUpstreamsGuarded(seed)).length;
 	t.true(guardedCount > 30 && guardedCount < 70);
