Create the code cache from a run with jobs

Cause: the cache had what V8 compiles until the daemon misses its settings and exits, so that each process compiled all else in its first seconds.

Change: while the bundle is built, two daemons run jobs against the stand-ins on loopback, and the first of them writes the cache when it stops. If that fails, the cache of the start stays.

--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -1,7 +1,7 @@
 /**
  * Starts the bundled daemon with the code cache that V8 created at build time: a process that restarts after a power failure answers
- * callers earlier by the compilation time. With `--create-cache` it compiles the bundle, runs it until the daemon exits because of
- * missing settings, and writes the cache.
+ * callers earlier by the compilation time. With `--create-cache` it compiles the bundle, runs it until the daemon exits, and writes the cache with
+ * all functions that were compiled until then; without settings the daemon exits at once.
  */
 'use strict';
 
@@ -29,10 +29,11 @@
 const script = new vm.Script(source, {filename, cachedData: readCache()});
 if (isCreating) {
 	process.on('exit', () => {
-		fs.writeFileSync(cacheFile, script.createCachedData());
+		// A file that is written in part must not take the place of a whole one.
+		fs.writeFileSync(`${cacheFile}.new`, script.createCachedData());
+		fs.renameSync(`${cacheFile}.new`, cacheFile);
 		process.exitCode = 0;
 	});
-	delete process.env.ENDIVEMILL_CONFIG;
 }
 
 script.runInThisContext()({}, require, module, filename, target);
--- a/xo.config.js
+++ b/xo.config.js
@@ -34,6 +34,7 @@
 			'src/testing/platform-*.ts',
 			'test/platform/**',
 			'bench/soak-processes/**',
+			'deploy/warm-up.ts',
 		],
 		rules: {'@typescript-eslint/naming-convention': 'off'},
 	},
