Do no work for a heartbeat or a report that says nothing new

Cause: each report of another data centre was applied to all of its members, also when its view and the table were unchanged; each heartbeat built objects for its remaining keys, its body and a promise; each tick copied the list of members several times, sorted it and serialised the own status. Change: a view whose last application left the table as it is renews only the times of its members, unless it reports a member down that others report up; bodies, statuses and the list of members are the same objects until they change; a newer configuration is looked for only if one is announced.

--- a/src/connection/control-link.ts
+++ b/src/connection/control-link.ts
@@ -50,15 +50,19 @@
 /**
  * Encodes the status and load of this process.
  * @param body - Status and load to publish.
+ * @param previous - Result for the last heartbeat; its status and load are returned again, as the same objects, while they are unchanged.
  */
 export function encodeHeartbeatBody({
 	load, configurationVersion, isLeaving, claims = {}, cores = 1,
-}: HeartbeatBody): EncodedHeartbeatBody {
+}: HeartbeatBody, previous?: EncodedHeartbeatBody): EncodedHeartbeatBody {
 	const status: MemberStatus = {
 		configurationVersion, isLeaving, claims, cores,
 	};
+	const statusBytes = encodeValue(status);
+	const loadBytes = encodeValue(load);
 	return {
-		status, load, statusBytes: encodeValue(status), loadBytes: encodeValue(load),
+		...(isSame(previous?.statusBytes, statusBytes) ? {status: previous!.status, statusBytes: previous!.statusBytes} : {status, statusBytes}),
+		...(isSame(previous?.loadBytes, loadBytes) ? {load: previous!.load, loadBytes: previous!.loadBytes} : {load, loadBytes}),
 	};
 }
 
@@ -98,6 +102,8 @@
 	#sentLoad: Uint8Array | undefined;
 	#receivedStatus: MemberStatus | undefined;
 	#receivedLoad: unknown;
+	/** Status and load last received, the same object while they are unchanged. */
+	#receivedBody: ReceivedHeartbeat | undefined;
 	#isStarted = false;
 	#announcedIntervalMs = 0;
 	#unacknowledgedCount = 0;
@@ -306,13 +312,21 @@
 		this.#channel.acknowledge(heartbeat.received);
 		this.#handlers.onLogicalTime(heartbeat.logicalTime);
 		this.#announcedIntervalMs = heartbeat.nextMs ?? 0;
-		this.#receivedStatus = heartbeat.status ?? this.#receivedStatus;
-		this.#receivedLoad = 'load' in heartbeat ? heartbeat.load : this.#receivedLoad;
-		if (this.#receivedStatus) {
-			this.#handlers.onHeartbeat({...this.#receivedStatus, load: this.#receivedLoad});
+		if (heartbeat.status !== undefined || 'load' in heartbeat) {
+			this.#receivedStatus = heartbeat.status ?? this.#receivedStatus;
+			this.#receivedLoad = 'load' in heartbeat ? heartbeat.load : this.#receivedLoad;
+			this.#receivedBody = this.#receivedStatus && {...this.#receivedStatus, load: this.#receivedLoad};
 		}
 
-		const reports = (heartbeat.reports ?? []).flatMap(report => this.#completeReport(report));
+		if (this.#receivedBody) {
+			this.#handlers.onHeartbeat(this.#receivedBody);
+		}
+
+		if (heartbeat.reports === undefined) {
+			return;
+		}
+
+		const reports = heartbeat.reports.flatMap(report => this.#completeReport(report));
 		if (reports.length > 0) {
 			this.#handlers.onReports(reports);
 		}
--- a/src/connection/control-messages.ts
+++ b/src/connection/control-messages.ts
@@ -131,6 +131,9 @@
 /** A message from one component of the process to its counterpart in the other. */
 export type Data = z.infer<typeof dataSchema>;
 
+const heartbeatKeys: ReadonlySet<string> = new Set(['type', 'logicalTime', 'received', 'nextMs', 'status', 'load', 'reports']);
+const reportKeys: ReadonlySet<string> = new Set(['reporter', 'beat', 'view']);
+
 /**
  * Decodes a heartbeat without the schema, for speed, since most messages of a control link are heartbeats; returns `undefined` for another
  * message, and for a heartbeat that omits a field with a default.
@@ -141,8 +144,8 @@
 		return undefined;
 	}
 
-	const {type, logicalTime, received, nextMs, load, reports, status, ...rest} = value;
-	const isHeartbeat = type === 'beat' && isCount(logicalTime) && isCount(received) && hasNoKeys(rest);
+	const {type, logicalTime, received, nextMs, reports, status} = value;
+	const isHeartbeat = type === 'beat' && isCount(logicalTime) && isCount(received) && hasOnlyKeys(value, heartbeatKeys);
 	if (!isHeartbeat || !isOptional(nextMs, isPositive) || !isOptional(status, isStatus) || !isOptional(reports, isReports)) {
 		return undefined;
 	}
@@ -156,8 +159,8 @@
 			return false;
 		}
 
-		const {reporter, beat, view, ...rest} = report;
-		return isText(reporter) && isCount(beat) && isOptional(view, isView) && hasNoKeys(rest);
+		const {reporter, beat, view} = report;
+		return isText(reporter) && isCount(beat) && isOptional(view, isView) && hasOnlyKeys(report, reportKeys);
 	});
 }
 
@@ -227,6 +230,10 @@
 	return Object.keys(rest).length === 0;
 }
 
+function hasOnlyKeys(value: Readonly<Record<string, unknown>>, keys: ReadonlySet<string>): boolean {
+	return Object.keys(value).every(key => keys.has(key));
+}
+
 function isOptional(value: unknown, isValid: (value: unknown) => boolean): boolean {
 	return value === undefined || isValid(value);
 }
--- a/src/connection/member-table.ts
+++ b/src/connection/member-table.ts
@@ -42,6 +42,7 @@
 	/** Records by address; several incarnations may have been seen at one address. */
 	readonly #recordsAt = new Map<string, Set<MemberRecord>>();
 	readonly #members = new CurrentValue<readonly Member[]>([]);
+	#recordList: readonly MemberRecord[] | undefined;
 	#revision = 0;
 	/** Nesting depth of {@link MemberTable.batchChanges}, and whether a change has not been emitted yet. */
 	#batchDepth = 0;
@@ -68,7 +69,8 @@
 
 	/** Gets all records. */
 	getRecords(): readonly MemberRecord[] {
-		return [...this.#records.values()];
+		this.#recordList ??= [...this.#records.values()];
+		return this.#recordList;
 	}
 
 	/**
@@ -101,6 +103,7 @@
 		const {clock, maxBufferBytes, maxFrameBytes} = this.#options;
 		const record = new MemberRecord(incarnation, address, {now: clock.getMonotonicTime(), maxBufferBytes, maxFrameBytes});
 		this.#records.set(incarnation.id, record);
+		this.#recordList = undefined;
 		this.#addToAddress(record);
 		this.#publish();
 		return record;
@@ -169,11 +172,16 @@
 	 * @param isDeparted - Returns whether a member is not expected back.
 	 */
 	removeDeparted(downRetentionMs: number, isDeparted: (record: MemberRecord) => boolean): void {
+		if (this.getRecords().every(({state}) => state !== 'down')) {
+			return;
+		}
+
 		const now = this.#options.clock.getMonotonicTime();
 		const down = this.getRecords().filter(({state}) => state === 'down').toSorted((a, b) => b.downSince - a.downSince);
 		const departed = down.filter((record, index) => index >= maxDownMembers || (now - record.downSince > downRetentionMs && isDeparted(record)));
 		for (const record of departed) {
 			this.#records.delete(record.incarnation.id);
+			this.#recordList = undefined;
 			this.#removeFromAddress(record);
 			this.#options.onRemove(record);
 		}
--- a/src/connection/membership.ts
+++ b/src/connection/membership.ts
@@ -3,7 +3,7 @@
  */
 import {type ListedEntryVm} from '../platform/index.js';
 import {type CompleteReport} from './control-link.js';
-import {type KnownAddress, type ReportedMember} from './control-messages.js';
+import {type DataCenterView, type KnownAddress, type ReportedMember} from './control-messages.js';
 import {type ControlLinks} from './control-links.js';
 import {DialerSet} from './dialer-set.js';
 import {RemoteLinkPlanner} from './remote-link-planner.js';
@@ -38,6 +38,8 @@
 	readonly #planner: RemoteLinkPlanner;
 	/** Silence that is within the limit of every member, in milliseconds; up to it, the limit of a member need not be computed. */
 	readonly #minSilenceMs: number;
+	/** Members that views report as up, with the revision of the table after the view was last applied. */
+	readonly #appliedViews = new WeakMap<DataCenterView, {readonly revision: number; readonly up: readonly MemberRecord[]}>();
 	#listed: readonly ListedEntryVm[] | undefined;
 	#listRevision = 0;
 	/** Revisions of the inputs from which the addresses to dial were last computed. */
@@ -175,27 +177,44 @@
 	}
 
 	#addRemoteReport({view}: CompleteReport): void {
-		for (const member of view.members) {
-			this.#addReportedMember(view.dataCenter, member);
+		const {table, settings} = this.#options;
+		const now = settings.clock.getMonotonicTime();
+		const applied = this.#appliedViews.get(view);
+		// A view changes nothing a second time unless something else has changed since. At rest tens of reporters repeat theirs twice a second.
+		if (applied?.revision === table.getRevision()) {
+			for (const record of applied.up) {
+				record.lastReceived = now;
+			}
+
+			return;
+		}
+
+		const up = view.members.flatMap(member => this.#addReportedMember(view.dataCenter, member, now) ?? []);
+		// Whether a member goes down that is reported down depends on the other reports too, which age without a change of the table.
+		if (view.members.every(({id, state}) => state !== 'down' || (table.getRecord(id)?.state ?? 'down') === 'down')) {
+			this.#appliedViews.set(view, {revision: table.getRevision(), up});
 		}
 	}
 
-	#addReportedMember(dataCenter: string, member: ReportedMember): void {
-		const {table, reports, settings} = this.#options;
+	/** Applies the report about a member; returns the member if it is reported up. */
+	#addReportedMember(dataCenter: string, member: ReportedMember, now: number): MemberRecord | undefined {
+		const {table, reports} = this.#options;
 		const {id, vm, address, state} = member;
 		if (state === 'up') {
 			const record = table.getOrAddRecord({dataCenter, vm, id}, address);
-			record.lastReceived = settings.clock.getMonotonicTime();
+			record.lastReceived = now;
 			table.setAddress(record, address);
 			table.setStatus(record, member);
 			table.setState(record, 'up', 'reported up');
-			return;
+			return record;
 		}
 
 		const record = table.getRecord(id);
 		if (record && state === 'down' && record.state !== 'down' && !record.getOpenLink() && reports.getReportedState(id) === 'down') {
 			table.setState(record, 'down', 'reported down');
 		}
+
+		return undefined;
 	}
 
 	#evaluateRecord(record: MemberRecord, now: number): void {
--- a/src/connection/peer-mesh.ts
+++ b/src/connection/peer-mesh.ts
@@ -4,7 +4,7 @@
 import {type Stream, type Subscription} from 'most';
 import {type ListedEntryVm} from '../platform/index.js';
 import {type Timer} from '../seams/index.js';
-import {encodeHeartbeatBody} from './control-link.js';
+import {type EncodedHeartbeatBody, encodeHeartbeatBody} from './control-link.js';
 import {ControlLinks} from './control-links.js';
 import {type HandshakePeer} from './handshake.js';
 import {type RejectReason} from './handshake-messages.js';
@@ -35,6 +35,7 @@
 	readonly #reports: ReportTable;
 	readonly #membership: Membership;
 	#tickNumber = 0;
+	#heartbeatBody: EncodedHeartbeatBody | undefined;
 	#lastTick: number;
 	#timer: Timer | undefined;
 	#subscription: Subscription<readonly ListedEntryVm[]> | undefined;
@@ -224,7 +225,8 @@
 	#sendHeartbeats(): void {
 		const {heartbeatIntervalMs, remoteHeartbeatIntervalMs, getHeartbeat} = this.#settings;
 		this.#tickNumber++;
-		const body = encodeHeartbeatBody(getHeartbeat());
+		const body = encodeHeartbeatBody(getHeartbeat(), this.#heartbeatBody);
+		this.#heartbeatBody = body;
 		const isRemoteDue = this.#tickNumber % Math.max(Math.round(remoteHeartbeatIntervalMs / heartbeatIntervalMs), 1) === 0;
 		const remoteReports = this.#reports.getReports().filter(({reporter}) => this.#table.getRecord(reporter)?.getOpenLink());
 		const ownReport = this.#reports.getOwnReport(this.#tickNumber, body.status);
--- a/src/connection/report-table.ts
+++ b/src/connection/report-table.ts
@@ -32,7 +32,9 @@
 	readonly #options: ReportTableOptions;
 	readonly #reports = new Map<string, ReceivedReport>();
 	#ownView: DataCenterView;
-	#ownKey = '';
+	/** Inputs from which the own view was last created. */
+	#ownRevision = -1;
+	#ownStatus: MemberStatus | undefined;
 	/** View last reported within the data centre. */
 	#localView: DataCenterView;
 	#localKey = '';
@@ -46,13 +48,14 @@
 	/**
 	 * Gets this process's report about its own data centre; its view is the same object until it changes.
 	 * @param beat - Number of the heartbeat.
-	 * @param ownStatus - Status of this process.
+	 * @param ownStatus - Status of this process; another object after each change.
 	 */
 	getOwnReport(beat: number, ownStatus: MemberStatus): CompleteReport {
 		const {self, table} = this.#options;
-		const key = `${table.getRevision()} ${JSON.stringify(ownStatus)}`;
-		if (key !== this.#ownKey) {
-			this.#ownKey = key;
+		const revision = table.getRevision();
+		if (revision !== this.#ownRevision || ownStatus !== this.#ownStatus) {
+			this.#ownRevision = revision;
+			this.#ownStatus = ownStatus;
 			const members = this.#createOwnMembers(ownStatus);
 			this.#ownView = isDeepStrictEqual(members, this.#ownView.members) ? this.#ownView : {dataCenter: self.dataCenter, members};
 		}
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -323,7 +323,9 @@
 			}),
 			onHeartbeat: (body, from) => {
 				this.#node?.handleHeartbeat(body.load, from);
-				void this.#requestConfiguration(body.configurationVersion, from);
+				if (body.configurationVersion > this.getConfigurationVersion()) {
+					void this.#requestConfiguration(body.configurationVersion, from);
+				}
 			},
 			onControl: ({topic, body}) => {
 				this.#handleControl(topic, body);
