Gather the log entries of lent runs that are done

They are gathered for half a second into one line of at most 32 runs; a scheduler that closes writes the rest.

--- a/src/pool/lent-runs.ts
+++ b/src/pool/lent-runs.ts
@@ -1,7 +1,7 @@
 /**
  * Lent runs: runs on a pool's upstreams that belong to jobs of other pools.
  */
-import {type Clock, sleep} from '../seams/index.js';
+import {type Clock, sleep, type Timer} from '../seams/index.js';
 import {type CrashLedger} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
 import {type LentTask, type LendOutcome} from './lending.js';
@@ -36,6 +36,15 @@
 	readonly settle: (outcome: LendOutcome) => void;
 };
 
+/** Log entry of a run that is done. */
+type EndedRun = {readonly task: string; readonly run: number; readonly upstream: string; readonly ranMs: number};
+
+/** Time for which runs that are done are gathered for one log line, in milliseconds. With a smaller value there are more lines; with a larger one more are lost when the process is killed. */
+const logDelayMs = 500;
+
+/** Maximum number of runs in one log line. */
+const maxLoggedRuns = 32;
+
 /** Interval of the checks whether recalled runs have ended, in milliseconds: a fraction of the time that a stop takes. */
 const recallPollMs = 10;
 
@@ -44,6 +53,9 @@
 	readonly #options: LentRunsOptions;
 	/** Lent runs by task. */
 	readonly #runs = new Map<string, LentRun>();
+	/** Runs that are done and not logged yet. */
+	#ended: EndedRun[] = [];
+	#logTimer: Timer | undefined;
 
 	constructor(options: LentRunsOptions) {
 		this.#options = options;
@@ -140,17 +152,19 @@
 			return false;
 		}
 
-		const fields = {
-			task: run.task, run: run.number, upstream: lent.link.name, end, ...(end === 'lapsed' && lent.link.describeLease(run)),
-		};
+		const measuredMs = this.#options.clock.getMonotonicTime() - run.startedAt;
 		if (end === 'done') {
-			this.#options.log.debug({...fields, ranMs: Math.round(this.#options.clock.getMonotonicTime() - run.startedAt)}, 'lent run ended');
+			this.#addEnded({
+				task: run.task, run: run.number, upstream: lent.link.name, ranMs: Math.round(measuredMs),
+			});
 		} else {
-			this.#options.log.info(fields, 'lent run ended without success');
+			this.#options.log.info({
+				task: run.task, run: run.number, upstream: lent.link.name, end, ...(end === 'lapsed' && lent.link.describeLease(run)),
+			}, 'lent run ended without success');
 		}
 
 		if (end === 'done') {
-			recordSuccess(lent.link, this.#options.clock.getMonotonicTime() - run.startedAt, lent.expectedMs);
+			recordSuccess(lent.link, measuredMs, lent.expectedMs);
 		} else if (end === 'failed' && !this.#options.ledger.hasFailedElsewhere(run.task, lent.link.name)) {
 			this.#addFailure(lent.link);
 		}
@@ -183,6 +197,28 @@
 		}
 
 		this.#runs.clear();
+		this.#logEnded();
+	}
+
+	#addEnded(run: EndedRun): void {
+		this.#ended.push(run);
+		if (this.#ended.length >= maxLoggedRuns) {
+			this.#logEnded();
+			return;
+		}
+
+		this.#logTimer ??= this.#options.clock.setTimer(() => {
+			this.#logEnded();
+		}, logDelayMs);
+	}
+
+	#logEnded(): void {
+		this.#logTimer?.close();
+		this.#logTimer = undefined;
+		if (this.#ended.length > 0) {
+			this.#options.log.debug({runs: this.#ended}, 'lent runs ended');
+			this.#ended = [];
+		}
 	}
 
 	#getRunsOf(job: string): readonly LentRun[] {
--- a/test/pool/double-runs.test.ts
+++ b/test/pool/double-runs.test.ts
@@ -20,7 +20,7 @@
 	const result = await runFleet(1, []);
 	checkNoViolations(t, result);
 	t.true(result.submissions.filter(({outcome}) => outcome === 'completed').length > 100);
-	t.true(result.logLines.some(({message}) => message === 'lent run ended'));
+	t.true(result.logLines.some(({message}) => message === 'lent runs ended'));
 });
 
 test('two simulations of a fleet with the same seed and faults are identical', async t => {
--- a/test/pool/job-lines.test.ts
+++ b/test/pool/job-lines.test.ts
@@ -1,6 +1,6 @@
 /** What the owner logs of a job. */
 import test from 'ava';
-import {PoolHarness} from './pool-harness.js';
+import {createJob, PoolHarness} from './pool-harness.js';
 
 test('a job without deviations has one line of its owner, with its admission and its starts', async t => {
 	const harness = new PoolHarness();
@@ -39,3 +39,28 @@
 	await harness.clock.advance(300);
 	t.like(harness.logLines.find(({message}) => message === 'job ended')?.fields, {started: {length: 64}, omittedStarts: 6});
 });
+
+test('the ends of lent runs are gathered in one line, also if the owner gives up the pool', async t => {
+	const harness = new PoolHarness();
+	const owner = harness.createOwner();
+	await harness.clock.advance(100);
+	const lend = (task: string): void => {
+		void owner.runLent({
+			task, number: 1, spec: 'work', service: 's', step: createJob('b').steps[0]!, expectedMs: 100,
+		}, new AbortController().signal);
+	};
+
+	const getLogged = (): unknown[] => harness.logLines.filter(({message}) => message === 'lent runs ended').map(({fields}) => {
+		const runs = fields.runs as ReadonlyArray<{readonly task: string}>;
+		return runs.map(({task}) => task);
+	});
+	lend('b.0.0.0');
+	lend('b.0.0.1');
+	await harness.clock.advance(800);
+	t.deepEqual(getLogged(), [['b.0.0.0', 'b.0.0.1']]);
+	lend('b.0.0.2');
+	await harness.clock.advance(200);
+	t.is(getLogged().length, 1);
+	owner.close();
+	t.deepEqual(getLogged()[1], ['b.0.0.2']);
+});
