Check the jobs of a pool only while there are some

Each owner woke up every 20 ms also at rest: 50 wake-ups a second and pool. The timer is now set with the first job and not set again without jobs; what it checks and when is unchanged.

--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -119,7 +119,8 @@
 	readonly #lentRuns: LentRuns;
 	/** Keeps tasks under which an upstream has crashed apart from others. */
 	readonly #suspectPlacement: SuspectPlacement;
-	readonly #sweepTimer: Timer;
+	/** Runs while there are jobs. */
+	#sweepTimer: Timer | undefined;
 	readonly #unsubscribe: () => void;
 	/** Senders that were asked for a confirmation and have not answered. */
 	readonly #askedSenders = new Set<JobSender>();
@@ -154,9 +155,6 @@
 		this.#unsubscribe = options.ledger.subscribe(failedRuns => {
 			this.#handleFailedRuns(failedRuns);
 		});
-		this.#sweepTimer = options.clock.setRepeatingTimer(() => {
-			this.#sweepJobs();
-		}, sweepIntervalMs);
 	}
 
 	/** Gets the load of the pool. */
@@ -323,6 +321,7 @@
 		this.#addStoppedTime();
 		this.#jobSizes.add(job.size);
 		this.#jobs.set(job.request.id, job);
+		this.#setSweepTimer();
 		this.#updateAverageTaskCpu(job.request.steps[0]!);
 		this.#offeredLoad.addWork(job.priority, job.remainingWork, this.#options.clock.getMonotonicTime());
 		for (const task of job.tasks) {
@@ -488,7 +487,8 @@
 	close(): void {
 		this.#isClosed = true;
 		this.#unsubscribe();
-		this.#sweepTimer.close();
+		this.#sweepTimer?.close();
+		this.#sweepTimer = undefined;
 		for (const job of this.#jobs.values()) {
 			this.#jobSizes.remove(job.size);
 			this.#options.log.info(job.getLogFields(), 'job released');
@@ -1033,12 +1033,18 @@
 		this.schedule();
 	}
 
+	#setSweepTimer(): void {
+		this.#sweepTimer ??= this.#options.clock.setTimer(() => {
+			this.#sweepTimer = undefined;
+			if (this.#jobs.size > 0) {
+				this.#setSweepTimer();
+				this.#sweepJobs();
+			}
+		}, sweepIntervalMs);
+	}
+
 	/** Stops jobs whose senders have gone and overdue runs, and refuses jobs that have not started and can no longer be in time. */
 	#sweepJobs(): void {
-		if (this.#jobs.size === 0) {
-			return;
-		}
-
 		const now = this.#options.clock.getMonotonicTime();
 		const confirmedSince = this.#options.getConfirmedSince();
 		this.#addStoppedTime();
