Poll an upstream once for orders that fail together

Cause: each refused start and each unanswered order of an upstream sent a poll of its own beside the others, though one answer tells the same.

Change: starts that are refused while such a poll is on its way share it, and so do orders that are left unanswered. Also, calls that wait for a connection end before the connections of other overdue calls are closed, so that no connection is opened for them.

Measured: in the tests, three refused or unanswered starts are followed by one poll instead of three; not measured in a fleet.

--- a/src/platform/host-calls.ts
+++ b/src/platform/host-calls.ts
@@ -114,17 +114,17 @@
 	endOverdue(lateMs: number): number {
 		const now = this.#options.getTime();
 		const err = new Error('no answer in time');
+		for (const call of this.#waiting.filter(call => isOverdue(call, now, lateMs))) {
+			this.#waiting.splice(this.#waiting.indexOf(call), 1);
+			finishLost(call, err, undefined);
+		}
+
 		for (const [connection, {call, deadline}] of this.#connections) {
 			if (call === undefined ? now >= deadline : isOverdue(call, now, lateMs)) {
 				connection.close(err);
 			}
 		}
 
-		for (const call of this.#waiting.filter(call => isOverdue(call, now, lateMs))) {
-			this.#waiting.splice(this.#waiting.indexOf(call), 1);
-			finishLost(call, err, undefined);
-		}
-
 		let next = Infinity;
 		for (const {call, deadline} of this.#connections.values()) {
 			next = Math.min(next, call?.deadline ?? deadline);
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -184,6 +184,8 @@
 	#isSilent = true;
 	#silentSince: number;
 	#lapseTimer: Timer | undefined;
+	#aliveCheck: Promise<void> | undefined;
+	#refusalPoll: Promise<void> | undefined;
 
 	constructor(public description: UpstreamDescription, options: UpstreamLinkOptions) {
 		this.#options = options;
@@ -817,10 +819,16 @@
 
 		this.#refuseRun(run, outcome.reason);
 		if (outcome.reason !== 'stale-run') {
-			void this.pollImmediately();
+			this.#refusalPoll ??= this.#pollAfterRefusal();
 		}
 	}
 
+	/** Polls the upstream after a refused start; starts that are refused together share a poll. */
+	async #pollAfterRefusal(): Promise<void> {
+		await this.#poll(0);
+		this.#refusalPoll = undefined;
+	}
+
 	/** Removes a run that has not started. */
 	#refuseRun(run: LinkedRun, reason: StartRefusal): void {
 		this.#removeRun(run);
@@ -890,10 +898,20 @@
 		return false;
 	}
 
+	/** Polls the upstream after an order without an answer; orders that are left unanswered together share a poll. */
 	async #checkAlive(): Promise<void> {
-		if (!this.#isSilent && await this.#poll(0) === 'unanswered') {
+		if (!this.#isSilent) {
+			this.#aliveCheck ??= this.#pollIfAlive();
+			await this.#aliveCheck;
+		}
+	}
+
+	async #pollIfAlive(): Promise<void> {
+		if (await this.#poll(0) === 'unanswered') {
 			this.#setSilent();
 		}
+
+		this.#aliveCheck = undefined;
 	}
 
 	#setSilent(): void {
--- a/test/pool/upstream-link.test.ts
+++ b/test/pool/upstream-link.test.ts
@@ -199,6 +199,52 @@
 	});
 }
 
+test('starts that are refused together are followed by one poll', async t => {
+	const fixture = new LinkFixture();
+	const {link, polls, starts} = fixture;
+	await fixture.open();
+	for (const round of [0, 1]) {
+		const {length} = polls;
+		const tasks = [0, 1, 2].map(index => `a.${round}.0.${index}`);
+		for (const task of tasks) {
+			link.start(createRun(task));
+		}
+
+		await fixture.clock.advance(1);
+		for (const {answer} of starts.splice(0)) {
+			await answer({kind: 'refused', reason: 'no-room'});
+		}
+
+		t.deepEqual(fixture.refused.splice(0), tasks);
+		t.is(polls.length, length + 1);
+		t.is(polls[length]!.options.waitMs, 0);
+		await polls[length]!.answer(fixture.createSeen());
+	}
+
+	link.close();
+});
+
+test('orders that are left unanswered together share the poll that shows whether the upstream is silent', async t => {
+	const fixture = new LinkFixture();
+	const {link, polls} = fixture;
+	await fixture.open();
+	const {answerTimeoutMs} = defaultUpstreamLinkTiming;
+	for (const isAnswered of [true, false]) {
+		const {length} = polls;
+		for (const index of [0, 1, 2]) {
+			link.start(createRun(`${isAnswered ? 'a' : 'b'}.0.0.${index}`));
+		}
+
+		await fixture.clock.advance(answerTimeoutMs + 1);
+		t.is(polls.slice(length).filter(({options}) => options.waitMs === 0).length, 1);
+		await (isAnswered ? polls.at(-1)!.answer(fixture.createSeen()) : fixture.clock.advance(answerTimeoutMs));
+
+		t.is(link.isSilent(), !isAnswered);
+	}
+
+	link.close();
+});
+
 /** Advances the clock and answers all polls and, if requested, all stops. */
 async function answerPolls(fixture: LinkFixture, durationMs: number, createAnswer: () => PollOutcome, areStopsAnswered = false): Promise<void> {
 	const until = fixture.clock.getMonotonicTime() + durationMs;
