Poll within a third of the lease that was granted

A poll waits for a third of the longest lease, so that no run lapses after one lost or late poll. Since leases are limited by the confirmations of senders they may be shorter, and the wait was not: with a sender that was confirmed 600 ms ago a lease lasts for 550 ms, and one lost poll of 450 ms ended all runs of the upstream.

Change: while tasks run, a poll waits for at most a third of the lease that can be granted, and for 100 ms at least. With confirmations up to 250 ms old nothing changes.

Evidence: a test of test/pool/lease-limit.test.ts fails without the change (600 ms; those of 0 and 300 ms pass before and after).

--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -14,7 +14,7 @@
 export type UpstreamLinkTiming = {
 	/** Lease of the runs; below the platform's maximum lease of 1 s, so that no clock error shortens it. */
 	readonly leaseMs: number;
-	/** Longest wait of a poll while tasks run: a third of the lease, so that no run lapses after one lost poll. */
+	/** Longest wait of a poll while tasks run: a third of the longest lease, so that no run lapses after one lost poll. */
 	readonly busyPollWaitMs: number;
 	/** Longest wait of a poll while nothing runs: about half a lease, since a start carries its own lease. */
 	readonly idlePollWaitMs: number;
@@ -64,6 +64,10 @@
 /** Interval at which the runs are examined for the lease of a start, in milliseconds: whether an upstream accepts starts is asked several times for each start. */
 const leaseCheckIntervalMs = 20;
 
+/** Share of a lease that a poll may wait while tasks run, and its minimum in milliseconds, which bounds the number of polls while no lease can be granted. */
+const pollWaitShare = 1 / 3;
+const minBusyPollWaitMs = 100;
+
 /** Delay before the next poll of an upstream that did not answer or refused the last one, in milliseconds. */
 const pollRetryDelayMs = 100;
 
@@ -453,12 +457,14 @@
 		return false;
 	}
 
-	async #poll(waitMs: number): Promise<PollResult> {
+	async #poll(maxWaitMs: number): Promise<PollResult> {
 		const {clock, orders, getFence} = this.#options;
 		const sentAt = clock.getMonotonicTime();
 		const earlierLeaseEndsAt = this.#leaseEndsAt;
 		// The lease of a silent upstream is not extended, so that its runs end at a known time.
-		const leaseUntilMs = this.#runs.size > 0 && !this.#isSilent ? this.#extendLease() : undefined;
+		const isExtending = this.#runs.size > 0 && !this.#isSilent;
+		const leaseUntilMs = isExtending ? this.#extendLease() : undefined;
+		const waitMs = isExtending ? Math.min(maxWaitMs, Math.max(minBusyPollWaitMs, Math.floor(this.#lastLeaseMs * pollWaitShare))) : maxWaitMs;
 		const leaseCount = this.#leaseCount;
 		const fence = getFence();
 		const outcome = await orders.poll({
--- a/test/pool/lease-limit.test.ts
+++ b/test/pool/lease-limit.test.ts
@@ -5,7 +5,7 @@
 import {
 	type JobSender, localSender, noNeighbours, PauseDetector, PoolOwner, type UpstreamOrders,
 } from '../../src/pool/index.js';
-import {createSeededRandom} from '../../src/seams/index.js';
+import {createSeededRandom, sleep} from '../../src/seams/index.js';
 import {SimulatedProcess} from '../../src/testing/simulated-process.js';
 import {
 	createJob, PoolHarness, silentLog, typicalWork,
@@ -164,3 +164,23 @@
 	t.like(lapsed?.fields, {end: 'lapsed', ownLeaseMs: 900, limitedBy: 'a.0.0.0'});
 	t.true((lapsed!.fields as {readonly leaseMs: number}).leaseMs < 300);
 });
+
+for (const ageMs of [0, 300, 600]) {
+	test(`a run does not lapse after one lost poll if its sender was confirmed ${ageMs} ms ago`, async t => {
+		const harness = new PoolHarness({upstreamCount: 1, getWork: () => ({...typicalWork, durationMs: workMs})});
+		const owner = harness.createOwner();
+		const {clock} = harness;
+		await clock.advance(startMs);
+		harness.submit(owner, 'a', longJob, undefined, {getConfirmedAt: () => clock.getMonotonicTime() - ageMs});
+		await clock.advance(1000);
+		const poll = harness.upstreams.poll.bind(harness.upstreams);
+		harness.upstreams.poll = async options => {
+			harness.upstreams.poll = poll;
+			await sleep(clock, options.timeoutMs);
+			return {kind: 'unanswered', detail: 'no answer'};
+		};
+
+		await clock.advance(workMs);
+		t.deepEqual(harness.getStarts('a.0.0.0').map(({end}) => end), ['done']);
+	});
+}
