Let requests and answers serve as keep-alives of a job connection

Cause: keep-alives were sent although requests and answers flowed, since only keep-alives carried the stamps that prove that a sender waits. Change: an answer carries a stamp as a keep-alive does, and the sender echoes it; a request or an answer restarts the keep-alive interval. A request does not while others in progress must report the ages of their confirmations, and an answer does only once the sender has echoed the stamp of one: an earlier version ignores them and keeps its keep-alives. Silence, its limits and the proof by echo are as before. Result: by tests only: with an answer each 100 ms, a receiver sends no keep-alives to this version, and its five in two seconds to the earlier one.

--- a/src/connection/job-client.ts
+++ b/src/connection/job-client.ts
@@ -161,6 +161,7 @@
 				createFirstMessage: part => {
 					const id = ++this.#lastId;
 					pending.id = id;
+					this.#replaceKeepAlive();
 					this.#sent.set(id, pending);
 					return {
 						type: 'request', id, logicalTime: this.#options.getLogicalTime(), topic, echo: this.#open?.lastStamp ?? 0, ...this.#getAge(pending), size: body.length, part,
@@ -247,6 +248,7 @@
 		switch (message?.type) {
 			case 'answer': {
 				this.#options.onLogicalTime(message.logicalTime);
+				open.lastStamp = message.stamp ?? open.lastStamp;
 				if (this.#sent.has(message.id)) {
 					this.#finishWith(message.id, open.collector.addFirst(message));
 				}
@@ -288,6 +290,13 @@
 		}
 	}
 
+	/** Lets the next request serve as a keep-alive, unless that would have to report the ages of other requests. */
+	#replaceKeepAlive(): void {
+		if ([...this.#sent.values()].every(({getConfirmedAt}) => getConfirmedAt === undefined)) {
+			this.#open?.keepAlive.addSent(this.#options.clock.getMonotonicTime());
+		}
+	}
+
 	/** Gets the last stamp with the ages of the confirmations of the processes for which requests are made. */
 	#getEcho({lastStamp}: OpenConnection): {readonly echo: number; readonly ages?: ConfirmationAges} {
 		const ages = getReportedAges(this.#sent.values(), this.#options.clock.getMonotonicTime());
--- a/src/connection/job-keep-alive.ts
+++ b/src/connection/job-keep-alive.ts
@@ -87,6 +87,14 @@
 		this.#connection.send(encodeFrame({type: 'keep-alive', ...fields}), 'keep-alive');
 	}
 
+	/**
+	 * Records that a message was sent that serves as a keep-alive, since it carries the same stamp or echo.
+	 * @param now - Monotonic time.
+	 */
+	addSent(now: number): void {
+		this.#lastSent = now;
+	}
+
 	/**
 	 * Resets the silence timer.
 	 * @param now - Monotonic time.
--- a/src/connection/job-messages.ts
+++ b/src/connection/job-messages.ts
@@ -25,6 +25,8 @@
 	readonly type: 'answer';
 	readonly id: number;
 	readonly logicalTime: number;
+	/** Monotonic time in milliseconds at which it is sent, as in a keep-alive; `undefined` if the version of the receiver of requests sends none. */
+	readonly stamp?: number;
 	readonly size: number;
 	readonly part: Uint8Array;
 };
@@ -84,11 +86,12 @@
 function isJobMessage(message: Readonly<Record<string, unknown>>): boolean {
 	switch (message.type) {
 		case 'request': {
-			return isCount(message.id) && hasBody(message) && typeof message.topic === 'string' && message.topic.length <= maxTopicLength && isOptionalTime(message.echo) && isOptionalTime(message.ageMs);
+			return isCount(message.id) && hasBody(message) && typeof message.topic === 'string' && message.topic.length <= maxTopicLength
+				&& isOptionalTime(message.echo) && isOptionalTime(message.ageMs);
 		}
 
 		case 'answer': {
-			return isCount(message.id) && hasBody(message);
+			return isCount(message.id) && hasBody(message) && isOptionalTime(message.stamp);
 		}
 
 		case 'part': {
--- a/src/connection/job-server.ts
+++ b/src/connection/job-server.ts
@@ -57,6 +57,11 @@
 	readonly #running = new Map<number, AbortController>();
 	readonly #keepAlive: JobKeepAlive;
 	readonly #confirmations: SenderConfirmations;
+	/** Stamp of the last answer, and whether the sender has echoed such a stamp; the earlier version echoes only those of keep-alives. */
+	#answerStamp: number | undefined;
+	/** Stamp of the last keep-alive. */
+	#keepAliveStamp: number | undefined;
+	#areAnswerStampsEchoed = false;
 	/** Monotonic time at which payloads were last received. */
 	#lastReceiptAt: number;
 	/** Time of the last receipt at the last reset of the silence timer. */
@@ -68,10 +73,14 @@
 		this.#sender = new PartSender(options.connection, options.maxBodyBytes * maxBufferedBodies);
 		this.#collector = new PartCollector(options.maxBodyBytes * maxBufferedBodies);
 		// No timeout factor for new members: the server must abort a request before its client counts it as lost.
-		this.#keepAlive = new JobKeepAlive(options.connection, options.silenceMs, () => ({stamp: this.#confirmations.createStamp()}));
+		this.#keepAlive = new JobKeepAlive(options.connection, options.silenceMs, () => {
+			this.#keepAliveStamp = this.#confirmations.createStamp();
+			return {stamp: this.#keepAliveStamp};
+		});
 		this.#confirmations = new SenderConfirmations({
 			clock: options.clock,
 			sendUrgentStamp: stamp => {
+				this.#keepAliveStamp = stamp;
 				this.#keepAlive.sendImmediately(stamp, {stamp, isUrgent: true});
 			},
 			getLastReceived: () => options.connection.getLastReceived(),
@@ -164,6 +173,7 @@
 			}
 
 			case 'keep-alive': {
+				this.#compareEcho(message.echo);
 				this.#confirmations.addEcho(message.echo, message.ages);
 				return true;
 			}
@@ -186,6 +196,7 @@
 
 		record.lastRequestId = request.id;
 		onLogicalTime(request.logicalTime);
+		this.#compareEcho(request.echo);
 		this.#confirmations.addRequest(request.id, request.echo, request.ageMs);
 		this.#handleCollected(request.id, this.#collector.addFirst(request));
 	}
@@ -242,7 +253,7 @@
 		const outgoing: OutgoingBody = {
 			body,
 			createFirstMessage: part => ({
-				type: 'answer', id, logicalTime: this.#options.getLogicalTime(), size: body.length, part,
+				type: 'answer', id, logicalTime: this.#options.getLogicalTime(), stamp: this.#createAnswerStamp(), size: body.length, part,
 			}),
 		};
 		if (!this.#sender.addBody(outgoing)) {
@@ -251,6 +262,20 @@
 		}
 	}
 
+	#createAnswerStamp(): number {
+		const stamp = this.#confirmations.createStamp();
+		this.#answerStamp = stamp;
+		if (this.#areAnswerStampsEchoed) {
+			this.#keepAlive.addSent(stamp);
+		}
+
+		return stamp;
+	}
+
+	#compareEcho(echo: number | undefined): void {
+		this.#areAnswerStampsEchoed ||= echo !== undefined && echo === this.#answerStamp && echo !== this.#keepAliveStamp;
+	}
+
 	#sendFailure(id: number, detail: string): void {
 		this.#connection.send(encodeFrame({type: 'failure', id, detail}));
 	}
--- a/test/connection/sender-confirmations.test.ts
+++ b/test/connection/sender-confirmations.test.ts
@@ -73,7 +73,7 @@
 	maxBodyBytes: 1000, silenceMs: 500, getLogicalTime: () => 0, onLogicalTime() {/* Not tested here. */}, onFault() {/* Not tested here. */},
 };
 
-function createServer() {
+function createServer({areAnswered = false} = {}) {
 	const clock = new ManualClock();
 	const connection = new FakeConnection(clock);
 	const confirmations: SenderConfirmation[] = [];
@@ -84,7 +84,7 @@
 		record: new MemberRecord({dataCenter: 'dc1', vm: 'vm-1', id: 'vm-1-1'}, '127.0.0.1:1', {now: 0, maxBufferBytes: 1000, maxFrameBytes: 1000}),
 		async onRequest(_request, _from, _signal, confirmation) {
 			confirmations.push(confirmation);
-			return new Promise(() => {/* The request stays in progress. */});
+			return areAnswered ? {} : new Promise(() => {/* The request stays in progress. */});
 		},
 	});
 	void server.run();
@@ -246,3 +246,66 @@
 		t.is(decodeJobMessage(encodeFrame({type: 'keep-alive', echo: 1, ages}).subarray(frameHeaderBytes)), undefined);
 	}
 });
+
+test('an answer carries a stamp, and replaces a keep-alive once the sender echoes such stamps', async t => {
+	const {clock, connection, server, confirmations} = createServer({areAnswered: true});
+	await clock.advance(600);
+	await connection.deliver(createRequest(1, 0));
+	t.like(connection.sent, [{type: 'answer', id: 1, stamp: 600}]);
+	server.tick(600);
+	t.like(connection.sent.slice(1), [{type: 'keep-alive', stamp: 600}]);
+	await clock.advance(450);
+	await connection.deliver(createRequest(2, 600));
+	t.is(confirmations[1]!.getConfirmedAt(), 600);
+	await clock.advance(100);
+	await connection.deliver(createRequest(3, 1050));
+	t.is(confirmations[2]!.getConfirmedAt(), 1050);
+	t.is(connection.sent.length, 4);
+	server.tick(1150);
+	await clock.advance(400);
+	server.tick(1550);
+	t.is(connection.sent.length, 4);
+	await clock.advance(100);
+	server.tick(1650);
+	t.like(connection.sent.slice(4), [{type: 'keep-alive', stamp: 1650}]);
+});
+
+test('during an upgrade, answers replace no keep-alives to a sender of the earlier version, which echoes only the stamps of keep-alives', async t => {
+	const {clock, connection, server} = createServer({areAnswered: true});
+	await clock.advance(600);
+	server.tick(600);
+	let id = 0;
+	for (let now = 700; now <= 2700; now += 100) {
+		await clock.advance(100);
+		const echo = connection.sent.findLast(({type}) => type === 'keep-alive')?.stamp;
+		await connection.deliver(createRequest(++id, echo));
+		server.tick(now);
+	}
+
+	t.is(connection.sent.filter(({type}) => type === 'keep-alive').length, 5);
+});
+
+test('a sender echoes the stamps of answers, and a request replaces a keep-alive unless ages must be reported', async t => {
+	const {clock, connection, client} = createClient();
+	const answer = encodeValue({});
+	void client.request({topic: 'first', body: 0});
+	await clock.advance(0);
+	await connection.deliver({
+		type: 'answer', id: 1, logicalTime: 0, stamp: 10_000, size: answer.length, part: answer,
+	});
+	await clock.advance(100);
+	void client.request({topic: 'second', body: 0});
+	client.tick(100);
+	t.like(connection.sent, [{type: 'request', echo: 0}, {type: 'request', echo: 10_000}]);
+	await clock.advance(100);
+	client.tick(200);
+	t.is(connection.sent.length, 2);
+	await clock.advance(100);
+	client.tick(300);
+	t.like(connection.sent.slice(2), [{type: 'keep-alive', echo: 10_000}]);
+	void client.request({topic: 'lent', body: 0}, undefined, {getConfirmedAt: () => 0});
+	await clock.advance(200);
+	void client.request({topic: 'third', body: 0});
+	client.tick(500);
+	t.like(connection.sent.slice(3), [{type: 'request'}, {type: 'request'}, {type: 'keep-alive', echo: 10_000, ages: [[3, 500]]}]);
+});
