Read free capacities once a pass, and those of other pools only where needed

Each pass over the waiting jobs built candidates and the views of all other pools before it knew whether anything needs them, and each task filtered and copied all candidates twice and allocated a cost for each. The candidates are now kept by service and read once, the other pools only if no upstream of the own pool has enough, and costs are compared without arrays. While no run has failed lately, runs are not examined for suspects.

--- a/src/pool/crash-ledger.ts
+++ b/src/pool/crash-ledger.ts
@@ -137,6 +137,12 @@
 		return this.#byJob.has(job);
 	}
 
+	/** Gets whether no run is known that failed or was lost lately. */
+	isEmpty(): boolean {
+		this.#removeOld();
+		return this.#records.size === 0;
+	}
+
 	/**
 	 * Gets what the lost runs of a task mean for it.
 	 * @param task - Task.
--- a/src/pool/placement.ts
+++ b/src/pool/placement.ts
@@ -34,18 +34,11 @@
  * @param candidates - Upstreams that accept starts.
  * @param placedCounts - Number of running tasks of the same step by upstream.
  */
-export function chooseUpstream(step: JobStep, candidates: readonly PlacementCandidate[], placedCounts?: ReadonlyMap<string, number>): PlacementCandidate | undefined {
-	let best: PlacementCandidate | undefined;
-	let bestCost: readonly number[] = [];
+export function chooseUpstream<T extends PlacementCandidate>(step: JobStep, candidates: Iterable<T>, placedCounts?: ReadonlyMap<string, number>): T | undefined {
+	let best: T | undefined;
 	for (const candidate of candidates) {
-		if (!isAllowed(step, candidate, placedCounts)) {
-			continue;
-		}
-
-		const cost = getCost(step, candidate);
-		if (best === undefined || isLower(cost, bestCost)) {
+		if (isAllowed(step, candidate, placedCounts) && (best === undefined || compareCosts(step, candidate, best) < 0)) {
 			best = candidate;
-			bestCost = cost;
 		}
 	}
 
@@ -58,21 +51,10 @@
 		&& (step.maxPerUpstream === undefined || (placedCounts?.get(candidate.id) ?? 0) < step.maxPerUpstream);
 }
 
-function getCost(step: JobStep, {isSuspect, rack, slowness, free}: PlacementCandidate): readonly number[] {
-	return [
-		Number(isSuspect),
-		Number(step.dataRack !== undefined && step.dataRack !== rack),
-		Math.round(slowness / slownessTolerance),
-		free.cpu - step.needs.cpu,
-	];
-}
-
-function isLower(a: readonly number[], b: readonly number[]): boolean {
-	for (const [position, value] of a.entries()) {
-		if (value !== b[position]) {
-			return value < b[position]!;
-		}
-	}
-
-	return false;
+/** Compares two candidates; the result is negative if the first one is better. */
+function compareCosts({dataRack}: JobStep, a: PlacementCandidate, b: PlacementCandidate): number {
+	return (Number(a.isSuspect) - Number(b.isSuspect))
+		|| (dataRack === undefined ? 0 : Number(dataRack !== a.rack) - Number(dataRack !== b.rack))
+		|| (Math.round(a.slowness / slownessTolerance) - Math.round(b.slowness / slownessTolerance))
+		|| (a.free.cpu - b.free.cpu);
 }
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -8,15 +8,16 @@
 } from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
 import {DurationEstimator} from './duration-estimator.js';
+import {FreeCapacities} from './free-capacities.js';
 import {getJobSize, JobSizeBudget} from './job-size.js';
 import {
-	type LentTask, isSinglePoolJob, type LendOutcome, type LendRefusal, type NeighbourCapacity, type PoolNeighbours,
+	type LentTask, isSinglePoolJob, isSinglePoolStep, type LendOutcome, type LendRefusal, type NeighbourCapacity, type PoolNeighbours,
 } from './lending.js';
 import {LentRuns} from './lent-runs.js';
 import {NeighbourPools} from './neighbour-pools.js';
 import {OfferedLoad} from './offered-load.js';
 import {isOverdue} from './overdue.js';
-import {chooseUpstream, fits, type PlacementCandidate} from './placement.js';
+import {chooseUpstream, fits} from './placement.js';
 import {
 	getStepWork, type JobStep, type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob, type TaskNeeds,
 } from './pool-job.js';
@@ -27,7 +28,7 @@
 	getLeaseLimit, type JobSender, localSender,
 } from './sender-confirmation.js';
 import {SuspectPlacement, type WaitingSuspect} from './suspect-placement.js';
-import {recordFailure, recordSuccess, toCandidate} from './upstream-health.js';
+import {recordFailure, recordSuccess} from './upstream-health.js';
 import {type LinkedRun, type StartRefusal, UpstreamLink} from './upstream-link.js';
 import {type Run, type RunEnd} from './upstream-orders.js';
 
@@ -767,25 +768,34 @@
 		const now = this.#options.clock.getMonotonicTime();
 		const confirmedSince = this.#options.getConfirmedSince();
 		this.#addStoppedTime();
-		const mayStart = (job: QueuedJob): boolean => !job.isAbandoned && job.startsDeferredUntil <= now && job.hasWaitingTasks() && !job.hasLapsed(now, confirmedSince);
-		const waiting = [...this.#jobs.values()].filter(job => mayStart(job) && this.#isConfirmed(job, confirmedSince));
-		const sorted = sortByUrgency(waiting, now);
-		const borrowable = waiting.length === 0 ? [] : this.#options.neighbours.getFreeCapacities().map(capacity => ({...capacity}));
-		this.#suspectPlacement.place(this.#getWaitingSuspects(sorted, borrowable));
+		const waiting: QueuedJob[] = [];
+		for (const job of this.#jobs.values()) {
+			const mayStart = job.hasWaitingTasks() && !job.isAbandoned && job.startsDeferredUntil <= now && !job.hasLapsed(now, confirmedSince);
+			if (mayStart && this.#isConfirmed(job, confirmedSince)) {
+				waiting.push(job);
+			}
+		}
+
 		if (waiting.length === 0) {
+			this.#suspectPlacement.place([]);
 			return;
 		}
 
-		const candidates = new Map(this.#getOpenLinks().map(link => [link, toCandidate(link)]));
-		let maxFreeCpu = getMaxFreeCpu(candidates, borrowable);
+		const sorted = sortByUrgency(waiting, now);
+		const capacities = new FreeCapacities(() => this.#getOpenLinks(), () => this.#options.neighbours.getFreeCapacities());
+		this.#suspectPlacement.place(this.#getWaitingSuspects(sorted, capacities));
 		for (const job of sorted) {
 			// Skips most jobs of a long queue without examining the upstreams.
-			if (job.minTaskCpu > maxFreeCpu) {
+			if (job.minTaskCpu > capacities.getMaxCpu(job.minTaskCpu)) {
 				continue;
 			}
 
-			for (const task of job.getReadyTasks().filter(({name}) => this.#isClear(job, name))) {
-				const start = this.#startOnUpstream(job, task, candidates) ?? this.#startInOtherPool(job, task, borrowable);
+			for (const task of job.getReadyTasks()) {
+				if (!this.#isClear(job, task.name)) {
+					continue;
+				}
+
+				const start = this.#startOnUpstream(job, task, capacities) ?? this.#startInOtherPool(job, task, capacities);
 				if (start === undefined) {
 					// Tasks of a step have the same needs: if one does not fit, the others do not either.
 					break;
@@ -793,8 +803,6 @@
 
 				job.addStart({...start, task: getPosition(task), afterMs: Math.round(now - job.arrivedAt)});
 			}
-
-			maxFreeCpu = getMaxFreeCpu(candidates, borrowable);
 		}
 	}
 
@@ -809,7 +817,7 @@
 	}
 
 	/** Gets the ready tasks of jobs that start by themselves, since an upstream has crashed under them. */
-	#getWaitingSuspects(jobs: readonly QueuedJob[], borrowable: Array<NeighbourCapacity & {cpu: number}>): readonly WaitingSuspect[] {
+	#getWaitingSuspects(jobs: readonly QueuedJob[], capacities: FreeCapacities): readonly WaitingSuspect[] {
 		const affected = jobs.filter(job => this.#options.ledger.hasFailedRuns(job.request.id));
 		return affected.flatMap(job => job.getReadyTasks().filter(({name}) => this.#options.ledger.getVerdict(name) === 'suspect').map(task => ({
 			step: job.getStep(task),
@@ -820,7 +828,7 @@
 				this.#options.log.info({task: task.name, run: task.lastRunNumber, upstream: link.name}, 'suspect started by itself');
 			},
 			lend: () => {
-				this.#startInOtherPool(job, task, borrowable);
+				this.#startInOtherPool(job, task, capacities);
 			},
 		})));
 	}
@@ -831,9 +839,9 @@
 	}
 
 	/** Starts a task in the smallest sufficient free capacity of other pools and reduces that capacity; `undefined` if it fits nowhere. */
-	#startInOtherPool(job: QueuedJob, task: JobTask, capacities: Array<NeighbourCapacity & {cpu: number}>): Pick<TaskStart, 'run' | 'upstream' | 'pool' | 'freeCpu'> | undefined {
+	#startInOtherPool(job: QueuedJob, task: JobTask, capacities: FreeCapacities): Pick<TaskStart, 'run' | 'upstream' | 'pool' | 'freeCpu'> | undefined {
 		const step = job.getStep(task);
-		const capacity = this.#neighbourPools.chooseFreeCapacity(step, capacities, task.avoided);
+		const capacity = isSinglePoolStep(step) ? undefined : this.#neighbourPools.chooseFreeCapacity(step, capacities.getOfOtherPools(), task.avoided);
 		if (capacity === undefined) {
 			return undefined;
 		}
@@ -861,19 +869,18 @@
 	}
 
 	/** Starts a task on an upstream of this pool; `undefined` if none has enough free capacity. */
-	#startOnUpstream(job: QueuedJob, task: JobTask, candidates: Map<UpstreamLink, PlacementCandidate>): Pick<TaskStart, 'run' | 'upstream' | 'pool' | 'freeCpu'> | undefined {
+	#startOnUpstream(job: QueuedJob, task: JobTask, capacities: FreeCapacities): Pick<TaskStart, 'run' | 'upstream' | 'pool' | 'freeCpu'> | undefined {
 		const step = job.getStep(task);
 		const placedCounts = step.maxPerUpstream === undefined ? undefined : job.getPlacedCounts(task.stepPosition);
-		const allowed = [...candidates].flatMap(([link, candidate]) => servesJob(link, job) ? candidate : []);
-		const preferred = allowed.filter(({id}) => !task.avoided.has(id));
+		const allowed = capacities.getUpstreams(job.request.rules.service);
+		const preferred = task.avoided.size === 0 ? allowed : allowed.filter(({id}) => !task.avoided.has(id));
 		const chosen = chooseUpstream(step, preferred.length > 0 ? preferred : allowed, placedCounts);
 		if (chosen === undefined) {
 			return undefined;
 		}
 
-		const link = [...candidates.keys()].find(({description}) => description.id === chosen.id)!;
-		this.#startOnLink(job, task, link);
-		candidates.set(link, toCandidate(link));
+		this.#startOnLink(job, task, chosen.link);
+		capacities.update(chosen);
 		return {run: task.lastRunNumber, upstream: chosen.id, freeCpu: chosen.free.cpu};
 	}
 
@@ -1144,16 +1151,3 @@
 function servesJob({description}: UpstreamLink, {request: req}: QueuedJob): boolean {
 	return description.service === req.rules.service;
 }
-
-function getMaxFreeCpu(candidates: ReadonlyMap<UpstreamLink, PlacementCandidate>, borrowable: readonly NeighbourCapacity[]): number {
-	let largest = 0;
-	for (const {free} of candidates.values()) {
-		largest = Math.max(largest, free.cpu);
-	}
-
-	for (const {cpu} of borrowable) {
-		largest = Math.max(largest, cpu);
-	}
-
-	return largest;
-}
--- a/src/pool/queue-order.ts
+++ b/src/pool/queue-order.ts
@@ -45,6 +45,10 @@
  * @param now - Monotonic time.
  */
 export function sortByUrgency<T extends OrderedJob>(jobs: readonly T[], now: number): readonly T[] {
+	if (jobs.length <= 1) {
+		return jobs;
+	}
+
 	// The keys are computed once for each job, since they are costly and a sort compares each job many times.
 	const keyed = jobs.map(job => ({
 		job, urgency: getUrgencyClass(job, now), priority: job.priority, work: job.remainingWork, arrivedAt: job.arrivedAt,
--- a/src/pool/suspect-placement.ts
+++ b/src/pool/suspect-placement.ts
@@ -96,6 +96,10 @@
 	}
 
 	#hasSuspectRun(link: UpstreamLink): boolean {
+		if (this.#options.ledger.isEmpty()) {
+			return false;
+		}
+
 		for (const {task} of link.getRuns()) {
 			if (this.#options.ledger.getVerdict(task) !== 'clear') {
 				return true;
