Keep the view of a pool until its load, the work sent to it or its owner changes

Views of all other pools were created for each job, each pass and each task for another pool, with sums and copies of the work on the way. The views of pools of other VMs are now kept; the age, which only the metrics need, is read by itself. The signal of a job is no longer composed by Node.js out of two, which tracks each by weak references.

No cost was measured for this by itself; the tests of loads and pauses hold.

--- a/src/platform/pool-metrics.ts
+++ b/src/platform/pool-metrics.ts
@@ -45,7 +45,7 @@
 		this.#addGauge('endivemill_pool_cores', 'Cores of the upstreams that take tasks', node, load => load.cores);
 		this.#addGauge('endivemill_pool_free_cpu', 'Thousandths of a core that are free', node, load => load.freeCpu);
 		this.#addGauge('endivemill_pool_queued_work', 'Core-milliseconds that wait', node, load => load.queuedWork);
-		this.#addGauge('endivemill_pool_view_age_ms', 'Age of what is known of a pool', node, load => load.ageMs);
+		this.#addGauge('endivemill_pool_view_age_ms', 'Age of what is known of a pool', node, ({pool}) => node.directory.getAgeMs(pool));
 		const calls = new Gauge({
 			name: 'endivemill_store_calls', help: 'Calls to the store so far', labelNames: ['call'], registers: [this.#registry],
 			collect() {
--- a/src/pool/pool-directory.ts
+++ b/src/pool/pool-directory.ts
@@ -32,6 +32,8 @@
 	receivedAt: number;
 	/** Work sent to the pool that the load does not yet include. */
 	inFlight: readonly InFlightWork[];
+	/** View of the pool, until its load, the work sent to it or its owner changes. */
+	view?: PoolView;
 };
 
 /**
@@ -149,37 +151,58 @@
 	}
 
 	/**
-	 * Gets the pools that have an owner, with their last known load and its age in milliseconds.
+	 * Gets the pools that have an owner, with their last known load.
 	 * @param pools - Names of the pools to include; all by default.
 	 */
-	getViews(pools = this.getPools()): ReadonlyArray<PoolView & {readonly ageMs: number}> {
-		const {clock, dataCenter, selfId} = this.#options;
+	getViews(pools = this.getPools()): readonly PoolView[] {
 		const {owners} = this.#elect();
-		return pools.flatMap(pool => {
+		const views: PoolView[] = [];
+		for (const pool of pools) {
 			const owner = owners.get(pool);
-			if (owner === undefined) {
-				return [];
+			if (owner !== undefined) {
+				views.push(this.#getView(pool, owner.id));
 			}
+		}
 
-			const {load, receivedAt, inFlight} = this.#getKnownLoad(pool);
-			const inFlightCpu = inFlight.reduce((sum, {cpu}) => sum + cpu, 0);
-			const inFlightWork = inFlight.reduce((sum, {work}) => sum + work, 0);
-			const overflowWork = inFlightCpu > load.freeCpu ? inFlightWork : 0;
-			return [{
-				pool,
-				isNear: getDataCenter(pool) === dataCenter,
-				isOwn: owner.id === selfId,
-				ownerId: owner.id,
-				cores: load.cores,
-				freeCpu: load.freeCpu - inFlightCpu,
-				rooms: subtractInFlight(load.rooms, inFlight),
-				queuedWork: load.queuedWork + overflowWork,
-				ageMs: Math.round(clock.getMonotonicTime() - receivedAt),
-			}];
-		});
+		return views;
+	}
+
+	/**
+	 * Gets the age of the known load of a pool, in milliseconds.
+	 * @param pool - Pool.
+	 */
+	getAgeMs(pool: string): number {
+		return Math.round(this.#options.clock.getMonotonicTime() - this.#getKnownLoad(pool).receivedAt);
+	}
+
+	/** Caches the view: views of many pools are needed for each job and each task that another pool gets. */
+	#getView(pool: string, ownerId: string): PoolView {
+		const known = this.#getKnownLoad(pool);
+		if (known.view?.ownerId !== ownerId) {
+			known.view = this.#createView(pool, ownerId, known);
+		}
+
+		return known.view;
+	}
+
+	#createView(pool: string, ownerId: string, {load, inFlight}: Readonly<KnownLoad>): PoolView {
+		const {dataCenter, selfId} = this.#options;
+		const inFlightCpu = inFlight.reduce((sum, {cpu}) => sum + cpu, 0);
+		const inFlightWork = inFlight.reduce((sum, {work}) => sum + work, 0);
+		const overflowWork = inFlightCpu > load.freeCpu ? inFlightWork : 0;
+		return {
+			pool,
+			isNear: getDataCenter(pool) === dataCenter,
+			isOwn: ownerId === selfId,
+			ownerId,
+			cores: load.cores,
+			freeCpu: load.freeCpu - inFlightCpu,
+			rooms: subtractInFlight(load.rooms, inFlight),
+			queuedWork: load.queuedWork + overflowWork,
+		};
 	}
 
-	#getKnownLoad(pool: string): Readonly<KnownLoad> {
+	#getKnownLoad(pool: string): KnownLoad {
 		const ownLoad = this.#options.getOwnLoad?.(pool);
 		return ownLoad === undefined
 			? this.#loads.get(pool) ?? {load: noLoad, receivedAt: 0, inFlight: []}
@@ -192,6 +215,7 @@
 			knownLoad.inFlight = [...knownLoad.inFlight, {
 				at: this.#options.clock.getMonotonicTime(), sequence, cpu, work,
 			}];
+			knownLoad.view = undefined;
 		}
 	}
 
--- a/src/pool/pool-router.ts
+++ b/src/pool/pool-router.ts
@@ -127,16 +127,27 @@
 		const hasLapsed = (): boolean => pauses.getStoppedMs() > stoppedMs && getAgeMs() > remainingMs;
 		// The end of the caller's connection may be hidden by a network partition.
 		const sender: JobSender = {...localSender, isDisconnected: hasLapsed};
+		// Costs less than a signal that Node.js composes, which is tracked by weak references.
 		const controller = new AbortController();
+		const abort = (): void => {
+			controller.abort();
+		};
+
+		if (signal.aborted) {
+			abort();
+		}
+
+		signal.addEventListener('abort', abort, {once: true});
 		const unsubscribe = pauses.subscribe(() => {
 			if (hasLapsed()) {
-				controller.abort();
+				abort();
 			}
 		});
 		try {
-			return await this.#submitToPools(job, {getSubmitted, sender}, AbortSignal.any([signal, controller.signal]));
+			return await this.#submitToPools(job, {getSubmitted, sender}, controller.signal);
 		} finally {
 			unsubscribe();
+			signal.removeEventListener('abort', abort);
 		}
 	}
 
