Ask senders with runs for a confirmation before their leases run short

A job with runs is stopped 800 ms after the last confirmation of its sender, but the sender was asked only at 600 ms: one on a VM that is short of processor time had 200 ms to answer, and until then the leases of all runs on the same upstreams got shorter with it. A connection that was idle carries a keep-alive every 500 ms only, so that a job starts with a confirmation that is as old.

Change: a sender whose job has started is asked once its last confirmation is 350 ms old, which keep-alives do not reach on a busy connection in calm times. No limit changes: a lease still lasts until resend_ms less 150 ms after the last proof.

Evidence: a test in test/pool/lease-limit.test.ts (a sender that answers after 300 ms); without the change its run is stopped.

--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -25,7 +25,7 @@
 import {type JobTask, QueuedJob, type TaskStart} from './queued-job.js';
 import {type RunHost} from './run-host.js';
 import {
-	getLeaseLimit, type JobSender, localSender,
+	getLeaseLimit, type JobSender, localSender, maxAgeWithRunsMs, minUnconfirmedMs, renewalAgeMs,
 } from './sender-confirmation.js';
 import {SuspectPlacement, type WaitingSuspect} from './suspect-placement.js';
 import {recordFailure, recordSuccess} from './upstream-health.js';
@@ -88,14 +88,6 @@
 /** Time after a request for a confirmation until a job without a confirmed sender is stopped at the latest, in milliseconds. */
 const maxUnconfirmedMs = 400;
 
-/**
- * Age of the last confirmation at which a job with runs is stopped, in milliseconds, if a request was not answered in a shorter time. With a smaller age, jobs
- * of VMs that are short of processor time are stopped; with a larger one, the other runs on the same upstreams lapse, since no lease there is
- * extended beyond what the last confirmation allows.
- */
-const maxAgeWithRunsMs = 800;
-const minUnconfirmedMs = 150;
-
 /**
  * Time for which a task is not sent to a pool that it did not fit, in milliseconds: two reads of the list of upstreams. With a smaller value, the
  * tasks of a service without upstreams there are sent in vain more often.
@@ -598,13 +590,16 @@
 			}, 'starts wait for a confirmation of the sender');
 		}
 
-		for (const sender of senders) {
+		this.#requestConfirmations(job);
+		return false;
+	}
+
+	#requestConfirmations(job: QueuedJob): void {
+		for (const sender of job.listeners.values()) {
 			if (!sender.isDisconnected()) {
 				void this.#requestConfirmation(sender);
 			}
 		}
-
-		return false;
 	}
 
 	async #requestConfirmation(sender: JobSender): Promise<void> {
@@ -1065,6 +1060,10 @@
 				continue;
 			}
 
+			if (job.hasStarted && !job.hasConfirmedSender(now - renewalAgeMs)) {
+				this.#requestConfirmations(job);
+			}
+
 			if (!job.hasStarted && this.#refuseIfInadmissible(job, now)) {
 				continue;
 			}
--- a/src/pool/sender-confirmation.ts
+++ b/src/pool/sender-confirmation.ts
@@ -24,6 +24,23 @@
  */
 const maxConfirmationAgeMs = 600;
 
+/**
+ * Age of the last confirmation at which a job with runs is stopped, in milliseconds, if a request was not answered in a shorter time. With a smaller age, jobs
+ * of VMs that are short of processor time are stopped; with a larger one, the other runs on the same upstreams lapse, since no lease there is
+ * extended beyond what the last confirmation allows.
+ */
+export const maxAgeWithRunsMs = 800;
+
+/** That time, in milliseconds: several round trips, which a process needs that was paused itself. */
+export const minUnconfirmedMs = 150;
+
+/**
+ * Age of the last confirmation at which a sender with runs is asked for another one, in milliseconds: more than keep-alives reach on a busy connection in calm
+ * times. With a smaller age, requests double what the keep-alives do; with a larger one, a sender that is late has less time to
+ * answer before its runs are stopped, and the runs beside them have shorter leases.
+ */
+export const renewalAgeMs = 350;
+
 /** Time after which a caller whose submission has failed submits its job again, in milliseconds, unless the deployment sets another one. */
 const defaultResendMs = 1300;
 
--- a/test/pool/lease-limit.test.ts
+++ b/test/pool/lease-limit.test.ts
@@ -165,6 +165,25 @@
 	t.true((lapsed!.fields as {readonly leaseMs: number}).leaseMs < 300);
 });
 
+test('a run goes on if its sender is late, but answers', async t => {
+	const harness = new PoolHarness({upstreamCount: 1, getWork: () => ({...typicalWork, durationMs: workMs})});
+	const owner = harness.createOwner();
+	const {clock} = harness;
+	await clock.advance(startMs);
+	let confirmedAt = startMs;
+	harness.submit(owner, 'a', longJob, undefined, {
+		getConfirmedAt: () => confirmedAt,
+		async requestConfirmation() {
+			const askedAt = clock.getMonotonicTime();
+			await sleep(clock, 300);
+			confirmedAt = Math.max(confirmedAt, askedAt);
+		},
+	});
+	harness.submit(owner, 'b', longJob);
+	await clock.advance(workMs + 500);
+	t.deepEqual(['a', 'b'].map(id => harness.getStarts(`${id}.0.0.0`).map(({end}) => end)), [['done'], ['done']]);
+});
+
 for (const ageMs of [0, 300, 600]) {
 	test(`a run does not lapse after one lost poll if its sender was confirmed ${ageMs} ms ago`, async t => {
 		const harness = new PoolHarness({upstreamCount: 1, getWork: () => ({...typicalWork, durationMs: workMs})});
