Tell VMs that come up of the failed runs that are known

Change: a VM that comes up, or is reachable again, gets the last 256 failed runs from up to three others, those with the lowest identifiers. Nothing is sent while no run has failed in the last minute.

--- a/src/pool/crash-ledger.ts
+++ b/src/pool/crash-ledger.ts
@@ -128,6 +128,16 @@
 		return this.#getRecords(job, task).map(({job: _job, recordedAt, ...failedRun}) => ({...failedRun, ageMs: Math.max(0, now - recordedAt)}));
 	}
 
+	/**
+	 * Gets the failed runs that were recorded last.
+	 * @param maxCount - Maximum number of runs.
+	 */
+	getLastFailedRuns(maxCount: number): readonly FailedRun[] {
+		this.#removeOld();
+		const now = this.#clock.getMonotonicTime();
+		return [...this.#records.values()].slice(-maxCount).map(({job: _job, recordedAt, ...failedRun}) => ({...failedRun, ageMs: Math.max(0, now - recordedAt)}));
+	}
+
 	/**
 	 * Gets whether failed runs of a job are known; cheaper than a verdict.
 	 * @param job - Identifier of the job.
--- a/src/pool/crash-reports.ts
+++ b/src/pool/crash-reports.ts
@@ -1,7 +1,7 @@
 /**
  * Reports of failed runs to the other entry VMs, so that the next owner of a job knows of them.
  */
-import {type PeerNetwork} from '../connection/index.js';
+import {type Member, type PeerNetwork} from '../connection/index.js';
 import {type Clock, type Timer} from '../seams/index.js';
 import {type CrashLedger, type FailedRun} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
@@ -21,12 +21,20 @@
 /** Time for which runs that ended as failed are collected before they are sent, in milliseconds; lost ones and signs of crashes are reported at once. */
 const batchMs = 100;
 
+/**
+ * Number of VMs that report what they know to a VM that has come up. With a smaller value, they may all have come up shortly before; with a larger one, it
+ * gets the same runs more often.
+ */
+const reporterCount = 3;
+
 const resolvedPromise = Promise.resolve();
 
 /** Sends the failed runs of this process's pools to all VMs that are not down, and adds those that they send. */
 export class CrashReports {
 	readonly #options: CrashReportsOptions;
 	readonly #unsubscribe: () => void;
+	/** Incarnations that are up or silent, and know the failed runs. */
+	#informed = new Set<string>();
 	#unsent: FailedRun[] = [];
 	#timer: Timer | undefined;
 
@@ -53,6 +61,32 @@
 		this.#options.ledger.mergeFailedRuns(report.failedRuns);
 	}
 
+	/**
+	 * Reports the failed runs that are known to each VM that has come up: it has started, or was not reachable. Some VMs do so, those with the lowest identifiers.
+	 * @param members - Known entry VMs.
+	 * @param selfId - Incarnation of this VM.
+	 */
+	handleMembers(members: readonly Member[], selfId: string): void {
+		const upIds = members.filter(({state}) => state === 'up').map(({incarnation: {id}}) => id);
+		const joinedIds = upIds.filter(id => !this.#informed.has(id));
+		this.#informed = new Set(members.filter(({incarnation: {id}, state}) => state !== 'down' && (state === 'up' || this.#informed.has(id))).map(({incarnation: {id}}) => id));
+		if (joinedIds.length === 0) {
+			return;
+		}
+
+		const failedRuns = this.#options.ledger.getLastFailedRuns(maxReportedFailedRuns);
+		if (failedRuns.length === 0) {
+			return;
+		}
+
+		const message = {topic: failedRunsTopic, body: {failedRuns}};
+		for (const joinedId of joinedIds) {
+			if (upIds.filter(id => id !== joinedId && id < selfId).length < reporterCount) {
+				this.#sendTo(joinedId, message);
+			}
+		}
+	}
+
 	/** Stops sending. */
 	close(): void {
 		this.#timer?.close();
@@ -91,12 +125,18 @@
 		this.#timer = undefined;
 		const message = {topic: failedRunsTopic, body: {failedRuns}};
 		for (const {incarnation, state} of this.#options.peers.getMembers()) {
-			if (state !== 'down' && !this.#options.peers.sendControl(incarnation.id, message)) {
-				void this.#request(incarnation.id, message);
+			if (state !== 'down') {
+				this.#sendTo(incarnation.id, message);
 			}
 		}
 	}
 
+	#sendTo(vmId: string, message: {readonly topic: string; readonly body: unknown}): void {
+		if (!this.#options.peers.sendControl(vmId, message)) {
+			void this.#request(vmId, message);
+		}
+	}
+
 	/** Sends a report to a VM to which there is no link for messages. */
 	async #request(vmId: string, message: {readonly topic: string; readonly body: unknown}): Promise<void> {
 		for (let attempts = 0; attempts < maxSendAttempts; attempts++) {
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -185,7 +185,8 @@
 		});
 		this.#timer = this.#setTimer();
 		this.#subscription = options.peers.getMemberStream().subscribe({
-			next: () => {
+			next: members => {
+				this.#crashReports.handleMembers(members, options.self.id);
 				this.#elect();
 			},
 			error(err) {
--- a/test/pool/crash-reports.test.ts
+++ b/test/pool/crash-reports.test.ts
@@ -311,3 +311,41 @@
 	ledger.addFailedRuns([{...failedRun, number: 2}]);
 	t.deepEqual(sent, []);
 });
+
+test('a VM that comes up is told by three others of the failed runs that they know', t => {
+	const clock = new ManualClock();
+	const ledger = new CrashLedger(clock);
+	const sent: string[] = [];
+	const reports = new CrashReports({
+		clock,
+		ledger,
+		log: silentLog,
+		peers: {
+			getMembers: () => [],
+			sendControl(id, {body}) {
+				sent.push(`${id} ${(body as {readonly failedRuns: readonly FailedRun[]}).failedRuns.map(({task, ageMs}) => `${task} ${ageMs}`).join(', ')}`);
+				return true;
+			},
+			request: async () => ({kind: 'answered', body: {}}),
+		},
+	});
+	const getSent = (states: Readonly<Record<string, MemberState>>, selfId: string): readonly string[] => {
+		reports.handleMembers(Object.entries(states).map(([id, state]) => createMember(id, state)), selfId);
+		return sent.splice(0);
+	};
+
+	t.deepEqual(getSent({b: 'up', c: 'up'}, 'd'), []);
+	// Another VM has reported it, which may have ended since.
+	ledger.mergeFailedRuns([{
+		task: 'a.0.0.0', number: 1, upstream: 'u0', bornMs: 1, cause: 'refused', isAlone: true, ageMs: 5,
+	}]);
+	t.deepEqual(getSent({b: 'up', c: 'up', e: 'up'}, 'd'), ['e a.0.0.0 5']);
+	t.deepEqual(getSent({b: 'up', c: 'up', e: 'silent'}, 'd'), []);
+	t.deepEqual(getSent({b: 'up', c: 'up', e: 'up'}, 'd'), []);
+	t.deepEqual(getSent({b: 'up', c: 'up', e: 'down'}, 'd'), []);
+	t.deepEqual(getSent({b: 'up', c: 'up', e: 'up'}, 'd'), ['e a.0.0.0 5']);
+	t.deepEqual(getSent({
+		a: 'up', b: 'up', c: 'up', e: 'up', f: 'up',
+	}, 'd'), ['a a.0.0.0 5']);
+	reports.close();
+});
--- a/test/pool/fleet-workload.test.ts
+++ b/test/pool/fleet-workload.test.ts
@@ -5,6 +5,7 @@
 import test from 'ava';
 import {type PeerRequest} from '../../src/connection/index.js';
 import {type UpstreamDescription} from '../../src/pool/index.js';
+import {type FleetFault} from '../../src/testing/fleet-faults.js';
 import {
 	describeResult, getFleetFaults, getWorkloadFaults, runFleet,
 } from '../../src/testing/fleet-run.js';
@@ -23,11 +24,11 @@
 	});
 }
 
-/** Seed and faults of a fleet in which owners change while tasks are deadly. */
-const ownerChangeSeed = 35;
-const ownerChangeFaults = [
-	...getFleetFaults(ownerChangeSeed, 200).filter(({kind}) => kind === 'kill' || kind === 'freeze'),
-	...getWorkloadFaults(ownerChangeSeed, 12).filter(({kind}) => kind === 'deadly'),
+/** Seeds of fleets in which owners change while tasks are deadly; the first breaks without reports. */
+const ownerChangeSeeds = [22, 35, 54] as const;
+const getOwnerChangeFaults = (seed: number): readonly FleetFault[] => [
+	...getFleetFaults(seed, 200).filter(({kind}) => kind === 'kill' || kind === 'freeze'),
+	...getWorkloadFaults(seed, 12).filter(({kind}) => kind === 'deadly'),
 ];
 
 type MessageBody = Readonly<Record<string, unknown>> & {readonly job?: Readonly<Record<string, unknown>>; readonly task?: Readonly<Record<string, unknown>>};
@@ -62,13 +63,15 @@
 	t.deepEqual([...new Set(violations.map(({rule}) => rule))], ['over-capacity']);
 });
 
-test('the lost runs of a task count although its owners are killed and frozen', async t => {
-	const result = await runFleet(ownerChangeSeed, ownerChangeFaults, {patientShare: 1});
-	t.deepEqual(result.violations, []);
-	t.true(result.starts.some(({isEndedByCrash}) => isEndedByCrash));
-});
+for (const seed of ownerChangeSeeds) {
+	test(`the lost runs of a task count although its owners are killed and frozen (seed ${seed})`, async t => {
+		const result = await runFleet(seed, getOwnerChangeFaults(seed), {patientShare: 1});
+		t.deepEqual(result.violations, []);
+		t.true(result.starts.some(({isEndedByCrash}) => isEndedByCrash));
+	});
+}
 
 test('a fleet whose VMs tell each other of no failed or lost runs starts a deadly task too often', async t => {
-	const {violations} = await runFleet(ownerChangeSeed, ownerChangeFaults, {patientShare: 1, wrapMessage: removeFailedRuns});
+	const {violations} = await runFleet(ownerChangeSeeds[0], getOwnerChangeFaults(ownerChangeSeeds[0]), {patientShare: 1, wrapMessage: removeFailedRuns});
 	t.true(violations.some(({rule}) => rule === 'too-many-starts'));
 });
