Ask borrowers for confirmations, and stop lent runs whose senders are late

A run for another pool had no end but its lease: the lender neither asked for a confirmation once it ran nor stopped it, while the proof of its job is the sum of two ages there (the borrower's of the sender, and the lender's of the borrower).

Change: while there are lent runs, their confirmations are examined every 50 ms. One older than 350 ms is asked for, and a run is stopped at 800 ms if it was not renewed for 150 ms, as the jobs of the pool itself, so that the leases of the others go on. No limit of a lease changes.

Evidence: two tests in test/pool/lease-limit.test.ts; without the examination both runs lapse in both. The existing test of a lender takes the confirmation as an object now and asks for the same.

--- a/src/pool/lent-runs.ts
+++ b/src/pool/lent-runs.ts
@@ -1,11 +1,15 @@
 /**
  * Lent runs: runs on a pool's upstreams that belong to jobs of other pools.
  */
+import {type SenderConfirmation} from '../connection/index.js';
 import {type Clock, sleep, type Timer} from '../seams/index.js';
 import {type CrashLedger} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
 import {type LentTask, type LendOutcome} from './lending.js';
 import {chooseUpstream} from './placement.js';
+import {
+	getLeaseLimit, maxAgeWithRunsMs, minUnconfirmedMs, renewalAgeMs,
+} from './sender-confirmation.js';
 import {recordFailure, recordSuccess, toCandidate} from './upstream-health.js';
 import {type LinkedRun, type UpstreamLink} from './upstream-link.js';
 import {type Run, type RunEnd} from './upstream-orders.js';
@@ -16,6 +20,8 @@
 	readonly log: DecisionLog;
 	/** Runs that failed or were lost with their upstreams. */
 	readonly ledger: CrashLedger;
+	/** Time after which a caller whose submission has failed submits its job again, in milliseconds. */
+	readonly resendMs?: number;
 };
 
 /** Where a lent task may start, and how long it may run. */
@@ -24,8 +30,8 @@
 	readonly links: readonly UpstreamLink[];
 	/** Aborts when the borrower disconnects; the task is then stopped. */
 	readonly signal: AbortSignal;
-	/** Gets the monotonic time until which a lease of the run may last. */
-	readonly getLeaseLimit: () => number;
+	/** Proof that a sender of the job waits. */
+	readonly confirmation: SenderConfirmation;
 };
 
 /** Run, and the function that reports its outcome to the borrower. */
@@ -33,6 +39,11 @@
 	readonly run: LinkedRun;
 	readonly link: UpstreamLink;
 	readonly expectedMs: number;
+	readonly confirmation: SenderConfirmation;
+	/** Monotonic time at which the borrower was last asked for a confirmation; `-Infinity` if it was not. */
+	askedAt: number;
+	/** Monotonic time since which its confirmation is known to be old; `undefined` while it is not. After a pause of this process all are old at first. */
+	unconfirmedSince: number | undefined;
 	readonly settle: (outcome: LendOutcome) => void;
 };
 
@@ -48,6 +59,15 @@
 /** Interval of the checks whether recalled runs have ended, in milliseconds: a fraction of the time that a stop takes. */
 const recallPollMs = 10;
 
+/**
+ * Interval at which the borrower of a run is asked for another confirmation at the earliest, in milliseconds: what it answers may be old, since it tells
+ * what it knows of the sender of the job, and it asks the sender itself.
+ */
+const askIntervalMs = 100;
+
+/** Interval at which the confirmations of all runs are examined, in milliseconds: a fraction of the time between the age at which they are asked for and the one at which runs are stopped. */
+const sweepIntervalMs = 50;
+
 /** Starts and stops runs for other pools, and reports their outcomes. */
 export class LentRuns {
 	readonly #options: LentRunsOptions;
@@ -56,6 +76,8 @@
 	/** Runs that are done and not logged yet. */
 	#ended: EndedRun[] = [];
 	#logTimer: Timer | undefined;
+	/** Runs while there are lent runs. */
+	#sweepTimer: Timer | undefined;
 
 	constructor(options: LentRunsOptions) {
 		this.#options = options;
@@ -66,7 +88,7 @@
 	 * @param task - Task.
 	 * @param options - Where it may start, and how long it may run.
 	 */
-	async start(task: LentTask, {links, signal, getLeaseLimit}: LentStartOptions): Promise<LendOutcome> {
+	async start(task: LentTask, {links, signal, confirmation}: LentStartOptions): Promise<LendOutcome> {
 		if (signal.aborted || this.#runs.has(task.task)) {
 			return {kind: 'refused', reason: 'no-room'};
 		}
@@ -80,14 +102,19 @@
 
 		const link = matchingLinks.find(({name}) => name === chosen.id)!;
 		const run = link.start({
-			task: task.task, number: task.number, needs: task.step.needs, spec: task.spec, getLeaseLimit,
+			task: task.task,
+			number: task.number,
+			needs: task.step.needs,
+			spec: task.spec,
+			getLeaseLimit: () => getLeaseLimit(confirmation.getConfirmedAt(), this.#options.resendMs),
 		});
 		signal.addEventListener('abort', () => {
 			link.stop(run);
 		}, {once: true});
 		return new Promise(resolve => {
+			this.#setSweepTimer();
 			this.#runs.set(task.task, {
-				run, link, expectedMs: task.expectedMs, settle: resolve,
+				run, link, expectedMs: task.expectedMs, confirmation, askedAt: -Infinity, unconfirmedSince: undefined, settle: resolve,
 			});
 		});
 	}
@@ -197,9 +224,45 @@
 		}
 
 		this.#runs.clear();
+		this.#sweepTimer?.close();
+		this.#sweepTimer = undefined;
 		this.#logEnded();
 	}
 
+	#setSweepTimer(): void {
+		this.#sweepTimer ??= this.#options.clock.setTimer(() => {
+			this.#sweepTimer = undefined;
+			if (this.#runs.size > 0) {
+				this.#setSweepTimer();
+				this.#sweep();
+			}
+		}, sweepIntervalMs);
+	}
+
+	/** Asks for confirmations that are old, and stops the runs whose confirmations are so old that the leases of the runs beside them are about to end. */
+	#sweep(): void {
+		const now = this.#options.clock.getMonotonicTime();
+		for (const lent of this.#runs.values()) {
+			const {run, link, confirmation} = lent;
+			const ageMs = now - confirmation.getConfirmedAt();
+			if (ageMs <= renewalAgeMs || run.isStopRequested) {
+				lent.unconfirmedSince = undefined;
+				continue;
+			}
+
+			lent.unconfirmedSince ??= now;
+			if (ageMs > maxAgeWithRunsMs && now - lent.unconfirmedSince > minUnconfirmedMs) {
+				this.#options.log.info({
+					task: run.task, run: run.number, upstream: link.name, ageMs: Math.round(ageMs),
+				}, 'lent run stopped whose sender is not known to wait');
+				link.stop(run);
+			} else if (now - lent.askedAt >= askIntervalMs) {
+				lent.askedAt = now;
+				void confirmation.requestConfirmation();
+			}
+		}
+	}
+
 	#addEnded(run: EndedRun): void {
 		this.#ended.push(run);
 		if (this.#ended.length >= maxLoggedRuns) {
--- a/src/pool/pool-lending.ts
+++ b/src/pool/pool-lending.ts
@@ -196,7 +196,7 @@
 		directory.addClaims({[borrower]: {fence, load}});
 		this.#recordSequence(borrower, fence, sequence);
 		const entry = {
-			pool, borrower, fence, task, outcome: owner.runLent(task, signal, () => confirmation.getConfirmedAt()),
+			pool, borrower, fence, task, outcome: owner.runLent(task, signal, confirmation),
 		};
 		this.#lentTasks.add(entry);
 		try {
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -1,6 +1,7 @@
 /**
  * Ownership of one pool by this entry VM: its fence, its links to the upstreams, and its scheduler.
  */
+import {type SenderConfirmation} from '../connection/index.js';
 import {type Clock, sleep} from '../seams/index.js';
 import {CrashLedger} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
@@ -269,10 +270,10 @@
 	 * Runs a task of another pool's job if there is free capacity now.
 	 * @param task - Task.
 	 * @param signal - Aborts when the borrower disconnects.
-	 * @param getConfirmedAt - Gets the monotonic time at which a sender of the job was last known to wait; always by default.
+	 * @param confirmation - Proof that a sender of the job waits; always given by default.
 	 */
-	async runLent(task: LentTask, signal: AbortSignal, getConfirmedAt?: () => number): Promise<LendOutcome> {
-		return this.#isReady && !this.#isClosed ? this.#scheduler.runLent(task, signal, getConfirmedAt) : {kind: 'refused', reason: 'not-owner'};
+	async runLent(task: LentTask, signal: AbortSignal, confirmation?: SenderConfirmation): Promise<LendOutcome> {
+		return this.#isReady && !this.#isClosed ? this.#scheduler.runLent(task, signal, confirmation) : {kind: 'refused', reason: 'not-owner'};
 	}
 
 	/**
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -1,6 +1,7 @@
 /**
  * The queue of one pool: admits jobs, starts their tasks on upstreams of this pool or in other pools, and reports the outcomes.
  */
+import {type SenderConfirmation} from '../connection/index.js';
 import {type Clock, type Timer} from '../seams/index.js';
 import {type AdmissionDecision, decideAdmission, minRetryAfterMs} from './admission.js';
 import {
@@ -345,10 +346,10 @@
 	 * Starts a task of another pool's job if there is free capacity now, and waits for its end.
 	 * @param task - Task.
 	 * @param signal - Aborts when the borrower has departed; the task is then stopped.
-	 * @param getConfirmedAt - Gets the monotonic time at which a sender of the job was last known to wait; always by default.
+	 * @param confirmation - Proof that a sender of the job waits; always given by default.
 	 * @returns How the run ended, or why it was refused.
 	 */
-	async runLent(task: LentTask, signal: AbortSignal, getConfirmedAt = () => Infinity): Promise<LendOutcome> {
+	async runLent(task: LentTask, signal: AbortSignal, confirmation: SenderConfirmation = localSender): Promise<LendOutcome> {
 		if (this.#isClosed || this.#isStarting || this.#options.areStartsSuspended()) {
 			return {kind: 'refused', reason: 'no-room'};
 		}
@@ -376,8 +377,7 @@
 		}
 
 		this.#updateAverageTaskCpu(task.step);
-		const {resendMs} = this.#options;
-		return this.#lentRuns.start(task, {links, signal, getLeaseLimit: () => getLeaseLimit(getConfirmedAt(), resendMs)});
+		return this.#lentRuns.start(task, {links, signal, confirmation});
 	}
 
 	/**
--- a/test/pool/lease-limit.test.ts
+++ b/test/pool/lease-limit.test.ts
@@ -1,7 +1,8 @@
 /**
  * Leases end before a copy of their job can start, whatever becomes of the VMs that know of the job.
  */
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
+import {type SenderConfirmation} from '../../src/connection/index.js';
 import {
 	type JobSender, localSender, noNeighbours, PauseDetector, PoolOwner, type UpstreamOrders,
 } from '../../src/pool/index.js';
@@ -126,7 +127,7 @@
 	const task = {
 		task: 'a.0.0.0', number: 1, spec: 'work', service: 's', step: createJob('a').steps[0]!, expectedMs: workMs,
 	};
-	void owner.runLent(task, new AbortController().signal, () => Math.min(confirmedUntil, process.getMonotonicTime()));
+	void owner.runLent(task, new AbortController().signal, {...localSender, getConfirmedAt: () => Math.min(confirmedUntil, process.getMonotonicTime())});
 	await harness.clock.advance(5000);
 	const [start] = harness.getStarts('a.0.0.0');
 	t.true(start!.endedAt! > confirmedUntil && start!.endedAt! < confirmedUntil + resendMs);
@@ -165,6 +166,40 @@
 	t.true((lapsed!.fields as {readonly leaseMs: number}).leaseMs < 300);
 });
 
+/** Creates the fixture of an owner with a run of its own and one for another pool, and gets the ends of both. */
+async function runBesideLent(t: ExecutionContext, getAgeMs: (sinceMs: number) => number, latencyMs = Infinity): Promise<{readonly own: string | undefined; readonly lent: string | undefined}> {
+	const harness = new PoolHarness({upstreamCount: 1, getWork: () => ({...typicalWork, durationMs: workMs})});
+	const owner = harness.createOwner();
+	await harness.clock.advance(startMs);
+	const {clock} = harness;
+	let answeredAt = -Infinity;
+	const confirmation: SenderConfirmation = {
+		getConfirmedAt: () => Math.max(answeredAt, clock.getMonotonicTime() - getAgeMs(clock.getMonotonicTime() - startMs)),
+		async requestConfirmation() {
+			const askedAt = clock.getMonotonicTime();
+			await sleep(clock, latencyMs);
+			answeredAt = Math.max(answeredAt, askedAt);
+		},
+	};
+	const task = {
+		task: 'lent.0.0.0', number: 1, spec: 'work', service: 's', step: createJob('lent').steps[0]!, expectedMs: workMs,
+	};
+	harness.submit(owner, 'own', longJob);
+	await clock.advance(100);
+	void owner.runLent(task, new AbortController().signal, confirmation);
+	await clock.advance(workMs + 500);
+	t.is(new Set(harness.upstreams.starts.map(({upstream}) => upstream)).size, 1);
+	return {own: harness.getStarts('own.0.0.0')[0]!.end, lent: harness.getStarts('lent.0.0.0')[0]!.end};
+}
+
+test('a run beside one for another pool whose sender is not heard any more does not lapse', async t => {
+	t.deepEqual(await runBesideLent(t, sinceMs => Math.max(0, sinceMs - 900)), {own: 'done', lent: 'stopped'});
+});
+
+test('a run for another pool goes on if its borrower is late, but answers', async t => {
+	t.deepEqual(await runBesideLent(t, sinceMs => Math.max(0, sinceMs - 900), 300), {own: 'done', lent: 'done'});
+});
+
 test('a run goes on if its sender is late, but answers', async t => {
 	const harness = new PoolHarness({upstreamCount: 1, getWork: () => ({...typicalWork, durationMs: workMs})});
 	const owner = harness.createOwner();
