--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -113,8 +113,7 @@
 	readonly #lentRuns: LentRuns;
 	/** Keeps tasks under which an upstream has crashed apart from others. */
 	readonly #suspectPlacement: SuspectPlacement;
-	/** Runs while there are jobs. */
-	#sweepTimer: Timer | undefined;
+	readonly #sweepTimer: Timer;
 	readonly #unsubscribe: () => void;
 	/** Senders that were asked for a confirmation and have not answered. */
 	readonly #askedSenders = new Set<JobSender>();
@@ -149,6 +148,9 @@
 		this.#unsubscribe = options.ledger.subscribe(failedRuns => {
 			this.#handleFailedRuns(failedRuns);
 		});
+		this.#sweepTimer = options.clock.setRepeatingTimer(() => {
+			this.#sweepJobs();
+		}, sweepIntervalMs);
 	}
 
 	/** Gets the load of the pool. */
@@ -315,7 +317,6 @@
 		this.#addStoppedTime();
 		this.#jobSizes.add(job.size);
 		this.#jobs.set(job.request.id, job);
-		this.#setSweepTimer();
 		this.#updateAverageTaskCpu(job.request.steps[0]!);
 		this.#offeredLoad.addWork(job.priority, job.remainingWork, this.#options.clock.getMonotonicTime());
 		for (const task of job.tasks) {
@@ -480,8 +481,7 @@
 	close(): void {
 		this.#isClosed = true;
 		this.#unsubscribe();
-		this.#sweepTimer?.close();
-		this.#sweepTimer = undefined;
+		this.#sweepTimer.close();
 		for (const job of this.#jobs.values()) {
 			this.#jobSizes.remove(job.size);
 			this.#options.log.info(job.getLogFields(), 'job released');
@@ -1035,18 +1035,12 @@
 		this.schedule();
 	}
 
-	#setSweepTimer(): void {
-		this.#sweepTimer ??= this.#options.clock.setTimer(() => {
-			this.#sweepTimer = undefined;
-			if (this.#jobs.size > 0) {
-				this.#setSweepTimer();
-				this.#sweepJobs();
-			}
-		}, sweepIntervalMs);
-	}
-
 	/** Stops jobs whose senders have gone and overdue runs, and refuses jobs that have not started and can no longer be in time. */
 	#sweepJobs(): void {
+		if (this.#jobs.size === 0) {
+			return;
+		}
+
 		const now = this.#options.clock.getMonotonicTime();
 		const confirmedSince = this.#options.getConfirmedSince();
 		this.#addStoppedTime();
--- a/src/testing/manual-clock.ts
+++ b/src/testing/manual-clock.ts
@@ -68,14 +68,6 @@
 		return true;
 	}
 
-	/**
-	 * Gets whether a timer is due.
-	 * @param until - Latest time of the timer.
-	 */
-	hasTimer(until: number): boolean {
-		return (this.#timers.getFirst()?.rank ?? Infinity) <= until;
-	}
-
 	/**
 	 * Advances by a duration and runs the timers that are due; settled promises call their callbacks between timers.
 	 * @param durationMs - Duration in milliseconds.
@@ -84,28 +76,18 @@
 		const until = this.#now + durationMs;
 		do {
 			await settlePromises();
-			if (!this.hasTimer(until)) {
-				// Longer chains of promises may set a timer that is due.
-				await settlePromises(lastSettleRounds);
-			}
 		} while (this.runNext(until));
 
 		this.#now = until;
 	}
 }
 
-/**
- * Waits until settled promises have called their callbacks.
- * @param rounds - Number of microtask rounds.
- */
-export async function settlePromises(rounds = settleRounds): Promise<void> {
-	for (let round = 0; round < rounds; round++) {
+/** Waits until settled promises have called their callbacks. */
+export async function settlePromises(): Promise<void> {
+	for (let round = 0; round < settleRounds; round++) {
 		await Promise.resolve();
 	}
 }
 
 /** Largest number of microtask rounds that chained promises need. */
 const settleRounds = 10;
-
-/** Number of microtask rounds before the clock is advanced beyond all timers that are due. */
-const lastSettleRounds = 100;
