--- a/test/pool/load-updates.test.ts
+++ b/test/pool/load-updates.test.ts
@@ -108,3 +108,33 @@
 	await fixture.clock.advance(20);
 	t.deepEqual(fixture.recipients, ['b']);
 });
+
+test('the view of a pool is kept until its load, the work sent to it or its owner changes', async t => {
+	const {clock, directory} = createDirectory();
+	const getView = (): PoolView => directory.getViews().find(({pool}) => pool === 'b')!;
+	const first = getView();
+	await clock.advance(500);
+	t.is(getView(), first);
+	t.is(directory.getAgeMs('b'), 500);
+	const sequence = directory.addSentTask('b', step);
+	t.deepEqual(getView().rooms, [9000, 200]);
+	t.not(getView(), first);
+	directory.setLoad('b', {...idle, rooms: [9000]}, sequence);
+	t.is(directory.getAgeMs('b'), 0);
+	t.like(getView(), {ownerId: 'b-1', rooms: [9000]});
+});
+
+test('the view of a pool follows its owner', t => {
+	const createOwner = (id: string, fence: number): Candidate => ({
+		id, dataCenter: 'b', cores: 1, isUp: true, isLeaving: false, claims: {b: fence},
+	});
+	let candidates = [createOwner('b-1', 1)];
+	const pools = ['b'];
+	const directory = new PoolDirectory({
+		clock: new ManualClock(), selfId: 'b-2', dataCenter: 'b', getPools: () => pools, getCandidates: () => candidates,
+	});
+	directory.addClaims({b: {fence: 1, load: idle}});
+	t.like(directory.getViews()[0], {ownerId: 'b-1', isOwn: false});
+	candidates = [createOwner('b-2', 2)];
+	t.like(directory.getViews()[0], {ownerId: 'b-2', isOwn: true});
+});
