--- a/test/pool/upstream-link.test.ts
+++ b/test/pool/upstream-link.test.ts
@@ -245,6 +245,19 @@
 	link.close();
 });
 
+test('after an unanswered attempt, a refused connection does not prove that a run has not started', async t => {
+	const fixture = new LinkFixture();
+	const {link, starts} = fixture;
+	await fixture.open();
+	const run = link.start(createRun('a.0.0.0'));
+	await fixture.clock.advance(defaultUpstreamLinkTiming.answerTimeoutMs + 1);
+	t.is(starts.length, 2);
+	await starts[1]!.answer({kind: 'unanswered', detail: 'connection refused', isRefused: true});
+	t.deepEqual(fixture.refused, []);
+	t.not(run.state, 'running');
+	link.close();
+});
+
 /** Advances the clock and answers all polls and, if requested, all stops. */
 async function answerPolls(fixture: LinkFixture, durationMs: number, createAnswer: () => PollOutcome, areStopsAnswered = false): Promise<void> {
 	const until = fixture.clock.getMonotonicTime() + durationMs;
