Use another fleet for the count of deadly tasks without reports

The requests for confirmations by lenders give the fleet of seed 22 another course, in which its mutant (VMs that tell each other of no failed or lost runs) starts no deadly task too often. Neither the faults nor the checks change: of seeds 18 to 37 and 54 to 75 the mutant breaks in 18, 20, 27, 28, 31, 55, 67, 71 and 74, in 71 with three violations, and no sound fleet breaks. 22, 35 and 54 stay among the fleets that must have none.

--- a/test/pool/fleet-workload.test.ts
+++ b/test/pool/fleet-workload.test.ts
@@ -25,7 +25,7 @@
 }
 
 /** Seeds of fleets in which owners change while tasks are deadly; the first breaks without reports. */
-const ownerChangeSeeds = [22, 35, 54] as const;
+const ownerChangeSeeds = [71, 22, 35, 54] as const;
 const getOwnerChangeFaults = (seed: number): readonly FleetFault[] => [
 	...getFleetFaults(seed, 200).filter(({kind}) => kind === 'kill' || kind === 'freeze'),
 	...getWorkloadFaults(seed, 12).filter(({kind}) => kind === 'deadly'),
