Report the age of each process for which a request is made, also of one that waits now

What could happen: a lend for a job whose sender was in the borrower's own process reported no age. When that sender left and the job went on for another one, the echo of any other request confirmed the lend as well, and the ages in the next keep-alive, which echoes the same stamp, were dropped: the lender took the sender for waiting without bound, and after the loss of its VM a lease could outlast the time until a copy starts. In the other direction fresh ages were dropped, so that leases were shorter than they had to be. Answers that carry stamps made both frequent.

Change: a request for another process always has an age, 0 for one that waits now; ages count with the last confirmed stamp, too: they are bounds as before.

Evidence: two tests, which fail without the change.

--- a/src/connection/sender-confirmations.ts
+++ b/src/connection/sender-confirmations.ts
@@ -22,11 +22,10 @@
  * Gets the age that a sender reports with a request.
  * @param getConfirmedAt - Gets the time at which the process was known to wait for which the request is made; `undefined` if it is made for the sender itself.
  * @param now - Monotonic time.
- * @returns Age in milliseconds; `undefined` if there is nothing to report.
+ * @returns Age in milliseconds, 0 for a process that is known to wait now; `undefined` for the sender itself.
  */
 export function getReportedAge(getConfirmedAt: (() => number) | undefined, now: number): number | undefined {
-	const ageMs = getConfirmedAt === undefined ? 0 : now - getConfirmedAt();
-	return ageMs > 0 ? Math.min(maxReportedAgeMs, ageMs) : undefined;
+	return getConfirmedAt && Math.min(maxReportedAgeMs, Math.max(0, now - getConfirmedAt()));
 }
 
 /**
@@ -126,7 +125,8 @@
 	 * @param ages - Ages that the message reports.
 	 */
 	addEcho(echo: number | undefined, ages: ConfirmationAges = []): void {
-		if (this.#isNewStamp(echo)) {
+		// A request may have echoed the same stamp before; the ages are later.
+		if (this.#isNewStamp(echo) || (echo !== undefined && echo === this.#confirmedAt)) {
 			const earlier = this.#reported;
 			this.#reported = new Map(ages.map(([id, ageMs]) => [id, Math.max(earlier.get(id) ?? -Infinity, echo - ageMs)]));
 			this.#confirm(echo);
--- a/test/connection/sender-confirmations.test.ts
+++ b/test/connection/sender-confirmations.test.ts
@@ -309,3 +309,23 @@
 	client.tick(500);
 	t.like(connection.sent.slice(3), [{type: 'request'}, {type: 'request'}, {type: 'keep-alive', echo: 10_000, ages: [[3, 500]]}]);
 });
+
+test('the ages in a keep-alive count although a request has echoed its stamp before', async t => {
+	const {clock, connection, server, confirmations} = createServer();
+	await clock.advance(1000);
+	server.tick(1000);
+	await connection.deliver(createRequest(1, 1000, 0));
+	await clock.advance(400);
+	server.tick(1400);
+	await connection.deliver(createRequest(2, 1400));
+	t.deepEqual(confirmations.map(confirmation => confirmation.getConfirmedAt()), [1000, 1400]);
+	await connection.deliver({type: 'keep-alive', echo: 1400, ages: [[1, 100]]});
+	t.deepEqual(confirmations.map(confirmation => confirmation.getConfirmedAt()), [1300, 1400]);
+});
+
+test('a request for a process that waits at its sender reports an age, so that later ones of the process count', async t => {
+	const {clock, connection, client} = createClient();
+	void client.request({topic: 'lent', body: 0}, undefined, {getConfirmedAt: () => Infinity});
+	await clock.advance(0);
+	t.like(connection.sent, [{type: 'request', ageMs: 0}]);
+});
