--- a/deploy/warm-up.ts
+++ b/deploy/warm-up.ts
@@ -23,6 +23,11 @@
 const readyTimeoutMs = 20_000;
 const readyPollMs = 100;
 const stopTimeoutMs = 10_000;
+const readinessTimeoutMs = 1000;
+const jobTimeoutMs = 5000;
+
+/** Time after which everything is ended, in milliseconds; whatever answers or does not answer on the ports. */
+const totalTimeoutMs = 60_000;
 
 /** Rounds of jobs that start at the same time, and their number in each: enough that jobs wait and are lent to the other pool. */
 const roundCount = 12;
@@ -70,7 +75,7 @@
 
 async function isReady(ip: string): Promise<boolean> {
 	try {
-		const res = await request(`http://${ip}:${readinessPort}/api/readiness`);
+		const res = await request(`http://${ip}:${readinessPort}/api/readiness`, {signal: AbortSignal.timeout(readinessTimeoutMs)});
 		await res.body.dump();
 		return res.statusCode === 200;
 	} catch {
@@ -82,7 +87,7 @@
 	const endAt = Date.now() + readyTimeoutMs;
 	for (const ip of ips) {
 		while (!await isReady(ip)) {
-			if (Date.now() > endAt) {
+			if (Date.now() > endAt || daemons.some(daemon => hasEnded(daemon))) {
 				throw new Error(`the daemon at ${ip} is not ready`);
 			}
 
@@ -94,6 +99,7 @@
 async function submitJob(position: number, number: number): Promise<number> {
 	const res = await request(`http://${ips[position % ips.length]!}:${callerPort}${route.prefix}${number.toString(16).padStart(16, '0')}`, {
 		method: 'POST',
+		signal: AbortSignal.timeout(jobTimeoutMs),
 		headers: {host: route.host, 'content-type': 'application/json', 'x-endivemill-deadline-ms': '1500'},
 		body: JSON.stringify({
 			spec: 'x', best_effort: true, steps: [{
@@ -117,8 +123,12 @@
 	}
 }
 
+function hasEnded({exitCode, signalCode}: ChildProcess): boolean {
+	return exitCode !== null || signalCode !== null;
+}
+
 async function stop(daemon: ChildProcess): Promise<void> {
-	if (daemon.exitCode === null && daemon.signalCode === null) {
+	if (!hasEnded(daemon)) {
 		const ended = once(daemon, 'exit');
 		daemon.kill('SIGTERM');
 		await Promise.race([ended, delay(stopTimeoutMs, undefined, {ref: false})]);
@@ -127,6 +137,14 @@
 }
 
 const daemons = ips.map((_, position) => startDaemon(position));
+setTimeout(() => {
+	for (const daemon of daemons) {
+		daemon.kill('SIGKILL');
+	}
+
+	process.stderr.write('the code cache has only what a start compiles: the jobs took too long\n');
+	process.exit(); // eslint-disable-line unicorn/no-process-exit
+}, totalTimeoutMs);
 try {
 	await waitUntilReady();
 	await runJobs();
