Compare the largest free capacity once a start, and write each rule of the change once

The smallest room that holds a task was found by a filter and a sort of all rooms, and the check for tasks that stay in one pool was made twice. The rule that stops runs of a late sender stood in two classes, the conversion of a failed run twice in one.

Change: the largest capacities are kept until a start changes them; the smallest room is found in one pass; the rule is a function beside its limits; names for what two methods return and for when a timer is set. No decision changes.

--- a/src/platform/json-client.ts
+++ b/src/platform/json-client.ts
@@ -38,8 +38,8 @@
 const callDefaults = {headersTimeout: 0, bodyTimeout: 0, idempotent: false} as const;
 
 /**
- * Collects one answer. The promise interface of undici creates a stream and an abort signal for each call, which cost a pool owner more
- * processor time than the rest of a task start.
+ * Collects one answer. The promise interface of undici creates a stream and an abort signal for each call, which cost more
+ * processor time than the call itself.
  */
 class AnswerHandler implements Dispatcher.DispatchHandler {
 	readonly #clock: Clock;
--- a/src/pool/crash-ledger.ts
+++ b/src/pool/crash-ledger.ts
@@ -124,8 +124,7 @@
 	 * @param task - Task of the job; all tasks by default.
 	 */
 	getFailedRuns(job: string, task?: string): readonly FailedRun[] {
-		const now = this.#clock.getMonotonicTime();
-		return this.#getRecords(job, task).map(({job: _job, recordedAt, ...failedRun}) => ({...failedRun, ageMs: Math.max(0, now - recordedAt)}));
+		return this.#toFailedRuns(this.#getRecords(job, task));
 	}
 
 	/**
@@ -134,8 +133,7 @@
 	 */
 	getLastFailedRuns(maxCount: number): readonly FailedRun[] {
 		this.#removeOld();
-		const now = this.#clock.getMonotonicTime();
-		return [...this.#records.values()].slice(-maxCount).map(({job: _job, recordedAt, ...failedRun}) => ({...failedRun, ageMs: Math.max(0, now - recordedAt)}));
+		return this.#toFailedRuns([...this.#records.values()].slice(-maxCount));
 	}
 
 	/**
@@ -240,6 +238,11 @@
 		return true;
 	}
 
+	#toFailedRuns(records: readonly FailedRunRecord[]): readonly FailedRun[] {
+		const now = this.#clock.getMonotonicTime();
+		return records.map(({job: _job, recordedAt, ...failedRun}) => ({...failedRun, ageMs: Math.max(0, now - recordedAt)}));
+	}
+
 	/** Removes the records that are too old, and the oldest ones until there is room for others. */
 	#removeOld(otherCount = 0): void {
 		if (this.#records.size === 0) {
--- a/src/pool/free-capacities.ts
+++ b/src/pool/free-capacities.ts
@@ -19,7 +19,10 @@
 	readonly #getNeighbourCapacities: () => readonly NeighbourCapacity[];
 	/** Candidates by service. */
 	#byService: Map<string, UpstreamCandidate[]> | undefined;
-	#others: RemainingCapacity[] | undefined;
+	#others: readonly RemainingCapacity[] | undefined;
+	/** Largest free CPU of an upstream and of another pool; `undefined` after a start there. */
+	#maxUpstreamCpu: number | undefined;
+	#maxOtherCpu: number | undefined;
 
 	/**
 	 * @param getLinks - Gets the links to the upstreams that tasks may be started on.
@@ -38,10 +41,19 @@
 		return this.#getByService().get(service) ?? [];
 	}
 
-	/** Gets the free capacities of the other pools; they are reduced by who uses them. */
-	getOfOtherPools(): RemainingCapacity[] {
-		this.#others ??= this.#getNeighbourCapacities().map(capacity => ({...capacity}));
-		return this.#others;
+	/** Gets the free capacities of the other pools. */
+	getOfOtherPools(): readonly NeighbourCapacity[] {
+		return this.#getOthers();
+	}
+
+	/**
+	 * Reduces the free capacity of another pool.
+	 * @param capacity - Free capacity in which a task was started.
+	 * @param cpu - Thousandths of a core that the task takes.
+	 */
+	reduceOther(capacity: NeighbourCapacity, cpu: number): void {
+		this.#getOthers().find(other => other === capacity)!.cpu -= cpu;
+		this.#maxOtherCpu = undefined;
 	}
 
 	/**
@@ -51,6 +63,7 @@
 	update(candidate: UpstreamCandidate): void {
 		const candidates = this.#getByService().get(candidate.link.description.service)!;
 		candidates[candidates.indexOf(candidate)] = createCandidate(candidate.link);
+		this.#maxUpstreamCpu = undefined;
 	}
 
 	/**
@@ -58,20 +71,18 @@
 	 * @param sufficientCpu - What is enough.
 	 */
 	getMaxCpu(sufficientCpu: number): number {
-		let largest = 0;
-		for (const candidates of this.#getByService().values()) {
-			for (const {free} of candidates) {
-				largest = Math.max(largest, free.cpu);
-			}
+		this.#maxUpstreamCpu ??= getMax([...this.#getByService().values()].flat().map(({free}) => free.cpu));
+		if (this.#maxUpstreamCpu >= sufficientCpu) {
+			return this.#maxUpstreamCpu;
 		}
 
-		if (largest < sufficientCpu) {
-			for (const {cpu} of this.getOfOtherPools()) {
-				largest = Math.max(largest, cpu);
-			}
-		}
+		this.#maxOtherCpu ??= getMax(this.#getOthers().map(({cpu}) => cpu));
+		return Math.max(this.#maxUpstreamCpu, this.#maxOtherCpu);
+	}
 
-		return largest;
+	#getOthers(): readonly RemainingCapacity[] {
+		this.#others ??= this.#getNeighbourCapacities().map(capacity => ({...capacity}));
+		return this.#others;
 	}
 
 	/** The upstreams are read after those for suspects are reserved. */
@@ -90,6 +101,15 @@
 	}
 }
 
+function getMax(values: readonly number[]): number {
+	let largest = 0;
+	for (const value of values) {
+		largest = Math.max(largest, value);
+	}
+
+	return largest;
+}
+
 function createCandidate(link: UpstreamLink): UpstreamCandidate {
 	return {...toCandidate(link), link};
 }
--- a/src/pool/lent-runs.ts
+++ b/src/pool/lent-runs.ts
@@ -8,7 +8,7 @@
 import {type LentTask, type LendOutcome} from './lending.js';
 import {chooseUpstream} from './placement.js';
 import {
-	getLeaseLimit, maxAgeWithRunsMs, minUnconfirmedMs, renewalAgeMs,
+	areRunsUnconfirmed, getLeaseLimit, renewalAgeMs,
 } from './sender-confirmation.js';
 import {recordFailure, recordSuccess, toCandidate} from './upstream-health.js';
 import {type LinkedRun, type UpstreamLink} from './upstream-link.js';
@@ -76,7 +76,7 @@
 	/** Runs that are done and not logged yet. */
 	#ended: EndedRun[] = [];
 	#logTimer: Timer | undefined;
-	/** Runs while there are lent runs. */
+	/** Set while there are lent runs. */
 	#sweepTimer: Timer | undefined;
 
 	constructor(options: LentRunsOptions) {
@@ -251,7 +251,7 @@
 			}
 
 			lent.unconfirmedSince ??= now;
-			if (ageMs > maxAgeWithRunsMs && now - lent.unconfirmedSince > minUnconfirmedMs) {
+			if (areRunsUnconfirmed(ageMs, now - lent.unconfirmedSince)) {
 				this.#options.log.info({
 					task: run.task, run: run.number, upstream: link.name, ageMs: Math.round(ageMs),
 				}, 'lent run stopped whose sender is not known to wait');
--- a/src/pool/neighbour-pools.ts
+++ b/src/pool/neighbour-pools.ts
@@ -27,17 +27,24 @@
 	/**
 	 * Chooses the smallest free capacity that holds a task, which leaves larger ones for larger tasks.
 	 * @param step - Step of the task.
-	 * @param freeCapacities - Free capacities of the other pools' upstreams.
+	 * @param getFreeCapacities - Gets the free capacities of the other pools' upstreams; not called for a task that can run only in its own pool.
 	 * @param avoidedPools - Pools that cannot hold the task, or where it failed.
 	 * @returns The free capacity; `undefined` if none holds the task or it can run only in its own pool.
 	 */
-	chooseFreeCapacity<T extends NeighbourCapacity>(step: JobStep, freeCapacities: readonly T[], avoidedPools: ReadonlySet<string>): T | undefined {
+	chooseFreeCapacity(step: JobStep, getFreeCapacities: () => readonly NeighbourCapacity[], avoidedPools: ReadonlySet<string>): NeighbourCapacity | undefined {
 		if (isSinglePoolStep(step)) {
 			return undefined;
 		}
 
-		const fitting = freeCapacities.filter(({pool, cpu}) => cpu >= step.needs.cpu && !avoidedPools.has(pool) && this.getPool(pool).isAcceptingStarts());
-		return fitting.toSorted((a, b) => a.cpu - b.cpu)[0];
+		let smallest: NeighbourCapacity | undefined;
+		for (const capacity of getFreeCapacities()) {
+			const isSmaller = capacity.cpu >= step.needs.cpu && (smallest === undefined || capacity.cpu < smallest.cpu);
+			if (isSmaller && !avoidedPools.has(capacity.pool) && this.getPool(capacity.pool).isAcceptingStarts()) {
+				smallest = capacity;
+			}
+		}
+
+		return smallest;
 	}
 
 	/** Abandons all runs in other pools without waiting for their ends. */
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -12,7 +12,7 @@
 import {FreeCapacities} from './free-capacities.js';
 import {getJobSize, JobSizeBudget} from './job-size.js';
 import {
-	type LentTask, isSinglePoolJob, isSinglePoolStep, type LendOutcome, type LendRefusal, type NeighbourCapacity, type PoolNeighbours,
+	type LentTask, isSinglePoolJob, type LendOutcome, type LendRefusal, type NeighbourCapacity, type PoolNeighbours,
 } from './lending.js';
 import {LentRuns} from './lent-runs.js';
 import {NeighbourPools} from './neighbour-pools.js';
@@ -26,7 +26,7 @@
 import {type JobTask, QueuedJob, type TaskStart} from './queued-job.js';
 import {type RunHost} from './run-host.js';
 import {
-	getLeaseLimit, type JobSender, localSender, maxAgeWithRunsMs, minUnconfirmedMs, renewalAgeMs,
+	areRunsUnconfirmed, getLeaseLimit, type JobSender, localSender, renewalAgeMs,
 } from './sender-confirmation.js';
 import {SuspectPlacement, type WaitingSuspect} from './suspect-placement.js';
 import {recordFailure, recordSuccess} from './upstream-health.js';
@@ -70,6 +70,9 @@
 	readonly queuedWork: number;
 };
 
+/** Where a task was started. */
+type PlacedStart = Pick<TaskStart, 'run' | 'upstream' | 'pool' | 'freeCpu'>;
+
 /** Interval between checks for overdue runs and jobs that will be late, in milliseconds: a fraction of the shortest task. */
 const sweepIntervalMs = 20;
 
@@ -305,13 +308,12 @@
 		};
 		if (!decision.isAdmitted) {
 			this.#options.log.info({...job.getLogFields(), ...decision}, 'job refused');
-		} else if (job.hasStarted) {
-			// Runs of an earlier owner go on; the other jobs are logged at their end.
-			this.#options.log.info(job.getLogFields(), 'job admitted');
+			return {kind: 'refused', reason: decision.reason, retryAfterMs: decision.retryAfterMs};
 		}
 
-		if (!decision.isAdmitted) {
-			return {kind: 'refused', reason: decision.reason, retryAfterMs: decision.retryAfterMs};
+		if (job.hasStarted) {
+			// Runs of an earlier owner go on; the other jobs are logged at their end.
+			this.#options.log.info(job.getLogFields(), 'job admitted');
 		}
 
 		this.#addStoppedTime();
@@ -616,7 +618,7 @@
 
 	#isConfirmationOverdue(job: QueuedJob, now: number): boolean {
 		const unconfirmedMs = now - job.unconfirmedSince!;
-		return unconfirmedMs > maxUnconfirmedMs || (job.hasStarted && unconfirmedMs > minUnconfirmedMs && now - job.getConfirmedAt(now) > maxAgeWithRunsMs);
+		return unconfirmedMs > maxUnconfirmedMs || (job.hasStarted && areRunsUnconfirmed(now - job.getConfirmedAt(now), unconfirmedMs));
 	}
 
 	/** Stops a job none of whose senders confirms that it waits. */
@@ -834,14 +836,14 @@
 	}
 
 	/** Starts a task in the smallest sufficient free capacity of other pools and reduces that capacity; `undefined` if it fits nowhere. */
-	#startInOtherPool(job: QueuedJob, task: JobTask, capacities: FreeCapacities): Pick<TaskStart, 'run' | 'upstream' | 'pool' | 'freeCpu'> | undefined {
+	#startInOtherPool(job: QueuedJob, task: JobTask, capacities: FreeCapacities): PlacedStart | undefined {
 		const step = job.getStep(task);
-		const capacity = isSinglePoolStep(step) ? undefined : this.#neighbourPools.chooseFreeCapacity(step, capacities.getOfOtherPools(), task.avoided);
+		const capacity = this.#neighbourPools.chooseFreeCapacity(step, () => capacities.getOfOtherPools(), task.avoided);
 		if (capacity === undefined) {
 			return undefined;
 		}
 
-		capacity.cpu -= step.needs.cpu;
+		capacities.reduceOther(capacity, step.needs.cpu);
 		const failedRuns = this.#options.ledger.getFailedRuns(job.request.id, task.name);
 		const host = this.#neighbourPools.getPool(capacity.pool);
 		task.lastRunNumber++;
@@ -864,7 +866,7 @@
 	}
 
 	/** Starts a task on an upstream of this pool; `undefined` if none has enough free capacity. */
-	#startOnUpstream(job: QueuedJob, task: JobTask, capacities: FreeCapacities): Pick<TaskStart, 'run' | 'upstream' | 'pool' | 'freeCpu'> | undefined {
+	#startOnUpstream(job: QueuedJob, task: JobTask, capacities: FreeCapacities): PlacedStart | undefined {
 		const step = job.getStep(task);
 		const placedCounts = step.maxPerUpstream === undefined ? undefined : job.getPlacedCounts(task.stepPosition);
 		const allowed = capacities.getUpstreams(job.request.rules.service);
--- a/src/pool/sender-confirmation.ts
+++ b/src/pool/sender-confirmation.ts
@@ -29,10 +29,10 @@
  * of VMs that are short of processor time are stopped; with a larger one, the other runs on the same upstreams lapse, since no lease there is
  * extended beyond what the last confirmation allows.
  */
-export const maxAgeWithRunsMs = 800;
+const maxAgeWithRunsMs = 800;
 
-/** That time, in milliseconds: several round trips, which a process needs that was paused itself. */
-export const minUnconfirmedMs = 150;
+/** Time within which a request must be answered before that, in milliseconds: several round trips, since all confirmations are old after a pause of this process. */
+const minUnconfirmedMs = 150;
 
 /**
  * Age of the last confirmation at which a sender with runs is asked for another one, in milliseconds: more than keep-alives reach on a busy connection in calm
@@ -59,6 +59,15 @@
 	return confirmedAt + resendMs - resendMarginMs;
 }
 
+/**
+ * Gets whether the runs of a job have to be stopped, because its sender is not known to wait.
+ * @param ageMs - Age of the last confirmation, in milliseconds.
+ * @param unconfirmedMs - Time since it was found to be old, in milliseconds.
+ */
+export function areRunsUnconfirmed(ageMs: number, unconfirmedMs: number): boolean {
+	return ageMs > maxAgeWithRunsMs && unconfirmedMs > minUnconfirmedMs;
+}
+
 /**
  * Gets the monotonic time since which a sender must have been confirmed for a start.
  * @param now - Monotonic time.
--- a/test/pool/free-capacities.test.ts
+++ b/test/pool/free-capacities.test.ts
@@ -36,8 +36,9 @@
 	t.is(capacities.getMaxCpu(16_000), 16_000);
 	t.deepEqual(reads, {links: 1, others: 0});
 	t.is(capacities.getMaxCpu(17_000), 20_000);
-	capacities.getOfOtherPools()[0]!.cpu -= 15_000;
+	capacities.reduceOther(capacities.getOfOtherPools()[0]!, 15_000);
 	t.is(capacities.getMaxCpu(17_000), 16_000);
+	t.deepEqual(capacities.getOfOtherPools(), [{pool: 'p', cpu: 5000}]);
 	t.deepEqual(reads, {links: 1, others: 1});
 });
 
@@ -51,3 +52,15 @@
 	capacities.update(first!);
 	t.deepEqual(capacities.getUpstreams('s').map(({id, free}) => [id, free.cpu]), [['a', 9200], ['c', 16_000]]);
 });
+
+test('the largest free capacity is that after the last start', t => {
+	const {links, capacities} = createFixture();
+	t.is(capacities.getMaxCpu(16_000), 16_000);
+	for (const [position, service] of (['s', 't', 's'] as const).entries()) {
+		const candidate = capacities.getUpstreams(service).find(({id}) => id === links[position]!.link.name)!;
+		links[position]!.used = 6800;
+		capacities.update(candidate);
+	}
+
+	t.is(capacities.getMaxCpu(9200), 9200);
+});
