--- a/src/connection/index.ts
+++ b/src/connection/index.ts
@@ -1,4 +1,5 @@
 export * from './http-listener.js';
+export * from './input-progress.js';
 export * from './request-body.js';
 export * from './upstream-client.js';
 export type * from './peer-network.js';
--- a/src/platform/caller-endpoint.ts
+++ b/src/platform/caller-endpoint.ts
@@ -3,7 +3,7 @@
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {Buffer} from 'node:buffer';
-import {readRequestBody} from '../connection/index.js';
+import {type InputProgress, readRequestBody} from '../connection/index.js';
 import {
 	type DecisionLog, findRoute, type PoolJobOutcome, type PoolNode, type Route, type RoutingTable,
 } from '../pool/index.js';
@@ -15,9 +15,11 @@
 	readonly clock: Clock;
 	readonly log: DecisionLog;
 	readonly node: PoolNode;
+	/** Up to when this process has read its input: a request that is read now on an open connection has arrived later. */
+	readonly inputProgress: InputProgress;
 	readonly getRoutingTable: () => RoutingTable | undefined;
 	/** Called once for each answered request. */
-	readonly onAnswer: (answer: {readonly route: string; readonly status: number; readonly cause: string; readonly totalMs: number}) => void;
+	readonly onAnswer: (answer: {readonly route: string; readonly status: number; readonly cause: string; readonly totalMs: number; readonly unreadMs: number}) => void;
 };
 
 type Answer = {
@@ -72,8 +74,9 @@
 	 * @param res - Response that the answer is written to.
 	 */
 	async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const {clock, onAnswer, log} = this.#options;
+		const {clock, inputProgress, onAnswer, log} = this.#options;
 		const arrivedAt = clock.getMonotonicTime();
+		const unreadMs = arrivedAt - inputProgress.getReadUntil();
 		this.#pendingCount++;
 		const host = (req.headers.host ?? '').split(':')[0]!;
 		const path = (req.url ?? '/').split('?')[0]!;
@@ -83,10 +86,11 @@
 		this.#pendingCount--;
 		const totalMs = clock.getMonotonicTime() - arrivedAt;
 		log.info({
-			req: path, method: req.method, route: route?.rules.route, version: table?.version, status: answer.status, cause: answer.cause, totalMs: Math.round(totalMs), isGone: res.destroyed,
+			req: path, method: req.method, route: route?.rules.route, version: table?.version, status: answer.status, cause: answer.cause, totalMs: Math.round(totalMs),
+			unreadMs: Math.round(unreadMs), isGone: res.destroyed,
 		}, 'request answered');
 		onAnswer({
-			route: route?.rules.route ?? '', status: answer.status, cause: answer.cause, totalMs,
+			route: route?.rules.route ?? '', status: answer.status, cause: answer.cause, totalMs, unreadMs,
 		});
 		writeJson(res, answer);
 	}
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -5,7 +5,7 @@
 import type Logger from 'bunyan';
 import {type Subscription} from 'most';
 import {
-	createHttpListener, createPeerMesh, dialTcp, type HttpListener, type Incarnation, type PeerMesh, type PeerRequest, type SenderConfirmation,
+	createHttpListener, createPeerMesh, dialTcp, EventLoopProgress, type HttpListener, type Incarnation, type PeerMesh, type PeerRequest, type SenderConfirmation,
 } from '../connection/index.js';
 import {
 	configurationTopic, createRateLimitedLog, type DecisionLog, getDataCenter, maxFullMeshVms, StartupOwnerCheck, PoolLayout, PoolNode, type StoredClaim, upstreamsSchema,
@@ -101,6 +101,7 @@
 	readonly #self: Incarnation;
 	readonly #store: StoreClient;
 	readonly #orders: HttpOrders;
+	readonly #inputProgress: EventLoopProgress;
 	readonly #configuration: ConfigurationWatch;
 	readonly #layout = new PoolLayout();
 	readonly #layoutManager: LayoutManager;
@@ -129,6 +130,7 @@
 		this.#log = createRateLimitedLog({clock, log: logger});
 		this.#self = {dataCenter: settings.dataCenter, vm: settings.vm, id: `${settings.vm}-${random.getHex(incarnationBytes)}`};
 		this.#store = new StoreClient({address: settings.storeAddress, clock});
+		this.#inputProgress = new EventLoopProgress({clock});
 		this.#orders = new HttpOrders({clock, log: this.#log});
 		const sharedOptions = {clock, log: this.#log, store: this.#store};
 		this.#configuration = new ConfigurationWatch({...sharedOptions, isNotifiedByPeers: () => this.#node.isStandby()});
@@ -171,6 +173,7 @@
 			clock: this.#clock,
 			log: this.#log,
 			node: this.#node,
+			inputProgress: this.#inputProgress,
 			getRoutingTable: () => this.#configuration.getRoutingTable(),
 			onAnswer(answer) {
 				metrics.addAnswer(answer);
@@ -279,6 +282,7 @@
 		this.#layoutManager.close();
 		this.#upstreams.close();
 		this.#node.close();
+		this.#inputProgress.close();
 		await this.#mesh.close();
 		await this.#orders.close();
 		await this.#store.close();
@@ -348,6 +352,7 @@
 			layout: this.#layout,
 			isLayoutKnown: () => this.#layoutManager.isKnown(),
 			peers: this.#mesh,
+			inputProgress: this.#inputProgress,
 			orders: this.#orders,
 			maxLeaseMs,
 			resendMs,
--- a/src/platform/pool-metrics.ts
+++ b/src/platform/pool-metrics.ts
@@ -8,6 +8,9 @@
 import {type PoolNode} from '../pool/index.js';
 import {type StoreClient} from './store-client.js';
 
+/** Upper bounds in seconds of the buckets of the time for which requests may have waited unread: from a busy VM to `resend_ms`. */
+const unreadBuckets = [0.05, 0.1, 0.15, 0.25, 0.4, 0.8, 1.3];
+
 /** Upper bounds of the latency buckets in seconds, from a task of 10 ms to the longest deadline. */
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 0.9, 1.5, 3];
 
@@ -29,6 +32,10 @@
 		name: 'endivemill_answer_seconds', help: 'Time from request to answer', labelNames: ['route'], buckets: latencyBuckets, registers: [this.#registry],
 	});
 
+	readonly #unread = new Histogram({
+		name: 'endivemill_request_unread_seconds', help: 'Time for which a request may have waited until it was read', buckets: unreadBuckets, registers: [this.#registry],
+	});
+
 	constructor({node, store, getTraffic}: PoolMetricsOptions) {
 		const addTrafficCounter = (name: string, help: string, getValue: (counts: TrafficCounts) => number): void => {
 			this.#addCounter(name, help, () => {
@@ -46,6 +53,15 @@
 		this.#addGauge('endivemill_pool_free_cpu', 'Thousandths of a core that are free', node, load => load.freeCpu);
 		this.#addGauge('endivemill_pool_queued_work', 'Core-milliseconds that wait', node, load => load.queuedWork);
 		this.#addGauge('endivemill_pool_view_age_ms', 'Age of what is known of a pool', node, ({pool}) => node.directory.getAgeMs(pool));
+		const proofAges = new Counter({
+			name: 'endivemill_proof_ages_total', help: 'Starts and leases by the age of the proof that the caller waits', labelNames: ['use', 'ms'], registers: [this.#registry],
+			collect() {
+				proofAges.reset();
+				for (const {use, upToMs, count} of node.proofAges.getCounts()) {
+					proofAges.inc({use, ms: upToMs === Infinity ? '+Inf' : upToMs}, count);
+				}
+			},
+		});
 		const calls = new Gauge({
 			name: 'endivemill_store_calls', help: 'Calls to the store so far', labelNames: ['call'], registers: [this.#registry],
 			collect() {
@@ -58,11 +74,12 @@
 
 	/**
 	 * Counts an answer to a caller.
-	 * @param answer - Route, status, cause and time since the request in milliseconds.
+	 * @param answer - Route, status, cause, time since the request and time for which it may have waited unread, in milliseconds.
 	 */
-	addAnswer({route, status, cause, totalMs}: {readonly route: string; readonly status: number; readonly cause: string; readonly totalMs: number}): void {
+	addAnswer({route, status, cause, totalMs, unreadMs}: {readonly route: string; readonly status: number; readonly cause: string; readonly totalMs: number; readonly unreadMs: number}): void {
 		this.#answers.inc({route, status, cause});
 		this.#latency.observe({route}, totalMs / 1000);
+		this.#unread.observe(unreadMs / 1000);
 	}
 
 	/** Gets all metrics in the text format of Prometheus. */
--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -17,6 +17,7 @@
 export * from './pool-owner.js';
 export * from './pool-scheduler.js';
 export * from './pool-share.js';
+export * from './proof-ages.js';
 export * from './queue-order.js';
 export * from './queued-job.js';
 export * from './routing.js';
--- a/src/pool/lent-runs.ts
+++ b/src/pool/lent-runs.ts
@@ -7,6 +7,7 @@
 import {type DecisionLog} from './decision-log.js';
 import {type LentTask, type LendOutcome} from './lending.js';
 import {chooseUpstream} from './placement.js';
+import {type ProofAges} from './proof-ages.js';
 import {
 	areRunsUnconfirmed, getLeaseLimit, renewalAgeMs,
 } from './sender-confirmation.js';
@@ -20,6 +21,8 @@
 	readonly log: DecisionLog;
 	/** Runs that failed or were lost with their upstreams. */
 	readonly ledger: CrashLedger;
+	/** Counts the ages of the proofs at starts. */
+	readonly proofAges: ProofAges;
 	/** Time after which a caller whose submission has failed submits its job again, in milliseconds. */
 	readonly resendMs?: number;
 };
@@ -101,6 +104,8 @@
 		}
 
 		const link = matchingLinks.find(({name}) => name === chosen.id)!;
+		const now = this.#options.clock.getMonotonicTime();
+		this.#options.proofAges.add('start', now - Math.min(now, confirmation.getConfirmedAt()));
 		const run = link.start({
 			task: task.task,
 			number: task.number,
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -3,7 +3,7 @@
  */
 import {type Subscription} from 'most';
 import {
-	type Incarnation, type Member, type PeerNetwork, type PeerRequest, type RequestAbortReason, type SenderConfirmation,
+	type Incarnation, type InputProgress, type Member, type PeerNetwork, type PeerRequest, type RequestAbortReason, type SenderConfirmation,
 } from '../connection/index.js';
 import {type Clock, type Random, type Timer} from '../seams/index.js';
 import {CrashLedger} from './crash-ledger.js';
@@ -23,6 +23,7 @@
 import {type PoolLoad} from './pool-scheduler.js';
 import {PoolOwner} from './pool-owner.js';
 import {PoolRouter} from './pool-router.js';
+import {ProofAges} from './proof-ages.js';
 import {mayClaimAnotherPool, sortByVmPreference} from './pool-share.js';
 import {getConfirmedSince} from './sender-confirmation.js';
 import {StarvationDetector} from './starvation-detector.js';
@@ -42,6 +43,8 @@
 	/** Returns whether the pools of all data centres are known. */
 	readonly isLayoutKnown: () => boolean;
 	readonly peers: PeerNetwork;
+	/** Up to when this process has read its input. */
+	readonly inputProgress: InputProgress;
 	readonly orders: UpstreamOrders;
 	/** Returns whether the VMs that may own pools have had time to announce their claims since this process started. */
 	readonly isSettled: () => boolean;
@@ -103,6 +106,8 @@
 /** Owns pools of a deployment and routes jobs to the owners of the others. */
 export class PoolNode {
 	readonly directory: PoolDirectory;
+	/** Ages of the proofs that senders wait, at each start and each lease. */
+	readonly proofAges = new ProofAges();
 	readonly #options: PoolNodeOptions;
 	readonly #owned = new Map<string, PoolOwner>();
 	/** Last load received from each VM, raw and decoded. */
@@ -611,6 +616,7 @@
 			resendMs: this.#options.resendMs,
 			getPausedAt: () => this.#pauses.getDetectedAt(),
 			getStoppedMs: () => this.#pauses.getStoppedMs(),
+			proofAges: this.proofAges,
 		}, [...getUpstreams(pool), ...getMissingUpstreams(pool)]);
 		this.#owned.set(pool, owner);
 		if (this.#isIsolated()) {
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -14,7 +14,8 @@
 } from './lending.js';
 import {type PoolJobOutcome, type SubmittedJob} from './pool-job.js';
 import {type PoolLoad, PoolScheduler} from './pool-scheduler.js';
-import {getConfirmedSince, type JobSender} from './sender-confirmation.js';
+import {ProofAges} from './proof-ages.js';
+import {getConfirmedSince, getProofAge, type JobSender} from './sender-confirmation.js';
 import {UpstreamLink} from './upstream-link.js';
 import {type Run, type UpstreamDescription, type UpstreamOrders} from './upstream-orders.js';
 
@@ -52,6 +53,8 @@
 	readonly getPausedAt?: () => number;
 	/** Gets the time in which the monotonic clock of this process stood still so far, in milliseconds; by default 0. */
 	readonly getStoppedMs?: () => number;
+	/** Counts the ages of the proofs at starts and leases; by default, only those of this owner. */
+	readonly proofAges?: ProofAges;
 };
 
 /** Time limit of the polls of all upstreams, such as those before a new owner accepts jobs, in milliseconds. */
@@ -126,6 +129,7 @@
 	#allPolledAt = -Infinity;
 	#pollingAll: Promise<void> | undefined;
 	readonly #neighbours: PoolNeighbours;
+	readonly #proofAges: ProofAges;
 	readonly #ledger: CrashLedger;
 	/** Time after which borrowed and lent runs have ended if their lender or borrower cannot be reached, in milliseconds. */
 	readonly #lostRunTimeoutMs: number;
@@ -149,6 +153,7 @@
 		this.#fence = getHigherFence(options.knownFence);
 		this.#fenceStep = options.fenceStep ?? initialFenceStep;
 		this.#neighbours = options.neighbours ?? noNeighbours;
+		this.#proofAges = options.proofAges ?? new ProofAges();
 		this.#ledger = options.ledger ?? new CrashLedger(options.clock);
 		this.#lostRunTimeoutMs = getLostRunTimeoutMs(options);
 		this.#formerLinks = new FormerLinks({
@@ -170,6 +175,7 @@
 			getUnobservedRunsUntil: job => Math.max(this.#removeUnrecalledUntil(job), this.#getUnobservedRunsUntil()),
 			neighbours: this.#neighbours,
 			ledger: this.#ledger,
+			proofAges: this.#proofAges,
 			lostRunTimeoutMs: this.#lostRunTimeoutMs,
 			jobSizes: options.jobSizes,
 			resendMs: options.resendMs,
@@ -600,6 +606,11 @@
 				onRunRefused: (from, run, reason) => {
 					this.#scheduler.handleRunRefused(from, run, reason);
 				},
+				onLeaseGranted: limitMs => {
+					if (limitMs < Infinity) {
+						this.#proofAges.add('lease', getProofAge(limitMs, this.#options.resendMs));
+					}
+				},
 				onChange: from => {
 					if (this.#links.get(from.name) === from) {
 						this.#replaceEndedLink(from);
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -22,6 +22,7 @@
 import {
 	getStepWork, type JobStep, type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob, type TaskNeeds,
 } from './pool-job.js';
+import {type ProofAges} from './proof-ages.js';
 import {sortByUrgency} from './queue-order.js';
 import {type JobTask, QueuedJob, type TaskStart} from './queued-job.js';
 import {type RunHost} from './run-host.js';
@@ -53,6 +54,8 @@
 	readonly ledger: CrashLedger;
 	/** Time after which a run in a pool that has become unreachable has ended, in milliseconds. */
 	readonly lostRunTimeoutMs: number;
+	/** Counts the ages of the proofs at starts. */
+	readonly proofAges: ProofAges;
 	/** Time after which a caller whose submission has failed submits its job again, in milliseconds. */
 	readonly resendMs?: number;
 	/** Limits the jobs of this process; by default, only those of this scheduler. */
@@ -98,6 +101,9 @@
  */
 const unfitRetryMs = 1000;
 
+/** Age of a proof from which it is logged with a start, in milliseconds: more than on a calm VM. */
+const minLoggedProofMs = 50;
+
 const resolvedPromise = Promise.resolve();
 
 /** Upper bound of the expected time until a run ends, also used where nothing runs, in milliseconds. */
@@ -787,6 +793,7 @@
 				continue;
 			}
 
+			const proofMs = now - job.getConfirmedAt(now);
 			for (const task of job.getReadyTasks()) {
 				if (!this.#isClear(job, task.name)) {
 					continue;
@@ -798,7 +805,9 @@
 					break;
 				}
 
-				job.addStart({...start, task: getPosition(task), afterMs: Math.round(now - job.arrivedAt)});
+				job.addStart({
+					...start, task: getPosition(task), afterMs: Math.round(now - job.arrivedAt), ...(proofMs > minLoggedProofMs && {proofMs: Math.round(proofMs)}),
+				});
 			}
 		}
 	}
@@ -882,6 +891,8 @@
 	}
 
 	#startOnLink(job: QueuedJob, task: JobTask, link: UpstreamLink): void {
+		const now = this.#options.clock.getMonotonicTime();
+		this.#options.proofAges.add('start', now - job.getConfirmedAt(now));
 		task.lastRunNumber++;
 		job.setStatus(task, 'placed');
 		task.host = link;
--- a/src/pool/queued-job.ts
+++ b/src/pool/queued-job.ts
@@ -38,6 +38,8 @@
 	readonly pool?: string;
 	/** Thousandths of a core: in this pool, what was free on the upstream before the start; in another pool, what remains free after it. */
 	readonly freeCpu: number;
+	/** Age of the proof that a sender of the job waits, in milliseconds, if it is old. */
+	readonly proofMs?: number;
 };
 
 /** Maximum number of starts of a job that are kept for the log. */
--- a/src/pool/sender-confirmation.ts
+++ b/src/pool/sender-confirmation.ts
@@ -59,6 +59,15 @@
 	return confirmedAt + resendMs - resendMarginMs;
 }
 
+/**
+ * Gets the age of the proof that limits a lease, in milliseconds.
+ * @param limitMs - Time until the lease has to end, in milliseconds.
+ * @param resendMs - Time after which a caller submits its job again, in milliseconds.
+ */
+export function getProofAge(limitMs: number, resendMs = defaultResendMs): number {
+	return resendMs - resendMarginMs - limitMs;
+}
+
 /**
  * Gets whether the runs of a job have to be stopped, because its sender is not known to wait.
  * @param ageMs - Age of the last confirmation, in milliseconds.
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -94,6 +94,8 @@
 	readonly onRunEnded: (link: UpstreamLink, run: LinkedRun, end: RunEnd, grounds: EndGrounds) => void;
 	/** A run was refused and has not started. */
 	readonly onRunRefused: (link: UpstreamLink, run: LinkedRun, reason: StartRefusal) => void;
+	/** A lease was granted; the smallest time that a run there may go on without a further confirmation is given in milliseconds, `Infinity` without a limit. */
+	readonly onLeaseGranted?: (limitMs: number) => void;
 	/** The free capacity or the state of the upstream changed. */
 	readonly onChange: (link: UpstreamLink) => void;
 	/** An order was refused for its fence, since the upstream knows a higher one. */
@@ -183,6 +185,8 @@
 	/** Lease that was last found grantable, in milliseconds, and the task of the run that limited it. */
 	#lastLeaseMs: number;
 	#limitingTask: string | undefined;
+	/** Smallest time that a run was last found to be allowed without a further confirmation, in milliseconds. */
+	#lastLimitMs = Infinity;
 	/** Number of leases that were recorded. */
 	#leaseCount = 0;
 	#isSilent = true;
@@ -400,6 +404,7 @@
 		}
 
 		this.#recordLease();
+		this.#options.events.onLeaseGranted?.(this.#lastLimitMs);
 		return Math.floor(this.#options.clock.getMonotonicTime() + this.#clockOffsetMs + leaseMs);
 	}
 
@@ -417,8 +422,10 @@
 		const now = this.#options.clock.getMonotonicTime();
 		let {leaseMs} = this.#timing;
 		this.#limitingTask = undefined;
+		this.#lastLimitMs = Infinity;
 		for (const {task, getLeaseLimit} of this.#runs.values()) {
 			const limitMs = (getLeaseLimit?.() ?? Infinity) - now;
+			this.#lastLimitMs = Math.min(this.#lastLimitMs, limitMs);
 			if (limitMs < leaseMs) {
 				leaseMs = limitMs;
 				this.#limitingTask = task;
--- a/src/testing/fleet-vm.ts
+++ b/src/testing/fleet-vm.ts
@@ -1,7 +1,9 @@
 /**
  * One incarnation of an entry VM in a simulated fleet: the real pool code with simulated peer connections, upstreams, store and lists.
  */
-import {type Incarnation, type PeerRequest, type SenderConfirmation} from '../connection/index.js';
+import {
+	createImmediateProgress, type Incarnation, type PeerRequest, type SenderConfirmation,
+} from '../connection/index.js';
 import {
 	type DecisionLog, getDataCenter, type LogFields, type PollOutcome, StartupOwnerCheck, type OrderOptions, type OrderOutcome, PoolLayout, PoolNode, type StoredClaim, type UpstreamDescription,
 	type UpstreamOrders,
@@ -141,6 +143,7 @@
 			cores: 1,
 			layout,
 			peers: this.#mesh,
+			inputProgress: createImmediateProgress(this.process),
 			orders: this.#createOrders(),
 			maxLeaseMs: 1000,
 			isSettled: () => this.#neighbours.isSettled(),
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -16,3 +16,4 @@
 export * from './simulated-peers.js';
 export * from './simulated-pools.js';
 export * from './manual-clock.js';
+export * from './manual-event-loop.js';
--- a/test/platform/caller-endpoint.test.ts
+++ b/test/platform/caller-endpoint.test.ts
@@ -1,6 +1,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {Readable} from 'node:stream';
 import test from 'ava';
+import {createImmediateProgress} from '../../src/connection/index.js';
 import {type PoolNode, type RoutingTable} from '../../src/pool/index.js';
 import {CallerEndpoint} from '../../src/platform/caller-endpoint.js';
 import {ManualClock} from '../../src/testing/index.js';
@@ -31,7 +32,7 @@
 	const {rules} = createJob('a');
 	const table = {version: 1, maxBodyBytes: 10_000, routes: [{host: 'h', prefix: '/p/', rules}]};
 	const endpoint = new CallerEndpoint({
-		clock, log: silentLog, node: node as unknown as PoolNode, getRoutingTable: () => table, onAnswer() {/* Not checked. */},
+		clock, log: silentLog, node: node as unknown as PoolNode, inputProgress: createImmediateProgress(clock), getRoutingTable: () => table, onAnswer() {/* Not checked. */},
 	});
 	const req = Object.assign(Readable.from([JSON.stringify(job)]), {
 		method: 'POST', url: '/p/0123456789abcdef', headers: {host: 'h', 'x-endivemill-deadline-ms': String(deadlineMs)},
