--- a/src/connection/index.ts
+++ b/src/connection/index.ts
@@ -1,5 +1,6 @@
 export * from './http-listener.js';
 export * from './input-progress.js';
+export * from './received-stamps.js';
 export * from './request-body.js';
 export * from './upstream-client.js';
 export type * from './peer-network.js';
--- a/src/connection/job-client.ts
+++ b/src/connection/job-client.ts
@@ -4,6 +4,7 @@
 import {type Clock} from '../seams/index.js';
 import {decodeValue, encodeFrame, encodeValue} from './frame-codec.js';
 import {type FrameConnection} from './frame-connection.js';
+import {type InputProgress} from './input-progress.js';
 import {JobKeepAlive} from './job-keep-alive.js';
 import {
 	type ConfirmationAges, decodeJobMessage, type JobAnswer, type JobKeepAlive as JobKeepAliveMessage, type JobMessage,
@@ -11,6 +12,7 @@
 import {type CollectedBody, PartCollector} from './part-collector.js';
 import {type OutgoingBody, PartSender} from './part-sender.js';
 import {type PeerOutcome, type PeerRequest, type PeerRequestOptions} from './peer-network.js';
+import {ReceivedStamps} from './received-stamps.js';
 import {getReportedAge, getReportedAges} from './sender-confirmations.js';
 import {type LinkFault} from './traffic.js';
 
@@ -22,6 +24,8 @@
 /** Options of a {@link JobClient}. */
 export type JobClientOptions = {
 	readonly clock: Clock;
+	/** Up to when this process has read its input. */
+	readonly inputProgress: InputProgress;
 	readonly connect: () => Promise<JobConnectResult>;
 	/** Maximum size of an encoded body, in bytes. */
 	readonly maxBodyBytes: number;
@@ -48,8 +52,9 @@
 	readonly sender: PartSender;
 	readonly collector: PartCollector<JobAnswer>;
 	readonly keepAlive: JobKeepAlive;
-	/** Last stamp received, 0 for none. */
-	lastStamp: number;
+	readonly stamps: ReceivedStamps;
+	/** Whether an echo is about to be sent. */
+	isEchoing: boolean;
 };
 
 /** Maximum bytes of bodies buffered in each direction, in bodies of the maximum size. */
@@ -128,7 +133,11 @@
 			return;
 		}
 
-		open.keepAlive.send(now);
+		if (this.#pending.size === 0) {
+			open.keepAlive.send(now);
+		} else if (open.keepAlive.isDue(now)) {
+			void this.#sendEcho(open);
+		}
 	}
 
 	/** Resets the silence timer, after a pause of this process. */
@@ -164,7 +173,14 @@
 					this.#replaceKeepAlive();
 					this.#sent.set(id, pending);
 					return {
-						type: 'request', id, logicalTime: this.#options.getLogicalTime(), topic, echo: this.#open?.lastStamp ?? 0, ...this.#getAge(pending), size: body.length, part,
+						type: 'request',
+						id,
+						logicalTime: this.#options.getLogicalTime(),
+						topic,
+						echo: this.#open?.stamps.getEcho(this.#options.inputProgress.getReadUntil()) ?? 0,
+						...this.#getAge(pending),
+						size: body.length,
+						part,
 					};
 				},
 			},
@@ -197,6 +213,8 @@
 
 	async #run(): Promise<void> {
 		const result = await this.#options.connect();
+		// The other end takes the handshake for a proof that the callers wait for whom requests follow.
+		await this.#options.inputProgress.waitUntilRead();
 		this.#isConnecting = false;
 		if (!result.ok) {
 			this.#finishAll(result.detail);
@@ -209,7 +227,8 @@
 			sender: new PartSender(connection, this.#options.maxBodyBytes * maxBufferedBodies),
 			collector: new PartCollector<JobAnswer>(this.#options.maxBodyBytes * maxBufferedBodies),
 			keepAlive: new JobKeepAlive(connection, this.#options.silenceMs, () => this.#getEcho(open), this.#options.getTimeoutFactor),
-			lastStamp: 0,
+			stamps: new ReceivedStamps(),
+			isEchoing: false,
 		};
 		this.#open = open;
 		for (const pending of this.#pending) {
@@ -248,7 +267,7 @@
 		switch (message?.type) {
 			case 'answer': {
 				this.#options.onLogicalTime(message.logicalTime);
-				open.lastStamp = message.stamp ?? open.lastStamp;
+				this.#addStamp(open, message.stamp);
 				if (this.#sent.has(message.id)) {
 					this.#finishWith(message.id, open.collector.addFirst(message));
 				}
@@ -280,14 +299,32 @@
 	}
 
 	#handleStamp(open: OpenConnection, {stamp, isUrgent}: JobKeepAliveMessage): void {
-		if (stamp === undefined) {
+		this.#addStamp(open, stamp);
+		if (stamp !== undefined && isUrgent === true) {
+			void this.#sendEcho(open);
+		}
+	}
+
+	#addStamp(open: OpenConnection, stamp: number | undefined): void {
+		if (stamp !== undefined) {
+			open.stamps.addStamp(stamp, this.#options.clock.getMonotonicTime());
+		}
+	}
+
+	/** Sends a keep-alive once the ends of callers' connections have been read that arrived before the last stamp, and their requests are cancelled. */
+	async #sendEcho(open: OpenConnection): Promise<void> {
+		if (open.isEchoing) {
 			return;
 		}
 
-		open.lastStamp = stamp;
-		if (isUrgent === true) {
-			open.keepAlive.sendImmediately(this.#options.clock.getMonotonicTime(), this.#getEcho(open));
+		const {clock, inputProgress} = this.#options;
+		if (!open.stamps.isLastRead(inputProgress.getReadUntil())) {
+			open.isEchoing = true;
+			await inputProgress.waitUntilRead();
+			open.isEchoing = false;
 		}
+
+		open.keepAlive.sendImmediately(clock.getMonotonicTime(), this.#getEcho(open));
 	}
 
 	/** Lets the next request serve as a keep-alive, unless that would have to report the ages of other requests. */
@@ -298,9 +335,9 @@
 	}
 
 	/** Gets the last stamp with the ages of the confirmations of the processes for which requests are made. */
-	#getEcho({lastStamp}: OpenConnection): {readonly echo: number; readonly ages?: ConfirmationAges} {
+	#getEcho({stamps}: OpenConnection): {readonly echo: number; readonly ages?: ConfirmationAges} {
 		const ages = getReportedAges(this.#sent.values(), this.#options.clock.getMonotonicTime());
-		return {echo: lastStamp, ...(ages && {ages})};
+		return {echo: stamps.getEcho(this.#options.inputProgress.getReadUntil()), ...(ages && {ages})};
 	}
 
 	#getAge({getConfirmedAt}: PendingRequest): {readonly ageMs?: number} {
--- a/src/connection/job-keep-alive.ts
+++ b/src/connection/job-keep-alive.ts
@@ -69,12 +69,18 @@
 	 * @param now - Monotonic time.
 	 */
 	send(now: number): void {
-		// Buffered bytes serve as a keep-alive.
-		if (now - this.#lastSent < this.#getSilenceMs() / keepAlivesPerSilence || this.#connection.getBufferedBytes() > 0) {
-			return;
+		if (this.isDue(now)) {
+			this.sendImmediately(now, this.#getFields());
 		}
+	}
 
-		this.sendImmediately(now, this.#getFields());
+	/**
+	 * Gets whether a keep-alive is due.
+	 * @param now - Monotonic time.
+	 */
+	isDue(now: number): boolean {
+		// Buffered bytes serve as a keep-alive.
+		return now - this.#lastSent >= this.#getSilenceMs() / keepAlivesPerSilence && this.#connection.getBufferedBytes() === 0;
 	}
 
 	/**
--- a/src/connection/job-links.ts
+++ b/src/connection/job-links.ts
@@ -11,7 +11,7 @@
 /** Options of {@link JobLinks}. */
 export type JobLinksOptions = Pick<ControlLinksOptions, 'settings' | 'table' | 'connector' | 'meter'>;
 
-type JobLinkOptions = Pick<ConstructorParameters<typeof JobClient>[0], 'clock' | 'maxBodyBytes' | 'silenceMs' | 'getLogicalTime' | 'onLogicalTime' | 'onFault'>;
+type JobLinkOptions = Pick<ConstructorParameters<typeof JobClient>[0], 'clock' | 'inputProgress' | 'maxBodyBytes' | 'silenceMs' | 'getLogicalTime' | 'onLogicalTime' | 'onFault'>;
 
 /**
  * Sends requests to members and serves the requests of members.
@@ -103,11 +103,12 @@
 	#getLinkOptions(record: MemberRecord): JobLinkOptions {
 		const {
 			meter, settings: {
-				clock, self, events, heartbeatIntervalMs, remoteHeartbeatIntervalMs, missedHeartbeatsUntilDown, maxJobBodyBytes,
+				clock, inputProgress, self, events, heartbeatIntervalMs, remoteHeartbeatIntervalMs, missedHeartbeatsUntilDown, maxJobBodyBytes,
 			},
 		} = this.#options;
 		return {
 			clock,
+			inputProgress,
 			maxBodyBytes: maxJobBodyBytes,
 			silenceMs: missedHeartbeatsUntilDown * (record.incarnation.dataCenter === self.dataCenter ? heartbeatIntervalMs : remoteHeartbeatIntervalMs),
 			getLogicalTime: () => events.getLogicalTime(),
--- a/src/connection/peer-mesh-options.ts
+++ b/src/connection/peer-mesh-options.ts
@@ -9,6 +9,7 @@
 	type Clock, type Random, systemClock, systemRandom,
 } from '../seams/index.js';
 import {type HeartbeatBody} from './control-messages.js';
+import {createImmediateProgress, type InputProgress} from './input-progress.js';
 import {type ControlHandler, type Incarnation, type PeerRequestHandler} from './peer-network.js';
 import {
 	type Dial, dialTcp, type Listen, listenTcp,
@@ -18,6 +19,8 @@
 export type PeerMeshOptions = {
 	readonly clock?: Clock;
 	readonly random?: Random;
+	/** Up to when this process has read its input; by default, it reads everything as it arrives. */
+	readonly inputProgress?: InputProgress;
 	/** Name of the deployment; entry VMs of other deployments are rejected. */
 	readonly deployment: string;
 	readonly self: Incarnation;
@@ -135,6 +138,6 @@
 	const {clock = systemClock, self} = options;
 	const {missedHeartbeatsUntilSilent, remoteHeartbeatIntervalMs} = {...defaults, ...given};
 	return {
-		events: new EventLog({clock, process: self.id}), ...defaults, reportMaxAgeMs: missedHeartbeatsUntilSilent * remoteHeartbeatIntervalMs, ...given,
+		events: new EventLog({clock, process: self.id}), inputProgress: createImmediateProgress(clock), ...defaults, reportMaxAgeMs: missedHeartbeatsUntilSilent * remoteHeartbeatIntervalMs, ...given,
 	};
 }
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -298,6 +298,7 @@
 		return createPeerMesh({
 			clock: this.#clock,
 			random: this.#options.random ?? systemRandom,
+			inputProgress: this.#inputProgress,
 			deployment: 'endivemill',
 			self: this.#self,
 			log: this.#options.logger,
--- a/src/testing/fleet-vm.ts
+++ b/src/testing/fleet-vm.ts
@@ -2,7 +2,7 @@
  * One incarnation of an entry VM in a simulated fleet: the real pool code with simulated peer connections, upstreams, store and lists.
  */
 import {
-	createImmediateProgress, type Incarnation, type PeerRequest, type SenderConfirmation,
+	EventLoopProgress, type Incarnation, type PeerRequest, type SenderConfirmation,
 } from '../connection/index.js';
 import {
 	type DecisionLog, getDataCenter, type LogFields, type PollOutcome, StartupOwnerCheck, type OrderOptions, type OrderOutcome, PoolLayout, PoolNode, type StoredClaim, type UpstreamDescription,
@@ -113,6 +113,11 @@
 		} = options;
 		const random = createSeededRandom(seed);
 		this.process = new SimulatedProcess(clock, random);
+		const inputProgress = new EventLoopProgress({
+			clock: this.process, callAfterPoll: callback => {
+				this.process.setTimer(callback, 0);
+			},
+		});
 		const layout = new PoolLayout();
 		for (const [dataCenter, count] of poolCounts) {
 			layout.setCount(dataCenter, count);
@@ -121,6 +126,7 @@
 		this.#mesh = network.addVm({
 			process: this.process,
 			self,
+			inputProgress,
 			getHeartbeat: () => ({
 				isLeaving: this.isStopping || this.node.isResigning(), claims: this.node.getFences(), cores: 1, load: this.node.getClaims(),
 			}),
@@ -143,7 +149,7 @@
 			cores: 1,
 			layout,
 			peers: this.#mesh,
-			inputProgress: createImmediateProgress(this.process),
+			inputProgress,
 			orders: this.#createOrders(),
 			maxLeaseMs: 1000,
 			isSettled: () => this.#neighbours.isSettled(),
--- a/src/testing/simulated-vm-network.ts
+++ b/src/testing/simulated-vm-network.ts
@@ -5,8 +5,9 @@
 import {PassThrough} from 'node:stream';
 import {type Stream} from 'most';
 import {
-	type ConfirmationAges, type ControlMessage, type Dial, getReportedAge, getReportedAges, type Incarnation, type Member, type MemberState, type PeerNetwork, type PeerOutcome, type PeerRequest,
-	type PeerRequestOptions, type RequestAbortReason, type SenderConfirmation, SenderConfirmations,
+	type ConfirmationAges, type ControlMessage, type Dial, getReportedAge, getReportedAges, type Incarnation, type InputProgress,
+	type Member, type MemberState, type PeerNetwork, type PeerOutcome, type PeerRequest,
+	type PeerRequestOptions, ReceivedStamps, type RequestAbortReason, type SenderConfirmation, SenderConfirmations,
 } from '../connection/index.js';
 import {type PoolClaims} from '../pool/index.js';
 import {CurrentValue} from '../process/current-value.js';
@@ -39,6 +40,8 @@
 export type SimulatedPeerMeshOptions = {
 	readonly process: SimulatedProcess;
 	readonly self: Incarnation;
+	/** Up to when the process has read its input. */
+	readonly inputProgress: InputProgress;
 	readonly getHeartbeat: () => SimulatedHeartbeat;
 	/** Returns the interval of heartbeats to a peer, in ticks. */
 	readonly getHeartbeatIntervalTicks: (peer: Incarnation) => number;
@@ -259,7 +262,7 @@
 };
 
 type PendingRequest = PeerRequestOptions & {readonly id: number; readonly request: PeerRequest; isSent: boolean; readonly finish: (outcome: PeerOutcome) => void};
-type JobClientEnd = {connected: PeerConnection | undefined; readonly pending: Map<number, PendingRequest>; lastStamp: number};
+type JobClientEnd = {connected: PeerConnection | undefined; readonly pending: Map<number, PendingRequest>; readonly stamps: ReceivedStamps};
 type JobServerEnd = PeerConnection & {readonly running: Map<number, AbortController>; readonly confirmations: SenderConfirmations; lastFrameAt: number};
 
 type KeepAliveFields = {readonly stamp?: number; readonly isUrgent?: boolean; readonly echo?: number; readonly ages?: ConfirmationAges};
@@ -587,7 +590,7 @@
 	}
 
 	#addClient(record: PeerRecord): JobClientEnd {
-		const client: JobClientEnd = {connected: undefined, pending: new Map(), lastStamp: 0};
+		const client: JobClientEnd = {connected: undefined, pending: new Map(), stamps: new ReceivedStamps()};
 		record.client = client;
 		void this.#connectClient(record, client);
 		return client;
@@ -600,7 +603,6 @@
 			return;
 		}
 
-		client.connected = result;
 		result.end.onMessage = message => {
 			this.#handleClientFrame(client, message as JobFrame);
 		};
@@ -609,6 +611,8 @@
 			this.#endClient(record, client);
 		};
 
+		await this.#options.inputProgress.waitUntilRead();
+		client.connected = result;
 		for (const pending of client.pending.values()) {
 			this.#sendRequest(client, pending);
 		}
@@ -626,15 +630,19 @@
 		if (connected !== undefined) {
 			pending.isSent = true;
 			this.#sendJobFrame(connected, {
-				type: 'request', id: pending.id, request: pending.request, echo: client.lastStamp, ageMs: getReportedAge(pending.getConfirmedAt, this.#getNow()),
+				type: 'request',
+				id: pending.id,
+				request: pending.request,
+				echo: client.stamps.getEcho(this.#options.inputProgress.getReadUntil()),
+				ageMs: getReportedAge(pending.getConfirmedAt, this.#getNow()),
 			});
 		}
 	}
 
 	/** Gets the last stamp with the ages of the confirmations of the processes for which requests are made. */
-	#getEcho({pending, lastStamp}: JobClientEnd): {readonly echo: number; readonly ages?: ConfirmationAges} {
+	#getEcho({pending, stamps}: JobClientEnd): {readonly echo: number; readonly ages?: ConfirmationAges} {
 		const ages = getReportedAges([...pending.values()].filter(({isSent}) => isSent), this.#getNow());
-		return {echo: lastStamp, ...(ages && {ages})};
+		return {echo: stamps.getEcho(this.#options.inputProgress.getReadUntil()), ...(ages && {ages})};
 	}
 
 	#sendJobFrame(connected: PeerConnection | undefined, frame: JobFrame): void {
@@ -718,6 +726,11 @@
 		}
 	}
 
+	async #sendUrgentEcho(client: JobClientEnd): Promise<void> {
+		await this.#options.inputProgress.waitUntilRead();
+		this.#sendJobFrame(client.connected, {type: 'keep-alive', ...this.#getEcho(client)});
+	}
+
 	#handleClientFrame(client: JobClientEnd, frame: JobFrame): void {
 		switch (frame.type) {
 			case 'answer': {
@@ -731,9 +744,12 @@
 			}
 
 			case 'keep-alive': {
-				client.lastStamp = frame.stamp ?? client.lastStamp;
+				if (frame.stamp !== undefined) {
+					client.stamps.addStamp(frame.stamp, this.#getNow());
+				}
+
 				if (frame.isUrgent === true) {
-					this.#sendJobFrame(client.connected, {type: 'keep-alive', ...this.#getEcho(client)});
+					void this.#sendUrgentEcho(client);
 				}
 
 				return;
--- a/test/connection/job-client.test.ts
+++ b/test/connection/job-client.test.ts
@@ -4,6 +4,7 @@
 	decodeValue, encodeFrame, encodeValue, frameHeaderBytes,
 } from '../../src/connection/frame-codec.js';
 import {type FrameConnection} from '../../src/connection/frame-connection.js';
+import {createImmediateProgress} from '../../src/connection/input-progress.js';
 import {JobClient} from '../../src/connection/job-client.js';
 import {type PeerOutcome} from '../../src/connection/index.js';
 import {ManualClock} from '../../src/testing/index.js';
@@ -77,6 +78,7 @@
 	let connect: (isOk: boolean) => void = () => {/* The client has not started to connect. */};
 	const client = new JobClient({
 		clock,
+		inputProgress: createImmediateProgress(clock),
 		connect: async () => new Promise(resolve => {
 			connect = isOk => {
 				resolve(isOk ? {ok: true, connection: connection as unknown as FrameConnection} : {ok: false, detail: 'refused'});
--- a/test/connection/sender-confirmations.test.ts
+++ b/test/connection/sender-confirmations.test.ts
@@ -6,12 +6,14 @@
 	decodeValue, encodeFrame, encodeValue, frameHeaderBytes,
 } from '../../src/connection/frame-codec.js';
 import {type FrameConnection} from '../../src/connection/frame-connection.js';
-import {type SenderConfirmation} from '../../src/connection/index.js';
+import {
+	createImmediateProgress, EventLoopProgress, type InputProgress, type SenderConfirmation,
+} from '../../src/connection/index.js';
 import {JobClient} from '../../src/connection/job-client.js';
 import {decodeJobMessage} from '../../src/connection/job-messages.js';
 import {JobServer} from '../../src/connection/job-server.js';
 import {MemberRecord} from '../../src/connection/member-record.js';
-import {ManualClock} from '../../src/testing/index.js';
+import {ManualClock, ManualEventLoop} from '../../src/testing/index.js';
 
 type Message = Readonly<Record<string, unknown>> & {readonly type: string; readonly stamp?: number; readonly echo?: number};
 
@@ -100,12 +102,13 @@
 	};
 }
 
-function createClient(): {readonly clock: ManualClock; readonly connection: FakeConnection; readonly client: JobClient} {
+function createClient(createProgress: (clock: ManualClock) => InputProgress = createImmediateProgress): {readonly clock: ManualClock; readonly connection: FakeConnection; readonly client: JobClient} {
 	const clock = new ManualClock();
 	const connection = new FakeConnection(clock);
 	const client = new JobClient({
 		...linkOptions,
 		clock,
+		inputProgress: createProgress(clock),
 		connect: async () => ({ok: true, connection: connection as unknown as FrameConnection}),
 		getTimeoutFactor: () => 1,
 		idleMs: 10_000,
@@ -329,3 +332,54 @@
 	await clock.advance(0);
 	t.like(connection.sent, [{type: 'request', ageMs: 0}]);
 });
+
+// Guards against double runs: a sender that was held between two reads confirmed that callers wait whose connections had ended before the stamp came.
+test('a sender echoes a stamp only once it has read what had arrived before', async t => {
+	const loop = new ManualEventLoop();
+	const {clock, connection, client} = createClient(createdClock => new EventLoopProgress({clock: createdClock, callAfterPoll: loop.callAfterPoll, refreshMs: 1e9}));
+	const runTurns = async (): Promise<void> => {
+		for (let turn = 0; turn < 3; turn++) {
+			await loop.runTurn();
+		}
+	};
+
+	const caller = new AbortController();
+	void client.request({topic: 'any', body: 0}, caller.signal);
+	void client.request({topic: 'any', body: 0});
+	await clock.advance(0);
+	t.is(connection.sent.length, 0);
+	await runTurns();
+	t.deepEqual(connection.sent.map(({type}) => type), ['request', 'request']);
+
+	// The end of a caller's connection has arrived by now and is not read yet.
+	await clock.advance(700);
+	await connection.deliver({type: 'keep-alive', stamp: 9000, isUrgent: true});
+	client.tick(700);
+	void client.request({topic: 'any', body: 0});
+	await clock.advance(0);
+	t.like(connection.sent.at(-1), {type: 'request', id: 3, echo: 0});
+	await loop.runTurn();
+	await loop.runTurn(() => {
+		caller.abort();
+	});
+	t.like(connection.sent.at(-1), {type: 'cancel', id: 1});
+	await loop.runTurn();
+	t.like(connection.sent.at(-1), {type: 'keep-alive', echo: 9000});
+	t.is(connection.sent.filter(({echo}) => echo === 9000).length, 1);
+});
+
+test('a sender that gets stamps faster than it reads still echoes some', async t => {
+	const loop = new ManualEventLoop();
+	const {clock, connection, client} = createClient(createdClock => new EventLoopProgress({clock: createdClock, callAfterPoll: loop.callAfterPoll, refreshMs: 1e9}));
+	void client.request({topic: 'any', body: 0});
+	for (let turn = 0; turn < 30; turn++) {
+		await clock.advance(1);
+		await loop.runTurn();
+		await connection.deliver({type: 'keep-alive', stamp: 1000 + turn, isUrgent: true});
+	}
+
+	const echoes = connection.sent.filter(({type}) => type === 'keep-alive').map(({echo}) => echo!);
+	t.true(echoes.length > 5);
+	t.true(echoes.at(-1)! >= 1010);
+	t.deepEqual(echoes, echoes.toSorted((a, b) => a - b));
+});
