--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -1,4 +1,5 @@
 export * from './admission.js';
+export * from './awaited-jobs.js';
 export * from './crash-ledger.js';
 export * from './crash-reports.js';
 export * from './decision-log.js';
--- a/src/pool/pool-messages.ts
+++ b/src/pool/pool-messages.ts
@@ -19,6 +19,10 @@
 export const recallTopic = 'pool-recall';
 export const loadTopic = 'pool-load';
 
+/** Topic on which VMs are asked which jobs they wait for, and maximum number of jobs in one request. */
+export const awaitedJobsTopic = 'pool-awaited-jobs';
+export const maxAskedJobs = 1024;
+
 /** Topic on which runs that failed or were lost with their upstreams are reported to all VMs. */
 export const failedRunsTopic = 'pool-failed-runs';
 
@@ -138,6 +142,10 @@
 /** Schema of an update of a pool's load. */
 export const loadUpdateSchema = z.object({pool: name, load: poolLoadSchema, seen: count}).readonly();
 
+/** Schema of a request for those of some jobs that a VM waits for, and of the answer. */
+export const awaitedJobsRequestSchema = z.object({pool: name, jobs: z.array(name).max(maxAskedJobs).readonly()}).readonly();
+export const awaitedJobsAnswerSchema = z.object({awaited: z.array(name).max(maxAskedJobs).readonly()}).readonly();
+
 /** Schema of the claims in a heartbeat: fence and load of each pool that the sender owns. */
 export const poolClaimsSchema = z.record(name, z.object({fence: fenceSchema, load: poolLoadSchema}).readonly()).readonly();
 
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -6,6 +6,7 @@
 	type Incarnation, type InputProgress, type Member, type PeerNetwork, type PeerRequest, type RequestAbortReason, type SenderConfirmation,
 } from '../connection/index.js';
 import {type Clock, type Random, type Timer} from '../seams/index.js';
+import {AwaitedJobs} from './awaited-jobs.js';
 import {CrashLedger} from './crash-ledger.js';
 import {CrashReports} from './crash-reports.js';
 import {type DecisionLog} from './decision-log.js';
@@ -18,7 +19,7 @@
 import {getDataCenter, type PoolLayout} from './pool-layout.js';
 import {PoolLending} from './pool-lending.js';
 import {
-	loadTopic, failedRunsTopic, type PoolClaims, submitTopic, type SubmitAnswer,
+	awaitedJobsTopic, loadTopic, failedRunsTopic, type PoolClaims, submitTopic, type SubmitAnswer,
 } from './pool-messages.js';
 import {type PoolLoad} from './pool-scheduler.js';
 import {PoolOwner} from './pool-owner.js';
@@ -127,6 +128,7 @@
 	readonly #jobSizes = new JobSizeBudget();
 	readonly #crashReports: CrashReports;
 	readonly #lending: PoolLending;
+	readonly #awaitedJobs: AwaitedJobs;
 	readonly #router: PoolRouter;
 	readonly #subscription: Subscription<unknown>;
 	#timer: Timer;
@@ -174,7 +176,9 @@
 			isLayoutKnown: options.isLayoutKnown,
 			getConfirmedSince: () => getConfirmedSince(options.clock.getMonotonicTime(), this.#pauses.getDetectedAt()),
 		});
+		this.#awaitedJobs = new AwaitedJobs(options);
 		this.#router = new PoolRouter({
+			awaitedJobs: this.#awaitedJobs,
 			ledger: this.#ledger,
 			clock: options.clock,
 			random: options.random,
@@ -309,7 +313,7 @@
 	 * @param topic - Topic.
 	 */
 	handlesTopic(topic: string): boolean {
-		return topic === submitTopic || topic === failedRunsTopic || this.#lending.handlesTopic(topic);
+		return topic === submitTopic || topic === failedRunsTopic || topic === awaitedJobsTopic || this.#lending.handlesTopic(topic);
 	}
 
 	/**
@@ -325,6 +329,10 @@
 			return {};
 		}
 
+		if (request.topic === awaitedJobsTopic) {
+			return this.#awaitedJobs.handleRequest(request.body);
+		}
+
 		return request.topic === submitTopic ? this.#handleSubmit(request, signal, confirmation) : this.#lending.handleRequest(request, signal, confirmation);
 	}
 
@@ -613,6 +621,7 @@
 			isListComplete: () => this.#options.isListComplete(pool),
 			getFormerUpstreams: () => this.#options.getFormerUpstreams?.(pool) ?? [],
 			getStoredFence: async () => claims.addClaim(pool),
+			getUnawaitedJobs: async jobs => this.#awaitedJobs.getUnawaitedJobs(pool, jobs),
 			onFenced: async () => this.#handleFenced(pool, owner),
 			neighbours: this.#lending.createNeighbours(pool),
 			ledger: this.#ledger,
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -37,6 +37,8 @@
 	readonly knownFence: number;
 	/** Step of the last raise of the fence; 1 if there was none. */
 	readonly fenceStep?: number;
+	/** Gets those of some jobs that no VM waits for; by default, none is known, so that their runs are stopped after a time limit only. */
+	readonly getUnawaitedJobs?: (jobs: readonly string[]) => Promise<readonly string[]>;
 	/** Called when an upstream refuses the fence; the pool may have another owner. */
 	readonly onFenced: () => Promise<void>;
 	/** Longest lease of a run, in milliseconds. */
@@ -80,6 +82,9 @@
  */
 const recallBatchMs = 20;
 
+/** Time for which unclaimed runs are collected before the VMs are asked who waits for them, in milliseconds: all upstreams answer the polls of a takeover within it. */
+const unclaimedBatchMs = 10;
+
 /** Time for which an upstream is kept after it is no longer listed, in milliseconds: entries are registered again 2 s after the store is back. */
 const unlistedRetentionMs = 2500;
 
@@ -133,6 +138,7 @@
 	/** Monotonic time of the last pause after which an upstream accepted this owner's fence. */
 	#pauseConfirmedAt = -Infinity;
 	#isConfirmingOwnership = false;
+	#isCollectingUnclaimed = false;
 	/** Monotonic times until which an earlier owner's tasks may run in other pools, by job; kept until the job is accepted. */
 	readonly #unrecalledUntil = new Map<string, number>();
 	/** Result of the last check whether the upstreams accept this owner's fence, and the time at which it was started. */
@@ -427,6 +433,31 @@
 		}
 	}
 
+	/** Stops the unclaimed runs that nobody will claim: while an upstream lists some, no lease there is extended. */
+	async #stopUnawaitedRuns(): Promise<void> {
+		const {clock, getUnawaitedJobs, log, pool} = this.#options;
+		if (getUnawaitedJobs === undefined || this.#isCollectingUnclaimed) {
+			return;
+		}
+
+		this.#isCollectingUnclaimed = true;
+		await sleep(clock, unclaimedBatchMs);
+		this.#isCollectingUnclaimed = false;
+		const links = this.#getAllLinks();
+		const jobs = [...new Set(links.flatMap(link => link.getUnclaimedJobs()))];
+		const unawaitedJobs = jobs.length === 0 || this.#isClosed ? [] : await getUnawaitedJobs(jobs);
+		if (unawaitedJobs.length === 0 || this.#isClosed) {
+			return;
+		}
+
+		log.info({pool, jobs: jobs.length, unawaited: unawaitedJobs.length}, 'runs stopped that no VM waits for');
+		for (const job of unawaitedJobs) {
+			for (const link of links) {
+				link.stopUnclaimed(job);
+			}
+		}
+	}
+
 	/**
 	 * Checks whether the responsive upstreams still accept this owner's fence: a newer owner raises it before it starts anything, and its runs are
 	 * not known here.
@@ -631,6 +662,9 @@
 				onInstanceSign: (from, sign, runs, isAlone) => {
 					this.#handleInstanceSign(from, sign, runs.map(run => ({...run, isAlone})));
 				},
+				onUnclaimedListed: () => {
+					void this.#stopUnawaitedRuns();
+				},
 				onUnclaimedRun(from, {task, number}) {
 					log.info({
 						task, run: number, upstream: from.description.id, pool,
--- a/src/pool/pool-router.ts
+++ b/src/pool/pool-router.ts
@@ -4,6 +4,7 @@
 import {type InputProgress, type PeerNetwork, readInput} from '../connection/index.js';
 import {type Clock, type Random, sleep} from '../seams/index.js';
 import {minRetryAfterMs} from './admission.js';
+import {type AwaitedJobs} from './awaited-jobs.js';
 import {type CrashLedger} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
 import {isSinglePoolJob} from './lending.js';
@@ -42,6 +43,8 @@
 	readonly hasCededPools: () => boolean;
 	/** Detects pauses of this process. */
 	readonly pauses: PauseDetector;
+	/** Told of the jobs that callers of this VM wait for; by default, nobody asks for them. */
+	readonly awaitedJobs?: AwaitedJobs;
 	/** Limits the jobs of this process; by default, only those that this router submits. */
 	readonly jobSizes?: JobSizeBudget;
 };
@@ -164,7 +167,9 @@
 
 			triedPools.add(target.pool);
 			this.#options.directory.addSentJob(target.pool, job);
+			const removeJob = this.#options.awaitedJobs?.addJob(target.pool, job.id);
 			const outcome = await this.#submitToPool(target.pool, submission, signal);
+			removeJob?.();
 			if (outcome.kind !== 'completed') {
 				this.#options.log.debug({job: job.id, outcome: outcome.kind, ...target}, 'pool did not complete the job');
 			}
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -2,6 +2,7 @@
  * An owner's link to one upstream: its reserved capacity, the lease of its runs, and whether it responds.
  */
 import {type Clock, sleep, type Timer} from '../seams/index.js';
+import {getJob} from './crash-ledger.js';
 import {InstanceRuns, type InstanceSign} from './instance-runs.js';
 import {type TaskNeeds} from './pool-job.js';
 import {type RecentRun, RecentRuns} from './recent-runs.js';
@@ -106,6 +107,8 @@
 	readonly onInstanceChanged: (link: UpstreamLink, earlierBornMs: number) => void;
 	/** An instance of the upstream, on which runs may be, refuses connections, has ended, or has answered again. */
 	readonly onInstanceSign: (link: UpstreamLink, sign: InstanceSign, runs: readonly Run[], isAlone: boolean) => void;
+	/** The upstream lists a run that no job here has claimed. */
+	readonly onUnclaimedListed?: () => void;
 	/** An unclaimed run is about to be stopped. */
 	readonly onUnclaimedRun: (link: UpstreamLink, run: Run) => void;
 };
@@ -336,6 +339,11 @@
 		return linked;
 	}
 
+	/** Gets the identifiers of the jobs of unclaimed runs. */
+	getUnclaimedJobs(): readonly string[] {
+		return [...this.#unclaimed.keys()].map(task => getJob(task));
+	}
+
 	/** Gets the number of unclaimed runs that the upstream lists. */
 	getUnclaimedCount(): number {
 		return this.#unclaimed.size;
@@ -423,6 +431,12 @@
 		let {leaseMs} = this.#timing;
 		this.#limitingTask = undefined;
 		this.#lastLimitMs = Infinity;
+		if (this.#unclaimed.size > 0) {
+			// Nobody here knows until when the caller of an unclaimed run was known to wait.
+			this.#lastLeaseMs = 0;
+			return 0;
+		}
+
 		for (const {task, getLeaseLimit} of this.#runs.values()) {
 			const limitMs = (getLeaseLimit?.() ?? Infinity) - now;
 			this.#lastLimitMs = Math.min(this.#lastLimitMs, limitMs);
@@ -707,6 +721,7 @@
 		this.#unclaimed.set(run.task, run);
 		// The earlier owner may have extended the lease until its fence was superseded.
 		this.#recordLease();
+		this.#options.events.onUnclaimedListed?.();
 		this.#options.clock.setTimer(() => {
 			void this.#stopUnclaimed(run);
 		}, this.#timing.adoptionTimeoutMs);
--- a/test/pool/pool-owner.test.ts
+++ b/test/pool/pool-owner.test.ts
@@ -228,6 +228,7 @@
 
 test('an unclaimed run ends in time although its first stops are lost and leases are granted to other runs there', async t => {
 	const harness = new PoolHarness({upstreamCount: 1, getWork: () => ({...typicalWork, durationMs: 5000})});
+	harness.getUnawaitedJobs = async jobs => jobs.filter(job => job === 'orphan');
 	const first = harness.createOwner();
 	const options = {step: {estimateMs: 5000}, remainingMs: 20_000};
 	harness.submit(first, 'orphan', options);
