--- a/bench/soak-processes/caller.ts
+++ b/bench/soak-processes/caller.ts
@@ -7,7 +7,7 @@
 import {type Balancer} from './balancer.js';
 import {getSharedTime, type Submission} from './history.js';
 import {
-	type JobKind, jobKinds, taskCpu, taskMemoryMb,
+	type JobKind, jobKinds, longJobKind, taskCpu, taskMemoryMb,
 } from './jobs.js';
 import {type VmProcess} from './vm-process.js';
 import {host, prefix} from './stand-in-process.js';
@@ -38,6 +38,8 @@
 	readonly isPatient: boolean;
 	/** Kinds of its jobs; all by default. */
 	readonly kinds?: readonly JobKind[];
+	/** Share of its jobs that are long; none by default. */
+	readonly longShare?: number;
 	/** Time from the deadline until it abandons a submission, in milliseconds, because the VM may answer late. */
 	readonly lateAnswerMs?: number;
 	readonly onSubmission: (submission: Submission) => void;
@@ -51,6 +53,7 @@
 	#connection: Connection | undefined;
 	#isClosed = false;
 	#jobCount = 0;
+	#waitingSince: number | undefined;
 
 	constructor(options: CallerOptions) {
 		this.#options = options;
@@ -58,10 +61,10 @@
 
 	/** Submits jobs; resolves after `close` when the last job has ended. */
 	async run(): Promise<void> {
-		const {kinds, random, meanPauseMs: pauseMs} = this.#options;
+		const {kinds, random, meanPauseMs: pauseMs, longShare = 0} = this.#options;
 		while (!this.#isClosed) {
 			await delay(-Math.log(1 - random.getFloat()) * pauseMs);
-			await this.#submitJob(drawJobKind(random, kinds));
+			await this.#submitJob(longShare > 0 && random.getFloat() < longShare ? longJobKind : drawJobKind(random, kinds));
 		}
 
 		await this.#connection?.client.destroy();
@@ -72,6 +75,14 @@
 		void this.#connection?.client.destroy();
 	}
 
+	/**
+	 * Gets the time since which it waits for an answer of a VM; `undefined` if it does not.
+	 * @param vm - VM.
+	 */
+	getWaitingSince(vm: VmProcess): number | undefined {
+		return this.#connection?.vm === vm ? this.#waitingSince : undefined;
+	}
+
 	/** Stops after the current job. */
 	close(): void {
 		this.#isClosed = true;
@@ -101,7 +112,9 @@
 		const connection = this.#connect();
 		const requestedAt = getSharedTime();
 		const {isPatient, lateAnswerMs} = this.#options;
+		this.#waitingSince = requestedAt;
 		const result = await submitJob(connection.client, job, kind, {deadlineMs: isPatient ? patientDeadlineMs : usualDeadlineMs, lateAnswerMs});
+		this.#waitingSince = undefined;
 		if (!connection.isOpen || result.end === 'left') {
 			this.#connection = undefined;
 			void connection.client.destroy();
--- a/bench/soak-processes/check-history.ts
+++ b/bench/soak-processes/check-history.ts
@@ -35,6 +35,12 @@
 	stallKind, 'freeze', 'store-away', 'store-silent', 'store-slow', 'store-loses-answers', 'store-forgets', 'orders-late', 'odd-entries',
 ]);
 
+/** Longest time from the end of a submission to the end of the runs that it left, in milliseconds: the documented `resend_ms` less a margin of 150 ms. */
+export const maxOverhangMs = 1150;
+
+/** Statuses after which a caller submits again. */
+const resubmittedStatuses = new Set([502, 504]);
+
 const refusalStatuses = new Set([429, 503]);
 const knownStatuses = new Set([200, 404, 429, 502, 503, 504]);
 const knownStates = new Set(['completed', 'failed']);
@@ -49,6 +55,9 @@
 	const capacities = groupBy(history.capacities, ({upstream}) => upstream);
 	return [
 		...[...runsOfTask.values()].flatMap(runs => findOverlappingRuns(runs)),
+		...getOverhangs(history).filter(({endMs}) => endMs > maxOverhangMs).map(({run, startMs, endMs}) => ({
+			promise: 'ends-in-time', subject: run.task, detail: `${describeRun(run)}: ${Math.round(startMs)} to ${Math.round(endMs)} ms after its submission ended`, at: run.startedAt,
+		})),
 		...history.deadlyTasks.flatMap(task => findTooManyStarts(runsOfTask.get(task) ?? [])),
 		...history.runs.flatMap(run => checkCapacity(run, capacities.get(run.upstream) ?? [], history.faults)),
 		...[...groupBy(history.sends, ({job}) => job).values()].flatMap(sends => [
@@ -63,6 +72,25 @@
 	].toSorted((a, b) => a.at - b.at);
 }
 
+/** A run that went on after the submission had ended that it was started for; both times count from that end, in milliseconds. */
+export type Overhang = {readonly run: TaskRun; readonly startMs: number; readonly endMs: number};
+
+/**
+ * Gets the runs that went on after the submission before them had ended and the caller was about to submit again.
+ * @param history - Observations of the soak.
+ */
+export function getOverhangs({sends, runs}: SoakHistory): readonly Overhang[] {
+	const sendsOfJob = groupBy(sends, ({job}) => job);
+	const observedUntil = Math.max(...sends.map(({endedAt}) => endedAt));
+	return runs.flatMap(run => {
+		const earlier = (sendsOfJob.get(run.task.split('.')[0]!) ?? []).filter(({sentAt}) => sentAt <= run.startedAt);
+		const last = earlier.toSorted((a, b) => a.sentAt - b.sentAt).at(-1);
+		const isOver = last !== undefined && (last.end !== 'answered' || resubmittedStatuses.has(last.status!));
+		const endMs = (run.endedAt ?? observedUntil) - (last?.endedAt ?? 0);
+		return isOver && endMs > 0 ? [{run, startMs: run.startedAt - last.endedAt, endMs}] : [];
+	});
+}
+
 /**
  * Gets the time from which the recovery time counts: the end of the faults or, when later, of a stall of the stand-ins
  * that ended before service returned.
--- a/bench/soak-processes/jobs.ts
+++ b/bench/soak-processes/jobs.ts
@@ -10,14 +10,18 @@
 export const taskCpu = 6800;
 export const taskMemoryMb = 64;
 
-/** Kinds of jobs; the last has more tasks than one pool can run at the same time. */
+/** Kinds of jobs: the fourth has more tasks than one pool can run at the same time, the last is only submitted where callers leave. */
 export const jobKinds: readonly JobKind[] = [
 	{taskCount: 8, durationMs: 60, weight: 24},
 	{taskCount: 4, durationMs: 900, weight: 12},
 	{taskCount: 2, durationMs: 200, weight: 40},
 	{taskCount: 24, durationMs: 300, weight: 12},
+	{taskCount: 3, durationMs: 1400, weight: 0},
 ];
 
+/** Jobs whose runs outlast the time until a caller that has left submits again. */
+export const longJobKind = jobKinds[4]!;
+
 /** Gets the resource needs and the run time of a task from its name. */
 export function getWork(task: string): SimulatedWork {
 	const {durationMs} = jobKinds[Number(task[0])] ?? jobKinds[0]!;
--- a/bench/soak-processes/main.ts
+++ b/bench/soak-processes/main.ts
@@ -3,7 +3,8 @@
  */
 import process from 'node:process';
 import {Command} from 'commander';
-import {groupBy} from './history.js';
+import {getOverhangs, maxOverhangMs} from './check-history.js';
+import {groupBy, type SoakHistory} from './history.js';
 import {type SoakResult, runSoak} from './soak-run.js';
 
 type Options = {
@@ -16,6 +17,8 @@
 	readonly patient: string;
 	readonly links: string;
 	readonly restarts: string;
+	readonly centers: string;
+	readonly leaving: string;
 	readonly pause: string;
 	readonly keep?: boolean;
 };
@@ -24,6 +27,7 @@
 	const {sends, runs, faults} = history;
 	const counts = formatCounts(sends.map(({end, status, state}) => state ?? status?.toString() ?? end));
 	process.stdout.write(`seed ${seed}: ${sends.length} sends (${counts}), ${runs.length} runs, faults: ${formatCounts(faults.map(({kind}) => kind))}, ${violations.length} violations\n`);
+	process.stdout.write(`  ${formatOverhangs(history)}\n`);
 	if (violations.length === 0) {
 		return;
 	}
@@ -40,6 +44,18 @@
 	process.stdout.write(`  logs: ${folder}\n`);
 }
 
+/** Tells how near the runs whose callers had left came to the next submission. */
+function formatOverhangs(history: SoakHistory): string {
+	const overhangs = getOverhangs(history);
+	const late = overhangs.filter(({startMs}) => startMs > 0);
+	const getLatest = (times: readonly number[]): string => times.toSorted((a, b) => b - a).slice(0, 5).map(ms => Math.round(ms)).join(', ') || 'none';
+	return [
+		`${overhangs.length} runs went on after their callers had left`,
+		`latest ends ${getLatest(overhangs.map(({endMs}) => endMs))} ms of ${maxOverhangMs}`,
+		`${late.length} starts after it, latest ${getLatest(late.map(({startMs}) => startMs))} ms`,
+	].join('; ');
+}
+
 function formatCounts(names: readonly string[]): string {
 	return [...groupBy(names, name => name)].map(([name, found]) => `${name} ${found.length}`).join(', ');
 }
@@ -54,6 +70,8 @@
 	.option('--patient <count>', 'further callers that wait for 20 s', '0')
 	.option('--links <count>', 'faults of links between VMs, of their processors and of callers\' connections in each series', '0')
 	.option('--restarts <count>', 'groups of upstreams that crash or start again around the faults of links in each series', '0')
+	.option('--centers <count>', 'data centres', '3')
+	.option('--leaving <count>', 'groups of faults around callers that leave a VM which is short of processor time, in each series', '0')
 	.option('--pause <ms>', 'mean time between two jobs of a caller', '600')
 	.option('--keep', 'keep the logs even without violations')
 	.parse();
@@ -63,12 +81,14 @@
 		seed,
 		lengthMs: Number(options.seconds) * 1000,
 		vmCount: Number(options.vms),
+		dataCenters: Array.from({length: Number(options.centers)}, (_, index) => `dc${index + 1}`),
 		upstreamsPerDataCenter: Number(options.upstreams),
 		callerCount: Number(options.callers),
 		patientCallerCount: Number(options.patient),
 		keepsLogs: options.keep ?? false,
 		linkFaultCount: Number(options.links),
 		restartCount: Number(options.restarts),
+		leavingCount: Number(options.leaving),
 		meanCallerPauseMs: Number(options.pause),
 	});
 	printResult(seed, result);
--- a/bench/soak-processes/plan.ts
+++ b/bench/soak-processes/plan.ts
@@ -25,10 +25,14 @@
 
 const workloadKinds = ['deadly-jobs', 'capacity-shrinks'] as const;
 const restartKinds = ['upstream-crash', 'two-lives'] as const;
+const leavingKinds = ['processor-slices', 'processor-late', 'freeze'] as const;
+const leavingStoreKinds = ['store-partly', 'store-slow', 'store-silent'] as const;
+const leavingUpstreamKinds = ['stops-slow', 'single-orders-late', 'answers-lost', 'upstream-slow'] as const;
 const linkKinds = ['link-reset', 'link-silent', 'link-one-way', 'link-slow', 'processor-late', 'callers-reset', 'freeze'] as const;
 
 /** Kind of a fault. */
-export type SoakFaultKind = typeof vmKinds[number] | typeof storeKinds[number] | typeof upstreamKinds[number] | typeof answerKinds[number] | typeof workloadKinds[number] | typeof linkKinds[number];
+export type SoakFaultKind = typeof vmKinds[number] | typeof storeKinds[number] | typeof upstreamKinds[number] | typeof answerKinds[number] | typeof workloadKinds[number] | typeof linkKinds[number]
+	| 'callers-leave' | typeof leavingKinds[number] | typeof leavingStoreKinds[number] | typeof leavingUpstreamKinds[number];
 
 /** Options of {@link createFaultPlan}. */
 export type FaultPlanOptions = {
@@ -40,6 +44,10 @@
 	readonly lengthMs: number;
 	/** Faults of links between VMs, of their processors and of callers' connections, each of one or two; none by default. */
 	readonly linkFaultCount?: number;
+	/** Groups of faults around callers that leave a VM which is short of processor time; none by default. */
+	readonly leavingCount?: number;
+	/** Number of data centres; VMs of one stand that far apart. */
+	readonly dataCenterCount?: number;
 	/** Upstreams that crash or start again around a fault of links, in groups; none by default. */
 	readonly restartCount?: number;
 };
@@ -54,6 +62,7 @@
 const workloadSeedFactor = 3_266_489_917;
 const linkSeedFactor = 668_265_263;
 const restartSeedFactor = 374_761_393;
+const leavingSeedFactor = 1_274_126_177;
 const maxSeries = 1000;
 
 /** Longest time from a fault of links to the upstreams that crash or start again around it, in milliseconds. */
@@ -73,7 +82,8 @@
 	const workloadFaults = hasPlannedStopsOnly ? [] : createWorkloadFaults(options);
 	const linkFaults = hasPlannedStopsOnly ? [] : createLinkFaults(options);
 	const restarts = createRestarts(options, linkFaults);
-	return [...rollingRestart, ...otherFaults, ...answerFaults, ...workloadFaults, ...linkFaults, ...restarts].toSorted((a, b) => a.atMs - b.atMs);
+	const leavingFaults = hasPlannedStopsOnly ? [] : createLeavingFaults(options);
+	return [...rollingRestart, ...otherFaults, ...answerFaults, ...workloadFaults, ...linkFaults, ...restarts, ...leavingFaults].toSorted((a, b) => a.atMs - b.atMs);
 }
 
 /** Creates a rolling restart: planned stops of one VM after another, 1 to 2 s apart. */
@@ -160,6 +170,38 @@
 	}).flat();
 }
 
+/**
+ * Creates groups of faults around callers that leave, drawn apart too: a VM gets its processor time in slices, or late, or freezes, and the callers that wait
+ * for it leave one by one; beside it, another VM of its data centre, the store and some upstreams are disturbed.
+ */
+function createLeavingFaults({seed, series, vmCount, upstreamCount, lengthMs, leavingCount = 0, dataCenterCount = 3}: FaultPlanOptions): readonly PlannedFault[] {
+	const random = createSeededRandom(Math.imul((seed * maxSeries) + series, leavingSeedFactor));
+	random.getFloat();
+	return Array.from({length: leavingCount}, (): readonly PlannedFault[] => {
+		const target = Math.floor(random.getFloat() * vmCount);
+		const firstMs = drawInteger(random, 0, lengthMs);
+		const create = (kind: SoakFaultKind, share: number, affected: Pick<PlannedFault, 'target' | 'count'>): readonly PlannedFault[] => {
+			const fault: PlannedFault = {
+				kind,
+				atMs: Math.max(0, Math.min(lengthMs, firstMs + drawInteger(random, -300, 500))),
+				durationMs: drawInteger(random, 1000, 2800),
+				...affected,
+				isLapsing: random.getFloat() < 0.5,
+			};
+			return random.getFloat() < share ? [fault] : [];
+		};
+
+		const affected = {target: Math.floor(random.getFloat() * upstreamCount), count: 1 + Math.floor(random.getFloat() * upstreamCount / 2)};
+		return [
+			...create(pick(random, leavingKinds), 1, {target, count: 1}),
+			...create('callers-leave', 1, {target, count: 1}),
+			...create(pick(random, ['freeze', 'kill', ...leavingKinds]), 0.6, {target: (target + dataCenterCount) % vmCount, count: 1}),
+			...create(pick(random, leavingStoreKinds), 0.7, {target: Math.floor(random.getFloat() * vmCount), count: 1 + Math.floor(random.getFloat() * vmCount)}),
+			...create(pick(random, leavingUpstreamKinds), 0.5, affected),
+		];
+	}).flat();
+}
+
 /** Creates upstreams that crash or start again in the seconds of faults of links, drawn apart too. */
 function createRestarts({seed, series, upstreamCount, lengthMs, restartCount = 0}: FaultPlanOptions, linkFaults: readonly PlannedFault[]): readonly PlannedFault[] {
 	const random = createSeededRandom(Math.imul((seed * maxSeries) + series, restartSeedFactor));
--- a/bench/soak-processes/soak-run.ts
+++ b/bench/soak-processes/soak-run.ts
@@ -42,6 +42,8 @@
 	readonly linkFaultCount?: number;
 	/** Number of groups of upstreams that crash or start again around faults of links in each series; none by default. */
 	readonly restartCount?: number;
+	/** Number of groups of faults around callers that leave a VM which is short of processor time, in each series; none by default. */
+	readonly leavingCount?: number;
 	/** Mean time between two jobs of a caller, in milliseconds. */
 	readonly meanCallerPauseMs?: number;
 	/** Whether the folder of the logs is kept when there are no violations. */
@@ -70,6 +72,21 @@
 const minStarvedPeriodMs = 40;
 const starvedPeriodRangeMs = 500;
 
+/** Length of a slice of processor time, and minimum and range of the gaps between them, in milliseconds; longer ones count as pauses. */
+const sliceMs = 2;
+const minSliceGapMs = 100;
+const sliceGapRangeMs = 290;
+
+/** Share of long jobs where callers leave, and longest time between two callers that leave, in milliseconds. */
+const longJobShare = 0.5;
+const maxLeavingPauseMs = 150;
+
+/** Longest time that a stop takes, in milliseconds; the documented `stop_timeout_ms`. */
+const maxStopMs = 50;
+
+/** Share of the orders that are late where they are late one by one. */
+const lateOrderShare = 0.05;
+
 /** Maximum delay over a slow link, in milliseconds. */
 const maxLinkDelayMs = 400;
 
@@ -103,7 +120,7 @@
 }
 
 type LinkFaultKind = 'link-reset' | 'link-silent' | 'link-one-way' | 'link-slow';
-type StandInFault = PlannedFault & {readonly kind: Exclude<SoakFaultKind, 'stop' | 'kill' | 'freeze' | 'processor-late' | 'callers-reset' | LinkFaultKind>};
+type StandInFault = PlannedFault & {readonly kind: Exclude<SoakFaultKind, 'stop' | 'kill' | 'freeze' | 'processor-late' | 'processor-slices' | 'callers-reset' | 'callers-leave' | 'store-partly' | LinkFaultKind>};
 
 class SoakRun {
 	readonly #options: Required<SoakOptions>;
@@ -123,7 +140,8 @@
 
 	constructor(options: SoakOptions) {
 		this.#options = {
-			vmCount: 9, dataCenters: ['dc1', 'dc2', 'dc3'], upstreamsPerDataCenter: 18, callerCount: 12, patientCallerCount: 0, keepsLogs: false, linkFaultCount: 0, restartCount: 0, meanCallerPauseMs: defaultMeanPauseMs, ...options,
+			vmCount: 9, dataCenters: ['dc1', 'dc2', 'dc3'], upstreamsPerDataCenter: 18, callerCount: 12, patientCallerCount: 0, keepsLogs: false, linkFaultCount: 0, restartCount: 0,
+			leavingCount: 0, meanCallerPauseMs: defaultMeanPauseMs, ...options,
 		};
 		this.#random = createSeededRandom(options.seed + 1);
 		this.#folder = mkdtempSync(path.join(tmpdir(), `endivemill-soak-${options.seed}-`));
@@ -179,11 +197,12 @@
 	}
 
 	async #start(): Promise<void> {
-		const {dataCenters, vmCount, callerCount, patientCallerCount, seed, linkFaultCount, meanCallerPauseMs} = this.#options;
+		const {dataCenters, vmCount, callerCount, patientCallerCount, seed, linkFaultCount, leavingCount, meanCallerPauseMs} = this.#options;
 		const storeAddress = await this.#standIns.getStoreAddress();
 		const ips = Array.from({length: vmCount}, (_, position) => getIp(position));
-		if (linkFaultCount > 0) {
-			this.#links = new LinkProxies(ips.map(ip => `${ip}:${peerPort}`));
+		if (linkFaultCount + leavingCount > 0) {
+			// The store stands behind the VMs.
+			this.#links = new LinkProxies([...ips.map(ip => `${ip}:${peerPort}`), storeAddress]);
 			await this.#links.listen();
 		}
 
@@ -211,16 +230,17 @@
 		for (let position = 0; position < callerCount + patientCallerCount; position++) {
 			this.#callers.push(new Caller({
 				name: position.toString(16).padStart(3, '0'), dataCenter: dataCenters[position % dataCenters.length]!, balancer, random: createSeededRandom((seed * 1000) + position),
-				meanPauseMs: meanCallerPauseMs, isPatient: position >= callerCount, lateAnswerMs: linkFaultCount > 0 ? 0 : undefined, onSubmission: submission => this.#submissions.push(submission),
+				meanPauseMs: meanCallerPauseMs, isPatient: position >= callerCount, lateAnswerMs: linkFaultCount + leavingCount > 0 ? 0 : undefined,
+				longShare: leavingCount > 0 ? longJobShare : 0, onSubmission: submission => this.#submissions.push(submission),
 			}));
 		}
 	}
 
 	/** Injects the faults of a series and waits for normal service. */
 	async #runSeries(series: number, lengthMs: number): Promise<void> {
-		const {seed, vmCount, dataCenters, upstreamsPerDataCenter, linkFaultCount, restartCount} = this.#options;
+		const {seed, vmCount, dataCenters, upstreamsPerDataCenter, linkFaultCount, restartCount, leavingCount} = this.#options;
 		const plan = createFaultPlan({
-			seed, series, vmCount, upstreamCount: dataCenters.length * upstreamsPerDataCenter, lengthMs, linkFaultCount, restartCount,
+			seed, series, vmCount, upstreamCount: dataCenters.length * upstreamsPerDataCenter, lengthMs, linkFaultCount, restartCount, leavingCount, dataCenterCount: dataCenters.length,
 		});
 		await Promise.all(plan.map(async fault => {
 			await delay(fault.atMs);
@@ -251,6 +271,19 @@
 				return vm.freeze(fault.durationMs);
 			}
 
+			case 'processor-slices': {
+				const periodMs = sliceMs + minSliceGapMs + (this.#random.getFloat() * sliceGapRangeMs);
+				return vm.starve(fault.durationMs, sliceMs / periodMs, periodMs, fault.kind);
+			}
+
+			case 'callers-leave': {
+				return this.#letCallersLeave(vm, fault.durationMs);
+			}
+
+			case 'store-partly': {
+				return this.#cutFromStore(fault);
+			}
+
 			case 'processor-late':
 			case 'callers-reset':
 			case 'link-reset':
@@ -268,6 +301,8 @@
 			case 'orders-late':
 			case 'answers-lost':
 			case 'upstream-slow':
+			case 'stops-slow':
+			case 'single-orders-late':
 			case 'upstream-crash':
 			case 'odd-answers':
 			case 'odd-entries':
@@ -295,6 +330,50 @@
 		await this.#disturbLinks(fault, kind);
 	}
 
+	/** Lets the callers that wait for a VM leave one after another, often those whose requests came last. */
+	async #letCallersLeave(vm: VmProcess, durationMs: number): Promise<void> {
+		const at = getSharedTime();
+		while (getSharedTime() - at < durationMs) {
+			await delay(this.#random.getFloat() * maxLeavingPauseMs);
+			const waiting = this.#callers.filter(caller => caller.getWaitingSince(vm) !== undefined);
+			const byArrival = waiting.toSorted((a, b) => b.getWaitingSince(vm)! - a.getWaitingSince(vm)!);
+			byArrival[Math.floor(this.#random.getFloat() * this.#random.getFloat() * byArrival.length)]?.resetConnection();
+		}
+
+		this.#faults.push({
+			kind: 'callers-leave', target: vm.getName(), at, until: getSharedTime(),
+		});
+	}
+
+	/** Cuts some VMs off the store; in half of the cases, the entries of half of the upstreams expire meanwhile. */
+	async #cutFromStore({target, count, durationMs, isLapsing}: PlannedFault): Promise<void> {
+		const links = this.#links!;
+		const at = getSharedTime();
+		const storePosition = this.#vms.length;
+		const positions = Array.from({length: count}, (_, index) => (target + index) % this.#vms.length);
+		const setHeld = (isHeld: boolean): void => {
+			for (const position of positions) {
+				links.hold(position, storePosition, isHeld);
+				links.hold(storePosition, position, isHeld);
+			}
+		};
+
+		setHeld(true);
+		if (isLapsing) {
+			await this.#standIns.send({kind: 'store', faults: {}, isLapsing: true});
+		}
+
+		await delay(durationMs);
+		setHeld(false);
+		if (isLapsing) {
+			await this.#standIns.send({kind: 'relist'});
+		}
+
+		this.#faults.push({
+			kind: 'store-partly', target: positions.map(position => this.#vms[position]!.getName()).join(' '), at, until: getSharedTime(),
+		});
+	}
+
 	/** Resets the connections of some callers. */
 	#resetCallers({isLapsing}: PlannedFault): void {
 		const at = getSharedTime();
@@ -432,6 +511,14 @@
 			return {begin: upstreams({isMute: true}), end: [upstreams({isMute: false})]};
 		}
 
+		case 'stops-slow': {
+			return {begin: upstreams({stopMs: maxStopMs}), end: [upstreams({stopMs: 0})]};
+		}
+
+		case 'single-orders-late': {
+			return {begin: upstreams({lateMs: durationMs, lateShare: lateOrderShare}), end: [upstreams({lateMs: 0})]};
+		}
+
 		case 'upstream-slow': {
 			return {begin: upstreams({slowness: 5}), end: [upstreams({slowness: 1})]};
 		}
--- a/bench/soak-processes/stand-in-process-main.ts
+++ b/bench/soak-processes/stand-in-process-main.ts
@@ -195,7 +195,7 @@
 	}
 }
 
-function setUpstreamFaults(chosen: readonly PlatformUpstream[], {lateMs, maxAnswerDelayMs, hasOddAnswers, ...faults}: UpstreamFaults): void {
+function setUpstreamFaults(chosen: readonly PlatformUpstream[], {lateMs, lateShare = 1, maxAnswerDelayMs, hasOddAnswers, ...faults}: UpstreamFaults): void {
 	for (const upstream of chosen) {
 		Object.assign(upstream.faults, faults);
 		upstream.hasOddAnswers = hasOddAnswers ?? upstream.hasOddAnswers;
@@ -204,7 +204,7 @@
 		}
 
 		if (lateMs !== undefined) {
-			upstream.faults.getLateMs = () => lateMs;
+			upstream.faults.getLateMs = () => Math.random() < lateShare ? lateMs : 0;
 		}
 	}
 }
--- a/bench/soak-processes/stand-in-process.ts
+++ b/bench/soak-processes/stand-in-process.ts
@@ -16,8 +16,10 @@
  * Faults of upstreams; `lateMs` is the delay before a request to an upstream is executed, `maxAnswerDelayMs` the maximum delay of an answer, in
  * milliseconds.
  */
-export type UpstreamFaults = Pick<Partial<SimulatedUpstreamFaults>, 'isMute' | 'slowness'> & {
+export type UpstreamFaults = Pick<Partial<SimulatedUpstreamFaults>, 'isMute' | 'slowness' | 'stopMs'> & {
 	readonly lateMs?: number;
+	/** Share of the requests that are executed late, each by itself; all by default. */
+	readonly lateShare?: number;
 	readonly maxAnswerDelayMs?: number;
 	readonly hasOddAnswers?: boolean;
 };
--- a/bench/soak-processes/vm-process.ts
+++ b/bench/soak-processes/vm-process.ts
@@ -177,8 +177,9 @@
 	 * @param durationMs - Time until it has all of it again, in milliseconds.
 	 * @param share - Share of each period.
 	 * @param periodMs - Period in milliseconds.
+	 * @param kind - Kind of the fault.
 	 */
-	async starve(durationMs: number, share: number, periodMs: number): Promise<void> {
+	async starve(durationMs: number, share: number, periodMs: number, kind = 'processor-late'): Promise<void> {
 		const child = this.#child;
 		if (!child) {
 			return;
@@ -192,7 +193,7 @@
 			await delay(periodMs * share);
 		}
 
-		this.#addFault('processor-late', at);
+		this.#addFault(kind, at);
 	}
 
 	/** Kills the process without a restart, even while it is suspended. */
--- a/src/testing/simulated-upstreams.ts
+++ b/src/testing/simulated-upstreams.ts
@@ -58,6 +58,8 @@
 	isAnswerOdd?: () => boolean;
 	/** Returns the delay of the next answer, in milliseconds; answers may overtake each other. */
 	getAnswerDelayMs?: () => number;
+	/** Duration of stopping a run, in milliseconds. */
+	stopMs?: number;
 	/** Maximum number of ends in one answer. */
 	maxListedEnds?: number;
 };
@@ -391,7 +393,8 @@
 	}
 
 	#stop(instance: UpstreamInstance, run: SimulatedRun): void {
-		const {clock, stopMs = 0} = this.#options;
+		const {clock} = this.#options;
+		const stopMs = instance.faults.stopMs ?? this.#options.stopMs ?? 0;
 		if (stopMs === 0) {
 			this.#end(instance, run, 'stopped');
 		} else if (!run.isStopping) {
--- a/test/soak-processes/check-history.test.ts
+++ b/test/soak-processes/check-history.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {checkHistory} from '../../bench/soak-processes/check-history.js';
+import {checkHistory, getOverhangs} from '../../bench/soak-processes/check-history.js';
 import {
 	type AppliedFault, type Submission, type SoakHistory, type TaskRun,
 } from '../../bench/soak-processes/history.js';
@@ -117,7 +117,7 @@
 }
 
 test('finds a task that is started a third time after its third crash', t => {
-	const sends = [createSubmission({...brokenOff, end: 'left'})];
+	const sends = [createSubmission({...brokenOff, end: 'left', endedAt: 60_000})];
 	const deadlyTasks = [`${job}.0.0.0`];
 	t.deepEqual(getViolations({sends, runs: createCrashes(6), deadlyTasks}), ['given-up']);
 	t.deepEqual(getViolations({sends, runs: createCrashes(5), deadlyTasks}), []);
@@ -151,3 +151,27 @@
 	t.deepEqual(getViolations({sends, runs: [crashes[0]!, {...crashes[1]!, crashedBy: undefined}]}), []);
 	t.deepEqual(getViolations({sends, runs: [{...crashes[0]!, crashedBy: undefined}]}), ['failed-for-cause']);
 });
+
+test('finds a run that goes on for too long after its submission has ended', t => {
+	const left = createSubmission({...brokenOff, endedAt: 10_100});
+	const getPromises = (endedAt: number | undefined, submission = left): readonly string[] => getViolations({sends: [submission], runs: [createRun(0, {endedAt, end: 'lapsed'})]});
+	t.deepEqual(getPromises(11_250), []);
+	t.deepEqual(getPromises(11_251), ['ends-in-time']);
+	t.deepEqual(getPromises(11_251, {...left, end: 'answered', status: 502}), ['ends-in-time']);
+	t.false(getPromises(11_251, createSubmission({endedAt: 10_100})).includes('ends-in-time'));
+	// Whoever observes a history sees the runs that go on up to its last answer.
+	t.deepEqual(getViolations({
+		sends: [left, createSubmission({
+			job: '2000000000000009', sentAt: 11_000, endedAt: 11_300, status: 503, state: undefined,
+		})], runs: [createRun(0, {endedAt: undefined})],
+	}), ['ends-in-time']);
+});
+
+test('runs count from the end of the last submission before their start', t => {
+	const sends = [createSubmission({...brokenOff, sentAt: 10_000, endedAt: 10_100}), createSubmission({...brokenOff, sentAt: 11_400, endedAt: 11_500})];
+	const runsAfter = [createRun(0, {startedAt: 10_300, endedAt: 10_400}), createRun(0, {number: 2, startedAt: 11_450, endedAt: 11_700})];
+	const history = {
+		sends, runs: runsAfter, deadlyTasks: [], capacities: [], faults: [], ends: [], recoveries: [],
+	};
+	t.deepEqual(getOverhangs(history).map(({startMs, endMs}) => [startMs, endMs]), [[200, 300], [-50, 200]]);
+});
--- a/test/soak-processes/plan.test.ts
+++ b/test/soak-processes/plan.test.ts
@@ -61,6 +61,39 @@
 	t.deepEqual(createFaultPlan({seed: 5, ...options, restartCount: 6}), createFaultPlan({seed: 5, ...options}));
 });
 
+test('callers leave VMs that are short of processor time while others are disturbed, and the other faults stay as they are', t => {
+	const kinds = new Set<string>();
+	for (let seed = 0; seed < 30; seed++) {
+		const earlier = createFaultPlan({seed, ...options, vmCount: 7});
+		const plan = createFaultPlan({
+			seed, ...options, vmCount: 7, leavingCount: 6, dataCenterCount: 4,
+		});
+		const known = new Set(earlier.map(fault => JSON.stringify(fault)));
+		const further = plan.filter(fault => !known.has(JSON.stringify(fault)));
+		t.is(plan.length - further.length, earlier.length);
+		t.is(further.filter(({kind}) => kind === 'callers-leave').length, earlier.every(({kind}) => kind === 'stop') ? 0 : 6);
+		for (const {kind, atMs, durationMs} of further) {
+			kinds.add(kind);
+			t.true(atMs >= 0 && atMs <= 12_000 && durationMs >= 1000);
+		}
+	}
+
+	t.deepEqual([...kinds].toSorted(), [
+		'answers-lost',
+		'callers-leave',
+		'freeze',
+		'kill',
+		'processor-late',
+		'processor-slices',
+		'single-orders-late',
+		'stops-slow',
+		'store-partly',
+		'store-silent',
+		'store-slow',
+		'upstream-slow',
+	]);
+});
+
 test('the upstreams of some soaks refuse what exceeds their capacity, those of others do not', t => {
 	const guardedCount = Array.from({length: 100}, (_, seed) => seed).filter(seed => areUpstreamsGuarded(seed)).length;
 	t.true(guardedCount > 30 && guardedCount < 70);
--- a/test/soak-processes/soak-run.test.ts
+++ b/test/soak-processes/soak-run.test.ts
@@ -23,3 +23,12 @@
 		t.is(history.recoveries.length, 4);
 	});
 }
+
+test.serial('a short soak whose callers leave VMs that are short of processor time has no violations', async t => {
+	const {history, violations: broken, folder} = await runSoak({
+		seed: 51_001, lengthMs: 8000, vmCount: 7, dataCenters: ['dc1', 'dc2', 'dc3', 'dc4'], upstreamsPerDataCenter: 4, callerCount: 14, leavingCount: 4, meanCallerPauseMs: 300,
+	});
+	t.deepEqual(broken, [], `logs: ${folder}`);
+	t.true(history.faults.some(({kind}) => kind === 'callers-leave'));
+	t.is(history.recoveries.length, 7);
+});
