--- a/src/pool/awaited-jobs.ts
+++ b/src/pool/awaited-jobs.ts
@@ -67,12 +67,15 @@
 			return [];
 		}
 
-		const controller = new AbortController();
+		const members = peers.getMembers().filter(({state}) => state !== 'down');
+		// A signal for each request: many listeners of one signal count as a leak.
+		const questions = members.map(({incarnation: {id}}) => ({id, controller: new AbortController()}));
 		const timer = clock.setTimer(() => {
-			controller.abort();
+			for (const {controller} of questions) {
+				controller.abort();
+			}
 		}, answerTimeoutMs);
-		const members = peers.getMembers().filter(({state}) => state !== 'down');
-		const answers = await Promise.all(members.map(async ({incarnation: {id}}) => {
+		const answers = await Promise.all(questions.map(async ({id, controller}) => {
 			const result = await peers.request(id, {topic: awaitedJobsTopic, body: {pool, jobs: asked}}, controller.signal);
 			return result.kind === 'answered' ? awaitedJobsAnswerSchema.safeParse(result.body).data?.awaited : undefined;
 		}));
