--- a/src/pool/lent-runs.ts
+++ b/src/pool/lent-runs.ts
@@ -21,6 +21,8 @@
 	readonly log: DecisionLog;
 	/** Runs that failed or were lost with their upstreams. */
 	readonly ledger: CrashLedger;
+	/** Gets for how long the monotonic clock of this process stood still since a monotonic time, in milliseconds. */
+	readonly getStoppedMsSince: (since: number) => number;
 	/** Counts the ages of the proofs at starts. */
 	readonly proofAges: ProofAges;
 	/** Time after which a caller whose submission has failed submits its job again, in milliseconds. */
@@ -111,7 +113,7 @@
 			number: task.number,
 			needs: task.step.needs,
 			spec: task.spec,
-			getLeaseLimit: () => getLeaseLimit(confirmation.getConfirmedAt(), this.#options.resendMs),
+			getLeaseLimit: () => this.#getLeaseLimit(confirmation),
 		});
 		signal.addEventListener('abort', () => {
 			link.stop(run);
@@ -234,6 +236,13 @@
 		this.#logEnded();
 	}
 
+	/** Gets the monotonic time until which a run may go on without a further confirmation. */
+	#getLeaseLimit(confirmation: SenderConfirmation): number {
+		const {getStoppedMsSince, resendMs} = this.#options;
+		const confirmedAt = confirmation.getConfirmedAt();
+		return getLeaseLimit(confirmedAt, resendMs) - getStoppedMsSince(confirmedAt);
+	}
+
 	#setSweepTimer(): void {
 		this.#sweepTimer ??= this.#options.clock.setTimer(() => {
 			this.#sweepTimer = undefined;
--- a/src/pool/pause-detector.ts
+++ b/src/pool/pause-detector.ts
@@ -26,6 +26,9 @@
  */
 const maxDriftShare = 0.02;
 
+/** Time for which a stop of the clock is remembered, in milliseconds: longer than any proof by which a lease is granted is used. */
+const stopRetentionMs = 10_000;
+
 /** Detects pauses of the process by its clocks. */
 export class PauseDetector {
 	readonly #options: PauseDetectorOptions;
@@ -37,8 +40,8 @@
 	 */
 	#wallClockOffset: number;
 	#detectedAt = -Infinity;
-	/** Time for which the monotonic clock stood still in the last pause, in milliseconds. */
-	#lastStopMs = 0;
+	/** Pauses in which the monotonic clock stood still, the last ones only. */
+	#stops: Array<{readonly detectedAt: number; readonly stoppedMs: number}> = [];
 	#stoppedMs = 0;
 	readonly #listeners = new Set<() => void>();
 
@@ -65,7 +68,10 @@
 		this.#stoppedMs += isStep ? Math.max(0, stepMs) : 0;
 		if (isStep || gapMs >= minPauseMs) {
 			this.#detectedAt = now;
-			this.#lastStopMs = isStep ? Math.max(0, stepMs) : 0;
+			if (isStep && stepMs > 0) {
+				this.#stops = [...this.#stops.filter(({detectedAt}) => now - detectedAt < stopRetentionMs), {detectedAt: now, stoppedMs: stepMs}];
+			}
+
 			onPause?.(Math.max(gapMs, stepMs), stepMs);
 			for (const listener of this.#listeners) {
 				listener();
@@ -82,11 +88,12 @@
 	}
 
 	/**
-	 * Checks for a pause and gets the time for which the monotonic clock stood still in the last one, in milliseconds.
-	 * @param since - Monotonic time; 0 is returned if the pause was detected earlier.
+	 * Checks for a pause and gets for how long the monotonic clock stood still since a time, in milliseconds.
+	 * @param since - Monotonic time, which is at most some seconds ago.
 	 */
-	getLastStopMs(since: number): number {
-		return this.getDetectedAt() >= since ? this.#lastStopMs : 0;
+	getStoppedMsSince(since: number): number {
+		this.getDetectedAt();
+		return this.#stops.filter(({detectedAt}) => detectedAt >= since).reduce((sum, {stoppedMs}) => sum + stoppedMs, 0);
 	}
 
 	/**
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -295,7 +295,7 @@
 	getUnreadMs(): number {
 		const {clock, inputProgress} = this.#options;
 		const readUntil = inputProgress.getReadUntil();
-		return clock.getMonotonicTime() - readUntil + this.#pauses.getLastStopMs(readUntil);
+		return clock.getMonotonicTime() - readUntil + this.#pauses.getStoppedMsSince(readUntil);
 	}
 
 	/**
@@ -630,6 +630,7 @@
 			inputProgress: this.#options.inputProgress,
 			getPausedAt: () => this.#pauses.getDetectedAt(),
 			getStoppedMs: () => this.#pauses.getStoppedMs(),
+			getStoppedMsSince: since => this.#pauses.getStoppedMsSince(since),
 			proofAges: this.proofAges,
 		}, [...getUpstreams(pool), ...getMissingUpstreams(pool)]);
 		this.#owned.set(pool, owner);
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -57,6 +57,8 @@
 	readonly getPausedAt?: () => number;
 	/** Gets the time in which the monotonic clock of this process stood still so far, in milliseconds; by default 0. */
 	readonly getStoppedMs?: () => number;
+	/** Gets for how long the monotonic clock of this process stood still since a monotonic time, in milliseconds; by default 0. */
+	readonly getStoppedMsSince?: (since: number) => number;
 	/** Counts the ages of the proofs at starts and leases; by default, only those of this owner. */
 	readonly proofAges?: ProofAges;
 };
@@ -177,6 +179,7 @@
 			areStartsSuspended: () => this.#isHandlingFenceRefusal || this.#raisingFence !== undefined || this.#isOwnershipUnconfirmed(),
 			getConfirmedSince: () => getConfirmedSince(options.clock.getMonotonicTime(), options.getPausedAt?.() ?? -Infinity),
 			getStoppedMs: options.getStoppedMs ?? (() => 0),
+			getStoppedMsSince: options.getStoppedMsSince ?? (() => 0),
 			getUnobservedRunsUntil: job => Math.max(this.#removeUnrecalledUntil(job), this.#getUnobservedRunsUntil()),
 			neighbours: this.#neighbours,
 			ledger: this.#ledger,
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -48,6 +48,8 @@
 	readonly getConfirmedSince: () => number;
 	/** Gets the time in which the monotonic clock of this process stood still so far, in milliseconds. */
 	readonly getStoppedMs: () => number;
+	/** Gets for how long the monotonic clock of this process stood still since a monotonic time, in milliseconds. */
+	readonly getStoppedMsSince: (since: number) => number;
 	/** Gets the monotonic time until which runs of a job that an earlier owner started may go on without any upstream listing them. */
 	readonly getUnobservedRunsUntil: (job: string) => number;
 	/** The owners of the other pools. */
@@ -570,8 +572,9 @@
 
 	/** Gets the monotonic time until which runs of a job may go on without a further confirmation of its senders. */
 	#getLeaseLimit(job: QueuedJob): number {
-		const {clock, resendMs} = this.#options;
-		return getLeaseLimit(job.getConfirmedAt(clock.getMonotonicTime()), resendMs);
+		const {clock, getStoppedMsSince, resendMs} = this.#options;
+		const confirmedAt = job.getConfirmedAt(clock.getMonotonicTime());
+		return getLeaseLimit(confirmedAt, resendMs) - getStoppedMsSince(confirmedAt);
 	}
 
 	/** Gets the age of a sender's confirmation for the log. */
--- a/test/pool/lease-limit.test.ts
+++ b/test/pool/lease-limit.test.ts
@@ -41,7 +41,7 @@
 	};
 	const owner = new PoolOwner({
 		pool: 'dc1', clock: process, log: silentLog, orders, getStoredFence: async () => 100, async onFenced() {/* Not reached. */}, isListComplete: () => true, knownFence: 0,
-		maxLeaseMs: 1000, peerSilenceMs: 500, getPausedAt: () => pauses.getDetectedAt(),
+		maxLeaseMs: 1000, peerSilenceMs: 500, getPausedAt: () => pauses.getDetectedAt(), getStoppedMsSince: since => pauses.getStoppedMsSince(since),
 	}, harness.descriptions);
 	await harness.clock.advance(startMs);
 	return {harness, owner, process};
@@ -76,6 +76,22 @@
 	});
 }
 
+// Guards against double runs: the clock by which leases are granted stood still while the caller's time went on.
+test('a run ends before a copy of its job can start if the monotonic clock of its owner stops', async t => {
+	const fixture = await createFixture();
+	const {harness, process} = fixture;
+	const frozenAt = startMs + 900;
+	submit(fixture, 'a', createSender(fixture, frozenAt));
+	await harness.clock.advance(900);
+	harness.loseStops(100);
+	process.freeze(true);
+	await harness.clock.advance(500);
+	process.unfreeze();
+	await harness.clock.advance(5000);
+	const {endedAt} = harness.getStarts('a.0.0.0')[0]!;
+	t.true(endedAt! < frozenAt + resendMs, `ended ${endedAt! - frozenAt} ms after the last proof`);
+});
+
 test('a run ends in time if its caller disconnects and neither a stop nor another poll reaches the upstream', async t => {
 	const fixture = await createFixture();
 	const {harness} = fixture;
--- a/test/pool/pause-detector.test.ts
+++ b/test/pool/pause-detector.test.ts
@@ -28,7 +28,7 @@
 	const {manual, detector} = createFixture();
 	await manual.advance(2000);
 	t.is(detector.getDetectedAt(), -Infinity);
-	t.is(detector.getLastStopMs(0), 0);
+	t.is(detector.getStoppedMsSince(0), 0);
 });
 
 test('a pause is detected by the wall clock if the monotonic clock was stopped', async t => {
@@ -36,8 +36,8 @@
 	await manual.advance(100);
 	state.wallMs += 2000;
 	t.is(detector.getDetectedAt(), 100);
-	t.is(detector.getLastStopMs(100), 2000);
-	t.is(detector.getLastStopMs(101), 0);
+	t.is(detector.getStoppedMsSince(100), 2000);
+	t.is(detector.getStoppedMsSince(101), 0);
 });
 
 test('after a pause, an owner starts no task before an upstream has accepted its orders again', async t => {
@@ -175,12 +175,12 @@
 test('a request that is read right after a pause may have waited unread for as long', async t => {
 	const {manual, state, detector} = createFixture();
 	await manual.advance(100);
-	t.is(detector.getLastStopMs(90), 0);
+	t.is(detector.getStoppedMsSince(90), 0);
 	state.wallMs += 1000;
-	t.is(detector.getLastStopMs(90), 1000);
+	t.is(detector.getStoppedMsSince(90), 1000);
 	await manual.advance(100);
 	// Input was read after the pause, so that a request that is read now has arrived later.
-	t.is(detector.getLastStopMs(150), 0);
+	t.is(detector.getStoppedMsSince(150), 0);
 });
 
 test('a job ages while the clock of its sender stands still before it reaches an owner', async t => {
