--- a/bench/pool-soak.ts
+++ b/bench/pool-soak.ts
@@ -5,7 +5,7 @@
 import process from 'node:process';
 import {Command} from 'commander';
 import {
-	describeResult, getFleetFaults, getUpstreamAnswerFaults, getWorkloadFaults, runFleet, shrinkFaults,
+	describeResult, getFleetFaults, getHoldFaults, getUpstreamAnswerFaults, getWorkloadFaults, runFleet, shrinkFaults,
 } from '../src/testing/fleet-run.js';
 
 type SoakOptions = {
@@ -14,6 +14,7 @@
 	readonly faults: string;
 	readonly answerFaults: string;
 	readonly workloadFaults: string;
+	readonly holdFaults: string;
 	readonly patient: string;
 	readonly only: string;
 	readonly resend: boolean;
@@ -29,6 +30,7 @@
 	.option('--answer-faults <count>', 'minimum number of faults in what upstreams, their entries and their restarts tell', '0')
 	.option('--resend', 'let half of the callers submit again after no answer', false)
 	.option('--workload-faults <count>', 'minimum number of faults in what tasks do to their upstreams and in what these can hold', '0')
+	.option('--hold-faults <count>', 'minimum number of faults in which processes are held between two events', '0')
 	.option('--patient <share>', 'share of callers that wait for 20 s', '0')
 	.option('--shrink', 'remove faults that a violation does not need', false)
 	.option('--quiet', 'print one line for each run with violations', false)
@@ -43,7 +45,7 @@
 const only = new Set(options.only.split(','));
 const without = new Set(options.without.split(','));
 for (let seed = first; seed < first + Number(options.runs); seed++) {
-	const furtherFaults = [...getUpstreamAnswerFaults(seed, Number(options.answerFaults)), ...getWorkloadFaults(seed, Number(options.workloadFaults))];
+	const furtherFaults = [...getUpstreamAnswerFaults(seed, Number(options.answerFaults)), ...getWorkloadFaults(seed, Number(options.workloadFaults)), ...getHoldFaults(seed, Number(options.holdFaults))];
 	const keptFaults = furtherFaults.filter(({kind}) => options.only === '' || only.has(kind));
 	const faults = [...getFleetFaults(seed, Number(options.faults)), ...keptFaults].filter(({kind}) => !without.has(kind));
 	let result = await runFleet(seed, faults, fleetOptions);
--- a/src/testing/fleet-faults.ts
+++ b/src/testing/fleet-faults.ts
@@ -7,7 +7,7 @@
 export type FleetFaultKind =
 	| 'kill' | 'power' | 'stop' | 'freeze' | 'suspend' | 'starve' | 'cut' | 'cut-one-way' | 'cut-center' | 'reset' | 'silence'
 	| 'late' | 'mute' | 'crash' | 'crash-for-good' | 'slow' | 'hang' | 'fail' | 'unlisted' | 'new-upstream' | 'store-away' | 'store-lost'
-	| UpstreamAnswerFaultKind | WorkloadFaultKind;
+	| UpstreamAnswerFaultKind | WorkloadFaultKind | 'held';
 
 /** Kind of a fault in what an upstream, its entry or its restart tells. */
 export type UpstreamAnswerFaultKind = 'odd-answer' | 'overtake' | 'few-ends' | 'entry-overwritten' | 'reborn' | 'two-lives' | 'late-reborn' | 'late-grant';
@@ -76,6 +76,9 @@
 	{kind: 'capacity', durationMs: [1000, 7000], weight: 3},
 ];
 
+/** Kind of {@link createHoldFaults}. */
+const holdFaultKinds: readonly WeightedKind[] = [{kind: 'held', durationMs: [1000, 4000], weight: 1}];
+
 /** Interval between the faults of a series, in milliseconds, and share of faults that begin a series. */
 const seriesIntervalMs: Range = [1000, 2000];
 const seriesShare = 0.35;
@@ -117,6 +120,16 @@
 	return createFaults(random, options, workloadFaultKinds);
 }
 
+/**
+ * Creates a schedule of processes that are held between two events again and again.
+ * @param random - Source of random numbers.
+ * @param options - Minimum number of faults and the period in which they or their series begin, in milliseconds.
+ * @returns Faults in the order of their start.
+ */
+export function createHoldFaults(random: Random, options: FaultScheduleOptions): readonly FleetFault[] {
+	return createFaults(random, options, holdFaultKinds);
+}
+
 function createFaults(random: Random, {count, firstMs, lastMs}: FaultScheduleOptions, kinds: readonly WeightedKind[]): readonly FleetFault[] {
 	const totalWeight = kinds.reduce((sum, {weight}) => sum + weight, 0);
 	const faults: FleetFault[] = [];
--- a/src/testing/fleet-run.ts
+++ b/src/testing/fleet-run.ts
@@ -4,7 +4,7 @@
 import {createSeededRandom} from '../seams/index.js';
 import {findViolations, type FleetRecord, type FleetViolation} from './fleet-checks.js';
 import {
-	createFleetFaults, createUpstreamAnswerFaults, createWorkloadFaults, type FleetFault,
+	createFleetFaults, createHoldFaults, createUpstreamAnswerFaults, createWorkloadFaults, type FleetFault,
 } from './fleet-faults.js';
 import {type FleetLogLine} from './fleet-vm.js';
 import {PoolFleet, type PoolFleetOptions} from './pool-fleet.js';
@@ -25,6 +25,7 @@
 /** Far from the offsets of the other sources of random numbers, so that neighbouring seeds share none. */
 const upstreamAnswerSeedOffset = 500_000_000;
 const workloadSeedOffset = 600_000_000;
+const holdSeedOffset = 900_000_000;
 
 /**
  * Gets the fault schedule of a seed.
@@ -53,8 +54,17 @@
 	return createWorkloadFaults(createSeededRandom(seed + workloadSeedOffset), {count, firstMs: firstFaultMs, lastMs: lastFaultMs});
 }
 
+/**
+ * Gets faults of a seed in which processes are held between two events; they are drawn apart from the others.
+ * @param seed - Seed.
+ * @param count - Minimum number of faults.
+ */
+export function getHoldFaults(seed: number, count: number): readonly FleetFault[] {
+	return createHoldFaults(createSeededRandom(seed + holdSeedOffset), {count, firstMs: firstFaultMs, lastMs: lastFaultMs});
+}
+
 /** Options of a fleet beside its seed and its faults. */
-export type FleetRunOptions = Pick<PoolFleetOptions, 'hasResenders' | 'patientShare' | 'wrapConfirmation' | 'wrapMessage' | 'wrapOrders' | 'wrapUpstreams'>;
+export type FleetRunOptions = Pick<PoolFleetOptions, 'hasResenders' | 'patientShare' | 'wrapConfirmation' | 'wrapMessage' | 'wrapOrders' | 'wrapProgress' | 'wrapUpstreams'>;
 
 /**
  * Runs a simulated fleet and checks its record.
--- a/src/testing/fleet-vm.ts
+++ b/src/testing/fleet-vm.ts
@@ -2,7 +2,7 @@
  * One incarnation of an entry VM in a simulated fleet: the real pool code with simulated peer connections, upstreams, store and lists.
  */
 import {
-	EventLoopProgress, type Incarnation, type PeerRequest, type SenderConfirmation,
+	EventLoopProgress, type Incarnation, type InputProgress, type PeerRequest, type SenderConfirmation,
 } from '../connection/index.js';
 import {
 	type DecisionLog, getDataCenter, type LogFields, type PollOutcome, StartupOwnerCheck, type OrderOptions, type OrderOutcome, PoolLayout, PoolNode, type StoredClaim, type UpstreamDescription,
@@ -51,6 +51,8 @@
 	readonly wrapConfirmation?: (confirmation: SenderConfirmation) => SenderConfirmation;
 	/** Replaces what VMs receive from each other, for tests of the checks. */
 	readonly wrapMessage?: (message: PeerRequest) => PeerRequest;
+	/** Replaces what the VM knows of its input, for tests of the checks. */
+	readonly wrapProgress?: (progress: InputProgress, clock: Clock) => InputProgress;
 };
 
 /** Timeout of calls to the store, and round-trip time of the store, in milliseconds. */
@@ -110,14 +112,16 @@
 		this.#options = options;
 		const {
 			clock, seed, self, network, vms, poolCounts, store, wrapConfirmation = confirmation => confirmation, wrapMessage = message => message,
+			wrapProgress = progress => progress,
 		} = options;
 		const random = createSeededRandom(seed);
 		this.process = new SimulatedProcess(clock, random);
-		const inputProgress = new EventLoopProgress({
+		const progress = new EventLoopProgress({
 			clock: this.process, callAfterPoll: callback => {
 				this.process.setTimer(callback, 0);
 			},
 		});
+		const inputProgress = wrapProgress(progress, this.process);
 		const layout = new PoolLayout();
 		for (const [dataCenter, count] of poolCounts) {
 			layout.setCount(dataCenter, count);
--- a/src/testing/pool-fleet.ts
+++ b/src/testing/pool-fleet.ts
@@ -1,11 +1,11 @@
 /**
  * A simulated fleet of entry VMs in several data centres on a manual clock, with scheduled faults.
  */
-import {type PeerRequest, type SenderConfirmation} from '../connection/index.js';
+import {type InputProgress, type PeerRequest, type SenderConfirmation} from '../connection/index.js';
 import {
 	getPoolNames, getPoolOfUpstream, type TaskNeeds, type UpstreamDescription, type UpstreamOrders,
 } from '../pool/index.js';
-import {createSeededRandom, type Random} from '../seams/index.js';
+import {type Clock, createSeededRandom, type Random} from '../seams/index.js';
 import {FleetCallers} from './fleet-callers.js';
 import {type ListedCapacity} from './fleet-checks.js';
 import {type FleetFault} from './fleet-faults.js';
@@ -48,6 +48,8 @@
 	readonly wrapConfirmation?: (confirmation: SenderConfirmation) => SenderConfirmation;
 	/** Replaces what VMs receive from each other, for tests of the checks. */
 	readonly wrapMessage?: (message: PeerRequest) => PeerRequest;
+	/** Replaces what VMs know of their input, for tests of the checks. */
+	readonly wrapProgress?: (progress: InputProgress, clock: Clock) => InputProgress;
 };
 
 /** Far from the offsets of the other sources of random numbers, so that neighbouring seeds share none. */
@@ -104,6 +106,10 @@
 const minStarvationDelayMs = 60;
 const starvationDelayRangeMs = 340;
 
+/** Longest time for which a process is held: its minimum and range over the faults, in milliseconds. */
+const minLongestHoldMs = 150;
+const longestHoldRangeMs = 700;
+
 /** Share of orders sent during a network cut that are delivered once it has healed. */
 const deliveredAfterCutShare = 0.3;
 
@@ -248,6 +254,7 @@
 			wrapOrders: this.#options.wrapOrders,
 			wrapConfirmation: this.#options.wrapConfirmation,
 			wrapMessage: this.#options.wrapMessage,
+			wrapProgress: this.#options.wrapProgress,
 		}));
 	}
 
@@ -336,6 +343,12 @@
 					vm?.process.starve(0);
 				});
 			},
+			held() {
+				vm?.process.hold(minLongestHoldMs + (strength * longestHoldRangeMs));
+				endAfterDuration(() => {
+					vm?.process.hold(0);
+				});
+			},
 			cut,
 			'cut-one-way': cut,
 			'cut-center': cut,
--- a/src/testing/simulated-process.ts
+++ b/src/testing/simulated-process.ts
@@ -9,7 +9,11 @@
 /** Smallest delay of an event in a starved process, in milliseconds. */
 const minDelayMs = 50;
 
-/** Runs the events of one VM: none while the process is frozen, and with a delay while it is starved. */
+/** Smallest time for which a process is held, in milliseconds, and largest number of events that it runs between two holds: more than arrive during one. */
+const minHoldMs = 50;
+const maxEventsBetweenHolds = 150;
+
+/** Runs the events of one VM: none while the process is frozen or held, and with a delay while it is starved. */
 export class SimulatedProcess implements Clock {
 	readonly #clock: Clock;
 	readonly #random: Random;
@@ -19,6 +23,8 @@
 	/** Time in which the process's monotonic clock stood still, in milliseconds. */
 	#stoppedClockMs = 0;
 	#maxDelayMs = 0;
+	#maxHoldMs = 0;
+	#eventsUntilHold = 0;
 	/** Time at which the last delayed event runs; later events run after it. */
 	#lastDelayedAt = -Infinity;
 	#isDead = false;
@@ -91,9 +97,9 @@
 
 		if (this.#frozenAt !== undefined) {
 			this.#backlog.push(event);
-		} else if (this.#maxDelayMs > 0 || this.#lastDelayedAt >= now) {
+		} else if (this.#maxDelayMs > 0 || this.#maxHoldMs > 0 || this.#lastDelayedAt >= now) {
 			const delayMs = this.#maxDelayMs > 0 ? minDelayMs + (this.#random.getFloat() * (this.#maxDelayMs - minDelayMs)) : 0;
-			this.#lastDelayedAt = Math.max(this.#lastDelayedAt, now + delayMs);
+			this.#lastDelayedAt = Math.max(this.#lastDelayedAt, now + delayMs) + this.#drawHoldMs();
 			this.#clock.setTimer(() => {
 				this.#executeOrDefer(event);
 			}, this.#lastDelayedAt - now);
@@ -138,6 +144,15 @@
 		this.#maxDelayMs = maxDelayMs;
 	}
 
+	/**
+	 * Holds the process between two events again and again, as when it gets its processor time in slices.
+	 * @param maxHoldMs - Largest time in milliseconds; 0 ends it.
+	 */
+	hold(maxHoldMs: number): void {
+		this.#maxHoldMs = maxHoldMs;
+		this.#eventsUntilHold = 0;
+	}
+
 	/** Kills the process; no further event runs. */
 	kill(): void {
 		this.#isDead = true;
@@ -152,6 +167,21 @@
 		return this.#frozenAt !== undefined;
 	}
 
+	/** Draws the time for which the process is held before the next event, in milliseconds; 0 if it is not. */
+	#drawHoldMs(): number {
+		if (this.#maxHoldMs === 0) {
+			return 0;
+		}
+
+		this.#eventsUntilHold--;
+		if (this.#eventsUntilHold >= 0) {
+			return 0;
+		}
+
+		this.#eventsUntilHold = Math.floor(this.#random.getFloat() * maxEventsBetweenHolds);
+		return minHoldMs + (this.#random.getFloat() * (this.#maxHoldMs - minHoldMs));
+	}
+
 	#executeOrDefer(event: () => void): void {
 		if (this.#isDead) {
 			return;
