--- a/src/platform/caller-endpoint.ts
+++ b/src/platform/caller-endpoint.ts
@@ -133,6 +133,7 @@
 
 	async #submit(req: IncomingMessage, {id, route, maxBodyBytes, unreadMs}: SubmitTarget): Promise<Answer> {
 		const {clock, node} = this.#options;
+		const readAt = clock.getMonotonicTime();
 		const body = await readRequestBody(req, maxBodyBytes);
 		if (body.kind !== 'whole') {
 			return {status: body.kind === 'too-large' ? 413 : 400, cause: body.kind};
@@ -147,7 +148,7 @@
 			return {status: 503, cause: 'unsupported', body: {error: decoded.detail}};
 		}
 
-		const remainingMs = Number(req.headers[deadlineHeader] ?? defaultDeadlineMs) - unreadMs;
+		const remainingMs = Number(req.headers[deadlineHeader] ?? defaultDeadlineMs) - unreadMs - (clock.getMonotonicTime() - readAt);
 		const controller = new AbortController();
 		const abort = (): void => {
 			controller.abort();
--- a/test/platform/caller-endpoint.test.ts
+++ b/test/platform/caller-endpoint.test.ts
@@ -1,6 +1,6 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
-import {Readable} from 'node:stream';
+import {PassThrough} from 'node:stream';
 import test from 'ava';
 import {type PoolNode, type RoutingTable} from '../../src/pool/index.js';
 import {CallerEndpoint} from '../../src/platform/caller-endpoint.js';
@@ -16,8 +16,8 @@
 const resendMs = 1300;
 const deadlineMs = 1500;
 
-/** Gets the time at which an unanswered job is abandoned that waited unread for a time during a pause, in milliseconds from its reading. */
-async function getAbandonedAt(unreadMs: number): Promise<number> {
+/** Gets the time at which an unanswered job is abandoned that waited unread for a time, in milliseconds from the reading of its head; its body comes and the connection ends some time after it. */
+async function getAbandonedAt(unreadMs: number, {bodyMs = 0, endEvent = '', endMs = 0} = {}): Promise<number> {
 	const clock = new ManualClock();
 	let abandonedAt = Infinity;
 	const node = {
@@ -34,17 +34,26 @@
 	const endpoint = new CallerEndpoint({
 		clock, log: silentLog, node: node as unknown as PoolNode, getRoutingTable: () => table, onAnswer() {/* Not checked. */},
 	});
-	const req = Object.assign(Readable.from([JSON.stringify(job)]), {
-		socket: new Socket(), method: 'POST', url: '/p/0123456789abcdef', headers: {host: 'h', 'x-endivemill-deadline-ms': String(deadlineMs)},
+	const socket = new Socket();
+	const body = new PassThrough();
+	const req = Object.assign(body, {
+		socket, method: 'POST', url: '/p/0123456789abcdef', headers: {host: 'h', 'x-endivemill-deadline-ms': String(deadlineMs)},
 	});
 	const ignore = (): void => {/* The end of the connection is not reported, and the answer is not checked. */};
 	const res = {
 		destroyed: false, headersSent: false, once: ignore, off: ignore, writeHead: ignore, end: ignore,
 	};
 	const handled = endpoint.handle(req as unknown as IncomingMessage, res as unknown as ServerResponse);
+	await clock.advance(bodyMs);
+	body.end(JSON.stringify(job));
 	await new Promise(resolve => {
 		setImmediate(resolve);
 	});
+	await clock.advance(endMs);
+	if (endEvent !== '') {
+		socket.emit(endEvent);
+	}
+
 	await clock.advance(deadlineMs + resendMs);
 	await handled;
 	return abandonedAt;
@@ -58,3 +67,13 @@
 test('a job that may have waited unread during a pause is abandoned that much earlier', async t => {
 	t.is(await getAbandonedAt(700), await getAbandonedAt(0) - 700);
 });
+
+test('the time in which a body is read counts against the deadline of its caller', async t => {
+	t.is(await getAbandonedAt(0, {bodyMs: 300}), deadlineMs);
+});
+
+for (const endEvent of ['end', 'error', 'close']) {
+	test(`a job is abandoned as soon as the end of its caller's connection is read (${endEvent})`, async t => {
+		t.is(await getAbandonedAt(0, {endEvent, endMs: 200}), 200);
+	});
+}
