--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -1,6 +1,7 @@
 /**
  * An owner's link to one upstream: its reserved capacity, the lease of its runs, and whether it responds.
  */
+import {setMaxListeners} from 'node:events';
 import {type Clock, sleep, type Timer} from '../seams/index.js';
 import {getJob} from './crash-ledger.js';
 import {InstanceRuns, type InstanceSign} from './instance-runs.js';
@@ -212,6 +213,8 @@
 				}
 			},
 		});
+		// As many orders and stops as there are runs may wait for it.
+		setMaxListeners(0, this.#closeController.signal);
 		// An earlier owner may have extended the lease until now.
 		this.#recordLease();
 	}
@@ -754,7 +757,9 @@
 		this.#recordStopRequest(run.task);
 		while (isListed() && !this.#closeController.signal.aborted) {
 			await this.#confirmStop(run, isListed);
-			await sleep(this.#options.clock, this.#timing.busyPollWaitMs, this.#closeController.signal);
+			if (isListed()) {
+				await sleep(this.#options.clock, this.#timing.busyPollWaitMs, this.#closeController.signal);
+			}
 		}
 	}
 
