--- a/src/connection/job-client.ts
+++ b/src/connection/job-client.ts
@@ -53,8 +53,9 @@
 	readonly collector: PartCollector<JobAnswer>;
 	readonly keepAlive: JobKeepAlive;
 	readonly stamps: ReceivedStamps;
-	/** Whether an echo is about to be sent. */
+	/** Whether an echo is about to be sent, and whether another one is needed after it. */
 	isEchoing: boolean;
+	isEchoRepeated: boolean;
 };
 
 /** Maximum bytes of bodies buffered in each direction, in bodies of the maximum size. */
@@ -229,6 +230,7 @@
 			keepAlive: new JobKeepAlive(connection, this.#options.silenceMs, () => this.#getEcho(open), this.#options.getTimeoutFactor),
 			stamps: new ReceivedStamps(),
 			isEchoing: false,
+			isEchoRepeated: false,
 		};
 		this.#open = open;
 		for (const pending of this.#pending) {
@@ -314,17 +316,21 @@
 	/** Sends a keep-alive once the ends of callers' connections have been read that arrived before the last stamp, and their requests are cancelled. */
 	async #sendEcho(open: OpenConnection): Promise<void> {
 		if (open.isEchoing) {
+			open.isEchoRepeated = true;
 			return;
 		}
 
 		const {clock, inputProgress} = this.#options;
-		if (!open.stamps.isLastRead(inputProgress.getReadUntil())) {
-			open.isEchoing = true;
-			await inputProgress.waitUntilRead();
-			open.isEchoing = false;
-		}
+		do {
+			open.isEchoRepeated = false;
+			if (!open.stamps.isLastRead(inputProgress.getReadUntil())) {
+				open.isEchoing = true;
+				await inputProgress.waitUntilRead();
+				open.isEchoing = false;
+			}
 
-		open.keepAlive.sendImmediately(clock.getMonotonicTime(), this.#getEcho(open));
+			open.keepAlive.sendImmediately(clock.getMonotonicTime(), this.#getEcho(open));
+		} while (open.isEchoRepeated && !open.stamps.isLastRead(inputProgress.getReadUntil()));
 	}
 
 	/** Lets the next request serve as a keep-alive, unless that would have to report the ages of other requests. */
--- a/src/pool/pool-router.ts
+++ b/src/pool/pool-router.ts
@@ -167,9 +167,7 @@
 
 			triedPools.add(target.pool);
 			this.#options.directory.addSentJob(target.pool, job);
-			const removeJob = this.#options.awaitedJobs?.addJob(target.pool, job.id);
-			const outcome = await this.#submitToPool(target.pool, submission, signal);
-			removeJob?.();
+			const outcome = await this.#submitAwaited(target.pool, job, submission, signal);
 			if (outcome.kind !== 'completed') {
 				this.#options.log.debug({job: job.id, outcome: outcome.kind, ...target}, 'pool did not complete the job');
 			}
@@ -206,6 +204,16 @@
 		}
 	}
 
+	/** Submits a job to a pool while other VMs are told that it is awaited there. */
+	async #submitAwaited(pool: string, {id}: PoolJobRequest, submission: Submission, signal: AbortSignal): Promise<PoolJobOutcome> {
+		const removeJob = this.#options.awaitedJobs?.addJob(pool, id);
+		try {
+			return await this.#submitToPool(pool, submission, signal);
+		} finally {
+			removeJob?.();
+		}
+	}
+
 	/** Submits a job to the owner of a pool, and again to the next owner when the ownership changes. */
 	async #submitToPool(pool: string, {getSubmitted, sender}: Submission, signal: AbortSignal): Promise<PoolJobOutcome> {
 		let priorFence = 0;
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -105,9 +105,6 @@
  */
 const unfitRetryMs = 1000;
 
-/** Age of a proof from which it is logged with a start, in milliseconds: more than on a calm VM. */
-const minLoggedProofMs = 50;
-
 const resolvedPromise = Promise.resolve();
 
 /** Upper bound of the expected time until a run ends, also used where nothing runs, in milliseconds. */
@@ -818,7 +815,7 @@
 				}
 
 				job.addStart({
-					...start, task: getPosition(task), afterMs: Math.round(now - job.arrivedAt), ...(proofMs > minLoggedProofMs && {proofMs: Math.round(proofMs)}),
+					...start, task: getPosition(task), afterMs: Math.round(now - job.arrivedAt), ...(proofMs > renewalAgeMs && {proofMs: Math.round(proofMs)}),
 				});
 			}
 		}
--- a/src/testing/fleet-callers.ts
+++ b/src/testing/fleet-callers.ts
@@ -24,6 +24,8 @@
 	readonly random: Random;
 	/** Selects the callers that submit again after no answer; by default, none does. */
 	readonly resendRandom?: Random;
+	/** Selects the callers that leave soon after they submitted a long job, and submit it again; by default, none does. */
+	readonly leaverRandom?: Random;
 	/** Returns the running incarnations by VM name. */
 	readonly getVms: () => ReadonlyMap<string, FleetVm>;
 	/** Called with each new job and the duration of its tasks, in milliseconds. */
@@ -53,6 +55,11 @@
 const earlyLeaverShare = 0.08;
 const maxSubmissions = 3;
 
+/** Share of the callers that leave soon, longest time until they do, and duration of their tasks, in milliseconds. */
+const leaverShare = 0.3;
+const maxLeaverWaitMs = 300;
+const longTaskMs = 1400;
+
 /** Share of callers that submit again after no answer until their deadline, if there are such callers. */
 const resenderShare = 0.5;
 
@@ -74,11 +81,13 @@
 
 	/** Submits one job, up to three times. */
 	async submitJob(): Promise<void> {
-		const {clock, random, isPatient} = this.#options;
-		const job = this.#createJob();
-		const isResender = this.#options.resendRandom !== undefined && this.#options.resendRandom.getFloat() < resenderShare;
+		const {clock, random, isPatient, leaverRandom, resendRandom} = this.#options;
+		const isLeaver = leaverRandom !== undefined && leaverRandom.getFloat() < leaverShare;
+		const job = this.#createJob(isLeaver ? longTaskMs : undefined);
+		const isResender = isLeaver || (resendRandom !== undefined && resendRandom.getFloat() < resenderShare);
 		const deadlineMs = isPatient() ? patientDeadlineMs : usualDeadlineMs;
-		const maxWaitMs = random.getFloat() < earlyLeaverShare ? 50 + (random.getFloat() * 800) : deadlineMs;
+		const usualWaitMs = random.getFloat() < earlyLeaverShare ? 50 + (random.getFloat() * 800) : deadlineMs;
+		const maxWaitMs = isLeaver ? leaverRandom.getFloat() * maxLeaverWaitMs : usualWaitMs;
 		let lastVm = '';
 		for (let count = 0; count < maxSubmissions; count++) {
 			const chosen = this.#chooseVm(lastVm);
@@ -119,10 +128,11 @@
 		return vms[Math.floor(random.getFloat() * vms.length)];
 	}
 
-	#createJob(): PoolJobRequest {
+	#createJob(longMs?: number): PoolJobRequest {
 		const {random, onJobCreated} = this.#options;
 		const id = random.getHex(idBytes);
-		const durationMs = taskDurationsMs[Math.floor(random.getFloat() * taskDurationsMs.length)]!;
+		const usualMs = taskDurationsMs[Math.floor(random.getFloat() * taskDurationsMs.length)]!;
+		const durationMs = longMs ?? usualMs;
 		const taskCount = 1 + Math.floor(random.getFloat() * maxTasks);
 		const job: PoolJobRequest = {
 			id,
--- a/src/testing/pool-fleet.ts
+++ b/src/testing/pool-fleet.ts
@@ -38,6 +38,8 @@
 	readonly untilMs?: number;
 	/** Whether some of the callers submit again after no answer; by default, none does. */
 	readonly hasResenders?: boolean;
+	/** Whether some of the callers leave soon after they submitted a long job; by default, none does. */
+	readonly hasLeavers?: boolean;
 	/** Replaces the orders of all owners, for tests of the checks. */
 	readonly wrapOrders?: (orders: UpstreamOrders) => UpstreamOrders;
 	/** Returns what a VM takes for the listed upstreams, for tests of the checks. */
@@ -54,6 +56,7 @@
 
 /** Far from the offsets of the other sources of random numbers, so that neighbouring seeds share none. */
 const resendSeedOffset = 800_000_000;
+const leaverSeedOffset = 400_000_000;
 
 /** Time from which callers arrive, in milliseconds: the first owners are active by then. */
 const callersFromMs = 1500;
@@ -165,6 +168,7 @@
 			clock,
 			random: createSeededRandom(options.seed + 2),
 			resendRandom: options.hasResenders ? createSeededRandom(options.seed + resendSeedOffset) : undefined,
+			leaverRandom: options.hasLeavers ? createSeededRandom(options.seed + leaverSeedOffset) : undefined,
 			getVms: () => this.#vms,
 			isPatient: () => patience.getFloat() < (options.patientShare ?? 0),
 			onJobCreated: (job, durationMs) => {
--- a/test/connection/sender-confirmations.test.ts
+++ b/test/connection/sender-confirmations.test.ts
@@ -383,3 +383,25 @@
 	t.true(echoes.at(-1)! >= 1010);
 	t.deepEqual(echoes, echoes.toSorted((a, b) => a - b));
 });
+
+test('an urgent stamp that comes while an earlier one waits for its echo is echoed without another keep-alive', async t => {
+	const loop = new ManualEventLoop();
+	const {clock, connection, client} = createClient(createdClock => new EventLoopProgress({clock: createdClock, callAfterPoll: loop.callAfterPoll, refreshMs: 1e9}));
+	void client.request({topic: 'any', body: 0});
+	for (const stamp of [100, 200]) {
+		await clock.advance(1);
+		await loop.runTurn();
+		await loop.runTurn();
+		await loop.runTurn();
+		await connection.deliver({type: 'keep-alive', stamp, isUrgent: true});
+		await clock.advance(1);
+		await loop.runTurn();
+		await connection.deliver({type: 'keep-alive', stamp: stamp + 1, isUrgent: true});
+		for (let turn = 0; turn < 6; turn++) {
+			await clock.advance(1);
+			await loop.runTurn();
+		}
+
+		t.like(connection.sent.at(-1), {type: 'keep-alive', echo: stamp + 1});
+	}
+});
