--- a/bench/pool-soak.ts
+++ b/bench/pool-soak.ts
@@ -15,6 +15,7 @@
 	readonly answerFaults: string;
 	readonly workloadFaults: string;
 	readonly holdFaults: string;
+	readonly leavers: boolean;
 	readonly patient: string;
 	readonly only: string;
 	readonly resend: boolean;
@@ -31,6 +32,7 @@
 	.option('--resend', 'let half of the callers submit again after no answer', false)
 	.option('--workload-faults <count>', 'minimum number of faults in what tasks do to their upstreams and in what these can hold', '0')
 	.option('--hold-faults <count>', 'minimum number of faults in which processes are held between two events', '0')
+	.option('--leavers', 'let some callers leave soon after they submitted a long job', false)
 	.option('--patient <share>', 'share of callers that wait for 20 s', '0')
 	.option('--shrink', 'remove faults that a violation does not need', false)
 	.option('--quiet', 'print one line for each run with violations', false)
@@ -38,7 +40,7 @@
 	.option('--only <kinds>', 'kinds of answer and workload faults to keep, separated by commas', '')
 	.parse()
 	.opts<SoakOptions>();
-const fleetOptions = {hasResenders: options.resend, patientShare: Number(options.patient)};
+const fleetOptions = {hasLeavers: options.leavers, hasResenders: options.resend, patientShare: Number(options.patient)};
 const failed: number[] = [];
 const outcomes = new Map<string, number>();
 const first = Number(options.seed);
--- a/test/pool/fleet-mutants.test.ts
+++ b/test/pool/fleet-mutants.test.ts
@@ -4,7 +4,10 @@
 import test from 'ava';
 import {type UpstreamOrders} from '../../src/pool/index.js';
 import {createSeededRandom} from '../../src/seams/index.js';
-import {getUpstreamAnswerFaults, runFleet} from '../../src/testing/fleet-run.js';
+import {createImmediateProgress} from '../../src/connection/index.js';
+import {
+	getFleetFaults, getHoldFaults, getUpstreamAnswerFaults, runFleet,
+} from '../../src/testing/fleet-run.js';
 import {oddAnswerDetail} from '../../src/testing/simulated-upstreams.js';
 import {fleetRegressions} from './fleet-regressions.js';
 
@@ -66,3 +69,17 @@
 		t.true(violations.some(({rule}) => rule === 'double-run'));
 	});
 }
+
+/** A fleet whose processes are held between two events, and whose callers leave soon after they submitted long jobs. */
+const heldFleet = {seed: 17, faults: [...getFleetFaults(17, 6).filter(({kind}) => kind === 'freeze' || kind === 'store-away'), ...getHoldFaults(17, 25)]};
+const leavers = {hasLeavers: true, hasResenders: true};
+
+test('a fleet whose processes are held between two events and whose callers leave has no double runs', async t => {
+	const {violations} = await runFleet(heldFleet.seed, heldFleet.faults, leavers);
+	t.deepEqual(violations, []);
+});
+
+test('a fleet whose processes take what they have read for all that has arrived has double runs', async t => {
+	const {violations} = await runFleet(heldFleet.seed, heldFleet.faults, {...leavers, wrapProgress: (_, clock) => createImmediateProgress(clock)});
+	t.true(violations.some(({rule}) => rule === 'double-run'));
+});
