--- a/test/pool/runs-after-callers-left.test.ts
+++ b/test/pool/runs-after-callers-left.test.ts
@@ -60,37 +60,38 @@
 		void router.submit(createJob('a', {step: {estimateMs: workMs}}), deadlineMs, caller.signal);
 	};
 
+	/** Reads the end of the caller's connection, and lets time pass. */
+	const leave = async (): Promise<void> => {
+		await loop.runTurn(() => {
+			caller.abort();
+		});
+		await runTurns(loop);
+		await clock.advance(1000);
+	};
+
 	return {
-		harness, clock, loop, caller, submit,
+		harness, clock, loop, submit, leave,
 	};
 }
 
 test('no task starts while the end of its caller\'s connection may be unread', async t => {
-	const {harness, clock, loop, caller, submit} = await createFixture();
+	const {harness, clock, loop, submit, leave} = await createFixture();
 	await loop.runTurn(submit);
 	await clock.advance(700);
 	t.is(harness.upstreams.starts.length, 0);
-	await loop.runTurn(() => {
-		caller.abort();
-	});
-	await runTurns(loop);
-	await clock.advance(1000);
+	await leave();
 	t.is(harness.upstreams.starts.length, 0);
 });
 
 test('no task starts for a caller that left while the process was held after two polls', async t => {
-	const {harness, clock, loop, caller, submit} = await createFixture();
+	const {harness, clock, loop, submit, leave} = await createFixture();
 	await loop.runTurn(submit);
 	await loop.runTurn();
 	await clock.advance(300);
 	await loop.runTurn();
 	await clock.advance(20);
 	t.is(harness.upstreams.starts.length, 0);
-	await loop.runTurn(() => {
-		caller.abort();
-	});
-	await runTurns(loop);
-	await clock.advance(1000);
+	await leave();
 	t.is(harness.upstreams.starts.length, 0);
 });
 
