Let simulated fleets report fences that two processes share

A fleet reported only the starts that exceeded a capacity, so that two owners under one fence showed by their consequence or not at all. The fleet now keeps the upstream, fence and process of each order, and a fence of two processes on one upstream violates the new rule shared-fence.

--- a/src/testing/fleet-checks.ts
+++ b/src/testing/fleet-checks.ts
@@ -6,7 +6,8 @@
 
 /** Violation of a guarantee. */
 export type FleetViolation = {
-	readonly rule: 'double-run' | 'refused-but-started' | 'completed-but-not-done' | 'too-many-starts' | 'over-capacity' | 'innocent-failed';
+	readonly rule: 'double-run' | 'refused-but-started' | 'completed-but-not-done' | 'too-many-starts' | 'over-capacity' | 'innocent-failed' | 'shared-fence';
+	/** Identifier of the job; for `shared-fence`, the upstream and the fence. */
 	readonly job: string;
 	/** Runs that violate the rule. */
 	readonly runs: readonly RecordedStart[];
@@ -20,8 +21,13 @@
 	readonly deadlyTasks: ReadonlySet<string>;
 	/** Capacities that the entries of upstreams show. */
 	readonly listedCapacities: readonly ListedCapacity[];
+	/** Orders by upstream, fence and process, each once. */
+	readonly orders: readonly SentOrder[];
 };
 
+/** Process of a VM that has sent an order with a fence to an upstream. */
+export type SentOrder = {readonly upstream: string; readonly fence: number; readonly process: string};
+
 /** CPU capacity that the entry of an upstream shows from a time on. */
 export type ListedCapacity = {readonly upstream: string; readonly at: number; readonly cpu: number};
 
@@ -39,11 +45,11 @@
  * Finds the violations in the record of a simulation.
  * @param record - Record.
  */
-export function findViolations({starts, submissions, deadlyTasks, listedCapacities}: FleetRecord): readonly FleetViolation[] {
+export function findViolations({starts, submissions, deadlyTasks, listedCapacities, orders}: FleetRecord): readonly FleetViolation[] {
 	const capacitiesByUpstream = groupBy(listedCapacities, ({upstream}) => upstream);
 	const runsByJob = groupBy(starts, ({task}) => task.slice(0, task.indexOf('.')));
 	const submissionsByJob = groupBy(submissions, ({job}) => job);
-	return [...submissionsByJob].flatMap(([job, submissionsOfJob]) => {
+	const violationsOfJobs = [...submissionsByJob].flatMap(([job, submissionsOfJob]) => {
 		const runs = runsByJob.get(job) ?? [];
 		return [
 			...findDoubleRuns(job, runs),
@@ -54,6 +60,16 @@
 			...(isInnocent(job, runs, deadlyTasks) ? findWrongFailures(job, runs, submissionsOfJob) : []),
 		];
 	});
+	return [...violationsOfJobs, ...findSharedFences(orders, starts)];
+}
+
+/** Finds fences under which several processes sent orders to an upstream: it refuses none of them. */
+function findSharedFences(orders: readonly SentOrder[], starts: readonly RecordedStart[]): readonly FleetViolation[] {
+	const processes = groupBy(orders, ({upstream, fence}) => `fence ${fence} on ${upstream}`);
+	const shared = [...processes].filter(([, ordersOfFence]) => new Set(ordersOfFence.map(({process}) => process)).size > 1);
+	return shared.map(([name, [{upstream, fence}]]) => ({
+		rule: 'shared-fence' as const, job: name, runs: starts.filter(start => start.upstream === upstream && start.fence === fence),
+	}));
 }
 
 function findDoubleRuns(job: string, runs: readonly RecordedStart[]): readonly FleetViolation[] {
@@ -111,12 +127,15 @@
 	return submissions.some(({outcome}) => outcome === 'failed') ? [{rule: 'innocent-failed', job, runs}] : [];
 }
 
-function groupBy<T>(items: readonly T[], getKey: (item: T) => string): ReadonlyMap<string, readonly T[]> {
-	const groups = new Map<string, T[]>();
+function groupBy<T>(items: readonly T[], getKey: (item: T) => string): ReadonlyMap<string, readonly [T, ...T[]]> {
+	const groups = new Map<string, [T, ...T[]]>();
 	for (const item of items) {
-		const group = groups.get(getKey(item)) ?? [];
-		group.push(item);
-		groups.set(getKey(item), group);
+		const group = groups.get(getKey(item));
+		if (group === undefined) {
+			groups.set(getKey(item), [item]);
+		} else {
+			group.push(item);
+		}
 	}
 
 	return groups;
--- a/src/testing/fleet-run.ts
+++ b/src/testing/fleet-run.ts
@@ -77,7 +77,7 @@
 	await fleet.run();
 	const {upstreams: {starts}, callers: {submissions}, workload: {deadlyTasks}, listedCapacities, logLines} = fleet;
 	const record = {
-		submissions, starts, deadlyTasks, listedCapacities,
+		submissions, starts, deadlyTasks, listedCapacities, orders: fleet.getSentOrders(),
 	};
 	return {
 		...record, seed, faults, logLines, violations: findViolations(record),
--- a/src/testing/fleet-vm.ts
+++ b/src/testing/fleet-vm.ts
@@ -11,6 +11,7 @@
 import {
 	type Clock, createSeededRandom, sleep,
 } from '../seams/index.js';
+import {type SentOrder} from './fleet-checks.js';
 import {type SimulatedUpstreams} from './simulated-upstreams.js';
 import {type SimulatedPeerMesh, type SimulatedVmNetwork} from './simulated-vm-network.js';
 import {SimulatedProcess} from './simulated-process.js';
@@ -43,6 +44,8 @@
 	/** Returns the running incarnations that this one is connected to, whose owners report their former upstreams. */
 	readonly getConnectedVms: () => readonly FleetVm[];
 	readonly addLogLine: (line: FleetLogLine) => void;
+	/** Called with each order that is sent to an upstream. */
+	readonly onOrderSent: (order: SentOrder) => void;
 	/** Returns whether an order that is sent during a network cut is delivered once the cut has healed. */
 	readonly isDeliveredAfterCut: () => boolean;
 	/** Replaces the orders of all owners, for tests of the checks. */
@@ -311,8 +314,9 @@
 		});
 	}
 
-	async #sendOrder<T extends OrderOutcome | PollOutcome>({upstream, timeoutMs}: OrderOptions, execute: () => Promise<T>): Promise<T | {readonly kind: 'unanswered'; readonly detail: string}> {
-		const {clock, network, self} = this.#options;
+	async #sendOrder<T extends OrderOutcome | PollOutcome>({upstream, fence, timeoutMs}: OrderOptions, execute: () => Promise<T>): Promise<T | {readonly kind: 'unanswered'; readonly detail: string}> {
+		const {clock, network, self, onOrderSent} = this.#options;
+		onOrderSent({upstream: upstream.id, fence, process: self.id});
 		return new Promise(resolve => {
 			const timer = this.process.setTimer(() => {
 				resolve({kind: 'unanswered', detail: 'no answer in time'});
--- a/src/testing/pool-fleet.ts
+++ b/src/testing/pool-fleet.ts
@@ -7,7 +7,7 @@
 } from '../pool/index.js';
 import {type Clock, createSeededRandom, type Random} from '../seams/index.js';
 import {FleetCallers} from './fleet-callers.js';
-import {type ListedCapacity} from './fleet-checks.js';
+import {type ListedCapacity, type SentOrder} from './fleet-checks.js';
 import {type FleetFault} from './fleet-faults.js';
 import {type FleetLogLine, type FleetStore, FleetVm} from './fleet-vm.js';
 import {FleetWorkload} from './fleet-workload.js';
@@ -144,6 +144,8 @@
 	readonly #store: FleetStore = {revision: 1000, claims: new Map(), getState: vm => this.#getStoreState(vm)};
 	/** Current faults of the store and of the lists of upstreams. */
 	readonly #activeFaults = new Set<FleetFault>();
+	/** Sent orders by upstream, fence and process. */
+	readonly #sentOrders = new Map<string, SentOrder>();
 	#incarnationCount = 0;
 
 	constructor(options: PoolFleetOptions) {
@@ -178,6 +180,11 @@
 		this.#createFleet(random);
 	}
 
+	/** Gets the orders that were sent under the fence of an owner, one for each upstream, fence and process. */
+	getSentOrders(): readonly SentOrder[] {
+		return [...this.#sentOrders.values()];
+	}
+
 	/** Runs the simulation to its end. */
 	async run(): Promise<void> {
 		const {faults, seed, patientShare = 0, callersUntilMs = defaultCallersUntilMs, untilMs = patientShare > 0 ? defaultPatientUntilMs : defaultUntilMs} = this.#options;
@@ -254,6 +261,12 @@
 			addLogLine: line => {
 				this.logLines.push(line);
 			},
+			onOrderSent: order => {
+				// Probes of another pool's upstreams carry no owner's fence.
+				if (order.fence > 0) {
+					this.#sentOrders.set(`${order.upstream} ${order.fence} ${order.process}`, order);
+				}
+			},
 			isDeliveredAfterCut: () => this.#random.getFloat() < deliveredAfterCutShare,
 			wrapOrders: this.#options.wrapOrders,
 			wrapConfirmation: this.#options.wrapConfirmation,
--- a/test/testing/fleet-checks.test.ts
+++ b/test/testing/fleet-checks.test.ts
@@ -19,7 +19,7 @@
 
 function getRules(record: Partial<FleetRecord>): ReadonlyArray<FleetViolation['rule']> {
 	const violations = findViolations({
-		starts: [], submissions: [createSubmission('left')], deadlyTasks: new Set(), listedCapacities: [], ...record,
+		starts: [], submissions: [createSubmission('left')], deadlyTasks: new Set(), listedCapacities: [], orders: [], ...record,
 	});
 	return violations.map(({rule}) => rule);
 }
@@ -66,3 +66,9 @@
 	t.deepEqual(getRules({starts: [...starts, createRun(3, 2000, {end: 'failed', isEndedByCrash: false})], submissions}), []);
 	t.deepEqual(getRules({starts, submissions: [createSubmission('completed')]}).filter(rule => rule === 'innocent-failed'), []);
 });
+
+test('an upstream may not get orders of two processes under one fence', t => {
+	const order = {upstream: 'u1', fence: 7, process: 'vm1-1'};
+	t.deepEqual(getRules({orders: [order, {...order, process: 'vm1-2'}]}), ['shared-fence']);
+	t.deepEqual(getRules({orders: [order, order, {...order, fence: 8, process: 'vm1-2'}, {...order, upstream: 'u2', process: 'vm1-2'}]}), []);
+});
