Give the owners of a pool fences that no two processes share

Callers saw tasks start on upstreams beyond their capacity, since upstreams obeyed two owners.

Cause: without the store a fence was the highest known one plus one, so that two owners that knew the same fence got the same one, and a VM that took a pool again got the fence of its former term; upstreams refuse neither, and each owner counts its own runs only.

Change: a fence is a generation, the revision of the store, times 2^26, plus a part that names the process: 0 for the owner that wrote the revision, else the last revision that the process itself wrote, or a hash of its identifier before its first write. Takeovers, raises after a refusal and raises above prior owners take their fences from the same FenceIssuer; a process goes above the fences of its own former terms. Order with the store's revisions is kept, also beyond 2^53, where parts are multiples of the distance of doubles.

--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -156,6 +156,9 @@
 			onRead: listed => {
 				this.#neighbours.setVms(listed.filter(vm => vm.dataCenter === dataCenter && vm.name !== name));
 			},
+			onRegistered: revision => {
+				this.#node.setOwnRevision(revision);
+			},
 		});
 		this.#neighbours = new StartupOwnerCheck({clock, dial: dialTcp, hasReportedPools: vm => this.#node.hasReportedPools(vm)});
 	}
@@ -374,7 +377,7 @@
 		});
 	}
 
-	/** Writes a claim and returns its revision as the fence: each write increments the store's revision, so the fence exceeds all earlier ones. */
+	/** Writes a claim and returns its revision, which is higher than all earlier ones: each write increments it. */
 	async #addClaim(pool: string): Promise<number | undefined> {
 		const writing = this.#store.setItem(`${claimPrefix}${pool}`, this.#self.id, claimTimeoutMs);
 		await nextMicrotask;
--- a/src/platform/vm-registry.ts
+++ b/src/platform/vm-registry.ts
@@ -29,6 +29,8 @@
 	readonly store: StoreClient;
 	/** Called with the registered entry VMs after each read. */
 	readonly onRead: (listed: readonly ListedEntryVm[]) => void;
+	/** Called with the store's revision of each registration of this VM. */
+	readonly onRegistered?: (revision: number) => void;
 	readonly self: Pick<ListedEntryVm, 'name' | 'dataCenter' | 'peerAddress' | 'callerAddress'>;
 };
 
@@ -82,11 +84,12 @@
 
 	/** Registers this VM, with further attempts until one succeeds. */
 	async #register(): Promise<void> {
-		const {clock, store, self, log} = this.#options;
+		const {clock, store, self, log, onRegistered} = this.#options;
 		const {signal} = this.#closing;
 		while (!signal.aborted) {
 			const result = await store.setItem(`${prefix}${self.name}`, JSON.stringify(self));
 			if (result.ok) {
+				onRegistered?.(result.value.revision);
 				break;
 			}
 
--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -4,6 +4,7 @@
 export * from './crash-reports.js';
 export * from './decision-log.js';
 export * from './duration-estimator.js';
+export * from './fence-issuer.js';
 export * from './fence.js';
 export * from './overdue.js';
 export * from './placement.js';
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -10,6 +10,7 @@
 import {CrashLedger} from './crash-ledger.js';
 import {CrashReports} from './crash-reports.js';
 import {type DecisionLog} from './decision-log.js';
+import {FenceIssuer} from './fence-issuer.js';
 import {JobSizeBudget} from './job-size.js';
 import {PauseDetector} from './pause-detector.js';
 import {PoolCandidates} from './pool-candidates.js';
@@ -111,6 +112,9 @@
 	readonly proofAges = new ProofAges();
 	readonly #options: PoolNodeOptions;
 	readonly #owned = new Map<string, PoolOwner>();
+	readonly #fences: FenceIssuer;
+	/** Fences of the last owners of this process, by pool. */
+	readonly #lastFences = new Map<string, number>();
 	/** Last load received from each VM, raw and decoded. */
 	readonly #loads = new Map<string, {readonly load: unknown; readonly claims: PoolClaims}>();
 	/** Members when the loads of departed VMs were last removed. */
@@ -143,6 +147,7 @@
 
 	constructor(options: PoolNodeOptions) {
 		this.#options = options;
+		this.#fences = new FenceIssuer(options.self.id);
 		this.#pauses = new PauseDetector({
 			clock: options.clock,
 			onPause(pauseMs, stepMs) {
@@ -263,6 +268,16 @@
 		this.directory.addClaims(claims);
 	}
 
+	/**
+	 * Sets a revision at which this process wrote to the store, which tells its fences from those of all others.
+	 * @param revision - Revision of the store.
+	 */
+	setOwnRevision(revision: number): void {
+		if (Number.isSafeInteger(revision)) {
+			this.#fences.setOwnRevision(revision);
+		}
+	}
+
 	/** Passes the current list of upstreams to the local owners. */
 	handleUpstreamsChanged(): void {
 		for (const [pool, owner] of this.#owned) {
@@ -588,7 +603,7 @@
 			return;
 		}
 
-		if (claim !== undefined && claim.ownerId !== this.#options.self.id && (claim.revision > owner.getFence() || this.#isIsolated())) {
+		if (claim !== undefined && claim.ownerId !== this.#options.self.id && (this.#fences.getFenceOfRevision(claim.revision) > owner.getFence() || this.#isIsolated())) {
 			this.#options.log.warn({
 				pool, owner: claim.ownerId, revision: claim.revision, fence: owner.getFence(),
 			}, 'pool ceded to an unreachable owner');
@@ -607,7 +622,7 @@
 	}
 
 	#acquire(pool: string, fenceStep?: number): void {
-		const {clock, log, orders, claims, getUpstreams, getMissingUpstreams, maxLeaseMs, peerSilenceMs} = this.#options;
+		const {clock, log, orders, getUpstreams, getMissingUpstreams, maxLeaseMs, peerSilenceMs} = this.#options;
 		this.#vacantSince.delete(pool);
 		const owner: PoolOwner = new PoolOwner({
 			pool,
@@ -616,11 +631,12 @@
 			orders,
 			maxLeaseMs,
 			peerSilenceMs,
-			knownFence: this.directory.getKnownFence(pool),
+			knownFence: Math.max(this.directory.getKnownFence(pool), this.#lastFences.get(pool) ?? 0),
+			fences: this.#fences,
 			fenceStep,
 			isListComplete: () => this.#options.isListComplete(pool),
 			getFormerUpstreams: () => this.#options.getFormerUpstreams?.(pool) ?? [],
-			getStoredFence: async () => claims.addClaim(pool),
+			getStoredFence: async () => this.#getStoredFence(pool),
 			getUnawaitedJobs: async jobs => this.#awaitedJobs.getUnawaitedJobs(pool, jobs),
 			onFenced: async () => this.#handleFenced(pool, owner),
 			neighbours: this.#lending.createNeighbours(pool),
@@ -641,8 +657,25 @@
 		this.#options.onOwnedPoolsChanged([...this.#owned.keys()]);
 	}
 
+	/** Writes a claim on a pool and gets the fence of its revision. */
+	async #getStoredFence(pool: string): Promise<number | undefined> {
+		const revision = await this.#options.claims.addClaim(pool);
+		if (revision === undefined) {
+			return undefined;
+		}
+
+		this.setOwnRevision(revision);
+		return this.#fences.getFenceOfRevision(revision);
+	}
+
 	#release(pool: string): void {
-		this.#owned.get(pool)?.close();
+		const owner = this.#owned.get(pool);
+		if (owner === undefined) {
+			return;
+		}
+
+		owner.close();
+		this.#lastFences.set(pool, owner.getFence());
 		this.#owned.delete(pool);
 		this.#acquiredInIsolation.delete(pool);
 		this.#options.onOwnedPoolsChanged([...this.#owned.keys()]);
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -1,10 +1,12 @@
 /**
  * Ownership of one pool by this entry VM: its fence, its links to the upstreams, and its scheduler.
  */
+import {randomUUID} from 'node:crypto';
 import {createImmediateProgress, type InputProgress, type SenderConfirmation} from '../connection/index.js';
 import {type Clock, sleep} from '../seams/index.js';
 import {CrashLedger} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
+import {FenceIssuer, fencesPerGeneration} from './fence-issuer.js';
 import {getHigherFence, isFence, maxFence} from './fence.js';
 import {FormerLinks} from './former-links.js';
 import {type InstanceSign} from './instance-runs.js';
@@ -35,7 +37,9 @@
 	readonly getFormerUpstreams?: () => readonly UpstreamDescription[];
 	/** Highest known fence of the pool. */
 	readonly knownFence: number;
-	/** Step of the last raise of the fence; 1 if there was none. */
+	/** Issues the fences that the store does not give; by default, as for a process with this owner only. */
+	readonly fences?: FenceIssuer;
+	/** Generations by which the fence was last raised; 1 if it was not. */
 	readonly fenceStep?: number;
 	/** Gets those of some jobs that no VM waits for; by default, none is known, so that their runs are stopped after a time limit only. */
 	readonly getUnawaitedJobs?: (jobs: readonly string[]) => Promise<readonly string[]>;
@@ -66,7 +70,7 @@
 /** Time limit of the polls of all upstreams, such as those before a new owner accepts jobs, in milliseconds. */
 const pollAllTimeoutMs = 250;
 
-/** First step by which a refused fence is raised without the store; doubled until the upstream that refused it accepts one. */
+/** First number of generations by which a refused fence is raised without the store; doubled until the upstream that refused it accepts one. */
 const initialFenceStep = 1;
 
 /**
@@ -115,6 +119,7 @@
 	readonly #relocated = new Map<string, Relocation>();
 	/** Links to former instances, on which earlier owners may have runs. */
 	readonly #formerLinks: FormerLinks;
+	readonly #fences: FenceIssuer;
 	#fence: number;
 	#fenceStep: number;
 	readonly #ready: Promise<void>;
@@ -155,6 +160,8 @@
 
 	constructor(options: PoolOwnerOptions, upstreams: readonly UpstreamDescription[]) {
 		this.#options = options;
+		this.#fences = options.fences ?? new FenceIssuer(randomUUID());
+		// Announced until the takeover has a fence for orders, which is never lower.
 		this.#fence = getHigherFence(options.knownFence);
 		this.#fenceStep = options.fenceStep ?? initialFenceStep;
 		this.#neighbours = options.neighbours ?? noNeighbours;
@@ -197,12 +204,12 @@
 		return this.#isReady;
 	}
 
-	/** Gets the fence that this owner's orders carry. */
+	/** Gets the fence that this owner's orders carry; before the first order, a lower bound. */
 	getFence(): number {
 		return this.#fence;
 	}
 
-	/** Gets the step of the last raise of the fence. */
+	/** Gets the number of generations by which the fence was last raised. */
 	getFenceStep(): number {
 		return this.#fenceStep;
 	}
@@ -333,7 +340,7 @@
 		const refused = this.#fence;
 		const stored = await this.#getStoredFence();
 		this.#fenceStep = Math.min(maxFence, this.#fenceStep * 2);
-		this.#setFence(Math.max(stored ?? 0, getHigherFence(this.#fence, this.#fenceStep)));
+		this.#setFence(this.#chooseFence(stored, this.#fence, this.#fenceStep - 1));
 		this.#options.log.warn({
 			pool: this.#options.pool, refused, fence: this.#fence, step: this.#fenceStep, isStored: stored !== undefined,
 		}, 'fence raised');
@@ -393,7 +400,7 @@
 	async #takeOver(): Promise<void> {
 		const {log, pool, knownFence} = this.#options;
 		const stored = await this.#getStoredFence();
-		this.#setFence(Math.max(stored ?? 0, getHigherFence(knownFence)));
+		this.#setFence(this.#chooseFence(stored, knownFence));
 		log.warn({
 			pool, fence: this.#fence, isStored: stored !== undefined, upstreams: this.#pendingUpstreams.length,
 		}, 'pool taken over');
@@ -805,7 +812,7 @@
 	async #raiseFenceAbove(priorFence: number): Promise<void> {
 		const ownFence = this.#fence;
 		const stored = await this.#getStoredFence();
-		this.#setFence(Math.max(stored ?? 0, this.#fence, getHigherFence(priorFence)));
+		this.#setFence(this.#fence > priorFence ? Math.max(this.#fence, stored ?? 0) : this.#chooseFence(stored, priorFence));
 		this.#options.log.warn({
 			pool: this.#options.pool, priorFence, fence: this.#fence, isStored: stored !== undefined,
 		}, 'fence raised above another owner\'s');
@@ -816,6 +823,12 @@
 		}
 	}
 
+	/** Gets a fence of this owner above a floor and a number of generations: the store's if it is, and else one of this process. */
+	#chooseFence(stored: number | undefined, floor: number, generations = 0): number {
+		const ownFence = this.#fences.getFenceAbove(floor, generations);
+		return stored !== undefined && stored > floor + (generations * fencesPerGeneration) ? stored : ownFence;
+	}
+
 	#setFence(fence: number): void {
 		this.#fence = fence;
 		this.#fenceSetAt = this.#options.clock.getMonotonicTime();
--- a/src/pool/stored-claims.ts
+++ b/src/pool/stored-claims.ts
@@ -14,7 +14,7 @@
 	/**
 	 * Writes a claim of this VM on a pool.
 	 * @param pool - Pool.
-	 * @returns Revision, higher than all earlier fences; `undefined` when the store does not answer in time.
+	 * @returns Revision, higher than all earlier ones; `undefined` when the store does not answer in time.
 	 */
 	addClaim(pool: string): Promise<number | undefined>;
 
--- /dev/null
+++ b/test/pool/shared-fences.test.ts
@@ -0,0 +1,25 @@
+/**
+ * Simulated fleets in which several owners of a pool know the same fence.
+ */
+import test from 'ava';
+import {
+	describeResult, getFleetFaults, getHoldFaults, getUpstreamAnswerFaults, getWorkloadFaults, runFleet,
+} from '../../src/testing/fleet-run.js';
+
+const messagesOfNewFences = new Set(['pool taken over', 'fence raised']);
+
+// Without the store, owners that could not hear each other took the same fence, and a VM took the fence of its earlier term again.
+for (const seed of [771_006, 771_013, 771_029, 771_043]) {
+	test(`no two owners of a pool get the same fence (seed ${seed})`, async t => {
+		const faults = [...getFleetFaults(seed, 25), ...getUpstreamAnswerFaults(seed, 20), ...getWorkloadFaults(seed, 5), ...getHoldFaults(seed, 10)];
+		const result = await runFleet(seed, faults, {hasLeavers: true, hasResenders: true});
+		const newFences = result.logLines.filter(({message}) => messagesOfNewFences.has(message)).map(({fields: {pool, fence}}) => `${String(pool)} ${String(fence)}`);
+		t.true(newFences.length > 0);
+		t.deepEqual(newFences.filter((fence, position) => newFences.indexOf(fence) < position), []);
+		if (result.violations.length > 0) {
+			t.log(describeResult(result, 1));
+		}
+
+		t.deepEqual(result.violations, []);
+	});
+}
