Take a pool over again after a fence was refused, also without jobs

Callers saw tasks start on upstreams beyond their capacity.

Cause: an owner whose fence was refused raised it, and took the pool over again only if it had jobs or lent runs. Without them it went on with what its links knew from before: the runs that the other owner had started meanwhile were not listed yet when the next job came.

Change: after each raise the pool is taken over again, which polls all upstreams and recalls the lent runs of earlier owners before anything starts.

--- a/src/pool/lent-runs.ts
+++ b/src/pool/lent-runs.ts
@@ -126,11 +126,6 @@
 		});
 	}
 
-	/** Gets whether there are lent runs. */
-	hasRuns(): boolean {
-		return this.#runs.size > 0;
-	}
-
 	/**
 	 * Gets whether there are lent runs of a job.
 	 * @param job - Identifier of the job.
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -613,8 +613,8 @@
 		}
 
 		await owner.raiseFence();
-		if (owner.hasWork() && this.#owned.get(pool) === owner) {
-			// Another owner may have started tasks of the current jobs. Their entry VMs submit them to the next owner, which searches for their runs.
+		if (this.#owned.get(pool) === owner) {
+			// Another owner may have started tasks, which only a takeover finds. Entry VMs submit the current jobs to the next owner.
 			this.directory.addFence(pool, owner.getFence());
 			this.#release(pool);
 			this.#acquire(pool, owner.getFenceStep());
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -239,11 +239,6 @@
 		return this.#getAllLinks().some(link => link.getUnclaimedCount() > 0);
 	}
 
-	/** Gets whether jobs are in progress or tasks run for other pools. */
-	hasWork(): boolean {
-		return this.#scheduler.hasWork();
-	}
-
 	/** Gets the state of each upstream for the status page and metrics. */
 	getUpstreams(): ReadonlyArray<{readonly id: string; readonly isSilent: boolean; readonly isLeaving: boolean; readonly freeCpu: number; readonly slowness: number}> {
 		return [...this.#links.values()].map(link => ({
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -215,11 +215,6 @@
 		return !this.#jobs.has(id) && this.#options.getLinks().some(link => link.hasUnclaimed(id));
 	}
 
-	/** Gets whether there are jobs of this pool or runs of other pools' tasks. */
-	hasWork(): boolean {
-		return this.#jobs.size > 0 || this.#lentRuns.hasRuns();
-	}
-
 	/** Gets the identifiers of the queued and running jobs. */
 	getJobIds(): readonly string[] {
 		return [...this.#jobs.keys()];
