Log why a task is started again

An owner logged how a run ended or that a start was refused, but not on which of these grounds, or for which earlier owner, the next start took place; a lender that was lost looked like one that answered `lapsed`.

A start of a task that may have been started before has a line `task starts again`: the number, the end and the grounds of the latest run that may have started (`listed`, `unlisted`, `lease-expired`, `lender`, `lender-lost`), the time since, the reason of a refusal since, and the fence of an earlier owner. There is no line for a first start. The line is of level debug after refusals of other pools and for an earlier owner's tasks, which may come by the hundred, so that it takes none of the info lines' budget there.

--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -629,7 +629,7 @@
 						}, 'run counts as ended');
 					}
 
-					this.#scheduler.handleRunEnded(from, run, end);
+					this.#scheduler.handleRunEnded(from, run, end, grounds);
 					if (end === 'lapsed' && from.isSilent()) {
 						this.#ledger.addFailedRuns([{
 							task: run.task, number: run.number, upstream: from.name, bornMs: from.description.bornMs, cause: 'lost',
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -25,6 +25,7 @@
 import {type ProofAges} from './proof-ages.js';
 import {sortByUrgency} from './queue-order.js';
 import {type JobTask, QueuedJob, type TaskStart} from './queued-job.js';
+import {describeGround, type RunEndGrounds} from './restart-ground.js';
 import {type RunHost} from './run-host.js';
 import {
 	areRunsUnconfirmed, createLocalSender, getLeaseLimit, type JobSender, maxUnreadMs, renewalAgeMs,
@@ -105,6 +106,9 @@
  */
 const unfitRetryMs = 1000;
 
+/** Message of the line that tells why a task is started that may have been started before. */
+export const restartMessage = 'task starts again';
+
 const resolvedPromise = Promise.resolve();
 
 /** Upper bound of the expected time until a run ends, also used where nothing runs, in milliseconds. */
@@ -148,7 +152,7 @@
 			lostRunTimeoutMs: options.lostRunTimeoutMs,
 			events: {
 				onRunEnded: (host, run, end) => {
-					this.handleRunEnded(host, run, end);
+					this.handleRunEnded(host, run, end, run.state === 'lost' ? 'lender-lost' : 'lender');
 				},
 				onRunRefused: (host, run, reason) => {
 					this.handleRunRefused(host, run, reason);
@@ -412,8 +416,9 @@
 	 * @param host - Upstream or pool that ran it.
 	 * @param run - Run.
 	 * @param end - How it ended.
+	 * @param grounds - Why it counts as ended.
 	 */
-	handleRunEnded(host: RunHost, run: LinkedRun, end: RunEnd): void {
+	handleRunEnded(host: RunHost, run: LinkedRun, end: RunEnd, grounds: RunEndGrounds): void {
 		if (this.#lentRuns.handleRunEnded(run, end)) {
 			if (end === 'failed') {
 				this.#addFailedRun(host, run, 'failed');
@@ -437,6 +442,9 @@
 			job.setStatus(task, 'done');
 		} else {
 			job.setStatus(task, 'waiting');
+			task.restartGround = {
+				after: run.number, end, grounds, at: this.#options.clock.getMonotonicTime(),
+			};
 			this.#handleUnsuccessfulRun(entry, host, run, end);
 		}
 
@@ -475,6 +483,9 @@
 			const {task} = entry;
 			task.run = undefined;
 			task.host = undefined;
+			task.restartGround = {
+				after: 0, ...task.restartGround, refused: reason, isRefusedElsewhere: !(host instanceof UpstreamLink),
+			};
 			if (reason === 'does-not-fit') {
 				this.#avoidTemporarily(task, host);
 			}
@@ -655,6 +666,7 @@
 				const end = link.getRecentEnd(task.name);
 				if (end !== undefined) {
 					task.lastRunNumber = Math.max(task.lastRunNumber, end.number);
+					task.restartGround = {after: end.number, end: end.end, grounds: 'listed'};
 					if (end.end === 'done') {
 						job.setStatus(task, 'done');
 					} else if (end.end === 'failed') {
@@ -868,6 +880,7 @@
 		job.setStatus(task, 'placed');
 		task.host = host;
 		job.hasStarted = true;
+		this.#logRestart(job, task, {pool: capacity.pool});
 		task.run = host.start({
 			task: task.name, number: task.lastRunNumber, spec: job.request.spec, service: job.request.rules.service, step, expectedMs: job.getReferenceMs(task),
 			...(failedRuns.length > 0 && {failedRuns}),
@@ -906,11 +919,27 @@
 		job.setStatus(task, 'placed');
 		task.host = link;
 		job.hasStarted = true;
+		this.#logRestart(job, task, {upstream: link.name});
 		task.run = link.start({
 			task: task.name, number: task.lastRunNumber, needs: job.getStep(task).needs, spec: job.request.spec, getLeaseLimit: () => this.#getLeaseLimit(job),
 		});
 	}
 
+	/** Logs why a task is started that may have been started before, by this owner or an earlier one. */
+	#logRestart({priorFence, arrivedAt}: QueuedJob, {name, lastRunNumber: run, restartGround}: JobTask, place: Pick<TaskStart, 'upstream' | 'pool'>): void {
+		if (restartGround === undefined && priorFence === 0) {
+			return;
+		}
+
+		const now = this.#options.clock.getMonotonicTime();
+		const fields = {
+			task: name, run, ...place, afterMs: Math.round(now - arrivedAt), ...(priorFence > 0 && {priorFence}), ...(restartGround && describeGround(restartGround, now)),
+		};
+		// Other pools may refuse hundreds of starts a second, and an earlier owner may have left hundreds of tasks.
+		const isRare = restartGround?.grounds !== undefined && restartGround.isRefusedElsewhere !== true;
+		this.#options.log[isRare ? 'info' : 'debug'](fields, restartMessage);
+	}
+
 	#recordSuccess(host: RunHost, job: QueuedJob, task: JobTask, run: LinkedRun): void {
 		const measuredMs = this.#options.clock.getMonotonicTime() - run.startedAt;
 		const {estimateMs} = job.getStep(task);
--- a/src/pool/queued-job.ts
+++ b/src/pool/queued-job.ts
@@ -8,6 +8,7 @@
 	getCriticalPathMs, type JobStep, type PoolJobOutcome, type PoolJobRequest, type SubmittedJob,
 } from './pool-job.js';
 import {type OrderedJob} from './queue-order.js';
+import {type RestartGround} from './restart-ground.js';
 import {type RunHost} from './run-host.js';
 import {type JobSender} from './sender-confirmation.js';
 import {type LinkedRun} from './upstream-link.js';
@@ -23,6 +24,8 @@
 	/** Upstream or pool that runs the task. */
 	host: RunHost | undefined;
 	run: LinkedRun | undefined;
+	/** Why the task may be started again; `undefined` before the end or refusal of its first run. */
+	restartGround: RestartGround | undefined;
 	/** Names of upstreams and pools on which a run was unsuccessful or took too long, and of pools that the task did not fit a moment ago. */
 	avoided: ReadonlySet<string>;
 };
@@ -56,6 +59,8 @@
 /** A job with its tasks and the callers that wait for it. */
 export class QueuedJob implements OrderedJob {
 	readonly request: PoolJobRequest;
+	/** Fence of an earlier owner that may have started tasks of the job; 0 for none. */
+	readonly priorFence: number;
 	/** Number of tasks and steps. */
 	readonly size: number;
 	/** Listeners of waiting callers and the senders that they wait at. */
@@ -94,6 +99,7 @@
 	 */
 	constructor(submitted: SubmittedJob, now: number, estimator: DurationEstimator) {
 		this.request = submitted;
+		this.priorFence = submitted.priorFence;
 		this.#arrivedAt = now - submitted.ageMs;
 		this.#deadlineAt = now + submitted.remainingMs;
 		this.#estimator = estimator;
@@ -329,6 +335,6 @@
 
 function createTask(id: string, stepPosition: number, index: number): JobTask {
 	return {
-		name: `${id}.0.${stepPosition}.${index}`, stepPosition, status: 'waiting', lastRunNumber: 0, failures: 0, host: undefined, run: undefined, avoided: noNames,
+		name: `${id}.0.${stepPosition}.${index}`, stepPosition, status: 'waiting', lastRunNumber: 0, failures: 0, host: undefined, run: undefined, restartGround: undefined, avoided: noNames,
 	};
 }
