Measure how long after the end of a run its task starts again

The soak of fleets told only whether two runs of a task overlapped. It now prints, for each ground of a further start, how long after the true end of the earlier run it came: count, least, 1% and median, with a bound from the design of each ground. A gap below its bound, and a start without a ground, is printed with its seed.

--- a/bench/pool-soak.ts
+++ b/bench/pool-soak.ts
@@ -7,6 +7,9 @@
 import {
 	describeResult, getFleetFaults, getHoldFaults, getUpstreamAnswerFaults, getWorkloadFaults, runFleet, shrinkFaults,
 } from '../src/testing/fleet-run.js';
+import {
+	describeGap, describeRestartGaps, findShortGaps, type RestartGap,
+} from '../src/testing/restart-gaps.js';
 
 type SoakOptions = {
 	readonly seed: string;
@@ -42,6 +45,7 @@
 	.opts<SoakOptions>();
 const fleetOptions = {hasLeavers: options.leavers, hasResenders: options.resend, patientShare: Number(options.patient)};
 const failed: number[] = [];
+const gaps: Array<RestartGap & {readonly seed: number}> = [];
 const outcomes = new Map<string, number>();
 const first = Number(options.seed);
 const only = new Set(options.only.split(','));
@@ -55,6 +59,7 @@
 		outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1);
 	}
 
+	gaps.push(...result.restartGaps.map(gap => ({...gap, seed})));
 	if (result.violations.length > 0) {
 		failed.push(seed);
 		result = options.shrink ? await runFleet(seed, await shrinkFaults(seed, result.faults, fleetOptions), fleetOptions) : result;
@@ -65,4 +70,13 @@
 
 process.stdout.write(`${options.runs} runs, ${failed.length} with violations: ${failed.join(' ')}\n`);
 process.stdout.write(`sends: ${[...outcomes].map(([outcome, count]) => `${outcome} ${count}`).join(', ')}\n`);
+process.stdout.write(`${gaps.length} starts of tasks that had run before, by ground:\n`);
+for (const line of describeRestartGaps(gaps)) {
+	process.stdout.write(`  ${line}\n`);
+}
+
+for (const {seed, ...gap} of findShortGaps(gaps)) {
+	process.stdout.write(`  SHORT, seed ${seed}: ${describeGap(gap)}\n`);
+}
+
 process.exitCode = failed.length === 0 ? 0 : 1;
--- a/src/testing/fleet-checks.ts
+++ b/src/testing/fleet-checks.ts
@@ -2,6 +2,7 @@
  * Checks the record of a simulated fleet against the dispatcher's guarantees.
  */
 import {type FleetSubmission} from './fleet-callers.js';
+import {groupBy} from './group-by.js';
 import {type RecordedStart} from './simulated-upstreams.js';
 
 /** Violation of a guarantee. */
@@ -110,14 +111,3 @@
 function findWrongFailures(job: string, runs: readonly RecordedStart[], submissions: readonly FleetSubmission[]): readonly FleetViolation[] {
 	return submissions.some(({outcome}) => outcome === 'failed') ? [{rule: 'innocent-failed', job, runs}] : [];
 }
-
-function groupBy<T>(items: readonly T[], getKey: (item: T) => string): ReadonlyMap<string, readonly T[]> {
-	const groups = new Map<string, T[]>();
-	for (const item of items) {
-		const group = groups.get(getKey(item)) ?? [];
-		group.push(item);
-		groups.set(getKey(item), group);
-	}
-
-	return groups;
-}
--- a/src/testing/fleet-run.ts
+++ b/src/testing/fleet-run.ts
@@ -8,6 +8,7 @@
 } from './fleet-faults.js';
 import {type FleetLogLine} from './fleet-vm.js';
 import {PoolFleet, type PoolFleetOptions} from './pool-fleet.js';
+import {getRestartGaps, type RestartGap} from './restart-gaps.js';
 
 /** Result of one simulation. */
 export type FleetResult = FleetRecord & {
@@ -15,6 +16,8 @@
 	readonly faults: readonly FleetFault[];
 	readonly violations: readonly FleetViolation[];
 	readonly logLines: readonly FleetLogLine[];
+	/** Starts of tasks that had been started before, the shortest gap first. */
+	readonly restartGaps: readonly RestartGap[];
 };
 
 /** Minimum number of faults of a simulation, and the period in which they begin, in milliseconds. */
@@ -80,7 +83,7 @@
 		submissions, starts, deadlyTasks, listedCapacities,
 	};
 	return {
-		...record, seed, faults, logLines, violations: findViolations(record),
+		...record, seed, faults, logLines, violations: findViolations(record), restartGaps: getRestartGaps({runs: starts, submissions, logLines}),
 	};
 }
 
