--- a/src/testing/restart-gaps.ts
+++ b/src/testing/restart-gaps.ts
@@ -100,8 +100,9 @@
 		const sorted = runsOfTask.toSorted((a, b) => a.startedAt - b.startedAt);
 		return sorted.slice(1).map((later, position) => {
 			const earlier = getLastEnded(sorted.slice(0, position + 1));
-			const line = getLine(linesByRun.get(`${task}#${later.number}`) ?? [], later);
-			const isResent = (submissionsByJob.get(task.split('.')[0]!) ?? []).some(({sentAt}) => sentAt > earlier.startedAt && sentAt <= later.startedAt);
+			const sentAt = getLastSentAt(submissionsByJob.get(task.split('.')[0]!) ?? [], later);
+			const line = getLine(linesByRun.get(`${task}#${later.number}`) ?? [], later, sentAt);
+			const isResent = sentAt > earlier.startedAt;
 			const isRepeated = sorted.slice(0, position + 1).some(({number, upstream}) => number === later.number && upstream === later.upstream);
 			const [proof, ...details] = getGround({
 				earlier, later, line, isResent, isRepeated,
@@ -185,9 +186,15 @@
 	return runs.toSorted((a, b) => getEnd(a) < getEnd(b) ? -1 : 1).at(-1)!;
 }
 
-/** Gets the fields of the line that an owner logged of a start; `undefined` if there is none. */
-function getLine(lines: readonly TimedLine[], {startedAt, upstream}: TimedRun): OwnerLine | undefined {
-	const line = lines.filter(({at, fields}) => at <= startedAt + maxClockErrorMs && (fields.upstream ?? upstream) === upstream).toSorted((a, b) => a.at - b.at).at(-1);
+/** Gets the time of the last submission before a start. */
+function getLastSentAt(submissions: RestartRecord['submissions'], {startedAt}: TimedRun): number {
+	return Math.max(-Infinity, ...submissions.map(({sentAt}) => sentAt).filter(sentAt => sentAt <= startedAt));
+}
+
+/** Gets the line that an owner logged of a start since the last submission; `undefined` if there is none. */
+function getLine(lines: readonly TimedLine[], {startedAt, upstream}: TimedRun, sentAt: number): OwnerLine | undefined {
+	const isOfStart = ({at, fields}: TimedLine): boolean => at >= sentAt - maxClockErrorMs && at <= startedAt + maxClockErrorMs && (fields.upstream ?? upstream) === upstream;
+	const line = lines.filter(line => isOfStart(line)).toSorted((a, b) => a.at - b.at).at(-1);
 	return line && {at: line.at, fields: line.fields as RestartFields};
 }
 
