Blame a crash on a single run only if it was at work there

Callers were told `failed` for jobs without fault: a task was given up after two crashes although it ran on neither upstream when that ended.

Cause: a crash counted as that of a task by itself if no other run may have been on the instance. Whether the task's own run was there was not asked: its start may have been lost, and its stop may have been carried out without an answer.

A crash is now the task's own only if its run was seen there or the instance refused connections after its start, and no stop that may have been carried out was sent before the first sign.

--- a/src/pool/instance-runs.ts
+++ b/src/pool/instance-runs.ts
@@ -10,20 +10,32 @@
 export type InstanceRunsOptions = {
 	/** Gets the monotonic time in milliseconds. */
 	readonly getTime: () => number;
-	/** Called with each new sign and the runs on the instance, and again for runs that turn out to have been there; `isAlone` if there is one run in all. */
+	/**
+	 * Called with each new sign and the runs that may be on the instance, and again for runs that turn out to have been there; `isAlone` if there is one run
+	 * in all, and nothing suggests that it was not at work there.
+	 */
 	readonly onSign: (sign: InstanceSign, runs: readonly Run[], isAlone: boolean) => void;
 };
 
 /** Time after the last answer of an instance from which its runs have ended before a sign that it may have ended, in milliseconds: longer than a lease. */
 const maxUnseenMs = 5000;
 
+/** Run that may be on the instance. */
+type InstanceRun = Run & {
+	/** Whether the instance answered its start or listed it. */
+	isSeen: boolean;
+	/** Monotonic time at which a stop was sent that may have been carried out; `Infinity` before. */
+	stoppedAt: number;
+};
+
 /** Runs of one instance since its last answered poll, including those whose lease has ended unseen. */
 export class InstanceRuns {
 	readonly #options: InstanceRunsOptions;
 	/** Runs by task. */
-	readonly #runs = new Map<string, Run>();
-	/** Last sign that the instance may have ended, and the monotonic time of the first one. */
+	readonly #runs = new Map<string, InstanceRun>();
+	/** Last sign that the instance may have ended; the first one and its monotonic time. */
 	#sign: 'refused' | 'crash' | undefined;
+	#firstSign: 'refused' | 'crash' | undefined;
 	#signedAt = -Infinity;
 	/** Monotonic time at which the instance last answered, or a run was added. */
 	#seenAt = -Infinity;
@@ -35,19 +47,36 @@
 	/**
 	 * Adds a run whose start may have been carried out.
 	 * @param run - Run.
+	 * @param isSeen - Whether the instance answered its start or listed it.
 	 */
-	addRun({task, number}: Run): void {
-		if (this.#runs.get(task)?.number === number) {
+	addRun({task, number}: Run, isSeen: boolean): void {
+		const known = this.#runs.get(task);
+		if (known?.number === number) {
+			known.isSeen ||= isSeen;
 			return;
 		}
 
-		this.#runs.set(task, {task, number});
+		this.#runs.set(task, {
+			task, number, isSeen, stoppedAt: Infinity,
+		});
 		this.#seenAt = this.#options.getTime();
 		if (this.#sign !== undefined) {
 			this.#report(this.#sign, [{task, number}]);
 		}
 	}
 
+	/**
+	 * Records that a run may have been stopped.
+	 * @param task - Task of the run.
+	 * @param sentAt - Monotonic time at which the stop was sent.
+	 */
+	setStopped(task: string, sentAt: number): void {
+		const run = this.#runs.get(task);
+		if (run !== undefined) {
+			run.stoppedAt = Math.min(run.stoppedAt, sentAt);
+		}
+	}
+
 	/** Reports that the instance refuses connections: it has crashed, or a network partition refuses them. */
 	reportRefusal(): void {
 		if (this.#sign === undefined) {
@@ -103,6 +132,7 @@
 
 	#setSign(sign: 'refused' | 'crash'): void {
 		if (this.#sign === undefined) {
+			this.#firstSign = sign;
 			this.#signedAt = this.#options.getTime();
 			if (this.#signedAt - this.#seenAt > maxUnseenMs) {
 				this.#runs.clear();
@@ -114,6 +144,14 @@
 	}
 
 	#report(sign: InstanceSign, runs: readonly Run[] = [...this.#runs.values()]): void {
-		this.#options.onSign(sign, runs, this.#runs.size === 1);
+		this.#options.onSign(sign, runs.map(({task, number}) => ({task, number})), this.#runs.size === 1 && [...this.#runs.values()].every(run => this.#wasAtWork(run)));
+	}
+
+	/**
+	 * Gets whether a run was at work when the instance ended, as far as is known. An unanswered start may be lost; a refused connection soon after it suggests
+	 * that it was carried out. A run that may have been stopped may have ended without its end being read.
+	 */
+	#wasAtWork({isSeen, stoppedAt}: InstanceRun): boolean {
+		return (isSeen || this.#firstSign === 'refused') && stoppedAt > this.#signedAt;
 	}
 }
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -700,7 +700,7 @@
 			return;
 		}
 
-		this.#instanceRuns.addRun({task, number});
+		this.#instanceRuns.addRun({task, number}, true);
 		const knownRun = this.#runs.get(task);
 		if (knownRun?.number === number) {
 			knownRun.confirmedAt = Math.min(knownRun.confirmedAt, now);
@@ -793,7 +793,7 @@
 			}
 
 			if (outcome.kind !== 'refused') {
-				this.#instanceRuns.addRun(run);
+				this.#instanceRuns.addRun(run, outcome.kind === 'done');
 			}
 
 			if (outcome.kind !== 'unanswered') {
@@ -909,6 +909,10 @@
 			const orderOptions = this.#getOrderOptions();
 			const outcome = await this.#options.orders.stopRun({...orderOptions, run: {task, number}});
 			this.#checkInstance(outcome, sentAt);
+			if (outcome.kind === 'done' || (outcome.kind === 'unanswered' && outcome.isRefused !== true)) {
+				this.#instanceRuns.setStopped(task, sentAt);
+			}
+
 			if (outcome.kind === 'done') {
 				if (sentAt < this.#instanceSeenAt) {
 					// The former instance may have confirmed it.
--- a/test/pool/refused-connections.test.ts
+++ b/test/pool/refused-connections.test.ts
@@ -81,6 +81,35 @@
 	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
 });
 
+test('a task whose starts were lost on two upstreams that restarted unseen is not failed', async t => {
+	const harness = new PoolHarness({upstreamCount: 6, getWork: () => ({...typicalWork, durationMs: 300})});
+	const restarted = new Set<string>();
+	const startRun = harness.upstreams.startRun.bind(harness.upstreams);
+	harness.upstreams.startRun = async options => {
+		const {id} = options.upstream;
+		if (restarted.size < 2 && !restarted.has(id)) {
+			restarted.add(id);
+			const faults = harness.faults[harness.descriptions.findIndex(upstream => upstream.id === id)]!;
+			faults.isCutOff = true;
+			harness.upstreams.crash(id);
+			harness.clock.setTimer(() => {
+				harness.upstreams.addUpstream({...harness.descriptions.find(upstream => upstream.id === id)!, bornMs: harness.clock.getMonotonicTime()});
+				faults.isCutOff = false;
+			}, 800);
+		}
+
+		return startRun(options);
+	};
+
+	const owner = harness.createOwner();
+	await harness.clock.advance(300);
+	harness.submit(owner, 'a', {...patient, step: {estimateMs: 300}});
+	await harness.clock.advance(8000);
+	t.is(harness.logLines.filter(({message}) => message === 'upstream crashed').length, 2);
+	t.deepEqual(harness.outcomes.get('a'), {kind: 'completed'});
+	t.deepEqual(harness.upstreams.getDoubleRuns(), []);
+});
+
 test('a task beside one that crashes its upstreams is not failed if the crashes show late', async t => {
 	const harness = new PoolHarness({upstreamCount: 6, cpu: 24_000, getWork: () => ({...typicalWork, durationMs: 200})});
 	// The host goes with the upstream: silence first, and another instance after some seconds.
--- a/test/pool/upstream-link.test.ts
+++ b/test/pool/upstream-link.test.ts
@@ -32,6 +32,8 @@
 	readonly ended: Array<readonly [string, RunEnd, EndGrounds]> = [];
 	readonly refused: string[] = [];
 	readonly signs: Array<readonly [sign: string, tasks: readonly string[]]> = [];
+	/** Tasks of the signs under which one ran alone. */
+	readonly aloneTasks: string[] = [];
 	readonly link: UpstreamLink;
 
 	constructor() {
@@ -55,8 +57,9 @@
 				onFenced() {/* Not observed. */},
 				onSilenceChanged() {/* Not observed. */},
 				onInstanceChanged() {/* Not observed. */},
-				onInstanceSign: (_link, sign, runs) => {
+				onInstanceSign: (_link, sign, runs, isAlone) => {
 					this.signs.push([sign, runs.map(({task}) => task)]);
+					this.aloneTasks.push(...isAlone ? runs.map(({task}) => task) : []);
 				},
 				onUnclaimedRun() {/* Not observed. */},
 			},
@@ -486,3 +489,52 @@
 	t.deepEqual(fixture.signs, [['refused', ['a.0.0.0']], ['crash', ['a.0.0.0']]]);
 	link.close();
 });
+
+test('a crash under a run alone that was answered and not stopped is its fault', async t => {
+	const fixture = new LinkFixture();
+	const {link} = fixture;
+	await fixture.open();
+	await fixture.startRun('a.0.0.0');
+	await answerPolls(fixture, 500, () => fixture.createSeen({bornMs: 2}));
+	t.deepEqual(fixture.signs, [['crash', ['a.0.0.0']]]);
+	t.deepEqual(fixture.aloneTasks, ['a.0.0.0']);
+	link.close();
+});
+
+test('a crash under a start that was left unanswered is not its fault for certain', async t => {
+	const fixture = new LinkFixture();
+	const {link} = fixture;
+	await fixture.open();
+	link.start(createRun('a.0.0.0'));
+	await fixture.clock.advance(250);
+	await answerPolls(fixture, 500, () => fixture.createSeen({bornMs: 2}));
+	t.deepEqual(fixture.signs, [['crash', ['a.0.0.0']]]);
+	t.deepEqual(fixture.aloneTasks, []);
+	link.close();
+});
+
+test('a crash that shows while a run is being stopped is not its fault for certain', async t => {
+	const fixture = new LinkFixture();
+	const {link} = fixture;
+	await fixture.open();
+	const run = await fixture.startRun('a.0.0.0');
+	link.stop(run);
+	await fixture.clock.advance(250);
+	await answerPolls(fixture, 500, () => fixture.createSeen({bornMs: 2}));
+	t.deepEqual(fixture.signs, [['crash', ['a.0.0.0']]]);
+	t.deepEqual(fixture.aloneTasks, []);
+	link.close();
+});
+
+test('an unanswered start that is followed by refused connections crashed its upstream, whatever is sent afterwards', async t => {
+	const fixture = new LinkFixture();
+	const {link} = fixture;
+	await fixture.open();
+	link.start(createRun('a.0.0.0'));
+	await fixture.clock.advance(200);
+	await answerPolls(fixture, 1000, () => ({kind: 'unanswered', detail: 'connection refused', isRefused: true}));
+	await answerPolls(fixture, 500, () => fixture.createSeen({bornMs: 2}));
+	t.deepEqual(fixture.signs, [['refused', ['a.0.0.0']], ['crash', ['a.0.0.0']]]);
+	t.deepEqual(fixture.aloneTasks, ['a.0.0.0', 'a.0.0.0']);
+	link.close();
+});
