Let the daemons of the process tests choose their ports

daemon-process.test.ts failed beside other processes: the set-up looked for free ports, closed them and started the daemons on them. A port that another process took in between ended the daemon with EADDRINUSE.

The daemons now listen on port 0, which they support already, and the set-up reads their addresses from the line `listening` of their log. It throws if a daemon ends before it has started.

--- a/test/daemon/daemon-process.ts
+++ b/test/daemon/daemon-process.ts
@@ -1,8 +1,8 @@
 import {type ChildProcess, spawn} from 'node:child_process';
 import {once} from 'node:events';
-import {createServer, type AddressInfo} from 'node:net';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
+import {type Readable} from 'node:stream';
 import type {ExecutionContext} from 'ava';
 import {type ListedEntryVm} from '../../src/platform/index.js';
 
@@ -13,12 +13,14 @@
 	readonly exitCode: Promise<number | undefined>;
 };
 
+/** Address whose port the operating system selects, so that no other process can take it in between. */
+const ephemeralAddress = '127.0.0.1:0';
+
+/** Lines of a daemon's log that say where it listens, and that it has started. */
+type LogLine = {readonly msg: string; readonly caller: string; readonly operator: string; readonly peer: string};
+
 /** Starts a daemon and waits until it listens. */
 export async function startDaemon(t: ExecutionContext, vm: string, platformUrl: string): Promise<DaemonProcess> {
-	const [callerAddress, operatorAddress, peerAddress] = await getFreeAddresses();
-	const listed: ListedEntryVm = {
-		kind: 'entry', name: vm, dataCenter: 'dc1', state: 'live', callerAddress: callerAddress!, operatorAddress: operatorAddress!, peerAddress: peerAddress!,
-	};
 	const child = spawn(process.execPath, [
 		'--import=tsx',
 		'src/daemon/main.ts',
@@ -31,11 +33,11 @@
 		'--platform-urls',
 		platformUrl,
 		'--caller-address',
-		listed.callerAddress,
+		ephemeralAddress,
 		'--operator-address',
-		listed.operatorAddress,
+		ephemeralAddress,
 		'--peer-address',
-		listed.peerAddress,
+		ephemeralAddress,
 		'--peer-key',
 		'a key of the test, long enough',
 		'--drain-ms',
@@ -46,15 +48,28 @@
 		const [code] = await once(child, 'exit') as [number | undefined];
 		return code;
 	})();
-	for await (const line of createInterface({input: child.stdout})) {
-		const {msg} = JSON.parse(line) as {msg: string};
-		if (msg === 'started') {
-			break;
+	const listed = await readAddresses(child, vm);
+	child.stdout.resume();
+	return {child, listed, exitCode};
+}
+
+/** Reads the daemon's log until it has started; throws if it ends before. */
+async function readAddresses({stdout}: {readonly stdout: Readable}, vm: string): Promise<ListedEntryVm> {
+	let listed: ListedEntryVm | undefined;
+	for await (const line of createInterface({input: stdout})) {
+		const {msg, caller, operator, peer} = JSON.parse(line) as LogLine;
+		if (msg === 'listening') {
+			listed = {
+				kind: 'entry', name: vm, dataCenter: 'dc1', state: 'live', callerAddress: caller, operatorAddress: operator, peerAddress: peer,
+			};
+		}
+
+		if (msg === 'started' && listed !== undefined) {
+			return listed;
 		}
 	}
 
-	child.stdout.resume();
-	return {child, listed, exitCode};
+	throw new Error(`Daemon ${vm} ended before it started`);
 }
 
 /** Polls the status at an operator address until it satisfies a predicate. */
@@ -70,18 +85,3 @@
 		});
 	}
 }
-
-/** Gets three loopback addresses whose ports are currently free. */
-async function getFreeAddresses(): Promise<readonly string[]> {
-	const servers = await Promise.all(Array.from({length: 3}, async () => {
-		const server = createServer().listen(0, '127.0.0.1');
-		await once(server, 'listening');
-		return server;
-	}));
-	const addresses = servers.map(server => `127.0.0.1:${(server.address() as AddressInfo).port}`);
-	await Promise.all(servers.map(async server => {
-		server.close();
-		await once(server, 'close');
-	}));
-	return addresses;
-}
