Require labels only of upstreams whose entry describes the instance

Tasks with a required label started on upstreams of another kind: an upstream crashed and came back under its identifier as another kind while the store was down, and the owner went on with the labels of the entry that it had read.

Cause: a link learns from answers that another instance is there, but its labels come from the entry and were never compared with that instance.

A link now keeps the start time of the instance that its entry describes. While another instance answers, in either order, the upstream has no labels for placement; tasks without a required label start there as before. Entries that do not tell their start time count for any instance.

The stand-in of a link in free-capacities.test.ts has labels now, as the link has.

--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -525,6 +525,7 @@
 			const wasLeaving = existing.description.isLeaving;
 			// The upstream's own answers are the best source for its start time.
 			existing.description = {...upstream, bornMs: existing.description.bornMs};
+			existing.describedBornMs = upstream.bornMs;
 			if (upstream.isLeaving && !wasLeaving) {
 				this.#options.log.info({upstream: upstream.id, pool: this.#options.pool}, 'upstream leaving');
 			}
@@ -537,6 +538,7 @@
 			this.#relocated.delete(upstream.id);
 			this.#formerLinks.add(existing);
 			formerLink.description = {...upstream, bornMs: formerLink.description.bornMs};
+			formerLink.describedBornMs = upstream.bornMs;
 			this.#links.set(upstream.id, formerLink);
 			return;
 		}
--- a/src/pool/upstream-health.ts
+++ b/src/pool/upstream-health.ts
@@ -53,9 +53,9 @@
  * @param link - Upstream.
  */
 export function toCandidate(link: UpstreamLink): PlacementCandidate {
-	const {id, rack, labels} = link.description;
+	const {id, rack} = link.description;
 	return {
-		id, rack, labels, free: link.getFreeCapacity(), slowness: link.slowness,
+		id, rack, labels: link.getLabels(), free: link.getFreeCapacity(), slowness: link.slowness,
 		isSuspect: link.consecutiveFailures >= minSuspectFailures || link.slowness >= minSuspectSlowness,
 	};
 }
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -157,6 +157,8 @@
 	consecutiveFailures = 0;
 	/** Monotonic time until which no tasks are started here. */
 	suspendedUntil = 0;
+	/** Start time of the instance that the upstream's entry describes; 0 if the entry does not tell. */
+	describedBornMs: number;
 	readonly #options: UpstreamLinkOptions;
 	readonly #timing: UpstreamLinkTiming;
 	readonly #runs = new Map<string, LinkedRun>();
@@ -201,6 +203,7 @@
 
 	constructor(public description: UpstreamDescription, options: UpstreamLinkOptions) {
 		this.#options = options;
+		this.describedBornMs = description.bornMs;
 		this.#timing = options.timing ?? defaultUpstreamLinkTiming;
 		this.#lastLeaseMs = this.#timing.leaseMs;
 		this.#silentSince = options.clock.getMonotonicTime();
@@ -230,6 +233,12 @@
 		return {cpu: capacity.cpu - cpu, memoryMb: capacity.memoryMb - memoryMb, accelerators: capacity.accelerators - accelerators};
 	}
 
+	/** Gets the labels of the upstream; none while its entry describes another instance, which may be of another kind. */
+	getLabels(): readonly string[] {
+		const {bornMs, labels} = this.description;
+		return this.describedBornMs === bornMs || this.describedBornMs === 0 ? labels : [];
+	}
+
 	/** Gets whether new tasks may be started here. */
 	isAcceptingStarts(): boolean {
 		if (this.#isSilent || this.description.isLeaving || this.#clockOffsetMs === undefined || this.#unclaimed.size > 0) {
--- a/test/pool/free-capacities.test.ts
+++ b/test/pool/free-capacities.test.ts
@@ -11,6 +11,7 @@
 		used: 0,
 		link: {
 			name: id, description, slowness: 1, consecutiveFailures: 0,
+			getLabels: () => description.labels,
 			getFreeCapacity: () => ({...description.capacity, cpu: description.capacity.cpu - fake.used}),
 		} as unknown as UpstreamLink,
 	};
