Cancel a job wherever its requests wait

DELETE was answered with 410 while the job ran on, and its tasks started seconds later: the endpoint looked for the job nowhere.

A DELETE now ends the requests of the job at this VM and asks all others to end theirs; the owner stops the tasks as for callers that leave. The requests are answered with the state `cancelled`, as are those that come for the job within 30 s. A cancelling that found nothing is answered with 503 if a VM that is not down did not answer; VMs that did not answer are asked again.

--- a/src/platform/caller-endpoint.ts
+++ b/src/platform/caller-endpoint.ts
@@ -9,6 +9,7 @@
 	type DecisionLog, findRoute, type PoolJobOutcome, type PoolNode, type Route, type RoutingTable,
 } from '../pool/index.js';
 import {type Clock} from '../seams/index.js';
+import {type CancelledJobs} from './cancelled-jobs.js';
 import {decodeJob} from './decode-job.js';
 
 /** Options of {@link CallerEndpoint}. */
@@ -16,6 +17,7 @@
 	readonly clock: Clock;
 	readonly log: DecisionLog;
 	readonly node: PoolNode;
+	readonly cancelledJobs: Pick<CancelledJobs, 'addRequest' | 'cancel' | 'isCancelled'>;
 	readonly getRoutingTable: () => RoutingTable | undefined;
 	/** Called once for each answered request. */
 	readonly onAnswer: (answer: {readonly route: string; readonly status: number; readonly cause: string; readonly totalMs: number; readonly unreadMs: number}) => void;
@@ -40,6 +42,9 @@
 /** Deadline of a job whose request has no deadline header, in milliseconds. */
 const defaultDeadlineMs = 30_000;
 
+const noSuchJob: Answer = {status: 410, cause: 'no-such-job'};
+const cancelled: Answer = {status: 200, body: {state: 'cancelled'}, cause: 'cancelled'};
+
 const jobIdPattern = /^[\da-f]{16}$/v;
 
 /** Handles the HTTP requests of callers. */
@@ -128,11 +133,24 @@
 			});
 		}
 
-		return req.method === 'GET' || req.method === 'DELETE' ? {status: 410, cause: 'no-such-job'} : {status: 405, cause: 'bad-method'};
+		if (req.method === 'DELETE') {
+			return this.#cancel(id);
+		}
+
+		return req.method === 'GET' ? noSuchJob : {status: 405, cause: 'bad-method'};
+	}
+
+	async #cancel(id: string): Promise<Answer> {
+		const outcome = await this.#options.cancelledJobs.cancel(id);
+		if (outcome === 'unanswered') {
+			return {status: 503, retryAfterMs: 1000, cause: 'not-cancelled'};
+		}
+
+		return outcome === 'cancelled' ? cancelled : noSuchJob;
 	}
 
 	async #submit(req: IncomingMessage, {id, route, maxBodyBytes, unreadMs}: SubmitTarget): Promise<Answer> {
-		const {clock, node} = this.#options;
+		const {clock, node, cancelledJobs} = this.#options;
 		const readAt = clock.getMonotonicTime();
 		const body = await readRequestBody(req, maxBodyBytes);
 		if (body.kind !== 'whole') {
@@ -148,6 +166,10 @@
 			return {status: 503, cause: 'unsupported', body: {error: decoded.detail}};
 		}
 
+		if (cancelledJobs.isCancelled(id)) {
+			return cancelled;
+		}
+
 		const remainingMs = Number(req.headers[deadlineHeader] ?? defaultDeadlineMs) - unreadMs - (clock.getMonotonicTime() - readAt);
 		const controller = new AbortController();
 		const abort = (): void => {
@@ -155,6 +177,7 @@
 		};
 
 		this.#pending.add(controller);
+		const removeRequest = cancelledJobs.addRequest(id, abort);
 		const stopWatching = watchConnectionEnd(req.socket, abort);
 		// A network partition hides the end of the caller's connection. From its deadline on the caller may submit the job again, which it could not if this VM went on waiting.
 		const timer = clock.setTimer(abort, remainingMs);
@@ -162,7 +185,9 @@
 		timer.close();
 		this.#pending.delete(controller);
 		stopWatching();
-		return toAnswer(outcome);
+		removeRequest();
+		const hasEnded = outcome.kind === 'completed' || outcome.kind === 'failed';
+		return cancelledJobs.isCancelled(id) && !hasEnded ? cancelled : toAnswer(outcome);
 	}
 }
 
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -15,6 +15,7 @@
 	type Clock, type Random, sleep, systemClock, systemRandom,
 } from '../seams/index.js';
 import {CallerEndpoint} from './caller-endpoint.js';
+import {CancelledJobs, cancelTopic} from './cancelled-jobs.js';
 import {ConfigurationWatch} from './configuration-watch.js';
 import {describeIssues} from './describe-issues.js';
 import {HttpOrders} from './http-orders.js';
@@ -108,6 +109,7 @@
 	readonly #upstreams: UpstreamList;
 	readonly #registry: VmRegistry;
 	readonly #neighbours: StartupOwnerCheck;
+	readonly #cancelledJobs: CancelledJobs;
 	readonly #options: PlatformEntryVmOptions;
 	readonly #listeners: HttpListener[] = [];
 	#subscription: Subscription<unknown> | undefined;
@@ -157,6 +159,7 @@
 				this.#neighbours.setVms(listed.filter(vm => vm.dataCenter === dataCenter && vm.name !== name));
 			},
 		});
+		this.#cancelledJobs = new CancelledJobs({clock, getPeers: () => this.#mesh});
 		this.#neighbours = new StartupOwnerCheck({clock, dial: dialTcp, hasReportedPools: vm => this.#node.hasReportedPools(vm)});
 	}
 
@@ -173,6 +176,7 @@
 			clock: this.#clock,
 			log: this.#log,
 			node: this.#node,
+			cancelledJobs: this.#cancelledJobs,
 			getRoutingTable: () => this.#configuration.getRoutingTable(),
 			onAnswer(answer) {
 				metrics.addAnswer(answer);
@@ -281,6 +285,7 @@
 		this.#layoutManager.close();
 		this.#upstreams.close();
 		this.#node.close();
+		this.#cancelledJobs.close();
 		this.#inputProgress.close();
 		await this.#mesh.close();
 		await this.#orders.close();
@@ -478,6 +483,10 @@
 			return this.#configuration.getText();
 		}
 
+		if (request.topic === cancelTopic) {
+			return this.#cancelledJobs.handleRequest(request.body);
+		}
+
 		if (this.#node.handlesTopic(request.topic)) {
 			return this.#node.handleRequest(request, signal, confirmation);
 		}
--- a/test/platform/caller-endpoint.test.ts
+++ b/test/platform/caller-endpoint.test.ts
@@ -3,6 +3,7 @@
 import {PassThrough} from 'node:stream';
 import test from 'ava';
 import {type PoolNode, type RoutingTable} from '../../src/pool/index.js';
+import {CancelledJobs} from '../../src/platform/cancelled-jobs.js';
 import {CallerEndpoint} from '../../src/platform/caller-endpoint.js';
 import {ManualClock} from '../../src/testing/index.js';
 import {createJob, silentLog} from '../pool/pool-harness.js';
@@ -31,8 +32,14 @@
 	};
 	const {rules} = createJob('a');
 	const table = {version: 1, maxBodyBytes: 10_000, routes: [{host: 'h', prefix: '/p/', rules}]};
+	const cancelledJobs = new CancelledJobs({
+		clock,
+		getPeers() {
+			throw new Error('Nothing is cancelled');
+		},
+	});
 	const endpoint = new CallerEndpoint({
-		clock, log: silentLog, node: node as unknown as PoolNode, getRoutingTable: () => table, onAnswer() {/* Not checked. */},
+		clock, log: silentLog, node: node as unknown as PoolNode, cancelledJobs, getRoutingTable: () => table, onAnswer() {/* Not checked. */},
 	});
 	const socket = new Socket();
 	const body = new PassThrough();
--- a/test/platform/platform-entry-vm.test.ts
+++ b/test/platform/platform-entry-vm.test.ts
@@ -28,6 +28,30 @@
 	await deployment.close();
 });
 
+for (const {name, canceller} of [{name: 'the entry VM that has its request', canceller: 0}, {name: 'another entry VM', canceller: 1}]) {
+	test(`a job that is cancelled at ${name} ends, and no task of it starts any more`, async t => {
+		const deployment = await createPlatformDeployment({getWork: () => ({needs: {cpu: 6800, memoryMb: 64, accelerators: 0}, durationMs: 600})});
+		await deployment.waitUntilReady();
+		const id = '00000000000000c2';
+		const steps = [{
+			count: 2, cpu: 6800, mem_mb: 64, estimate_ms: 600,
+		}, {
+			count: 2, cpu: 6800, mem_mb: 64, estimate_ms: 600, after: [0],
+		}];
+		const answer = deployment.submit(0, id, {body: {steps}});
+		const getStarts = () => deployment.upstreams.flatMap(upstream => upstream.getStarts());
+		await waitFor(() => getStarts().length === 2);
+		const [address] = deployment.entryVms[canceller]!.getAddresses();
+		t.is(await getStatus(address!, `${prefix}${id}`, 'DELETE'), 200);
+		t.like(await answer, {status: 200, state: 'cancelled'});
+		await waitFor(() => getStarts().every(({end}) => end !== undefined));
+		t.deepEqual(getStarts().map(({end}) => end), ['stopped', 'stopped']);
+		t.like(await deployment.submit(1, id, {body: {steps}}), {status: 200, state: 'cancelled'});
+		t.is(getStarts().length, 2);
+		await deployment.close();
+	});
+}
+
 test('requests are routed by the active configuration', async t => {
 	const deployment = await createPlatformDeployment();
 	await deployment.waitUntilReady();
