Fail fleets whose tasks start again sooner than their grounds allow

A gap below its bound means that a proof did not hold, even if chance kept the two runs apart. It is now a violation, `early-restart`; starts without a ground are printed only, since an order that the next instance of an upstream carries out late is the listed failure of restarted-upstream.test.ts.

--- a/src/testing/fleet-checks.ts
+++ b/src/testing/fleet-checks.ts
@@ -3,11 +3,12 @@
  */
 import {type FleetSubmission} from './fleet-callers.js';
 import {groupBy} from './group-by.js';
+import {findShortGaps, type RestartGap} from './restart-gaps.js';
 import {type RecordedStart} from './simulated-upstreams.js';
 
 /** Violation of a guarantee. */
 export type FleetViolation = {
-	readonly rule: 'double-run' | 'refused-but-started' | 'completed-but-not-done' | 'too-many-starts' | 'over-capacity' | 'innocent-failed';
+	readonly rule: 'double-run' | 'refused-but-started' | 'completed-but-not-done' | 'too-many-starts' | 'over-capacity' | 'innocent-failed' | 'early-restart';
 	readonly job: string;
 	/** Runs that violate the rule. */
 	readonly runs: readonly RecordedStart[];
@@ -57,6 +58,15 @@
 	});
 }
 
+/**
+ * Finds starts that came sooner after the end of an earlier run than their grounds allow; runs at the same time are found by {@link findViolations}.
+ * @param gaps - Starts of tasks that had been started before.
+ */
+export function findEarlyRestarts(gaps: ReadonlyArray<RestartGap<RecordedStart>>): readonly FleetViolation[] {
+	return findShortGaps(gaps).filter(({gapMs, minGapMs}) => gapMs >= 0 && minGapMs !== undefined)
+		.map(({earlier, later}) => ({rule: 'early-restart', job: later.task.slice(0, later.task.indexOf('.')), runs: [earlier, later]}));
+}
+
 function findDoubleRuns(job: string, runs: readonly RecordedStart[]): readonly FleetViolation[] {
 	return [...groupBy(runs, ({task}) => task).values()].flatMap(runsOfTask => runsOfTask.flatMap((run, position) =>
 		runsOfTask.slice(position + 1)
--- a/src/testing/fleet-run.ts
+++ b/src/testing/fleet-run.ts
@@ -2,7 +2,9 @@
  * Runs a simulated fleet and finds violations of the dispatcher's guarantees.
  */
 import {createSeededRandom} from '../seams/index.js';
-import {findViolations, type FleetRecord, type FleetViolation} from './fleet-checks.js';
+import {
+	findEarlyRestarts, findViolations, type FleetRecord, type FleetViolation,
+} from './fleet-checks.js';
 import {
 	createFleetFaults, createHoldFaults, createUpstreamAnswerFaults, createWorkloadFaults, type FleetFault,
 } from './fleet-faults.js';
@@ -82,8 +84,9 @@
 	const record = {
 		submissions, starts, deadlyTasks, listedCapacities,
 	};
+	const restartGaps = getRestartGaps({runs: starts, submissions, logLines});
 	return {
-		...record, seed, faults, logLines, violations: findViolations(record), restartGaps: getRestartGaps({runs: starts, submissions, logLines}),
+		...record, seed, faults, logLines, restartGaps, violations: [...findViolations(record), ...findEarlyRestarts(restartGaps)],
 	};
 }
 
--- a/src/testing/restart-gaps.ts
+++ b/src/testing/restart-gaps.ts
@@ -19,18 +19,18 @@
 export type TimedLine = {readonly at: number; readonly message: string; readonly fields: Readonly<Record<string, unknown>>};
 
 /** What the upstreams, the callers and the owners' logs of a simulation or a soak tell. */
-export type RestartRecord = {
-	readonly runs: readonly TimedRun[];
+export type RestartRecord<T extends TimedRun = TimedRun> = {
+	readonly runs: readonly T[];
 	readonly submissions: ReadonlyArray<{readonly job: string; readonly sentAt: number}>;
 	readonly logLines: readonly TimedLine[];
 };
 
 /** A start of a task that was started before. */
-export type RestartGap = {
+export type RestartGap<T extends TimedRun = TimedRun> = {
 	readonly ground: string;
 	/** Earlier run that ended last. */
-	readonly earlier: TimedRun;
-	readonly later: TimedRun;
+	readonly earlier: T;
+	readonly later: T;
 	/** Time from the end of the earlier run to the later start, in milliseconds: negative if both ran at the same time, `-Infinity` if the earlier one has not ended. */
 	readonly gapMs: number;
 	/** Time between the two starts, in milliseconds. */
@@ -93,7 +93,7 @@
  * send of the start was carried out, too; `late-order`: one was carried out after its owner had given it up; `unknown`: none of these.
  * @param record - Record.
  */
-export function getRestartGaps({runs, submissions, logLines}: RestartRecord): readonly RestartGap[] {
+export function getRestartGaps<T extends TimedRun>({runs, submissions, logLines}: RestartRecord<T>): ReadonlyArray<RestartGap<T>> {
 	const linesByRun = groupBy(logLines.filter(({message}) => message === restartMessage), ({fields}) => `${String(fields.task)}#${String(fields.run)}`);
 	const submissionsByJob = groupBy(submissions, ({job}) => job);
 	const gaps = [...groupBy(runs, ({task}) => task)].flatMap(([task, runsOfTask]) => {
@@ -182,7 +182,7 @@
 	return endedAt;
 }
 
-function getLastEnded(runs: readonly TimedRun[]): TimedRun {
+function getLastEnded<T extends TimedRun>(runs: readonly T[]): T {
 	return runs.toSorted((a, b) => getEnd(a) < getEnd(b) ? -1 : 1).at(-1)!;
 }
 
--- a/test/pool/fleet-mutants.test.ts
+++ b/test/pool/fleet-mutants.test.ts
@@ -83,3 +83,25 @@
 	const {violations} = await runFleet(heldFleet.seed, heldFleet.faults, {...leavers, wrapProgress: (_, clock) => createImmediateProgress(clock)});
 	t.true(violations.some(({rule}) => rule === 'double-run'));
 });
+
+/** A fleet in which runs go on for as long after their callers left as the proofs of the senders allow. */
+const provenFleet = {seed: 27, faults: [...getFleetFaults(27, 25), ...getHoldFaults(27, 10)]};
+
+/** Time by which proofs are taken to be younger, in milliseconds: about twice the margin between the end of the leases and the caller's next submission. */
+const youngerMs = 300;
+
+test('a fleet in which proofs are as old as they are has no starts below their bounds', async t => {
+	const {violations} = await runFleet(provenFleet.seed, provenFleet.faults, leavers);
+	t.deepEqual(violations, []);
+});
+
+test('a fleet in which proofs are taken to be younger has starts below their bounds, though no double runs', async t => {
+	const {violations} = await runFleet(provenFleet.seed, provenFleet.faults, {
+		...leavers,
+		wrapConfirmation: confirmation => ({
+			getConfirmedAt: () => confirmation.getConfirmedAt() + youngerMs,
+			requestConfirmation: async () => confirmation.requestConfirmation(),
+		}),
+	});
+	t.deepEqual([...new Set(violations.map(({rule}) => rule))], ['early-restart']);
+});
--- a/test/testing/fleet-checks.test.ts
+++ b/test/testing/fleet-checks.test.ts
@@ -1,6 +1,9 @@
 import test from 'ava';
 import {type FleetSubmission} from '../../src/testing/fleet-callers.js';
-import {findViolations, type FleetRecord, type FleetViolation} from '../../src/testing/fleet-checks.js';
+import {
+	findEarlyRestarts, findViolations, type FleetRecord, type FleetViolation,
+} from '../../src/testing/fleet-checks.js';
+import {type RestartGap} from '../../src/testing/restart-gaps.js';
 import {type RecordedStart} from '../../src/testing/simulated-upstreams.js';
 
 const capacity = {cpu: 16_000, memoryMb: 64, accelerators: 0};
@@ -66,3 +69,14 @@
 	t.deepEqual(getRules({starts: [...starts, createRun(3, 2000, {end: 'failed', isEndedByCrash: false})], submissions}), []);
 	t.deepEqual(getRules({starts, submissions: [createSubmission('completed')]}).filter(rule => rule === 'innocent-failed'), []);
 });
+
+test('a start below the bound of its ground is too early, unless it has no bound or is a double run', t => {
+	const runs = [createRun(1, 0), createRun(2, 200)] as const;
+	const getEarly = (options: Partial<RestartGap<RecordedStart>>): readonly FleetViolation[] => findEarlyRestarts([{
+		ground: 'resent', earlier: runs[0], later: runs[1], gapMs: 100, apartMs: 200, isAfterDone: false, minGapMs: 130, ...options,
+	}]);
+	t.deepEqual(getEarly({}), [{rule: 'early-restart', job: 'j', runs: [...runs]}]);
+	t.deepEqual(getEarly({gapMs: 130}), []);
+	t.deepEqual(getEarly({gapMs: -1}), []);
+	t.deepEqual(getEarly({minGapMs: undefined}), []);
+});
