Measure the gaps before further starts in the soak of processes, too

The stand-ins know when each run ended, and the VMs' logs tell the grounds. The soak prints the same summary as that of fleets, and the gaps below their bounds; the last lines of a VM that was killed are missing, so that a start of it may be without a ground.

--- a/bench/soak-processes/main.ts
+++ b/bench/soak-processes/main.ts
@@ -3,6 +3,7 @@
  */
 import process from 'node:process';
 import {Command} from 'commander';
+import {describeGap, describeRestartGaps, findShortGaps} from '../../src/testing/restart-gaps.js';
 import {getOverhangs, maxOverhangMs} from './check-history.js';
 import {groupBy, type SoakHistory} from './history.js';
 import {type SoakResult, runSoak} from './soak-run.js';
@@ -23,11 +24,16 @@
 	readonly keep?: boolean;
 };
 
-function printResult(seed: number, {history, violations, folder}: SoakResult): void {
+function printResult(seed: number, {history, violations, restartGaps, folder}: SoakResult): void {
 	const {sends, runs, faults} = history;
 	const counts = formatCounts(sends.map(({end, status, state}) => state ?? status?.toString() ?? end));
 	process.stdout.write(`seed ${seed}: ${sends.length} sends (${counts}), ${runs.length} runs, faults: ${formatCounts(faults.map(({kind}) => kind))}, ${violations.length} violations\n`);
 	process.stdout.write(`  ${formatOverhangs(history)}\n`);
+	process.stdout.write(`  ${restartGaps.length} starts of tasks that had run before, by ground:\n`);
+	for (const line of [...describeRestartGaps(restartGaps), ...findShortGaps(restartGaps).map(gap => `SHORT ${describeGap(gap)}`)]) {
+		process.stdout.write(`    ${line}\n`);
+	}
+
 	if (violations.length === 0) {
 		return;
 	}
--- a/bench/soak-processes/soak-run.ts
+++ b/bench/soak-processes/soak-run.ts
@@ -11,6 +11,7 @@
 import {Client} from 'undici';
 import {createSeededRandom, type Random} from '../../src/seams/index.js';
 import {type StoreFaults} from '../../src/testing/index.js';
+import {getRestartGaps, type RestartGap} from '../../src/testing/restart-gaps.js';
 import {Balancer} from './balancer.js';
 import {Caller, submitJob} from './caller.js';
 import {
@@ -24,6 +25,7 @@
 	areUpstreamsGuarded, createFaultPlan, type SoakFaultKind, type PlannedFault,
 } from './plan.js';
 import {LinkProxies} from './link-proxies.js';
+import {readRestartLines} from './restart-lines.js';
 import {peerPort, VmProcess} from './vm-process.js';
 import {type UpstreamFaults, StandInProcess, type StandInCommand} from './stand-in-process.js';
 
@@ -54,6 +56,8 @@
 export type SoakResult = {
 	readonly history: SoakHistory;
 	readonly violations: readonly Violation[];
+	/** Starts of tasks that had been started before, the shortest gap first. */
+	readonly restartGaps: readonly RestartGap[];
 	/** Folder with the logs of all processes and the history; removed when there are no violations, unless logs are kept. */
 	readonly folder: string;
 };
@@ -175,13 +179,16 @@
 		await callersDone;
 		const history = await this.#getHistory();
 		violations = checkHistory(history);
+		const restartGaps = getRestartGaps({runs: history.runs, submissions: history.sends, logLines: readRestartLines(this.#folder)});
 		if (violations.length === 0 && !keepsLogs) {
 			rmSync(this.#folder, {recursive: true});
 		} else {
 			writeFileSync(path.join(this.#folder, 'history.json'), JSON.stringify({...history, broken: violations}));
 		}
 
-		return {history, violations, folder: this.#folder};
+		return {
+			history, violations, restartGaps, folder: this.#folder,
+		};
 	}
 
 	/** Kills all processes, each through its own handle. */
