--- a/test/testing/fleet-checks.test.ts
+++ b/test/testing/fleet-checks.test.ts
@@ -1,6 +1,9 @@
 import test from 'ava';
 import {type FleetSubmission} from '../../src/testing/fleet-callers.js';
-import {findViolations, type FleetRecord, type FleetViolation} from '../../src/testing/fleet-checks.js';
+import {
+	findEarlyRestarts, findViolations, type FleetRecord, type FleetViolation,
+} from '../../src/testing/fleet-checks.js';
+import {type RestartGap} from '../../src/testing/restart-gaps.js';
 import {type RecordedStart} from '../../src/testing/simulated-upstreams.js';
 
 const capacity = {cpu: 16_000, memoryMb: 64, accelerators: 0};
@@ -72,3 +75,14 @@
 	t.deepEqual(getRules({orders: [order, {...order, process: 'vm1-2'}]}), ['shared-fence']);
 	t.deepEqual(getRules({orders: [order, order, {...order, fence: 8, process: 'vm1-2'}, {...order, upstream: 'u2', process: 'vm1-2'}]}), []);
 });
+
+test('a start below the bound of its ground is too early, unless it has no bound or is a double run', t => {
+	const runs = [createRun(1, 0), createRun(2, 200)] as const;
+	const getEarly = (options: Partial<RestartGap<RecordedStart>>): readonly FleetViolation[] => findEarlyRestarts([{
+		ground: 'resent', earlier: runs[0], later: runs[1], gapMs: 100, apartMs: 200, isAfterDone: false, minGapMs: 130, ...options,
+	}]);
+	t.deepEqual(getEarly({}), [{rule: 'early-restart', job: 'j', runs: [...runs]}]);
+	t.deepEqual(getEarly({gapMs: 130}), []);
+	t.deepEqual(getEarly({gapMs: -1}), []);
+	t.deepEqual(getEarly({minGapMs: undefined}), []);
+});
