Let fleet-cost count windows one after the other, from the first job

Cause: fleet-cost counted one window after 5 s, so that the first jobs of new processes were never counted apart.

--- a/bench/fleet-cost/main.ts
+++ b/bench/fleet-cost/main.ts
@@ -1,5 +1,6 @@
 /**
  * `npm run fleet-cost -- --vms 40 --rate 100 --seconds 20`: processor time, calls and log lines of a job among many entry VMs, without faults.
+ * `--warm-up 0 --windows 4` counts the first jobs of new processes, and later ones apart.
  */
 import {
 	closeSync, mkdtempSync, openSync, readdirSync, readFileSync, rmSync,
@@ -33,7 +34,6 @@
 const dataCenters = ['dc1', 'dc2', 'dc3'];
 const metricsPort = 9464;
 const readyPollMs = 200;
-const warmUpSeconds = 5;
 
 /** The kinds whose tasks fit into one pool. */
 const kinds = jobKinds.slice(0, 3);
@@ -43,10 +43,12 @@
 	.option('--upstreams <count>', 'upstreams of each data centre', '80')
 	.option('--callers <count>', 'callers', '120')
 	.option('--rate <jobs>', 'jobs a second of all callers, if answers took no time', '100')
-	.option('--seconds <seconds>', 'measured time', '20')
+	.option('--warm-up <seconds>', 'time before the measured one', '5')
+	.option('--seconds <seconds>', 'measured time of each window', '20')
+	.option('--windows <count>', 'windows measured one after the other', '1')
 	.option('--profile <folder>', 'folder for processor profiles')
 	.parse();
-const options = program.opts<Readonly<Record<'vms' | 'upstreams' | 'callers' | 'rate' | 'seconds', string>> & {readonly profile?: string}>();
+const options = program.opts<Readonly<Record<'vms' | 'upstreams' | 'callers' | 'rate' | 'warmUp' | 'seconds' | 'windows', string>> & {readonly profile?: string}>();
 const folder = mkdtempSync(path.join(tmpdir(), 'endivemill-fleet-cost-'));
 const worldLog = openSync(path.join(folder, 'world.log'), 'a');
 const world = new StandInProcess({
@@ -143,10 +145,15 @@
 	meanPauseMs: callerCount * 1000 / Number(options.rate), isPatient: false, kinds, onSubmission: submission => submissions.push(submission),
 }));
 const done = Promise.all(Number(options.rate) === 0 ? [] : callers.map(async caller => caller.run()));
-await delay(warmUpSeconds * 1000);
-const before = await getTotals();
-await delay(Number(options.seconds) * 1000);
-printCosts(before, await getTotals());
+await delay(Number(options.warmUp) * 1000);
+let before = await getTotals();
+for (let window = 0; window < Number(options.windows); window++) {
+	await delay(Number(options.seconds) * 1000);
+	const after = await getTotals();
+	printCosts(before, after);
+	before = after;
+}
+
 balancer.close();
 for (const caller of callers) {
 	caller.close();
