Show the last listed capacity in the late entry of a simulated upstream that restarted

The entry of a simulated upstream that is announced late after a restart went back to the capacity of its first listing, which neither the entry nor the upstream had: fleet 771322 broke over-capacity because an owner believed it (16,000 listed from 9,900 to 10,850 ms between 10,955 and 8,707). The late entry now is the last listed one. The check is unchanged.

--- a/src/testing/pool-fleet.ts
+++ b/src/testing/pool-fleet.ts
@@ -634,7 +634,7 @@
 
 		this.upstreams.addUpstream(entry.description);
 		if (hasBit(salt, 22)) {
-			this.#setOverwritten(entry, former, action => {
+			this.#setOverwritten(entry, {...former, capacity: entry.listedCapacity}, action => {
 				this.clock.setTimer(action, maxAnnouncementDelayMs * strength);
 			});
 		}
