--- a/src/testing/restart-gaps.ts
+++ b/src/testing/restart-gaps.ts
@@ -46,6 +46,7 @@
 	readonly task: string;
 	readonly run: number;
 	readonly upstream?: string;
+	readonly pool?: string;
 	readonly afterMs: number;
 	readonly after?: number;
 	readonly end?: string;
@@ -85,6 +86,9 @@
 /** Longest time from the first send of a start to the last time limit of its answer, with the inaccuracy of the log, in milliseconds. */
 const maxOrderMs = (3 * 150) + maxClockErrorMs;
 
+/** Longest time until a lender has the proof of the sender that it needs for a start, in milliseconds. */
+const maxLendMs = 600;
+
 /**
  * Gets the starts of tasks that had been started before, in the order of their gaps.
  *
@@ -210,7 +214,7 @@
 
 function getGround(options: GroundOptions): readonly [proof: string, ...details: string[]] {
 	const {earlier, later, line, isResent, isRepeated} = options;
-	if (line !== undefined && later.startedAt - line.at > maxOrderMs) {
+	if (line !== undefined && later.startedAt - line.at > maxOrderMs + (line.fields.pool === undefined ? 0 : maxLendMs)) {
 		return ['late-order'];
 	}
 
