Run stand-ins that go down on a loopback address of their own process

Tests of the stand-in stayed pending or failed beside load: it closes its listener while it is down and opens it again on the same port, which another process may have taken.

Change: tests that take the stand-in down use a loopback address on which only their process listens; the address moves from platform-deployment.ts to test/support.

--- a/test/cli/apply-entry-vms.test.ts
+++ b/test/cli/apply-entry-vms.test.ts
@@ -2,6 +2,7 @@
 import {createLocalCluster, type LocalCluster} from '../../src/lab/local-cluster.js';
 import {createEtcdPlatform} from '../../src/platform/index.js';
 import {createPlatformStandIn} from '../../src/testing/index.js';
+import {loopbackHost} from '../support/loopback-host.js';
 import {run} from './cli-fixture.js';
 
 async function start(t: ExecutionContext): Promise<{cluster: LocalCluster; apply: (folder: string) => ReturnType<typeof run>}> {
@@ -25,7 +26,7 @@
 
 test('an entry VM that cannot reach the platform gets the version from its peers', async t => {
 	const {cluster, apply} = await start(t);
-	const unreachable = await createPlatformStandIn();
+	const unreachable = await createPlatformStandIn({host: loopbackHost});
 	await unreachable.setFault({isDown: true});
 	t.teardown(async () => unreachable.close());
 	await cluster.addEntryVm('dc1', {
--- a/test/cli/cli-fixture.ts
+++ b/test/cli/cli-fixture.ts
@@ -8,6 +8,7 @@
 import {type ListedEntryVm} from '../../src/platform/index.js';
 import {systemClock, systemRandom} from '../../src/seams/index.js';
 import {createPlatformStandIn, type PlatformStandIn} from '../../src/testing/index.js';
+import {loopbackHost} from '../support/loopback-host.js';
 
 type TeardownContext = {readonly teardown: (clean: () => Promise<void>) => void};
 
@@ -39,7 +40,7 @@
 
 /** Starts a platform stand-in; returns it with the environment variables that select it. */
 export async function startStandIn(t: TeardownContext): Promise<{standIn: PlatformStandIn; env: Readonly<Record<string, string>>}> {
-	const standIn = await createPlatformStandIn();
+	const standIn = await createPlatformStandIn({host: loopbackHost});
 	t.teardown(async () => standIn.close());
 	const env = Object.fromEntries([['ENDIVEMILL_PLATFORM_URLS', standIn.getUrl()], ['ENDIVEMILL_DEPLOYMENT', 'test']]);
 	return {standIn, env};
--- a/test/cli/configuration-store.test.ts
+++ b/test/cli/configuration-store.test.ts
@@ -6,6 +6,7 @@
 import {createEtcdPlatform, getConfigurationKey, type Platform} from '../../src/platform/index.js';
 import {createPlatformStandIn, type PlatformStandIn} from '../../src/testing/index.js';
 import {declarationsSchema} from '../../src/version/index.js';
+import {loopbackHost} from '../support/loopback-host.js';
 
 type Fixture = {
 	readonly standIn: PlatformStandIn;
@@ -14,7 +15,7 @@
 };
 
 async function start(t: ExecutionContext, outcomeTimeoutMs = 5000): Promise<Fixture> {
-	const standIn = await createPlatformStandIn();
+	const standIn = await createPlatformStandIn({host: loopbackHost});
 	const platform = createEtcdPlatform({
 		endpoints: [standIn.getUrl()], callTimeoutMs: 1000, callsPerSecond: 100_000, callBurst: 100_000,
 	});
--- a/test/platform/etcd-platform.test.ts
+++ b/test/platform/etcd-platform.test.ts
@@ -3,6 +3,7 @@
 import {createEtcdPlatform, type EtcdPlatformOptions, type WatchEvent} from '../../src/platform/index.js';
 import {createPlatformStandIn} from '../../src/testing/index.js';
 import {createFakeClock} from '../support/fake-clock.js';
+import {loopbackHost} from '../support/loopback-host.js';
 
 type Fixture = {
 	readonly standIn: Awaited<ReturnType<typeof createPlatformStandIn>>;
@@ -10,7 +11,7 @@
 };
 
 async function start(t: ExecutionContext, options: Partial<EtcdPlatformOptions> = {}): Promise<Fixture> {
-	const standIn = await createPlatformStandIn();
+	const standIn = await createPlatformStandIn({host: loopbackHost});
 	const platform = createEtcdPlatform({
 		endpoints: [standIn.getUrl()], callTimeoutMs: 20_000, firstBackoffMs: 5, maxBackoffMs: 20, callsPerSecond: 1000, ...options,
 	});
@@ -111,9 +112,9 @@
 });
 
 test('calls fail over to another endpoint when one refuses connections', async t => {
-	const other = await createPlatformStandIn();
+	const other = await createPlatformStandIn({host: loopbackHost});
 	await other.setFault({isDown: true});
-	const standIn = await createPlatformStandIn();
+	const standIn = await createPlatformStandIn({host: loopbackHost});
 	const platform = createEtcdPlatform({endpoints: [other.getUrl(), standIn.getUrl()]});
 	t.teardown(async () => {
 		await platform.close();
--- a/test/platform/etcd-watch.test.ts
+++ b/test/platform/etcd-watch.test.ts
@@ -3,6 +3,7 @@
 import fc from 'fast-check';
 import {createEtcdPlatform, type WatchEvent} from '../../src/platform/index.js';
 import {createPlatformStandIn, type PlatformFaults, type PlatformStandIn} from '../../src/testing/index.js';
+import {loopbackHost} from '../support/loopback-host.js';
 
 type Model = {
 	readonly keys: ReadonlyMap<string, string>;
@@ -54,7 +55,7 @@
 
 test('a watch converges to the stored state after any faults, with the changes of each key in order', async t => {
 	await fc.assert(fc.asyncProperty(fc.array(step, {minLength: 5, maxLength: 25}), async steps => {
-		const standIn = await createPlatformStandIn();
+		const standIn = await createPlatformStandIn({host: loopbackHost});
 		const platform = createEtcdPlatform({
 			endpoints: [standIn.getUrl()], callTimeoutMs: 50, watchSilenceMs: 60, firstBackoffMs: 1, maxBackoffMs: 10, callsPerSecond: 10_000, callBurst: 10_000,
 		});
--- a/test/platform/platform-deployment.ts
+++ b/test/platform/platform-deployment.ts
@@ -2,12 +2,12 @@
  * A deployment on the loopback interface: the store, upstreams and entry VMs of the platform.
  */
 import {createServer} from 'node:net';
-import process from 'node:process';
 import bunyan from 'bunyan';
 import {request} from 'undici';
 import {createPlatformEntryVm, type PlatformEntryVm} from '../../src/platform/platform-entry-vm.js';
 import {type PlatformSettings} from '../../src/platform/settings-file.js';
 import {type Clock} from '../../src/seams/index.js';
+import {loopbackHost} from '../support/loopback-host.js';
 import {createSlowClock} from '../support/slow-clock.js';
 import {
 	createPlatformStore, createPlatformUpstream, type PlatformStore, type PlatformUpstream, type SimulatedWork,
@@ -160,9 +160,6 @@
 	return bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1});
 }
 
-/** Loopback address that only this process listens on, so that a free port stays free. */
-const loopbackHost = `127.${64 + (process.pid % 64)}.${Math.floor(process.pid / 64) % 256}.${1 + (Math.floor(process.pid / 16_384) % 254)}`;
-
 /** Gets an unused port of this process's loopback address. */
 async function findFreePort(): Promise<number> {
 	return new Promise(resolve => {
--- a/test/process/follower-fixture.ts
+++ b/test/process/follower-fixture.ts
@@ -4,6 +4,7 @@
 } from '../../src/platform/index.js';
 import {createPlatformStandIn, type PlatformStandIn} from '../../src/testing/index.js';
 import {type Configuration, configurationSchema} from '../../src/version/index.js';
+import {loopbackHost} from '../support/loopback-host.js';
 
 export type FollowerFixture = {
 	readonly standIn: PlatformStandIn;
@@ -12,7 +13,7 @@
 
 /** Starts a platform stand-in, and a client for it with short timeouts and retry delays. */
 export async function startPlatform(t: {readonly teardown: (clean: () => Promise<void>) => void}): Promise<FollowerFixture> {
-	const standIn = await createPlatformStandIn();
+	const standIn = await createPlatformStandIn({host: loopbackHost});
 	const platform = createEtcdPlatform({
 		endpoints: [standIn.getUrl()], callTimeoutMs: 300, firstBackoffMs: 5, maxBackoffMs: 20, callsPerSecond: 1000,
 	});
--- a/test/testing/platform-stand-in.test.ts
+++ b/test/testing/platform-stand-in.test.ts
@@ -4,6 +4,7 @@
 import {createPlatformStandIn, type PlatformStandIn} from '../../src/testing/index.js';
 import {createUpstream} from '../process/follower-fixture.js';
 import {createFakeClock} from '../support/fake-clock.js';
+import {loopbackHost} from '../support/loopback-host.js';
 
 const encode = (text: string): string => Buffer.from(text).toString('base64');
 
@@ -18,7 +19,7 @@
 }
 
 test('the control endpoint changes faults and the list of VMs, also while the service is down', async t => {
-	const standIn = await createPlatformStandIn();
+	const standIn = await createPlatformStandIn({host: loopbackHost});
 	const control = standIn.getControlUrl();
 	await callStandIn(`${control}/fault`, {isDown: true}, 'PUT');
 	await t.throwsAsync(callStandIn(`${standIn.getUrl()}/v3/kv/range`, {key: encode('/')}), {code: 'ECONNREFUSED'});
@@ -36,7 +37,7 @@
 
 test('a lease that is not kept alive expires with its keys', async t => {
 	const clock = createFakeClock();
-	const standIn = await createPlatformStandIn({clock});
+	const standIn = await createPlatformStandIn({clock, host: loopbackHost});
 	const url = standIn.getUrl();
 	const lease = await callStandIn(`${url}/v3/lease/grant`, {TTL: '10'}); // eslint-disable-line @typescript-eslint/naming-convention
 	await callStandIn(`${url}/v3/kv/put`, {key: encode('/a'), value: encode('x'), lease: lease.ID});
@@ -51,7 +52,7 @@
 });
 
 test('a transaction applies all its writes at one revision, or none', async t => {
-	const standIn = await createPlatformStandIn();
+	const standIn = await createPlatformStandIn({host: loopbackHost});
 	const put = (key: string): unknown => ({requestPut: {key: encode(key), value: encode('x')}});
 	const txn = async (version: string): Promise<unknown> => callStandIn(`${standIn.getUrl()}/v3/kv/txn`, {
 		compare: [{key: encode('/a'), target: 'VERSION', version}], success: [put('/a'), put('/b')], failure: [{requestRange: {key: encode('/a')}}],
@@ -62,14 +63,14 @@
 });
 
 test('a request that is not valid JSON is refused', async t => {
-	const standIn = await createPlatformStandIn();
+	const standIn = await createPlatformStandIn({host: loopbackHost});
 	const res = await request(`${standIn.getUrl()}/v3/kv/range`, {method: 'POST', body: '{'});
 	t.is(res.statusCode, 400);
 	await standIn.close();
 });
 
 test('concurrent changes of faults and a close leave no listener', async t => {
-	const standIn = await createPlatformStandIn();
+	const standIn = await createPlatformStandIn({host: loopbackHost});
 	await Promise.all([standIn.setFault({isDown: true}), standIn.setFault(), standIn.setFault({isDown: true}), standIn.setFault(), standIn.close()]);
 	await t.throwsAsync(callStandIn(`${standIn.getUrl()}/v3/kv/range`, {key: encode('/')}), {code: 'ECONNREFUSED'});
 });
