Set no timer for a peer that is linked, and compare candidates without a text

Cause: each dialling task woke up every 300 ms to see that its link was still there, with an abort signal and a timer of its own, 14 tasks a VM among 40. The candidates for pools were compared by a text that was built for each job, each heartbeat and each pool of an election. The clock was read for the overdue stops of each upstream, though most have none. Change: a linked task waits until it is woken; one timer of all tasks checks the links at the same interval, so that a link that ended unnoticed is dialled again as soon as before. Candidates are compared by their parts. Without stops the clock is not read for them.

--- a/src/connection/dialer-set.ts
+++ b/src/connection/dialer-set.ts
@@ -1,6 +1,7 @@
 /**
  * The dialling tasks of one process, one for each address.
  */
+import {type Timer} from '../seams/index.js';
 import {type MemberRecord} from './member-record.js';
 import {type MemberTable} from './member-table.js';
 import {PeerDialer} from './peer-dialer.js';
@@ -28,10 +29,18 @@
 	readonly #answered = new Map<string, string>();
 	/** Inverse map: addresses at which an incarnation was the last to answer. */
 	readonly #answeredAddresses = new Map<string, Set<string>>();
+	/** One timer for the tasks whose addresses are linked: each costs a VM as much as a message of a peer. */
+	readonly #timer: Timer;
 	#revision = 0;
 
 	constructor(options: DialerSetOptions) {
 		this.#options = options;
+		const {clock, maxBackoffMs} = options.settings;
+		this.#timer = clock.setRepeatingTimer(() => {
+			for (const dialer of this.#dialers.values()) {
+				dialer.checkLink();
+			}
+		}, maxBackoffMs);
 	}
 
 	/** Gets a revision number that increases when another incarnation answers at an address. */
@@ -96,6 +105,7 @@
 
 	/** Stops all tasks; their links stay open. */
 	close(): void {
+		this.#timer.close();
 		for (const dialer of this.#dialers.values()) {
 			dialer.close();
 		}
--- a/src/connection/peer-dialer.ts
+++ b/src/connection/peer-dialer.ts
@@ -25,6 +25,8 @@
 export class PeerDialer {
 	readonly #options: PeerDialerOptions;
 	#wait = new AbortController();
+	/** Ends the wait while the address is linked. */
+	#endLinkedWait: (() => void) | undefined;
 	#isClosed = false;
 
 	constructor(options: PeerDialerOptions) {
@@ -38,7 +40,7 @@
 		while (!this.#isClosed) {
 			if (this.#options.isLinked()) {
 				backoffMs = minBackoffMs;
-				await this.#sleep(getMaxBackoffMs());
+				await this.#waitWhileLinked();
 				continue;
 			}
 
@@ -53,12 +55,27 @@
 	/** Ends the current wait, so that a closed link is redialled immediately. */
 	wake(): void {
 		this.#wait.abort();
+		this.#endLinkedWait?.();
+	}
+
+	/** Redials the address if it was linked and is no longer; a task whose address is linked sets no timer, so that this is to be called from time to time. */
+	checkLink(): void {
+		if (this.#endLinkedWait !== undefined && !this.#options.isLinked()) {
+			this.#endLinkedWait();
+		}
 	}
 
 	/** Stops the task; an open link stays. */
 	close(): void {
 		this.#isClosed = true;
-		this.#wait.abort();
+		this.wake();
+	}
+
+	async #waitWhileLinked(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#endLinkedWait = resolve;
+		});
+		this.#endLinkedWait = undefined;
 	}
 
 	async #sleep(delayMs: number): Promise<void> {
--- a/src/pool/pool-candidates.ts
+++ b/src/pool/pool-candidates.ts
@@ -16,12 +16,14 @@
 	/** Layout to which the pools that VMs claim are added. */
 	readonly layout: PoolLayout;
 	/** Gets the pools owned here with their fences. */
-	readonly getOwnedPools: () => ReadonlyArray<readonly [pool: string, fence: number]>;
+	readonly getOwnedPools: () => OwnedPools;
 	readonly isLeaving: () => boolean;
 };
 
+type OwnedPools = ReadonlyArray<readonly [pool: string, fence: number]>;
+
 /** State from which the cached candidates were created. */
-type CacheKey = {readonly members: readonly Member[]; readonly selfKey: string};
+type CacheKey = {readonly members: readonly Member[]; readonly ownedPools: OwnedPools; readonly isLeaving: boolean};
 
 /** Caches the candidates and the heartbeat intervals that depend on them. */
 export class PoolCandidates {
@@ -36,15 +38,14 @@
 
 	/** Gets all VMs, this one first; the same array until one of them changes. */
 	getCandidates(): readonly Candidate[] {
-		const {self, peers, cores, getOwnedPools, isLeaving} = this.#options;
-		const members = peers.getMembers();
-		const ownedPools = getOwnedPools();
-		const selfKey = `${isLeaving()} ${ownedPools.join(' ')}`;
-		if (this.#cacheKey?.members !== members || this.#cacheKey.selfKey !== selfKey) {
+		const {self, peers, cores, getOwnedPools} = this.#options;
+		const key: CacheKey = {members: peers.getMembers(), ownedPools: getOwnedPools(), isLeaving: this.#options.isLeaving()};
+		if (this.#cacheKey === undefined || !isSameState(this.#cacheKey, key)) {
+			const {members, ownedPools, isLeaving} = key;
 			const selfCandidate: Candidate = {
-				id: self.id, dataCenter: self.dataCenter, cores, isUp: true, isLeaving: isLeaving(), claims: Object.fromEntries(ownedPools),
+				id: self.id, dataCenter: self.dataCenter, cores, isUp: true, isLeaving, claims: Object.fromEntries(ownedPools),
 			};
-			this.#cacheKey = {members, selfKey};
+			this.#cacheKey = key;
 			this.#candidates = [selfCandidate, ...members.map(member => toCandidate(member))];
 			this.#heartbeatIntervals = new Map();
 			this.#addClaimedPools();
@@ -100,6 +101,11 @@
 	}
 }
 
+function isSameState(a: CacheKey, b: CacheKey): boolean {
+	return a.members === b.members && a.isLeaving === b.isLeaving && a.ownedPools.length === b.ownedPools.length
+		&& a.ownedPools.every(([pool, fence], position) => pool === b.ownedPools[position]![0] && fence === b.ownedPools[position]![1]);
+}
+
 function isOwner({claims}: Candidate): boolean {
 	return Object.keys(claims).length > 0;
 }
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -471,6 +471,11 @@
 
 	/** Gets whether a run has not ended within the time limit of its stop. A lease covers all runs of an upstream, so that none is granted then. */
 	#isStopOverdue(): boolean {
+		// Called for each upstream in each pass; most have no stop.
+		if (this.#stopRequestedAt.size === 0) {
+			return false;
+		}
+
 		const now = this.#options.clock.getMonotonicTime();
 		for (const requestedAt of this.#stopRequestedAt.values()) {
 			if (now - requestedAt > this.#timing.stopConfirmTimeoutMs) {
