--- a/src/cli/operator-client.ts
+++ b/src/cli/operator-client.ts
@@ -4,11 +4,13 @@
 import {readFile} from 'node:fs/promises';
 import {Agent, request} from 'undici';
 import * as z from 'zod';
+import {type Clock, systemClock} from '../seams/index.js';
 import {type CliHost} from './cli-host.js';
 import {getFlagOrVariable, type OperatorFlags} from './cli-options.js';
 
 /** Options of an {@link OperatorClient}. */
 export type OperatorClientOptions = {
+	readonly clock?: Clock;
 	readonly agent?: Agent;
 	readonly isTls?: boolean;
 	readonly token?: string;
@@ -25,12 +27,14 @@
 
 /** HTTP client for the operator addresses of entry VMs. */
 export class OperatorClient {
+	readonly #clock: Clock;
 	readonly #agent: Agent;
 	readonly #scheme: string;
 	readonly #headers: Record<string, string>;
 	readonly #timeoutMs: number;
 
 	constructor(options: OperatorClientOptions = {}) {
+		this.#clock = options.clock ?? systemClock;
 		this.#agent = options.agent ?? new Agent();
 		this.#scheme = options.isTls ? 'https' : 'http';
 		this.#headers = options.token ? {authorization: `Bearer ${options.token}`} : {};
@@ -63,9 +67,13 @@
 	}
 
 	async #send<T>(method: 'GET' | 'POST', target: string, schema: z.ZodType<T>): Promise<OperatorAnswer<T>> {
+		const controller = new AbortController();
+		const timer = this.#clock.setTimer(() => {
+			controller.abort(new Error(`no answer within ${this.#timeoutMs} ms`));
+		}, this.#timeoutMs);
 		try {
 			const res = await request(`${this.#scheme}://${target}`, {
-				method, dispatcher: this.#agent, headers: this.#headers, signal: AbortSignal.timeout(this.#timeoutMs),
+				method, dispatcher: this.#agent, headers: this.#headers, signal: controller.signal,
 			});
 			if (res.statusCode !== 200 && res.statusCode !== 202) {
 				await res.body.dump();
@@ -76,6 +84,8 @@
 			return parsed.success ? {ok: true, value: parsed.data} : {ok: false, detail: `unexpected answer: ${z.prettifyError(parsed.error)}`};
 		} catch (err) {
 			return {ok: false, detail: (err as Error).message};
+		} finally {
+			timer.close();
 		}
 	}
 }
@@ -97,7 +107,9 @@
 		const cert = await readOptionalFile(flags.operatorTlsCertFile, 'ENDIVEMILL_OPERATOR_TLS_CERT_FILE');
 		const key = await readOptionalFile(flags.operatorTlsKeyFile, 'ENDIVEMILL_OPERATOR_TLS_KEY_FILE');
 		const agent = new Agent({connect: {ca, cert, key}});
-		return new OperatorClient({agent, isTls: ca !== undefined, token: token?.trim()});
+		return new OperatorClient({
+			clock: host.clock, agent, isTls: ca !== undefined, token: token?.trim(),
+		});
 	} catch (err) {
 		host.writeErr(`error: ${(err as Error).message}\n`);
 		return undefined;
