--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -15,6 +15,7 @@
 	type Clock, type Random, sleep, systemClock, systemRandom,
 } from '../seams/index.js';
 import {CallerEndpoint} from './caller-endpoint.js';
+import {CancelledJobs, cancelTopic} from './cancelled-jobs.js';
 import {ConfigurationWatch} from './configuration-watch.js';
 import {describeIssues} from './describe-issues.js';
 import {HttpOrders} from './http-orders.js';
@@ -108,6 +109,7 @@
 	readonly #upstreams: UpstreamList;
 	readonly #registry: VmRegistry;
 	readonly #neighbours: StartupOwnerCheck;
+	readonly #cancelledJobs: CancelledJobs;
 	readonly #options: PlatformEntryVmOptions;
 	readonly #listeners: HttpListener[] = [];
 	#subscription: Subscription<unknown> | undefined;
@@ -156,7 +158,11 @@
 			onRead: listed => {
 				this.#neighbours.setVms(listed.filter(vm => vm.dataCenter === dataCenter && vm.name !== name));
 			},
+			onRegistered: revision => {
+				this.#node.setOwnRevision(revision);
+			},
 		});
+		this.#cancelledJobs = new CancelledJobs({clock, getPeers: () => this.#mesh});
 		this.#neighbours = new StartupOwnerCheck({clock, dial: dialTcp, hasReportedPools: vm => this.#node.hasReportedPools(vm)});
 	}
 
@@ -173,6 +179,7 @@
 			clock: this.#clock,
 			log: this.#log,
 			node: this.#node,
+			cancelledJobs: this.#cancelledJobs,
 			getRoutingTable: () => this.#configuration.getRoutingTable(),
 			onAnswer(answer) {
 				metrics.addAnswer(answer);
@@ -281,6 +288,7 @@
 		this.#layoutManager.close();
 		this.#upstreams.close();
 		this.#node.close();
+		this.#cancelledJobs.close();
 		this.#inputProgress.close();
 		await this.#mesh.close();
 		await this.#orders.close();
@@ -374,7 +382,7 @@
 		});
 	}
 
-	/** Writes a claim and returns its revision as the fence: each write increments the store's revision, so the fence exceeds all earlier ones. */
+	/** Writes a claim and returns its revision, which is higher than all earlier ones: each write increments it. */
 	async #addClaim(pool: string): Promise<number | undefined> {
 		const writing = this.#store.setItem(`${claimPrefix}${pool}`, this.#self.id, claimTimeoutMs);
 		await nextMicrotask;
@@ -478,6 +486,10 @@
 			return this.#configuration.getText();
 		}
 
+		if (request.topic === cancelTopic) {
+			return this.#cancelledJobs.handleRequest(request.body);
+		}
+
 		if (this.#node.handlesTopic(request.topic)) {
 			return this.#node.handleRequest(request, signal, confirmation);
 		}
--- a/test/testing/fleet-checks.test.ts
+++ b/test/testing/fleet-checks.test.ts
@@ -22,7 +22,7 @@
 
 function getRules(record: Partial<FleetRecord>): ReadonlyArray<FleetViolation['rule']> {
 	const violations = findViolations({
-		starts: [], submissions: [createSubmission('left')], deadlyTasks: new Set(), listedCapacities: [], ...record,
+		starts: [], submissions: [createSubmission('left')], deadlyTasks: new Set(), listedCapacities: [], orders: [], ...record,
 	});
 	return violations.map(({rule}) => rule);
 }
@@ -70,6 +70,12 @@
 	t.deepEqual(getRules({starts, submissions: [createSubmission('completed')]}).filter(rule => rule === 'innocent-failed'), []);
 });
 
+test('an upstream may not get orders of two processes under one fence', t => {
+	const order = {upstream: 'u1', fence: 7, process: 'vm1-1'};
+	t.deepEqual(getRules({orders: [order, {...order, process: 'vm1-2'}]}), ['shared-fence']);
+	t.deepEqual(getRules({orders: [order, order, {...order, fence: 8, process: 'vm1-2'}, {...order, upstream: 'u2', process: 'vm1-2'}]}), []);
+});
+
 test('a start below the bound of its ground is too early, unless it has no bound or is a double run', t => {
 	const runs = [createRun(1, 0), createRun(2, 200)] as const;
 	const getEarly = (options: Partial<RestartGap<RecordedStart>>): readonly FleetViolation[] => findEarlyRestarts([{
