Send no orders for an owner that was closed while the store gave it a fence

Callers lost runs that were stopped for no reason, and a process had two terms of a pool under one fence.

Cause: an owner went on after waiting for the store although it had been closed meanwhile. A takeover then added links that nothing closed: they polled, acknowledged ends and stopped all unclaimed runs until the process ended, under a fence that the next term of the process, which did not know it, took again. A raise polled each upstream once under a fence above that of the pool's owner.

Change: takeovers and raises end there, and a closed link polls no more.

--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -334,6 +334,10 @@
 	async raiseFence(): Promise<void> {
 		const refused = this.#fence;
 		const stored = await this.#getStoredFence();
+		if (this.#isClosed) {
+			return;
+		}
+
 		this.#fenceStep = Math.min(maxFence, this.#fenceStep * 2);
 		this.#setFence(this.#chooseFence(stored, this.#fence, this.#fenceStep - 1));
 		this.#options.log.warn({
@@ -395,6 +399,10 @@
 	async #takeOver(): Promise<void> {
 		const {log, pool, knownFence} = this.#options;
 		const stored = await this.#getStoredFence();
+		if (this.#isClosed) {
+			return;
+		}
+
 		this.#setFence(this.#chooseFence(stored, knownFence));
 		log.warn({
 			pool, fence: this.#fence, isStored: stored !== undefined, upstreams: this.#pendingUpstreams.length,
@@ -809,6 +817,10 @@
 	async #raiseFenceAbove(priorFence: number): Promise<void> {
 		const ownFence = this.#fence;
 		const stored = await this.#getStoredFence();
+		if (this.#isClosed) {
+			return;
+		}
+
 		this.#setFence(this.#fence > priorFence ? Math.max(this.#fence, stored ?? 0) : this.#chooseFence(stored, priorFence));
 		this.#options.log.warn({
 			pool: this.#options.pool, priorFence, fence: this.#fence, isStored: stored !== undefined,
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -497,6 +497,10 @@
 
 	async #poll(maxWaitMs: number): Promise<PollResult> {
 		const {clock, orders, getFence} = this.#options;
+		if (this.#closeController.signal.aborted) {
+			return 'seen';
+		}
+
 		const sentAt = clock.getMonotonicTime();
 		const earlierLeaseEndsAt = this.#leaseEndsAt;
 		// The lease of a silent upstream is not extended, so that its runs end at a known time.
