Start nothing on an upstream that has not answered since a raise above another owner

Cause: a job that comes from another owner raises the fence above that one's, and the polls after the raise show its runs. An upstream whose poll is lost does not count as silent yet, and the next job started there on what was known from before.

Change: after such a raise a link accepts starts only once a poll that was sent after it is answered.

The test of former-knowledge.test.ts fails before and passes.

--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -825,6 +825,12 @@
 		this.#options.log.warn({
 			pool: this.#options.pool, priorFence, fence: this.#fence, isStored: stored !== undefined,
 		}, 'fence raised above another owner\'s');
+		if (ownFence < priorFence) {
+			for (const link of this.#getAllLinks()) {
+				link.deferStarts();
+			}
+		}
+
 		await this.#pollAll();
 		if (ownFence < priorFence) {
 			await Promise.all(this.#scheduler.getJobIds().map(async job => this.#recallFromNeighbours(job)));
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -171,6 +171,8 @@
 	readonly #recentEnds = new Map<string, ListedEnd>();
 	/** Runs of this link that have ended; a poll that was sent before may still list them. */
 	readonly #endedRuns = new RecentRuns(endedRunRetentionMs);
+	/** Monotonic time from which a poll must have been sent and answered before tasks are started. */
+	#startsDeferredAt = -Infinity;
 	/** Runs with a start that was left unanswered, with the time at which it was sent; the next instance of the upstream may carry it out. */
 	readonly #unansweredStarts = new RecentRuns(unansweredStartRetentionMs);
 	readonly #closeController = new AbortController();
@@ -239,9 +241,15 @@
 		return this.describedBornMs === bornMs || this.describedBornMs === 0 ? labels : [];
 	}
 
+	/** Starts no more tasks until a poll that is sent from now on is answered: another owner may have started some. */
+	deferStarts(): void {
+		this.#startsDeferredAt = this.#options.clock.getMonotonicTime();
+	}
+
 	/** Gets whether new tasks may be started here. */
 	isAcceptingStarts(): boolean {
-		if (this.#isSilent || this.description.isLeaving || this.#clockOffsetMs === undefined || this.#unclaimed.size > 0) {
+		const isUnknown = this.#isSilent || this.#clockOffsetMs === undefined || this.#lastPollAt < this.#startsDeferredAt;
+		if (isUnknown || this.description.isLeaving || this.#unclaimed.size > 0) {
 			return false;
 		}
 
--- a/test/pool/former-knowledge.test.ts
+++ b/test/pool/former-knowledge.test.ts
@@ -48,6 +48,26 @@
 	}
 }
 
+/** Drops the next start on its way to its upstream. */
+function loseNextStart(harness: PoolHarness): void {
+	const startRun = harness.upstreams.startRun.bind(harness.upstreams);
+	harness.upstreams.startRun = async options => {
+		harness.upstreams.startRun = startRun;
+		await sleep(harness.clock, options.timeoutMs);
+		return {kind: 'unanswered', detail: 'no answer'};
+	};
+}
+
+/** Drops the next poll on its way to its upstream. */
+function loseNextPoll(harness: PoolHarness): void {
+	const poll = harness.upstreams.poll.bind(harness.upstreams);
+	harness.upstreams.poll = async options => {
+		harness.upstreams.poll = poll;
+		await sleep(harness.clock, options.timeoutMs);
+		return {kind: 'unanswered', detail: 'no answer'};
+	};
+}
+
 test('an owner that is closed before it has a fence sends no orders', async t => {
 	const harness = createHarness(2);
 	const owner = createOwnerWithSilentStore(harness, new FenceIssuer('vm'));
@@ -89,3 +109,21 @@
 	await harness.clock.advance(2000);
 	t.deepEqual(sentFences.filter(sent => sent > fence), []);
 });
+
+test('nothing starts on an upstream that has not answered since the fence was raised above another owner\'s', async t => {
+	const harness = createHarness(1);
+	const earlier = createOwner(harness, {getStoredFence: async () => 200});
+	await harness.clock.advance(100);
+	const other = createOwner(harness, {getStoredFence: async () => 300});
+	await harness.clock.advance(20);
+	submitAll(other, ['a', 'b']);
+	await harness.clock.advance(20);
+	t.is(harness.upstreams.starts.length, 2);
+	other.close();
+	loseNextPoll(harness);
+	submitAll(earlier, ['c'], {...longJob, priorFence: 300});
+	await harness.clock.advance(200);
+	submitAll(earlier, ['d']);
+	await harness.clock.advance(2000);
+	t.deepEqual(harness.upstreams.starts.filter(({used, capacity}) => used.cpu > capacity.cpu).map(({task}) => task), []);
+});
