Do not repeat a start under a fence that was raised after it was decided

Two runs of one task in the test; in production it needs two changes of owner within 450 ms. Found by the review of the fences.

Cause: a start that was left unanswered is sent again, up to three times, and each send took the fence anew. After a raise above another owner's fence the upstream accepted the repetition, which was decided before that owner's runs were known.

Change: a start is repeated only under the fence of its first send; otherwise it counts as lost and is stopped under the new one.

The test of former-knowledge.test.ts fails before and passes.

--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -790,11 +790,13 @@
 	}
 
 	async #sendStart(run: LinkedRun): Promise<void> {
-		const {clock, orders, getPausedAt} = this.#options;
+		const {clock, orders, getFence, getPausedAt} = this.#options;
 		const {bornMs} = this.description;
+		const fence = getFence();
 		// What allowed the start may have changed during a pause.
 		const wasPaused = (): boolean => (getPausedAt?.() ?? -Infinity) > run.startedAt;
-		const isSendable = (): boolean => run.state === 'starting' && !run.isStopRequested && this.description.bornMs === bornMs && !wasPaused();
+		// With a higher fence, the upstream would accept a start that was decided before another owner's runs were known.
+		const isSendable = (): boolean => run.state === 'starting' && !run.isStopRequested && this.description.bornMs === bornMs && getFence() === fence && !wasPaused();
 		for (let attempts = 0; attempts < maxSendAttempts && isSendable(); attempts++) {
 			const sentAt = clock.getMonotonicTime();
 			const leaseUntilMs = this.#extendLease();
--- a/test/pool/former-knowledge.test.ts
+++ b/test/pool/former-knowledge.test.ts
@@ -110,6 +110,26 @@
 	t.deepEqual(sentFences.filter(sent => sent > fence), []);
 });
 
+test('a start is not repeated after the fence was raised above another owner\'s', async t => {
+	const harness = createHarness(2);
+	const [first, second] = harness.descriptions;
+	const earlier = createOwner(harness, {getStoredFence: async () => 200});
+	await harness.clock.advance(100);
+	loseNextStart(harness);
+	submitAll(earlier, ['a']);
+	await harness.clock.advance(5);
+	// The other owner starts tasks on the second upstream only.
+	const other = createOwner(harness, {getStoredFence: async () => 300}, [{...first!, isLeaving: true}, second!]);
+	await harness.clock.advance(20);
+	submitAll(other, ['a'], {...longJob, priorFence: 200});
+	await harness.clock.advance(20);
+	t.is(harness.upstreams.starts.length, 1);
+	other.close();
+	submitAll(earlier, ['a'], {...longJob, priorFence: 300});
+	await harness.clock.advance(2000);
+	t.deepEqual(harness.upstreams.getDoubleRuns(), []);
+});
+
 test('nothing starts on an upstream that has not answered since the fence was raised above another owner\'s', async t => {
 	const harness = createHarness(1);
 	const earlier = createOwner(harness, {getStoredFence: async () => 200});
