--- a/src/pool/fence-issuer.ts
+++ b/src/pool/fence-issuer.ts
@@ -10,8 +10,8 @@
  */
 export const fencesPerGeneration = 2 ** 26;
 
-/** Fences of a generation that belong to processes by a revision of their own; the others above belong to processes by their identifiers. */
-const revisionParts = fencesPerGeneration / 2;
+/** Lowest parts that no process has: owners of the former version, which count fences by ones, reach them. */
+const unusedParts = 2 ** 16;
 
 /** Bits of the mantissa of a double; larger whole numbers are further than 1 apart. */
 const mantissaBits = 52;
@@ -21,23 +21,25 @@
  * store lie between two revisions.
  */
 export class FenceIssuer {
-	/** Position of this process' fences in each generation. */
-	#ownPart: number;
+	/** Number of this process: a revision that it wrote, or else a hash of its identifier. */
+	#ownNumber: number;
+	#hasOwnRevision = false;
 
 	/**
 	 * @param processId - Identifier of this process, which differs from those of all others, earlier ones of the same VM included.
 	 */
 	constructor(processId: string) {
-		this.#ownPart = revisionParts + 1 + (createHash('sha256').update(processId).digest().readUInt32BE() % (revisionParts - 1));
+		this.#ownNumber = createHash('sha256').update(processId).digest().readUInt32BE();
 	}
 
 	/**
 	 * Sets a revision at which this process wrote to the store. No other process has the same one, so that fences by it differ with certainty among all
-	 * processes that wrote within the last 2^25 revisions.
+	 * processes that wrote within the last 2^25 - 2^16 revisions.
 	 * @param revision - Revision of the store.
 	 */
 	setOwnRevision(revision: number): void {
-		this.#ownPart = 1 + (revision % revisionParts);
+		this.#ownNumber = revision;
+		this.#hasOwnRevision = true;
 	}
 
 	/**
@@ -56,14 +58,19 @@
 	 */
 	getFenceAbove(fence: number, generations = 0): number {
 		const floor = Math.min(maxFence, fence + (generations * fencesPerGeneration));
-		const part = this.#getRepresentablePart(floor);
+		const part = this.#getPart(floor);
 		const ownFence = (Math.floor(floor / fencesPerGeneration) * fencesPerGeneration) + part;
 		return Math.min(maxFence, ownFence > floor ? ownFence : ownFence + fencesPerGeneration);
 	}
 
-	/** Gets this process' part as a multiple of the distance of the doubles just above a fence, which exceeds 1 from 2^53 on. */
-	#getRepresentablePart(fence: number): number {
+	/**
+	 * Gets this process' part, as a multiple of the distance of the doubles just above a fence, which exceeds 1 from 2^53 on. Parts by revisions are in the
+	 * lower half, those by identifiers in the upper one.
+	 */
+	#getPart(fence: number): number {
 		const spacing = Math.max(1, 2 ** (Math.floor(Math.log2(fence + (2 * fencesPerGeneration))) - mantissaBits));
-		return ((this.#ownPart * spacing) % fencesPerGeneration) || spacing;
+		const half = fencesPerGeneration / 2 / spacing;
+		const unused = Math.max(1, unusedParts / spacing);
+		return spacing * ((this.#hasOwnRevision ? 0 : half) + unused + (this.#ownNumber % (half - unused)));
 	}
 }
