Add failing tests for terms of one process and for the grounds of second starts

Terms that end before they have a fence, or while they raise it, work on; the next term of the process gets the same fence. The measure of second starts takes any run with a lower number for the one that the owner knows.

--- a/test/pool/former-knowledge.test.ts
+++ b/test/pool/former-knowledge.test.ts
@@ -91,6 +91,25 @@
 	t.deepEqual(harness.upstreams.starts.map(({end}) => end), ['done', 'done', 'done', 'done']);
 });
 
+test('an owner that is closed while it raises its fence sends no orders under the new one', async t => {
+	const harness = createHarness(2);
+	const owner = createOwnerWithSilentStore(harness, new FenceIssuer('vm'));
+	await harness.clock.advance(2 * storeTimeoutMs);
+	const fence = owner.getFence();
+	const sentFences: number[] = [];
+	const poll = harness.upstreams.poll.bind(harness.upstreams);
+	harness.upstreams.poll = async options => {
+		sentFences.push(options.fence);
+		return poll(options);
+	};
+
+	submitAll(owner, ['a'], {...longJob, priorFence: fence});
+	await harness.clock.advance(storeTimeoutMs / 2);
+	owner.close();
+	await harness.clock.advance(2000);
+	t.deepEqual(sentFences.filter(sent => sent > fence), []);
+});
+
 test('a start is not repeated after the fence was raised above another owner\'s', async t => {
 	const harness = createHarness(2);
 	const [first, second] = harness.descriptions;
--- a/test/pool/shared-fences.test.ts
+++ b/test/pool/shared-fences.test.ts
@@ -22,7 +22,7 @@
 }
 
 // Without the store, owners that could not hear each other took the same fence, and a VM took the fence of its earlier term again.
-for (const seed of [771_006, 771_013, 771_029, 771_043]) {
+for (const seed of [771_006, 771_013, 771_029, 771_043, 772_036, 773_000]) {
 	test(`no two owners of a pool get the same fence (seed ${seed})`, async t => {
 		const result = await runWithFaults(seed);
 		const newFences = result.logLines.filter(({message}) => messagesOfNewFences.has(message)).map(({fields: {pool, fence}}) => `${String(pool)} ${String(fence)}`);
--- a/test/testing/restart-gaps.test.ts
+++ b/test/testing/restart-gaps.test.ts
@@ -88,6 +88,19 @@
 	t.deepEqual(getGrounds({runs: [first, {...second, startedAt: 2100, endedAt: 2200}], logLines}), ['late-order']);
 });
 
+test('the ground of a start covers only the run whose end the owner knows', t => {
+	const known = createRun(1, 10, 100);
+	const later = createRun(2, 200, 300, {upstream: 'u3'});
+	const logLines = [createLine(2, 199, {
+		upstream: 'u3', after: 1, end: 'stopped', grounds: 'listed',
+	})];
+	// Another owner has started the same number elsewhere; that its run has ended is luck.
+	const unknown = createRun(1, 50, 190, {upstream: 'u9', end: 'lapsed'});
+	t.deepEqual(getGrounds({runs: [known, later], logLines}), ['listed stopped']);
+	t.is(getGrounds({runs: [known, unknown, later], logLines}).at(-1), 'unknown');
+	t.true(findShortGaps(getGaps({runs: [known, unknown, later], logLines})).some(gap => gap.later === later));
+});
+
 test('a gap is short if it is below the bound of its ground or has none', t => {
 	const submissions = [{job: 'j', sentAt: 0}, {job: 'j', sentAt: 2200}];
 	const getShort = (gapMs: number): readonly RestartGap[] => findShortGaps(getGaps({runs: [createRun(1, 0, 2200), createRun(1, 2200 + gapMs, 3000, {upstream: 'u'})], submissions}));
