Give a second start the ground of the run whose end its owner knows only

The measure of second starts took any run with the same or a lower number for the one whose end the owner had read, so that a start 10 ms after the end of another owner's unknown run had the ground listed and its bound of 0.

Change: the line of a second start names the upstream of the run that it follows, and a run on another upstream, or with another end than the listed one, is not covered by it. In restart-lines.test.ts the expected line has the new field.

--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -438,7 +438,7 @@
 		} else {
 			job.setStatus(task, 'waiting');
 			task.restartGround = {
-				after: run.number, end, grounds, at: this.#options.clock.getMonotonicTime(),
+				after: run.number, ...(host instanceof UpstreamLink && {on: host.name}), end, grounds, at: this.#options.clock.getMonotonicTime(),
 			};
 			this.#handleUnsuccessfulRun(entry, host, run, end);
 		}
@@ -661,7 +661,9 @@
 				const end = link.getRecentEnd(task.name);
 				if (end !== undefined) {
 					task.lastRunNumber = Math.max(task.lastRunNumber, end.number);
-					task.restartGround = {after: end.number, end: end.end, grounds: 'listed'};
+					task.restartGround = {
+						after: end.number, on: link.name, end: end.end, grounds: 'listed',
+					};
 					if (end.end === 'done') {
 						job.setStatus(task, 'done');
 					} else if (end.end === 'failed') {
--- a/src/pool/restart-ground.ts
+++ b/src/pool/restart-ground.ts
@@ -13,6 +13,8 @@
 export type RestartGround = {
 	/** Number of the latest run that may have started; 0 if all starts were refused. */
 	readonly after: number;
+	/** Upstream of that run; absent if another pool started it. */
+	readonly on?: string;
 	/** How that run ended, why it counts as ended, and the monotonic time at which that was known; absent if all starts were refused. */
 	readonly end?: RunEnd;
 	readonly grounds?: RunEndGrounds;
@@ -28,9 +30,10 @@
  * @param ground - Ground.
  * @param now - Monotonic time.
  */
-export function describeGround({after, end, grounds, at, refused}: RestartGround, now: number): LogFields {
+export function describeGround({after, on, end, grounds, at, refused}: RestartGround, now: number): LogFields {
 	return {
 		after,
+		...(on !== undefined && {on}),
 		...(grounds !== undefined && {end, grounds}),
 		...(at !== undefined && {sinceMs: Math.round(now - at)}),
 		...(refused !== undefined && {refused}),
--- a/src/testing/restart-gaps.ts
+++ b/src/testing/restart-gaps.ts
@@ -49,6 +49,8 @@
 	readonly pool?: string;
 	readonly afterMs: number;
 	readonly after?: number;
+	/** Upstream of the run `after`; absent if another pool started it. */
+	readonly on?: string;
 	readonly end?: string;
 	readonly grounds?: string;
 	readonly refused?: string;
@@ -243,10 +245,16 @@
 		return undefined;
 	}
 
-	// The runs of an earlier owner may have higher numbers.
-	if (grounds !== undefined && earlier.number <= after) {
+	// The runs of another owner may have higher numbers, or the same ones elsewhere.
+	if (grounds !== undefined && earlier.number <= after && isKnownRun(earlier, fields)) {
 		return [grounds, end];
 	}
 
 	return priorFence > 0 ? ['moved'] : undefined;
 }
+
+/** Gets whether a run may be the one whose end the owner knows: on the same upstream, and with the same end if that was listed. */
+function isKnownRun({number, upstream, end}: TimedRun, fields: RestartFields): boolean {
+	const isElsewhere = fields.on !== undefined && number === fields.after && upstream !== fields.on;
+	return !isElsewhere && (fields.grounds !== 'listed' || end === fields.end);
+}
--- a/test/pool/restart-lines.test.ts
+++ b/test/pool/restart-lines.test.ts
@@ -35,7 +35,7 @@
 	const [first, second] = harness.getStarts('a.0.0.0');
 	t.deepEqual([first?.upstream, second?.upstream], ['u0', 'u1']);
 	t.deepEqual(getRestartLines(harness), [{
-		task: 'a.0.0.0', run: 2, upstream: 'u1', afterMs: Math.round(second!.startedAt - 100), after: 1, end: 'failed', grounds: 'listed', sinceMs: 0,
+		task: 'a.0.0.0', run: 2, upstream: 'u1', afterMs: Math.round(second!.startedAt - 100), after: 1, on: 'u0', end: 'failed', grounds: 'listed', sinceMs: 0,
 	}]);
 });
 
