--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -171,6 +171,8 @@
 	readonly #recentEnds = new Map<string, ListedEnd>();
 	/** Runs of this link that have ended; a poll that was sent before may still list them. */
 	readonly #endedRuns = new RecentRuns(endedRunRetentionMs);
+	/** Monotonic time from which a poll must have been sent and answered before tasks are started. */
+	#startsDeferredAt = -Infinity;
 	/** Runs with a start that was left unanswered, with the time at which it was sent; the next instance of the upstream may carry it out. */
 	readonly #unansweredStarts = new RecentRuns(unansweredStartRetentionMs);
 	readonly #closeController = new AbortController();
@@ -239,9 +241,15 @@
 		return this.describedBornMs === bornMs || this.describedBornMs === 0 ? labels : [];
 	}
 
+	/** Starts no more tasks until a poll that is sent from now on is answered: another owner may have started some. */
+	deferStarts(): void {
+		this.#startsDeferredAt = this.#options.clock.getMonotonicTime();
+	}
+
 	/** Gets whether new tasks may be started here. */
 	isAcceptingStarts(): boolean {
-		if (this.#isSilent || this.description.isLeaving || this.#clockOffsetMs === undefined || this.#unclaimed.size > 0) {
+		const isUnknown = this.#isSilent || this.#clockOffsetMs === undefined || this.#lastPollAt < this.#startsDeferredAt;
+		if (isUnknown || this.description.isLeaving || this.#unclaimed.size > 0) {
 			return false;
 		}
 
@@ -480,6 +488,11 @@
 
 	/** Gets whether a run has not ended within the time limit of its stop. A lease covers all runs of an upstream, so that none is granted then. */
 	#isStopOverdue(): boolean {
+		// Called for each upstream in each pass; most have no stop.
+		if (this.#stopRequestedAt.size === 0) {
+			return false;
+		}
+
 		const now = this.#options.clock.getMonotonicTime();
 		for (const requestedAt of this.#stopRequestedAt.values()) {
 			if (now - requestedAt > this.#timing.stopConfirmTimeoutMs) {
@@ -492,6 +505,10 @@
 
 	async #poll(maxWaitMs: number): Promise<PollResult> {
 		const {clock, orders, getFence} = this.#options;
+		if (this.#closeController.signal.aborted) {
+			return 'seen';
+		}
+
 		const sentAt = clock.getMonotonicTime();
 		const earlierLeaseEndsAt = this.#leaseEndsAt;
 		// The lease of a silent upstream is not extended, so that its runs end at a known time.
@@ -773,11 +790,13 @@
 	}
 
 	async #sendStart(run: LinkedRun): Promise<void> {
-		const {clock, orders, getPausedAt} = this.#options;
+		const {clock, orders, getFence, getPausedAt} = this.#options;
 		const {bornMs} = this.description;
+		const fence = getFence();
 		// What allowed the start may have changed during a pause.
 		const wasPaused = (): boolean => (getPausedAt?.() ?? -Infinity) > run.startedAt;
-		const isSendable = (): boolean => run.state === 'starting' && !run.isStopRequested && this.description.bornMs === bornMs && !wasPaused();
+		// With a higher fence, the upstream would accept a start that was decided before another owner's runs were known.
+		const isSendable = (): boolean => run.state === 'starting' && !run.isStopRequested && this.description.bornMs === bornMs && getFence() === fence && !wasPaused();
 		for (let attempts = 0; attempts < maxSendAttempts && isSendable(); attempts++) {
 			const sentAt = clock.getMonotonicTime();
 			const leaseUntilMs = this.#extendLease();
