Group the records of checks by one function

Three copies of groupBy stood in the checks of histories, of soaks and of fleets; the measure of second starts had brought the third. They use that of src/testing now.

--- a/bench/soak-processes/check-history.ts
+++ b/bench/soak-processes/check-history.ts
@@ -1,8 +1,9 @@
 /**
  * Checks the history of a process soak against the guarantees to callers and upstreams.
  */
+import {groupBy} from '../../src/testing/group-by.js';
 import {
-	type AppliedFault, groupBy, type ListedCapacity, plannedStopKind, type Recovery, type Submission, type SoakHistory, type TaskRun, stallKind,
+	type AppliedFault, type ListedCapacity, plannedStopKind, type Recovery, type Submission, type SoakHistory, type TaskRun, stallKind,
 } from './history.js';
 
 /** A violated guarantee; `at` is in milliseconds of the shared clock. */
@@ -61,8 +62,8 @@
 		...history.deadlyTasks.flatMap(task => findTooManyStarts(runsOfTask.get(task) ?? [])),
 		...history.runs.flatMap(run => checkCapacity(run, capacities.get(run.upstream) ?? [], history.faults)),
 		...[...groupBy(history.sends, ({job}) => job).values()].flatMap(sends => [
-			...checkJob(sends, runsOfJob.get(sends[0]!.job) ?? []),
-			...checkFailures(sends, runsOfJob.get(sends[0]!.job) ?? [], history.deadlyTasks),
+			...checkJob(sends, runsOfJob.get(sends[0].job) ?? []),
+			...checkFailures(sends, runsOfJob.get(sends[0].job) ?? [], history.deadlyTasks),
 		]),
 		...history.sends.flatMap(submission => [...checkAnswer(submission), ...checkPlannedStop(submission, history.faults, runsOfJob.get(submission.job) ?? [])]),
 		...history.ends.filter(({wasTold}) => !wasTold).map(({vm, how, at}) => ({
--- a/bench/soak-processes/history.ts
+++ b/bench/soak-processes/history.ts
@@ -83,20 +83,3 @@
 }
 
 const nanosecondsPerMs = 1_000_000;
-
-/**
- * Groups values by a key.
- * @param values - Values to group.
- * @param getKey - Gets the key of a value.
- */
-export function groupBy<T>(values: readonly T[], getKey: (value: T) => string): ReadonlyMap<string, readonly T[]> {
-	const groups = new Map<string, T[]>();
-	for (const value of values) {
-		const key = getKey(value);
-		const group = groups.get(key) ?? [];
-		group.push(value);
-		groups.set(key, group);
-	}
-
-	return groups;
-}
--- a/bench/soak-processes/main.ts
+++ b/bench/soak-processes/main.ts
@@ -4,8 +4,9 @@
 import process from 'node:process';
 import {Command} from 'commander';
 import {describeGap, describeRestartGaps, findShortGaps} from '../../src/testing/restart-gaps.js';
+import {groupBy} from '../../src/testing/group-by.js';
 import {getOverhangs, maxOverhangMs} from './check-history.js';
-import {groupBy, type SoakHistory} from './history.js';
+import {type SoakHistory} from './history.js';
 import {type SoakResult, runSoak} from './soak-run.js';
 
 type Options = {
--- a/src/testing/history-checker.ts
+++ b/src/testing/history-checker.ts
@@ -1,6 +1,7 @@
 /**
  * Checks the history of a concurrent run against the guarantees to callers and operators.
  */
+import {groupBy} from './group-by.js';
 import {
 	type AnswerRecord, type DisruptionRecord, type HistoryRecord, type LeavingRecord, type NoAnswerRecord, type StartRecord, type SubmitRecord,
 } from './history.js';
@@ -274,21 +275,6 @@
 	return answer.problemType.endsWith(answerNotKeptSuffix);
 }
 
-function groupBy<T>(values: readonly T[], getKey: (value: T) => string): ReadonlyMap<string, readonly T[]> {
-	const groups = new Map<string, T[]>();
-	for (const value of values) {
-		const key = getKey(value);
-		const group = groups.get(key);
-		if (group === undefined) {
-			groups.set(key, [value]);
-		} else {
-			group.push(value);
-		}
-	}
-
-	return groups;
-}
-
 function getFirstTimes(records: ReadonlyArray<{readonly vm: string; readonly time: number}>): ReadonlyMap<string, number> {
 	const times = new Map<string, number>();
 	for (const {vm, time} of records) {
