Compare the end of a run with the ground of its own number only

The soak printed eight starts as unknown, 56 to 166 ms after the end of a run whose number is lower than that of the run whose end the owner had listed last: the end of the one was compared with that of the other. A run with a lower number of the same submission is covered by the line, as before the comparison; with the same number, upstream and listed end must match.

--- a/src/testing/restart-gaps.ts
+++ b/src/testing/restart-gaps.ts
@@ -253,8 +253,7 @@
 	return priorFence > 0 ? ['moved'] : undefined;
 }
 
-/** Gets whether a run may be the one whose end the owner knows: on the same upstream, and with the same end if that was listed. */
-function isKnownRun({number, upstream, end}: TimedRun, fields: RestartFields): boolean {
-	const isElsewhere = fields.on !== undefined && number === fields.after && upstream !== fields.on;
-	return !isElsewhere && (fields.grounds !== 'listed' || end === fields.end);
+/** Gets whether an owner knows the end of a run: it is the run of the line, on the same upstream and with the end that was listed, or an earlier one. */
+function isKnownRun({number, upstream, end}: TimedRun, {after, on = upstream, grounds, end: knownEnd}: RestartFields): boolean {
+	return number !== after || (upstream === on && (grounds !== 'listed' || end === knownEnd));
 }
