--- a/bench/pool/simulate-pool.ts
+++ b/bench/pool/simulate-pool.ts
@@ -2,8 +2,9 @@
  * Runs a load pattern against the owners of pools with simulated upstreams.
  */
 import {
-	choosePool, type DecisionLog, getDataCenter, getInitialCpu, getPoolNames, type PoolDirectory, type PoolJobOutcome, type SubmittedJob,
+	type DecisionLog, getDataCenter, getInitialCpu, getPoolNames, type PoolDirectory, type PoolJobOutcome, type SubmittedJob,
 } from '../../src/pool/index.js';
+import {choosePool} from '../../src/scheduling/index.js';
 import {createSeededRandom} from '../../src/seams/index.js';
 import {ManualClock} from '../../src/testing/manual-clock.js';
 import {SimulatedPools} from '../../src/testing/simulated-pools.js';
--- a/src/pool/free-capacities.ts
+++ b/src/pool/free-capacities.ts
@@ -2,8 +2,8 @@
  * The free capacities that one pass over the waiting jobs starts tasks in. They are read only as far as the pass needs them: most passes start few
  * tasks, and most of these on upstreams of the own pool.
  */
+import {type PlacementCandidate} from '../scheduling/index.js';
 import {type NeighbourCapacity} from './lending.js';
-import {type PlacementCandidate} from './placement.js';
 import {toCandidate} from './upstream-health.js';
 import {type UpstreamLink} from './upstream-link.js';
 
--- a/src/pool/lent-runs.ts
+++ b/src/pool/lent-runs.ts
@@ -2,11 +2,11 @@
  * Lent runs: runs on a pool's upstreams that belong to jobs of other pools.
  */
 import {type SenderConfirmation} from '../connection/index.js';
+import {chooseUpstream} from '../scheduling/index.js';
 import {type Clock, sleep, type Timer} from '../seams/index.js';
 import {type CrashLedger} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
 import {type LentTask, type LendOutcome} from './lending.js';
-import {chooseUpstream} from './placement.js';
 import {type ProofAges} from './proof-ages.js';
 import {
 	areRunsUnconfirmed, getLeaseLimit, renewalAgeMs,
--- a/src/pool/load-publisher.ts
+++ b/src/pool/load-publisher.ts
@@ -2,8 +2,8 @@
  * Publishing of a pool's load to the other owners between heartbeats. Tasks last only as long as a few heartbeats, so that without it free
  * capacity elsewhere would be used too late or not at all in short bursts.
  */
+import {type PoolView} from '../scheduling/index.js';
 import {type Clock, type Timer} from '../seams/index.js';
-import {type PoolView} from './pool-choice.js';
 import {type PoolLoad} from './pool-scheduler.js';
 
 /** Options of {@link LoadPublisher}. */
--- a/src/pool/pool-directory.ts
+++ b/src/pool/pool-directory.ts
@@ -1,8 +1,8 @@
 /**
  * Owners and loads of the pools of all data centres, as known to this entry VM.
  */
+import {type PoolView} from '../scheduling/index.js';
 import {type Clock} from '../seams/index.js';
-import {type PoolView} from './pool-choice.js';
 import {type Candidate, electOwners} from './pool-election.js';
 import {type JobStep, type PoolJobRequest, getStepWork} from './pool-job.js';
 import {getDataCenter} from './pool-layout.js';
--- a/src/pool/pool-lending.ts
+++ b/src/pool/pool-lending.ts
@@ -4,6 +4,7 @@
 import {
 	type InputProgress, type PeerNetwork, type PeerRequest, type PeerRequestOptions, type SenderConfirmation,
 } from '../connection/index.js';
+import {type PoolView} from '../scheduling/index.js';
 import {type Clock} from '../seams/index.js';
 import {type CrashLedger, getJob} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
@@ -12,7 +13,6 @@
 } from './lending.js';
 import {LoadPublisher} from './load-publisher.js';
 import {PendingLends} from './pending-lends.js';
-import {type PoolView} from './pool-choice.js';
 import {decodeLendAnswer, decodeLendRequest, decodeLoadUpdate} from './pool-decoding.js';
 import {type PoolDirectory} from './pool-directory.js';
 import {getDataCenter, isNeighbourPool} from './pool-layout.js';
--- a/src/pool/pool-router.ts
+++ b/src/pool/pool-router.ts
@@ -2,15 +2,16 @@
  * Routes callers' jobs from an entry VM to the owners of pools, and to the next owner when the ownership of a pool changes.
  */
 import {type InputProgress, type PeerNetwork, readInput} from '../connection/index.js';
+import {
+	choosePool, type JobDemand, minRetryAfterMs, type PoolView,
+} from '../scheduling/index.js';
 import {type Clock, type Random, sleep} from '../seams/index.js';
-import {minRetryAfterMs} from './admission.js';
 import {type AwaitedJobs} from './awaited-jobs.js';
 import {type CrashLedger} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
 import {isSinglePoolJob} from './lending.js';
 import {getJobSize, JobSizeBudget} from './job-size.js';
 import {type PauseDetector} from './pause-detector.js';
-import {choosePool, type JobDemand, type PoolView} from './pool-choice.js';
 import {decodeSubmitAnswer} from './pool-decoding.js';
 import {getInitialCpu, type PoolDirectory} from './pool-directory.js';
 import {
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -2,13 +2,14 @@
  * The queue of one pool: admits jobs, starts their tasks on upstreams of this pool or in other pools, and reports the outcomes.
  */
 import {type InputProgress, readInput, type SenderConfirmation} from '../connection/index.js';
+import {
+	type AdmissionDecision, chooseUpstream, decideAdmission, DurationEstimator, fits, isOverdue, minRetryAfterMs, OfferedLoad, sortByUrgency,
+} from '../scheduling/index.js';
 import {type Clock, type Timer} from '../seams/index.js';
-import {type AdmissionDecision, decideAdmission, minRetryAfterMs} from './admission.js';
 import {
 	type CrashLedger, type FailedRunCause, getJob, isGivenUp, type FailedRun,
 } from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
-import {DurationEstimator} from './duration-estimator.js';
 import {FreeCapacities} from './free-capacities.js';
 import {getJobSize, JobSizeBudget} from './job-size.js';
 import {
@@ -16,14 +17,10 @@
 } from './lending.js';
 import {LentRuns} from './lent-runs.js';
 import {NeighbourPools} from './neighbour-pools.js';
-import {OfferedLoad} from './offered-load.js';
-import {isOverdue} from './overdue.js';
-import {chooseUpstream, fits} from './placement.js';
 import {
 	getStepWork, type JobStep, type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob, type TaskNeeds,
 } from './pool-job.js';
 import {type ProofAges} from './proof-ages.js';
-import {sortByUrgency} from './queue-order.js';
 import {type JobTask, QueuedJob, type TaskStart} from './queued-job.js';
 import {describeGround, type RunEndGrounds} from './restart-ground.js';
 import {type RunHost} from './run-host.js';
--- a/src/pool/queued-job.ts
+++ b/src/pool/queued-job.ts
@@ -1,13 +1,12 @@
 /**
  * The state of a job that a pool's owner has admitted.
  */
+import {type DurationEstimator, type OrderedJob} from '../scheduling/index.js';
 import {type LogFields} from './decision-log.js';
-import {type DurationEstimator} from './duration-estimator.js';
 import {getJobSize} from './job-size.js';
 import {
 	getCriticalPathMs, type JobStep, type PoolJobOutcome, type PoolJobRequest, type SubmittedJob,
 } from './pool-job.js';
-import {type OrderedJob} from './queue-order.js';
 import {type RestartGround} from './restart-ground.js';
 import {type RunHost} from './run-host.js';
 import {type JobSender} from './sender-confirmation.js';
--- a/src/pool/suspect-placement.ts
+++ b/src/pool/suspect-placement.ts
@@ -2,8 +2,8 @@
  * Placement of tasks under which an upstream has crashed: each runs by itself, so that a further crash proves which task is at fault and takes no
  * other with it.
  */
+import {chooseUpstream} from '../scheduling/index.js';
 import {type CrashLedger} from './crash-ledger.js';
-import {chooseUpstream} from './placement.js';
 import {type JobStep} from './pool-job.js';
 import {toCandidate} from './upstream-health.js';
 import {type UpstreamLink} from './upstream-link.js';
--- a/src/pool/upstream-health.ts
+++ b/src/pool/upstream-health.ts
@@ -1,8 +1,8 @@
 /**
  * Passive health checks of upstreams: slow upstreams become a last resort, and failing or stalling ones are ejected for a while.
  */
+import {type PlacementCandidate} from '../scheduling/index.js';
 import {type DecisionLog} from './decision-log.js';
-import {type PlacementCandidate} from './placement.js';
 import {type UpstreamLink} from './upstream-link.js';
 
 /** Consecutive failed runs from which an upstream is a last resort, and from which it is ejected. */
--- a/src/pool/admission.ts
+++ b/src/scheduling/admission.ts
@@ -2,7 +2,7 @@
  * Admission control of a pool. In bursts of more work than the pool can run, a job that would miss its deadline or objective is
  * refused on arrival, with the time after which the queue will have shrunk, so that its caller does not wait in vain.
  */
-import {type RefusalReason} from './pool-job.js';
+import {type RefusalReason} from '../pool/pool-job.js';
 
 /** State of a pool and properties of a job that determine its admission. */
 export type AdmissionInput = {
--- a/src/pool/placement.ts
+++ b/src/scheduling/placement.ts
@@ -2,7 +2,7 @@
  * Choice of the upstream for a task. Typical tasks take a third to two thirds of an upstream: best-fit placement keeps the
  * emptier upstreams free for large tasks, and faster upstreams are used before slower ones where several fit.
  */
-import {type JobStep, type TaskNeeds} from './pool-job.js';
+import {type JobStep, type TaskNeeds} from '../pool/pool-job.js';
 
 /** An upstream that a task may be placed on. */
 export type PlacementCandidate = {
--- a/test/pool/large-jobs.test.ts
+++ b/test/pool/large-jobs.test.ts
@@ -4,8 +4,9 @@
 import test from 'ava';
 import {createImmediateProgress, type PeerNetwork} from '../../src/connection/index.js';
 import {
-	CrashLedger, DurationEstimator, getCriticalPathMs, getJobSize, JobSizeBudget, maxJobSize, PauseDetector, type PoolDirectory, type PoolJobOutcome, QueuedJob,
+	CrashLedger, getCriticalPathMs, getJobSize, JobSizeBudget, maxJobSize, PauseDetector, type PoolDirectory, type PoolJobOutcome, QueuedJob,
 } from '../../src/pool/index.js';
+import {DurationEstimator} from '../../src/scheduling/index.js';
 import {PoolRouter} from '../../src/pool/pool-router.js';
 import {createSeededRandom} from '../../src/seams/index.js';
 import {ManualClock} from '../../src/testing/manual-clock.js';
--- a/test/pool/lending.test.ts
+++ b/test/pool/lending.test.ts
@@ -1,8 +1,9 @@
 import test from 'ava';
 import {createSeededRandom, sleep} from '../../src/seams/index.js';
 import {
-	choosePool, defaultUpstreamLinkTiming, getLostRunTimeoutMs, getMaxStopMs, poolClaimsSchema, type PoolJobOutcome, type PoolView,
+	defaultUpstreamLinkTiming, getLostRunTimeoutMs, getMaxStopMs, poolClaimsSchema, type PoolJobOutcome,
 } from '../../src/pool/index.js';
+import {choosePool, type PoolView} from '../../src/scheduling/index.js';
 import {
 	ManualClock, SimulatedPools, type SimulatedUpstreamFaults, SimulatedUpstreams, type SimulatedWork,
 } from '../../src/testing/index.js';
--- a/test/pool/load-updates.test.ts
+++ b/test/pool/load-updates.test.ts
@@ -1,7 +1,6 @@
 import test from 'ava';
-import {
-	type Candidate, PoolDirectory, type PoolLoad, type PoolView,
-} from '../../src/pool/index.js';
+import {type Candidate, PoolDirectory, type PoolLoad} from '../../src/pool/index.js';
+import {type PoolView} from '../../src/scheduling/index.js';
 import {LoadPublisher} from '../../src/pool/load-publisher.js';
 import {ManualClock} from '../../src/testing/index.js';
 import {typicalWork} from './pool-harness.js';
--- a/test/pool/pause-detector.test.ts
+++ b/test/pool/pause-detector.test.ts
@@ -1,8 +1,9 @@
 import test from 'ava';
 import {createImmediateProgress, EventLoopProgress, type PeerNetwork} from '../../src/connection/index.js';
 import {
-	CrashLedger, type JobSender, PauseDetector, type PoolDirectory, type PoolOwner, type PoolView, type SubmittedJob,
+	CrashLedger, type JobSender, PauseDetector, type PoolDirectory, type PoolOwner, type SubmittedJob,
 } from '../../src/pool/index.js';
+import {type PoolView} from '../../src/scheduling/index.js';
 import {PoolRouter} from '../../src/pool/pool-router.js';
 import {type Clock, createSeededRandom} from '../../src/seams/index.js';
 import {ManualClock, ManualEventLoop} from '../../src/testing/index.js';
--- a/test/pool/runs-after-callers-left.test.ts
+++ b/test/pool/runs-after-callers-left.test.ts
@@ -4,8 +4,9 @@
 import test from 'ava';
 import {EventLoopProgress, type PeerNetwork} from '../../src/connection/index.js';
 import {
-	CrashLedger, PauseDetector, type PoolDirectory, type PoolOwner, type PoolView,
+	CrashLedger, PauseDetector, type PoolDirectory, type PoolOwner,
 } from '../../src/pool/index.js';
+import {type PoolView} from '../../src/scheduling/index.js';
 import {PoolRouter} from '../../src/pool/pool-router.js';
 import {createSeededRandom} from '../../src/seams/index.js';
 import {ManualEventLoop} from '../../src/testing/index.js';
--- a/test/pool/decisions.test.ts
+++ b/test/scheduling/decisions.test.ts
@@ -1,8 +1,11 @@
 import test from 'ava';
 import {
-	type AdmissionInput, canMeetObjective, chooseUpstream, decideAdmission, DurationEstimator, electOwners, findRoute, getCriticalPathMs, getPoolNames, isOverdue, type JobStep,
-	type OrderedJob, type PlacementCandidate, type PoolView, sortByUrgency, sortByExpectedWait, type Candidate,
+	electOwners, findRoute, getCriticalPathMs, getPoolNames, type JobStep, type Candidate,
 } from '../../src/pool/index.js';
+import {
+	type AdmissionInput, canMeetObjective, chooseUpstream, decideAdmission, DurationEstimator, isOverdue, type OrderedJob, type PlacementCandidate, type PoolView,
+	sortByExpectedWait, sortByUrgency,
+} from '../../src/scheduling/index.js';
 
 const step: JobStep = {
 	taskCount: 2, needs: {cpu: 7000, memoryMb: 64, accelerators: 0}, estimateMs: 200, after: [],
