Replay the loads of two uneven customers against the owners of pools

Change: loads with large tasks, upstreams of speeds 0.6 to 1.6, task tails, demand waves and one full data centre; outcomes by kind, data centre and size decile.

--- a/bench/pool.ts
+++ b/bench/pool.ts
@@ -3,6 +3,9 @@
  */
 import {createSeededRandom} from '../src/seams/index.js';
 import {createArrivals, siteKinds} from './pool/load-pattern.js';
+import {
+	createCustomerArrivals, type CustomerLoad, largeTasks, oneFullDataCenter, unevenUpstreams,
+} from './pool/customer-loads.js';
 import {type KindResult, simulatePool} from './pool/simulate-pool.js';
 
 const upstreamCount = 11;
@@ -31,6 +34,12 @@
 
 /** Simulates the load patterns with one pool, then several pools with and without lending, and prints the outcomes of the jobs. */
 export async function run(): Promise<void> {
+	for (const load of [largeTasks, unevenUpstreams, oneFullDataCenter]) {
+		for (const factor of customerFactors) {
+			await simulateCustomer(load, factor);
+		}
+	}
+
 	await simulateSinglePool();
 	for (const isLending of [false, true]) {
 		for (const factor of deploymentFactors) {
@@ -39,12 +48,40 @@
 	}
 }
 
+/** Upstreams and pools of the customers' deployments, a third of their size, and factors of the arrival rates. */
+const customerUpstreams = 81;
+const customerPools = 9;
+const customerDataCenters = 3;
+const customerFactors = [1.4, 2, 2.6];
+
+async function simulateCustomer(load: CustomerLoad, factor: number): Promise<void> {
+	const arrivals = createCustomerArrivals(load, factor, durationMs, 1);
+	const {upstreamCpu, speeds} = load;
+	const results = await simulatePool(arrivals, customerUpstreams, {
+		poolCount: customerPools, dataCenterCount: customerDataCenters, upstreamCpu, speeds,
+	});
+	for (const [name, groups] of [['kind', results.byKind], ['data centre', results.byDataCenter], ['size decile', results.byDecile]] as const) {
+		const shares = Object.entries(groups).toSorted(([a], [b]) => a < b ? -1 : 1).map(([group, result]) => `${group}: ${name === 'size decile' ? getValue(result).toFixed(2) : getShare(result)}`);
+		console.log(`${load.name} at ${factor} by ${name}: ${shares.join('; ')}`);
+	}
+
+	const values = Object.values(results.byKind);
+	const value = values.reduce((sum, result) => sum + getValue(result), 0) / values.length;
+	const refused = values.reduce((sum, result) => sum + result.refused, 0);
+	const refusalMs = values.reduce((sum, result) => sum + result.refusalMs, 0) / Math.max(1, refused);
+	console.log(`${load.name} at ${factor}: value by kind ${value.toFixed(3)}, mean time to a refusal ${refusalMs.toFixed(0)} ms`);
+}
+
+function getValue({submitted, inTime, late}: KindResult): number {
+	return (inTime + (lateValue * late)) / submitted;
+}
+
 async function simulateDeployment(factor: number, isLending: boolean): Promise<void> {
 	const arrivals = createArrivals({
 		kinds: siteKinds, durationMs, getFactor: () => factor, random: createSeededRandom(1),
 	});
-	const results = await simulatePool(arrivals, deploymentUpstreams, {poolCount: deploymentPools, isLending});
-	const values = Object.values(results);
+	const {byKind} = await simulatePool(arrivals, deploymentUpstreams, {poolCount: deploymentPools, isLending});
+	const values = Object.values(byKind);
 	const submitted = values.reduce((sum, result) => sum + result.submitted, 0);
 	const inTime = values.reduce((sum, result) => sum + result.inTime, 0) / submitted;
 	const value = values.reduce((sum, result) => sum + ((result.inTime + (lateValue * result.late)) / result.submitted), 0) / values.length;
@@ -60,8 +97,8 @@
 			const arrivals = createArrivals({
 				kinds: siteKinds, durationMs, getFactor, random: createSeededRandom(seed),
 			});
-			const results = await simulatePool(arrivals, upstreamCount);
-			for (const [kind, result] of Object.entries(results)) {
+			const {byKind} = await simulatePool(arrivals, upstreamCount);
+			for (const [kind, result] of Object.entries(byKind)) {
 				if (seed === 1) {
 					console.log(`${name} ${kind}: ${getShare(result)}`);
 				}
--- a/bench/pool/load-pattern.ts
+++ b/bench/pool/load-pattern.ts
@@ -12,6 +12,8 @@
 	readonly meanMs: number;
 	readonly priority: number;
 	readonly maxAttempts: number;
+	/** Longest duration of a task, in milliseconds; unbounded by default. */
+	readonly maxMs?: number;
 };
 
 /** The arrival of a job. */
@@ -24,6 +26,8 @@
 	readonly durations: readonly number[];
 	/** The caller's estimate of a task's duration, in milliseconds. */
 	readonly estimateMs: number;
+	/** Position of the caller's data centre; any entry VM gets the job if absent. */
+	readonly dataCenter?: number;
 };
 
 /** The three kinds of jobs on the users' sites, with the rates of one data centre of three. */
@@ -42,8 +46,21 @@
 const workSpread = 0.4;
 const cpuSpread = 0.2;
 const taskDurationSpread = 0.15;
-const meanCpu = 6800;
-const maxCpu = 10_000;
+
+/** Needs and durations of tasks. */
+export type TaskShape = {
+	/** Thousandths of a core. */
+	readonly meanCpu: number;
+	readonly maxCpu: number;
+	/** Share of the tasks that take `tailFactor` times as long. */
+	readonly tailShare: number;
+	readonly tailFactor: number;
+};
+
+/** Tasks of the users' sites: two of them fit an upstream of 16 cores, none takes much longer than its job's others. */
+export const siteTasks: TaskShape = {
+	meanCpu: 6800, maxCpu: 10_000, tailShare: 0, tailFactor: 1,
+};
 
 /** Options of {@link createArrivals}. */
 export type ArrivalOptions = {
@@ -52,13 +69,19 @@
 	/** Gets the factor of all rates at a time in milliseconds. */
 	readonly getFactor: (at: number) => number;
 	readonly random: Random;
+	/** Needs and durations of tasks; by default, those of the users' sites. */
+	readonly tasks?: TaskShape;
+	/** Position of the callers' data centre; by default, the callers are spread over all entry VMs. */
+	readonly dataCenter?: number;
 };
 
 /**
  * Creates the arrivals of a period, in order of time.
  * @param options - Kinds of jobs, rates and source of random numbers.
  */
-export function createArrivals({kinds, durationMs, getFactor, random}: ArrivalOptions): readonly Arrival[] {
+export function createArrivals({
+	kinds, durationMs, getFactor, random, tasks = siteTasks, dataCenter,
+}: ArrivalOptions): readonly Arrival[] {
 	const arrivals: Arrival[] = [];
 	for (const kind of kinds) {
 		let at = 0;
@@ -68,14 +91,14 @@
 				break;
 			}
 
-			arrivals.push(createArrival(at, kind, random));
+			arrivals.push({...createArrival(at, kind, tasks, random), dataCenter});
 		}
 	}
 
 	return arrivals.toSorted((a, b) => a.at - b.at);
 }
 
-function createArrival(at: number, kind: JobKind, random: Random): Arrival {
+function createArrival(at: number, kind: JobKind, {meanCpu, maxCpu, tailShare, tailFactor}: TaskShape, random: Random): Omit<Arrival, 'dataCenter'> {
 	const taskCount = Math.max(1, Math.min(kind.maxTasks, Math.round(kind.meanTasks * getLogNormal(random, workSpread))));
 	const workMs = kind.meanMs * getLogNormal(random, workSpread);
 	return {
@@ -83,7 +106,10 @@
 		kind,
 		taskCount,
 		cpu: Math.min(maxCpu, Math.round(meanCpu * getLogNormal(random, cpuSpread))),
-		durations: Array.from({length: taskCount}, () => workMs * getLogNormal(random, taskDurationSpread)),
+		durations: Array.from({length: taskCount}, () => {
+			const factor = tailShare > 0 && random.getFloat() < tailShare ? tailFactor : 1;
+			return Math.min(kind.maxMs ?? Infinity, factor * workMs * getLogNormal(random, taskDurationSpread));
+		}),
 		estimateMs: workMs * getLogNormal(random, workSpread),
 	};
 }
--- a/bench/pool/simulate-pool.ts
+++ b/bench/pool/simulate-pool.ts
@@ -20,6 +20,15 @@
 	/** Jobs refused after more than a quarter of the objective. */
 	refusedLate: number;
 	failed: number;
+	/** Milliseconds of waiting for a refusal, over all refused jobs. */
+	refusalMs: number;
+};
+
+/** Results by kind of job, by data centre of the callers and by decile of the job's work within its kind. */
+export type SimulationResults = {
+	readonly byKind: Readonly<Record<string, KindResult>>;
+	readonly byDataCenter: Readonly<Record<string, KindResult>>;
+	readonly byDecile: Readonly<Record<string, KindResult>>;
 };
 
 const silentLog: DecisionLog = {
@@ -32,8 +41,8 @@
 const slackMs = 60;
 const deadlineMs = 1500;
 const settleTimeMs = 5000;
-/** Speeds of upstreams, assigned in rotation. */
-const speeds = [0.8, 1, 1.25];
+const siteSpeeds = [0.8, 1, 1.25];
+const siteUpstreamCpu = 16_000;
 
 /** Number of entry VMs that choose pools. */
 const entryCount = 7;
@@ -49,17 +58,23 @@
 	readonly isLending?: boolean;
 	/** Number of data centres to which the pools are distributed evenly; by default, each has one pool. */
 	readonly dataCenterCount?: number;
+	/** Thousandths of a core of a small upstream; every third one is half as large again. */
+	readonly upstreamCpu?: number;
+	/** Speeds of upstreams, assigned in rotation. */
+	readonly speeds?: readonly number[];
 };
 
 /**
  * Simulates arrivals.
  * @param arrivals - Arrivals in order of time.
- * @param upstreamCount - Number of upstreams; they have 16 cores, and every third has 24.
- * @param options - Pools.
- * @returns Results by kind of job.
+ * @param upstreamCount - Number of upstreams.
+ * @param options - Pools and upstreams.
  */
-export async function simulatePool(arrivals: readonly Arrival[], upstreamCount: number, options: SimulationOptions = {}): Promise<Readonly<Record<string, KindResult>>> {
-	const {poolCount = 1, isLending = true, dataCenterCount = poolCount} = options;
+export async function simulatePool(arrivals: readonly Arrival[], upstreamCount: number, options: SimulationOptions = {}): Promise<SimulationResults> {
+	const {
+		poolCount = 1, isLending = true, dataCenterCount = poolCount, upstreamCpu = siteUpstreamCpu, speeds = siteSpeeds,
+	} = options;
+	const getDecile = createDecileGetter(arrivals);
 	const clock = new ManualClock();
 	const works = new Map<string, {readonly arrival: Arrival; readonly durationMs: number}>();
 	const upstreams = new SimulatedUpstreams({
@@ -73,17 +88,21 @@
 	const pools = Array.from({length: dataCenterCount}, (_, position) => getPoolNames(`dc${position}`, poolCount / dataCenterCount)).flat();
 	const descriptions = Array.from({length: upstreamCount}, (_, position) => ({
 		id: `u${position}`, bornMs: 1, address: `u${position}`, dataCenter: pools[position % poolCount]!, service: 's', rack: 'r', labels: [], isLeaving: false,
-		capacity: {cpu: position % 3 === 2 ? 24_000 : 16_000, memoryMb: 32_768, accelerators: 0},
+		capacity: {cpu: position % 3 === 2 ? 1.5 * upstreamCpu : upstreamCpu, memoryMb: 32_768, accelerators: 0},
 	}));
 	for (const [position, description] of descriptions.entries()) {
-		upstreams.addUpstream(description).slowness = 1 / speeds[Math.floor(position / 3) % 3]!;
+		upstreams.addUpstream(description).slowness = 1 / speeds[Math.floor(position / 3) % speeds.length]!;
 	}
 
 	const deployment = new SimulatedPools({
 		clock, log: silentLog, orders: upstreams, upstreams: descriptions, isLending,
 	});
+	const dataCenters = [...new Set(pools.map(pool => getDataCenter(pool)))];
 	const directories = Array.from({length: entryCount}, (_, position) => deployment.createDirectory(getDataCenter(pools[position % poolCount]!)));
-	const results: Record<string, KindResult> = {};
+	const localDirectories = dataCenters.map(dataCenter => Array.from({length: entryCount}, () => deployment.createDirectory(dataCenter)));
+	const byKind: Record<string, KindResult> = {};
+	const byDataCenter: Record<string, KindResult> = {};
+	const byDecile: Record<string, KindResult> = {};
 	await clock.advance(300);
 	const startedAt = clock.getMonotonicTime();
 	for (const [position, arrival] of arrivals.entries()) {
@@ -92,7 +111,7 @@
 	}
 
 	await clock.advance(settleTimeMs);
-	return results;
+	return {byKind, byDataCenter, byDecile};
 
 	async function submit(job: SubmittedJob, directory: PoolDirectory, signal: AbortSignal): Promise<PoolJobOutcome> {
 		let outcome: PoolJobOutcome = {kind: 'failed'};
@@ -128,12 +147,35 @@
 		const timer = clock.setTimer(() => {
 			controller.abort();
 		}, deadlineMs);
-		const outcome = await submit(job, directories[position % entryCount]!, controller.signal);
+		const outcome = await submit(job, getDirectory(position, arrival), controller.signal);
 		timer.close();
-		addResult(results[arrival.kind.name] ??= createResult(), outcome, clock.getMonotonicTime() - arrivedAt, getObjectiveMs(arrival));
+		for (const result of [byKind[arrival.kind.name] ??= createResult(), byDataCenter[`dc${arrival.dataCenter ?? ''}`] ??= createResult(), byDecile[getDecile(arrival)] ??= createResult()]) {
+			addResult(result, outcome, clock.getMonotonicTime() - arrivedAt, getObjectiveMs(arrival));
+		}
+	}
+
+	function getDirectory(position: number, {dataCenter}: Arrival): PoolDirectory {
+		return (dataCenter === undefined ? directories : localDirectories[dataCenter]!)[position % entryCount]!;
 	}
 }
 
+/** Creates a function that gets the decile of a job's work within its kind, from 0 for the smallest jobs. */
+function createDecileGetter(arrivals: readonly Arrival[]): (arrival: Arrival) => string {
+	const getWork = ({cpu, durations}: Arrival): number => durations.reduce((sum, durationMs) => sum + (cpu * durationMs), 0);
+	const worksByKind = new Map<string, number[]>();
+	for (const arrival of arrivals) {
+		const works = worksByKind.get(arrival.kind.name) ?? [];
+		works.push(getWork(arrival));
+		worksByKind.set(arrival.kind.name, works);
+	}
+
+	const boundsByKind = new Map([...worksByKind].map(([kind, works]) => {
+		const sorted = works.toSorted((a, b) => a - b);
+		return [kind, Array.from({length: 9}, (_, decile) => sorted[Math.floor(sorted.length * (decile + 1) / 10)]!)] as const;
+	}));
+	return arrival => String(boundsByKind.get(arrival.kind.name)!.filter(bound => getWork(arrival) >= bound).length);
+}
+
 function createJob(id: string, {kind, taskCount, cpu, estimateMs}: Arrival): SubmittedJob {
 	return {
 		id,
@@ -152,7 +194,7 @@
 
 function createResult(): KindResult {
 	return {
-		submitted: 0, inTime: 0, late: 0, refused: 0, refusedLate: 0, failed: 0,
+		submitted: 0, inTime: 0, late: 0, refused: 0, refusedLate: 0, failed: 0, refusalMs: 0,
 	};
 }
 
@@ -170,6 +212,7 @@
 		}
 	} else if (outcome.kind === 'refused') {
 		result.refused++;
+		result.refusalMs += totalMs;
 		result.refusedLate += Number(totalMs > objectiveMs / 4);
 	} else {
 		result.failed++;
--- a/test/pool/lending.test.ts
+++ b/test/pool/lending.test.ts
@@ -280,7 +280,8 @@
 		const arrivals = createArrivals({
 			kinds: siteKinds, durationMs: 3000, getFactor: () => 1.14, random: createSeededRandom(1),
 		});
-		const results = Object.values(await simulatePool(arrivals, 32, {poolCount: 4, ...options}));
+		const {byKind} = await simulatePool(arrivals, 32, {poolCount: 4, ...options});
+		const results = Object.values(byKind);
 		return results.reduce((sum, {inTime}) => sum + inTime, 0) / results.reduce((sum, {submitted: asked}) => sum + asked, 0);
 	};
 
@@ -295,7 +296,8 @@
 		kinds: siteKinds, durationMs: 3000, getFactor: () => 2, random: createSeededRandom(1),
 	});
 	const getLateShare = async (dataCenterCount: number): Promise<number> => {
-		const results = Object.values(await simulatePool(arrivals, 32, {poolCount: 8, dataCenterCount}));
+		const {byKind} = await simulatePool(arrivals, 32, {poolCount: 8, dataCenterCount});
+		const results = Object.values(byKind);
 		return results.reduce((sum, {refusedLate}) => sum + refusedLate, 0) / results.reduce((sum, {submitted: asked}) => sum + asked, 0);
 	};
 
@@ -310,7 +312,8 @@
 		const arrivals = createArrivals({
 			kinds: siteKinds, durationMs: 3000, getFactor: () => 1.14, random: createSeededRandom(1),
 		});
-		const results = Object.values(await simulatePool(arrivals, 32, {poolCount: 4, isLending}));
+		const {byKind} = await simulatePool(arrivals, 32, {poolCount: 4, isLending});
+		const results = Object.values(byKind);
 		return results.reduce((sum, {inTime}) => sum + inTime, 0) / results.reduce((sum, {submitted: asked}) => sum + asked, 0);
 	}));
 	t.log(shares);
