Refuse or commit waiting jobs early in their objective

Cause: jobs that arrived later passed a waiting job until its deadline, so that most refusals came 0.4 to 2 s after arrival.

--- a/bench/pool/simulate-pool.ts
+++ b/bench/pool/simulate-pool.ts
@@ -141,12 +141,14 @@
 			works.set(`${id}.0.0.${index}`, {arrival, durationMs});
 		}
 
-		const job = createJob(id, arrival);
+		// Callers wait for late answers as long as these have value.
+		const waitMs = Math.max(deadlineMs, 3 * getObjectiveMs(arrival));
+		const job = createJob(id, arrival, waitMs);
 		const arrivedAt = clock.getMonotonicTime();
 		const controller = new AbortController();
 		const timer = clock.setTimer(() => {
 			controller.abort();
-		}, deadlineMs);
+		}, waitMs);
 		const outcome = await submit(job, getDirectory(position, arrival), controller.signal);
 		timer.close();
 		for (const result of [byKind[arrival.kind.name] ??= createResult(), byDataCenter[`dc${arrival.dataCenter ?? ''}`] ??= createResult(), byDecile[getDecile(arrival)] ??= createResult()]) {
@@ -176,7 +178,7 @@
 	return arrival => String(boundsByKind.get(arrival.kind.name)!.filter(bound => getWork(arrival) >= bound).length);
 }
 
-function createJob(id: string, {kind, taskCount, cpu, estimateMs}: Arrival): SubmittedJob {
+function createJob(id: string, {kind, taskCount, cpu, estimateMs}: Arrival, remainingMs: number): SubmittedJob {
 	return {
 		id,
 		spec: '',
@@ -187,7 +189,7 @@
 			route: kind.name, service: 's', priority: kind.priority, maxAttempts: kind.maxAttempts, stretch, slackMs,
 		},
 		ageMs: 0,
-		remainingMs: deadlineMs,
+		remainingMs,
 		priorFence: 0,
 	};
 }
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -3,7 +3,8 @@
  */
 import {type InputProgress, readInput, type SenderConfirmation} from '../connection/index.js';
 import {
-	type AdmissionDecision, chooseUpstream, decideAdmission, DurationEstimator, fits, isOverdue, minRetryAfterMs, OfferedLoad, sortByUrgency,
+	type AdmissionDecision, chooseUpstream, decideAdmission, DurationEstimator, fits, getReevaluation, isOverdue, minRetryAfterMs, OfferedLoad, RefusedWork,
+	sortByUrgency,
 } from '../scheduling/index.js';
 import {type Clock, type Timer} from '../seams/index.js';
 import {
@@ -81,9 +82,6 @@
 /** Interval between checks for overdue runs and jobs that will be late, in milliseconds: a fraction of the shortest task. */
 const sweepIntervalMs = 20;
 
-/** Share of the objective after which the admission of a waiting job is re-evaluated: early enough for its caller to go elsewhere. */
-const reevaluationShare = 0.18;
-
 /** Thousandths of a core that a task is assumed to need before any is observed, and the weight of a new observation in the running mean. */
 const initialTaskCpu = 1000;
 const taskCpuObservationWeight = 0.05;
@@ -116,6 +114,7 @@
 	readonly #options: PoolSchedulerOptions;
 	readonly #estimator = new DurationEstimator();
 	readonly #offeredLoad = new OfferedLoad();
+	readonly #refusedWork = new RefusedWork();
 	readonly #jobs = new Map<string, QueuedJob>();
 	readonly #jobSizes: JobSizeBudget;
 	readonly #tasksByName = new Map<string, {readonly job: QueuedJob; readonly task: JobTask}>();
@@ -311,7 +310,7 @@
 		};
 		if (!decision.isAdmitted) {
 			this.#options.log.info({...job.getLogFields(), ...decision}, 'job refused');
-			return {kind: 'refused', reason: decision.reason, retryAfterMs: decision.retryAfterMs};
+			return {kind: 'refused', reason: decision.reason, retryAfterMs: this.#getRetryAfterMs(job, this.getLoad())};
 		}
 
 		if (job.hasStarted) {
@@ -1114,8 +1113,7 @@
 	}
 
 	/**
-	 * Refuses a job that cannot be in time. Its admission is re-evaluated once against the current queue; after that, the job keeps
-	 * its place as long as its deadline can be met.
+	 * Refuses a job that cannot be in time. Its admission is re-evaluated against the current queue until the job is committed.
 	 * @returns Whether the job was refused.
 	 */
 	#refuseIfInadmissible(job: QueuedJob, now: number): boolean {
@@ -1124,12 +1122,13 @@
 			return true;
 		}
 
-		if (job.isReevaluated || now - job.arrivedAt < (job.objectiveAt - job.arrivedAt) * reevaluationShare) {
+		const reevaluation = job.isCommitted ? 'none' : getReevaluation({ageMs: now - job.arrivedAt, objectiveMs: job.objectiveAt - job.arrivedAt});
+		if (reevaluation === 'none') {
 			return false;
 		}
 
-		job.isReevaluated = true;
 		const decision = this.#checkAdmission(job);
+		job.isCommitted = reevaluation === 'final';
 		if (!decision.isAdmitted) {
 			this.#refuse(job, decision.reason);
 		}
@@ -1154,13 +1153,18 @@
 		}
 	}
 
+	#getRetryAfterMs(job: QueuedJob, load: PoolLoad): number {
+		return Math.max(minRetryAfterMs, this.#refusedWork.addJob(job.remainingWork, load, this.#options.clock.getMonotonicTime()));
+	}
+
 	#refuse(job: QueuedJob, reason: RefusalReason): void {
-		const {queuedWork, cores} = this.getLoad();
+		const load = this.getLoad();
+		const {queuedWork, cores} = load;
 		this.#options.log.info({
 			...job.getLogFields(), reason, queuedWork: Math.round(queuedWork), cores,
 		}, 'queued job refused');
 		this.#remove(job);
-		job.settle({kind: 'refused', reason, retryAfterMs: Math.max(minRetryAfterMs, queuedWork / Math.max(1, cores))});
+		job.settle({kind: 'refused', reason, retryAfterMs: this.#getRetryAfterMs(job, load)});
 	}
 }
 
--- a/src/pool/queued-job.ts
+++ b/src/pool/queued-job.ts
@@ -69,8 +69,8 @@
 	hasStarted = false;
 	/** Whether the job is abandoned; its runs are being stopped. */
 	isAbandoned = false;
-	/** Whether the job's admission was re-evaluated; it then keeps its place. */
-	isReevaluated = false;
+	/** Whether the job is kept until its deadline, and no job that arrives later passes it. */
+	isCommitted = false;
 	/** Monotonic time until which no task is started, since runs of an earlier owner may go on; 0 for none. */
 	startsDeferredUntil = 0;
 	/** Longest duration of a completed task of the job, in milliseconds; 0 for none yet. */
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -5,3 +5,5 @@
 export * from './placement.js';
 export * from './pool-choice.js';
 export * from './queue-order.js';
+export * from './reevaluation.js';
+export * from './refused-work.js';
--- a/src/scheduling/queue-order.ts
+++ b/src/scheduling/queue-order.ts
@@ -1,12 +1,14 @@
 /**
  * The order in which queued jobs are started. Under overload, free capacity goes to jobs that can still be answered within
- * their objective, and a job that has started is finished before another one starts.
+ * their objective; a job that has started is finished before another one starts, and a job that has waited for long is not passed by later ones.
  */
 
 /** Properties of a job that determine its place in the queue. */
 export type OrderedJob = {
 	readonly priority: number;
 	readonly hasStarted: boolean;
+	/** Whether the job has waited for so long that a refusal would come late. */
+	readonly isCommitted: boolean;
 	/** Monotonic time until which an answer meets the objective. */
 	readonly objectiveAt: number;
 	/** Expected time to the job's end if it started immediately, in milliseconds. */
@@ -27,7 +29,7 @@
 }
 
 /**
- * Gets the urgency class of a job: 0 for started, 1 for able to meet its objective, 2 for late.
+ * Gets the urgency class of a job: 0 for started, 1 for committed, 2 for able to meet its objective, 3 for late.
  * @param job - Job.
  * @param now - Monotonic time.
  */
@@ -36,7 +38,11 @@
 		return 0;
 	}
 
-	return canMeetObjective(job, now) ? 1 : 2;
+	if (job.isCommitted) {
+		return 1;
+	}
+
+	return canMeetObjective(job, now) ? 2 : 3;
 }
 
 /**
--- a/test/scheduling/decisions.test.ts
+++ b/test/scheduling/decisions.test.ts
@@ -19,7 +19,7 @@
 
 function createOrderedJob(options: Partial<OrderedJob>): OrderedJob {
 	return {
-		priority: 0, hasStarted: false, objectiveAt: 1000, remainingMs: 100, remainingWork: 100, arrivedAt: 0, ...options,
+		priority: 0, hasStarted: false, isCommitted: false, objectiveAt: 1000, remainingMs: 100, remainingWork: 100, arrivedAt: 0, ...options,
 	};
 }
 
