Stop overdue runs on evidence against their upstream

Runs older than a multiple of their expectation were stopped and counted against their upstream, also long tasks and runs of late owners. Decide by how improbable the durations of all runs of the upstream are since one ended normally, at its learnt speed; the owner of the upstream decides for lent runs.

--- a/bench/pool/load-pattern.ts
+++ b/bench/pool/load-pattern.ts
@@ -12,6 +12,8 @@
 	readonly meanMs: number;
 	readonly priority: number;
 	readonly maxAttempts: number;
+	/** Share of the tasks that take longer by a factor, and the factor; none by default. */
+	readonly tail?: {readonly share: number; readonly factor: number};
 };
 
 /** The arrival of a job. */
@@ -83,11 +85,16 @@
 		kind,
 		taskCount,
 		cpu: Math.min(maxCpu, Math.round(meanCpu * getLogNormal(random, cpuSpread))),
-		durations: Array.from({length: taskCount}, () => workMs * getLogNormal(random, taskDurationSpread)),
+		durations: Array.from({length: taskCount}, () => workMs * getLogNormal(random, taskDurationSpread) * getTailFactor(kind, random)),
 		estimateMs: workMs * getLogNormal(random, workSpread),
 	};
 }
 
+/** Draws no random number without a tail, so that the same seed gives the same arrivals as before there were any. */
+function getTailFactor({tail}: JobKind, random: Random): number {
+	return tail !== undefined && random.getFloat() < tail.share ? tail.factor : 1;
+}
+
 /** Gets a log-normally distributed factor with a mean of 1. */
 function getLogNormal(random: Random, sigma: number): number {
 	const normal = Math.sqrt(-2 * Math.log(1 - random.getFloat())) * Math.cos(2 * Math.PI * random.getFloat());
--- a/src/platform/http-orders.ts
+++ b/src/platform/http-orders.ts
@@ -114,7 +114,7 @@
 			kind: 'seen',
 			bornMs,
 			upstreamTimeMs,
-			running: running.map(([task, number]) => ({task, number})),
+			running: running.map(([task, number, , percent]) => isPercent(percent) ? {task, number, percent} : {task, number}),
 			ended: ended.map(([position, task, number, end]) => ({
 				position, task, number, end: this.#toRunEnd(upstream.id, {task, number}, end),
 			})),
@@ -169,6 +169,11 @@
 	return reason === undefined ? {kind: 'unanswered', detail: `status ${status}`} : {kind: 'refused', reason};
 }
 
+/** Some upstreams report 100 for each run, which says nothing of one that goes on. */
+function isPercent(percent: unknown): percent is number {
+	return typeof percent === 'number' && percent >= 0 && percent < 100;
+}
+
 function isRunEnd(end: string): end is RunEnd {
 	return runEnds.has(end);
 }
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -6,10 +6,14 @@
 import bunyan from 'bunyan';
 import {createPlatformEntryVm} from './platform-entry-vm.js';
 import {parseSettingsFile} from './settings-file.js';
+import {getSchedulingOptions} from './scheduling-switches.js';
 import {StdoutLog} from './stdout-log.js';
 
 /** Environment variable that holds the path of the settings file. */
 const settingsVariable = 'ENDIVEMILL_CONFIG';
+
+/** Environment variable that names the parts of the scheduling that are switched off, separated by commas. */
+const schedulingOffVariable = 'ENDIVEMILL_SCHEDULING_OFF';
 const invalidSettingsExitCode = 2;
 
 const stdout = new StdoutLog();
@@ -54,7 +58,7 @@
 		return;
 	}
 
-	const starting = createPlatformEntryVm({settings: parsed.settings, logger});
+	const starting = createPlatformEntryVm({settings: parsed.settings, logger, scheduling: getSchedulingOptions(process.env[schedulingOffVariable])});
 	// Callers may connect before the start is complete.
 	process.on('SIGTERM', async () => {
 		const entryVm = await starting;
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -11,6 +11,7 @@
 	configurationTopic, createRateLimitedLog, type DecisionLog, getDataCenter, maxFullMeshVms, StartupOwnerCheck, PoolLayout, PoolNode, type StoredClaim, upstreamsSchema,
 	upstreamsTopic,
 } from '../pool/index.js';
+import {type SchedulingOptions} from '../scheduling/index.js';
 import {
 	type Clock, type Random, sleep, systemClock, systemRandom,
 } from '../seams/index.js';
@@ -36,6 +37,8 @@
 	readonly metricsPort?: number;
 	/** Time for which the number of upstreams must be unchanged before the number of pools is decided, in milliseconds. */
 	readonly layoutSettleMs?: number;
+	/** Switches of the scheduling; all parts are on by default. */
+	readonly scheduling?: SchedulingOptions;
 };
 
 /** Heartbeat interval in milliseconds: a VM counts as silent after 300 ms and as down after 500 ms. */
@@ -362,6 +365,7 @@
 			peers: this.#mesh,
 			inputProgress: this.#inputProgress,
 			orders: this.#orders,
+			scheduling: this.#options.scheduling,
 			maxLeaseMs,
 			resendMs,
 			peerSilenceMs: missedHeartbeatsUntilDown * heartbeatIntervalMs,
--- a/src/platform/pool-metrics.ts
+++ b/src/platform/pool-metrics.ts
@@ -62,6 +62,15 @@
 				}
 			},
 		});
+		const overdueRuns = new Counter({
+			name: 'endivemill_late_runs_total', help: 'Runs that took longer than nine of ten, by what was decided', labelNames: ['verdict'], registers: [this.#registry],
+			collect() {
+				overdueRuns.reset();
+				for (const [verdict, count] of node.overdueCounts.getCounts()) {
+					overdueRuns.inc({verdict}, count);
+				}
+			},
+		});
 		const calls = new Gauge({
 			name: 'endivemill_store_calls', help: 'Calls to the store so far', labelNames: ['call'], registers: [this.#registry],
 			collect() {
--- a/src/platform/wire-messages.ts
+++ b/src/platform/wire-messages.ts
@@ -104,7 +104,7 @@
 /** Answer to an order. */
 export type OrderAnswer = {readonly clock_ms: number; readonly reason: string};
 
-type RunRow = readonly [task: string, run: number];
+type RunRow = readonly [task: string, run: number, detail?: unknown, percent?: unknown];
 type EndRow = readonly [position: number, task: string, run: number, end: string];
 
 /** Answer to a poll of an upstream; both lists are arrays of tuples on the wire. */
--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -23,6 +23,7 @@
 export * from './startup-owner-check.js';
 export * from './job-size.js';
 export * from './lending.js';
+export * from './overdue-counts.js';
 export * from './pause-detector.js';
 export * from './pool-lending.js';
 export * from './sender-confirmation.js';
--- a/src/pool/lent-runs.ts
+++ b/src/pool/lent-runs.ts
@@ -7,11 +7,12 @@
 import {type CrashLedger} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
 import {type LentTask, type LendOutcome} from './lending.js';
+import {type OverdueRuns} from './overdue-runs.js';
 import {type ProofAges} from './proof-ages.js';
 import {
 	areRunsUnconfirmed, getLeaseLimit, renewalAgeMs,
 } from './sender-confirmation.js';
-import {recordFailure, recordSuccess, toCandidate} from './upstream-health.js';
+import {recordFailure, toCandidate} from './upstream-health.js';
 import {type LinkedRun, type UpstreamLink} from './upstream-link.js';
 import {type Run, type RunEnd} from './upstream-orders.js';
 
@@ -25,6 +26,8 @@
 	readonly getStoppedMsSince: (since: number) => number;
 	/** Counts the ages of the proofs at starts. */
 	readonly proofAges: ProofAges;
+	/** Examines runs that take long. */
+	readonly overdueRuns: OverdueRuns;
 	/** Time after which a caller whose submission has failed submits its job again, in milliseconds. */
 	readonly resendMs?: number;
 };
@@ -114,6 +117,7 @@
 			needs: task.step.needs,
 			spec: task.spec,
 			getLeaseLimit: () => this.#getLeaseLimit(confirmation),
+			expectation: this.#options.overdueRuns.createLentExpectation(task.expectedMs),
 		});
 		signal.addEventListener('abort', () => {
 			link.stop(run);
@@ -145,7 +149,8 @@
 			return;
 		}
 
-		if (isOverdue) {
+		// The lateness may be that of the borrower, or of this process.
+		if (isOverdue && this.#options.overdueRuns.isEvident(lent.link)) {
 			this.#addFailure(lent.link);
 		}
 
@@ -193,7 +198,7 @@
 		}
 
 		if (end === 'done') {
-			recordSuccess(lent.link, measuredMs, lent.expectedMs);
+			this.#options.overdueRuns.recordDone(lent.link, run, lent.expectedMs);
 		} else if (end === 'failed' && !this.#options.ledger.hasFailedElsewhere(run.task, lent.link.name)) {
 			this.#addFailure(lent.link);
 		}
@@ -248,11 +253,15 @@
 		}, sweepIntervalMs);
 	}
 
-	/** Asks for confirmations that are old, and stops the runs whose confirmations are so old that the leases of the runs beside them are about to end. */
+	/** Stops overdue runs, asks for confirmations that are old, and stops the runs whose confirmations are so old that the leases of the runs beside them are about to end. */
 	#sweep(): void {
 		const now = this.#options.clock.getMonotonicTime();
 		for (const lent of this.#runs.values()) {
 			const {run, link, confirmation} = lent;
+			if (this.#options.overdueRuns.shouldStopLent(link, run)) {
+				link.stop(run);
+			}
+
 			const ageMs = now - confirmation.getConfirmedAt();
 			if (ageMs <= renewalAgeMs || run.isStopRequested) {
 				lent.unconfirmedSince = undefined;
--- /dev/null
+++ b/src/pool/overdue-runs.ts
@@ -0,0 +1,245 @@
+/**
+ * Examination of the runs of a process's pool that take long, and what is learnt from those that end.
+ */
+import {type InputProgress} from '../connection/index.js';
+import {
+	decideOverdue, type DurationEstimator, getRunNats, getSlowness, hasSpeedChanged, isLate, isOverdue, learnSpeed, type ObservedRun, type OverdueDecision,
+} from '../scheduling/index.js';
+import {type Clock} from '../seams/index.js';
+import {getJob} from './crash-ledger.js';
+import {type DecisionLog} from './decision-log.js';
+import {OverdueCounts} from './overdue-counts.js';
+import {OwnLateness} from './own-lateness.js';
+import {type QueuedJob, type JobTask} from './queued-job.js';
+import {recordFailure, recordSuccess} from './upstream-health.js';
+import {type LinkedRun, type RunExpectation, UpstreamLink} from './upstream-link.js';
+
+/** Options of {@link OverdueRuns}. */
+export type OverdueRunsOptions = {
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	/** Up to when this process has read its input. */
+	readonly inputProgress: InputProgress;
+	readonly estimator: DurationEstimator;
+	/** Interval at which the runs are examined, in milliseconds. */
+	readonly intervalMs: number;
+	/** Whether runs are stopped on evidence against their upstream; otherwise by multiples of their expected duration. */
+	readonly stopsByEvidence: boolean;
+	/** Whether the slowness of upstreams is learnt by their durations relative to the route's; otherwise it is a running mean. */
+	readonly learnsDurations: boolean;
+	/** Counts the decisions; by default, only those made here. */
+	readonly overdueCounts?: OverdueCounts;
+};
+
+/** Route under which the durations of lent runs are learnt: the borrower tells what it expects, but not the route. */
+const lentRoute = '';
+
+/** Standard errors by which an upstream is taken to be slower than learnt, so that one of which little is known is not judged by the speed of others. */
+const speedDeviations = 1;
+
+/** Examines runs that take long. */
+export class OverdueRuns {
+	readonly #options: OverdueRunsOptions;
+	readonly #lateness: OwnLateness;
+	readonly #counts: OverdueCounts;
+
+	constructor(options: OverdueRunsOptions) {
+		this.#options = options;
+		this.#counts = options.overdueCounts ?? new OverdueCounts();
+		this.#lateness = new OwnLateness(options.intervalMs, options.clock.getMonotonicTime());
+	}
+
+	/** Records that the timer has called that examines the runs, by which times are known in which this process was held. */
+	recordSweep(): void {
+		this.#lateness.check(this.#options.clock.getMonotonicTime());
+	}
+
+	/**
+	 * Creates what is kept of a run's expected duration.
+	 * @param job - Job.
+	 * @param task - Task.
+	 */
+	createExpectation(job: QueuedJob, task: JobTask): RunExpectation {
+		const {estimateMs} = job.getStep(task);
+		return {
+			durations: this.#options.estimator.getDurations(job.request.rules.route),
+			getExpectation: () => ({estimateMs, siblingMs: job.getSiblingMs(task)}),
+		};
+	}
+
+	/**
+	 * Creates what is kept of the expected duration of another pool's run.
+	 * @param expectedMs - What the borrower expects, in milliseconds.
+	 */
+	createLentExpectation(expectedMs: number): RunExpectation {
+		return {durations: this.#options.estimator.getDurations(lentRoute), getExpectation: () => ({estimateMs: expectedMs, siblingMs: 0})};
+	}
+
+	/**
+	 * Records what a run that is done shows of its upstream.
+	 * @param link - Upstream.
+	 * @param run - Run.
+	 * @param referenceMs - Duration with which it is compared if speeds are not learnt, in milliseconds.
+	 * @returns Its duration on an upstream of average speed, in milliseconds.
+	 */
+	recordDone(link: UpstreamLink, run: LinkedRun, referenceMs: number): number {
+		const now = this.#options.clock.getMonotonicTime();
+		const measuredMs = now - run.startedAt;
+		recordSuccess(link, this.#options.learnsDurations ? undefined : measuredMs / Math.max(1, referenceMs));
+		if (run.expectation === undefined) {
+			return measuredMs / getSlowness(link.speed);
+		}
+
+		const observed = this.#observe(link, run, run.expectation, {now, unreadMs: 0});
+		const {durations, expectation, ageMs} = observed;
+		const slowness = getSlowness(link.speed, speedDeviations);
+		if (isLate(observed, slowness)) {
+			link.lateNats += getRunNats(observed, slowness);
+		} else {
+			link.lateNats = 0;
+			link.faultProbability = 0;
+			link.normalEndAt = now;
+		}
+
+		const workMs = ageMs / getSlowness(link.speed);
+		const earlier = link.speed;
+		link.speed = learnSpeed(earlier, durations.compare(expectation, ageMs));
+		if (hasSpeedChanged(earlier, link.speed)) {
+			this.#options.log.info({upstream: link.name, slowness: round(getSlowness(link.speed)), earlierSlowness: round(getSlowness(earlier))}, 'upstream changed its speed');
+		}
+
+		if (this.#options.learnsDurations) {
+			link.slowness = getSlowness(link.speed);
+		}
+
+		durations.add(expectation, workMs);
+		return workMs;
+	}
+
+	/**
+	 * Examines the runs of a job.
+	 * @param job - Job.
+	 * @param now - Monotonic time.
+	 */
+	examineJob(job: QueuedJob, now: number): void {
+		for (const task of job.tasks) {
+			const {host, run} = task;
+			if (host === undefined || run === undefined || run.isStopRequested || run.state !== 'running' || host.isSilent()) {
+				continue;
+			}
+
+			if (!this.#options.stopsByEvidence) {
+				this.#stopByMultiples(job, task, now);
+			} else if (host instanceof UpstreamLink && this.examineRun(host, run, job.deadlineAt - now)) {
+				// The owners of other pools examine their upstreams' runs themselves.
+				task.avoided = new Set([...task.avoided, host.name]);
+				host.stop(run);
+			}
+		}
+	}
+
+	/**
+	 * Decides whether another pool's run is stopped.
+	 * @param link - Upstream.
+	 * @param run - Run.
+	 */
+	shouldStopLent(link: UpstreamLink, run: LinkedRun): boolean {
+		return this.#options.stopsByEvidence && !run.isStopRequested && run.state === 'running' && !link.isSilent() && this.examineRun(link, run, Infinity);
+	}
+
+	/**
+	 * Gets whether there is evidence here that an upstream is at fault, or whether none is asked for.
+	 * @param link - Upstream.
+	 */
+	isEvident(link: UpstreamLink): boolean {
+		return !this.#options.stopsByEvidence || link.consecutiveFailures > 0;
+	}
+
+	/**
+	 * Decides whether a run is stopped, and records the failure of its upstream if it is at fault.
+	 * @param link - Upstream.
+	 * @param run - Run.
+	 * @param remainingMs - Time until the caller stops waiting, in milliseconds; `Infinity` if that is not known.
+	 */
+	examineRun(link: UpstreamLink, run: LinkedRun, remainingMs: number): boolean {
+		const {clock, log, inputProgress} = this.#options;
+		const now = clock.getMonotonicTime();
+		const {expectation} = run;
+		if (expectation === undefined || !isLate({durations: expectation.durations, expectation: expectation.getExpectation(), ageMs: now - run.startedAt}, getSlowness(link.speed, speedDeviations))) {
+			return false;
+		}
+
+		let decision = this.#decide(link, run, {remainingMs, now, unreadMs: 0});
+		const unreadMs = now - inputProgress.getReadUntil();
+		if (unreadMs > 0 && (decision.verdict === 'stop' || decision.verdict === 'too-late')) {
+			// Its end may have arrived and not been read.
+			void inputProgress.waitUntilRead();
+			decision = this.#decide(link, run, {remainingMs, now, unreadMs});
+		}
+
+		const {verdict, observed, faultProbability} = decision;
+		link.faultProbability = faultProbability;
+		if (verdict === 'not-late' || run.verdict === verdict) {
+			return false;
+		}
+
+		run.verdict = verdict;
+		this.#counts.add(verdict);
+		log[verdict === 'long-task' ? 'debug' : 'info']({
+			task: run.task, run: run.number, upstream: link.name, verdict, ageMs: Math.round(observed.ageMs), heldMs: Math.round(now - run.startedAt - observed.ageMs),
+			...observed.expectation, slowness: round(getSlowness(link.speed)), faultProbability: round(faultProbability),
+			normalEndMsAgo: Math.round(now - link.normalEndAt), newRunMs: Math.round(decision.newRunMs), remainingMs: Math.round(remainingMs),
+		}, verdict === 'stop' ? 'run overdue' : 'run late');
+		if (verdict !== 'long-task' && verdict !== 'proceeds') {
+			recordFailure(link, now, log);
+		}
+
+		if (verdict !== 'stop') {
+			return false;
+		}
+
+		link.lateNats += getRunNats(observed, getSlowness(link.speed, speedDeviations));
+		return true;
+	}
+
+	/** Stops a run by multiples of what was expected, as before evidence was used. */
+	#stopByMultiples(job: QueuedJob, task: JobTask, now: number): void {
+		const {host, run} = task;
+		const age = {ageMs: now - run!.startedAt, expectedMs: job.getExpectedMs(task), siblingMs: job.longestRunMs};
+		if (isOverdue(age)) {
+			this.#counts.add('stop');
+			this.#options.log.info({task: task.name, upstream: host!.name, ...age}, 'run overdue');
+			task.avoided = new Set([...task.avoided, host!.name]);
+			if (host instanceof UpstreamLink) {
+				recordFailure(host, now, this.#options.log);
+			}
+
+			host!.stop(run!, true);
+		}
+	}
+
+	#decide(link: UpstreamLink, run: LinkedRun, {remainingMs, now, unreadMs}: {readonly remainingMs: number; readonly now: number; readonly unreadMs: number}): OverdueDecision & {readonly observed: ObservedRun} {
+		const runs: ObservedRun[] = [];
+		for (const other of link.getRuns()) {
+			if (other.expectation !== undefined && !other.isStopRequested && other.state === 'running') {
+				runs.push(this.#observe(link, other, other.expectation, {now, unreadMs}));
+			}
+		}
+
+		const observed = this.#observe(link, run, run.expectation!, {now, unreadMs});
+		return {...decideOverdue(observed, {slowness: getSlowness(link.speed, speedDeviations), endedNats: link.lateNats, runs}, remainingMs), observed};
+	}
+
+	/** Gets a run with its age as far as this process would know its end, less the times in which it was held. */
+	#observe(link: UpstreamLink, run: LinkedRun, {durations, getExpectation}: RunExpectation, {now, unreadMs}: {readonly now: number; readonly unreadMs: number}): ObservedRun {
+		const expectation = getExpectation();
+		const ageMs = Math.max(0, now - run.startedAt - Math.max(this.#lateness.getHeldMsSince(run.startedAt, now), unreadMs));
+		return {
+			durations, expectation, ageMs, earlierAgeMs: ageMs - (now - link.normalEndAt), progress: run.progress, job: getJob(run.task),
+		};
+	}
+}
+
+function round(value: number): number {
+	return Math.round(value * 100) / 100;
+}
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -5,6 +5,7 @@
 import {
 	type Incarnation, type InputProgress, type Member, type PeerNetwork, type PeerRequest, type RequestAbortReason, type SenderConfirmation,
 } from '../connection/index.js';
+import {type SchedulingOptions} from '../scheduling/index.js';
 import {type Clock, type Random, type Timer} from '../seams/index.js';
 import {AwaitedJobs} from './awaited-jobs.js';
 import {CrashLedger} from './crash-ledger.js';
@@ -12,6 +13,7 @@
 import {type DecisionLog} from './decision-log.js';
 import {FenceIssuer} from './fence-issuer.js';
 import {JobSizeBudget} from './job-size.js';
+import {OverdueCounts} from './overdue-counts.js';
 import {PauseDetector} from './pause-detector.js';
 import {PoolCandidates} from './pool-candidates.js';
 import {decodePoolClaims, decodeSubmitRequest} from './pool-decoding.js';
@@ -70,6 +72,8 @@
 	readonly resendMs?: number;
 	/** Time without a message after which a VM closes the connection of a peer whose tasks it runs, in milliseconds. */
 	readonly peerSilenceMs: number;
+	/** Switches of the scheduling; all parts are on by default. */
+	readonly scheduling?: SchedulingOptions;
 };
 
 /** Interval of elections while no member changes its state, in milliseconds: one heartbeat. A change triggers an election immediately. */
@@ -110,6 +114,8 @@
 	readonly directory: PoolDirectory;
 	/** Ages of the proofs that senders wait, at each start and each lease. */
 	readonly proofAges = new ProofAges();
+	/** Decisions on runs that took long. */
+	readonly overdueCounts = new OverdueCounts();
 	readonly #options: PoolNodeOptions;
 	readonly #owned = new Map<string, PoolOwner>();
 	readonly #fences: FenceIssuer;
@@ -643,6 +649,8 @@
 			ledger: this.#ledger,
 			jobSizes: this.#jobSizes,
 			resendMs: this.#options.resendMs,
+			scheduling: this.#options.scheduling,
+			overdueCounts: this.overdueCounts,
 			inputProgress: this.#options.inputProgress,
 			getPausedAt: () => this.#pauses.getDetectedAt(),
 			getStoppedMs: () => this.#pauses.getStoppedMs(),
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -3,6 +3,7 @@
  */
 import {randomUUID} from 'node:crypto';
 import {createImmediateProgress, type InputProgress, type SenderConfirmation} from '../connection/index.js';
+import {type SchedulingOptions} from '../scheduling/index.js';
 import {type Clock, sleep} from '../seams/index.js';
 import {CrashLedger} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
@@ -14,6 +15,7 @@
 import {
 	type LentTask, getLostRunTimeoutMs, type LendOutcome, noNeighbours, type PoolNeighbours,
 } from './lending.js';
+import {type OverdueCounts} from './overdue-counts.js';
 import {type PoolJobOutcome, type SubmittedJob} from './pool-job.js';
 import {type PoolLoad, PoolScheduler} from './pool-scheduler.js';
 import {ProofAges} from './proof-ages.js';
@@ -57,6 +59,10 @@
 	readonly resendMs?: number;
 	/** Limits the jobs of this process; by default, only those of this owner. */
 	readonly jobSizes?: JobSizeBudget;
+	/** Switches of the scheduling; all parts are on by default. */
+	readonly scheduling?: SchedulingOptions;
+	/** Counts the decisions on runs that take long; by default, only those of this owner. */
+	readonly overdueCounts?: OverdueCounts;
 	/** Gets the monotonic time at which the last pause of this process was detected, `-Infinity` for none; by default, no pause is detected. */
 	readonly getPausedAt?: () => number;
 	/** Gets the time in which the monotonic clock of this process stood still so far, in milliseconds; by default 0. */
@@ -179,21 +185,15 @@
 			},
 		});
 		this.#scheduler = new PoolScheduler({
-			clock: options.clock,
-			log: options.log,
-			inputProgress: this.#inputProgress,
+			clock: options.clock, log: options.log, inputProgress: this.#inputProgress,
 			getLinks: () => this.#getAllLinks(),
 			areStartsSuspended: () => this.#isHandlingFenceRefusal || this.#raisingFence !== undefined || this.#isOwnershipUnconfirmed(),
 			getConfirmedSince: () => getConfirmedSince(options.clock.getMonotonicTime(), options.getPausedAt?.() ?? -Infinity),
 			getStoppedMs: options.getStoppedMs ?? (() => 0),
 			getStoppedMsSince: options.getStoppedMsSince ?? (() => 0),
 			getUnobservedRunsUntil: job => Math.max(this.#removeUnrecalledUntil(job), this.#getUnobservedRunsUntil()),
-			neighbours: this.#neighbours,
-			ledger: this.#ledger,
-			proofAges: this.#proofAges,
-			lostRunTimeoutMs: this.#lostRunTimeoutMs,
-			jobSizes: options.jobSizes,
-			resendMs: options.resendMs,
+			neighbours: this.#neighbours, ledger: this.#ledger, proofAges: this.#proofAges, lostRunTimeoutMs: this.#lostRunTimeoutMs,
+			jobSizes: options.jobSizes, resendMs: options.resendMs, scheduling: options.scheduling, overdueCounts: options.overdueCounts,
 		});
 		this.#pendingUpstreams = upstreams;
 		this.#ready = this.#takeOver();
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -3,7 +3,7 @@
  */
 import {type InputProgress, readInput, type SenderConfirmation} from '../connection/index.js';
 import {
-	type AdmissionDecision, chooseUpstream, decideAdmission, DurationEstimator, fits, isOverdue, minRetryAfterMs, OfferedLoad, sortByUrgency,
+	type AdmissionDecision, chooseUpstream, decideAdmission, DurationEstimator, fits, minRetryAfterMs, OfferedLoad, type SchedulingOptions, sortByUrgency,
 } from '../scheduling/index.js';
 import {type Clock, type Timer} from '../seams/index.js';
 import {
@@ -17,6 +17,8 @@
 } from './lending.js';
 import {LentRuns} from './lent-runs.js';
 import {NeighbourPools} from './neighbour-pools.js';
+import {type OverdueCounts} from './overdue-counts.js';
+import {OverdueRuns} from './overdue-runs.js';
 import {
 	getStepWork, type JobStep, type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob, type TaskNeeds,
 } from './pool-job.js';
@@ -28,7 +30,7 @@
 	areRunsUnconfirmed, createLocalSender, getLeaseLimit, type JobSender, maxUnreadMs, renewalAgeMs,
 } from './sender-confirmation.js';
 import {SuspectPlacement, type WaitingSuspect} from './suspect-placement.js';
-import {recordFailure, recordSuccess} from './upstream-health.js';
+import {recordFailure} from './upstream-health.js';
 import {type LinkedRun, type StartRefusal, UpstreamLink} from './upstream-link.js';
 import {type Run, type RunEnd} from './upstream-orders.js';
 
@@ -62,6 +64,10 @@
 	readonly resendMs?: number;
 	/** Limits the jobs of this process; by default, only those of this scheduler. */
 	readonly jobSizes?: JobSizeBudget;
+	/** Switches of the scheduling; all parts are on by default. */
+	readonly scheduling?: SchedulingOptions;
+	/** Counts the decisions on runs that take long; by default, only those of this scheduler. */
+	readonly overdueCounts?: OverdueCounts;
 };
 
 /** Load of a pool as its owner reports it. */
@@ -120,6 +126,7 @@
 	readonly #jobSizes: JobSizeBudget;
 	readonly #tasksByName = new Map<string, {readonly job: QueuedJob; readonly task: JobTask}>();
 	readonly #neighbourPools: NeighbourPools;
+	readonly #overdueRuns: OverdueRuns;
 	/** Runs of other pools' tasks on upstreams of this pool. */
 	readonly #lentRuns: LentRuns;
 	/** Keeps tasks under which an upstream has crashed apart from others. */
@@ -141,7 +148,11 @@
 		this.#options = options;
 		this.#jobSizes = options.jobSizes ?? new JobSizeBudget();
 		this.#stoppedMs = options.getStoppedMs();
-		this.#lentRuns = new LentRuns(options);
+		this.#overdueRuns = new OverdueRuns({
+			...options, estimator: this.#estimator, intervalMs: sweepIntervalMs, stopsByEvidence: options.scheduling?.stopsByEvidence ?? true,
+			learnsDurations: options.scheduling?.learnsDurations ?? true,
+		});
+		this.#lentRuns = new LentRuns({...options, overdueRuns: this.#overdueRuns});
 		this.#suspectPlacement = new SuspectPlacement(options);
 		this.#neighbourPools = new NeighbourPools({
 			clock: options.clock,
@@ -672,6 +683,7 @@
 				if (run !== undefined) {
 					task.lastRunNumber = Math.max(task.lastRunNumber, run.number);
 					job.setStatus(task, 'placed');
+					run.expectation = this.#overdueRuns.createExpectation(job, task);
 					task.run = run;
 					task.host = link;
 				}
@@ -916,6 +928,7 @@
 		this.#logRestart(job, task, {upstream: link.name});
 		task.run = link.start({
 			task: task.name, number: task.lastRunNumber, needs: job.getStep(task).needs, spec: job.request.spec, getLeaseLimit: () => this.#getLeaseLimit(job),
+			expectation: this.#overdueRuns.createExpectation(job, task),
 		});
 	}
 
@@ -940,11 +953,12 @@
 		// Computed before the estimator includes this run.
 		const referenceMs = job.getReferenceMs(task);
 		this.#estimator.addDuration(job.request.rules.route, estimateMs, measuredMs);
+		let workMs = measuredMs;
 		if (host instanceof UpstreamLink) {
-			recordSuccess(host, measuredMs, referenceMs);
+			workMs = this.#overdueRuns.recordDone(host, run, referenceMs);
 		}
 
-		job.longestRunMs = Math.max(job.longestRunMs, measuredMs);
+		job.addDuration(task, measuredMs, workMs);
 	}
 
 	#handleUnsuccessfulRun({job, task}: {readonly job: QueuedJob; readonly task: JobTask}, host: RunHost, run: LinkedRun, end: RunEnd): void {
@@ -1082,6 +1096,7 @@
 
 	/** Stops jobs whose senders have gone and overdue runs, and refuses jobs that have not started and can no longer be in time. */
 	#sweepJobs(): void {
+		this.#overdueRuns.recordSweep();
 		if (this.#jobs.size === 0) {
 			return;
 		}
@@ -1107,7 +1122,7 @@
 				continue;
 			}
 
-			this.#stopOverdueRuns(job, now);
+			this.#overdueRuns.examineJob(job, now);
 		}
 
 		this.schedule();
@@ -1137,23 +1152,6 @@
 		return !decision.isAdmitted;
 	}
 
-	#stopOverdueRuns(job: QueuedJob, now: number): void {
-		for (const task of job.tasks) {
-			const {host, run} = task;
-			if (host === undefined || run === undefined || run.isStopRequested || run.state !== 'running' || host.isSilent()) {
-				continue;
-			}
-
-			const age = {ageMs: now - run.startedAt, expectedMs: job.getExpectedMs(task), siblingMs: job.longestRunMs};
-			if (isOverdue(age)) {
-				this.#options.log.info({task: task.name, upstream: host.name, ...age}, 'run overdue');
-				avoidHost(task, host);
-				this.#recordFailure(host);
-				host.stop(run, true);
-			}
-		}
-	}
-
 	#refuse(job: QueuedJob, reason: RefusalReason): void {
 		const {queuedWork, cores} = this.getLoad();
 		this.#options.log.info({
--- a/src/pool/queued-job.ts
+++ b/src/pool/queued-job.ts
@@ -79,6 +79,8 @@
 	unconfirmedSince: number | undefined;
 	/** Fields of the decision to admit the job, for the line at its end. */
 	admission: LogFields = {};
+	/** Durations of the completed tasks on an upstream of average speed, relative to their estimates, in ascending order. */
+	readonly #workRatios: number[] = [];
 	readonly #starts: TaskStart[] = [];
 	#omittedStarts = 0;
 	#arrivedAt: number;
@@ -228,6 +230,27 @@
 		return this.longestRunMs > 0 ? this.longestRunMs : this.getExpectedMs(task);
 	}
 
+	/**
+	 * Gets the duration of a task by those of the tasks of the job that are done, on an upstream of average speed, in milliseconds; 0 if none is.
+	 * @param task - Task of this job.
+	 */
+	getSiblingMs(task: JobTask): number {
+		return this.#workRatios.length === 0 ? 0 : this.#workRatios[Math.floor(this.#workRatios.length / 2)]! * this.getStep(task).estimateMs;
+	}
+
+	/**
+	 * Records the duration of a task that is done.
+	 * @param task - Task of this job.
+	 * @param measuredMs - Duration in milliseconds.
+	 * @param workMs - Duration on an upstream of average speed, in milliseconds.
+	 */
+	addDuration(task: JobTask, measuredMs: number, workMs: number): void {
+		this.longestRunMs = Math.max(this.longestRunMs, measuredMs);
+		const ratio = workMs / Math.max(1, this.getStep(task).estimateMs);
+		const position = this.#workRatios.findIndex(other => other > ratio);
+		this.#workRatios.splice(position === -1 ? this.#workRatios.length : position, 0, ratio);
+	}
+
 	/** Gets the waiting tasks whose preceding steps are done. */
 	getReadyTasks(): readonly JobTask[] {
 		const areReady = this.request.steps.map(step => this.#isReady(step));
--- a/src/pool/upstream-health.ts
+++ b/src/pool/upstream-health.ts
@@ -16,6 +16,9 @@
 /** Slowness from which an upstream is a last resort; typical upstreams are between 0.8 and 1.3. */
 const minSuspectSlowness = 2;
 
+/** Probability of a fault from which an upstream is a last resort: that costs little if it is wrong, as other upstreams are used first. */
+const minSuspectProbability = 0.1;
+
 /** Upper bound of the slowness observed from one task, so that the effect of a stalled one wears off. */
 const maxObservedSlowness = 5;
 
@@ -40,12 +43,13 @@
 /**
  * Records a run that was done.
  * @param link - Upstream.
- * @param measuredMs - Duration of the run in milliseconds.
- * @param expectedMs - Expected duration of the run in milliseconds.
+ * @param ratio - Ratio of its duration to the expected one, if the slowness is a running mean of it.
  */
-export function recordSuccess(link: UpstreamLink, measuredMs: number, expectedMs: number): void {
-	link.slowness += ((Math.min(maxObservedSlowness, measuredMs / Math.max(1, expectedMs)) - link.slowness) * slownessObservationWeight);
+export function recordSuccess(link: UpstreamLink, ratio?: number): void {
 	link.consecutiveFailures = 0;
+	if (ratio !== undefined) {
+		link.slowness += (Math.min(maxObservedSlowness, ratio) - link.slowness) * slownessObservationWeight;
+	}
 }
 
 /**
@@ -56,6 +60,6 @@
 	const {id, rack} = link.description;
 	return {
 		id, rack, labels: link.getLabels(), free: link.getFreeCapacity(), slowness: link.slowness,
-		isSuspect: link.consecutiveFailures >= minSuspectFailures || link.slowness >= minSuspectSlowness,
+		isSuspect: link.consecutiveFailures >= minSuspectFailures || link.slowness >= minSuspectSlowness || link.faultProbability >= minSuspectProbability,
 	};
 }
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -2,6 +2,9 @@
  * An owner's link to one upstream: its reserved capacity, the lease of its runs, and whether it responds.
  */
 import {setMaxListeners} from 'node:events';
+import {
+	type OverdueDecision, type RouteDurations, type RunProgress, type TaskExpectation, unknownSpeed,
+} from '../scheduling/index.js';
 import {type Clock, sleep, type Timer} from '../seams/index.js';
 import {getJob} from './crash-ledger.js';
 import {InstanceRuns, type InstanceSign} from './instance-runs.js';
@@ -9,7 +12,7 @@
 import {type RecentRun, RecentRuns} from './recent-runs.js';
 import {type RunHost} from './run-host.js';
 import {
-	type ListedEnd, type PollOutcome, type OrderOutcome, type OrderRefusal, type Run, type RunEnd, type UpstreamDescription, type UpstreamOrders,
+	type ListedEnd, type ListedRun, type PollOutcome, type OrderOutcome, type OrderRefusal, type Run, type RunEnd, type UpstreamDescription, type UpstreamOrders,
 } from './upstream-orders.js';
 
 /** Time limits of {@link UpstreamLink}, in milliseconds. */
@@ -127,6 +130,14 @@
 	readonly timing?: UpstreamLinkTiming;
 };
 
+/** What is known of a run's duration beforehand. */
+export type RunExpectation = {
+	/** Durations of the route's tasks. */
+	readonly durations: RouteDurations;
+	/** Gets what is known of the task, which changes when other tasks of its job are done. */
+	readonly getExpectation: () => TaskExpectation;
+};
+
 /** A run that this link started or adopted. `lost`: whether it runs is unknown until the lease has ended. */
 export type LinkedRun = Run & {
 	readonly needs: TaskNeeds;
@@ -134,6 +145,12 @@
 	readonly startedAt: number;
 	/** Gets the monotonic time until which a lease of the run may last; without a limit by default. */
 	readonly getLeaseLimit?: () => number;
+	/** What is known of its duration beforehand; its lateness tells nothing of the upstream without it. */
+	expectation?: RunExpectation;
+	/** What the upstream last reported of its progress; `undefined` if it reports none. */
+	progress?: RunProgress;
+	/** Last decision on the run if it took long. */
+	verdict?: OverdueDecision['verdict'];
 	state: 'starting' | 'running' | 'stopping' | 'lost';
 	/** Monotonic time from which a poll shows whether the run goes on: when its start or stop was confirmed; `Infinity` before. */
 	confirmedAt: number;
@@ -151,8 +168,16 @@
 
 /** Starts, stops and polls the runs of one upstream. */
 export class UpstreamLink implements RunHost {
-	/** Average ratio of the duration of tasks here to the expected one; 1 for an average upstream. */
+	/** Ratio of the duration of tasks here to the expected one, as learnt; 1 for an average upstream. */
 	slowness = 1;
+	/** What is known of the speed. */
+	speed = unknownSpeed;
+	/** Evidence of runs that ended late here, or were stopped, since one last ended after a normal time; in nats. */
+	lateNats = 0;
+	/** Monotonic time at which a run last ended here after a normal time. */
+	normalEndAt = -Infinity;
+	/** Probability that the upstream is stuck or slowed down, as it was when one of its runs was last found late; 0 since one ended after a normal time. */
+	faultProbability = 0;
 	/** Number of failed runs since the last successful one. */
 	consecutiveFailures = 0;
 	/** Monotonic time until which no tasks are started here. */
@@ -311,7 +336,7 @@
 	 * Starts a run; its end or refusal is reported as an event.
 	 * @param run - Run, with its needs and the text of its job.
 	 */
-	start(run: Run & Pick<LinkedRun, 'needs' | 'spec' | 'getLeaseLimit'>): LinkedRun {
+	start(run: Run & Pick<LinkedRun, 'needs' | 'spec' | 'getLeaseLimit' | 'expectation'>): LinkedRun {
 		const now = this.#options.clock.getMonotonicTime();
 		const linked: LinkedRun = {
 			...run, startedAt: now, state: 'starting', confirmedAt: Infinity, isStopRequested: false,
@@ -600,6 +625,8 @@
 		this.#acknowledgedPosition = 0;
 		this.#clockOffsetMs = undefined;
 		this.consecutiveFailures = 0;
+		this.lateNats = 0;
+		this.faultProbability = 0;
 		this.suspendedUntil = 0;
 		for (const run of this.#runs.values()) {
 			run.confirmedAt = Infinity;
@@ -719,7 +746,7 @@
 		}
 	}
 
-	#handleListedRun({task, number}: Run, sentAt: number): void {
+	#handleListedRun({task, number, percent}: ListedRun, sentAt: number): void {
 		const now = this.#options.clock.getMonotonicTime();
 		const endedRun = this.#endedRuns.getRun(task);
 		if (endedRun !== undefined && number <= endedRun.number && sentAt <= endedRun.at) {
@@ -730,6 +757,11 @@
 		const knownRun = this.#runs.get(task);
 		if (knownRun?.number === number) {
 			knownRun.confirmedAt = Math.min(knownRun.confirmedAt, now);
+			if (percent !== undefined) {
+				const {progress} = knownRun;
+				knownRun.progress = {percent, hasChanged: progress !== undefined && (progress.hasChanged || progress.percent !== percent)};
+			}
+
 			if (knownRun.state === 'lost' || knownRun.state === 'starting') {
 				knownRun.state = 'running';
 				if (knownRun.isStopRequested) {
--- a/src/pool/upstream-orders.ts
+++ b/src/pool/upstream-orders.ts
@@ -24,6 +24,12 @@
 	readonly number: number;
 };
 
+/** Run that an upstream lists as running. */
+export type ListedRun = Run & {
+	/** Percent of it that is done, below 100; `undefined` if the upstream does not tell. */
+	readonly percent?: number;
+};
+
 /** How a run ended. `lapsed`: its lease expired. `broken` and `alone` occur in gangs only. */
 export type RunEnd = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
 
@@ -57,7 +63,7 @@
 		readonly kind: 'seen';
 		readonly bornMs: number | undefined;
 		readonly upstreamTimeMs: number;
-		readonly running: readonly Run[];
+		readonly running: readonly ListedRun[];
 		readonly ended: readonly ListedEnd[];
 		/** Whether `ended` has all ends since the acknowledged one; otherwise, a run in neither list may have ended in any way. */
 		readonly isEndListComplete: boolean;
--- a/src/scheduling/duration-estimator.ts
+++ b/src/scheduling/duration-estimator.ts
@@ -2,6 +2,8 @@
  * Corrects callers' estimates of task durations by the measured durations of each route.
  */
 
+import {RouteDurations} from './route-durations.js';
+
 /** Weight of a new observation in the running mean, which covers about the last 20 tasks. */
 const observationWeight = 0.05;
 
@@ -12,6 +14,7 @@
 /** Keeps the mean ratio of measured to estimated durations of each route. */
 export class DurationEstimator {
 	readonly #ratios = new Map<string, number>();
+	readonly #durations = new Map<string, RouteDurations>();
 
 	/**
 	 * Gets the expected duration of a task in milliseconds.
@@ -22,6 +25,20 @@
 		return estimateMs * (this.#ratios.get(route) ?? 1);
 	}
 
+	/**
+	 * Gets the distribution of a route's durations relative to the speeds of the upstreams.
+	 * @param route - Route of the job.
+	 */
+	getDurations(route: string): RouteDurations {
+		let durations = this.#durations.get(route);
+		if (durations === undefined) {
+			durations = new RouteDurations();
+			this.#durations.set(route, durations);
+		}
+
+		return durations;
+	}
+
 	/**
 	 * Adds the duration of a task that was done.
 	 * @param route - Route of the job.
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -1,7 +1,12 @@
 export * from './admission.js';
+export * from './duration-distribution.js';
 export * from './duration-estimator.js';
 export * from './offered-load.js';
 export * from './overdue.js';
 export * from './placement.js';
 export * from './pool-choice.js';
 export * from './queue-order.js';
+export * from './route-durations.js';
+export type * from './scheduling-options.js';
+export * from './upstream-evidence.js';
+export * from './upstream-speed.js';
--- a/src/testing/fleet-vm.ts
+++ b/src/testing/fleet-vm.ts
@@ -8,6 +8,7 @@
 	type DecisionLog, getDataCenter, type LogFields, type PollOutcome, StartupOwnerCheck, type OrderOptions, type OrderOutcome, PoolLayout, PoolNode, type StoredClaim, type UpstreamDescription,
 	type UpstreamOrders,
 } from '../pool/index.js';
+import {type SchedulingOptions} from '../scheduling/index.js';
 import {
 	type Clock, createSeededRandom, sleep,
 } from '../seams/index.js';
@@ -48,6 +49,8 @@
 	readonly onOrderSent: (order: SentOrder) => void;
 	/** Returns whether an order that is sent during a network cut is delivered once the cut has healed. */
 	readonly isDeliveredAfterCut: () => boolean;
+	/** Switches of the scheduling; all parts are on by default. */
+	readonly scheduling?: SchedulingOptions;
 	/** Replaces the orders of all owners, for tests of the checks. */
 	readonly wrapOrders?: (orders: UpstreamOrders) => UpstreamOrders;
 	/** Replaces the proofs that senders still wait, for tests of the checks. */
@@ -152,6 +155,7 @@
 			clock: this.process,
 			random,
 			log: this.#createLog(),
+			scheduling: options.scheduling,
 			self,
 			cores: 1,
 			layout,
--- a/src/testing/pool-fleet.ts
+++ b/src/testing/pool-fleet.ts
@@ -5,6 +5,7 @@
 import {
 	getPoolNames, getPoolOfUpstream, type TaskNeeds, type UpstreamDescription, type UpstreamOrders,
 } from '../pool/index.js';
+import {type SchedulingOptions} from '../scheduling/index.js';
 import {type Clock, createSeededRandom, type Random} from '../seams/index.js';
 import {FleetCallers} from './fleet-callers.js';
 import {type ListedCapacity, type SentOrder} from './fleet-checks.js';
@@ -40,6 +41,8 @@
 	readonly hasResenders?: boolean;
 	/** Whether some of the callers leave soon after they submitted a long job; by default, none does. */
 	readonly hasLeavers?: boolean;
+	/** Switches of the scheduling; all parts are on by default. */
+	readonly scheduling?: SchedulingOptions;
 	/** Replaces the orders of all owners, for tests of the checks. */
 	readonly wrapOrders?: (orders: UpstreamOrders) => UpstreamOrders;
 	/** Returns what a VM takes for the listed upstreams, for tests of the checks. */
@@ -269,6 +272,7 @@
 			},
 			isDeliveredAfterCut: () => this.#random.getFloat() < deliveredAfterCutShare,
 			wrapOrders: this.#options.wrapOrders,
+			scheduling: this.#options.scheduling,
 			wrapConfirmation: this.#options.wrapConfirmation,
 			wrapMessage: this.#options.wrapMessage,
 			wrapProgress: this.#options.wrapProgress,
--- a/src/testing/simulated-pools.ts
+++ b/src/testing/simulated-pools.ts
@@ -6,6 +6,7 @@
 	type Candidate, CrashLedger, CrashReports, type DecisionLog, failedRunsTopic, createLocalSender, getConfirmedSince, noNeighbours, PoolDirectory, PoolLending, PoolOwner,
 	type UpstreamDescription, type UpstreamOrders,
 } from '../pool/index.js';
+import {type SchedulingOptions} from '../scheduling/index.js';
 import {type Clock} from '../seams/index.js';
 import {SimulatedPeers} from './simulated-peers.js';
 
@@ -20,6 +21,8 @@
 	readonly isLending?: boolean;
 	/** Whether owners report failed runs to each other at once; true by default. */
 	readonly isReporting?: boolean;
+	/** Switches of the scheduling; all parts are on by default. */
+	readonly scheduling?: SchedulingOptions;
 };
 
 type OwnerEntry = {readonly vm: string; readonly pool: string; readonly fence: number; readonly owner: PoolOwner; readonly directory: PoolDirectory; readonly ledger: CrashLedger};
@@ -129,6 +132,7 @@
 			clock,
 			log,
 			orders,
+			scheduling: this.#options.scheduling,
 			getStoredFence: async () => fence,
 			async onFenced() {/* The previous owner is left unchanged. */},
 			knownFence: 0,
