--- a/bench/pool/customer-loads.ts
+++ b/bench/pool/customer-loads.ts
@@ -39,18 +39,14 @@
 /** Tasks of half an upstream, little difference between upstreams. */
 export const largeTasks: CustomerLoad = {
 	name: 'large tasks', kinds: kinds(60, 900, 200), upstreamCpu: 64_000, speeds: [0.8, 1, 1.25], weights: [1.19, 0.96, 0.85],
-	tasks: {
-		meanCpu: 32_000, maxCpu: 48_000, tailShare: 0, tailFactor: 1,
-	},
+	tasks: {meanCpu: 32_000, maxCpu: 48_000},
 	swing: 0.15, periodMs: 11_000, phases: [0.12, 1, 0.29],
 };
 
 /** Upstreams of different speeds, tasks with a long tail, strong demand waves. */
 export const unevenUpstreams: CustomerLoad = {
-	name: 'uneven upstreams', kinds: kinds(51, 760, 170), upstreamCpu: 16_000, speeds: [0.6, 1, 1.6], weights: [1, 1.1, 0.9],
-	tasks: {
-		meanCpu: 8000, maxCpu: 12_000, tailShare: 0.03, tailFactor: 7,
-	},
+	name: 'uneven upstreams', kinds: kinds(51, 760, 170).map(kind => ({...kind, tail: {share: 0.03, factor: 7}})), upstreamCpu: 16_000, speeds: [0.6, 1, 1.6], weights: [1, 1.1, 0.9],
+	tasks: {meanCpu: 8000, maxCpu: 12_000},
 	swing: 0.55, periodMs: 13_000, phases: [0.1, 0.18, 0.26],
 };
 
--- a/bench/pool/load-pattern.ts
+++ b/bench/pool/load-pattern.ts
@@ -14,6 +14,8 @@
 	readonly maxAttempts: number;
 	/** Longest duration of a task, in milliseconds; unbounded by default. */
 	readonly maxMs?: number;
+	/** Share of the tasks that take longer by a factor, and the factor; none by default. */
+	readonly tail?: {readonly share: number; readonly factor: number};
 };
 
 /** The arrival of a job. */
@@ -47,20 +49,15 @@
 const cpuSpread = 0.2;
 const taskDurationSpread = 0.15;
 
-/** Needs and durations of tasks. */
+/** Needs of tasks. */
 export type TaskShape = {
 	/** Thousandths of a core. */
 	readonly meanCpu: number;
 	readonly maxCpu: number;
-	/** Share of the tasks that take `tailFactor` times as long. */
-	readonly tailShare: number;
-	readonly tailFactor: number;
 };
 
-/** Tasks of the users' sites: two of them fit an upstream of 16 cores, none takes much longer than its job's others. */
-export const siteTasks: TaskShape = {
-	meanCpu: 6800, maxCpu: 10_000, tailShare: 0, tailFactor: 1,
-};
+/** Tasks of the users' sites: two of them fit an upstream of 16 cores. */
+export const siteTasks: TaskShape = {meanCpu: 6800, maxCpu: 10_000};
 
 /** Options of {@link createArrivals}. */
 export type ArrivalOptions = {
@@ -69,7 +66,7 @@
 	/** Gets the factor of all rates at a time in milliseconds. */
 	readonly getFactor: (at: number) => number;
 	readonly random: Random;
-	/** Needs and durations of tasks; by default, those of the users' sites. */
+	/** Needs of tasks; by default, those of the users' sites. */
 	readonly tasks?: TaskShape;
 	/** Position of the callers' data centre; by default, the callers are spread over all entry VMs. */
 	readonly dataCenter?: number;
@@ -98,7 +95,7 @@
 	return arrivals.toSorted((a, b) => a.at - b.at);
 }
 
-function createArrival(at: number, kind: JobKind, {meanCpu, maxCpu, tailShare, tailFactor}: TaskShape, random: Random): Omit<Arrival, 'dataCenter'> {
+function createArrival(at: number, kind: JobKind, {meanCpu, maxCpu}: TaskShape, random: Random): Omit<Arrival, 'dataCenter'> {
 	const taskCount = Math.max(1, Math.min(kind.maxTasks, Math.round(kind.meanTasks * getLogNormal(random, workSpread))));
 	const workMs = kind.meanMs * getLogNormal(random, workSpread);
 	return {
@@ -106,14 +103,16 @@
 		kind,
 		taskCount,
 		cpu: Math.min(maxCpu, Math.round(meanCpu * getLogNormal(random, cpuSpread))),
-		durations: Array.from({length: taskCount}, () => {
-			const factor = tailShare > 0 && random.getFloat() < tailShare ? tailFactor : 1;
-			return Math.min(kind.maxMs ?? Infinity, factor * workMs * getLogNormal(random, taskDurationSpread));
-		}),
+		durations: Array.from({length: taskCount}, () => Math.min(kind.maxMs ?? Infinity, workMs * getLogNormal(random, taskDurationSpread) * getTailFactor(kind, random))),
 		estimateMs: workMs * getLogNormal(random, workSpread),
 	};
 }
 
+/** Draws no random number without a tail, so that the same seed gives the same arrivals as before there were any. */
+function getTailFactor({tail}: JobKind, random: Random): number {
+	return tail !== undefined && random.getFloat() < tail.share ? tail.factor : 1;
+}
+
 /** Gets a log-normally distributed factor with a mean of 1. */
 function getLogNormal(random: Random, sigma: number): number {
 	const normal = Math.sqrt(-2 * Math.log(1 - random.getFloat())) * Math.cos(2 * Math.PI * random.getFloat());
--- a/bench/pool/simulate-pool.ts
+++ b/bench/pool/simulate-pool.ts
@@ -2,9 +2,9 @@
  * Runs a load pattern against the owners of pools with simulated upstreams.
  */
 import {
-	type DecisionLog, getDataCenter, getInitialCpu, getPoolNames, type PoolDirectory, type PoolJobOutcome, type SubmittedJob,
+	type DecisionLog, type LogFields, getDataCenter, getInitialCpu, getPoolNames, type PoolDirectory, type PoolJobOutcome, type SubmittedJob,
 } from '../../src/pool/index.js';
-import {choosePool} from '../../src/scheduling/index.js';
+import {choosePool, type SchedulingOptions} from '../../src/scheduling/index.js';
 import {createSeededRandom} from '../../src/seams/index.js';
 import {ManualClock} from '../../src/testing/manual-clock.js';
 import {SimulatedPools} from '../../src/testing/simulated-pools.js';
@@ -37,12 +37,16 @@
 	warn() {/* Discarded. */},
 };
 
+/** Fault of an upstream from a time on; its tasks never end, or take longer by a factor. */
+export type InjectedFault = {readonly upstream: number; readonly atMs: number; readonly slowness: number};
+
 const stretch = 1.6;
 const slackMs = 60;
 const deadlineMs = 1500;
 const settleTimeMs = 5000;
-const siteSpeeds = [0.8, 1, 1.25];
-const siteUpstreamCpu = 16_000;
+/** Speeds of three upstreams each, assigned in rotation. */
+const defaultSpeeds = [0.8, 1, 1.25];
+const defaultUpstreamCpu = 16_000;
 
 /** Number of entry VMs that choose pools. */
 const entryCount = 7;
@@ -60,8 +64,17 @@
 	readonly dataCenterCount?: number;
 	/** Thousandths of a core of a small upstream; every third one is half as large again. */
 	readonly upstreamCpu?: number;
-	/** Speeds of upstreams, assigned in rotation. */
+	/** Speeds of three upstreams each, assigned in rotation. */
 	readonly speeds?: readonly number[];
+	readonly scheduling?: SchedulingOptions;
+	/** Faults of upstreams; `Infinity` as slowness if tasks never end. */
+	readonly faults?: readonly InjectedFault[];
+	/** Receives the log of the owners, with the time since the first arrival in milliseconds. */
+	readonly onLog?: (message: string, fields: LogFields, atMs: number) => void;
+	/** Receives all starts at the end, with times since the first arrival in milliseconds. */
+	readonly onStarts?: (starts: ReadonlyArray<{readonly upstream: string; readonly atMs: number}>) => void;
+	/** Receives the outcome of each job. */
+	readonly onOutcome?: (arrival: Arrival, outcome: PoolJobOutcome, totalMs: number, objectiveMs: number) => void;
 };
 
 /**
@@ -72,10 +85,11 @@
  */
 export async function simulatePool(arrivals: readonly Arrival[], upstreamCount: number, options: SimulationOptions = {}): Promise<SimulationResults> {
 	const {
-		poolCount = 1, isLending = true, dataCenterCount = poolCount, upstreamCpu = siteUpstreamCpu, speeds = siteSpeeds,
+		poolCount = 1, isLending = true, dataCenterCount = poolCount, upstreamCpu = defaultUpstreamCpu, speeds = defaultSpeeds, scheduling, faults = [],
 	} = options;
 	const getDecile = createDecileGetter(arrivals);
 	const clock = new ManualClock();
+	let startedAt = Infinity;
 	const works = new Map<string, {readonly arrival: Arrival; readonly durationMs: number}>();
 	const upstreams = new SimulatedUpstreams({
 		clock,
@@ -90,12 +104,14 @@
 		id: `u${position}`, bornMs: 1, address: `u${position}`, dataCenter: pools[position % poolCount]!, service: 's', rack: 'r', labels: [], isLeaving: false,
 		capacity: {cpu: position % 3 === 2 ? 1.5 * upstreamCpu : upstreamCpu, memoryMb: 32_768, accelerators: 0},
 	}));
-	for (const [position, description] of descriptions.entries()) {
-		upstreams.addUpstream(description).slowness = 1 / speeds[Math.floor(position / 3) % speeds.length]!;
-	}
+	const upstreamFaults = descriptions.map((description, position) => {
+		const upstreamFault = upstreams.addUpstream(description);
+		upstreamFault.slowness = 1 / speeds[Math.floor(position / 3) % speeds.length]!;
+		return upstreamFault;
+	});
 
 	const deployment = new SimulatedPools({
-		clock, log: silentLog, orders: upstreams, upstreams: descriptions, isLending,
+		clock, log: options.onLog === undefined ? silentLog : createLog(options.onLog), orders: upstreams, upstreams: descriptions, isLending, scheduling,
 	});
 	const dataCenters = [...new Set(pools.map(pool => getDataCenter(pool)))];
 	const directories = Array.from({length: entryCount}, (_, position) => deployment.createDirectory(getDataCenter(pools[position % poolCount]!)));
@@ -104,15 +120,32 @@
 	const byDataCenter: Record<string, KindResult> = {};
 	const byDecile: Record<string, KindResult> = {};
 	await clock.advance(300);
-	const startedAt = clock.getMonotonicTime();
+	startedAt = clock.getMonotonicTime();
+	for (const {upstream, atMs, slowness} of faults) {
+		clock.setTimer(() => {
+			const upstreamFault = upstreamFaults[upstream]!;
+			upstreamFault.isHanging = slowness === Infinity;
+			upstreamFault.slowness *= slowness === Infinity ? 1 : slowness;
+		}, atMs);
+	}
+
 	for (const [position, arrival] of arrivals.entries()) {
 		await clock.advance(startedAt + arrival.at - clock.getMonotonicTime());
 		void run(position, arrival);
 	}
 
 	await clock.advance(settleTimeMs);
+	options.onStarts?.(upstreams.starts.map(start => ({upstream: start.upstream, atMs: start.startedAt - startedAt})));
 	return {byKind, byDataCenter, byDecile};
 
+	function createLog(onLog: NonNullable<SimulationOptions['onLog']>): DecisionLog {
+		const write = (fields: LogFields, message: string): void => {
+			onLog(message, fields, clock.getMonotonicTime() - startedAt);
+		};
+
+		return {debug: write, info: write, warn: write};
+	}
+
 	async function submit(job: SubmittedJob, directory: PoolDirectory, signal: AbortSignal): Promise<PoolJobOutcome> {
 		let outcome: PoolJobOutcome = {kind: 'failed'};
 		const triedPools = new Set<string>();
@@ -151,6 +184,7 @@
 		}, waitMs);
 		const outcome = await submit(job, getDirectory(position, arrival), controller.signal);
 		timer.close();
+		options.onOutcome?.(arrival, outcome, clock.getMonotonicTime() - arrivedAt, getObjectiveMs(arrival));
 		for (const result of [byKind[arrival.kind.name] ??= createResult(), byDataCenter[`dc${arrival.dataCenter ?? ''}`] ??= createResult(), byDecile[getDecile(arrival)] ??= createResult()]) {
 			addResult(result, outcome, clock.getMonotonicTime() - arrivedAt, getObjectiveMs(arrival));
 		}
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -1,4 +1,5 @@
 export * from './admission.js';
+export * from './duration-distribution.js';
 export * from './duration-estimator.js';
 export * from './offered-load.js';
 export * from './overdue.js';
@@ -7,3 +8,7 @@
 export * from './queue-order.js';
 export * from './reevaluation.js';
 export * from './refused-work.js';
+export * from './route-durations.js';
+export type * from './scheduling-options.js';
+export * from './upstream-evidence.js';
+export * from './upstream-speed.js';
