Ask other data centres before a job is refused for load

The router gave a job up after the common queue of its own data centre had refused it, although that queue reaches one pool only of each other data centre, and VMs without a link took pools without a report for empty ones. decidePool ranks the data centres by the job's expected end; RecentRefusals keeps total overload cheap; the switch is balancesDataCentres.

--- a/src/platform/pool-metrics.ts
+++ b/src/platform/pool-metrics.ts
@@ -53,6 +53,18 @@
 		this.#addGauge('endivemill_pool_free_cpu', 'Thousandths of a core that are free', node, load => load.freeCpu);
 		this.#addGauge('endivemill_pool_queued_work', 'Core-milliseconds that wait', node, load => load.queuedWork);
 		this.#addGauge('endivemill_pool_view_age_ms', 'Age of what is known of a pool', node, ({pool}) => node.directory.getAgeMs(pool));
+		const choices = new Counter({
+			name: 'endivemill_pool_choices_total', help: 'Decisions on the way of jobs to pools by the age of the report', labelNames: ['kind', 'by', 'reason', 'ms'], registers: [this.#registry],
+			collect() {
+				choices.reset();
+				for (const {kind, by, reason, upToMs, count} of node.getRoutingCounts()) {
+					const ms = upToMs === Infinity ? '+Inf' : upToMs ?? '';
+					choices.inc({
+						kind, by, reason, ms,
+					}, count);
+				}
+			},
+		});
 		const proofAges = new Counter({
 			name: 'endivemill_proof_ages_total', help: 'Starts and leases by the age of the proof that the caller waits', labelNames: ['use', 'ms'], registers: [this.#registry],
 			collect() {
--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -25,4 +25,6 @@
 export * from './lending.js';
 export * from './pause-detector.js';
 export * from './pool-lending.js';
+export * from './pool-router.js';
+export * from './routing-counts.js';
 export * from './sender-confirmation.js';
--- a/src/pool/pool-directory.ts
+++ b/src/pool/pool-directory.ts
@@ -29,7 +29,8 @@
 
 type KnownLoad = {
 	load: PoolLoad;
-	receivedAt: number;
+	/** Monotonic time; `undefined` if no load was received. */
+	receivedAt?: number;
 	/** Work sent to the pool that the load does not yet include. */
 	inFlight: readonly InFlightWork[];
 	/** View of the pool, until its load, the work sent to it or its owner changes. */
@@ -168,11 +169,11 @@
 	}
 
 	/**
-	 * Gets the age of the known load of a pool, in milliseconds.
+	 * Gets the age of the known load of a pool, in milliseconds; since the start of the clock if no load was received.
 	 * @param pool - Pool.
 	 */
 	getAgeMs(pool: string): number {
-		return Math.round(this.#options.clock.getMonotonicTime() - this.#getKnownLoad(pool).receivedAt);
+		return Math.round(this.#options.clock.getMonotonicTime() - (this.#getKnownLoad(pool).receivedAt ?? 0));
 	}
 
 	/** Caches the view: views of many pools are needed for each job and each task that another pool gets. */
@@ -185,7 +186,7 @@
 		return known.view;
 	}
 
-	#createView(pool: string, ownerId: string, {load, inFlight}: Readonly<KnownLoad>): PoolView {
+	#createView(pool: string, ownerId: string, {load, inFlight, receivedAt}: Readonly<KnownLoad>): PoolView {
 		const {dataCenter, selfId} = this.#options;
 		const inFlightCpu = inFlight.reduce((sum, {cpu}) => sum + cpu, 0);
 		const inFlightWork = inFlight.reduce((sum, {work}) => sum + work, 0);
@@ -199,13 +200,16 @@
 			freeCpu: load.freeCpu - inFlightCpu,
 			rooms: subtractInFlight(load.rooms, inFlight),
 			queuedWork: load.queuedWork + overflowWork,
+			dataCenter: getDataCenter(pool),
+			reportedAt: receivedAt,
+			sentCpu: inFlightCpu,
 		};
 	}
 
 	#getKnownLoad(pool: string): KnownLoad {
 		const ownLoad = this.#options.getOwnLoad?.(pool);
 		return ownLoad === undefined
-			? this.#loads.get(pool) ?? {load: noLoad, receivedAt: 0, inFlight: []}
+			? this.#loads.get(pool) ?? {load: noLoad, inFlight: []}
 			: {load: ownLoad, receivedAt: this.#options.clock.getMonotonicTime(), inFlight: []};
 	}
 
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -5,6 +5,7 @@
 import {
 	type Incarnation, type InputProgress, type Member, type PeerNetwork, type PeerRequest, type RequestAbortReason, type SenderConfirmation,
 } from '../connection/index.js';
+import {type SchedulingOptions} from '../scheduling/index.js';
 import {type Clock, type Random, type Timer} from '../seams/index.js';
 import {AwaitedJobs} from './awaited-jobs.js';
 import {CrashLedger} from './crash-ledger.js';
@@ -27,6 +28,7 @@
 import {PoolRouter} from './pool-router.js';
 import {ProofAges} from './proof-ages.js';
 import {mayClaimAnotherPool, sortByVmPreference} from './pool-share.js';
+import {type RoutingCount} from './routing-counts.js';
 import {getConfirmedSince} from './sender-confirmation.js';
 import {StarvationDetector} from './starvation-detector.js';
 import {type StoredClaims} from './stored-claims.js';
@@ -70,6 +72,8 @@
 	readonly resendMs?: number;
 	/** Time without a message after which a VM closes the connection of a peer whose tasks it runs, in milliseconds. */
 	readonly peerSilenceMs: number;
+	/** Parts of the scheduling that are on; all by default. */
+	readonly scheduling?: SchedulingOptions;
 };
 
 /** Interval of elections while no member changes its state, in milliseconds: one heartbeat. A change triggers an election immediately. */
@@ -198,6 +202,7 @@
 			hasCededPools: () => this.#cededPools.size > 0,
 			pauses: this.#pauses,
 			jobSizes: this.#jobSizes,
+			scheduling: options.scheduling,
 		});
 		this.#timer = this.#setTimer();
 		this.#subscription = options.peers.getMemberStream().subscribe({
@@ -301,6 +306,11 @@
 		this.#elect();
 	}
 
+	/** Gets the numbers of decisions on the way of callers' jobs to pools. */
+	getRoutingCounts(): readonly RoutingCount[] {
+		return this.#router.counts.getCounts();
+	}
+
 	/** Gets whether this VM owns no pool. */
 	ownsNoPools(): boolean {
 		return this.#owned.size === 0;
--- a/src/pool/pool-router.ts
+++ b/src/pool/pool-router.ts
@@ -3,23 +3,24 @@
  */
 import {type InputProgress, type PeerNetwork, readInput} from '../connection/index.js';
 import {
-	choosePool, type JobDemand, minRetryAfterMs, type PoolView,
+	choosePool, decidePool, defaultSchedulingOptions, getGroupName, minRetryAfterMs, type PoolDecision, type PoolView, type RankedDemand, RecentRefusals, type SchedulingOptions,
 } from '../scheduling/index.js';
 import {type Clock, type Random, sleep} from '../seams/index.js';
 import {type AwaitedJobs} from './awaited-jobs.js';
 import {type CrashLedger} from './crash-ledger.js';
-import {type DecisionLog} from './decision-log.js';
+import {type DecisionLog, type LogFields} from './decision-log.js';
 import {isSinglePoolJob} from './lending.js';
 import {getJobSize, JobSizeBudget} from './job-size.js';
 import {type PauseDetector} from './pause-detector.js';
 import {decodeSubmitAnswer} from './pool-decoding.js';
 import {getInitialCpu, type PoolDirectory} from './pool-directory.js';
 import {
-	type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob,
+	getCriticalPathMs, getStepWork, type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob,
 } from './pool-job.js';
 import {getDataCenter} from './pool-layout.js';
 import {maxReportedFailedRuns, submitTopic} from './pool-messages.js';
 import {type PoolOwner} from './pool-owner.js';
+import {RoutingCounts} from './routing-counts.js';
 import {createLocalSender, type JobSender, maxUnreadMs} from './sender-confirmation.js';
 
 /** Options of {@link PoolRouter}. */
@@ -48,6 +49,8 @@
 	readonly awaitedJobs?: AwaitedJobs;
 	/** Limits the jobs of this process; by default, only those that this router submits. */
 	readonly jobSizes?: JobSizeBudget;
+	/** Parts of the scheduling that are on; all by default. */
+	readonly scheduling?: SchedulingOptions;
 };
 
 /** Time for which a job waits until any pool has an owner, in milliseconds: two heartbeats and an election. */
@@ -60,14 +63,21 @@
 /** Number of owners that may be lost with a job before it is given up: its tasks may be what ends them. */
 const maxLostOwners = 2;
 
-/** Number of pools that a job is submitted to before it is refused. */
+/** Number of pools that a job is submitted to before it is refused, without counting those that refused it because of their load if data centres are balanced. */
 const maxPoolsTried = 3;
 
+/** Share of the objective within which a caller is to be refused, so that it can go elsewhere. */
+const earlyShare = 0.25;
+
+/** Mean duration of a task until jobs are seen, in milliseconds, and the weight of a job in the mean. */
+const initialTaskMs = 200;
+const taskObservationWeight = 0.05;
+
 /** Time until a job is submitted again to an owner that lost the connection but is still up, in milliseconds. */
 const sameOwnerRetryMs = 100;
 
 /** A caller's job, and this VM as its sender. */
-type Submission = {readonly getSubmitted: (priorFence: number) => SubmittedJob; readonly sender: JobSender};
+type Submission = {readonly getSubmitted: (priorFence: number) => SubmittedJob; readonly sender: JobSender; readonly getAgeMs: () => number; readonly remainingMs: number};
 
 type Ownership = {readonly ownerId: string; readonly fence: number; readonly selectedAt: number};
 
@@ -78,11 +88,18 @@
 
 /** Submits jobs to the owners of pools. */
 export class PoolRouter {
+	/** Decisions on the way of jobs to pools. */
+	readonly counts: RoutingCounts;
 	readonly #options: PoolRouterOptions;
 	readonly #jobSizes: JobSizeBudget;
+	readonly #refusals = new RecentRefusals();
+	/** Work and CPU of the latest jobs, decayed, in core-milliseconds and thousandths of a core. */
+	#recentWork = initialTaskMs / 1000;
+	#recentCpu = 1;
 
 	constructor(options: PoolRouterOptions) {
 		this.#options = options;
+		this.counts = new RoutingCounts(options.clock, options.log);
 		this.#jobSizes = options.jobSizes ?? new JobSizeBudget();
 	}
 
@@ -148,61 +165,133 @@
 			}
 		});
 		try {
-			return await this.#submitToPools(job, {getSubmitted, sender}, controller.signal);
+			return await this.#submitToPools(job, {
+				getSubmitted, sender, getAgeMs, remainingMs,
+			}, controller.signal);
 		} finally {
 			unsubscribe();
 			signal.removeEventListener('abort', abort);
 		}
 	}
 
-	/** Submits a job to one pool after another until one accepts it. */
+	/** Submits a job to one pool after another until one accepts it or none can serve it in time. */
 	async #submitToPools(job: PoolJobRequest, submission: Submission, signal: AbortSignal): Promise<PoolJobOutcome> {
-		const cpu = getInitialCpu(job);
+		const {balancesDataCentres} = this.#options.scheduling ?? defaultSchedulingOptions;
+		this.#addDuration(job);
+		const getDemand = createDemand(job, submission);
 		const triedPools = new Set<string>();
+		const refusedBy = new Set<string>();
+		let loadRefusals = 0;
 		let refusal: PoolJobOutcome = createRefusal('no-upstream');
-		while (triedPools.size < maxPoolsTried && !signal.aborted) {
-			const target = await this.#choosePool({cpu, isSinglePool: isSinglePoolJob(job), triedPools}, signal);
-			if (target === undefined) {
+		while (triedPools.size - loadRefusals < maxPoolsTried && !signal.aborted) {
+			const decision = await this.#decide(job, () => getDemand(triedPools, refusedBy), signal);
+			if (decision.kind !== 'submit') {
+				if (refusedBy.size > 0) {
+					this.counts.addRefusal({kind: 'refuse', by: 'ranking', reason: 'overloaded'}, () => this.#describe(job, getDemand(triedPools, refusedBy)));
+				}
+
 				break;
 			}
 
+			const target = decision.view;
+			this.counts.add({
+				kind: 'submit', by: target.isNear ? 'local' : 'remote', reason: '', ageMs: decision.reportAgeMs,
+			});
 			triedPools.add(target.pool);
 			this.#options.directory.addSentJob(target.pool, job);
 			const outcome = await this.#submitAwaited(target.pool, job, submission, signal);
 			if (outcome.kind !== 'completed') {
-				this.#options.log.debug({job: job.id, outcome: outcome.kind, ...target}, 'pool did not complete the job');
+				this.#options.log.debug({
+					job: job.id, outcome: outcome.kind, ...target, ageMs: decision.reportAgeMs, expectedEndMs: Math.round(decision.expectedEndMs),
+				}, 'pool did not complete the job');
 			}
 
+			const dataCenter = getGroupName(target);
 			if (outcome.kind !== 'refused') {
+				this.#refusals.removeRefusals(dataCenter, job.rules.route);
 				return outcome;
 			}
 
 			refusal = outcome;
-			if (outcome.reason === 'deadline' || (outcome.reason === 'overloaded' && target.freeCpu < cpu)) {
+			const isLoadRefusal = outcome.reason === 'deadline' || (outcome.reason === 'overloaded' && target.freeCpu < getInitialCpu(job));
+			this.counts.add({
+				kind: 'refuse', by: 'owner', reason: outcome.reason, ageMs: decision.reportAgeMs,
+			});
+			if (!isLoadRefusal) {
+				continue;
+			}
+
+			if (!balancesDataCentres) {
 				// Other pools without free capacity would not start the job earlier than the shared queue.
 				break;
 			}
+
+			loadRefusals++;
+			refusedBy.add(dataCenter);
+			this.#refusals.addRefusal(dataCenter, job.rules.route, getObjectiveMs(job), this.#options.clock.getMonotonicTime());
 		}
 
 		return refusal;
 	}
 
-	/** Chooses the pool for a job; waits up to a limit while no pool has an owner. */
-	async #choosePool(job: JobDemand, signal: AbortSignal): Promise<PoolView | undefined> {
-		const {clock, random} = this.#options;
+	/** Decides where a job goes next; waits up to a limit while no pool has an owner, and while ownerless pools may soon serve it in time. */
+	async #decide(job: PoolJobRequest, getDemand: () => RankedDemand, signal: AbortSignal): Promise<PoolDecision> {
+		const {clock} = this.#options;
 		const waitUntil = clock.getMonotonicTime() + (this.#options.hasCededPools() ? 0 : firstOwnerTimeoutMs);
 		for (;;) {
-			const view = choosePool(this.#options.directory.getViews(), job, random);
-			if (view !== undefined || job.triedPools.size > 0) {
-				return view;
+			const demand = getDemand();
+			const decision = this.#rank(job, demand);
+			const mayFindOwner = decision.kind === 'refuse' && demand.triedPools.size === 0 && clock.getMonotonicTime() <= waitUntil;
+			if (signal.aborted || (decision.kind !== 'wait' && !mayFindOwner)) {
+				return decision;
 			}
 
-			if (signal.aborted || clock.getMonotonicTime() > waitUntil) {
-				return undefined;
-			}
+			this.counts.add({kind: 'wait', by: 'local', reason: ''});
+			await sleep(clock, decision.kind === 'wait' ? decision.waitMs : ownerPollIntervalMs, signal);
+		}
+	}
 
-			await sleep(clock, ownerPollIntervalMs, signal);
+	#rank({rules: {route}}: PoolJobRequest, demand: RankedDemand): PoolDecision {
+		const {
+			clock, random, dataCenter, directory, scheduling,
+		} = this.#options;
+		const views = directory.getViews();
+		const now = clock.getMonotonicTime();
+		if (scheduling?.balancesDataCentres ?? defaultSchedulingOptions.balancesDataCentres) {
+			return decidePool(views, demand, {
+				now,
+				random,
+				meanTaskMs: this.#recentWork * 1000 / this.#recentCpu,
+				hasOwnerlessPools: () => directory.getPools().filter(pool => getDataCenter(pool) === dataCenter).length > views.filter(({isNear}) => isNear).length,
+				isClosed: other => this.#refusals.isClosed(other, route, now),
+			});
 		}
+
+		const view = choosePool(views, demand, random);
+		return view === undefined
+			? {kind: 'refuse', retryAfterMs: minRetryAfterMs}
+			: {
+				kind: 'submit', view, expectedEndMs: demand.criticalPathMs, reportAgeMs: view.reportedAt === undefined ? Infinity : now - view.reportedAt,
+			};
+	}
+
+	#addDuration({steps}: PoolJobRequest): void {
+		for (const step of steps) {
+			const cpu = step.taskCount * step.needs.cpu;
+			this.#recentWork += (getStepWork(step) - this.#recentWork) * taskObservationWeight;
+			this.#recentCpu += (cpu - this.#recentCpu) * taskObservationWeight;
+		}
+	}
+
+	/** Gets the inputs of a refusal for the log. */
+	#describe({id, rules: {route}}: PoolJobRequest, {limitMs, criticalPathMs, cpu, refusedBy}: RankedDemand): LogFields {
+		const now = this.#options.clock.getMonotonicTime();
+		return {
+			job: id, route, cpu, limitMs: Math.round(limitMs), criticalPathMs, refusedBy: [...refusedBy],
+			pools: this.#options.directory.getViews().map(({pool, freeCpu, queuedWork, cores, reportedAt}) => ({
+				pool, cores, freeCpu: Math.round(freeCpu), queuedWork: Math.round(queuedWork), ageMs: reportedAt === undefined ? undefined : Math.round(now - reportedAt),
+			})),
+		};
 	}
 
 	/** Submits a job to a pool while other VMs are told that it is awaited there. */
@@ -321,6 +410,23 @@
 	}
 }
 
+/** Gets the time from the arrival of a job within which its answer meets the objective, in milliseconds. */
+function getObjectiveMs({steps, rules: {stretch, slackMs}}: PoolJobRequest): number {
+	return (stretch * getCriticalPathMs(steps)) + slackMs;
+}
+
+/** Creates a function that gets what determines the choice of a pool now. */
+function createDemand(job: PoolJobRequest, {getAgeMs, remainingMs}: Submission): (triedPools: ReadonlySet<string>, refusedBy: ReadonlySet<string>) => RankedDemand {
+	const objectiveMs = getObjectiveMs(job);
+	const constant = {cpu: getInitialCpu(job), isSinglePool: isSinglePoolJob(job), criticalPathMs: getCriticalPathMs(job.steps)};
+	return (triedPools, refusedBy) => {
+		const ageMs = getAgeMs();
+		return {
+			...constant, triedPools, refusedBy, limitMs: Math.min(objectiveMs, remainingMs) - ageMs, isEarly: ageMs <= objectiveMs * earlyShare,
+		};
+	};
+}
+
 /** Gets whether the owner may have started tasks of the job. */
 function isPossiblyStarted(result: SendResult): boolean {
 	return result.kind === 'answered' ? result.outcome.kind !== 'moved' || result.outcome.hasStarted : result.kind === 'lost';
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -4,4 +4,7 @@
 export * from './overdue.js';
 export * from './placement.js';
 export * from './pool-choice.js';
+export * from './pool-ranking.js';
 export * from './queue-order.js';
+export * from './recent-refusals.js';
+export * from './scheduling-options.js';
--- a/src/scheduling/pool-choice.ts
+++ b/src/scheduling/pool-choice.ts
@@ -22,10 +22,16 @@
 	readonly rooms: readonly number[];
 	/** Core-milliseconds of queued work, including what this VM sent there since the report. */
 	readonly queuedWork: number;
+	/** Data centre of the pool; the pool itself by default. */
+	readonly dataCenter?: string;
+	/** Monotonic time at which the report was received; `undefined` if none was. */
+	readonly reportedAt?: number;
+	/** Thousandths of a core that this VM sent there since the report; 0 by default. */
+	readonly sentCpu?: number;
 };
 
 /** Time added to the expected wait in a remote data centre, in milliseconds: two trips between data centres. */
-const remotePenaltyMs = 6;
+export const remotePenaltyMs = 6;
 
 /**
  * Gets the expected wait for free capacity in a pool, in milliseconds.
@@ -88,8 +94,10 @@
 /**
  * Chooses the pool with more free capacity out of two random ones. Many VMs choose at the same time by reports of the same age; if all chose
  * the best pool, it would be full before the next report.
+ * @param available - Pools with enough free capacity, at least one.
+ * @param random - Source of random numbers.
  */
-function pickByFreeCpu(available: readonly PoolView[], random: Pick<Random, 'getFloat'>): PoolView {
+export function pickByFreeCpu(available: readonly PoolView[], random: Pick<Random, 'getFloat'>): PoolView {
 	const first = available[Math.floor(random.getFloat() * available.length)]!;
 	const second = available[Math.floor(random.getFloat() * available.length)]!;
 	return second.freeCpu > first.freeCpu ? second : first;
