--- a/bench/pool/simulate-pool.ts
+++ b/bench/pool/simulate-pool.ts
@@ -2,9 +2,11 @@
  * Runs a load pattern against the owners of pools with simulated upstreams.
  */
 import {
-	type DecisionLog, type LogFields, getDataCenter, getInitialCpu, getPoolNames, type PoolDirectory, type PoolJobOutcome, type SubmittedJob,
+	type DecisionLog, type LogFields, getCriticalPathMs, getDataCenter, getInitialCpu, getPoolNames, type PoolDirectory, type PoolJobOutcome, type SubmittedJob,
 } from '../../src/pool/index.js';
-import {choosePool, type SchedulingOptions} from '../../src/scheduling/index.js';
+import {
+	choosePool, decidePool, getGroupName, type PoolView, type RankedDemand, RecentRefusals, type SchedulingOptions,
+} from '../../src/scheduling/index.js';
 import {createSeededRandom} from '../../src/seams/index.js';
 import {ManualClock} from '../../src/testing/manual-clock.js';
 import {SimulatedPools} from '../../src/testing/simulated-pools.js';
@@ -51,6 +53,9 @@
 /** Number of entry VMs that choose pools. */
 const entryCount = 7;
 
+/** Mean duration of a task weighted by its cores, in milliseconds, by which routers rate the ages of reports. */
+const meanTaskMs = 200;
+
 /** Number of pools to which a job is submitted before it is refused. */
 const maxPoolsTried = 3;
 
@@ -88,6 +93,8 @@
 		poolCount = 1, isLending = true, dataCenterCount = poolCount, upstreamCpu = defaultUpstreamCpu, speeds = defaultSpeeds, scheduling, faults = [],
 	} = options;
 	const getDecile = createDecileGetter(arrivals);
+	const balancesDataCentres = scheduling?.balancesDataCentres ?? true;
+	const recentRefusals = new Map<PoolDirectory, RecentRefusals>();
 	const clock = new ManualClock();
 	let startedAt = Infinity;
 	const works = new Map<string, {readonly arrival: Arrival; readonly durationMs: number}>();
@@ -146,11 +153,24 @@
 		return {debug: write, info: write, warn: write};
 	}
 
+	/** Submits a job as the router of an entry VM does. */
 	async function submit(job: SubmittedJob, directory: PoolDirectory, signal: AbortSignal): Promise<PoolJobOutcome> {
-		let outcome: PoolJobOutcome = {kind: 'failed'};
+		const submittedAt = clock.getMonotonicTime();
+		const cpu = getInitialCpu(job);
+		const criticalPathMs = getCriticalPathMs(job.steps);
+		const objectiveMs = (stretch * criticalPathMs) + slackMs;
+		let outcome: PoolJobOutcome = {kind: 'refused', reason: 'overloaded', retryAfterMs: 0};
 		const triedPools = new Set<string>();
-		while (triedPools.size < maxPoolsTried) {
-			const view = choosePool(directory.getViews(), {cpu: getInitialCpu(job), isSinglePool: !isLending, triedPools}, random);
+		const refusedBy = new Set<string>();
+		const refusals = recentRefusals.get(directory) ?? new RecentRefusals();
+		recentRefusals.set(directory, refusals);
+		let loadRefusals = 0;
+		while (triedPools.size - loadRefusals < maxPoolsTried) {
+			const ageMs = clock.getMonotonicTime() - submittedAt;
+			const demand = {
+				cpu, isSinglePool: !isLending, triedPools, refusedBy, criticalPathMs, limitMs: Math.min(objectiveMs, job.remainingMs) - ageMs, isEarly: ageMs <= objectiveMs / 4,
+			};
+			const view = chooseView(directory, demand, job.rules.route, refusals);
 			if (view === undefined) {
 				break;
 			}
@@ -158,16 +178,41 @@
 			triedPools.add(view.pool);
 			directory.addSentJob(view.pool, job);
 			const owner = deployment.getOwner(view.pool);
-			outcome = await owner.submit(job, signal);
+			outcome = await owner.submit({...job, ageMs, remainingMs: job.remainingMs - ageMs}, signal);
 			directory.setLoad(view.pool, owner.getLoad());
-			if (outcome.kind !== 'refused' || outcome.reason === 'deadline' || (outcome.reason === 'overloaded' && isLending && view.freeCpu < getInitialCpu(job))) {
+			const dataCenter = getGroupName(view);
+			if (outcome.kind !== 'refused') {
+				refusals.removeRefusals(dataCenter, job.rules.route);
 				break;
 			}
+
+			if (outcome.reason === 'deadline' || (outcome.reason === 'overloaded' && isLending && view.freeCpu < cpu)) {
+				if (!balancesDataCentres) {
+					break;
+				}
+
+				loadRefusals++;
+				refusedBy.add(dataCenter);
+				refusals.addRefusal(dataCenter, job.rules.route, objectiveMs, clock.getMonotonicTime());
+			}
 		}
 
 		return outcome;
 	}
 
+	function chooseView(directory: PoolDirectory, demand: RankedDemand, route: string, refusals: RecentRefusals): PoolView | undefined {
+		const views = directory.getViews();
+		if (!balancesDataCentres) {
+			return choosePool(views, demand, random);
+		}
+
+		const now = clock.getMonotonicTime();
+		const decision = decidePool(views, demand, {
+			now, random, meanTaskMs, hasOwnerlessPools: () => false, isClosed: dataCenter => refusals.isClosed(dataCenter, route, now),
+		});
+		return decision.kind === 'submit' ? decision.view : undefined;
+	}
+
 	async function run(position: number, arrival: Arrival): Promise<void> {
 		const id = `j${position}`;
 		for (const [index, durationMs] of arrival.durations.entries()) {
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -37,7 +37,7 @@
 	readonly metricsPort?: number;
 	/** Time for which the number of upstreams must be unchanged before the number of pools is decided, in milliseconds. */
 	readonly layoutSettleMs?: number;
-	/** Switches of the scheduling; all parts are on by default. */
+	/** Parts of the scheduling that are on; all by default. */
 	readonly scheduling?: SchedulingOptions;
 };
 
@@ -365,9 +365,9 @@
 			peers: this.#mesh,
 			inputProgress: this.#inputProgress,
 			orders: this.#orders,
-			scheduling: this.#options.scheduling,
 			maxLeaseMs,
 			resendMs,
+			scheduling: this.#options.scheduling,
 			peerSilenceMs: missedHeartbeatsUntilDown * heartbeatIntervalMs,
 			isSettled: () => this.#neighbours.isSettled(),
 			getVmCount: () => this.#neighbours.getVmCount() + 1,
--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -26,4 +26,6 @@
 export * from './overdue-counts.js';
 export * from './pause-detector.js';
 export * from './pool-lending.js';
+export * from './pool-router.js';
+export * from './routing-counts.js';
 export * from './sender-confirmation.js';
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -29,6 +29,7 @@
 import {PoolRouter} from './pool-router.js';
 import {ProofAges} from './proof-ages.js';
 import {mayClaimAnotherPool, sortByVmPreference} from './pool-share.js';
+import {type RoutingCount} from './routing-counts.js';
 import {getConfirmedSince} from './sender-confirmation.js';
 import {StarvationDetector} from './starvation-detector.js';
 import {type StoredClaims} from './stored-claims.js';
@@ -72,7 +73,7 @@
 	readonly resendMs?: number;
 	/** Time without a message after which a VM closes the connection of a peer whose tasks it runs, in milliseconds. */
 	readonly peerSilenceMs: number;
-	/** Switches of the scheduling; all parts are on by default. */
+	/** Parts of the scheduling that are on; all by default. */
 	readonly scheduling?: SchedulingOptions;
 };
 
@@ -204,6 +205,7 @@
 			hasCededPools: () => this.#cededPools.size > 0,
 			pauses: this.#pauses,
 			jobSizes: this.#jobSizes,
+			scheduling: options.scheduling,
 		});
 		this.#timer = this.#setTimer();
 		this.#subscription = options.peers.getMemberStream().subscribe({
@@ -307,6 +309,11 @@
 		this.#elect();
 	}
 
+	/** Gets the numbers of decisions on the way of callers' jobs to pools. */
+	getRoutingCounts(): readonly RoutingCount[] {
+		return this.#router.counts.getCounts();
+	}
+
 	/** Gets whether this VM owns no pool. */
 	ownsNoPools(): boolean {
 		return this.#owned.size === 0;
