--- a/src/pool/overdue-runs.ts
+++ b/src/pool/overdue-runs.ts
@@ -11,7 +11,7 @@
 import {OverdueCounts} from './overdue-counts.js';
 import {OwnLateness} from './own-lateness.js';
 import {type QueuedJob, type JobTask} from './queued-job.js';
-import {recordFailure, recordSuccess} from './upstream-health.js';
+import {isSuspicious, recordFailure, recordSuccess} from './upstream-health.js';
 import {type LinkedRun, type RunExpectation, UpstreamLink} from './upstream-link.js';
 
 /** Options of {@link OverdueRuns}. */
@@ -178,6 +178,11 @@
 		}
 
 		const {verdict, observed, faultProbability} = decision;
+		if (isSuspicious(faultProbability) && !isSuspicious(link.faultProbability)) {
+			// Shows whether anything listens there yet, and the progress of the runs.
+			void link.pollImmediately();
+		}
+
 		link.faultProbability = faultProbability;
 		if (verdict === 'not-late' || run.verdict === verdict) {
 			return false;
--- a/src/pool/upstream-health.ts
+++ b/src/pool/upstream-health.ts
@@ -52,6 +52,14 @@
 	}
 }
 
+/**
+ * Gets whether an upstream is more probably at fault than is to be neglected.
+ * @param faultProbability - Probability that it is.
+ */
+export function isSuspicious(faultProbability: number): boolean {
+	return faultProbability >= minSuspectProbability;
+}
+
 /**
  * Gets an upstream as a candidate for placement.
  * @param link - Upstream.
@@ -60,6 +68,6 @@
 	const {id, rack} = link.description;
 	return {
 		id, rack, labels: link.getLabels(), free: link.getFreeCapacity(), slowness: link.slowness,
-		isSuspect: link.consecutiveFailures >= minSuspectFailures || link.slowness >= minSuspectSlowness || link.faultProbability >= minSuspectProbability,
+		isSuspect: link.consecutiveFailures >= minSuspectFailures || link.slowness >= minSuspectSlowness || isSuspicious(link.faultProbability),
 	};
 }
