Learn the speeds of upstreams, place by slack, and keep the speeds when owners change

Slowness was a running mean of measured to expected durations, a fifth for each run, and any upstream from 2 on was a last resort. Learn it with its variance from durations relative to the route's, pack tasks where 19 of 20 end by their objective, and report the speeds to the pool's data centre when they change by 19%. getRemainingMs gives planners the remaining time of a run by quantile.

--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -13,7 +13,7 @@
 } from '../pool/index.js';
 import {type SchedulingOptions} from '../scheduling/index.js';
 import {
-	type Clock, type Random, sleep, systemClock, systemRandom,
+	type Clock, type Random, sleep, systemClock, systemRandom, type Timer,
 } from '../seams/index.js';
 import {CallerEndpoint} from './caller-endpoint.js';
 import {CancelledJobs, cancelTopic} from './cancelled-jobs.js';
@@ -21,6 +21,7 @@
 import {describeIssues} from './describe-issues.js';
 import {HttpOrders} from './http-orders.js';
 import {LayoutManager} from './layout-manager.js';
+import {LearntSpeeds, speedReportIntervalMs, speedsTopic} from './learnt-speeds.js';
 import {PoolMetrics} from './pool-metrics.js';
 import {type PlatformSettings} from './settings-file.js';
 import {StoreClient} from './store-client.js';
@@ -123,6 +124,8 @@
 	#isStopping = false;
 	#configurationRequestedAt = -Infinity;
 	/** Last published upstreams of each pool owned by this VM, and the incarnations that received them. */
+	readonly #speeds = new LearntSpeeds();
+	#speedTimer: Timer | undefined;
 	readonly #published = new Map<string, {readonly text: string; readonly to: Set<string>}>();
 
 	constructor(options: PlatformEntryVmOptions) {
@@ -207,6 +210,12 @@
 			},
 			complete() {/* The mesh is closed. */},
 		});
+		if (this.#learnsDurations()) {
+			this.#speedTimer = this.#clock.setRepeatingTimer(() => {
+				this.#publishSpeeds();
+			}, speedReportIntervalMs);
+		}
+
 		void this.#configuration.run();
 		void this.#registry.run();
 		void this.#upstreams.read();
@@ -286,6 +295,7 @@
 
 	async #closeParts(): Promise<void> {
 		this.#subscription?.unsubscribe();
+		this.#speedTimer?.close();
 		this.#configuration.close();
 		this.#registry.close();
 		this.#layoutManager.close();
@@ -375,7 +385,7 @@
 				addClaim: async pool => this.#addClaim(pool),
 				getClaim: async pool => this.#getClaim(pool),
 			},
-			getUpstreams: pool => this.#upstreams.getUpstreams(pool),
+			getUpstreams: pool => this.#speeds.addTo(pool, this.#upstreams.getUpstreams(pool)),
 			getMissingUpstreams: pool => this.#upstreams.getMissingUpstreams(pool),
 			getFormerUpstreams: pool => this.#upstreams.getFormerUpstreams(pool),
 			isListComplete: pool => this.#upstreams.isComplete(pool),
@@ -461,11 +471,37 @@
 		}
 	}
 
+	#learnsDurations(): boolean {
+		return this.#options.scheduling?.learnsDurations ?? true;
+	}
+
+	/** Sends the learnt speeds of the upstreams to the VMs of the pool's data centre if they have changed. */
+	#publishSpeeds(): void {
+		for (const owner of this.#node.getOwners()) {
+			const pool = owner.getPool();
+			const sent = this.#speeds.getReport(pool, owner.getUpstreams());
+			for (const {incarnation, state} of sent === undefined ? [] : this.#mesh.getMembers()) {
+				const isDue = incarnation.dataCenter === getDataCenter(pool) && state === 'up' && !sent!.to.has(incarnation.id);
+				if (isDue && this.#mesh.sendControl(incarnation.id, {topic: speedsTopic, body: sent!.report})) {
+					sent!.to.add(incarnation.id);
+				}
+			}
+		}
+	}
+
 	#handleControl(topic: string, body: unknown): void {
 		if (this.#node?.handleMessage(topic, body)) {
 			return;
 		}
 
+		if (topic === speedsTopic) {
+			if (this.#learnsDurations() && !this.#speeds.addReport(body)) {
+				this.#log.warn({topic}, 'invalid message');
+			}
+
+			return;
+		}
+
 		if (topic !== upstreamsTopic) {
 			this.#log.warn({topic}, 'message with an unknown topic');
 			return;
--- a/src/pool/overdue-runs.ts
+++ b/src/pool/overdue-runs.ts
@@ -3,7 +3,7 @@
  */
 import {type InputProgress} from '../connection/index.js';
 import {
-	decideOverdue, type DurationEstimator, getRunNats, getSlowness, hasSpeedChanged, isLate, isOverdue, learnSpeed, type ObservedRun, type OverdueDecision,
+	decideOverdue, type DurationEstimator, getRemainingMs, getRunNats, getSlowness, hasSpeedChanged, isLate, isOverdue, learnSpeed, type ObservedRun, type OverdueDecision,
 } from '../scheduling/index.js';
 import {type Clock} from '../seams/index.js';
 import {getJob} from './crash-ledger.js';
@@ -67,6 +67,41 @@
 		};
 	}
 
+	/**
+	 * Gets the slowness of an upstream up to which a task is expected to end by the objective of its job.
+	 * @param job - Job.
+	 * @param task - Task.
+	 * @returns Slowness; `undefined` if speeds are not learnt.
+	 */
+	getMaxSlowness(job: QueuedJob, task: JobTask): number | undefined {
+		if (!this.#options.learnsDurations) {
+			return undefined;
+		}
+
+		const {durations, getExpectation} = this.createExpectation(job, task);
+		const remainingMs = job.objectiveAt - this.#options.clock.getMonotonicTime();
+		return remainingMs / durations.getLikelyMs(getExpectation());
+	}
+
+	/**
+	 * Gets for how much longer a run goes on, in milliseconds.
+	 * @param link - Its upstream.
+	 * @param run - Run.
+	 * @param quantile - Share of such runs that take no longer, from 0 to 1: 0.5 for the typical time, others for its spread.
+	 * @returns Time from now; `undefined` if nothing is known of the run, which is one of an earlier owner.
+	 */
+	getRemainingMs(link: UpstreamLink, run: LinkedRun, quantile: number): number | undefined {
+		if (run.expectation === undefined) {
+			return undefined;
+		}
+
+		const {durations, getExpectation} = run.expectation;
+		const slowness = getSlowness(link.speed);
+		return getRemainingMs({
+			durations, expectation: getExpectation(), ageMs: this.#options.clock.getMonotonicTime() - run.startedAt, slowness,
+		}, quantile);
+	}
+
 	/**
 	 * Creates what is kept of the expected duration of another pool's run.
 	 * @param expectedMs - What the borrower expects, in milliseconds.
@@ -181,6 +216,9 @@
 		if (isSuspicious(faultProbability) && !isSuspicious(link.faultProbability)) {
 			// Shows whether anything listens there yet, and the progress of the runs.
 			void link.pollImmediately();
+			log.info({
+				upstream: link.name, faultProbability: round(faultProbability), task: run.task, run: run.number, ageMs: Math.round(observed.ageMs), slowness: round(getSlowness(link.speed)),
+			}, 'upstream suspected');
 		}
 
 		link.faultProbability = faultProbability;
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -908,7 +908,7 @@
 		const placedCounts = step.maxPerUpstream === undefined ? undefined : job.getPlacedCounts(task.stepPosition);
 		const allowed = capacities.getUpstreams(job.request.rules.service);
 		const preferred = task.avoided.size === 0 ? allowed : allowed.filter(({id}) => !task.avoided.has(id));
-		const chosen = chooseUpstream(step, preferred.length > 0 ? preferred : allowed, placedCounts);
+		const chosen = chooseUpstream(step, preferred.length > 0 ? preferred : allowed, placedCounts, this.#overdueRuns.getMaxSlowness(job, task));
 		if (chosen === undefined) {
 			return undefined;
 		}
--- a/src/pool/upstream-health.ts
+++ b/src/pool/upstream-health.ts
@@ -13,7 +13,7 @@
 const initialEjectionMs = 500;
 const maxEjectionMs = 4000;
 
-/** Slowness from which an upstream is a last resort; typical upstreams are between 0.8 and 1.3. */
+/** Slowness from which an upstream is a last resort if speeds are not learnt; otherwise placement compares it with the slack of the task. */
 const minSuspectSlowness = 2;
 
 /** Probability of a fault from which an upstream is a last resort: that costs little if it is wrong, as other upstreams are used first. */
@@ -49,6 +49,7 @@
 	link.consecutiveFailures = 0;
 	if (ratio !== undefined) {
 		link.slowness += (Math.min(maxObservedSlowness, ratio) - link.slowness) * slownessObservationWeight;
+		link.isSlow = link.slowness >= minSuspectSlowness;
 	}
 }
 
@@ -68,6 +69,6 @@
 	const {id, rack} = link.description;
 	return {
 		id, rack, labels: link.getLabels(), free: link.getFreeCapacity(), slowness: link.slowness,
-		isSuspect: link.consecutiveFailures >= minSuspectFailures || link.slowness >= minSuspectSlowness || isSuspicious(link.faultProbability),
+		isSuspect: link.consecutiveFailures >= minSuspectFailures || link.isSlow || isSuspicious(link.faultProbability),
 	};
 }
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -3,7 +3,7 @@
  */
 import {setMaxListeners} from 'node:events';
 import {
-	type OverdueDecision, type RouteDurations, type RunProgress, type TaskExpectation, unknownSpeed,
+	type OverdueDecision, type RouteDurations, type RunProgress, type TaskExpectation, type UpstreamSpeed, createSpeed, getSlowness,
 } from '../scheduling/index.js';
 import {type Clock, sleep, type Timer} from '../seams/index.js';
 import {getJob} from './crash-ledger.js';
@@ -171,7 +171,9 @@
 	/** Ratio of the duration of tasks here to the expected one, as learnt; 1 for an average upstream. */
 	slowness = 1;
 	/** What is known of the speed. */
-	speed = unknownSpeed;
+	speed: UpstreamSpeed;
+	/** Whether the slowness is a mean that makes the upstream a last resort. */
+	isSlow = false;
 	/** Evidence of runs that ended late here, or were stopped, since one last ended after a normal time; in nats. */
 	lateNats = 0;
 	/** Monotonic time at which a run last ended here after a normal time. */
@@ -231,6 +233,8 @@
 	constructor(public description: UpstreamDescription, options: UpstreamLinkOptions) {
 		this.#options = options;
 		this.describedBornMs = description.bornMs;
+		this.speed = createSpeed(description.learntSlowness);
+		this.slowness = getSlowness(this.speed);
 		this.#timing = options.timing ?? defaultUpstreamLinkTiming;
 		this.#lastLeaseMs = this.#timing.leaseMs;
 		this.#silentSince = options.clock.getMonotonicTime();
--- a/src/pool/upstream-orders.ts
+++ b/src/pool/upstream-orders.ts
@@ -16,6 +16,8 @@
 	readonly capacity: TaskNeeds;
 	/** Whether it accepts no new tasks because it is about to leave. */
 	readonly isLeaving: boolean;
+	/** Ratio of durations there to those on an average upstream, as an earlier owner learnt it; `undefined` if it is not known. */
+	readonly learntSlowness?: number;
 };
 
 /** One start of a task; the number increases with each start of the task. */
--- a/src/scheduling/duration-distribution.ts
+++ b/src/scheduling/duration-distribution.ts
@@ -17,6 +17,9 @@
 /** Share of the runs that counts as late. */
 const lateShare = 0.1;
 
+/** Share of the runs that end within a likely duration. */
+const likelyShare = 0.95;
+
 /** Share below and above the values that are one standard deviation from the mean of a normal distribution. */
 const spreadShare = 0.16;
 
@@ -26,6 +29,8 @@
 /** Values of a distribution that are needed often. */
 export type DistributionSummary = {
 	readonly median: number;
+	/** Ratio that 19 of 20 do not exceed. */
+	readonly likelyRatio: number;
 	/** Ratio above which a run is late: a tenth of all are. */
 	readonly lateRatio: number;
 	/** Typical deviation of the natural logarithm. */
@@ -78,6 +83,7 @@
 			const median = this.getQuantile(0.5);
 			this.#summary = {
 				median,
+				likelyRatio: this.getQuantile(likelyShare),
 				lateRatio: this.getQuantile(1 - lateShare),
 				spread: Math.log(this.getQuantile(1 - spreadShare) / this.getQuantile(spreadShare)) / 2,
 			};
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -1,6 +1,6 @@
 /**
  * Choice of the upstream for a task. Typical tasks take a third to two thirds of an upstream: best-fit placement keeps the
- * emptier upstreams free for large tasks, and faster upstreams are used before slower ones where several fit.
+ * emptier upstreams free for large tasks. Tasks with little slack go to fast upstreams; those that end in time on any are packed.
  */
 import {type JobStep, type TaskNeeds} from '../pool/pool-job.js';
 
@@ -33,11 +33,12 @@
  * @param step - Step of the task.
  * @param candidates - Upstreams that accept starts.
  * @param placedCounts - Number of running tasks of the same step by upstream.
+ * @param maxSlowness - Slowness up to which the task is expected to end in time; any such upstream will do. By default, the fastest is chosen.
  */
-export function chooseUpstream<T extends PlacementCandidate>(step: JobStep, candidates: Iterable<T>, placedCounts?: ReadonlyMap<string, number>): T | undefined {
+export function chooseUpstream<T extends PlacementCandidate>(step: JobStep, candidates: Iterable<T>, placedCounts?: ReadonlyMap<string, number>, maxSlowness?: number): T | undefined {
 	let best: T | undefined;
 	for (const candidate of candidates) {
-		if (isAllowed(step, candidate, placedCounts) && (best === undefined || compareCosts(step, candidate, best) < 0)) {
+		if (isAllowed(step, candidate, placedCounts) && (best === undefined || compareCosts(step, candidate, best, maxSlowness) < 0)) {
 			best = candidate;
 		}
 	}
@@ -52,9 +53,22 @@
 }
 
 /** Compares two candidates; the result is negative if the first one is better. */
-function compareCosts({dataRack}: JobStep, a: PlacementCandidate, b: PlacementCandidate): number {
+function compareCosts({dataRack}: JobStep, a: PlacementCandidate, b: PlacementCandidate, maxSlowness: number | undefined): number {
 	return (Number(a.isSuspect) - Number(b.isSuspect))
 		|| (dataRack === undefined ? 0 : Number(dataRack !== a.rack) - Number(dataRack !== b.rack))
-		|| (Math.round(a.slowness / slownessTolerance) - Math.round(b.slowness / slownessTolerance))
+		|| compareSlowness(a.slowness, b.slowness, maxSlowness)
 		|| (a.free.cpu - b.free.cpu);
 }
+
+/**
+ * Compares two speeds: in time before late, and the faster of two on which the task is late. Two on which it is in time are equal, so that the task is
+ * packed: it leaves the faster ones to tasks with less slack without keeping them idle.
+ */
+function compareSlowness(a: number, b: number, maxSlowness: number | undefined): number {
+	if (maxSlowness === undefined) {
+		return Math.round(a / slownessTolerance) - Math.round(b / slownessTolerance);
+	}
+
+	const isLate = a > maxSlowness;
+	return (Number(isLate) - Number(b > maxSlowness)) || (isLate ? Math.round(Math.log(a) / slownessTolerance) - Math.round(Math.log(b) / slownessTolerance) : 0);
+}
--- a/src/scheduling/route-durations.ts
+++ b/src/scheduling/route-durations.ts
@@ -53,6 +53,15 @@
 		return distribution.getSummary().lateRatio * referenceMs;
 	}
 
+	/**
+	 * Gets the duration that most tasks do not exceed, on an upstream of average speed, in milliseconds.
+	 * @param expectation - What is known of the task.
+	 */
+	getLikelyMs(expectation: TaskExpectation): number {
+		const {distribution, referenceMs} = this.#getReference(expectation);
+		return distribution.getSummary().likelyRatio * referenceMs;
+	}
+
 	/**
 	 * Compares a duration with the typical one.
 	 * @param expectation - What was known of the task.
@@ -92,3 +101,22 @@
 			: {distribution: this.#byEstimate, referenceMs: Math.max(minReferenceMs, estimateMs)};
 	}
 }
+
+/** A run that goes on, as far as its remaining time depends on it. */
+export type ContinuingRun = {
+	readonly durations: RouteDurations;
+	readonly expectation: TaskExpectation;
+	/** Time that it has run, in milliseconds. */
+	readonly ageMs: number;
+	/** Ratio of durations on its upstream to those on an average one. */
+	readonly slowness: number;
+};
+
+/**
+ * Gets for how much longer a run goes on, in milliseconds.
+ * @param run - Run.
+ * @param quantile - Share of such runs that take no longer, from 0 to 1.
+ */
+export function getRemainingMs({durations, expectation, ageMs, slowness}: ContinuingRun, quantile: number): number {
+	return Math.max(0, (durations.getDurationMs(expectation, quantile, ageMs / slowness) * slowness) - ageMs);
+}
--- a/src/scheduling/upstream-speed.ts
+++ b/src/scheduling/upstream-speed.ts
@@ -42,6 +42,17 @@
 /** An upstream of which no run has ended. */
 export const unknownSpeed: UpstreamSpeed = {logSlowness: 0, variance: initialVariance, outlier: 0};
 
+/** Variance of a speed that another owner has learnt: it may be old, so that the first runs here count more than it. */
+const reportedVariance = 0.04;
+
+/**
+ * Creates what is known of an upstream's speed at first.
+ * @param slowness - Slowness that another owner has learnt; `undefined` if none has.
+ */
+export function createSpeed(slowness?: number): UpstreamSpeed {
+	return slowness === undefined ? unknownSpeed : {logSlowness: Math.log(slowness), variance: reportedVariance, outlier: 0};
+}
+
 /**
  * Adds the duration of a run that has ended.
  * @param speed - What was known.
--- a/test/scheduling/decisions.test.ts
+++ b/test/scheduling/decisions.test.ts
@@ -47,6 +47,14 @@
 	t.is(chooseUpstream(step, [createCandidate('slow', 8000, {slowness: 6}), createCandidate('fast', 16_000)])?.id, 'fast');
 });
 
+test('a task is packed among the upstreams on which it ends in time, and goes to the fastest if there is none', t => {
+	const candidates = [createCandidate('fast', 16_000, {slowness: 0.6}), createCandidate('average', 12_000), createCandidate('slow', 8000, {slowness: 1.7})];
+	t.is(chooseUpstream(step, candidates, undefined, 2)?.id, 'slow');
+	t.is(chooseUpstream(step, candidates, undefined, 1.4)?.id, 'average');
+	t.is(chooseUpstream(step, candidates, undefined, 0.4)?.id, 'fast');
+	t.is(chooseUpstream(step, candidates)?.id, 'fast');
+});
+
 test('started jobs come first, then those that can meet their objective, then late ones', t => {
 	const started = createOrderedJob({hasStarted: true, priority: 2, objectiveAt: 0});
 	const inTime = createOrderedJob({priority: 2});
--- a/test/scheduling/load-replay.ts
+++ b/test/scheduling/load-replay.ts
@@ -21,9 +21,11 @@
 export type ReplayResult = {
 	/** Runs stopped as overdue on upstreams without a fault. */
 	readonly healthyStops: number;
-	/** Time from the first start after a fault until a run there was first stopped or the upstream's speed was found to have changed, in milliseconds; `Infinity` if neither was. */
+	/** Time from the first start after a fault until the upstream was first a last resort, because it is suspected or a run was stopped, or its speed was found to have changed, in milliseconds; `Infinity` if it was not. */
 	readonly foundMs: readonly number[];
 	readonly ejections: number;
+	/** Times that an upstream without a fault became a last resort. */
+	readonly healthySuspicions: number;
 	/** Share of all jobs that were answered by their objective. */
 	readonly inTime: number;
 	readonly inTimeByRoute: Readonly<Record<string, number>>;
@@ -34,7 +36,7 @@
 };
 
 const upstreamCount = 32;
-const findings: ReadonlySet<string> = new Set(['run overdue', 'upstream ejected', 'upstream changed its speed']);
+const findings: ReadonlySet<string> = new Set(['run overdue', 'upstream ejected', 'upstream suspected', 'upstream changed its speed']);
 const routes: readonly JobKind[] = [
 	{
 		name: 'short', perSecond: 24, meanTasks: 8, maxTasks: 32, meanMs: 51, priority: 0, maxAttempts: 3,
@@ -58,6 +60,7 @@
 	});
 	let healthyStops = 0;
 	let ejections = 0;
+	let healthySuspicions = 0;
 	const foundAt = faults.map(() => Infinity);
 	const firstStartAt = faults.map(() => Infinity);
 	const outcomes: Array<{readonly route: string; readonly work: number; readonly isInTime: boolean; readonly isCompleted: boolean}> = [];
@@ -68,6 +71,7 @@
 		onLog(message, {upstream}, atMs) {
 			const position = faults.findIndex(fault => `u${fault.upstream}` === upstream && fault.atMs <= atMs);
 			healthyStops += Number(message === 'run overdue' && position === -1);
+			healthySuspicions += Number(message === 'upstream suspected' && position === -1);
 			ejections += Number(message === 'upstream ejected');
 			if (position !== -1 && findings.has(message)) {
 				foundAt[position] = Math.min(foundAt[position]!, atMs);
@@ -89,6 +93,7 @@
 		healthyStops,
 		foundMs: foundAt.map((at, position) => at - firstStartAt[position]!).filter(ms => !Number.isNaN(ms)),
 		ejections,
+		healthySuspicions,
 		inTime: getShare(outcomes),
 		inTimeByRoute: Object.fromEntries(routes.map(({name}) => [name, getShare(outcomes.filter(({route}) => route === name))])),
 		inTimeByDecile: Array.from({length: 10}, (_, decile) => getShare(bySize.slice(Math.floor(bySize.length * decile / 10), Math.floor(bySize.length * (decile + 1) / 10)))),
@@ -100,10 +105,10 @@
  * Formats a result as one line.
  * @param result - Result.
  */
-export function formatResult({healthyStops, foundMs, ejections, inTime, inTimeByRoute, inTimeByDecile, completed}: ReplayResult): string {
+export function formatResult({healthyStops, healthySuspicions, foundMs, ejections, inTime, inTimeByRoute, inTimeByDecile, completed}: ReplayResult): string {
 	const format = (share: number): string => share.toFixed(3);
 	const byRoute = Object.entries(inTimeByRoute).map(([route, share]) => `${route} ${format(share)}`).join(', ');
-	return `healthy runs stopped ${healthyStops}, found after ${foundMs.map(ms => Math.round(ms)).join('/')} ms, ejections ${ejections}, in time ${format(inTime)} (${byRoute}), `
+	return `healthy runs stopped ${healthyStops}, healthy upstreams suspected ${healthySuspicions}, found after ${foundMs.map(ms => Math.round(ms)).join('/')} ms, ejections ${ejections}, in time ${format(inTime)} (${byRoute}), `
 		+ `by size ${inTimeByDecile.map(share => share.toFixed(2)).join(' ')}, completed ${format(completed)}`;
 }
 
--- a/test/scheduling/upstream-evidence.test.ts
+++ b/test/scheduling/upstream-evidence.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {
-	decideOverdue, DurationDistribution, getFaultProbability, learnSpeed, getSlowness, type ObservedRun, RouteDurations, unknownSpeed,
+	decideOverdue, DurationDistribution, getFaultProbability, getRemainingMs, getSlowness, learnSpeed, type ObservedRun, RouteDurations, unknownSpeed,
 } from '../../src/scheduling/index.js';
 
 /** Durations from 80 to 125% of the estimate, with a share of runs that take 7 times as long. */
@@ -88,3 +88,11 @@
 	t.true(Math.abs(getSlowness(afterLongTask) - getSlowness(speed)) < 0.1);
 	t.true(getSlowness(learnSpeed(afterLongTask, {logRatio: Math.log(2.5 * 5), spread: 0.2})) > 8);
 });
+
+test('the remaining time of a run has a spread, and grows once it has outlasted most others', t => {
+	const run = {durations: createDurations(), expectation: {estimateMs: 100, siblingMs: 100}, slowness: 2};
+	t.true(Math.abs(getRemainingMs({...run, ageMs: 0}, 0.5) - 200) < 20);
+	t.true(getRemainingMs({...run, ageMs: 0}, 0.9) > getRemainingMs({...run, ageMs: 0}, 0.5));
+	t.true(getRemainingMs({...run, ageMs: 150}, 0.5) < 60);
+	t.true(getRemainingMs({...run, ageMs: 400}, 0.5) > 600);
+});
