Plan the starts of waiting tasks with reservations

Cause: tasks of half to three quarters of an upstream waited while jobs behind them took whatever became free. Change: once a job does not fit, a pure planner reserves the upstreams that will fit it soonest, lets jobs behind it start only before or beside the reservation, and holds jobs back whose last task would end too late; lent tasks and published loads respect the reservations.

--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -4,12 +4,17 @@
 import {readFile} from 'node:fs/promises';
 import process from 'node:process';
 import bunyan from 'bunyan';
+import {parseSchedulingOptions} from '../scheduling/index.js';
 import {createPlatformEntryVm} from './platform-entry-vm.js';
 import {parseSettingsFile} from './settings-file.js';
 import {StdoutLog} from './stdout-log.js';
 
 /** Environment variable that holds the path of the settings file. */
 const settingsVariable = 'ENDIVEMILL_CONFIG';
+
+/** Environment variable that names the parts of the scheduling to turn off, separated by commas. */
+const schedulingOffVariable = 'ENDIVEMILL_SCHEDULING_OFF';
+
 const invalidSettingsExitCode = 2;
 
 const stdout = new StdoutLog();
@@ -54,7 +59,9 @@
 		return;
 	}
 
-	const starting = createPlatformEntryVm({settings: parsed.settings, logger});
+	const starting = createPlatformEntryVm({
+		settings: parsed.settings, logger, scheduling: parseSchedulingOptions(process.env[schedulingOffVariable]),
+	});
 	// Callers may connect before the start is complete.
 	process.on('SIGTERM', async () => {
 		const entryVm = await starting;
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -11,6 +11,7 @@
 	configurationTopic, createRateLimitedLog, type DecisionLog, getDataCenter, maxFullMeshVms, StartupOwnerCheck, PoolLayout, PoolNode, type StoredClaim, upstreamsSchema,
 	upstreamsTopic,
 } from '../pool/index.js';
+import {type SchedulingOptions} from '../scheduling/index.js';
 import {
 	type Clock, type Random, sleep, systemClock, systemRandom,
 } from '../seams/index.js';
@@ -36,6 +37,8 @@
 	readonly metricsPort?: number;
 	/** Time for which the number of upstreams must be unchanged before the number of pools is decided, in milliseconds. */
 	readonly layoutSettleMs?: number;
+	/** Parts of the scheduling that are in use; by default, all. */
+	readonly scheduling?: SchedulingOptions;
 };
 
 /** Heartbeat interval in milliseconds: a VM counts as silent after 300 ms and as down after 500 ms. */
@@ -364,6 +367,7 @@
 			orders: this.#orders,
 			maxLeaseMs,
 			resendMs,
+			scheduling: this.#options.scheduling,
 			peerSilenceMs: missedHeartbeatsUntilDown * heartbeatIntervalMs,
 			isSettled: () => this.#neighbours.isSettled(),
 			getVmCount: () => this.#neighbours.getVmCount() + 1,
--- a/src/platform/pool-metrics.ts
+++ b/src/platform/pool-metrics.ts
@@ -62,6 +62,15 @@
 				}
 			},
 		});
+		const plannedStarts = new Counter({
+			name: 'endivemill_planned_starts_total', help: 'Decisions of the plans of starts, made while not all waiting tasks fit', labelNames: ['decision'], registers: [this.#registry],
+			collect() {
+				plannedStarts.reset();
+				for (const [decision, count] of Object.entries(node.startCounts.getAll())) {
+					plannedStarts.inc({decision}, count);
+				}
+			},
+		});
 		const calls = new Gauge({
 			name: 'endivemill_store_calls', help: 'Calls to the store so far', labelNames: ['call'], registers: [this.#registry],
 			collect() {
--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -17,6 +17,8 @@
 export * from './proof-ages.js';
 export * from './queued-job.js';
 export * from './routing.js';
+export * from './start-counts.js';
+export {restartMessage} from './start-pass.js';
 export * from './upstream-link.js';
 export type * from './upstream-orders.js';
 export type * from './stored-claims.js';
--- a/src/pool/lent-runs.ts
+++ b/src/pool/lent-runs.ts
@@ -33,6 +33,8 @@
 export type LentStartOptions = {
 	/** Links to the upstreams that accept new tasks. */
 	readonly links: readonly UpstreamLink[];
+	/** Gets whether the task respects what is reserved on an upstream; always by default. */
+	readonly isUnreserved?: (link: UpstreamLink) => boolean;
 	/** Aborts when the borrower disconnects; the task is then stopped. */
 	readonly signal: AbortSignal;
 	/** Proof that a sender of the job waits. */
@@ -93,13 +95,13 @@
 	 * @param task - Task.
 	 * @param options - Where it may start, and how long it may run.
 	 */
-	async start(task: LentTask, {links, signal, confirmation}: LentStartOptions): Promise<LendOutcome> {
+	async start(task: LentTask, {links, isUnreserved = () => true, signal, confirmation}: LentStartOptions): Promise<LendOutcome> {
 		if (signal.aborted || this.#runs.has(task.task)) {
 			return {kind: 'refused', reason: 'no-room'};
 		}
 
 		const matchingLinks = links.filter(({description}) => description.service === task.service);
-		const chosen = chooseUpstream(task.step, matchingLinks.map(link => toCandidate(link)));
+		const chosen = chooseUpstream(task.step, matchingLinks.filter(link => isUnreserved(link)).map(link => toCandidate(link)));
 		if (chosen === undefined) {
 			const fitsWhenIdle = matchingLinks.some(link => chooseUpstream(task.step, [{...toCandidate(link), free: link.description.capacity}]) !== undefined);
 			return {kind: 'refused', reason: fitsWhenIdle ? 'no-room' : 'does-not-fit'};
@@ -134,6 +136,15 @@
 		return this.#getRunsOf(job).length > 0;
 	}
 
+	/**
+	 * Gets the expected duration of a run, in milliseconds; `undefined` if it is not a lent run.
+	 * @param run - Run.
+	 */
+	getExpectedMs(run: LinkedRun): number | undefined {
+		const lent = this.#runs.get(run.task);
+		return lent?.run === run ? lent.expectedMs : undefined;
+	}
+
 	/**
 	 * Stops a run; its end is the outcome of `start`.
 	 * @param run - Run.
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -5,6 +5,7 @@
 import {
 	type Incarnation, type InputProgress, type Member, type PeerNetwork, type PeerRequest, type RequestAbortReason, type SenderConfirmation,
 } from '../connection/index.js';
+import {type SchedulingOptions} from '../scheduling/index.js';
 import {type Clock, type Random, type Timer} from '../seams/index.js';
 import {AwaitedJobs} from './awaited-jobs.js';
 import {CrashLedger} from './crash-ledger.js';
@@ -28,6 +29,7 @@
 import {ProofAges} from './proof-ages.js';
 import {mayClaimAnotherPool, sortByVmPreference} from './pool-share.js';
 import {getConfirmedSince} from './sender-confirmation.js';
+import {StartCounts} from './start-counts.js';
 import {StarvationDetector} from './starvation-detector.js';
 import {type StoredClaims} from './stored-claims.js';
 import {type UpstreamDescription, type UpstreamOrders} from './upstream-orders.js';
@@ -70,6 +72,8 @@
 	readonly resendMs?: number;
 	/** Time without a message after which a VM closes the connection of a peer whose tasks it runs, in milliseconds. */
 	readonly peerSilenceMs: number;
+	/** Parts of the scheduling that are in use; by default, all. */
+	readonly scheduling?: SchedulingOptions;
 };
 
 /** Interval of elections while no member changes its state, in milliseconds: one heartbeat. A change triggers an election immediately. */
@@ -110,6 +114,8 @@
 	readonly directory: PoolDirectory;
 	/** Ages of the proofs that senders wait, at each start and each lease. */
 	readonly proofAges = new ProofAges();
+	/** What the plans of starts in the pools owned here decided. */
+	readonly startCounts = new StartCounts();
 	readonly #options: PoolNodeOptions;
 	readonly #owned = new Map<string, PoolOwner>();
 	readonly #fences: FenceIssuer;
@@ -648,6 +654,8 @@
 			getStoppedMs: () => this.#pauses.getStoppedMs(),
 			getStoppedMsSince: since => this.#pauses.getStoppedMsSince(since),
 			proofAges: this.proofAges,
+			scheduling: this.#options.scheduling,
+			startCounts: this.startCounts,
 		}, [...getUpstreams(pool), ...getMissingUpstreams(pool)]);
 		this.#owned.set(pool, owner);
 		if (this.#isIsolated()) {
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -10,19 +10,18 @@
 import {getHigherFence, isFence, maxFence} from './fence.js';
 import {FormerLinks} from './former-links.js';
 import {type InstanceSign} from './instance-runs.js';
-import {type JobSizeBudget} from './job-size.js';
 import {
 	type LentTask, getLostRunTimeoutMs, type LendOutcome, noNeighbours, type PoolNeighbours,
 } from './lending.js';
 import {type PoolJobOutcome, type SubmittedJob} from './pool-job.js';
-import {type PoolLoad, PoolScheduler} from './pool-scheduler.js';
+import {type PoolLoad, PoolScheduler, type PoolSchedulerOptions} from './pool-scheduler.js';
 import {ProofAges} from './proof-ages.js';
 import {getConfirmedSince, getProofAge, type JobSender} from './sender-confirmation.js';
 import {UpstreamLink} from './upstream-link.js';
 import {type Run, type UpstreamDescription, type UpstreamOrders} from './upstream-orders.js';
 
 /** Options of {@link PoolOwner}. */
-export type PoolOwnerOptions = {
+export type PoolOwnerOptions = Pick<PoolSchedulerOptions, 'jobSizes' | 'resendMs' | 'scheduling' | 'startCounts'> & {
 	readonly pool: string;
 	readonly clock: Clock;
 	readonly log: DecisionLog;
@@ -53,10 +52,6 @@
 	readonly neighbours?: PoolNeighbours;
 	/** Runs that failed or were lost with their upstreams, known to all owners of this process; by default, only to this owner. */
 	readonly ledger?: CrashLedger;
-	/** Time after which a caller whose submission has failed submits its job again, in milliseconds. */
-	readonly resendMs?: number;
-	/** Limits the jobs of this process; by default, only those of this owner. */
-	readonly jobSizes?: JobSizeBudget;
 	/** Gets the monotonic time at which the last pause of this process was detected, `-Infinity` for none; by default, no pause is detected. */
 	readonly getPausedAt?: () => number;
 	/** Gets the time in which the monotonic clock of this process stood still so far, in milliseconds; by default 0. */
@@ -194,6 +189,8 @@
 			lostRunTimeoutMs: this.#lostRunTimeoutMs,
 			jobSizes: options.jobSizes,
 			resendMs: options.resendMs,
+			scheduling: options.scheduling,
+			startCounts: options.startCounts,
 		});
 		this.#pendingUpstreams = upstreams;
 		this.#ready = this.#takeOver();
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -3,7 +3,7 @@
  */
 import {type InputProgress, readInput, type SenderConfirmation} from '../connection/index.js';
 import {
-	type AdmissionDecision, chooseUpstream, decideAdmission, DurationEstimator, fits, isOverdue, minRetryAfterMs, OfferedLoad, sortByUrgency,
+	type AdmissionDecision, countFitting, decideAdmission, DurationEstimator, fits, isOverdue, minRetryAfterMs, OfferedLoad, type SchedulingOptions, sortByUrgency,
 } from '../scheduling/index.js';
 import {type Clock, type Timer} from '../seams/index.js';
 import {
@@ -27,6 +27,8 @@
 import {
 	areRunsUnconfirmed, createLocalSender, getLeaseLimit, type JobSender, maxUnreadMs, renewalAgeMs,
 } from './sender-confirmation.js';
+import {type StartCounts} from './start-counts.js';
+import {StartPass} from './start-pass.js';
 import {SuspectPlacement, type WaitingSuspect} from './suspect-placement.js';
 import {recordFailure, recordSuccess} from './upstream-health.js';
 import {type LinkedRun, type StartRefusal, UpstreamLink} from './upstream-link.js';
@@ -60,6 +62,10 @@
 	readonly proofAges: ProofAges;
 	/** Time after which a caller whose submission has failed submits its job again, in milliseconds. */
 	readonly resendMs?: number;
+	/** Parts of the scheduling that are in use; by default, all. */
+	readonly scheduling?: SchedulingOptions;
+	/** Counts what the plans of starts decide. */
+	readonly startCounts?: StartCounts;
 	/** Limits the jobs of this process; by default, only those of this scheduler. */
 	readonly jobSizes?: JobSizeBudget;
 };
@@ -75,9 +81,6 @@
 	readonly queuedWork: number;
 };
 
-/** Where a task was started. */
-type PlacedStart = Pick<TaskStart, 'run' | 'upstream' | 'pool' | 'freeCpu'>;
-
 /** Interval between checks for overdue runs and jobs that will be late, in milliseconds: a fraction of the shortest task. */
 const sweepIntervalMs = 20;
 
@@ -103,9 +106,6 @@
  */
 const unfitRetryMs = 1000;
 
-/** Message of the line that tells why a task is started that may have been started before. */
-export const restartMessage = 'task starts again';
-
 const resolvedPromise = Promise.resolve();
 
 /** Upper bound of the expected time until a run ends, also used where nothing runs, in milliseconds. */
@@ -124,6 +124,7 @@
 	readonly #lentRuns: LentRuns;
 	/** Keeps tasks under which an upstream has crashed apart from others. */
 	readonly #suspectPlacement: SuspectPlacement;
+	readonly #startPass: StartPass;
 	readonly #sweepTimer: Timer;
 	readonly #unsubscribe: () => void;
 	/** Senders that were asked for a confirmation and have not answered. */
@@ -156,6 +157,14 @@
 				},
 			},
 		});
+		this.#startPass = new StartPass({
+			...options,
+			neighbourPools: this.#neighbourPools,
+			suspectPlacement: this.#suspectPlacement,
+			getOpenLinks: () => this.#getOpenLinks(),
+			getLeaseLimit: job => this.#getLeaseLimit(job),
+			getExpectedMs: run => this.#getExpectedRunMs(run),
+		});
 		this.#unsubscribe = options.ledger.subscribe(failedRuns => {
 			this.#handleFailedRuns(failedRuns);
 		});
@@ -173,7 +182,7 @@
 			if (link.isAcceptingStarts()) {
 				cores += link.description.capacity.cpu / 1000;
 				// Counts only whole tasks of average size, since the remainder is too small for another one.
-				const free = this.#suspectPlacement.isOpen(link) ? getUsableCpu(link.getFreeCapacity()) : 0;
+				const free = this.#suspectPlacement.isOpen(link) ? this.#startPass.getUnreservedCpu(link, getUsableCpu(link.getFreeCapacity())) : 0;
 				freeCpu += Math.floor(free / this.#averageTaskCpu) * this.#averageTaskCpu;
 				freeCpus.push(free);
 			}
@@ -383,7 +392,9 @@
 		}
 
 		this.#updateAverageTaskCpu(task.step);
-		return this.#lentRuns.start(task, {links, signal, confirmation});
+		return this.#lentRuns.start(task, {
+			links, signal, confirmation, isUnreserved: link => this.#startPass.isUnreserved(link, task.step.needs, task.expectedMs),
+		});
 	}
 
 	/**
@@ -794,37 +805,7 @@
 			}
 		}
 
-		if (waiting.length === 0) {
-			this.#suspectPlacement.place([]);
-			return;
-		}
-
-		const sorted = sortByUrgency(waiting, now);
-		const capacities = new FreeCapacities(() => this.#getOpenLinks(), () => this.#options.neighbours.getFreeCapacities());
-		this.#suspectPlacement.place(this.#getWaitingSuspects(sorted, capacities));
-		for (const job of sorted) {
-			// Skips most jobs of a long queue without examining the upstreams.
-			if (job.minTaskCpu > capacities.getMaxCpu(job.minTaskCpu)) {
-				continue;
-			}
-
-			const proofMs = now - job.getConfirmedAt(now);
-			for (const task of job.getReadyTasks()) {
-				if (!this.#isClear(job, task.name)) {
-					continue;
-				}
-
-				const start = this.#startOnUpstream(job, task, capacities) ?? this.#startInOtherPool(job, task, capacities);
-				if (start === undefined) {
-					// Tasks of a step have the same needs: if one does not fit, the others do not either.
-					break;
-				}
-
-				job.addStart({
-					...start, task: getPosition(task), afterMs: Math.round(now - job.arrivedAt), ...(proofMs > renewalAgeMs && {proofMs: Math.round(proofMs)}),
-				});
-			}
-		}
+		this.#startPass.start(waiting);
 	}
 
 	/** Gets the number of failed runs of a task, also under earlier owners. */
@@ -832,54 +813,15 @@
 		return Math.max(failures, this.#options.ledger.getFailureCount(name));
 	}
 
-	#isClear(job: QueuedJob, task: string): boolean {
-		const {ledger} = this.#options;
-		return !ledger.hasFailedRuns(job.request.id) || ledger.getVerdict(task) === 'clear';
-	}
-
-	/** Gets the ready tasks of jobs that start by themselves, since an upstream has crashed under them. */
-	#getWaitingSuspects(jobs: readonly QueuedJob[], capacities: FreeCapacities): readonly WaitingSuspect[] {
-		const affected = jobs.filter(job => this.#options.ledger.hasFailedRuns(job.request.id));
-		return affected.flatMap(job => job.getReadyTasks().filter(({name}) => this.#options.ledger.getVerdict(name) === 'suspect').map(task => ({
-			step: job.getStep(task),
-			service: job.request.rules.service,
-			avoided: task.avoided,
-			start: link => {
-				this.#startOnLink(job, task, link);
-				this.#options.log.info({task: task.name, run: task.lastRunNumber, upstream: link.name}, 'suspect started by itself');
-			},
-			lend: () => {
-				this.#startInOtherPool(job, task, capacities);
-			},
-		})));
-	}
-
 	/** Gets the free capacity of other pools that the tasks of a job may use. */
 	#getBorrowableCapacities(job: QueuedJob): readonly NeighbourCapacity[] {
 		return isSinglePoolJob(job.request) ? [] : this.#options.neighbours.getFreeCapacities();
 	}
 
-	/** Starts a task in the smallest sufficient free capacity of other pools and reduces that capacity; `undefined` if it fits nowhere. */
-	#startInOtherPool(job: QueuedJob, task: JobTask, capacities: FreeCapacities): PlacedStart | undefined {
-		const step = job.getStep(task);
-		const capacity = this.#neighbourPools.chooseFreeCapacity(step, () => capacities.getOfOtherPools(), task.avoided);
-		if (capacity === undefined) {
-			return undefined;
-		}
-
-		capacities.reduceOther(capacity, step.needs.cpu);
-		const failedRuns = this.#options.ledger.getFailedRuns(job.request.id, task.name);
-		const host = this.#neighbourPools.getPool(capacity.pool);
-		task.lastRunNumber++;
-		job.setStatus(task, 'placed');
-		task.host = host;
-		job.hasStarted = true;
-		this.#logRestart(job, task, {pool: capacity.pool});
-		task.run = host.start({
-			task: task.name, number: task.lastRunNumber, spec: job.request.spec, service: job.request.rules.service, step, expectedMs: job.getReferenceMs(task),
-			...(failedRuns.length > 0 && {failedRuns}),
-		}, () => job.getConfirmedAt(this.#options.clock.getMonotonicTime()));
-		return {run: task.lastRunNumber, pool: capacity.pool, freeCpu: capacity.cpu};
+	/** Gets the expected duration of a run on an average upstream, in milliseconds; `undefined` if its job is not known. */
+	#getExpectedRunMs(run: LinkedRun): number | undefined {
+		const entry = this.#tasksByName.get(run.task);
+		return entry === undefined ? this.#lentRuns.getExpectedMs(run) : entry.job.getReferenceMs(entry.task);
 	}
 
 	#getAcceptingLinks(): readonly UpstreamLink[] {
@@ -890,50 +832,6 @@
 		return this.#getAcceptingLinks().filter(link => this.#suspectPlacement.isOpen(link));
 	}
 
-	/** Starts a task on an upstream of this pool; `undefined` if none has enough free capacity. */
-	#startOnUpstream(job: QueuedJob, task: JobTask, capacities: FreeCapacities): PlacedStart | undefined {
-		const step = job.getStep(task);
-		const placedCounts = step.maxPerUpstream === undefined ? undefined : job.getPlacedCounts(task.stepPosition);
-		const allowed = capacities.getUpstreams(job.request.rules.service);
-		const preferred = task.avoided.size === 0 ? allowed : allowed.filter(({id}) => !task.avoided.has(id));
-		const chosen = chooseUpstream(step, preferred.length > 0 ? preferred : allowed, placedCounts);
-		if (chosen === undefined) {
-			return undefined;
-		}
-
-		this.#startOnLink(job, task, chosen.link);
-		capacities.update(chosen);
-		return {run: task.lastRunNumber, upstream: chosen.id, freeCpu: chosen.free.cpu};
-	}
-
-	#startOnLink(job: QueuedJob, task: JobTask, link: UpstreamLink): void {
-		const now = this.#options.clock.getMonotonicTime();
-		this.#options.proofAges.add('start', now - job.getConfirmedAt(now));
-		task.lastRunNumber++;
-		job.setStatus(task, 'placed');
-		task.host = link;
-		job.hasStarted = true;
-		this.#logRestart(job, task, {upstream: link.name});
-		task.run = link.start({
-			task: task.name, number: task.lastRunNumber, needs: job.getStep(task).needs, spec: job.request.spec, getLeaseLimit: () => this.#getLeaseLimit(job),
-		});
-	}
-
-	/** Logs why a task is started that may have been started before, by this owner or an earlier one. */
-	#logRestart({priorFence, arrivedAt}: QueuedJob, {name, lastRunNumber: run, restartGround}: JobTask, place: Pick<TaskStart, 'upstream' | 'pool'>): void {
-		if (restartGround === undefined && priorFence === 0) {
-			return;
-		}
-
-		const now = this.#options.clock.getMonotonicTime();
-		const fields = {
-			task: name, run, ...place, afterMs: Math.round(now - arrivedAt), ...(priorFence > 0 && {priorFence}), ...(restartGround && describeGround(restartGround, now)),
-		};
-		// Other pools may refuse hundreds of starts a second, and an earlier owner may have left hundreds of tasks.
-		const isRare = restartGround?.grounds !== undefined && restartGround.isRefusedElsewhere !== true;
-		this.#options.log[isRare ? 'info' : 'debug'](fields, restartMessage);
-	}
-
 	#recordSuccess(host: RunHost, job: QueuedJob, task: JobTask, run: LinkedRun): void {
 		const measuredMs = this.#options.clock.getMonotonicTime() - run.startedAt;
 		const {estimateMs} = job.getStep(task);
@@ -1130,11 +1028,12 @@
 
 		job.isReevaluated = true;
 		const decision = this.#checkAdmission(job);
-		if (!decision.isAdmitted) {
-			this.#refuse(job, decision.reason);
+		if (decision.isAdmitted && !this.#startPass.isHeld(job)) {
+			return false;
 		}
 
-		return !decision.isAdmitted;
+		this.#refuse(job, decision.isAdmitted ? 'overloaded' : decision.reason);
+		return true;
 	}
 
 	#stopOverdueRuns(job: QueuedJob, now: number): void {
@@ -1169,22 +1068,11 @@
 	return memoryMb < 0 || accelerators < 0 ? 0 : Math.max(0, cpu);
 }
 
-/** Gets the positions of a task's step and of the task within it. */
-function getPosition({name}: JobTask): string {
-	return name.split('.').slice(2).join('.');
-}
-
 /** Starts a task elsewhere than on a host as far as possible. */
 function avoidHost(task: JobTask, {name}: RunHost): void {
 	task.avoided = new Set([...task.avoided, name]);
 }
 
-/** Gets how many tasks fit into a free capacity. */
-function countFitting({cpu, memoryMb, accelerators}: TaskNeeds, free: TaskNeeds): number {
-	const count = (need: number, available: number): number => need === 0 ? (available < 0 ? 0 : Infinity) : Math.max(0, Math.floor(available / need));
-	return Math.min(count(cpu, free.cpu), count(memoryMb, free.memoryMb), count(accelerators, free.accelerators));
-}
-
 /** Gets whether an upstream belongs to the service of a job's route. */
 function servesJob({description}: UpstreamLink, {request: req}: QueuedJob): boolean {
 	return description.service === req.rules.service;
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -5,3 +5,6 @@
 export * from './placement.js';
 export * from './pool-choice.js';
 export * from './queue-order.js';
+export * from './remaining-time.js';
+export * from './scheduling-options.js';
+export * from './start-plan.js';
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -37,7 +37,7 @@
 export function chooseUpstream<T extends PlacementCandidate>(step: JobStep, candidates: Iterable<T>, placedCounts?: ReadonlyMap<string, number>): T | undefined {
 	let best: T | undefined;
 	for (const candidate of candidates) {
-		if (isAllowed(step, candidate, placedCounts) && (best === undefined || compareCosts(step, candidate, best) < 0)) {
+		if (fits(step.needs, candidate.free) && isAllowedOn(step, candidate, placedCounts) && (best === undefined || compareCosts(step, candidate, best) < 0)) {
 			best = candidate;
 		}
 	}
@@ -45,14 +45,24 @@
 	return best;
 }
 
-function isAllowed(step: JobStep, candidate: PlacementCandidate, placedCounts: ReadonlyMap<string, number> | undefined): boolean {
-	return fits(step.needs, candidate.free)
-		&& (step.requiredLabel === undefined || candidate.labels.includes(step.requiredLabel))
+/**
+ * Gets whether tasks of a step may run on an upstream, however much of it is free.
+ * @param step - Step of the task.
+ * @param candidate - Upstream.
+ * @param placedCounts - Number of running tasks of the same step by upstream.
+ */
+export function isAllowedOn(step: JobStep, candidate: PlacementCandidate, placedCounts: ReadonlyMap<string, number> | undefined): boolean {
+	return (step.requiredLabel === undefined || candidate.labels.includes(step.requiredLabel))
 		&& (step.maxPerUpstream === undefined || (placedCounts?.get(candidate.id) ?? 0) < step.maxPerUpstream);
 }
 
-/** Compares two candidates; the result is negative if the first one is better. */
-function compareCosts({dataRack}: JobStep, a: PlacementCandidate, b: PlacementCandidate): number {
+/**
+ * Compares two candidates that a task fits; the result is negative if the first one is better.
+ * @param step - Step of the task.
+ * @param a - Candidate.
+ * @param b - Candidate.
+ */
+export function compareCosts({dataRack}: JobStep, a: PlacementCandidate, b: PlacementCandidate): number {
 	return (Number(a.isSuspect) - Number(b.isSuspect))
 		|| (dataRack === undefined ? 0 : Number(dataRack !== a.rack) - Number(dataRack !== b.rack))
 		|| (Math.round(a.slowness / slownessTolerance) - Math.round(b.slowness / slownessTolerance))
