Examine only upstreams with room when starts are planned

Cause: the planner compared copies of all upstreams for each waiting job. Change: it compares only upstreams that hold the smallest waiting task, without copies, and stops counting once a job fits.

--- a/src/pool/start-pass.ts
+++ b/src/pool/start-pass.ts
@@ -2,7 +2,7 @@
  * The start of waiting tasks: in the order of the queue while all of them fit, and by a plan with reservations once a job does not fit.
  */
 import {
-	chooseUpstream, countFitting, defaultSchedulingOptions, getRemainingMs, planStarts, type PlannedUpstream, type Reservation, respectsReservation, type SchedulingOptions, sortByUrgency, type WaitingTasks,
+	chooseUpstream, countFitting, defaultSchedulingOptions, getRemainingMs, planStarts, type Reservation, respectsReservation, type SchedulingOptions, sortByUrgency, type WaitingTasks,
 } from '../scheduling/index.js';
 import {type Clock} from '../seams/index.js';
 import {type CrashLedger} from './crash-ledger.js';
@@ -154,7 +154,7 @@
 			const {byService, capacities, now} = this.#unplanned;
 			this.#unplanned = undefined;
 			this.#reservations = new Map([...byService].flatMap(([service, [head]]) => {
-				const plan = planStarts(this.#getReady(head!, now), this.#getUpstreams(service, capacities, now), {holdsJobs: false});
+				const plan = planStarts(this.#getReady(head!, now), capacities.getUpstreams(service), {getReleases: upstream => this.#getReleases(upstream, now), holdsJobs: false});
 				return toReservations(plan.reservations, now);
 			}));
 		}
@@ -221,7 +221,7 @@
 		const holdsJobs = jobs.length > 1;
 		for (const [service, serviceJobs] of byService) {
 			const waiting = serviceJobs.flatMap(job => this.#getReady(job, now));
-			const plan = planStarts(waiting, this.#getUpstreams(service, capacities, now), {holdsJobs, freeElsewhere});
+			const plan = planStarts(waiting, capacities.getUpstreams(service), {getReleases: upstream => this.#getReleases(upstream, now), holdsJobs, freeElsewhere});
 			for (const {job} of plan.held) {
 				held.add(job);
 			}
@@ -264,10 +264,6 @@
 		return byService;
 	}
 
-	#getUpstreams(service: string, capacities: FreeCapacities, now: number): ReadonlyArray<UpstreamCandidate & PlannedUpstream> {
-		return capacities.getUpstreams(service).map(candidate => ({...candidate, getReleases: () => this.#getReleases(candidate, now)}));
-	}
-
 	/** Starts tasks that the plan leaves waiting in other pools. */
 	#startElsewhere(waiting: readonly ReadyTasks[], started: ReadonlyMap<ReadyTasks, number>, {capacities, now}: {readonly capacities: FreeCapacities; readonly now: number}): void {
 		for (const ready of waiting) {
--- a/src/scheduling/start-plan.ts
+++ b/src/scheduling/start-plan.ts
@@ -15,12 +15,6 @@
 	readonly needs: TaskNeeds;
 };
 
-/** An upstream that accepts starts. */
-export type PlannedUpstream = PlacementCandidate & {
-	/** Gets the expected releases, in any order. They are read at most once, and only where something is reserved or a whole job does not fit. */
-	readonly getReleases: () => readonly ExpectedRelease[];
-};
-
 /** Waiting tasks of one step of a job, which have the same needs. */
 export type WaitingTasks = {
 	readonly step: JobStep;
@@ -39,7 +33,12 @@
 };
 
 /** Options of {@link planStarts}. */
-export type StartPlanOptions = {
+export type StartPlanOptions<U> = {
+	/**
+	 * Gets the expected releases of an upstream, in any order. They are read only where something is reserved or a whole job does
+	 * not fit.
+	 */
+	readonly getReleases: (upstream: U) => readonly ExpectedRelease[];
 	/** Maximum number of jobs with a reservation. */
 	readonly maxReservedJobs?: number;
 	/** Whether jobs are held back whose last task is expected to end too late. */
@@ -75,11 +74,14 @@
 	readonly held: readonly J[];
 };
 
-type Site<U> = {
+type Site<U> = Pick<PlacementCandidate, 'isSuspect' | 'rack' | 'slowness'> & {
 	readonly upstream: U;
+	readonly readReleases: () => readonly ExpectedRelease[];
 	free: TaskNeeds;
-	/** Expected releases in their order, also of the tasks that the plan starts; `undefined` until they are needed. */
-	releases: ExpectedRelease[] | undefined;
+	/** Expected releases in their order, also of the started tasks; `undefined` until they are needed. */
+	releases: readonly ExpectedRelease[] | undefined;
+	/** Releases of the tasks that the plan starts. */
+	readonly started: ExpectedRelease[];
 	reservation: {readonly inMs: number; beside: TaskNeeds} | undefined;
 };
 
@@ -89,18 +91,24 @@
  * @param upstreams - Upstreams that accept starts, all of the service that the tasks need.
  * @param options - Options.
  */
-export function planStarts<J extends WaitingTasks, U extends PlannedUpstream>(
+export function planStarts<J extends WaitingTasks, U extends PlacementCandidate>(
 	jobs: readonly J[],
 	upstreams: readonly U[],
-	{maxReservedJobs = 1, holdsJobs = true, freeElsewhere = []}: StartPlanOptions = {},
+	{getReleases, maxReservedJobs = 1, holdsJobs = true, freeElsewhere = []}: StartPlanOptions<U>,
 ): StartPlan<J, U> {
 	const sites = upstreams.map((upstream): Site<U> => ({
-		upstream, free: upstream.free, releases: undefined, reservation: undefined,
+		upstream, isSuspect: upstream.isSuspect, rack: upstream.rack, slowness: upstream.slowness, readReleases: () => getReleases(upstream), free: upstream.free, releases: undefined, started: [], reservation: undefined,
 	}));
+	let minCpu = Infinity;
+	for (const {step} of jobs) {
+		minCpu = Math.min(minCpu, step.needs.cpu);
+	}
+
+	const openSites = sites.filter(({free}) => free.cpu >= minCpu);
 	const starts: Array<PlannedStart<J, U>> = [];
 	const held: J[] = [];
 	const reserved: Array<{readonly job: J; readonly site: Site<U>}> = [];
-	let maxCpu = getMaxCpu(sites);
+	let maxCpu = getMaxCpu(openSites);
 	let reservedJobs = 0;
 	for (const job of jobs) {
 		const fitsSomewhere = job.step.needs.cpu <= maxCpu;
@@ -115,7 +123,7 @@
 
 		let remaining = job.count;
 		while (remaining > 0) {
-			const site = fitsSomewhere ? chooseSite(job, sites) : undefined;
+			const site = fitsSomewhere ? chooseSite(job, openSites) : undefined;
 			if (site === undefined) {
 				break;
 			}
@@ -125,7 +133,7 @@
 			remaining--;
 		}
 
-		maxCpu = remaining === job.count ? maxCpu : getMaxCpu(sites);
+		maxCpu = remaining === job.count ? maxCpu : getMaxCpu(openSites);
 		if (remaining > 0 && reservedJobs < maxReservedJobs) {
 			const newSites = reserve(job, remaining, sites);
 			reserved.push(...newSites.map(site => ({job, site})));
@@ -156,7 +164,7 @@
 	return Math.min(count(needs.cpu, free.cpu), count(needs.memoryMb, free.memoryMb), count(needs.accelerators, free.accelerators));
 }
 
-function getMaxCpu(sites: ReadonlyArray<Site<PlannedUpstream>>): number {
+function getMaxCpu(sites: ReadonlyArray<Site<PlacementCandidate>>): number {
 	let maxCpu = -Infinity;
 	for (const {free} of sites) {
 		maxCpu = Math.max(maxCpu, free.cpu);
@@ -165,7 +173,7 @@
 	return maxCpu;
 }
 
-function chooseSite<U extends PlannedUpstream>(job: WaitingTasks, sites: ReadonlyArray<Site<U>>): Site<U> | undefined {
+function chooseSite<U extends PlacementCandidate>(job: WaitingTasks, sites: ReadonlyArray<Site<U>>): Site<U> | undefined {
 	const {step, placedCounts, expectedMs} = job;
 	let best: Site<U> | undefined;
 	for (const site of sites) {
@@ -179,26 +187,25 @@
 	return best;
 }
 
-function compareSites({step, avoided}: WaitingTasks, a: Site<PlannedUpstream>, b: Site<PlannedUpstream>): number {
+function compareSites({step, avoided}: WaitingTasks, a: Site<PlacementCandidate>, b: Site<PlacementCandidate>): number {
 	return (avoided.size === 0 ? 0 : Number(avoided.has(a.upstream.id)) - Number(avoided.has(b.upstream.id)))
-		|| compareCosts(step, {...a.upstream, free: a.free}, {...b.upstream, free: b.free});
+		|| compareCosts(step, a, b);
 }
 
-function take(site: Site<PlannedUpstream>, {step: {needs}, expectedMs}: WaitingTasks): void {
-	const {upstream, reservation} = site;
-	const inMs = expectedMs * upstream.slowness;
+function take(site: Site<PlacementCandidate>, {step: {needs}, expectedMs}: WaitingTasks): void {
+	const {slowness, reservation} = site;
+	const inMs = expectedMs * slowness;
 	if (reservation !== undefined && inMs > reservation.inMs) {
 		reservation.beside = subtract(reservation.beside, needs);
 	}
 
 	site.free = subtract(site.free, needs);
-	const releases = getReleases(site);
-	const position = releases.findIndex(release => release.inMs > inMs);
-	releases.splice(position === -1 ? releases.length : position, 0, {inMs, needs});
+	site.started.push({inMs, needs});
+	site.releases = undefined;
 }
 
 /** Reserves capacity for tasks of a job where it becomes free soonest; gets the upstreams. */
-function reserve<U extends PlannedUpstream>({step, placedCounts}: WaitingTasks, count: number, sites: ReadonlyArray<Site<U>>): ReadonlyArray<Site<U>> {
+function reserve<U extends PlacementCandidate>({step, placedCounts}: WaitingTasks, count: number, sites: ReadonlyArray<Site<U>>): ReadonlyArray<Site<U>> {
 	const found: Array<{readonly site: Site<U>; readonly inMs: number; readonly free: TaskNeeds}> = [];
 	for (const site of sites) {
 		if (site.reservation !== undefined || !isAllowedOn(step, site.upstream, placedCounts)) {
@@ -233,29 +240,31 @@
 }
 
 /** Gets whether the last task of a job is expected to end too late, if the tasks start wherever capacity becomes free from now on. */
-function isTooLate({step, count, expectedMs, slackMs, placedCounts}: WaitingTasks, sites: ReadonlyArray<Site<PlannedUpstream>>, freeElsewhere: readonly number[]): boolean {
+function isTooLate({step, count, expectedMs, slackMs, placedCounts}: WaitingTasks, sites: ReadonlyArray<Site<PlacementCandidate>>, freeElsewhere: readonly number[]): boolean {
 	let remaining = count;
 	for (const cpu of freeElsewhere) {
 		remaining -= Math.floor(cpu / step.needs.cpu);
 	}
 
-	const allowed = sites.filter(({upstream}) => isAllowedOn(step, upstream, placedCounts));
-	const fittingNow = allowed.map(({free}) => countFitting(step.needs, free));
-	for (const fitting of fittingNow) {
-		remaining -= fitting;
-	}
-
-	if (remaining <= 0) {
-		return false;
+	const allowed: Array<{readonly site: Site<PlacementCandidate>; readonly fittingNow: number}> = [];
+	for (const site of sites) {
+		if (isAllowedOn(step, site.upstream, placedCounts)) {
+			const fittingNow = step.needs.cpu > site.free.cpu ? 0 : countFitting(step.needs, site.free);
+			allowed.push({site, fittingNow});
+			remaining -= fittingNow;
+			if (remaining <= 0) {
+				return false;
+			}
+		}
 	}
 
 	// Later starts, each on what becomes free or after a task of the job itself.
-	for (const [position, site] of allowed.entries()) {
+	for (const {site, fittingNow} of allowed) {
 		const durationMs = expectedMs * site.upstream.slowness;
 		const latestMs = slackMs - expectedMs;
 		const countStarts = (fromMs: number): number => Math.max(0, Math.floor((latestMs - fromMs) / Math.max(1, durationMs)));
 		let {free} = site;
-		let fitting = fittingNow[position]!;
+		let fitting = fittingNow;
 		remaining -= multiplyCounts(fitting, countStarts(0));
 		for (const {inMs, needs} of getReleases(site)) {
 			if (inMs > latestMs || remaining <= 0) {
@@ -281,8 +290,8 @@
 	return a === 0 || b === 0 ? 0 : a * b;
 }
 
-function getReleases(site: Site<PlannedUpstream>): ExpectedRelease[] {
-	site.releases ??= site.upstream.getReleases().toSorted((a, b) => a.inMs - b.inMs);
+function getReleases(site: Site<PlacementCandidate>): readonly ExpectedRelease[] {
+	site.releases ??= [...site.readReleases(), ...site.started].sort((a, b) => a.inMs - b.inMs);
 	return site.releases;
 }
 
--- a/test/scheduling/start-plan.test.ts
+++ b/test/scheduling/start-plan.test.ts
@@ -1,14 +1,20 @@
 import test from 'ava';
 import {
-	getRemainingMs, parseSchedulingOptions, planStarts, type PlannedUpstream, type WaitingTasks,
+	type ExpectedRelease, getRemainingMs, parseSchedulingOptions, type PlacementCandidate, planStarts as planStartsOf, type StartPlanOptions, type WaitingTasks,
 } from '../../src/scheduling/index.js';
 import {
 	customerOne, customerTwo, replay, type ReplayLoad, type ReplayOptions, type ReplayResult,
 } from './start-replay.js';
 
-function createUpstream(id: string, freeCpu: number, releases: ReadonlyArray<readonly [inMs: number, cpu: number]> = []): PlannedUpstream {
+type TestUpstream = PlacementCandidate & {readonly releases: readonly ExpectedRelease[]};
+
+function planStarts(jobs: readonly WaitingTasks[], upstreams: readonly TestUpstream[], options: Partial<StartPlanOptions<TestUpstream>> = {}) {
+	return planStartsOf(jobs, upstreams, {getReleases: ({releases}) => releases, ...options});
+}
+
+function createUpstream(id: string, freeCpu: number, releases: ReadonlyArray<readonly [inMs: number, cpu: number]> = []): TestUpstream {
 	return {
-		id, rack: 'r', labels: [], free: createNeeds(freeCpu), slowness: 1, isSuspect: false, getReleases: () => releases.map(([inMs, cpu]) => ({inMs, needs: createNeeds(cpu)})),
+		id, rack: 'r', labels: [], free: createNeeds(freeCpu), slowness: 1, isSuspect: false, releases: releases.map(([inMs, cpu]) => ({inMs, needs: createNeeds(cpu)})),
 	};
 }
 
--- a/test/scheduling/start-replay.ts
+++ b/test/scheduling/start-replay.ts
@@ -3,7 +3,7 @@
  */
 import {type JobStep, type TaskNeeds} from '../../src/pool/index.js';
 import {
-	chooseUpstream, decideAdmission, fits, getRemainingMs, OfferedLoad, planStarts, type PlannedUpstream, sortByUrgency, type StartPlanOptions, type WaitingTasks,
+	chooseUpstream, decideAdmission, fits, getRemainingMs, OfferedLoad, planStarts, sortByUrgency, type StartPlanOptions, type WaitingTasks,
 } from '../../src/scheduling/index.js';
 import {createSeededRandom, type Random} from '../../src/seams/index.js';
 
@@ -83,7 +83,7 @@
 	readonly upstreamCount?: number;
 	readonly durationMs?: number;
 	/** `undefined` for the greedy decision. */
-	readonly plan?: StartPlanOptions;
+	readonly plan?: Partial<StartPlanOptions<unknown>>;
 };
 
 /** Replays a load. */
@@ -153,10 +153,10 @@
 		const waiting = rest.map(job => ({
 			job, step: job.step, count: job.tasks.length - job.started, expectedMs: job.longestMs > 0 ? job.longestMs : job.estimateMs, hasStarted: job.hasStarted, slackMs: (now + job.estimateMs > job.objectiveAt ? job.lastUsefulAt : job.objectiveAt) - now, avoided: new Set<string>(),
 		} satisfies WaitingTasks & {job: Job}));
-		const planned = upstreams.map(upstream => ({
-			...upstream, upstream, getReleases: () => [...upstream.runs].map(run => ({inMs: getRemainingMs(now - run.startedAt, (run.job.longestMs > 0 ? run.job.longestMs : run.job.estimateMs) * upstream.slowness), needs: run.job.needs})),
-		} satisfies PlannedUpstream & {upstream: Upstream; runs: unknown; capacity: unknown}));
-		const result = planStarts(waiting, planned, {holdsJobs: waiting.length > 1, ...plan});
+		const getReleases = ({runs: ofUpstream, slowness}: Upstream) => [...ofUpstream].map(({job, startedAt}) => ({
+			inMs: getRemainingMs(now - startedAt, (job.longestMs > 0 ? job.longestMs : job.estimateMs) * slowness), needs: job.needs,
+		}));
+		const result = planStarts(waiting, upstreams, {getReleases, holdsJobs: waiting.length > 1, ...plan});
 		for (const job of queue) {
 			job.isHeld = false;
 		}
@@ -168,7 +168,7 @@
 		reservations += result.reservations.length;
 		for (const planStart of result.starts) {
 			backfilled += Number(planStart.isBackfilled);
-			start(planStart.job.job, planStart.upstream.upstream, now);
+			start(planStart.job.job, planStart.upstream, now);
 		}
 	};
 
