--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -16,6 +16,9 @@
 	readonly isSuspect: boolean;
 };
 
+/** Properties of an upstream by which candidates are compared. */
+export type PlacementCosts = Pick<PlacementCandidate, 'rack' | 'free' | 'slowness' | 'isSuspect'>;
+
 /** Slowness is rounded to multiples of this value, so that noise does not take precedence over packing. */
 const slownessTolerance = 0.15;
 
@@ -62,7 +65,7 @@
  * @param a - Candidate.
  * @param b - Candidate.
  */
-export function compareCosts({dataRack}: JobStep, a: PlacementCandidate, b: PlacementCandidate): number {
+export function compareCosts({dataRack}: JobStep, a: PlacementCosts, b: PlacementCosts): number {
 	return (Number(a.isSuspect) - Number(b.isSuspect))
 		|| (dataRack === undefined ? 0 : Number(dataRack !== a.rack) - Number(dataRack !== b.rack))
 		|| (Math.round(a.slowness / slownessTolerance) - Math.round(b.slowness / slownessTolerance))
