--- a/src/testing/fleet-run.ts
+++ b/src/testing/fleet-run.ts
@@ -69,7 +69,7 @@
 }
 
 /** Options of a fleet beside its seed and its faults. */
-export type FleetRunOptions = Pick<PoolFleetOptions, 'hasLeavers' | 'hasResenders' | 'patientShare' | 'wrapConfirmation' | 'wrapMessage' | 'wrapOrders' | 'wrapProgress' | 'wrapUpstreams'>;
+export type FleetRunOptions = Pick<PoolFleetOptions, 'hasLeavers' | 'hasResenders' | 'patientShare' | 'scheduling' | 'wrapConfirmation' | 'wrapMessage' | 'wrapOrders' | 'wrapProgress' | 'wrapUpstreams'>;
 
 /**
  * Runs a simulated fleet and checks its record.
--- a/src/testing/fleet-vm.ts
+++ b/src/testing/fleet-vm.ts
@@ -8,6 +8,7 @@
 	type DecisionLog, getDataCenter, type LogFields, type PollOutcome, StartupOwnerCheck, type OrderOptions, type OrderOutcome, PoolLayout, PoolNode, type StoredClaim, type UpstreamDescription,
 	type UpstreamOrders,
 } from '../pool/index.js';
+import {type SchedulingOptions} from '../scheduling/index.js';
 import {
 	type Clock, createSeededRandom, sleep,
 } from '../seams/index.js';
@@ -54,6 +55,8 @@
 	readonly wrapConfirmation?: (confirmation: SenderConfirmation) => SenderConfirmation;
 	/** Replaces what VMs receive from each other, for tests of the checks. */
 	readonly wrapMessage?: (message: PeerRequest) => PeerRequest;
+	/** Parts of the scheduling that are in use; by default, all. */
+	readonly scheduling?: SchedulingOptions;
 	/** Replaces what the VM knows of its input, for tests of the checks. */
 	readonly wrapProgress?: (progress: InputProgress, clock: Clock) => InputProgress;
 };
@@ -159,6 +162,7 @@
 			inputProgress,
 			orders: this.#createOrders(),
 			maxLeaseMs: 1000,
+			scheduling: options.scheduling,
 			isSettled: () => this.#neighbours.isSettled(),
 			getVmCount: () => this.#neighbours.getVmCount() + 1,
 			claims: {
--- a/src/testing/pool-fleet.ts
+++ b/src/testing/pool-fleet.ts
@@ -5,6 +5,7 @@
 import {
 	getPoolNames, getPoolOfUpstream, type TaskNeeds, type UpstreamDescription, type UpstreamOrders,
 } from '../pool/index.js';
+import {type SchedulingOptions} from '../scheduling/index.js';
 import {type Clock, createSeededRandom, type Random} from '../seams/index.js';
 import {FleetCallers} from './fleet-callers.js';
 import {type ListedCapacity, type SentOrder} from './fleet-checks.js';
@@ -50,6 +51,8 @@
 	readonly wrapConfirmation?: (confirmation: SenderConfirmation) => SenderConfirmation;
 	/** Replaces what VMs receive from each other, for tests of the checks. */
 	readonly wrapMessage?: (message: PeerRequest) => PeerRequest;
+	/** Parts of the scheduling that are in use; by default, all. */
+	readonly scheduling?: SchedulingOptions;
 	/** Replaces what VMs know of their input, for tests of the checks. */
 	readonly wrapProgress?: (progress: InputProgress, clock: Clock) => InputProgress;
 };
@@ -271,6 +274,7 @@
 			wrapOrders: this.#options.wrapOrders,
 			wrapConfirmation: this.#options.wrapConfirmation,
 			wrapMessage: this.#options.wrapMessage,
+			scheduling: this.#options.scheduling,
 			wrapProgress: this.#options.wrapProgress,
 		}));
 	}
