--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -31,6 +31,7 @@
 import {mayClaimAnotherPool, sortByVmPreference} from './pool-share.js';
 import {type RoutingCount} from './routing-counts.js';
 import {getConfirmedSince} from './sender-confirmation.js';
+import {StartCounts} from './start-counts.js';
 import {StarvationDetector} from './starvation-detector.js';
 import {type StoredClaims} from './stored-claims.js';
 import {type UpstreamDescription, type UpstreamOrders} from './upstream-orders.js';
@@ -117,6 +118,8 @@
 	readonly proofAges = new ProofAges();
 	/** Decisions on runs that took long. */
 	readonly overdueCounts = new OverdueCounts();
+	/** What the plans of starts in the pools owned here decided. */
+	readonly startCounts = new StartCounts();
 	readonly #options: PoolNodeOptions;
 	readonly #owned = new Map<string, PoolOwner>();
 	readonly #fences: FenceIssuer;
@@ -663,6 +666,7 @@
 			getStoppedMs: () => this.#pauses.getStoppedMs(),
 			getStoppedMsSince: since => this.#pauses.getStoppedMsSince(since),
 			proofAges: this.proofAges,
+			startCounts: this.startCounts,
 		}, [...getUpstreams(pool), ...getMissingUpstreams(pool)]);
 		this.#owned.set(pool, owner);
 		if (this.#isIsolated()) {
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -16,6 +16,9 @@
 	readonly isSuspect: boolean;
 };
 
+/** Properties of an upstream by which candidates are compared. */
+export type PlacementCosts = Pick<PlacementCandidate, 'rack' | 'free' | 'slowness' | 'isSuspect'>;
+
 /** Slowness is rounded to multiples of this value, so that noise does not take precedence over packing. */
 const slownessTolerance = 0.15;
 
@@ -38,7 +41,7 @@
 export function chooseUpstream<T extends PlacementCandidate>(step: JobStep, candidates: Iterable<T>, placedCounts?: ReadonlyMap<string, number>, maxSlowness?: number): T | undefined {
 	let best: T | undefined;
 	for (const candidate of candidates) {
-		if (isAllowed(step, candidate, placedCounts) && (best === undefined || compareCosts(step, candidate, best, maxSlowness) < 0)) {
+		if (fits(step.needs, candidate.free) && isAllowedOn(step, candidate, placedCounts) && (best === undefined || compareCosts(step, candidate, best, maxSlowness) < 0)) {
 			best = candidate;
 		}
 	}
@@ -46,14 +49,25 @@
 	return best;
 }
 
-function isAllowed(step: JobStep, candidate: PlacementCandidate, placedCounts: ReadonlyMap<string, number> | undefined): boolean {
-	return fits(step.needs, candidate.free)
-		&& (step.requiredLabel === undefined || candidate.labels.includes(step.requiredLabel))
+/**
+ * Gets whether tasks of a step may run on an upstream, however much of it is free.
+ * @param step - Step of the task.
+ * @param candidate - Upstream.
+ * @param placedCounts - Number of running tasks of the same step by upstream.
+ */
+export function isAllowedOn(step: JobStep, candidate: PlacementCandidate, placedCounts: ReadonlyMap<string, number> | undefined): boolean {
+	return (step.requiredLabel === undefined || candidate.labels.includes(step.requiredLabel))
 		&& (step.maxPerUpstream === undefined || (placedCounts?.get(candidate.id) ?? 0) < step.maxPerUpstream);
 }
 
-/** Compares two candidates; the result is negative if the first one is better. */
-function compareCosts({dataRack}: JobStep, a: PlacementCandidate, b: PlacementCandidate, maxSlowness: number | undefined): number {
+/**
+ * Compares two candidates that a task fits; the result is negative if the first one is better.
+ * @param step - Step of the task.
+ * @param a - Candidate.
+ * @param b - Candidate.
+ * @param maxSlowness - Slowness up to which the task is expected to end in time.
+ */
+export function compareCosts({dataRack}: JobStep, a: PlacementCosts, b: PlacementCosts, maxSlowness?: number): number {
 	return (Number(a.isSuspect) - Number(b.isSuspect))
 		|| (dataRack === undefined ? 0 : Number(dataRack !== a.rack) - Number(dataRack !== b.rack))
 		|| compareSlowness(a.slowness, b.slowness, maxSlowness)
--- a/test/platform/learnt-speeds.test.ts
+++ b/test/platform/learnt-speeds.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {LearntSpeeds} from '../../src/platform/learnt-speeds.js';
-import {getSchedulingOptions} from '../../src/platform/scheduling-switches.js';
+import {createSchedulingOptions} from '../../src/scheduling/index.js';
 import {createUpstream} from '../pool/pool-harness.js';
 
 const upstreams = [createUpstream('slow', 16_000), createUpstream('fast', 16_000), createUpstream('average', 16_000)];
@@ -33,6 +33,6 @@
 });
 
 test('parts of the scheduling are switched off by their names', t => {
-	t.deepEqual(getSchedulingOptions(undefined), {});
-	t.deepEqual(getSchedulingOptions('stopsByEvidence, learnsDurations'), {stopsByEvidence: false, learnsDurations: false});
+	t.deepEqual(createSchedulingOptions(undefined), {});
+	t.deepEqual(createSchedulingOptions('stopsByEvidence, learnsDurations'), {stopsByEvidence: false, learnsDurations: false});
 });
--- a/test/pool/fleet-mutants.test.ts
+++ b/test/pool/fleet-mutants.test.ts
@@ -56,7 +56,9 @@
  * Decisions under which the faults of the fleets below were drawn: with others, tasks start at other times and places, and the wrong readings
  * cause no double run in these fleets.
  */
-const formerScheduling = {stopsByEvidence: false, learnsDurations: false};
+const formerScheduling = {
+	stopsByEvidence: false, learnsDurations: false, reservesCapacity: false, balancesDataCentres: false, commitsWaitingJobs: false,
+};
 
 /** Fleets in which the senders' proof matters: drawn faults without those of the store, and faults of a regression in another fleet. */
 const unprovenFleets = [
