Keep the time from which a run is late, and create runs of one shape

Examine a run again when it may be late, then after a tenth of its age; create all fields at once; keep the slowness with the speed.

--- a/src/pool/neighbour-pool.ts
+++ b/src/pool/neighbour-pool.ts
@@ -56,7 +56,7 @@
 	start(task: LentTask, getConfirmedAt?: () => number): LinkedRun {
 		const now = this.#options.clock.getMonotonicTime();
 		const run: LinkedRun = {
-			task: task.task, number: task.number, needs: task.step.needs, spec: task.spec, startedAt: now, state: 'running', confirmedAt: now, isStopRequested: false,
+			task: task.task, number: task.number, needs: task.step.needs, spec: task.spec, startedAt: now, state: 'running', confirmedAt: now, isStopRequested: false, lateAt: 0,
 		};
 		void this.#awaitRun(run, task, getConfirmedAt);
 		return run;
--- a/src/pool/overdue-runs.ts
+++ b/src/pool/overdue-runs.ts
@@ -3,7 +3,7 @@
  */
 import {type InputProgress} from '../connection/index.js';
 import {
-	decideOverdue, type DurationEstimator, getRemainingMs, getRunNats, getSlowness, hasSpeedChanged, isLate, isOverdue, learnSpeed, type ObservedRun, type OverdueDecision,
+	decideOverdue, type DurationEstimator, getRemainingMs, getRunNats, hasSpeedChanged, isLate, isOverdue, learnSpeed, type ObservedRun, type OverdueDecision,
 } from '../scheduling/index.js';
 import {type Clock} from '../seams/index.js';
 import {getJob} from './crash-ledger.js';
@@ -34,8 +34,8 @@
 /** Route under which the durations of lent runs are learnt: the borrower tells what it expects, but not the route. */
 const lentRoute = '';
 
-/** Standard errors by which an upstream is taken to be slower than learnt, so that one of which little is known is not judged by the speed of others. */
-const speedDeviations = 1;
+/** Share of its age after which a late run is examined again: the odds hardly change within less, and each examination compares all runs of the upstream. */
+const reexaminationShare = 0.1;
 
 /** Examines runs that take long. */
 export class OverdueRuns {
@@ -78,9 +78,9 @@
 			return undefined;
 		}
 
-		const {durations, getExpectation} = this.createExpectation(job, task);
+		const durations = this.#options.estimator.getDurations(job.request.rules.route);
 		const remainingMs = job.objectiveAt - this.#options.clock.getMonotonicTime();
-		return remainingMs / durations.getLikelyMs(getExpectation());
+		return remainingMs / durations.getLikelyMs({estimateMs: job.getStep(task).estimateMs, siblingMs: job.getSiblingMs(task)});
 	}
 
 	/**
@@ -96,7 +96,7 @@
 		}
 
 		const {durations, getExpectation} = run.expectation;
-		const slowness = getSlowness(link.speed);
+		const {slowness} = link.speed;
 		return getRemainingMs({
 			durations, expectation: getExpectation(), ageMs: this.#options.clock.getMonotonicTime() - run.startedAt, slowness,
 		}, quantile);
@@ -122,12 +122,12 @@
 		const measuredMs = now - run.startedAt;
 		recordSuccess(link, this.#options.learnsDurations ? undefined : measuredMs / Math.max(1, referenceMs));
 		if (run.expectation === undefined) {
-			return measuredMs / getSlowness(link.speed);
+			return measuredMs / link.speed.slowness;
 		}
 
 		const observed = this.#observe(link, run, run.expectation, {now, unreadMs: 0});
 		const {durations, expectation, ageMs} = observed;
-		const slowness = getSlowness(link.speed, speedDeviations);
+		const slowness = link.speed.cautiousSlowness;
 		if (isLate(observed, slowness)) {
 			link.lateNats += getRunNats(observed, slowness);
 		} else {
@@ -136,15 +136,15 @@
 			link.normalEndAt = now;
 		}
 
-		const workMs = ageMs / getSlowness(link.speed);
+		const workMs = ageMs / link.speed.slowness;
 		const earlier = link.speed;
 		link.speed = learnSpeed(earlier, durations.compare(expectation, ageMs));
 		if (hasSpeedChanged(earlier, link.speed)) {
-			this.#options.log.info({upstream: link.name, slowness: round(getSlowness(link.speed)), earlierSlowness: round(getSlowness(earlier))}, 'upstream changed its speed');
+			this.#options.log.info({upstream: link.name, slowness: round(link.speed.slowness), earlierSlowness: round(earlier.slowness)}, 'upstream changed its speed');
 		}
 
 		if (this.#options.learnsDurations) {
-			link.slowness = getSlowness(link.speed);
+			link.slowness = link.speed.slowness;
 		}
 
 		durations.add(expectation, workMs);
@@ -159,18 +159,24 @@
 	examineJob(job: QueuedJob, now: number): void {
 		for (const task of job.tasks) {
 			const {host, run} = task;
-			if (host === undefined || run === undefined || run.isStopRequested || run.state !== 'running' || host.isSilent()) {
+			if (run !== undefined && job.hasNewDuration) {
+				run.lateAt = 0;
+			}
+
+			if (host === undefined || run === undefined || now < run.lateAt || run.isStopRequested || run.state !== 'running' || host.isSilent()) {
 				continue;
 			}
 
 			if (!this.#options.stopsByEvidence) {
 				this.#stopByMultiples(job, task, now);
-			} else if (host instanceof UpstreamLink && this.examineRun(host, run, job.deadlineAt - now)) {
+			} else if (host instanceof UpstreamLink && this.examineRun(host, run, now, job.deadlineAt - now)) {
 				// The owners of other pools examine their upstreams' runs themselves.
 				task.avoided = new Set([...task.avoided, host.name]);
 				host.stop(run);
 			}
 		}
+
+		job.hasNewDuration = false;
 	}
 
 	/**
@@ -179,7 +185,7 @@
 	 * @param run - Run.
 	 */
 	shouldStopLent(link: UpstreamLink, run: LinkedRun): boolean {
-		return this.#options.stopsByEvidence && !run.isStopRequested && run.state === 'running' && !link.isSilent() && this.examineRun(link, run, Infinity);
+		return this.#options.stopsByEvidence && !run.isStopRequested && run.state === 'running' && !link.isSilent() && this.examineRun(link, run, this.#options.clock.getMonotonicTime(), Infinity);
 	}
 
 	/**
@@ -194,16 +200,16 @@
 	 * Decides whether a run is stopped, and records the failure of its upstream if it is at fault.
 	 * @param link - Upstream.
 	 * @param run - Run.
+	 * @param now - Monotonic time.
 	 * @param remainingMs - Time until the caller stops waiting, in milliseconds; `Infinity` if that is not known.
 	 */
-	examineRun(link: UpstreamLink, run: LinkedRun, remainingMs: number): boolean {
-		const {clock, log, inputProgress} = this.#options;
-		const now = clock.getMonotonicTime();
-		const {expectation} = run;
-		if (expectation === undefined || !isLate({durations: expectation.durations, expectation: expectation.getExpectation(), ageMs: now - run.startedAt}, getSlowness(link.speed, speedDeviations))) {
+	examineRun(link: UpstreamLink, run: LinkedRun, now: number, remainingMs: number): boolean {
+		const {log, inputProgress} = this.#options;
+		if (run.expectation === undefined || !this.#mayBeLate(link, run, run.expectation, now)) {
 			return false;
 		}
 
+		run.lateAt = now + ((now - run.startedAt) * reexaminationShare);
 		let decision = this.#decide(link, run, {remainingMs, now, unreadMs: 0});
 		const unreadMs = now - inputProgress.getReadUntil();
 		if (unreadMs > 0 && (decision.verdict === 'stop' || decision.verdict === 'too-late')) {
@@ -217,7 +223,7 @@
 			// Shows whether anything listens there yet, and the progress of the runs.
 			void link.pollImmediately();
 			log.info({
-				upstream: link.name, faultProbability: round(faultProbability), task: run.task, run: run.number, ageMs: Math.round(observed.ageMs), slowness: round(getSlowness(link.speed)),
+				upstream: link.name, faultProbability: round(faultProbability), task: run.task, run: run.number, ageMs: Math.round(observed.ageMs), slowness: round(link.speed.slowness),
 			}, 'upstream suspected');
 		}
 
@@ -230,7 +236,7 @@
 		this.#counts.add(verdict);
 		log[verdict === 'long-task' ? 'debug' : 'info']({
 			task: run.task, run: run.number, upstream: link.name, verdict, ageMs: Math.round(observed.ageMs), heldMs: Math.round(now - run.startedAt - observed.ageMs),
-			...observed.expectation, slowness: round(getSlowness(link.speed)), faultProbability: round(faultProbability),
+			...observed.expectation, slowness: round(link.speed.slowness), faultProbability: round(faultProbability),
 			normalEndMsAgo: Math.round(now - link.normalEndAt), newRunMs: Math.round(decision.newRunMs), remainingMs: Math.round(remainingMs),
 		}, verdict === 'stop' ? 'run overdue' : 'run late');
 		if (verdict !== 'long-task' && verdict !== 'proceeds') {
@@ -241,7 +247,7 @@
 			return false;
 		}
 
-		link.lateNats += getRunNats(observed, getSlowness(link.speed, speedDeviations));
+		link.lateNats += getRunNats(observed, link.speed.cautiousSlowness);
 		return true;
 	}
 
@@ -261,6 +267,15 @@
 		}
 	}
 
+	/** Gets whether a run may be late, and keeps the time from which it may be, as it is examined many times. */
+	#mayBeLate({speed}: UpstreamLink, run: LinkedRun, {durations, getExpectation}: RunExpectation, now: number): boolean {
+		if (now >= run.lateAt) {
+			run.lateAt = run.startedAt + (durations.getLateMs(getExpectation()) * speed.cautiousSlowness);
+		}
+
+		return now >= run.lateAt;
+	}
+
 	#decide(link: UpstreamLink, run: LinkedRun, {remainingMs, now, unreadMs}: {readonly remainingMs: number; readonly now: number; readonly unreadMs: number}): OverdueDecision & {readonly observed: ObservedRun} {
 		const runs: ObservedRun[] = [];
 		for (const other of link.getRuns()) {
@@ -270,7 +285,7 @@
 		}
 
 		const observed = this.#observe(link, run, run.expectation!, {now, unreadMs});
-		return {...decideOverdue(observed, {slowness: getSlowness(link.speed, speedDeviations), endedNats: link.lateNats, runs}, remainingMs), observed};
+		return {...decideOverdue(observed, {slowness: link.speed.cautiousSlowness, endedNats: link.lateNats, runs}, remainingMs), observed};
 	}
 
 	/** Gets a run with its age as far as this process would know its end, less the times in which it was held. */
--- a/src/pool/queued-job.ts
+++ b/src/pool/queued-job.ts
@@ -73,6 +73,8 @@
 	isReevaluated = false;
 	/** Monotonic time until which no task is started, since runs of an earlier owner may go on; 0 for none. */
 	startsDeferredUntil = 0;
+	/** Whether the durations of the tasks that are done tell more of the others since these were last examined. */
+	hasNewDuration = false;
 	/** Longest duration of a completed task of the job, in milliseconds; 0 for none yet. */
 	longestRunMs = 0;
 	/** Monotonic time since which no sender of the job is known to wait; `undefined` while one is. */
@@ -249,6 +251,8 @@
 		const ratio = workMs / Math.max(1, this.getStep(task).estimateMs);
 		const position = this.#workRatios.findIndex(other => other > ratio);
 		this.#workRatios.splice(position === -1 ? this.#workRatios.length : position, 0, ratio);
+		// Their median changes little with further ones.
+		this.hasNewDuration ||= Number.isInteger(Math.log2(this.#workRatios.length));
 	}
 
 	/** Gets the waiting tasks whose preceding steps are done. */
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -3,7 +3,7 @@
  */
 import {setMaxListeners} from 'node:events';
 import {
-	type OverdueDecision, type RouteDurations, type RunProgress, type TaskExpectation, type UpstreamSpeed, createSpeed, getSlowness,
+	type OverdueDecision, type RouteDurations, type RunProgress, type TaskExpectation, type UpstreamSpeed, createSpeed,
 } from '../scheduling/index.js';
 import {type Clock, sleep, type Timer} from '../seams/index.js';
 import {getJob} from './crash-ledger.js';
@@ -149,6 +149,8 @@
 	expectation?: RunExpectation;
 	/** What the upstream last reported of its progress; `undefined` if it reports none. */
 	progress?: RunProgress;
+	/** Monotonic time before which the run is not late; 0 if that is to be determined. */
+	lateAt: number;
 	/** Last decision on the run if it took long. */
 	verdict?: OverdueDecision['verdict'];
 	state: 'starting' | 'running' | 'stopping' | 'lost';
@@ -234,7 +236,7 @@
 		this.#options = options;
 		this.describedBornMs = description.bornMs;
 		this.speed = createSpeed(description.learntSlowness);
-		this.slowness = getSlowness(this.speed);
+		this.slowness = this.speed.slowness;
 		this.#timing = options.timing ?? defaultUpstreamLinkTiming;
 		this.#lastLeaseMs = this.#timing.leaseMs;
 		this.#silentSince = options.clock.getMonotonicTime();
@@ -340,10 +342,22 @@
 	 * Starts a run; its end or refusal is reported as an event.
 	 * @param run - Run, with its needs and the text of its job.
 	 */
-	start(run: Run & Pick<LinkedRun, 'needs' | 'spec' | 'getLeaseLimit' | 'expectation'>): LinkedRun {
-		const now = this.#options.clock.getMonotonicTime();
+	start({task, number, needs, spec, getLeaseLimit, expectation}: Run & Pick<LinkedRun, 'needs' | 'spec' | 'getLeaseLimit' | 'expectation'>): LinkedRun {
+		// All fields at once: objects of one shape are faster to create and to read than copies that grow.
 		const linked: LinkedRun = {
-			...run, startedAt: now, state: 'starting', confirmedAt: Infinity, isStopRequested: false,
+			task,
+			number,
+			needs,
+			spec,
+			getLeaseLimit,
+			expectation,
+			startedAt: this.#options.clock.getMonotonicTime(),
+			state: 'starting',
+			confirmedAt: Infinity,
+			isStopRequested: false,
+			lateAt: 0,
+			progress: undefined,
+			verdict: undefined,
 		};
 		this.#addRun(linked);
 		void this.#sendStart(linked);
@@ -382,7 +396,7 @@
 
 		this.#removeUnclaimed(task);
 		const linked: LinkedRun = {
-			task, number: run.number, needs, spec, getLeaseLimit, startedAt: run.seenAt, state: 'running', confirmedAt: this.#getDecisiveAt(run.seenAt), isStopRequested: false,
+			task, number: run.number, needs, spec, getLeaseLimit, startedAt: run.seenAt, state: 'running', confirmedAt: this.#getDecisiveAt(run.seenAt), isStopRequested: false, lateAt: 0,
 		};
 		this.#addRun(linked);
 		return linked;
--- a/src/scheduling/upstream-speed.ts
+++ b/src/scheduling/upstream-speed.ts
@@ -9,6 +9,10 @@
 	readonly logSlowness: number;
 	/** Variance of its error. */
 	readonly variance: number;
+	/** Most probable slowness. */
+	readonly slowness: number;
+	/** Slowness that is larger by one standard error, so that an upstream of which little is known is not judged by the speed of others. */
+	readonly cautiousSlowness: number;
 	/** Sign of the last run's deviation if it was far off; 0 if it was not. */
 	readonly outlier: -1 | 0 | 1;
 };
@@ -40,7 +44,7 @@
 const minChange = 0.2;
 
 /** An upstream of which no run has ended. */
-export const unknownSpeed: UpstreamSpeed = {logSlowness: 0, variance: initialVariance, outlier: 0};
+const unknownSpeed = toSpeed(0, initialVariance, 0);
 
 /** Variance of a speed that another owner has learnt: it may be old, so that the first runs here count more than it. */
 const reportedVariance = 0.04;
@@ -50,7 +54,7 @@
  * @param slowness - Slowness that another owner has learnt; `undefined` if none has.
  */
 export function createSpeed(slowness?: number): UpstreamSpeed {
-	return slowness === undefined ? unknownSpeed : {logSlowness: Math.log(slowness), variance: reportedVariance, outlier: 0};
+	return slowness === undefined ? unknownSpeed : toSpeed(Math.log(slowness), reportedVariance, 0);
 }
 
 /**
@@ -68,11 +72,11 @@
 	const earlierVariance = hasChanged ? Math.max(initialVariance, (deviation / maxDeviations) ** 2) : variance + (noise * changeShare);
 	const gain = earlierVariance / (earlierVariance + noise);
 	const isCounted = sign === 0 || hasChanged;
-	return {
-		logSlowness: (logSlowness * anchoring) + (isCounted ? gain * deviation : 0),
-		variance: isCounted ? earlierVariance * (1 - gain) : earlierVariance,
-		outlier: hasChanged ? 0 : sign,
-	};
+	return toSpeed(
+		(logSlowness * anchoring) + (isCounted ? gain * deviation : 0),
+		isCounted ? earlierVariance * (1 - gain) : earlierVariance,
+		hasChanged ? 0 : sign,
+	);
 }
 
 /**
@@ -84,11 +88,9 @@
 	return earlier.outlier !== 0 && current.outlier === 0 && Math.abs(current.logSlowness - earlier.logSlowness) > minChange;
 }
 
-/**
- * Gets the ratio of durations on an upstream to those on an average one.
- * @param speed - What is known of it.
- * @param deviations - Standard errors that are added; 0 for the most probable ratio.
- */
-export function getSlowness({logSlowness, variance}: UpstreamSpeed, deviations = 0): number {
-	return Math.exp(logSlowness + (deviations * Math.sqrt(variance)));
+function toSpeed(logSlowness: number, variance: number, outlier: UpstreamSpeed['outlier']): UpstreamSpeed {
+	const slowness = Math.exp(logSlowness);
+	return {
+		logSlowness, variance, slowness, cautiousSlowness: slowness * Math.exp(Math.sqrt(variance)), outlier,
+	};
 }
--- a/test/scheduling/upstream-evidence.test.ts
+++ b/test/scheduling/upstream-evidence.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {
-	decideOverdue, DurationDistribution, getFaultProbability, getRemainingMs, getSlowness, learnSpeed, type ObservedRun, RouteDurations, unknownSpeed,
+	createSpeed, decideOverdue, DurationDistribution, getFaultProbability, getRemainingMs, learnSpeed, type ObservedRun, RouteDurations,
 } from '../../src/scheduling/index.js';
 
 /** Durations from 80 to 125% of the estimate, with a share of runs that take 7 times as long. */
@@ -78,15 +78,15 @@
 });
 
 test('a speed is learnt from a few runs, one long task hardly changes it, and two in turn do', t => {
-	let speed = unknownSpeed;
+	let speed = createSpeed();
 	for (const ratio of [2.4, 2.6, 2.5]) {
 		speed = learnSpeed(speed, {logRatio: Math.log(ratio), spread: 0.2});
 	}
 
-	t.true(Math.abs(getSlowness(speed) - 2.5) < 0.3);
+	t.true(Math.abs(speed.slowness - 2.5) < 0.3);
 	const afterLongTask = learnSpeed(speed, {logRatio: Math.log(2.5 * 7), spread: 0.2});
-	t.true(Math.abs(getSlowness(afterLongTask) - getSlowness(speed)) < 0.1);
-	t.true(getSlowness(learnSpeed(afterLongTask, {logRatio: Math.log(2.5 * 5), spread: 0.2})) > 8);
+	t.true(Math.abs(afterLongTask.slowness - speed.slowness) < 0.1);
+	t.true(learnSpeed(afterLongTask, {logRatio: Math.log(2.5 * 5), spread: 0.2}).slowness > 8);
 });
 
 test('the remaining time of a run has a spread, and grows once it has outlasted most others', t => {
