Count the other pools of the common queue when jobs are held back

Cause: pools that lend held wide jobs back which other pools would have started in time. Change: what becomes free in time is counted for all pools of the common queue, in proportion to their cores; the simulation of pools takes the scheduling options.

--- a/bench/pool/simulate-pool.ts
+++ b/bench/pool/simulate-pool.ts
@@ -4,7 +4,7 @@
 import {
 	type DecisionLog, getDataCenter, getInitialCpu, getPoolNames, type PoolDirectory, type PoolJobOutcome, type SubmittedJob,
 } from '../../src/pool/index.js';
-import {choosePool} from '../../src/scheduling/index.js';
+import {choosePool, type SchedulingOptions} from '../../src/scheduling/index.js';
 import {createSeededRandom} from '../../src/seams/index.js';
 import {ManualClock} from '../../src/testing/manual-clock.js';
 import {SimulatedPools} from '../../src/testing/simulated-pools.js';
@@ -49,6 +49,8 @@
 	readonly isLending?: boolean;
 	/** Number of data centres to which the pools are distributed evenly; by default, each has one pool. */
 	readonly dataCenterCount?: number;
+	/** Parts of the scheduling that are in use; by default, all. */
+	readonly scheduling?: SchedulingOptions;
 };
 
 /**
@@ -80,7 +82,7 @@
 	}
 
 	const deployment = new SimulatedPools({
-		clock, log: silentLog, orders: upstreams, upstreams: descriptions, isLending,
+		clock, log: silentLog, orders: upstreams, upstreams: descriptions, isLending, scheduling: options.scheduling,
 	});
 	const directories = Array.from({length: entryCount}, (_, position) => deployment.createDirectory(getDataCenter(pools[position % poolCount]!)));
 	const results: Record<string, KindResult> = {};
--- a/src/pool/start-pass.ts
+++ b/src/pool/start-pass.ts
@@ -28,7 +28,7 @@
 	/** Counts the ages of the proofs at starts. */
 	readonly proofAges: ProofAges;
 	/** Gets the free capacities of the other pools. */
-	readonly neighbours: Pick<PoolNeighbours, 'getFreeCapacities'>;
+	readonly neighbours: Pick<PoolNeighbours, 'getCores' | 'getFreeCapacities'>;
 	readonly neighbourPools: NeighbourPools;
 	/** Keeps tasks under which an upstream has crashed apart from others. */
 	readonly suspectPlacement: SuspectPlacement;
@@ -219,9 +219,12 @@
 		const freeElsewhere = capacities.getOfOtherPools().map(({cpu}) => cpu);
 		// A job that waits alone takes capacity from no other, so that a late answer is better than none.
 		const holdsJobs = jobs.length > 1;
+		const startsPerOwnStart = this.#getStartsPerOwnStart();
 		for (const [service, serviceJobs] of byService) {
 			const waiting = serviceJobs.flatMap(job => this.#getReady(job, now));
-			const plan = planStarts(waiting, capacities.getUpstreams(service), {getReleases: upstream => this.#getReleases(upstream, now), holdsJobs, freeElsewhere});
+			const plan = planStarts(waiting, capacities.getUpstreams(service), {
+				getReleases: upstream => this.#getReleases(upstream, now), holdsJobs, freeElsewhere, startsPerOwnStart,
+			});
 			for (const {job} of plan.held) {
 				held.add(job);
 			}
@@ -248,6 +251,16 @@
 		this.#logPlan(now, jobs);
 	}
 
+	/** Gets the ratio of the cores of all pools with a common queue to those of this one. */
+	#getStartsPerOwnStart(): number {
+		let ownCores = 0;
+		for (const {description} of this.#options.getOpenLinks()) {
+			ownCores += description.capacity.cpu / 1000;
+		}
+
+		return 1 + (this.#options.neighbours.getCores() / Math.max(1, ownCores));
+	}
+
 	/** Gets the jobs that a plan examines by service: the head, and those behind it of which a task fits. */
 	#getPlannedJobs(jobs: readonly QueuedJob[], capacities: FreeCapacities): ReadonlyMap<string, readonly QueuedJob[]> {
 		const byService = new Map<string, QueuedJob[]>();
--- a/src/scheduling/start-plan.ts
+++ b/src/scheduling/start-plan.ts
@@ -45,6 +45,11 @@
 	readonly holdsJobs?: boolean;
 	/** Thousandths of a core that are free on each of other pools' upstreams. */
 	readonly freeElsewhere?: readonly number[];
+	/**
+	 * Number of starts in all pools for each start here, by which what becomes free in time is counted, since pools start each other's tasks; 1 for a
+	 * pool by itself.
+	 */
+	readonly startsPerOwnStart?: number;
 };
 
 /** A task to start. */
@@ -94,7 +99,7 @@
 export function planStarts<J extends WaitingTasks, U extends PlacementCandidate>(
 	jobs: readonly J[],
 	upstreams: readonly U[],
-	{getReleases, maxReservedJobs = 1, holdsJobs = true, freeElsewhere = []}: StartPlanOptions<U>,
+	{getReleases, maxReservedJobs = 1, holdsJobs = true, freeElsewhere = [], startsPerOwnStart = 1}: StartPlanOptions<U>,
 ): StartPlan<J, U> {
 	const sites = upstreams.map((upstream): Site<U> => ({
 		upstream, isSuspect: upstream.isSuspect, rack: upstream.rack, slowness: upstream.slowness, readReleases: () => getReleases(upstream), free: upstream.free, releases: undefined, started: [], reservation: undefined,
@@ -116,7 +121,7 @@
 			continue;
 		}
 
-		if (holdsJobs && !job.hasStarted && isTooLate(job, sites, freeElsewhere)) {
+		if (holdsJobs && !job.hasStarted && isTooLate(job, sites, {freeElsewhere, startsPerOwnStart})) {
 			held.push(job);
 			continue;
 		}
@@ -240,7 +245,7 @@
 }
 
 /** Gets whether the last task of a job is expected to end too late, if the tasks start wherever capacity becomes free from now on. */
-function isTooLate({step, count, expectedMs, slackMs, placedCounts}: WaitingTasks, sites: ReadonlyArray<Site<PlacementCandidate>>, freeElsewhere: readonly number[]): boolean {
+function isTooLate({step, count, expectedMs, slackMs, placedCounts}: WaitingTasks, sites: ReadonlyArray<Site<PlacementCandidate>>, {freeElsewhere, startsPerOwnStart}: Required<Pick<StartPlanOptions<unknown>, 'freeElsewhere' | 'startsPerOwnStart'>>): boolean {
 	let remaining = count;
 	for (const cpu of freeElsewhere) {
 		remaining -= Math.floor(cpu / step.needs.cpu);
@@ -258,6 +263,7 @@
 		}
 	}
 
+	remaining /= startsPerOwnStart;
 	// Later starts, each on what becomes free or after a task of the job itself.
 	for (const {site, fittingNow} of allowed) {
 		const durationMs = expectedMs * site.upstream.slowness;
--- a/src/testing/simulated-pools.ts
+++ b/src/testing/simulated-pools.ts
@@ -6,6 +6,7 @@
 	type Candidate, CrashLedger, CrashReports, type DecisionLog, failedRunsTopic, createLocalSender, getConfirmedSince, noNeighbours, PoolDirectory, PoolLending, PoolOwner,
 	type UpstreamDescription, type UpstreamOrders,
 } from '../pool/index.js';
+import {type SchedulingOptions} from '../scheduling/index.js';
 import {type Clock} from '../seams/index.js';
 import {SimulatedPeers} from './simulated-peers.js';
 
@@ -20,6 +21,8 @@
 	readonly isLending?: boolean;
 	/** Whether owners report failed runs to each other at once; true by default. */
 	readonly isReporting?: boolean;
+	/** Parts of the scheduling that are in use; by default, all. */
+	readonly scheduling?: SchedulingOptions;
 };
 
 type OwnerEntry = {readonly vm: string; readonly pool: string; readonly fence: number; readonly owner: PoolOwner; readonly directory: PoolDirectory; readonly ledger: CrashLedger};
@@ -136,6 +139,7 @@
 			maxLeaseMs: 1000,
 			peerSilenceMs: 500,
 			ledger,
+			scheduling: this.#options.scheduling,
 			neighbours: isLending ? lending.createNeighbours(pool) : noNeighbours,
 		}, upstreams.filter(({dataCenter}) => dataCenter === pool));
 		this.#owners.set(pool, {
--- a/test/pool/lending.test.ts
+++ b/test/pool/lending.test.ts
@@ -317,6 +317,27 @@
 	t.true(shares[0]! > shares[1]!);
 });
 
+// Guards against plans that count only on their own pool's upstreams: wide jobs were held back that other pools would have started in time.
+test('at overload, several pools that plan their starts complete more jobs in time, and wide jobs are not given up for that', async t => {
+	const [planned, greedy] = await Promise.all([true, false].map(async reservesCapacity => {
+		const results = await Promise.all([1, 2, 3].map(async seed => {
+			const arrivals = createArrivals({
+				kinds: siteKinds, durationMs: 4000, getFactor: () => 1.38, random: createSeededRandom(seed),
+			});
+			return simulatePool(arrivals, 33, {poolCount: 4, scheduling: {reservesCapacity}});
+		}));
+		const getShare = (kinds: readonly string[]): number => {
+			const selected = results.flatMap(result => kinds.map(kind => result[kind]!));
+			return selected.reduce((sum, {inTime}) => sum + inTime, 0) / selected.reduce((sum, {submitted: asked}) => sum + asked, 0);
+		};
+
+		return {all: getShare(siteKinds.map(({name}) => name)), wide: getShare(['hold'])};
+	}));
+	t.log(planned, greedy);
+	t.true(planned!.all > greedy!.all);
+	t.true(planned!.wide > greedy!.wide - 0.03);
+});
+
 test('the next owner starts no task of a job that its predecessor still runs in another pool, although the job is submitted without the fence of the predecessor', async t => {
 	const getWork = (task: string): SimulatedWork => ({...typicalWork, durationMs: task.startsWith('short') ? 50 : 900});
 	const {clock, upstreams, pools, outcomes, submit} = await createPools({getWork});
--- a/test/scheduling/start-plan.test.ts
+++ b/test/scheduling/start-plan.test.ts
@@ -53,6 +53,7 @@
 	t.is(planStarts([{...job, hasStarted: true}], upstreams).starts.length, 1);
 	t.is(planStarts([{...job, slackMs: 300}], upstreams).held.length, 0);
 	t.is(planStarts([job], upstreams, {freeElsewhere: [64]}).held.length, 0);
+	t.is(planStarts([job], upstreams, {startsPerOwnStart: 4}).held.length, 0);
 });
 
 test('tasks respect memory, labels and the maximum number on one upstream', t => {
