--- a/src/testing/simulated-pools.ts
+++ b/src/testing/simulated-pools.ts
@@ -140,6 +140,7 @@
 			maxLeaseMs: 1000,
 			peerSilenceMs: 500,
 			ledger,
+			scheduling: this.#options.scheduling,
 			neighbours: isLending ? lending.createNeighbours(pool) : noNeighbours,
 		}, upstreams.filter(({dataCenter}) => dataCenter === pool));
 		this.#owners.set(pool, {
