Evacuate data centres named by the operator's items in the store

An operator could not take a data centre out of use: its pools started tasks as long as they had upstreams. All VMs now watch the prefix op/ in the call that watched the configuration, and heartbeats carry the set with its store revision, which never goes back. Owners stop starts and lending, release queued jobs most urgent first to other pools, and refuse truthfully if every data centre is evacuated.

--- a/src/connection/control-link.ts
+++ b/src/connection/control-link.ts
@@ -53,10 +53,10 @@
  * @param previous - Result for the last heartbeat; its status and load are returned again, as the same objects, while they are unchanged.
  */
 export function encodeHeartbeatBody({
-	load, configurationVersion, isLeaving, claims = {}, cores = 1,
+	load, configurationVersion, isLeaving, claims = {}, cores = 1, evacuation,
 }: HeartbeatBody, previous?: EncodedHeartbeatBody): EncodedHeartbeatBody {
 	const status: MemberStatus = {
-		configurationVersion, isLeaving, claims, cores,
+		configurationVersion, isLeaving, claims, cores, ...(evacuation !== undefined && {evacuation}),
 	};
 	const statusBytes = encodeValue(status);
 	const loadBytes = encodeValue(load);
--- a/src/connection/control-messages.ts
+++ b/src/connection/control-messages.ts
@@ -6,6 +6,7 @@
 const maxTextLength = 128;
 const maxReports = 256;
 const maxMembers = 4096;
+const maxDataCenters = 64;
 const text = z.string().max(maxTextLength);
 const count = z.int().min(0);
 
@@ -27,6 +28,8 @@
 	claims: claimsSchema,
 	/** Cores that the process may use. */
 	cores: z.number().positive().default(1),
+	/** Evacuated data centres at a revision of the store; absent if none was ever known to be evacuated. */
+	evacuation: z.object({revision: count, dataCenters: z.array(text).max(maxDataCenters).readonly()}).readonly().optional(),
 }).readonly();
 
 /** Schema of a member in another process's view. */
@@ -187,8 +190,17 @@
 		return false;
 	}
 
-	const {configurationVersion, isLeaving, claims, cores, ...rest} = value;
-	return isCount(configurationVersion) && typeof isLeaving === 'boolean' && isPositive(cores) && isClaims(claims) && hasNoKeys(rest);
+	const {configurationVersion, isLeaving, claims, cores, evacuation, ...rest} = value;
+	return isCount(configurationVersion) && typeof isLeaving === 'boolean' && isPositive(cores) && isClaims(claims) && isOptional(evacuation, isEvacuation) && hasNoKeys(rest);
+}
+
+function isEvacuation(value: unknown): boolean {
+	if (!isObject(value)) {
+		return false;
+	}
+
+	const {revision, dataCenters, ...rest} = value;
+	return isCount(revision) && Array.isArray(dataCenters) && dataCenters.length <= maxDataCenters && dataCenters.every(name => isText(name)) && hasNoKeys(rest);
 }
 
 function isClaims(value: unknown): boolean {
--- a/src/platform/configuration-watch.ts
+++ b/src/platform/configuration-watch.ts
@@ -1,13 +1,18 @@
 /**
- * Keeps the operator's configuration up to date from the store and from peers.
+ * Keeps the operator's configuration up to date from the store and from peers, and passes on the operator's other items.
  */
 import {type DecisionLog, type RoutingTable} from '../pool/index.js';
 import {Backoff, type Clock, sleep} from '../seams/index.js';
 import {decodeConfiguration} from './decode-configuration.js';
-import {type StoreClient, type StoreFault} from './store-client.js';
+import {
+	type StoreClient, type StoreFault, type StoredChange, type StoredItem,
+} from './store-client.js';
+
+/** Prefix of the operator's items: one call reads or watches all of them, since each call is billed. */
+const operatorPrefix = 'op/';
 
 /** Key of the configuration in the store. */
-const configurationKey = 'op/config';
+const configurationKey = `${operatorPrefix}config`;
 
 /** Longest wait of a watch call, in milliseconds: an unresponsive watch is replaced well within the 2 s that a change may take. */
 const watchWaitMs = 1000;
@@ -15,6 +20,9 @@
 /** Longest wait of a watch call on a VM that peers notify of changes just as fast, in milliseconds; each watch call is billed. */
 const notifiedWaitMs = 4000;
 
+/** Share of the time within which a change has to be known that one watch call may wait; the rest is for its time limit and the read after it. */
+const watchShare = 0.8;
+
 const firstRetryMs = 50;
 const maxRetryMs = 300;
 
@@ -25,6 +33,16 @@
 	readonly store: StoreClient;
 	/** Gets whether peers that watch the store at the short interval notify this VM of new versions. */
 	readonly isNotifiedByPeers?: () => boolean;
+	/** Receives the operator's other items; nobody by default. */
+	readonly evacuations?: OperatorItemListener;
+	/** Longest time within which a change has to be known, in milliseconds; limits the wait of a watch call. */
+	readonly maxChangeMs?: number;
+};
+
+/** Receives the operator's items as they are read and as they change. */
+export type OperatorItemListener = {
+	readonly setItems: (items: readonly StoredItem[], revision: number) => void;
+	readonly addChanges: (changes: readonly StoredChange[]) => void;
 };
 
 /** Holds the newest configuration; its version never decreases. */
@@ -35,6 +53,7 @@
 	#table: RoutingTable | undefined;
 	#text = '';
 	#isStoreUnavailable = false;
+	#isFirstReadDone = false;
 
 	constructor(options: ConfigurationWatchOptions) {
 		this.#options = options;
@@ -50,6 +69,11 @@
 		return this.#text;
 	}
 
+	/** Gets whether the first read of the operator's items has been answered or has failed. */
+	isFirstReadDone(): boolean {
+		return this.#isFirstReadDone;
+	}
+
 	/** Gets whether the last call to the store failed. */
 	isStoreUnavailable(): boolean {
 		return this.#isStoreUnavailable;
@@ -95,40 +119,45 @@
 	}
 
 	async #read(): Promise<number | undefined> {
-		const result = await this.#options.store.getItem(configurationKey);
+		const result = await this.#options.store.getRange(operatorPrefix);
+		this.#isFirstReadDone = true;
 		if (!result.ok) {
 			await this.#handleFault(result);
 			return undefined;
 		}
 
 		this.#setStoreUnavailable(false, '');
-		if (result.value.item !== undefined) {
-			this.addText(result.value.item.value, 'store');
+		const {items, revision} = result.value;
+		const item = items.find(({key}) => key === configurationKey);
+		if (item !== undefined) {
+			this.addText(item.value, 'store');
 		}
 
-		return result.value.revision;
+		this.#options.evacuations?.setItems(items, revision);
+		return revision;
 	}
 
 	async #watch(after: number): Promise<number | undefined> {
-		const {store, isNotifiedByPeers = () => false} = this.#options;
-		const result = await store.getChanges(configurationKey, after, isNotifiedByPeers() ? notifiedWaitMs : watchWaitMs);
+		const {store, isNotifiedByPeers = () => false, maxChangeMs = Infinity} = this.#options;
+		const waitMs = Math.min(isNotifiedByPeers() ? notifiedWaitMs : watchWaitMs, maxChangeMs * watchShare);
+		const result = await store.getChanges(operatorPrefix, after, waitMs);
 		if (!result.ok) {
 			if (result.reason !== 'history-lost') {
 				await this.#handleFault(result);
 			}
 
-			// Whatever the failure, a read of the item returns its latest state.
+			// Whatever the failure, a read of the items returns their latest state.
 			return undefined;
 		}
 
 		this.#setStoreUnavailable(false, '');
-		// The changes are those of all keys that begin with this one.
 		for (const {key, value} of result.value.changes) {
 			if (key === configurationKey && value !== undefined) {
 				this.addText(value, 'store');
 			}
 		}
 
+		this.#options.evacuations?.addChanges(result.value.changes);
 		return result.value.revision;
 	}
 
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -8,7 +8,7 @@
 	createHttpListener, createPeerMesh, dialTcp, EventLoopProgress, type HttpListener, type Incarnation, type PeerMesh, type PeerRequest, type SenderConfirmation,
 } from '../connection/index.js';
 import {
-	configurationTopic, createRateLimitedLog, type DecisionLog, getDataCenter, maxFullMeshVms, StartupOwnerCheck, PoolLayout, PoolNode, type StoredClaim, upstreamsSchema,
+	configurationTopic, createRateLimitedLog, type DecisionLog, Evacuations, getDataCenter, maxFullMeshVms, StartupOwnerCheck, PoolLayout, PoolNode, type StoredClaim, upstreamsSchema,
 	upstreamsTopic,
 } from '../pool/index.js';
 import {
@@ -18,6 +18,7 @@
 import {CancelledJobs, cancelTopic} from './cancelled-jobs.js';
 import {ConfigurationWatch} from './configuration-watch.js';
 import {describeIssues} from './describe-issues.js';
+import {EvacuationWatch} from './evacuation-watch.js';
 import {HttpOrders} from './http-orders.js';
 import {LayoutManager} from './layout-manager.js';
 import {PoolMetrics} from './pool-metrics.js';
@@ -104,6 +105,8 @@
 	readonly #orders: HttpOrders;
 	readonly #inputProgress: EventLoopProgress;
 	readonly #configuration: ConfigurationWatch;
+	readonly #evacuations = new Evacuations();
+	readonly #evacuationWatch: EvacuationWatch;
 	readonly #layout = new PoolLayout();
 	readonly #layoutManager: LayoutManager;
 	readonly #upstreams: UpstreamList;
@@ -135,7 +138,10 @@
 		this.#inputProgress = new EventLoopProgress({clock});
 		this.#orders = new HttpOrders({clock, log: this.#log});
 		const sharedOptions = {clock, log: this.#log, store: this.#store};
-		this.#configuration = new ConfigurationWatch({...sharedOptions, isNotifiedByPeers: () => this.#node.isStandby()});
+		this.#evacuationWatch = new EvacuationWatch({log: this.#log, dataCenters: settings.dataCenters, evacuations: this.#evacuations});
+		this.#configuration = new ConfigurationWatch({
+			...sharedOptions, isNotifiedByPeers: () => this.#node.isStandby(), evacuations: this.#evacuationWatch, maxChangeMs: settings.evacuateMs,
+		});
 		this.#upstreams = new UpstreamList({
 			...sharedOptions,
 			layout: this.#layout,
@@ -332,8 +338,13 @@
 				claims: this.#node?.getFences() ?? {},
 				cores: settings.cores,
 				load: this.#node?.getClaims() ?? {},
+				evacuation: this.#evacuationWatch.getPublishedState(),
 			}),
 			onHeartbeat: (body, from) => {
+				if (body.evacuation !== undefined) {
+					this.#evacuationWatch.addPeerState(body.evacuation, from.id);
+				}
+
 				this.#node?.handleHeartbeat(body.load, from);
 				if (body.configurationVersion > this.getConfigurationVersion()) {
 					void this.#requestConfiguration(body.configurationVersion, from);
@@ -365,7 +376,9 @@
 			maxLeaseMs,
 			resendMs,
 			peerSilenceMs: missedHeartbeatsUntilDown * heartbeatIntervalMs,
-			isSettled: () => this.#neighbours.isSettled(),
+			evacuations: this.#evacuations,
+			// An owner must know the evacuated data centres before it starts tasks.
+			isSettled: () => this.#neighbours.isSettled() && this.#configuration.isFirstReadDone(),
 			getVmCount: () => this.#neighbours.getVmCount() + 1,
 			claims: {
 				addClaim: async pool => this.#addClaim(pool),
--- a/src/platform/settings-file.ts
+++ b/src/platform/settings-file.ts
@@ -22,6 +22,7 @@
 	'bounds.max_hold_ms': milliseconds.default(1000),
 	'bounds.grace_s': milliseconds.default(6),
 	'bounds.resend_ms': milliseconds.default(1300),
+	'bounds.evacuate_ms': milliseconds.default(5000),
 });
 
 /** Settings of an entry VM. */
@@ -46,6 +47,8 @@
 	readonly stopGraceMs: number;
 	/** Time after which a caller without an answer resubmits its job to any VM, in milliseconds. */
 	readonly resendMs: number;
+	/** Time after which no task is started in a data centre that the operator evacuates, in milliseconds; 5000 by default. */
+	readonly evacuateMs?: number;
 };
 
 /** Parsed settings, or the faults, each with its key. */
@@ -87,6 +90,7 @@
 			maxLeaseMs: file['bounds.max_hold_ms'],
 			stopGraceMs: file['bounds.grace_s'] * 1000,
 			resendMs: file['bounds.resend_ms'],
+			evacuateMs: file['bounds.evacuate_ms'],
 		},
 	};
 }
--- a/src/pool/free-capacities.ts
+++ b/src/pool/free-capacities.ts
@@ -4,6 +4,7 @@
  */
 import {type PlacementCandidate} from '../scheduling/index.js';
 import {type NeighbourCapacity} from './lending.js';
+import {type TaskNeeds} from './pool-job.js';
 import {toCandidate} from './upstream-health.js';
 import {type UpstreamLink} from './upstream-link.js';
 
@@ -113,3 +114,21 @@
 function createCandidate(link: UpstreamLink): UpstreamCandidate {
 	return {...toCandidate(link), link};
 }
+
+/**
+ * Gets the thousandths of a core that are free for tasks: none while what runs exceeds any part of a capacity that has shrunk.
+ * @param free - Free capacity.
+ */
+export function getUsableCpu({cpu, memoryMb, accelerators}: TaskNeeds): number {
+	return memoryMb < 0 || accelerators < 0 ? 0 : Math.max(0, cpu);
+}
+
+/**
+ * Gets how many tasks fit into a free capacity.
+ * @param needs - Needs of each task.
+ * @param free - Free capacity.
+ */
+export function countFitting({cpu, memoryMb, accelerators}: TaskNeeds, free: TaskNeeds): number {
+	const count = (need: number, available: number): number => need === 0 ? (available < 0 ? 0 : Infinity) : Math.max(0, Math.floor(available / need));
+	return Math.min(count(cpu, free.cpu), count(memoryMb, free.memoryMb), count(accelerators, free.accelerators));
+}
--- a/src/pool/instance-runs.ts
+++ b/src/pool/instance-runs.ts
@@ -6,6 +6,20 @@
 /** Sign of the state of an instance. `refused`: it refuses connections. `crash`: it has ended. `alive`: it has answered after a refusal. */
 export type InstanceSign = 'refused' | 'crash' | 'alive';
 
+/** Log messages of the signs. */
+export const instanceSignMessages: Readonly<Record<InstanceSign, string>> = {refused: 'upstream refuses connections', crash: 'upstream crashed', alive: 'upstream has not crashed'};
+
+/** Maximum number of tasks in a log entry. */
+const maxLoggedTasks = 8;
+
+/**
+ * Describes runs for the log.
+ * @param runs - Runs.
+ */
+export function describeRuns(runs: readonly Run[]): {readonly runs: number; readonly tasks: readonly string[]} {
+	return {runs: runs.length, tasks: runs.slice(0, maxLoggedTasks).map(({task}) => task)};
+}
+
 /** Options of {@link InstanceRuns}. */
 export type InstanceRunsOptions = {
 	/** Gets the monotonic time in milliseconds. */
--- a/src/pool/pool-decoding.ts
+++ b/src/pool/pool-decoding.ts
@@ -17,7 +17,7 @@
 const maxFreeCapacities = 64;
 const maxTasks = 10_000;
 
-const refusalReasons: ReadonlySet<unknown> = new Set(['no-upstream', 'does-not-fit', 'overloaded', 'deadline', 'not-owner', 'stopping']);
+const refusalReasons: ReadonlySet<unknown> = new Set(['no-upstream', 'does-not-fit', 'overloaded', 'deadline', 'not-owner', 'stopping', 'evacuated']);
 const lendRefusalReasons: ReadonlySet<unknown> = new Set(['no-room', 'does-not-fit', 'not-owner', 'stale-owner', 'not-sent']);
 const failedRunCauses: ReadonlySet<unknown> = new Set<FailedRunCause>(['refused', 'crash', 'alive', 'lost', 'failed']);
 const runEnds: ReadonlySet<unknown> = new Set(['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone']);
@@ -89,7 +89,7 @@
 function isJob(value: unknown): boolean {
 	return isRecord(value) && isName(value.id) && typeof value.spec === 'string' && Array.isArray(value.steps) && value.steps.every(step => isStep(step))
 		&& isRules(value.rules) && isNonNegative(value.ageMs) && isNumber(value.remainingMs) && isFence(value.priorFence)
-		&& isOptional(value.failedRuns, isFailedRuns);
+		&& isOptional(value.failedRuns, isFailedRuns) && isOptional(value.isMoved, isMoved => typeof isMoved === 'boolean');
 }
 
 function isFailedRuns(value: unknown): boolean {
--- a/src/pool/pool-directory.ts
+++ b/src/pool/pool-directory.ts
@@ -3,6 +3,7 @@
  */
 import {type PoolView} from '../scheduling/index.js';
 import {type Clock} from '../seams/index.js';
+import {Evacuations} from './evacuations.js';
 import {type Candidate, electOwners} from './pool-election.js';
 import {type JobStep, type PoolJobRequest, getStepWork} from './pool-job.js';
 import {getDataCenter} from './pool-layout.js';
@@ -22,6 +23,8 @@
 	readonly getCandidates: () => readonly Candidate[];
 	/** Returns the current load of a pool owned by this VM; `undefined` for other pools. */
 	readonly getOwnLoad?: (pool: string) => PoolLoad | undefined;
+	/** Evacuated data centres, whose pools have no cores; none by default. */
+	readonly evacuations?: Evacuations;
 };
 
 /** Work sent to a pool that the pool's last load may not include. */
@@ -32,8 +35,9 @@
 	receivedAt: number;
 	/** Work sent to the pool that the load does not yet include. */
 	inFlight: readonly InFlightWork[];
-	/** View of the pool, until its load, the work sent to it or its owner changes. */
+	/** View of the pool, until its load, the work sent to it, its owner or the evacuation of its data centre changes. */
 	view?: PoolView;
+	isEvacuated?: boolean;
 };
 
 /**
@@ -51,12 +55,14 @@
 	readonly #options: PoolDirectoryOptions;
 	readonly #loads = new Map<string, KnownLoad>();
 	readonly #fences = new Map<string, number>();
+	readonly #evacuations: Evacuations;
 	#sequence = 0;
 	/** Result of the last election with its inputs. */
 	#election: Election | undefined;
 
 	constructor(options: PoolDirectoryOptions) {
 		this.#options = options;
+		this.#evacuations = options.evacuations ?? new Evacuations();
 	}
 
 	/** Gets the names of the pools, in the same order on all entry VMs. */
@@ -175,11 +181,22 @@
 		return Math.round(this.#options.clock.getMonotonicTime() - this.#getKnownLoad(pool).receivedAt);
 	}
 
+	/**
+	 * Gets whether the data centre of a pool is evacuated.
+	 * @param pool - Pool.
+	 */
+	isEvacuated(pool: string): boolean {
+		// Called for each view; most deployments have no evacuation.
+		return this.#evacuations.getState().dataCenters.length > 0 && this.#evacuations.isEvacuated(getDataCenter(pool));
+	}
+
 	/** Caches the view: views of many pools are needed for each job and each task that another pool gets. */
 	#getView(pool: string, ownerId: string): PoolView {
 		const known = this.#getKnownLoad(pool);
-		if (known.view?.ownerId !== ownerId) {
-			known.view = this.#createView(pool, ownerId, known);
+		const isEvacuated = this.isEvacuated(pool);
+		if (known.view?.ownerId !== ownerId || known.isEvacuated !== isEvacuated) {
+			known.view = this.#createView(pool, ownerId, isEvacuated ? {...known, load: {...noLoad, queuedWork: known.load.queuedWork}} : known);
+			known.isEvacuated = isEvacuated;
 		}
 
 		return known.view;
--- a/src/pool/pool-job.ts
+++ b/src/pool/pool-job.ts
@@ -62,6 +62,8 @@
 	readonly priorFence: number;
 	/** Failed runs of the job that are known to the entry VM. */
 	readonly failedRuns?: readonly FailedRun[];
+	/** Whether the job was queued in a pool of an evacuated data centre; it is not offered anew then. */
+	readonly isMoved?: boolean;
 };
 
 /**
@@ -76,8 +78,8 @@
 	| {readonly kind: 'moved'; readonly hasStarted: boolean}
 	| {readonly kind: 'interrupted'; readonly reason: string};
 
-/** Why a job was refused. */
-export type RefusalReason = 'no-upstream' | 'does-not-fit' | 'overloaded' | 'deadline' | 'not-owner' | 'stopping';
+/** Why a job was refused. `evacuated`: the data centre of the pool is evacuated, or all data centres are. */
+export type RefusalReason = 'no-upstream' | 'does-not-fit' | 'overloaded' | 'deadline' | 'not-owner' | 'stopping' | 'evacuated';
 
 /**
  * Gets the work of a step by the caller's estimate, in core-milliseconds.
--- a/src/pool/pool-messages.ts
+++ b/src/pool/pool-messages.ts
@@ -71,6 +71,7 @@
 	remainingMs: z.number(),
 	priorFence: fenceSchema,
 	failedRuns: failedRunsSchema.optional(),
+	isMoved: z.boolean().optional(),
 }).readonly();
 
 /** Schema of a request to the owner of a pool. */
@@ -88,7 +89,7 @@
 		z.object({kind: z.literal('failed')}).readonly(),
 		z.object({
 			kind: z.literal('refused'),
-			reason: z.enum(['no-upstream', 'does-not-fit', 'overloaded', 'deadline', 'not-owner', 'stopping']),
+			reason: z.enum(['no-upstream', 'does-not-fit', 'overloaded', 'deadline', 'not-owner', 'stopping', 'evacuated']),
 			retryAfterMs: count,
 		}).readonly(),
 		z.object({kind: z.literal('moved'), hasStarted: z.boolean().default(true)}).readonly(),
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -10,6 +10,7 @@
 import {CrashLedger} from './crash-ledger.js';
 import {CrashReports} from './crash-reports.js';
 import {type DecisionLog} from './decision-log.js';
+import {Evacuations} from './evacuations.js';
 import {FenceIssuer} from './fence-issuer.js';
 import {JobSizeBudget} from './job-size.js';
 import {PauseDetector} from './pause-detector.js';
@@ -70,6 +71,8 @@
 	readonly resendMs?: number;
 	/** Time without a message after which a VM closes the connection of a peer whose tasks it runs, in milliseconds. */
 	readonly peerSilenceMs: number;
+	/** Evacuated data centres; none by default. */
+	readonly evacuations?: Evacuations;
 };
 
 /** Interval of elections while no member changes its state, in milliseconds: one heartbeat. A change triggers an election immediately. */
@@ -108,6 +111,8 @@
 /** Owns pools of a deployment and routes jobs to the owners of the others. */
 export class PoolNode {
 	readonly directory: PoolDirectory;
+	/** Evacuated data centres. */
+	readonly evacuations: Evacuations;
 	/** Ages of the proofs that senders wait, at each start and each lease. */
 	readonly proofAges = new ProofAges();
 	readonly #options: PoolNodeOptions;
@@ -147,6 +152,7 @@
 
 	constructor(options: PoolNodeOptions) {
 		this.#options = options;
+		this.evacuations = options.evacuations ?? new Evacuations();
 		this.#fences = new FenceIssuer(options.self.id);
 		this.#pauses = new PauseDetector({
 			clock: options.clock,
@@ -166,6 +172,7 @@
 			getPools: () => options.layout.getPools(),
 			getCandidates: () => this.#candidates.getCandidates(),
 			getOwnLoad: pool => this.#owned.get(pool)?.getLoad(),
+			evacuations: this.evacuations,
 		});
 		this.#ledger = new CrashLedger(options.clock);
 		this.#crashReports = new CrashReports({...options, ledger: this.#ledger});
@@ -648,6 +655,7 @@
 			getStoppedMs: () => this.#pauses.getStoppedMs(),
 			getStoppedMsSince: since => this.#pauses.getStoppedMsSince(since),
 			proofAges: this.proofAges,
+			evacuation: this.evacuations.createView(getDataCenter(pool)),
 		}, [...getUpstreams(pool), ...getMissingUpstreams(pool)]);
 		this.#owned.set(pool, owner);
 		if (this.#isIsolated()) {
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -6,10 +6,11 @@
 import {type Clock, sleep} from '../seams/index.js';
 import {CrashLedger} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
+import {neverEvacuated, type PoolEvacuation} from './evacuations.js';
 import {FenceIssuer, fencesPerGeneration} from './fence-issuer.js';
 import {getHigherFence, isFence, maxFence} from './fence.js';
 import {FormerLinks} from './former-links.js';
-import {type InstanceSign} from './instance-runs.js';
+import {describeRuns, type InstanceSign, instanceSignMessages} from './instance-runs.js';
 import {type JobSizeBudget} from './job-size.js';
 import {
 	type LentTask, getLostRunTimeoutMs, type LendOutcome, noNeighbours, type PoolNeighbours,
@@ -65,6 +66,8 @@
 	readonly getStoppedMsSince?: (since: number) => number;
 	/** Counts the ages of the proofs at starts and leases; by default, only those of this owner. */
 	readonly proofAges?: ProofAges;
+	/** Evacuation of the pool's data centre; none by default. */
+	readonly evacuation?: PoolEvacuation;
 };
 
 /** Time limit of the polls of all upstreams, such as those before a new owner accepts jobs, in milliseconds. */
@@ -101,11 +104,6 @@
  */
 const relocationGraceMs = 2000;
 
-/** Maximum number of tasks in a log entry. */
-const maxLoggedTasks = 8;
-
-const instanceSignMessages: Readonly<Record<InstanceSign, string>> = {refused: 'upstream refuses connections', crash: 'upstream crashed', alive: 'upstream has not crashed'};
-
 /** An upstream that is listed at another address than that of its link, and the monotonic time since which it is. */
 type Relocation = {readonly upstream: UpstreamDescription; readonly since: number};
 
@@ -194,6 +192,7 @@
 			lostRunTimeoutMs: this.#lostRunTimeoutMs,
 			jobSizes: options.jobSizes,
 			resendMs: options.resendMs,
+			evacuation: options.evacuation ?? neverEvacuated,
 		});
 		this.#pendingUpstreams = upstreams;
 		this.#ready = this.#takeOver();
@@ -633,6 +632,7 @@
 			getFence: () => this.#fence,
 			maxLeaseMs,
 			getPausedAt: this.#options.getPausedAt,
+			evacuation: this.#options.evacuation,
 			events: {
 				onRunEnded: (from, run, end, grounds) => {
 					if (grounds !== 'listed') {
@@ -703,7 +703,7 @@
 	/** Records what a sign means for the runs on an instance. Only the end of an instance proves a crash: a network partition may refuse connections too. */
 	#handleInstanceSign({name, description: {bornMs}}: UpstreamLink, sign: InstanceSign, runs: ReadonlyArray<Run & {readonly isAlone: boolean}>): void {
 		this.#options.log.info({
-			upstream: name, bornMs, pool: this.#options.pool, runs: runs.length, tasks: runs.slice(0, maxLoggedTasks).map(({task}) => task),
+			upstream: name, bornMs, pool: this.#options.pool, ...describeRuns(runs),
 		}, instanceSignMessages[sign]);
 		this.#ledger.addFailedRuns(runs.map(({task, number, isAlone}) => ({
 			task, number, upstream: name, bornMs, cause: sign, isAlone,
--- a/src/pool/pool-router.ts
+++ b/src/pool/pool-router.ts
@@ -60,9 +60,12 @@
 /** Number of owners that may be lost with a job before it is given up: its tasks may be what ends them. */
 const maxLostOwners = 2;
 
-/** Number of pools that a job is submitted to before it is refused. */
+/** Number of pools that a job is submitted to before it is refused, without those of evacuated data centres. */
 const maxPoolsTried = 3;
 
+/** Time after which a caller should retry while all data centres are evacuated, in milliseconds: nothing tells when the operator will end it. */
+const evacuatedRetryAfterMs = 2000;
+
 /** Time until a job is submitted again to an owner that lost the connection but is still up, in milliseconds. */
 const sameOwnerRetryMs = 100;
 
@@ -160,15 +163,24 @@
 		const cpu = getInitialCpu(job);
 		const triedPools = new Set<string>();
 		let refusal: PoolJobOutcome = createRefusal('no-upstream');
-		while (triedPools.size < maxPoolsTried && !signal.aborted) {
-			const target = await this.#choosePool({cpu, isSinglePool: isSinglePoolJob(job), triedPools}, signal);
+		let current = submission;
+		let evacuatedCount = 0;
+		while (triedPools.size - evacuatedCount < maxPoolsTried && !signal.aborted) {
+			if (this.#areAllEvacuated()) {
+				return {kind: 'refused', reason: 'evacuated', retryAfterMs: evacuatedRetryAfterMs};
+			}
+
+			const isSpread = this.#options.directory.isEvacuated(this.#options.dataCenter);
+			const target = await this.#choosePool({
+				cpu, isSinglePool: isSinglePoolJob(job), triedPools, isSpread,
+			}, signal);
 			if (target === undefined) {
 				break;
 			}
 
 			triedPools.add(target.pool);
 			this.#options.directory.addSentJob(target.pool, job);
-			const outcome = await this.#submitAwaited(target.pool, job, submission, signal);
+			const outcome = await this.#submitAwaited(target.pool, job, current, signal);
 			if (outcome.kind !== 'completed') {
 				this.#options.log.debug({job: job.id, outcome: outcome.kind, ...target}, 'pool did not complete the job');
 			}
@@ -178,6 +190,12 @@
 			}
 
 			refusal = outcome;
+			if (outcome.reason === 'evacuated') {
+				evacuatedCount++;
+				current = {...submission, getSubmitted: priorFence => ({...submission.getSubmitted(priorFence), isMoved: true})};
+				continue;
+			}
+
 			if (outcome.reason === 'deadline' || (outcome.reason === 'overloaded' && target.freeCpu < cpu)) {
 				// Other pools without free capacity would not start the job earlier than the shared queue.
 				break;
@@ -192,7 +210,8 @@
 		const {clock, random} = this.#options;
 		const waitUntil = clock.getMonotonicTime() + (this.#options.hasCededPools() ? 0 : firstOwnerTimeoutMs);
 		for (;;) {
-			const view = choosePool(this.#options.directory.getViews(), job, random);
+			const {directory} = this.#options;
+			const view = choosePool(directory.getViews().filter(({pool}) => !directory.isEvacuated(pool)), job, random);
 			if (view !== undefined || job.triedPools.size > 0) {
 				return view;
 			}
@@ -205,6 +224,12 @@
 		}
 	}
 
+	#areAllEvacuated(): boolean {
+		const {directory} = this.#options;
+		const pools = directory.getPools();
+		return pools.length > 0 && pools.every(pool => directory.isEvacuated(pool));
+	}
+
 	/** Submits a job to a pool while other VMs are told that it is awaited there. */
 	async #submitAwaited(pool: string, {id}: PoolJobRequest, submission: Submission, signal: AbortSignal): Promise<PoolJobOutcome> {
 		const removeJob = this.#options.awaitedJobs?.addJob(pool, id);
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -10,7 +10,8 @@
 	type CrashLedger, type FailedRunCause, getJob, isGivenUp, type FailedRun,
 } from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
-import {FreeCapacities} from './free-capacities.js';
+import {type PoolEvacuation} from './evacuations.js';
+import {countFitting, FreeCapacities, getUsableCpu} from './free-capacities.js';
 import {getJobSize, JobSizeBudget} from './job-size.js';
 import {
 	type LentTask, isSinglePoolJob, type LendOutcome, type LendRefusal, type NeighbourCapacity, type PoolNeighbours,
@@ -18,11 +19,13 @@
 import {LentRuns} from './lent-runs.js';
 import {NeighbourPools} from './neighbour-pools.js';
 import {
-	getStepWork, type JobStep, type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob, type TaskNeeds,
+	getStepWork, type JobStep, type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob,
 } from './pool-job.js';
 import {type ProofAges} from './proof-ages.js';
-import {type JobTask, QueuedJob, type TaskStart} from './queued-job.js';
-import {describeGround, type RunEndGrounds} from './restart-ground.js';
+import {
+	avoidHost, getPosition, type JobTask, QueuedJob, servesJob, type TaskStart,
+} from './queued-job.js';
+import {describeGround, restartMessage, type RunEndGrounds} from './restart-ground.js';
 import {type RunHost} from './run-host.js';
 import {
 	areRunsUnconfirmed, createLocalSender, getLeaseLimit, type JobSender, maxUnreadMs, renewalAgeMs,
@@ -62,6 +65,8 @@
 	readonly resendMs?: number;
 	/** Limits the jobs of this process; by default, only those of this scheduler. */
 	readonly jobSizes?: JobSizeBudget;
+	/** Evacuation of the pool's data centre. */
+	readonly evacuation: PoolEvacuation;
 };
 
 /** Load of a pool as its owner reports it. */
@@ -103,9 +108,6 @@
  */
 const unfitRetryMs = 1000;
 
-/** Message of the line that tells why a task is started that may have been started before. */
-export const restartMessage = 'task starts again';
-
 const resolvedPromise = Promise.resolve();
 
 /** Upper bound of the expected time until a run ends, also used where nothing runs, in milliseconds. */
@@ -125,7 +127,7 @@
 	/** Keeps tasks under which an upstream has crashed apart from others. */
 	readonly #suspectPlacement: SuspectPlacement;
 	readonly #sweepTimer: Timer;
-	readonly #unsubscribe: () => void;
+	readonly #subscriptions: ReadonlyArray<() => void>;
 	/** Senders that were asked for a confirmation and have not answered. */
 	readonly #askedSenders = new Set<JobSender>();
 	/** Thousandths of a core that a task takes on average. */
@@ -156,9 +158,11 @@
 				},
 			},
 		});
-		this.#unsubscribe = options.ledger.subscribe(failedRuns => {
+		this.#subscriptions = [options.ledger.subscribe(failedRuns => {
 			this.#handleFailedRuns(failedRuns);
-		});
+		}), options.evacuation.subscribe(() => {
+			this.#releaseWaitingJobs();
+		})];
 		this.#sweepTimer = options.clock.setRepeatingTimer(() => {
 			this.#sweepJobs();
 		}, sweepIntervalMs);
@@ -300,6 +304,10 @@
 			this.#adoptRuns(job);
 		}
 
+		if (!job.hasStarted && this.#options.evacuation.withholdStart()) {
+			return {kind: 'refused', reason: 'evacuated', retryAfterMs: minRetryAfterMs};
+		}
+
 		const decision = this.#checkAdmission(job);
 		job.admission = {
 			tasks: job.taskCount,
@@ -323,7 +331,7 @@
 		this.#jobSizes.add(job.size);
 		this.#jobs.set(job.request.id, job);
 		this.#updateAverageTaskCpu(job.request.steps[0]!);
-		this.#offeredLoad.addWork(job.priority, job.remainingWork, this.#options.clock.getMonotonicTime());
+		this.#offeredLoad.addWork(job.priority, submitted.isMoved ? 0 : job.remainingWork, this.#options.clock.getMonotonicTime());
 		for (const task of job.tasks) {
 			this.#tasksByName.set(task.name, {job, task});
 		}
@@ -356,7 +364,7 @@
 	 * @returns How the run ended, or why it was refused.
 	 */
 	async runLent(task: LentTask, signal: AbortSignal, confirmation: SenderConfirmation = createLocalSender(this.#options.inputProgress)): Promise<LendOutcome> {
-		if (this.#isClosed || this.#isStarting || this.#options.areStartsSuspended()) {
+		if (this.#isClosed || this.#isStarting || this.#options.areStartsSuspended() || this.#options.evacuation.withholdStart()) {
 			return {kind: 'refused', reason: 'no-room'};
 		}
 
@@ -492,7 +500,10 @@
 	/** Releases all jobs with the outcome `moved`, because another entry VM owns the pool now or this one stops. */
 	close(): void {
 		this.#isClosed = true;
-		this.#unsubscribe();
+		for (const unsubscribe of this.#subscriptions) {
+			unsubscribe();
+		}
+
 		this.#sweepTimer.close();
 		for (const job of this.#jobs.values()) {
 			this.#jobSizes.remove(job.size);
@@ -506,6 +517,21 @@
 		this.#neighbourPools.close();
 	}
 
+	/** Releases the jobs that have not run, the most urgent first, when the data centre is evacuated: their senders submit them to other pools. */
+	#releaseWaitingJobs(): void {
+		if (this.#options.evacuation.isEvacuated()) {
+			const waiting = [...this.#jobs.values()].filter(job => !job.isAbandoned && job.hasNeverRun());
+			this.#options.evacuation.addMovedJobs(waiting.length);
+			this.#options.log.warn({released: waiting.length, kept: this.#jobs.size - waiting.length}, 'queued jobs of an evacuated pool released');
+			for (const job of sortByUrgency(waiting, this.#options.clock.getMonotonicTime())) {
+				this.#remove(job);
+				job.settle({kind: 'refused', reason: 'evacuated', retryAfterMs: minRetryAfterMs});
+			}
+		}
+
+		this.schedule();
+	}
+
 	/** Sends a task to no pool that it does not fit until the upstreams there may have changed. */
 	#avoidTemporarily(task: JobTask, host: RunHost): void {
 		avoidHost(task, host);
@@ -1163,29 +1189,3 @@
 		job.settle({kind: 'refused', reason, retryAfterMs: Math.max(minRetryAfterMs, queuedWork / Math.max(1, cores))});
 	}
 }
-
-/** Gets the thousandths of a core that are free for tasks: none while what runs exceeds any part of a capacity that has shrunk. */
-function getUsableCpu({cpu, memoryMb, accelerators}: TaskNeeds): number {
-	return memoryMb < 0 || accelerators < 0 ? 0 : Math.max(0, cpu);
-}
-
-/** Gets the positions of a task's step and of the task within it. */
-function getPosition({name}: JobTask): string {
-	return name.split('.').slice(2).join('.');
-}
-
-/** Starts a task elsewhere than on a host as far as possible. */
-function avoidHost(task: JobTask, {name}: RunHost): void {
-	task.avoided = new Set([...task.avoided, name]);
-}
-
-/** Gets how many tasks fit into a free capacity. */
-function countFitting({cpu, memoryMb, accelerators}: TaskNeeds, free: TaskNeeds): number {
-	const count = (need: number, available: number): number => need === 0 ? (available < 0 ? 0 : Infinity) : Math.max(0, Math.floor(available / need));
-	return Math.min(count(cpu, free.cpu), count(memoryMb, free.memoryMb), count(accelerators, free.accelerators));
-}
-
-/** Gets whether an upstream belongs to the service of a job's route. */
-function servesJob({description}: UpstreamLink, {request: req}: QueuedJob): boolean {
-	return description.service === req.rules.service;
-}
--- a/src/pool/queued-job.ts
+++ b/src/pool/queued-job.ts
@@ -10,7 +10,7 @@
 import {type RestartGround} from './restart-ground.js';
 import {type RunHost} from './run-host.js';
 import {type JobSender} from './sender-confirmation.js';
-import {type LinkedRun} from './upstream-link.js';
+import {type LinkedRun, type UpstreamLink} from './upstream-link.js';
 
 /** One task of a job. */
 export type JobTask = {
@@ -291,6 +291,12 @@
 		return this.#tasks?.some(({run}) => run !== undefined) ?? false;
 	}
 
+	/** Gets whether no task has run or may run: none was started, or all starts were refused. */
+	hasNeverRun(): boolean {
+		const areUnknownRunsExcluded = this.priorFence === 0 && this.startsDeferredUntil === 0;
+		return areUnknownRunsExcluded && (!this.hasStarted || this.tasks.every(({status, run, restartGround}) => status === 'waiting' && run === undefined && (restartGround?.after ?? 0) === 0));
+	}
+
 	/** Gets whether all tasks are done. */
 	isDone(): boolean {
 		return this.request.steps.every((_, position) => this.#isStepDone(position));
@@ -337,3 +343,29 @@
 		name: `${id}.0.${stepPosition}.${index}`, stepPosition, status: 'waiting', lastRunNumber: 0, failures: 0, host: undefined, run: undefined, restartGround: undefined, avoided: noNames,
 	};
 }
+
+/**
+ * Gets the positions of a task's step and of the task within it.
+ * @param task - Task.
+ */
+export function getPosition({name}: JobTask): string {
+	return name.split('.').slice(2).join('.');
+}
+
+/**
+ * Starts a task elsewhere than on a host as far as possible.
+ * @param task - Task.
+ * @param host - Host to avoid.
+ */
+export function avoidHost(task: JobTask, {name}: RunHost): void {
+	task.avoided = new Set([...task.avoided, name]);
+}
+
+/**
+ * Gets whether an upstream belongs to the service of a job's route.
+ * @param link - Upstream.
+ * @param job - Job.
+ */
+export function servesJob({description}: UpstreamLink, {request: req}: QueuedJob): boolean {
+	return description.service === req.rules.service;
+}
--- a/src/pool/restart-ground.ts
+++ b/src/pool/restart-ground.ts
@@ -6,6 +6,9 @@
 import {type EndGrounds, type StartRefusal} from './upstream-link.js';
 import {type RunEnd} from './upstream-orders.js';
 
+/** Message of the line that tells why a task is started that may have been started before. */
+export const restartMessage = 'task starts again';
+
 /** Why a run counts as ended: the grounds of an upstream of this pool, the answer of a lender, or the time limit of a lender that was lost. */
 export type RunEndGrounds = EndGrounds | 'lender' | 'lender-lost';
 
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -4,6 +4,7 @@
 import {setMaxListeners} from 'node:events';
 import {type Clock, sleep, type Timer} from '../seams/index.js';
 import {getJob} from './crash-ledger.js';
+import {type PoolEvacuation} from './evacuations.js';
 import {InstanceRuns, type InstanceSign} from './instance-runs.js';
 import {type TaskNeeds} from './pool-job.js';
 import {type RecentRun, RecentRuns} from './recent-runs.js';
@@ -124,6 +125,8 @@
 	readonly maxLeaseMs: number;
 	/** Gets the monotonic time at which the last pause of this process was detected, `-Infinity` for none; by default, no pause is detected. */
 	readonly getPausedAt?: () => number;
+	/** Evacuation of the upstream's data centre; none by default. */
+	readonly evacuation?: PoolEvacuation;
 	readonly timing?: UpstreamLinkTiming;
 };
 
@@ -249,7 +252,7 @@
 	/** Gets whether new tasks may be started here. */
 	isAcceptingStarts(): boolean {
 		const isUnknown = this.#isSilent || this.#clockOffsetMs === undefined || this.#lastPollAt < this.#startsDeferredAt;
-		if (isUnknown || this.description.isLeaving || this.#unclaimed.size > 0) {
+		if (isUnknown || this.description.isLeaving || this.#unclaimed.size > 0 || this.#options.evacuation?.isEvacuated() === true) {
 			return false;
 		}
 
@@ -790,7 +793,7 @@
 	}
 
 	async #sendStart(run: LinkedRun): Promise<void> {
-		const {clock, orders, getFence, getPausedAt} = this.#options;
+		const {clock, orders, getFence, getPausedAt, evacuation} = this.#options;
 		const {bornMs} = this.description;
 		const fence = getFence();
 		// What allowed the start may have changed during a pause.
@@ -798,6 +801,11 @@
 		// With a higher fence, the upstream would accept a start that was decided before another owner's runs were known.
 		const isSendable = (): boolean => run.state === 'starting' && !run.isStopRequested && this.description.bornMs === bornMs && getFence() === fence && !wasPaused();
 		for (let attempts = 0; attempts < maxSendAttempts && isSendable(); attempts++) {
+			if (attempts > 0 && evacuation?.withholdStart() === true) {
+				// An unanswered start is withdrawn instead of sent again.
+				break;
+			}
+
 			const sentAt = clock.getMonotonicTime();
 			const leaseUntilMs = this.#extendLease();
 			if (leaseUntilMs === undefined) {
--- a/src/scheduling/pool-choice.ts
+++ b/src/scheduling/pool-choice.ts
@@ -65,6 +65,8 @@
 	readonly isSinglePool: boolean;
 	/** Pools to which the job was already submitted. */
 	readonly triedPools: ReadonlySet<string>;
+	/** Whether the pools of all data centres count as local, since the VM's own data centre is evacuated; `false` by default. */
+	readonly isSpread?: boolean;
 };
 
 /**
@@ -76,7 +78,7 @@
  * @returns The pool; `undefined` if none is left to try.
  */
 export function choosePool(views: readonly PoolView[], job: JobDemand, random: Pick<Random, 'getFloat'>): PoolView | undefined {
-	const local = views.filter(({isNear, cores}) => isNear && cores > 0);
+	const local = views.filter(({isNear, cores}) => (isNear || job.isSpread === true) && cores > 0);
 	if (local.length <= 1) {
 		return chooseAmongAll(views, views, job);
 	}
--- a/src/testing/simulated-pools.ts
+++ b/src/testing/simulated-pools.ts
@@ -3,7 +3,7 @@
  */
 import {createImmediateProgress} from '../connection/index.js';
 import {
-	type Candidate, CrashLedger, CrashReports, type DecisionLog, failedRunsTopic, createLocalSender, getConfirmedSince, noNeighbours, PoolDirectory, PoolLending, PoolOwner,
+	type Candidate, CrashLedger, CrashReports, type DecisionLog, failedRunsTopic, createLocalSender, type Evacuations, getConfirmedSince, noNeighbours, PoolDirectory, PoolLending, PoolOwner,
 	type UpstreamDescription, type UpstreamOrders,
 } from '../pool/index.js';
 import {type Clock} from '../seams/index.js';
@@ -20,6 +20,8 @@
 	readonly isLending?: boolean;
 	/** Whether owners report failed runs to each other at once; true by default. */
 	readonly isReporting?: boolean;
+	/** Evacuated data centres, known to all owners; none by default. */
+	readonly evacuations?: Evacuations;
 };
 
 type OwnerEntry = {readonly vm: string; readonly pool: string; readonly fence: number; readonly owner: PoolOwner; readonly directory: PoolDirectory; readonly ledger: CrashLedger};
@@ -77,6 +79,7 @@
 	createDirectory(dataCenter: string, selfId = '', knownPools = this.pools): PoolDirectory {
 		const directory = new PoolDirectory({
 			clock: this.#options.clock, selfId, dataCenter, getPools: () => knownPools, getCandidates: () => this.#getCandidates(),
+			evacuations: this.#options.evacuations,
 		});
 		this.#directories.add(directory);
 		return directory;
@@ -137,6 +140,7 @@
 			peerSilenceMs: 500,
 			ledger,
 			neighbours: isLending ? lending.createNeighbours(pool) : noNeighbours,
+			evacuation: this.#options.evacuations?.createView(pool),
 		}, upstreams.filter(({dataCenter}) => dataCenter === pool));
 		this.#owners.set(pool, {
 			vm, pool, fence, owner, directory, ledger,
--- a/test/platform/configuration-watch.test.ts
+++ b/test/platform/configuration-watch.test.ts
@@ -8,15 +8,20 @@
 	return JSON.stringify({version, routes: [], services: []});
 }
 
-test('an item under another key that begins with the key of the configuration does not replace it', async t => {
+test('only the item under its own key is the configuration, among the operator\'s items and those under keys that begin with it', async t => {
 	const clock = new ManualClock();
 	const changes = [
 		{key: 'op/config', revision: 2, value: createConfiguration(2)},
 		{key: 'op/config/odd', revision: 3, value: createConfiguration(9)},
 		{key: 'op/config2', revision: 4, value: '['},
 	];
-	const store: Pick<StoreClient, 'getItem' | 'getChanges'> = {
-		getItem: async () => ({ok: true, value: {item: {key: 'op/config', revision: 1, value: createConfiguration(1)}, revision: 1}}),
+	const items = [
+		{key: 'op/a', revision: 1, value: createConfiguration(7)},
+		{key: 'op/config', revision: 1, value: createConfiguration(1)},
+		{key: 'op/config0', revision: 1, value: createConfiguration(8)},
+	];
+	const store: Pick<StoreClient, 'getRange' | 'getChanges'> = {
+		getRange: async () => ({ok: true, value: {items, revision: 1}}),
 		async getChanges() {
 			watch.close();
 			return {ok: true, value: {changes, revision: 4}};
