--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -8,7 +8,7 @@
 	createHttpListener, createPeerMesh, dialTcp, EventLoopProgress, type HttpListener, type Incarnation, type PeerMesh, type PeerRequest, type SenderConfirmation,
 } from '../connection/index.js';
 import {
-	configurationTopic, createRateLimitedLog, type DecisionLog, Evacuations, getDataCenter, maxFullMeshVms, StartupOwnerCheck, PoolLayout, PoolNode, type StoredClaim, upstreamsSchema,
+	configurationTopic, createRateLimitedLog, type DecisionLog, type Evacuation, Evacuations, getDataCenter, maxFullMeshVms, StartupOwnerCheck, PoolLayout, PoolNode, type StoredClaim, upstreamsSchema,
 	upstreamsTopic,
 } from '../pool/index.js';
 import {
@@ -227,6 +227,11 @@
 		return this.#configuration.getRoutingTable()?.version ?? 0;
 	}
 
+	/** Gets the evacuated data centres and the revision of the store at which they are. */
+	getEvacuation(): Evacuation {
+		return this.#evacuations.getState();
+	}
+
 	/** Gets the number of known pools. */
 	getPoolCount(): number {
 		return this.#layout.getPools().length;
