Take coldness of upstreams into account at starts and overdue checks

cold_remaining_ms of an upstream's entry was ignored: a cold upstream looked slow or failing, and its runs overdue.

--- a/src/platform/decode-upstream.ts
+++ b/src/platform/decode-upstream.ts
@@ -2,6 +2,7 @@
  * Decoder of the upstreams' entries in the store.
  */
 import {type UpstreamDescription} from '../pool/index.js';
+import {type ColdLimits, defaultColdLimits} from '../scheduling/index.js';
 import {parseJson} from './decode-configuration.js';
 import {type StoredItem} from './store-client.js';
 import {upstreamEntrySchema} from './wire-messages.js';
@@ -18,15 +19,17 @@
 /**
  * Decodes an entry; returns `undefined` if it is invalid.
  * @param item - Item of the store.
+ * @param now - Monotonic time at which it was read.
+ * @param coldLimits - How much slower cold upstreams are.
  */
-export function decodeUpstream({key, value}: Pick<StoredItem, 'key' | 'value'>): UpstreamDescription | undefined {
+export function decodeUpstream({key, value}: Pick<StoredItem, 'key' | 'value'>, now = 0, coldLimits: ColdLimits = defaultColdLimits): UpstreamDescription | undefined {
 	const id = key.slice(upstreamPrefix.length);
 	const parsed = upstreamEntrySchema.safeParse(parseJson(value));
 	if (!parsed.success || !identifierPattern.test(id)) {
 		return undefined;
 	}
 
-	const {service, address, zone, state, capacity, labels, born} = parsed.data;
+	const {service, address, zone, state, capacity, labels, born, cold_remaining_ms: coldMs} = parsed.data;
 	return {
 		id,
 		bornMs: born,
@@ -37,5 +40,6 @@
 		labels,
 		capacity: {cpu: capacity.cpu, memoryMb: capacity.mem_mb, accelerators: capacity.gpu},
 		isLeaving: state === 'draining',
+		...(coldMs > 0 && {cold: {...coldLimits, until: now + coldMs}}),
 	};
 }
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -146,6 +146,7 @@
 			...sharedOptions,
 			layout: this.#layout,
 			dataCenters: settings.dataCenters,
+			coldLimits: settings.coldLimits,
 			onChange: () => {
 				this.#handleUpstreamsChanged();
 			},
@@ -452,7 +453,8 @@
 
 	/** Publishes a pool's upstreams to the VMs of its data centre, any of which may have to take over the pool while the store is unavailable. */
 	#publishUpstreams(pool: string): void {
-		const upstreams = this.#upstreams.getUpstreams(pool);
+		// How long an upstream is still cold differs with each read, and each difference would be sent to all VMs.
+		const upstreams = this.#upstreams.getUpstreams(pool).map(upstream => upstream.cold === undefined ? upstream : {...upstream, cold: undefined});
 		const overwritten = this.#upstreams.getOverwrittenUpstreams(pool);
 		const former = this.#upstreams.getFormerUpstreams(pool);
 		if (upstreams.length === 0) {
--- a/src/platform/settings-file.ts
+++ b/src/platform/settings-file.ts
@@ -2,9 +2,11 @@
  * Parser of the settings file that the platform writes for each process.
  */
 import * as z from 'zod';
+import {type ColdLimits, defaultColdLimits} from '../scheduling/index.js';
 
 const address = z.string().regex(/^[\d.]+:\d{1,5}$/v, 'expected an IP address and a port');
-const milliseconds = z.coerce.number().min(0);
+const amount = z.coerce.number().min(0);
+const milliseconds = amount;
 
 /** Schema of the settings under the platform's names; unknown settings are ignored. */
 const fileSchema = z.object({
@@ -23,6 +25,8 @@
 	'bounds.grace_s': milliseconds.default(6),
 	'bounds.resend_ms': milliseconds.default(1300),
 	'bounds.evacuate_ms': milliseconds.default(5000),
+	'bounds.cold_overage': amount.default(defaultColdLimits.overage),
+	'bounds.cold_slack': amount.default(defaultColdLimits.slack),
 });
 
 /** Settings of an entry VM. */
@@ -49,6 +53,8 @@
 	readonly resendMs: number;
 	/** Time after which no task is started in a data centre that the operator evacuates, in milliseconds; 5000 by default. */
 	readonly evacuateMs?: number;
+	/** How much slower cold upstreams are; the platform's defaults by default. */
+	readonly coldLimits?: ColdLimits;
 };
 
 /** Parsed settings, or the faults, each with its key. */
@@ -91,6 +97,7 @@
 			stopGraceMs: file['bounds.grace_s'] * 1000,
 			resendMs: file['bounds.resend_ms'],
 			evacuateMs: file['bounds.evacuate_ms'],
+			coldLimits: {overage: Math.max(1, file['bounds.cold_overage']), slack: Math.max(1, file['bounds.cold_slack'])},
 		},
 	};
 }
--- a/src/platform/upstream-list.ts
+++ b/src/platform/upstream-list.ts
@@ -4,6 +4,7 @@
 import {
 	type DecisionLog, getDataCenter, getPoolOfUpstream, type PoolLayout, type PoolUpstreams, type UpstreamDescription,
 } from '../pool/index.js';
+import {type ColdLimits} from '../scheduling/index.js';
 import {type Clock, sleep} from '../seams/index.js';
 import {decodeUpstream, upstreamPrefix} from './decode-upstream.js';
 import {type StoreClient} from './store-client.js';
@@ -48,6 +49,8 @@
 	/** Data centres of the deployment; an entry of another one is invalid. By default, there may be any. */
 	readonly dataCenters?: readonly string[];
 	readonly onChange: () => void;
+	/** How much slower cold upstreams are; the platform's defaults by default. */
+	readonly coldLimits?: ColdLimits;
 };
 
 /** An owner's report of the upstreams of its pool. */
@@ -307,8 +310,8 @@
 	}
 
 	#setEntry(key: string, value: string): void {
-		const {dataCenters, log} = this.#options;
-		const upstream = decodeUpstream({key, value});
+		const {clock, coldLimits, dataCenters, log} = this.#options;
+		const upstream = decodeUpstream({key, value}, clock.getMonotonicTime(), coldLimits);
 		if (upstream !== undefined && (dataCenters?.includes(upstream.dataCenter) ?? true)) {
 			this.#addEntry(key, upstream);
 			return;
@@ -336,7 +339,15 @@
 
 		this.#former.delete(getFormerKey(key, upstream));
 		this.#invalidKeys.delete(key);
-		this.#entries.set(key, {upstream, pool: isSameDataCenter ? previous.pool : undefined});
+		this.#entries.set(key, {upstream: this.#keepColdness(upstream, previous?.upstream), pool: isSameDataCenter ? previous.pool : undefined});
+	}
+
+	/** Keeps until when an instance that is warm now was cold, for the runs that began on it then. */
+	#keepColdness(upstream: UpstreamDescription, previous: UpstreamDescription | undefined): UpstreamDescription {
+		const {cold} = previous?.bornMs === upstream.bornMs ? previous : upstream;
+		return upstream.cold !== undefined || cold === undefined
+			? upstream
+			: {...upstream, cold: {...cold, until: Math.min(cold.until, this.#options.clock.getMonotonicTime())}};
 	}
 
 	#addFormer(key: string, entry: Entry): void {
--- a/src/platform/wire-messages.ts
+++ b/src/platform/wire-messages.ts
@@ -74,6 +74,8 @@
 	labels: z.array(z.string()).default([]),
 	// Wall-clock start time of this instance of the upstream, in whole milliseconds.
 	born: z.int().min(0).default(0),
+	// Time for which the upstream stays slow after its start; an odd value is no reason to do without the upstream.
+	cold_remaining_ms: z.unknown().optional().transform(value => isTime(value) ? value : 0),
 });
 
 /** An item of the store. */
--- a/src/pool/lent-runs.ts
+++ b/src/pool/lent-runs.ts
@@ -4,6 +4,7 @@
 import {type SenderConfirmation} from '../connection/index.js';
 import {chooseUpstream} from '../scheduling/index.js';
 import {type Clock, sleep, type Timer} from '../seams/index.js';
+import {hasColdStart, isWithinColdSlack} from './cold-upstreams.js';
 import {type CrashLedger} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
 import {type LentTask, type LendOutcome} from './lending.js';
@@ -145,6 +146,14 @@
 			return;
 		}
 
+		if (isOverdue && hasColdStart(lent.link, lent.run)) {
+			const ageMs = this.#options.clock.getMonotonicTime() - lent.run.startedAt;
+			if (isWithinColdSlack(lent.link, lent.run, {ageMs, expectedMs: lent.expectedMs, siblingMs: 0})) {
+				// The borrower does not know that the upstream is cold.
+				return;
+			}
+		}
+
 		if (isOverdue) {
 			this.#addFailure(lent.link);
 		}
@@ -193,7 +202,7 @@
 		}
 
 		if (end === 'done') {
-			recordSuccess(lent.link, measuredMs, lent.expectedMs);
+			recordSuccess(lent.link, measuredMs, hasColdStart(lent.link, run) ? undefined : lent.expectedMs);
 		} else if (end === 'failed' && !this.#options.ledger.hasFailedElsewhere(run.task, lent.link.name)) {
 			this.#addFailure(lent.link);
 		}
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -6,6 +6,7 @@
 	type AdmissionDecision, chooseUpstream, decideAdmission, DurationEstimator, fits, isOverdue, minRetryAfterMs, OfferedLoad, sortByUrgency,
 } from '../scheduling/index.js';
 import {type Clock, type Timer} from '../seams/index.js';
+import {excludeTooCold, hasColdStart, isWithinColdSlack} from './cold-upstreams.js';
 import {
 	type CrashLedger, type FailedRunCause, getJob, isGivenUp, type FailedRun,
 } from './crash-ledger.js';
@@ -23,7 +24,7 @@
 } from './pool-job.js';
 import {type ProofAges} from './proof-ages.js';
 import {
-	avoidHost, getPosition, type JobTask, QueuedJob, servesJob, type TaskStart,
+	avoidHost, avoidTemporarily, getPosition, type JobTask, QueuedJob, servesJob, type TaskStart,
 } from './queued-job.js';
 import {describeGround, restartMessage, type RunEndGrounds} from './restart-ground.js';
 import {type RunHost} from './run-host.js';
@@ -102,12 +103,6 @@
 /** Time after a request for a confirmation until a job without a confirmed sender is stopped at the latest, in milliseconds. */
 const maxUnconfirmedMs = 400;
 
-/**
- * Time for which a task is not sent to a pool that it did not fit, in milliseconds: two reads of the list of upstreams. With a smaller value, the
- * tasks of a service without upstreams there are sent in vain more often.
- */
-const unfitRetryMs = 1000;
-
 const resolvedPromise = Promise.resolve();
 
 /** Upper bound of the expected time until a run ends, also used where nothing runs, in milliseconds. */
@@ -487,7 +482,7 @@
 				after: 0, ...task.restartGround, refused: reason, isRefusedElsewhere: !(host instanceof UpstreamLink),
 			};
 			if (reason === 'does-not-fit') {
-				this.#avoidTemporarily(task, host);
+				avoidTemporarily(this.#options.clock, task, host);
 			}
 
 			entry.job.setStatus(task, 'waiting');
@@ -532,14 +527,6 @@
 		this.schedule();
 	}
 
-	/** Sends a task to no pool that it does not fit until the upstreams there may have changed. */
-	#avoidTemporarily(task: JobTask, host: RunHost): void {
-		avoidHost(task, host);
-		this.#options.clock.setTimer(() => {
-			task.avoided = new Set([...task.avoided].filter(name => name !== host.name));
-		}, unfitRetryMs);
-	}
-
 	/** Starts waiting tasks after this turn; a promise costs less than `queueMicrotask`, which keeps an asynchronous context for each call. */
 	async #startAfterCurrentTurn(): Promise<void> {
 		await resolvedPromise;
@@ -922,7 +909,8 @@
 		const placedCounts = step.maxPerUpstream === undefined ? undefined : job.getPlacedCounts(task.stepPosition);
 		const allowed = capacities.getUpstreams(job.request.rules.service);
 		const preferred = task.avoided.size === 0 ? allowed : allowed.filter(({id}) => !task.avoided.has(id));
-		const chosen = chooseUpstream(step, preferred.length > 0 ? preferred : allowed, placedCounts);
+		const warmEnough = excludeTooCold(preferred.length > 0 ? preferred : allowed, () => job.getColdStart(task, this.#options.clock.getMonotonicTime()));
+		const chosen = chooseUpstream(step, warmEnough, placedCounts);
 		if (chosen === undefined) {
 			return undefined;
 		}
@@ -965,9 +953,12 @@
 		const {estimateMs} = job.getStep(task);
 		// Computed before the estimator includes this run.
 		const referenceMs = job.getReferenceMs(task);
-		this.#estimator.addDuration(job.request.rules.route, estimateMs, measuredMs);
+		if (!hasColdStart(host, run)) {
+			this.#estimator.addDuration(job.request.rules.route, estimateMs, measuredMs);
+		}
+
 		if (host instanceof UpstreamLink) {
-			recordSuccess(host, measuredMs, referenceMs);
+			recordSuccess(host, measuredMs, hasColdStart(host, run) ? undefined : referenceMs);
 		}
 
 		job.longestRunMs = Math.max(job.longestRunMs, measuredMs);
@@ -1171,7 +1162,7 @@
 			}
 
 			const age = {ageMs: now - run.startedAt, expectedMs: job.getExpectedMs(task), siblingMs: job.longestRunMs};
-			if (isOverdue(age)) {
+			if (isOverdue(age) && !isWithinColdSlack(host, run, age)) {
 				this.#options.log.info({task: task.name, upstream: host.name, ...age}, 'run overdue');
 				avoidHost(task, host);
 				this.#recordFailure(host);
--- a/src/pool/queued-job.ts
+++ b/src/pool/queued-job.ts
@@ -1,7 +1,8 @@
 /**
  * The state of a job that a pool's owner has admitted.
  */
-import {type DurationEstimator, type OrderedJob} from '../scheduling/index.js';
+import {type ColdStart, type DurationEstimator, type OrderedJob} from '../scheduling/index.js';
+import {type Clock} from '../seams/index.js';
 import {type LogFields} from './decision-log.js';
 import {getJobSize} from './job-size.js';
 import {
@@ -47,6 +48,12 @@
 /** Maximum number of starts of a job that are kept for the log. */
 const maxLoggedStarts = 64;
 
+/**
+ * Time for which a task is not sent to a pool that it did not fit, in milliseconds: two reads of the list of upstreams. With a smaller value, the
+ * tasks of a service without upstreams there are sent in vain more often.
+ */
+const unfitRetryMs = 1000;
+
 /** Receives the outcome of a job. */
 export type JobListener = (outcome: PoolJobOutcome) => void;
 
@@ -220,6 +227,17 @@
 		return this.#estimator.getExpectedMs(this.request.rules.route, this.getStep(task).estimateMs);
 	}
 
+	/**
+	 * Gets the times that decide whether a task may start on a cold upstream.
+	 * @param task - Task of this job.
+	 * @param now - Monotonic time.
+	 */
+	getColdStart(task: JobTask, now: number): ColdStart {
+		return {
+			now, warmMs: this.getExpectedMs(task), objectiveAt: this.objectiveAt, lastUsefulAt: this.lastUsefulAt,
+		};
+	}
+
 	/**
 	 * Gets the duration with which a run is compared to rate its upstream, in milliseconds: that of the job's longest run so far, or the expected one if there is none.
 	 * @param task - Task of this job.
@@ -361,6 +379,19 @@
 	task.avoided = new Set([...task.avoided, name]);
 }
 
+/**
+ * Sends a task to no pool that it does not fit until the upstreams there may have changed.
+ * @param clock - Clock.
+ * @param task - Task.
+ * @param host - Pool.
+ */
+export function avoidTemporarily(clock: Clock, task: JobTask, host: RunHost): void {
+	avoidHost(task, host);
+	clock.setTimer(() => {
+		task.avoided = new Set([...task.avoided].filter(name => name !== host.name));
+	}, unfitRetryMs);
+}
+
 /**
  * Gets whether an upstream belongs to the service of a job's route.
  * @param link - Upstream.
--- a/src/pool/upstream-health.ts
+++ b/src/pool/upstream-health.ts
@@ -41,10 +41,13 @@
  * Records a run that was done.
  * @param link - Upstream.
  * @param measuredMs - Duration of the run in milliseconds.
- * @param expectedMs - Expected duration of the run in milliseconds.
+ * @param expectedMs - Expected duration of the run in milliseconds; `undefined` if it says nothing about the speed, since the upstream was cold.
  */
-export function recordSuccess(link: UpstreamLink, measuredMs: number, expectedMs: number): void {
-	link.slowness += ((Math.min(maxObservedSlowness, measuredMs / Math.max(1, expectedMs)) - link.slowness) * slownessObservationWeight);
+export function recordSuccess(link: UpstreamLink, measuredMs: number, expectedMs: number | undefined): void {
+	if (expectedMs !== undefined) {
+		link.slowness += ((Math.min(maxObservedSlowness, measuredMs / Math.max(1, expectedMs)) - link.slowness) * slownessObservationWeight);
+	}
+
 	link.consecutiveFailures = 0;
 }
 
@@ -53,9 +56,9 @@
  * @param link - Upstream.
  */
 export function toCandidate(link: UpstreamLink): PlacementCandidate {
-	const {id, rack} = link.description;
+	const {id, rack, cold} = link.description;
 	return {
-		id, rack, labels: link.getLabels(), free: link.getFreeCapacity(), slowness: link.slowness,
+		id, rack, labels: link.getLabels(), free: link.getFreeCapacity(), slowness: cold !== undefined && link.isCold() ? link.slowness * cold.overage : link.slowness,
 		isSuspect: link.consecutiveFailures >= minSuspectFailures || link.slowness >= minSuspectSlowness,
 	};
 }
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -238,6 +238,20 @@
 		return {cpu: capacity.cpu - cpu, memoryMb: capacity.memoryMb - memoryMb, accelerators: capacity.accelerators - accelerators};
 	}
 
+	/**
+	 * Gets whether the upstream is or was cold at a time.
+	 * @param at - Monotonic time.
+	 */
+	isColdAt(at: number): boolean {
+		const {cold} = this.description;
+		return cold !== undefined && at < cold.until;
+	}
+
+	/** Gets whether the upstream is cold now. */
+	isCold(): boolean {
+		return this.description.cold !== undefined && this.isColdAt(this.#options.clock.getMonotonicTime());
+	}
+
 	/** Gets the labels of the upstream; none while its entry describes another instance, which may be of another kind. */
 	getLabels(): readonly string[] {
 		const {bornMs, labels} = this.description;
--- a/src/pool/upstream-orders.ts
+++ b/src/pool/upstream-orders.ts
@@ -1,6 +1,7 @@
 /**
  * The orders that the owner of a pool sends to an upstream, and their outcomes.
  */
+import {type ColdLimits} from '../scheduling/index.js';
 import {type TaskNeeds} from './pool-job.js';
 
 /** Description that an upstream registers of itself. */
@@ -16,6 +17,8 @@
 	readonly capacity: TaskNeeds;
 	/** Whether it accepts no new tasks because it is about to leave. */
 	readonly isLeaving: boolean;
+	/** Monotonic time of this process until which the upstream is slow after its start, and how slow; absent if it is warm or that is unknown. */
+	readonly cold?: ColdLimits & {readonly until: number};
 };
 
 /** One start of a task; the number increases with each start of the task. */
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -1,4 +1,5 @@
 export * from './admission.js';
+export * from './coldness.js';
 export * from './duration-estimator.js';
 export * from './offered-load.js';
 export * from './overdue.js';
