--- a/src/platform/pool-metrics.ts
+++ b/src/platform/pool-metrics.ts
@@ -53,6 +53,32 @@
 		this.#addGauge('endivemill_pool_free_cpu', 'Thousandths of a core that are free', node, load => load.freeCpu);
 		this.#addGauge('endivemill_pool_queued_work', 'Core-milliseconds that wait', node, load => load.queuedWork);
 		this.#addGauge('endivemill_pool_view_age_ms', 'Age of what is known of a pool', node, ({pool}) => node.directory.getAgeMs(pool));
+		const evacuated = new Gauge({
+			name: 'endivemill_evacuated', help: 'Data centres that are evacuated as far as this entry VM knows', labelNames: ['data_center'], registers: [this.#registry],
+			collect() {
+				evacuated.reset();
+				for (const dataCenter of node.evacuations.getState().dataCenters) {
+					evacuated.labels(dataCenter).set(1);
+				}
+			},
+		});
+		const evacuationRevision = new Gauge({
+			name: 'endivemill_evacuation_revision', help: 'Revision of the store at which these data centres were evacuated', registers: [this.#registry],
+			collect() {
+				evacuationRevision.set(node.evacuations.getState().revision);
+			},
+		});
+		this.#addCounter('endivemill_evacuation_moved_jobs_total', 'Queued jobs released by pools of evacuated data centres', () => node.evacuations.getCounts().movedJobs);
+		this.#addCounter('endivemill_evacuation_withheld_starts_total', 'Jobs and lent tasks refused, and unanswered starts withdrawn, by evacuated pools', () => node.evacuations.getCounts().withheldStarts);
+		const runs = new Gauge({
+			name: 'endivemill_pool_runs', help: 'Runs on the upstreams of a pool owned by this entry VM', labelNames: ['pool'], registers: [this.#registry],
+			collect() {
+				runs.reset();
+				for (const owner of node.getOwners()) {
+					runs.set({pool: owner.getPool()}, owner.getUpstreams().reduce((sum, upstream) => sum + upstream.runs, 0));
+				}
+			},
+		});
 		const proofAges = new Counter({
 			name: 'endivemill_proof_ages_total', help: 'Starts and leases by the age of the proof that the caller waits', labelNames: ['use', 'ms'], registers: [this.#registry],
 			collect() {
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -239,9 +239,9 @@
 	}
 
 	/** Gets the state of each upstream for the status page and metrics. */
-	getUpstreams(): ReadonlyArray<{readonly id: string; readonly isSilent: boolean; readonly isLeaving: boolean; readonly freeCpu: number; readonly slowness: number}> {
+	getUpstreams(): ReadonlyArray<{readonly id: string; readonly isSilent: boolean; readonly isLeaving: boolean; readonly freeCpu: number; readonly slowness: number; readonly runs: number}> {
 		return [...this.#links.values()].map(link => ({
-			id: link.description.id, isSilent: link.isSilent(), isLeaving: link.description.isLeaving, freeCpu: link.getFreeCapacity().cpu, slowness: link.slowness,
+			id: link.description.id, isSilent: link.isSilent(), isLeaving: link.description.isLeaving, freeCpu: link.getFreeCapacity().cpu, slowness: link.slowness, runs: [...link.getRuns()].length + link.getUnclaimedCount(),
 		}));
 	}
 
