Let simulated fleets evacuate data centres, with a check and a mutant

No fleet had an evacuation, so that a start in an evacuated data centre went unseen. The schedule getEvacuations is drawn apart from the other faults, and fleets without it take the course they took. The rule evacuated-start counts from bounds.evacuate_ms after the write, extended by faults that keep VMs from hearing of it, 6 s at most.

--- a/bench/pool-soak.ts
+++ b/bench/pool-soak.ts
@@ -5,7 +5,7 @@
 import process from 'node:process';
 import {Command} from 'commander';
 import {
-	describeResult, getFleetFaults, getHoldFaults, getUpstreamAnswerFaults, getWorkloadFaults, runFleet, shrinkFaults,
+	describeResult, getEvacuations, getFleetFaults, getHoldFaults, getUpstreamAnswerFaults, getWorkloadFaults, runFleet, shrinkFaults,
 } from '../src/testing/fleet-run.js';
 import {
 	describeGap, describeRestartGaps, findShortGaps, type RestartGap,
@@ -18,6 +18,7 @@
 	readonly answerFaults: string;
 	readonly workloadFaults: string;
 	readonly holdFaults: string;
+	readonly evacuations: string;
 	readonly leavers: boolean;
 	readonly patient: string;
 	readonly only: string;
@@ -35,6 +36,7 @@
 	.option('--resend', 'let half of the callers submit again after no answer', false)
 	.option('--workload-faults <count>', 'minimum number of faults in what tasks do to their upstreams and in what these can hold', '0')
 	.option('--hold-faults <count>', 'minimum number of faults in which processes are held between two events', '0')
+	.option('--evacuations <count>', 'minimum number of evacuations of data centres', '0')
 	.option('--leavers', 'let some callers leave soon after they submitted a long job', false)
 	.option('--patient <share>', 'share of callers that wait for 20 s', '0')
 	.option('--shrink', 'remove faults that a violation does not need', false)
@@ -51,7 +53,7 @@
 const only = new Set(options.only.split(','));
 const without = new Set(options.without.split(','));
 for (let seed = first; seed < first + Number(options.runs); seed++) {
-	const furtherFaults = [...getUpstreamAnswerFaults(seed, Number(options.answerFaults)), ...getWorkloadFaults(seed, Number(options.workloadFaults)), ...getHoldFaults(seed, Number(options.holdFaults))];
+	const furtherFaults = [...getUpstreamAnswerFaults(seed, Number(options.answerFaults)), ...getWorkloadFaults(seed, Number(options.workloadFaults)), ...getHoldFaults(seed, Number(options.holdFaults)), ...getEvacuations(seed, Number(options.evacuations))];
 	const keptFaults = furtherFaults.filter(({kind}) => options.only === '' || only.has(kind));
 	const faults = [...getFleetFaults(seed, Number(options.faults)), ...keptFaults].filter(({kind}) => !without.has(kind));
 	let result = await runFleet(seed, faults, fleetOptions);
--- a/src/testing/fleet-checks.ts
+++ b/src/testing/fleet-checks.ts
@@ -8,7 +8,7 @@
 
 /** Violation of a guarantee. */
 export type FleetViolation = {
-	readonly rule: 'double-run' | 'refused-but-started' | 'completed-but-not-done' | 'too-many-starts' | 'over-capacity' | 'innocent-failed' | 'shared-fence' | 'early-restart';
+	readonly rule: 'double-run' | 'refused-but-started' | 'completed-but-not-done' | 'too-many-starts' | 'over-capacity' | 'innocent-failed' | 'shared-fence' | 'early-restart' | 'evacuated-start';
 	/** Identifier of the job; for `shared-fence`, the upstream and the fence. */
 	readonly job: string;
 	/** Runs that violate the rule. */
@@ -25,8 +25,13 @@
 	readonly listedCapacities: readonly ListedCapacity[];
 	/** Orders by upstream, fence and process, each once. */
 	readonly orders: readonly SentOrder[];
+	/** Evacuations of data centres. */
+	readonly evacuations: readonly FleetEvacuation[];
 };
 
+/** Evacuation of a data centre, from the write of the item to its removal, and time after the write from which nothing may be started, in milliseconds. */
+export type FleetEvacuation = {readonly dataCenter: string; readonly from: number; readonly until: number; readonly boundMs: number};
+
 /** Process of a VM that has sent an order with a fence to an upstream. */
 export type SentOrder = {readonly upstream: string; readonly fence: number; readonly process: string};
 
@@ -47,7 +52,7 @@
  * Finds the violations in the record of a simulation.
  * @param record - Record.
  */
-export function findViolations({starts, submissions, deadlyTasks, listedCapacities, orders}: FleetRecord): readonly FleetViolation[] {
+export function findViolations({starts, submissions, deadlyTasks, listedCapacities, orders, evacuations}: FleetRecord): readonly FleetViolation[] {
 	const capacitiesByUpstream = groupBy(listedCapacities, ({upstream}) => upstream);
 	const runsByJob = groupBy(starts, ({task}) => task.slice(0, task.indexOf('.')));
 	const submissionsByJob = groupBy(submissions, ({job}) => job);
@@ -59,6 +64,7 @@
 			...findWrongCompletions(job, runs, submissionsOfJob),
 			...findTooManyStarts(job, runs, deadlyTasks),
 			...findStartsOverCapacity(job, runs, capacitiesByUpstream),
+			...findEvacuatedStarts(job, runs, evacuations),
 			...(isInnocent(job, runs, deadlyTasks) ? findWrongFailures(job, runs, submissionsOfJob) : []),
 		];
 	});
@@ -124,6 +130,13 @@
 	return over.length === 0 ? [] : [{rule: 'over-capacity', job, runs: over}];
 }
 
+/** Finds starts in a data centre that all VMs should have known to be evacuated. */
+function findEvacuatedStarts(job: string, runs: readonly RecordedStart[], evacuations: readonly FleetEvacuation[]): readonly FleetViolation[] {
+	const wrong = runs.filter(({upstream, startedAt}) => evacuations.some(({dataCenter, from, until, boundMs}) =>
+		upstream.startsWith(`${dataCenter}-`) && startedAt > from + boundMs && startedAt < until));
+	return wrong.length === 0 ? [] : [{rule: 'evacuated-start', job, runs: wrong}];
+}
+
 /**
  * Gets whether a job could be done and looked so: no task crashes its upstream, no run has failed, and under no task two upstreams have crashed of which
  * one did so without any task's fault.
--- a/src/testing/fleet-faults.ts
+++ b/src/testing/fleet-faults.ts
@@ -7,7 +7,7 @@
 export type FleetFaultKind =
 	| 'kill' | 'power' | 'stop' | 'freeze' | 'suspend' | 'starve' | 'cut' | 'cut-one-way' | 'cut-center' | 'reset' | 'silence'
 	| 'late' | 'mute' | 'crash' | 'crash-for-good' | 'slow' | 'hang' | 'fail' | 'unlisted' | 'new-upstream' | 'store-away' | 'store-lost'
-	| UpstreamAnswerFaultKind | WorkloadFaultKind | 'held';
+	| UpstreamAnswerFaultKind | WorkloadFaultKind | 'held' | 'evacuate';
 
 /** Kind of a fault in what an upstream, its entry or its restart tells. */
 export type UpstreamAnswerFaultKind = 'odd-answer' | 'overtake' | 'few-ends' | 'entry-overwritten' | 'reborn' | 'two-lives' | 'late-reborn' | 'late-grant';
@@ -79,6 +79,9 @@
 /** Kind of {@link createHoldFaults}. */
 const holdFaultKinds: readonly WeightedKind[] = [{kind: 'held', durationMs: [1000, 4000], weight: 1}];
 
+/** Kind of {@link createEvacuations}: longer and shorter than the time within which all VMs have to know. */
+const evacuationKinds: readonly WeightedKind[] = [{kind: 'evacuate', durationMs: [500, 8500], weight: 1}];
+
 /** Interval between the faults of a series, in milliseconds, and share of faults that begin a series. */
 const seriesIntervalMs: Range = [1000, 2000];
 const seriesShare = 0.35;
@@ -130,6 +133,16 @@
 	return createFaults(random, options, holdFaultKinds);
 }
 
+/**
+ * Creates a schedule of evacuations of data centres, which may overlap.
+ * @param random - Source of random numbers.
+ * @param options - Minimum number of evacuations and the period in which they or their series begin, in milliseconds.
+ * @returns Evacuations in the order of their start.
+ */
+export function createEvacuations(random: Random, options: FaultScheduleOptions): readonly FleetFault[] {
+	return createFaults(random, options, evacuationKinds);
+}
+
 function createFaults(random: Random, {count, firstMs, lastMs}: FaultScheduleOptions, kinds: readonly WeightedKind[]): readonly FleetFault[] {
 	const totalWeight = kinds.reduce((sum, {weight}) => sum + weight, 0);
 	const faults: FleetFault[] = [];
--- a/src/testing/fleet-run.ts
+++ b/src/testing/fleet-run.ts
@@ -6,7 +6,7 @@
 	findEarlyRestarts, findViolations, type FleetRecord, type FleetViolation,
 } from './fleet-checks.js';
 import {
-	createFleetFaults, createHoldFaults, createUpstreamAnswerFaults, createWorkloadFaults, type FleetFault,
+	createEvacuations, createFleetFaults, createHoldFaults, createUpstreamAnswerFaults, createWorkloadFaults, type FleetFault,
 } from './fleet-faults.js';
 import {type FleetLogLine} from './fleet-vm.js';
 import {PoolFleet, type PoolFleetOptions} from './pool-fleet.js';
@@ -31,6 +31,7 @@
 const upstreamAnswerSeedOffset = 500_000_000;
 const workloadSeedOffset = 600_000_000;
 const holdSeedOffset = 900_000_000;
+const evacuationSeedOffset = 300_000_000;
 
 /**
  * Gets the fault schedule of a seed.
@@ -68,8 +69,17 @@
 	return createHoldFaults(createSeededRandom(seed + holdSeedOffset), {count, firstMs: firstFaultMs, lastMs: lastFaultMs});
 }
 
+/**
+ * Gets evacuations of a seed; they are drawn apart from the faults.
+ * @param seed - Seed.
+ * @param count - Minimum number of evacuations.
+ */
+export function getEvacuations(seed: number, count: number): readonly FleetFault[] {
+	return createEvacuations(createSeededRandom(seed + evacuationSeedOffset), {count, firstMs: firstFaultMs, lastMs: lastFaultMs});
+}
+
 /** Options of a fleet beside its seed and its faults. */
-export type FleetRunOptions = Pick<PoolFleetOptions, 'hasLeavers' | 'hasResenders' | 'patientShare' | 'wrapConfirmation' | 'wrapMessage' | 'wrapOrders' | 'wrapProgress' | 'wrapUpstreams'>;
+export type FleetRunOptions = Pick<PoolFleetOptions, 'hasLeavers' | 'hasResenders' | 'patientShare' | 'wrapConfirmation' | 'wrapEvacuated' | 'wrapMessage' | 'wrapOrders' | 'wrapProgress' | 'wrapUpstreams'>;
 
 /**
  * Runs a simulated fleet and checks its record.
@@ -82,7 +92,7 @@
 	await fleet.run();
 	const {upstreams: {starts}, callers: {submissions}, workload: {deadlyTasks}, listedCapacities, logLines} = fleet;
 	const record = {
-		submissions, starts, deadlyTasks, listedCapacities, orders: fleet.getSentOrders(),
+		submissions, starts, deadlyTasks, listedCapacities, orders: fleet.getSentOrders(), evacuations: fleet.evacuations,
 	};
 	const restartGaps = getRestartGaps({runs: starts, submissions, logLines});
 	return {
--- a/src/testing/fleet-vm.ts
+++ b/src/testing/fleet-vm.ts
@@ -5,12 +5,13 @@
 	EventLoopProgress, type Incarnation, type InputProgress, type PeerRequest, type SenderConfirmation,
 } from '../connection/index.js';
 import {
-	type DecisionLog, getDataCenter, type LogFields, type PollOutcome, StartupOwnerCheck, type OrderOptions, type OrderOutcome, PoolLayout, PoolNode, type StoredClaim, type UpstreamDescription,
+	type DecisionLog, Evacuations, getDataCenter, type LogFields, type PollOutcome, StartupOwnerCheck, type OrderOptions, type OrderOutcome, PoolLayout, PoolNode, type StoredClaim, type UpstreamDescription,
 	type UpstreamOrders,
 } from '../pool/index.js';
 import {
 	type Clock, createSeededRandom, sleep,
 } from '../seams/index.js';
+import {EvacuationWatch, evacuationPrefix} from '../platform/evacuation-watch.js';
 import {type SentOrder} from './fleet-checks.js';
 import {type SimulatedUpstreams} from './simulated-upstreams.js';
 import {type SimulatedPeerMesh, type SimulatedVmNetwork} from './simulated-vm-network.js';
@@ -23,6 +24,8 @@
 export type FleetStore = {
 	revision: number;
 	readonly claims: Map<string, StoredClaim>;
+	/** Data centres that the operator evacuates; `undefined` in a fleet without evacuations, whose VMs do not read them. */
+	readonly evacuated?: Set<string>;
 	/** Returns the current state of the store for a VM. `lost`: writes are executed, but answers are lost. */
 	readonly getState: (vm: string) => 'available' | 'unavailable' | 'lost';
 };
@@ -56,6 +59,8 @@
 	readonly wrapMessage?: (message: PeerRequest) => PeerRequest;
 	/** Replaces what the VM knows of its input, for tests of the checks. */
 	readonly wrapProgress?: (progress: InputProgress, clock: Clock) => InputProgress;
+	/** Replaces what the VM takes for the evacuated data centres, for tests of the checks. */
+	readonly wrapEvacuated?: (dataCenters: readonly string[]) => readonly string[];
 };
 
 /** Timeout of calls to the store, and round-trip time of the store, in milliseconds. */
@@ -76,6 +81,9 @@
 /** Time after which all former addresses where owners may have runs are known without a report of an owner, in milliseconds. */
 const formerKnownMs = 5000;
 
+/** Interval of reads of the evacuated data centres, in milliseconds; a watch would be answered at once. */
+const evacuationPollIntervalMs = 200;
+
 /** Interval of reads of the list, in milliseconds. */
 const listPollIntervalMs = 500;
 
@@ -99,6 +107,10 @@
 	pendingRequestCount = 0;
 	readonly #options: FleetVmOptions;
 	readonly #mesh: SimulatedPeerMesh;
+	readonly #evacuations = new Evacuations();
+	readonly #evacuationWatch: EvacuationWatch;
+	/** Whether the first read of the evacuated data centres has been answered or has failed, if there may be any. */
+	#areEvacuationsRead: boolean;
 	readonly #neighbours: StartupOwnerCheck;
 	/** Monotonic time of the VM at which the list of upstreams was first read. */
 	#firstListedAt = Infinity;
@@ -118,6 +130,8 @@
 			wrapProgress = progress => progress,
 		} = options;
 		const random = createSeededRandom(seed);
+		this.#areEvacuationsRead = store.evacuated === undefined;
+		this.#evacuationWatch = new EvacuationWatch({log: this.#createLog(), dataCenters: [...poolCounts.keys()], evacuations: this.#evacuations});
 		this.process = new SimulatedProcess(clock, random);
 		const progress = new EventLoopProgress({
 			clock: this.process, callAfterPoll: callback => {
@@ -136,9 +150,14 @@
 			inputProgress,
 			getHeartbeat: () => ({
 				isLeaving: this.isStopping || this.node.isResigning(), claims: this.node.getFences(), cores: 1, load: this.node.getClaims(),
+				evacuation: this.#evacuationWatch.getPublishedState(),
 			}),
 			getHeartbeatIntervalTicks: peer => this.node.getHeartbeatIntervalTicks(peer),
-			onHeartbeat: (load, from) => {
+			onHeartbeat: (load, from, evacuation) => {
+				if (evacuation !== undefined) {
+					this.#evacuationWatch.addPeerState(evacuation, from.id);
+				}
+
 				this.node.handleHeartbeat(load, from);
 			},
 			onControl: message => {
@@ -159,7 +178,8 @@
 			inputProgress,
 			orders: this.#createOrders(),
 			maxLeaseMs: 1000,
-			isSettled: () => this.#neighbours.isSettled(),
+			evacuations: this.#evacuations,
+			isSettled: () => this.#neighbours.isSettled() && this.#areEvacuationsRead,
 			getVmCount: () => this.#neighbours.getVmCount() + 1,
 			claims: {
 				addClaim: async pool => this.#callStore(() => {
@@ -177,6 +197,7 @@
 			peerSilenceMs,
 			onOwnedPoolsChanged() {/* The list is read for all pools. */},
 		});
+		void this.#followEvacuations();
 		void this.#readRegistry(vms.filter(({name, dataCenter}) => dataCenter === self.dataCenter && name !== self.vm));
 		this.process.setTimer(() => {
 			this.#firstListedAt = this.process.getMonotonicTime();
@@ -269,6 +290,24 @@
 		}
 	}
 
+	async #followEvacuations(): Promise<void> {
+		const {store, wrapEvacuated = names => names} = this.#options;
+		const {evacuated} = store;
+		if (evacuated === undefined) {
+			return;
+		}
+
+		for (;;) {
+			const read = await this.#callStore(() => ({revision: store.revision, names: [...evacuated]}));
+			if (read !== undefined) {
+				this.#evacuationWatch.setItems(wrapEvacuated(read.names).map(name => ({key: `${evacuationPrefix}${name}`})), read.revision);
+			}
+
+			this.#areEvacuationsRead = true;
+			await sleep(this.process, evacuationPollIntervalMs);
+		}
+	}
+
 	/**
 	 * Calls the store; the operation is executed when the request arrives there.
 	 * @returns Result; `undefined` when no answer arrives in time.
--- a/src/testing/pool-fleet.ts
+++ b/src/testing/pool-fleet.ts
@@ -7,8 +7,8 @@
 } from '../pool/index.js';
 import {type Clock, createSeededRandom, type Random} from '../seams/index.js';
 import {FleetCallers} from './fleet-callers.js';
-import {type ListedCapacity, type SentOrder} from './fleet-checks.js';
-import {type FleetFault} from './fleet-faults.js';
+import {type FleetEvacuation, type ListedCapacity, type SentOrder} from './fleet-checks.js';
+import {type FleetFault, type FleetFaultKind} from './fleet-faults.js';
 import {type FleetLogLine, type FleetStore, FleetVm} from './fleet-vm.js';
 import {FleetWorkload} from './fleet-workload.js';
 import {ManualClock} from './manual-clock.js';
@@ -52,6 +52,8 @@
 	readonly wrapMessage?: (message: PeerRequest) => PeerRequest;
 	/** Replaces what VMs know of their input, for tests of the checks. */
 	readonly wrapProgress?: (progress: InputProgress, clock: Clock) => InputProgress;
+	/** Replaces what VMs take for the evacuated data centres, for tests of the checks. */
+	readonly wrapEvacuated?: (dataCenters: readonly string[]) => readonly string[];
 };
 
 /** Far from the offsets of the other sources of random numbers, so that neighbouring seeds share none. */
@@ -113,6 +115,15 @@
 const minLongestHoldMs = 150;
 const longestHoldRangeMs = 700;
 
+/** Time within which all VMs have to know of an evacuation, and the most by which faults may extend it, in milliseconds. */
+const evacuateMs = 5000;
+const maxStretchMs = 6000;
+
+/** Kinds of faults that keep VMs from the store, from each other or from their work, or orders from upstreams. */
+const isolatingKinds: ReadonlySet<FleetFaultKind> = new Set<FleetFaultKind>([
+	'store-away', 'store-lost', 'cut', 'cut-one-way', 'cut-center', 'freeze', 'suspend', 'starve', 'held', 'late', 'late-reborn', 'late-grant',
+]);
+
 /** Share of orders sent during a network cut that are delivered once it has healed. */
 const deliveredAfterCutShare = 0.3;
 
@@ -133,6 +144,7 @@
 	readonly poolCounts = new Map<string, number>();
 	readonly workload: FleetWorkload;
 	readonly listedCapacities: ListedCapacity[] = [];
+	readonly evacuations: FleetEvacuation[] = [];
 	readonly #options: PoolFleetOptions;
 	readonly #random: Random;
 	readonly #network: SimulatedVmNetwork;
@@ -141,7 +153,7 @@
 	readonly #startedAt = new Map<string, number>();
 	readonly #entries: UpstreamEntry[] = [];
 	readonly #upstreamFaults: SimulatedUpstreamFaults[] = [];
-	readonly #store: FleetStore = {revision: 1000, claims: new Map(), getState: vm => this.#getStoreState(vm)};
+	readonly #store: FleetStore;
 	/** Current faults of the store and of the lists of upstreams. */
 	readonly #activeFaults = new Set<FleetFault>();
 	/** Sent orders by upstream, fence and process. */
@@ -151,6 +163,10 @@
 	constructor(options: PoolFleetOptions) {
 		this.#options = options;
 		const {clock} = this;
+		this.#store = {
+			revision: 1000, claims: new Map(), getState: vm => this.#getStoreState(vm),
+			...(options.faults.some(({kind}) => kind === 'evacuate') && {evacuated: new Set()}),
+		};
 		// The composition of the fleet and the callers must not depend on the faults.
 		const random = createSeededRandom(options.seed);
 		this.#random = createSeededRandom(options.seed + 1);
@@ -272,6 +288,7 @@
 			wrapConfirmation: this.#options.wrapConfirmation,
 			wrapMessage: this.#options.wrapMessage,
 			wrapProgress: this.#options.wrapProgress,
+			wrapEvacuated: this.#options.wrapEvacuated,
 		}));
 	}
 
@@ -379,6 +396,9 @@
 			'store-away': setActive,
 			'store-lost': setActive,
 			deadly: setActive,
+			evacuate: () => {
+				this.#evacuate(fault, endAfterDuration);
+			},
 			capacity: () => {
 				this.#shrinkUpstreams(fault, endAfterDuration);
 			},
@@ -419,6 +439,33 @@
 		actions[kind]();
 	}
 
+	/** Evacuates a data centre, unless it is evacuated already. */
+	#evacuate({target, atMs, durationMs}: FleetFault, endAfterDuration: (action: () => void) => void): void {
+		const dataCenters = [...this.poolCounts.keys()];
+		const dataCenter = dataCenters[target % dataCenters.length]!;
+		const {evacuated} = this.#store;
+		if (evacuated === undefined || evacuated.has(dataCenter)) {
+			return;
+		}
+
+		this.#store.revision++;
+		evacuated.add(dataCenter);
+		const until = atMs + durationMs;
+		this.evacuations.push({
+			dataCenter, from: atMs, until, boundMs: evacuateMs + this.#getStretchMs(atMs, until),
+		});
+		endAfterDuration(() => {
+			this.#store.revision++;
+			evacuated.delete(dataCenter);
+		});
+	}
+
+	/** Gets for how long faults may have kept VMs from hearing of an evacuation, in milliseconds. */
+	#getStretchMs(from: number, until: number): number {
+		const overlaps = this.#options.faults.filter(({kind}) => isolatingKinds.has(kind)).map(({atMs, durationMs}) => Math.min(until, atMs + durationMs) - Math.max(from, atMs));
+		return Math.min(maxStretchMs, overlaps.reduce((sum, overlapMs) => sum + Math.max(0, overlapMs), 0));
+	}
+
 	#kill(name: string, vm: FleetVm | undefined, isPowerLoss: boolean, downMs: number): void {
 		if (vm !== undefined) {
 			this.#network.kill(name, isPowerLoss);
--- a/src/testing/simulated-vm-network.ts
+++ b/src/testing/simulated-vm-network.ts
@@ -9,7 +9,7 @@
 	type Member, type MemberState, type PeerNetwork, type PeerOutcome, type PeerRequest,
 	type PeerRequestOptions, ReceivedStamps, type RequestAbortReason, type SenderConfirmation, SenderConfirmations,
 } from '../connection/index.js';
-import {type PoolClaims} from '../pool/index.js';
+import {type Evacuation, type PoolClaims} from '../pool/index.js';
 import {CurrentValue} from '../process/current-value.js';
 import {type Clock, type Random, type Timer} from '../seams/index.js';
 import {type LinkFilter, SimulatedConnection, type SimulatedConnectionEnd} from './simulated-connection.js';
@@ -34,6 +34,7 @@
 	readonly claims: Readonly<Record<string, number>>;
 	readonly cores: number;
 	readonly load: PoolClaims;
+	readonly evacuation?: Evacuation;
 };
 
 /** Options of {@link SimulatedPeerMesh}. */
@@ -45,7 +46,7 @@
 	readonly getHeartbeat: () => SimulatedHeartbeat;
 	/** Returns the interval of heartbeats to a peer, in ticks. */
 	readonly getHeartbeatIntervalTicks: (peer: Incarnation) => number;
-	readonly onHeartbeat: (load: PoolClaims, from: Incarnation) => void;
+	readonly onHeartbeat: (load: PoolClaims, from: Incarnation, evacuation?: Evacuation) => void;
 	readonly onControl: (message: ControlMessage) => void;
 	readonly onRequest: (request: PeerRequest, signal: AbortSignal, confirmation: SenderConfirmation) => Promise<unknown>;
 };
@@ -575,7 +576,7 @@
 			return;
 		}
 
-		const {isLeaving, claims, cores, load} = frame.beat;
+		const {isLeaving, claims, cores, load, evacuation} = frame.beat;
 		record.lastReceivedAt = this.#getNow();
 		record.nextBeatMs = frame.nextBeatMs;
 		if (record.isLeaving !== isLeaving || record.cores !== cores || JSON.stringify(record.claims) !== JSON.stringify(claims)) {
@@ -586,7 +587,7 @@
 		}
 
 		this.#setState(record, 'up');
-		this.#options.onHeartbeat(load, record.incarnation);
+		this.#options.onHeartbeat(load, record.incarnation, evacuation);
 	}
 
 	#addClient(record: PeerRecord): JobClientEnd {
--- a/test/pool/fleet-mutants.test.ts
+++ b/test/pool/fleet-mutants.test.ts
@@ -6,7 +6,7 @@
 import {createSeededRandom} from '../../src/seams/index.js';
 import {createImmediateProgress} from '../../src/connection/index.js';
 import {
-	getFleetFaults, getHoldFaults, getUpstreamAnswerFaults, runFleet,
+	getEvacuations, getFleetFaults, getHoldFaults, getUpstreamAnswerFaults, runFleet,
 } from '../../src/testing/fleet-run.js';
 import {oddAnswerDetail} from '../../src/testing/simulated-upstreams.js';
 import {fleetRegressions} from './fleet-regressions.js';
@@ -107,3 +107,21 @@
 	});
 	t.deepEqual([...new Set(violations.map(({rule}) => rule))], ['early-restart']);
 });
+
+/** A fleet whose data centres are evacuated one after the other and together, among other faults. */
+const evacuatedFleet = {seed: 3, faults: [...getFleetFaults(3, 4).filter(({kind}) => kind === 'kill' || kind === 'stop' || kind === 'crash'), ...getEvacuations(3, 4)]};
+
+test('a fleet starts nothing in evacuated data centres', async t => {
+	const {evacuations, starts, violations} = await runFleet(evacuatedFleet.seed, evacuatedFleet.faults);
+	t.deepEqual(violations, []);
+	// Starts go on elsewhere, and after the end.
+	t.true(evacuations.some(({from, until, boundMs}) => until - from > boundMs));
+	const ended = evacuations.filter(({until}) => until < 9000);
+	t.true(ended.length > 0);
+	t.true(ended.every(({dataCenter, until}) => starts.some(({upstream, startedAt}) => upstream.startsWith(dataCenter) && startedAt > until && startedAt < until + 1000)));
+});
+
+test('a fleet whose VMs do not heed the operator\'s items starts tasks in evacuated data centres', async t => {
+	const {violations} = await runFleet(evacuatedFleet.seed, evacuatedFleet.faults, {wrapEvacuated: () => []});
+	t.deepEqual([...new Set(violations.map(({rule}) => rule))], ['evacuated-start']);
+});
--- a/test/testing/fleet-checks.test.ts
+++ b/test/testing/fleet-checks.test.ts
@@ -22,7 +22,7 @@
 
 function getRules(record: Partial<FleetRecord>): ReadonlyArray<FleetViolation['rule']> {
 	const violations = findViolations({
-		starts: [], submissions: [createSubmission('left')], deadlyTasks: new Set(), listedCapacities: [], orders: [], ...record,
+		starts: [], submissions: [createSubmission('left')], deadlyTasks: new Set(), listedCapacities: [], orders: [], evacuations: [], ...record,
 	});
 	return violations.map(({rule}) => rule);
 }
@@ -86,3 +86,12 @@
 	t.deepEqual(getEarly({gapMs: -1}), []);
 	t.deepEqual(getEarly({minGapMs: undefined}), []);
 });
+
+test('a start in an evacuated data centre is wrong from the bound after the write to the removal', t => {
+	const evacuations = [{
+		dataCenter: 'dc1', from: 1000, until: 9000, boundMs: 5000,
+	}];
+	const getRulesAt = (startedAt: number, upstream: string): ReadonlyArray<FleetViolation['rule']> => getRules({starts: [createRun(1, startedAt, {upstream})], evacuations});
+	t.deepEqual(getRulesAt(6001, 'dc1-u0'), ['evacuated-start']);
+	t.deepEqual([[6000, 'dc1-u0'], [9000, 'dc1-u0'], [7000, 'dc10-u0']].flatMap(([at, upstream]) => getRulesAt(at as number, upstream as string)), []);
+});
