Lend queued tasks of evacuated pools to all pools, and retry at the end of an evacuation

A data centre may have more pools than the others, whose started jobs then had no pool at the same position to borrow from. Recalls ask all pools once an evacuation has been known.

--- a/src/platform/evacuation-watch.ts
+++ b/src/platform/evacuation-watch.ts
@@ -26,8 +26,6 @@
 export class EvacuationWatch {
 	readonly #options: EvacuationWatchOptions;
 	readonly #ignoredKeys = new Set<string>();
-	/** Whether any VM was found to know an evacuation; until then, heartbeats need not carry the state. */
-	#hasBeenSet = false;
 
 	constructor(options: EvacuationWatchOptions) {
 		this.#options = options;
@@ -35,7 +33,8 @@
 
 	/** Gets the state for heartbeats; `undefined` if no VM is known to have ever known an evacuation. */
 	getPublishedState(): Evacuation | undefined {
-		return this.#hasBeenSet ? this.#options.evacuations.getState() : undefined;
+		const {evacuations} = this.#options;
+		return evacuations.hasBeenSet() ? evacuations.getState() : undefined;
 	}
 
 	/**
@@ -67,7 +66,8 @@
 	 * @param peer - Identifier of the peer.
 	 */
 	addPeerState({revision, dataCenters}: Evacuation, peer: string): void {
-		this.#hasBeenSet ||= dataCenters.length > 0;
+		// Peers publish a state only if a VM has known an evacuation.
+		this.#options.evacuations.setHasBeenSet();
 		// Called with each heartbeat; most carry a known state.
 		if (revision > this.#options.evacuations.getState().revision) {
 			this.#setState({revision, dataCenters: dataCenters.filter(name => this.#options.dataCenters.includes(name))}, peer);
@@ -77,7 +77,6 @@
 	#setState(state: Evacuation, source: string): void {
 		const {evacuations, log} = this.#options;
 		const before = evacuations.getState();
-		this.#hasBeenSet ||= state.dataCenters.length > 0;
 		if (!evacuations.setState(state)) {
 			return;
 		}
--- a/src/pool/evacuations.ts
+++ b/src/pool/evacuations.ts
@@ -42,6 +42,7 @@
 export class Evacuations {
 	#state: Evacuation = {revision: 0, dataCenters: []};
 	#names: ReadonlySet<string> = new Set();
+	#hasBeenSet = false;
 	#movedJobs = 0;
 	#withheldStarts = 0;
 	readonly #listeners = new Set<() => void>();
@@ -51,6 +52,16 @@
 		return this.#state;
 	}
 
+	/** Gets whether any VM is known to have known an evacuation; tasks may be lent between pools that are no neighbours otherwise. */
+	hasBeenSet(): boolean {
+		return this.#hasBeenSet;
+	}
+
+	/** Records that a VM has known an evacuation. */
+	setHasBeenSet(): void {
+		this.#hasBeenSet = true;
+	}
+
 	/** Gets the counts of this process. */
 	getCounts(): EvacuationCounts {
 		return {movedJobs: this.#movedJobs, withheldStarts: this.#withheldStarts};
@@ -84,6 +95,7 @@
 		}
 
 		const names = new Set(dataCenters);
+		this.#hasBeenSet ||= names.size > 0;
 		const hasChanged = names.size !== this.#names.size || [...names].some(name => !this.#names.has(name));
 		this.#state = {revision, dataCenters: hasChanged ? [...names].toSorted() : this.#state.dataCenters};
 		if (hasChanged) {
--- a/src/pool/pool-lending.ts
+++ b/src/pool/pool-lending.ts
@@ -8,6 +8,7 @@
 import {type Clock} from '../seams/index.js';
 import {type CrashLedger, getJob} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
+import {Evacuations} from './evacuations.js';
 import {
 	type LentTask, type LendOutcome, type NeighbourCapacity, type PoolNeighbours,
 } from './lending.js';
@@ -41,6 +42,8 @@
 	readonly isLayoutKnown: () => boolean;
 	/** Gets the monotonic time since which a borrower must have been confirmed for a start. */
 	readonly getConfirmedSince: () => number;
+	/** Evacuated data centres, whose pools may borrow from all pools of the others; none by default. */
+	readonly evacuations?: Evacuations;
 };
 
 /** Task of another owner, and its outcome in the lender's pool. */
@@ -60,8 +63,9 @@
 /** Sends and handles the requests by which owners lend free capacity to each other. */
 export class PoolLending {
 	readonly #options: PoolLendingOptions;
-	/** Neighbour pools of each pool owned here, with the list of pools from which they were selected. */
-	readonly #neighboursByPool = new Map<string, {readonly pools: readonly string[]; readonly names: readonly string[]}>();
+	/** Neighbour pools of each pool owned here, with the list of pools and the evacuation by which they were selected. */
+	readonly #neighboursByPool = new Map<string, {readonly pools: readonly string[]; readonly isEvacuated: boolean; readonly names: readonly string[]}>();
+	readonly #evacuations: Evacuations;
 	/** Sequence number of the last task received from each pool, and the fence of the owner that counts them. */
 	readonly #receivedSequences = new Map<string, {readonly fence: number; readonly sequence: number}>();
 	/** Tasks of other owners that run in the pools owned here. */
@@ -71,6 +75,7 @@
 
 	constructor(options: PoolLendingOptions) {
 		this.#options = options;
+		this.#evacuations = options.evacuations ?? new Evacuations();
 		this.#pendingLends = new PendingLends(options);
 	}
 
@@ -262,9 +267,11 @@
 	#getNeighbours(pool: string): readonly PoolView[] {
 		const {directory} = this.#options;
 		const pools = directory.getPools();
+		const isEvacuated = this.#evacuations.hasPool(pool);
 		let neighbours = this.#neighboursByPool.get(pool);
-		if (neighbours?.pools !== pools) {
-			neighbours = {pools, names: pools.filter(other => isNeighbourPool(pool, other))};
+		if (neighbours?.pools !== pools || neighbours.isEvacuated !== isEvacuated) {
+			// Other data centres may have fewer pools, so that there is none at the same position.
+			neighbours = {pools, isEvacuated, names: pools.filter(other => isNeighbourPool(pool, other) || (isEvacuated && other !== pool))};
 			this.#neighboursByPool.set(pool, neighbours);
 		}
 
@@ -319,7 +326,8 @@
 	async #recall(borrower: string, job: string | undefined, fence: number): Promise<boolean> {
 		// An earlier owner may have lent runs in pools that are not known here.
 		const isLayoutKnown = this.#options.isLayoutKnown();
-		const neighbours = this.#options.directory.getPools().filter(pool => isNeighbourPool(borrower, pool));
+		const hasBorrowedAnywhere = this.#evacuations.hasBeenSet();
+		const neighbours = this.#options.directory.getPools().filter(pool => isNeighbourPool(borrower, pool) || (hasBorrowedAnywhere && pool !== borrower));
 		const controller = new AbortController();
 		const timer = this.#options.clock.setTimer(() => {
 			controller.abort();
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -187,6 +187,7 @@
 			getOwner: pool => this.#owned.get(pool),
 			isLayoutKnown: options.isLayoutKnown,
 			getConfirmedSince: () => getConfirmedSince(options.clock.getMonotonicTime(), this.#pauses.getDetectedAt()),
+			evacuations: this.evacuations,
 		});
 		this.#awaitedJobs = new AwaitedJobs(options);
 		this.#router = new PoolRouter({
--- a/src/pool/pool-router.ts
+++ b/src/pool/pool-router.ts
@@ -69,6 +69,12 @@
 /** Time after which a caller should retry while all data centres are evacuated, in milliseconds: nothing tells when the operator will end it. */
 const evacuatedRetryAfterMs = 2000;
 
+/**
+ * Time for which a job is submitted to evacuated pools again, in milliseconds: two heartbeats, within which this VM and the owners hear of the same
+ * begin or end of an evacuation. With a smaller value, jobs are refused in vain at its end; with a larger one, refusals are late.
+ */
+const evacuatedRetryMs = 200;
+
 /** Time until a job is submitted again to an owner that lost the connection but is still up, in milliseconds. */
 const sameOwnerRetryMs = 100;
 
@@ -165,12 +171,14 @@
 
 	/** Submits a job to one pool after another until one accepts it. */
 	async #submitToPools(job: PoolJobRequest, submission: Submission, signal: AbortSignal): Promise<PoolJobOutcome> {
+		const {clock} = this.#options;
 		const cpu = getInitialCpu(job);
 		const triedPools = new Set<string>();
 		let refusal: PoolJobOutcome = createRefusal('no-upstream');
 		let current = submission;
-		let evacuatedCount = 0;
-		while (triedPools.size - evacuatedCount < maxPoolsTried && !signal.aborted) {
+		const evacuatedPools = new Set<string>();
+		let retryUntil = Infinity;
+		while (triedPools.size - evacuatedPools.size < maxPoolsTried && !signal.aborted) {
 			if (this.#areAllEvacuated()) {
 				return {kind: 'refused', reason: 'evacuated', retryAfterMs: evacuatedRetryAfterMs};
 			}
@@ -179,6 +187,16 @@
 			const target = await this.#choosePool({
 				cpu, isSinglePool: isSinglePoolJob(job), triedPools, isSpread,
 			}, signal);
+			if (target === undefined && evacuatedPools.size > 0 && clock.getMonotonicTime() < retryUntil) {
+				await sleep(clock, ownerPollIntervalMs, signal);
+				for (const pool of evacuatedPools) {
+					triedPools.delete(pool);
+				}
+
+				evacuatedPools.clear();
+				continue;
+			}
+
 			if (target === undefined) {
 				break;
 			}
@@ -196,7 +214,8 @@
 
 			refusal = outcome;
 			if (outcome.reason === 'evacuated') {
-				evacuatedCount++;
+				evacuatedPools.add(target.pool);
+				retryUntil = Math.min(retryUntil, clock.getMonotonicTime() + evacuatedRetryMs);
 				current = {...submission, getSubmitted: priorFence => ({...submission.getSubmitted(priorFence), isMoved: true})};
 				continue;
 			}
--- a/src/testing/simulated-pools.ts
+++ b/src/testing/simulated-pools.ts
@@ -126,6 +126,7 @@
 			getOwner: name => name === pool ? owner : undefined,
 			isLayoutKnown: () => this.isLayoutKnown,
 			getConfirmedSince: () => getConfirmedSince(clock.getMonotonicTime(), -Infinity),
+			evacuations: this.#options.evacuations,
 		});
 		const owner: PoolOwner = new PoolOwner({
 			pool,
