--- a/src/connection/control-messages.ts
+++ b/src/connection/control-messages.ts
@@ -181,8 +181,9 @@
 		return false;
 	}
 
-	const {id, vm, address, state, ...status} = value;
-	return isText(id) && isText(vm) && isText(address) && (state === 'up' || state === 'silent' || state === 'down') && isStatus(status);
+	const {id, vm, address, state, evacuation, ...status} = value;
+	// Only heartbeats of the process itself carry it.
+	return evacuation === undefined && isText(id) && isText(vm) && isText(address) && (state === 'up' || state === 'silent' || state === 'down') && isStatus(status);
 }
 
 function isStatus(value: unknown): boolean {
--- a/test/connection/control-messages.test.ts
+++ b/test/connection/control-messages.test.ts
@@ -17,6 +17,10 @@
 	claims: mostly(fc.dictionary(fc.string({maxLength: 4}), mostly(fc.nat()), {maxKeys: 2})),
 	cores: mostly(fc.constantFrom(0.3, 1, 2)),
 };
+const heartbeatStatusFields = {
+	...statusFields,
+	evacuation: mostly(fc.record({revision: mostly(fc.nat()), dataCenters: mostly(fc.array(mostly(fc.string({maxLength: 4})), {maxLength: 2}))})),
+};
 const memberFields = {
 	id: mostly(fc.string({maxLength: 4})),
 	vm: mostly(fc.constantFrom('vm', 'v'.repeat(128), 'v'.repeat(129))),
@@ -36,17 +40,19 @@
 	const number = fc.oneof({weight: 3, arbitrary: fc.nat()}, anything);
 	const message = fc.record({
 		type: fc.constantFrom('beat', 'beat', 'ack'), logicalTime: number, received: number, nextMs: number, load: anything,
-		status: mostly(fc.record(statusFields, {requiredKeys: ['configurationVersion', 'isLeaving']})),
+		status: mostly(fc.record(heartbeatStatusFields, {requiredKeys: ['configurationVersion', 'isLeaving']})),
 		reports: fc.oneof(fc.array(fc.record({reporter: fc.oneof(fc.string(), anything), beat: number, view: mostly(view)}, {requiredKeys: ['reporter']})), anything),
 	}, {requiredKeys: ['type', 'logicalTime', 'received']});
 	const wellFormed = fc.record({
 		type: fc.constant('beat'), logicalTime: fc.nat(), received: fc.nat(),
-		status: fc.record(statusFields), reports: fc.array(fc.record({reporter: fc.string({maxLength: 4}), beat: fc.nat(), view}), {maxLength: 2}),
+		status: fc.record(heartbeatStatusFields, {requiredKeys: ['configurationVersion', 'isLeaving', 'claims', 'cores']}), reports: fc.array(fc.record({reporter: fc.string({maxLength: 4}), beat: fc.nat(), view}), {maxLength: 2}),
 	});
 	let decodedViews = 0;
+	let decodedEvacuations = 0;
 	fc.assert(fc.property(fc.oneof(message, wellFormed, anything), value => {
 		const decoded = decodeCompleteHeartbeat(value);
 		decodedViews += decoded?.reports?.filter(report => (report.view?.members.length ?? 0) > 0).length ?? 0;
+		decodedEvacuations += Number(decoded?.status?.evacuation !== undefined);
 		if (decoded !== undefined) {
 			const parsed = heartbeatSchema.safeParse(value);
 			t.true(parsed.success);
@@ -55,6 +61,7 @@
 		}
 	}), {seed: 7, numRuns: 6000});
 	t.true(decodedViews > 100, `${decodedViews} views`);
+	t.true(decodedEvacuations > 100, `${decodedEvacuations} evacuations`);
 });
 
 test('only complete heartbeats are decoded without the schema', t => {
--- a/test/platform/evacuation.test.ts
+++ b/test/platform/evacuation.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {request} from 'undici';
 import {createPlatformDeployment, waitFor, type PlatformDeployment} from './platform-deployment.js';
 
 const getStarts = ({upstreams}: PlatformDeployment, dataCenter: string) => upstreams.slice(...(dataCenter === 'dc1' ? [0, 2] : [2])).flatMap(upstream => upstream.getStarts());
@@ -16,6 +17,13 @@
 	t.like(await deployment.submit(1, '00000000000000a2', {taskCount: 8}), {status: 200, state: 'completed'});
 	t.deepEqual(getStarts(deployment, 'dc1'), []);
 	t.is(getStarts(deployment, 'dc2').length, 11);
+	const res = await request(`http://${deployment.entryVms[0]!.getAddresses()[2]!}/metrics`);
+	const metrics = await res.body.text();
+	t.regex(metrics, /^endivemill_evacuated\{data_center="dc1"\} 1$/mv);
+	t.regex(metrics, new RegExp(`^endivemill_evacuation_revision ${deployment.entryVms[0]!.getEvacuation().revision}$`, 'mv'));
+	t.regex(metrics, /^endivemill_pool_runs\{pool="dc1"\} 0$/mv);
+	t.regex(metrics, /^endivemill_pool_cores\{pool="dc1"\} 0$/mv);
+	t.regex(metrics, /^endivemill_evacuation_moved_jobs_total 0$/mv);
 
 	store.setText('op/evacuate/dc2', '{}');
 	await waitUntilKnown(deployment, ['dc1', 'dc2']);
