--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -8,7 +8,7 @@
 	createHttpListener, createPeerMesh, dialTcp, EventLoopProgress, type HttpListener, type Incarnation, type PeerMesh, type PeerRequest, type SenderConfirmation,
 } from '../connection/index.js';
 import {
-	configurationTopic, createRateLimitedLog, type DecisionLog, getDataCenter, maxFullMeshVms, StartupOwnerCheck, PoolLayout, PoolNode, type StoredClaim, upstreamsSchema,
+	configurationTopic, createRateLimitedLog, type DecisionLog, type Evacuation, Evacuations, getDataCenter, maxFullMeshVms, StartupOwnerCheck, PoolLayout, PoolNode, type StoredClaim, upstreamsSchema,
 	upstreamsTopic,
 } from '../pool/index.js';
 import {type SchedulingOptions} from '../scheduling/index.js';
@@ -19,6 +19,7 @@
 import {CancelledJobs, cancelTopic} from './cancelled-jobs.js';
 import {ConfigurationWatch} from './configuration-watch.js';
 import {describeIssues} from './describe-issues.js';
+import {EvacuationWatch} from './evacuation-watch.js';
 import {HttpOrders} from './http-orders.js';
 import {LayoutManager} from './layout-manager.js';
 import {LearntSpeeds, speedReportIntervalMs, speedsTopic} from './learnt-speeds.js';
@@ -108,6 +109,8 @@
 	readonly #orders: HttpOrders;
 	readonly #inputProgress: EventLoopProgress;
 	readonly #configuration: ConfigurationWatch;
+	readonly #evacuations = new Evacuations();
+	readonly #evacuationWatch: EvacuationWatch;
 	readonly #layout = new PoolLayout();
 	readonly #layoutManager: LayoutManager;
 	readonly #upstreams: UpstreamList;
@@ -141,11 +144,15 @@
 		this.#inputProgress = new EventLoopProgress({clock});
 		this.#orders = new HttpOrders({clock, log: this.#log});
 		const sharedOptions = {clock, log: this.#log, store: this.#store};
-		this.#configuration = new ConfigurationWatch({...sharedOptions, isNotifiedByPeers: () => this.#node.isStandby()});
+		this.#evacuationWatch = new EvacuationWatch({log: this.#log, dataCenters: settings.dataCenters, evacuations: this.#evacuations});
+		this.#configuration = new ConfigurationWatch({
+			...sharedOptions, isNotifiedByPeers: () => this.#node.isStandby(), evacuations: this.#evacuationWatch, maxChangeMs: settings.evacuateMs,
+		});
 		this.#upstreams = new UpstreamList({
 			...sharedOptions,
 			layout: this.#layout,
 			dataCenters: settings.dataCenters,
+			coldLimits: settings.coldLimits,
 			onChange: () => {
 				this.#handleUpstreamsChanged();
 			},
@@ -233,6 +240,11 @@
 		return this.#configuration.getRoutingTable()?.version ?? 0;
 	}
 
+	/** Gets the evacuated data centres and the revision of the store at which they are. */
+	getEvacuation(): Evacuation {
+		return this.#evacuations.getState();
+	}
+
 	/** Gets the number of known pools. */
 	getPoolCount(): number {
 		return this.#layout.getPools().length;
@@ -345,8 +357,13 @@
 				claims: this.#node?.getFences() ?? {},
 				cores: settings.cores,
 				load: this.#node?.getClaims() ?? {},
+				evacuation: this.#evacuationWatch.getPublishedState(),
 			}),
 			onHeartbeat: (body, from) => {
+				if (body.evacuation !== undefined) {
+					this.#evacuationWatch.addPeerState(body.evacuation, from.id);
+				}
+
 				this.#node?.handleHeartbeat(body.load, from);
 				if (body.configurationVersion > this.getConfigurationVersion()) {
 					void this.#requestConfiguration(body.configurationVersion, from);
@@ -379,7 +396,9 @@
 			resendMs,
 			scheduling: this.#options.scheduling,
 			peerSilenceMs: missedHeartbeatsUntilDown * heartbeatIntervalMs,
-			isSettled: () => this.#neighbours.isSettled(),
+			evacuations: this.#evacuations,
+			// An owner must know the evacuated data centres before it starts tasks.
+			isSettled: () => this.#neighbours.isSettled() && this.#configuration.isFirstReadDone(),
 			getVmCount: () => this.#neighbours.getVmCount() + 1,
 			claims: {
 				addClaim: async pool => this.#addClaim(pool),
@@ -448,7 +467,8 @@
 
 	/** Publishes a pool's upstreams to the VMs of its data centre, any of which may have to take over the pool while the store is unavailable. */
 	#publishUpstreams(pool: string): void {
-		const upstreams = this.#upstreams.getUpstreams(pool);
+		// How long an upstream is still cold differs with each read, and each difference would be sent to all VMs.
+		const upstreams = this.#upstreams.getUpstreams(pool).map(upstream => upstream.cold === undefined ? upstream : {...upstream, cold: undefined});
 		const overwritten = this.#upstreams.getOverwrittenUpstreams(pool);
 		const former = this.#upstreams.getFormerUpstreams(pool);
 		if (upstreams.length === 0) {
--- a/src/pool/free-capacities.ts
+++ b/src/pool/free-capacities.ts
@@ -4,6 +4,7 @@
  */
 import {type PlacementCandidate} from '../scheduling/index.js';
 import {type NeighbourCapacity} from './lending.js';
+import {type TaskNeeds} from './pool-job.js';
 import {toCandidate} from './upstream-health.js';
 import {type UpstreamLink} from './upstream-link.js';
 
@@ -113,3 +114,11 @@
 function createCandidate(link: UpstreamLink): UpstreamCandidate {
 	return {...toCandidate(link), link};
 }
+
+/**
+ * Gets the thousandths of a core that are free for tasks: none while what runs exceeds any part of a capacity that has shrunk.
+ * @param free - Free capacity.
+ */
+export function getUsableCpu({cpu, memoryMb, accelerators}: TaskNeeds): number {
+	return memoryMb < 0 || accelerators < 0 ? 0 : Math.max(0, cpu);
+}
--- a/src/pool/lent-runs.ts
+++ b/src/pool/lent-runs.ts
@@ -4,6 +4,7 @@
 import {type SenderConfirmation} from '../connection/index.js';
 import {chooseUpstream} from '../scheduling/index.js';
 import {type Clock, sleep, type Timer} from '../seams/index.js';
+import {hasColdStart, isWithinColdSlack} from './cold-upstreams.js';
 import {type CrashLedger} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
 import {type LentTask, type LendOutcome} from './lending.js';
@@ -160,6 +161,14 @@
 			return;
 		}
 
+		if (isOverdue && hasColdStart(lent.link, lent.run)) {
+			const ageMs = this.#options.clock.getMonotonicTime() - lent.run.startedAt;
+			if (isWithinColdSlack(lent.link, lent.run, {ageMs, expectedMs: lent.expectedMs, siblingMs: 0})) {
+				// The borrower does not know that the upstream is cold.
+				return;
+			}
+		}
+
 		// The lateness may be that of the borrower, or of this process.
 		if (isOverdue && this.#options.overdueRuns.isEvident(lent.link)) {
 			this.#addFailure(lent.link);
--- a/src/pool/overdue-runs.ts
+++ b/src/pool/overdue-runs.ts
@@ -6,6 +6,7 @@
 	decideOverdue, type DurationEstimator, getRemainingMs, getRunNats, hasSpeedChanged, isLate, isOverdue, learnSpeed, type ObservedRun, type OverdueDecision,
 } from '../scheduling/index.js';
 import {type Clock} from '../seams/index.js';
+import {hasColdStart, isWithinColdSlack} from './cold-upstreams.js';
 import {getJob} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
 import {OverdueCounts} from './overdue-counts.js';
@@ -120,6 +121,11 @@
 	recordDone(link: UpstreamLink, run: LinkedRun, referenceMs: number): number {
 		const now = this.#options.clock.getMonotonicTime();
 		const measuredMs = now - run.startedAt;
+		if (hasColdStart(link, run)) {
+			recordSuccess(link);
+			return measuredMs;
+		}
+
 		recordSuccess(link, this.#options.learnsDurations ? undefined : measuredMs / Math.max(1, referenceMs));
 		if (run.expectation === undefined) {
 			return measuredMs / link.speed.slowness;
@@ -210,6 +216,11 @@
 		}
 
 		run.lateAt = now + ((now - run.startedAt) * reexaminationShare);
+		const {estimateMs, siblingMs} = run.expectation.getExpectation();
+		if (isWithinColdSlack(link, run, {ageMs: now - run.startedAt, expectedMs: estimateMs, siblingMs})) {
+			return false;
+		}
+
 		let decision = this.#decide(link, run, {remainingMs, now, unreadMs: 0});
 		const unreadMs = now - inputProgress.getReadUntil();
 		if (unreadMs > 0 && (decision.verdict === 'stop' || decision.verdict === 'too-late')) {
@@ -255,7 +266,7 @@
 	#stopByMultiples(job: QueuedJob, task: JobTask, now: number): void {
 		const {host, run} = task;
 		const age = {ageMs: now - run!.startedAt, expectedMs: job.getExpectedMs(task), siblingMs: job.longestRunMs};
-		if (isOverdue(age)) {
+		if (isOverdue(age) && !isWithinColdSlack(host!, run!, age)) {
 			this.#counts.add('stop');
 			this.#options.log.info({task: task.name, upstream: host!.name, ...age}, 'run overdue');
 			task.avoided = new Set([...task.avoided, host!.name]);
@@ -279,7 +290,7 @@
 	#decide(link: UpstreamLink, run: LinkedRun, {remainingMs, now, unreadMs}: {readonly remainingMs: number; readonly now: number; readonly unreadMs: number}): OverdueDecision & {readonly observed: ObservedRun} {
 		const runs: ObservedRun[] = [];
 		for (const other of link.getRuns()) {
-			if (other.expectation !== undefined && !other.isStopRequested && other.state === 'running') {
+			if (other.expectation !== undefined && !other.isStopRequested && other.state === 'running' && !hasColdStart(link, other)) {
 				runs.push(this.#observe(link, other, other.expectation, {now, unreadMs}));
 			}
 		}
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -11,6 +11,7 @@
 import {CrashLedger} from './crash-ledger.js';
 import {CrashReports} from './crash-reports.js';
 import {type DecisionLog} from './decision-log.js';
+import {Evacuations} from './evacuations.js';
 import {FenceIssuer} from './fence-issuer.js';
 import {JobSizeBudget} from './job-size.js';
 import {OverdueCounts} from './overdue-counts.js';
@@ -76,6 +77,8 @@
 	readonly peerSilenceMs: number;
 	/** Parts of the scheduling that are on; all by default. */
 	readonly scheduling?: SchedulingOptions;
+	/** Evacuated data centres; none by default. */
+	readonly evacuations?: Evacuations;
 };
 
 /** Interval of elections while no member changes its state, in milliseconds: one heartbeat. A change triggers an election immediately. */
@@ -114,6 +117,8 @@
 /** Owns pools of a deployment and routes jobs to the owners of the others. */
 export class PoolNode {
 	readonly directory: PoolDirectory;
+	/** Evacuated data centres. */
+	readonly evacuations: Evacuations;
 	/** Ages of the proofs that senders wait, at each start and each lease. */
 	readonly proofAges = new ProofAges();
 	/** Decisions on runs that took long. */
@@ -157,6 +162,7 @@
 
 	constructor(options: PoolNodeOptions) {
 		this.#options = options;
+		this.evacuations = options.evacuations ?? new Evacuations();
 		this.#fences = new FenceIssuer(options.self.id);
 		this.#pauses = new PauseDetector({
 			clock: options.clock,
@@ -176,6 +182,7 @@
 			getPools: () => options.layout.getPools(),
 			getCandidates: () => this.#candidates.getCandidates(),
 			getOwnLoad: pool => this.#owned.get(pool)?.getLoad(),
+			evacuations: this.evacuations,
 		});
 		this.#ledger = new CrashLedger(options.clock);
 		this.#crashReports = new CrashReports({...options, ledger: this.#ledger});
@@ -190,6 +197,7 @@
 			getOwner: pool => this.#owned.get(pool),
 			isLayoutKnown: options.isLayoutKnown,
 			getConfirmedSince: () => getConfirmedSince(options.clock.getMonotonicTime(), this.#pauses.getDetectedAt()),
+			evacuations: this.evacuations,
 		});
 		this.#awaitedJobs = new AwaitedJobs(options);
 		this.#router = new PoolRouter({
@@ -209,6 +217,7 @@
 			pauses: this.#pauses,
 			jobSizes: this.#jobSizes,
 			scheduling: options.scheduling,
+			evacuations: this.evacuations,
 		});
 		this.#timer = this.#setTimer();
 		this.#subscription = options.peers.getMemberStream().subscribe({
@@ -667,6 +676,7 @@
 			getStoppedMsSince: since => this.#pauses.getStoppedMsSince(since),
 			proofAges: this.proofAges,
 			startCounts: this.startCounts,
+			evacuation: this.evacuations.createView(getDataCenter(pool)),
 		}, [...getUpstreams(pool), ...getMissingUpstreams(pool)]);
 		this.#owned.set(pool, owner);
 		if (this.#isIsolated()) {
--- a/src/pool/pool-router.ts
+++ b/src/pool/pool-router.ts
@@ -9,6 +9,7 @@
 import {type AwaitedJobs} from './awaited-jobs.js';
 import {type CrashLedger} from './crash-ledger.js';
 import {type DecisionLog, type LogFields} from './decision-log.js';
+import {Evacuations} from './evacuations.js';
 import {isSinglePoolJob} from './lending.js';
 import {getJobSize, JobSizeBudget} from './job-size.js';
 import {type PauseDetector} from './pause-detector.js';
@@ -51,6 +52,8 @@
 	readonly jobSizes?: JobSizeBudget;
 	/** Parts of the scheduling that are on; all by default. */
 	readonly scheduling?: SchedulingOptions;
+	/** Evacuated data centres, whose pools get no jobs; none by default. */
+	readonly evacuations?: Evacuations;
 };
 
 /** Time for which a job waits until any pool has an owner, in milliseconds: two heartbeats and an election. */
@@ -63,7 +66,10 @@
 /** Number of owners that may be lost with a job before it is given up: its tasks may be what ends them. */
 const maxLostOwners = 2;
 
-/** Number of pools that a job is submitted to before it is refused, without counting those that refused it because of their load if data centres are balanced. */
+/**
+ * Number of pools that a job is submitted to before it is refused, without counting those of evacuated data centres and those that refused it because of
+ * their load if data centres are balanced.
+ */
 const maxPoolsTried = 3;
 
 /** Share of the objective within which a caller is to be refused, so that it can go elsewhere. */
@@ -73,6 +79,15 @@
 const initialTaskMs = 200;
 const taskObservationWeight = 0.05;
 
+/** Time after which a caller should retry while all data centres are evacuated, in milliseconds: nothing tells when the operator will end it. */
+const evacuatedRetryAfterMs = 2000;
+
+/**
+ * Time for which a job is submitted to evacuated pools again, in milliseconds: two heartbeats, within which this VM and the owners hear of the same
+ * begin or end of an evacuation. With a smaller value, jobs are refused in vain at its end; with a larger one, refusals are late.
+ */
+const evacuatedRetryMs = 200;
+
 /** Time until a job is submitted again to an owner that lost the connection but is still up, in milliseconds. */
 const sameOwnerRetryMs = 100;
 
@@ -96,11 +111,13 @@
 	/** Work and CPU of the latest jobs, decayed, in core-milliseconds and thousandths of a core. */
 	#recentWork = initialTaskMs / 1000;
 	#recentCpu = 1;
+	readonly #evacuations: Evacuations;
 
 	constructor(options: PoolRouterOptions) {
 		this.#options = options;
 		this.counts = new RoutingCounts(options.clock, options.log);
 		this.#jobSizes = options.jobSizes ?? new JobSizeBudget();
+		this.#evacuations = options.evacuations ?? new Evacuations();
 	}
 
 	/**
@@ -176,15 +193,33 @@
 
 	/** Submits a job to one pool after another until one accepts it or none can serve it in time. */
 	async #submitToPools(job: PoolJobRequest, submission: Submission, signal: AbortSignal): Promise<PoolJobOutcome> {
+		const {clock} = this.#options;
 		const balancesDataCentres = this.#options.scheduling?.balancesDataCentres ?? defaultSchedulingOptions.balancesDataCentres;
 		this.#addDuration(job);
-		const getDemand = createDemand(job, submission);
+		const getDemand = createDemand(job, submission, () => this.#evacuations.isEvacuated(this.#options.dataCenter));
 		const triedPools = new Set<string>();
 		const refusedBy = new Set<string>();
 		let loadRefusals = 0;
 		let refusal: PoolJobOutcome = createRefusal('no-upstream');
-		while (triedPools.size - loadRefusals < maxPoolsTried && !signal.aborted) {
+		let current = submission;
+		const evacuatedPools = new Set<string>();
+		let retryUntil = Infinity;
+		while (triedPools.size - loadRefusals - evacuatedPools.size < maxPoolsTried && !signal.aborted) {
+			if (this.#areAllEvacuated()) {
+				return {kind: 'refused', reason: 'evacuated', retryAfterMs: evacuatedRetryAfterMs};
+			}
+
 			const decision = await this.#decide(job, () => getDemand(triedPools, refusedBy), signal);
+			if (decision.kind !== 'submit' && evacuatedPools.size > 0 && clock.getMonotonicTime() < retryUntil) {
+				await sleep(clock, ownerPollIntervalMs, signal);
+				for (const pool of evacuatedPools) {
+					triedPools.delete(pool);
+				}
+
+				evacuatedPools.clear();
+				continue;
+			}
+
 			if (decision.kind !== 'submit') {
 				if (refusedBy.size > 0) {
 					this.counts.addRefusal({kind: 'refuse', by: 'ranking', reason: 'overloaded'}, () => this.#describe(job, getDemand(triedPools, refusedBy)));
@@ -199,7 +234,7 @@
 			});
 			triedPools.add(target.pool);
 			this.#options.directory.addSentJob(target.pool, job);
-			const outcome = await this.#submitAwaited(target.pool, job, submission, signal);
+			const outcome = await this.#submitAwaited(target.pool, job, current, signal);
 			if (outcome.kind !== 'completed') {
 				this.#options.log.debug({
 					job: job.id, outcome: outcome.kind, ...target, ageMs: decision.reportAgeMs, expectedEndMs: Math.round(decision.expectedEndMs),
@@ -217,6 +252,13 @@
 			this.counts.add({
 				kind: 'refuse', by: 'owner', reason: outcome.reason, ageMs: decision.reportAgeMs,
 			});
+			if (outcome.reason === 'evacuated') {
+				evacuatedPools.add(target.pool);
+				retryUntil = Math.min(retryUntil, clock.getMonotonicTime() + evacuatedRetryMs);
+				current = {...submission, getSubmitted: priorFence => ({...submission.getSubmitted(priorFence), isMoved: true})};
+				continue;
+			}
+
 			if (!isLoadRefusal) {
 				continue;
 			}
@@ -255,14 +297,14 @@
 		const {
 			clock, random, dataCenter, directory, scheduling,
 		} = this.#options;
-		const views = directory.getViews();
+		const views = directory.getViews().filter(({pool}) => !this.#evacuations.hasPool(pool));
 		const now = clock.getMonotonicTime();
 		if (scheduling?.balancesDataCentres ?? defaultSchedulingOptions.balancesDataCentres) {
 			return decidePool(views, demand, {
 				now,
 				random,
 				meanTaskMs: this.#recentWork * 1000 / this.#recentCpu,
-				hasOwnerlessPools: () => directory.getPools().filter(pool => getDataCenter(pool) === dataCenter).length > views.filter(({isNear}) => isNear).length,
+				hasOwnerlessPools: () => !this.#evacuations.isEvacuated(dataCenter) && directory.getPools().filter(pool => getDataCenter(pool) === dataCenter).length > views.filter(({isNear}) => isNear).length,
 				isClosed: other => this.#refusals.isClosed(other, route, now),
 			});
 		}
@@ -294,6 +336,15 @@
 		};
 	}
 
+	#areAllEvacuated(): boolean {
+		if (this.#evacuations.getState().dataCenters.length === 0) {
+			return false;
+		}
+
+		const pools = this.#options.directory.getPools();
+		return pools.length > 0 && pools.every(pool => this.#evacuations.hasPool(pool));
+	}
+
 	/** Submits a job to a pool while other VMs are told that it is awaited there. */
 	async #submitAwaited(pool: string, {id}: PoolJobRequest, submission: Submission, signal: AbortSignal): Promise<PoolJobOutcome> {
 		const removeJob = this.#options.awaitedJobs?.addJob(pool, id);
@@ -416,13 +467,13 @@
 }
 
 /** Creates a function that gets what determines the choice of a pool now. */
-function createDemand(job: PoolJobRequest, {getAgeMs, remainingMs}: Submission): (triedPools: ReadonlySet<string>, refusedBy: ReadonlySet<string>) => RankedDemand {
+function createDemand(job: PoolJobRequest, {getAgeMs, remainingMs}: Submission, isSpread: () => boolean): (triedPools: ReadonlySet<string>, refusedBy: ReadonlySet<string>) => RankedDemand {
 	const objectiveMs = getObjectiveMs(job);
 	const constant = {cpu: getInitialCpu(job), isSinglePool: isSinglePoolJob(job), criticalPathMs: getCriticalPathMs(job.steps)};
 	return (triedPools, refusedBy) => {
 		const ageMs = getAgeMs();
 		return {
-			...constant, triedPools, refusedBy, limitMs: Math.min(objectiveMs, remainingMs) - ageMs, isEarly: ageMs <= objectiveMs * earlyShare,
+			...constant, isSpread: isSpread(), triedPools, refusedBy, limitMs: Math.min(objectiveMs, remainingMs) - ageMs, isEarly: ageMs <= objectiveMs * earlyShare,
 		};
 	};
 }
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -7,11 +7,13 @@
 	minRetryAfterMs, OfferedLoad, type ReevaluationPolicy, RefusedWork, type SchedulingOptions, singleReevaluationPolicy, sortByUrgency,
 } from '../scheduling/index.js';
 import {type Clock, type Timer} from '../seams/index.js';
+import {hasColdStart} from './cold-upstreams.js';
 import {
 	type CrashLedger, type FailedRunCause, getJob, isGivenUp, type FailedRun,
 } from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
-import {FreeCapacities} from './free-capacities.js';
+import {type PoolEvacuation} from './evacuations.js';
+import {getUsableCpu} from './free-capacities.js';
 import {getJobSize, JobSizeBudget} from './job-size.js';
 import {
 	type LentTask, isSinglePoolJob, type LendOutcome, type LendRefusal, type NeighbourCapacity, type PoolNeighbours,
@@ -21,11 +23,13 @@
 import {type OverdueCounts} from './overdue-counts.js';
 import {OverdueRuns} from './overdue-runs.js';
 import {
-	getStepWork, type JobStep, type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob, type TaskNeeds,
+	getStepWork, type JobStep, type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob,
 } from './pool-job.js';
 import {type ProofAges} from './proof-ages.js';
-import {type JobTask, QueuedJob, type TaskStart} from './queued-job.js';
-import {describeGround, type RunEndGrounds} from './restart-ground.js';
+import {
+	avoidHost, avoidTemporarily, getPosition, type JobTask, QueuedJob, servesJob, type TaskStart,
+} from './queued-job.js';
+import {describeGround, restartMessage, type RunEndGrounds} from './restart-ground.js';
 import {type RunHost} from './run-host.js';
 import {
 	areRunsUnconfirmed, createLocalSender, getLeaseLimit, type JobSender, maxUnreadMs, renewalAgeMs,
@@ -73,6 +77,8 @@
 	readonly jobSizes?: JobSizeBudget;
 	/** Counts the decisions on runs that take long; by default, only those of this scheduler. */
 	readonly overdueCounts?: OverdueCounts;
+	/** Evacuation of the pool's data centre. */
+	readonly evacuation: PoolEvacuation;
 };
 
 /** Load of a pool as its owner reports it. */
@@ -102,12 +108,6 @@
 /** Time after a request for a confirmation until a job without a confirmed sender is stopped at the latest, in milliseconds. */
 const maxUnconfirmedMs = 400;
 
-/**
- * Time for which a task is not sent to a pool that it did not fit, in milliseconds: two reads of the list of upstreams. With a smaller value, the
- * tasks of a service without upstreams there are sent in vain more often.
- */
-const unfitRetryMs = 1000;
-
 const resolvedPromise = Promise.resolve();
 
 /** Upper bound of the expected time until a run ends, also used where nothing runs, in milliseconds. */
@@ -131,7 +131,7 @@
 	readonly #suspectPlacement: SuspectPlacement;
 	readonly #startPass: StartPass;
 	readonly #sweepTimer: Timer;
-	readonly #unsubscribe: () => void;
+	readonly #subscriptions: ReadonlyArray<() => void>;
 	/** Senders that were asked for a confirmation and have not answered. */
 	readonly #askedSenders = new Set<JobSender>();
 	/** Thousandths of a core that a task takes on average. */
@@ -176,9 +176,11 @@
 			getLeaseLimit: job => this.#getLeaseLimit(job),
 			getExpectedMs: run => this.#getExpectedRunMs(run),
 		});
-		this.#unsubscribe = options.ledger.subscribe(failedRuns => {
+		this.#subscriptions = [options.ledger.subscribe(failedRuns => {
 			this.#handleFailedRuns(failedRuns);
-		});
+		}), options.evacuation.subscribe(() => {
+			this.#releaseWaitingJobs();
+		})];
 		this.#sweepTimer = options.clock.setRepeatingTimer(() => {
 			this.#sweepJobs();
 		}, sweepIntervalMs);
@@ -320,6 +322,10 @@
 			this.#adoptRuns(job);
 		}
 
+		if (!job.hasStarted && this.#options.evacuation.withholdStart()) {
+			return {kind: 'refused', reason: 'evacuated', retryAfterMs: minRetryAfterMs};
+		}
+
 		const decision = this.#checkAdmission(job);
 		job.admission = {
 			tasks: job.taskCount,
@@ -343,7 +349,7 @@
 		this.#jobSizes.add(job.size);
 		this.#jobs.set(job.request.id, job);
 		this.#updateAverageTaskCpu(job.request.steps[0]!);
-		this.#offeredLoad.addWork(job.priority, job.remainingWork, this.#options.clock.getMonotonicTime());
+		this.#offeredLoad.addWork(job.priority, submitted.isMoved ? 0 : job.remainingWork, this.#options.clock.getMonotonicTime());
 		for (const task of job.tasks) {
 			this.#tasksByName.set(task.name, {job, task});
 		}
@@ -376,7 +382,7 @@
 	 * @returns How the run ended, or why it was refused.
 	 */
 	async runLent(task: LentTask, signal: AbortSignal, confirmation: SenderConfirmation = createLocalSender(this.#options.inputProgress)): Promise<LendOutcome> {
-		if (this.#isClosed || this.#isStarting || this.#options.areStartsSuspended()) {
+		if (this.#isClosed || this.#isStarting || this.#options.areStartsSuspended() || this.#options.evacuation.withholdStart()) {
 			return {kind: 'refused', reason: 'no-room'};
 		}
 
@@ -501,7 +507,7 @@
 				after: 0, ...task.restartGround, refused: reason, isRefusedElsewhere: !(host instanceof UpstreamLink),
 			};
 			if (reason === 'does-not-fit') {
-				this.#avoidTemporarily(task, host);
+				avoidTemporarily(this.#options.clock, task, host);
 			}
 
 			entry.job.setStatus(task, 'waiting');
@@ -514,7 +520,10 @@
 	/** Releases all jobs with the outcome `moved`, because another entry VM owns the pool now or this one stops. */
 	close(): void {
 		this.#isClosed = true;
-		this.#unsubscribe();
+		for (const unsubscribe of this.#subscriptions) {
+			unsubscribe();
+		}
+
 		this.#sweepTimer.close();
 		for (const job of this.#jobs.values()) {
 			this.#jobSizes.remove(job.size);
@@ -528,12 +537,19 @@
 		this.#neighbourPools.close();
 	}
 
-	/** Sends a task to no pool that it does not fit until the upstreams there may have changed. */
-	#avoidTemporarily(task: JobTask, host: RunHost): void {
-		avoidHost(task, host);
-		this.#options.clock.setTimer(() => {
-			task.avoided = new Set([...task.avoided].filter(name => name !== host.name));
-		}, unfitRetryMs);
+	/** Releases the jobs that have not run, the most urgent first, when the data centre is evacuated: their senders submit them to other pools. */
+	#releaseWaitingJobs(): void {
+		if (this.#options.evacuation.isEvacuated()) {
+			const waiting = [...this.#jobs.values()].filter(job => !job.isAbandoned && job.hasNeverRun());
+			this.#options.evacuation.addMovedJobs(waiting.length);
+			this.#options.log.warn({released: waiting.length, kept: this.#jobs.size - waiting.length}, 'queued jobs of an evacuated pool released');
+			for (const job of sortByUrgency(waiting, this.#options.clock.getMonotonicTime())) {
+				this.#remove(job);
+				job.settle({kind: 'refused', reason: 'evacuated', retryAfterMs: minRetryAfterMs});
+			}
+		}
+
+		this.schedule();
 	}
 
 	/** Starts waiting tasks after this turn; a promise costs less than `queueMicrotask`, which keeps an asynchronous context for each call. */
@@ -849,7 +865,10 @@
 		const {estimateMs} = job.getStep(task);
 		// Computed before the estimator includes this run.
 		const referenceMs = job.getReferenceMs(task);
-		this.#estimator.addDuration(job.request.rules.route, estimateMs, measuredMs);
+		if (!hasColdStart(host, run)) {
+			this.#estimator.addDuration(job.request.rules.route, estimateMs, measuredMs);
+		}
+
 		let workMs = measuredMs;
 		if (host instanceof UpstreamLink) {
 			workMs = this.#overdueRuns.recordDone(host, run, referenceMs);
@@ -1066,18 +1085,3 @@
 		job.settle({kind: 'refused', reason, retryAfterMs: this.#getRetryAfterMs(job, load)});
 	}
 }
-
-/** Gets the thousandths of a core that are free for tasks: none while what runs exceeds any part of a capacity that has shrunk. */
-function getUsableCpu({cpu, memoryMb, accelerators}: TaskNeeds): number {
-	return memoryMb < 0 || accelerators < 0 ? 0 : Math.max(0, cpu);
-}
-
-/** Starts a task elsewhere than on a host as far as possible. */
-function avoidHost(task: JobTask, {name}: RunHost): void {
-	task.avoided = new Set([...task.avoided, name]);
-}
-
-/** Gets whether an upstream belongs to the service of a job's route. */
-function servesJob({description}: UpstreamLink, {request: req}: QueuedJob): boolean {
-	return description.service === req.rules.service;
-}
--- a/src/pool/queued-job.ts
+++ b/src/pool/queued-job.ts
@@ -1,7 +1,8 @@
 /**
  * The state of a job that a pool's owner has admitted.
  */
-import {type DurationEstimator, type OrderedJob} from '../scheduling/index.js';
+import {type ColdStart, type DurationEstimator, type OrderedJob} from '../scheduling/index.js';
+import {type Clock} from '../seams/index.js';
 import {type LogFields} from './decision-log.js';
 import {getJobSize} from './job-size.js';
 import {
@@ -10,7 +11,7 @@
 import {type RestartGround} from './restart-ground.js';
 import {type RunHost} from './run-host.js';
 import {type JobSender} from './sender-confirmation.js';
-import {type LinkedRun} from './upstream-link.js';
+import {type LinkedRun, type UpstreamLink} from './upstream-link.js';
 
 /** One task of a job. */
 export type JobTask = {
@@ -47,6 +48,12 @@
 /** Maximum number of starts of a job that are kept for the log. */
 const maxLoggedStarts = 64;
 
+/**
+ * Time for which a task is not sent to a pool that it did not fit, in milliseconds: two reads of the list of upstreams. With a smaller value, the
+ * tasks of a service without upstreams there are sent in vain more often.
+ */
+const unfitRetryMs = 1000;
+
 /** Receives the outcome of a job. */
 export type JobListener = (outcome: PoolJobOutcome) => void;
 
@@ -226,6 +233,17 @@
 		return this.#estimator.getExpectedMs(this.request.rules.route, this.getStep(task).estimateMs);
 	}
 
+	/**
+	 * Gets the times that decide whether a task may start on a cold upstream.
+	 * @param task - Task of this job.
+	 * @param now - Monotonic time.
+	 */
+	getColdStart(task: JobTask, now: number): ColdStart {
+		return {
+			now, warmMs: this.getExpectedMs(task), objectiveAt: this.objectiveAt, lastUsefulAt: this.lastUsefulAt,
+		};
+	}
+
 	/**
 	 * Gets the duration with which a run is compared to rate its upstream, in milliseconds: that of the job's longest run so far, or the expected one if there is none.
 	 * @param task - Task of this job.
@@ -320,6 +338,12 @@
 		return this.#tasks?.some(({run}) => run !== undefined) ?? false;
 	}
 
+	/** Gets whether no task has run or may run: none was started, or all starts were refused. */
+	hasNeverRun(): boolean {
+		const areUnknownRunsExcluded = this.priorFence === 0 && this.startsDeferredUntil === 0;
+		return areUnknownRunsExcluded && (!this.hasStarted || this.tasks.every(({status, run, restartGround}) => status === 'waiting' && run === undefined && (restartGround?.after ?? 0) === 0));
+	}
+
 	/** Gets whether all tasks are done. */
 	isDone(): boolean {
 		return this.request.steps.every((_, position) => this.#isStepDone(position));
@@ -366,3 +390,42 @@
 		name: `${id}.0.${stepPosition}.${index}`, stepPosition, status: 'waiting', lastRunNumber: 0, failures: 0, host: undefined, run: undefined, restartGround: undefined, avoided: noNames,
 	};
 }
+
+/**
+ * Gets the positions of a task's step and of the task within it.
+ * @param task - Task.
+ */
+export function getPosition({name}: JobTask): string {
+	return name.split('.').slice(2).join('.');
+}
+
+/**
+ * Starts a task elsewhere than on a host as far as possible.
+ * @param task - Task.
+ * @param host - Host to avoid.
+ */
+export function avoidHost(task: JobTask, {name}: RunHost): void {
+	task.avoided = new Set([...task.avoided, name]);
+}
+
+/**
+ * Sends a task to no pool that it does not fit until the upstreams there may have changed.
+ * @param clock - Clock.
+ * @param task - Task.
+ * @param host - Pool.
+ */
+export function avoidTemporarily(clock: Clock, task: JobTask, host: RunHost): void {
+	avoidHost(task, host);
+	clock.setTimer(() => {
+		task.avoided = new Set([...task.avoided].filter(name => name !== host.name));
+	}, unfitRetryMs);
+}
+
+/**
+ * Gets whether an upstream belongs to the service of a job's route.
+ * @param link - Upstream.
+ * @param job - Job.
+ */
+export function servesJob({description}: UpstreamLink, {request: req}: QueuedJob): boolean {
+	return description.service === req.rules.service;
+}
--- a/src/pool/start-pass.ts
+++ b/src/pool/start-pass.ts
@@ -5,6 +5,7 @@
 	chooseUpstream, countFitting, defaultSchedulingOptions, getMeanRemainingMs, planStarts, type Reservation, respectsReservation, type SchedulingOptions, sortByUrgency, type WaitingTasks,
 } from '../scheduling/index.js';
 import {type Clock} from '../seams/index.js';
+import {excludeTooCold} from './cold-upstreams.js';
 import {type CrashLedger} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
 import {FreeCapacities, type UpstreamCandidate} from './free-capacities.js';
@@ -13,8 +14,10 @@
 import {type JobStep, type TaskNeeds} from './pool-job.js';
 import {type OverdueRuns} from './overdue-runs.js';
 import {type ProofAges} from './proof-ages.js';
-import {type JobTask, type QueuedJob, type TaskStart} from './queued-job.js';
-import {describeGround} from './restart-ground.js';
+import {
+	getPosition, type JobTask, type QueuedJob, type TaskStart,
+} from './queued-job.js';
+import {describeGround, restartMessage} from './restart-ground.js';
 import {renewalAgeMs} from './sender-confirmation.js';
 import {StartCounts} from './start-counts.js';
 import {type SuspectPlacement, type WaitingSuspect} from './suspect-placement.js';
@@ -62,9 +65,6 @@
 /** Waiting jobs of a pass by service, the most urgent first, and what was free then. */
 type UnplannedJobs = {readonly byService: ReadonlyMap<string, readonly QueuedJob[]>; readonly capacities: FreeCapacities; readonly now: number};
 
-/** Message of the line that tells why a task is started that may have been started before. */
-export const restartMessage = 'task starts again';
-
 /** Maximum number of waiting jobs that a plan examines: those further behind start only after most of these. */
 const maxPlannedJobs = 64;
 
@@ -399,7 +399,8 @@
 		const placedCounts = step.maxPerUpstream === undefined ? undefined : job.getPlacedCounts(task.stepPosition);
 		const allowed = capacities.getUpstreams(job.request.rules.service);
 		const preferred = task.avoided.size === 0 ? allowed : allowed.filter(({id}) => !task.avoided.has(id));
-		const chosen = chooseUpstream(step, preferred.length > 0 ? preferred : allowed, placedCounts, this.#options.overdueRuns.getMaxSlowness(job, task));
+		const warmEnough = excludeTooCold(preferred.length > 0 ? preferred : allowed, () => job.getColdStart(task, this.#options.clock.getMonotonicTime()));
+		const chosen = chooseUpstream(step, warmEnough, placedCounts, this.#options.overdueRuns.getMaxSlowness(job, task));
 		if (chosen === undefined) {
 			return undefined;
 		}
@@ -445,11 +446,6 @@
 	}
 }
 
-/** Gets the positions of a task's step and of the task within it. */
-function getPosition({name}: JobTask): string {
-	return name.split('.').slice(2).join('.');
-}
-
 function toReservations(reservations: ReadonlyArray<Reservation<ReadyTasks, UpstreamCandidate>>, now: number): ReadonlyArray<[UpstreamLink, PoolReservation]> {
 	return reservations.map(({upstream, inMs, beside}) => [upstream.link, {inMs, beside, at: now + inMs}]);
 }
--- a/src/pool/upstream-health.ts
+++ b/src/pool/upstream-health.ts
@@ -66,9 +66,9 @@
  * @param link - Upstream.
  */
 export function toCandidate(link: UpstreamLink): PlacementCandidate {
-	const {id, rack} = link.description;
+	const {id, rack, cold} = link.description;
 	return {
-		id, rack, labels: link.getLabels(), free: link.getFreeCapacity(), slowness: link.slowness,
+		id, rack, labels: link.getLabels(), free: link.getFreeCapacity(), slowness: cold !== undefined && link.isCold() ? link.slowness * cold.overage : link.slowness,
 		isSuspect: link.consecutiveFailures >= minSuspectFailures || link.isSlow || isSuspicious(link.faultProbability),
 	};
 }
--- a/src/pool/upstream-orders.ts
+++ b/src/pool/upstream-orders.ts
@@ -1,6 +1,7 @@
 /**
  * The orders that the owner of a pool sends to an upstream, and their outcomes.
  */
+import {type ColdLimits} from '../scheduling/index.js';
 import {type TaskNeeds} from './pool-job.js';
 
 /** Description that an upstream registers of itself. */
@@ -18,6 +19,8 @@
 	readonly isLeaving: boolean;
 	/** Ratio of durations there to those on an average upstream, as an earlier owner learnt it; `undefined` if it is not known. */
 	readonly learntSlowness?: number;
+	/** Monotonic time of this process until which the upstream is slow after its start, and how slow; absent if it is warm or that is unknown. */
+	readonly cold?: ColdLimits & {readonly until: number};
 };
 
 /** One start of a task; the number increases with each start of the task. */
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -1,5 +1,6 @@
 export * from './admission.js';
 export * from './duration-distribution.js';
+export * from './coldness.js';
 export * from './duration-estimator.js';
 export * from './offered-load.js';
 export * from './overdue.js';
--- a/src/testing/simulated-pools.ts
+++ b/src/testing/simulated-pools.ts
@@ -3,7 +3,7 @@
  */
 import {createImmediateProgress} from '../connection/index.js';
 import {
-	type Candidate, CrashLedger, CrashReports, type DecisionLog, failedRunsTopic, createLocalSender, getConfirmedSince, noNeighbours, PoolDirectory, PoolLending, PoolOwner,
+	type Candidate, CrashLedger, CrashReports, type DecisionLog, failedRunsTopic, createLocalSender, type Evacuations, getConfirmedSince, noNeighbours, PoolDirectory, PoolLending, PoolOwner,
 	type UpstreamDescription, type UpstreamOrders,
 } from '../pool/index.js';
 import {type SchedulingOptions} from '../scheduling/index.js';
@@ -23,6 +23,8 @@
 	readonly isReporting?: boolean;
 	/** Switches of the scheduling; all parts are on by default. */
 	readonly scheduling?: SchedulingOptions;
+	/** Evacuated data centres, known to all owners; none by default. */
+	readonly evacuations?: Evacuations;
 };
 
 type OwnerEntry = {readonly vm: string; readonly pool: string; readonly fence: number; readonly owner: PoolOwner; readonly directory: PoolDirectory; readonly ledger: CrashLedger};
@@ -80,6 +82,7 @@
 	createDirectory(dataCenter: string, selfId = '', knownPools = this.pools): PoolDirectory {
 		const directory = new PoolDirectory({
 			clock: this.#options.clock, selfId, dataCenter, getPools: () => knownPools, getCandidates: () => this.#getCandidates(),
+			evacuations: this.#options.evacuations,
 		});
 		this.#directories.add(directory);
 		return directory;
@@ -126,6 +129,7 @@
 			getOwner: name => name === pool ? owner : undefined,
 			isLayoutKnown: () => this.isLayoutKnown,
 			getConfirmedSince: () => getConfirmedSince(clock.getMonotonicTime(), -Infinity),
+			evacuations: this.#options.evacuations,
 		});
 		const owner: PoolOwner = new PoolOwner({
 			pool,
@@ -140,8 +144,8 @@
 			maxLeaseMs: 1000,
 			peerSilenceMs: 500,
 			ledger,
-			scheduling: this.#options.scheduling,
 			neighbours: isLending ? lending.createNeighbours(pool) : noNeighbours,
+			evacuation: this.#options.evacuations?.createView(pool),
 		}, upstreams.filter(({dataCenter}) => dataCenter === pool));
 		this.#owners.set(pool, {
 			vm, pool, fence, owner, directory, ledger,
--- a/test/pool/lending.test.ts
+++ b/test/pool/lending.test.ts
@@ -332,7 +332,7 @@
 			return simulatePool(arrivals, 33, {poolCount: 4, scheduling: {reservesCapacity}});
 		}));
 		const getShare = (kinds: readonly string[]): number => {
-			const selected = results.flatMap(result => kinds.map(kind => result[kind]!));
+			const selected = results.flatMap(result => kinds.map(kind => result.byKind[kind]!));
 			return selected.reduce((sum, {inTime}) => sum + inTime, 0) / selected.reduce((sum, {submitted: asked}) => sum + asked, 0);
 		};
 
