Bound the memory and connections that callers take

Each chunk of a body was kept as a buffer of its own and nothing bounded the sum, so a few connections of one-byte chunks ended the process. One account now covers unfinished heads and bodies and unread answers of both callers' interfaces; bodies are joined as they arrive, and a pure decision refuses what holds most for longest. Connections follow max_fds, header and idle limits the configuration, at run time.

--- /dev/null
+++ b/src/connection/caller-memory/request-body.ts
@@ -0,0 +1,139 @@
+/**
+ * Reading of HTTP request bodies with a size limit and an account of the bytes held.
+ */
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage} from 'node:http';
+import {ByteCollector} from './byte-collector.js';
+import {
+	type BodyInProgress, type CallerMemory, type RefusalCause, type TrackedConnection,
+} from './caller-memory.js';
+
+/** A complete body, or why it is missing. `broken-off`: the connection closed before the end of the body. */
+export type RequestBody =
+	| {readonly kind: 'whole'; readonly bytes: Uint8Array}
+	| {readonly kind: 'too-large'}
+	| {readonly kind: 'broken-off'}
+	| {readonly kind: 'refused'; readonly cause: RefusalCause};
+
+/** Options of {@link readRequestBody}. */
+export type RequestBodyOptions = {
+	/** Maximum size of the body in bytes. */
+	readonly maxBytes: number;
+	/** Account of the bytes of incomplete bodies; none by default. */
+	readonly memory?: CallerMemory;
+};
+
+const emptyBytes = Buffer.alloc(0);
+
+/**
+ * Reads the body of a request; never rejects.
+ * @param req - Request to read.
+ * @param options - Size limit and account.
+ */
+export async function readRequestBody(req: IncomingMessage, {maxBytes, memory}: RequestBodyOptions): Promise<RequestBody> {
+	const announced = Number(req.headers['content-length'] ?? -1);
+	if (announced > maxBytes) {
+		return {kind: 'too-large'};
+	}
+
+	return new Promise(resolve => {
+		const reader = new BodyReader({
+			announced, maxBytes, memory, connection: memory?.getConnection(req.socket), resolve,
+		});
+		req.on('data', (chunk: Uint8Array) => {
+			if (!reader.addChunk(chunk)) {
+				req.pause();
+			}
+		});
+		req.once('end', () => {
+			reader.end('whole');
+		});
+		req.once('close', () => {
+			reader.end('broken-off');
+		});
+	});
+}
+
+type BodyReaderOptions = Pick<RequestBodyOptions, 'maxBytes' | 'memory'> & {
+	readonly announced: number;
+	readonly connection: TrackedConnection | undefined;
+	readonly resolve: (body: RequestBody) => void;
+};
+
+/** Collects the chunks of one body. */
+class BodyReader implements BodyInProgress {
+	readonly #options: BodyReaderOptions;
+	/** Chunk that is the whole body, as most are. */
+	#only: Uint8Array | undefined;
+	#collector: ByteCollector | undefined;
+	#isDone = false;
+
+	constructor(options: BodyReaderOptions) {
+		this.#options = options;
+		if (options.connection !== undefined) {
+			options.memory!.setBody(options.connection, this);
+		}
+	}
+
+	getReceived(): number {
+		return this.#only?.length ?? this.#collector?.getLength() ?? 0;
+	}
+
+	refuse(cause: RefusalCause): void {
+		this.#isDone = true;
+		this.#drop();
+		this.#options.resolve({kind: 'refused', cause});
+	}
+
+	/** Adds a chunk; returns false if the reading has ended. */
+	addChunk(chunk: Uint8Array): boolean {
+		if (this.#isDone) {
+			return false;
+		}
+
+		const {announced, maxBytes, memory, connection, resolve} = this.#options;
+		if (this.getReceived() + chunk.length > maxBytes) {
+			this.#finish();
+			this.#drop();
+			resolve({kind: 'too-large'});
+			return false;
+		}
+
+		if (chunk.length === announced) {
+			this.#only = chunk;
+			return true;
+		}
+
+		this.#collector ??= new ByteCollector();
+		this.#collector.addChunk(chunk);
+		if (connection !== undefined) {
+			memory!.setBodyBytes(connection, this.#collector.getAllocated());
+		}
+
+		return true;
+	}
+
+	end(kind: 'whole' | 'broken-off'): void {
+		if (this.#isDone) {
+			return;
+		}
+
+		this.#finish();
+		this.#options.resolve(kind === 'whole' ? {kind, bytes: this.#only ?? this.#collector?.getBytes() ?? emptyBytes} : {kind});
+		this.#drop();
+	}
+
+	#finish(): void {
+		const {memory, connection} = this.#options;
+		this.#isDone = true;
+		// The connection may have been refused, or be receiving the body of its next request.
+		if (connection?.body === this) {
+			memory!.setBody(connection, undefined);
+		}
+	}
+
+	#drop(): void {
+		this.#only = undefined;
+		this.#collector = undefined;
+	}
+}
--- a/src/connection/http-listener.ts
+++ b/src/connection/http-listener.ts
@@ -9,6 +9,7 @@
 import {type Socket} from 'node:net';
 import {type CallerAnswer, type Header} from '../request/index.js';
 import {type Clock, systemClock} from '../seams/index.js';
+import {type CallerMemory} from './caller-memory/index.js';
 import {formatAddress, parseAddress} from './tcp-transport.js';
 import {minTlsVersion, type TlsMaterial, type TlsStore} from './tls-store.js';
 
@@ -36,6 +37,8 @@
 	readonly tls?: TlsStore;
 	/** Whether connections without a valid client certificate are rejected if the material includes authorities; default true. */
 	readonly requiresClientCertificate?: boolean;
+	/** Account of the memory of incomplete requests, which also refuses connections; none by default. */
+	readonly memory?: CallerMemory;
 	readonly clock?: Clock;
 };
 
@@ -51,7 +54,8 @@
 
 /** Interval at which idle connections are closed while the listener closes, in milliseconds. */
 const idleCheckIntervalMs = 20;
-const defaultMaxConnections = 10_000;
+/** Maximum number of connections of a listener where no other one is given. */
+export const defaultMaxConnections = 10_000;
 const defaultMaxHeaderBytes = 16_384;
 const defaultHeadTimeoutMs = 10_000;
 const defaultRequestTimeoutMs = 60_000;
@@ -94,9 +98,11 @@
 				res.shouldKeepAlive = false;
 			}
 
-			options.handler(req, res);
+			if (isAdmitted(req, res, options.memory)) {
+				options.handler(req, res);
+			}
 		});
-		this.#server.maxConnections = options.maxConnections ?? defaultMaxConnections;
+		this.#server.maxConnections = options.memory?.getMaxConnections() ?? options.maxConnections ?? defaultMaxConnections;
 		this.#server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
 			this.#malformed++;
 			answerMalformed(err, socket);
@@ -110,6 +116,24 @@
 				this.#connections--;
 			});
 		});
+		// The requests of a TLS listener name the encrypted connection.
+		this.#server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
+			if (options.memory !== undefined) {
+				trackConnection(socket, options.memory);
+			}
+		});
+	}
+
+	/**
+	 * Changes limits while the listener is open. A limit of the head applies to connections that are opened later, and open ones are closed after their next answer.
+	 * @param limits - Limits; the default applies to those that are not given.
+	 */
+	setLimits({maxHeaderBytes = defaultMaxHeaderBytes, headTimeoutMs = defaultHeadTimeoutMs, idleTimeoutMs = defaultIdleTimeoutMs}: HttpLimits): void {
+		const server: Server & {maxHeaderSize?: number} = this.#server;
+		// Node's server reads these properties for each connection, at each check and after each answer.
+		server.maxHeaderSize = maxHeaderBytes;
+		server.headersTimeout = headTimeoutMs;
+		server.keepAliveTimeout = idleTimeoutMs;
 	}
 
 	/** Starts listening; rejects when the address cannot be used. */
@@ -204,6 +228,30 @@
 	}
 }
 
+function trackConnection(socket: Socket, memory: CallerMemory): void {
+	memory.addConnection(socket);
+	socket.once('close', () => {
+		memory.removeConnection(socket);
+	});
+}
+
+/** Counts a request until its answer is sent; returns false if its connection was refused. */
+function isAdmitted(req: IncomingMessage, res: ServerResponse, memory: CallerMemory | undefined): boolean {
+	if (memory === undefined) {
+		return true;
+	}
+
+	const {socket} = req;
+	if (!memory.beginRequest(socket)) {
+		return false;
+	}
+
+	res.once('close', () => {
+		memory.endRequest(socket);
+	});
+	return true;
+}
+
 function createHttpServer({tls, requiresClientCertificate = true}: HttpListenerOptions, serverOptions: ServerOptions, handler: RequestListener): Server {
 	if (tls === undefined) {
 		return createServer(serverOptions, handler);
--- a/src/connection/index.ts
+++ b/src/connection/index.ts
@@ -1,7 +1,7 @@
 export * from './http-listener.js';
 export * from './input-progress.js';
 export * from './received-stamps.js';
-export * from './request-body.js';
+export * from './caller-memory/index.js';
 export * from './upstream-client.js';
 export type * from './peer-network.js';
 export type * from './upstream-outcome.js';
--- a/src/platform/caller-endpoint.ts
+++ b/src/platform/caller-endpoint.ts
@@ -2,9 +2,9 @@
  * The HTTP interface for callers on the platform: jobs are addressed by route and identifier.
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {Buffer} from 'node:buffer';
+import {Buffer, isUtf8} from 'node:buffer';
 import {type Socket} from 'node:net';
-import {readRequestBody} from '../connection/index.js';
+import {type CallerMemory, readRequestBody, type RequestBody} from '../connection/index.js';
 import {
 	type DecisionLog, findRoute, type PoolJobOutcome, type PoolNode, type Route, type RoutingTable,
 } from '../pool/index.js';
@@ -19,6 +19,8 @@
 	readonly node: PoolNode;
 	readonly cancelledJobs: Pick<CancelledJobs, 'addRequest' | 'cancel' | 'isCancelled'>;
 	readonly getRoutingTable: () => RoutingTable | undefined;
+	/** Account of the memory of requests; none by default. */
+	readonly memory?: CallerMemory;
 	/** Called once for each answered request. */
 	readonly onAnswer: (answer: {readonly route: string; readonly status: number; readonly cause: string; readonly totalMs: number; readonly unreadMs: number}) => void;
 };
@@ -42,6 +44,18 @@
 /** Deadline of a job whose request has no deadline header, in milliseconds. */
 const defaultDeadlineMs = 30_000;
 
+/** Size limit of a body that is read without a configuration, in bytes. */
+const defaultMaxBodyBytes = 262_144;
+
+/** Longest part of a path in the log, in characters; a caller chooses it. */
+const maxLoggedPathLength = 256;
+
+/** Time after which a caller refused for lack of memory may come back, in milliseconds. */
+const memoryRetryMs = 1000;
+
+/** Causes of answers to bodies of which no more is read. */
+const unreadableCauses: ReadonlySet<string> = new Set(['too-large', 'broken-off', 'memory', 'connections', 'slow-body', 'unread-answer']);
+
 const noSuchJob: Answer = {status: 410, cause: 'no-such-job'};
 const cancelled: Answer = {status: 200, body: {state: 'cancelled'}, cause: 'cancelled'};
 
@@ -95,15 +109,30 @@
 		this.#pendingCount--;
 		const totalMs = clock.getMonotonicTime() - arrivedAt;
 		log.info({
-			req: path, method: req.method, route: route?.rules.route, version: table?.version, status: answer.status, cause: answer.cause, totalMs: Math.round(totalMs),
+			req: path.slice(0, maxLoggedPathLength), method: req.method, route: route?.rules.route, version: table?.version, status: answer.status, cause: answer.cause, totalMs: Math.round(totalMs),
 			unreadMs: Math.round(unreadMs), isGone: res.destroyed,
 		}, 'request answered');
 		onAnswer({
 			route: route?.rules.route ?? '', status: answer.status, cause: answer.cause, totalMs, unreadMs,
 		});
+		if (!req.complete && !req.readableEnded && !(await this.#isRestRead(req, answer))) {
+			res.shouldKeepAlive = false;
+		}
+
 		writeJson(res, answer);
 	}
 
+	/** Reads the rest of a body that is not needed, since a caller that is still sending may miss its answer when the connection is closed. */
+	async #isRestRead(req: IncomingMessage, {cause}: Answer): Promise<boolean> {
+		if (unreadableCauses.has(cause)) {
+			return false;
+		}
+
+		const {memory, getRoutingTable} = this.#options;
+		const rest = await readRequestBody(req, {memory, maxBytes: getRoutingTable()?.maxBodyBytes ?? defaultMaxBodyBytes});
+		return rest.kind === 'whole';
+	}
+
 	async #answer(req: IncomingMessage, {table, route, path, unreadMs}: RequestTarget): Promise<Answer> {
 		if (table === undefined) {
 			return {status: 503, retryAfterMs: 1000, cause: 'no-configuration'};
@@ -150,14 +179,25 @@
 	}
 
 	async #submit(req: IncomingMessage, {id, route, maxBodyBytes, unreadMs}: SubmitTarget): Promise<Answer> {
-		const {clock, node, cancelledJobs} = this.#options;
+		const {clock, node, cancelledJobs, memory} = this.#options;
 		const readAt = clock.getMonotonicTime();
-		const body = await readRequestBody(req, maxBodyBytes);
+		const body = await readRequestBody(req, {maxBytes: maxBodyBytes, memory});
 		if (body.kind !== 'whole') {
-			return {status: body.kind === 'too-large' ? 413 : 400, cause: body.kind};
+			return toBodyAnswer(body);
+		}
+
+		if (memory?.isFull()) {
+			return {status: 503, retryAfterMs: memoryRetryMs, cause: 'memory'};
 		}
 
-		const decoded = decodeJob(id, Buffer.from(body.bytes).toString(), route.rules);
+		const {buffer, byteOffset, byteLength} = body.bytes;
+		const bytes = Buffer.from(buffer, byteOffset, byteLength);
+		if (!isUtf8(bytes)) {
+			// Decoded with replacement characters it would run as another job than the caller's.
+			return {status: 400, cause: 'bad-body', body: {error: 'not UTF-8'}};
+		}
+
+		const decoded = decodeJob(id, bytes.toString(), route.rules);
 		if (decoded.kind === 'invalid') {
 			return {status: 400, cause: 'bad-body', body: {error: decoded.detail}};
 		}
@@ -181,7 +221,9 @@
 		const stopWatching = watchConnectionEnd(req.socket, abort);
 		// A network partition hides the end of the caller's connection. From its deadline on the caller may submit the job again, which it could not if this VM went on waiting.
 		const timer = clock.setTimer(abort, remainingMs);
+		memory?.addWholeBytes(byteLength);
 		const outcome = await node.submit(decoded.job, remainingMs, controller.signal);
+		memory?.addWholeBytes(-byteLength);
 		timer.close();
 		this.#pending.delete(controller);
 		stopWatching();
@@ -214,6 +256,22 @@
 	};
 }
 
+function toBodyAnswer(body: Exclude<RequestBody, {readonly kind: 'whole'}>): Answer {
+	switch (body.kind) {
+		case 'too-large': {
+			return {status: 413, cause: body.kind};
+		}
+
+		case 'broken-off': {
+			return {status: 400, cause: body.kind};
+		}
+
+		case 'refused': {
+			return body.cause === 'slow-body' ? {status: 408, cause: body.cause} : {status: 503, retryAfterMs: memoryRetryMs, cause: body.cause};
+		}
+	}
+}
+
 function toAnswer(outcome: PoolJobOutcome): Answer {
 	switch (outcome.kind) {
 		case 'completed':
--- a/src/platform/configuration-watch.ts
+++ b/src/platform/configuration-watch.ts
@@ -25,6 +25,8 @@
 	readonly store: StoreClient;
 	/** Gets whether peers that watch the store at the short interval notify this VM of new versions. */
 	readonly isNotifiedByPeers?: () => boolean;
+	/** Called when a configuration has become active. */
+	readonly onActivated?: (table: RoutingTable) => void;
 };
 
 /** Holds the newest configuration; its version never decreases. */
@@ -79,6 +81,7 @@
 		this.#options.log.warn({version: decoded.table.version, before: this.#table?.version, source}, 'configuration activated');
 		this.#table = decoded.table;
 		this.#text = text;
+		this.#options.onActivated?.(decoded.table);
 	}
 
 	/** Watches the store until `close`. */
--- a/src/platform/decode-configuration.ts
+++ b/src/platform/decode-configuration.ts
@@ -26,6 +26,9 @@
 		table: {
 			version,
 			maxBodyBytes: limits.max_body_bytes,
+			callerLimits: {
+				maxHeaderBytes: getGiven(limits.max_header_bytes), headTimeoutMs: getGiven(limits.header_timeout_ms), idleTimeoutMs: getGiven(limits.idle_timeout_ms),
+			},
 			routes: routes.map(route => ({
 				host: route.host,
 				prefix: route.prefix,
@@ -42,6 +45,11 @@
 	};
 }
 
+/** Gets a limit as a whole number; `undefined` if it is not given. */
+function getGiven(limit: number | undefined): number | undefined {
+	return limit !== undefined && limit > 0 ? Math.ceil(limit) : undefined;
+}
+
 /**
  * Parses JSON; returns `undefined` if the text is not valid JSON.
  * @param text - Text.
--- a/src/platform/decode-job.ts
+++ b/src/platform/decode-job.ts
@@ -4,7 +4,7 @@
 import {type JobStep, type PoolJobRequest, type RouteRules} from '../pool/index.js';
 import {parseJson} from './decode-configuration.js';
 import {describeIssues} from './describe-issues.js';
-import {jobBodySchema} from './wire-messages.js';
+import {jobBodySchema, maxSteps} from './wire-messages.js';
 
 /** A decoded job. `unsupported`: the job is valid but needs a feature that is not implemented. */
 export type DecodedJob =
@@ -19,7 +19,12 @@
  * @param rules - Rules of the job's route.
  */
 export function decodeJob(id: string, text: string, rules: RouteRules): DecodedJob {
-	const parsed = jobBodySchema.safeParse(parseJson(text));
+	const value = parseJson(text);
+	if (hasTooManySteps(value)) {
+		return {kind: 'invalid', detail: `steps: more than ${maxSteps}`};
+	}
+
+	const parsed = jobBodySchema.safeParse(value);
 	if (!parsed.success) {
 		return {kind: 'invalid', detail: describeIssues(parsed.error)};
 	}
@@ -51,3 +56,9 @@
 		},
 	};
 }
+
+/** Checks the number of steps before the schema, which collects an issue for each invalid one. */
+function hasTooManySteps(value: unknown): boolean {
+	const steps: unknown = typeof value === 'object' && value !== null && 'steps' in value ? value.steps : undefined;
+	return Array.isArray(steps) && steps.length > maxSteps;
+}
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -5,10 +5,10 @@
 import type Logger from 'bunyan';
 import {type Subscription} from 'most';
 import {
-	createHttpListener, createPeerMesh, dialTcp, EventLoopProgress, type HttpListener, type Incarnation, type PeerMesh, type PeerRequest, type SenderConfirmation,
+	CallerMemory, createHttpListener, createPeerMesh, dialTcp, EventLoopProgress, getCallerBounds, type HttpListener, type Incarnation, type PeerMesh, type PeerRequest, type SenderConfirmation,
 } from '../connection/index.js';
 import {
-	configurationTopic, createRateLimitedLog, type DecisionLog, getDataCenter, maxFullMeshVms, StartupOwnerCheck, PoolLayout, PoolNode, type StoredClaim, upstreamsSchema,
+	type CallerLimits, configurationTopic, createRateLimitedLog, type DecisionLog, getDataCenter, maxFullMeshVms, StartupOwnerCheck, PoolLayout, PoolNode, type StoredClaim, upstreamsSchema,
 	upstreamsTopic,
 } from '../pool/index.js';
 import {
@@ -110,6 +110,7 @@
 	readonly #registry: VmRegistry;
 	readonly #neighbours: StartupOwnerCheck;
 	readonly #cancelledJobs: CancelledJobs;
+	readonly #callerMemory: CallerMemory;
 	readonly #options: PlatformEntryVmOptions;
 	readonly #listeners: HttpListener[] = [];
 	#subscription: Subscription<unknown> | undefined;
@@ -135,7 +136,19 @@
 		this.#inputProgress = new EventLoopProgress({clock});
 		this.#orders = new HttpOrders({clock, log: this.#log});
 		const sharedOptions = {clock, log: this.#log, store: this.#store};
-		this.#configuration = new ConfigurationWatch({...sharedOptions, isNotifiedByPeers: () => this.#node.isStandby()});
+		this.#callerMemory = new CallerMemory({
+			...getCallerBounds(settings),
+			clock,
+			onRefused: (counts, heldBytes) => {
+				this.#log.warn({...counts, heldBytes}, 'connections of callers refused');
+			},
+		});
+		this.#configuration = new ConfigurationWatch({
+			...sharedOptions,
+			isNotifiedByPeers: () => this.#node.isStandby(), onActivated: table => {
+				this.#applyCallerLimits(table.callerLimits);
+			},
+		});
 		this.#upstreams = new UpstreamList({
 			...sharedOptions,
 			layout: this.#layout,
@@ -181,14 +194,18 @@
 			node: this.#node,
 			cancelledJobs: this.#cancelledJobs,
 			getRoutingTable: () => this.#configuration.getRoutingTable(),
+			memory: this.#callerMemory,
 			onAnswer(answer) {
 				metrics.addAnswer(answer);
 			},
 		});
-		const metrics = new PoolMetrics({node: this.#node, store: this.#store, getTraffic: () => this.#mesh.getTraffic()});
+		const metrics = new PoolMetrics({
+			node: this.#node, store: this.#store, getTraffic: () => this.#mesh.getTraffic(), getCallerCounters: () => ({...this.#callerMemory.getCounters(), ...this.#callerListener.getCounters()}),
+		});
 		this.#callerListener = await this.#listen(this.#settings.callerAddress, (req, res) => {
 			void this.#callerEndpoint.handle(req, res);
-		});
+		}, this.#callerMemory);
+		this.#applyCallerLimits(this.#configuration.getRoutingTable()?.callerLimits);
 		await this.#listen(this.#settings.readinessAddress, (_, res) => {
 			res.writeHead(this.isReady() ? 200 : 503).end();
 		});
@@ -289,14 +306,23 @@
 		this.#upstreams.close();
 		this.#node.close();
 		this.#cancelledJobs.close();
+		this.#callerMemory.close();
 		this.#inputProgress.close();
 		await this.#mesh.close();
 		await this.#orders.close();
 		await this.#store.close();
 	}
 
-	async #listen(address: string, handler: (req: IncomingMessage, res: ServerResponse) => void): Promise<HttpListener> {
-		const listener = await createHttpListener({address, handler, clock: this.#clock});
+	#applyCallerLimits(limits: CallerLimits = {}): void {
+		// Peers may deliver a configuration before the listener is open.
+		(this.#callerListener as HttpListener | undefined)?.setLimits(limits);
+		this.#callerMemory.setStallTimeout(limits.idleTimeoutMs);
+	}
+
+	async #listen(address: string, handler: (req: IncomingMessage, res: ServerResponse) => void, memory?: CallerMemory): Promise<HttpListener> {
+		const listener = await createHttpListener({
+			address, handler, memory, clock: this.#clock,
+		});
 		this.#listeners.push(listener);
 		return listener;
 	}
--- a/src/platform/pool-metrics.ts
+++ b/src/platform/pool-metrics.ts
@@ -4,7 +4,9 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
-import {type PeerTraffic, type TrafficCounts} from '../connection/index.js';
+import {
+	type CallerMemoryCounters, type HttpCounters, type PeerTraffic, type TrafficCounts,
+} from '../connection/index.js';
 import {type PoolNode} from '../pool/index.js';
 import {type StoreClient} from './store-client.js';
 
@@ -19,6 +21,8 @@
 	readonly node: PoolNode;
 	readonly store: StoreClient;
 	readonly getTraffic: () => PeerTraffic;
+	/** Gets the counters of callers' memory and connections. */
+	readonly getCallerCounters: () => CallerMemoryCounters & Pick<HttpCounters, 'connections' | 'dropped'>;
 };
 
 /** Metrics of one process. */
@@ -36,7 +40,7 @@
 		name: 'endivemill_request_unread_seconds', help: 'Time for which a request may have waited until it was read', buckets: unreadBuckets, registers: [this.#registry],
 	});
 
-	constructor({node, store, getTraffic}: PoolMetricsOptions) {
+	constructor({node, store, getTraffic, getCallerCounters}: PoolMetricsOptions) {
 		const addTrafficCounter = (name: string, help: string, getValue: (counts: TrafficCounts) => number): void => {
 			this.#addCounter(name, help, () => {
 				const {control, job} = getTraffic();
@@ -62,6 +66,18 @@
 				}
 			},
 		});
+		this.#addSingleGauge('endivemill_caller_held_bytes', 'Memory held for incomplete requests of callers', () => getCallerCounters().heldBytes);
+		this.#addSingleGauge('endivemill_caller_connections', 'Open connections of callers', () => getCallerCounters().connections);
+		const refused = new Counter({
+			name: 'endivemill_caller_connections_refused_total', help: 'Connections of callers that were refused or closed', labelNames: ['cause'], registers: [this.#registry],
+			collect() {
+				const {refused: counts, dropped} = getCallerCounters();
+				refused.reset();
+				for (const [cause, count] of Object.entries({...counts, dropped})) {
+					refused.inc({cause}, count);
+				}
+			},
+		});
 		const calls = new Gauge({
 			name: 'endivemill_store_calls', help: 'Calls to the store so far', labelNames: ['call'], registers: [this.#registry],
 			collect() {
@@ -97,6 +113,15 @@
 		});
 	}
 
+	#addSingleGauge(name: string, help: string, getValue: () => number): void {
+		const gauge = new Gauge({
+			name, help, registers: [this.#registry],
+			collect() {
+				gauge.set(getValue());
+			},
+		});
+	}
+
 	#addGauge(name: string, help: string, node: PoolNode, getValue: (load: ReturnType<PoolNode['directory']['getViews']>[number]) => number): void {
 		const gauge = new Gauge({
 			name, help, labelNames: ['pool'], registers: [this.#registry],
--- a/src/platform/settings-file.ts
+++ b/src/platform/settings-file.ts
@@ -19,6 +19,8 @@
 	'limits.cpu_share': z.coerce.number().positive().default(1),
 	// Speed of the processor relative to one core.
 	'limits.cores': z.coerce.number().positive().default(1),
+	'limits.memory_mb': z.coerce.number().positive().optional(),
+	'limits.max_fds': z.coerce.number().int().positive().optional(),
 	'bounds.max_hold_ms': milliseconds.default(1000),
 	'bounds.grace_s': milliseconds.default(6),
 	'bounds.resend_ms': milliseconds.default(1300),
@@ -40,6 +42,10 @@
 	readonly storeAddress: string;
 	/** Cores that the process may use: its share of the processor multiplied by the processor's relative speed. */
 	readonly cores: number;
+	/** Memory of the VM in megabytes, if the file names it. */
+	readonly memoryMb?: number;
+	/** Descriptors that the process may open, if the file names their number. */
+	readonly maxDescriptors?: number;
 	/** Longest lease that upstreams grant a run, in milliseconds. */
 	readonly maxLeaseMs: number;
 	/** Time from the stop signal to the kill, in milliseconds. */
@@ -84,6 +90,8 @@
 			peerSeeds: file.seeds.split(',').map(seed => seed.trim()).filter(seed => seed !== ''),
 			storeAddress: file['platform.address'],
 			cores: file['limits.cpu_share'] * file['limits.cores'],
+			memoryMb: file['limits.memory_mb'],
+			maxDescriptors: file['limits.max_fds'],
 			maxLeaseMs: file['bounds.max_hold_ms'],
 			stopGraceMs: file['bounds.grace_s'] * 1000,
 			resendMs: file['bounds.resend_ms'],
--- a/src/platform/wire-messages.ts
+++ b/src/platform/wire-messages.ts
@@ -10,6 +10,9 @@
 const boundedAmount = count.max(Number.MAX_SAFE_INTEGER);
 const flag = z.boolean().default(false);
 
+/** Maximum number of steps of a job. */
+export const maxSteps = 1000;
+
 /** Body of a job. Fields with the value 0, false or empty are omitted on the wire. */
 export const jobBodySchema = z.object({
 	spec: z.string().max(4000).default(''),
@@ -23,7 +26,8 @@
 		mem_mb: boundedAmount.default(0),
 		gpu: boundedAmount.default(0),
 		estimate_ms: boundedAmount.default(0),
-		after: z.array(z.int().min(0)).default([]),
+		// One check for the whole list: a schema of the elements collects an issue for each invalid one, which a body can have 100,000 of.
+		after: z.custom<readonly number[]>(value => isStepList(value), 'expected numbers of steps').default([]),
 		requirements: z.string().default(''),
 		affinity: z.string().default(''),
 		max_per_server: count.default(0),
@@ -31,7 +35,7 @@
 		rack_local: flag,
 		long_running: flag,
 		fills: flag,
-	})).min(1).max(1000).refine(steps => steps.every(({after}, position) => after.every(earlier => earlier < position)), 'a step may only depend on earlier ones'),
+	})).min(1).max(maxSteps).refine(steps => steps.every(({after}, position) => after.every(earlier => earlier < position)), 'a step may only depend on earlier ones'),
 });
 
 /** The operator's configuration. */
@@ -57,10 +61,11 @@
 		max_conns: z.number().default(64),
 	})),
 	limits: z.object({
-		max_header_bytes: z.number().default(16_384),
+		// Limits that are omitted or 0 are not given, and the listener's own apply.
+		max_header_bytes: z.number().optional(),
 		max_body_bytes: z.number().default(262_144),
-		header_timeout_ms: z.number().default(3000),
-		idle_timeout_ms: z.number().default(15_000),
+		header_timeout_ms: z.number().optional(),
+		idle_timeout_ms: z.number().optional(),
 	}).prefault({}),
 });
 
@@ -147,6 +152,10 @@
 	};
 }
 
+function isStepList(value: unknown): boolean {
+	return Array.isArray(value) && value.every(step => isCount(step));
+}
+
 function isRecord(value: unknown): value is Readonly<Record<string, unknown>> {
 	return typeof value === 'object' && value !== null;
 }
--- a/src/pool/routing.ts
+++ b/src/pool/routing.ts
@@ -16,6 +16,18 @@
 	readonly version: number;
 	readonly routes: readonly Route[];
 	readonly maxBodyBytes: number;
+	/** Limits of callers' connections that the configuration names. */
+	readonly callerLimits?: CallerLimits;
+};
+
+/** Limits of callers' connections. */
+export type CallerLimits = {
+	/** Maximum size of the head of a request in bytes. */
+	readonly maxHeaderBytes?: number;
+	/** Time limit for receiving the head of a request in milliseconds. */
+	readonly headTimeoutMs?: number;
+	/** Time after which an idle connection is closed, or a body without progress is given up, in milliseconds. */
+	readonly idleTimeoutMs?: number;
 };
 
 /**
--- a/src/process/caller-api.ts
+++ b/src/process/caller-api.ts
@@ -2,7 +2,9 @@
  * The HTTP interface for callers.
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {readRequestBody, type RequestBody, writeAnswer} from '../connection/index.js';
+import {
+	type CallerMemory, type CallerMemoryCounters, readRequestBody, type RequestBody, writeAnswer,
+} from '../connection/index.js';
 import {
 	type CallerAnswer, createJsonAnswer, createProblemAnswer, type JobId, type ProblemName, type SubmissionContent,
 } from '../request/index.js';
@@ -19,8 +21,8 @@
 	readonly getCoordinatorToken: () => string;
 	/** Maximum size of a request body in bytes. */
 	readonly maxBodyBytes: number;
-	/** Size in bytes of all held bodies at which new ones are refused. */
-	readonly maxHeldBytes: number;
+	/** Account of the memory of requests. */
+	readonly memory: CallerMemory;
 };
 
 /** Counters of a {@link CallerApi}. */
@@ -29,9 +31,7 @@
 	readonly badRequests: Readonly<Record<string, number>>;
 	/** Callers that disconnected before their answer. */
 	readonly disconnected: number;
-	/** Size in bytes of the bodies that are held now. */
-	readonly heldBytes: number;
-};
+} & CallerMemoryCounters;
 
 /** The parts of a request that are parsed before its body is read. */
 type RequestContext = {
@@ -49,7 +49,6 @@
 	readonly #options: CallerApiOptions;
 	readonly #badRequests = new Map<ProblemName, number>();
 	#disconnected = 0;
-	#heldBytes = 0;
 
 	constructor(options: CallerApiOptions) {
 		this.#options = options;
@@ -57,7 +56,7 @@
 
 	/** Gets a copy of the counters. */
 	getCounters(): CallerApiCounters {
-		return {badRequests: Object.fromEntries(this.#badRequests), disconnected: this.#disconnected, heldBytes: this.#heldBytes};
+		return {badRequests: Object.fromEntries(this.#badRequests), disconnected: this.#disconnected, ...this.#options.memory.getCounters()};
 	}
 
 	/**
@@ -209,13 +208,17 @@
 		createContent: (body: Uint8Array) => SubmissionContent,
 		hasId: boolean,
 	): Promise<ParseResult<SubmissionContent>> {
-		const {maxBodyBytes, maxHeldBytes} = this.#options;
-		if (this.#heldBytes >= maxHeldBytes) {
-			const detail = `${this.#heldBytes} bytes of requests are held`;
-			return {ok: false, problem: hasId ? 'too-many-requests' : 'too-many-jobs', detail};
+		const {maxBodyBytes, memory} = this.#options;
+		const overloadProblem = hasId ? 'too-many-requests' : 'too-many-jobs';
+		if (memory.isFull()) {
+			return {ok: false, problem: overloadProblem, detail: `${memory.getCounters().heldBytes} bytes of requests are held`};
+		}
+
+		const body = await readRequestBody(context.req, {maxBytes: maxBodyBytes, memory});
+		if (body.kind === 'refused' && body.cause !== 'slow-body') {
+			return {ok: false, problem: overloadProblem, detail: 'too many incomplete requests'};
 		}
 
-		const body = await readRequestBody(context.req, maxBodyBytes);
 		if (body.kind === 'whole') {
 			return {ok: true, value: createContent(body.bytes)};
 		}
@@ -229,9 +232,9 @@
 	/** Counts the bytes of a submission as held until its answer is available. */
 	async #countHeldBytes(content: SubmissionContent, getAnswer: () => Promise<CallerAnswer>): Promise<CallerAnswer> {
 		const bytes = content.kind === 'refused' ? 0 : content.body.length;
-		this.#heldBytes += bytes;
+		this.#options.memory.addWholeBytes(bytes);
 		const answer = await getAnswer();
-		this.#heldBytes -= bytes;
+		this.#options.memory.addWholeBytes(-bytes);
 		return answer;
 	}
 
@@ -261,6 +264,6 @@
 		return {ok: false, problem: 'body-too-large', detail: `at most ${maxBodyBytes} bytes`};
 	}
 
-	return {ok: false, problem: 'invalid-request', detail: 'the body broke off'};
+	return {ok: false, problem: 'invalid-request', detail: body.kind === 'refused' ? 'the body arrived too slowly' : 'the body broke off'};
 }
 
--- a/src/process/create-entry-vm.ts
+++ b/src/process/create-entry-vm.ts
@@ -2,6 +2,7 @@
  * Creates the components of an entry VM and connects them.
  */
 import {type Subscription} from 'most';
+import {CallerMemory, defaultMaxConnections} from '../connection/index.js';
 import {systemClock, systemRandom} from '../seams/index.js';
 import {CallerApi} from './caller-api.js';
 import {createConfigurationFollower} from './configuration-follower.js';
@@ -88,14 +89,25 @@
 	const router = new JobRouter({
 		clock, events, self, coordinator, directory, peers: mesh, isStopping: () => state.isStopping,
 	});
+	const maxBodyBytes = limits.maxBodyBytes ?? defaultMaxBodyBytes;
+	const callerMemory = new CallerMemory({
+		clock,
+		// One body of the maximum size is read whatever the other limit says.
+		maxHeldBytes: Math.max(limits.maxHeldBytes ?? defaultMaxHeldBytes, 2 * maxBodyBytes),
+		maxConnections: limits.http?.maxConnections ?? defaultMaxConnections,
+		stallTimeoutMs: limits.http?.idleTimeoutMs,
+		onRefused(counts, heldBytes) {
+			options.log?.warn({...counts, heldBytes}, 'connections of callers refused');
+		},
+	});
 	const callerApi = new CallerApi({
 		router,
 		getCoordinatorToken: () => getTokenForNewJobs({...existing, coordinator}),
-		maxBodyBytes: limits.maxBodyBytes ?? defaultMaxBodyBytes,
-		maxHeldBytes: limits.maxHeldBytes ?? defaultMaxHeldBytes,
+		maxBodyBytes,
+		memory: callerMemory,
 	});
 	return {
-		...existing, runner, coordinator, directory, router, callerApi,
+		...existing, runner, coordinator, directory, router, callerMemory, callerApi,
 	};
 }
 
--- a/src/process/entry-vm-listeners.ts
+++ b/src/process/entry-vm-listeners.ts
@@ -18,7 +18,7 @@
  * @internal
  */
 export async function createListeners(options: EntryVmOptions, components: EntryVmComponents, startDrain: () => void): Promise<EntryVmListeners> {
-	const {callerApi, events, metrics} = components;
+	const {callerApi, callerMemory, events, metrics} = components;
 	const operatorApi = new OperatorApi({
 		events,
 		isReady: () => isEntryVmReady(components),
@@ -45,6 +45,7 @@
 		...options.limits?.http,
 		address: options.callerAddress,
 		tls: options.tls?.caller,
+		memory: callerMemory,
 		handler(req, res) {
 			void callerApi.handleRequest(req, res);
 		},
--- a/src/process/entry-vm.ts
+++ b/src/process/entry-vm.ts
@@ -3,7 +3,7 @@
  */
 import {type Subscription} from 'most';
 import {
-	type HttpListener, type Incarnation, type PeerMesh, type UpstreamClient,
+	type CallerMemory, type HttpListener, type Incarnation, type PeerMesh, type UpstreamClient,
 } from '../connection/index.js';
 import {type Clock, type Random} from '../seams/index.js';
 import {type CallerApi} from './caller-api.js';
@@ -55,6 +55,7 @@
 	readonly coordinator: Coordinator;
 	readonly directory: CoordinatorDirectory;
 	readonly router: JobRouter;
+	readonly callerMemory: CallerMemory;
 	readonly callerApi: CallerApi;
 };
 
@@ -162,6 +163,7 @@
 		}
 
 		this.#components.metrics.close();
+		this.#components.callerMemory.close();
 		this.#components.coordinator.close();
 		this.#components.configuration.close();
 		this.#components.vmList.close();
--- a/src/process/metrics/process-metrics.ts
+++ b/src/process/metrics/process-metrics.ts
@@ -132,9 +132,16 @@
 	{
 		name: 'endivemill_held_body_bytes',
 		type: 'gauge',
-		help: 'Bytes of request bodies held.',
+		help: 'Bytes held for requests of callers.',
 		read: ({status}) => [{value: status.callers.heldBytes}],
 	},
+	{
+		name: 'endivemill_caller_connections_refused_total',
+		type: 'counter',
+		help: 'Connections of callers that were refused or closed, by cause.',
+		labelNames: ['cause'],
+		read: ({status}) => getSamples('cause', status.callers.refused),
+	},
 ];
 
 /**
