Bound pipelined requests and the decoding of hostile bodies

A connection may have 64 unanswered requests, one while waiting requests hold half of the memory; each counts with 4 KiB.

--- a/src/connection/caller-memory/caller-memory.ts
+++ b/src/connection/caller-memory/caller-memory.ts
@@ -37,6 +37,9 @@
 	refuse(cause: RefusalCause): void;
 };
 
+/** Connection with the parser that Node's HTTP server attaches to it. */
+type ParsedSocket = Socket & {readonly parser?: {onIncoming?: () => number}};
+
 /** What the account knows of a connection. */
 export type TrackedConnection = {
 	readonly socket: Socket;
@@ -64,10 +67,13 @@
 /** Memory of a connection without a request, measured as the socket, its parser and its listeners, in bytes. */
 const connectionBytes = 8192;
 
+/** Memory of a request until its answer without its body, measured with thousands of waiting jobs, in bytes. */
+const requestBytes = 4096;
+
 /** Interval at which heads, unread answers and time limits are checked, in milliseconds. */
 const sweepIntervalMs = 250;
 
-/** Share of the maximum that remains held after a refusal, so that the decision is not made for each byte. */
+/** Share of the maximum that remains after a refusal, so that the decision is not made for each byte or connection. */
 const keptShare = 7 / 8;
 
 /** Connections below the maximum at which others are given up in favour of new ones. */
@@ -76,6 +82,9 @@
 /** Unanswered requests of one connection; callers that pipeline send a few. */
 const maxPendingRequests = 64;
 
+/** Share of the maximum that whole requests hold from which on connections may have only one of them. */
+const pipeliningShare = 1 / 2;
+
 /** Time for which a body may arrive slower than the minimum rate, in milliseconds. */
 const bodyGraceMs = 15_000;
 
@@ -96,8 +105,8 @@
 export class CallerMemory {
 	readonly #options: CallerMemoryOptions;
 	readonly #connections = new Map<Socket, TrackedConnection>();
-	/** Refused connections that are still open, and the time of the refusal. */
-	readonly #closing = new Map<Socket, number>();
+	/** Refused connections that are still open, which keep the memory of their unanswered requests. */
+	readonly #closing = new Map<Socket, {readonly refusedAt: number; readonly pendingBytes: number}>();
 	readonly #sweepTimer: Timer;
 	readonly #refused: Record<RefusalCause, number> = {
 		memory: 0, connections: 0, 'slow-body': 0, 'unread-answer': 0, pipelining: 0,
@@ -107,6 +116,8 @@
 	#reportedAt = -Infinity;
 	#heldBytes = 0;
 	#wholeBytes = 0;
+	/** Time of the sweep since which whole requests alone exhaust the account, so that the decision is not made for each of them. */
+	#uncoveredAt = -Infinity;
 	#stallTimeoutMs: number;
 	/** Time of the last sweep; precise enough for ages, and free for each request. */
 	#now: number;
@@ -170,9 +181,8 @@
 		});
 		this.#addBytes(connectionBytes);
 		const {maxConnections} = this.#options;
-		const excess = this.#connections.size - maxConnections + Math.floor(maxConnections * spareShare);
-		if (excess > 0) {
-			this.#refuseFor({bytes: 0, connections: excess}, 'connections');
+		if (this.#connections.size > maxConnections - Math.floor(maxConnections * spareShare)) {
+			this.#refuseFor({bytes: 0, connections: this.#connections.size - Math.floor(maxConnections * keptShare)}, 'connections');
 		}
 	}
 
@@ -181,11 +191,15 @@
 	 * @param socket - Connection.
 	 */
 	removeConnection(socket: Socket): void {
-		this.#closing.delete(socket);
 		const connection = this.#connections.get(socket);
 		if (connection !== undefined) {
-			this.#connections.delete(socket);
-			this.#heldBytes -= connectionBytes + connection.heldBytes;
+			this.#release(connection);
+		}
+
+		const closing = this.#closing.get(socket);
+		if (closing !== undefined) {
+			this.#closing.delete(socket);
+			this.addWholeBytes(-closing.pendingBytes);
 		}
 	}
 
@@ -202,10 +216,12 @@
 
 		connection.requests++;
 		connection.pendingRequests++;
-		if (connection.pendingRequests > maxPendingRequests) {
-			// The caller has no answer to wait for: the connection is closed, and jobs that it waits for are abandoned.
+		this.addWholeBytes(requestBytes);
+		if (connection.pendingRequests > this.#getMaxPendingRequests()) {
+			// The jobs that the caller waits for are abandoned.
 			this.#refused.pipelining++;
-			this.removeConnection(socket);
+			this.#release(connection);
+			stopParsing(socket);
 			socket.destroy();
 			return false;
 		}
@@ -221,6 +237,7 @@
 		const connection = this.#connections.get(socket);
 		if (connection !== undefined) {
 			connection.pendingRequests--;
+			this.addWholeBytes(-requestBytes);
 		}
 	}
 
@@ -269,7 +286,7 @@
 	#addBytes(bytes: number): void {
 		this.#heldBytes += bytes;
 		const {maxHeldBytes} = this.#options;
-		if (bytes > 0 && this.#heldBytes > maxHeldBytes) {
+		if (bytes > 0 && this.#heldBytes > maxHeldBytes && this.#uncoveredAt !== this.#now) {
 			this.#refuseFor({bytes: this.#heldBytes - (maxHeldBytes * keptShare), connections: 0}, 'memory');
 		}
 	}
@@ -293,13 +310,16 @@
 		for (const {connection} of chooseRefused(candidates, shortage)) {
 			this.#refuse(connection, cause);
 		}
+
+		if (this.#heldBytes > this.#options.maxHeldBytes) {
+			this.#uncoveredAt = this.#now;
+		}
 	}
 
 	#refuse(connection: TrackedConnection, cause: RefusalCause): void {
 		const {socket, body} = connection;
 		this.#refused[cause]++;
-		this.removeConnection(socket);
-		this.#closing.set(socket, this.#now);
+		this.#release(connection);
 		if (body !== undefined) {
 			body.refuse(cause);
 		} else if (connection.pendingRequests === 0 && socket.bytesRead > connection.readUntil && socket.writableLength === 0) {
@@ -310,13 +330,25 @@
 		}
 	}
 
+	/** Ends the account of a connection that is closed or will be. */
+	#release({socket, heldBytes, pendingRequests}: TrackedConnection): void {
+		this.#connections.delete(socket);
+		this.#heldBytes -= connectionBytes + heldBytes;
+		this.#closing.set(socket, {refusedAt: this.#now, pendingBytes: pendingRequests * requestBytes});
+	}
+
+	/** Gets the maximum number of unanswered requests per connection: one while many wait, since those of one read are all created before any is answered. */
+	#getMaxPendingRequests(): number {
+		return this.#wholeBytes > this.#options.maxHeldBytes * pipeliningShare ? 1 : maxPendingRequests;
+	}
+
 	#sweep(): void {
 		this.#now = this.#options.clock.getMonotonicTime();
 		for (const connection of this.#connections.values()) {
 			this.#check(connection);
 		}
 
-		for (const [socket, refusedAt] of this.#closing) {
+		for (const [socket, {refusedAt}] of this.#closing) {
 			if (this.#now - refusedAt > closingTimeoutMs) {
 				socket.destroy();
 			}
@@ -391,6 +423,14 @@
 	return body !== undefined || pendingRequests === 0 || socket.writableLength > 0;
 }
 
+/** Ends the parsing of the current read: otherwise Node creates all its requests, some thousand for 64 KiB, and keeps them until the connection is closed. */
+function stopParsing(socket: ParsedSocket): void {
+	if (socket.parser?.onIncoming) {
+		// The parser fails on any other result than those of Node's own handler.
+		socket.parser.onIncoming = () => -1;
+	}
+}
+
 /** Number of leading groups of an IPv6 address that belong to one network. */
 const networkGroups = 4;
 
--- a/src/connection/http-listener.ts
+++ b/src/connection/http-listener.ts
@@ -76,6 +76,10 @@
 export class HttpListener {
 	readonly #server: Server;
 	readonly #clock: Clock;
+	readonly #sockets = new Set<Socket>();
+	/** Connections whose parser still has an earlier limit of the head. */
+	#outdated: ReadonlySet<Socket> = new Set();
+	#maxHeaderBytes: number;
 	#address: string;
 	#isStopping = false;
 	#malformed = 0;
@@ -86,15 +90,16 @@
 	constructor(options: HttpListenerOptions) {
 		this.#address = options.address;
 		this.#clock = options.clock ?? systemClock;
+		this.#maxHeaderBytes = options.maxHeaderBytes ?? defaultMaxHeaderBytes;
 		this.#server = createHttpServer(options, {
-			maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
+			maxHeaderSize: this.#maxHeaderBytes,
 			headersTimeout: options.headTimeoutMs ?? defaultHeadTimeoutMs,
 			requestTimeout: options.requestTimeoutMs ?? defaultRequestTimeoutMs,
 			keepAliveTimeout: options.idleTimeoutMs ?? defaultIdleTimeoutMs,
 			connectionsCheckingInterval: timeoutCheckIntervalMs,
 			noDelay: true,
 		}, (req, res) => {
-			if (this.#isStopping) {
+			if (this.#isStopping || (this.#outdated.size > 0 && this.#outdated.has(req.socket))) {
 				res.shouldKeepAlive = false;
 			}
 
@@ -118,9 +123,12 @@
 		});
 		// The requests of a TLS listener name the encrypted connection.
 		this.#server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
-			if (options.memory !== undefined) {
-				trackConnection(socket, options.memory);
-			}
+			this.#sockets.add(socket);
+			options.memory?.addConnection(socket);
+			socket.once('close', () => {
+				this.#sockets.delete(socket);
+				options.memory?.removeConnection(socket);
+			});
 		});
 	}
 
@@ -132,6 +140,11 @@
 		const server: Server & {maxHeaderSize?: number} = this.#server;
 		// Node's server reads these properties for each connection, at each check and after each answer.
 		server.maxHeaderSize = maxHeaderBytes;
+		if (maxHeaderBytes !== this.#maxHeaderBytes) {
+			this.#maxHeaderBytes = maxHeaderBytes;
+			this.#outdated = new Set(this.#sockets);
+		}
+
 		server.headersTimeout = headTimeoutMs;
 		server.keepAliveTimeout = idleTimeoutMs;
 	}
@@ -228,13 +241,6 @@
 	}
 }
 
-function trackConnection(socket: Socket, memory: CallerMemory): void {
-	memory.addConnection(socket);
-	socket.once('close', () => {
-		memory.removeConnection(socket);
-	});
-}
-
 /** Counts a request until its answer is sent; returns false if its connection was refused. */
 function isAdmitted(req: IncomingMessage, res: ServerResponse, memory: CallerMemory | undefined): boolean {
 	if (memory === undefined) {
--- a/src/platform/caller-endpoint.ts
+++ b/src/platform/caller-endpoint.ts
@@ -56,6 +56,7 @@
 /** Causes of answers to bodies of which no more is read. */
 const unreadableCauses: ReadonlySet<string> = new Set(['too-large', 'broken-off', 'memory', 'connections', 'slow-body', 'unread-answer']);
 
+const noMemory: Answer = {status: 503, retryAfterMs: memoryRetryMs, cause: 'memory'};
 const noSuchJob: Answer = {status: 410, cause: 'no-such-job'};
 const cancelled: Answer = {status: 200, body: {state: 'cancelled'}, cause: 'cancelled'};
 
@@ -181,15 +182,15 @@
 	async #submit(req: IncomingMessage, {id, route, maxBodyBytes, unreadMs}: SubmitTarget): Promise<Answer> {
 		const {clock, node, cancelledJobs, memory} = this.#options;
 		const readAt = clock.getMonotonicTime();
+		if (memory?.isFull()) {
+			return noMemory;
+		}
+
 		const body = await readRequestBody(req, {maxBytes: maxBodyBytes, memory});
 		if (body.kind !== 'whole') {
 			return toBodyAnswer(body);
 		}
 
-		if (memory?.isFull()) {
-			return {status: 503, retryAfterMs: memoryRetryMs, cause: 'memory'};
-		}
-
 		const {buffer, byteOffset, byteLength} = body.bytes;
 		const bytes = Buffer.from(buffer, byteOffset, byteLength);
 		if (!isUtf8(bytes)) {
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -36,6 +36,11 @@
 	});
 });
 
+test('the size of the VM is read where it is given', t => {
+	t.like(parseSettingsFile([...settingsLines, 'limits.memory_mb=210', 'limits.max_fds=2212'].join('\n')), {settings: {memoryMb: 210, maxDescriptors: 2212}});
+	t.like(parseSettingsFile([...settingsLines, 'limits.max_fds=0'].join('\n')), {settings: {memoryMb: undefined, maxDescriptors: undefined}});
+});
+
 test('each invalid or missing setting is reported with its key', t => {
 	const parsed = parseSettingsFile(settingsLines.map(line => line.startsWith('listen.front') ? 'listen.front=here' : line).filter(line => !line.startsWith('zone=')).join('\n'));
 	t.false(parsed.ok);
@@ -53,6 +58,38 @@
 	t.false(decodeConfiguration('no JSON').ok);
 });
 
+test('limits of callers are taken where they are given; 0 is the wire\'s form of an omitted one', t => {
+	const limits = {max_header_bytes: 8192, header_timeout_ms: 0, idle_timeout_ms: 5000};
+	t.like(decodeConfiguration(JSON.stringify({
+		version: 1, services: [], routes: [], limits,
+	})), {
+		table: {callerLimits: {maxHeaderBytes: 8192, headTimeoutMs: undefined, idleTimeoutMs: 5000}},
+	});
+});
+
+/** Bodies near the size limit whose decoding must neither fail nor keep an issue per element, and the reason of their refusal. */
+const hostileBodies: ReadonlyArray<readonly [body: string, detail: string]> = [
+	[`{"best_effort":true,"steps":[${'0,'.repeat(130_000)}0]}`, 'steps: more than 1000'],
+	[`{"best_effort":true,"steps":[{"after":[${'-1,'.repeat(80_000)}-1]}]}`, 'steps.0.after: expected numbers of steps'],
+	[`{"best_effort":true,"steps":[{"after":[${'0,'.repeat(130_000)}0]}]}`, 'steps: a step may only depend on earlier ones'],
+	[`{"best_effort":true,"steps":${'['.repeat(100_000)}${']'.repeat(100_000)}}`, 'steps.0: Invalid input: expected object, received array'],
+	['{"best_effort":true,"steps":[{"count":1,"cpu":1e308}]}', 'steps.0.cpu: Too big: expected number to be <=9007199254740991'],
+	['{"best_effort":true,"steps":[{"count":1,"estimate_ms":1e999}]}', 'steps.0.estimate_ms: Invalid input: expected number, received Infinity'],
+	['{"best_effort":true,"__proto__":{"steps":[{"count":1}]}}', 'steps: Invalid input: expected array, received undefined'],
+];
+
+test('a hostile body is refused with a short reason', t => {
+	for (const [body, detail] of hostileBodies) {
+		const decoded = decodeJob('a', body, rules);
+		t.is(decoded.kind === 'invalid' ? decoded.detail : decoded.kind, detail);
+	}
+});
+
+test('of duplicate fields the last one counts, and unknown ones are ignored', t => {
+	const decoded = decodeJob('a', `{"best_effort":true,"x":${'['.repeat(100_000)}${']'.repeat(100_000)},"steps":[],"steps":[{"count":1,"count":2,"__proto__":{"cpu":5}}]}`, rules);
+	t.like(decoded, {kind: 'job', job: {steps: [{taskCount: 2, needs: {cpu: 0}}]}});
+});
+
 test('an upstream entry with a missing field, a field of a wrong type or invalid JSON is rejected', t => {
 	const entry = {
 		service: 's', address: '10.0.0.1:1', zone: 'a', state: 'ready', capacity: {cpu: 16_000, mem_mb: 1024}, labels: ['a', 'r1-3'], born: 5,
