--- a/src/platform/caller-endpoint.ts
+++ b/src/platform/caller-endpoint.ts
@@ -125,7 +125,7 @@
 
 	/** Reads the rest of a body that is not needed, since a caller that is still sending may miss its answer when the connection is closed. */
 	async #isRestRead(req: IncomingMessage, {cause}: Answer): Promise<boolean> {
-		if (unreadableCauses.has(cause)) {
+		if (req.destroyed || unreadableCauses.has(cause)) {
 			return false;
 		}
 
