Keep no issue per element of a hostile job of the daemon

The schema collected an issue for each invalid task or header field, a million of which fit in a body, and named all unknown fields in its answer. Tasks and headers are now checked as a whole first, and reasons have at most 500 characters. The listeners for readiness and metrics take at most 64 connections each.

--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -91,6 +91,9 @@
 /** Prefix of the stored ownership claims, one item per pool. */
 const claimPrefix = 'pools/';
 
+/** Maximum number of connections of each listener for readiness or metrics, so that these cannot take all descriptors. */
+const maxMonitorConnections = 64;
+
 const defaultMetricsPort = 9464;
 const incarnationBytes = 4;
 
@@ -321,7 +324,7 @@
 
 	async #listen(address: string, handler: (req: IncomingMessage, res: ServerResponse) => void, memory?: CallerMemory): Promise<HttpListener> {
 		const listener = await createHttpListener({
-			address, handler, memory, clock: this.#clock,
+			address, handler, memory, maxConnections: maxMonitorConnections, clock: this.#clock,
 		});
 		this.#listeners.push(listener);
 		return listener;
--- a/src/request/job-body.ts
+++ b/src/request/job-body.ts
@@ -6,6 +6,9 @@
 /** Maximum number of tasks in one job. */
 export const maxTasksPerJob = 1000;
 
+/** Maximum length of an error's description in characters; that of unknown fields names them all. */
+const maxDetailLength = 500;
+
 const nameSchema = z.string().min(1).max(64);
 
 const needsSchema = z.strictObject({
@@ -17,7 +20,8 @@
 const taskSchema = z.strictObject({
 	path: z.string().min(1).max(8192),
 	method: z.string().min(1).max(32).default('POST'),
-	headers: z.record(z.string(), z.string()).default({}),
+	// Checked as a whole first: the record collects an issue for each invalid field, which a body can have a million of.
+	headers: z.custom<Readonly<Record<string, string>>>(value => isStringRecord(value), 'expected strings').pipe(z.record(z.string(), z.string())).default({}),
 	body: z.string().default(''),
 	/** Encoding of `body`; the upstream receives the decoded bytes. */
 	bodyEncoding: z.enum(['utf8', 'base64']).default('utf8'),
@@ -55,11 +59,16 @@
 		return {ok: false, detail: 'the body is not JSON in UTF-8'};
 	}
 
+	if (hasTooManyTasks(value)) {
+		return {ok: false, detail: `tasks: more than ${maxTasksPerJob}`};
+	}
+
 	const result = jobBodySchema.safeParse(value);
 	if (!result.success) {
 		const issue = result.error.issues[0]!;
 		const path = issue.path.map(String).join('.');
-		return {ok: false, detail: path === '' ? issue.message : `${path}: ${issue.message}`};
+		const detail = path === '' ? issue.message : `${path}: ${issue.message}`;
+		return {ok: false, detail: detail.slice(0, maxDetailLength)};
 	}
 
 	return {ok: true, body: result.data};
@@ -72,3 +81,13 @@
 		return undefined;
 	}
 }
+
+/** Checks the number of tasks before the schema, which collects an issue for each invalid one. */
+function hasTooManyTasks(value: unknown): boolean {
+	const tasks: unknown = typeof value === 'object' && value !== null && 'tasks' in value ? value.tasks : undefined;
+	return Array.isArray(tasks) && tasks.length > maxTasksPerJob;
+}
+
+function isStringRecord(value: unknown): boolean {
+	return typeof value === 'object' && value !== null && Object.values(value).every(field => typeof field === 'string');
+}
