Refuse growing bodies also while whole requests exhaust the account

The next decision is now made when another eighth of the account is held, and a connection's account ends only once. 23 tests of test/connection/caller-memory pass.

--- a/src/connection/caller-memory/caller-memory.ts
+++ b/src/connection/caller-memory/caller-memory.ts
@@ -116,8 +116,8 @@
 	#reportedAt = -Infinity;
 	#heldBytes = 0;
 	#wholeBytes = 0;
-	/** Time of the sweep since which whole requests alone exhaust the account, so that the decision is not made for each of them. */
-	#uncoveredAt = -Infinity;
+	/** Bytes held from which on connections are refused: above the maximum while whole requests alone exhaust it, so that the decision is not made for each of them. */
+	#refusalBytes: number;
 	#stallTimeoutMs: number;
 	/** Time of the last sweep; precise enough for ages, and free for each request. */
 	#now: number;
@@ -125,6 +125,7 @@
 	constructor(options: CallerMemoryOptions) {
 		this.#options = options;
 		this.#stallTimeoutMs = options.stallTimeoutMs ?? defaultStallTimeoutMs;
+		this.#refusalBytes = options.maxHeldBytes;
 		this.#now = options.clock.getMonotonicTime();
 		this.#sweepTimer = options.clock.setRepeatingTimer(() => {
 			this.#sweep();
@@ -286,7 +287,7 @@
 	#addBytes(bytes: number): void {
 		this.#heldBytes += bytes;
 		const {maxHeldBytes} = this.#options;
-		if (bytes > 0 && this.#heldBytes > maxHeldBytes && this.#uncoveredAt !== this.#now) {
+		if (bytes > 0 && this.#heldBytes > this.#refusalBytes) {
 			this.#refuseFor({bytes: this.#heldBytes - (maxHeldBytes * keptShare), connections: 0}, 'memory');
 		}
 	}
@@ -311,9 +312,8 @@
 			this.#refuse(connection, cause);
 		}
 
-		if (this.#heldBytes > this.#options.maxHeldBytes) {
-			this.#uncoveredAt = this.#now;
-		}
+		const {maxHeldBytes} = this.#options;
+		this.#refusalBytes = Math.max(maxHeldBytes, this.#heldBytes + (maxHeldBytes * (1 - keptShare)));
 	}
 
 	#refuse(connection: TrackedConnection, cause: RefusalCause): void {
@@ -332,7 +332,10 @@
 
 	/** Ends the account of a connection that is closed or will be. */
 	#release({socket, heldBytes, pendingRequests}: TrackedConnection): void {
-		this.#connections.delete(socket);
+		if (!this.#connections.delete(socket)) {
+			return;
+		}
+
 		this.#heldBytes -= connectionBytes + heldBytes;
 		this.#closing.set(socket, {refusedAt: this.#now, pendingBytes: pendingRequests * requestBytes});
 	}
@@ -344,6 +347,7 @@
 
 	#sweep(): void {
 		this.#now = this.#options.clock.getMonotonicTime();
+		this.#refusalBytes = this.#options.maxHeldBytes;
 		for (const connection of this.#connections.values()) {
 			this.#check(connection);
 		}
--- a/test/connection/caller-memory/caller-memory.test.ts
+++ b/test/connection/caller-memory/caller-memory.test.ts
@@ -102,6 +102,15 @@
 	t.true(memory.isFull());
 });
 
+// Guards against bodies that grow without a bound while whole requests exhaust the account.
+test('incomplete bodies are refused although whole requests alone exhaust the account', t => {
+	const {memory, connect, addBody} = setUp();
+	memory.addWholeBytes(2_000_000);
+	const bodies = Array.from({length: 20}, () => addBody(connect().socket, 90_000).body);
+	t.true(bodies.filter(({refusal}) => refusal === '').length <= 2);
+	t.true(memory.getCounters().heldBytes < 2_400_000);
+});
+
 test('unfinished heads and unread answers are counted, and refused with an answer where none is under way', async t => {
 	const {clock, memory, connect} = setUp({maxHeldBytes: 50_000});
 	const head = connect();
