--- a/src/platform/configuration-watch.ts
+++ b/src/platform/configuration-watch.ts
@@ -37,6 +37,8 @@
 	readonly evacuations?: OperatorItemListener;
 	/** Longest time within which a change has to be known, in milliseconds; limits the wait of a watch call. */
 	readonly maxChangeMs?: number;
+	/** Called when a configuration has become active. */
+	readonly onActivated?: (table: RoutingTable) => void;
 };
 
 /** Receives the operator's items as they are read and as they change. */
@@ -103,6 +105,7 @@
 		this.#options.log.warn({version: decoded.table.version, before: this.#table?.version, source}, 'configuration activated');
 		this.#table = decoded.table;
 		this.#text = text;
+		this.#options.onActivated?.(decoded.table);
 	}
 
 	/** Watches the store until `close`. */
