Pass the loads of remote pools on within the data centre

With many VMs only three of a data centre are linked to another one; on all others its pools had 0 cores and were never chosen. VMs now pass on the loads that they receive from remote pools with their local heartbeats, with the age.

--- a/src/connection/control-link.ts
+++ b/src/connection/control-link.ts
@@ -20,6 +20,8 @@
 	readonly onAddresses: (addresses: readonly KnownAddress[]) => void;
 	readonly onHeartbeat: (body: ReceivedHeartbeat) => void;
 	readonly onReports: (reports: readonly CompleteReport[]) => void;
+	/** Receives what the peer passes on within the data centre; not called by default. */
+	readonly onRelayed?: (relayed: unknown) => void;
 	readonly onMessage: (message: ControlMessage) => void;
 	readonly onBye: () => void;
 	readonly onFault: (fault: LinkFault) => void;
@@ -66,11 +68,22 @@
 	};
 }
 
+/** State of another data centre that a process passes on within its own. */
+export type RelayedItem = {
+	readonly name: string;
+	/** Increases with each change of any item; a link sends an item once for each revision. */
+	readonly revision: number;
+	/** Encoded as JSON; opaque to the mesh. */
+	readonly value: unknown;
+};
+
 /** Content of one heartbeat. */
 export type HeartbeatContent = {
 	readonly logicalTime: number;
 	readonly body: EncodedHeartbeatBody;
 	readonly reports: readonly CompleteReport[];
+	/** Items to pass on; those already sent over the link are left out. */
+	readonly relayed?: readonly RelayedItem[];
 	/** Time until the next heartbeat over the link, in milliseconds; absent for the default interval. */
 	readonly nextMs?: number;
 	/** Frames of the round, which links share. */
@@ -107,6 +120,7 @@
 	#isStarted = false;
 	#announcedIntervalMs = 0;
 	#unacknowledgedCount = 0;
+	#sentRelayedRevision = 0;
 
 	constructor(options: ControlLinkOptions) {
 		this.id = options.id;
@@ -177,6 +191,7 @@
 			...this.#getChangedStatus(content.body),
 			...this.#getChangedLoad(content.body),
 			...(reports.length > 0 && {reports: reports.map(report => this.#getChangedReport(report))}),
+			...this.#getNewRelayed(content.relayed ?? []),
 		};
 		this.#connection.send((content.frames ?? new HeartbeatFrames()).getFrame(heartbeat), 'heartbeat');
 	}
@@ -233,6 +248,16 @@
 		return {load};
 	}
 
+	#getNewRelayed(items: readonly RelayedItem[]): {readonly relayed?: unknown} {
+		const newItems = items.filter(({revision}) => revision > this.#sentRelayedRevision);
+		if (newItems.length === 0) {
+			return {};
+		}
+
+		this.#sentRelayedRevision = Math.max(...newItems.map(({revision}) => revision));
+		return {relayed: Object.fromEntries(newItems.map(({name, value}) => [name, value]))};
+	}
+
 	/** Gets whether the other end has received a report, which it would ignore a second time. */
 	#hasSent({reporter, beat, view}: CompleteReport): boolean {
 		const sent = this.#sentReports.get(reporter);
@@ -322,6 +347,10 @@
 			this.#handlers.onHeartbeat(this.#receivedBody);
 		}
 
+		if (heartbeat.relayed !== undefined) {
+			this.#handlers.onRelayed?.(heartbeat.relayed);
+		}
+
 		if (heartbeat.reports === undefined) {
 			return;
 		}
--- a/src/connection/control-links.ts
+++ b/src/connection/control-links.ts
@@ -2,7 +2,7 @@
  * The control links of one process, one for each linked incarnation.
  */
 import {
-	type CompleteReport, ControlLink, type ControlLinkHandlers, type EncodedHeartbeatBody,
+	type CompleteReport, ControlLink, type ControlLinkHandlers, type EncodedHeartbeatBody, type RelayedItem,
 } from './control-link.js';
 import {type KnownAddress} from './control-messages.js';
 import {type DialingSide, type HandshakePeer} from './handshake.js';
@@ -38,6 +38,8 @@
 	readonly localReport: CompleteReport;
 	/** Views of other data centres received over this process's links; sent to peers of this data centre. */
 	readonly remoteReports: readonly CompleteReport[];
+	/** State of other data centres to pass on; sent to peers of this data centre. */
+	readonly relayed: readonly RelayedItem[];
 };
 
 /**
@@ -138,7 +140,7 @@
 			const remoteReports = isLocal && isRemoteDue ? content.remoteReports : [];
 			const nextMs = intervalTicks > 1 ? intervalTicks * (isLocal ? settings.heartbeatIntervalMs : settings.remoteHeartbeatIntervalMs) : undefined;
 			link.sendHeartbeat({
-				logicalTime, body: content.body, reports: [...ownReports, ...remoteReports], nextMs, frames,
+				logicalTime, body: content.body, reports: [...ownReports, ...remoteReports], nextMs, frames, ...(isLocal && {relayed: content.relayed}),
 			});
 		}
 	}
@@ -198,6 +200,9 @@
 		return {
 			onAddresses,
 			onReports,
+			onRelayed(relayed) {
+				settings.onRelayed(relayed, record.incarnation);
+			},
 			onLogicalTime(logicalTime) {
 				settings.events.observeLogicalTime(logicalTime);
 			},
--- a/src/connection/control-messages.ts
+++ b/src/connection/control-messages.ts
@@ -81,6 +81,8 @@
 	/** Absent if unchanged since the last one sent over this link. */
 	load: z.unknown().optional(),
 	reports: z.array(reportSchema).max(maxReports).readonly().optional(),
+	/** What the sender passes on within its data centre, by name; opaque to the mesh, and ignored by versions that do not know it. */
+	relayed: z.unknown().optional(),
 }).readonly();
 
 /** Schema of a message from one component of the process to its counterpart in the other. */
@@ -134,7 +136,7 @@
 /** A message from one component of the process to its counterpart in the other. */
 export type Data = z.infer<typeof dataSchema>;
 
-const heartbeatKeys: ReadonlySet<string> = new Set(['type', 'logicalTime', 'received', 'nextMs', 'status', 'load', 'reports']);
+const heartbeatKeys: ReadonlySet<string> = new Set(['type', 'logicalTime', 'received', 'nextMs', 'status', 'load', 'reports', 'relayed']);
 const reportKeys: ReadonlySet<string> = new Set(['reporter', 'beat', 'view']);
 
 /**
--- a/src/connection/heartbeat-frames.ts
+++ b/src/connection/heartbeat-frames.ts
@@ -17,12 +17,12 @@
 	 * @param heartbeat - Heartbeat to encode.
 	 */
 	getFrame(heartbeat: Heartbeat): Uint8Array {
-		const {logicalTime, received, nextMs, reports = []} = heartbeat;
+		const {logicalTime, received, nextMs, reports = [], relayed = {}} = heartbeat;
 		if ('status' in heartbeat || 'load' in heartbeat || reports.some(({view}) => view !== undefined)) {
 			return encodeFrame(heartbeat);
 		}
 
-		const key = `${logicalTime} ${received} ${nextMs} ${reports.map(({reporter, beat}) => `${beat} ${reporter}`).join(',')}`;
+		const key = `${logicalTime} ${received} ${nextMs} ${reports.map(({reporter, beat}) => `${beat} ${reporter}`).join(',')} ${Object.keys(relayed as Readonly<Record<string, unknown>>).join(',')}`;
 		const existing = this.#frames.get(key);
 		if (existing !== undefined) {
 			return existing;
--- a/src/connection/index.ts
+++ b/src/connection/index.ts
@@ -7,6 +7,7 @@
 export type * from './upstream-outcome.js';
 export type {UpstreamConnectionPoolStatus as UpstreamPoolStatus} from './upstream-connection-pool.js';
 export * from './control-messages.js';
+export type {RelayedItem} from './control-link.js';
 export type {RequestAbortReason} from './job-server.js';
 export * from './peer-mesh.js';
 export type {PeerMeshOptions} from './peer-mesh-options.js';
--- a/src/connection/peer-mesh-options.ts
+++ b/src/connection/peer-mesh-options.ts
@@ -8,6 +8,7 @@
 import {
 	type Clock, type Random, systemClock, systemRandom,
 } from '../seams/index.js';
+import {type RelayedItem} from './control-link.js';
 import {type HeartbeatBody} from './control-messages.js';
 import {createImmediateProgress, type InputProgress} from './input-progress.js';
 import {type ControlHandler, type Incarnation, type PeerRequestHandler} from './peer-network.js';
@@ -34,6 +35,10 @@
 	readonly getHeartbeat: () => HeartbeatBody;
 	/** Handles the heartbeat of a peer; `from` has a direct link to this process. */
 	readonly onHeartbeat?: (body: HeartbeatBody, from: Incarnation) => void;
+	/** Gets what is passed on to the peers of this data centre with the next heartbeats; nothing by default. */
+	readonly getRelayed?: () => readonly RelayedItem[];
+	/** Handles what a peer passes on; not validated. */
+	readonly onRelayed?: (relayed: unknown, from: Incarnation) => void;
 	/** Handles a control message of a peer. */
 	readonly onControl?: ControlHandler;
 	/** Handles a request; its signal aborts with a `RequestAbortReason`. */
@@ -121,6 +126,8 @@
 	maxJobBodyBytes: 32 * mebibyte,
 	maxControlBufferBytes: mebibyte,
 	maxHandshakes: 128,
+	getRelayed: () => [],
+	onRelayed: ignore,
 	onHeartbeat: ignore,
 	onControl: ignore,
 	onPause: ignore,
--- a/src/connection/peer-mesh.ts
+++ b/src/connection/peer-mesh.ts
@@ -231,7 +231,7 @@
 		const remoteReports = this.#reports.getReports().filter(({reporter}) => this.#table.getRecord(reporter)?.getOpenLink());
 		const ownReport = this.#reports.getOwnReport(this.#tickNumber, body.status);
 		this.#links.sendHeartbeats({
-			tickNumber: this.#tickNumber, body, ownReport, localReport: this.#reports.getLocalReport(ownReport), remoteReports,
+			tickNumber: this.#tickNumber, body, ownReport, localReport: this.#reports.getLocalReport(ownReport), remoteReports, relayed: this.#settings.getRelayed(),
 		}, isRemoteDue);
 	}
 }
--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -400,6 +400,10 @@
 					void this.#requestConfiguration(body.configurationVersion, from);
 				}
 			},
+			getRelayed: () => this.#node?.remoteLoads.getItems() ?? [],
+			onRelayed: (relayed, from) => {
+				this.#node?.remoteLoads.handleRelayed(relayed, from);
+			},
 			onControl: ({topic, body}) => {
 				this.#handleControl(topic, body);
 			},
@@ -426,6 +430,7 @@
 			maxLeaseMs,
 			resendMs,
 			scheduling: this.#options.scheduling,
+			relayedMaxAgeMs: reportMaxAgeMs,
 			peerSilenceMs: missedHeartbeatsUntilDown * heartbeatIntervalMs,
 			evacuations: this.#evacuations,
 			// An owner must know the evacuated data centres before it starts tasks.
--- a/src/platform/pool-metrics.ts
+++ b/src/platform/pool-metrics.ts
@@ -95,6 +95,15 @@
 				}
 			},
 		});
+		const remoteLoads = new Counter({
+			name: 'endivemill_remote_loads_total', help: 'Loads of remote pools passed on within the data centre by their age', labelNames: ['verdict', 'ms'], registers: [this.#registry],
+			collect() {
+				remoteLoads.reset();
+				for (const {verdict, upToMs, count} of node.remoteLoads.getCounts()) {
+					remoteLoads.inc({verdict, ms: upToMs === Infinity ? '+Inf' : upToMs}, count);
+				}
+			},
+		});
 		const proofAges = new Counter({
 			name: 'endivemill_proof_ages_total', help: 'Starts and leases by the age of the proof that the caller waits', labelNames: ['use', 'ms'], registers: [this.#registry],
 			collect() {
--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -30,5 +30,6 @@
 export * from './pause-detector.js';
 export * from './pool-lending.js';
 export * from './pool-router.js';
+export * from './remote-load-relay.js';
 export * from './routing-counts.js';
 export * from './sender-confirmation.js';
--- a/src/pool/pool-candidates.ts
+++ b/src/pool/pool-candidates.ts
@@ -62,6 +62,11 @@
 		return this.getCandidates().some(candidate => candidate.isUp && candidate.dataCenter === dataCenter);
 	}
 
+	/** Gets the number of VMs of all data centres that are up, including this one. */
+	countUp(): number {
+		return this.getCandidates().filter(({isUp}) => isUp).length;
+	}
+
 	/** Gets the number of VMs of this data centre that are up and own pools. */
 	countLocalOwners(): number {
 		const {dataCenter} = this.#options.self;
--- a/src/pool/pool-decoding.ts
+++ b/src/pool/pool-decoding.ts
@@ -32,6 +32,30 @@
 	return isValid ? value as PoolClaims : parse(poolClaimsSchema, value);
 }
 
+/** Load of a pool that a VM passes on, with the fence of the pool's owner and the age in milliseconds. */
+export type RelayedLoad = {readonly pool: string; readonly fence: number; readonly load: PoolLoad; readonly ageMs: number};
+
+/** Maximum number of loads in one message. */
+export const maxRelayedLoads = 32;
+
+/**
+ * Decodes the loads of remote pools that a VM passes on; those that are not valid are left out and counted.
+ * @param value - Parsed JSON value: fence, load and age by name of the pool.
+ */
+export function decodeRelayedLoads(value: unknown): {readonly loads: readonly RelayedLoad[]; readonly invalidCount: number} {
+	if (!isRecord(value)) {
+		return {loads: [], invalidCount: 1};
+	}
+
+	const entries = Object.entries(value).slice(0, maxRelayedLoads);
+	const loads = entries.flatMap(([pool, report]) => isName(pool) && isRecord(report) && isFence(report.fence) && isPoolLoad(report.load) && isNonNegative(report.ageMs)
+		? {
+			pool, fence: report.fence, load: report.load, ageMs: report.ageMs,
+		}
+		: []);
+	return {loads, invalidCount: entries.length - loads.length};
+}
+
 /**
  * Decodes an update of a pool's load.
  * @param value - Parsed JSON value.
--- a/src/pool/pool-directory.ts
+++ b/src/pool/pool-directory.ts
@@ -21,6 +21,8 @@
 	readonly getPools: () => readonly string[];
 	/** Returns all known entry VMs, including this one; the same array until one of them changes. */
 	readonly getCandidates: () => readonly Candidate[];
+	/** Time after which a load that another VM passed on counts as unknown, in milliseconds. */
+	readonly relayedMaxAgeMs?: number;
 	/** Returns the current load of a pool owned by this VM; `undefined` for other pools. */
 	readonly getOwnLoad?: (pool: string) => PoolLoad | undefined;
 	/** Evacuated data centres, whose pools have no cores; none by default. */
@@ -32,7 +34,7 @@
 
 type KnownLoad = {
 	load: PoolLoad;
-	/** Monotonic time; `undefined` if no load was received. */
+	/** Monotonic time at which this VM, or the one that passed the load on, received it from the pool's owner; `undefined` if no load was received. */
 	receivedAt?: number;
 	/** Work sent to the pool that the load does not yet include. */
 	inFlight: readonly InFlightWork[];
@@ -47,6 +49,19 @@
  */
 const loadCoverageDelayMs = 8;
 
+/** Default of {@link PoolDirectoryOptions.relayedMaxAgeMs}. */
+const defaultRelayedMaxAgeMs = 3000;
+
+/** A load of a pool of another data centre that this VM received from the pool's owner. */
+export type ReceivedLoad = {
+	readonly pool: string;
+	/** Highest known fence of the pool. */
+	readonly fence: number;
+	readonly load: PoolLoad;
+	/** Monotonic time. */
+	readonly receivedAt: number;
+};
+
 const noLoad: PoolLoad = {
 	cores: 0, freeCpu: 0, rooms: [], queuedWork: 0,
 };
@@ -54,7 +69,10 @@
 /** Stores the last received loads and determines owners. */
 export class PoolDirectory {
 	readonly #options: PoolDirectoryOptions;
+	/** Loads that this VM received from the owners. */
 	readonly #loads = new Map<string, KnownLoad>();
+	/** Loads of pools of other data centres that VMs of this one passed on, where they are newer. */
+	readonly #relayed = new Map<string, KnownLoad>();
 	readonly #fences = new Map<string, number>();
 	readonly #evacuations: Evacuations;
 	#sequence = 0;
@@ -125,6 +143,38 @@
 			receivedAt: now,
 			inFlight: inFlight.filter(({at, sequence}) => lastCounted === undefined || sequence === 0 ? now - at < loadCoverageDelayMs : sequence > lastCounted),
 		});
+		this.#relayed.delete(pool);
+	}
+
+	/**
+	 * Records the load of a pool of another data centre that a VM of this one received and passed on. It is ignored if a newer load or a newer owner is known,
+	 * or if it is too old.
+	 * @param report - Load, with the time at which that VM received it.
+	 * @returns Whether the load was recorded.
+	 */
+	addRelayedLoad({pool, fence, load, receivedAt}: ReceivedLoad): boolean {
+		const {dataCenter} = this.#options;
+		const known = this.#relayed.get(pool) ?? this.#loads.get(pool);
+		const isKnownPool = getDataCenter(pool) !== dataCenter && this.getPools().includes(pool);
+		if (!isKnownPool || fence < this.getKnownFence(pool) || receivedAt <= (known?.receivedAt ?? -Infinity) || this.#isTooOld(receivedAt)) {
+			return false;
+		}
+
+		this.#relayed.set(pool, {load, receivedAt, inFlight: (known?.inFlight ?? []).filter(({at}) => receivedAt - at < loadCoverageDelayMs)});
+		return true;
+	}
+
+	/** Gets the loads of pools of other data centres that this VM itself received from their owners and that are not too old. */
+	getReceivedRemoteLoads(): readonly ReceivedLoad[] {
+		const {dataCenter} = this.#options;
+		return this.getPools().flatMap(pool => {
+			const known = this.#loads.get(pool);
+			return known?.receivedAt === undefined || this.#relayed.has(pool) || getDataCenter(pool) === dataCenter || this.#isTooOld(known.receivedAt)
+				? []
+				: {
+					pool, fence: this.getKnownFence(pool), load: known.load, receivedAt: known.receivedAt,
+				};
+		});
 	}
 
 	/**
@@ -162,16 +212,16 @@
 	 * @param pools - Names of the pools to include; all by default.
 	 */
 	getViews(pools = this.getPools()): readonly PoolView[] {
-		const {owners} = this.#elect();
-		const views: PoolView[] = [];
-		for (const pool of pools) {
-			const owner = owners.get(pool);
-			if (owner !== undefined) {
-				views.push(this.#getView(pool, owner.id));
-			}
-		}
+		return this.#getViews(pools, pool => this.#getKnownLoad(pool));
+	}
 
-		return views;
+	/**
+	 * Gets the pools that have an owner, with the last load that this VM received from it. What other VMs passed on is left out: owners that lend each other
+	 * capacity send their loads to the pools whose queue they know, and more known queues would mean more messages between data centres.
+	 * @param pools - Names of the pools to include.
+	 */
+	getReceivedViews(pools: readonly string[]): readonly PoolView[] {
+		return this.#getViews(pools, pool => this.#getOwnLoad(pool) ?? this.#loads.get(pool) ?? {load: noLoad, inFlight: []});
 	}
 
 	/**
@@ -182,9 +232,21 @@
 		return Math.round(this.#options.clock.getMonotonicTime() - (this.#getKnownLoad(pool).receivedAt ?? 0));
 	}
 
+	#getViews(pools: readonly string[], getKnownLoad: (pool: string) => KnownLoad): readonly PoolView[] {
+		const {owners} = this.#elect();
+		const views: PoolView[] = [];
+		for (const pool of pools) {
+			const owner = owners.get(pool);
+			if (owner !== undefined) {
+				views.push(this.#getView(pool, owner.id, getKnownLoad(pool)));
+			}
+		}
+
+		return views;
+	}
+
 	/** Caches the view: views of many pools are needed for each job and each task that another pool gets. */
-	#getView(pool: string, ownerId: string): PoolView {
-		const known = this.#getKnownLoad(pool);
+	#getView(pool: string, ownerId: string, known: KnownLoad): PoolView {
 		const isEvacuated = this.#evacuations.hasPool(pool);
 		if (known.view?.ownerId !== ownerId || known.isEvacuated !== isEvacuated) {
 			known.view = this.#createView(pool, ownerId, isEvacuated ? {...known, load: {...noLoad, queuedWork: known.load.queuedWork}} : known);
@@ -215,15 +277,35 @@
 	}
 
 	#getKnownLoad(pool: string): KnownLoad {
-		const ownLoad = this.#options.getOwnLoad?.(pool);
-		return ownLoad === undefined
-			? this.#loads.get(pool) ?? {load: noLoad, inFlight: []}
-			: {load: ownLoad, receivedAt: this.#options.clock.getMonotonicTime(), inFlight: []};
+		return this.#getOwnLoad(pool) ?? this.#getReceivedLoad(pool) ?? {load: noLoad, inFlight: []};
+	}
+
+	#getOwnLoad(pool: string): KnownLoad | undefined {
+		const load = this.#options.getOwnLoad?.(pool);
+		return load && {load, receivedAt: this.#options.clock.getMonotonicTime(), inFlight: []};
+	}
+
+	/** Gets the last load of a pool; one that was passed on expires, since nothing tells this VM that its owner can no longer be reached. */
+	#getReceivedLoad(pool: string): KnownLoad | undefined {
+		const relayed = this.#relayed.get(pool);
+		if (relayed === undefined) {
+			return this.#loads.get(pool);
+		}
+
+		return this.#isTooOld(relayed.receivedAt!) ? undefined : relayed;
+	}
+
+	#isTooOld(receivedAt: number): boolean {
+		const {clock, relayedMaxAgeMs = defaultRelayedMaxAgeMs} = this.#options;
+		return clock.getMonotonicTime() - receivedAt > relayedMaxAgeMs;
 	}
 
 	#addInFlight(pool: string, sequence: number, cpu: number, work: number): void {
-		const knownLoad = this.#loads.get(pool);
-		if (knownLoad !== undefined) {
+		for (const knownLoad of [this.#loads.get(pool), this.#relayed.get(pool)]) {
+			if (knownLoad === undefined) {
+				continue;
+			}
+
 			knownLoad.inFlight = [...knownLoad.inFlight, {
 				at: this.#options.clock.getMonotonicTime(), sequence, cpu, work,
 			}];
--- a/src/pool/pool-lending.ts
+++ b/src/pool/pool-lending.ts
@@ -275,7 +275,7 @@
 			this.#neighboursByPool.set(pool, neighbours);
 		}
 
-		return directory.getViews(neighbours.names);
+		return directory.getReceivedViews(neighbours.names);
 	}
 
 	async #run(borrower: string, {lender, task}: {readonly lender: string; readonly task: LentTask}, signal: AbortSignal, getConfirmedAt?: () => number): Promise<LendOutcome> {
--- a/src/pool/pool-node.ts
+++ b/src/pool/pool-node.ts
@@ -30,6 +30,7 @@
 import {PoolRouter} from './pool-router.js';
 import {ProofAges} from './proof-ages.js';
 import {mayClaimAnotherPool, sortByVmPreference} from './pool-share.js';
+import {RemoteLoadRelay} from './remote-load-relay.js';
 import {type RoutingCount} from './routing-counts.js';
 import {getConfirmedSince} from './sender-confirmation.js';
 import {StartCounts} from './start-counts.js';
@@ -75,6 +76,8 @@
 	readonly resendMs?: number;
 	/** Time without a message after which a VM closes the connection of a peer whose tasks it runs, in milliseconds. */
 	readonly peerSilenceMs: number;
+	/** Time after which the load of a remote pool that another VM passed on is unknown, in milliseconds. */
+	readonly relayedMaxAgeMs?: number;
 	/** Parts of the scheduling that are on; all by default. */
 	readonly scheduling?: SchedulingOptions;
 	/** Evacuated data centres; none by default. */
@@ -119,6 +122,8 @@
 	readonly directory: PoolDirectory;
 	/** Evacuated data centres. */
 	readonly evacuations: Evacuations;
+	/** Loads of other data centres that VMs pass on. */
+	readonly remoteLoads: RemoteLoadRelay;
 	/** Ages of the proofs that senders wait, at each start and each lease. */
 	readonly proofAges = new ProofAges();
 	/** Decisions on runs that took long. */
@@ -183,6 +188,10 @@
 			getCandidates: () => this.#candidates.getCandidates(),
 			getOwnLoad: pool => this.#owned.get(pool)?.getLoad(),
 			evacuations: this.evacuations,
+			relayedMaxAgeMs: options.relayedMaxAgeMs,
+		});
+		this.remoteLoads = new RemoteLoadRelay({
+			clock: options.clock, log: options.log, dataCenter: options.self.dataCenter, directory: this.directory, getVmCount: () => this.#candidates.countUp(),
 		});
 		this.#ledger = new CrashLedger(options.clock);
 		this.#crashReports = new CrashReports({...options, ledger: this.#ledger});
--- a/test/connection/control-link.test.ts
+++ b/test/connection/control-link.test.ts
@@ -85,3 +85,17 @@
 	t.is(first.send({frames, body: encodeHeartbeatBody({configurationVersion: 2, isLeaving: false, load: {free: 1}})}).status?.configurationVersion, 2);
 	t.is(second.send({frames}).status, undefined);
 });
+
+test('what is passed on is sent over a link once per revision, and in the shared frames of the links that have not sent it', t => {
+	const first = createFixture();
+	const second = createFixture();
+	const b = {name: 'b', revision: 1, value: {cores: 1}};
+	const c = {name: 'c', revision: 2, value: {cores: 2}};
+	t.deepEqual(first.send({relayed: [b]}).relayed, {b: b.value});
+	t.false('relayed' in first.send({relayed: [b]}));
+	second.send({});
+	const frames = new HeartbeatFrames();
+	t.deepEqual(first.send({relayed: [b, c], frames}).relayed, {c: c.value});
+	t.deepEqual(second.send({relayed: [b, c], frames}).relayed, {b: b.value, c: c.value});
+	t.false('relayed' in first.send({relayed: [b, c], frames}));
+});
--- a/test/connection/control-messages.test.ts
+++ b/test/connection/control-messages.test.ts
@@ -134,3 +134,11 @@
 		t.deepEqual(decodeData(value), parsed.success ? parsed.data : undefined);
 	}), {seed: 7, numRuns: 3000});
 });
+
+test('a version that does not know a field of a heartbeat reads the rest, so that fields can be added during a rolling upgrade', t => {
+	const heartbeat = {type: 'beat', logicalTime: 1, received: 2};
+	const withLaterField = {...heartbeat, laterField: {b: 1}};
+	t.is(decodeCompleteHeartbeat(withLaterField), undefined);
+	t.deepEqual(heartbeatSchema.parse(withLaterField) as unknown, heartbeat);
+	t.deepEqual(decodeCompleteHeartbeat({...heartbeat, relayed: 7}) as unknown, {...heartbeat, relayed: 7}, 'the mesh does not look into what is passed on');
+});
--- a/test/connection/remote-data-centers.test.ts
+++ b/test/connection/remote-data-centers.test.ts
@@ -128,3 +128,31 @@
 	// Two links are planned at a time; without the minimum time between updates 25 addresses were dialled.
 	t.true(dialed.size <= 4);
 });
+
+test('what an entry VM passes on reaches those of its data centre and no others, which receive its heartbeats without it', async t => {
+	const sites = await createSites(t);
+	const self = {dataCenter: 'kolkata', vm: 'kolkata-4', id: 'kolkata-4-1'};
+	const seeds = [sites[0]!.mesh.getAddress()];
+	const items = [{name: 'b', revision: 1, value: {cores: 1}}];
+	const heartbeatCounts = new Map<string, number>();
+	const received: unknown[] = [];
+	for (const [vm, dataCenter] of [['kolkata-5', 'kolkata'], ['shanti-5', 'shanti']] as const) {
+		await createTestMesh(t, vm, {
+			self: {dataCenter, vm, id: `${vm}-1`},
+			seeds,
+			onHeartbeat(_body, {id}) {
+				heartbeatCounts.set(vm, (heartbeatCounts.get(vm) ?? 0) + Number(id === self.id));
+			},
+			onRelayed(relayed, {id}) {
+				received.push([vm, id, relayed]);
+			},
+		});
+	}
+
+	// This VM links to all others, so that those of other data centres receive its heartbeats.
+	await createTestMesh(t, self.vm, {
+		self, seeds, getRelayed: () => items, maxFullMeshVms: 100,
+	});
+	await waitUntil(() => ['kolkata-5', 'shanti-5'].every(vm => (heartbeatCounts.get(vm) ?? 0) >= 2));
+	t.deepEqual(received, [['kolkata-5', self.id, {b: {cores: 1}}]]);
+});
