Plan starts only where a job could start in the way of the head

Cause: a plan was made for each pass, and reservations for each report of the load. Change: where no job behind the head fits, the head starts what fits as before, and its reservations are planned only when a lent task or room to report asks for them.

--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -178,11 +178,14 @@
 		let cores = 0;
 		let freeCpu = 0;
 		const freeCpus: number[] = [];
+		const minReportedCpu = this.#averageTaskCpu * minReportedTasks;
 		for (const link of this.#options.getLinks()) {
 			if (link.isAcceptingStarts()) {
 				cores += link.description.capacity.cpu / 1000;
 				// Counts only whole tasks of average size, since the remainder is too small for another one.
-				const free = this.#suspectPlacement.isOpen(link) ? this.#startPass.getUnreservedCpu(link, getUsableCpu(link.getFreeCapacity())) : 0;
+				const usable = this.#suspectPlacement.isOpen(link) ? getUsableCpu(link.getFreeCapacity()) : 0;
+				// Reservations are asked for only where they make a difference.
+				const free = usable < minReportedCpu ? 0 : this.#startPass.getUnreservedCpu(link, usable);
 				freeCpu += Math.floor(free / this.#averageTaskCpu) * this.#averageTaskCpu;
 				freeCpus.push(free);
 			}
@@ -194,7 +197,7 @@
 		}
 
 		return {
-			cores, freeCpu, rooms: freeCpus.filter(cpu => cpu >= this.#averageTaskCpu * minReportedTasks).sort((a, b) => b - a).slice(0, maxReportedUpstreams), queuedWork,
+			cores, freeCpu, rooms: freeCpus.filter(cpu => cpu >= minReportedCpu).sort((a, b) => b - a).slice(0, maxReportedUpstreams), queuedWork,
 		};
 	}
 
--- a/src/pool/start-pass.ts
+++ b/src/pool/start-pass.ts
@@ -209,7 +209,14 @@
 	/** Starts tasks by a plan for the jobs from the first one that does not fit, the most urgent first. */
 	#startByPlan(jobs: readonly QueuedJob[], capacities: FreeCapacities, now: number): void {
 		const byService = this.#getPlannedJobs(jobs, capacities);
-		if (jobs.every(job => job.minTaskCpu > capacities.getMaxCpu(job.minTaskCpu))) {
+		const heads = [...byService.values()].map(([head]) => head!);
+		const mayStart = (head: QueuedJob): boolean => head.minTaskCpu <= capacities.getMaxCpu(head.minTaskCpu);
+		if ([...byService.values()].every(([head, next]) => next === undefined && (head!.hasStarted || !mayStart(head!)))) {
+			// No job could start in the way of a head.
+			for (const head of heads.filter(job => mayStart(job))) {
+				this.#startReadyTasks(head, capacities, now);
+			}
+
 			this.#unplanned = {byService, capacities, now};
 			return;
 		}
