--- a/src/platform/pool-metrics.ts
+++ b/src/platform/pool-metrics.ts
@@ -71,6 +71,19 @@
 				}
 			},
 		});
+		const slowness = new Gauge({
+			name: 'endivemill_pool_slowness', help: 'Smallest and largest learnt slowness of the upstreams of a pool owned here', labelNames: ['pool', 'bound'], registers: [this.#registry],
+			collect() {
+				slowness.reset();
+				for (const owner of node.getOwners()) {
+					const values = owner.getUpstreams().map(upstream => upstream.slowness);
+					if (values.length > 0) {
+						slowness.set({pool: owner.getPool(), bound: 'min'}, Math.min(...values));
+						slowness.set({pool: owner.getPool(), bound: 'max'}, Math.max(...values));
+					}
+				}
+			},
+		});
 		const calls = new Gauge({
 			name: 'endivemill_store_calls', help: 'Calls to the store so far', labelNames: ['call'], registers: [this.#registry],
 			collect() {
--- a/test/platform/http-orders.test.ts
+++ b/test/platform/http-orders.test.ts
@@ -62,6 +62,20 @@
 	return upstream;
 }
 
+// A percent of 100 of a run that goes on, as constant reports have it, would look like a run that is about to end.
+test('the percent that an upstream reports of a run is read if it can tell its progress', async t => {
+	const running = [['a', 1, '', 40, 0], ['b', 1, '', 100, 0], ['c', 1], ['d', 1, '', '40', 0], ['e', 1, '', -1], ['f', 1, '', 1e308]];
+	const upstream = await createTestUpstream(t, (_req, res) => {
+		res.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify({
+			clock_ms: 1, born: 1, running, ended: [],
+		}));
+	});
+	const outcome = await upstream.send('poll');
+	t.deepEqual(outcome.kind === 'seen' && outcome.running, [
+		{task: 'a', number: 1, percent: 40}, ...['b', 'c', 'd', 'e', 'f'].map(task => ({task, number: 1})),
+	]);
+});
+
 test('the log names the status or the failure behind each refused and each unanswered order', async t => {
 	const answers = [[503, ''], [409, '{"clock_ms":1,"reason":"room"}'], [200, '{'], [200, '[]'], [502, '<html>']] as const;
 	let position = 0;
