Count further late runs of one job less while none of its tasks is done

A short estimate made all tasks of a job late, on several upstreams at once, and counted half for each. Count a tenth.

--- a/src/scheduling/upstream-evidence.ts
+++ b/src/scheduling/upstream-evidence.ts
@@ -45,11 +45,14 @@
 };
 
 /** Runs that are taken to have ended well before any is observed; with each that does, a fault becomes less probable beforehand. */
-const initialRuns = 20;
+const initialRuns = 10;
 
-/** Weight of the evidence of each further run of a job. */
+/** Weight of the evidence of each further run of a job that is compared with tasks of the job that are done: their median is half of the deviation. */
 const sameJobWeight = 0.5;
 
+/** The same without such tasks: a short estimate makes all tasks of the job late, so that a further one tells hardly more. */
+const sameEstimateWeight = 0.1;
+
 /** Probability from which the upstream is more probably at fault than not. */
 const minFaultProbability = 0.5;
 
@@ -82,9 +85,9 @@
 export function getFaultProbability({slowness, endedNats, runs}: ObservedUpstream, knownRuns: number): number {
 	let nats = endedNats - Math.log(initialRuns + knownRuns);
 	for (const [position, run] of runs.entries()) {
-		// What two tasks of a job have in common, such as a short estimate, is half of the reason for which both are late.
 		const isOfKnownJob = runs.some(({job}, earlier) => earlier < position && job === run.job);
-		nats += getRunNats(run, slowness) * (isOfKnownJob ? sameJobWeight : 1);
+		const sharedWeight = run.expectation.siblingMs > 0 ? sameJobWeight : sameEstimateWeight;
+		nats += getRunNats(run, slowness) * (isOfKnownJob ? sharedWeight : 1);
 	}
 
 	return 1 / (1 + Math.exp(-nats));
