--- a/test/platform/evacuation.test.ts
+++ b/test/platform/evacuation.test.ts
@@ -48,7 +48,8 @@
 	await waitUntilKnown(deployment, ['dc1']);
 	t.is(added.getEvacuation().revision, deployment.entryVms[0]!.getEvacuation().revision);
 	await deployment.entryVms[0]!.abort();
-	await waitFor(() => added.isOwner());
+	// It gets the configuration from the other peer too.
+	await waitFor(() => added.isOwner() && added.isReady());
 	t.like(await deployment.submit(2, '00000000000000b1'), {status: 200, state: 'completed'});
 	t.deepEqual(getStarts(deployment, 'dc1'), []);
 
