--- a/src/pool/cold-upstreams.ts
+++ b/src/pool/cold-upstreams.ts
@@ -30,6 +30,21 @@
 	});
 }
 
+/**
+ * Gets the cold upstreams that {@link excludeTooCold} leaves out; `undefined` for none.
+ * @param candidates - Upstreams that accept starts.
+ * @param getStart - Gets the times of the task; not called if no upstream is cold.
+ */
+export function getTooCold(candidates: readonly UpstreamCandidate[], getStart: () => ColdStart): ReadonlySet<string> | undefined {
+	const kept = excludeTooCold(candidates, getStart);
+	if (kept.length === candidates.length) {
+		return undefined;
+	}
+
+	const keptIds = new Set(kept.map(({id}) => id));
+	return new Set(candidates.filter(({id}) => !keptIds.has(id)).map(({id}) => id));
+}
+
 /**
  * Gets whether a run began on a cold upstream.
  * @param host - Upstream or pool that runs it.
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -3,8 +3,8 @@
  */
 import {type InputProgress, readInput, type SenderConfirmation} from '../connection/index.js';
 import {
-	type AdmissionDecision, committingPolicy, countFitting, decideAdmission, defaultAdmissionLimits, DurationEstimator, earlyAdmissionLimits, fits, getReevaluation,
-	minRetryAfterMs, OfferedLoad, type ReevaluationPolicy, RefusedWork, type SchedulingOptions, singleReevaluationPolicy, sortByUrgency,
+	type AdmissionDecision, type AdmissionLimits, committingPolicy, countFitting, decideAdmission, defaultAdmissionLimits, DurationEstimator, earlyAdmissionLimits, fits, getReevaluation,
+	minRetryAfterMs, OfferedLoad, type ReevaluationPolicy, RefusedWork, type SchedulingOptions, singleReevaluationPolicy, sortByUrgency, waitingAdmissionLimits,
 } from '../scheduling/index.js';
 import {type Clock, type Timer} from '../seams/index.js';
 import {hasColdStart} from './cold-upstreams.js';
@@ -329,7 +329,7 @@
 			return {kind: 'refused', reason: 'evacuated', retryAfterMs: minRetryAfterMs};
 		}
 
-		const decision = this.#checkAdmission(job);
+		const decision = this.#checkAdmission(job, earlyAdmissionLimits);
 		job.admission = {
 			tasks: job.taskCount,
 			ageMs: Math.round(submitted.ageMs),
@@ -726,7 +726,7 @@
 		job.startsDeferredUntil = this.#options.getUnobservedRunsUntil(job.request.id);
 	}
 
-	#checkAdmission(job: QueuedJob): AdmissionDecision {
+	#checkAdmission(job: QueuedJob, limits: AdmissionLimits): AdmissionDecision {
 		const now = this.#options.clock.getMonotonicTime();
 		if (job.hasStarted) {
 			return {isAdmitted: true, expectedWaitMs: 0};
@@ -756,7 +756,7 @@
 			objectiveMs: job.objectiveAt - now,
 			deadlineMs: job.lastUsefulAt - now,
 			nextRunEndMs: this.#getNextRunEndMs(now),
-		}, this.#reevaluationPolicy.isCommitting ? earlyAdmissionLimits : defaultAdmissionLimits);
+		}, this.#reevaluationPolicy.isCommitting ? limits : defaultAdmissionLimits);
 	}
 
 	/** Gets the core-milliseconds of queued work that is started before a job. */
@@ -1063,7 +1063,7 @@
 			return false;
 		}
 
-		const decision = this.#checkAdmission(job);
+		const decision = this.#checkAdmission(job, waitingAdmissionLimits);
 		job.isReevaluated = reevaluation === 'final';
 		job.isCommitted = job.isReevaluated && this.#reevaluationPolicy.isCommitting;
 		if (decision.isAdmitted && !this.#startPass.isHeld(job)) {
--- a/src/pool/start-pass.ts
+++ b/src/pool/start-pass.ts
@@ -5,7 +5,7 @@
 	chooseUpstream, countFitting, defaultSchedulingOptions, getMeanRemainingMs, planStarts, type Reservation, respectsReservation, type SchedulingOptions, sortByUrgency, type WaitingTasks,
 } from '../scheduling/index.js';
 import {type Clock} from '../seams/index.js';
-import {excludeTooCold} from './cold-upstreams.js';
+import {excludeTooCold, getTooCold} from './cold-upstreams.js';
 import {type CrashLedger} from './crash-ledger.js';
 import {type DecisionLog} from './decision-log.js';
 import {FreeCapacities, type UpstreamCandidate} from './free-capacities.js';
@@ -232,8 +232,9 @@
 		const holdsJobs = jobs.length > 1;
 		const startsPerOwnStart = this.#getStartsPerOwnStart();
 		for (const [service, serviceJobs] of byService) {
-			const waiting = serviceJobs.flatMap(job => this.#getReady(job, now));
-			const plan = planStarts(waiting, capacities.getUpstreams(service), {
+			const upstreams = capacities.getUpstreams(service);
+			const waiting = serviceJobs.flatMap(job => this.#getReady(job, now).map(ready => ({...ready, excluded: getTooCold(upstreams, () => job.getColdStart(ready.tasks[0]!, now))})));
+			const plan = planStarts(waiting, upstreams, {
 				getReleases: upstream => this.#getReleases(upstream, now), holdsJobs, freeElsewhere, startsPerOwnStart,
 			});
 			for (const {job} of plan.held) {
--- a/src/scheduling/admission.ts
+++ b/src/scheduling/admission.ts
@@ -37,7 +37,7 @@
 export type AdmissionLimits = {
 	/** Share of the cores that tasks can use; the rest is lost to fragmentation. */
 	readonly usableShare: number;
-	/** Longest expected wait with which a job is admitted, as a share of the time that its objective leaves beside its critical path; 1 by default. */
+	/** Longest wait in the queue with which a job is admitted, as a share of the time that its objective leaves for it; 1 by default. */
 	readonly slackShare?: number;
 	/** Minimum share of the usable cores that a low priority is assumed to get, however much work of higher priorities arrives. */
 	readonly minShare: number;
@@ -52,6 +52,9 @@
  */
 export const earlyAdmissionLimits: AdmissionLimits = {...defaultAdmissionLimits, slackShare: 0.25};
 
+/** Limits with which a waiting job is re-evaluated: a part of its slack has passed, and of what could pass it as well. */
+export const waitingAdmissionLimits: AdmissionLimits = {...defaultAdmissionLimits, slackShare: 0.5};
+
 /** Minimum time after which a refused caller should retry, in milliseconds: the HTTP header has a resolution of one second. */
 export const minRetryAfterMs = 1000;
 
@@ -80,7 +83,9 @@
 
 	// A job of which some tasks can start now is admitted even if it will miss its objective: capacity is free.
 	const startsNow = input.unplacedWork < input.work;
-	if (!startsNow && expectedWaitMs > (input.objectiveMs - input.criticalPathMs) * (limits.slackShare ?? 1)) {
+	const queueMs = Math.max(0, expectedWaitMs - input.nextRunEndMs);
+	const queueSlackMs = input.objectiveMs - input.criticalPathMs - Math.min(expectedWaitMs, input.nextRunEndMs);
+	if (!startsNow && queueMs > queueSlackMs * (limits.slackShare ?? 1)) {
 		return refuse('overloaded');
 	}
 
--- a/src/scheduling/start-plan.ts
+++ b/src/scheduling/start-plan.ts
@@ -28,6 +28,8 @@
 	readonly slackMs: number;
 	/** Upstreams that are used only if the task fits no other. */
 	readonly avoided: ReadonlySet<string>;
+	/** Upstreams on which the tasks do not start, since they would be late there only; none by default. */
+	readonly excluded?: ReadonlySet<string>;
 	/** Number of running tasks of the step by upstream, where it is limited. */
 	readonly placedCounts?: ReadonlyMap<string, number>;
 };
@@ -179,11 +181,11 @@
 }
 
 function chooseSite<U extends PlacementCandidate>(job: WaitingTasks, sites: ReadonlyArray<Site<U>>): Site<U> | undefined {
-	const {step, placedCounts, expectedMs} = job;
+	const {step, expectedMs} = job;
 	let best: Site<U> | undefined;
 	for (const site of sites) {
 		const {upstream, free, reservation} = site;
-		const isPossible = fits(step.needs, free) && isAllowedOn(step, upstream, placedCounts) && respectsReservation(step.needs, expectedMs * upstream.slowness, reservation);
+		const isPossible = fits(step.needs, free) && mayUse(job, upstream) && respectsReservation(step.needs, expectedMs * upstream.slowness, reservation);
 		if (isPossible && (best === undefined || compareSites(job, site, best) < 0)) {
 			best = site;
 		}
@@ -209,11 +211,17 @@
 	site.releases = undefined;
 }
 
+/** Gets whether tasks may start on an upstream. */
+function mayUse({step, excluded, placedCounts}: WaitingTasks, upstream: PlacementCandidate): boolean {
+	return excluded?.has(upstream.id) !== true && isAllowedOn(step, upstream, placedCounts);
+}
+
 /** Reserves capacity for tasks of a job where it becomes free soonest; gets the upstreams. */
-function reserve<U extends PlacementCandidate>({step, placedCounts}: WaitingTasks, count: number, sites: ReadonlyArray<Site<U>>): ReadonlyArray<Site<U>> {
+function reserve<U extends PlacementCandidate>(job: WaitingTasks, count: number, sites: ReadonlyArray<Site<U>>): ReadonlyArray<Site<U>> {
+	const {step} = job;
 	const found: Array<{readonly site: Site<U>; readonly inMs: number; readonly free: TaskNeeds}> = [];
 	for (const site of sites) {
-		if (site.reservation !== undefined || !isAllowedOn(step, site.upstream, placedCounts)) {
+		if (site.reservation !== undefined || !mayUse(job, site.upstream)) {
 			continue;
 		}
 
@@ -245,7 +253,8 @@
 }
 
 /** Gets whether the last task of a job is expected to end too late, if the tasks start wherever capacity becomes free from now on. */
-function isTooLate({step, count, expectedMs, slackMs, placedCounts}: WaitingTasks, sites: ReadonlyArray<Site<PlacementCandidate>>, {freeElsewhere, startsPerOwnStart}: Required<Pick<StartPlanOptions<unknown>, 'freeElsewhere' | 'startsPerOwnStart'>>): boolean {
+function isTooLate(job: WaitingTasks, sites: ReadonlyArray<Site<PlacementCandidate>>, {freeElsewhere, startsPerOwnStart}: Required<Pick<StartPlanOptions<unknown>, 'freeElsewhere' | 'startsPerOwnStart'>>): boolean {
+	const {step, count, expectedMs, slackMs} = job;
 	let remaining = count;
 	for (const cpu of freeElsewhere) {
 		remaining -= Math.floor(cpu / step.needs.cpu);
@@ -253,7 +262,7 @@
 
 	const allowed: Array<{readonly site: Site<PlacementCandidate>; readonly fittingNow: number}> = [];
 	for (const site of sites) {
-		if (isAllowedOn(step, site.upstream, placedCounts)) {
+		if (mayUse(job, site.upstream)) {
 			const fittingNow = step.needs.cpu > site.free.cpu ? 0 : countFitting(step.needs, site.free);
 			allowed.push({site, fittingNow});
 			remaining -= fittingNow;
