Review: a shrunk minion is filled while the store turns the owner away

Cause: only owners of pools follow the list of minions, and an owner whose reads of it fail goes on with the last capacities without a limit of age, although other VMs are served.

--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -233,7 +233,7 @@
 	#seeds = [];
 	#vmCount = 0;
 	#version = 4;
-	/** VMs that opened connections to minions and their processes, by port and address. */
+	/** VMs that opened connections and their processes, by port and address. */
 	#senders = new Map();
 
 	constructor({zones}) {
@@ -271,7 +271,7 @@
 	/** Adds a minion. */
 	async addMinion(options) {
 		const minion = new Minion({
-			store: this.store, record, getNeeds: task => this.getNeeds(task), getSender: (port, target) => this.#getSender(port, target), ...options,
+			store: this.store, record, getNeeds: task => this.getNeeds(task), getSender: (port, target) => this.getSender(port, target), ...options,
 		});
 		await minion.open('127.0.0.1');
 		this.minions.push(minion);
@@ -375,8 +375,8 @@
 		return this.minions.flatMap(({runs}) => runs).filter(({task}) => task.startsWith(`${id}.`)).sort((a, b) => a.startedAt - b.startedAt);
 	}
 
-	/** Gets the name of the VM that opened a connection to a minion; one VM keeps a connection for many orders. */
-	#getSender(port, target) {
+	/** Gets the name of the VM that opened a connection to a minion or the store; one VM keeps a connection for many calls. */
+	getSender(port, target) {
 		const key = `${port} ${target}`;
 		const known = this.#senders.get(key);
 		if (known?.pid !== undefined && known.pid === known.vm.pid) {
--- a/review/lib-2/stand-ins.mjs
+++ b/review/lib-2/stand-ins.mjs
@@ -57,6 +57,8 @@
 	#revision = 1000;
 	#leaseCount = 0;
 	#server;
+	/** Returns whether the call over a connection is answered 503, by the connection's port; none is by default. */
+	isRefused = () => false;
 
 	/**
 	 * Opens the listener.
@@ -89,6 +91,11 @@
 		const url = new URL(req.url, 'http://store');
 		const query = url.searchParams;
 		const body = req.method === 'POST' ? await readBody(req) : undefined;
+		if (this.isRefused(req.socket.remotePort)) {
+			send(res, 503);
+			return;
+		}
+
 		const [call, id] = url.pathname.split('/').slice(2);
 		switch (call) {
 			case 'kv-key': {
@@ -284,6 +291,17 @@
 		return [...this.#running.values()];
 	}
 
+	get capacity() {
+		return this.#options.capacity;
+	}
+
+	/** Changes the capacity while it runs; what it says of itself shows it. */
+	setCapacity(capacity) {
+		this.#options.record(`${this.#options.id} has ${capacity.cpu / 1000} cores from now on`);
+		this.#options.capacity = capacity;
+		this.#register();
+	}
+
 	async close() {
 		clearInterval(this.#timer);
 		clearTimeout(this.#leaseTimer);
