--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -167,6 +167,11 @@
 		}
 	}
 
+	/** Ends the process without waiting for its end. */
+	killNow() {
+		this.#child?.kill('SIGKILL');
+	}
+
 	/** Checks the readiness once, as the platform does. */
 	async isReady() {
 		const {status} = await call({
@@ -418,12 +423,24 @@
 
 /**
  * Runs a case and ends this process: with 1 if it returns breaches of the rule, 0 if it returns none, and 2 if it throws.
- * @param file - URL of the case, beside which `record.txt` is written.
+ * @param file - URL of the case, beside which the record is written, under the name that the command line gives.
  * @param deployment - Deployment, which is not open yet.
  * @param run - Runs the case on it and returns the breaches.
  */
 export async function runCase(file, deployment, run) {
-	const recordFile = fileURLToPath(new URL('record.txt', file));
+	const recordFile = fileURLToPath(new URL(process.argv[2] ?? 'record.txt', file));
+	// Whatever ends this process, none that it started is left.
+	process.on('exit', () => {
+		for (const vm of deployment.vms) {
+			vm.killNow();
+		}
+	});
+	for (const signal of ['SIGTERM', 'SIGINT']) {
+		process.on(signal, () => {
+			process.exit(2);
+		});
+	}
+
 	record(isTroubled ? 'with the disruption' : 'without the disruption');
 	let code = 2;
 	try {
