Count a plan's own starts toward the limit of a step on an upstream

Cause: planStarts compared the limit with the tasks that ran before the plan and did not raise the counts for the tasks that the plan itself starts. For the same reason reservations, the test whether a job ends too late, the test whether a job fits at once, and the work that admission takes for startable counted capacity on an upstream beyond the limit (admission also without the required label).

Fix: countAllowed and getRemainingLimit tell how many more tasks of a step may start on an upstream; plan, pass and admission use them. A plan raises a copy of the counts with each start.

--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -3,7 +3,7 @@
  */
 import {type InputProgress, readInput, type SenderConfirmation} from '../connection/index.js';
 import {
-	type AdmissionDecision, type AdmissionLimits, committingPolicy, countFitting, decideAdmission, defaultAdmissionLimits, DurationEstimator, earlyAdmissionLimits, fits, getReevaluation,
+	type AdmissionDecision, type AdmissionLimits, committingPolicy, decideAdmission, defaultAdmissionLimits, DurationEstimator, earlyAdmissionLimits, fits, getReevaluation, getUnplacedWork,
 	minRetryAfterMs, OfferedLoad, type ReevaluationPolicy, RefusedWork, type SchedulingOptions, singleReevaluationPolicy, sortByUrgency, waitingAdmissionLimits,
 } from '../scheduling/index.js';
 import {type Clock, type Timer} from '../seams/index.js';
@@ -37,7 +37,7 @@
 import {type StartCounts} from './start-counts.js';
 import {StartPass} from './start-pass.js';
 import {SuspectPlacement, type WaitingSuspect} from './suspect-placement.js';
-import {recordFailure} from './upstream-health.js';
+import {recordFailure, toCandidate} from './upstream-health.js';
 import {type LinkedRun, type StartRefusal, UpstreamLink} from './upstream-link.js';
 import {type Run, type RunEnd} from './upstream-orders.js';
 
@@ -774,29 +774,12 @@
 		return work;
 	}
 
-	/** Gets the core-milliseconds of a job's tasks that do not fit into the capacity that is free now. */
+	/** Gets the core-milliseconds of a job that has not started whose tasks could not start now. */
 	#getUnplacedWork(job: QueuedJob, openLinks: readonly UpstreamLink[]): number {
-		const borrowable = this.#getBorrowableCapacities(job).map(({cpu}) => ({cpu, memoryMb: Infinity, accelerators: 0}));
-		const free = [...openLinks.map(link => ({...link.getFreeCapacity()})), ...borrowable];
-		let work = 0;
-		for (const {step: {needs, estimateMs}, count} of job.getWaitingSteps()) {
-			let unplacedCount = count;
-			for (const capacity of free) {
-				if (unplacedCount === 0) {
-					break;
-				}
-
-				const placedCount = Math.min(unplacedCount, countFitting(needs, capacity));
-				unplacedCount -= placedCount;
-				capacity.cpu -= needs.cpu * placedCount;
-				capacity.memoryMb -= needs.memoryMb * placedCount;
-				capacity.accelerators -= needs.accelerators * placedCount;
-			}
-
-			work += unplacedCount * needs.cpu / 1000 * estimateMs;
-		}
-
-		return work;
+		// Pools do not publish the labels of their upstreams.
+		const labels = job.request.steps.flatMap(({requiredLabel}) => requiredLabel ?? []);
+		const borrowable = this.#getBorrowableCapacities(job).map(({pool, cpu}) => ({id: pool, labels, free: {cpu, memoryMb: Infinity, accelerators: 0}}));
+		return getUnplacedWork(job.getWaitingSteps(), [...openLinks.map(link => toCandidate(link)), ...borrowable]);
 	}
 
 	/** Gets the expected time until the next running task ends, in milliseconds. */
--- a/src/pool/start-pass.ts
+++ b/src/pool/start-pass.ts
@@ -2,7 +2,7 @@
  * The start of waiting tasks: in the order of the queue while all of them fit, and by a plan with reservations once a job does not fit.
  */
 import {
-	chooseUpstream, countFitting, defaultSchedulingOptions, getMeanRemainingMs, planStarts, type Reservation, respectsReservation, type SchedulingOptions, sortByUrgency, type WaitingTasks,
+	chooseUpstream, countAllowed, defaultSchedulingOptions, getMeanRemainingMs, planStarts, type Reservation, respectsReservation, type SchedulingOptions, sortByUrgency, type WaitingTasks,
 } from '../scheduling/index.js';
 import {type Clock} from '../seams/index.js';
 import {excludeTooCold, getTooCold} from './cold-upstreams.js';
@@ -196,8 +196,8 @@
 		}
 
 		let remaining = step.taskCount;
-		for (const {free} of capacities.getUpstreams(job.request.rules.service)) {
-			remaining -= countFitting(step.needs, free);
+		for (const upstream of capacities.getUpstreams(job.request.rules.service)) {
+			remaining -= countAllowed(step, upstream);
 			if (remaining <= 0) {
 				return false;
 			}
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -15,5 +15,6 @@
 export * from './route-durations.js';
 export * from './scheduling-options.js';
 export * from './start-plan.js';
+export * from './unplaced-work.js';
 export * from './upstream-evidence.js';
 export * from './upstream-speed.js';
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -55,9 +55,39 @@
  * @param candidate - Upstream.
  * @param placedCounts - Number of running tasks of the same step by upstream.
  */
-export function isAllowedOn(step: JobStep, candidate: PlacementCandidate, placedCounts: ReadonlyMap<string, number> | undefined): boolean {
-	return (step.requiredLabel === undefined || candidate.labels.includes(step.requiredLabel))
-		&& (step.maxPerUpstream === undefined || (placedCounts?.get(candidate.id) ?? 0) < step.maxPerUpstream);
+export function isAllowedOn(step: JobStep, candidate: Pick<PlacementCandidate, 'id' | 'labels'>, placedCounts?: ReadonlyMap<string, number>): boolean {
+	return (step.requiredLabel === undefined || candidate.labels.includes(step.requiredLabel)) && getRemainingLimit(step, candidate, placedCounts) > 0;
+}
+
+/**
+ * Gets how many more tasks of a step may start on an upstream at the same time, by its free capacity, its labels and the step's limit.
+ * @param step - Step of the tasks.
+ * @param candidate - Upstream.
+ * @param placedCounts - Number of running tasks of the same step by upstream; none by default.
+ * @returns The number; `Infinity` if the tasks need nothing and have no limit.
+ */
+export function countAllowed(step: JobStep, candidate: Pick<PlacementCandidate, 'id' | 'labels' | 'free'>, placedCounts?: ReadonlyMap<string, number>): number {
+	return isAllowedOn(step, candidate, placedCounts) ? Math.min(getRemainingLimit(step, candidate, placedCounts), countFitting(step.needs, candidate.free)) : 0;
+}
+
+/**
+ * Gets how many tasks fit into a free capacity.
+ * @param needs - Needs of one task.
+ * @param free - Free capacity.
+ */
+export function countFitting(needs: TaskNeeds, free: TaskNeeds): number {
+	const count = (need: number, available: number): number => need === 0 ? (available < 0 ? 0 : Infinity) : Math.max(0, Math.floor(available / need));
+	return Math.min(count(needs.cpu, free.cpu), count(needs.memoryMb, free.memoryMb), count(needs.accelerators, free.accelerators));
+}
+
+/**
+ * Gets how many more tasks of a step may run on an upstream by the step's limit, however much of it is free; `Infinity` without a limit.
+ * @param step - Step of the tasks.
+ * @param candidate - Upstream.
+ * @param placedCounts - Number of running tasks of the same step by upstream; none by default.
+ */
+export function getRemainingLimit({maxPerUpstream}: JobStep, {id}: Pick<PlacementCandidate, 'id'>, placedCounts?: ReadonlyMap<string, number>): number {
+	return maxPerUpstream === undefined ? Infinity : Math.max(0, maxPerUpstream - (placedCounts?.get(id) ?? 0));
 }
 
 /**
--- a/src/scheduling/start-plan.ts
+++ b/src/scheduling/start-plan.ts
@@ -5,7 +5,7 @@
  */
 import {type JobStep, type TaskNeeds} from '../pool/pool-job.js';
 import {
-	compareCosts, fits, isAllowedOn, type PlacementCandidate,
+	compareCosts, countFitting, fits, getRemainingLimit, isAllowedOn, type PlacementCandidate,
 } from './placement.js';
 
 /** Capacity that is expected to become free on an upstream. */
@@ -92,6 +92,9 @@
 	reservation: {readonly inMs: number; beside: TaskNeeds} | undefined;
 };
 
+/** Waiting tasks with the counts that the plan raises for what it starts. */
+type PlannedTasks = WaitingTasks & {readonly placedCounts?: Map<string, number>};
+
 /**
  * Plans the starts of waiting tasks.
  * @param jobs - Waiting tasks, the most urgent first.
@@ -128,21 +131,22 @@
 			continue;
 		}
 
+		const tasks = copyPlacedCounts(job);
 		let remaining = job.count;
 		while (remaining > 0) {
-			const site = fitsSomewhere ? chooseSite(job, openSites) : undefined;
+			const site = fitsSomewhere ? chooseSite(tasks, openSites) : undefined;
 			if (site === undefined) {
 				break;
 			}
 
 			starts.push({job, upstream: site.upstream, isBackfilled: reservedJobs > 0});
-			take(site, job);
+			take(site, tasks);
 			remaining--;
 		}
 
 		maxCpu = remaining === job.count ? maxCpu : getMaxCpu(openSites);
 		if (remaining > 0 && reservedJobs < maxReservedJobs) {
-			const newSites = reserve(job, remaining, sites);
+			const newSites = reserve(tasks, remaining, sites);
 			reserved.push(...newSites.map(site => ({job, site})));
 			reservedJobs += Number(newSites.length > 0);
 		}
@@ -161,16 +165,6 @@
 	return reservation === undefined || durationMs <= reservation.inMs || fits(needs, reservation.beside);
 }
 
-/**
- * Gets how many tasks fit into a free capacity.
- * @param needs - Needs of one task.
- * @param free - Free capacity.
- */
-export function countFitting(needs: TaskNeeds, free: TaskNeeds): number {
-	const count = (need: number, available: number): number => need === 0 ? (available < 0 ? 0 : Infinity) : Math.max(0, Math.floor(available / need));
-	return Math.min(count(needs.cpu, free.cpu), count(needs.memoryMb, free.memoryMb), count(needs.accelerators, free.accelerators));
-}
-
 function getMaxCpu(sites: ReadonlyArray<Site<PlacementCandidate>>): number {
 	let maxCpu = -Infinity;
 	for (const {free} of sites) {
@@ -199,8 +193,14 @@
 		|| compareCosts(step, a, b);
 }
 
-function take(site: Site<PlacementCandidate>, {step: {needs}, expectedMs}: WaitingTasks): void {
-	const {slowness, reservation} = site;
+/** Copies the counts of running tasks, if the step of the tasks is limited. */
+function copyPlacedCounts({placedCounts, ...tasks}: WaitingTasks): PlannedTasks {
+	return tasks.step.maxPerUpstream === undefined ? tasks : {...tasks, placedCounts: new Map(placedCounts)};
+}
+
+function take(site: Site<PlacementCandidate>, {step: {needs}, expectedMs, placedCounts}: PlannedTasks): void {
+	const {slowness, reservation, upstream} = site;
+	placedCounts?.set(upstream.id, (placedCounts.get(upstream.id) ?? 0) + 1);
 	const inMs = expectedMs * slowness;
 	if (reservation !== undefined && inMs > reservation.inMs) {
 		reservation.beside = subtract(reservation.beside, needs);
@@ -218,7 +218,7 @@
 
 /** Reserves capacity for tasks of a job where it becomes free soonest; gets the upstreams. */
 function reserve<U extends PlacementCandidate>(job: WaitingTasks, count: number, sites: ReadonlyArray<Site<U>>): ReadonlyArray<Site<U>> {
-	const {step} = job;
+	const {step, placedCounts} = job;
 	const found: Array<{readonly site: Site<U>; readonly inMs: number; readonly free: TaskNeeds}> = [];
 	for (const site of sites) {
 		if (site.reservation !== undefined || !mayUse(job, site.upstream)) {
@@ -243,7 +243,7 @@
 			break;
 		}
 
-		const fitting = Math.min(remaining, step.maxPerUpstream ?? remaining, countFitting(step.needs, free));
+		const fitting = Math.min(remaining, getRemainingLimit(step, site.upstream, placedCounts), countFitting(step.needs, free));
 		site.reservation = {inMs, beside: subtract(free, multiply(step.needs, fitting))};
 		reserved.push(site);
 		remaining -= fitting;
@@ -254,17 +254,18 @@
 
 /** Gets whether the last task of a job is expected to end too late, if the tasks start wherever capacity becomes free from now on. */
 function isTooLate(job: WaitingTasks, sites: ReadonlyArray<Site<PlacementCandidate>>, {freeElsewhere, startsPerOwnStart}: Required<Pick<StartPlanOptions<unknown>, 'freeElsewhere' | 'startsPerOwnStart'>>): boolean {
-	const {step, count, expectedMs, slackMs} = job;
+	const {step, count, expectedMs, slackMs, placedCounts} = job;
 	let remaining = count;
 	for (const cpu of freeElsewhere) {
 		remaining -= Math.floor(cpu / step.needs.cpu);
 	}
 
-	const allowed: Array<{readonly site: Site<PlacementCandidate>; readonly fittingNow: number}> = [];
+	const allowed: Array<{readonly site: Site<PlacementCandidate>; readonly fittingNow: number; readonly limit: number}> = [];
 	for (const site of sites) {
 		if (mayUse(job, site.upstream)) {
-			const fittingNow = step.needs.cpu > site.free.cpu ? 0 : countFitting(step.needs, site.free);
-			allowed.push({site, fittingNow});
+			const limit = getRemainingLimit(step, site.upstream, placedCounts);
+			const fittingNow = step.needs.cpu > site.free.cpu ? 0 : Math.min(limit, countFitting(step.needs, site.free));
+			allowed.push({site, fittingNow, limit});
 			remaining -= fittingNow;
 			if (remaining <= 0) {
 				return false;
@@ -274,7 +275,7 @@
 
 	remaining /= startsPerOwnStart;
 	// Later starts, each on what becomes free or after a task of the job itself.
-	for (const {site, fittingNow} of allowed) {
+	for (const {site, fittingNow, limit} of allowed) {
 		const durationMs = expectedMs * site.upstream.slowness;
 		const latestMs = slackMs - expectedMs;
 		const countStarts = (fromMs: number): number => Math.max(0, Math.floor((latestMs - fromMs) / Math.max(1, durationMs)));
@@ -287,7 +288,7 @@
 			}
 
 			free = add(free, needs);
-			const fittingThen = countFitting(step.needs, free);
+			const fittingThen = Math.min(limit, countFitting(step.needs, free));
 			remaining -= multiplyCounts(Math.max(0, fittingThen - fitting), 1 + countStarts(inMs));
 			fitting = Math.max(fitting, fittingThen);
 		}
--- a/test/pool/start-pass.test.ts
+++ b/test/pool/start-pass.test.ts
@@ -50,3 +50,28 @@
 	t.deepEqual(harness.upstreams.starts.map(({task}) => task).slice(2), ['large.0.0.0', 'long.0.0.0']);
 	t.true(harness.logLines.some(({message}) => message === 'waiting tasks planned'));
 });
+
+// Guards against tasks of a step that share an upstream beyond the step's limit while another job takes part of the capacity.
+test('tasks of a limited step that do not all fit at once start on different upstreams', async t => {
+	const harness = new PoolHarness({
+		upstreamCount: 3,
+		getWork: task => ({needs: {...typicalWork.needs, cpu: task.startsWith('large') ? 12_000 : 7000}, durationMs: task.startsWith('large') ? 900 : 100}),
+	});
+	const owner = harness.createOwner();
+	await harness.clock.advance(50);
+	harness.submit(owner, 'large', createOptions(12_000, 900));
+	await harness.clock.advance(10);
+	const {step, ...options} = createOptions(7000, 100);
+	harness.submit(owner, 'limited', {...options, step: {...step, taskCount: 5, maxPerUpstream: 1}});
+	const counts: number[] = [];
+	for (let elapsedMs = 0; elapsedMs < 600; elapsedMs += 20) {
+		await harness.clock.advance(20);
+		for (const {id} of harness.descriptions) {
+			counts.push(harness.upstreams.starts.filter(({task, upstream, endedAt}) => task.startsWith('limited') && upstream === id && endedAt === undefined).length);
+		}
+	}
+
+	t.is(Math.max(...counts), 1);
+	t.deepEqual(harness.outcomes.get('limited'), {kind: 'completed'});
+	t.true(harness.logLines.some(({message}) => message === 'waiting tasks planned'));
+});
--- a/test/scheduling/start-plan.test.ts
+++ b/test/scheduling/start-plan.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {
-	type ExpectedRelease, getMeanRemainingMs, createSchedulingOptions, type PlacementCandidate, planStarts as planStartsOf, type StartPlanOptions, type WaitingTasks,
+	type ExpectedRelease, getMeanRemainingMs, getUnplacedWork, createSchedulingOptions, type PlacementCandidate, planStarts as planStartsOf, type StartPlanOptions, type WaitingTasks,
 } from '../../src/scheduling/index.js';
 import {
 	customerOne, customerTwo, replay, type ReplayLoad, type ReplayOptions, type ReplayResult,
@@ -64,6 +64,49 @@
 	t.deepEqual(planStarts([{...tasks, avoided: new Set(['a'])}], upstreams).starts.map(({upstream}) => upstream.id), ['b', 'b', 'b', 'b']);
 });
 
+// Guards against a plan that starts more tasks of a step on an upstream than the step allows, since it does not count its own starts.
+test('a plan starts no more tasks of a step on an upstream than its limit leaves beside those that run', t => {
+	const {step} = createTasks(16, 100);
+	const limited = createTasks(16, 100, {count: 5, step: {...step, maxPerUpstream: 2}, placedCounts: new Map([['a', 1]])});
+	const upstreams = [createUpstream('a', 64), createUpstream('b', 64)];
+	t.deepEqual(planStarts([limited], upstreams).starts.map(({upstream}) => upstream.id).sort(), ['a', 'b', 'b']);
+	// The counts belong to one step: another one of the same kind starts beside it.
+	t.deepEqual(planStarts([limited, {...limited, placedCounts: new Map()}], upstreams).starts.map(({upstream}) => upstream.id).sort(), ['a', 'a', 'a', 'b', 'b', 'b', 'b']);
+	t.is(limited.placedCounts!.get('a'), 1);
+});
+
+// Guards against capacity that is reserved for tasks which their limit does not allow there.
+test('a plan reserves what the limit of a step leaves on an upstream', t => {
+	const {step} = createTasks(16, 100);
+	const limited = createTasks(16, 100, {count: 4, step: {...step, maxPerUpstream: 2}, placedCounts: new Map([['b', 1]])});
+	// One task of the plan itself starts on the first upstream and none on the second.
+	const upstreams = [createUpstream('a', 16, [[50, 48]]), createUpstream('b', 0, [[100, 64]])];
+	const {starts, reservations} = planStarts([limited], upstreams);
+	t.deepEqual(starts.map(({upstream}) => upstream.id), ['a']);
+	t.deepEqual(reservations.map(({upstream, inMs, beside}) => [upstream.id, inMs, beside.cpu]), [['a', 50, 32], ['b', 100, 48]]);
+});
+
+// Guards against a job that is taken for one in time, since more of its tasks would fit on an upstream than its limit allows.
+test('a job is held back if its limit lets too few of its tasks run at the same time', t => {
+	const upstreams = [createUpstream('a', 64), createUpstream('b', 0, [[50, 64]])];
+	const job = createTasks(16, 100, {count: 6, slackMs: 250});
+	const limit = (maxPerUpstream: number): WaitingTasks => ({...job, step: {...job.step, maxPerUpstream}});
+	t.is(planStarts([job], upstreams).held.length, 0);
+	t.is(planStarts([limit(1)], upstreams).held.length, 1);
+	t.is(planStarts([limit(2)], upstreams).held.length, 0);
+});
+
+// Guards against a job that is admitted as one that starts at once, although its limit keeps some of its tasks waiting.
+test('the work that cannot start now includes tasks that their limit or their label keeps from free capacity', t => {
+	const {step} = createTasks(16_000, 100);
+	const upstreams = [createUpstream('a', 64_000), createUpstream('b', 64_000)];
+	t.is(getUnplacedWork([{step, count: 5}], upstreams), 0);
+	t.is(getUnplacedWork([{step: {...step, maxPerUpstream: 2}, count: 5}], upstreams), 16 * 100);
+	t.is(getUnplacedWork([{step: {...step, requiredLabel: 'x'}, count: 5}], upstreams), 5 * 16 * 100);
+	// What one step takes is not free for the next one.
+	t.is(getUnplacedWork([{step, count: 5}, {step, count: 5}], upstreams), 2 * 16 * 100);
+});
+
 test('the remaining time of a run is never below zero and grows once the run is past its expectation', t => {
 	t.is(getMeanRemainingMs(0, 100), 100);
 	const ages = [100, 150, 200, 300, 500, 1000];
