Learn changed upstreams from other VMs while the store turns an owner away

Cause: only owners read the list of upstreams, and only owners report it. An owner whose reads fail went on with what it had read last, and asked nobody, as is done for the configuration.

Evidence: the log could not tell an owner that does not know the capacity from one that does not count with it. It has lines now for a list that is outdated and for a capacity that changes, and a metric has the age of the list.

Fix: an owner that has not read the list for 1 s asks other VMs, which answer from a list read within the last second or read it then. A VM that becomes an owner does the same when its first read fails. While no VM can read the list the last entry stands, as before.

Cost: no call of the store while reads succeed; otherwise a VM that owns no pool reads once a second for all that ask it.

--- a/src/platform/platform-entry-vm.ts
+++ b/src/platform/platform-entry-vm.ts
@@ -4,6 +4,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import type Logger from 'bunyan';
 import {type Subscription} from 'most';
+import {type Dispatcher} from 'undici';
 import {
 	CallerMemory, createHttpListener, createPeerMesh, dialTcp, EventLoopProgress, getCallerBounds, type HttpListener, type Incarnation, type PeerMesh, type PeerRequest, type SenderConfirmation,
 } from '../connection/index.js';
@@ -28,6 +29,7 @@
 import {type PlatformSettings} from './settings-file.js';
 import {StoreClient} from './store-client.js';
 import {UpstreamList} from './upstream-list.js';
+import {upstreamRequestTopic, UpstreamRequests} from './upstream-requests.js';
 import {VmRegistry} from './vm-registry.js';
 
 /** Options of {@link createPlatformEntryVm}. */
@@ -42,6 +44,8 @@
 	readonly layoutSettleMs?: number;
 	/** Parts of the scheduling that are on; all by default. */
 	readonly scheduling?: SchedulingOptions;
+	/** HTTP client of the calls to the store; one of its own by default. */
+	readonly storeDispatcher?: Dispatcher;
 };
 
 /** Heartbeat interval in milliseconds: a VM counts as silent after 300 ms and as down after 500 ms. */
@@ -118,6 +122,7 @@
 	readonly #layout = new PoolLayout();
 	readonly #layoutManager: LayoutManager;
 	readonly #upstreams: UpstreamList;
+	readonly #upstreamRequests: UpstreamRequests;
 	readonly #registry: VmRegistry;
 	readonly #neighbours: StartupOwnerCheck;
 	readonly #cancelledJobs: CancelledJobs;
@@ -130,6 +135,7 @@
 	#callerEndpoint!: CallerEndpoint;
 	#callerListener!: HttpListener;
 	#isStopping = false;
+	#ownedPools: readonly string[] = [];
 	#configurationRequestedAt = -Infinity;
 	/** Last published upstreams of each pool owned by this VM, and the incarnations that received them. */
 	readonly #speeds = new LearntSpeeds();
@@ -145,7 +151,7 @@
 		this.#clock = clock;
 		this.#log = createRateLimitedLog({clock, log: logger});
 		this.#self = {dataCenter: settings.dataCenter, vm: settings.vm, id: `${settings.vm}-${random.getHex(incarnationBytes)}`};
-		this.#store = new StoreClient({address: settings.storeAddress, clock});
+		this.#store = new StoreClient({address: settings.storeAddress, clock, dispatcher: options.storeDispatcher});
 		this.#inputProgress = new EventLoopProgress({clock});
 		this.#orders = new HttpOrders({clock, log: this.#log});
 		const sharedOptions = {clock, log: this.#log, store: this.#store};
@@ -174,6 +180,10 @@
 			onChange: () => {
 				this.#handleUpstreamsChanged();
 			},
+			requestReports: async () => this.#upstreamRequests.request(),
+		});
+		this.#upstreamRequests = new UpstreamRequests({
+			clock, log: this.#log, dataCenter: settings.dataCenter, getPeers: () => this.#mesh, getPools: () => this.#ownedPools, upstreams: this.#upstreams,
 		});
 		const {vm: name, dataCenter, peerAddress, callerAddress} = settings;
 		this.#layoutManager = new LayoutManager({
@@ -218,7 +228,7 @@
 			},
 		});
 		const metrics = new PoolMetrics({
-			node: this.#node, store: this.#store, getTraffic: () => this.#mesh.getTraffic(), getCallerCounters: () => ({...this.#callerMemory.getCounters(), ...this.#callerListener.getCounters()}),
+			node: this.#node, store: this.#store, upstreams: this.#upstreams, getTraffic: () => this.#mesh.getTraffic(), getCallerCounters: () => ({...this.#callerMemory.getCounters(), ...this.#callerListener.getCounters()}),
 		});
 		this.#callerListener = await this.#listen(this.#settings.callerAddress, (req, res) => {
 			void this.#callerEndpoint.handle(req, res);
@@ -446,6 +456,7 @@
 			isListComplete: pool => this.#upstreams.isComplete(pool),
 			onOwnedPoolsChanged: pools => {
 				this.#published.clear();
+				this.#ownedPools = pools;
 				this.#upstreams.setFollowing(pools.length > 0);
 			},
 		});
@@ -456,7 +467,7 @@
 		const writing = this.#store.setItem(`${claimPrefix}${pool}`, this.#self.id, claimTimeoutMs);
 		await nextMicrotask;
 		// A new owner follows the list from now on; what it knows from reports may be older than a change of an upstream's capacity.
-		await this.#upstreams.waitForRead(claimTimeoutMs);
+		await this.#upstreams.waitForUpdate(claimTimeoutMs);
 		const result = await writing;
 		if (!result.ok) {
 			this.#log.warn({pool, reason: result.reason, detail: result.detail}, 'failed to write the claim');
@@ -503,25 +514,19 @@
 
 	/** Publishes a pool's upstreams to the VMs of its data centre, any of which may have to take over the pool while the store is unavailable. */
 	#publishUpstreams(pool: string): void {
-		// How long an upstream is still cold differs with each read, and each difference would be sent to all VMs.
-		const upstreams = this.#upstreams.getUpstreams(pool).map(upstream => upstream.cold === undefined ? upstream : {...upstream, cold: undefined});
-		const overwritten = this.#upstreams.getOverwrittenUpstreams(pool);
-		const former = this.#upstreams.getFormerUpstreams(pool);
-		if (upstreams.length === 0) {
+		const report = this.#upstreams.getReport(pool);
+		if (report.upstreams.length === 0) {
 			return;
 		}
 
-		const text = JSON.stringify([upstreams, overwritten, former]);
+		const text = JSON.stringify({...report, revision: undefined});
 		const previous = this.#published.get(pool);
 		const publication = previous?.text === text ? previous : {text, to: new Set<string>()};
 		this.#published.set(pool, publication);
 		const dataCenter = getDataCenter(pool);
 		for (const {incarnation, state} of this.#mesh.getMembers()) {
 			const isDue = incarnation.dataCenter === dataCenter && state === 'up' && !publication.to.has(incarnation.id);
-			const body = {
-				pool, revision: this.#upstreams.getPoolRevision(pool), upstreams, overwritten, former,
-			};
-			if (isDue && this.#mesh.sendControl(incarnation.id, {topic: upstreamsTopic, body})) {
+			if (isDue && this.#mesh.sendControl(incarnation.id, {topic: upstreamsTopic, body: report})) {
 				publication.to.add(incarnation.id);
 			}
 		}
@@ -586,6 +591,10 @@
 			return this.#cancelledJobs.handleRequest(request.body);
 		}
 
+		if (request.topic === upstreamRequestTopic) {
+			return this.#upstreamRequests.handleRequest(request.body);
+		}
+
 		if (this.#node.handlesTopic(request.topic)) {
 			return this.#node.handleRequest(request, signal, confirmation);
 		}
--- a/src/platform/pool-metrics.ts
+++ b/src/platform/pool-metrics.ts
@@ -9,6 +9,7 @@
 } from '../connection/index.js';
 import {type PoolNode} from '../pool/index.js';
 import {type StoreClient} from './store-client.js';
+import {type UpstreamList} from './upstream-list.js';
 
 /** Upper bounds in seconds of the buckets of the time for which requests may have waited unread: from a busy VM to `resend_ms`. */
 const unreadBuckets = [0.05, 0.1, 0.15, 0.25, 0.4, 0.8, 1.3];
@@ -20,6 +21,8 @@
 export type PoolMetricsOptions = {
 	readonly node: PoolNode;
 	readonly store: StoreClient;
+	/** Knows when the upstreams of pools were last read. */
+	readonly upstreams: Pick<UpstreamList, 'getAgeMs'>;
 	readonly getTraffic: () => PeerTraffic;
 	/** Gets the counters of callers' memory and connections. */
 	readonly getCallerCounters: () => CallerMemoryCounters & Pick<HttpCounters, 'connections' | 'dropped'>;
@@ -40,7 +43,7 @@
 		name: 'endivemill_request_unread_seconds', help: 'Time for which a request may have waited until it was read', buckets: unreadBuckets, registers: [this.#registry],
 	});
 
-	constructor({node, store, getTraffic, getCallerCounters}: PoolMetricsOptions) {
+	constructor({node, store, upstreams, getTraffic, getCallerCounters}: PoolMetricsOptions) {
 		const addTrafficCounter = (name: string, help: string, getValue: (counts: TrafficCounts) => number): void => {
 			this.#addCounter(name, help, () => {
 				const {control, job} = getTraffic();
@@ -95,6 +98,15 @@
 				}
 			},
 		});
+		const listAge = new Gauge({
+			name: 'endivemill_upstream_list_age_ms', help: 'Time since the upstreams of a pool owned by this entry VM were last read, here or by a peer', labelNames: ['pool'], registers: [this.#registry],
+			collect() {
+				listAge.reset();
+				for (const owner of node.getOwners()) {
+					listAge.set({pool: owner.getPool()}, upstreams.getAgeMs(owner.getPool()));
+				}
+			},
+		});
 		const remoteLoads = new Counter({
 			name: 'endivemill_remote_loads_total', help: 'Loads of remote pools passed on within the data centre by their age', labelNames: ['verdict', 'ms'], registers: [this.#registry],
 			collect() {
--- a/src/platform/upstream-list.ts
+++ b/src/platform/upstream-list.ts
@@ -37,6 +37,12 @@
  */
 const formerKnownMs = 5000;
 
+/**
+ * Age of the list from which it is outdated, in milliseconds: two reads have failed. What peers read is used then, so that a change is known here well within
+ * the 3 s after which it counts. With a smaller value, peers are asked after each lost answer of the store.
+ */
+const outdatedAgeMs = 1000;
+
 /** Maximum number of former addresses. */
 const maxFormerCount = 1000;
 
@@ -49,6 +55,8 @@
 	/** Data centres of the deployment; an entry of another one is invalid. By default, there may be any. */
 	readonly dataCenters?: readonly string[];
 	readonly onChange: () => void;
+	/** Adds reports of peers that have read the list, while it cannot be read here; by default, nobody is asked. */
+	readonly requestReports?: () => Promise<void>;
 	/** How much slower cold upstreams are; the platform's defaults by default. */
 	readonly coldLimits?: ColdLimits;
 };
@@ -84,8 +92,14 @@
 	#lastReadAt = 0;
 	#isFollowing = false;
 	#isRunning = false;
-	/** Read in progress of the list that is kept up to date; `undefined` for none. */
-	#reading: Promise<unknown> | undefined;
+	/** Whether a report was newer than what was read here, so that changes since the last read may be older than what is known. */
+	#isReadOutpaced = false;
+	/** Whether the list was outdated when it was last to be updated. */
+	#wasOutdated = false;
+	/** Update in progress of the list that is kept up to date, by a read or from peers; `undefined` for none. */
+	#updating: Promise<void> | undefined;
+	/** Read in progress for an update; `undefined` for none. */
+	#reading: Promise<boolean> | undefined;
 
 	constructor(options: UpstreamListOptions) {
 		this.#options = options;
@@ -176,6 +190,37 @@
 		return Math.max(this.getRevision(), this.#reports.get(pool)?.revision ?? 0);
 	}
 
+	/**
+	 * Gets the time since the upstreams of a pool were last read, by this VM or by a peer that reported them, in milliseconds; `Infinity` if they never were.
+	 * @param pool - Pool.
+	 */
+	getAgeMs(pool: string): number {
+		return Math.min(this.#getReadAgeMs(), this.#options.clock.getMonotonicTime() - (this.#reports.get(pool)?.lastAt ?? -Infinity));
+	}
+
+	/**
+	 * Gets a report of the upstreams of a pool as last read or received.
+	 * @param pool - Pool.
+	 */
+	getReport(pool: string): UpstreamReport {
+		return {
+			pool,
+			revision: this.getPoolRevision(pool),
+			// How long an upstream is still cold differs with each read, and each difference would be sent to all VMs.
+			upstreams: this.getUpstreams(pool).map(upstream => upstream.cold === undefined ? upstream : {...upstream, cold: undefined}),
+			overwritten: this.getOverwrittenUpstreams(pool),
+			former: this.getFormerUpstreams(pool),
+		};
+	}
+
+	/**
+	 * Reads the list if it was not read a moment ago.
+	 * @returns Whether the list is as the store has it now or had it a moment ago.
+	 */
+	async refresh(): Promise<boolean> {
+		return !this.#isOutdated() || this.#readLatest();
+	}
+
 	/** Reads the full list; returns false if the read fails. */
 	async read(): Promise<boolean> {
 		const {store, clock, log} = this.#options;
@@ -188,6 +233,7 @@
 		this.#lastReadAt = clock.getMonotonicTime();
 		this.#firstReadAt = Math.min(this.#firstReadAt, this.#lastReadAt);
 		this.#revision = result.value.revision;
+		this.#isReadOutpaced = false;
 		const listed = new Set<string>();
 		for (const item of result.value.items) {
 			listed.add(item.key);
@@ -217,12 +263,12 @@
 	}
 
 	/**
-	 * Waits for the end of the read that is in progress; returns at once if there is none, since the list was read a moment ago then or is not followed.
+	 * Waits for the end of the update that is in progress; returns at once if there is none, since the list was read a moment ago then or is not followed.
 	 * @param timeoutMs - Longest wait in milliseconds.
 	 */
-	async waitForRead(timeoutMs: number): Promise<void> {
-		if (this.#reading !== undefined) {
-			await Promise.race([this.#reading, sleep(this.#options.clock, timeoutMs)]);
+	async waitForUpdate(timeoutMs: number): Promise<void> {
+		if (this.#updating !== undefined) {
+			await Promise.race([this.#updating, sleep(this.#options.clock, timeoutMs)]);
 		}
 	}
 
@@ -238,7 +284,7 @@
 			this.#addReportedFormer(former);
 		}
 
-		const isFollowed = this.#isFollowing && this.#revision !== undefined;
+		const isFollowed = this.#isFollowing && this.#revision !== undefined && !this.#isOutdated();
 		if (isFollowed || revision < this.getPoolRevision(pool)) {
 			this.#addUnlisted([...upstreams, ...overwritten]);
 			// Upstreams that were read here at other addresses: the owner that reports them uses them there.
@@ -250,13 +296,16 @@
 		const previous = this.#reports.get(pool);
 		const hasGap = previous === undefined || now - previous.lastAt > maxCatchUpAgeMs;
 		this.#reports.set(pool, {firstAt: hasGap ? now : previous.firstAt, lastAt: now, revision});
-
-		for (const {id} of [...this.getUpstreams(pool), ...this.getOverwrittenUpstreams(pool)]) {
+		this.#isReadOutpaced ||= revision > this.getRevision();
+		const known = new Map(this.getUpstreams(pool).map(upstream => [upstream.id, upstream]));
+		for (const {id} of [...known.values(), ...this.getOverwrittenUpstreams(pool)]) {
 			this.#removeEntry(`${upstreamPrefix}${id}`);
 		}
 
 		for (const upstream of upstreams) {
-			this.#addEntry(`${upstreamPrefix}${upstream.id}`, upstream);
+			// A report does not tell whether an upstream is cold.
+			const previousLife = known.get(upstream.id);
+			this.#addEntry(`${upstreamPrefix}${upstream.id}`, previousLife?.bornMs === upstream.bornMs ? {...upstream, cold: previousLife.cold} : upstream);
 		}
 
 		for (const upstream of overwritten) {
@@ -274,26 +323,69 @@
 	async #follow(): Promise<void> {
 		const {clock} = this.#options;
 		while (this.#isFollowing && !this.#closing.signal.aborted) {
-			this.#reading = this.#canCatchUp() ? this.#catchUp() : this.read();
-			await this.#reading;
-			this.#reading = undefined;
+			this.#updating = this.#update();
+			await this.#updating;
+			this.#updating = undefined;
 			await sleep(clock, pollIntervalMs, this.#closing.signal);
 		}
 
 		this.#isRunning = false;
 	}
 
+	/** Reads the list, or requests it from peers while it cannot be read here. */
+	async #update(): Promise<void> {
+		const {log, requestReports} = this.#options;
+		if (await this.#readLatest()) {
+			if (this.#wasOutdated) {
+				this.#wasOutdated = false;
+				log.info({revision: this.#revision}, 'list of upstreams read again');
+			}
+
+			return;
+		}
+
+		if (this.#isOutdated()) {
+			if (!this.#wasOutdated) {
+				this.#wasOutdated = true;
+				log.warn({revision: this.#revision, ageMs: Math.round(this.#getReadAgeMs())}, 'list of upstreams outdated');
+			}
+
+			await requestReports?.();
+		}
+	}
+
+	/** Reads what is new in the list; returns false if the read fails. Concurrent calls share one read. */
+	async #readLatest(): Promise<boolean> {
+		const startReading = async (): Promise<boolean> => {
+			const isRead = await (this.#canCatchUp() ? this.#catchUp() : this.read());
+			this.#reading = undefined;
+			return isRead;
+		};
+
+		this.#reading ??= startReading();
+		return this.#reading;
+	}
+
+	#isOutdated(): boolean {
+		return this.#getReadAgeMs() > outdatedAgeMs;
+	}
+
+	/** Gets the time since the list was last read here, in milliseconds; `Infinity` if it never was. */
+	#getReadAgeMs(): number {
+		return this.#firstReadAt === Infinity ? Infinity : this.#options.clock.getMonotonicTime() - this.#lastReadAt;
+	}
+
 	#canCatchUp(): boolean {
-		return this.#revision !== undefined && this.#options.clock.getMonotonicTime() - this.#lastReadAt < maxCatchUpAgeMs;
+		return this.#revision !== undefined && !this.#isReadOutpaced && this.#options.clock.getMonotonicTime() - this.#lastReadAt < maxCatchUpAgeMs;
 	}
 
-	async #catchUp(): Promise<void> {
+	async #catchUp(): Promise<boolean> {
 		const {store, clock, log} = this.#options;
 		const result = await store.getChanges(upstreamPrefix, this.#revision!, 1);
 		if (!result.ok) {
 			log.info({reason: result.reason, detail: result.detail}, 'failed to read the changes of upstreams');
 			this.#revision = result.reason === 'history-lost' ? undefined : this.#revision;
-			return;
+			return false;
 		}
 
 		this.#lastReadAt = clock.getMonotonicTime();
@@ -307,6 +399,7 @@
 		}
 
 		this.#options.onChange();
+		return true;
 	}
 
 	#setEntry(key: string, value: string): void {
@@ -337,6 +430,13 @@
 			this.#addFormer(key, previous);
 		}
 
+		if (this.#isFollowing && previous !== undefined && !isSameCapacity(previous.upstream, upstream)) {
+			const {id, capacity} = upstream;
+			this.#options.log.info({
+				upstream: id, capacity, before: previous.upstream.capacity, isRead: !this.#isOutdated(),
+			}, 'capacity of an upstream changed');
+		}
+
 		this.#former.delete(getFormerKey(key, upstream));
 		this.#invalidKeys.delete(key);
 		this.#entries.set(key, {upstream: this.#keepColdness(upstream, previous?.upstream), pool: isSameDataCenter ? previous.pool : undefined});
@@ -425,6 +525,10 @@
 	}
 }
 
+function isSameCapacity({capacity: a}: UpstreamDescription, {capacity: b}: UpstreamDescription): boolean {
+	return a.cpu === b.cpu && a.memoryMb === b.memoryMb && a.accelerators === b.accelerators;
+}
+
 function getFormerKey(key: string, {address}: UpstreamDescription): string {
 	return `${key} ${address}`;
 }
--- a/src/testing/platform-store.ts
+++ b/src/testing/platform-store.ts
@@ -12,10 +12,15 @@
 type Item = {readonly key: string; readonly value: string; readonly revision: number; readonly created: number; readonly lease: number};
 type Change = Item | {readonly key: string; readonly revision: number; readonly tombstone: true};
 
+/** Header in which a test names the caller. */
+export const callerHeader = 'x-caller';
+
 /** Faults of the store; they can be changed while a test runs. */
 export type StoreFaults = {
 	/** Status code of all answers; calls are executed if it is `false`, which commands can carry as JSON. */
 	refusal: 429 | 503 | false;
+	/** Callers whose calls are refused with 503, by the header {@link callerHeader}. */
+	refusedCallers: readonly string[];
 	/** Whether calls get no answer. */
 	isSilent: boolean;
 	/** Whether transactions are executed and not answered. */
@@ -33,7 +38,7 @@
 /** Holds items in memory and serves the store's calls. */
 export class PlatformStore {
 	readonly faults: StoreFaults = {
-		refusal: false, isSilent: false, isLosingAnswers: false, delayMs: 0,
+		refusal: false, refusedCallers: [], isSilent: false, isLosingAnswers: false, delayMs: 0,
 	};
 
 	readonly #server: Server;
@@ -133,6 +138,11 @@
 			return;
 		}
 
+		if (this.faults.refusedCallers.includes(String(req.headers[callerHeader]))) {
+			sendJson(res, 503);
+			return;
+		}
+
 		switch (url.pathname) {
 			case '/api/kv-key': {
 				const item = this.#items.get(url.searchParams.get('key') ?? '');
--- a/test/platform/platform-deployment.ts
+++ b/test/platform/platform-deployment.ts
@@ -3,14 +3,14 @@
  */
 import {createServer} from 'node:net';
 import bunyan from 'bunyan';
-import {request} from 'undici';
+import {Agent, type Dispatcher, request} from 'undici';
 import {createPlatformEntryVm, type PlatformEntryVm} from '../../src/platform/platform-entry-vm.js';
 import {type PlatformSettings} from '../../src/platform/settings-file.js';
 import {type Clock} from '../../src/seams/index.js';
 import {loopbackHost} from '../support/loopback-host.js';
 import {createSlowClock} from '../support/slow-clock.js';
 import {
-	createPlatformStore, createPlatformUpstream, type PlatformStore, type PlatformUpstream, type SimulatedWork,
+	callerHeader, createPlatformStore, createPlatformUpstream, type PlatformStore, type PlatformUpstream, type SimulatedWork,
 } from '../../src/testing/index.js';
 
 /** Options of {@link createPlatformDeployment}. */
@@ -19,6 +19,8 @@
 	readonly vmsPerDataCenter?: number;
 	readonly upstreamsPerDataCenter?: number;
 	readonly getWork?: (task: string) => SimulatedWork;
+	/** Whether the upstreams refuse what exceeds their capacity; true by default. */
+	readonly isGuarded?: boolean;
 	/** Gets the clock of an entry VM, for instance one with late timers. */
 	readonly getClock?: (clock: Clock, vm: string) => Clock;
 };
@@ -113,14 +115,14 @@
 
 /** Creates a deployment and starts its entry VMs. */
 export async function createPlatformDeployment(options: PlatformDeploymentOptions = {}): Promise<PlatformDeployment> {
-	const {dataCenters = ['dc1'], vmsPerDataCenter = 2, upstreamsPerDataCenter = 2, getWork = () => defaultWork, getClock = own => own} = options;
+	const {dataCenters = ['dc1'], vmsPerDataCenter = 2, upstreamsPerDataCenter = 2, getWork = () => defaultWork, isGuarded, getClock = own => own} = options;
 	const clock = createSlowClock(clockFactor);
 	const store = await createPlatformStore();
 	const upstreams: PlatformUpstream[] = [];
 	for (const dataCenter of dataCenters) {
 		for (let position = 0; position < upstreamsPerDataCenter; position++) {
 			upstreams.push(await createPlatformUpstream({
-				id: `i-${dataCenter}-${position}`, dataCenter, service: 's', store, getWork, clock,
+				id: `i-${dataCenter}-${position}`, dataCenter, service: 's', store, getWork, isGuarded, clock,
 			}));
 		}
 	}
@@ -142,7 +144,7 @@
 	for (const [position, {vm, dataCenter}] of vms.entries()) {
 		const settings = createSettings({vm, dataCenter, peerAddress: peerAddresses[position]!});
 		deployment.entryVms.push(await createPlatformEntryVm({
-			settings, logger: createQuietLogger(), metricsPort: 0, clock: getClock(clock, vm), layoutSettleMs: 0,
+			settings, logger: createQuietLogger(), metricsPort: 0, clock: getClock(clock, vm), layoutSettleMs: 0, storeDispatcher: createStoreDispatcher(vm),
 		}));
 	}
 
@@ -156,6 +158,11 @@
 	}
 }
 
+/** Creates an HTTP client that names the entry VM in its calls to the store. */
+function createStoreDispatcher(vm: string): Dispatcher {
+	return new Agent().compose(dispatch => (options, handler) => dispatch({...options, headers: {...options.headers, [callerHeader]: vm}}, handler));
+}
+
 function createQuietLogger(): bunyan {
 	return bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1});
 }
--- a/test/platform/platform-entry-vm.test.ts
+++ b/test/platform/platform-entry-vm.test.ts
@@ -66,6 +66,21 @@
 	await deployment.close();
 });
 
+// Guards against an owner that fills a shrunk upstream while the store rejects its calls and serves other VMs.
+test('an owner that the store turns away learns from another VM that an upstream has shrunk', async t => {
+	const deployment = await createPlatformDeployment({upstreamsPerDataCenter: 1, isGuarded: false});
+	await deployment.waitUntilReady();
+	const position = deployment.entryVms.findIndex(entryVm => entryVm.isOwner());
+	deployment.store.faults.refusedCallers = [`edge-dc1-${position}`];
+	const [upstream] = deployment.upstreams;
+	upstream!.setCapacity({...upstream!.getCapacity(), cpu: 8000});
+	upstream!.register('ready');
+	await waitFor(() => deployment.entryVms.every(entryVm => entryVm.getKnownCores() === 8));
+	t.like(await deployment.submit(position, '00000000000000c3', {taskCount: 4}), {status: 200});
+	t.true(upstream!.getStarts().every(({used}) => used.cpu <= 8000));
+	await deployment.close();
+});
+
 test('a job that must be stored is refused instead of being accepted and lost', async t => {
 	const deployment = await createPlatformDeployment({vmsPerDataCenter: 1});
 	await deployment.waitUntilReady();
--- a/test/platform/upstream-list.test.ts
+++ b/test/platform/upstream-list.test.ts
@@ -148,7 +148,7 @@
 		const waits: number[] = [];
 		const wait = async (): Promise<void> => {
 			const startedAt = clock.getMonotonicTime();
-			await list.waitForRead(200);
+			await list.waitForUpdate(200);
 			waits.push(clock.getMonotonicTime() - startedAt);
 		};
 
