--- a/src/platform/upstream-requests.ts
+++ b/src/platform/upstream-requests.ts
@@ -58,6 +58,10 @@
 
 		this.#answering = undefined;
 		const asked = this.#chooseMembers();
+		if (asked.length === 0) {
+			return;
+		}
+
 		const answers = await Promise.all(asked.map(async ({incarnation: {id}}) => await this.#ask(id, pools) ? [id] : []));
 		[this.#answering] = answers.flat();
 		if (this.#answering === undefined) {
--- a/test/platform/entry-vm-process.ts
+++ b/test/platform/entry-vm-process.ts
@@ -21,6 +21,8 @@
 const host = 'jobs.example';
 /** Port of the callers' interface. */
 export const callerPort = 8161;
+/** State of an open connection in the kernel's table. */
+const establishedState = '01';
 const retryMs = 100;
 /** Number of polls without a rise after which memory and descriptors count as settled. */
 const settledPolls = 20;
@@ -50,9 +52,15 @@
 
 	/** Gets the highest resident memory so far, in megabytes of 1,048,576 bytes. */
 	async getPeakMemoryMb(): Promise<number> {
-		const status = await readFile(`/proc/${this.#child.pid}/status`, 'utf8');
-		// A process that is ending has no memory any more.
-		return Number(/VmHWM:\s+(?<kilobytes>\d+)/v.exec(status)?.groups?.kilobytes ?? 0) / 1024;
+		const kilobytes = await this.#getKilobytes('VmHWM');
+		return kilobytes / 1024;
+	}
+
+	/** Gets the memory that counts for the VM, in megabytes of 1,048,576 bytes: the resident one and what callers have sent that was not read. */
+	async getMemoryMb(): Promise<number> {
+		const kilobytes = await this.#getKilobytes('VmRSS');
+		const unreadBytes = await getUnreadBytes(this.ip, callerPort);
+		return (kilobytes / 1024) + (unreadBytes / 1024 / 1024);
 	}
 
 	/** Gets the number of open descriptors. */
@@ -108,6 +116,29 @@
 			await once(this.#child, 'exit');
 		}
 	}
+
+	async #getKilobytes(field: string): Promise<number> {
+		const status = await readFile(`/proc/${this.#child.pid}/status`, 'utf8');
+		const line = status.split('\n').find(text => text.startsWith(`${field}:`));
+		// A process that is ending has no memory any more.
+		return Number.parseInt(line?.slice(field.length + 1) ?? '0', 10);
+	}
+}
+
+/** Gets the bytes that the kernel holds for the accepted connections of a listener. */
+async function getUnreadBytes(ip: string, port: number): Promise<number> {
+	const toHex = (value: number, length: number): string => value.toString(16).toUpperCase().padStart(length, '0');
+	const local = `${ip.split('.').reverse().map(part => toHex(Number(part), 2)).join('')}:${toHex(port, 4)}`;
+	const table = await readFile('/proc/net/tcp', 'utf8');
+	let bytes = 0;
+	for (const line of table.split('\n')) {
+		const [, address, , state, queues] = line.trim().split(/\s+/v);
+		if (address === local && state === establishedState) {
+			bytes += Number.parseInt(queues!.split(':')[1]!, 16);
+		}
+	}
+
+	return bytes;
 }
 
 /**
