Read bodies in many small chunks in turn, and stop parsing what is refused

What callers saw: 20 callers who send bodies in one-byte chunks, stop short of the end and come back when they are refused keep an entry VM from all others; no ordinary job is completed in 60 s.

Cause: Node's parser calls back for each chunk and handles a read of 64 KiB to its end, 17 ms for one-byte chunks, up to 32 reads of each connection in an iteration of the event loop. A refused connection was read and parsed until it was closed. Orders to upstreams, which have to be answered within 150 ms, failed meanwhile. Libuv accepts one connection in an iteration, so that an ordinary caller waits for as many iterations as others connect before it.

Fix: at most 8 such bodies are read at a time, one read in 16 iterations; a further one is refused with 503 and Retry-After, unless one without progress for 1 s is refused instead. A refused connection is not read any more, and the rest of its current read is discarded in the parser. A caller who sends one such body after another meets no limit.

--- a/src/connection/caller-memory/caller-memory.ts
+++ b/src/connection/caller-memory/caller-memory.ts
@@ -4,9 +4,11 @@
 import {type Socket} from 'node:net';
 import {type Clock, type Timer} from '../../seams/index.js';
 import {chooseRefused, type RefusalCandidate} from './choose-refused.js';
+import {FragmentedBodies, type FragmentedBodiesOptions} from './fragmented-bodies.js';
+import {discardBody, stopRequests, suspendReading} from './parsed-socket.js';
 
 /** Why a connection was refused or closed. */
-export type RefusalCause = 'memory' | 'connections' | 'slow-body' | 'unread-answer' | 'pipelining';
+export type RefusalCause = 'memory' | 'connections' | 'slow-body' | 'unread-answer' | 'pipelining' | 'small-chunks';
 
 /** Options of {@link CallerMemory}. */
 export type CallerMemoryOptions = {
@@ -15,10 +17,14 @@
 	readonly maxHeldBytes: number;
 	/** Connections from which on others are refused in favour of new ones. */
 	readonly maxConnections: number;
+	/** Connections that the kernel holds until they are accepted; Node's default if it is not given. */
+	readonly maxQueuedConnections?: number;
 	/** Called at most once a second while connections are refused, with their number since the last call by cause. */
 	readonly onRefused?: (counts: Readonly<Partial<Record<RefusalCause, number>>>, heldBytes: number) => void;
 	/** Time without progress after which a body or an unread answer is given up, in milliseconds. */
 	readonly stallTimeoutMs?: number;
+	/** How bodies in many small chunks are read. */
+	readonly fragmentedBodies?: FragmentedBodiesOptions;
 };
 
 /** Counters of a {@link CallerMemory}. */
@@ -37,9 +43,6 @@
 	refuse(cause: RefusalCause): void;
 };
 
-/** Connection with the parser that Node's HTTP server attaches to it. */
-type ParsedSocket = Socket & {readonly parser?: {onIncoming?: () => number}};
-
 /** What the account knows of a connection. */
 export type TrackedConnection = {
 	readonly socket: Socket;
@@ -92,6 +95,9 @@
 const minBodyRate = 1;
 const defaultStallTimeoutMs = 15_000;
 
+/** Time without progress after which a body in small chunks is given up for another one, in milliseconds. */
+const fragmentedStallMs = 1000;
+
 /** Time in which a refused caller may take its answer, in milliseconds. */
 const closingTimeoutMs = 1000;
 
@@ -106,10 +112,11 @@
 	readonly #options: CallerMemoryOptions;
 	readonly #connections = new Map<Socket, TrackedConnection>();
 	/** Refused connections that are still open, which keep the memory of their unanswered requests. */
-	readonly #closing = new Map<Socket, {readonly refusedAt: number; readonly pendingBytes: number}>();
+	readonly #closing = new Map<Socket, {readonly refusedAt: number; readonly pendingBytes: number; onClosed?: () => void}>();
+	readonly #fragmentedBodies: FragmentedBodies;
 	readonly #sweepTimer: Timer;
 	readonly #refused: Record<RefusalCause, number> = {
-		memory: 0, connections: 0, 'slow-body': 0, 'unread-answer': 0, pipelining: 0,
+		memory: 0, connections: 0, 'slow-body': 0, 'unread-answer': 0, pipelining: 0, 'small-chunks': 0,
 	};
 
 	#reported: Readonly<Record<RefusalCause, number>> = {...this.#refused};
@@ -124,6 +131,7 @@
 
 	constructor(options: CallerMemoryOptions) {
 		this.#options = options;
+		this.#fragmentedBodies = new FragmentedBodies(options.fragmentedBodies);
 		this.#stallTimeoutMs = options.stallTimeoutMs ?? defaultStallTimeoutMs;
 		this.#refusalBytes = options.maxHeldBytes;
 		this.#now = options.clock.getMonotonicTime();
@@ -147,6 +155,11 @@
 		return this.#options.maxConnections;
 	}
 
+	/** Gets the number of connections that the kernel holds until they are accepted; `undefined` for Node's default. */
+	getMaxQueuedConnections(): number | undefined {
+		return this.#options.maxQueuedConnections;
+	}
+
 	/** Gets what is known of a connection; `undefined` if it is closed. */
 	getConnection(socket: Socket): TrackedConnection | undefined {
 		return this.#connections.get(socket);
@@ -200,6 +213,7 @@
 		const closing = this.#closing.get(socket);
 		if (closing !== undefined) {
 			this.#closing.delete(socket);
+			closing.onClosed?.();
 			this.addWholeBytes(-closing.pendingBytes);
 		}
 	}
@@ -222,7 +236,7 @@
 			// The jobs that the caller waits for are abandoned.
 			this.#refused.pipelining++;
 			this.#release(connection);
-			stopParsing(socket);
+			stopRequests(socket);
 			socket.destroy();
 			return false;
 		}
@@ -252,10 +266,41 @@
 		connection.since = this.#now;
 		connection.progressAt = this.#now;
 		if (body === undefined) {
+			this.#fragmentedBodies.remove(connection.socket);
 			this.setBodyBytes(connection, 0);
 		}
 	}
 
+	/**
+	 * Counts the body of a connection as one in many small chunks, which is read in turn with others of its kind. If there are too many, one without progress
+	 * is refused in its favour, or this one.
+	 * @param connection - Connection.
+	 */
+	addFragmentedBody(connection: TrackedConnection): void {
+		const {socket} = connection;
+		if (!this.#connections.has(socket) || this.#fragmentedBodies.has(socket)) {
+			return;
+		}
+
+		if (this.#fragmentedBodies.isFull()) {
+			const stalled = this.#findStalledFragmentedBody();
+			this.#refuse(stalled ?? connection, 'small-chunks');
+			if (stalled === undefined) {
+				return;
+			}
+		}
+
+		this.#fragmentedBodies.add(socket);
+	}
+
+	/**
+	 * Ends the turn of a connection whose body is in many small chunks; does nothing for others.
+	 * @param connection - Connection of which a chunk was read.
+	 */
+	endTurn({socket}: TrackedConnection): void {
+		this.#fragmentedBodies.endTurn(socket);
+	}
+
 	/**
 	 * Sets the bytes that the incomplete body of a connection holds; connections are refused if the account is exhausted, which may be this one.
 	 * @param connection - Connection.
@@ -321,6 +366,9 @@
 		this.#refused[cause]++;
 		this.#release(connection);
 		if (body !== undefined) {
+			// Otherwise up to 2 MB of a caller that goes on sending would be read and parsed before the connection is closed.
+			suspendReading(socket);
+			this.#closing.get(socket)!.onClosed = discardBody(socket);
 			body.refuse(cause);
 		} else if (connection.pendingRequests === 0 && socket.bytesRead > connection.readUntil && socket.writableLength === 0) {
 			socket.write(refusalText);
@@ -330,12 +378,28 @@
 		}
 	}
 
+	/** Gets the connection whose body in small chunks has made no progress for longest; `undefined` if all have lately. */
+	#findStalledFragmentedBody(): TrackedConnection | undefined {
+		let earliestAt = this.#options.clock.getMonotonicTime() - fragmentedStallMs;
+		let stalled: TrackedConnection | undefined;
+		for (const socket of this.#fragmentedBodies.getSockets()) {
+			const connection = this.#connections.get(socket);
+			if (connection !== undefined && connection.progressAt < earliestAt) {
+				earliestAt = connection.progressAt;
+				stalled = connection;
+			}
+		}
+
+		return stalled;
+	}
+
 	/** Ends the account of a connection that is closed or will be. */
 	#release({socket, heldBytes, pendingRequests}: TrackedConnection): void {
 		if (!this.#connections.delete(socket)) {
 			return;
 		}
 
+		this.#fragmentedBodies.remove(socket);
 		this.#heldBytes -= connectionBytes + heldBytes;
 		this.#closing.set(socket, {refusedAt: this.#now, pendingBytes: pendingRequests * requestBytes});
 	}
@@ -427,14 +491,6 @@
 	return body !== undefined || pendingRequests === 0 || socket.writableLength > 0;
 }
 
-/** Ends the parsing of the current read: otherwise Node creates all its requests, some thousand for 64 KiB, and keeps them until the connection is closed. */
-function stopParsing(socket: ParsedSocket): void {
-	if (socket.parser?.onIncoming) {
-		// The parser fails on any other result than those of Node's own handler.
-		socket.parser.onIncoming = () => -1;
-	}
-}
-
 /** Number of leading groups of an IPv6 address that belong to one network. */
 const networkGroups = 4;
 
--- a/src/connection/caller-memory/request-body.ts
+++ b/src/connection/caller-memory/request-body.ts
@@ -29,6 +29,10 @@
  */
 const bytesPerChunk = 32;
 
+/** Number of chunks after which their size is examined, and mean size in bytes below which they are small: the chunk then takes far longer than its bytes. */
+const examinedChunks = 128;
+const minChunkBytes = 64;
+
 const emptyBytes = Buffer.alloc(0);
 
 /**
@@ -74,6 +78,8 @@
 	#collector: ByteCollector | undefined;
 	#isDone = false;
 	#chunkCount = 0;
+	/** Bytes received when the size of the chunks was last examined. */
+	#examinedBytes = 0;
 
 	constructor(options: BodyReaderOptions) {
 		this.#options = options;
@@ -116,6 +122,7 @@
 		if (connection !== undefined) {
 			this.#chunkCount++;
 			memory!.setBodyBytes(connection, this.#collector.getAllocated() + (this.#chunkCount * bytesPerChunk));
+			this.#examineChunks(connection);
 		}
 
 		return true;
@@ -131,6 +138,21 @@
 		this.#drop();
 	}
 
+	#examineChunks(connection: TrackedConnection): void {
+		const {memory} = this.#options;
+		memory!.endTurn(connection);
+		if (this.#isDone || this.#chunkCount % examinedChunks !== 0) {
+			return;
+		}
+
+		const received = this.getReceived();
+		if (received - this.#examinedBytes < examinedChunks * minChunkBytes) {
+			memory!.addFragmentedBody(connection);
+		}
+
+		this.#examinedBytes = received;
+	}
+
 	#finish(): void {
 		const {memory, connection} = this.#options;
 		this.#isDone = true;
--- a/src/platform/caller-endpoint.ts
+++ b/src/platform/caller-endpoint.ts
@@ -54,7 +54,7 @@
 const memoryRetryMs = 1000;
 
 /** Causes of answers to bodies of which no more is read. */
-const unreadableCauses: ReadonlySet<string> = new Set(['too-large', 'broken-off', 'memory', 'connections', 'slow-body', 'unread-answer']);
+const unreadableCauses: ReadonlySet<string> = new Set(['too-large', 'broken-off', 'memory', 'connections', 'slow-body', 'unread-answer', 'small-chunks']);
 
 const noMemory: Answer = {status: 503, retryAfterMs: memoryRetryMs, cause: 'memory'};
 const noSuchJob: Answer = {status: 410, cause: 'no-such-job'};
--- a/test/connection/caller-memory/caller-memory.test.ts
+++ b/test/connection/caller-memory/caller-memory.test.ts
@@ -10,13 +10,23 @@
 	writableLength = 0;
 	written = '';
 	isClosed = false;
+	isPaused = false;
 
 	constructor(readonly remoteAddress: string) {/* The address is all that is given. */}
 
+	pause(): void {
+		this.isPaused = true;
+	}
+
 	write(text: string): void {
 		this.written += text;
 	}
 
+	resume(): this {
+		this.isPaused = false;
+		return this;
+	}
+
 	destroySoon(): void {
 		this.isClosed = true;
 	}
@@ -171,6 +181,33 @@
 	t.true(fake.isClosed);
 });
 
+// Guards against bodies in small chunks whose number grows with that of their senders, and against senders who stop short of the end and keep others out.
+test('of too many bodies in small chunks the last is refused, or one that has made no progress', async t => {
+	const {clock, memory, connect, addBody} = setUp({fragmentedBodies: {maxCount: 2}});
+	const bodies = ['a', 'b', 'c', 'd'].map(address => addBody(connect(address).socket, 1000));
+	const add = (position: number): void => {
+		memory.addFragmentedBody(bodies[position]!.connection);
+	};
+
+	add(0);
+	add(1);
+	add(1);
+	add(2);
+	t.deepEqual(bodies.map(({body}) => body.refusal), ['', '', 'small-chunks', '']);
+	for (let count = 0; count < 8; count++) {
+		bodies[1]!.body.received++;
+		await clock.advance(250);
+	}
+
+	add(3);
+	t.deepEqual(bodies.map(({body}) => body.refusal), ['small-chunks', '', 'small-chunks', '']);
+	t.is(memory.getCounters().refused['small-chunks'], 2);
+	memory.setBody(bodies[1]!.connection, undefined);
+	const next = addBody(connect('e').socket, 1000);
+	memory.addFragmentedBody(next.connection);
+	t.is(next.body.refusal, '');
+});
+
 test('refusals are reported at most once a second, with counts', async t => {
 	const reports: unknown[] = [];
 	const {clock, memory, connect} = setUp({
--- a/test/connection/caller-memory/http-requests.test.ts
+++ b/test/connection/caller-memory/http-requests.test.ts
@@ -9,8 +9,14 @@
 import {parseAddress} from '../../../src/connection/tcp-transport.js';
 import {systemClock} from '../../../src/seams/index.js';
 
-async function setUp(t: ExecutionContext, {maxHeldBytes = 1_000_000, handler}: {readonly maxHeldBytes?: number; readonly handler?: HttpHandler} = {}) {
-	const memory = new CallerMemory({clock: systemClock, maxHeldBytes, maxConnections: 100});
+async function setUp(t: ExecutionContext, {maxHeldBytes = 1_000_000, maxFragmentedBodies = 1, handler}: {
+	readonly maxHeldBytes?: number;
+	readonly maxFragmentedBodies?: number;
+	readonly handler?: HttpHandler;
+} = {}) {
+	const memory = new CallerMemory({
+		clock: systemClock, maxHeldBytes, maxConnections: 100, fragmentedBodies: {maxCount: maxFragmentedBodies},
+	});
 	const listener = await createHttpListener({
 		address: '127.0.0.1:0', memory, handler: handler ?? (async (req, res) => {
 			const body = await readRequestBody(req, {maxBytes: 200_000, memory});
@@ -66,6 +72,30 @@
 	t.regex(await send(listener, post('Content-Length: 3\r\nConnection: close', 'abc')), /whole 3;/v);
 });
 
+// Guards against a parser that goes on discarding bodies when Node uses it for the next connection.
+test('after a refusal of a body in small chunks, other bodies are read whole', async t => {
+	const {listener, memory} = await setUp(t, {maxFragmentedBodies: 0});
+	for (let count = 0; count < 5; count++) {
+		const answer = await send(listener, post('Transfer-Encoding: chunked', '1\r\nx\r\n'.repeat(20_000)));
+		t.true(answer === '' || answer.includes('refused 0;'));
+		t.regex(await send(listener, post('Transfer-Encoding: chunked\r\nConnection: close', '3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n')), /whole 5;/v);
+	}
+
+	t.is(memory.getCounters().refused['small-chunks'], 5);
+	await waitUntilFree(memory);
+});
+
+test('a body in small chunks is read whole in turns, and the requests after it on its connection as well', async t => {
+	const {listener, memory} = await setUp(t, {maxHeldBytes: 10_000_000});
+	const body = '1\r\nx\r\n'.repeat(100_000) + '0\r\n\r\n';
+	const answer = await send(listener, [
+		post('Transfer-Encoding: chunked', body), post('Transfer-Encoding: chunked', body), post('Content-Length: 3\r\nConnection: close', 'abc'),
+	].join(''));
+	t.deepEqual(answer.match(/whole \d+;/gv), ['whole 100000;', 'whole 100000;', 'whole 3;']);
+	t.is(memory.getCounters().refused['small-chunks'], 0);
+	await waitUntilFree(memory);
+});
+
 test('a connection with more unanswered requests than allowed is closed without handling the rest', async t => {
 	let handled = 0;
 	const {listener, memory} = await setUp(t, {
