Bound connections by the memory that their unread bytes take

What callers saw: what a VM has received and not read counts toward its memory. 1,400 callers who come back with bodies in small chunks brought resident memory and unread bytes to 222 MB on a VM of 210.

Cause: the number of connections followed from the descriptors alone, and those that wait to be accepted, up to 511, from Node's default. The kernel holds up to 125 KB for each that nobody reads.

Fix: a quarter of a given memory is kept for unread bytes, at Linux's default receive buffer of 128 KiB, half of it for connections that are not accepted yet. VMs whose memory is not given keep their bounds. A VM of 350 MB accepts 350 connections, one of 602 MB 693; idle ones make room for new ones as before.

The test of the bounds has other values for 210 MB, since the formula has a further term, and cases with more and without memory.

--- a/src/connection/caller-memory/caller-limits.ts
+++ b/src/connection/caller-memory/caller-limits.ts
@@ -4,7 +4,7 @@
 
 /** Size of a VM. */
 export type VmSize = {
-	/** Memory in megabytes of 1,048,576 bytes; 512 by default. */
+	/** Memory in megabytes of 1,048,576 bytes, which bounds the connections, too; without it, 512 MB for incomplete requests, and no such bound. */
 	readonly memoryMb?: number;
 	/** Descriptors that a process may open; 20,200 by default, which leaves 10,000 connections. */
 	readonly maxDescriptors?: number;
@@ -15,6 +15,8 @@
 	/** Memory in bytes for incomplete requests. */
 	readonly maxHeldBytes: number;
 	readonly maxConnections: number;
+	/** Connections that the kernel holds until they are accepted; further callers connect again after a second or more. */
+	readonly maxQueuedConnections: number;
 };
 
 const defaultMemoryMb = 512;
@@ -24,6 +26,14 @@
 /** Share of the memory; the heap, and the garbage of copied chunks until it is collected, need the rest. */
 const heldShare = 1 / 8;
 
+/** Share of a given memory for what was received and not read; what the kernel holds for a connection that nobody reads, in bytes: Linux's default receive buffer. */
+const unreadShare = 1 / 4;
+const receiveBufferBytes = 131_072;
+
+/** Part of these connections that are not accepted yet, and their maximum: Node's default. */
+const queuedShare = 1 / 2;
+const maxQueuedConnections = 511;
+
 /** Descriptors kept for files. */
 const fileDescriptors = 200;
 
@@ -37,9 +47,13 @@
  * Gets the bounds on callers.
  * @param size - Size of the VM.
  */
-export function getCallerBounds({memoryMb = defaultMemoryMb, maxDescriptors = defaultMaxDescriptors}: VmSize): CallerBounds {
+export function getCallerBounds({memoryMb, maxDescriptors = defaultMaxDescriptors}: VmSize): CallerBounds {
+	const byDescriptors = Math.floor((maxDescriptors - fileDescriptors) * callerShare);
+	const byMemory = memoryMb === undefined ? Infinity : Math.floor(memoryMb * bytesPerMb * unreadShare / receiveBufferBytes);
+	const queued = Math.max(minConnections, Math.min(maxQueuedConnections, Math.floor(byMemory * queuedShare)));
 	return {
-		maxHeldBytes: Math.floor(memoryMb * bytesPerMb * heldShare),
-		maxConnections: Math.max(minConnections, Math.floor((maxDescriptors - fileDescriptors) * callerShare)),
+		maxHeldBytes: Math.floor((memoryMb ?? defaultMemoryMb) * bytesPerMb * heldShare),
+		maxConnections: Math.max(minConnections, Math.min(byDescriptors, byMemory - queued)),
+		maxQueuedConnections: queued,
 	};
 }
--- a/src/connection/http-listener.ts
+++ b/src/connection/http-listener.ts
@@ -79,6 +79,7 @@
 	readonly #sockets = new Set<Socket>();
 	/** Connections whose parser still has an earlier limit of the head. */
 	#outdated: ReadonlySet<Socket> = new Set();
+	readonly #backlog: number | undefined;
 	#maxHeaderBytes: number;
 	#address: string;
 	#isStopping = false;
@@ -91,6 +92,7 @@
 		this.#address = options.address;
 		this.#clock = options.clock ?? systemClock;
 		this.#maxHeaderBytes = options.maxHeaderBytes ?? defaultMaxHeaderBytes;
+		this.#backlog = options.memory?.getMaxQueuedConnections();
 		this.#server = createHttpServer(options, {
 			maxHeaderSize: this.#maxHeaderBytes,
 			headersTimeout: options.headTimeoutMs ?? defaultHeadTimeoutMs,
@@ -154,7 +156,7 @@
 		const {host, port} = parseAddress(this.#address);
 		await new Promise<void>((resolve, reject) => {
 			this.#server.once('error', reject);
-			this.#server.listen({host, port}, () => {
+			this.#server.listen({host, port, backlog: this.#backlog}, () => {
 				this.#server.off('error', reject);
 				this.#address = formatAddress(this.#server.address());
 				resolve();
--- a/test/connection/caller-memory/caller-memory.test.ts
+++ b/test/connection/caller-memory/caller-memory.test.ts
@@ -233,7 +233,9 @@
 });
 
 test('the bounds follow from the size of the VM', t => {
-	t.deepEqual(getCallerBounds({memoryMb: 210, maxDescriptors: 2212}), {maxHeldBytes: 27_525_120, maxConnections: 1006});
-	t.deepEqual(getCallerBounds({}), {maxHeldBytes: 67_108_864, maxConnections: 10_000});
+	// A quarter of the memory holds the receive buffers of all connections, accepted or not.
+	t.deepEqual(getCallerBounds({memoryMb: 210, maxDescriptors: 2212}), {maxHeldBytes: 27_525_120, maxConnections: 210, maxQueuedConnections: 210});
+	t.deepEqual(getCallerBounds({memoryMb: 4096, maxDescriptors: 2212}), {maxHeldBytes: 536_870_912, maxConnections: 1006, maxQueuedConnections: 511});
+	t.deepEqual(getCallerBounds({}), {maxHeldBytes: 67_108_864, maxConnections: 10_000, maxQueuedConnections: 511});
 	t.is(getCallerBounds({maxDescriptors: 10}).maxConnections, 16);
 });
