Explain each bound on callers' connections by itself

The share of the memory, the size of a receive buffer and the part of the connections that are not accepted yet had one comment for two constants each. Comments only; nothing was measured again.

--- a/src/connection/caller-memory/caller-limits.ts
+++ b/src/connection/caller-memory/caller-limits.ts
@@ -26,12 +26,16 @@
 /** Share of the memory; the heap, and the garbage of copied chunks until it is collected, need the rest. */
 const heldShare = 1 / 8;
 
-/** Share of a given memory for what was received and not read; what the kernel holds for a connection that nobody reads, in bytes: Linux's default receive buffer. */
+/** Share of a given memory for what callers have sent and the process has not read. */
 const unreadShare = 1 / 4;
+
+/** Largest amount that the kernel holds for a connection that nobody reads, in bytes: Linux's default receive buffer. */
 const receiveBufferBytes = 131_072;
 
-/** Part of these connections that are not accepted yet, and their maximum: Node's default. */
+/** Share of the connections with such a buffer that are not accepted yet. */
 const queuedShare = 1 / 2;
+
+/** Maximum number of connections that are not accepted yet: Node's default. */
 const maxQueuedConnections = 511;
 
 /** Descriptors kept for files. */
