Show tasks that start with another spec than the caller's

Cause: the bundle decodes what passes between VMs without the native part of cbor-x, whose other decoder drops a byte order mark at the beginning of a string of 64 bytes or more.

Added: review/13, a script that stops the owner's VM as planned and sends jobs to it before and after.

--- a/review/13/case.js
+++ b/review/13/case.js
@@ -1,58 +1,48 @@
 /**
- * A machine that holds clients' requests freezes; the clients cancel their jobs through another machine, which acknowledges it; the machine thaws.
+ * The machine that owns a pool is stopped and started as planned; jobs that clients send to it before and after are to start with their own spec.
  */
 /* eslint camelcase: "off" -- The platform names the fields of its messages. */
 import {setTimeout as delay} from 'node:timers/promises';
-import {describeLateStarts, play} from '../lib-3/deployment.js';
-
-/** Length of the freeze, and `cancel_ms`. */
-const freezeMs = 4000;
-const cancelMs = 3000;
-
-/** Jobs that wait at the machine, and when their cancellings are sent, counted from the freeze. */
-const jobCount = 6;
-const firstCancelMs = 700;
-const cancelIntervalMs = 48;
-const step = {
-	count: 2, cpu: 2000, mem_mb: 64, estimate_ms: 6000,
+import {contactMs, play} from '../lib-3/deployment.js';
+
+/** Text with a byte order mark, as some editors put it at the beginning of a file. */
+const byteOrderMark = '\uFEFF';
+const spec = `${byteOrderMark}seat;row;block;table\n${'12;C;north;4\n'.repeat(10)}`;
+const jobCount = 5;
+const job = {
+	spec, steps: [{
+		count: 2, cpu: 2000, mem_mb: 64, estimate_ms: 100,
+	}], durationMs: 100,
 };
 
 const recordFile = new URL('record.txt', import.meta.url);
 
-await play({recordFile}, async (deployment, hasTrouble) => {
-	const [holder, helper] = await deployment.findIdleVms();
-	deployment.record('machines', {holder: holder.name, helper: helper.name});
-	const jobs = Array.from({length: jobCount}, () => deployment.submit(holder, {steps: [step], durationMs: 6000}));
-	await delay(1000);
-	const frozenAt = performance.now();
+await play({recordFile, zones: ['east']}, async (deployment, hasTrouble) => {
+	const first = deployment.submit(deployment.vms[0], job);
+	await first.answer;
+	const [{sender}] = deployment.getRuns(first.id);
+	const owner = deployment.vms.find(({name}) => name === sender);
+	deployment.record('machine that gives the orders', {vm: owner.name});
 	if (hasTrouble) {
-		holder.signal('SIGSTOP');
+		await owner.restart();
+		await deployment.waitUntilServing(owner);
+		await delay(contactMs);
 	}
 
-	const cancelAll = jobs.map(async ({id}, position) => {
-		await delay(firstCancelMs + (position * cancelIntervalMs));
-		return cancel(deployment, helper, id);
-	});
-	const acknowledgements = await Promise.all(cancelAll);
-	await delay(freezeMs - (performance.now() - frozenAt));
-	if (hasTrouble) {
-		holder.signal('SIGCONT');
+	const ids = [];
+	for (let count = 0; count < jobCount; count++) {
+		const {id, answer} = deployment.submit(owner, job);
+		ids.push(id);
+		await answer;
 	}
 
-	await Promise.race([Promise.all(jobs.map(async ({answer}) => answer)), delay(5000)]);
-	await delay(2000);
-	const breaches = jobs.flatMap(({id}, position) => describeLateStarts(deployment.getRuns(id), {acknowledgedAt: acknowledgements[position], cancelMs, isDisturbed: name => name === holder.name}) ?? []);
-	return breaches.length === 0 ? undefined : breaches.join('; ');
-});
-
-/** Cancels a job until that is acknowledged; gets when it was. */
-async function cancel(deployment, vm, id) {
-	for (;;) {
-		const {status} = await deployment.cancel(vm, id);
-		if (status === 200 || status === 410) {
-			return performance.now();
-		}
-
-		await delay(50);
+	const changed = ids.flatMap(id => deployment.getRuns(id)).filter(run => run.spec !== spec);
+	if (changed.length === 0) {
+		return undefined;
 	}
-}
+
+	const [run] = changed;
+	const describe = text => `${text.length} characters that begin with ${JSON.stringify(text.slice(0, 5)).replace(byteOrderMark, String.raw`\uFEFF`)}`;
+	deployment.record('spec changed', {sent: describe(spec), started: describe(run.spec)});
+	return `UNASKED: ${changed.length} tasks are started with another spec; ${run.task} by ${run.sender} with ${describe(run.spec)}, the client sent ${describe(spec)}`;
+});
--- a/review/lib-3/deployment.js
+++ b/review/lib-3/deployment.js
@@ -2,6 +2,7 @@
  * A small deployment on loopback: the store, the minions, the machines of the system, and clients.
  */
 /* eslint camelcase: "off" -- The platform names the fields of its messages. */
+import {Buffer} from 'node:buffer';
 import {randomBytes, randomInt} from 'node:crypto';
 import {once} from 'node:events';
 import {
@@ -52,10 +53,11 @@
 	#options;
 
 	/** Options: `recordFile`; `zones`; numbers of machines and minions in each zone; fields of the `route`; fields
-	 * of each minion; whether the links between zones are proxied. */
-	constructor({recordFile, zones = ['east', 'west'], vmsPerZone = 2, minionsPerZone = 4, route = {}, getMinion = () => ({}), hasLinks = false}) {
+	 * of each minion; whether the links between zones are proxied; whether the minions guard
+	 * their capacity. */
+	constructor({recordFile, zones = ['east', 'west'], vmsPerZone = 2, minionsPerZone = 4, route = {}, getMinion = () => ({}), hasLinks = false, isGuarded = true}) {
 		this.#options = {
-			zones, vmsPerZone, minionsPerZone, route, getMinion, hasLinks,
+			zones, vmsPerZone, minionsPerZone, route, getMinion, hasLinks, isGuarded,
 		};
 		this.#recordFile = recordFile;
 		writeFileSync(recordFile, '');
@@ -73,7 +75,7 @@
 
 	/** Starts everything and waits until each machine is ready and a job has been completed through it; then waits until all are in touch. */
 	async start() {
-		const {zones, vmsPerZone, minionsPerZone, getMinion, hasLinks} = this.#options;
+		const {zones, vmsPerZone, minionsPerZone, getMinion, hasLinks, isGuarded} = this.#options;
 		const base = await findFreeNetwork(zones.length * vmsPerZone);
 		const storeAddress = await this.#store.start('127.0.0.1');
 		this.#store.set('op/config', this.#createConfiguration(1, [this.#createQueue()]));
@@ -93,6 +95,7 @@
 						task: run.task, run: run.run, minion: run.minion, by: run.sender, fence: run.fence,
 					});
 				},
+				isGuarded,
 				...getMinion(position),
 			});
 			this.minions.push(minion);
@@ -177,11 +180,11 @@
 	 * Submits a job that is not stored. `id` repeats an earlier one; `durationMs` is how long its tasks take. The result has the identifier, the answer
 	 * as a promise, and a function that closes the connection.
 	 */
-	submit(vm, {id = randomBytes(8).toString('hex'), steps, durationMs, deadlineMs = 20_000}) {
+	submit(vm, {id = randomBytes(8).toString('hex'), spec = `spec of ${id}`, steps, durationMs, deadlineMs = 20_000}) {
 		this.#jobs.set(id, {steps, durationMs});
 		this.record('client sends POST', {job: id, to: vm.name, deadlineMs});
 		const call = send({
-			ip: vm.ip, port: ports.front, method: 'POST', path: prefix + id, body: {spec: `spec of ${id}`, best_effort: true, steps}, deadlineMs,
+			ip: vm.ip, port: ports.front, method: 'POST', path: prefix + id, body: {spec, best_effort: true, steps}, deadlineMs,
 		});
 		const answer = (async () => {
 			const result = await call;
@@ -201,6 +204,12 @@
 		return result;
 	}
 
+	/** Takes the store down, or up again. */
+	setStoreDown(isDown) {
+		this.record(isDown ? 'store is down' : 'store is up');
+		this.#store.isDown = isDown;
+	}
+
 	/** Gets the runs of a job. */
 	getRuns(id) {
 		return this.runs.filter(({task}) => task.startsWith(`${id}.`));
@@ -242,7 +251,7 @@
 
 	#createConfiguration(version, routes) {
 		return {
-			version, routes, services: [{name: service, admission_control: true}], limits: {max_body_bytes: 262_144},
+			version, routes, services: [{name: service, admission_control: this.#options.isGuarded}], limits: {max_body_bytes: 262_144},
 		};
 	}
 
@@ -282,7 +291,7 @@
 			headers: {
 				Host: host,
 				'X-Endivemill-Deadline-Ms': String(deadlineMs),
-				...(body !== undefined && {'Content-Type': 'application/json', 'Content-Length': text.length}),
+				...(body !== undefined && {'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text)}),
 			},
 		});
 		const timer = setTimeout(() => {
--- a/review/lib-3/minion.js
+++ b/review/lib-3/minion.js
@@ -38,7 +38,8 @@
 
 	/**
 	 * Options: `id`, `zone`, `service`, `capacity` and `labels` of the entry; `store`; `getTask(name)`, which gets the needs and the duration of a
-	 * task; `findSender(socket)`, which gets the machine at the other end; `onRun(run)`, called with each run as it starts.
+	 * task; `findSender(socket)`, which gets the machine at the other end; `onRun(run)`, called with each run as it starts;
+	 * `isGuarded`, whether it rejects what does not fit, as by default.
 	 */
 	constructor(options) {
 		this.#options = options;
@@ -69,8 +70,9 @@
 		this.#running.clear();
 	}
 
-	/** Starts the minion again under the same identifier and address; it knows nothing of before. */
-	async restart() {
+	/** Starts the minion again under the same identifier and address, possibly with another capacity; it knows nothing of before. */
+	async restart(capacity = this.#options.capacity) {
+		this.#options = {...this.#options, capacity};
 		const [ip, port] = this.#listener.address.split(':');
 		this.#startedAt = performance.now();
 		this.#born = Date.now();
@@ -169,7 +171,7 @@
 		}
 
 		const entry = {
-			task, run, spec, needs, minion: this.#options.id, fence: this.#fence, sender: '', startedAt: performance.now(), endedAt: undefined, end: undefined,
+			task, run, spec, needs, minion: this.#options.id, born: this.#born, fence: this.#fence, sender: '', startedAt: performance.now(), endedAt: undefined, end: undefined,
 		};
 		this.#running.set(task, entry);
 		entry.timer = setTimeout(() => {
@@ -181,7 +183,7 @@
 	}
 
 	#hasRoom(needs) {
-		const {capacity} = this.#options;
+		const {capacity, isGuarded = true} = this.#options;
 		const used = {cpu: 0, mem_mb: 0, gpu: 0};
 		for (const {needs: taken} of this.#running.values()) {
 			for (const key of Object.keys(used)) {
@@ -189,7 +191,7 @@
 			}
 		}
 
-		return Object.keys(used).every(key => used[key] + (needs[key] ?? 0) <= (capacity[key] ?? 0));
+		return !isGuarded || Object.keys(used).every(key => used[key] + (needs[key] ?? 0) <= (capacity[key] ?? 0));
 	}
 
 	#stop({task, run}) {
--- a/review/lib-3/store.js
+++ b/review/lib-3/store.js
@@ -17,6 +17,8 @@
 	#revision = 1;
 	#waiters = new Set();
 	#listener;
+	/** Whether no call is answered, and no entry of a minion is taken. */
+	isDown = false;
 
 	async start(ip) {
 		this.#listener = await listen({ip, port: 0}, async (req, res) => this.#handle(req, res));
@@ -27,8 +29,12 @@
 		this.#listener?.close();
 	}
 
-	/** Writes an item as the operator or a minion does; `undefined` removes it. */
+	/** Writes an item as the operator or a minion does; `undefined` removes it. Nothing is written while the store is down. */
 	set(key, value) {
+		if (this.isDown) {
+			return;
+		}
+
 		if (value === undefined) {
 			this.#delete(key);
 		} else {
@@ -64,6 +70,10 @@
 		const url = new URL(req.url, 'http://store');
 		const {pathname, searchParams: query} = url;
 		const body = await readJson(req);
+		if (this.isDown) {
+			return;
+		}
+
 		if (req.method === 'GET' && pathname === '/api/kv-key') {
 			const item = this.#items.get(query.get('key'));
 			sendJson(res, item ? 200 : 404, {...item, as_of: this.#revision});
