--- a/bench/soak-processes/caller.ts
+++ b/bench/soak-processes/caller.ts
@@ -7,7 +7,7 @@
 import {type Balancer} from './balancer.js';
 import {getSharedTime, type Submission} from './history.js';
 import {
-	type JobKind, jobKinds, longJobKind, taskCpu, taskMemoryMb,
+	getJobSpec, type JobKind, jobKinds, longJobKind, taskCpu, taskMemoryMb,
 } from './jobs.js';
 import {type VmProcess} from './vm-process.js';
 import {host, prefix} from './stand-in-process.js';
@@ -170,7 +170,7 @@
 			path: `${prefix}${job}`,
 			headers: {host, 'content-type': 'application/json', 'x-endivemill-deadline-ms': String(deadlineMs)},
 			body: JSON.stringify({
-				spec: 'x', best_effort: true, steps: [{
+				spec: getJobSpec(job), best_effort: true, steps: [{
 					count: taskCount, cpu: taskCpu, mem_mb: taskMemoryMb, estimate_ms: durationMs,
 				}],
 			}),
--- a/bench/soak-processes/check-history.ts
+++ b/bench/soak-processes/check-history.ts
@@ -66,6 +66,9 @@
 			...checkFailures(sends, runsOfJob.get(sends[0].job) ?? [], history.deadlyTasks),
 		]),
 		...history.sends.flatMap(submission => [...checkAnswer(submission), ...checkPlannedStop(submission, history.faults, runsOfJob.get(submission.job) ?? [])]),
+		...history.changedSpecs.map(({task, at, spec}) => ({
+			promise: 'same-spec', subject: task, detail: `started with ${JSON.stringify(spec)}`, at,
+		})),
 		...history.ends.filter(({wasTold}) => !wasTold).map(({vm, how, at}) => ({
 			promise: 'ends-when-told', subject: vm, detail: how, at,
 		})),
--- a/bench/soak-processes/history.ts
+++ b/bench/soak-processes/history.ts
@@ -41,12 +41,16 @@
 /** Thousandths of a core that the entry of an upstream shows from a time on. */
 export type ListedCapacity = {readonly upstream: string; readonly at: number; readonly cpu: number};
 
+/** An order that starts a task with another specification than its job's. */
+export type ChangedSpec = {readonly task: string; readonly at: number; readonly spec?: string};
+
 /** What the upstreams have seen. */
 export type UpstreamHistory = {
 	readonly runs: readonly TaskRun[];
 	/** Names of the tasks that crash their upstreams. */
 	readonly deadlyTasks: readonly string[];
 	readonly capacities: readonly ListedCapacity[];
+	readonly changedSpecs: readonly ChangedSpec[];
 };
 
 /** A fault that was injected into the deployment, or a stall of the stand-ins. */
--- a/bench/soak-processes/jobs.ts
+++ b/bench/soak-processes/jobs.ts
@@ -27,3 +27,11 @@
 	const {durationMs} = jobKinds[Number(task[0])] ?? jobKinds[0]!;
 	return {needs: {cpu: taskCpu, memoryMb: taskMemoryMb, accelerators: 0}, durationMs};
 }
+
+/**
+ * Gets the specification of a job: a byte order mark and characters of each length in UTF-8, which must arrive unchanged.
+ * @param job - Identifier of the job.
+ */
+export function getJobSpec(job: string): string {
+	return `\uFEFFé席🎟${job}`.repeat(4);
+}
--- a/bench/soak-processes/stand-in-process-main.ts
+++ b/bench/soak-processes/stand-in-process-main.ts
@@ -10,8 +10,9 @@
 } from '../../src/testing/index.js';
 import {DeadlyJobs} from './deadly-jobs.js';
 import {
-	type AppliedFault, getSharedTime, type ListedCapacity, stallKind, type UpstreamHistory,
+	type AppliedFault, type ChangedSpec, getSharedTime, type ListedCapacity, stallKind, type UpstreamHistory,
 } from './history.js';
+import {getJobSpec} from './jobs.js';
 import {createOddEntries} from './odd-entries.js';
 import {
 	host, prefix, type UpstreamFaults, type StandInCommand,
@@ -32,6 +33,7 @@
 let removedFromStore: readonly PlatformUpstream[] = [];
 const deadlyJobs = new DeadlyJobs();
 const capacities: ListedCapacity[] = [];
+const changedSpecs: ChangedSpec[] = [];
 
 /** Times from a crash by a task until the upstream starts again, and from a change of a capacity until the entry shows it, in milliseconds. */
 const minDownMs = 1000;
@@ -214,7 +216,9 @@
 	const runs = upstreams.flatMap(upstream => upstream.getStarts()).map(({task, number, upstream, startedAt, endedAt, end, used, isEndedByCrash, crashedBy}) => ({
 		task, number, upstream, startedAt: startedAt + offset, endedAt: endedAt === undefined ? undefined : endedAt + offset, end, usedCpu: used.cpu, isEndedByCrash, crashedBy,
 	}));
-	return {runs, deadlyTasks: deadlyJobs.getTasks(), capacities};
+	return {
+		runs, deadlyTasks: deadlyJobs.getTasks(), capacities, changedSpecs,
+	};
 }
 
 function execute(command: StandInCommand): unknown {
@@ -298,6 +302,11 @@
 			onTaskCrashed() {
 				void crashForAWhile(upstream);
 			},
+			onStartOrder(task, spec) {
+				if (spec !== getJobSpec(task.split('.')[0]!)) {
+					changedSpecs.push({task, at: getSharedTime(), spec});
+				}
+			},
 		});
 		upstreams.push(upstream);
 		recordCapacity(upstream);
--- /dev/null
+++ b/src/connection/cbor-x.d.ts
@@ -0,0 +1,12 @@
+/**
+ * Types of a part of the library whose own declaration of them cannot be resolved.
+ */
+declare module 'cbor-x/decode-no-eval' {
+	export {Decoder, setSizeLimits} from 'cbor-x';
+
+	/**
+	 * Sets the function that decodes the texts of all values.
+	 * @param extract - Decodes the text of `byteLength` bytes that begins at `start`; may instead decode up to `sourceEnd` what follows.
+	 */
+	export function setExtractor(extract: (start: number, sourceEnd: number, byteLength: number, source: Uint8Array) => string): void;
+}
--- a/src/testing/platform-upstream.ts
+++ b/src/testing/platform-upstream.ts
@@ -28,6 +28,8 @@
 	readonly isGuarded?: boolean;
 	/** Called when a task has crashed the current instance. */
 	readonly onTaskCrashed?: () => void;
+	/** Called with the specification in each order that starts a run. */
+	readonly onStartOrder?: (task: string, spec: string | undefined) => void;
 	readonly clock?: Clock;
 };
 
@@ -38,6 +40,7 @@
 	readonly until_ms?: number;
 	readonly ack_cursor?: number;
 	readonly wait_ms?: number;
+	readonly spec?: string;
 };
 
 const defaultCapacity: TaskNeeds = {cpu: 16_000, memoryMb: 32_768, accelerators: 0};
@@ -202,6 +205,7 @@
 		const run = {task: request.task, number: request.run};
 		switch (req.url ?? '') {
 			case '/api/run-start': {
+				this.#options.onStartOrder?.(request.task, request.spec);
 				const outcome = await this.#simulation.startRun({...options, run, leaseUntilMs: request.until_ms ?? 0});
 				const status = this.getStartStatus?.(run);
 				if (status === undefined) {
--- a/test/platform/platform-deployment.ts
+++ b/test/platform/platform-deployment.ts
@@ -21,6 +21,8 @@
 	readonly getWork?: (task: string) => SimulatedWork;
 	/** Whether the upstreams refuse what exceeds their capacity; true by default. */
 	readonly isGuarded?: boolean;
+	/** Called with the specification in each order that starts a run. */
+	readonly onStartOrder?: (task: string, spec: string | undefined) => void;
 	/** Gets the clock of an entry VM, for instance one with late timers. */
 	readonly getClock?: (clock: Clock, vm: string) => Clock;
 };
@@ -115,14 +117,14 @@
 
 /** Creates a deployment and starts its entry VMs. */
 export async function createPlatformDeployment(options: PlatformDeploymentOptions = {}): Promise<PlatformDeployment> {
-	const {dataCenters = ['dc1'], vmsPerDataCenter = 2, upstreamsPerDataCenter = 2, getWork = () => defaultWork, isGuarded, getClock = own => own} = options;
+	const {dataCenters = ['dc1'], vmsPerDataCenter = 2, upstreamsPerDataCenter = 2, getWork = () => defaultWork, isGuarded, onStartOrder, getClock = own => own} = options;
 	const clock = createSlowClock(clockFactor);
 	const store = await createPlatformStore();
 	const upstreams: PlatformUpstream[] = [];
 	for (const dataCenter of dataCenters) {
 		for (let position = 0; position < upstreamsPerDataCenter; position++) {
 			upstreams.push(await createPlatformUpstream({
-				id: `i-${dataCenter}-${position}`, dataCenter, service: 's', store, getWork, isGuarded, clock,
+				id: `i-${dataCenter}-${position}`, dataCenter, service: 's', store, getWork, isGuarded, onStartOrder, clock,
 			}));
 		}
 	}
--- a/test/soak-processes/check-history.test.ts
+++ b/test/soak-processes/check-history.test.ts
@@ -29,7 +29,7 @@
 
 function getViolations(history: Partial<SoakHistory>): readonly string[] {
 	return checkHistory({
-		sends: [createSubmission()], runs, deadlyTasks: [], capacities: [], faults: [], ends: [], recoveries: [], ...history,
+		sends: [createSubmission()], runs, deadlyTasks: [], capacities: [], changedSpecs: [], faults: [], ends: [], recoveries: [], ...history,
 	}).map(({promise}) => promise);
 }
 
@@ -116,6 +116,10 @@
 	}));
 }
 
+test('finds a task that is started with another specification than its job\'s', t => {
+	t.deepEqual(getViolations({changedSpecs: [{task: `${job}.0.0.0`, at: 11_000, spec: 'x'}]}), ['same-spec']);
+});
+
 test('finds a task that is started a third time after its third crash', t => {
 	const sends = [createSubmission({...brokenOff, end: 'left', endedAt: 60_000})];
 	const deadlyTasks = [`${job}.0.0.0`];
@@ -171,7 +175,7 @@
 	const sends = [createSubmission({...brokenOff, sentAt: 10_000, endedAt: 10_100}), createSubmission({...brokenOff, sentAt: 11_400, endedAt: 11_500})];
 	const runsAfter = [createRun(0, {startedAt: 10_300, endedAt: 10_400}), createRun(0, {number: 2, startedAt: 11_450, endedAt: 11_700})];
 	const history = {
-		sends, runs: runsAfter, deadlyTasks: [], capacities: [], faults: [], ends: [], recoveries: [],
+		sends, runs: runsAfter, deadlyTasks: [], capacities: [], changedSpecs: [], faults: [], ends: [], recoveries: [],
 	};
 	t.deepEqual(getOverhangs(history).map(({startMs, endMs}) => [startMs, endMs]), [[200, 300], [-50, 200]]);
 });
