Refuse jobs whose texts have no form in UTF-8

What callers saw: a spec with half of a surrogate pair, which JSON can express as \ud83d, starts as it was sent where the caller's VM owns the pool, and with U+FFFD in its place where another VM does. The answer says completed.

Cause: the caller's interface took any JSON text, orders to upstreams are JSON and keep it, but messages between VMs are UTF-8, in which such a text has no form. Labels of a job had the same fate before they were compared.

Change: a text of a job that isn't well-formed is refused with 400, as bodies that aren't UTF-8 are already. All VMs answer alike, whichever owns the pool. The other interface refuses such a body of a task, whose upstream got U+FFFD.

Failed before: one new test each of decoding.test.ts, job-body.test.ts and job-texts.test.ts. They pass now.

--- a/src/platform/wire-messages.ts
+++ b/src/platform/wire-messages.ts
@@ -9,13 +9,15 @@
 /** Amount whose sum over all upstreams is finite. */
 const boundedAmount = count.max(Number.MAX_SAFE_INTEGER);
 const flag = z.boolean().default(false);
+/** Text of a caller. Half of a surrogate pair, which JSON can express, has no form in UTF-8, in which VMs pass texts on. */
+const text = z.string().refine(value => value.isWellFormed(), 'expected well-formed Unicode');
 
 /** Maximum number of steps of a job. */
 export const maxSteps = 1000;
 
 /** Body of a job. Fields with the value 0, false or empty are omitted on the wire. */
 export const jobBodySchema = z.object({
-	spec: z.string().max(4000).default(''),
+	spec: text.max(4000).default(''),
 	// The response is sent when the job ends, and the job is not stored.
 	best_effort: flag,
 	// Number of occurrences of a scheduled job.
@@ -28,8 +30,8 @@
 		estimate_ms: boundedAmount.default(0),
 		// One check for the whole list: a schema of the elements collects an issue for each invalid one, which a body can have 100,000 of.
 		after: z.custom<readonly number[]>(value => isStepList(value), 'expected numbers of steps').default([]),
-		requirements: z.string().default(''),
-		affinity: z.string().default(''),
+		requirements: text.default(''),
+		affinity: text.default(''),
 		max_per_server: count.default(0),
 		gang: flag,
 		rack_local: flag,
--- a/src/request/job-body.ts
+++ b/src/request/job-body.ts
@@ -22,7 +22,8 @@
 	method: z.string().min(1).max(32).default('POST'),
 	// Checked as a whole first: the record collects an issue for each invalid field, which a body can have a million of.
 	headers: z.custom<Readonly<Record<string, string>>>(value => isStringRecord(value), 'expected strings').pipe(z.record(z.string(), z.string())).default({}),
-	body: z.string().default(''),
+	// Half of a surrogate pair, which JSON can express, has no form in UTF-8.
+	body: z.string().refine(value => value.isWellFormed(), 'expected well-formed Unicode').default(''),
 	/** Encoding of `body`; the upstream receives the decoded bytes. */
 	bodyEncoding: z.enum(['utf8', 'base64']).default('utf8'),
 	needs: needsSchema.default({}),
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -85,6 +85,20 @@
 	}
 });
 
+// Guards against a text that a VM takes from its client and that starts changed, or is compared changed, where another VM owns the pool.
+test('a job with half of a surrogate pair in a text is refused, with a whole pair it is not', t => {
+	const decode = (spec: string, step: Readonly<Record<string, unknown>> = {}) => decodeJob('a', JSON.stringify({best_effort: true, spec, steps: [{count: 1, ...step}]}), rules);
+	for (const half of ['\uD83D', '\uDFAB']) {
+		for (const value of [half, `x${half}`, `${half}x`, 'x'.repeat(100) + half]) {
+			for (const decoded of [decode(value), decode('', {requirements: value}), decode('', {affinity: value})]) {
+				t.regex(decoded.kind === 'invalid' ? decoded.detail : decoded.kind, /: expected well-formed Unicode$/v);
+			}
+		}
+	}
+
+	t.like(decode('\uD83C\uDFAB', {requirements: '\uD83C\uDFAB'}), {kind: 'job', job: {spec: '🎫', steps: [{requiredLabel: '🎫'}]}});
+});
+
 test('of duplicate fields the last one counts, and unknown ones are ignored', t => {
 	const decoded = decodeJob('a', `{"best_effort":true,"x":${'['.repeat(100_000)}${']'.repeat(100_000)},"steps":[],"steps":[{"count":1,"count":2,"__proto__":{"cpu":5}}]}`, rules);
 	t.like(decoded, {kind: 'job', job: {steps: [{taskCount: 2, needs: {cpu: 0}}]}});
--- a/test/platform/job-texts.test.ts
+++ b/test/platform/job-texts.test.ts
@@ -33,3 +33,21 @@
 
 	await deployment.close();
 });
+
+// Guards against a job that one VM runs as it was sent and another one runs changed.
+test('a specification that has no form in UTF-8 is refused by each VM, and nothing of it starts', async t => {
+	let startCount = 0;
+	const deployment = await createPlatformDeployment({
+		onStartOrder() {
+			startCount++;
+		},
+	});
+	await deployment.waitUntilReady();
+	for (const position of [0, 1]) {
+		const res = await deployment.submit(position, `000000000000001${position}`, {body: {spec: 'seat;row\uD83D'}});
+		t.is(res.status, 400);
+	}
+
+	t.is(startCount, 0);
+	await deployment.close();
+});
--- a/test/request/job-body.test.ts
+++ b/test/request/job-body.test.ts
@@ -23,6 +23,12 @@
 	}
 });
 
+// Guards against a task whose upstream receives a replacement character in place of what the caller wrote.
+test('a body with half of a surrogate pair is refused, with a whole pair it is not', t => {
+	t.like(parseJobBody(createBody(String.raw`{"path":"/","body":"x\ud83d"}`)), {ok: false, detail: 'tasks.0.body: expected well-formed Unicode'});
+	t.like(parseJobBody(createBody(String.raw`{"path":"/","body":"x\ud83c\udfab"}`)), {ok: true, body: {tasks: [{body: 'x🎫'}]}});
+});
+
 test('special names of fields change nothing of a task', t => {
 	const parsed = parseJobBody(createBody('{"path":"/a","path":"/b","headers":{"__proto__":"x","x-a":"b"}}'));
 	t.like(parsed, {ok: true, body: {tasks: [{path: '/b', headers: {'x-a': 'b'}, needs: {}}]}});
