Bound the work that the loss of many runs of a job takes

Cause: for each lost run, PoolScheduler asked for the failures and the verdict of each task of the job, and CrashLedger filtered all records of the job for each answer. R lost runs of a job of T tasks cost R * T * R.

Profiles of larger jobs show further loops over runs inside others: the limits of the leases of all runs were examined at each start, placed tasks counted at each placement, suspects looked for at each question.

Change: the end of a run examines its own task only. The ledger keeps records by task, with what they mean until that changes. Links keep their runs by the function that limits their leases, which the runs of a job share. The other loops are replaced by counts or run once in a pass. The outcomes of jobs are determined as before.

--- a/src/pool/crash-ledger.ts
+++ b/src/pool/crash-ledger.ts
@@ -3,6 +3,8 @@
  * or fails too often is recognised by them, also by the next owner of its job.
  */
 import {type Clock} from '../seams/index.js';
+import {type PoolJobOutcome, type PoolJobRequest} from './pool-job.js';
+import {type FailedRunRecord, TaskRecords, type TaskVerdict} from './task-records.js';
 import {type Run} from './upstream-orders.js';
 
 /**
@@ -24,37 +26,15 @@
 	readonly ageMs: number;
 };
 
-/**
- * What the lost runs of a task mean for it. `suspect`: an instance crashed under it or seems to have, possibly because of another task. `held`: several
- * seem to have crashed, and it is not known yet of all whether they were only cut off. `lost`: too many runs were lost, and nothing shows that the task
- * is at fault. `deadly`: several instances crashed under it.
- */
-export type TaskVerdict = 'clear' | 'suspect' | 'held' | 'lost' | 'deadly';
-
 /** Receives the failed runs that were added. */
 export type FailedRunListener = (failedRuns: readonly FailedRun[], isOwn: boolean) => void;
 
-/** Number of instances that crash under a task until it is given up, if it ran by itself on one of them, and in any case. */
-export const maxCrashes = 2;
-export const maxSharedCrashes = 3;
-
-/** Number of lost runs of a task, with or without a sign of a crash, until it is given up. */
-export const maxLostRuns = 5;
-
-/**
- * Time for which an instance that refused connections may have crashed, in milliseconds: an upstream that crashed is back within a few seconds. With a
- * smaller value, a task that crashes its upstreams starts once more; with a larger one, a task whose upstreams are cut off waits for longer.
- */
-const maxRefusalMs = 8000;
-
 /** Time for which a lost run is remembered, in milliseconds: longer than callers wait. */
 const retentionMs = 60_000;
 
 /** Maximum number of remembered runs: 50 tasks beside each of 80 crashes. */
 const maxRecords = 4000;
 
-type FailedRunRecord = Omit<FailedRun, 'ageMs'> & {readonly job: string; readonly recordedAt: number};
-
 const verdicts: readonly TaskVerdict[] = ['clear', 'suspect', 'held', 'lost', 'deadly'];
 
 /**
@@ -70,13 +50,20 @@
 	readonly #clock: Clock;
 	/** Records by key, the earliest first. */
 	readonly #records = new Map<string, FailedRunRecord>();
-	readonly #byJob = new Map<string, Map<string, FailedRunRecord>>();
+	/** Records by job and task. */
+	readonly #byJob = new Map<string, Map<string, TaskRecords>>();
 	readonly #listeners = new Set<FailedRunListener>();
+	#revision = 0;
 
 	constructor(clock: Clock) {
 		this.#clock = clock;
 	}
 
+	/** Number that changes whenever a failed run is added or forgotten. */
+	get revision(): number {
+		return this.#revision;
+	}
+
 	/**
 	 * Calls a listener with all failed runs that are added from now on.
 	 * @param listener - Listener.
@@ -157,7 +144,7 @@
 	 */
 	getVerdict(task: string): TaskVerdict {
 		this.#removeOld();
-		return this.#records.size === 0 ? 'clear' : judge(this.#getRecords(getJob(task), task), this.#clock.getMonotonicTime());
+		return this.#getTaskRecords(task)?.getVerdict(this.#clock.getMonotonicTime()) ?? 'clear';
 	}
 
 	/**
@@ -165,9 +152,11 @@
 	 * @param job - Identifier of the job.
 	 */
 	getJobVerdict(job: string): TaskVerdict {
+		this.#removeOld();
+		const now = this.#clock.getMonotonicTime();
 		let worst = 0;
-		for (const task of new Set(this.#getRecords(job).map(record => record.task))) {
-			worst = Math.max(worst, verdicts.indexOf(this.getVerdict(task)));
+		for (const records of this.#byJob.get(job)?.values() ?? []) {
+			worst = Math.max(worst, verdicts.indexOf(records.getVerdict(now)));
 		}
 
 		return verdicts[worst]!;
@@ -178,7 +167,7 @@
 	 * @param task - Task.
 	 */
 	getFailureCount(task: string): number {
-		return this.#records.size === 0 ? 0 : countDistinct(this.#getRecords(getJob(task), task), 'failed');
+		return this.#getTaskRecords(task)?.getFailureCount(this.#clock.getMonotonicTime()) ?? 0;
 	}
 
 	/**
@@ -187,7 +176,7 @@
 	 * @param upstream - Identifier of the upstream that ran it last.
 	 */
 	hasFailedElsewhere(task: string, upstream: string): boolean {
-		const failures = this.#records.size === 0 ? [] : this.#getRecords(getJob(task), task).filter(({cause}) => cause === 'failed');
+		const failures = this.#getRecords(getJob(task), task).filter(({cause}) => cause === 'failed');
 		const numbersHere = new Set(failures.filter(failure => failure.upstream === upstream).map(({number}) => number));
 		return failures.some(failure => failure.upstream !== upstream && (failure.upstream !== '' || !numbersHere.has(failure.number)));
 	}
@@ -197,18 +186,51 @@
 	 * @param job - Identifier of the job.
 	 */
 	getMaxFailureCount(job: string): number {
-		const tasks = new Set(this.#getRecords(job).map(({task}) => task));
-		return Math.max(0, ...[...tasks].map(task => this.getFailureCount(task)));
+		const now = this.#clock.getMonotonicTime();
+		let largest = 0;
+		for (const records of this.#byJob.get(job)?.values() ?? []) {
+			largest = Math.max(largest, records.getFailureCount(now));
+		}
+
+		return largest;
 	}
 
-	#getRecords(job: string, task?: string): readonly FailedRunRecord[] {
-		const records = this.#byJob.get(job);
-		if (records === undefined) {
-			return [];
+	/**
+	 * Gets the outcome of a job that is given up, because one of its tasks failed or was lost too often.
+	 * @param job - Job.
+	 * @returns The outcome; `undefined` if the job is not given up.
+	 */
+	getGivenUpOutcome({id, rules}: Pick<PoolJobRequest, 'id' | 'rules'>): PoolJobOutcome | undefined {
+		if (this.getMaxFailureCount(id) >= rules.maxAttempts) {
+			return {kind: 'failed'};
+		}
+
+		switch (this.getJobVerdict(id)) {
+			case 'deadly': {
+				return {kind: 'failed'};
+			}
+
+			case 'lost': {
+				return {kind: 'interrupted', reason: 'a task was lost with its upstreams too often'};
+			}
+
+			case 'clear':
+			case 'suspect':
+			case 'held': {
+				return undefined;
+			}
 		}
+	}
 
+	#getTaskRecords(task: string): TaskRecords | undefined {
+		return this.#records.size === 0 ? undefined : this.#byJob.get(getJob(task))?.get(task);
+	}
+
+	#getRecords(job: string, task?: string): readonly FailedRunRecord[] {
 		const now = this.#clock.getMonotonicTime();
-		return [...records.values()].filter(record => now - record.recordedAt < retentionMs && (task === undefined || record.task === task));
+		const byTask = this.#byJob.get(job);
+		const ofTasks = task === undefined ? [...byTask?.values() ?? []] : [byTask?.get(task)];
+		return ofTasks.flatMap(records => records?.getAll(now) ?? []);
 	}
 
 	#addAll(failedRuns: readonly FailedRun[], isOwn: boolean): void {
@@ -232,9 +254,12 @@
 		this.#removeOld(1);
 		const now = this.#clock.getMonotonicTime();
 		const record = {...failedRun, job: getJob(task), recordedAt: now - ageMs};
+		this.#revision++;
 		this.#records.set(key, record);
-		const ofJob = this.#byJob.get(record.job) ?? new Map<string, FailedRunRecord>();
-		this.#byJob.set(record.job, ofJob.set(key, record));
+		const ofJob = this.#byJob.get(record.job) ?? new Map<string, TaskRecords>();
+		const ofTask = ofJob.get(task) ?? new TaskRecords(retentionMs);
+		ofTask.add(key, record);
+		this.#byJob.set(record.job, ofJob.set(task, ofTask));
 		return true;
 	}
 
@@ -259,10 +284,16 @@
 		}
 	}
 
-	#remove(key: string, {job}: FailedRunRecord): void {
+	#remove(key: string, {job, task}: FailedRunRecord): void {
+		this.#revision++;
 		this.#records.delete(key);
 		const ofJob = this.#byJob.get(job);
-		ofJob?.delete(key);
+		const ofTask = ofJob?.get(task);
+		ofTask?.remove(key);
+		if (ofTask?.isEmpty()) {
+			ofJob!.delete(task);
+		}
+
 		if (ofJob?.size === 0) {
 			this.#byJob.delete(job);
 		}
@@ -276,38 +307,3 @@
 export function getJob(task: string): string {
 	return task.slice(0, task.indexOf('.'));
 }
-
-/** Judges the records of one task. */
-function judge(records: readonly FailedRunRecord[], now: number): TaskVerdict {
-	const crashCount = getInstances(records, 'crash').size;
-	const hasCrashedAlone = records.some(({cause, isAlone}) => cause === 'crash' && isAlone);
-	if (crashCount >= (hasCrashedAlone ? maxCrashes : maxSharedCrashes)) {
-		return 'deadly';
-	}
-
-	if (crashCount + countDistinct(records, 'lost') >= maxLostRuns) {
-		return 'lost';
-	}
-
-	const resolved = new Set([...getInstances(records, 'crash'), ...getInstances(records, 'alive')]);
-	const refused = getInstances(records.filter(({recordedAt}) => now - recordedAt < maxRefusalMs), 'refused');
-	const pendingCount = [...refused].filter(instance => !resolved.has(instance)).length;
-	if (pendingCount > 0 && crashCount + pendingCount >= maxCrashes) {
-		return 'held';
-	}
-
-	return crashCount + pendingCount > 0 ? 'suspect' : 'clear';
-}
-
-/** Gets the instances of the records with a cause. */
-function getInstances(records: readonly FailedRunRecord[], cause: FailedRunCause): Set<string> {
-	return new Set(records.filter(record => record.cause === cause).map(({upstream, bornMs}) => `${upstream} ${bornMs}`));
-}
-
-/** Counts the runs of one task with a cause; one in another pool may also be known from its upstream, and a lost one as ended by a crash. */
-function countDistinct(records: readonly FailedRunRecord[], cause: FailedRunCause): number {
-	const isKnownBetter = ({number, upstream}: FailedRunRecord): boolean => records.some(other => other.number === number
-		&& (upstream === '' ? other.upstream !== '' : cause === 'lost' && other.cause === 'crash' && other.upstream === upstream));
-	const counted = records.filter(record => record.cause === cause && !isKnownBetter(record));
-	return new Set(counted.map(({number, upstream, bornMs}) => `${number} ${upstream} ${bornMs}`)).size;
-}
--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -24,6 +24,7 @@
 export type * from './upstream-orders.js';
 export type * from './stored-claims.js';
 export * from './startup-owner-check.js';
+export * from './task-records.js';
 export * from './job-size.js';
 export * from './lending.js';
 export * from './overdue-counts.js';
--- a/src/pool/pool-owner.ts
+++ b/src/pool/pool-owner.ts
@@ -246,7 +246,7 @@
 	 */
 	async submit(submitted: SubmittedJob, signal?: AbortSignal, sender?: JobSender): Promise<PoolJobOutcome> {
 		this.#ledger.mergeFailedRuns(submitted.failedRuns ?? []);
-		const givenUp = this.#scheduler.getGivenUpOutcome(submitted);
+		const givenUp = this.#ledger.getGivenUpOutcome(submitted);
 		if (givenUp !== undefined) {
 			return givenUp;
 		}
--- a/src/pool/pool-scheduler.ts
+++ b/src/pool/pool-scheduler.ts
@@ -23,7 +23,7 @@
 import {type OverdueCounts} from './overdue-counts.js';
 import {OverdueRuns} from './overdue-runs.js';
 import {
-	getStepWork, type JobStep, type PoolJobOutcome, type PoolJobRequest, type RefusalReason, type SubmittedJob,
+	getStepWork, type JobStep, type PoolJobOutcome, type RefusalReason, type SubmittedJob,
 } from './pool-job.js';
 import {type ProofAges} from './proof-ages.js';
 import {
@@ -173,7 +173,6 @@
 			neighbourPools: this.#neighbourPools,
 			suspectPlacement: this.#suspectPlacement,
 			getOpenLinks: () => this.#getOpenLinks(),
-			getLeaseLimit: job => this.#getLeaseLimit(job),
 			getExpectedMs: run => this.#getExpectedRunMs(run),
 		});
 		this.#subscriptions = [options.ledger.subscribe(failedRuns => {
@@ -252,6 +251,7 @@
 			if (!job.isAbandoned) {
 				this.#adoptRuns(job);
 				this.#advance(job);
+				this.#endIfGivenUp(job, job.tasks);
 			}
 		}
 	}
@@ -261,32 +261,6 @@
 		return this.#jobs.size;
 	}
 
-	/**
-	 * Gets the outcome of a job that is given up, because one of its tasks failed or was lost too often.
-	 * @param job - Job.
-	 */
-	getGivenUpOutcome({id, rules}: PoolJobRequest): PoolJobOutcome | undefined {
-		if (this.#options.ledger.getMaxFailureCount(id) >= rules.maxAttempts) {
-			return {kind: 'failed'};
-		}
-
-		switch (this.#options.ledger.getJobVerdict(id)) {
-			case 'deadly': {
-				return {kind: 'failed'};
-			}
-
-			case 'lost': {
-				return {kind: 'interrupted', reason: 'a task was lost with its upstreams too often'};
-			}
-
-			case 'clear':
-			case 'suspect':
-			case 'held': {
-				return undefined;
-			}
-		}
-	}
-
 	/**
 	 * Admits a job or refuses it; a duplicate submission joins the job that is already queued or running.
 	 * @param submitted - Job.
@@ -295,7 +269,7 @@
 	 * @returns The outcome of the job.
 	 */
 	async submit(submitted: SubmittedJob, signal?: AbortSignal, sender = createLocalSender(this.#options.inputProgress)): Promise<PoolJobOutcome> {
-		const givenUp = this.getGivenUpOutcome(submitted);
+		const givenUp = this.#options.ledger.getGivenUpOutcome(submitted);
 		if (givenUp !== undefined) {
 			this.#options.log.info({job: submitted.id, outcome: givenUp.kind}, 'job was given up before');
 			return givenUp;
@@ -320,7 +294,7 @@
 			return {kind: 'refused', reason: refusalReason, retryAfterMs: minRetryAfterMs};
 		}
 
-		const job = new QueuedJob(submitted, this.#options.clock.getMonotonicTime(), this.#estimator);
+		const job = new QueuedJob(submitted, this.#options.clock.getMonotonicTime(), this.#estimator, queued => this.#getLeaseLimit(queued));
 		if (submitted.priorFence > 0 || this.hasUnclaimedRuns(submitted.id)) {
 			this.#adoptRuns(job);
 		}
@@ -363,6 +337,11 @@
 		}
 
 		const outcome = this.#waitForOutcome(job, signal, sender);
+		if (job.hasStarted) {
+			// The ends of adopted runs may have failed it.
+			this.#endIfGivenUp(job, job.tasks);
+		}
+
 		this.schedule();
 		return outcome;
 	}
@@ -469,6 +448,7 @@
 				after: run.number, ...(host instanceof UpstreamLink && {on: host.name}), end, grounds, at: this.#options.clock.getMonotonicTime(),
 			};
 			this.#handleUnsuccessfulRun(entry, host, run, end);
+			this.#endIfGivenUp(job, [task]);
 		}
 
 		this.#advance(job);
@@ -709,7 +689,7 @@
 					}
 				}
 
-				const run = link.adopt(task.name, job.getStep(task).needs, job.request.spec, () => this.#getLeaseLimit(job));
+				const run = link.adopt(task.name, job.getStep(task).needs, job.request.spec, job.getLeaseLimit);
 				if (run !== undefined) {
 					task.lastRunNumber = Math.max(task.lastRunNumber, run.number);
 					job.setStatus(task, 'placed');
@@ -904,7 +884,7 @@
 		}
 	}
 
-	/** Ends a job that is done or has failed, and removes an abandoned one that has no runs left. */
+	/** Ends a job that is done, and removes an abandoned one that has no runs left. */
 	#advance(job: QueuedJob): void {
 		if (job.isAbandoned) {
 			if (!job.hasRuns()) {
@@ -916,19 +896,29 @@
 
 		if (job.isDone()) {
 			this.#settle(job, {kind: 'completed'});
+		}
+	}
+
+	/**
+	 * Ends a job if one of its tasks has failed or was lost too often.
+	 * @param job - Job.
+	 * @param tasks - Tasks of the job of which failed runs may have become known since the last call.
+	 */
+	#endIfGivenUp(job: QueuedJob, tasks: readonly JobTask[]): void {
+		if (job.isAbandoned || job.isDone()) {
 			return;
 		}
 
-		if (job.tasks.some(task => this.#getFailureCount(task) >= job.request.rules.maxAttempts)) {
-			this.#options.log.info({job: job.request.id, route: job.request.rules.route}, 'job failed');
+		const {maxAttempts, route} = job.request.rules;
+		if (tasks.some(task => this.#getFailureCount(task) >= maxAttempts)) {
+			this.#options.log.info({job: job.request.id, route}, 'job failed');
 			job.settle({kind: 'failed'});
 			this.#abandon(job, 'a task failed too often');
 			return;
 		}
 
-		const givenUp = this.getGivenUpOutcome(job.request);
-		if (givenUp !== undefined) {
-			this.#giveUp(job, givenUp);
+		if (tasks.some(({name}) => isGivenUp(this.#options.ledger.getVerdict(name)))) {
+			this.#giveUp(job, this.#options.ledger.getGivenUpOutcome(job.request)!);
 		}
 	}
 
@@ -955,7 +945,7 @@
 				this.#options.log.info({job: entry.job.request.id, task}, 'task suspected');
 			}
 
-			this.#advance(entry.job);
+			this.#endIfGivenUp(entry.job, [entry.task]);
 		}
 
 		this.schedule();
--- a/src/pool/queued-job.ts
+++ b/src/pool/queued-job.ts
@@ -88,6 +88,8 @@
 	longestRunMs = 0;
 	/** Monotonic time since which no sender of the job is known to wait; `undefined` while one is. */
 	unconfirmedSince: number | undefined;
+	/** Gets the monotonic time until which leases of the job's runs may last; one function for all of them, so that an upstream calls it once. */
+	readonly getLeaseLimit: () => number;
 	/** Fields of the decision to admit the job, for the line at its end. */
 	admission: LogFields = {};
 	/** Durations of the completed tasks on an upstream of average speed, relative to their estimates, in ascending order. */
@@ -102,15 +104,19 @@
 	readonly #doneCounts: number[];
 	readonly #criticalPathMs: number;
 	#confirmedAt = -Infinity;
+	#placedCount = 0;
+	#doneCount = 0;
 	#tasks: readonly JobTask[] | undefined;
 
 	/**
 	 * @param submitted - Job as submitted.
 	 * @param now - Monotonic time.
 	 * @param estimator - Corrects the caller's estimates.
+	 * @param getLeaseLimit - Gets the monotonic time until which leases of a job's runs may last; without a limit by default.
 	 */
-	constructor(submitted: SubmittedJob, now: number, estimator: DurationEstimator) {
+	constructor(submitted: SubmittedJob, now: number, estimator: DurationEstimator, getLeaseLimit: (job: QueuedJob) => number = () => Infinity) {
 		this.request = submitted;
+		this.getLeaseLimit = () => getLeaseLimit(this);
 		this.priorFence = submitted.priorFence;
 		this.#arrivedAt = now - submitted.ageMs;
 		this.#deadlineAt = now + submitted.remainingMs;
@@ -214,6 +220,8 @@
 	setStatus(task: JobTask, status: JobTask['status']): void {
 		this.#waitingCounts[task.stepPosition]! += Number(status === 'waiting') - Number(task.status === 'waiting');
 		this.#doneCounts[task.stepPosition]! += Number(status === 'done') - Number(task.status === 'done');
+		this.#placedCount += Number(status === 'placed') - Number(task.status === 'placed');
+		this.#doneCount += Number(status === 'done') - Number(task.status === 'done');
 		task.status = status;
 	}
 
@@ -330,12 +338,12 @@
 
 	/** Gets the number of tasks that have a run. */
 	getRunCount(): number {
-		return this.#tasks?.filter(({run}) => run !== undefined).length ?? 0;
+		return this.#placedCount;
 	}
 
 	/** Gets whether any task has a run. */
 	hasRuns(): boolean {
-		return this.#tasks?.some(({run}) => run !== undefined) ?? false;
+		return this.#placedCount > 0;
 	}
 
 	/** Gets whether no task has run or may run: none was started, or all starts were refused. */
@@ -346,7 +354,7 @@
 
 	/** Gets whether all tasks are done. */
 	isDone(): boolean {
-		return this.request.steps.every((_, position) => this.#isStepDone(position));
+		return this.#doneCount === this.taskCount;
 	}
 
 	/**
--- a/src/pool/start-pass.ts
+++ b/src/pool/start-pass.ts
@@ -38,8 +38,6 @@
 	readonly suspectPlacement: SuspectPlacement;
 	/** Gets the upstreams that tasks may be started on. */
 	readonly getOpenLinks: () => readonly UpstreamLink[];
-	/** Gets the monotonic time until which runs of a job may go on without a further confirmation of its senders. */
-	readonly getLeaseLimit: (job: QueuedJob) => number;
 	/** Gets the expected duration of a run on an average upstream, in milliseconds; `undefined` if its job is not known. */
 	readonly getExpectedMs: (run: LinkedRun) => number | undefined;
 	/** Knows the durations of the routes and the speeds of the upstreams. */
@@ -168,14 +166,21 @@
 
 	/** Starts the ready tasks of a job in their order; gets whether all of them could start. */
 	#startReadyTasks(job: QueuedJob, capacities: FreeCapacities, now: number): boolean {
+		const placedCountsByStep = new Map<number, Map<string, number>>();
 		for (const task of job.getReadyTasks()) {
 			if (this.#isClear(job, task.name)) {
-				const start = this.#startOnUpstream(job, task, capacities) ?? this.#startInOtherPool(job, task, capacities);
+				const placedCounts = placedCountsByStep.get(task.stepPosition) ?? new Map(this.#getPlacedCounts(job, task));
+				placedCountsByStep.set(task.stepPosition, placedCounts);
+				const start = this.#startOnUpstream(job, task, capacities, placedCounts) ?? this.#startInOtherPool(job, task, capacities);
 				if (start === undefined) {
 					// Tasks of a step have the same needs: if one does not fit, the others do not either.
 					return false;
 				}
 
+				if (start.upstream !== undefined) {
+					placedCounts.set(start.upstream, (placedCounts.get(start.upstream) ?? 0) + 1);
+				}
+
 				this.#addStart(job, task, start, now);
 			}
 		}
@@ -401,10 +406,14 @@
 		return {run: task.lastRunNumber, pool: capacity.pool, freeCpu: capacity.cpu};
 	}
 
+	/** Counts the running tasks of a task's step by upstream, if the step limits them. */
+	#getPlacedCounts(job: QueuedJob, task: JobTask): ReadonlyMap<string, number> | undefined {
+		return job.getStep(task).maxPerUpstream === undefined ? undefined : job.getPlacedCounts(task.stepPosition);
+	}
+
 	/** Starts a task on an upstream of this pool; `undefined` if none has enough free capacity. */
-	#startOnUpstream(job: QueuedJob, task: JobTask, capacities: FreeCapacities): PlacedStart | undefined {
+	#startOnUpstream(job: QueuedJob, task: JobTask, capacities: FreeCapacities, placedCounts: ReadonlyMap<string, number>): PlacedStart | undefined {
 		const step = job.getStep(task);
-		const placedCounts = step.maxPerUpstream === undefined ? undefined : job.getPlacedCounts(task.stepPosition);
 		const allowed = capacities.getUpstreams(job.request.rules.service);
 		const preferred = task.avoided.size === 0 ? allowed : allowed.filter(({id}) => !task.avoided.has(id));
 		const warmEnough = excludeTooCold(preferred.length > 0 ? preferred : allowed, () => job.getColdStart(task, this.#options.clock.getMonotonicTime()));
@@ -433,7 +442,7 @@
 		job.hasStarted = true;
 		this.#logRestart(job, task, {upstream: link.name});
 		task.run = link.start({
-			task: task.name, number: task.lastRunNumber, needs: job.getStep(task).needs, spec: job.request.spec, getLeaseLimit: () => this.#options.getLeaseLimit(job),
+			task: task.name, number: task.lastRunNumber, needs: job.getStep(task).needs, spec: job.request.spec, getLeaseLimit: job.getLeaseLimit,
 			expectation: this.#options.overdueRuns.createExpectation(job, task),
 		});
 	}
--- a/src/pool/suspect-placement.ts
+++ b/src/pool/suspect-placement.ts
@@ -3,6 +3,7 @@
  * other with it.
  */
 import {chooseUpstream} from '../scheduling/index.js';
+import {type Clock} from '../seams/index.js';
 import {type CrashLedger} from './crash-ledger.js';
 import {type JobStep} from './pool-job.js';
 import {toCandidate} from './upstream-health.js';
@@ -22,6 +23,7 @@
 
 /** Options of {@link SuspectPlacement}. */
 export type SuspectPlacementOptions = {
+	readonly clock: Clock;
 	readonly ledger: CrashLedger;
 	/** Gets the links to the pool's upstreams. */
 	readonly getLinks: () => readonly UpstreamLink[];
@@ -30,10 +32,18 @@
 /** Largest share of a service's upstreams in the pool that run suspects or are reserved for them; one upstream in small pools. */
 const maxShare = 0.25;
 
+/** Time after which verdicts are read again that may have changed with time alone, in milliseconds. */
+const maxVerdictAgeMs = 20;
+
+/** Whether suspects run on an upstream, as long as neither its runs nor the failed runs change. */
+type SuspectRuns = {readonly areThere: boolean; readonly ledgerRevision: number; readonly runsRevision: number; readonly validUntil: number};
+
 /** Starts suspects on upstreams that run nothing else, and reserves upstreams for them where none is idle. */
 export class SuspectPlacement {
 	readonly #options: SuspectPlacementOptions;
 	#reserved: ReadonlySet<UpstreamLink> = new Set();
+	/** What was last found of an upstream, which is asked for several times in each pass. */
+	readonly #suspectRuns = new WeakMap<UpstreamLink, SuspectRuns>();
 
 	constructor(options: SuspectPlacementOptions) {
 		this.#options = options;
@@ -62,8 +72,11 @@
 		// The runs of an upstream that does not answer wait for the end of their lease and are not suspects at work.
 		const taken = new Set(links.filter(link => !link.isSilent() && this.#hasSuspectRun(link)));
 		const reserved = new Set<UpstreamLink>();
+		// Hundreds of tasks of a step may have been lost with one upstream.
+		const usableByStep = new Map<JobStep, readonly UpstreamLink[]>();
 		for (const suspect of suspects) {
-			const usable = getUsableLinks(links, suspect);
+			const usable = usableByStep.get(suspect.step) ?? getUsableLinks(links, suspect);
+			usableByStep.set(suspect.step, usable);
 			if (usable.length === 0) {
 				suspect.lend();
 				continue;
@@ -96,17 +109,29 @@
 	}
 
 	#hasSuspectRun(link: UpstreamLink): boolean {
-		if (this.#options.ledger.isEmpty()) {
+		const {ledger, clock} = this.#options;
+		if (ledger.isEmpty()) {
 			return false;
 		}
 
+		const now = clock.getMonotonicTime();
+		const known = this.#suspectRuns.get(link);
+		if (known?.ledgerRevision === ledger.revision && known.runsRevision === link.runsRevision && now < known.validUntil) {
+			return known.areThere;
+		}
+
+		let areThere = false;
 		for (const {task} of link.getRuns()) {
-			if (this.#options.ledger.getVerdict(task) !== 'clear') {
-				return true;
+			if (ledger.getVerdict(task) !== 'clear') {
+				areThere = true;
+				break;
 			}
 		}
 
-		return false;
+		this.#suspectRuns.set(link, {
+			areThere, ledgerRevision: ledger.revision, runsRevision: link.runsRevision, validUntil: now + maxVerdictAgeMs,
+		});
+		return areThere;
 	}
 
 	/** Sorts upstreams by how soon they suit a suspect; one that is reserved already comes before others. */
--- a/src/pool/upstream-link.ts
+++ b/src/pool/upstream-link.ts
@@ -191,9 +191,13 @@
 	suspendedUntil = 0;
 	/** Start time of the instance that the upstream's entry describes; 0 if the entry does not tell. */
 	describedBornMs: number;
+	/** Number that changes whenever a run is added or removed. */
+	runsRevision = 0;
 	readonly #options: UpstreamLinkOptions;
 	readonly #timing: UpstreamLinkTiming;
 	readonly #runs = new Map<string, LinkedRun>();
+	/** Tasks of the runs whose leases are limited, by the function that limits them: the runs of a job share one. */
+	readonly #tasksByLimit = new Map<() => number, Set<string>>();
 	/** Sum of the needs of all runs. */
 	readonly #reserved = {cpu: 0, memoryMb: 0, accelerators: 0};
 	/** Runs that the upstream lists and no job here has claimed, by task, with the time at which they were first listed. */
@@ -517,8 +521,8 @@
 			return 0;
 		}
 
-		for (const {task, getLeaseLimit} of this.#runs.values()) {
-			const limitMs = (getLeaseLimit?.() ?? Infinity) - now;
+		for (const [getLeaseLimit, [task]] of this.#tasksByLimit) {
+			const limitMs = getLeaseLimit() - now;
 			this.#lastLimitMs = Math.min(this.#lastLimitMs, limitMs);
 			if (limitMs < leaseMs) {
 				leaseMs = limitMs;
@@ -692,8 +696,9 @@
 			}
 		}
 
+		const listed = new Set(running.map(({task, number}) => `${task} ${number}`));
 		for (const run of this.#runs.values()) {
-			const isListed = running.some(({task, number}) => task === run.task && number === run.number);
+			const isListed = listed.has(`${run.task} ${run.number}`);
 			// A start that is still in progress is stopped if it stays unanswered.
 			if (run.state === 'starting' || (isListed && !run.isStopRequested)) {
 				continue;
@@ -1095,16 +1100,33 @@
 	}
 
 	#addRun(run: LinkedRun): void {
-		this.#runs.set(run.task, run);
+		const {task, getLeaseLimit} = run;
+		this.#removeLimit(this.#runs.get(task));
+		this.runsRevision++;
+		this.#runs.set(task, run);
+		if (getLeaseLimit !== undefined) {
+			this.#tasksByLimit.set(getLeaseLimit, (this.#tasksByLimit.get(getLeaseLimit) ?? new Set()).add(task));
+		}
+
 		this.#adjustReserved(run.needs, 1);
 	}
 
 	#removeRun(run: LinkedRun): void {
+		this.#removeLimit(run);
+		this.runsRevision++;
 		this.#runs.delete(run.task);
 		this.#stopRequestedAt.delete(run.task);
 		this.#adjustReserved(run.needs, -1);
 	}
 
+	#removeLimit(run: LinkedRun | undefined): void {
+		const tasks = run?.getLeaseLimit && this.#tasksByLimit.get(run.getLeaseLimit);
+		tasks?.delete(run!.task);
+		if (tasks?.size === 0) {
+			this.#tasksByLimit.delete(run!.getLeaseLimit!);
+		}
+	}
+
 	#adjustReserved({cpu, memoryMb, accelerators}: TaskNeeds, sign: number): void {
 		this.#reserved.cpu += cpu * sign;
 		this.#reserved.memoryMb += memoryMb * sign;
