Give the soak of processes jobs of hundreds of tasks

All jobs of the soak had at most 24 tasks, so that it could not meet the loss of many runs at once.

The test run plays one short soak with such jobs and upstreams that crash.

--- a/bench/soak-processes/caller.ts
+++ b/bench/soak-processes/caller.ts
@@ -7,7 +7,7 @@
 import {type Balancer} from './balancer.js';
 import {getSharedTime, type Submission} from './history.js';
 import {
-	getJobSpec, type JobKind, jobKinds, longJobKind, taskCpu, taskMemoryMb,
+	getJobSpec, getNeeds, type JobKind, jobKinds, largeJobKind, longJobKind,
 } from './jobs.js';
 import {type VmProcess} from './vm-process.js';
 import {host, prefix} from './stand-in-process.js';
@@ -40,6 +40,8 @@
 	readonly kinds?: readonly JobKind[];
 	/** Share of its jobs that are long; none by default. */
 	readonly longShare?: number;
+	/** Share of its jobs that have many small tasks; none by default. */
+	readonly largeShare?: number;
 	/** Time from the deadline until it abandons a submission, in milliseconds, because the VM may answer late. */
 	readonly lateAnswerMs?: number;
 	readonly onSubmission: (submission: Submission) => void;
@@ -61,10 +63,12 @@
 
 	/** Submits jobs; resolves after `close` when the last job has ended. */
 	async run(): Promise<void> {
-		const {kinds, random, meanPauseMs: pauseMs, longShare = 0} = this.#options;
+		const {kinds, random, meanPauseMs: pauseMs, longShare = 0, largeShare = 0} = this.#options;
 		while (!this.#isClosed) {
 			await delay(-Math.log(1 - random.getFloat()) * pauseMs);
-			await this.#submitJob(longShare > 0 && random.getFloat() < longShare ? longJobKind : drawJobKind(random, kinds));
+			const isLong = longShare > 0 && random.getFloat() < longShare;
+			const isLarge = largeShare > 0 && random.getFloat() < largeShare;
+			await this.#submitJob(isLong ? longJobKind : (isLarge ? largeJobKind : drawJobKind(random, kinds)));
 		}
 
 		await this.#connection?.client.destroy();
@@ -161,7 +165,9 @@
  * @param limits - Deadline, and time from it until the submission is abandoned, in milliseconds.
  * @returns How the submission ended.
  */
-export async function submitJob(client: Client, job: string, {taskCount, durationMs}: JobKind, {deadlineMs = usualDeadlineMs, lateAnswerMs = defaultLateAnswerMs} = {}): Promise<Pick<Submission, 'end' | 'status' | 'state'>> {
+export async function submitJob(client: Client, job: string, kind: JobKind, {deadlineMs = usualDeadlineMs, lateAnswerMs = defaultLateAnswerMs} = {}): Promise<Pick<Submission, 'end' | 'status' | 'state'>> {
+	const {taskCount, durationMs} = kind;
+	const {cpu, memoryMb} = getNeeds(kind);
 	const signal = AbortSignal.timeout(deadlineMs + lateAnswerMs);
 	let status: number | undefined;
 	try {
@@ -171,7 +177,7 @@
 			headers: {host, 'content-type': 'application/json', 'x-endivemill-deadline-ms': String(deadlineMs)},
 			body: JSON.stringify({
 				spec: getJobSpec(job), best_effort: true, steps: [{
-					count: taskCount, cpu: taskCpu, mem_mb: taskMemoryMb, estimate_ms: durationMs,
+					count: taskCount, cpu, mem_mb: memoryMb, estimate_ms: durationMs,
 				}],
 			}),
 			signal,
--- a/bench/soak-processes/main.ts
+++ b/bench/soak-processes/main.ts
@@ -21,6 +21,7 @@
 	readonly restarts: string;
 	readonly centers: string;
 	readonly leaving: string;
+	readonly large: string;
 	readonly pause: string;
 	readonly keep?: boolean;
 };
@@ -79,6 +80,7 @@
 	.option('--restarts <count>', 'groups of upstreams that crash or start again around the faults of links in each series', '0')
 	.option('--centers <count>', 'data centres', '3')
 	.option('--leaving <count>', 'groups of faults around callers that leave a VM which is short of processor time, in each series', '0')
+	.option('--large <share>', 'share of the jobs that have 600 small tasks, from 0 to 1', '0')
 	.option('--pause <ms>', 'mean time between two jobs of a caller', '600')
 	.option('--keep', 'keep the logs even without violations')
 	.parse();
@@ -96,6 +98,7 @@
 		linkFaultCount: Number(options.links),
 		restartCount: Number(options.restarts),
 		leavingCount: Number(options.leaving),
+		largeJobShare: Number(options.large),
 		meanCallerPauseMs: Number(options.pause),
 	});
 	printResult(seed, result);
--- a/bench/soak-processes/soak-run.ts
+++ b/bench/soak-processes/soak-run.ts
@@ -46,6 +46,8 @@
 	readonly restartCount?: number;
 	/** Number of groups of faults around callers that leave a VM which is short of processor time, in each series; none by default. */
 	readonly leavingCount?: number;
+	/** Share of the callers' jobs that have many small tasks; none by default. */
+	readonly largeJobShare?: number;
 	/** Mean time between two jobs of a caller, in milliseconds. */
 	readonly meanCallerPauseMs?: number;
 	/** Whether the folder of the logs is kept when there are no violations. */
@@ -145,7 +147,7 @@
 	constructor(options: SoakOptions) {
 		this.#options = {
 			vmCount: 9, dataCenters: ['dc1', 'dc2', 'dc3'], upstreamsPerDataCenter: 18, callerCount: 12, patientCallerCount: 0, keepsLogs: false, linkFaultCount: 0, restartCount: 0,
-			leavingCount: 0, meanCallerPauseMs: defaultMeanPauseMs, ...options,
+			leavingCount: 0, largeJobShare: 0, meanCallerPauseMs: defaultMeanPauseMs, ...options,
 		};
 		this.#random = createSeededRandom(options.seed + 1);
 		this.#folder = mkdtempSync(path.join(tmpdir(), `endivemill-soak-${options.seed}-`));
@@ -204,7 +206,7 @@
 	}
 
 	async #start(): Promise<void> {
-		const {dataCenters, vmCount, callerCount, patientCallerCount, seed, linkFaultCount, leavingCount, meanCallerPauseMs} = this.#options;
+		const {dataCenters, vmCount, callerCount, patientCallerCount, seed, linkFaultCount, leavingCount, largeJobShare, meanCallerPauseMs} = this.#options;
 		const storeAddress = await this.#standIns.getStoreAddress();
 		const ips = Array.from({length: vmCount}, (_, position) => getIp(position));
 		if (linkFaultCount + leavingCount > 0) {
@@ -238,7 +240,7 @@
 			this.#callers.push(new Caller({
 				name: position.toString(16).padStart(3, '0'), dataCenter: dataCenters[position % dataCenters.length]!, balancer, random: createSeededRandom((seed * 1000) + position),
 				meanPauseMs: meanCallerPauseMs, isPatient: position >= callerCount, lateAnswerMs: linkFaultCount + leavingCount > 0 ? 0 : undefined,
-				longShare: leavingCount > 0 ? longJobShare : 0, onSubmission: submission => this.#submissions.push(submission),
+				longShare: leavingCount > 0 ? longJobShare : 0, largeShare: largeJobShare, onSubmission: submission => this.#submissions.push(submission),
 			}));
 		}
 	}
--- a/test/soak-processes/soak-run.test.ts
+++ b/test/soak-processes/soak-run.test.ts
@@ -32,3 +32,12 @@
 	t.true(history.faults.some(({kind}) => kind === 'callers-leave'));
 	t.is(history.recoveries.length, 7);
 });
+
+test.serial('a short soak with jobs of hundreds of tasks, whose upstreams crash, has no violations', async t => {
+	const {history, violations: broken, folder} = await runSoak({
+		seed: 61, lengthMs: 8000, vmCount: 4, dataCenters: ['dc1', 'dc2'], upstreamsPerDataCenter: 4, callerCount: 4, largeJobShare: 0.2,
+	});
+	t.deepEqual(broken, [], `logs: ${folder}`);
+	t.true(history.sends.some(({taskCount, state}) => taskCount === 600 && state === 'completed'));
+	t.true(history.faults.some(({kind}) => kind === 'deadly-jobs'));
+});
