--- a/test/pool/many-lost-runs.test.ts
+++ b/test/pool/many-lost-runs.test.ts
@@ -11,6 +11,12 @@
 const needs = {cpu: 50, memoryMb: 16, accelerators: 0};
 const durationMs = 4000;
 const taskCount = 300;
+const largeJob = {step: {taskCount, needs, estimateMs: durationMs}, rules: {...createJob('a').rules, slackMs: 20_000}, remainingMs: 20_000};
+
+/** Creates upstreams of which one holds all tasks of the job. */
+function createHarness(): PoolHarness {
+	return new PoolHarness({cpu: 32_000, getWork: () => ({needs, durationMs})});
+}
 
 /** Ledger that counts how often it is asked for single tasks. */
 class CountingLedger extends CrashLedger {
@@ -30,11 +36,11 @@
 
 // Guards against an owner that answers nothing after a crash: each lost run made it examine all failed runs of the job for each of its tasks.
 test('the loss of many runs of a job takes work in proportion to their number', async t => {
-	const harness = new PoolHarness({cpu: 32_000, getWork: () => ({needs, durationMs})});
+	const harness = createHarness();
 	const ledger = new CountingLedger(harness.clock);
 	const owner = harness.createOwner(undefined, undefined, ledger);
 	await harness.clock.advance(100);
-	harness.submit(owner, 'a', {step: {taskCount, needs, estimateMs: durationMs}, rules: {...createJob('a').rules, slackMs: 20_000}, remainingMs: 20_000});
+	harness.submit(owner, 'a', largeJob);
 	await harness.clock.advance(1000);
 	const {upstream} = harness.upstreams.starts[0]!;
 	t.is(harness.upstreams.starts.filter(start => start.upstream === upstream).length, taskCount);
@@ -49,7 +55,7 @@
 
 // Guards against an owner that answers nothing while it starts a large job: each start examined the leases of all runs on its upstream.
 test('the start of many tasks on one upstream takes work in proportion to their number', async t => {
-	const harness = new PoolHarness({cpu: 32_000, getWork: () => ({needs, durationMs})});
+	const harness = createHarness();
 	const owner = harness.createOwner();
 	await harness.clock.advance(100);
 	let confirmationReads = 0;
@@ -58,7 +64,7 @@
 		return harness.clock.getMonotonicTime();
 	};
 
-	harness.submit(owner, 'a', {step: {taskCount, needs, estimateMs: durationMs}, rules: {...createJob('a').rules, slackMs: 20_000}, remainingMs: 20_000}, undefined, {getConfirmedAt});
+	harness.submit(owner, 'a', largeJob, undefined, {getConfirmedAt});
 	await harness.clock.advance(10);
 	t.deepEqual([harness.upstreams.starts.length, new Set(harness.upstreams.starts.map(({upstream}) => upstream)).size], [taskCount, 1]);
 	t.true(confirmationReads <= 10 * taskCount, `${confirmationReads} reads`);
@@ -66,11 +72,11 @@
 });
 
 test('a task of a large job that fails too often ends its job', async t => {
-	const harness = new PoolHarness({cpu: 32_000, getWork: () => ({needs, durationMs})});
+	const harness = createHarness();
 	const ledger = new CrashLedger(harness.clock);
 	const owner = harness.createOwner(undefined, undefined, ledger);
 	await harness.clock.advance(100);
-	harness.submit(owner, 'a', {step: {taskCount, needs, estimateMs: durationMs}, rules: {...createJob('a').rules, slackMs: 20_000}, remainingMs: 20_000});
+	harness.submit(owner, 'a', largeJob);
 	await harness.clock.advance(1000);
 	ledger.mergeFailedRuns([1, 2, 3].map(number => ({
 		task: `a.0.0.${taskCount - 1}`, number, upstream: `u${number}`, bornMs: 1, cause: 'failed', ageMs: 0,
