Reword a type of the codec's library and a name of the suspects' placement

The page of the types told of a second form of the function that is not declared. The name of a flag now says what it tells. No behaviour is changed; the tests of the placement of suspects pass.

--- a/src/connection/cbor-x.d.ts
+++ b/src/connection/cbor-x.d.ts
@@ -6,7 +6,7 @@
 
 	/**
 	 * Sets the function that decodes the texts of all values.
-	 * @param extract - Decodes the text of `byteLength` bytes that begins at `start`; may instead decode up to `sourceEnd` what follows.
+	 * @param extract - Decodes the text of `byteLength` bytes that begins at `start` of the encoded value, which ends at `sourceEnd`.
 	 */
 	export function setExtractor(extract: (start: number, sourceEnd: number, byteLength: number, source: Uint8Array) => string): void;
 }
--- a/src/pool/suspect-placement.ts
+++ b/src/pool/suspect-placement.ts
@@ -36,7 +36,7 @@
 const maxVerdictAgeMs = 20;
 
 /** Whether suspects run on an upstream, as long as neither its runs nor the failed runs change. */
-type SuspectRuns = {readonly areThere: boolean; readonly ledgerRevision: number; readonly runsRevision: number; readonly validUntil: number};
+type SuspectRuns = {readonly areFound: boolean; readonly ledgerRevision: number; readonly runsRevision: number; readonly validUntil: number};
 
 /** Starts suspects on upstreams that run nothing else, and reserves upstreams for them where none is idle. */
 export class SuspectPlacement {
@@ -117,21 +117,21 @@
 		const now = clock.getMonotonicTime();
 		const known = this.#suspectRuns.get(link);
 		if (known?.ledgerRevision === ledger.revision && known.runsRevision === link.runsRevision && now < known.validUntil) {
-			return known.areThere;
+			return known.areFound;
 		}
 
-		let areThere = false;
+		let areFound = false;
 		for (const {task} of link.getRuns()) {
 			if (ledger.getVerdict(task) !== 'clear') {
-				areThere = true;
+				areFound = true;
 				break;
 			}
 		}
 
 		this.#suspectRuns.set(link, {
-			areThere, ledgerRevision: ledger.revision, runsRevision: link.runsRevision, validUntil: now + maxVerdictAgeMs,
+			areFound, ledgerRevision: ledger.revision, runsRevision: link.runsRevision, validUntil: now + maxVerdictAgeMs,
 		});
-		return areThere;
+		return areFound;
 	}
 
 	/** Sorts upstreams by how soon they suit a suspect; one that is reserved already comes before others. */
